--- /dev/null
+++ b/src/greengagelb/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the program with ``python -m greengagelb``."""
+
+from greengagelb.cli import main
+
+if __name__ == '__main__':
+    main.run()
--- /dev/null
+++ b/src/greengagelb/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The ``greengagelb`` command line."""
--- /dev/null
+++ b/src/greengagelb/cli/serve.py
@@ -0,0 +1,51 @@
+"""The subcommands that run an instance and check its settings."""
+
+import pathlib
+import signal
+import sys
+
+from absl import flags
+
+from greengagelb import errors
+from greengagelb import settings
+from greengagelb.cli import exit_codes
+
+SETTINGS = flags.DEFINE_string('settings', None, 'INI file of the instance.')
+
+
+def read_settings() -> settings.Settings:
+    """Return the settings that the flags name."""
+    if not SETTINGS.value:
+        raise errors.SettingsError('write --settings FILE')
+    return settings.read_settings(pathlib.Path(SETTINGS.value))
+
+
+def check_config(words: list[str]) -> int:
+    """Read a settings file and say that it is good."""
+    found = read_settings()
+    sys.stdout.write(f'settings of {found.instance.name} are valid\n')
+    return exit_codes.SUCCESS
+
+
+def serve(words: list[str]) -> int:
+    """Run one instance until it is asked to stop and nothing is in flight."""
+    # The reactor is installed by its import, so that happens only where one
+    # is run.
+    from twisted.internet import reactor  # noqa: PLC0415
+
+    from greengagelb.coordination import events  # noqa: PLC0415
+    from greengagelb.transport import instance  # noqa: PLC0415
+    from greengagelb.transport import recorder  # noqa: PLC0415
+
+    recorder.configure_logging()
+    running = instance.Instance(reactor, read_settings())
+    reactor.callWhenRunning(running.start)
+    running.stopped.addCallback(lambda _: reactor.stop())
+
+    def stop(number: int, frame: object) -> None:
+        reactor.callFromThread(running.dispatch, events.StopRequested())
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    reactor.run(installSignalHandlers=False)
+    return exit_codes.SUCCESS
--- /dev/null
+++ b/src/greengagelb/coordination/actions.py
@@ -0,0 +1,184 @@
+"""What a decision wants done, as typed actions carried out with ``match``."""
+
+import dataclasses
+
+from greengagelb.state import claims
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import identity
+from greengagelb.state import requests
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartAttempt:
+    """Have an engine generate, on a fresh or idle connection of its own."""
+
+    attempt: identity.AttemptId
+    upstream: configuration_state.Upstream
+    model: str
+    version: str
+    adapter: str
+    prompt: str
+    received: tuple[str, ...]
+    most_tokens: int
+    priority: configuration_state.Priority
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttachAttempt:
+    """Stream an attempt that already runs, over a new connection."""
+
+    attempt: identity.AttemptId
+    upstream: configuration_state.Upstream
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Close the attempt's connection and tell its engine to stop it."""
+
+    attempt: identity.AttemptId
+    upstream: configuration_state.Upstream
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendTokens:
+    """Pass tokens to the caller, with a cursor sealed from ``point``."""
+
+    exchange: int
+    position: int
+    tokens: tuple[str, ...]
+    point: requests.ResumePoint
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendRestart:
+    """Tell the caller that its answer starts afresh."""
+
+    exchange: int
+    generation: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendEnd:
+    """Tell the caller that its answer is complete."""
+
+    exchange: int
+    generation: int
+    position: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendFailure:
+    """Give the caller its final answer at once."""
+
+    exchange: int
+    failure: requests.Failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendAnswer:
+    """Pass a plain service's answer to the caller."""
+
+    exchange: int
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InsertClaim:
+    """Insert a claim row if no row of that key is there.
+
+    A lost answer is settled by reading the row back: ``record`` names this
+    attempt as its holder, so a row that equals it is this attempt's own.
+    """
+
+    exchange: int
+    key: str
+    record: claims.ClaimRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordOutcome:
+    """Write a call's outcome over its claim, as well as can be."""
+
+    key: str
+    record: claims.ClaimRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchCall:
+    """Hand a call to a plain service, on a connection used for it alone."""
+
+    exchange: int
+    upstream: configuration_state.Upstream
+    request: requests.CallRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AbandonCall:
+    """Close the connection of a call that nobody waits for any more."""
+
+    exchange: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeUpstream:
+    """Ask an upstream for its report over a fresh connection."""
+
+    upstream: configuration_state.Upstream
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Fire ``TimerFired`` at a monotonic time; replaces one of that name."""
+
+    name: str
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearTimer:
+    """Forget a timer; harmless where there is none."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """Put an event on the time line; the transport adds stamp and process."""
+
+    kind: str
+    reason: str
+    request: identity.RequestId | None = None
+    generation: int = 0
+    attempt: str = ''
+    upstream: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FinishStopping:
+    """Nothing is in flight any more: the process may exit."""
+
+
+Action = (
+    StartAttempt
+    | AttachAttempt
+    | CancelAttempt
+    | SendTokens
+    | SendRestart
+    | SendEnd
+    | SendFailure
+    | SendAnswer
+    | InsertClaim
+    | RecordOutcome
+    | DispatchCall
+    | AbandonCall
+    | ProbeUpstream
+    | SetTimer
+    | ClearTimer
+    | Record
+    | FinishStopping
+)
--- /dev/null
+++ b/src/greengagelb/coordination/events.py
@@ -0,0 +1,238 @@
+"""What can happen to an instance, as typed events.
+
+Times are monotonic seconds of this process. Where bytes came from outside,
+the protocol layer has validated them before they become an event.
+"""
+
+import dataclasses
+
+from greengagelb.state import claims
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import identity
+from greengagelb.state import requests
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GenerationSubmitted:
+    """A caller asks for a generation."""
+
+    request: requests.GenerationRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GenerationResumed:
+    """A caller comes back with a cursor and the tokens that it holds."""
+
+    request: requests.GenerationRequest
+    point: requests.ResumePoint
+    received: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallSubmitted:
+    """A caller asks for a call to a plain service."""
+
+    request: requests.CallRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller's connection is gone; nobody waits for the answer."""
+
+    exchange: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptAccepted:
+    """The engine has begun to answer with an event stream."""
+
+    attempt: identity.AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokensArrived:
+    """Consecutive tokens; the first has position ``position``."""
+
+    attempt: identity.AttemptId
+    position: int
+    tokens: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """The engine says that the generation is complete."""
+
+    attempt: identity.AttemptId
+    position: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptRefused:
+    """The engine said no before it started; nothing ran."""
+
+    attempt: identity.AttemptId
+    code: str
+    retry_after: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptBroken:
+    """The attempt's connection ended before the generation did.
+
+    ``handed_over`` is false only where no byte of the order was ever given
+    to a transport.
+    """
+
+    attempt: identity.AttemptId
+    detail: str
+    handed_over: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptCancelled:
+    """The engine confirms that the attempt no longer runs there."""
+
+    attempt: identity.AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelFailed:
+    """The engine did not confirm a cancellation."""
+
+    attempt: identity.AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamReported:
+    """An upstream answered a probe on a fresh connection."""
+
+    engine: identity.EngineId
+    model: str
+    version: str
+    adapter: str
+    running: int
+    queued: int
+    step_seconds: float
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamUnreachable:
+    """An upstream did not answer a probe in time."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLeaving:
+    """Some source says that an upstream is leaving; final per incarnation."""
+
+    engine: identity.EngineId
+    source: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimWritten:
+    """The claim's row is this attempt's own.
+
+    Either the insert was answered, or its answer was lost and the row read
+    back names this attempt.
+    """
+
+    exchange: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimTaken:
+    """Another attempt holds the claim."""
+
+    exchange: int
+    record: claims.ClaimRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimUnsettled:
+    """The table service gave no answer to the insert of a claim.
+
+    ``handed_over`` is false only where no byte of the write ever left.
+    """
+
+    exchange: int
+    handed_over: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallAnswered:
+    """A plain service's answer, matched by the echoed request id."""
+
+    exchange: int
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallBroken:
+    """A call ended without an answer."""
+
+    exchange: int
+    detail: str
+    handed_over: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationOffered:
+    """Some source has a configuration, perhaps an old one."""
+
+    configuration: configuration_state.Configuration
+    source: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRequested:
+    """The platform asks this instance to stop."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PauseNoticed:
+    """The event loop woke ``seconds`` later than planned.
+
+    The process was stopped or starved. Timers fire before sockets are read
+    then, so silence until now proves nothing about any upstream.
+    """
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimerFired:
+    """A timer that was set by a ``SetTimer`` action is due."""
+
+    name: str
+
+
+Event = (
+    GenerationSubmitted
+    | GenerationResumed
+    | CallSubmitted
+    | CallerGone
+    | AttemptAccepted
+    | TokensArrived
+    | AttemptEnded
+    | AttemptRefused
+    | AttemptBroken
+    | AttemptCancelled
+    | CancelFailed
+    | UpstreamReported
+    | UpstreamUnreachable
+    | UpstreamLeaving
+    | ClaimWritten
+    | ClaimTaken
+    | ClaimUnsettled
+    | CallAnswered
+    | CallBroken
+    | ConfigurationOffered
+    | StopRequested
+    | PauseNoticed
+    | TimerFired
+)
--- /dev/null
+++ b/src/greengagelb/errors.py
@@ -0,0 +1,81 @@
+"""Every error that the project raises, by layer.
+
+Each class carries a stable ``code``. Operators search for codes in logs and
+in the operators' page, and callers branch on them, so a code never changes
+its meaning. A layer raises only its own errors: it catches those of the
+layer below and raises its own from them, so that no caller has to know what
+lies two layers down.
+"""
+
+
+class GreengagelbError(Exception):
+    """Base of all errors; never raised itself."""
+
+    code = 'internal'
+
+
+class SettingsError(GreengagelbError):
+    """A settings file is wrong; the message says what to write instead."""
+
+    code = 'settings-invalid'
+
+
+class StateError(GreengagelbError):
+    """A data class was given values that contradict each other."""
+
+    code = 'state-invalid'
+
+
+class CoordinationError(GreengagelbError):
+    """A decision object was asked for something it can't decide."""
+
+    code = 'coordination'
+
+
+class InvariantViolated(CoordinationError):
+    """A promise to callers or operators would have been broken.
+
+    Raised in place of an ``assert`` so that ``python -O`` keeps the check.
+    """
+
+    code = 'invariant-violated'
+
+
+class ProtocolError(GreengagelbError):
+    """A message from outside can't be understood."""
+
+    code = 'bad-message'
+
+
+class TransportError(GreengagelbError):
+    """A peer, an upstream or the platform can't be reached or misbehaves."""
+
+    code = 'transport'
+
+
+class PlatformUnavailable(TransportError):
+    """The platform's service gave no answer; a write may have happened.
+
+    ``handed_over`` is false only where no byte of the request ever left.
+    """
+
+    code = 'platform-unavailable'
+    handed_over = True
+
+
+class VersionConflict(TransportError):
+    """A conditional write lost: the row has another version by now."""
+
+    code = 'version-conflict'
+
+
+class Unauthenticated(ProtocolError):
+    """A request carries no key, or one that nobody has."""
+
+    code = 'unauthenticated'
+
+
+class UnknownPlan(TransportError):
+    """No plan of that id is kept."""
+
+    code = 'unknown-plan'
--- /dev/null
+++ b/src/greengagelb/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Validated messages and codecs at the border of the process."""
--- /dev/null
+++ b/src/greengagelb/protocol/caller_api.py
@@ -0,0 +1,83 @@
+"""Messages between callers and an instance, over HTTP.
+
+``POST /v1/chat/completions`` follows the streaming conventions that clients
+of chat models already use: ``data:`` events with ``choices[0].delta.content``
+and a last ``data: [DONE]``. The model's name is the service's name. Each event
+also has an ``id``, a sealed cursor. A caller whose stream broke sends the same
+request again, through any instance, with ``Last-Event-ID`` set to the last id
+and ``received`` set to the tokens that it holds.
+
+``POST /v1/services/{service}/{operation}`` passes a body to a plain service.
+
+Headers: ``Authorization: Bearer KEY``, ``Idempotency-Key``,
+``X-Deadline-Seconds``.
+"""
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True):
+    """One turn of the conversation that makes up the prompt."""
+
+    role: str
+    content: str
+
+
+class ChatCompletion(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A caller's request for a streamed generation."""
+
+    model: str
+    messages: list[Message]
+    max_tokens: int = 256
+    stream: bool = True
+    received: list[str] = []
+
+
+class Delta(msgspec.Struct, frozen=True):
+    """The text that an event adds."""
+
+    content: str
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """The one choice of an event; ``finish_reason`` is set on the last."""
+
+    index: int
+    delta: Delta
+    finish_reason: str | None = None
+
+
+class ChatChunk(msgspec.Struct, frozen=True):
+    """One event of the stream.
+
+    ``position`` is that of the first of ``tokens``; ``generation`` grows only
+    after an explicit ``restart`` event, when the caller has to discard what
+    it holds.
+    """
+
+    id: str
+    model: str
+    choices: list[Choice]
+    generation: int
+    position: int
+    tokens: list[str]
+    object: str = 'chat.completion.chunk'
+
+
+class Restarted(msgspec.Struct, frozen=True):
+    """The answer starts afresh; all tokens before this event are void."""
+
+    generation: int
+    reason: str
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A problem document (RFC 9457) with what is known of the request."""
+
+    title: str
+    status: int
+    code: str
+    ran: str
+    detail: str
+    type: str = 'about:blank'
+    retry_after: float | None = None
--- /dev/null
+++ b/src/greengagelb/protocol/codec.py
@@ -0,0 +1,71 @@
+"""Encodes and decodes messages; turns codec errors into protocol errors."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+from greengagelb import errors
+from greengagelb.state import requests
+
+T = TypeVar('T')
+SEAL_BYTES = 16
+
+_encoder = msgspec.json.Encoder()
+
+
+def encode(message: Any) -> bytes:
+    """Return a message or data class as JSON."""
+    return _encoder.encode(message)
+
+
+def decode(raw: bytes | str, kind: type[T]) -> T:
+    """Return the message in ``raw``, validated.
+
+    Raises :class:`~greengagelb.errors.ProtocolError` saying where it is wrong.
+    """
+    try:
+        return msgspec.json.decode(raw, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise errors.ProtocolError(str(exc)) from exc
+
+
+class CursorSeal:
+    """Seals resume points into event ids and opens them again.
+
+    The id travels through the caller, who could otherwise name another
+    account's request in it or claim tokens that were never generated. All
+    instances share ``secret``, so any of them can open any cursor and none
+    has to remember a stream that another one lost.
+    """
+
+    def __init__(self, secret: bytes) -> None:
+        self.secret = secret
+
+    def seal(self, point: requests.ResumePoint) -> str:
+        """Return the cursor of a resume point; URL-safe text."""
+        payload = msgspec.msgpack.encode(point)
+        return base64.urlsafe_b64encode(self.tag(payload) + payload).decode()
+
+    def open(self, cursor: str) -> requests.ResumePoint:
+        """Return the resume point of a cursor that this fleet sealed."""
+        try:
+            raw = base64.urlsafe_b64decode(cursor.encode())
+        except (binascii.Error, ValueError) as exc:
+            raise errors.ProtocolError('cursor is not base64') from exc
+        tag, payload = raw[:SEAL_BYTES], raw[SEAL_BYTES:]
+        if not hmac.compare_digest(tag, self.tag(payload)):
+            raise errors.ProtocolError('cursor was not sealed here')
+        try:
+            return msgspec.msgpack.decode(payload, type=requests.ResumePoint)
+        except msgspec.DecodeError as exc:
+            raise errors.ProtocolError('cursor of another release') from exc
+
+    def tag(self, payload: bytes) -> bytes:
+        """Return the keyed digest of a payload; 16 bytes."""
+        digest = hmac.digest(self.secret, payload, hashlib.sha256)
+        return digest[:SEAL_BYTES]
--- /dev/null
+++ b/src/greengagelb/protocol/platform_api.py
@@ -0,0 +1,42 @@
+"""Messages between an instance and the platform's service, over HTTP.
+
+``GET /tables/{table}/row?key=`` -> :class:`Row` or 404;
+``PUT /tables/{table}/row?key=`` :class:`Write` -> :class:`Row`, or 409 with
+the row that stands in the way; ``GET /tables/{table}/rows`` -> list of
+:class:`Row`; ``GET``/``PUT /objects?key=`` raw bytes; ``GET /instances``
+-> list of :class:`Instance`, which lags; ``POST /weights/{model}/{version}``
+-> 200, or 429 with ``Retry-After`` when loads come too fast.
+"""
+
+import msgspec
+
+
+class Write(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A conditional write: it happens only on top of ``expected_version``.
+
+    Version 0 stands for a row that is not there yet.
+    """
+
+    expected_version: int
+    value: str
+
+
+class Row(msgspec.Struct, frozen=True):
+    """A row of a table; ``version`` grows by one with each write."""
+
+    key: str
+    version: int
+    value: str
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """An instance in the platform's list; ``state`` is live or leaving."""
+
+    name: str
+    host: str
+    caller_port: int
+    operator_port: int
+    peer_port: int
+    data_centre: str
+    incarnation: str
+    state: str = 'live'
--- /dev/null
+++ b/src/greengagelb/protocol/problems.py
@@ -0,0 +1,36 @@
+"""Problem documents: final answers to callers who get no other."""
+
+from greengagelb.protocol import caller_api
+from greengagelb.state import requests
+
+DEFAULT_STATUS = 503
+STATUS_OF_CODE = {
+    'bad-message': 400,
+    'body-too-large': 413,
+    'unauthenticated': 401,
+    'unknown-account': 401,
+    'unknown-service': 404,
+    'unknown-operation': 404,
+    'wrong-service-kind': 400,
+    'bad-cursor': 400,
+    'received-tokens-differ': 409,
+    'account-queue-full': 429,
+    'twin-outcome-unknown': 409,
+    'outcome-unknown': 502,
+    'deadline-passed': 504,
+    'upstream-lost': 502,
+    'version-conflict': 409,
+    'unknown-plan': 404,
+}
+
+
+def problem_of(failure: requests.Failure) -> caller_api.Problem:
+    """Return the problem document of a failure."""
+    return caller_api.Problem(
+        title=failure.code.replace('-', ' '),
+        status=STATUS_OF_CODE.get(failure.code, DEFAULT_STATUS),
+        code=failure.code,
+        ran=failure.ran.value,
+        detail=failure.detail,
+        retry_after=failure.retry_after,
+    )
--- /dev/null
+++ b/src/greengagelb/settings.py
@@ -0,0 +1,192 @@
+"""Settings of a process, read once from an INI file and validated whole.
+
+A mistake is refused before any socket opens, with file, section, key and what
+to write instead: an instance that starts with a guessed setting fails later,
+when nobody looks.
+"""
+
+from collections.abc import Callable
+import configparser
+import dataclasses
+import ipaddress
+import pathlib
+from typing import Any
+
+from greengagelb import errors
+
+LEAST_SECRET_CHARACTERS = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceSettings:
+    """Section ``[instance]``: who and where this process is."""
+
+    name: str
+    data_centre: str
+    host: str
+    caller_port: int
+    operator_port: int
+    peer_port: int
+    timeline_events: int = 20_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Section ``[platform]``: where the platform's service is."""
+
+    host: str
+    port: int
+    timeout_seconds: float = 2.0
+    poll_seconds: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SecretSettings:
+    """Section ``[secrets]``: the same on all instances of the fleet."""
+
+    cursor_secret: str
+    operator_key_digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """All settings of an instance."""
+
+    instance: InstanceSettings
+    platform: PlatformSettings
+    secrets: SecretSettings
+
+
+def parse_name(text: str) -> str:
+    """Return a name without white space."""
+    if not text or any(character.isspace() for character in text):
+        raise ValueError('write a name without spaces')
+    return text
+
+
+def parse_ip_number(text: str) -> str:
+    """Return an IP number."""
+    try:
+        return str(ipaddress.ip_address(text))
+    except ValueError:
+        raise ValueError('write an IP number such as 127.0.0.1') from None
+
+
+def parse_port(text: str) -> int:
+    """Return a port number."""
+    if not text.isdecimal() or not 0 < int(text) < 65536:
+        raise ValueError('write a port number from 1 to 65535')
+    return int(text)
+
+
+def parse_seconds(text: str) -> float:
+    """Return a time in seconds above zero."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds < 3600:
+        raise ValueError('write seconds above 0 and below 3600, such as 2.0')
+    return seconds
+
+
+def parse_count(text: str) -> int:
+    """Return a whole number above zero."""
+    if not text.isdecimal() or not int(text):
+        raise ValueError('write a whole number above 0')
+    return int(text)
+
+
+def parse_secret(text: str) -> str:
+    """Return a secret that is long enough."""
+    if len(text) < LEAST_SECRET_CHARACTERS:
+        raise ValueError(f'write {LEAST_SECRET_CHARACTERS} characters or more')
+    return text
+
+
+def parse_digest(text: str) -> str:
+    """Return a SHA-256 digest in hexadecimal digits."""
+    if len(text) != 64 or not set(text) <= set('0123456789abcdef'):
+        raise ValueError('write the SHA-256 of the key as 64 hex digits')
+    return text
+
+
+Parser = Callable[[str], Any]
+
+SECTIONS: dict[str, tuple[type, dict[str, Parser]]] = {
+    'instance': (
+        InstanceSettings,
+        {
+            'name': parse_name,
+            'data_centre': parse_name,
+            'host': parse_ip_number,
+            'caller_port': parse_port,
+            'operator_port': parse_port,
+            'peer_port': parse_port,
+            'timeline_events': parse_count,
+        },
+    ),
+    'platform': (
+        PlatformSettings,
+        {
+            'host': parse_ip_number,
+            'port': parse_port,
+            'timeout_seconds': parse_seconds,
+            'poll_seconds': parse_seconds,
+        },
+    ),
+    'secrets': (
+        SecretSettings,
+        {'cursor_secret': parse_secret, 'operator_key_digest': parse_digest},
+    ),
+}
+
+
+def read_settings(path: pathlib.Path) -> Settings:
+    """Return the settings in an INI file.
+
+    Raises :class:`~greengagelb.errors.SettingsError`, which names the first
+    mistake.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with path.open(encoding='utf-8') as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as exc:
+        raise errors.SettingsError(f'{path}: {exc}') from exc
+    for section in parser.sections():
+        if section not in SECTIONS:
+            known = ', '.join(SECTIONS)
+            raise errors.SettingsError(
+                f'{path}: unknown section [{section}]; write one of {known}'
+            )
+    parts = {name: read_section(path, parser, name) for name in SECTIONS}
+    return Settings(**parts)
+
+
+def read_section(
+    path: pathlib.Path, parser: configparser.ConfigParser, section: str
+) -> Any:
+    """Return the data class of one section."""
+    kind, parsers = SECTIONS[section]
+    given = dict(parser[section]) if parser.has_section(section) else {}
+    values = {}
+    for key, text in given.items():
+        if key not in parsers:
+            known = ', '.join(parsers)
+            raise errors.SettingsError(
+                f'{path}: [{section}] {key}: unknown key; write one of {known}'
+            )
+        try:
+            values[key] = parsers[key](text)
+        except ValueError as exc:
+            raise errors.SettingsError(
+                f'{path}: [{section}] {key}: {exc}'
+            ) from exc
+    for field in dataclasses.fields(kind):
+        required = field.default is dataclasses.MISSING
+        if required and field.name not in values:
+            raise errors.SettingsError(
+                f'{path}: [{section}] {field.name}: missing; write it'
+            )
+    return kind(**values)
--- /dev/null
+++ b/src/greengagelb/state/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes that decisions read and write; no behaviour beyond checks."""
--- /dev/null
+++ b/src/greengagelb/state/timeline.py
@@ -0,0 +1,72 @@
+"""Events of the time line that an on-call person reads.
+
+Each automatic act is one event with its reason. Stamps come from a hybrid
+logical clock: the wall clock where clocks agree, a counter where a message
+arrives from a process whose clock runs ahead, so that a cause always sorts
+before its effect.
+"""
+
+import collections
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Stamp:
+    """A hybrid logical time: milliseconds since the epoch, then a count."""
+
+    milliseconds: int
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimelineEvent:
+    """One act of one process; ``request`` is empty where none is concerned."""
+
+    stamp: Stamp
+    process: str
+    kind: str
+    reason: str
+    account: str = ''
+    request: str = ''
+    generation: int = 0
+    attempt: str = ''
+    upstream: str = ''
+
+
+class HybridClock:
+    """Gives stamps that never fall, neither here nor along messages."""
+
+    def __init__(self) -> None:
+        self.latest = Stamp(0, 0)
+
+    def tick(self, wall_milliseconds: int) -> Stamp:
+        """Stamp a local event at this wall clock reading."""
+        return self.observe(Stamp(0, 0), wall_milliseconds)
+
+    def observe(self, remote: Stamp, wall_milliseconds: int) -> Stamp:
+        """Stamp the arrival of a message that carries ``remote``."""
+        ahead = max(self.latest, remote)
+        if wall_milliseconds > ahead.milliseconds:
+            self.latest = Stamp(wall_milliseconds, 0)
+        else:
+            self.latest = Stamp(ahead.milliseconds, ahead.count + 1)
+        return self.latest
+
+
+class Timeline:
+    """The last events of this process; the oldest are dropped when full.
+
+    ``dropped`` counts those, so that a reader knows of the gap.
+    """
+
+    def __init__(self, most_events: int) -> None:
+        self.events: collections.deque[TimelineEvent] = collections.deque(
+            maxlen=most_events
+        )
+        self.dropped = 0
+
+    def append(self, event: TimelineEvent) -> None:
+        """Keep an event, at the cost of the oldest one."""
+        if len(self.events) == self.events.maxlen:
+            self.dropped += 1
+        self.events.append(event)
--- /dev/null
+++ b/src/greengagelb/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, timers and HTTP: carries out what the decisions ask for."""
--- /dev/null
+++ b/src/greengagelb/transport/caller_app.py
@@ -0,0 +1,306 @@
+"""The callers' HTTP interface of an instance."""
+
+from collections.abc import Callable
+import dataclasses
+import hashlib
+import hmac
+import itertools
+import secrets
+
+import klein
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.python import failure
+from twisted.web import http as web_http
+from twisted.web import server
+
+from greengagelb import errors
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.protocol import caller_api
+from greengagelb.protocol import codec
+from greengagelb.protocol import problems
+from greengagelb.protocol import sse
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import identity
+from greengagelb.state import requests
+from greengagelb.transport import engine_client
+from greengagelb.transport import http
+
+DEFAULT_DEADLINE_SECONDS = 600.0
+MOST_DEADLINE_SECONDS = 3600.0
+BEARER = 'Bearer '
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """A caller's connection that waits for its answer."""
+
+    request: server.Request
+    done: defer.Deferred
+    service: str
+    request_id: str
+    streaming: bool = False
+
+
+class CallerApp:
+    """Turns callers' requests into events and actions into answers."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        dispatch: engine_client.Dispatch,
+        configuration: Callable[[], configuration_state.Configuration],
+        seal: codec.CursorSeal,
+    ) -> None:
+        self.reactor = reactor
+        self.dispatch = dispatch
+        self.configuration = configuration
+        self.seal = seal
+        self.exchanges: dict[int, Exchange] = {}
+        self.numbers = itertools.count(1)
+        self.app = klein.Klein()
+        self.app.route('/v1/chat/completions', methods=['POST'])(self.chat)
+        self.app.route('/v1/services/<service>/<operation>', methods=['POST'])(
+            self.call
+        )
+        self.app.handle_errors(errors.ProtocolError)(self.bad_message)
+
+    # -- requests -----------------------------------------------------------
+
+    def chat(self, request: server.Request) -> object:
+        """Handle a request for a streamed generation."""
+        account = self.authenticate(request)
+        if account is None:
+            return http.refuse(request, 'unauthenticated', 'unknown API key')
+        body = codec.decode(request.content.read(), caller_api.ChatCompletion)
+        prompt = '\n'.join(
+            f'{message.role}: {message.content}' for message in body.messages
+        )
+        exchange, has_key, request_id = self.name_request(request)
+        generation = requests.GenerationRequest(
+            exchange,
+            identity.RequestId(account.name, request_id),
+            body.model,
+            prompt,
+            body.max_tokens,
+            self.deadline_of(request),
+            has_key,
+        )
+        event = self.arrival(request, generation, tuple(body.received))
+        return self.open(request, generation, event)
+
+    def arrival(
+        self,
+        request: server.Request,
+        generation: requests.GenerationRequest,
+        received: tuple[str, ...],
+    ) -> events.Event:
+        """Return the event of a new or a returning caller.
+
+        A cursor of another account is treated like one that was never
+        sealed, so that nobody learns of another account's requests.
+        """
+        cursor = request.getHeader('last-event-id')
+        if not cursor:
+            return events.GenerationSubmitted(generation)
+        point = self.seal.open(cursor)
+        if point.request.account != generation.request.account:
+            raise errors.ProtocolError('cursor was not sealed here')
+        resumed = dataclasses.replace(generation, request=point.request)
+        return events.GenerationResumed(resumed, point, received)
+
+    def call(
+        self, request: server.Request, service: str, operation: str
+    ) -> object:
+        """Handle a call to a plain service."""
+        account = self.authenticate(request)
+        if account is None:
+            return http.refuse(request, 'unauthenticated', 'unknown API key')
+        exchange, has_key, request_id = self.name_request(request)
+        call = requests.CallRequest(
+            exchange,
+            identity.RequestId(account.name, request_id),
+            service,
+            operation,
+            request.content.read(),
+            self.deadline_of(request),
+            has_key,
+        )
+        return self.open(request, call, events.CallSubmitted(call))
+
+    def open(
+        self,
+        request: server.Request,
+        submitted: requests.GenerationRequest | requests.CallRequest,
+        event: events.Event,
+    ) -> defer.Deferred:
+        """Keep the connection until its final answer."""
+        number = submitted.exchange
+        done: defer.Deferred = defer.Deferred()
+        self.exchanges[number] = Exchange(
+            request, done, submitted.service, submitted.request.request
+        )
+        request.notifyFinish().addErrback(lambda _: self.gone(number))
+        self.dispatch(event)
+        return done
+
+    def gone(self, number: int) -> None:
+        """Tell that a caller's connection is lost."""
+        if self.exchanges.pop(number, None) is not None:
+            self.dispatch(events.CallerGone(number))
+
+    def authenticate(
+        self, request: server.Request
+    ) -> configuration_state.ClientAccount | None:
+        """Return the client account of the request's API key.
+
+        Every account's digest is compared, in constant time, so that the time
+        taken tells nothing about the keys.
+        """
+        header = request.getHeader('authorization') or ''
+        key = header.removeprefix(BEARER)
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        found = None
+        for account in self.configuration().accounts:
+            if hmac.compare_digest(account.key_digest, digest):
+                found = account
+        return found
+
+    def name_request(self, request: server.Request) -> tuple[int, bool, str]:
+        """Return exchange number, whether the caller named it, and the id."""
+        key = request.getHeader('idempotency-key')
+        return (
+            next(self.numbers),
+            bool(key),
+            key or secrets.token_urlsafe(12),
+        )
+
+    def deadline_of(self, request: server.Request) -> float:
+        """Return the monotonic time by which the caller wants its answer."""
+        text = request.getHeader('x-deadline-seconds')
+        seconds = DEFAULT_DEADLINE_SECONDS
+        if text is not None:
+            try:
+                seconds = float(text)
+            except ValueError:
+                raise errors.ProtocolError(
+                    'X-Deadline-Seconds: write seconds, such as 30'
+                ) from None
+            if not 0 < seconds <= MOST_DEADLINE_SECONDS:
+                raise errors.ProtocolError(
+                    'X-Deadline-Seconds: write seconds above 0, up to 3600'
+                )
+        return self.reactor.seconds() + seconds
+
+    def bad_message(
+        self, request: server.Request, why: failure.Failure
+    ) -> bytes:
+        """Answer a request that can't be understood."""
+        return http.refuse(request, 'bad-message', str(why.value))
+
+    # -- answers ------------------------------------------------------------
+
+    def send_tokens(self, action: actions.SendTokens) -> None:
+        """Write tokens as one event."""
+        exchange = self.exchanges.get(action.exchange)
+        if exchange is None:
+            return
+        self.begin_stream(exchange)
+        chunk = caller_api.ChatChunk(
+            id=exchange.request_id,
+            model=exchange.service,
+            choices=[
+                caller_api.Choice(0, caller_api.Delta(''.join(action.tokens)))
+            ],
+            generation=action.point.generation,
+            position=action.position,
+            tokens=list(action.tokens),
+        )
+        cursor = self.seal.seal(action.point)
+        exchange.request.write(
+            sse.write_event(codec.encode(chunk), event_id=cursor)
+        )
+
+    def begin_stream(self, exchange: Exchange) -> None:
+        """Send the headers of an event stream, once."""
+        if exchange.streaming:
+            return
+        exchange.streaming = True
+        exchange.request.setHeader(b'content-type', b'text/event-stream')
+        exchange.request.setHeader(b'cache-control', b'no-store')
+
+    def send_restart(self, action: actions.SendRestart) -> None:
+        """Tell the caller to discard what it holds."""
+        exchange = self.exchanges.get(action.exchange)
+        if exchange is None:
+            return
+        self.begin_stream(exchange)
+        message = caller_api.Restarted(action.generation, action.reason)
+        exchange.request.write(
+            sse.write_event(codec.encode(message), 'restart')
+        )
+
+    def send_end(self, action: actions.SendEnd) -> None:
+        """Write the last events of a whole answer."""
+        exchange = self.exchanges.pop(action.exchange, None)
+        if exchange is None:
+            return
+        self.begin_stream(exchange)
+        chunk = caller_api.ChatChunk(
+            id=exchange.request_id,
+            model=exchange.service,
+            choices=[
+                caller_api.Choice(0, caller_api.Delta(''), action.reason)
+            ],
+            generation=action.generation,
+            position=action.position,
+            tokens=[],
+        )
+        last = sse.write_event(codec.encode(chunk))
+        exchange.done.callback(last + sse.write_event(b'[DONE]'))
+
+    def send_failure(self, action: actions.SendFailure) -> None:
+        """Give the caller its final answer."""
+        exchange = self.exchanges.pop(action.exchange, None)
+        if exchange is None:
+            return
+        problem = problems.problem_of(action.failure)
+        if exchange.streaming:
+            event = sse.write_event(codec.encode(problem), 'error')
+            exchange.done.callback(event)
+            return
+        exchange.done.callback(http.problem_answer(exchange.request, problem))
+
+    def send_answer(self, action: actions.SendAnswer) -> None:
+        """Pass on a plain service's answer."""
+        exchange = self.exchanges.pop(action.exchange, None)
+        if exchange is None:
+            return
+        exchange.request.setResponseCode(action.status)
+        exchange.done.callback(action.body)
+
+
+def health_app(
+    ready: Callable[[], bool], metrics: Callable[[], bytes]
+) -> klein.Klein:
+    """Return an app with ``/healthz``, ``/readyz`` and ``/metrics``."""
+    app = klein.Klein()
+
+    @app.route('/healthz')
+    def healthz(request: server.Request) -> bytes:
+        return b'alive\n'
+
+    @app.route('/readyz')
+    def readyz(request: server.Request) -> bytes:
+        if ready():
+            return b'ready\n'
+        request.setResponseCode(web_http.SERVICE_UNAVAILABLE)
+        return b'not ready\n'
+
+    @app.route('/metrics')
+    def render(request: server.Request) -> bytes:
+        request.setHeader(b'content-type', b'text/plain; version=0.0.4')
+        return metrics()
+
+    return app
--- /dev/null
+++ b/src/greengagelb/transport/instance.py
@@ -0,0 +1,252 @@
+"""One instance: sockets, timers and clients around the decisions."""
+
+import collections
+import random
+import secrets
+
+import klein
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.web import server
+
+from greengagelb import errors
+from greengagelb import settings
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.coordination import node
+from greengagelb.protocol import codec
+from greengagelb.protocol import operator_api
+from greengagelb.state import plans as plan_state
+from greengagelb.transport import caller_app
+from greengagelb.transport import claim_store
+from greengagelb.transport import engine_client
+from greengagelb.transport import listening
+from greengagelb.transport import operator_app
+from greengagelb.transport import plan_store
+from greengagelb.transport import platform_client
+from greengagelb.transport import recorder
+from greengagelb.transport import service_client
+
+PULSE_SECONDS = 0.1
+PAUSE_SECONDS = 0.25
+PROBE_SECONDS = 1.0
+
+
+class Instance:
+    """Feeds events to the decisions and carries out their actions.
+
+    Events that come up while actions are carried out wait in ``backlog``:
+    the decisions are never entered twice at once.
+    """
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorCore,
+        instance_settings: settings.Settings,
+    ) -> None:
+        self.reactor = reactor
+        self.settings = instance_settings
+        self.incarnation = secrets.token_hex(6)
+        self.node = node.Node(self.incarnation, random.Random())
+        self.recorder = recorder.Recorder(
+            instance_settings.instance.name,
+            instance_settings.instance.timeline_events,
+        )
+        self.platform = platform_client.PlatformClient(
+            reactor, instance_settings.platform
+        )
+        self.engines = engine_client.EngineClient(reactor, self.dispatch)
+        self.services = service_client.ServiceClient(reactor, self.dispatch)
+        self.claims = claim_store.ClaimStore(self.platform, self.dispatch)
+        self.plans = plan_store.PlanStore(self.platform)
+        self.callers = caller_app.CallerApp(
+            reactor,
+            self.dispatch,
+            lambda: self.node.configuration,
+            codec.CursorSeal(instance_settings.secrets.cursor_secret.encode()),
+        )
+        self.timers: dict[str, interfaces.IDelayedCall] = {}
+        self.backlog: collections.deque[events.Event] = collections.deque()
+        self.busy = False
+        self.sites: list[listening.DrainingFactory] = []
+        self.ports: list[interfaces.IListeningPort] = []
+        self.finishing = False
+        self.last_pulse = reactor.seconds()
+        self.stopped: defer.Deferred = defer.Deferred()
+
+    # -- life ---------------------------------------------------------------
+
+    def start(self) -> None:
+        """Open the ports and begin to poll."""
+        place = self.settings.instance
+        health = caller_app.health_app(
+            lambda: self.node.ready, self.recorder.render_metrics
+        )
+        self.callers.app.route('/', branch=True)(
+            lambda request: health.resource()
+        )
+        self.listen(place.caller_port, self.callers.app)
+        operators = operator_app.OperatorApp(
+            self.plans,
+            self.settings.secrets.operator_key_digest,
+            self.status,
+            self.recorder.timeline,
+            self.plan_confirmed,
+        )
+        self.listen(place.operator_port, operators.app)
+        self.repeat(PULSE_SECONDS, self.pulse)
+        self.repeat(PROBE_SECONDS, self.probe_upstreams)
+        self.repeat(self.settings.platform.poll_seconds, self.poll)
+
+    def listen(self, port: int, app: klein.Klein) -> None:
+        """Serve an app on a port."""
+        site = listening.DrainingFactory(server.Site(app.resource()))
+        host = self.settings.instance.host
+        self.sites.append(site)
+        self.ports.append(self.reactor.listenTCP(port, site, interface=host))
+
+    def repeat(self, seconds: float, function: object) -> None:
+        """Call a function now and again, as long as the process lives."""
+        task.LoopingCall(function).start(seconds)
+
+    def pulse(self) -> None:
+        """Notice when this process itself stood still.
+
+        Nothing else tells a stopped process that it was stopped: to it, all
+        upstreams seem to have fallen silent at the same moment.
+        """
+        now = self.reactor.seconds()
+        late = now - self.last_pulse - PULSE_SECONDS
+        self.last_pulse = now
+        if late > PAUSE_SECONDS:
+            self.dispatch(events.PauseNoticed(late))
+
+    def probe_upstreams(self) -> None:
+        """Ask every upstream for its report."""
+        for view in self.node.directory.views.values():
+            self.engines.probe(actions.ProbeUpstream(view.upstream))
+
+    @defer.inlineCallbacks
+    def poll(self) -> object:
+        """Fetch the configuration from the platform."""
+        try:
+            configuration = yield self.plans.read_configuration()
+        except errors.GreengagelbError:
+            return
+        self.dispatch(events.ConfigurationOffered(configuration, 'platform'))
+
+    def plan_confirmed(self, plan: plan_state.Plan) -> None:
+        """Apply what an operator has just confirmed here."""
+        self.dispatch(events.ConfigurationOffered(plan.result, plan.plan_id))
+
+    def status(self) -> operator_api.Status:
+        """Return what this instance says of itself."""
+        return operator_api.Status(
+            process=self.settings.instance.name,
+            data_centre=self.settings.instance.data_centre,
+            incarnation=self.incarnation,
+            configuration_version=self.node.configuration.version,
+            stopping=self.node.stopping,
+            running=len(self.node.running),
+            waiting=len(self.node.waiting),
+        )
+
+    # -- events and actions -------------------------------------------------
+
+    def dispatch(self, event: events.Event) -> None:
+        """Have an event decided on, after those that came before it."""
+        self.backlog.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.backlog:
+                self.decide(self.backlog.popleft())
+        finally:
+            self.busy = False
+
+    def decide(self, event: events.Event) -> None:
+        """Decide on one event and carry out what follows.
+
+        An error in here is this program's own. Events come from within HTTP
+        callbacks, and an error that got out would be taken for a broken
+        connection to whatever upstream the event came from.
+        """
+        try:
+            for action in self.node.handle(event, self.reactor.seconds()):
+                self.carry_out(action)
+        except Exception:
+            recorder.log.exception('decision-failed', event_kind=repr(event))
+            self.recorder.error_counter.inc({})
+
+    def carry_out(self, action: actions.Action) -> None:
+        """Carry out an action."""
+        match action:
+            case actions.SendTokens():
+                self.callers.send_tokens(action)
+            case actions.SetTimer(name, deadline):
+                self.set_timer(name, deadline)
+            case actions.ClearTimer(name):
+                self.clear_timer(name)
+            case actions.StartAttempt():
+                self.engines.start(action)
+            case actions.AttachAttempt():
+                self.engines.attach(action)
+            case actions.CancelAttempt():
+                self.engines.cancel(action)
+            case actions.ProbeUpstream():
+                self.engines.probe(action)
+            case actions.SendRestart():
+                self.callers.send_restart(action)
+            case actions.SendEnd():
+                self.callers.send_end(action)
+            case actions.SendFailure():
+                self.callers.send_failure(action)
+            case actions.SendAnswer():
+                self.callers.send_answer(action)
+            case actions.InsertClaim():
+                self.claims.insert(action)
+            case actions.RecordOutcome():
+                self.claims.record_outcome(action)
+            case actions.DispatchCall():
+                self.services.call(action)
+            case actions.AbandonCall(exchange):
+                self.services.abandon(exchange)
+            case actions.Record():
+                self.recorder.record(action)
+            case actions.FinishStopping():
+                self.finish()
+
+    def set_timer(self, name: str, deadline: float) -> None:
+        """Fire an event at a monotonic time."""
+        wait = max(0.0, deadline - self.reactor.seconds())
+        pending = self.timers.get(name)
+        if pending is not None and pending.active():
+            pending.reset(wait)
+            return
+        self.timers[name] = self.reactor.callLater(wait, self.fire, name)
+
+    def clear_timer(self, name: str) -> None:
+        """Forget a timer."""
+        pending = self.timers.pop(name, None)
+        if pending is not None and pending.active():
+            pending.cancel()
+
+    def fire(self, name: str) -> None:
+        """Report that a timer is due."""
+        del self.timers[name]
+        self.dispatch(events.TimerFired(name))
+
+    def finish(self) -> None:
+        """Let the process end once what was answered has been flushed."""
+        if self.finishing:
+            return
+        self.finishing = True
+        closed = [
+            defer.maybeDeferred(port.stopListening) for port in self.ports
+        ]
+        closed += [site.drain(self.reactor) for site in self.sites]
+        defer.DeferredList(closed, consumeErrors=True).chainDeferred(
+            self.stopped
+        )
--- /dev/null
+++ b/src/greengagelb/transport/service_client.py
@@ -0,0 +1,103 @@
+"""Talks to plain services: one connection per call, never reused."""
+
+import treq
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+
+from greengagelb import errors
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.protocol import service_api
+from greengagelb.transport import engine_client
+from greengagelb.transport import http
+
+
+class ServiceClient:
+    """All calls of this instance that are under way."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        dispatch: engine_client.Dispatch,
+    ) -> None:
+        self.dispatch = dispatch
+        agent = http.fresh_connection_agent(reactor)
+        self.treq = treq.client.HTTPClient(agent)
+        self.under_way: dict[int, defer.Deferred] = {}
+
+    def call(self, action: actions.DispatchCall) -> None:
+        """Hand a call to a plain service."""
+        request = action.request
+        path = f'/call/{request.operation}'
+        url = engine_client.url_of(action.upstream, path)
+        headers = {
+            service_api.ACCOUNT_HEADER: request.request.account,
+            service_api.REQUEST_HEADER: request.request.request,
+        }
+        answer = self.treq.post(url, data=request.body, headers=headers)
+        self.under_way[action.exchange] = answer
+        answer.addCallback(self.read, action)
+        answer.addErrback(self.failed, action.exchange)
+
+    def read(
+        self, response: iweb.IResponse, action: actions.DispatchCall
+    ) -> defer.Deferred:
+        """Read an answer, if it is the one to this call."""
+        self.check(response.headers, action)
+        body = client.readBody(response)
+        return body.addCallback(self.answered, response, action.exchange)
+
+    def check(
+        self,
+        headers: http_headers.Headers,
+        action: actions.DispatchCall,
+    ) -> None:
+        """Refuse an answer that belongs to another request.
+
+        A service that crosses two answers would otherwise show one caller
+        what was meant for another.
+        """
+        echoed = (
+            first_header(headers, service_api.ACCOUNT_HEADER),
+            first_header(headers, service_api.REQUEST_HEADER),
+        )
+        request = action.request.request
+        if echoed != (request.account, request.request):
+            raise errors.ProtocolError('answer to another request')
+
+    def answered(
+        self, body: bytes, response: iweb.IResponse, exchange: int
+    ) -> None:
+        """Report an answer, or that the service refused before running."""
+        if self.under_way.pop(exchange, None) is None:
+            return
+        if first_header(response.headers, service_api.NOT_RUN_HEADER) == '1':
+            self.dispatch(events.CallBroken(exchange, 'refused', False))
+            return
+        self.dispatch(events.CallAnswered(exchange, response.code, body))
+
+    def failed(self, why: failure.Failure, exchange: int) -> None:
+        """Report a call that ended without an answer."""
+        if self.under_way.pop(exchange, None) is None:
+            return
+        self.dispatch(
+            events.CallBroken(
+                exchange, why.type.__name__, http.was_handed_over(why)
+            )
+        )
+
+    def abandon(self, exchange: int) -> None:
+        """Close the connection of a call that nobody waits for."""
+        answer = self.under_way.pop(exchange, None)
+        if answer is not None:
+            answer.cancel()
+
+
+def first_header(headers: http_headers.Headers, name: str) -> str:
+    """Return the first value of a header, or the empty string."""
+    values = headers.getRawHeaders(name, [])
+    return values[0] if values else ''
--- /dev/null
+++ b/tests/process/test_whole_path.py
@@ -0,0 +1,116 @@
+"""The whole path as separate processes, with nothing and with one failing."""
+
+import signal
+
+import pytest
+
+from tests.common import callers
+from tests.common import fleet
+
+pytestmark = pytest.mark.slow
+
+
+def charge(port, key, operation='book', account_key=fleet.ACCOUNT_KEY):
+    headers = fleet.bearer(account_key) | {'Idempotency-Key': key}
+    path = f'/v1/services/charge/{operation}'
+    return fleet.ask(port, path, {'amount': 1}, headers=headers)
+
+
+def test_streamed_draft_and_charge_are_served_end_to_end(tmp_path):
+    with fleet.small_fleet(tmp_path) as running:
+        port = running.instances['router-0'].port
+        caller = callers.StreamCaller('hello', 50)
+        caller.read_all(port)
+        assert caller.tokens == caller.right_answer()
+        assert caller.finish_reason == 'length'
+        answer = charge(port, 'k1')
+        assert answer.status == 200
+        assert answer.json()['run'] == 1
+
+
+def test_retry_at_another_instance_gets_the_first_answer(tmp_path):
+    """The caller's connection breaks after its charge has run.
+
+    It sends the charge again and reaches another instance. Without a claim
+    the owner would be charged twice.
+    """
+    with fleet.small_fleet(tmp_path) as running:
+        first = charge(running.instances['router-0'].port, 'k1')
+        second = charge(running.instances['router-1'].port, 'k1')
+        assert first.body == second.body
+        other = charge(
+            running.instances['router-1'].port,
+            'k1',
+            account_key=fleet.OTHER_KEY,
+        )
+        assert other.json()['run'] == 1
+
+
+def test_stream_goes_on_after_the_kill_of_its_instance(tmp_path):
+    """The instance that serves a draft is killed.
+
+    The caller's connection breaks. It comes back through the balancer to the
+    other instance with its cursor and what it holds, and reads on.
+    """
+    with fleet.small_fleet(tmp_path) as running:
+        router = running.instances['router-0']
+        caller = callers.StreamCaller('hello', 400)
+        for _ in caller.read(router.port):
+            if len(caller.tokens) > 50:
+                router.send_signal(signal.SIGKILL)
+        assert 50 < len(caller.tokens) < 400
+        caller.read_all(running.instances['router-1'].port)
+        assert caller.tokens == caller.right_answer()
+        assert caller.finish_reason == 'length'
+
+
+def test_stream_goes_on_after_the_kill_of_instance_and_engine(tmp_path):
+    """The machine room loses the instance and the engine at once."""
+    with fleet.small_fleet(tmp_path) as running:
+        router = running.instances['router-0']
+        caller = callers.StreamCaller('hello', 400)
+        killed = False
+        for _ in caller.read(router.port):
+            if len(caller.tokens) > 50 and not killed:
+                killed = True
+                name = engine_that_runs_something(running)
+                running.engines[name].send_signal(signal.SIGKILL)
+                router.send_signal(signal.SIGKILL)
+        caller.read_all(running.instances['router-1'].port)
+        assert caller.tokens == caller.right_answer()
+
+
+def engine_that_runs_something(running):
+    for name, process in running.engines.items():
+        report = fleet.ask(process.port, '/v1/report').json()
+        if report['running']:
+            return name
+    raise AssertionError('no engine runs anything')
+
+
+def test_engine_kill_under_an_open_connection(tmp_path):
+    """The engine dies while the caller's connection stays open."""
+    with fleet.small_fleet(tmp_path) as running:
+        caller = callers.StreamCaller('hello', 400)
+        killed = False
+        for _ in caller.read(running.instances['router-0'].port):
+            if len(caller.tokens) > 50 and not killed:
+                name = engine_that_runs_something(running)
+                running.engines[name].send_signal(signal.SIGKILL)
+                killed = True
+        assert caller.tokens == caller.right_answer()
+        assert caller.finish_reason == 'length'
+
+
+def test_stop_request_cuts_no_stream(tmp_path):
+    """An instance is replaced while it streams a draft."""
+    with fleet.small_fleet(tmp_path) as running:
+        router = running.instances['router-0']
+        caller = callers.StreamCaller('hello', 300)
+        stopped = False
+        for _ in caller.read(router.port):
+            if not stopped:
+                router.send_signal(signal.SIGTERM)
+                stopped = True
+        assert caller.tokens == caller.right_answer()
+        assert router.popen.wait(timeout=10) == 0
