--- /dev/null
+++ b/tests/seam/test_whole_request.py
@@ -0,0 +1,111 @@
+"""A whole request through the seam, with no reactor and no socket."""
+
+import random
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.coordination import node
+from greengagelb.state import configuration
+from greengagelb.state import identity
+from greengagelb.state import requests
+
+
+def small_configuration():
+    upstreams = tuple(
+        configuration.Upstream(f'engine-{number}', '127.0.0.1', 1, 'kl-1')
+        for number in range(2)
+    )
+    return configuration.Configuration(
+        version=1,
+        accounts=(configuration.ClientAccount('teratak', '', ('draft',)),),
+        services=(
+            configuration.Service(
+                'draft', configuration.ServiceKind.GENERATION, 'drafting'
+            ),
+        ),
+        pools=(configuration.Pool('drafting', upstreams, 'm', '1'),),
+    )
+
+
+def configured_node():
+    found = node.Node('i1', random.Random(1))
+    found.handle(
+        events.ConfigurationOffered(small_configuration(), 'test'), 0.0
+    )
+    return found
+
+
+def draft(exchange=1, most_tokens=3):
+    return requests.GenerationRequest(
+        exchange,
+        identity.RequestId('teratak', f'r{exchange}'),
+        'draft',
+        'a prompt',
+        most_tokens,
+        deadline=60.0,
+    )
+
+
+def only(kind, done):
+    (found,) = [action for action in done if isinstance(action, kind)]
+    return found
+
+
+def test_request_runs_from_submission_to_its_end():
+    found = configured_node()
+    submitted = events.GenerationSubmitted(draft())
+    started = only(actions.StartAttempt, found.handle(submitted, 1.0))
+    arrived = events.TokensArrived(started.attempt, 0, ('a', 'b', 'c'))
+    sent = only(actions.SendTokens, found.handle(arrived, 1.1))
+    assert (sent.position, sent.tokens) == (0, ('a', 'b', 'c'))
+    ended = events.AttemptEnded(started.attempt, 3, 'length')
+    end = only(actions.SendEnd, found.handle(ended, 1.2))
+    assert end.position == 3
+    assert not found.running
+
+
+def test_lost_engine_is_replaced_from_the_next_position():
+    """An engine dies after two tokens.
+
+    The caller sees a pause, then the third token.
+    """
+    found = configured_node()
+    submitted = events.GenerationSubmitted(draft())
+    first = only(actions.StartAttempt, found.handle(submitted, 1.0))
+    found.handle(events.TokensArrived(first.attempt, 0, ('a', 'b')), 1.1)
+    broken = events.AttemptBroken(first.attempt, 'reset', True)
+    attach = only(actions.AttachAttempt, found.handle(broken, 1.2))
+    assert attach.position == 2
+    broken = events.AttemptBroken(first.attempt, 'refused', False)
+    second = only(actions.StartAttempt, found.handle(broken, 1.3))
+    assert second.upstream.name != first.upstream.name
+    assert second.received == ('a', 'b')
+    assert second.attempt.generation == first.attempt.generation
+
+
+def test_late_tokens_of_a_replaced_attempt_reach_nobody():
+    """A paused engine wakes after it was replaced and sends on.
+
+    Its tokens may differ from those of its successor; passed on, they would
+    put words of two answers into one.
+    """
+    found = configured_node()
+    submitted = events.GenerationSubmitted(draft())
+    first = only(actions.StartAttempt, found.handle(submitted, 1.0))
+    for _ in range(2):
+        broken = events.AttemptBroken(first.attempt, 'reset', True)
+        done = found.handle(broken, 1.1)
+    only(actions.StartAttempt, done)
+    late = events.TokensArrived(first.attempt, 0, ('x',))
+    assert found.handle(late, 1.2) == []
+
+
+def test_older_configuration_is_refused():
+    """A store that was restored hands out an old copy.
+
+    An operator would see a drained engine get work again.
+    """
+    found = configured_node()
+    older = configuration.Configuration(version=0)
+    found.handle(events.ConfigurationOffered(older, 'platform'), 1.0)
+    assert found.configuration == small_configuration()
