Confirm plans by one small conditional write, recognised by plan id

Cause: a confirmation whose answer was lost was settled by comparing whole documents. Two operators with the same intent have equal documents, so the loser was told that its plan was in force, and once a third plan followed nobody could tell any more what had become of the first two.

Ruled out: a history inside the document (grows without bound, or forgets); one row per version as the decision itself (the latest version is then a search); stages written into the plan's own row after the fact (an instance that dies in between leaves them wrong).

Change: table `confirmations` holds one small row `current` (version, plan id, steps); replacing it on condition of the base version is the only act. Its former content is kept in a row per version first, so the stage of any plan is derived. Polling now reads the small row and fetches a document only when its version is higher. Intents cover accounts, services, pools, drain and return, model, move and role; plans list capacity per pool and account, what ends elsewhere, an estimate and warnings; wrong intents get typed errors.

--- /dev/null
+++ b/src/greengagelb/coordination/capacity.py
@@ -0,0 +1,89 @@
+"""Places for running requests that a plan leaves to pools and accounts."""
+
+from collections.abc import Mapping
+
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import plans as plan_state
+
+
+def compare(
+    before: configuration_state.Configuration,
+    after: configuration_state.Configuration,
+    out: Mapping[str, int],
+) -> tuple[plan_state.Capacity, ...]:
+    """Return the places per pool and account before, during and after.
+
+    ``out`` counts the upstreams of each pool that get no new work while the
+    plan is carried out.
+    """
+    names = [pool.name for pool in after.pools]
+    names += [pool.name for pool in before.pools if pool.name not in names]
+    found: list[plan_state.Capacity] = []
+    for name in names:
+        whole = pool_capacity(name, before, after, out.get(name, 0))
+        found.append(whole)
+        found += account_capacities(whole, before, after)
+    return tuple(found)
+
+
+def pool_capacity(
+    name: str,
+    before: configuration_state.Configuration,
+    after: configuration_state.Configuration,
+    out: int,
+) -> plan_state.Capacity:
+    """Return the places of one pool.
+
+    While the plan is carried out a pool has no more places than before or
+    after, and loses those of the upstreams that are taken out.
+    """
+    old, new = before.find_pool(name), after.find_pool(name)
+    places_before, places_after = places(old), places(new)
+    least = min(places_before, places_after)
+    slots = new.slots_per_upstream if new else 0
+    during = least
+    if places_after >= places_before:
+        during = max(0, least - out * slots)
+    return plan_state.Capacity(name, '', places_before, during, places_after)
+
+
+def places(pool: configuration_state.Pool | None) -> int:
+    """Return the places on upstreams of a pool that get new work."""
+    if pool is None:
+        return 0
+    usable = sum(not upstream.draining for upstream in pool.upstreams)
+    return usable * pool.slots_per_upstream
+
+
+def account_capacities(
+    whole: plan_state.Capacity,
+    before: configuration_state.Configuration,
+    after: configuration_state.Configuration,
+) -> list[plan_state.Capacity]:
+    """Return each account's share of a pool when all of them compete."""
+    old = shares(whole.pool, before)
+    new = shares(whole.pool, after)
+    return [
+        plan_state.Capacity(
+            whole.pool,
+            account,
+            int(whole.before * old.get(account, 0.0)),
+            int(whole.during * min(old.get(account, 1.0), new[account])),
+            int(whole.after * new[account]),
+        )
+        for account in new
+    ]
+
+
+def shares(
+    pool: str, configuration: configuration_state.Configuration
+) -> dict[str, float]:
+    """Return the part of a pool that each account has by weight."""
+    services = {s.name for s in configuration.services if s.pool == pool}
+    users = [
+        account
+        for account in configuration.accounts
+        if services & set(account.services)
+    ]
+    total = sum(account.weight for account in users)
+    return {account.name: account.weight / total for account in users}
--- a/src/greengagelb/coordination/plans.py
+++ b/src/greengagelb/coordination/plans.py
@@ -1,52 +1,271 @@
 """Turns an operator's intent into a plan; nothing takes effect here."""
 
+from collections.abc import Mapping
 import dataclasses
+import math
 
 from greengagelb import errors
+from greengagelb.coordination import capacity
+from greengagelb.coordination import validation
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import plans as plan_state
 
+IN_FORCE_SECONDS = 11.0
+DRAIN_SECONDS = 300.0
+LOAD_SECONDS = 60.0
+ROLLOUT_SHARE = 0.25
+"""The part of a pool's engines that a rollout takes out at once."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What an intent leads to, before capacity and checks are added.
+
+    ``out`` names the upstreams that get no new work while the plan is
+    carried out, ``batches`` is how many groups of them follow one another
+    and ``loads`` whether each has to load weights.
+    """
+
+    result: configuration_state.Configuration
+    steps: tuple[str, ...]
+    out: frozenset[str] = frozenset()
+    batches: int = 1
+    loads: bool = False
+    warnings: tuple[str, ...] = ()
+
 
 def make_plan(
     plan_id: str,
     intent: plan_state.Intent,
     current: configuration_state.Configuration,
+    running: Mapping[str, int] | None = None,
 ) -> plan_state.Plan:
-    """Return the plan of an intent on top of the configuration in force."""
+    """Return the plan of an intent on top of the configuration in force.
+
+    ``running`` counts the running requests per upstream, as far as known.
+    Raises :class:`~greengagelb.errors.IntentRefused` where the intent leads
+    to no valid configuration.
+    """
+    change = change_of(intent, current)
+    validation.check(change.result)
+    result = dataclasses.replace(
+        change.result, version=current.version + 1, confirmed_by=plan_id
+    )
+    moved = sum((running or {}).get(name, 0) for name in change.out)
+    return plan_state.Plan(
+        plan_id=plan_id,
+        base_version=current.version,
+        steps=change.steps,
+        warnings=(
+            *change.warnings,
+            *validation.warnings_of(current, result, running or {}),
+        ),
+        result=result,
+        cut=0,
+        moved=moved,
+        capacity=capacity.compare(current, result, taken_out(current, change)),
+        estimated_seconds=estimate(change),
+    )
+
+
+def change_of(
+    intent: plan_state.Intent, current: configuration_state.Configuration
+) -> Change:
+    """Return what an intent changes."""
     match intent:
         case plan_state.ReplaceConfiguration(wanted):
-            result = wanted
-            steps = [f'replace configuration {current.version} whole']
-            warnings: list[str] = []
+            step = f'replace configuration {current.version} whole'
+            return Change(wanted, (step,))
+        case plan_state.PutAccount(account):
+            accounts = put(current.accounts, account)
+            result = dataclasses.replace(current, accounts=accounts)
+            return Change(result, (put_step('client account', account),))
+        case plan_state.PutService(service):
+            services = put(current.services, service)
+            result = dataclasses.replace(current, services=services)
+            return Change(result, (put_step('service', service),))
+        case plan_state.PutPool(pool):
+            result = with_pool(current, pool)
+            return Change(result, (put_step('pool', pool),))
         case plan_state.DrainUpstream(name):
-            result, warnings = drain(current, name)
-            steps = [
-                f'give {name} no new work',
-                'let what it runs end there',
-            ]
-    result = dataclasses.replace(result, version=current.version + 1)
-    return plan_state.Plan(
-        plan_id, current.version, tuple(steps), tuple(warnings), result
+            return drain(current, name)
+        case plan_state.ReturnUpstream(name):
+            result = with_upstream(current, name, draining=False)
+            return Change(result, (f'give {name} new work again',))
+        case plan_state.ChangeModel():
+            return change_model(current, intent)
+        case plan_state.MoveUpstream():
+            return move(current, intent)
+        case plan_state.ChangeRole(name, role):
+            return change_role(current, name, role)
+
+
+def drain(current: configuration_state.Configuration, name: str) -> Change:
+    """Return the change that gives an upstream no new work."""
+    result = with_upstream(current, name, draining=True)
+    steps = (f'give {name} no new work', 'let what it runs end there')
+    return Change(result, steps, out=frozenset({name}))
+
+
+def change_model(
+    current: configuration_state.Configuration, intent: plan_state.ChangeModel
+) -> Change:
+    """Return the change of a pool's model, version or adapter."""
+    pool = pool_named(current, intent.pool)
+    changed = dataclasses.replace(
+        pool,
+        model=intent.model,
+        version=intent.version,
+        adapter=intent.adapter,
+    )
+    result = with_pool(current, changed)
+    names = frozenset(upstream.name for upstream in pool.upstreams)
+    if (pool.model, pool.version, pool.adapter) == (
+        intent.model,
+        intent.version,
+        intent.adapter,
+    ):
+        return Change(result, (f'{pool.name} has that version already',))
+    at_once = engines_at_once(len(names))
+    batches = math.ceil(len(names) / at_once) if names else 0
+    steps = (
+        f'drain {at_once} of {len(names)} engines of {pool.name} at a time',
+        'let the generations of the old version end there',
+        f'load {intent.model} {intent.version} {intent.adapter}'.rstrip(),
+        'give them new work of the new version',
+    )
+    return Change(result, steps, names, batches, loads=True)
+
+
+def engines_at_once(engines: int) -> int:
+    """Return how many engines of a pool a rollout takes out at once."""
+    return max(1, int(engines * ROLLOUT_SHARE))
+
+
+def move(
+    current: configuration_state.Configuration,
+    intent: plan_state.MoveUpstream,
+) -> Change:
+    """Return the change of an upstream's pool or data centre."""
+    name = intent.upstream
+    source, upstream = located(current, name)
+    target = pool_named(current, intent.pool or source.name)
+    data_centre = intent.data_centre or upstream.data_centre
+    moved = dataclasses.replace(
+        upstream, data_centre=data_centre, draining=False
+    )
+    left = tuple(u for u in source.upstreams if u.name != name)
+    result = with_pool(current, dataclasses.replace(source, upstreams=left))
+    target = pool_named(result, target.name)
+    result = with_pool(
+        result,
+        dataclasses.replace(target, upstreams=(*target.upstreams, moved)),
     )
+    steps = [f'count {name} to {target.name} in {data_centre}']
+    loads = versions_differ(source, target)
+    if target.name != source.name:
+        steps.append(f'let what {name} runs for {source.name} end there')
+    if loads:
+        steps.append(f'load {target.model} {target.version} on {name}')
+    return Change(result, tuple(steps), frozenset({name}), loads=loads)
 
 
-def drain(
+def versions_differ(
+    one: configuration_state.Pool, other: configuration_state.Pool
+) -> bool:
+    """Return whether an engine of one pool can't serve the other as it is."""
+    return (one.model, one.version, one.adapter) != (
+        other.model,
+        other.version,
+        other.adapter,
+    )
+
+
+def change_role(
+    current: configuration_state.Configuration, name: str, role: str
+) -> Change:
+    """Return the change of an engine's role."""
+    result = with_upstream(current, name, role=role)
+    steps = (
+        f'drain {name}',
+        'let what it runs end there',
+        f'order it to role {role}',
+    )
+    return Change(result, steps, frozenset({name}))
+
+
+def taken_out(
+    current: configuration_state.Configuration, change: Change
+) -> dict[str, int]:
+    """Return how many upstreams of each pool are out at the same time.
+
+    An upstream that joins the pool is none of them: it had no places there.
+    """
+    counts = {}
+    for pool in current.pools:
+        out = sum(u.name in change.out for u in pool.upstreams)
+        if out:
+            counts[pool.name] = math.ceil(out / max(1, change.batches))
+    return counts
+
+
+def estimate(change: Change) -> float:
+    """Return how many seconds a change takes, at the longest as a rule."""
+    if not change.out:
+        return IN_FORCE_SECONDS
+    each = DRAIN_SECONDS + (LOAD_SECONDS if change.loads else 0.0)
+    return IN_FORCE_SECONDS + change.batches * each
+
+
+def put(parts: tuple, part: object) -> tuple:
+    """Return the parts with one more, or with the one of its name replaced."""
+    if any(found.name == part.name for found in parts):
+        return tuple(
+            part if found.name == part.name else found for found in parts
+        )
+    return (*parts, part)
+
+
+def put_step(kind: str, part: object) -> str:
+    """Return the step that puts a part into the configuration."""
+    return f'create or change {kind} {part.name}'
+
+
+def with_pool(
+    current: configuration_state.Configuration, pool: configuration_state.Pool
+) -> configuration_state.Configuration:
+    """Return the configuration with a pool put into it."""
+    return dataclasses.replace(current, pools=put(current.pools, pool))
+
+
+def pool_named(
     current: configuration_state.Configuration, name: str
-) -> tuple[configuration_state.Configuration, list[str]]:
-    """Return the configuration with an upstream draining, and warnings."""
-    pools = []
-    warnings = []
-    found = False
+) -> configuration_state.Pool:
+    """Return the pool of a name, or raise that there is none."""
+    pool = current.find_pool(name)
+    if pool is None:
+        raise errors.UnknownName(f'no pool is named {name}')
+    return pool
+
+
+def located(
+    current: configuration_state.Configuration, name: str
+) -> tuple[configuration_state.Pool, configuration_state.Upstream]:
+    """Return an upstream and its pool, or raise that there is none."""
     for pool in current.pools:
-        changed = []
         for upstream in pool.upstreams:
             if upstream.name == name:
-                found = True
-                upstream = dataclasses.replace(upstream, draining=True)
-            changed.append(upstream)
-        if found and all(upstream.draining for upstream in changed):
-            warnings.append(f'pool {pool.name} keeps no upstream')
-        pools.append(dataclasses.replace(pool, upstreams=tuple(changed)))
-    if not found:
-        raise errors.CoordinationError(f'no upstream is named {name}')
-    return dataclasses.replace(current, pools=tuple(pools)), warnings
+                return pool, upstream
+    raise errors.UnknownName(f'no upstream is named {name}')
+
+
+def with_upstream(
+    current: configuration_state.Configuration, name: str, **changes: object
+) -> configuration_state.Configuration:
+    """Return the configuration with attributes of an upstream changed."""
+    pool, upstream = located(current, name)
+    changed = dataclasses.replace(upstream, **changes)
+    return with_pool(
+        current,
+        dataclasses.replace(pool, upstreams=put(pool.upstreams, changed)),
+    )
--- a/src/greengagelb/errors.py
+++ b/src/greengagelb/errors.py
@@ -79,3 +79,37 @@
     """No plan of that id is kept."""
 
     code = 'unknown-plan'
+
+
+class IntentRefused(CoordinationError):
+    """An operator's intent leads to no valid configuration."""
+
+    code = 'intent-refused'
+
+
+class UnknownName(IntentRefused):
+    """An intent names something that the configuration does not have."""
+
+    code = 'unknown-name'
+
+
+class DuplicateName(IntentRefused):
+    """Two parts of a configuration of one kind have the same name."""
+
+    code = 'duplicate-name'
+
+
+class StoreBehind(TransportError):
+    """The store holds an older version than the one in force here.
+
+    It was restored from an old copy; a plan confirmed on it would be refused
+    by all instances.
+    """
+
+    code = 'store-behind'
+
+
+class ConfirmUnsettled(TransportError):
+    """Nobody can tell now whether a plan is in force; ask for it again."""
+
+    code = 'confirm-unsettled'
--- a/src/greengagelb/protocol/operator_api.py
+++ b/src/greengagelb/protocol/operator_api.py
@@ -1,36 +1,59 @@
 """Messages between operators and an instance, over HTTP on a port of its own.
 
 ``POST /v1/plans`` with an intent -> the plan; ``POST /v1/plans/{id}/confirm``
--> the plan as confirmed; ``GET /v1/plans/{id}``; ``GET /v1/status``;
-``GET /v1/timeline``. Header ``Authorization: Bearer KEY``.
+-> the plan as confirmed, or 409 :class:`Conflict`, or 503
+``confirm-unsettled``; ``GET /v1/plans/{id}`` -> the plan with its stage now;
+``GET /v1/status``; ``GET /v1/timeline``. Header ``Authorization: Bearer KEY``.
+
+An intent is an object with ``type``, one of :data:`INTENTS`, and the
+attributes of that data class.
 """
 
+import dataclasses
+
 import msgspec
 
-from greengagelb.state import configuration
+from greengagelb import errors
+from greengagelb.protocol import codec
+from greengagelb.state import fleet
 from greengagelb.state import plans
 from greengagelb.state import timeline
 
+INTENTS: dict[str, type[plans.Intent]] = {
+    'replace-configuration': plans.ReplaceConfiguration,
+    'put-account': plans.PutAccount,
+    'put-service': plans.PutService,
+    'put-pool': plans.PutPool,
+    'drain-upstream': plans.DrainUpstream,
+    'return-upstream': plans.ReturnUpstream,
+    'change-model': plans.ChangeModel,
+    'move-upstream': plans.MoveUpstream,
+    'change-role': plans.ChangeRole,
+}
 
-class ReplaceConfiguration(
-    msgspec.Struct, frozen=True, tag='replace-configuration'
-):
-    """Intent to put a whole configuration in force."""
-
-    configuration: configuration.Configuration
 
+class IntentType(msgspec.Struct, frozen=True):
+    """The attribute of an intent that tells its kind."""
 
-class DrainUpstream(msgspec.Struct, frozen=True, tag='drain-upstream'):
-    """Intent to give an upstream no new work."""
+    type: str
 
-    upstream: str
 
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """What is known here of another instance, or of this one."""
 
-IntentMessage = ReplaceConfiguration | DrainUpstream
+    name: str
+    data_centre: str
+    incarnation: str
+    configuration_version: int
+    standing: fleet.Standing
 
 
 class Status(msgspec.Struct, frozen=True):
-    """What one instance says of itself."""
+    """What one instance says of itself and of the others.
+
+    ``in_force_on`` of ``instances_known`` have this instance's version or a
+    later one; ``missing`` names those that have not.
+    """
 
     process: str
     data_centre: str
@@ -39,6 +62,23 @@
     stopping: bool
     running: int
     waiting: int
+    ready: bool = False
+    in_force_on: int = 0
+    instances_known: int = 0
+    missing: list[str] = []
+    instances: list[InstanceStatus] = []
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """Why a plan can't be confirmed any more, and what has changed since."""
+
+    title: str
+    status: int
+    code: str
+    ran: str
+    detail: str
+    current_version: int
+    changes: list[plans.Confirmation]
 
 
 class TimelinePart(msgspec.Struct, frozen=True):
@@ -49,10 +89,22 @@
     events: list[timeline.TimelineEvent]
 
 
-def intent_of(message: IntentMessage) -> plans.Intent:
-    """Return the intent in a message."""
-    match message:
-        case ReplaceConfiguration(configuration=wanted):
-            return plans.ReplaceConfiguration(wanted)
-        case DrainUpstream(upstream=name):
-            return plans.DrainUpstream(name)
+def read_intent(raw: bytes) -> plans.Intent:
+    """Return the intent in a message.
+
+    Raises :class:`~greengagelb.errors.ProtocolError` for attributes that the
+    intent does not have: a misspelt one would silently keep its default.
+    """
+    kind = codec.decode(raw, IntentType).type
+    if kind not in INTENTS:
+        known = ', '.join(INTENTS)
+        raise errors.ProtocolError(
+            f'unknown type {kind}; write one of {known}'
+        )
+    wanted = INTENTS[kind]
+    given = codec.decode(raw, dict[str, msgspec.Raw])
+    known = {field.name for field in dataclasses.fields(wanted)} | {'type'}
+    unknown = sorted(set(given) - known)
+    if unknown:
+        raise errors.ProtocolError(f'{kind} has no {", ".join(unknown)}')
+    return codec.decode(raw, wanted)
--- a/src/greengagelb/protocol/problems.py
+++ b/src/greengagelb/protocol/problems.py
@@ -21,6 +21,10 @@
     'upstream-lost': 502,
     'version-conflict': 409,
     'unknown-plan': 404,
+    'unknown-name': 422,
+    'duplicate-name': 422,
+    'intent-refused': 422,
+    'store-behind': 409,
 }
 
 
--- a/src/greengagelb/state/configuration.py
+++ b/src/greengagelb/state/configuration.py
@@ -55,6 +55,7 @@
     data_centre: str
     checks_fencing: bool = True
     draining: bool = False
+    role: str = 'generate'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,9 +102,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """All that operators decide, under one version."""
+    """All that operators decide, under one version.
+
+    ``confirmed_by`` is the id of the plan that put the version in force; two
+    plans may lead to equal documents, and only one of them has won.
+    """
 
     version: int = 0
+    confirmed_by: str = ''
     accounts: tuple[ClientAccount, ...] = ()
     services: tuple[Service, ...] = ()
     pools: tuple[Pool, ...] = ()
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -91,8 +91,9 @@
             self.plans,
             self.settings.secrets.operator_key_digest,
             self.status,
-            self.recorder.timeline,
+            self.recorder,
             self.plan_confirmed,
+            self.running_by_upstream,
         )
         self.listen(place.operator_port, operators.app)
         self.repeat(PULSE_SECONDS, self.pulse)
@@ -131,10 +132,22 @@
     def poll(self) -> object:
         """Fetch the configuration from the platform."""
         try:
-            configuration = yield self.plans.read_configuration()
+            configuration = yield self.plans.read_configuration(
+                newer_than=self.node.configuration.version
+            )
         except errors.GreengagelbError:
             return
-        self.dispatch(events.ConfigurationOffered(configuration, 'platform'))
+        if configuration is not None:
+            self.dispatch(
+                events.ConfigurationOffered(configuration, 'platform')
+            )
+
+    def running_by_upstream(self) -> dict[str, int]:
+        """Return how many requests run on each upstream, as far as known."""
+        return {
+            name: max(view.in_flight, view.reported_running)
+            for name, view in self.node.directory.views.items()
+        }
 
     def plan_confirmed(self, plan: plan_state.Plan) -> None:
         """Apply what an operator has just confirmed here."""
--- a/src/greengagelb/transport/operator_app.py
+++ b/src/greengagelb/transport/operator_app.py
@@ -1,6 +1,7 @@
 """The operators' HTTP interface of an instance."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import hashlib
 import hmac
 import secrets
@@ -12,15 +13,19 @@
 from twisted.web import server
 
 from greengagelb import errors
+from greengagelb.coordination import actions
+from greengagelb.coordination import confirming
 from greengagelb.coordination import plans
-from greengagelb.protocol import codec
 from greengagelb.protocol import operator_api
+from greengagelb.protocol import problems
 from greengagelb.state import plans as plan_state
-from greengagelb.state import timeline
+from greengagelb.state import requests
 from greengagelb.transport import http
 from greengagelb.transport import plan_store
+from greengagelb.transport import recorder
 
 BEARER = 'Bearer '
+RETRY_AFTER_SECONDS = 1.0
 
 
 class OperatorApp:
@@ -31,14 +36,16 @@
         store: plan_store.PlanStore,
         key_digest: str,
         status: Callable[[], operator_api.Status],
-        events: timeline.Timeline,
+        events: recorder.Recorder,
         confirmed: Callable[[plan_state.Plan], None],
+        running: Callable[[], Mapping[str, int]],
     ) -> None:
         self.store = store
         self.key_digest = key_digest
         self.status = status
-        self.timeline = events
+        self.recorder = events
         self.confirmed = confirmed
+        self.running = running
         self.app = klein.Klein()
         self.app.route('/v1/plans', methods=['POST'])(self.propose)
         self.app.route('/v1/plans/<plan_id>', methods=['GET'])(self.show)
@@ -65,20 +72,34 @@
     def propose(self, request: server.Request) -> Any:
         """Answer an intent with a plan."""
         self.authenticate(request)
-        message = codec.decode(
-            request.content.read(), operator_api.IntentMessage
-        )
+        intent = operator_api.read_intent(request.content.read())
         current = yield self.store.read_configuration()
-        intent = operator_api.intent_of(message)
-        plan = plans.make_plan(secrets.token_hex(8), intent, current)
+        applied = self.status().configuration_version
+        if current.version < applied:
+            raise errors.StoreBehind(
+                f'the store holds version {current.version}, in force here '
+                f'is {applied}'
+            )
+        plan = plans.make_plan(
+            secrets.token_hex(8), intent, current, self.running()
+        )
         yield self.store.keep(plan)
+        self.record('plan-proposed', plan)
         return http.json_answer(request, plan)
 
     @defer.inlineCallbacks
     def show(self, request: server.Request, plan_id: str) -> Any:
-        """Show a plan."""
+        """Show a plan with its stage, which its row alone does not tell."""
         self.authenticate(request)
         plan = yield self.find(plan_id)
+        outcome = yield self.store.settle(plan)
+        match outcome:
+            case confirming.Confirmed():
+                plan = plan_store.staged(plan, plan_state.PlanStage.CONFIRMED)
+            case confirming.Overtaken():
+                plan = plan_store.staged(plan, plan_state.PlanStage.OVERTAKEN)
+            case confirming.Unsettled():
+                return self.unsettled(request, plan)
         return http.json_answer(request, plan)
 
     @defer.inlineCallbacks
@@ -86,9 +107,61 @@
         """Put a plan in force."""
         self.authenticate(request)
         plan = yield self.find(plan_id)
-        plan = yield self.store.confirm(plan)
-        self.confirmed(plan)
-        return http.json_answer(request, plan)
+        outcome = yield self.store.confirm(plan)
+        match outcome:
+            case confirming.Confirmed():
+                self.record('plan-confirmed', plan)
+                self.confirmed(plan)
+                plan = plan_store.staged(plan, plan_state.PlanStage.CONFIRMED)
+                return http.json_answer(request, plan)
+            case confirming.Overtaken():
+                self.record('plan-overtaken', plan)
+                return self.conflict(request, plan, outcome)
+        self.record('confirm-unsettled', plan)
+        return self.unsettled(request, plan)
+
+    def conflict(
+        self,
+        request: server.Request,
+        plan: plan_state.Plan,
+        found: confirming.Overtaken,
+    ) -> bytes:
+        """Answer that another plan won, and what it changed."""
+        winner = found.changes[0].plan_id
+        answer = operator_api.Conflict(
+            title='plan overtaken',
+            status=problems.STATUS_OF_CODE[errors.VersionConflict.code],
+            code=errors.VersionConflict.code,
+            ran=requests.Ran.NO.value,
+            detail=(
+                f'plan {winner} was confirmed on version '
+                f'{plan.base_version}; state the intent again'
+            ),
+            current_version=found.current_version,
+            changes=list(found.changes),
+        )
+        return http.json_answer(request, answer, answer.status)
+
+    def unsettled(
+        self, request: server.Request, plan: plan_state.Plan
+    ) -> bytes:
+        """Answer that nobody can tell now what became of a plan.
+
+        Said instead of a plain failure, after which an operator would take
+        it that nothing has happened.
+        """
+        failure_state = requests.Failure(
+            errors.ConfirmUnsettled.code,
+            requests.Ran.UNKNOWN,
+            f'ask for /v1/plans/{plan.plan_id}, or confirm it again',
+            RETRY_AFTER_SECONDS,
+        )
+        return http.problem_answer(request, problems.problem_of(failure_state))
+
+    def record(self, kind: str, plan: plan_state.Plan) -> None:
+        """Put what became of a plan on the time line."""
+        reason = f'plan {plan.plan_id} on version {plan.base_version}'
+        self.recorder.record(actions.Record(kind, reason))
 
     @defer.inlineCallbacks
     def find(self, plan_id: str) -> Any:
@@ -108,7 +181,7 @@
         self.authenticate(request)
         part = operator_api.TimelinePart(
             self.status().process,
-            self.timeline.dropped,
-            list(self.timeline.events),
+            self.recorder.timeline.dropped,
+            list(self.recorder.timeline.events),
         )
         return http.json_answer(request, part)
--- a/src/greengagelb/transport/plan_store.py
+++ b/src/greengagelb/transport/plan_store.py
@@ -1,4 +1,10 @@
-"""Keeps plans and the configuration in the platform's table service."""
+"""Keeps plans and the configuration in the platform's table service.
+
+Table ``plans`` has a row per plan, with the configuration it leads to; table
+``confirmations`` has the row ``current`` and one row per earlier version. The
+row ``current`` is small on purpose: instances poll it, and fetch a plan's
+whole document only once its version has grown.
+"""
 
 import dataclasses
 from typing import Any
@@ -6,66 +12,128 @@
 from twisted.internet import defer
 
 from greengagelb import errors
+from greengagelb.coordination import confirming
 from greengagelb.protocol import codec
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import plans as plan_state
 from greengagelb.transport import platform_client
 
 PLAN_TABLE = 'plans'
-CONFIGURATION_TABLE = 'configuration'
-CONFIGURATION_KEY = 'current'
+CONFIRMATION_TABLE = 'confirmations'
+CURRENT_KEY = 'current'
 
 
 class PlanStore:
-    """Reads and confirms plans.
-
-    The row that holds the configuration has the configuration's version as
-    its own, so one conditional write both confirms a plan and proves that no
-    other plan was confirmed since it was made.
-    """
+    """Reads and confirms plans."""
 
     def __init__(self, platform: platform_client.PlatformClient) -> None:
         self.platform = platform
 
     @defer.inlineCallbacks
-    def read_configuration(self) -> Any:
-        """Return the configuration in the platform's table."""
-        row = yield self.platform.read(CONFIGURATION_TABLE, CONFIGURATION_KEY)
+    def read_current(self) -> Any:
+        """Return the confirmation in force; version 0 if there is none."""
+        row = yield self.platform.read(CONFIRMATION_TABLE, CURRENT_KEY)
         if row is None:
+            return plan_state.Confirmation(0, '')
+        return codec.decode(row.value, plan_state.Confirmation)
+
+    @defer.inlineCallbacks
+    def read_configuration(self, newer_than: int = -1) -> Any:
+        """Return the configuration in the platform's table.
+
+        Returns None, without fetching it, if its version is not higher than
+        ``newer_than``.
+        """
+        current = yield self.read_current()
+        if current.version <= newer_than:
+            return None
+        if not current.version:
             return configuration_state.Configuration()
-        return codec.decode(row.value, configuration_state.Configuration)
+        plan = yield self.read(current.plan_id)
+        if plan is None:
+            raise errors.UnknownPlan(current.plan_id)
+        return plan.result
 
     @defer.inlineCallbacks
     def keep(self, plan: plan_state.Plan) -> Any:
-        """Keep a new plan."""
+        """Keep a new plan.
+
+        Its id is new, so a row of that id after a lost answer is its own.
+        """
         value = codec.encode(plan).decode()
-        yield self.platform.write(PLAN_TABLE, plan.plan_id, 0, value)
+        try:
+            yield self.platform.write(PLAN_TABLE, plan.plan_id, 0, value)
+        except errors.PlatformUnavailable:
+            found = yield self.read(plan.plan_id)
+            if found is None:
+                raise
 
     @defer.inlineCallbacks
     def read(self, plan_id: str) -> Any:
-        """Return a plan, or None where there is none of that id."""
+        """Return a plan as proposed, or None where there is none."""
         row = yield self.platform.read(PLAN_TABLE, plan_id)
         if row is None:
             return None
         return codec.decode(row.value, plan_state.Plan)
 
+    def confirm(self, plan: plan_state.Plan) -> 'defer.Deferred':
+        """Put a plan in force; returns the outcome of confirming."""
+        return self.run(confirming.confirm(plan))
+
+    def settle(self, plan: plan_state.Plan) -> 'defer.Deferred':
+        """Return the outcome of a plan without changing anything."""
+        return self.run(confirming.settle(plan))
+
     @defer.inlineCallbacks
-    def confirm(self, plan: plan_state.Plan) -> Any:
-        """Put a plan's result in force and return the plan as confirmed.
+    def run(self, steps: confirming.Steps) -> Any:
+        """Carry out requests to the store until the steps come to an end."""
+        answer = None
+        try:
+            while True:
+                request = steps.send(answer)
+                answer = yield self.carry_out(request)
+        except StopIteration as done:
+            return done.value
 
-        Raises :class:`~greengagelb.errors.VersionConflict` where another
-        plan was confirmed since this one was made.
-        """
-        value = codec.encode(plan.result).decode()
+    @defer.inlineCallbacks
+    def carry_out(self, request: confirming.Request) -> Any:
+        """Carry out one request; errors of the platform become answers."""
         try:
-            yield self.platform.write(
-                CONFIGURATION_TABLE,
-                CONFIGURATION_KEY,
-                plan.base_version,
-                value,
-            )
-        except (errors.VersionConflict, errors.PlatformUnavailable):
-            current = yield self.read_configuration()
-            if current != plan.result:
-                raise
-        return dataclasses.replace(plan, stage=plan_state.PlanStage.CONFIRMED)
+            match request:
+                case confirming.ReadCurrent():
+                    return (yield self.read_current())
+                case confirming.ReadPast(version):
+                    return (yield self.read_past(version))
+                case confirming.KeepPast(confirmation):
+                    key = str(confirmation.version)
+                    yield self.write(key, 0, confirmation)
+                case confirming.ReplaceCurrent(confirmation):
+                    expected = confirmation.version - 1
+                    yield self.write(CURRENT_KEY, expected, confirmation)
+        except errors.VersionConflict:
+            return confirming.Refused()
+        except (errors.PlatformUnavailable, errors.ProtocolError):
+            return confirming.StoreAway()
+        return confirming.Written()
+
+    @defer.inlineCallbacks
+    def read_past(self, version: int) -> Any:
+        """Return the confirmation of an earlier version, or None."""
+        row = yield self.platform.read(CONFIRMATION_TABLE, str(version))
+        if row is None:
+            return None
+        return codec.decode(row.value, plan_state.Confirmation)
+
+    def write(
+        self, key: str, expected: int, confirmation: plan_state.Confirmation
+    ) -> 'defer.Deferred':
+        """Write a confirmation on top of an expected version of its row."""
+        value = codec.encode(confirmation).decode()
+        return self.platform.write(CONFIRMATION_TABLE, key, expected, value)
+
+
+def staged(
+    plan: plan_state.Plan, stage: plan_state.PlanStage
+) -> plan_state.Plan:
+    """Return a plan with the stage that it has now."""
+    return dataclasses.replace(plan, stage=stage)
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -95,6 +95,7 @@
     popen: subprocess.Popen
     port: int
     operator_port: int = 0
+    peer_port: int = 0
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to this process only."""
@@ -171,6 +172,7 @@
         )
         process = self.run(name, ['serve', f'--settings={path}'], caller)
         process.operator_port = operator
+        process.peer_port = peer
         self.instances[name] = process
         return process
 
--- /dev/null
+++ b/tests/process/test_fleet_plans.py
@@ -0,0 +1,90 @@
+"""Plans are confirmed at real instances while the store misbehaves."""
+
+import concurrent.futures
+
+import pytest
+
+from tests.common import fleet
+
+pytestmark = pytest.mark.slow
+HEADERS = fleet.bearer(fleet.OPERATOR_KEY)
+
+
+def propose(process, intent):
+    found = fleet.ask(
+        process.operator_port, '/v1/plans', intent, headers=HEADERS
+    )
+    assert found.status == 200, found.body
+    return found.json()['plan_id']
+
+
+def confirm(process, plan_id):
+    return fleet.ask(
+        process.operator_port,
+        f'/v1/plans/{plan_id}/confirm',
+        method='POST',
+        headers=HEADERS,
+    )
+
+
+def stage(process, plan_id):
+    found = fleet.ask(
+        process.operator_port, f'/v1/plans/{plan_id}', headers=HEADERS
+    )
+    return found.json()['stage']
+
+
+def set_faults(running, **faults):
+    fleet.ask(running.platform.port, '/standin/faults', faults)
+
+
+def test_of_many_operators_at_once_one_wins_and_all_learn_it(tmp_path):
+    """Eight operators confirm plans of one version at two instances at once.
+
+    The store takes writes and loses the answers meanwhile. Whoever is told
+    of a conflict also learns which plan won and what it did.
+    """
+    with fleet.small_fleet(tmp_path) as running:
+        routers = list(running.instances.values())
+        drain = {'type': 'drain-upstream', 'upstream': 'engine-0'}
+        plans = [propose(routers[n % 2], drain) for n in range(8)]
+        set_faults(running, lose_write_answers=True)
+        with concurrent.futures.ThreadPoolExecutor(16) as threads:
+            answers = list(
+                threads.map(
+                    lambda n: confirm(routers[n % 2], plans[n // 2]),
+                    range(16),
+                )
+            )
+        set_faults(running)
+        won = [n // 2 for n, a in enumerate(answers) if a.status == 200]
+        assert len(set(won)) == 1
+        winner = plans[won[0]]
+        for answer in answers:
+            if answer.status != 200:
+                assert answer.status == 409
+                assert answer.json()['code'] == 'version-conflict'
+                assert answer.json()['changes'][0]['plan_id'] == winner
+        for plan_id in plans:
+            wanted = 'confirmed' if plan_id == winner else 'overtaken'
+            assert stage(routers[1], plan_id) == wanted
+        assert confirm(routers[1], winner).status == 200
+
+
+def test_confirm_at_a_slow_store_is_unsettled_and_found_out_later(tmp_path):
+    """The store takes longer than an instance waits for it.
+
+    The operator is told that nobody knows, never that nothing happened, and
+    asks for the plan again once the store is well.
+    """
+    with fleet.small_fleet(tmp_path) as running:
+        router = running.instances['router-0']
+        drain = {'type': 'drain-upstream', 'upstream': 'engine-0'}
+        plan_id = propose(router, drain)
+        set_faults(running, delay_seconds=1.3)
+        answer = confirm(router, plan_id)
+        assert answer.status == 503
+        assert answer.json()['ran'] != 'ran'
+        set_faults(running)
+        assert confirm(router, plan_id).status == 200
+        assert stage(router, plan_id) == 'confirmed'
