--- a/src/greengagelb/transport/http.py
+++ b/src/greengagelb/transport/http.py
@@ -1,8 +1,10 @@
 """HTTP plumbing shared by the clients and servers of an instance."""
 
 from collections.abc import Callable
+import dataclasses
 
 from twisted.internet import defer
+from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
@@ -11,6 +13,7 @@
 from twisted.web import http
 from twisted.web import iweb
 from twisted.web import server
+from zope import interface
 
 from greengagelb.protocol import caller_api
 from greengagelb.protocol import codec
@@ -21,6 +24,33 @@
 MOST_BODY_BYTES = 4 << 20
 
 
+@interface.implementer(iweb.IAgentEndpointFactory)
+@dataclasses.dataclass(frozen=True, slots=True)
+class IPNumberEndpointFactory:
+    """Connects to IP numbers directly.
+
+    The agent's own choice resolves names and races several addresses. It
+    looks at a refused connection only when the next address would be due,
+    0.3 s later: a dead engine was noticed that much too late. All addresses
+    here are IP numbers, so there is nothing to resolve or to race.
+    """
+
+    reactor: interfaces.IReactorTCP
+    connect_seconds: float
+
+    def endpointForURI(  # noqa: N802
+        self, uri: client.URI
+    ) -> endpoints.TCP4ClientEndpoint:
+        """Return the endpoint of a URI whose host is an IP number."""
+        host = uri.host.decode('ascii')
+        kind = (
+            endpoints.TCP6ClientEndpoint
+            if ':' in host
+            else endpoints.TCP4ClientEndpoint
+        )
+        return kind(self.reactor, host, uri.port, self.connect_seconds)
+
+
 def fresh_connection_agent(
     reactor: interfaces.IReactorTime, connect_seconds: float = CONNECT_SECONDS
 ) -> client.Agent:
@@ -32,7 +62,8 @@
     """
     pool = client.HTTPConnectionPool(reactor, persistent=False)
     pool.retryAutomatically = False
-    return client.Agent(reactor, connectTimeout=connect_seconds, pool=pool)
+    factory = IPNumberEndpointFactory(reactor, connect_seconds)
+    return client.Agent.usingEndpointFactory(reactor, factory, pool)
 
 
 def was_handed_over(why: failure.Failure) -> bool:
--- a/tests/seam/test_layers.py
+++ b/tests/seam/test_layers.py
@@ -22,6 +22,7 @@
         'treq',
         'twisted',
         'zmq',
+        'zope',
     },
 }
 # A decision that reads a clock, the environment or the global random state
