Spread configurations and leaving upstreams between instances

Cause: an instance learned of a configuration from the store alone, so one cut off from it, or one that started in an outage, had none; nobody could see who was missing. A notice that an upstream is leaving was lost when it came before the first report of that incarnation, and an older report arriving late brought the upstream back.

Ruled out: one DEALER per peer (65 sockets and descriptors a node); carrying documents in heartbeats (300 KB at the design size); a full mesh over data centres (330 heartbeats an interval).

Change: pure `Membership` (list added to what is heard, incarnations, sizes, relays by rendezvous hash, summaries of other data centres) and one zmq ROUTER socket that listens and connects. Changes are told at once; regular heartbeats every 4 s repair. Messages carry a keyed digest. Leaving is remembered per incarnation. `[peers]` names addresses for a start in an outage. /v1/status shows applied versions, standing and who is missing.

--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -188,6 +188,13 @@
     source: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetSized:
+    """How many instances of this data centre may be serving, this one too."""
+
+    live_instances: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopRequested:
     """The platform asks this instance to stop."""
@@ -232,6 +239,7 @@
     | CallAnswered
     | CallBroken
     | ConfigurationOffered
+    | FleetSized
     | StopRequested
     | PauseNoticed
     | TimerFired
--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -10,6 +10,7 @@
 
 from greengagelb.coordination import events
 from greengagelb.state import configuration as configuration_state
+from greengagelb.state import identity
 from greengagelb.state import upstreams as upstream_state
 
 REPORT_TRUST_SECONDS = 5.0
@@ -26,6 +27,7 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.views: dict[str, upstream_state.UpstreamView] = {}
+        self.leaving: set[identity.EngineId] = set()
 
     def apply(self, configuration: configuration_state.Configuration) -> None:
         """Adopt the upstreams of a configuration, keeping what is known."""
@@ -42,14 +44,15 @@
         for name in list(self.views):
             if name not in named and not self.views[name].in_flight:
                 del self.views[name]
+        self.leaving = {e for e in self.leaving if e.name in self.views}
 
     def observe(self, report: events.UpstreamReported, now: float) -> None:
         """Take in an upstream's report."""
         view = self.views.get(report.engine.name)
         if view is None:
             return
-        if view.incarnation != report.engine.incarnation:
-            view.leaving = False
+        if report.leaving:
+            self.leaving.add(report.engine)
         view.incarnation = report.engine.incarnation
         view.model = report.model
         view.version = report.version
@@ -58,14 +61,24 @@
         view.reported_queued = report.queued
         view.reported_at = now
         view.step_seconds = report.step_seconds
-        view.leaving = view.leaving or report.leaving
+        view.leaving = report.engine in self.leaving
         view.suspected_until = float('-inf')
 
     def mark_leaving(self, event: events.UpstreamLeaving) -> None:
-        """Give no new work to that incarnation from now on."""
+        """Give no new work to that incarnation from now on.
+
+        It is remembered by incarnation: the notice may come before the first
+        report of that incarnation, or between late reports of an older one.
+        Kept in the view alone it would be lost, and the upstream get work.
+        """
         view = self.views.get(event.engine.name)
-        if view is not None and view.incarnation == event.engine.incarnation:
-            view.leaving = True
+        if view is None:
+            return
+        engine = event.engine
+        if not engine.incarnation:
+            engine = identity.EngineId(engine.name, view.incarnation)
+        self.leaving.add(engine)
+        view.leaving = view.leaving or view.incarnation == engine.incarnation
 
     def suspect(self, name: str, now: float) -> None:
         """Keep new work away from an upstream that has just failed."""
--- a/src/greengagelb/protocol/operator_api.py
+++ b/src/greengagelb/protocol/operator_api.py
@@ -51,8 +51,9 @@
 class Status(msgspec.Struct, frozen=True):
     """What one instance says of itself and of the others.
 
-    ``in_force_on`` of ``instances_known`` have this instance's version or a
-    later one; ``missing`` names those that have not.
+    ``in_force_on`` of ``instances_known`` in this data centre have the
+    highest version heard of; ``missing`` names those that have not.
+    ``data_centres`` says the same of each one, as last heard.
     """
 
     process: str
@@ -67,6 +68,8 @@
     instances_known: int = 0
     missing: list[str] = []
     instances: list[InstanceStatus] = []
+    data_centres: list[fleet.DataCentreSummary] = []
+    leaving_upstreams: list[str] = []
 
 
 class Conflict(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/greengagelb/protocol/peer_api.py
@@ -0,0 +1,197 @@
+"""Messages between instances, one zmq frame each: a tag, then msgpack.
+
+The tag is a keyed digest under the secret that all instances share. Without
+it whoever reaches the peer port could put a configuration in force.
+
+============================ ==============================================
+:class:`HeartbeatMessage`    who is there, applied version, notices
+:class:`ConfigurationQuery`  asks for the configuration applied there
+:class:`ConfigurationCopy`   the configuration, as compressed JSON
+:class:`Introduction`        addresses of other instances
+============================ ==============================================
+
+Messages are arrays, not maps, and so have no attribute names in them: a
+heartbeat goes to each instance of the data centre every few seconds.
+"""
+
+import hashlib
+import hmac
+import zlib
+
+import msgspec
+
+from greengagelb import errors
+from greengagelb.protocol import codec
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import fleet
+from greengagelb.state import identity
+from greengagelb.state import timeline
+
+TAG_BYTES = 16
+MOST_MESSAGE_BYTES = 4 << 20
+MOST_DOCUMENT_BYTES = 16 << 20
+KEY_PURPOSE = b'greengagelb peers'
+
+
+class Notice(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that is leaving."""
+
+    name: str
+    incarnation: str
+
+
+class Summary(msgspec.Struct, frozen=True, array_like=True):
+    """What one data centre says of its instances."""
+
+    data_centre: str
+    version: int
+    in_force_on: int
+    instances: int
+    missing: list[str]
+
+
+class HeartbeatMessage(msgspec.Struct, frozen=True, array_like=True, tag='h'):
+    """See :class:`greengagelb.state.fleet.Heartbeat`."""
+
+    name: str
+    incarnation: str
+    data_centre: str
+    host: str
+    port: int
+    version: int
+    leaving: bool
+    milliseconds: int
+    count: int
+    notices: list[Notice] = []
+    summaries: list[Summary] = []
+
+
+class ConfigurationQuery(
+    msgspec.Struct, frozen=True, array_like=True, tag='q'
+):
+    """Asks for the configuration; the answer goes to this address."""
+
+    host: str
+    port: int
+
+
+class ConfigurationCopy(msgspec.Struct, frozen=True, array_like=True, tag='c'):
+    """A configuration as compressed JSON, and who sends it."""
+
+    name: str
+    document: bytes
+
+
+class Introduction(msgspec.Struct, frozen=True, array_like=True, tag='i'):
+    """Addresses of instances of the sender's data centre."""
+
+    addresses: list[tuple[str, int]]
+
+
+Message = (
+    HeartbeatMessage | ConfigurationQuery | ConfigurationCopy | Introduction
+)
+
+
+class PeerCodec:
+    """Seals messages under the secret of the fleet and opens them."""
+
+    def __init__(self, secret: str) -> None:
+        self.key = hmac.digest(secret.encode(), KEY_PURPOSE, hashlib.sha256)
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(Message)
+
+    def seal(self, message: Message) -> bytes:
+        """Return the frame of a message."""
+        payload = self.encoder.encode(message)
+        return self.tag(payload) + payload
+
+    def open(self, frame: bytes) -> Message:
+        """Return the message in a frame that an instance has sealed."""
+        tag, payload = frame[:TAG_BYTES], frame[TAG_BYTES:]
+        if not hmac.compare_digest(tag, self.tag(payload)):
+            raise errors.ProtocolError('message of no instance of this fleet')
+        try:
+            return self.decoder.decode(payload)
+        except msgspec.DecodeError as exc:
+            raise errors.ProtocolError('message of another release') from exc
+
+    def tag(self, payload: bytes) -> bytes:
+        """Return the keyed digest of a payload."""
+        return hmac.digest(self.key, payload, hashlib.sha256)[:TAG_BYTES]
+
+
+def message_of(heartbeat: fleet.Heartbeat) -> HeartbeatMessage:
+    """Return the message that carries a heartbeat."""
+    sender = heartbeat.sender
+    return HeartbeatMessage(
+        name=sender.name,
+        incarnation=sender.incarnation,
+        data_centre=sender.data_centre,
+        host=sender.address.host,
+        port=sender.address.port,
+        version=heartbeat.version,
+        leaving=heartbeat.leaving,
+        milliseconds=heartbeat.stamp.milliseconds,
+        count=heartbeat.stamp.count,
+        notices=[
+            Notice(engine.name, engine.incarnation)
+            for engine in heartbeat.leaving_upstreams
+        ],
+        summaries=[
+            Summary(
+                one.data_centre,
+                one.version,
+                one.in_force_on,
+                one.instances,
+                list(one.missing),
+            )
+            for one in heartbeat.summaries
+        ],
+    )
+
+
+def heartbeat_of(message: HeartbeatMessage) -> fleet.Heartbeat:
+    """Return the heartbeat in a message."""
+    return fleet.Heartbeat(
+        sender=fleet.PeerId(
+            message.name,
+            message.incarnation,
+            message.data_centre,
+            fleet.PeerAddress(message.host, message.port),
+        ),
+        version=message.version,
+        leaving=message.leaving,
+        stamp=timeline.Stamp(message.milliseconds, message.count),
+        leaving_upstreams=tuple(
+            identity.EngineId(notice.name, notice.incarnation)
+            for notice in message.notices
+        ),
+        summaries=tuple(
+            fleet.DataCentreSummary(
+                one.data_centre,
+                one.version,
+                one.in_force_on,
+                one.instances,
+                tuple(one.missing),
+            )
+            for one in message.summaries
+        ),
+    )
+
+
+def compress(configuration: configuration_state.Configuration) -> bytes:
+    """Return a configuration as compressed JSON."""
+    return zlib.compress(codec.encode(configuration))
+
+
+def decompress(raw: bytes) -> configuration_state.Configuration:
+    """Return the configuration in compressed JSON of bounded size."""
+    unpacker = zlib.decompressobj()
+    try:
+        document = unpacker.decompress(raw, MOST_DOCUMENT_BYTES)
+    except zlib.error as exc:
+        raise errors.ProtocolError('configuration is not compressed') from exc
+    if unpacker.unconsumed_tail:
+        raise errors.ProtocolError('configuration is too large')
+    return codec.decode(document, configuration_state.Configuration)
--- a/src/greengagelb/protocol/platform_api.py
+++ b/src/greengagelb/protocol/platform_api.py
@@ -10,6 +10,11 @@
 
 import msgspec
 
+from greengagelb.state import identity
+
+LIVE = 'live'
+LEAVING = 'leaving'
+
 
 class Write(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A conditional write: it happens only on top of ``expected_version``.
@@ -30,7 +35,10 @@
 
 
 class Instance(msgspec.Struct, frozen=True):
-    """An instance in the platform's list; ``state`` is live or leaving."""
+    """An entry of the platform's list; ``state`` is live or leaving.
+
+    An upstream is listed with ``peer_port`` 0.
+    """
 
     name: str
     host: str
@@ -39,4 +47,9 @@
     peer_port: int
     data_centre: str
     incarnation: str
-    state: str = 'live'
+    state: str = LIVE
+
+
+def engine_of(instance: Instance) -> identity.EngineId:
+    """Return the upstream that an entry of the list shows."""
+    return identity.EngineId(instance.name, instance.incarnation)
--- a/src/greengagelb/settings.py
+++ b/src/greengagelb/settings.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from greengagelb import errors
+from greengagelb.state import fleet
 
 LEAST_SECRET_CHARACTERS = 16
 
@@ -48,6 +49,18 @@
     operator_key_digest: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSettings:
+    """Section ``[peers]``: instances that are there without the platform.
+
+    While the platform is away its list can't be had. An instance that starts
+    then takes the configuration from these ``addresses``.
+    """
+
+    addresses: tuple[fleet.PeerAddress, ...] = ()
+    heartbeat_seconds: float = 4.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of an instance."""
@@ -55,6 +68,7 @@
     instance: InstanceSettings
     platform: PlatformSettings
     secrets: SecretSettings
+    peers: PeerSettings = PeerSettings()
 
 
 def parse_name(text: str) -> str:
@@ -90,6 +104,16 @@
     return seconds
 
 
+def parse_addresses(text: str) -> tuple[fleet.PeerAddress, ...]:
+    """Return peer addresses from ``ip:port, ip:port``."""
+    found = []
+    for part in text.split(','):
+        host, _, port = part.strip().rpartition(':')
+        host = parse_ip_number(host.strip('[]'))
+        found.append(fleet.PeerAddress(host, parse_port(port)))
+    return tuple(found)
+
+
 def parse_count(text: str) -> int:
     """Return a whole number above zero."""
     if not text.isdecimal() or not int(text):
@@ -135,6 +159,10 @@
             'poll_seconds': parse_seconds,
         },
     ),
+    'peers': (
+        PeerSettings,
+        {'addresses': parse_addresses, 'heartbeat_seconds': parse_seconds},
+    ),
     'secrets': (
         SecretSettings,
         {'cursor_secret': parse_secret, 'operator_key_digest': parse_digest},
--- a/src/greengagelb/state/fleet.py
+++ b/src/greengagelb/state/fleet.py
@@ -3,6 +3,9 @@
 import dataclasses
 import enum
 
+from greengagelb.state import identity
+from greengagelb.state import timeline
+
 
 class Standing(enum.Enum):
     """What another instance can be counted on for.
@@ -23,3 +26,73 @@
 
     host: str
     port: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerId:
+    """An instance as it is since its last start, and where it is."""
+
+    name: str
+    incarnation: str
+    data_centre: str
+    address: PeerAddress
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DataCentreSummary:
+    """What one data centre says of its instances.
+
+    ``version`` is the highest that is applied there, ``in_force_on`` of
+    ``instances`` have it; ``missing`` names the first few that have not.
+    """
+
+    data_centre: str
+    version: int
+    in_force_on: int
+    instances: int
+    missing: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """What an instance tells others, now and again and when it changes."""
+
+    sender: PeerId
+    version: int
+    leaving: bool
+    stamp: timeline.Stamp
+    leaving_upstreams: tuple[identity.EngineId, ...] = ()
+    summaries: tuple[DataCentreSummary, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """An instance as the platform's list shows it."""
+
+    peer: PeerId
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnState:
+    """What this instance has to tell."""
+
+    version: int = 0
+    leaving: bool = False
+    leaving_upstreams: frozenset[identity.EngineId] = frozenset()
+
+
+@dataclasses.dataclass(slots=True)
+class PeerView:
+    """Another instance as heard of here; times are monotonic seconds.
+
+    ``heard_at`` is None for one that is only listed, ``listed`` says whether
+    the platform's list shows it now.
+    """
+
+    peer: PeerId
+    known_at: float
+    heard_at: float | None = None
+    version: int = 0
+    leaving: bool = False
+    listed: bool = False
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -17,12 +17,15 @@
 from greengagelb.coordination import node
 from greengagelb.protocol import codec
 from greengagelb.protocol import operator_api
+from greengagelb.state import fleet
+from greengagelb.state import identity
 from greengagelb.state import plans as plan_state
 from greengagelb.transport import caller_app
 from greengagelb.transport import claim_store
 from greengagelb.transport import engine_client
 from greengagelb.transport import listening
 from greengagelb.transport import operator_app
+from greengagelb.transport import peers
 from greengagelb.transport import plan_store
 from greengagelb.transport import platform_client
 from greengagelb.transport import recorder
@@ -60,6 +63,14 @@
         self.services = service_client.ServiceClient(reactor, self.dispatch)
         self.claims = claim_store.ClaimStore(self.platform, self.dispatch)
         self.plans = plan_store.PlanStore(self.platform)
+        self.peers = peers.PeerLink(
+            reactor,
+            instance_settings,
+            self.incarnation,
+            self.dispatch,
+            lambda: self.node.configuration,
+            self.recorder,
+        )
         self.callers = caller_app.CallerApp(
             reactor,
             self.dispatch,
@@ -96,7 +107,9 @@
             self.running_by_upstream,
         )
         self.listen(place.operator_port, operators.app)
+        self.peers.start()
         self.repeat(PULSE_SECONDS, self.pulse)
+        self.repeat(self.settings.peers.heartbeat_seconds, self.peers.tick)
         self.repeat(PROBE_SECONDS, self.probe_upstreams)
         self.repeat(self.settings.platform.poll_seconds, self.poll)
 
@@ -121,7 +134,21 @@
         late = now - self.last_pulse - PULSE_SECONDS
         self.last_pulse = now
         if late > PAUSE_SECONDS:
+            self.peers.pause_noticed(late)
             self.dispatch(events.PauseNoticed(late))
+        self.peers.own_changed(self.own_state())
+
+    def own_state(self) -> fleet.OwnState:
+        """Return what other instances should know of this one."""
+        return fleet.OwnState(
+            self.node.configuration.version,
+            self.node.stopping,
+            frozenset(
+                identity.EngineId(name, view.incarnation)
+                for name, view in self.node.directory.views.items()
+                if view.leaving and view.incarnation
+            ),
+        )
 
     def probe_upstreams(self) -> None:
         """Ask every upstream for its report."""
@@ -130,17 +157,19 @@
 
     @defer.inlineCallbacks
     def poll(self) -> object:
-        """Fetch the configuration from the platform."""
+        """Fetch the configuration and the instance list from the platform."""
         try:
             configuration = yield self.plans.read_configuration(
                 newer_than=self.node.configuration.version
             )
+            if configuration is not None:
+                self.dispatch(
+                    events.ConfigurationOffered(configuration, 'platform')
+                )
+            instances = yield self.platform.list_instances()
         except errors.GreengagelbError:
             return
-        if configuration is not None:
-            self.dispatch(
-                events.ConfigurationOffered(configuration, 'platform')
-            )
+        self.peers.listed(instances)
 
     def running_by_upstream(self) -> dict[str, int]:
         """Return how many requests run on each upstream, as far as known."""
@@ -155,6 +184,8 @@
 
     def status(self) -> operator_api.Status:
         """Return what this instance says of itself."""
+        members = self.peers.membership
+        own = members.summary(self.reactor.seconds())
         return operator_api.Status(
             process=self.settings.instance.name,
             data_centre=self.settings.instance.data_centre,
@@ -163,8 +194,32 @@
             stopping=self.node.stopping,
             running=len(self.node.running),
             waiting=len(self.node.waiting),
+            ready=self.node.ready,
+            in_force_on=own.in_force_on,
+            instances_known=own.instances,
+            missing=list(own.missing),
+            instances=self.known_instances(),
+            data_centres=[own, *members.fresh_summaries()],
+            leaving_upstreams=sorted(
+                engine.name for engine in members.own.leaving_upstreams
+            ),
         )
 
+    def known_instances(self) -> list[operator_api.InstanceStatus]:
+        """Return what is known here of the other instances."""
+        now = self.reactor.seconds()
+        members = self.peers.membership
+        return [
+            operator_api.InstanceStatus(
+                view.peer.name,
+                view.peer.data_centre,
+                view.peer.incarnation,
+                view.version,
+                members.standing(view, now),
+            )
+            for view in members.peers.values()
+        ]
+
     # -- events and actions -------------------------------------------------
 
     def dispatch(self, event: events.Event) -> None:
@@ -256,6 +311,8 @@
         if self.finishing:
             return
         self.finishing = True
+        self.peers.own_changed(self.own_state())
+        self.peers.stop()
         closed = [
             defer.maybeDeferred(port.stopListening) for port in self.ports
         ]
--- /dev/null
+++ b/src/greengagelb/transport/peers.py
@@ -0,0 +1,334 @@
+"""Carries messages between instances over one zmq socket.
+
+The socket is a ROUTER that both listens and connects: what is sent goes over
+the connections made here, what comes in over those made by the others. One
+socket has one descriptor in the event loop, however many instances there are.
+
+zmq runs a thread of its own in C beside the loop; no Python runs on it.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import time
+
+from twisted.internet import interfaces
+import zmq
+from zope.interface import implementer
+
+from greengagelb import errors
+from greengagelb import settings
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.coordination import membership
+from greengagelb.protocol import peer_api
+from greengagelb.protocol import platform_api
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import fleet
+from greengagelb.transport import recorder
+
+SILENT_CONNECTION_MILLISECONDS = 10_000
+LEAST_RECONNECT_MILLISECONDS = 100
+MOST_RECONNECT_MILLISECONDS = 2_000
+MOST_WAITING_MESSAGES = 64
+MOST_CLOCK_LEAD_MILLISECONDS = 60_000
+LAST_WORDS_MILLISECONDS = 200
+FRAMES = 2
+
+
+@implementer(interfaces.IReadDescriptor)
+class PeerSocket:
+    """The zmq socket as a reader of the event loop."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorFDSet,
+        receive: Callable[[bytes], None],
+    ) -> None:
+        self.reactor = reactor
+        self.receive = receive
+        self.context = zmq.Context()
+        self.socket = self.context.socket(zmq.ROUTER)
+        self.connected: set[fleet.PeerAddress] = set()
+        self.set_options()
+
+    def set_options(self) -> None:
+        """Bound what waits, and notice connections that went silent.
+
+        A connection that something between the ends has lost track of takes
+        messages for a quarter of an hour before TCP gives up. zmq's own
+        heartbeats notice it and connect afresh.
+        """
+        options = {
+            zmq.LINGER: LAST_WORDS_MILLISECONDS,
+            zmq.SNDHWM: MOST_WAITING_MESSAGES,
+            zmq.MAXMSGSIZE: peer_api.MOST_MESSAGE_BYTES,
+            zmq.HEARTBEAT_IVL: SILENT_CONNECTION_MILLISECONDS,
+            zmq.HEARTBEAT_TIMEOUT: SILENT_CONNECTION_MILLISECONDS,
+            zmq.RECONNECT_IVL: LEAST_RECONNECT_MILLISECONDS,
+            zmq.RECONNECT_IVL_MAX: MOST_RECONNECT_MILLISECONDS,
+        }
+        for option, value in options.items():
+            self.socket.setsockopt(option, value)
+
+    def __enter__(self) -> 'PeerSocket':
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self.reactor.removeReader(self)
+        self.socket.close()
+        self.context.term()
+
+    def bind(self, address: fleet.PeerAddress) -> None:
+        """Listen on an address and begin to read."""
+        self.socket.bind(endpoint_of(address))
+        self.reactor.addReader(self)
+        self.reactor.callLater(0, self.doRead)
+
+    def send(self, address: fleet.PeerAddress, frame: bytes) -> None:
+        """Send a frame to an address, or drop it where too many wait."""
+        if self.socket.closed:
+            return
+        if address not in self.connected:
+            self.connect(address)
+        route = endpoint_of(address).encode()
+        try:
+            self.socket.send_multipart([route, frame], zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return
+        finally:
+            # Sending may consume the one signal that messages have come in.
+            self.reactor.callLater(0, self.doRead)
+
+    def connect(self, address: fleet.PeerAddress) -> None:
+        """Open the connection over which an address is sent to."""
+        endpoint = endpoint_of(address)
+        self.socket.setsockopt(zmq.CONNECT_ROUTING_ID, endpoint.encode())
+        self.socket.connect(endpoint)
+        self.connected.add(address)
+
+    def disconnect(self, address: fleet.PeerAddress) -> None:
+        """Close the connection to an address, if there is one."""
+        if address in self.connected:
+            self.connected.remove(address)
+            self.socket.disconnect(endpoint_of(address))
+
+    # -- names that the event loop calls ------------------------------------
+
+    def fileno(self) -> int:
+        """Return the descriptor that becomes readable on any change."""
+        return -1 if self.socket.closed else self.socket.fileno()
+
+    def logPrefix(self) -> str:  # noqa: N802
+        """Return the name under which the loop logs this reader."""
+        return 'peers'
+
+    def connectionLost(self, reason: object) -> None:  # noqa: N802
+        """Do nothing; the socket outlives its connections."""
+
+    def doRead(self) -> None:  # noqa: N802
+        """Read all messages that are there.
+
+        The descriptor signals a change once. Messages left unread would stay
+        so until the next one comes, and the instance would seem deaf.
+        """
+        while not self.socket.closed:
+            try:
+                frames = self.socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            if len(frames) == FRAMES:
+                self.receive(frames[1])
+
+
+def endpoint_of(address: fleet.PeerAddress) -> str:
+    """Return an address as zmq writes it."""
+    return f'tcp://{address.host}:{address.port}'
+
+
+class PeerLink:
+    """Carries out what the membership decides, and feeds it."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        instance_settings: settings.Settings,
+        incarnation: str,
+        dispatch: Callable[[events.Event], None],
+        configuration: Callable[[], configuration_state.Configuration],
+        events_recorder: recorder.Recorder,
+    ) -> None:
+        place = instance_settings.instance
+        self.reactor = reactor
+        self.dispatch = dispatch
+        self.configuration = configuration
+        self.recorder = events_recorder
+        self.codec = peer_api.PeerCodec(
+            instance_settings.secrets.cursor_secret
+        )
+        self.socket = PeerSocket(reactor, self.receive)
+        self.me = fleet.PeerId(
+            place.name,
+            incarnation,
+            place.data_centre,
+            fleet.PeerAddress(place.host, place.peer_port),
+        )
+        self.membership = membership.Membership(
+            self.me,
+            instance_settings.peers.addresses,
+            instance_settings.peers.heartbeat_seconds,
+        )
+        self.sent_bytes = 0
+        self.sent_messages = 0
+        self.clocks_ahead: set[str] = set()
+
+    def start(self) -> None:
+        """Listen and send the first heartbeats."""
+        self.socket.bind(self.me.address)
+        self.tick()
+
+    def stop(self) -> None:
+        """Close the socket."""
+        self.socket.__exit__()
+
+    # -- what comes in ------------------------------------------------------
+
+    def tick(self) -> None:
+        """Send the regular heartbeats."""
+        self.membership.stamp = self.recorder.clock.tick(wall_milliseconds())
+        self.carry_out(self.membership.tick(self.reactor.seconds()))
+
+    def own_changed(self, own: fleet.OwnState) -> None:
+        """Tell others what has changed here."""
+        self.carry_out(
+            self.membership.own_changed(own, self.reactor.seconds())
+        )
+
+    def pause_noticed(self, seconds: float) -> None:
+        """Read what has come in meanwhile before anybody is judged."""
+        now = self.reactor.seconds()
+        self.membership.pause_noticed(seconds, now)
+        self.socket.doRead()
+
+    def listed(self, instances: Iterable[platform_api.Instance]) -> None:
+        """Take in the platform's list.
+
+        It may show upstreams as well; those have no peer port, and matter
+        here only once they are leaving.
+        """
+        found = []
+        for instance in instances:
+            if instance.peer_port:
+                found.append(listed_instance(instance))
+            elif instance.state == platform_api.LEAVING:
+                engine = platform_api.engine_of(instance)
+                source = 'platform list'
+                self.dispatch(events.UpstreamLeaving(engine, source))
+        now = self.reactor.seconds()
+        self.carry_out(self.membership.listed(found, now))
+
+    def receive(self, frame: bytes) -> None:
+        """Take in a message; one that can't be understood is dropped."""
+        try:
+            message = self.codec.open(frame)
+            self.take(message)
+        except errors.ProtocolError as exc:
+            self.record('peer-message-dropped', str(exc))
+
+    def take(self, message: peer_api.Message) -> None:
+        """Pass a message to whom it concerns."""
+        now = self.reactor.seconds()
+        match message:
+            case peer_api.HeartbeatMessage():
+                heartbeat = peer_api.heartbeat_of(message)
+                self.observe_clock(heartbeat)
+                self.carry_out(self.membership.heard(heartbeat, now))
+            case peer_api.ConfigurationQuery(host, port):
+                self.answer_query(fleet.PeerAddress(host, port))
+            case peer_api.ConfigurationCopy(name, document):
+                offered = peer_api.decompress(document)
+                self.dispatch(
+                    events.ConfigurationOffered(offered, f'peer {name}')
+                )
+            case peer_api.Introduction(pairs):
+                addresses = [fleet.PeerAddress(*pair) for pair in pairs]
+                self.carry_out(self.membership.introduced(addresses, now))
+
+    def observe_clock(self, heartbeat: fleet.Heartbeat) -> None:
+        """Keep this instance's stamps behind no other's.
+
+        A clock that is far ahead is not followed: it would drag the stamps
+        of the whole fleet with it, for good.
+        """
+        wall = wall_milliseconds()
+        lead = heartbeat.stamp.milliseconds - wall
+        if lead <= MOST_CLOCK_LEAD_MILLISECONDS:
+            self.recorder.clock.observe(heartbeat.stamp, wall)
+        elif heartbeat.sender.incarnation not in self.clocks_ahead:
+            self.clocks_ahead.add(heartbeat.sender.incarnation)
+            reason = f'{heartbeat.sender.name} by {lead} ms'
+            self.record('clock-ahead', reason)
+
+    def answer_query(self, address: fleet.PeerAddress) -> None:
+        """Send the configuration in force here."""
+        applied = self.configuration()
+        if applied.version:
+            self.membership.asked(address)
+            document = peer_api.compress(applied)
+            self.send(
+                address, peer_api.ConfigurationCopy(self.me.name, document)
+            )
+
+    # -- what goes out ------------------------------------------------------
+
+    def carry_out(self, wanted: Iterable[membership.Action]) -> None:
+        """Carry out what the membership has decided."""
+        for action in wanted:
+            match action:
+                case membership.SendHeartbeat(address, heartbeat):
+                    self.send(address, peer_api.message_of(heartbeat))
+                case membership.AskForConfiguration(address):
+                    own = self.me.address
+                    query = peer_api.ConfigurationQuery(own.host, own.port)
+                    self.send(address, query)
+                case membership.IntroducePeers(address, peers):
+                    pairs = [(peer.host, peer.port) for peer in peers]
+                    self.send(address, peer_api.Introduction(pairs))
+                case membership.Disconnect(address):
+                    self.socket.disconnect(address)
+                case membership.Report(event):
+                    self.dispatch(event)
+                case membership.Explain(kind, reason):
+                    self.record(kind, reason)
+
+    def send(
+        self, address: fleet.PeerAddress, message: peer_api.Message
+    ) -> None:
+        """Send a message to the instance at an address."""
+        frame = self.codec.seal(message)
+        self.sent_bytes += len(frame)
+        self.sent_messages += 1
+        self.socket.send(address, frame)
+
+    def record(self, kind: str, reason: str) -> None:
+        """Put an automatic act on the time line."""
+        self.recorder.record(actions.Record(kind, reason))
+
+
+def listed_instance(
+    instance: platform_api.Instance,
+) -> fleet.ListedInstance:
+    """Return an entry of the platform's list as the decisions see it."""
+    return fleet.ListedInstance(
+        fleet.PeerId(
+            instance.name,
+            instance.incarnation or instance.name,
+            instance.data_centre,
+            fleet.PeerAddress(instance.host, instance.peer_port),
+        ),
+        instance.state == platform_api.LEAVING,
+    )
+
+
+def wall_milliseconds() -> int:
+    """Return the wall clock in milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -1,6 +1,7 @@
 """Real processes of a small fleet on loopback, ended with the test."""
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import hashlib
@@ -140,6 +141,8 @@
             *self.instances.values(),
         ]:
             wait_until(lambda p=process: listens(p.port))
+            if process.operator_port:
+                wait_until(lambda p=process: listens(p.operator_port))
 
     def stand_in(self, kind: str, name: str, *flags: str) -> Process:
         """Start a stand-in."""
@@ -157,18 +160,28 @@
         self.services[name] = self.stand_in('service', name)
         return self.services[name]
 
-    def instance(self, name: str, data_centre: str = 'kl-1') -> Process:
-        """Start an instance."""
+    def instance(
+        self,
+        name: str,
+        data_centre: str = 'kl-1',
+        peers: Sequence[Process] = (),
+        platform_port: int = 0,
+    ) -> Process:
+        """Start an instance, with settings that name these peers."""
         caller, operator, peer = free_port(), free_port(), free_port()
         path = self.folder / f'{name}.ini'
+        addresses = ', '.join(f'{HOST}:{one.peer_port}' for one in peers)
+        named = f'addresses = {addresses}\n' if peers else ''
+        platform = platform_port or self.platform.port
         path.write_text(
             f'[instance]\nname = {name}\ndata_centre = {data_centre}\n'
             f'host = {HOST}\ncaller_port = {caller}\n'
             f'operator_port = {operator}\npeer_port = {peer}\n'
-            f'[platform]\nhost = {HOST}\nport = {self.platform.port}\n'
+            f'[platform]\nhost = {HOST}\nport = {platform}\n'
             'poll_seconds = 0.2\ntimeout_seconds = 1.0\n'
             '[secrets]\ncursor_secret = the-secret-of-the-test-fleet\n'
             f'operator_key_digest = {digest(OPERATOR_KEY)}\n'
+            f'[peers]\nheartbeat_seconds = 0.5\n{named}'
         )
         process = self.run(name, ['serve', f'--settings={path}'], caller)
         process.operator_port = operator
--- /dev/null
+++ b/tests/process/test_fleet_membership.py
@@ -0,0 +1,177 @@
+"""Instances as processes pass on what the platform can't tell them."""
+
+import json
+
+import pytest
+import zmq
+
+from tests.common import fleet
+
+pytestmark = pytest.mark.slow
+HEADERS = fleet.bearer(fleet.OPERATOR_KEY)
+
+
+def status(process):
+    found = fleet.ask(process.operator_port, '/v1/status', headers=HEADERS)
+    return found.json()
+
+
+def show_instances(running, *processes, more=()):
+    rows = [
+        {
+            'name': name,
+            'host': fleet.HOST,
+            'caller_port': process.port,
+            'operator_port': process.operator_port,
+            'peer_port': process.peer_port,
+            'data_centre': 'kl-1',
+            'incarnation': status(process)['incarnation'],
+        }
+        for name, process in running.instances.items()
+        if process in processes
+    ]
+    fleet.ask(
+        running.platform.port,
+        '/standin/instances',
+        [*rows, *more],
+        method='PUT',
+    )
+
+
+def introduce(running):
+    routers = list(running.instances.values())
+    show_instances(running, *routers)
+    for router in routers:
+        fleet.wait_until(
+            lambda r=router: (
+                status(r)['in_force_on'] == len(routers)
+                and len(status(r)['instances']) == len(routers) - 1
+            )
+        )
+
+
+def set_faults(running, **faults):
+    fleet.ask(running.platform.port, '/standin/faults', faults)
+
+
+def test_instance_that_starts_in_an_outage_serves_by_its_peers(tmp_path):
+    """The store is down and the platform replaces an instance.
+
+    The new one takes the configuration from an instance that its settings
+    name, and serves. One that has neither says that it is not ready, and no
+    caller is sent to it.
+    """
+    with fleet.small_fleet(tmp_path) as running:
+        introduce(running)
+        first = running.instances['router-0']
+        set_faults(running, outage=True)
+        seeded = running.instance('router-8', peers=[first])
+        alone = running.instance('router-9')
+        running.wait_for_all()
+        fleet.wait_until(
+            lambda: fleet.ask(seeded.port, '/readyz').status == 200
+        )
+        assert status(seeded)['configuration_version'] == 1
+        fleet.wait_until(lambda: status(first)['in_force_on'] == 3)
+        assert fleet.ask(alone.port, '/readyz').status == 503
+        assert status(alone)['configuration_version'] == 0
+
+
+def test_confirmed_plan_reaches_an_instance_cut_from_the_platform(tmp_path):
+    """One instance can't reach the platform, the others can.
+
+    It hears of the new version from its peers and applies it; the operator
+    sees it in force on all.
+    """
+    with fleet.small_fleet(tmp_path) as running:
+        cut = running.instance(
+            'router-cut',
+            peers=[running.instances['router-0']],
+            platform_port=fleet.free_port(),
+        )
+        running.wait_for_all()
+        fleet.wait_until(lambda: status(cut)['configuration_version'] == 1)
+        running.configure(running.configuration())
+        fleet.wait_until(lambda: status(cut)['configuration_version'] == 2)
+        router = running.instances['router-0']
+        fleet.wait_until(lambda: status(router)['missing'] == [])
+        assert status(router)['in_force_on'] >= 2
+
+
+def test_upstream_shown_as_leaving_gets_no_new_work_anywhere(tmp_path):
+    """The platform's list shows an engine as leaving to one instance only.
+
+    The engine itself does not know yet. The other instance, which can't
+    reach the platform, must not give it work either.
+    """
+    with fleet.small_fleet(tmp_path) as running:
+        cut = running.instance(
+            'router-cut',
+            peers=[running.instances['router-0']],
+            platform_port=fleet.free_port(),
+        )
+        running.wait_for_all()
+        fleet.wait_until(lambda: status(cut)['configuration_version'] == 1)
+        engine = running.engines['engine-0']
+        report = fleet.ask(engine.port, '/v1/report').json()
+        entry = {
+            'name': 'engine-0',
+            'host': fleet.HOST,
+            'caller_port': 0,
+            'operator_port': 0,
+            'peer_port': 0,
+            'data_centre': 'kl-1',
+            'incarnation': report['incarnation'],
+            'state': 'leaving',
+        }
+        show_instances(running, more=[entry])
+        for process in (running.instances['router-0'], cut):
+            fleet.wait_until(
+                lambda p=process: (
+                    status(p)['leaving_upstreams'] == ['engine-0']
+                )
+            )
+
+
+def test_restart_of_everything_in_an_outage_is_not_ready(tmp_path):
+    """All instances restart while the store is down.
+
+    Nobody has a configuration any more. Guessing one could bring back what
+    operators have replaced, so all say that they are not ready until the
+    store is back.
+    """
+    with fleet.small_fleet(tmp_path) as running:
+        set_faults(running, outage=True)
+        old = list(running.instances.values())
+        for process in old:
+            process.popen.kill()
+            process.popen.wait()
+        first = running.instance('router-0')
+        second = running.instance('router-1', peers=[first])
+        for process in (first, second):
+            fleet.wait_until(lambda p=process: fleet.listens(p.port))
+            assert fleet.ask(process.port, '/readyz').status == 503
+        set_faults(running)
+        for process in (first, second):
+            fleet.wait_until(
+                lambda p=process: fleet.ask(p.port, '/readyz').status == 200
+            )
+
+
+def test_message_of_a_stranger_changes_nothing(tmp_path):
+    """Somebody who reaches the peer port sends messages of their own."""
+    with fleet.small_fleet(tmp_path, instances=1) as running:
+        router = running.instances['router-0']
+        with zmq.Context() as context, context.socket(zmq.DEALER) as stranger:
+            stranger.connect(f'tcp://{fleet.HOST}:{router.peer_port}')
+            stranger.send(json.dumps({'version': 99}).encode())
+            stranger.send(b'x' * 100)
+            fleet.wait_until(lambda: dropped(router) >= 2)
+        assert status(router)['configuration_version'] == 1
+        assert status(router)['instances'] == []
+
+
+def dropped(process):
+    found = fleet.ask(process.operator_port, '/v1/timeline', headers=HEADERS)
+    kinds = [event['kind'] for event in found.json()['events']]
+    return kinds.count('peer-message-dropped')
