--- /dev/null
+++ b/measure/slopes.py
@@ -0,0 +1,237 @@
+"""Slopes of processor time and memory, each measured at several sizes.
+
+    .venv/bin/python -m measure.slopes --output docs/measurements/slopes.json
+
+Relay and request figures come from a real instance on loopback; those of
+configuration, directory and admission from the decision objects alone. Each
+slope is the least-squares line through its sizes.
+"""
+
+import argparse
+from collections.abc import Callable
+import dataclasses
+import json
+import pathlib
+import random
+import statistics
+import tempfile
+import time
+import tracemalloc
+from typing import Any
+
+from greengagelb.coordination import events
+from greengagelb.coordination import node
+from greengagelb.protocol import codec
+from greengagelb.state import configuration as configuration_state
+from measure import recovery
+from tests.common import callers
+from tests.common import fleet
+
+TOKENS = 400
+STREAM_COUNTS = (8, 16, 32)
+CALL_COUNTS = (100, 200, 400)
+ACCOUNT_COUNTS = (110, 550, 1100)
+ENGINE_COUNTS = (63, 315, 630)
+REPEATS = 20
+
+
+@dataclasses.dataclass
+class Line:
+    """A measured line: ``at_zero + slope * size``."""
+
+    unit: str
+    slope: float
+    at_zero: float
+    points: list[tuple[float, float]]
+
+
+def fit(unit: str, points: list[tuple[float, float]]) -> Line:
+    """Return the least-squares line through some points."""
+    sizes = [size for size, _ in points]
+    values = [value for _, value in points]
+    slope, at_zero = statistics.linear_regression(sizes, values)
+    return Line(unit, slope, at_zero, points)
+
+
+def measure_relay(streams: int, engines: int = 4) -> tuple[float, float]:
+    """Return processor seconds and peak bytes for relaying some streams."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        fleet.Fleet(pathlib.Path(folder)) as running,
+    ):
+        for number in range(engines):
+            running.engine(f'engine-{number}')
+        running.service('plain-0')
+        running.instance('router-0')
+        running.configure(running.configuration())
+        instance = running.instances['router-0']
+        warm = callers.StreamCaller('warm', 20)
+        warm.read_all(instance.port)
+        before = recovery.processor_seconds(instance)
+        threads = [
+            recovery.TimedCaller(
+                instance.port, callers.StreamCaller(f'p{number}', TOKENS)
+            )
+            for number in range(streams)
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(1.0)
+        held = recovery.resident_bytes(instance)
+        for thread in threads:
+            thread.join()
+        return recovery.processor_seconds(instance) - before, held
+
+
+def measure_calls(calls: int) -> float:
+    """Return the processor seconds for some claimed calls, one by one."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        fleet.small_fleet(pathlib.Path(folder), 1, 1) as running,
+    ):
+        instance = running.instances['router-0']
+        before = recovery.processor_seconds(instance)
+        for number in range(calls):
+            headers = fleet.bearer(fleet.ACCOUNT_KEY)
+            headers |= {'Idempotency-Key': f'k{number}'}
+            path = '/v1/services/charge/book'
+            fleet.ask(instance.port, path, {}, headers=headers)
+        return recovery.processor_seconds(instance) - before
+
+
+def sample_configuration(
+    accounts: int, engines: int
+) -> configuration_state.Configuration:
+    """Return a configuration of a size."""
+    upstreams = tuple(
+        configuration_state.Upstream(
+            f'engine-{number}', '10.0.0.1', 8000 + number, f'dc-{number % 5}'
+        )
+        for number in range(engines)
+    )
+    return configuration_state.Configuration(
+        version=1,
+        accounts=tuple(
+            configuration_state.ClientAccount(
+                f'account-{number}', f'{number:064x}', ('draft',)
+            )
+            for number in range(accounts)
+        ),
+        services=(
+            configuration_state.Service(
+                'draft', configuration_state.ServiceKind.GENERATION, 'drafting'
+            ),
+        ),
+        pools=(configuration_state.Pool('drafting', upstreams, 'm', '1'),),
+    )
+
+
+def apply_configuration(raw: bytes) -> node.Node:
+    """Decode and apply a configuration as an instance does."""
+    decoded = codec.decode(raw, configuration_state.Configuration)
+    found = node.Node('i', random.Random(1))
+    found.handle(events.ConfigurationOffered(decoded, 'measure'), 0.0)
+    return found
+
+
+def processor_time_of(function: Callable[[], Any]) -> float:
+    """Return the least processor seconds of some runs of a function."""
+    times = []
+    for _ in range(REPEATS):
+        begun = time.process_time()
+        function()
+        times.append(time.process_time() - begun)
+    return min(times)
+
+
+def bytes_of(function: Callable[[], Any]) -> int:
+    """Return the bytes that the result of a function holds."""
+    tracemalloc.start()
+    held = function()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return size
+
+
+def configuration_lines() -> dict[str, Line]:
+    """Return the lines over accounts and over engines."""
+    lines = {}
+    for name, sizes in (
+        ('account', ACCOUNT_COUNTS),
+        ('engine', ENGINE_COUNTS),
+    ):
+        raws = {
+            size: codec.encode(
+                sample_configuration(
+                    size if name == 'account' else 1,
+                    size if name == 'engine' else 1,
+                )
+            )
+            for size in sizes
+        }
+        lines[f'configuration_document_per_{name}'] = fit(
+            'bytes', [(size, len(raw)) for size, raw in raws.items()]
+        )
+        lines[f'configuration_apply_per_{name}'] = fit(
+            'processor seconds',
+            [
+                (size, processor_time_of(lambda r=raw: apply_configuration(r)))
+                for size, raw in raws.items()
+            ],
+        )
+        lines[f'configuration_memory_per_{name}'] = fit(
+            'bytes',
+            [
+                (size, bytes_of(lambda r=raw: apply_configuration(r)))
+                for size, raw in raws.items()
+            ],
+        )
+    return lines
+
+
+def relay_lines() -> dict[str, Line]:
+    """Return the lines of a real instance over tokens and streams."""
+    measured = {count: measure_relay(count) for count in STREAM_COUNTS}
+    return {
+        'relay_per_token': fit(
+            'processor seconds',
+            [(n * TOKENS, seconds) for n, (seconds, _) in measured.items()],
+        ),
+        'memory_per_stream': fit(
+            'bytes', [(n, held) for n, (_, held) in measured.items()]
+        ),
+    }
+
+
+def call_lines() -> dict[str, Line]:
+    """Return the line of a real instance over claimed calls."""
+    points = [(float(n), measure_calls(n)) for n in CALL_COUNTS]
+    return {'claimed_call': fit('processor seconds', points)}
+
+
+PARTS = {
+    'configuration': configuration_lines,
+    'relay': relay_lines,
+    'calls': call_lines,
+}
+
+
+def main() -> None:
+    """Measure the parts that were asked for and write them."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--parts', default=','.join(PARTS))
+    parser.add_argument('--output', type=pathlib.Path)
+    arguments = parser.parse_args()
+    lines: dict[str, Line] = {}
+    for part in arguments.parts.split(','):
+        lines |= PARTS[part]()
+    found = {name: dataclasses.asdict(line) for name, line in lines.items()}
+    text = json.dumps(found, indent=2, sort_keys=True)
+    print(text)
+    if arguments.output:
+        arguments.output.write_text(text + '\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/src/greengagelb/transport/engine_client.py
+++ b/src/greengagelb/transport/engine_client.py
@@ -21,6 +21,7 @@
 from greengagelb.transport import http
 
 CONTROL_SECONDS = 1.0
+RELAY_SECONDS = 0.01
 Dispatch = Callable[[events.Event], None]
 
 
@@ -37,10 +38,16 @@
     """
 
     def __init__(
-        self, attempt: identity.AttemptId, dispatch: Dispatch
+        self,
+        attempt: identity.AttemptId,
+        dispatch: Dispatch,
+        gather: Callable[['EngineStream'], bool],
     ) -> None:
         self.attempt = attempt
         self.dispatch = dispatch
+        self.gather = gather
+        self.gathered: list[str] = []
+        self.gathered_position = 0
         self.reader = sse.EventReader()
         self.closed = False
         self.collector: http.BodyCollector | None = None
@@ -93,11 +100,7 @@
             case 'tokens':
                 batch = codec.decode(event.data, engine_api.TokenBatch)
                 self.check(batch.generation, batch.attempt)
-                self.report(
-                    events.TokensArrived(
-                        self.attempt, batch.position, tuple(batch.tokens)
-                    )
-                )
+                self.receive_tokens(batch)
             case 'ended':
                 ended = codec.decode(event.data, engine_api.Ended)
                 self.check(ended.generation, ended.attempt)
@@ -108,6 +111,39 @@
                 )
                 self.close()
 
+    def receive_tokens(self, batch: engine_api.TokenBatch) -> None:
+        """Gather tokens that follow on, and report them together.
+
+        Most of the cost of relaying is paid per event, not per token, so an
+        engine whose steps are short would cost a multiple of what it has to.
+        """
+        if batch.position != self.gathered_position + len(self.gathered):
+            self.flush()
+            self.gathered_position = batch.position
+        self.gathered += batch.tokens
+        if not self.gather(self):
+            self.flush()
+
+    def flush(self) -> None:
+        """Report the tokens that were gathered."""
+        if not self.gathered:
+            return
+        tokens, self.gathered = tuple(self.gathered), []
+        position = self.gathered_position
+        self.gathered_position += len(tokens)
+        if not self.closed:
+            self.dispatch(events.TokensArrived(self.attempt, position, tokens))
+
+    def set_reading(self, wanted: bool) -> None:
+        """Pause or resume the reading of the event stream."""
+        transport = self.collector.transport if self.collector else None
+        if self.closed or transport is None:
+            return
+        if wanted:
+            transport.resumeProducing()
+        else:
+            transport.pauseProducing()
+
     def check(self, generation: int, attempt: str) -> None:
         """Refuse what another attempt's stream has brought here."""
         mine = (self.attempt.generation, self.attempt.attempt)
@@ -126,7 +162,11 @@
         )
 
     def report(self, event: events.Event) -> None:
-        """Pass an event on, unless this connection was abandoned."""
+        """Pass an event on, unless this connection was abandoned.
+
+        Tokens that were gathered go first: the event may end the attempt.
+        """
+        self.flush()
         if not self.closed:
             self.dispatch(event)
 
@@ -150,6 +190,8 @@
         self.agent = http.fresh_connection_agent(reactor)
         self.treq = treq.client.HTTPClient(self.agent)
         self.open_streams: dict[identity.AttemptId, EngineStream] = {}
+        self.gathering: set[EngineStream] = set()
+        self.relayed_at = float('-inf')
 
     def start(self, action: actions.StartAttempt) -> None:
         """Order a generation."""
@@ -187,12 +229,51 @@
     ) -> None:
         """Open the one connection of an attempt, in place of an older one."""
         self.close(attempt)
-        opened = EngineStream(attempt, self.dispatch)
+        opened = EngineStream(attempt, self.dispatch, self.gather)
         self.open_streams[attempt] = opened
         opened.open(
             self.treq.post(url, data=codec.encode(order), unbuffered=True)
         )
 
+    def gather(self, opened: EngineStream) -> bool:
+        """Return whether a stream's tokens should wait for the next relay.
+
+        The first tokens after a quiet time go on at once; while tokens keep
+        coming, all streams are read and relayed together every
+        ``RELAY_SECONDS``.
+        """
+        if not self.gathering:
+            now = self.reactor.seconds()
+            due_at = self.relayed_at + RELAY_SECONDS
+            if now >= due_at:
+                self.relayed_at = now
+                return False
+            self.reactor.callLater(due_at - now, self.read_gathering)
+        self.gathering.add(opened)
+        return True
+
+    def read_gathering(self) -> None:
+        """Read what has come in on the connections that were paused.
+
+        Each read costs about as much as all else that a token needs. Between
+        two relays the connections are paused, so that one read brings all
+        tokens of the time between.
+        """
+        for opened in self.gathering:
+            opened.set_reading(True)
+        self.reactor.callLater(0, self.relay)
+
+    def relay(self) -> None:
+        """Report what all streams have gathered, then pause them."""
+        self.relayed_at = self.reactor.seconds()
+        gathered = [o for o in self.gathering if o.gathered]
+        self.gathering = set(gathered)
+        for opened in gathered:
+            opened.flush()
+            opened.set_reading(False)
+        if gathered:
+            self.reactor.callLater(RELAY_SECONDS, self.read_gathering)
+
     def close(self, attempt: identity.AttemptId) -> None:
         """Abandon the connection of an attempt, if there is one."""
         opened = self.open_streams.pop(attempt, None)
--- /dev/null
+++ b/tests/transport/test_relay.py
@@ -0,0 +1,90 @@
+"""Tokens are gathered between relays, and none is lost or reordered by it."""
+
+from twisted.internet import task
+
+from greengagelb.coordination import events
+from greengagelb.protocol import codec
+from greengagelb.protocol import engine_api
+from greengagelb.protocol import sse
+from greengagelb.state import identity
+from greengagelb.transport import engine_client
+
+ATTEMPT = identity.AttemptId(identity.RequestId('teratak', 'r'), 1, 'i.1')
+
+
+class Relay:
+    """An engine stream fed by hand, with the events that came of it."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.events = []
+        client = engine_client.EngineClient(self.clock, self.events.append)
+        self.stream = engine_client.EngineStream(
+            ATTEMPT, self.events.append, client.gather
+        )
+
+    def receive(self, position, *tokens):
+        batch = engine_api.TokenBatch(1, 'i.1', position, list(tokens))
+        self.stream.receive(sse.write_event(codec.encode(batch), 'tokens'))
+
+    def receive_end(self, position):
+        ended = engine_api.Ended(1, 'i.1', position, 'stop')
+        self.stream.receive(sse.write_event(codec.encode(ended), 'ended'))
+
+    def tokens(self):
+        return [
+            (event.position, event.tokens)
+            for event in self.events
+            if isinstance(event, events.TokensArrived)
+        ]
+
+
+def test_first_token_goes_on_at_once():
+    relay = Relay()
+    relay.receive(0, 'a')
+    assert relay.tokens() == [(0, ('a',))]
+
+
+def test_tokens_between_two_relays_go_on_together():
+    relay = Relay()
+    for position, token in enumerate('abc'):
+        relay.receive(position, token)
+    relay.clock.pump([engine_client.RELAY_SECONDS, 0.0])
+    assert relay.tokens() == [(0, ('a',)), (1, ('b', 'c'))]
+
+
+def test_gathered_tokens_go_before_the_end():
+    """The last tokens and the end of an answer come in one read.
+
+    An end that overtook them would look like an answer with a gap.
+    """
+    relay = Relay()
+    relay.receive(0, 'a')
+    relay.receive(1, 'b')
+    relay.receive_end(2)
+    assert relay.tokens() == [(0, ('a',)), (1, ('b',))]
+    assert relay.events[-1] == events.AttemptEnded(ATTEMPT, 2, 'stop')
+
+
+def test_gap_between_batches_stays_visible():
+    """An engine skips a position.
+
+    Gathered as if they followed on, the tokens would reach the caller with
+    one missing; kept apart, the gap is seen and the stream recovers.
+    """
+    relay = Relay()
+    relay.receive(0, 'a')
+    relay.receive(1, 'b')
+    relay.receive(3, 'd')
+    relay.clock.pump([engine_client.RELAY_SECONDS, 0.0])
+    assert relay.tokens() == [(0, ('a',)), (1, ('b',)), (3, ('d',))]
+
+
+def test_abandoned_connection_reports_nothing_more():
+    """A connection is replaced while tokens of it wait to be relayed."""
+    relay = Relay()
+    relay.receive(0, 'a')
+    relay.receive(1, 'b')
+    relay.stream.close()
+    relay.clock.pump([engine_client.RELAY_SECONDS, 0.0])
+    assert relay.tokens() == [(0, ('a',))]
