Close abandoned connections, drop cookies and bound bodies

Cause: an account's cookie was sent along with another account's calls (one treq client, one jar); an abandoned or refused answer left its connection open, as twisted.web's body transport has no abortConnection and the getattr for it found nothing; bodies were unbounded; a 303 answer to a charge made the library send a second request to the place it named. Ruled out: a treq client per request (also leaves redirects), the pool's own retries (off already; with connections that are never kept they can't happen, so that guard alone shows in no test). Change: a jar that takes no cookies, loseConnection on the proxy, bounded bodies, undelivered bodies discarded, redirects passed on as the answer. Conclusion: the jar was an account leak; engines used the same jar.

--- a/src/greengagelb/transport/engine_client.py
+++ b/src/greengagelb/transport/engine_client.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-import treq
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.python import failure
@@ -148,7 +147,7 @@
         self.reactor = reactor
         self.dispatch = dispatch
         self.agent = http.fresh_connection_agent(reactor)
-        self.treq = treq.client.HTTPClient(self.agent)
+        self.treq = http.cookieless_client(self.agent)
         self.open_streams: dict[identity.AttemptId, EngineStream] = {}
 
     def start(self, action: actions.StartAttempt) -> None:
--- a/src/greengagelb/transport/http.py
+++ b/src/greengagelb/transport/http.py
@@ -1,7 +1,10 @@
 """HTTP plumbing shared by the clients and servers of an instance."""
 
 from collections.abc import Callable
+from http import cookiejar
 
+import treq
+from treq import cookies as treq_cookies
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import interfaces
@@ -12,6 +15,7 @@
 from twisted.web import iweb
 from twisted.web import server
 
+from greengagelb import errors
 from greengagelb.protocol import caller_api
 from greengagelb.protocol import codec
 from greengagelb.protocol import problems
@@ -35,6 +39,18 @@
     return client.Agent(reactor, connectTimeout=connect_seconds, pool=pool)
 
 
+def cookieless_client(agent: client.Agent) -> treq.client.HTTPClient:
+    """Return a client that neither keeps cookies nor sends any.
+
+    A treq client shows the cookies that it was sent with each later request.
+    Shared by all requests, it would hand what a service set in its answer to
+    one client account on to the calls of another.
+    """
+    nobody = cookiejar.DefaultCookiePolicy(allowed_domains=())
+    jar = treq_cookies.IndexableCookieJar(policy=nobody)
+    return treq.client.HTTPClient(agent, cookiejar=jar)
+
+
 def was_handed_over(why: failure.Failure) -> bool:
     """Return whether bytes of the request may have left this process.
 
@@ -68,11 +84,16 @@
             self.lost(reason)
 
     def abort(self) -> None:
-        """Close the connection and report nothing more."""
+        """Close the connection and report nothing more.
+
+        What twisted.web gives a body's protocol as its transport is a proxy
+        that has ``loseConnection`` only. Asking it to abort did nothing, and
+        the connection stayed open for as long as the peer liked. Nothing is
+        left to be written here, so losing it closes it at once.
+        """
         self.aborted = True
-        abort = getattr(self.transport, 'abortConnection', None)
-        if abort is not None:
-            abort()
+        if self.transport is not None:
+            self.transport.loseConnection()
 
 
 def set_json(request: server.Request, status: int) -> None:
@@ -107,8 +128,53 @@
     return problem_answer(request, problems.problem_of(failure_state))
 
 
+class BoundedBody:
+    """Reads a response body of at most ``most_bytes``.
+
+    ``whole`` fires with the body; cancelling it closes the connection. A body
+    that is longer, or that ends before its announced length, fails it.
+    """
+
+    def __init__(self, response: iweb.IResponse, most_bytes: int) -> None:
+        self.most_bytes = most_bytes
+        self.pieces: list[bytes] = []
+        self.length = 0
+        self.collector = BodyCollector(self.received, self.ended)
+        self.whole: defer.Deferred[bytes] = defer.Deferred(
+            lambda _: self.collector.abort()
+        )
+        response.deliverBody(self.collector)
+
+    def received(self, data: bytes) -> None:
+        """Keep bytes, or give up where there are too many."""
+        self.pieces.append(data)
+        self.length += len(data)
+        if self.length > self.most_bytes:
+            self.collector.abort()
+            self.whole.errback(
+                errors.TransportError(f'body above {self.most_bytes} bytes')
+            )
+
+    def ended(self, why: failure.Failure) -> None:
+        """Hand the body on, if it is whole."""
+        if why.check(client.ResponseDone):
+            self.whole.callback(b''.join(self.pieces))
+        else:
+            self.whole.errback(why)
+
+
 def read_whole_body(
-    response: iweb.IResponse,
+    response: iweb.IResponse, most_bytes: int = MOST_BODY_BYTES
 ) -> 'defer.Deferred[bytes]':
-    """Return the body of a response of modest size."""
-    return client.readBody(response)
+    """Return the body of a response, bounded; cancelling closes it."""
+    return BoundedBody(response, most_bytes).whole
+
+
+def discard_body(response: iweb.IResponse) -> None:
+    """Close the connection of a response that nobody reads.
+
+    An undelivered body keeps its connection open, and paused, for good.
+    """
+    collector = BodyCollector(lambda _: None, lambda _: None)
+    response.deliverBody(collector)
+    collector.abort()
--- a/src/greengagelb/transport/platform_client.py
+++ b/src/greengagelb/transport/platform_client.py
@@ -3,11 +3,9 @@
 from typing import Any
 import urllib.parse
 
-import treq
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.python import failure
-from twisted.web import client
 from twisted.web import http as web_http
 from twisted.web import iweb
 
@@ -29,7 +27,7 @@
         self.reactor = reactor
         self.settings = platform
         agent = http.fresh_connection_agent(reactor)
-        self.treq = treq.client.HTTPClient(agent)
+        self.treq = http.cookieless_client(agent)
 
     def url(self, path: str) -> str:
         """Return the URL of a path at the platform."""
@@ -89,8 +87,9 @@
 
         def read(response: iweb.IResponse) -> defer.Deferred:
             if response.code >= web_http.INTERNAL_SERVER_ERROR:
+                http.discard_body(response)
                 raise errors.PlatformUnavailable(f'status {response.code}')
-            body = client.readBody(response)
+            body = http.read_whole_body(response)
             return body.addCallback(lambda raw: (response.code, raw))
 
         def unavailable(why: failure.Failure) -> None:
--- a/src/greengagelb/transport/service_client.py
+++ b/src/greengagelb/transport/service_client.py
@@ -1,10 +1,8 @@
 """Talks to plain services: one connection per call, never reused."""
 
-import treq
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.python import failure
-from twisted.web import client
 from twisted.web import http_headers
 from twisted.web import iweb
 
@@ -26,7 +24,7 @@
     ) -> None:
         self.dispatch = dispatch
         agent = http.fresh_connection_agent(reactor)
-        self.treq = treq.client.HTTPClient(agent)
+        self.treq = http.cookieless_client(agent)
         self.under_way: dict[int, defer.Deferred] = {}
 
     def call(self, action: actions.DispatchCall) -> None:
@@ -38,7 +36,13 @@
             service_api.ACCOUNT_HEADER: request.request.account,
             service_api.REQUEST_HEADER: request.request.request,
         }
-        answer = self.treq.post(url, data=request.body, headers=headers)
+        answer = self.treq.post(
+            url,
+            data=request.body,
+            headers=headers,
+            allow_redirects=False,
+            unbuffered=True,
+        )
         self.under_way[action.exchange] = answer
         answer.addCallback(self.read, action)
         answer.addErrback(self.failed, action.exchange)
@@ -47,8 +51,12 @@
         self, response: iweb.IResponse, action: actions.DispatchCall
     ) -> defer.Deferred:
         """Read an answer, if it is the one to this call."""
-        self.check(response.headers, action)
-        body = client.readBody(response)
+        try:
+            self.check(response.headers, action)
+        except errors.ProtocolError:
+            http.discard_body(response)
+            raise
+        body = http.read_whole_body(response)
         return body.addCallback(self.answered, response, action.exchange)
 
     def check(
