--- a/src/greengagelb/transport/http.py
+++ b/src/greengagelb/transport/http.py
@@ -1,11 +1,13 @@
 """HTTP plumbing shared by the clients and servers of an instance."""
 
 from collections.abc import Callable
+import dataclasses
 from http import cookiejar
 
 import treq
 from treq import cookies as treq_cookies
 from twisted.internet import defer
+from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
@@ -14,6 +16,7 @@
 from twisted.web import http
 from twisted.web import iweb
 from twisted.web import server
+from zope import interface
 
 from greengagelb import errors
 from greengagelb.protocol import caller_api
@@ -25,6 +28,33 @@
 MOST_BODY_BYTES = 4 << 20
 
 
+@interface.implementer(iweb.IAgentEndpointFactory)
+@dataclasses.dataclass(frozen=True, slots=True)
+class IPNumberEndpointFactory:
+    """Connects to IP numbers directly.
+
+    The agent's own choice resolves names and races several addresses. It
+    looks at a refused connection only when the next address would be due,
+    0.3 s later: a dead engine was noticed that much too late. All addresses
+    here are IP numbers, so there is nothing to resolve or to race.
+    """
+
+    reactor: interfaces.IReactorTCP
+    connect_seconds: float
+
+    def endpointForURI(  # noqa: N802
+        self, uri: client.URI
+    ) -> endpoints.TCP4ClientEndpoint:
+        """Return the endpoint of a URI whose host is an IP number."""
+        host = uri.host.decode('ascii')
+        kind = (
+            endpoints.TCP6ClientEndpoint
+            if ':' in host
+            else endpoints.TCP4ClientEndpoint
+        )
+        return kind(self.reactor, host, uri.port, self.connect_seconds)
+
+
 def fresh_connection_agent(
     reactor: interfaces.IReactorTime, connect_seconds: float = CONNECT_SECONDS
 ) -> client.Agent:
@@ -36,7 +66,8 @@
     """
     pool = client.HTTPConnectionPool(reactor, persistent=False)
     pool.retryAutomatically = False
-    return client.Agent(reactor, connectTimeout=connect_seconds, pool=pool)
+    factory = IPNumberEndpointFactory(reactor, connect_seconds)
+    return client.Agent.usingEndpointFactory(reactor, factory, pool)
 
 
 def cookieless_client(agent: client.Agent) -> treq.client.HTTPClient:
