--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -141,8 +141,9 @@
             *self.instances.values(),
         ]:
             wait_until(lambda p=process: listens(p.port))
-            if process.operator_port:
-                wait_until(lambda p=process: listens(p.operator_port))
+            # An instance opens this port last.
+            last = process.operator_port or process.port
+            wait_until(lambda port=last: listens(port))
 
     def stand_in(self, kind: str, name: str, *flags: str) -> Process:
         """Start a stand-in."""
