Let versions cross to a data centre that only one instance knows

Cause: found with 8 real instances, seven of them without the platform: all four in the second data centre stayed without a configuration for good. The instances picked to speak to the other data centre knew of nobody there; only the one that the settings name did. A second fault slowed versions that followed one another within a second to about 1 s (0.93-1.56 s): an instance did not ask again within a second, not even for a higher version.

Change: an instance that hears a stranger of another data centre introduces it to its own; those elsewhere are remembered for an hour; asking is held back per version.

--- a/src/greengagelb/coordination/membership.py
+++ b/src/greengagelb/coordination/membership.py
@@ -21,6 +21,7 @@
 
 SILENT_INTERVALS = 3.25
 FORGET_SECONDS = 60.0
+FORGET_ELSEWHERE_SECONDS = 3600.0
 NOTICE_SECONDS = 30.0
 ASK_AGAIN_SECONDS = 1.0
 RELAYS = 2
@@ -104,6 +105,7 @@
         self.peers: dict[str, fleet.PeerView] = {}
         self.noticed: dict[identity.EngineId, float] = {}
         self.summaries: dict[str, tuple[float, fleet.DataCentreSummary]] = {}
+        self.asked_version = 0
         self.ask_again_at = float('-inf')
         self.reported_size = 0
         self.connected: set[fleet.PeerAddress] = set()
@@ -166,22 +168,40 @@
         return [*done, *self.ask_if_newer(view, now), *self.sized(now)]
 
     def welcome(self, peer: fleet.PeerId, now: float) -> list[Action]:
-        """Tell a newly heard instance all that it may have missed."""
+        """Tell a newly heard instance all that it may have missed.
+
+        That includes who else is in its own data centre.
+        """
         others = tuple(
             view.peer.address
             for view in self.peers.values()
             if view.heard_at is not None
-            and view.peer.data_centre == self.me.data_centre
+            and view.peer.data_centre == peer.data_centre
         )
         self.connected.add(peer.address)
         done: list[Action] = [
             Explain('peer-heard', f'{peer.name} {peer.incarnation}'),
             SendHeartbeat(peer.address, self.heartbeat(now, whole=True)),
         ]
-        if others and peer.data_centre == self.me.data_centre:
+        if others:
             done.append(IntroducePeers(peer.address, others))
+        if peer.data_centre != self.me.data_centre:
+            done += self.introduce_stranger(peer)
         return done
 
+    def introduce_stranger(self, peer: fleet.PeerId) -> list[Action]:
+        """Tell this data centre of an instance of another one.
+
+        Without the platform's list, those who are to speak to the other data
+        centre may know of nobody there, and versions would not get across.
+        """
+        return [
+            IntroducePeers(view.peer.address, (peer.address,))
+            for view in self.peers.values()
+            if view.heard_at is not None
+            and view.peer.data_centre == self.me.data_centre
+        ]
+
     def introduced(
         self, addresses: Iterable[fleet.PeerAddress], now: float
     ) -> list[Action]:
@@ -202,12 +222,14 @@
     def ask_if_newer(self, view: fleet.PeerView, now: float) -> list[Action]:
         """Ask for a configuration that this instance has not applied yet.
 
-        Asked again after a while only: until the answer is here, every
-        heartbeat would else ask for the same large document.
+        The same version is asked for again after a while only: until the
+        answer is here, every heartbeat would else ask for a large document.
         """
-        newer = view.version > self.own.version
-        if not newer or now < self.ask_again_at:
+        if view.version <= self.own.version:
+            return []
+        if view.version <= self.asked_version and now < self.ask_again_at:
             return []
+        self.asked_version = view.version
         self.ask_again_at = now + ASK_AGAIN_SECONDS
         self.connected.add(view.peer.address)
         return [AskForConfiguration(view.peer.address)]
@@ -231,10 +253,8 @@
     def tick(self, now: float) -> list[Action]:
         """Send the regular heartbeats and forget who has gone for good."""
         done = self.tell(now)
-        if self.own.version == 0:
-            self.ask_again_at = float('-inf')
         for incarnation, view in list(self.peers.items()):
-            if not view.listed and self.silence(view, now) > FORGET_SECONDS:
+            if not view.listed and self.is_gone(view, now):
                 del self.peers[incarnation]
                 reason = f'{view.peer.name} {incarnation}'
                 done.append(Explain('peer-forgotten', reason))
@@ -369,6 +389,16 @@
         since = view.known_at if view.heard_at is None else view.heard_at
         return now - since
 
+    def is_gone(self, view: fleet.PeerView, now: float) -> bool:
+        """Return whether an instance that is not listed can be forgotten.
+
+        Those elsewhere are kept for long. Few instances hear of them, and
+        when these few die the others have to know whom to speak to.
+        """
+        local = view.peer.data_centre == self.me.data_centre
+        patience = FORGET_SECONDS if local else FORGET_ELSEWHERE_SECONDS
+        return self.silence(view, now) > patience
+
     def is_heard(self, view: fleet.PeerView, now: float) -> bool:
         """Return whether an instance was heard of lately."""
         if view.heard_at is None:
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -3,6 +3,7 @@
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies as st
+import pytest
 
 from greengagelb.coordination import events
 from greengagelb.coordination import membership
@@ -222,3 +223,23 @@
     summaries = network.members[peers[0].address].fresh_summaries()
     assert {s.data_centre for s in summaries} == {'kl-1', 'kl-2'}
     assert {s.in_force_on for s in summaries} == {10}
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_version_crosses_between_data_centres_that_know_one_address(seed):
+    """The platform is away when the instances of a data centre start.
+
+    All they have is the address of one instance elsewhere. That one may be
+    none of the few that speak to other data centres; a version confirmed
+    there must come across all the same.
+    """
+    network = members.Network()
+    for number in range(8):
+        where = 'kl-1' if number < 4 else 'kl-2'
+        seeds = [members.peer(seed).address]
+        network.start(members.peer(number, where), seeds)
+    network.run(20)
+    network.apply(network.members[members.peer(2).address], 3)
+    network.run(members.INTERVAL)
+    applied = [member.own.version for member in network.members.values()]
+    assert applied == [3] * 8
