--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -17,17 +17,16 @@
 import random
 import signal
 import statistics
-import tempfile
 import threading
 import time
 from typing import Any
 
 from greengagelb.protocol import codec
+from measure import deployment
 from tests.common import callers
 from tests.common import fleet
 
 SECRET = b'the-secret-of-the-test-fleet'
-STREAMS = 24
 TOKENS = 600
 FREEZE_SECONDS = 4.0
 FAILING_AFTER_SECONDS = 0.6
@@ -129,6 +128,7 @@
     policy: str
     failure: str
     latencies: list[float]
+    streams: int
     right_answers: int
     steps: int
     prompt_tokens: int
@@ -168,25 +168,21 @@
 
 
 def run_round(
-    policy: str, failure: str, seed: int, engines: int, step: float
+    policy: str, failure: str, seed: int, size: deployment.Deployment
 ) -> Round:
     """Run one fleet through one failure."""
     rng = random.Random(seed)
-    prompts = [f'{rng.random()} ' * 20 for _ in range(STREAMS)]
-    with (
-        tempfile.TemporaryDirectory() as folder,
-        fleet.Fleet(pathlib.Path(folder)) as running,
-    ):
-        for number in range(engines):
-            running.engine(f'engine-{number}', f'--step_seconds={step}')
-        running.service('plain-0')
-        for number in range(2):
-            running.instance(f'router-{number}')
-        configuration = running.configuration()
-        configuration['services'][0]['recovery'] = POLICIES[policy]
-        running.configure(configuration)
-        time.sleep(1.2)
-        return observe(running, prompts, policy, failure, rng)
+    with deployment.running_fleet(size, POLICIES[policy]) as running:
+        return observe(
+            running, sample_prompts(rng, size), policy, failure, rng
+        )
+
+
+def sample_prompts(
+    rng: random.Random, size: deployment.Deployment
+) -> list[str]:
+    """Return one prompt for each stream."""
+    return [f'{rng.random()} ' * 20 for _ in range(size.streams)]
 
 
 def observe(
@@ -207,6 +203,29 @@
     ]
     for thread in threads:
         thread.start()
+    failed_at, reports = fail_one_engine(running, threads, failure, rng)
+    for thread in threads:
+        thread.replay()
+    return Round(
+        policy,
+        failure,
+        latencies_of(threads, failure, failed_at),
+        len(threads),
+        sum(t.caller.tokens == t.caller.right_answer() for t in threads),
+        sum(report['steps'] for report in reports),
+        sum(report['prompt_tokens'] for report in reports),
+        sum(map(processor_seconds, running.instances.values())) - before,
+        max(map(resident_bytes, running.instances.values())),
+    )
+
+
+def fail_one_engine(
+    running: fleet.Fleet,
+    threads: list[threading.Thread],
+    failure: str,
+    rng: random.Random,
+) -> tuple[float, list[Any]]:
+    """Let one engine fail, wait for all streams, return when and reports."""
     time.sleep(FAILING_AFTER_SECONDS)
     victim = rng.choice(sorted(running.engines))
     lost = report_of(running.engines[victim])
@@ -221,18 +240,7 @@
     reports = [report_of(process) for process in alive]
     if failure == 'kill':
         reports.append(lost)
-    for thread in threads:
-        thread.replay()
-    return Round(
-        policy,
-        failure,
-        latencies_of(threads, failure, failed_at),
-        sum(t.caller.tokens == t.caller.right_answer() for t in threads),
-        sum(report['steps'] for report in reports),
-        sum(report['prompt_tokens'] for report in reports),
-        sum(map(processor_seconds, running.instances.values())) - before,
-        max(map(resident_bytes, running.instances.values())),
-    )
+    return failed_at, reports
 
 
 def latencies_of(
@@ -316,45 +324,26 @@
 
 
 def run_scratch_baseline(
-    failure: str, seed: int, engines: int, step: float
+    failure: str, seed: int, size: deployment.Deployment
 ) -> Round:
     """Run the baseline that restarts each broken answer from scratch."""
     rng = random.Random(seed)
-    prompts = [f'{rng.random()} ' * 20 for _ in range(STREAMS)]
-    with (
-        tempfile.TemporaryDirectory() as folder,
-        fleet.Fleet(pathlib.Path(folder)) as running,
-    ):
-        for number in range(engines):
-            running.engine(f'engine-{number}', f'--step_seconds={step}')
-        running.wait_for_all()
+    with deployment.running_fleet(size, {}) as running:
         ports = [process.port for process in running.engines.values()]
         threads = [
             ScratchCaller(ports, prompt, number, timeout=2.0)
-            for number, prompt in enumerate(prompts)
+            for number, prompt in enumerate(sample_prompts(rng, size))
         ]
         for thread in threads:
             thread.start()
-        time.sleep(FAILING_AFTER_SECONDS)
-        victim = rng.choice(sorted(running.engines))
-        lost = report_of(running.engines[victim])
-        failed_at = fail(running, victim, failure)
-        if failure == 'freeze':
-            time.sleep(FREEZE_SECONDS)
-            running.engines[victim].send_signal(signal.SIGCONT)
-        for thread in threads:
-            thread.join()
-        time.sleep(1.0)
-        alive = [p for p in running.engines.values() if p.popen.poll() is None]
-        reports = [report_of(process) for process in alive]
-        if failure == 'kill':
-            reports.append(lost)
+        failed_at, reports = fail_one_engine(running, threads, failure, rng)
         found = (thread.caught_up_after(failed_at) for thread in threads)
         return Round(
             'restart-from-scratch',
             failure,
             [seconds for seconds in found if seconds is not None],
-            STREAMS,
+            len(threads),
+            len(threads),
             sum(report['steps'] for report in reports),
             sum(report['prompt_tokens'] for report in reports),
             0.0,
@@ -373,7 +362,7 @@
         'failure': rounds[0].failure,
         'streams_hit': len(latencies),
         'right_answers': f'{sum(o.right_answers for o in rounds)}'
-        f'/{count * STREAMS}',
+        f'/{sum(one.streams for one in rounds)}',
         'latency_p50': percentile(latencies, 0.5),
         'latency_p95': percentile(latencies, 0.95),
         'latency_max': latencies[-1] if latencies else None,
@@ -399,25 +388,30 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--rounds', type=int, default=2)
-    parser.add_argument('--engines', type=int, default=6)
-    parser.add_argument('--step', type=float, default=0.004)
-    parser.add_argument('--policies', default=','.join(POLICIES))
+    parser.add_argument(
+        '--deployment', type=pathlib.Path, help='a file of deployments/'
+    )
+    parser.add_argument(
+        '--policies',
+        default=','.join(POLICIES),
+        help='names, or "own" for that of the deployment',
+    )
     parser.add_argument('--failures', default=','.join(FAILURES[1:]))
     arguments = parser.parse_args()
-    size = (arguments.engines, arguments.step)
-    base = run_round('default', 'none', arguments.seed, *size)
+    size = deployment.SMALL
+    if arguments.deployment:
+        size = deployment.read_deployment(arguments.deployment)
+    policies = arguments.policies.split(',')
+    if arguments.policies == 'own':
+        policies = [size.policy]
+    base = run_round(policies[0], 'none', arguments.seed, size)
     print(json.dumps(summary([base], base)), flush=True)
+    seeds = range(arguments.seed, arguments.seed + arguments.rounds)
     for failure in arguments.failures.split(','):
-        for policy in arguments.policies.split(','):
-            rounds = [
-                run_round(policy, failure, arguments.seed + n, *size)
-                for n in range(arguments.rounds)
-            ]
+        for policy in policies:
+            rounds = [run_round(policy, failure, n, size) for n in seeds]
             print(json.dumps(summary(rounds, base)), flush=True)
-        rounds = [
-            run_scratch_baseline(failure, arguments.seed + n, *size)
-            for n in range(arguments.rounds)
-        ]
+        rounds = [run_scratch_baseline(failure, n, size) for n in seeds]
         print(json.dumps(summary(rounds, base)), flush=True)
 
 
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -32,6 +32,8 @@
 CALL_COUNTS = (100, 200, 400)
 ACCOUNT_COUNTS = (110, 550, 1100)
 ENGINE_COUNTS = (63, 315, 630)
+PROBE_COUNTS = (4, 16, 32)
+IDLE_SECONDS = 8.0
 REPEATS = 20
 
 
@@ -99,6 +101,33 @@
         return recovery.processor_seconds(instance) - before
 
 
+def measure_generations(count: int) -> float:
+    """Return the processor seconds for some generations of one token."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        fleet.small_fleet(pathlib.Path(folder), 2, 1) as running,
+    ):
+        instance = running.instances['router-0']
+        before = recovery.processor_seconds(instance)
+        for number in range(count):
+            callers.StreamCaller(f'p{number}', 1).read_all(instance.port)
+        return recovery.processor_seconds(instance) - before
+
+
+def measure_probes(upstreams: int) -> float:
+    """Return the processor seconds a second of an idle instance."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        fleet.small_fleet(pathlib.Path(folder), upstreams, 1) as running,
+    ):
+        time.sleep(1.5)
+        instance = running.instances['router-0']
+        before = recovery.processor_seconds(instance)
+        time.sleep(IDLE_SECONDS)
+        used = recovery.processor_seconds(instance) - before
+        return used / IDLE_SECONDS
+
+
 def sample_configuration(
     accounts: int, engines: int
 ) -> configuration_state.Configuration:
@@ -210,10 +239,24 @@
     return {'claimed_call': fit('processor seconds', points)}
 
 
+def generation_lines() -> dict[str, Line]:
+    """Return the line of a real instance over generations of one token."""
+    points = [(float(n), measure_generations(n)) for n in CALL_COUNTS]
+    return {'generation_start': fit('processor seconds', points)}
+
+
+def probe_lines() -> dict[str, Line]:
+    """Return the line of an idle instance over watched upstreams."""
+    points = [(float(n), measure_probes(n)) for n in PROBE_COUNTS]
+    return {'idle_per_upstream': fit('processor seconds a second', points)}
+
+
 PARTS = {
     'configuration': configuration_lines,
     'relay': relay_lines,
     'calls': call_lines,
+    'generations': generation_lines,
+    'probes': probe_lines,
 }
 
 
