Settle every claim by conditional writes on the row's version

Cause, shown by a script on the old code: an idempotent call that was handed over once and then refused twice was told "not run"; account a/b with key c and account a with key b/c shared one claim row; a claim whose write was answered after the caller's deadline stayed taken for good and nobody gave it up; the outcome was written on version 1 whatever the row's version; an answer of the store that made no sense left the caller waiting until its deadline; only calls, not generations, were claimed. Ruled out: reading the row back after a lost answer (an absent row proves nothing while the write may still land); deciding it in the transport (the property tests could not reach it); taking over rows whose holder is gone. Change: coordination/claims.py decides all of it for calls and generations: the same write again after a lost answer, RELEASED on the same version when given up, take-over on the released row's version, DONE with a bounded body. A breaker and a rate budget stand before the store. The stand-in and the client used twisted.web.http.TOO_MANY_REQUESTS, which does not exist. Conclusion: a store failure while claiming says "outcome unknown" unless the caller marks the first send: an earlier send may have run elsewhere.

--- a/src/greengagelb/coordination/actions.py
+++ b/src/greengagelb/coordination/actions.py
@@ -88,23 +88,16 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class InsertClaim:
-    """Insert a claim row if no row of that key is there.
+class WriteClaim:
+    """Write a claim row if it still has ``expected_version``.
 
-    A lost answer is settled by reading the row back: ``record`` names this
-    attempt as its holder, so a row that equals it is this attempt's own.
+    Version 0 stands for a row that is not there. ``holder`` names the claim
+    in the event that answers this, of which there is exactly one.
     """
 
-    exchange: int
-    key: str
-    record: claims.ClaimRecord
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RecordOutcome:
-    """Write a call's outcome over its claim, as well as can be."""
-
+    holder: str
     key: str
+    expected_version: int
     record: claims.ClaimRecord
 
 
@@ -172,8 +165,7 @@
     | SendEnd
     | SendFailure
     | SendAnswer
-    | InsertClaim
-    | RecordOutcome
+    | WriteClaim
     | DispatchCall
     | AbandonCall
     | ProbeUpstream
--- a/src/greengagelb/coordination/calls.py
+++ b/src/greengagelb/coordination/calls.py
@@ -1,24 +1,22 @@
 """Runs calls to plain services, a non-idempotent one at most once.
 
-Across instances the arbiter is a conditional insert in the platform's table
-service. A claim whose holder is gone stays taken: nobody can tell whether
-its call ran, so the retry is told that the outcome is unknown and the call
-is never dispatched again.
+A non-idempotent call with an idempotency key comes here only after its claim
+was granted (see :mod:`greengagelb.coordination.claims`). From then on it is
+dispatched a second time only where the first is proved not to have run.
 """
 
 import dataclasses
-import itertools
+import random
 
+from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
+from greengagelb.coordination import retry_budget
 from greengagelb.coordination import routing
-from greengagelb.state import claims
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
 
 MOST_DISPATCHES = 3
-RETRY_AFTER_SECONDS = 1.0
-NOT_RUN_STATUS = 503
 DEADLINE_TIMER = 'call-deadline'
 
 
@@ -26,33 +24,38 @@
 class Call:
     """A call in progress.
 
-    Invariant: ``dispatches`` never exceeds 1 for a non-idempotent service.
+    ``may_have_run`` stays true once bytes of any dispatch may have reached a
+    service, whatever becomes of later dispatches. Invariant: a
+    non-idempotent call that may have run is not dispatched again.
     """
 
     request: requests.CallRequest
     service: configuration_state.Service
     pool: configuration_state.Pool
-    record: claims.ClaimRecord | None = None
     upstream: configuration_state.Upstream | None = None
     dispatches: int = 0
+    may_have_run: bool = False
     excluded: set[str] = dataclasses.field(default_factory=set)
 
-
-def claim_key(request: requests.CallRequest) -> str:
-    """Return the key of a request's claim row, scoped by its account."""
-    return f'{request.request.account}/{request.request.request}'
+    @property
+    def ran(self) -> requests.Ran:
+        """Return what may be said of a call that brought no answer."""
+        under_way = self.upstream is not None
+        if self.may_have_run or under_way:
+            return requests.Ran.UNKNOWN
+        return requests.Ran.NO
 
 
 class CallSupervisor:
     """Decides what happens to every call in progress of an instance."""
 
     def __init__(
-        self, directory: routing.UpstreamDirectory, incarnation: str
+        self, directory: routing.UpstreamDirectory, rng: random.Random
     ) -> None:
         self.directory = directory
-        self.incarnation = incarnation
+        self.budget = retry_budget.RetryBudget()
+        self.advice = retry_budget.RetryAdvice(rng)
         self.calls: dict[int, Call] = {}
-        self.counter = itertools.count(1)
 
     def begin(
         self,
@@ -61,71 +64,25 @@
         pool: configuration_state.Pool,
         now: float,
     ) -> list[actions.Action]:
-        """Claim the call first where it may not be repeated."""
+        """Dispatch a call that may run now."""
         call = Call(request, service, pool)
         self.calls[request.exchange] = call
-        timer = actions.SetTimer(
-            f'{DEADLINE_TIMER}:{request.exchange}', request.deadline
-        )
-        if service.idempotent or not request.has_idempotency_key:
-            return [timer, *self.dispatch(call, now)]
-        holder = f'{self.incarnation}.{next(self.counter)}'
-        call.record = claims.ClaimRecord(holder, claims.ClaimStage.CLAIMED)
+        self.budget.earn(request.request.account)
+        timer = f'{DEADLINE_TIMER}:{request.exchange}'
         return [
-            timer,
-            actions.InsertClaim(
-                request.exchange, claim_key(request), call.record
-            ),
+            actions.SetTimer(timer, request.deadline),
+            *self.dispatch(call, now),
         ]
 
-    def claim_written(
-        self, event: events.ClaimWritten, now: float
-    ) -> list[actions.Action]:
-        """Dispatch the call that is now this instance's own."""
-        call = self.calls.get(event.exchange)
-        if call is None:
-            return []
-        return self.dispatch(call, now)
-
-    def claim_taken(self, event: events.ClaimTaken) -> list[actions.Action]:
-        """Give the answer of the other attempt, as far as it is known."""
-        call = self.calls.get(event.exchange)
-        if call is None:
-            return []
-        match event.record:
-            case claims.ClaimRecord(
-                stage=claims.ClaimStage.DONE, status=status, body=body
-            ):
-                answer = actions.SendAnswer(event.exchange, status, body)
-                return [answer, *self.close(call)]
-            case _:
-                return self.fail(
-                    call,
-                    'twin-outcome-unknown',
-                    requests.Ran.UNKNOWN,
-                    RETRY_AFTER_SECONDS,
-                )
-
-    def claim_unsettled(
-        self, event: events.ClaimUnsettled
-    ) -> list[actions.Action]:
-        """Say "not run": the call itself was never dispatched."""
-        call = self.calls.get(event.exchange)
-        if call is None:
-            return []
-        return self.fail(
-            call,
-            'platform-unavailable',
-            requests.Ran.NO,
-            RETRY_AFTER_SECONDS,
-        )
-
     def dispatch(self, call: Call, now: float) -> list[actions.Action]:
         """Hand the call to an upstream."""
+        if call.may_have_run and not call.service.idempotent:
+            raise errors.InvariantViolated('a second dispatch could run twice')
+        if now >= call.request.deadline:
+            return self.fail(call, 'deadline-passed', None)
         view = self.directory.choose(call.pool, call.excluded, now)
         if view is None:
-            ran = requests.Ran.UNKNOWN if call.dispatches else requests.Ran.NO
-            return self.fail(call, 'no-upstream', ran, RETRY_AFTER_SECONDS)
+            return self.fail(call, 'no-upstream', self.advice.failed())
         call.upstream = view.upstream
         call.dispatches += 1
         self.directory.started(view.upstream.name)
@@ -136,28 +93,20 @@
         ]
 
     def answered(self, event: events.CallAnswered) -> list[actions.Action]:
-        """Pass the answer on, and keep it for a retry that comes later."""
+        """Pass the answer on."""
         call = self.calls.get(event.exchange)
         if call is None:
             return []
-        done: list[actions.Action] = [
-            actions.SendAnswer(event.exchange, event.status, event.body)
+        self.advice.succeeded()
+        return [
+            actions.SendAnswer(event.exchange, event.status, event.body),
+            *self.close(call),
         ]
-        if call.record is not None:
-            outcome = claims.ClaimRecord(
-                call.record.holder,
-                claims.ClaimStage.DONE,
-                event.status,
-                event.body,
-            )
-            key = claim_key(call.request)
-            done.append(actions.RecordOutcome(key, outcome))
-        return done + self.close(call)
 
     def broken(
         self, event: events.CallBroken, now: float
     ) -> list[actions.Action]:
-        """Repeat an idempotent call elsewhere; else say what is known."""
+        """Repeat the call elsewhere where that is safe; else say so."""
         call = self.calls.get(event.exchange)
         if call is None or call.upstream is None:
             return []
@@ -165,21 +114,27 @@
         self.directory.suspect(call.upstream.name, now)
         call.excluded.add(call.upstream.name)
         call.upstream = None
-        may_repeat = call.service.idempotent or not event.handed_over
-        if may_repeat and call.dispatches < MOST_DISPATCHES:
+        call.may_have_run = call.may_have_run or event.handed_over
+        if self.may_repeat(call):
             return self.dispatch(call, now)
-        ran = requests.Ran.UNKNOWN if event.handed_over else requests.Ran.NO
-        return self.fail(call, 'upstream-lost', ran, RETRY_AFTER_SECONDS)
+        return self.fail(call, 'upstream-lost', self.advice.failed())
+
+    def may_repeat(self, call: Call) -> bool:
+        """Return whether a broken call may be dispatched once more."""
+        if call.may_have_run and not call.service.idempotent:
+            return False
+        if call.dispatches >= MOST_DISPATCHES:
+            return False
+        return self.budget.spend(call.request.request.account)
 
     def deadline_passed(self, exchange: int) -> list[actions.Action]:
         """Give the final answer at the caller's deadline."""
         call = self.calls.get(exchange)
         if call is None:
             return []
-        ran = requests.Ran.UNKNOWN if call.dispatches else requests.Ran.NO
         return [
             actions.AbandonCall(exchange),
-            *self.fail(call, 'deadline-passed', ran, None),
+            *self.fail(call, 'deadline-passed', None),
         ]
 
     def caller_gone(self, exchange: int) -> list[actions.Action]:
@@ -197,12 +152,11 @@
         self,
         call: Call,
         code: str,
-        ran: requests.Ran,
         retry_after: float | None,
     ) -> list[actions.Action]:
         """Give the caller its final answer."""
         failure = requests.Failure(
-            code, ran, f'service {call.service.name}', retry_after
+            code, call.ran, f'service {call.service.name}', retry_after
         )
         return [
             self.timeline(call, 'call-failed', code),
--- /dev/null
+++ b/src/greengagelb/coordination/claims.py
@@ -0,0 +1,468 @@
+"""Claims requests that may not be repeated, before they are dispatched.
+
+Instances share nothing but the platform's table service. Whoever gets the
+row of (client account, idempotency key) written, on top of the version it
+expected, is the holder, and only the holder dispatches. Nothing lapses: a
+holder that was paused is still the only one who may, and one that is gone
+leaves its row taken for good, since nobody can tell how far it came.
+
+What the caller is told rests on who holds the row:
+
+* the holder that did not dispatch says "not run" and gives the row up, so
+  that a later retry may take it over;
+* everybody else says "outcome unknown", for a twin of the request may run
+  or have run elsewhere. The one exception is a request that its caller has
+  marked as the first send of its key: no twin of it was sent before.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import hashlib
+import itertools
+import random
+
+from greengagelb import errors
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.coordination import retry_budget
+from greengagelb.state import claims
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import identity
+from greengagelb.state import requests
+
+DEADLINE_TIMER = 'claim-deadline'
+SETTLE_TIMER = 'claim-settle'
+MOST_CLAIM_TRIES = 2
+SETTLE_RETRY_SECONDS = 0.5
+SETTLE_PATIENCE_SECONDS = 30.0
+MOST_KEPT_BODY_BYTES = 16 << 10
+STREAM_STATUS = 200
+
+Claimable = requests.CallRequest | requests.GenerationRequest
+
+
+@dataclasses.dataclass(slots=True)
+class Claim:
+    """One holder's part in a claim.
+
+    ``record`` is what the row should say next and ``version`` the version
+    that it is to be written on. ``writing`` is the write under way; there is
+    never more than one. ``may_be_written`` is false as long as it is certain
+    that the table service has nothing of this holder.
+    """
+
+    request: Claimable
+    key: str
+    record: claims.ClaimRecord
+    phase: claims.ClaimPhase = claims.ClaimPhase.CLAIMING
+    version: int = 0
+    writing: claims.ClaimRecord | None = None
+    tries: int = 0
+    may_be_written: bool = False
+    settle_by: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimStep:
+    """What an event about a claim leads to.
+
+    ``granted`` is the request that its holder may dispatch now, once.
+    """
+
+    actions: list[actions.Action]
+    granted: Claimable | None = None
+
+
+def claim_key(request: identity.RequestId) -> str:
+    """Return the key of a request's claim row.
+
+    Both parts are hashed apart: joined as they are, ``a/b`` and ``c`` would
+    share a row with ``a`` and ``b/c``, and one account's charge would keep
+    another account's from running.
+    """
+    return f'{digest(request.account)}.{digest(request.request)}'
+
+
+def digest(text: str) -> str:
+    """Return a short digest of a text of any length."""
+    raw = text.encode('utf-8', 'surrogatepass')
+    return hashlib.blake2b(raw, digest_size=16).hexdigest()
+
+
+def content_of(request: Claimable) -> str:
+    """Return the digest of what a request asks for."""
+    match request:
+        case requests.CallRequest(operation=operation, body=body):
+            parts = [operation.encode(), body]
+        case requests.GenerationRequest(prompt=prompt, most_tokens=most):
+            parts = [prompt.encode('utf-8', 'surrogatepass'), b'%d' % most]
+    found = hashlib.blake2b(digest_size=16)
+    for part in [request.service.encode(), *parts]:
+        found.update(b'%d:' % len(part))
+        found.update(part)
+    return found.hexdigest()
+
+
+class ClaimKeeper:
+    """All claims of this instance that are not settled yet.
+
+    Invariant: a holder has at most one write under way, is granted at most
+    once, and never after the final answer of its exchange.
+    """
+
+    def __init__(self, incarnation: str, rng: random.Random) -> None:
+        self.incarnation = incarnation
+        self.advice = retry_budget.RetryAdvice(rng)
+        self.claims: dict[str, Claim] = {}
+        self.holders: dict[int, str] = {}
+        self.counter = itertools.count(1)
+
+    # -- claiming -----------------------------------------------------------
+
+    def begin(self, request: Claimable) -> list[actions.Action]:
+        """Try to become the holder of a request's row."""
+        holder = f'{self.incarnation}.{next(self.counter)}'
+        record = claims.ClaimRecord(
+            holder, claims.ClaimStage.CLAIMED, content_of(request)
+        )
+        claim = Claim(request, claim_key(request.request), record)
+        self.claims[holder] = claim
+        self.holders[request.exchange] = holder
+        timer = f'{DEADLINE_TIMER}:{request.exchange}'
+        return [
+            actions.SetTimer(timer, request.deadline),
+            self.write(claim),
+        ]
+
+    def write(self, claim: Claim) -> actions.WriteClaim:
+        """Return the write of what the row should say next."""
+        if claim.writing is not None:
+            raise errors.InvariantViolated('two writes of one claim at once')
+        claim.writing = claim.record
+        return actions.WriteClaim(
+            claim.record.holder, claim.key, claim.version, claim.record
+        )
+
+    def answered(
+        self,
+        event: events.ClaimWritten
+        | events.ClaimConflicted
+        | events.ClaimWriteFailed,
+        now: float,
+    ) -> ClaimStep:
+        """Handle the answer to a write, or that there is none."""
+        claim = self.claims.get(event.holder)
+        if claim is None or claim.writing is None:
+            return ClaimStep([])
+        written, claim.writing = claim.writing, None
+        match event:
+            case events.ClaimWritten(version=version):
+                return self.owned(claim, version, written, now)
+            case events.ClaimConflicted(row=row):
+                if row.record.holder == claim.record.holder:
+                    return self.owned(claim, row.version, row.record, now)
+                return ClaimStep(self.lost(claim, row, now))
+            case events.ClaimWriteFailed(handed_over=handed_over):
+                return ClaimStep(self.write_failed(claim, handed_over, now))
+
+    def owned(
+        self,
+        claim: Claim,
+        version: int,
+        found: claims.ClaimRecord,
+        now: float,
+    ) -> ClaimStep:
+        """Go on as the owner of a row that says ``found``."""
+        self.advice.succeeded()
+        claim.version = version
+        claim.may_be_written = True
+        match claim.phase:
+            case claims.ClaimPhase.HELD:
+                raise errors.InvariantViolated('a held claim was granted')
+            case claims.ClaimPhase.SETTLING:
+                if found.stage is claim.record.stage:
+                    return ClaimStep(self.forget(claim))
+                return ClaimStep([self.write(claim)])
+        if now >= claim.request.deadline:
+            # A holder that was paused reads the answer to its write before
+            # its own deadline timer fires. Nobody waits for the call then.
+            return ClaimStep(
+                self.give_up(claim, 'deadline-passed', requests.Ran.NO, now)
+            )
+        claim.phase = claims.ClaimPhase.HELD
+        timer = f'{DEADLINE_TIMER}:{claim.request.exchange}'
+        return ClaimStep([actions.ClearTimer(timer)], claim.request)
+
+    def lost(
+        self, claim: Claim, row: claims.ClaimRow, now: float
+    ) -> list[actions.Action]:
+        """Give the answer of the row's holder, as far as it is known.
+
+        While settling there is nothing left to do: versions only grow, so no
+        delayed write of this holder can take effect on this row any more.
+        """
+        self.advice.succeeded()
+        if claim.phase is claims.ClaimPhase.SETTLING:
+            return self.forget(claim)
+        record = row.record
+        exchange = claim.request.exchange
+        if record.stage is claims.ClaimStage.RELEASED:
+            claim.version = row.version
+            return [self.write(claim)]
+        if record.content != claim.record.content:
+            return self.refuse(
+                claim, 'idempotency-key-reused', requests.Ran.UNKNOWN, None
+            )
+        if record.stage is claims.ClaimStage.CLAIMED:
+            wait = self.advice.spread(retry_budget.BASE_SECONDS)
+            return self.refuse(
+                claim, 'twin-outcome-unknown', requests.Ran.UNKNOWN, wait
+            )
+        if not record.body_kept:
+            return self.refuse(
+                claim, 'answer-not-kept', requests.Ran.YES, None
+            )
+        answer = actions.SendAnswer(exchange, record.status, record.body)
+        return [answer, *self.forget(claim)]
+
+    def write_failed(
+        self, claim: Claim, handed_over: bool, now: float
+    ) -> list[actions.Action]:
+        """Write again, or give up at once where that promises nothing.
+
+        The lost write may take effect at any time. Writing the same record
+        on the same version again is harmless, and its answer tells whose the
+        row is.
+        """
+        claim.may_be_written = claim.may_be_written or handed_over
+        if claim.phase is claims.ClaimPhase.SETTLING:
+            return self.settle_later(claim, now)
+        claim.tries += 1
+        in_time = now < claim.request.deadline
+        if handed_over and in_time and claim.tries < MOST_CLAIM_TRIES:
+            return [self.write(claim)]
+        return self.give_up(
+            claim, 'platform-unavailable', unproved(claim.request), now
+        )
+
+    def timer_fired(
+        self, kind: str, rest: str, now: float
+    ) -> list[actions.Action]:
+        """Handle one of this object's timers."""
+        if kind == SETTLE_TIMER:
+            claim = self.claims.get(rest)
+            if claim is None or claim.writing is not None:
+                return []
+            return [self.write(claim)]
+        claim = self.claiming(int(rest))
+        if claim is None:
+            return []
+        return self.give_up(
+            claim, 'deadline-passed', unproved(claim.request), now
+        )
+
+    def claiming(self, exchange: int) -> Claim | None:
+        """Return the claim that an exchange waits for, if any."""
+        claim = self.claims.get(self.holders.get(exchange, ''))
+        if claim is None or claim.phase is not claims.ClaimPhase.CLAIMING:
+            return None
+        return claim
+
+    def caller_gone(self, exchange: int, now: float) -> list[actions.Action]:
+        """Give up a claim that nobody waits for."""
+        claim = self.claiming(exchange)
+        if claim is None:
+            return []
+        return self.release(claim, now)
+
+    # -- ends ---------------------------------------------------------------
+
+    def served(
+        self, done: Iterable[actions.Action], now: float
+    ) -> list[actions.Action]:
+        """Settle the claims whose exchanges get their final answer here.
+
+        A "not run" comes from a holder that did not dispatch, so its row is
+        given up. After any other failure the row stays taken: the request
+        may run even now, and a retry must not run it again.
+        """
+        settled: list[actions.Action] = []
+        for action in done:
+            match action:
+                case actions.SendAnswer(exchange, status, body):
+                    settled += self.finish(exchange, status, body, now)
+                case actions.SendEnd(exchange):
+                    settled += self.finish(exchange, STREAM_STATUS, None, now)
+                case actions.SendFailure(exchange, failure):
+                    settled += self.failed(exchange, failure, now)
+        return settled
+
+    def held(self, exchange: int) -> Claim | None:
+        """Return the claim under which an exchange is served, if any."""
+        claim = self.claims.get(self.holders.get(exchange, ''))
+        if claim is None or claim.phase is not claims.ClaimPhase.HELD:
+            return None
+        return claim
+
+    def finish(
+        self, exchange: int, status: int, body: bytes | None, now: float
+    ) -> list[actions.Action]:
+        """Keep the answer for a retry that comes later."""
+        claim = self.held(exchange)
+        if claim is None:
+            return []
+        kept = body is not None and len(body) <= MOST_KEPT_BODY_BYTES
+        record = dataclasses.replace(
+            claim.record,
+            stage=claims.ClaimStage.DONE,
+            status=status,
+            body=body if kept and body is not None else b'',
+            body_kept=kept,
+        )
+        return self.settle(claim, record, now)
+
+    def failed(
+        self, exchange: int, failure: requests.Failure, now: float
+    ) -> list[actions.Action]:
+        """Release the row of a request that provably did not run."""
+        claim = self.held(exchange)
+        if claim is None:
+            return []
+        if failure.ran is requests.Ran.NO:
+            return self.release(claim, now)
+        return self.forget(claim)
+
+    def leave_taken(self, exchange: int) -> None:
+        """Forget a claim whose request ended without a final answer."""
+        claim = self.held(exchange)
+        if claim is not None:
+            self.forget(claim)
+
+    def give_up(
+        self,
+        claim: Claim,
+        code: str,
+        ran: requests.Ran,
+        now: float,
+    ) -> list[actions.Action]:
+        """Answer a caller whose request this holder won't dispatch."""
+        wait = self.advice.failed()
+        failure = self.failure(claim, code, ran, wait)
+        answer = actions.SendFailure(claim.request.exchange, failure)
+        return [
+            self.record(claim, 'claim-given-up', code),
+            answer,
+            *self.release(claim, now),
+        ]
+
+    def refuse(
+        self,
+        claim: Claim,
+        code: str,
+        ran: requests.Ran,
+        wait: float | None,
+    ) -> list[actions.Action]:
+        """Answer a caller whose row belongs to another holder."""
+        failure = self.failure(claim, code, ran, wait)
+        return [
+            self.record(claim, 'claim-taken', code),
+            actions.SendFailure(claim.request.exchange, failure),
+            *self.forget(claim),
+        ]
+
+    def failure(
+        self,
+        claim: Claim,
+        code: str,
+        ran: requests.Ran,
+        wait: float | None,
+    ) -> requests.Failure:
+        """Return a final answer about a claim."""
+        detail = f'service {claim.request.service}'
+        return requests.Failure(code, ran, detail, wait)
+
+    # -- settling -----------------------------------------------------------
+
+    def release(self, claim: Claim, now: float) -> list[actions.Action]:
+        """Give the row up: this holder never dispatches from here on."""
+        record = dataclasses.replace(
+            claim.record, stage=claims.ClaimStage.RELEASED
+        )
+        return self.settle(claim, record, now)
+
+    def settle(
+        self, claim: Claim, record: claims.ClaimRecord, now: float
+    ) -> list[actions.Action]:
+        """Have the row say how the request ended.
+
+        A write of the claim may still be on its way, and would leave the row
+        taken by a holder that has given up. The settling write goes on top
+        of the same version: whichever of the two comes first, the other one
+        fails, and its conflict shows the row.
+        """
+        exchange = claim.request.exchange
+        self.holders.pop(exchange, None)
+        timer = actions.ClearTimer(f'{DEADLINE_TIMER}:{exchange}')
+        claim.phase = claims.ClaimPhase.SETTLING
+        claim.record = record
+        claim.settle_by = now + SETTLE_PATIENCE_SECONDS
+        if claim.writing is not None:
+            return [timer]
+        if not claim.may_be_written:
+            return [timer, *self.forget(claim)]
+        return [timer, self.write(claim)]
+
+    def settle_later(self, claim: Claim, now: float) -> list[actions.Action]:
+        """Write again after a while, unless it has taken too long."""
+        if not claim.may_be_written:
+            return self.forget(claim)
+        if now >= claim.settle_by:
+            left = self.record(claim, 'claim-left-taken', 'store away')
+            return [left, *self.forget(claim)]
+        wait = self.advice.spread(SETTLE_RETRY_SECONDS)
+        name = f'{SETTLE_TIMER}:{claim.record.holder}'
+        return [actions.SetTimer(name, now + wait)]
+
+    def forget(self, claim: Claim) -> list[actions.Action]:
+        """Drop a claim that needs nothing more from this holder."""
+        exchange = claim.request.exchange
+        self.claims.pop(claim.record.holder, None)
+        if self.holders.get(exchange) == claim.record.holder:
+            del self.holders[exchange]
+        return [
+            actions.ClearTimer(f'{DEADLINE_TIMER}:{exchange}'),
+            actions.ClearTimer(f'{SETTLE_TIMER}:{claim.record.holder}'),
+        ]
+
+    def record(self, claim: Claim, kind: str, reason: str) -> actions.Record:
+        """Return a time line event about a claim."""
+        return actions.Record(
+            kind,
+            reason,
+            claim.request.request,
+            attempt=claim.record.holder,
+        )
+
+
+def unproved(request: Claimable) -> requests.Ran:
+    """Return what may be said of a request whose row nobody here holds.
+
+    This instance has not run it. But the same request may have come in
+    before, at an instance that dispatched it and died: "not run" would then
+    make the owner of a cottage book, and pay, a second time.
+    """
+    if request.has_idempotency_key and not request.first_send:
+        return requests.Ran.UNKNOWN
+    return requests.Ran.NO
+
+
+def truthful(
+    failure: requests.Failure,
+    request: Claimable,
+    service: configuration_state.Service | None,
+) -> requests.Failure:
+    """Return a refusal that says "not run" only where that is known."""
+    may_repeat = service is None or service.idempotent
+    if may_repeat or failure.ran is not requests.Ran.NO:
+        return failure
+    return dataclasses.replace(failure, ran=unproved(request))
--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -134,31 +134,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimWritten:
-    """The claim's row is this attempt's own.
+    """The table service carried a write of a claim row out."""
 
-    Either the insert was answered, or its answer was lost and the row read
-    back names this attempt.
-    """
-
-    exchange: int
+    holder: str
+    version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ClaimTaken:
-    """Another attempt holds the claim."""
+class ClaimConflicted:
+    """The claim row had another version; ``row`` is what stands there.
 
-    exchange: int
-    record: claims.ClaimRecord
+    It may be the holder's own: an earlier write took effect and its answer
+    was lost.
+    """
+
+    holder: str
+    row: claims.ClaimRow
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ClaimUnsettled:
-    """The table service gave no answer to the insert of a claim.
+class ClaimWriteFailed:
+    """The table service gave no answer to a write of a claim row.
 
-    ``handed_over`` is false only where no byte of the write ever left.
+    ``handed_over`` is false only where no byte of the write ever left;
+    otherwise the write may have taken effect, or may yet.
     """
 
-    exchange: int
+    holder: str
     handed_over: bool
 
 
@@ -227,8 +229,8 @@
     | UpstreamUnreachable
     | UpstreamLeaving
     | ClaimWritten
-    | ClaimTaken
-    | ClaimUnsettled
+    | ClaimConflicted
+    | ClaimWriteFailed
     | CallAnswered
     | CallBroken
     | ConfigurationOffered
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -12,6 +12,7 @@
 from greengagelb.coordination import admission
 from greengagelb.coordination import calls
 from greengagelb.coordination import cancellations
+from greengagelb.coordination import claims
 from greengagelb.coordination import events
 from greengagelb.coordination import routing
 from greengagelb.coordination import streams
@@ -43,7 +44,8 @@
         self.streams = streams.StreamSupervisor(
             self.directory, self.cancels, incarnation
         )
-        self.calls = calls.CallSupervisor(self.directory, incarnation)
+        self.calls = calls.CallSupervisor(self.directory, rng)
+        self.claims = claims.ClaimKeeper(incarnation, rng)
         self.waiting: dict[int, tuple[admission.Ticket, Arrival]] = {}
         self.running: dict[int, admission.Ticket] = {}
         self.stopping = False
@@ -56,12 +58,18 @@
     def handle(self, event: events.Event, now: float) -> list[actions.Action]:
         """Decide what an event leads to."""
         done = self.decide(event, now)
+        done += self.claims.served(done, now)
         self.release_finished()
         done += self.start_waiting(now)
-        if self.stopping and not self.running and not self.waiting:
+        if self.stopping and self.idle:
             done.append(actions.FinishStopping())
         return done
 
+    @property
+    def idle(self) -> bool:
+        """Return whether nothing is in flight, claims to settle included."""
+        return not (self.running or self.waiting or self.claims.claims)
+
     def decide(self, event: events.Event, now: float) -> list[actions.Action]:
         """Pass an event to the object that it concerns."""
         match event:
@@ -72,7 +80,7 @@
             ):
                 return self.arrive(event, now)
             case events.CallerGone(exchange):
-                return self.caller_gone(exchange)
+                return self.caller_gone(exchange, now)
             case events.AttemptAccepted():
                 return self.streams.accepted(event, now)
             case events.TokensArrived():
@@ -88,12 +96,13 @@
                 return []
             case events.CancelFailed(attempt):
                 return self.cancels.failed(attempt, now)
-            case events.ClaimWritten():
-                return self.calls.claim_written(event, now)
-            case events.ClaimTaken():
-                return self.calls.claim_taken(event)
-            case events.ClaimUnsettled():
-                return self.calls.claim_unsettled(event)
+            case (
+                events.ClaimWritten()
+                | events.ClaimConflicted()
+                | events.ClaimWriteFailed()
+            ):
+                step = self.claims.answered(event, now)
+                return step.actions + self.begin_granted(step.granted, now)
             case events.CallAnswered():
                 return self.calls.answered(event)
             case events.CallBroken():
@@ -138,7 +147,8 @@
         service = self.configuration.find_service(request.service)
         refusal = self.refusal(event, account, service)
         if refusal is not None or account is None or service is None:
-            return [actions.SendFailure(request.exchange, refusal)]
+            truthful = claims.truthful(refusal, request, service)
+            return [actions.SendFailure(request.exchange, truthful)]
         ticket = admission.Ticket(
             request.exchange,
             account.name,
@@ -218,6 +228,8 @@
         del self.waiting[ticket.exchange]
         self.admission.start(ticket, account.weight)
         self.running[ticket.exchange] = ticket
+        if needs_claim(event, service):
+            return self.claims.begin(event.request)
         match event:
             case events.GenerationSubmitted(request):
                 return self.streams.begin(request, service, pool, view, now)
@@ -226,14 +238,37 @@
             case events.CallSubmitted(call):
                 return self.calls.begin(call, service, pool, now)
 
+    def begin_granted(
+        self, request: claims.Claimable | None, now: float
+    ) -> list[actions.Action]:
+        """Dispatch a request whose claim this instance holds now."""
+        if request is None:
+            return []
+        service = self.configuration.find_service(request.service)
+        pool = self.configuration.find_pool(service.pool) if service else None
+        if service is None or pool is None:
+            failure = not_run('service-withdrawn', request.service, None)
+            return [actions.SendFailure(request.exchange, failure)]
+        if isinstance(request, requests.CallRequest):
+            return self.calls.begin(request, service, pool, now)
+        view = self.directory.choose(pool, set(), now)
+        if view is None:
+            wait = self.claims.advice.failed()
+            failure = not_run('no-upstream', service.name, wait)
+            return [actions.SendFailure(request.exchange, failure)]
+        return self.streams.begin(request, service, pool, view, now)
+
     def refuse_waiting(
         self, ticket: admission.Ticket, code: str
     ) -> list[actions.Action]:
         """Refuse a request that can't start any more."""
         self.admission.discard(ticket)
-        del self.waiting[ticket.exchange]
+        _, event = self.waiting.pop(ticket.exchange)
+        request = event.request
+        service = self.configuration.find_service(request.service)
         failure = not_run(code, ticket.pool, None)
-        return [actions.SendFailure(ticket.exchange, failure)]
+        truthful = claims.truthful(failure, request, service)
+        return [actions.SendFailure(ticket.exchange, truthful)]
 
     def release_finished(self) -> None:
         """Give back the places of requests that have their answer."""
@@ -241,20 +276,23 @@
             alive = (
                 exchange in self.streams.streams
                 or exchange in self.calls.calls
+                or self.claims.claiming(exchange) is not None
             )
             if not alive:
+                self.claims.leave_taken(exchange)
                 ticket = self.running.pop(exchange)
                 self.admission.finish(ticket.account)
 
     # -- other events -------------------------------------------------------
 
-    def caller_gone(self, exchange: int) -> list[actions.Action]:
+    def caller_gone(self, exchange: int, now: float) -> list[actions.Action]:
         """Stop what nobody waits for."""
         if exchange in self.waiting:
             ticket, _ = self.waiting.pop(exchange)
             self.admission.discard(ticket)
             return []
         return [
+            *self.claims.caller_gone(exchange, now),
             *self.streams.caller_gone(exchange),
             *self.calls.caller_gone(exchange),
         ]
@@ -265,6 +303,8 @@
         match kind:
             case 'cancel':
                 return self.cancels.timer_fired(name)
+            case claims.DEADLINE_TIMER | claims.SETTLE_TIMER:
+                return self.claims.timer_fired(kind, rest, now)
             case calls.DEADLINE_TIMER:
                 return self.calls.deadline_passed(int(rest))
             case _:
@@ -291,6 +331,17 @@
         ]
 
 
+def needs_claim(event: Arrival, service: configuration_state.Service) -> bool:
+    """Return whether a request may be dispatched only by a claim's holder.
+
+    A caller that comes back with a cursor asks for what already runs. A
+    request without an idempotency key has an id that nobody sends again.
+    """
+    if isinstance(event, events.GenerationResumed):
+        return False
+    return event.request.has_idempotency_key and not service.idempotent
+
+
 def not_run(
     code: str, detail: str, retry_after: float | None
 ) -> requests.Failure:
--- a/src/greengagelb/errors.py
+++ b/src/greengagelb/errors.py
@@ -7,6 +7,8 @@
 lies two layers down.
 """
 
+from typing import Any
+
 
 class GreengagelbError(Exception):
     """Base of all errors; never raised itself."""
@@ -64,10 +66,17 @@
 
 
 class VersionConflict(TransportError):
-    """A conditional write lost: the row has another version by now."""
+    """A conditional write lost: the row has another version by now.
+
+    ``row`` is the row that stands in the way, as the platform sent it.
+    """
 
     code = 'version-conflict'
 
+    def __init__(self, message: str, row: Any = None) -> None:
+        super().__init__(message)
+        self.row = row
+
 
 class Unauthenticated(ProtocolError):
     """A request carries no key, or one that nobody has."""
--- a/src/greengagelb/protocol/caller_api.py
+++ b/src/greengagelb/protocol/caller_api.py
@@ -10,7 +10,9 @@
 ``POST /v1/services/{service}/{operation}`` passes a body to a plain service.
 
 Headers: ``Authorization: Bearer KEY``, ``Idempotency-Key``,
-``X-Deadline-Seconds``.
+``X-Deadline-Seconds``. With ``X-First-Send: 1`` the caller says that it has
+never sent this key before; only then can a refusal of a request that may not
+be repeated say "not run" while the platform's service is away.
 """
 
 import msgspec
--- a/src/greengagelb/protocol/problems.py
+++ b/src/greengagelb/protocol/problems.py
@@ -16,6 +16,8 @@
     'received-tokens-differ': 409,
     'account-queue-full': 429,
     'twin-outcome-unknown': 409,
+    'idempotency-key-reused': 422,
+    'answer-not-kept': 409,
     'outcome-unknown': 502,
     'deadline-passed': 504,
     'upstream-lost': 502,
--- a/src/greengagelb/settings.py
+++ b/src/greengagelb/settings.py
@@ -38,6 +38,8 @@
     port: int
     timeout_seconds: float = 2.0
     poll_seconds: float = 1.0
+    reads_per_second: int = 100
+    writes_per_second: int = 18
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +135,8 @@
             'port': parse_port,
             'timeout_seconds': parse_seconds,
             'poll_seconds': parse_seconds,
+            'reads_per_second': parse_count,
+            'writes_per_second': parse_count,
         },
     ),
     'secrets': (
--- a/src/greengagelb/standins/platform.py
+++ b/src/greengagelb/standins/platform.py
@@ -147,7 +147,7 @@
             return b''
         now = self.reactor.seconds()
         if now < self.next_load:
-            request.setResponseCode(web_http.TOO_MANY_REQUESTS)
+            request.setResponseCode(http.TOO_MANY_REQUESTS)
             request.setHeader(b'retry-after', b'1')
             return b''
         self.next_load = now + 1.0 / LOADS_PER_SECOND
--- a/src/greengagelb/state/requests.py
+++ b/src/greengagelb/state/requests.py
@@ -35,6 +35,8 @@
     deadline: float
     has_idempotency_key: bool = False
     """Whether the caller, rather than this process, chose the request id."""
+    first_send: bool = False
+    """Whether the caller says that it never sent this key before."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +50,7 @@
     body: bytes
     deadline: float
     has_idempotency_key: bool = False
+    first_send: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -86,6 +86,7 @@
             body.max_tokens,
             self.deadline_of(request),
             has_key,
+            is_first_send(request),
         )
         event = self.arrival(request, generation, tuple(body.received))
         return self.open(request, generation, event)
@@ -126,6 +127,7 @@
             request.content.read(),
             self.deadline_of(request),
             has_key,
+            is_first_send(request),
         )
         return self.open(request, call, events.CallSubmitted(call))
 
@@ -281,6 +283,11 @@
         exchange.done.callback(action.body)
 
 
+def is_first_send(request: server.Request) -> bool:
+    """Return whether the caller says that it never sent this key before."""
+    return request.getHeader('x-first-send') == '1'
+
+
 def health_app(
     ready: Callable[[], bool], metrics: Callable[[], bytes]
 ) -> klein.Klein:
--- a/src/greengagelb/transport/claim_store.py
+++ b/src/greengagelb/transport/claim_store.py
@@ -1,5 +1,7 @@
 """Writes claims through the platform's table service."""
 
+import dataclasses
+import time
 from typing import Any
 
 from twisted.internet import defer
@@ -8,15 +10,17 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.protocol import codec
+from greengagelb.protocol import platform_api
 from greengagelb.state import claims
 from greengagelb.transport import engine_client
 from greengagelb.transport import platform_client
 
 TABLE = 'claims'
+KEPT_SECONDS = 24 * 3600.0
 
 
 class ClaimStore:
-    """Inserts claims and records outcomes."""
+    """Writes claim rows and reports what came of each write."""
 
     def __init__(
         self,
@@ -27,50 +31,36 @@
         self.dispatch = dispatch
 
     @defer.inlineCallbacks
-    def insert(self, action: actions.InsertClaim) -> Any:
-        """Insert a claim and report whose it is."""
-        exchange = action.exchange
-        value = codec.encode(action.record).decode()
-        try:
-            yield self.platform.write(TABLE, action.key, 0, value)
-        except errors.VersionConflict:
-            yield self.settle(action, True)
-        except errors.PlatformUnavailable as exc:
-            if not exc.handed_over:
-                self.dispatch(events.ClaimUnsettled(exchange, False))
-                return
-            yield self.settle(action, True)
-        else:
-            self.dispatch(events.ClaimWritten(exchange))
-
-    @defer.inlineCallbacks
-    def settle(self, action: actions.InsertClaim, handed_over: bool) -> Any:
-        """Read the row back to learn whose claim it is.
+    def write(self, action: actions.WriteClaim) -> Any:
+        """Write a claim row; exactly one event answers it.
 
-        The platform's answer can be lost after the write took effect. Taking
-        that for a failure would leave a claim that nobody honours; taking it
-        for a success could run a call twice.
+        An answer that makes no sense counts as none. Left to raise, it would
+        end up in a log, and the caller would wait until its deadline.
         """
-        exchange = action.exchange
+        holder = action.holder
+        expires_at = time.time() + KEPT_SECONDS
+        record = dataclasses.replace(action.record, expires_at=expires_at)
+        value = codec.encode(record).decode()
         try:
-            row = yield self.platform.read(TABLE, action.key)
-        except errors.PlatformUnavailable:
-            self.dispatch(events.ClaimUnsettled(exchange, handed_over))
-            return
-        if row is None:
-            self.dispatch(events.ClaimUnsettled(exchange, handed_over))
-            return
-        record = codec.decode(row.value, claims.ClaimRecord)
-        if record.holder == action.record.holder:
-            self.dispatch(events.ClaimWritten(exchange))
-        else:
-            self.dispatch(events.ClaimTaken(exchange, record))
+            row = yield self.platform.write(
+                TABLE, action.key, action.expected_version, value
+            )
+            answer = events.ClaimWritten(holder, row.version)
+        except errors.VersionConflict as exc:
+            answer = self.conflicted(holder, exc.row)
+        except errors.PlatformUnavailable as exc:
+            answer = events.ClaimWriteFailed(holder, exc.handed_over)
+        except errors.GreengagelbError:
+            answer = events.ClaimWriteFailed(holder, True)
+        self.dispatch(answer)
 
-    @defer.inlineCallbacks
-    def record_outcome(self, action: actions.RecordOutcome) -> Any:
-        """Write an outcome over its claim; a loss of it harms no promise."""
-        value = codec.encode(action.record).decode()
+    def conflicted(
+        self, holder: str, row: platform_api.Row
+    ) -> events.ClaimConflicted | events.ClaimWriteFailed:
+        """Report the row that stands in the way, if it can be read."""
         try:
-            yield self.platform.write(TABLE, action.key, 1, value)
-        except (errors.VersionConflict, errors.PlatformUnavailable):
-            return
+            record = codec.decode(row.value, claims.ClaimRecord)
+        except errors.ProtocolError:
+            return events.ClaimWriteFailed(holder, True)
+        found = claims.ClaimRow(row.version, record)
+        return events.ClaimConflicted(holder, found)
--- a/src/greengagelb/transport/http.py
+++ b/src/greengagelb/transport/http.py
@@ -26,6 +26,7 @@
 
 CONNECT_SECONDS = 0.5
 MOST_BODY_BYTES = 4 << 20
+TOO_MANY_REQUESTS = 429
 
 
 @interface.implementer(iweb.IAgentEndpointFactory)
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -54,7 +54,7 @@
             instance_settings.instance.timeline_events,
         )
         self.platform = platform_client.PlatformClient(
-            reactor, instance_settings.platform
+            reactor, instance_settings.platform, self.recorder.record
         )
         self.engines = engine_client.EngineClient(reactor, self.dispatch)
         self.services = service_client.ServiceClient(reactor, self.dispatch)
@@ -205,10 +205,8 @@
                 self.callers.send_failure(action)
             case actions.SendAnswer():
                 self.callers.send_answer(action)
-            case actions.InsertClaim():
-                self.claims.insert(action)
-            case actions.RecordOutcome():
-                self.claims.record_outcome(action)
+            case actions.WriteClaim():
+                self.claims.write(action)
             case actions.DispatchCall():
                 self.services.call(action)
             case actions.AbandonCall(exchange):
--- a/src/greengagelb/transport/platform_client.py
+++ b/src/greengagelb/transport/platform_client.py
@@ -1,5 +1,7 @@
 """Talks to the platform's service: tables and the instance list."""
 
+from collections.abc import Callable
+import random
 from typing import Any
 import urllib.parse
 
@@ -11,21 +13,38 @@
 
 from greengagelb import errors
 from greengagelb import settings
+from greengagelb.coordination import actions
+from greengagelb.coordination import store_budget
 from greengagelb.protocol import codec
 from greengagelb.protocol import platform_api
 from greengagelb.transport import http
 
+Recorder = Callable[[actions.Record], None]
+Asking = Callable[[], 'defer.Deferred[iweb.IResponse]']
+
 
 class PlatformClient:
-    """Requests to the platform's service, each within its time."""
+    """Requests to the platform's service, each within its time.
+
+    What the budget refuses is raised at once, as unavailable and not handed
+    over: nothing waits in a queue for a store that is down.
+    """
 
     def __init__(
         self,
         reactor: interfaces.IReactorTime,
         platform: settings.PlatformSettings,
+        record: Recorder = lambda _: None,
     ) -> None:
         self.reactor = reactor
         self.settings = platform
+        self.record = record
+        self.budget = store_budget.StoreBudget(
+            platform.reads_per_second,
+            platform.writes_per_second,
+            random.Random(),
+            reactor.seconds(),
+        )
         agent = http.fresh_connection_agent(reactor)
         self.treq = http.cookieless_client(agent)
 
@@ -43,7 +62,10 @@
 
         Raises :class:`~greengagelb.errors.PlatformUnavailable`.
         """
-        status, body = yield self.ask(self.treq.get(self.row_url(table, key)))
+        status, body = yield self.ask(
+            store_budget.RequestKind.READ,
+            lambda: self.treq.get(self.row_url(table, key)),
+        )
         if status == web_http.NOT_FOUND:
             return None
         return codec.decode(body, platform_api.Row)
@@ -52,7 +74,8 @@
     def list_rows(self, table: str) -> Any:
         """Return all rows of a table."""
         _, body = yield self.ask(
-            self.treq.get(self.url(f'/tables/{table}/rows'))
+            store_budget.RequestKind.READ,
+            lambda: self.treq.get(self.url(f'/tables/{table}/rows')),
         )
         return codec.decode(body, list[platform_api.Row])
 
@@ -67,36 +90,59 @@
         where nobody can tell whether the write took effect.
         """
         write = platform_api.Write(expected_version, value)
+        data = codec.encode(write)
         status, body = yield self.ask(
-            self.treq.put(self.row_url(table, key), data=codec.encode(write))
+            store_budget.RequestKind.WRITE,
+            lambda: self.treq.put(self.row_url(table, key), data=data),
         )
         if status == web_http.CONFLICT:
-            raise errors.VersionConflict(key)
+            found = codec.decode(body, platform_api.Row)
+            raise errors.VersionConflict(key, found)
         return codec.decode(body, platform_api.Row)
 
     @defer.inlineCallbacks
     def list_instances(self) -> Any:
         """Return the platform's list of instances, which lags."""
-        _, body = yield self.ask(self.treq.get(self.url('/instances')))
+        _, body = yield self.ask(
+            store_budget.RequestKind.READ,
+            lambda: self.treq.get(self.url('/instances')),
+        )
         return codec.decode(body, list[platform_api.Instance])
 
     def ask(
-        self, answer: 'defer.Deferred[iweb.IResponse]'
+        self, kind: store_budget.RequestKind, start: Asking
     ) -> 'defer.Deferred[tuple[int, bytes]]':
         """Return status and body, or raise that the platform is away."""
-
-        def read(response: iweb.IResponse) -> defer.Deferred:
-            if response.code >= web_http.INTERNAL_SERVER_ERROR:
-                http.discard_body(response)
-                raise errors.PlatformUnavailable(f'status {response.code}')
-            body = http.read_whole_body(response)
-            return body.addCallback(lambda raw: (response.code, raw))
-
-        def unavailable(why: failure.Failure) -> None:
-            unavailable = errors.PlatformUnavailable(why.type.__name__)
-            unavailable.handed_over = http.was_handed_over(why)
-            raise unavailable from why.value
-
-        answer.addCallback(read)
+        refusal = self.budget.admit(kind, self.reactor.seconds())
+        if refusal is not None:
+            refused = errors.PlatformUnavailable(refusal.value)
+            refused.handed_over = False
+            return defer.fail(refused)
+        answer = start()
+        answer.addCallback(self.read_answer)
         answer.addTimeout(self.settings.timeout_seconds, self.reactor)
-        return answer.addErrback(unavailable)
+        return answer.addCallbacks(self.available, self.unavailable)
+
+    def read_answer(self, response: iweb.IResponse) -> defer.Deferred:
+        """Read an answer; an error of the platform's own is none."""
+        code = response.code
+        busy = code == http.TOO_MANY_REQUESTS
+        if busy or code >= web_http.INTERNAL_SERVER_ERROR:
+            http.discard_body(response)
+            raise errors.PlatformUnavailable(f'status {code}')
+        body = http.read_whole_body(response)
+        return body.addCallback(lambda raw: (code, raw))
+
+    def available(self, answer: tuple[int, bytes]) -> tuple[int, bytes]:
+        """Note that the platform answers."""
+        for action in self.budget.succeeded():
+            self.record(action)
+        return answer
+
+    def unavailable(self, why: failure.Failure) -> None:
+        """Note that the platform is away, and raise it."""
+        for action in self.budget.failed(self.reactor.seconds()):
+            self.record(action)
+        unavailable = errors.PlatformUnavailable(why.type.__name__)
+        unavailable.handed_over = http.was_handed_over(why)
+        raise unavailable from why.value
