Add operators' commands and a demonstration of an engine's death

A user could only start processes; plans, status and the time line needed hand-written HTTP, and nothing showed the main job on one machine.

The commands are a table of data classes; the reactor runs once in each. The time line is selected at the instance, since the whole ring of a large fleet is more than a reader can fetch, and printed with control characters replaced, since request ids come from callers. Only the demo's launcher starts processes.

Failed first: fleets in tests and the demo now and then found a port taken or an operator port not open yet. Ports came from the range of outgoing connections and are now drawn below it; both ports of an instance are awaited; a process that ends is reported with its log.

--- /dev/null
+++ b/src/greengagelb/cli/commands.py
@@ -0,0 +1,117 @@
+"""The table of subcommands: what each one does, takes and is called."""
+
+from collections.abc import Callable
+import dataclasses
+
+from greengagelb.cli import demo
+from greengagelb.cli import operators
+from greengagelb.cli import serve
+from greengagelb.cli import standin
+from greengagelb.cli import timeline
+
+OPERATOR_FLAGS = ('operator', 'operator_key_file')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Command:
+    """One subcommand; ``run`` takes the words after its name.
+
+    ``flags`` names the flags that it reads. Any other flag is refused rather
+    than ignored, since its user expected an effect.
+    """
+
+    name: str
+    arguments: str
+    summary: str
+    run: Callable[[list[str]], int]
+    flags: tuple[str, ...] = ()
+    most_words: int = 0
+    details: str = ''
+
+
+COMMANDS = (
+    Command(
+        'serve',
+        '--settings=FILE',
+        'run one instance until SIGTERM',
+        serve.serve,
+        ('settings',),
+        details='SIGTERM stops it gracefully: new requests are refused, those '
+        'in flight\nend, then it exits with 0.',
+    ),
+    Command(
+        'check-config',
+        '--settings=FILE',
+        'read a settings file and tell what is wrong',
+        serve.check_config,
+        ('settings',),
+    ),
+    Command(
+        'plan',
+        '--operator=IP:PORT --drain=UPSTREAM',
+        'ask what an intent would do; nothing takes effect',
+        operators.plan,
+        (*OPERATOR_FLAGS, 'drain', 'configuration', 'intent'),
+        details='Give exactly one of --drain, --configuration and --intent.',
+    ),
+    Command(
+        'show-plan',
+        'PLAN_ID --operator=IP:PORT',
+        'show a plan again',
+        operators.show_plan,
+        OPERATOR_FLAGS,
+        most_words=1,
+    ),
+    Command(
+        'confirm',
+        'PLAN_ID --operator=IP:PORT',
+        'put a plan in force',
+        operators.confirm,
+        OPERATOR_FLAGS,
+        most_words=1,
+        details='Exits with 5 if another plan was confirmed since this one '
+        'was made:\nplan again on top of that one.',
+    ),
+    Command(
+        'status',
+        '--operator=IP:PORT,IP:PORT...',
+        'show all instances and how far the newest configuration is',
+        operators.status,
+        OPERATOR_FLAGS,
+    ),
+    Command(
+        'timeline',
+        '--operator=IP:PORT,IP:PORT... --request=ID',
+        'show what happened, merged over all instances',
+        timeline.timeline,
+        (*OPERATOR_FLAGS, 'request', 'account', 'kind', 'most_events'),
+    ),
+    Command(
+        'stand-in',
+        'engine|service|platform --port=N',
+        'run a replacement of an outside system, for trials',
+        standin.stand_in,
+        (
+            'host',
+            'port',
+            'name',
+            'model',
+            'model_version',
+            'step_seconds',
+            'sampled',
+        ),
+        most_words=1,
+    ),
+    Command(
+        'demo',
+        '',
+        'start a small fleet here and kill an engine in mid-stream',
+        demo.demo,
+        ('demo_tokens',),
+    ),
+)
+
+
+def find(name: str) -> Command | None:
+    """Return the command of that name, if there is one."""
+    return next((c for c in COMMANDS if c.name == name), None)
--- a/src/greengagelb/cli/exit_codes.py
+++ b/src/greengagelb/cli/exit_codes.py
@@ -1,8 +1,20 @@
 """Exit codes of the command line."""
 
-SUCCESS = 0
-FAILURE = 1
-USAGE = 2
-BAD_SETTINGS = 3
-UNREACHABLE = 4
-CONFLICT = 5
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """What a command's exit code tells a script; the values never change.
+
+    ``UNREACHABLE`` means that at least one instance gave no answer, so what
+    was printed may be a part of the whole. ``REFUSED`` means that an instance
+    answered and said no; the code on standard error tells why.
+    """
+
+    SUCCESS = 0
+    FAILURE = 1
+    USAGE = 2
+    BAD_SETTINGS = 3
+    UNREACHABLE = 4
+    CONFLICT = 5
+    REFUSED = 6
--- /dev/null
+++ b/src/greengagelb/cli/launcher.py
@@ -0,0 +1,260 @@
+"""Starts the processes of the demonstration and ends them again.
+
+The program itself never starts a process: only ``greengagelb demo`` uses
+this, in place of the operator who would start them on many machines.
+"""
+
+import contextlib
+import hashlib
+import pathlib
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import textwrap
+import time
+
+from greengagelb import errors
+from greengagelb.state import configuration as configuration_state
+
+HOST = '127.0.0.1'
+DATA_CENTRE = 'demo-1'
+ENDING_SECONDS = 20.0
+PORTS = range(12_000, 32_000)
+
+
+class LaunchedProcess:
+    """A process that this one has started."""
+
+    def __init__(
+        self, name: str, popen: subprocess.Popen, ports: list[int]
+    ) -> None:
+        self.name = name
+        self.popen = popen
+        self.ports = ports
+
+    @property
+    def port(self) -> int:
+        """Return the port that callers or instances use."""
+        return self.ports[0]
+
+    @property
+    def operator_port(self) -> int:
+        """Return the port of an instance's operator interface."""
+        return self.ports[1]
+
+    @property
+    def served_ports(self) -> list[int]:
+        """Return the ports that are asked over HTTP.
+
+        An instance opens one after the other, so that its first port answers
+        a moment before its second.
+        """
+        return self.ports[:2]
+
+    def kill(self) -> None:
+        """End the process at once, as a crash would."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def stop(self) -> int:
+        """Ask the process to stop, and return its exit code."""
+        self.popen.send_signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(ENDING_SECONDS)
+        except subprocess.TimeoutExpired as exc:
+            raise errors.DemoFailed(f'{self.name} does not stop') from exc
+
+
+class Launcher(contextlib.ExitStack):
+    """A small fleet on loopback; whatever is left is killed on exit."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.folder = pathlib.Path(
+            self.enter_context(tempfile.TemporaryDirectory())
+        )
+        self.operator_key = secrets.token_urlsafe(16)
+        self.account_key = secrets.token_urlsafe(16)
+        self.cursor_secret = secrets.token_urlsafe(24)
+        self.platform = self.stand_in('platform', 'platform')
+        self.engines: dict[str, LaunchedProcess] = {}
+        self.services: dict[str, LaunchedProcess] = {}
+        self.instances: dict[str, LaunchedProcess] = {}
+
+    def processes(self) -> list[LaunchedProcess]:
+        """Return all processes, instances first."""
+        return [
+            *self.instances.values(),
+            *self.engines.values(),
+            *self.services.values(),
+            self.platform,
+        ]
+
+    def start(
+        self, name: str, words: list[str], ports: list[int]
+    ) -> LaunchedProcess:
+        """Start the program with these arguments; its output goes to a log."""
+        log = self.enter_context((self.folder / f'{name}.log').open('wb'))
+        popen = subprocess.Popen(
+            [sys.executable, '-m', 'greengagelb', *words],
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+        self.callback(end, popen)
+        return LaunchedProcess(name, popen, ports)
+
+    def stand_in(self, kind: str, name: str, *flags: str) -> LaunchedProcess:
+        """Start a stand-in."""
+        port = free_port()
+        words = ['stand-in', kind, f'--port={port}', f'--name={name}', *flags]
+        return self.start(name, words, [port])
+
+    def engine(self, name: str, step_seconds: float) -> None:
+        """Start an engine stand-in."""
+        flag = f'--step_seconds={step_seconds}'
+        self.engines[name] = self.stand_in('engine', name, flag)
+
+    def service(self, name: str) -> None:
+        """Start a plain-service stand-in."""
+        self.services[name] = self.stand_in('service', name)
+
+    def instance(self, name: str) -> None:
+        """Start an instance."""
+        ports = [free_port() for _ in range(3)]
+        path = self.folder / f'{name}.ini'
+        path.write_text(self.settings_text(name, ports))
+        words = ['serve', f'--settings={path}']
+        self.instances[name] = self.start(name, words, ports)
+
+    def settings_text(self, name: str, ports: list[int]) -> str:
+        """Return the settings file of an instance."""
+        return textwrap.dedent(
+            f"""\
+            [instance]
+            name = {name}
+            data_centre = {DATA_CENTRE}
+            host = {HOST}
+            caller_port = {ports[0]}
+            operator_port = {ports[1]}
+            peer_port = {ports[2]}
+
+            [platform]
+            host = {HOST}
+            port = {self.platform.port}
+            poll_seconds = 0.2
+            timeout_seconds = 1.0
+
+            [secrets]
+            cursor_secret = {self.cursor_secret}
+            operator_key_digest = {digest(self.operator_key)}
+            """
+        )
+
+    def configuration(self) -> configuration_state.Configuration:
+        """Return a configuration with one account and all upstreams."""
+        return configuration_state.Configuration(
+            accounts=(
+                configuration_state.ClientAccount(
+                    'teratak', digest(self.account_key), ('draft', 'charge')
+                ),
+            ),
+            services=(
+                configuration_state.Service(
+                    'draft',
+                    configuration_state.ServiceKind.GENERATION,
+                    'drafting',
+                ),
+                configuration_state.Service(
+                    'charge',
+                    configuration_state.ServiceKind.CALL,
+                    'charging',
+                    idempotent=False,
+                    priority=configuration_state.Priority.SHORT,
+                ),
+            ),
+            pools=(
+                configuration_state.Pool(
+                    'drafting', upstreams(self.engines), 'm', '1'
+                ),
+                configuration_state.Pool('charging', upstreams(self.services)),
+            ),
+        )
+
+    def last_lines(self) -> str:
+        """Return the end of each log, for a report of what went wrong."""
+        parts = []
+        for path in sorted(self.folder.glob('*.log')):
+            lines = path.read_text('utf-8', 'replace').splitlines()[-5:]
+            parts += [f'--- {path.stem}', *lines]
+        return '\n'.join(parts) + '\n'
+
+
+def upstreams(
+    processes: dict[str, LaunchedProcess],
+) -> tuple[configuration_state.Upstream, ...]:
+    """Return processes as upstreams of a pool."""
+    return tuple(
+        configuration_state.Upstream(name, HOST, process.port, DATA_CENTRE)
+        for name, process in processes.items()
+    )
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on now.
+
+    The system gives outgoing connections ports from 32768 up, at any time.
+    A port that was free when it was picked there can be taken by one of them
+    before the process that it is meant for opens it, and that process fails
+    with "address already in use". So the port is drawn from below.
+    """
+    while True:
+        port = secrets.choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
+
+
+def digest(key: str) -> str:
+    """Return the digest under which a key is kept."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def end(popen: subprocess.Popen) -> None:
+    """End a process that still runs."""
+    if popen.poll() is None:
+        popen.terminate()
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            popen.wait(1.0)
+    if popen.poll() is None:
+        popen.kill()
+    popen.wait()
+
+
+def listens(port: int) -> bool:
+    """Return whether somebody listens on a port."""
+    try:
+        with socket.create_connection((HOST, port), timeout=1.0):
+            return True
+    except OSError:
+        return False
+
+
+def wait_until_listening(
+    processes: list[LaunchedProcess], patience_seconds: float = 30.0
+) -> None:
+    """Return once all processes listen; raise if one ends or takes long."""
+    give_up_at = time.monotonic() + patience_seconds
+    for process in processes:
+        while not all(listens(port) for port in process.served_ports):
+            if process.popen.poll() is not None:
+                raise errors.DemoFailed(f'{process.name} ended by itself')
+            if time.monotonic() > give_up_at:
+                raise errors.DemoFailed(f'{process.name} does not listen')
+            time.sleep(0.02)
--- a/src/greengagelb/cli/main.py
+++ b/src/greengagelb/cli/main.py
@@ -1,45 +1,73 @@
 """Entry point of the ``greengagelb`` program: picks the subcommand."""
 
+import importlib.metadata
 import sys
 
 from absl import app
 from absl import flags
 
 from greengagelb import errors
+from greengagelb.cli import commands
 from greengagelb.cli import exit_codes
-from greengagelb.cli import serve
-from greengagelb.cli import standin
+from greengagelb.cli import help_texts
 
-COMMANDS = {
-    'serve': serve.serve,
-    'check-config': serve.check_config,
-    'stand-in': standin.stand_in,
-}
-
-USAGE = """greengagelb COMMAND [ARGUMENTS] [FLAGS]
-
-Commands:
-  serve --settings FILE         run one instance
-  check-config --settings FILE  read a settings file and tell what is wrong
-  stand-in engine|service|platform --port N
-                                run a replacement of an outside system (tests)
-
-Exit codes: 0 success, 1 failure, 2 usage, 3 bad settings, 4 unreachable,
-5 conflict.
-"""
+HELP_WORDS = {'--help', '-h', '--helpfull', '--helpshort', 'help'}
+CONFLICT_CODES = {'version-conflict'}
 
 
 def main(arguments: list[str]) -> int:
     """Run the subcommand that the arguments name."""
-    words = arguments[1:]
-    if not words or words[0] not in COMMANDS:
-        sys.stderr.write(USAGE)
-        return exit_codes.USAGE
     try:
-        return COMMANDS[words[0]](words[1:])
-    except errors.SettingsError as exc:
-        sys.stderr.write(f'{exc.code}: {exc}\n')
-        return exit_codes.BAD_SETTINGS
+        command, words = pick(arguments[1:])
+        check_flags(command)
+        return int(command.run(words))
+    except errors.GreengagelbError as exc:
+        sys.stderr.write(f'greengagelb: {exc.code}: {exc}\n')
+        return int(exit_code_of(exc))
+
+
+def pick(words: list[str]) -> tuple[commands.Command, list[str]]:
+    """Return the command that is named, and the words after its name."""
+    if not words:
+        raise errors.CommandError('write a command; see greengagelb --help')
+    command = commands.find(words[0])
+    if command is None:
+        raise errors.CommandError(
+            f'unknown command {words[0]}; see greengagelb --help'
+        )
+    if len(words) - 1 > command.most_words:
+        raise errors.CommandError(
+            f'{command.name}: {words[command.most_words + 1]} is one word too '
+            f'many; see greengagelb {command.name} --help'
+        )
+    return command, words[1:]
+
+
+def check_flags(command: commands.Command) -> None:
+    """Refuse a flag that belongs to another command."""
+    known = {name for c in commands.COMMANDS for name in c.flags}
+    for name in sorted(known - set(command.flags)):
+        if flags.FLAGS[name].present:
+            raise errors.CommandError(
+                f'{command.name} has no flag --{name}; '
+                f'see greengagelb {command.name} --help'
+            )
+
+
+def exit_code_of(error: errors.GreengagelbError) -> exit_codes.ExitCode:
+    """Return the exit code that stands for an error."""
+    match error:
+        case errors.SettingsError():
+            return exit_codes.ExitCode.BAD_SETTINGS
+        case errors.CommandError():
+            return exit_codes.ExitCode.USAGE
+        case errors.InstanceUnreachable():
+            return exit_codes.ExitCode.UNREACHABLE
+        case errors.InstanceRefused() if error.reason in CONFLICT_CODES:
+            return exit_codes.ExitCode.CONFLICT
+        case errors.InstanceRefused():
+            return exit_codes.ExitCode.REFUSED
+    return exit_codes.ExitCode.FAILURE
 
 
 def run() -> None:
@@ -48,9 +76,27 @@
 
 
 def parse_flags(arguments: list[str]) -> list[str]:
-    """Return the arguments that are no flags."""
+    """Return the arguments that are no flags; answer a call for help."""
+    if '--version' in arguments[1:]:
+        version = importlib.metadata.version('greengagelb')
+        sys.stdout.write(f'greengagelb {version}\n')
+        sys.exit(exit_codes.ExitCode.SUCCESS)
+    if HELP_WORDS & set(arguments[1:]):
+        sys.stdout.write(help_on(arguments[1:]))
+        sys.exit(exit_codes.ExitCode.SUCCESS)
     try:
         return flags.FLAGS(arguments)
     except flags.Error as exc:
-        sys.stderr.write(f'{exc}\n\n{USAGE}')
-        sys.exit(exit_codes.USAGE)
+        sys.stderr.write(
+            f'greengagelb: bad-command: {exc}; see greengagelb --help\n'
+        )
+        sys.exit(exit_codes.ExitCode.USAGE)
+
+
+def help_on(arguments: list[str]) -> str:
+    """Return the help that the arguments ask for."""
+    for word in arguments:
+        command = commands.find(word)
+        if command is not None:
+            return help_texts.command_help(command)
+    return help_texts.overview()
--- /dev/null
+++ b/src/greengagelb/cli/operators.py
@@ -0,0 +1,202 @@
+"""The operators' commands: plan, show-plan, confirm and status."""
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+import pathlib
+import sys
+from typing import Any
+
+from absl import flags
+from twisted.internet import interfaces
+
+from greengagelb import errors
+from greengagelb.cli import exit_codes
+from greengagelb.cli import operator_flags
+from greengagelb.cli import running
+from greengagelb.cli import tables
+from greengagelb.protocol import codec
+from greengagelb.protocol import operator_api
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import plans as plan_state
+from greengagelb.transport import operator_client
+
+DRAIN = flags.DEFINE_string(
+    'drain', None, 'Intent: give the upstream of this name no new work.'
+)
+CONFIGURATION = flags.DEFINE_string(
+    'configuration',
+    None,
+    'Intent: put the whole configuration in this JSON file in force.',
+)
+INTENT = flags.DEFINE_string(
+    'intent', None, 'Intent as the JSON file that the operator API takes.'
+)
+
+Work = Callable[
+    [operator_client.OperatorClient], Coroutine[Any, Any, plan_state.Plan]
+]
+
+
+def plan(words: list[str]) -> int:
+    """Ask for the plan of an intent; nothing takes effect yet."""
+    intent = read_intent()
+    made = ask_first(lambda client: client.propose(intent))
+    sys.stdout.write(render_plan(made))
+    sys.stdout.write(
+        'nothing has changed yet; to put it in force:\n'
+        f'  greengagelb confirm {made.plan_id} --operator=...\n'
+    )
+    return exit_codes.ExitCode.SUCCESS
+
+
+def show_plan(words: list[str]) -> int:
+    """Show a plan that was made before."""
+    plan_id = one_word(words, 'show-plan PLAN_ID')
+    sys.stdout.write(render_plan(ask_first(lambda c: c.show(plan_id))))
+    return exit_codes.ExitCode.SUCCESS
+
+
+def confirm(words: list[str]) -> int:
+    """Put a plan in force."""
+    plan_id = one_word(words, 'confirm PLAN_ID')
+    done = ask_first(lambda client: client.confirm(plan_id))
+    sys.stdout.write(
+        f'plan {done.plan_id} is confirmed: configuration version '
+        f'{done.result.version}\nsee how far it is in force: '
+        'greengagelb status --operator=...\n'
+    )
+    return exit_codes.ExitCode.SUCCESS
+
+
+def status(words: list[str]) -> int:
+    """Show what all instances say of themselves."""
+    addresses = operator_flags.addresses()
+    key = operator_flags.operator_key()
+
+    async def ask(reactor: interfaces.IReactorCore) -> list[Any]:
+        clients = [
+            operator_client.OperatorClient(reactor, address, key)
+            for address in addresses
+        ]
+        return await operator_client.ask_all(
+            clients, lambda client: client.status()
+        )
+
+    answers = running.run_once(ask)
+    sys.stdout.write(render_status(answers))
+    return exit_code_of(answers)
+
+
+def exit_code_of(answers: list[Any]) -> exit_codes.ExitCode:
+    """Return the exit code where some instances may not have answered."""
+    code = exit_codes.ExitCode.SUCCESS
+    for answer in answers:
+        match answer:
+            case operator_client.NoAnswer(
+                code=errors.InstanceUnreachable.code
+            ):
+                return exit_codes.ExitCode.UNREACHABLE
+            case operator_client.NoAnswer():
+                code = exit_codes.ExitCode.REFUSED
+    return code
+
+
+def one_word(words: list[str], usage: str) -> str:
+    """Return the only argument of a command."""
+    if len(words) != 1:
+        raise errors.CommandError(f'write greengagelb {usage}')
+    return words[0]
+
+
+def ask_first(work: Work) -> plan_state.Plan:
+    """Ask the first of the given instances; the others are not needed.
+
+    An instance that can't be reached was not changed by this command, but
+    the command does not go on to the next by itself: a confirmation whose
+    answer was lost may have taken effect, and the operator has to look.
+    """
+    address = operator_flags.addresses()[0]
+    key = operator_flags.operator_key()
+
+    async def ask(reactor: interfaces.IReactorCore) -> plan_state.Plan:
+        return await work(
+            operator_client.OperatorClient(reactor, address, key)
+        )
+
+    return running.run_once(ask)
+
+
+def read_intent() -> operator_api.IntentMessage:
+    """Return the one intent that the flags state."""
+    given = (DRAIN.value, CONFIGURATION.value, INTENT.value)
+    if sum(value is not None for value in given) != 1:
+        raise errors.CommandError(
+            'write one of --drain=UPSTREAM, --configuration=FILE, '
+            '--intent=FILE'
+        )
+    if DRAIN.value is not None:
+        return operator_api.DrainUpstream(DRAIN.value)
+    if CONFIGURATION.value is not None:
+        return operator_api.ReplaceConfiguration(
+            read_json(CONFIGURATION.value, configuration_state.Configuration)
+        )
+    return read_json(INTENT.value, operator_api.IntentMessage)
+
+
+def read_json(name: str, kind: Any) -> Any:
+    """Return the message in a JSON file, validated."""
+    try:
+        return codec.decode(pathlib.Path(name).read_bytes(), kind)
+    except (OSError, errors.ProtocolError) as exc:
+        raise errors.CommandError(f'{name}: {exc}') from exc
+
+
+def render_plan(shown: plan_state.Plan) -> str:
+    """Return a plan as text."""
+    lines = [
+        f'plan {shown.plan_id} ({shown.stage.value})',
+        f'built on configuration version {shown.base_version}',
+    ]
+    lines += [f'  step: {step}' for step in shown.steps]
+    lines += [f'  WARNING: {warning}' for warning in shown.warnings]
+    return '\n'.join(lines) + '\n'
+
+
+def render_status(
+    answers: list[operator_api.Status | operator_client.NoAnswer],
+) -> str:
+    """Return a table of all instances, and how far the newest version is."""
+    rows = [
+        ['INSTANCE', 'DATA CENTRE', 'VERSION', 'STATE', 'RUNNING', 'WAITING']
+    ]
+    notes = []
+    versions = []
+    for answer in answers:
+        match answer:
+            case operator_api.Status():
+                versions.append(answer.configuration_version)
+                rows.append(status_row(answer))
+            case operator_client.NoAnswer(address, _, reason):
+                rows.append([str(address), '?', '?', 'no answer', '?', '?'])
+                notes.append(f'no answer: {reason}')
+    newest = max(versions, default=0)
+    notes.append(
+        f'configuration version {newest} is in force on '
+        f'{versions.count(newest)} of {len(answers)} instances'
+    )
+    return tables.render(rows) + '\n'.join(notes) + '\n'
+
+
+def status_row(answer: operator_api.Status) -> list[str]:
+    """Return the cells of one instance."""
+    state = 'serving' if answer.configuration_version else 'not configured'
+    if answer.stopping:
+        state = 'stopping'
+    return [
+        answer.process,
+        answer.data_centre,
+        str(answer.configuration_version),
+        state,
+        str(answer.running),
+        str(answer.waiting),
+    ]
--- /dev/null
+++ b/src/greengagelb/cli/running.py
@@ -0,0 +1,51 @@
+"""Runs the event loop once for a command that ends by itself."""
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.python import failure
+
+from greengagelb import errors
+
+T = TypeVar('T')
+
+
+class Interrupted(errors.GreengagelbError):
+    """The command was stopped by a signal before it was done."""
+
+    code = 'interrupted'
+
+
+def run_once(
+    work: Callable[[interfaces.IReactorCore], Coroutine[Any, Any, T]],
+) -> T:
+    """Return what a coroutine returns, or raise what it raises.
+
+    A reactor can't be started twice in a process, so a command calls this
+    once, with everything it has to do.
+    """
+    # The reactor is installed by its import, so that happens only where one
+    # is run.
+    from twisted.internet import reactor  # noqa: PLC0415
+
+    outcomes: list[Any] = []
+
+    def finish(outcome: Any) -> None:
+        outcomes.append(outcome)
+        if reactor.running:
+            reactor.stop()
+
+    def begin() -> None:
+        defer.Deferred.fromCoroutine(work(reactor)).addBoth(finish)
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    if not outcomes:
+        raise Interrupted('stopped by a signal')
+    if isinstance(outcomes[0], failure.Failure):
+        outcomes[0].raiseException()
+    return outcomes[0]
--- a/src/greengagelb/cli/serve.py
+++ b/src/greengagelb/cli/serve.py
@@ -16,7 +16,7 @@
 def read_settings() -> settings.Settings:
     """Return the settings that the flags name."""
     if not SETTINGS.value:
-        raise errors.SettingsError('write --settings FILE')
+        raise errors.CommandError('write --settings=FILE')
     return settings.read_settings(pathlib.Path(SETTINGS.value))
 
 
@@ -24,13 +24,15 @@
     """Read a settings file and say that it is good."""
     found = read_settings()
     sys.stdout.write(f'settings of {found.instance.name} are valid\n')
-    return exit_codes.SUCCESS
+    return exit_codes.ExitCode.SUCCESS
 
 
 def serve(words: list[str]) -> int:
     """Run one instance until it is asked to stop and nothing is in flight."""
+    found = read_settings()
     # The reactor is installed by its import, so that happens only where one
     # is run.
+    from twisted.internet import error  # noqa: PLC0415
     from twisted.internet import reactor  # noqa: PLC0415
 
     from greengagelb.coordination import events  # noqa: PLC0415
@@ -38,8 +40,20 @@
     from greengagelb.transport import recorder  # noqa: PLC0415
 
     recorder.configure_logging()
-    running = instance.Instance(reactor, read_settings())
-    reactor.callWhenRunning(running.start)
+    running = instance.Instance(reactor, found)
+    outcomes: list[int] = []
+
+    def start() -> None:
+        try:
+            running.start()
+        except error.CannotListenError as exc:
+            # Another process has the port. The loop would go on without it
+            # and the instance would look alive while nobody reaches it.
+            sys.stderr.write(f'greengagelb: cannot-listen: {exc}\n')
+            outcomes.append(exit_codes.ExitCode.FAILURE)
+            reactor.stop()
+
+    reactor.callWhenRunning(start)
     running.stopped.addCallback(lambda _: reactor.stop())
 
     def stop(number: int, frame: object) -> None:
@@ -48,4 +62,4 @@
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     reactor.run(installSignalHandlers=False)
-    return exit_codes.SUCCESS
+    return outcomes[0] if outcomes else exit_codes.ExitCode.SUCCESS
--- a/src/greengagelb/cli/standin.py
+++ b/src/greengagelb/cli/standin.py
@@ -1,9 +1,8 @@
 """The subcommand that runs a replacement of an outside system."""
 
-import sys
-
 from absl import flags
 
+from greengagelb import errors
 from greengagelb.cli import exit_codes
 
 HOST = flags.DEFINE_string('host', '127.0.0.1', 'IP number to listen on.')
@@ -41,9 +40,10 @@
         case ['platform']:
             running = platform.PlatformStandIn(reactor)
         case _:
-            sys.stderr.write('stand-in: write engine, service or platform\n')
-            return exit_codes.USAGE
+            raise errors.CommandError(
+                'stand-in: write engine, service or platform'
+            )
     site = server.Site(running.app.resource())
     reactor.listenTCP(PORT.value, site, interface=HOST.value)
     reactor.run()
-    return exit_codes.SUCCESS
+    return exit_codes.ExitCode.SUCCESS
--- /dev/null
+++ b/src/greengagelb/cli/tables.py
@@ -0,0 +1,28 @@
+"""Tables of text with aligned columns."""
+
+GAP = '  '
+
+
+def render(rows: list[list[str]]) -> str:
+    """Return rows of equal length as lines with aligned columns."""
+    columns = zip(*rows, strict=True)
+    widths = [max(len(cell) for cell in column) for column in columns]
+    lines = []
+    for row in rows:
+        cells = [
+            clean(cell).ljust(width)
+            for cell, width in zip(row, widths, strict=True)
+        ]
+        lines.append(GAP.join(cells).rstrip())
+    return '\n'.join(lines) + '\n'
+
+
+def clean(cell: str) -> str:
+    """Return a cell without characters that would act on a terminal.
+
+    Request ids come from callers. One that holds an escape sequence could
+    otherwise rewrite what an operator sees.
+    """
+    return ''.join(
+        character if character.isprintable() else '?' for character in cell
+    )
--- /dev/null
+++ b/src/greengagelb/cli/timeline.py
@@ -0,0 +1,128 @@
+"""The command that shows the time line of events over all processes."""
+
+import datetime
+import sys
+from typing import Any
+
+from absl import flags
+from twisted.internet import interfaces
+
+from greengagelb.cli import operator_flags
+from greengagelb.cli import operators
+from greengagelb.cli import running
+from greengagelb.cli import tables
+from greengagelb.protocol import operator_api
+from greengagelb.state import timeline as timeline_state
+from greengagelb.transport import operator_client
+
+REQUEST = flags.DEFINE_string('request', '', 'Only events of this request.')
+ACCOUNT = flags.DEFINE_string(
+    'account', '', 'Only events of this client account.'
+)
+KIND = flags.DEFINE_string('kind', '', 'Only events of this kind.')
+MOST_EVENTS = flags.DEFINE_integer(
+    'most_events',
+    2_000,
+    'The last events that each instance gives.',
+    lower_bound=1,
+    upper_bound=operator_api.MOST_TIMELINE_EVENTS,
+)
+
+HEADING = [
+    'TIME (UTC)',
+    'SINCE START',
+    'PROCESS',
+    'EVENT',
+    'REQUEST',
+    'GEN',
+    'UPSTREAM',
+    'REASON',
+    'ATTEMPT',
+]
+
+Part = operator_api.TimelinePart | operator_client.NoAnswer
+
+
+def timeline(words: list[str]) -> int:
+    """Show the events of all given instances, merged."""
+    addresses = operator_flags.addresses()
+    key = operator_flags.operator_key()
+    wanted = timeline_state.Selection(
+        ACCOUNT.value, REQUEST.value, KIND.value, MOST_EVENTS.value
+    )
+
+    async def ask(reactor: interfaces.IReactorCore) -> list[Any]:
+        clients = [
+            operator_client.OperatorClient(reactor, address, key)
+            for address in addresses
+        ]
+        return await operator_client.ask_all(
+            clients, lambda client: client.timeline(wanted)
+        )
+
+    parts = running.run_once(ask)
+    sys.stdout.write(render(parts, wanted))
+    return operators.exit_code_of(parts)
+
+
+def merge(parts: list[Part]) -> list[timeline_state.TimelineEvent]:
+    """Return the events of all parts in the order of their stamps."""
+    events = []
+    for part in parts:
+        match part:
+            case operator_api.TimelinePart(events=found):
+                events += found
+    return sorted(events, key=timeline_state.order_key)
+
+
+def render(parts: list[Part], wanted: timeline_state.Selection) -> str:
+    """Return the merged time line as text, and what may be missing in it."""
+    events = merge(parts)
+    lines = ''
+    if events:
+        start = events[0].stamp.milliseconds
+        rows = [HEADING, *(row_of(event, start) for event in events)]
+        lines = tables.render(rows)
+    notes = [note for part in parts for note in notes_of(part, wanted)]
+    if not events:
+        notes.append('no event matches')
+    return lines + ''.join(f'note: {note}\n' for note in notes)
+
+
+def row_of(event: timeline_state.TimelineEvent, start: int) -> list[str]:
+    """Return the cells of an event; ``start`` is in milliseconds."""
+    since = event.stamp.milliseconds - start
+    moment = datetime.datetime.fromtimestamp(
+        event.stamp.milliseconds / 1000, datetime.UTC
+    )
+    request = f'{event.account}/{event.request}' if event.request else '-'
+    return [
+        moment.strftime('%H:%M:%S.') + f'{moment.microsecond // 1000:03d}',
+        f'{since / 1000:+.3f} s',
+        event.process,
+        event.kind,
+        request,
+        str(event.generation or '-'),
+        event.upstream or '-',
+        event.reason,
+        event.attempt or '-',
+    ]
+
+
+def notes_of(part: Part, wanted: timeline_state.Selection) -> list[str]:
+    """Return what a reader has to know of a part that is not whole."""
+    match part:
+        case operator_client.NoAnswer(address, _, reason):
+            return [f'{address} gave no events, they are missing: {reason}']
+        case operator_api.TimelinePart(process=process, dropped=dropped):
+            notes = []
+            if dropped:
+                notes.append(
+                    f'{process} has dropped its oldest {dropped} events'
+                )
+            if len(part.events) == wanted.most_events:
+                notes.append(
+                    f'{process} may have more events: raise --most_events'
+                )
+            return notes
+    return []
--- a/src/greengagelb/errors.py
+++ b/src/greengagelb/errors.py
@@ -79,3 +79,49 @@
     """No plan of that id is kept."""
 
     code = 'unknown-plan'
+
+
+class BadCursor(ProtocolError):
+    """A cursor was not sealed by this fleet, or not for this account."""
+
+    code = 'bad-cursor'
+
+
+class BadValue(ProtocolError):
+    """A header or a field of a message has a value that can't be used."""
+
+    code = 'bad-value'
+
+
+class BodyTooLarge(ProtocolError):
+    """A message is larger than a process takes into its memory."""
+
+    code = 'body-too-large'
+
+
+class InstanceUnreachable(TransportError):
+    """An instance gave no answer to an operator's command."""
+
+    code = 'instance-unreachable'
+
+
+class InstanceRefused(TransportError):
+    """An instance said no to an operator's command; ``reason`` is its code."""
+
+    code = 'instance-refused'
+
+    def __init__(self, reason: str, detail: str) -> None:
+        super().__init__(f'{reason}: {detail}')
+        self.reason = reason
+
+
+class CommandError(GreengagelbError):
+    """A command can't be carried out as it was written."""
+
+    code = 'bad-command'
+
+
+class DemoFailed(GreengagelbError):
+    """The demonstration did not show what it is meant to show."""
+
+    code = 'demo-failed'
--- a/src/greengagelb/protocol/operator_api.py
+++ b/src/greengagelb/protocol/operator_api.py
@@ -2,11 +2,13 @@
 
 ``POST /v1/plans`` with an intent -> the plan; ``POST /v1/plans/{id}/confirm``
 -> the plan as confirmed; ``GET /v1/plans/{id}``; ``GET /v1/status``;
-``GET /v1/timeline``. Header ``Authorization: Bearer KEY``.
+``GET /v1/timeline``, with the parameters ``account``, ``request``, ``kind``
+and ``most_events``. Header ``Authorization: Bearer KEY``.
 """
 
 import msgspec
 
+from greengagelb import errors
 from greengagelb.state import configuration
 from greengagelb.state import plans
 from greengagelb.state import timeline
@@ -49,6 +51,37 @@
     events: list[timeline.TimelineEvent]
 
 
+MOST_TIMELINE_EVENTS = 20_000
+
+
+def parameters_of(wanted: timeline.Selection) -> dict[str, str]:
+    """Return the query parameters that ask for a selection of events."""
+    return {
+        'account': wanted.account,
+        'request': wanted.request,
+        'kind': wanted.kind,
+        'most_events': str(wanted.most_events),
+    }
+
+
+def selection_of(parameters: dict[str, str]) -> timeline.Selection:
+    """Return the selection in query parameters."""
+    unknown = set(parameters) - set(parameters_of(timeline.Selection()))
+    if unknown:
+        raise errors.BadValue(f'unknown parameter {min(unknown)}')
+    most = parameters.get('most_events', '2000')
+    if not most.isdecimal() or not 0 < int(most) <= MOST_TIMELINE_EVENTS:
+        raise errors.BadValue(
+            f'most_events: write a number from 1 to {MOST_TIMELINE_EVENTS}'
+        )
+    return timeline.Selection(
+        parameters.get('account', ''),
+        parameters.get('request', ''),
+        parameters.get('kind', ''),
+        int(most),
+    )
+
+
 def intent_of(message: IntentMessage) -> plans.Intent:
     """Return the intent in a message."""
     match message:
--- a/src/greengagelb/protocol/problems.py
+++ b/src/greengagelb/protocol/problems.py
@@ -6,6 +6,11 @@
 DEFAULT_STATUS = 503
 STATUS_OF_CODE = {
     'bad-message': 400,
+    'bad-value': 400,
+    'not-found': 404,
+    'method-not-allowed': 405,
+    'request-too-slow': 408,
+    'internal': 500,
     'body-too-large': 413,
     'unauthenticated': 401,
     'unknown-account': 401,
--- a/src/greengagelb/state/timeline.py
+++ b/src/greengagelb/state/timeline.py
@@ -33,6 +33,30 @@
     upstream: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Selection:
+    """Which events a reader wants; an empty string stands for any."""
+
+    account: str = ''
+    request: str = ''
+    kind: str = ''
+    most_events: int = 2_000
+
+    def holds(self, event: TimelineEvent) -> bool:
+        """Return whether an event is wanted."""
+        return (
+            self.account in ('', event.account)
+            and self.request in ('', event.request)
+            and self.kind in ('', event.kind)
+        )
+
+
+def order_key(event: TimelineEvent) -> tuple[int, int, str]:
+    """Return what events of several processes are sorted by."""
+    stamp = event.stamp
+    return stamp.milliseconds, stamp.count, event.process
+
+
 class HybridClock:
     """Gives stamps that never fall, neither here nor along messages."""
 
@@ -70,3 +94,18 @@
         if len(self.events) == self.events.maxlen:
             self.dropped += 1
         self.events.append(event)
+
+    def select(self, wanted: Selection) -> list[TimelineEvent]:
+        """Return the last events that are wanted, oldest first.
+
+        The choice is made here and not by the reader: the events of a large
+        fleet would be more than a reader can fetch while somebody waits.
+        """
+        found: list[TimelineEvent] = []
+        for event in reversed(self.events):
+            if len(found) == wanted.most_events:
+                break
+            if wanted.holds(event):
+                found.append(event)
+        found.reverse()
+        return found
--- a/src/greengagelb/transport/operator_app.py
+++ b/src/greengagelb/transport/operator_app.py
@@ -106,9 +106,15 @@
     def show_timeline(self, request: server.Request) -> bytes:
         """Show the events that this process still has."""
         self.authenticate(request)
+        parameters = {
+            name.decode('utf-8', 'replace'): values[-1].decode(
+                'utf-8', 'replace'
+            )
+            for name, values in request.args.items()
+        }
         part = operator_api.TimelinePart(
             self.status().process,
             self.timeline.dropped,
-            list(self.timeline.events),
+            self.timeline.select(operator_api.selection_of(parameters)),
         )
         return http.json_answer(request, part)
--- /dev/null
+++ b/src/greengagelb/transport/operator_client.py
@@ -0,0 +1,168 @@
+"""Talks to the operators' interface of instances, for the command line."""
+
+from collections.abc import Coroutine
+import dataclasses
+from typing import Any
+from typing import TypeVar
+import urllib.parse
+
+import treq
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.web import http as web_http
+from twisted.web import iweb
+
+from greengagelb import errors
+from greengagelb.protocol import caller_api
+from greengagelb.protocol import codec
+from greengagelb.protocol import operator_api
+from greengagelb.state import plans as plan_state
+from greengagelb.state import timeline
+from greengagelb.transport import http
+
+T = TypeVar('T')
+ANSWER_SECONDS = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """IP number and port of an instance's operator interface."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f'[{self.host}]' if ':' in self.host else self.host
+        return f'{host}:{self.port}'
+
+
+class OperatorClient:
+    """One instance as an operator sees it.
+
+    Methods raise :class:`~greengagelb.errors.InstanceUnreachable` where no
+    answer came, and :class:`~greengagelb.errors.InstanceRefused` where the
+    answer was no.
+    """
+
+    def __init__(
+        self, reactor: interfaces.IReactorTime, address: Address, key: str
+    ) -> None:
+        self.reactor = reactor
+        self.address = address
+        self.headers = {'Authorization': f'Bearer {key}'}
+        self.treq = treq.client.HTTPClient(
+            http.fresh_connection_agent(reactor)
+        )
+
+    def url(self, path: str) -> str:
+        """Return the URL of a path at the instance."""
+        return f'http://{self.address}{path}'
+
+    async def propose(
+        self, intent: operator_api.IntentMessage
+    ) -> plan_state.Plan:
+        """Return the plan that answers an intent."""
+        answer = self.treq.post(
+            self.url('/v1/plans'),
+            data=codec.encode(intent),
+            headers=self.headers,
+        )
+        return await self.receive(answer, plan_state.Plan)
+
+    async def confirm(self, plan_id: str) -> plan_state.Plan:
+        """Put a plan in force and return it as confirmed."""
+        url = self.url(f'/v1/plans/{quoted(plan_id)}/confirm')
+        answer = self.treq.post(url, headers=self.headers)
+        return await self.receive(answer, plan_state.Plan)
+
+    async def show(self, plan_id: str) -> plan_state.Plan:
+        """Return a plan."""
+        url = self.url(f'/v1/plans/{quoted(plan_id)}')
+        answer = self.treq.get(url, headers=self.headers)
+        return await self.receive(answer, plan_state.Plan)
+
+    async def status(self) -> operator_api.Status:
+        """Return what the instance says of itself."""
+        answer = self.treq.get(self.url('/v1/status'), headers=self.headers)
+        return await self.receive(answer, operator_api.Status)
+
+    async def timeline(
+        self, wanted: timeline.Selection
+    ) -> operator_api.TimelinePart:
+        """Return the selected events that the instance still has."""
+        answer = self.treq.get(
+            self.url('/v1/timeline'),
+            params=operator_api.parameters_of(wanted),
+            headers=self.headers,
+        )
+        return await self.receive(answer, operator_api.TimelinePart)
+
+    async def receive(
+        self, answer: 'defer.Deferred[iweb.IResponse]', kind: type[T]
+    ) -> T:
+        """Return the decoded answer, or raise what went wrong."""
+        answer.addTimeout(ANSWER_SECONDS, self.reactor)
+        try:
+            response = await answer
+            raw = await self.read_body(response)
+        except Exception as exc:
+            raise errors.InstanceUnreachable(
+                f'{self.address}: {type(exc).__name__}'
+            ) from exc
+        try:
+            if response.code == web_http.OK:
+                return codec.decode(raw, kind)
+            problem = codec.decode(raw, caller_api.Problem)
+        except errors.ProtocolError as exc:
+            raise errors.InstanceRefused(
+                exc.code,
+                f'{self.address} answered with status {response.code} in a '
+                f'way that this release does not know: {exc}',
+            ) from exc
+        raise errors.InstanceRefused(
+            problem.code, f'{self.address}: {problem.detail}'
+        )
+
+    def read_body(self, response: iweb.IResponse) -> 'defer.Deferred[bytes]':
+        """Return the whole body of an answer, within its time."""
+        body = http.read_whole_body(response)
+        return body.addTimeout(ANSWER_SECONDS, self.reactor)
+
+
+def quoted(word: str) -> str:
+    """Return a word as one segment of a path."""
+    return urllib.parse.quote(word, safe='')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """An instance that gave no usable answer, and why."""
+
+    address: Address
+    code: str
+    reason: str
+
+
+async def ask_all(
+    clients: list[OperatorClient],
+    question: Any,
+) -> list[Any]:
+    """Ask all instances at once; an :class:`NoAnswer` stands for none.
+
+    One instance that is down must not hide what the others know: that is
+    the moment at which an operator asks.
+    """
+    answers = [
+        defer.Deferred.fromCoroutine(answer_or_unreachable(client, question))
+        for client in clients
+    ]
+    return await defer.gatherResults(answers)
+
+
+async def answer_or_unreachable(client: OperatorClient, question: Any) -> Any:
+    """Return an instance's answer, or why there is none."""
+    asked: Coroutine = question(client)
+    try:
+        return await asked
+    except errors.TransportError as exc:
+        return NoAnswer(client.address, exc.code, str(exc))
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -16,6 +16,8 @@
 import urllib.error
 import urllib.request
 
+from greengagelb.cli import launcher
+
 HOST = '127.0.0.1'
 OPERATOR_KEY = 'operator-key-of-the-tests'
 ACCOUNT_KEY = 'key-of-teratak'
@@ -25,9 +27,7 @@
 
 def free_port() -> int:
     """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    return launcher.free_port()
 
 
 def digest(key: str) -> str:
@@ -95,6 +95,15 @@
     popen: subprocess.Popen
     port: int
     operator_port: int = 0
+    log: pathlib.Path | None = None
+
+    def listens(self) -> bool:
+        """Return whether the process listens; fail if it has ended."""
+        if self.popen.poll() is not None:
+            found = self.log.read_text() if self.log else ''
+            raise AssertionError(f'{self.popen.args} ended: {found}')
+        ports = [self.port, self.operator_port or self.port]
+        return all(listens(port) for port in ports)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to this process only."""
@@ -114,7 +123,8 @@
 
     def run(self, name: str, words: list[str], port: int) -> Process:
         """Start the program with these arguments."""
-        output = self.enter_context((self.folder / f'{name}.log').open('wb'))
+        log = self.folder / f'{name}.log'
+        output = self.enter_context(log.open('wb'))
         popen = subprocess.Popen(
             [sys.executable, '-m', 'greengagelb', *words],
             stdout=output,
@@ -122,7 +132,7 @@
             env=dict(os.environ),
         )
         self.callback(self.end, popen)
-        return Process(popen, port)
+        return Process(popen, port, log=log)
 
     def end(self, popen: subprocess.Popen) -> None:
         """Kill a process that still runs, stopped ones too."""
@@ -138,7 +148,7 @@
             *self.services.values(),
             *self.instances.values(),
         ]:
-            wait_until(lambda p=process: listens(p.port))
+            wait_until(lambda p=process: p.listens())
 
     def stand_in(self, kind: str, name: str, *flags: str) -> Process:
         """Start a stand-in."""
