--- a/src/greengagelb/protocol/operator_api.py
+++ b/src/greengagelb/protocol/operator_api.py
@@ -3,7 +3,9 @@
 ``POST /v1/plans`` with an intent -> the plan; ``POST /v1/plans/{id}/confirm``
 -> the plan as confirmed, or 409 :class:`Conflict`, or 503
 ``confirm-unsettled``; ``GET /v1/plans/{id}`` -> the plan with its stage now;
-``GET /v1/status``; ``GET /v1/timeline``. Header ``Authorization: Bearer KEY``.
+``GET /v1/status``; ``GET /v1/timeline``, with the parameters ``account``,
+``request``, ``kind`` and ``most_events``. All carry the header
+``Authorization: Bearer KEY``.
 
 An intent is an object with ``type``, one of :data:`INTENTS`, and the
 attributes of that data class.
@@ -92,6 +94,16 @@
     events: list[timeline.TimelineEvent]
 
 
+def write_intent(intent: plans.Intent) -> bytes:
+    """Return the message of an intent."""
+    (kind,) = [k for k, wanted in INTENTS.items() if wanted is type(intent)]
+    fields = {
+        field.name: getattr(intent, field.name)
+        for field in dataclasses.fields(intent)
+    }
+    return codec.encode({'type': kind, **fields})
+
+
 def read_intent(raw: bytes) -> plans.Intent:
     """Return the intent in a message.
 
@@ -111,3 +123,34 @@
     if unknown:
         raise errors.ProtocolError(f'{kind} has no {", ".join(unknown)}')
     return codec.decode(raw, wanted)
+
+
+MOST_TIMELINE_EVENTS = 20_000
+
+
+def parameters_of(wanted: timeline.Selection) -> dict[str, str]:
+    """Return the query parameters that ask for a selection of events."""
+    return {
+        'account': wanted.account,
+        'request': wanted.request,
+        'kind': wanted.kind,
+        'most_events': str(wanted.most_events),
+    }
+
+
+def selection_of(parameters: dict[str, str]) -> timeline.Selection:
+    """Return the selection in query parameters."""
+    unknown = set(parameters) - set(parameters_of(timeline.Selection()))
+    if unknown:
+        raise errors.BadValue(f'unknown parameter {min(unknown)}')
+    most = parameters.get('most_events', '2000')
+    if not most.isdecimal() or not 0 < int(most) <= MOST_TIMELINE_EVENTS:
+        raise errors.BadValue(
+            f'most_events: write a number from 1 to {MOST_TIMELINE_EVENTS}'
+        )
+    return timeline.Selection(
+        parameters.get('account', ''),
+        parameters.get('request', ''),
+        parameters.get('kind', ''),
+        int(most),
+    )
--- a/src/greengagelb/transport/operator_app.py
+++ b/src/greengagelb/transport/operator_app.py
@@ -179,9 +179,17 @@
     def show_timeline(self, request: server.Request) -> bytes:
         """Show the events that this process still has."""
         self.authenticate(request)
+        parameters = {
+            name.decode('utf-8', 'replace'): values[-1].decode(
+                'utf-8', 'replace'
+            )
+            for name, values in request.args.items()
+        }
         part = operator_api.TimelinePart(
             self.status().process,
             self.recorder.timeline.dropped,
-            list(self.recorder.timeline.events),
+            self.recorder.timeline.select(
+                operator_api.selection_of(parameters)
+            ),
         )
         return http.json_answer(request, part)
