--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -10,6 +10,7 @@
 import argparse
 from collections.abc import Callable
 import dataclasses
+import hashlib
 import json
 import pathlib
 import random
@@ -18,11 +19,17 @@
 import time
 import tracemalloc
 from typing import Any
+import zlib
 
 from greengagelb.coordination import events
+from greengagelb.coordination import membership
 from greengagelb.coordination import node
 from greengagelb.protocol import codec
+from greengagelb.protocol import engine_api
+from greengagelb.protocol import peer_api
 from greengagelb.state import configuration as configuration_state
+from greengagelb.state import fleet as fleet_state
+from greengagelb.state import timeline
 from measure import recovery
 from tests.common import callers
 from tests.common import fleet
@@ -33,6 +40,9 @@
 ACCOUNT_COUNTS = (110, 550, 1100)
 ENGINE_COUNTS = (63, 315, 630)
 PROBE_COUNTS = (4, 16, 32)
+PEER_COUNTS = (16, 33, 66)
+HEARTBEAT_SECONDS = 4.0
+POLL_SECONDS = (0.05, 0.1, 0.4)
 IDLE_SECONDS = 8.0
 REPEATS = 20
 
@@ -142,7 +152,9 @@
         version=1,
         accounts=tuple(
             configuration_state.ClientAccount(
-                f'account-{number}', f'{number:064x}', ('draft',)
+                f'account-{number}',
+                hashlib.sha256(str(number).encode()).hexdigest(),
+                ('draft',),
             )
             for number in range(accounts)
         ),
@@ -202,6 +214,10 @@
         lines[f'configuration_document_per_{name}'] = fit(
             'bytes', [(size, len(raw)) for size, raw in raws.items()]
         )
+        lines[f'configuration_sent_per_{name}'] = fit(
+            'bytes',
+            [(size, len(zlib.compress(raw))) for size, raw in raws.items()],
+        )
         lines[f'configuration_apply_per_{name}'] = fit(
             'processor seconds',
             [
@@ -219,6 +235,57 @@
     return lines
 
 
+def sample_heartbeat(number: int) -> fleet_state.Heartbeat:
+    """Return the heartbeat of an instance of a number."""
+    address = fleet_state.PeerAddress('10.0.0.1', 7000 + number)
+    peer = fleet_state.PeerId(
+        f'instance-{number}', f'{number:012x}', 'kl-1', address
+    )
+    return fleet_state.Heartbeat(peer, 1, False, timeline.Stamp(10**12, 0))
+
+
+def peers_heard(peers: int) -> membership.Membership:
+    """Return a membership that has heard of some peers."""
+    me = sample_heartbeat(0).sender
+    found = membership.Membership(me, (), HEARTBEAT_SECONDS)
+    for number in range(1, peers + 1):
+        found.heard(sample_heartbeat(number), 0.0)
+    return found
+
+
+def heartbeat_round(
+    found: membership.Membership, peers: int, codec: peer_api.PeerCodec
+) -> None:
+    """Hear all peers once and send one heartbeat to each."""
+    for number in range(1, peers + 1):
+        frame = codec.seal(peer_api.message_of(sample_heartbeat(number)))
+        found.heard(peer_api.heartbeat_of(codec.open(frame)), 1.0)
+    for action in found.tick(1.0):
+        if isinstance(action, membership.SendHeartbeat):
+            codec.seal(peer_api.message_of(action.heartbeat))
+
+
+def peer_lines() -> dict[str, Line]:
+    """Return the lines over the other instances of a data centre."""
+    codec = peer_api.PeerCodec('secret of the measurement')
+    rounds = []
+    memory = []
+    for peers in PEER_COUNTS:
+        found = peers_heard(peers)
+        seconds = processor_time_of(
+            lambda f=found, n=peers: heartbeat_round(f, n, codec)
+        )
+        rounds.append((float(peers), seconds))
+        held = bytes_of(lambda n=peers: peers_heard(n))
+        memory.append((float(peers), float(held)))
+    frame = codec.seal(peer_api.message_of(sample_heartbeat(1)))
+    return {
+        'heartbeat_round_per_peer': fit('processor seconds', rounds),
+        'memory_per_peer': fit('bytes', memory),
+        'heartbeat_bytes': Line('bytes', float(len(frame)), 0.0, []),
+    }
+
+
 def relay_lines() -> dict[str, Line]:
     """Return the lines of a real instance over tokens and streams."""
     measured = {count: measure_relay(count) for count in STREAM_COUNTS}
@@ -248,15 +315,61 @@
 def probe_lines() -> dict[str, Line]:
     """Return the line of an idle instance over watched upstreams."""
     points = [(float(n), measure_probes(n)) for n in PROBE_COUNTS]
-    return {'idle_per_upstream': fit('processor seconds a second', points)}
+    report = sample_report()
+    return {
+        'probe': fit('processor seconds', points),
+        'probe_bytes': Line('bytes', float(len(report)), 0.0, []),
+    }
+
+
+def sample_report() -> bytes:
+    """Return an engine's report as it is sent."""
+    return codec.encode(
+        engine_api.EngineReport(
+            'engine-600',
+            '0' * 12,
+            'm',
+            '1',
+            '',
+            64,
+            12,
+            0.004,
+            10**9,
+            10**9,
+            False,
+        )
+    )
+
+
+def poll_lines() -> dict[str, Line]:
+    """Return the line of an idle instance over its polls of the platform."""
+    points = []
+    for seconds in POLL_SECONDS:
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            fleet.Fleet(pathlib.Path(folder)) as running,
+        ):
+            running.poll_seconds = seconds
+            running.engine('engine-0')
+            running.service('plain-0')
+            running.instance('router-0')
+            running.configure(running.configuration())
+            instance = running.instances['router-0']
+            before = recovery.processor_seconds(instance)
+            time.sleep(IDLE_SECONDS)
+            used = recovery.processor_seconds(instance) - before
+            points.append((IDLE_SECONDS / seconds, used))
+    return {'poll': fit('processor seconds', points)}
 
 
 PARTS = {
+    'peers': peer_lines,
     'configuration': configuration_lines,
     'relay': relay_lines,
     'calls': call_lines,
     'generations': generation_lines,
     'probes': probe_lines,
+    'polls': poll_lines,
 }
 
 
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -118,6 +118,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         super().__init__()
         self.folder = folder
+        self.poll_seconds = 0.2
         self.platform = self.stand_in('platform', 'platform')
         self.engines: dict[str, Process] = {}
         self.services: dict[str, Process] = {}
@@ -186,7 +187,7 @@
             f'host = {HOST}\ncaller_port = {caller}\n'
             f'operator_port = {operator}\npeer_port = {peer}\n'
             f'[platform]\nhost = {HOST}\nport = {platform}\n'
-            'poll_seconds = 0.2\ntimeout_seconds = 1.0\n'
+            f'poll_seconds = {self.poll_seconds}\ntimeout_seconds = 1.0\n'
             '[secrets]\ncursor_secret = the-secret-of-the-test-fleet\n'
             f'operator_key_digest = {digest(OPERATOR_KEY)}\n'
             f'[peers]\nheartbeat_seconds = 0.5\n{named}'
