Let no account at its limit hold up the others, and answer at the deadline

Cause, each shown by a test that failed first: the head of a fair queue whose account may run no more stopped the whole queue; a waiting request had no deadline and heard nothing past it. By reading: every token event walked all queues and all running requests; a stream that waited for an engine lost each free place to new work, since it asked by timer only; many instances filled one engine, since only own requests counted against its slots.

Change: accounts at their limit are parked until one of their requests ends; the fair queue is a heap with lazy entries; supervisors tell what they closed; nothing is looked for unless a place may have come free; requests that can't be done in time are refused when they arrive, by the pace of completed ones, with a jittered Retry-After that grows with the queue; limits are divided over live instances (events.FleetSized); rate and return budgets per account; short calls keep reserved places; routing scores by load times step, keeps prefixes together within a bound, fills returning engines slowly, and keeps an engine away longer each time that its work fails.

--- a/src/greengagelb/coordination/admission.py
+++ b/src/greengagelb/coordination/admission.py
@@ -1,137 +1,249 @@
-"""Who may run next: bounded queues per client account, fair by cost.
+"""Who may run next, and who is refused at once.
 
-One queue for all would let an account that floods make every other account
-wait behind it. Here each account has its own bounded queue per pool, and the
-account with the least service so far, by its weight, is served next.
+Requests wait in a fair queue per pool and class, bounded per client account.
+What can't be answered in time is refused when it arrives, with a time to come
+back that grows with the queue: work that is started too late costs an engine
+as much as work that somebody still waits for.
 """
 
 import collections
 import dataclasses
+import random
 
+from greengagelb.coordination import fair_queue
+from greengagelb.coordination import rates
 from greengagelb.state import configuration as configuration_state
+from greengagelb.state import requests
 
 RETRY_AFTER_SECONDS = 1.0
+MOST_RETRY_AFTER_SECONDS = 120.0
+SECONDS_PER_MINUTE = 60.0
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ticket:
-    """A request that waits for a place on an upstream.
-
-    ``cost`` is in tokens: prompt and the most that may be generated.
-    """
-
-    exchange: int
-    account: str
-    pool: str
-    priority: configuration_state.Priority
-    cost: float
+QueueKey = tuple[str, configuration_state.Priority]
 
 
-@dataclasses.dataclass(slots=True)
-class AccountLine:
-    """An account's waiting tickets and its service so far (virtual time)."""
-
-    finish: float = 0.0
-    waiting: collections.deque[Ticket] = dataclasses.field(
-        default_factory=collections.deque
-    )
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """A request that has been given to an upstream, and when."""
 
+    ticket: fair_queue.Ticket
+    started_at: float
 
-class FairQueue:
-    """Start-time fair queueing over accounts, one queue per pool and class.
 
-    Invariant: virtual time never falls, and an idle account saves up nothing.
-    """
-
-    def __init__(self) -> None:
-        self.virtual_time = 0.0
-        self.lines: dict[str, AccountLine] = {}
-
-    def push(self, ticket: Ticket) -> None:
-        """Append a ticket to its account's line."""
-        line = self.lines.setdefault(ticket.account, AccountLine())
-        if not line.waiting:
-            line.finish = max(line.finish, self.virtual_time)
-        line.waiting.append(ticket)
-
-    def head(self) -> Ticket | None:
-        """Return the ticket that is next, without taking it."""
-        waiting = [line for line in self.lines.values() if line.waiting]
-        if not waiting:
-            return None
-        return min(waiting, key=lambda line: line.finish).waiting[0]
-
-    def pop(self, weight: int) -> Ticket:
-        """Take the next ticket and charge its account by its weight."""
-        ticket = self.head()
-        if ticket is None:
-            raise IndexError('pop from an empty fair queue')
-        line = self.lines[ticket.account]
-        line.waiting.popleft()
-        self.virtual_time = max(self.virtual_time, line.finish)
-        line.finish += ticket.cost / weight
-        self.forget_idle_lines()
-        return ticket
-
-    def discard(self, exchange: int) -> None:
-        """Drop the ticket of an exchange that nobody waits for."""
-        for line in self.lines.values():
-            kept = [t for t in line.waiting if t.exchange != exchange]
-            line.waiting = collections.deque(kept)
-
-    def forget_idle_lines(self) -> None:
-        """Drop lines that hold neither tickets nor a debt."""
-        self.lines = {
-            account: line
-            for account, line in self.lines.items()
-            if line.waiting or line.finish > self.virtual_time
-        }
-
-    def __len__(self) -> int:
-        return sum(len(line.waiting) for line in self.lines.values())
+def key_of(ticket: fair_queue.Ticket) -> QueueKey:
+    """Return the key of the queue that a ticket waits in."""
+    return (ticket.pool, ticket.priority)
 
 
 class AdmissionControl:
-    """Counts what each account runs and keeps what waits."""
+    """Counts what each account runs, and keeps what waits.
 
-    def __init__(self) -> None:
-        self.queues: dict[
-            tuple[str, configuration_state.Priority], FairQueue
-        ] = {}
-        self.running: collections.Counter[str] = collections.Counter()
-        self.queued: collections.Counter[str] = collections.Counter()
+    Invariant: each exchange is counted once, as waiting or as running.
+    ``changed`` tells that a waiting request may be able to start by now.
+    """
 
-    def may_queue(self, account: configuration_state.ClientAccount) -> bool:
-        """Return whether one more request of the account may wait."""
-        return self.queued[account.name] < account.most_queued
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.live_instances = 1
+        self.queues: dict[QueueKey, fair_queue.FairQueue] = {}
+        self.keys: list[QueueKey] = []
+        self.running: dict[int, Running] = {}
+        self.running_of: collections.Counter[str] = collections.Counter()
+        self.running_in: collections.Counter[QueueKey] = collections.Counter()
+        self.queued_of: collections.Counter[str] = collections.Counter()
+        self.paces: dict[QueueKey, rates.Pace] = {}
+        self.rate_buckets: dict[str, rates.CostBucket] = {}
+        self.resume_buckets: dict[str, rates.CostBucket] = {}
+        self.changed = False
+
+    # -- limits -------------------------------------------------------------
+
+    def resize(self, live_instances: int) -> None:
+        """Share the limits of the data centre between its instances."""
+        self.live_instances = max(1, live_instances)
+        self.unpark_all()
+
+    def most_running(self, account: configuration_state.ClientAccount) -> int:
+        """Return this instance's part of the account's limit.
+
+        At least one: a limit below the number of instances is exceeded by
+        up to their difference, instead of shutting out the account's callers
+        at most instances.
+        """
+        return max(1, account.most_running // self.live_instances)
 
     def may_run(self, account: configuration_state.ClientAccount) -> bool:
         """Return whether one more request of the account may run."""
-        return self.running[account.name] < account.most_running
-
-    def push(self, ticket: Ticket) -> None:
+        limit = self.most_running(account)
+        return self.running_of[account.name] < limit
+
+    def refusal(
+        self,
+        ticket: fair_queue.Ticket,
+        account: configuration_state.ClientAccount,
+        resumes: bool,
+        now: float,
+    ) -> requests.Failure | None:
+        """Return why a request is refused at once, or None to let it wait.
+
+        The rate is taken last, so that a refused request uses none of it.
+        """
+        if self.queued_of[account.name] >= account.most_queued:
+            return self.not_run(
+                'account-queue-full',
+                f'{account.most_queued} requests wait already',
+                self.expected_wait(ticket),
+            )
+        wait = self.expected_wait(ticket)
+        if now + wait + self.expected_run(ticket) > ticket.deadline:
+            return self.not_run(
+                'deadline-too-near',
+                f'would have to wait for about {wait:.1f} s',
+                wait,
+            )
+        if resumes:
+            return self.resume_refusal(account, now)
+        return self.rate_refusal(ticket, account, now)
+
+    def rate_refusal(
+        self,
+        ticket: fair_queue.Ticket,
+        account: configuration_state.ClientAccount,
+        now: float,
+    ) -> requests.Failure | None:
+        """Return why the account's rate does not allow a request, if so."""
+        if not account.tokens_per_second:
+            return None
+        rate = account.tokens_per_second / self.live_instances
+        burst = rate * rates.BURST_SECONDS
+        bucket = self.rate_buckets.setdefault(
+            account.name, rates.CostBucket(burst, now)
+        )
+        wait = bucket.take(ticket.cost, rate, burst, now)
+        if wait is None:
+            return None
+        return self.not_run('account-rate-exceeded', account.name, wait)
+
+    def resume_refusal(
+        self, account: configuration_state.ClientAccount, now: float
+    ) -> requests.Failure | None:
+        """Return why a caller may not come back to its stream yet, if so.
+
+        Each return costs engines the prompt again. Callers of one account
+        that drop their connections in a loop would use up what the others
+        need.
+        """
+        burst = float(account.resume_budget)
+        rate = max(burst, 1.0) / SECONDS_PER_MINUTE
+        bucket = self.resume_buckets.setdefault(
+            account.name, rates.CostBucket(burst, now)
+        )
+        wait = bucket.take(1.0, rate, burst, now)
+        if wait is None:
+            return None
+        return self.not_run('resume-budget-spent', account.name, wait)
+
+    def not_run(self, code: str, detail: str, wait: float) -> requests.Failure:
+        """Return a refusal that tells when to come back.
+
+        Without jitter all refused callers would come back at the same time
+        and be refused again.
+        """
+        seconds = max(RETRY_AFTER_SECONDS, wait) * self.rng.uniform(1.0, 2.0)
+        seconds = min(seconds, MOST_RETRY_AFTER_SECONDS)
+        return requests.Failure(code, requests.Ran.NO, detail, seconds)
+
+    # -- estimates ----------------------------------------------------------
+
+    def expected_wait(self, ticket: fair_queue.Ticket) -> float:
+        """Return the seconds until a new ticket starts, as far as known.
+
+        What runs now tells how many places this instance can use: while
+        something waits, all of them are in use.
+        """
+        key = key_of(ticket)
+        pace = self.paces.get(key)
+        running = self.running_in[key]
+        if pace is None or not running:
+            return 0.0
+        cost = self.cost_before(ticket)
+        return cost * pace.seconds_per_cost / running
+
+    def cost_before(self, ticket: fair_queue.Ticket) -> float:
+        """Return the waiting cost that goes before a new ticket."""
+        cost = 0.0
+        for (pool, priority), queue in self.queues.items():
+            if pool != ticket.pool or priority > ticket.priority:
+                continue
+            if priority == ticket.priority:
+                cost += queue.cost_before(ticket.account)
+            else:
+                cost += queue.cost
+        return cost
+
+    def expected_run(self, ticket: fair_queue.Ticket) -> float:
+        """Return the seconds that a request will run, as far as known."""
+        pace = self.paces.get(key_of(ticket))
+        if pace is None:
+            return 0.0
+        return ticket.cost * pace.seconds_per_cost
+
+    # -- moves --------------------------------------------------------------
+
+    def push(self, ticket: fair_queue.Ticket) -> None:
         """Let a ticket wait."""
-        key = (ticket.pool, ticket.priority)
-        self.queues.setdefault(key, FairQueue()).push(ticket)
-        self.queued[ticket.account] += 1
-
-    def heads(self) -> list[Ticket]:
-        """Return the next ticket of each queue, most urgent class first."""
-        keys = sorted(self.queues, key=lambda key: (key[1], key[0]))
-        heads = (self.queues[key].head() for key in keys)
-        return [ticket for ticket in heads if ticket is not None]
-
-    def start(self, ticket: Ticket, weight: int) -> None:
+        key = key_of(ticket)
+        if key not in self.queues:
+            self.queues[key] = fair_queue.FairQueue()
+            self.keys = sorted(self.queues, key=lambda k: (k[1], k[0]))
+        self.queues[key].push(ticket)
+        self.queued_of[ticket.account] += 1
+        self.changed = True
+
+    def start(
+        self, ticket: fair_queue.Ticket, weight: int, now: float
+    ) -> None:
         """Take a head out of its queue and count it as running."""
-        self.queues[(ticket.pool, ticket.priority)].pop(weight)
-        self.queued[ticket.account] -= 1
-        self.running[ticket.account] += 1
-
-    def discard(self, ticket: Ticket) -> None:
+        key = key_of(ticket)
+        self.queues[key].pop(weight)
+        self.queued_of[ticket.account] -= 1
+        self.running[ticket.exchange] = Running(ticket, now)
+        self.running_of[ticket.account] += 1
+        self.running_in[key] += 1
+
+    def park(self, ticket: fair_queue.Ticket) -> None:
+        """Set the ticket's account aside until one of its requests ends."""
+        self.queues[key_of(ticket)].park(ticket.account)
+
+    def unpark_all(self) -> None:
+        """Let every account compete again: limits have changed."""
+        for queue in self.queues.values():
+            for account in list(queue.lines):
+                queue.unpark(account)
+        self.changed = True
+
+    def discard(self, ticket: fair_queue.Ticket) -> None:
         """Forget a ticket that waits."""
-        self.queues[(ticket.pool, ticket.priority)].discard(ticket.exchange)
-        self.queued[ticket.account] -= 1
-
-    def finish(self, account: str) -> None:
-        """Count a request of the account as no longer running."""
-        self.running[account] -= 1
+        queue = self.queues[key_of(ticket)]
+        queue.discard(ticket.account, ticket.exchange)
+        self.queued_of[ticket.account] -= 1
+
+    def finish(self, exchange: int, completed: bool, now: float) -> None:
+        """Count a request as no longer running.
+
+        Only completed ones tell the pace. Callers that hang up at once would
+        make the engines look faster than they are.
+        """
+        ended = self.running.pop(exchange, None)
+        if ended is None:
+            return
+        ticket = ended.ticket
+        key = key_of(ticket)
+        self.running_of[ticket.account] -= 1
+        self.running_in[key] -= 1
+        if completed:
+            pace = self.paces.setdefault(key, rates.Pace())
+            pace.observe(now - ended.started_at, ticket.cost)
+        for queue in self.queues.values():
+            queue.unpark(ticket.account)
+        self.changed = True
--- a/src/greengagelb/coordination/calls.py
+++ b/src/greengagelb/coordination/calls.py
@@ -52,6 +52,7 @@
         self.directory = directory
         self.incarnation = incarnation
         self.calls: dict[int, Call] = {}
+        self.closed: list[int] = []
         self.counter = itertools.count(1)
 
     def begin(
@@ -122,7 +123,9 @@
 
     def dispatch(self, call: Call, now: float) -> list[actions.Action]:
         """Hand the call to an upstream."""
-        view = self.directory.choose(call.pool, call.excluded, now)
+        view = self.directory.choose(
+            call.pool, call.excluded, now, call.service.priority
+        )
         if view is None:
             ran = requests.Ran.UNKNOWN if call.dispatches else requests.Ran.NO
             return self.fail(call, 'no-upstream', ran, RETRY_AFTER_SECONDS)
@@ -217,6 +220,7 @@
             call.upstream = None
         exchange = call.request.exchange
         self.calls.pop(exchange, None)
+        self.closed.append(exchange)
         return [actions.ClearTimer(f'{DEADLINE_TIMER}:{exchange}')]
 
     def timeline(self, call: Call, kind: str, reason: str) -> actions.Record:
--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -124,6 +124,20 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineCacheChanged:
+    """An engine stored and dropped prefixes, named by their digests.
+
+    Events come late and some are lost: ``sequence`` counts them from 1 for
+    each incarnation.
+    """
+
+    engine: identity.EngineId
+    sequence: int
+    stored: tuple[str, ...]
+    dropped: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamLeaving:
     """Some source says that an upstream is leaving; final per incarnation."""
@@ -188,6 +202,13 @@
     source: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetSized:
+    """How many instances of this data centre share its limits."""
+
+    live_instances: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopRequested:
     """The platform asks this instance to stop."""
@@ -224,6 +245,7 @@
     | AttemptCancelled
     | CancelFailed
     | UpstreamReported
+    | EngineCacheChanged
     | UpstreamUnreachable
     | UpstreamLeaving
     | ClaimWritten
@@ -232,6 +254,7 @@
     | CallAnswered
     | CallBroken
     | ConfigurationOffered
+    | FleetSized
     | StopRequested
     | PauseNoticed
     | TimerFired
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -13,12 +13,15 @@
 from greengagelb.coordination import calls
 from greengagelb.coordination import cancellations
 from greengagelb.coordination import events
+from greengagelb.coordination import fair_queue
 from greengagelb.coordination import routing
 from greengagelb.coordination import streams
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
 
 CHARACTERS_PER_TOKEN = 4
+QUEUE_TIMER = 'queued'
+PREFIX_CHARACTERS = 256
 
 Arrival = (
     events.GenerationSubmitted
@@ -38,16 +41,21 @@
         self.incarnation = incarnation
         self.configuration = configuration_state.Configuration()
         self.directory = routing.UpstreamDirectory(rng)
-        self.admission = admission.AdmissionControl()
+        self.admission = admission.AdmissionControl(rng)
+        self.accounts: dict[str, configuration_state.ClientAccount] = {}
         self.cancels = cancellations.CancellationSupervisor()
         self.streams = streams.StreamSupervisor(
             self.directory, self.cancels, incarnation
         )
         self.calls = calls.CallSupervisor(self.directory, incarnation)
-        self.waiting: dict[int, tuple[admission.Ticket, Arrival]] = {}
-        self.running: dict[int, admission.Ticket] = {}
+        self.waiting: dict[int, tuple[fair_queue.Ticket, Arrival]] = {}
         self.stopping = False
 
+    @property
+    def running(self) -> dict[int, admission.Running]:
+        """Return the requests that upstreams have, by exchange."""
+        return self.admission.running
+
     @property
     def ready(self) -> bool:
         """Return whether the platform's balancer may send callers here."""
@@ -56,8 +64,11 @@
     def handle(self, event: events.Event, now: float) -> list[actions.Action]:
         """Decide what an event leads to."""
         done = self.decide(event, now)
-        self.release_finished()
+        self.release_finished(done, now)
         done += self.start_waiting(now)
+        self.release_finished(done, now)
+        if isinstance(event, Arrival):
+            done += self.queue_timer(event.request.exchange)
         if self.stopping and not self.running and not self.waiting:
             done.append(actions.FinishStopping())
         return done
@@ -111,6 +122,9 @@
             case events.UpstreamReported():
                 self.directory.observe(event, now)
                 return []
+            case events.EngineCacheChanged():
+                self.directory.cache_changed(event)
+                return []
             case events.UpstreamUnreachable(name):
                 self.directory.suspect(name, now)
                 return []
@@ -119,6 +133,10 @@
                 return []
             case events.ConfigurationOffered():
                 return self.configure(event)
+            case events.FleetSized(live_instances):
+                self.admission.resize(live_instances)
+                self.directory.resize(live_instances)
+                return []
             case events.StopRequested():
                 self.stopping = True
                 return [actions.Record('stopping', 'stop requested')]
@@ -134,22 +152,51 @@
     def arrive(self, event: Arrival, now: float) -> list[actions.Action]:
         """Admit a request, let it wait, or refuse it at once."""
         request = event.request
-        account = self.configuration.find_account(request.request.account)
+        account = self.accounts.get(request.request.account)
         service = self.configuration.find_service(request.service)
         refusal = self.refusal(event, account, service)
         if refusal is not None or account is None or service is None:
             return [actions.SendFailure(request.exchange, refusal)]
-        ticket = admission.Ticket(
-            request.exchange,
-            account.name,
-            service.pool,
-            service.priority,
-            self.cost(event),
-        )
+        ticket = self.ticket(event, service)
+        resumes = isinstance(event, events.GenerationResumed)
+        refusal = self.admission.refusal(ticket, account, resumes, now)
+        if refusal is not None:
+            return [actions.SendFailure(request.exchange, refusal)]
         self.admission.push(ticket)
         self.waiting[request.exchange] = (ticket, event)
         return []
 
+    def ticket(
+        self, event: Arrival, service: configuration_state.Service
+    ) -> fair_queue.Ticket:
+        """Return the ticket with which a request waits.
+
+        A caller who comes back to its stream goes before new long work.
+        """
+        priority = service.priority
+        if isinstance(event, events.GenerationResumed):
+            priority = min(priority, configuration_state.Priority.RESUME)
+        return fair_queue.Ticket(
+            event.request.exchange,
+            event.request.request.account,
+            service.pool,
+            priority,
+            self.cost(event),
+            event.request.deadline,
+        )
+
+    def queue_timer(self, exchange: int) -> list[actions.Action]:
+        """Return the timer that ends the wait of a request, if it waits.
+
+        Without it a caller would hear nothing past its deadline for as long
+        as the upstreams stay busy.
+        """
+        if exchange not in self.waiting:
+            return []
+        ticket, _ = self.waiting[exchange]
+        name = streams.timer_name(QUEUE_TIMER, exchange)
+        return [actions.SetTimer(name, ticket.deadline)]
+
     def refusal(
         self,
         event: Arrival,
@@ -170,12 +217,6 @@
         )
         if service.kind is not wanted:
             return not_run('wrong-service-kind', service.kind.value, None)
-        if not self.admission.may_queue(account):
-            return not_run(
-                'account-queue-full',
-                f'{account.most_queued} requests wait already',
-                admission.RETRY_AFTER_SECONDS,
-            )
         return None
 
     def cost(self, event: Arrival) -> float:
@@ -183,68 +224,119 @@
         match event:
             case events.CallSubmitted():
                 return 1.0
+            case events.GenerationResumed():
+                prompt = len(event.request.prompt) / CHARACTERS_PER_TOKEN
+                left = event.request.most_tokens - len(event.received)
+                return prompt + max(1, left)
             case _:
                 prompt = len(event.request.prompt) / CHARACTERS_PER_TOKEN
                 return prompt + event.request.most_tokens
 
     def start_waiting(self, now: float) -> list[actions.Action]:
-        """Start waiting requests for which there is room."""
+        """Start waiting requests for which there is room.
+
+        Tokens are by far the most frequent events, and free no place: where
+        nothing has changed nothing is looked at.
+        """
+        if not (self.admission.changed or self.directory.changed):
+            return []
+        self.admission.changed = False
+        self.directory.changed = False
+        done = self.streams.recover_waiting(now)
+        for key in self.admission.keys:
+            done += self.start_queue(key, now)
+        return done
+
+    def start_queue(
+        self, key: admission.QueueKey, now: float
+    ) -> list[actions.Action]:
+        """Start requests of one queue until there is no room for its next.
+
+        Accounts at their limit are set aside. Were they waited for, all
+        others of the queue would wait with engines free.
+        """
         done: list[actions.Action] = []
-        progress = True
-        while progress:
-            progress = False
-            for ticket in self.admission.heads():
-                started = self.start(ticket, now)
-                if started is not None:
-                    done += started
-                    progress = True
+        queue = self.admission.queues[key]
+        while (ticket := queue.head()) is not None:
+            account = self.accounts.get(ticket.account)
+            if account is not None and not self.admission.may_run(account):
+                self.admission.park(ticket)
+                continue
+            started = self.start(ticket, account, now)
+            if started is None:
+                break
+            done += started
         return done
 
     def start(
-        self, ticket: admission.Ticket, now: float
+        self,
+        ticket: fair_queue.Ticket,
+        account: configuration_state.ClientAccount | None,
+        now: float,
     ) -> list[actions.Action] | None:
         """Start a request, or return None where there is no room."""
-        account = self.configuration.find_account(ticket.account)
         pool = self.configuration.find_pool(ticket.pool)
         event = self.waiting[ticket.exchange][1]
         service = self.configuration.find_service(event.request.service)
         if account is None or pool is None or service is None:
-            return self.refuse_waiting(ticket, 'service-withdrawn')
-        if not self.admission.may_run(account):
+            return self.refuse_waiting(ticket, 'service-withdrawn', None)
+        if now + self.admission.expected_run(ticket) > ticket.deadline:
+            wait = self.admission.expected_wait(ticket)
+            return self.refuse_waiting(ticket, 'deadline-too-near', wait)
+        if ticket.priority is configuration_state.Priority.LONG and (
+            self.streams.recovers_in(pool)
+        ):
             return None
-        view = self.directory.choose(pool, set(), now)
+        view = self.directory.choose(
+            pool, set(), now, ticket.priority, prefix_of(event)
+        )
         if view is None:
             return None
         del self.waiting[ticket.exchange]
-        self.admission.start(ticket, account.weight)
-        self.running[ticket.exchange] = ticket
+        self.admission.start(ticket, account.weight, now)
+        timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
+        done: list[actions.Action] = [actions.ClearTimer(timer)]
         match event:
             case events.GenerationSubmitted(request):
-                return self.streams.begin(request, service, pool, view, now)
+                done += self.streams.begin(request, service, pool, view, now)
             case events.GenerationResumed():
-                return self.streams.resume(event, service, pool, now)
+                done += self.streams.resume(event, service, pool, now)
             case events.CallSubmitted(call):
-                return self.calls.begin(call, service, pool, now)
+                done += self.calls.begin(call, service, pool, now)
+        if not self.is_in_progress(ticket.exchange):
+            self.admission.finish(ticket.exchange, False, now)
+        return done
 
     def refuse_waiting(
-        self, ticket: admission.Ticket, code: str
+        self, ticket: fair_queue.Ticket, code: str, wait: float | None
     ) -> list[actions.Action]:
         """Refuse a request that can't start any more."""
         self.admission.discard(ticket)
         del self.waiting[ticket.exchange]
+        timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
         failure = not_run(code, ticket.pool, None)
-        return [actions.SendFailure(ticket.exchange, failure)]
+        if wait is not None:
+            failure = self.admission.not_run(code, ticket.pool, wait)
+        return [
+            actions.ClearTimer(timer),
+            actions.SendFailure(ticket.exchange, failure),
+        ]
+
+    def is_in_progress(self, exchange: int) -> bool:
+        """Return whether a request still waits for its final answer."""
+        return exchange in self.streams.streams or exchange in self.calls.calls
 
-    def release_finished(self) -> None:
+    def release_finished(self, done: list[actions.Action], now: float) -> None:
         """Give back the places of requests that have their answer."""
-        for exchange in list(self.running):
-            alive = (
-                exchange in self.streams.streams
-                or exchange in self.calls.calls
-            )
-            if not alive:
-                ticket = self.running.pop(exchange)
-                self.admission.finish(ticket.account)
+        for closed in (self.streams.closed, self.calls.closed):
+            while closed:
+                exchange = closed.pop()
+                completed = any(
+                    isinstance(action, actions.SendEnd | actions.SendAnswer)
+                    and action.exchange == exchange
+                    for action in done
+                )
+                self.admission.finish(exchange, completed, now)
 
     # -- other events -------------------------------------------------------
 
@@ -253,7 +345,8 @@
         if exchange in self.waiting:
             ticket, _ = self.waiting.pop(exchange)
             self.admission.discard(ticket)
-            return []
+            timer = streams.timer_name(QUEUE_TIMER, exchange)
+            return [actions.ClearTimer(timer)]
         return [
             *self.streams.caller_gone(exchange),
             *self.calls.caller_gone(exchange),
@@ -265,11 +358,22 @@
         match kind:
             case 'cancel':
                 return self.cancels.timer_fired(name)
+            case 'queued':
+                return self.queued_too_long(int(rest))
             case calls.DEADLINE_TIMER:
                 return self.calls.deadline_passed(int(rest))
             case _:
                 return self.streams.timer_fired(kind, int(rest), now)
 
+    def queued_too_long(self, exchange: int) -> list[actions.Action]:
+        """Give a request that still waits its final answer."""
+        waiting = self.waiting.get(exchange)
+        if waiting is None:
+            return []
+        ticket, _ = waiting
+        wait = self.admission.expected_wait(ticket)
+        return self.refuse_waiting(ticket, 'deadline-passed', wait)
+
     def configure(
         self, event: events.ConfigurationOffered
     ) -> list[actions.Action]:
@@ -282,7 +386,9 @@
         if offered.version <= self.configuration.version:
             return []
         self.configuration = offered
+        self.accounts = {a.name: a for a in offered.accounts}
         self.directory.apply(offered)
+        self.admission.unpark_all()
         return [
             actions.Record(
                 'configuration-applied',
@@ -296,3 +402,18 @@
 ) -> requests.Failure:
     """Return a failure for a request that was never handed on."""
     return requests.Failure(code, requests.Ran.NO, detail, retry_after)
+
+
+def prefix_of(event: Arrival) -> str:
+    """Return what requests have in common that share a cached prefix.
+
+    It is scoped by client account, so that no account can learn from its
+    own latency what another has asked.
+    """
+    if isinstance(event, events.CallSubmitted):
+        return ''
+    prompt = event.request.prompt
+    if len(prompt) < PREFIX_CHARACTERS:
+        return ''
+    account = event.request.request.account
+    return f'{account}/{prompt[:PREFIX_CHARACTERS]}'
--- /dev/null
+++ b/src/greengagelb/coordination/rates.py
@@ -0,0 +1,64 @@
+"""Rates over time: token buckets, and the pace at which work is done.
+
+Times are monotonic seconds and come from the caller; nothing reads a clock.
+"""
+
+import dataclasses
+
+PACE_DECAY = 0.95
+BURST_SECONDS = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class CostBucket:
+    """A token bucket that lets one request take it into debt.
+
+    A request that costs more than a whole burst would otherwise never be
+    let through. The overshoot is at most one request's cost.
+    """
+
+    level: float
+    updated_at: float
+
+    def fill(self, rate: float, burst: float, now: float) -> None:
+        """Add what has come in since the last time."""
+        passed = max(0.0, now - self.updated_at)
+        self.level = min(burst, self.level + passed * rate)
+        self.updated_at = now
+
+    def take(
+        self, cost: float, rate: float, burst: float, now: float
+    ) -> float | None:
+        """Take a cost; else return the seconds until it may be asked again.
+
+        ``rate`` is per second and above zero.
+        """
+        self.fill(rate, burst, now)
+        if self.level <= 0.0:
+            return (1.0 - self.level) / rate
+        self.level -= cost
+        return None
+
+
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """Seconds that a unit of cost takes, from requests that were completed.
+
+    A ratio of sums, so that a small request counts little: one account's
+    tiny requests can't make all others look hopeless.
+    """
+
+    seconds: float = 0.0
+    cost: float = 0.0
+
+    def observe(self, seconds: float, cost: float) -> None:
+        """Take in a completed request."""
+        self.seconds = self.seconds * PACE_DECAY + seconds
+        self.cost = self.cost * PACE_DECAY + cost
+
+    @property
+    def seconds_per_cost(self) -> float:
+        """Return the pace; zero while nothing is known."""
+        if not self.cost:
+            return 0.0
+        return self.seconds / self.cost
--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -2,30 +2,49 @@
 
 Load reports lag, so what this instance itself has in flight is counted in
 full and the report is trusted less the older it is. Of two upstreams picked
-at random the less loaded one is taken: always taking the least loaded would
-send every instance to the same upstream until the next report.
+at random the better one is taken: always taking the least loaded would send
+every instance to the same upstream until the next report. Requests that share
+a prefix go where it is likely to be cached, as long as that is not much
+busier than the others.
 """
 
+import hashlib
+import math
 import random
 
+from greengagelb import errors
 from greengagelb.coordination import events
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import upstreams as upstream_state
 
 REPORT_TRUST_SECONDS = 5.0
 SUSPICION_SECONDS = 2.0
+MOST_SUSPICION_SECONDS = 30.0
+FORGIVE_SECONDS = 30.0
+RETURN_SECONDS = 5.0
 CHOICES = 2
+SLOTS_PER_SHORT_RESERVE = 8
+AFFINITY_BOUND = 1.25
+MOST_CACHED_PREFIXES = 4096
+SHORT = configuration_state.Priority.SHORT
+RESUME = configuration_state.Priority.RESUME
 
 
 class UpstreamDirectory:
     """All upstreams of the configuration in force, and what is known of them.
 
-    Invariant: ``in_flight`` of an upstream is never negative.
+    Invariant: ``in_flight`` of an upstream is never negative. ``changed``
+    tells that an upstream may have room by now that it had not before.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.views: dict[str, upstream_state.UpstreamView] = {}
+        self.short_pools: set[str] = set()
+        self.live_instances = 1
+        self.changed = False
+
+    # -- what is known ------------------------------------------------------
 
     def apply(self, configuration: configuration_state.Configuration) -> None:
         """Adopt the upstreams of a configuration, keeping what is known."""
@@ -42,24 +61,52 @@
         for name in list(self.views):
             if name not in named and not self.views[name].in_flight:
                 del self.views[name]
+        self.short_pools = shared_pools(configuration)
+        self.changed = True
+
+    def resize(self, live_instances: int) -> None:
+        """Share the upstreams' places with that many instances."""
+        self.live_instances = max(1, live_instances)
+        self.changed = True
 
     def observe(self, report: events.UpstreamReported, now: float) -> None:
-        """Take in an upstream's report."""
+        """Take in an upstream's report.
+
+        A report proves that the upstream is there. It does not prove that
+        it generates: one whose work has failed stays suspected for its time.
+        """
         view = self.views.get(report.engine.name)
         if view is None:
             return
         if view.incarnation != report.engine.incarnation:
-            view.leaving = False
-        view.incarnation = report.engine.incarnation
+            self.meet_incarnation(view, report.engine.incarnation, now)
         view.model = report.model
         view.version = report.version
         view.adapter = report.adapter
         view.reported_running = report.running
         view.reported_queued = report.queued
         view.reported_at = now
+        view.in_flight_at_report = view.in_flight
         view.step_seconds = report.step_seconds
         view.leaving = view.leaving or report.leaving
-        view.suspected_until = float('-inf')
+        self.changed = True
+
+    def meet_incarnation(
+        self,
+        view: upstream_state.UpstreamView,
+        incarnation: str,
+        now: float,
+    ) -> None:
+        """Forget what was known of an upstream before it restarted."""
+        restarted = bool(view.incarnation)
+        view.incarnation = incarnation
+        view.leaving = False
+        view.cache_known = False
+        view.prefixes.clear()
+        if restarted:
+            view.failures = 0
+            view.suspected_until = min(view.suspected_until, now)
+            view.returned_at = now
 
     def mark_leaving(self, event: events.UpstreamLeaving) -> None:
         """Give no new work to that incarnation from now on."""
@@ -68,27 +115,91 @@
             view.leaving = True
 
     def suspect(self, name: str, now: float) -> None:
-        """Keep new work away from an upstream that has just failed."""
+        """Keep new work away from an upstream that has just failed.
+
+        Each time in a row it is kept away for longer. An upstream that
+        answers probes and fails all work would otherwise be given new work
+        every few seconds. The many streams that fail at one moment count
+        once.
+        """
         view = self.views.get(name)
-        if view is not None:
-            view.suspected_until = now + SUSPICION_SECONDS
+        if view is None or now < view.suspected_until:
+            return
+        if now - view.suspected_until > FORGIVE_SECONDS:
+            view.failures = 0
+        wait = min(
+            SUSPICION_SECONDS * 2**view.failures, MOST_SUSPICION_SECONDS
+        )
+        view.failures += 1
+        view.suspected_at = now
+        view.suspected_until = now + wait
+        view.returned_at = view.suspected_until
+
+    def cache_changed(self, event: events.EngineCacheChanged) -> None:
+        """Take in what an engine says of its prefix cache.
+
+        Where an event is missing, the prefixes that it dropped would be
+        thought cached for ever: all that was known is forgotten then.
+        """
+        view = self.views.get(event.engine.name)
+        if view is None or view.incarnation != event.engine.incarnation:
+            return
+        if event.sequence <= view.cache_sequence and view.cache_known:
+            return
+        if event.sequence != view.cache_sequence + 1:
+            view.prefixes.clear()
+        view.cache_known = True
+        view.cache_sequence = event.sequence
+        view.prefixes.difference_update(event.dropped)
+        view.prefixes.update(event.stored)
+        if len(view.prefixes) > MOST_CACHED_PREFIXES:
+            view.prefixes.clear()
+
+    # -- choice -------------------------------------------------------------
 
     def choose(
         self,
         pool: configuration_state.Pool,
         excluded: set[str],
         now: float,
+        priority: configuration_state.Priority = RESUME,
+        prefix: str = '',
     ) -> upstream_state.UpstreamView | None:
         """Return a view with room for one more request, or None."""
         usable = [
             view
             for view in self.usable_views(pool, excluded, now)
-            if view.in_flight < pool.slots_per_upstream
+            if self.has_room(view, pool, priority, now)
         ]
         if not usable:
             return None
+        if prefix:
+            near = self.choose_by_prefix(usable, prefix, now)
+            if near is not None:
+                return near
         picked = self.rng.sample(usable, min(CHOICES, len(usable)))
-        return min(picked, key=lambda view: self.load(view, now))
+        return min(picked, key=lambda view: self.score(view, now))
+
+    def choose_by_prefix(
+        self,
+        usable: list[upstream_state.UpstreamView],
+        prefix: str,
+        now: float,
+    ) -> upstream_state.UpstreamView | None:
+        """Return the upstream that is likely to hold a prefix, if not busy.
+
+        Without the bound the upstream of a popular prefix would be swamped
+        while the others idle.
+        """
+        key = digest(prefix)
+        scores = [self.score(view, now) for view in usable]
+        most = AFFINITY_BOUND * sum(scores) / len(scores)
+        holding = [view for view in usable if key in view.prefixes]
+        likely = max(usable, key=lambda view: rank(key, view.upstream.name))
+        for view in [*holding, likely]:
+            if self.score(view, now) <= most:
+                return view
+        return None
 
     def usable_views(
         self,
@@ -96,21 +207,27 @@
         excluded: set[str],
         now: float,
     ) -> list[upstream_state.UpstreamView]:
-        """Return the views of a pool that may get new work."""
-        views = []
-        for upstream in pool.upstreams:
-            view = self.views.get(upstream.name)
-            if view is None or view.upstream.name in excluded:
-                continue
-            if self.may_get_work(view, pool, now):
-                views.append(view)
-        return views
+        """Return the views of a pool that may get new work.
+
+        Where all are suspected, those that have reported since are used: it
+        may be this instance's own connections that failed.
+        """
+        views = [
+            view
+            for upstream in pool.upstreams
+            if upstream.name not in excluded
+            and (view := self.views.get(upstream.name)) is not None
+            and self.may_get_work(view, pool)
+        ]
+        trusted = [view for view in views if now >= view.suspected_until]
+        if trusted:
+            return trusted
+        return [view for view in views if view.reported_at > view.suspected_at]
 
     def may_get_work(
         self,
         view: upstream_state.UpstreamView,
         pool: configuration_state.Pool,
-        now: float,
     ) -> bool:
         """Return whether an upstream may get new work of a pool.
 
@@ -120,8 +237,6 @@
         """
         if view.leaving or view.upstream.draining:
             return False
-        if now < view.suspected_until:
-            return False
         if not view.incarnation or not pool.version:
             return True
         return (view.model, view.version, view.adapter) == (
@@ -130,14 +245,79 @@
             pool.adapter,
         )
 
+    def has_room(
+        self,
+        view: upstream_state.UpstreamView,
+        pool: configuration_state.Pool,
+        priority: configuration_state.Priority,
+        now: float,
+    ) -> bool:
+        """Return whether one more request of a class fits an upstream.
+
+        What an engine can't run yet it queues, and a stream that waits there
+        looks like one that has stalled. So no instance gives an engine more
+        between two reports than its part of the places that were free.
+        """
+        slots = self.slots(view, pool, priority, now)
+        if now - view.reported_at >= REPORT_TRUST_SECONDS:
+            share = math.ceil(slots / self.live_instances)
+            return view.in_flight < share
+        if self.load(view, now) >= slots:
+            return False
+        others = view.reported_running + view.reported_queued
+        free = slots - max(others, view.in_flight_at_report)
+        allowed = max(1, math.ceil(free / self.live_instances))
+        grown = view.in_flight - view.in_flight_at_report
+        return grown < allowed
+
+    def slots(
+        self,
+        view: upstream_state.UpstreamView,
+        pool: configuration_state.Pool,
+        priority: configuration_state.Priority,
+        now: float,
+    ) -> int:
+        """Return how many requests an upstream may have for one class.
+
+        Long work leaves some places to short calls, so that these never
+        wait for it. An upstream that has just come back has empty caches and
+        may fail again, so that it is filled up over some seconds.
+        """
+        slots = pool.slots_per_upstream
+        if pool.name in self.short_pools and priority is not SHORT:
+            reserve = math.ceil(slots / SLOTS_PER_SHORT_RESERVE)
+            slots = max(1, slots - reserve)
+        back = now - view.returned_at
+        if back >= RETURN_SECONDS:
+            return slots
+        return max(1, math.floor(slots * max(0.0, back) / RETURN_SECONDS))
+
     def load(self, view: upstream_state.UpstreamView, now: float) -> float:
         """Return the load of an upstream in requests, aged by its lag."""
         age = now - view.reported_at
         trust = max(0.0, 1.0 - age / REPORT_TRUST_SECONDS)
         reported = view.reported_running + view.reported_queued
-        others = max(0.0, reported - view.in_flight)
+        others = max(0.0, reported - view.in_flight_at_report)
         return view.in_flight + trust * others
 
+    def score(self, view: upstream_state.UpstreamView, now: float) -> float:
+        """Return how long an upstream takes, relative to others.
+
+        A slow engine counts as a busy one. An engine whose step is unknown
+        counts by its load alone.
+        """
+        pace = view.step_seconds or self.usual_step()
+        return (self.load(view, now) + 1.0) * pace
+
+    def usual_step(self) -> float:
+        """Return a step that upstreams have which report one, or 1."""
+        for view in self.views.values():
+            if view.step_seconds:
+                return view.step_seconds
+        return 1.0
+
+    # -- counting -----------------------------------------------------------
+
     def started(self, name: str) -> None:
         """Count a request that has been given to an upstream."""
         self.views[name].in_flight += 1
@@ -145,5 +325,30 @@
     def finished(self, name: str) -> None:
         """Count a request that an upstream no longer has."""
         view = self.views.get(name)
-        if view is not None and view.in_flight:
-            view.in_flight -= 1
+        if view is None:
+            return
+        if not view.in_flight:
+            raise errors.InvariantViolated(f'{name} has nothing in flight')
+        view.in_flight -= 1
+        self.changed = True
+
+
+def shared_pools(
+    configuration: configuration_state.Configuration,
+) -> set[str]:
+    """Return the pools that serve short calls beside other work."""
+    classes: dict[str, set[bool]] = {}
+    for service in configuration.services:
+        is_short = service.priority is SHORT
+        classes.setdefault(service.pool, set()).add(is_short)
+    return {pool for pool, found in classes.items() if len(found) > 1}
+
+
+def digest(prefix: str) -> str:
+    """Return the name under which a prefix is kept; 16 hex digits."""
+    return hashlib.blake2b(prefix.encode(), digest_size=8).hexdigest()
+
+
+def rank(key: str, name: str) -> bytes:
+    """Return the rendezvous rank of an upstream for a prefix's digest."""
+    return hashlib.blake2b(f'{key}/{name}'.encode(), digest_size=8).digest()
--- a/src/greengagelb/coordination/streams.py
+++ b/src/greengagelb/coordination/streams.py
@@ -58,6 +58,7 @@
         self.streams: dict[int, stream_state.Stream] = {}
         self.exchanges: dict[identity.AttemptId, int] = {}
         self.recover_by: dict[int, float] = {}
+        self.closed: list[int] = []
         self.counter = itertools.count(1)
         self.dropped_events = 0
 
@@ -306,6 +307,24 @@
         timer = timer_name(RECOVERY_TIMER, exchange)
         return [actions.SetTimer(timer, now + RECOVERY_RETRY_SECONDS)]
 
+    def recovers_in(self, pool: configuration_state.Pool) -> bool:
+        """Return whether a stream of a pool waits for an engine."""
+        return any(
+            self.streams[exchange].pool.name == pool.name
+            for exchange in self.recover_by
+        )
+
+    def recover_waiting(self, now: float) -> list[actions.Action]:
+        """Give streams that have no engine the places that came free.
+
+        Were they to wait for their timers, new work would take each place
+        first, and streams would be given up on for want of an engine.
+        """
+        done: list[actions.Action] = []
+        for exchange in list(self.recover_by):
+            done += self.recover(self.streams[exchange], now)
+        return done
+
     def timer_fired(
         self, kind: str, exchange: int, now: float
     ) -> list[actions.Action]:
@@ -386,6 +405,7 @@
         self.release_upstream(stream)
         self.streams.pop(exchange, None)
         self.recover_by.pop(exchange, None)
+        self.closed.append(exchange)
         return [
             actions.ClearTimer(timer_name(STALL_TIMER, exchange)),
             actions.ClearTimer(timer_name(RECOVERY_TIMER, exchange)),
--- a/src/greengagelb/protocol/problems.py
+++ b/src/greengagelb/protocol/problems.py
@@ -15,6 +15,8 @@
     'bad-cursor': 400,
     'received-tokens-differ': 409,
     'account-queue-full': 429,
+    'account-rate-exceeded': 429,
+    'resume-budget-spent': 429,
     'twin-outcome-unknown': 409,
     'outcome-unknown': 502,
     'deadline-passed': 504,
--- a/src/greengagelb/state/configuration.py
+++ b/src/greengagelb/state/configuration.py
@@ -87,7 +87,10 @@
 
     ``weight`` sets its share where accounts compete, ``most_running`` bounds
     its running requests per data centre, ``most_queued`` its waiting ones per
-    instance. ``resume_budget`` bounds resumes per minute and instance.
+    instance. ``resume_budget`` bounds the callers' returns to broken streams
+    per minute and instance. ``tokens_per_second`` bounds what may be started
+    per data centre, prompt and most generated tokens together; 0 means that
+    there is no such bound.
     """
 
     name: str
@@ -97,6 +100,7 @@
     most_running: int = 64
     most_queued: int = 64
     resume_budget: int = 120
+    tokens_per_second: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/load/test_fair_queue.py
@@ -0,0 +1,84 @@
+"""The fair queue as a data structure."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+
+from greengagelb.coordination import fair_queue
+from greengagelb.state import configuration
+
+LONG = configuration.Priority.LONG
+ACCOUNTS = strategies.sampled_from(['a', 'b', 'c'])
+MOVES = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(['push', 'pop', 'drop', 'park', 'unpark']),
+        ACCOUNTS,
+        strategies.integers(1, 50),
+    ),
+    max_size=60,
+)
+
+
+def ticket(exchange, account, cost):
+    return fair_queue.Ticket(exchange, account, 'p', LONG, float(cost))
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(MOVES)
+def test_no_ticket_is_lost_or_served_out_of_line(moves):
+    queue = fair_queue.FairQueue()
+    model = collections.defaultdict(list)
+    parked = set()
+    for exchange, (move, account, cost) in enumerate(moves):
+        match move:
+            case 'push':
+                queue.push(ticket(exchange, account, cost))
+                model[account].append(exchange)
+            case 'pop' if queue.head() is not None:
+                taken = queue.pop(1)
+                assert taken.account not in parked
+                assert model[taken.account].pop(0) == taken.exchange
+            case 'drop' if model[account]:
+                queue.discard(account, model[account].pop(-1))
+            case 'park' if model[account]:
+                queue.park(account)
+                parked.add(account)
+            case 'unpark':
+                queue.unpark(account)
+                parked.discard(account)
+        queue.check()
+        free = any(model[name] for name in model if name not in parked)
+        assert (queue.head() is not None) == free
+    assert len(queue) == sum(map(len, model.values()))
+
+
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.given(
+    strategies.lists(strategies.integers(1, 100), min_size=20, max_size=60),
+    strategies.integers(1, 4),
+)
+def test_backlogged_accounts_get_service_by_weight(costs, weight):
+    """Two accounts always have work; neither gets ahead by a whole turn."""
+    queue = fair_queue.FairQueue()
+    weights = {'light': 1, 'heavy': weight}
+    for exchange, cost in enumerate(costs):
+        for name in weights:
+            queue.push(ticket((exchange, name), name, cost))
+    service = dict.fromkeys(weights, 0.0)
+    while all(line.waiting for line in queue.lines.values()):
+        taken = queue.pop(weights[queue.head().account])
+        service[taken.account] += taken.cost / weights[taken.account]
+        assert abs(service['light'] - service['heavy']) <= max(costs)
+
+
+def test_account_that_was_idle_has_saved_up_nothing():
+    queue = fair_queue.FairQueue()
+    for exchange in range(10):
+        queue.push(ticket(exchange, 'a', 10))
+    for _ in range(8):
+        queue.pop(1)
+    for exchange in range(20, 25):
+        queue.push(ticket(exchange, 'b', 10))
+    order = [queue.pop(1).account for _ in range(4)]
+    assert sorted(order) == ['a', 'a', 'b', 'b']
--- /dev/null
+++ b/tests/load/test_fair_start.py
@@ -0,0 +1,114 @@
+"""Which waiting request starts next, and which one never waits."""
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.state import requests
+from tests.common import loaded_node
+
+
+def test_account_at_its_limit_blocks_no_other_account():
+    """One account has as many requests running as it may.
+
+    Its next request is at the head of the queue. Were the head waited for,
+    all other accounts would see free engines and get no answer.
+    """
+    node = loaded_node.new_node(
+        [
+            loaded_node.account('busy', most_running=1),
+            loaded_node.account('other'),
+        ],
+        slots=8,
+    )
+    node.handle(loaded_node.draft(1, 'busy'), 1.0)
+    node.handle(loaded_node.draft(2, 'busy'), 1.0)
+    node.handle(loaded_node.draft(4, 'other', tokens=50), 1.0)
+    done = node.handle(loaded_node.draft(3, 'other'), 1.0)
+    assert loaded_node.started(done) == ['r3']
+    done = loaded_node.end(node, 1, 2.0)
+    assert loaded_node.started(done) == ['r2']
+
+
+def test_waiting_request_is_told_not_run_at_its_deadline():
+    """All engines are busy until after the caller's deadline.
+
+    Without a timer the caller would hear nothing for as long as the engines
+    stay busy, and would not know that its request never ran.
+    """
+    node = loaded_node.new_node([loaded_node.account('a')])
+    node.handle(loaded_node.draft(1, 'a'), 1.0)
+    done = node.handle(loaded_node.draft(2, 'a', deadline=5.0), 1.0)
+    (timer,) = loaded_node.only(actions.SetTimer, done)
+    assert timer.deadline == 5.0
+    done = node.handle(events.TimerFired(timer.name), 5.0)
+    failure = loaded_node.failures(done)[2]
+    assert failure.code == 'deadline-passed'
+    assert failure.ran is requests.Ran.NO
+    assert not loaded_node.started(loaded_node.end(node, 1, 6.0))
+
+
+def test_short_call_finds_a_place_while_long_work_floods():
+    """An account submits more long work than the engines can run.
+
+    A short call behind the same engine would wait for minutes, were there
+    no place that long work can't take.
+    """
+    node = loaded_node.new_node([loaded_node.account('a')], slots=4)
+    for exchange in range(10):
+        node.handle(loaded_node.draft(exchange, 'a'), 1.0)
+    done = node.handle(loaded_node.draft(20, 'a', service='quick'), 1.0)
+    assert loaded_node.started(done) == ['r20']
+
+
+def test_stream_without_engine_goes_before_new_long_work():
+    """The engine of a stream dies while every other place is taken.
+
+    The next place that comes free has to go to the broken stream. New work
+    in its place would have the stream given up on after some seconds.
+    """
+    node = loaded_node.new_node([loaded_node.account('a')], engines=2)
+    node.handle(loaded_node.draft(1, 'a'), 1.0)
+    node.handle(loaded_node.draft(2, 'a'), 1.0)
+    node.handle(loaded_node.draft(3, 'a'), 1.0)
+    lost = node.streams.streams[1].attempt
+    for _ in range(2):
+        node.handle(events.AttemptBroken(lost, 'killed', True), 1.1)
+    assert node.streams.streams[1].attempt is None
+    done = loaded_node.end(node, 2, 1.2)
+    assert loaded_node.started(done) == ['r1']
+
+
+def test_tokens_look_for_no_upstream_while_requests_wait(monkeypatch):
+    """Requests of many accounts wait while streams run.
+
+    Looking for a place on each batch of tokens would take the processor
+    away from relaying them.
+    """
+    node = loaded_node.new_node([loaded_node.account('a')])
+    for exchange in (1, 2):
+        node.handle(loaded_node.draft(exchange, 'a'), 1.0)
+    attempt = node.streams.streams[1].attempt
+    monkeypatch.setattr(node.directory, 'choose', None)
+    done = node.handle(events.TokensArrived(attempt, 0, ('x',)), 1.0)
+    assert loaded_node.only(actions.SendTokens, done)
+
+
+def test_refused_request_is_told_a_later_return_as_the_queue_grows():
+    """A flood fills the queues, and what can't be done in time is refused.
+
+    A constant time to come back would have all refused callers return at
+    the same moment, to be refused again.
+    """
+    node = loaded_node.new_node([loaded_node.account('a')])
+    node.handle(loaded_node.draft(1, 'a', tokens=100), 0.0)
+    loaded_node.end(node, 1, 10.0)
+    seen = []
+    for exchange in range(2, 12):
+        node.handle(loaded_node.draft(exchange, 'a', tokens=100), 10.0)
+        late = loaded_node.draft(100 + exchange, 'a', 100, deadline=15.0)
+        failure = loaded_node.failures(node.handle(late, 10.0))[100 + exchange]
+        assert failure.code == 'deadline-too-near'
+        assert failure.ran is requests.Ran.NO
+        seen.append(failure.retry_after)
+    assert len(set(seen)) == len(seen)
+    for waiting, seconds in enumerate(seen):
+        assert max(1, 10 * waiting) <= seconds <= max(2, 20 * waiting)
