--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -238,7 +238,6 @@
         """Plan and confirm a configuration, and wait until it is in force."""
         self.wait_for_all()
         first = next(iter(self.instances.values()))
-        wait_until(lambda: listens(first.operator_port))
         intent = {
             'type': 'replace-configuration',
             'configuration': configuration,
--- a/tests/common/loaded_node.py
+++ b/tests/common/loaded_node.py
@@ -27,9 +27,9 @@
     plain = (configuration.Upstream('p0', '127.0.0.1', 1, 'kl-1'),)
     kinds = configuration.ServiceKind
     return configuration.Configuration(
-        version,
-        tuple(accounts),
-        (
+        version=version,
+        accounts=tuple(accounts),
+        services=(
             configuration.Service('draft', kinds.GENERATION, 'drafting'),
             configuration.Service(
                 'quick',
@@ -41,7 +41,7 @@
                 'lookup', kinds.CALL, 'plain', priority=Priority.SHORT
             ),
         ),
-        (
+        pools=(
             configuration.Pool(
                 'drafting', upstreams, 'm', '1', slots_per_upstream=slots
             ),
