Cut the stream of a caller that does not read, instead of buffering it all

Cause: answers were written without backpressure, so one account's callers that read nothing could fill an instance's memory and end everybody's streams. The kernel's part is bounded on the listening socket. Ruled out: pausing the engine's connection, since the engine then holds the tokens, and a stalled engine stream looks like a dead engine.

--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -24,6 +24,7 @@
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
 from greengagelb.state import requests
+from greengagelb.transport import caller_stream
 from greengagelb.transport import engine_client
 from greengagelb.transport import http
 
@@ -40,7 +41,7 @@
     done: defer.Deferred
     service: str
     request_id: str
-    streaming: bool = False
+    stream: caller_stream.CallerStream | None = None
 
 
 class CallerApp:
@@ -206,7 +207,7 @@
         exchange = self.exchanges.get(action.exchange)
         if exchange is None:
             return
-        self.begin_stream(exchange)
+        stream = self.begin_stream(exchange)
         chunk = caller_api.ChatChunk(
             id=exchange.request_id,
             model=exchange.service,
@@ -218,26 +219,34 @@
             tokens=list(action.tokens),
         )
         cursor = self.seal.seal(action.point)
-        exchange.request.write(
-            sse.write_event(codec.encode(chunk), event_id=cursor)
-        )
-
-    def begin_stream(self, exchange: Exchange) -> None:
-        """Send the headers of an event stream, once."""
-        if exchange.streaming:
-            return
-        exchange.streaming = True
-        exchange.request.setHeader(b'content-type', b'text/event-stream')
-        exchange.request.setHeader(b'cache-control', b'no-store')
+        stream.write(sse.write_event(codec.encode(chunk), event_id=cursor))
+
+    def begin_stream(self, exchange: Exchange) -> caller_stream.CallerStream:
+        """Return the stream, after its headers were set."""
+        if exchange.stream is None:
+            request = exchange.request
+            request.setHeader(b'content-type', b'text/event-stream')
+            request.setHeader(b'cache-control', b'no-store')
+            exchange.stream = caller_stream.CallerStream(
+                request, lambda: self.cut(request)
+            )
+        return exchange.stream
+
+    def cut(self, request: server.Request) -> None:
+        """Close the connection of a caller that does not read.
+
+        What waits in the transport is dropped too: flushing it would wait
+        for the same caller.
+        """
+        request.transport.abortConnection()
 
     def send_restart(self, action: actions.SendRestart) -> None:
         """Tell the caller to discard what it holds."""
         exchange = self.exchanges.get(action.exchange)
         if exchange is None:
             return
-        self.begin_stream(exchange)
         message = caller_api.Restarted(action.generation, action.reason)
-        exchange.request.write(
+        self.begin_stream(exchange).write(
             sse.write_event(codec.encode(message), 'restart')
         )
 
@@ -246,7 +255,7 @@
         exchange = self.exchanges.pop(action.exchange, None)
         if exchange is None:
             return
-        self.begin_stream(exchange)
+        stream = self.begin_stream(exchange)
         chunk = caller_api.ChatChunk(
             id=exchange.request_id,
             model=exchange.service,
@@ -258,7 +267,8 @@
             tokens=[],
         )
         last = sse.write_event(codec.encode(chunk))
-        exchange.done.callback(last + sse.write_event(b'[DONE]'))
+        last += sse.write_event(b'[DONE]')
+        exchange.done.callback(stream.finish() + last)
 
     def send_failure(self, action: actions.SendFailure) -> None:
         """Give the caller its final answer."""
@@ -266,9 +276,9 @@
         if exchange is None:
             return
         problem = problems.problem_of(action.failure)
-        if exchange.streaming:
+        if exchange.stream is not None:
             event = sse.write_event(codec.encode(problem), 'error')
-            exchange.done.callback(event)
+            exchange.done.callback(exchange.stream.finish() + event)
             return
         exchange.done.callback(http.problem_answer(exchange.request, problem))
 
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -19,6 +19,7 @@
 from greengagelb.protocol import operator_api
 from greengagelb.state import plans as plan_state
 from greengagelb.transport import caller_app
+from greengagelb.transport import caller_stream
 from greengagelb.transport import claim_store
 from greengagelb.transport import engine_client
 from greengagelb.transport import listening
@@ -105,7 +106,9 @@
         site = listening.DrainingFactory(server.Site(app.resource()))
         host = self.settings.instance.host
         self.sites.append(site)
-        self.ports.append(self.reactor.listenTCP(port, site, interface=host))
+        listener = self.reactor.listenTCP(port, site, interface=host)
+        caller_stream.bound_kernel_buffer(listener)
+        self.ports.append(listener)
 
     def repeat(self, seconds: float, function: object) -> None:
         """Call a function now and again, as long as the process lives."""
--- /dev/null
+++ b/tests/process/test_slow_caller.py
@@ -0,0 +1,65 @@
+"""A caller that does not read what it asked for, with real sockets."""
+
+import http.client
+import json
+import socket
+
+import pytest
+
+from tests.common import callers
+from tests.common import fleet
+
+pytestmark = pytest.mark.slow
+
+LONG_ID = 'x' * 2000
+
+
+def read_a_little(port, caller):
+    """Read some events over a connection with a small buffer, then stop.
+
+    The caller's long request id is part of every event, which makes the
+    answer large enough to fill all buffers soon.
+    """
+    headers = fleet.bearer(caller.key) | {'Idempotency-Key': LONG_ID}
+    connection = http.client.HTTPConnection(fleet.HOST, port, timeout=20)
+    connection.sock = socket.socket()
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.sock.connect((fleet.HOST, port))
+    connection.request(
+        'POST', '/v1/chat/completions', json.dumps(caller.body()), headers
+    )
+    events = callers.read_events(connection.getresponse())
+    while len(caller.tokens) < 20:
+        caller.take(next(events))
+    return connection
+
+
+def running(process):
+    headers = fleet.bearer(fleet.OPERATOR_KEY)
+    answer = fleet.ask(process.operator_port, '/v1/status', headers=headers)
+    return answer.json()['running']
+
+
+def test_caller_that_does_not_read_loses_its_own_stream_only(tmp_path):
+    """A caller asks for a long draft and then stops reading.
+
+    Were the instance to keep all that is unread, one account could fill its
+    memory and end every other account's streams. The slow caller's stream
+    is cut; it comes back with its cursor and misses nothing. Another
+    account's draft goes on meanwhile.
+    """
+    with fleet.small_fleet(tmp_path) as alive:
+        router = alive.instances['router-0']
+        slow = callers.StreamCaller('slow', 30_000)
+        reading = read_a_little(router.port, slow)
+        other = callers.StreamCaller('other', 300, key=fleet.OTHER_KEY)
+        other.read_all(router.port)
+        assert other.tokens == other.right_answer()
+        fleet.wait_until(lambda: running(router) == 0)
+        held = len(slow.tokens)
+        stream = slow.read(alive.instances['router-1'].port)
+        while len(slow.tokens) < held + 100:
+            next(stream)
+        stream.close()
+        assert slow.tokens == slow.right_answer()[: len(slow.tokens)]
+        reading.close()
