--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -12,6 +12,7 @@
 from greengagelb.coordination import admission
 from greengagelb.coordination import calls
 from greengagelb.coordination import cancellations
+from greengagelb.coordination import claims
 from greengagelb.coordination import events
 from greengagelb.coordination import fair_queue
 from greengagelb.coordination import routing
@@ -28,6 +29,7 @@
     | events.GenerationResumed
     | events.CallSubmitted
 )
+FinalAnswer = actions.SendEnd | actions.SendAnswer | actions.SendFailure
 
 
 class Node:
@@ -47,8 +49,10 @@
         self.streams = streams.StreamSupervisor(
             self.directory, self.cancels, incarnation
         )
-        self.calls = calls.CallSupervisor(self.directory, incarnation)
+        self.calls = calls.CallSupervisor(self.directory, rng)
+        self.claims = claims.ClaimKeeper(incarnation, rng)
         self.waiting: dict[int, tuple[fair_queue.Ticket, Arrival]] = {}
+        self.abandoned: set[int] = set()
         self.stopping = False
 
     @property
@@ -64,15 +68,22 @@
     def handle(self, event: events.Event, now: float) -> list[actions.Action]:
         """Decide what an event leads to."""
         done = self.decide(event, now)
-        self.release_finished(done, now)
-        done += self.start_waiting(now)
-        self.release_finished(done, now)
+        done += self.claims.served(done, now)
+        self.release_finished(event, done, now)
+        started = self.start_waiting(now)
+        self.release_finished(event, started, now)
+        done += started
         if isinstance(event, Arrival):
             done += self.queue_timer(event.request.exchange)
-        if self.stopping and not self.running and not self.waiting:
+        if self.stopping and self.idle:
             done.append(actions.FinishStopping())
         return done
 
+    @property
+    def idle(self) -> bool:
+        """Return whether nothing is in flight, claims to settle included."""
+        return not (self.running or self.waiting or self.claims.claims)
+
     def decide(self, event: events.Event, now: float) -> list[actions.Action]:
         """Pass an event to the object that it concerns."""
         match event:
@@ -83,7 +94,7 @@
             ):
                 return self.arrive(event, now)
             case events.CallerGone(exchange):
-                return self.caller_gone(exchange)
+                return self.caller_gone(exchange, now)
             case events.AttemptAccepted():
                 return self.streams.accepted(event, now)
             case events.TokensArrived():
@@ -99,12 +110,13 @@
                 return []
             case events.CancelFailed(attempt):
                 return self.cancels.failed(attempt, now)
-            case events.ClaimWritten():
-                return self.calls.claim_written(event, now)
-            case events.ClaimTaken():
-                return self.calls.claim_taken(event)
-            case events.ClaimUnsettled():
-                return self.calls.claim_unsettled(event)
+            case (
+                events.ClaimWritten()
+                | events.ClaimConflicted()
+                | events.ClaimWriteFailed()
+            ):
+                step = self.claims.answered(event, now)
+                return step.actions + self.begin_granted(step.granted, now)
             case events.CallAnswered():
                 return self.calls.answered(event)
             case events.CallBroken():
@@ -156,12 +168,14 @@
         service = self.configuration.find_service(request.service)
         refusal = self.refusal(event, account, service)
         if refusal is not None or account is None or service is None:
-            return [actions.SendFailure(request.exchange, refusal)]
+            truthful = claims.truthful(refusal, request, service)
+            return [actions.SendFailure(request.exchange, truthful)]
         ticket = self.ticket(event, service)
         resumes = isinstance(event, events.GenerationResumed)
         refusal = self.admission.refusal(ticket, account, resumes, now)
         if refusal is not None:
-            return [actions.SendFailure(request.exchange, refusal)]
+            truthful = claims.truthful(refusal, request, service)
+            return [actions.SendFailure(request.exchange, truthful)]
         self.admission.push(ticket)
         self.waiting[request.exchange] = (ticket, event)
         return []
@@ -296,6 +310,8 @@
         self.admission.start(ticket, account.weight, now)
         timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
         done: list[actions.Action] = [actions.ClearTimer(timer)]
+        if needs_claim(event, service):
+            return done + self.claims.begin(event.request)
         match event:
             case events.GenerationSubmitted(request):
                 done += self.streams.begin(request, service, pool, view, now)
@@ -303,44 +319,84 @@
                 done += self.streams.resume(event, service, pool, now)
             case events.CallSubmitted(call):
                 done += self.calls.begin(call, service, pool, now)
-        if not self.is_in_progress(ticket.exchange):
-            self.admission.finish(ticket.exchange, False, now)
         return done
 
+    def begin_granted(
+        self, request: claims.Claimable | None, now: float
+    ) -> list[actions.Action]:
+        """Dispatch a request whose claim this instance holds now."""
+        if request is None:
+            return []
+        service = self.configuration.find_service(request.service)
+        pool = self.configuration.find_pool(service.pool) if service else None
+        if service is None or pool is None:
+            failure = not_run('service-withdrawn', request.service, None)
+            return [actions.SendFailure(request.exchange, failure)]
+        if isinstance(request, requests.CallRequest):
+            return self.calls.begin(request, service, pool, now)
+        view = self.directory.choose(pool, set(), now, service.priority)
+        if view is None:
+            wait = self.claims.advice.failed()
+            failure = not_run('no-upstream', service.name, wait)
+            return [actions.SendFailure(request.exchange, failure)]
+        return self.streams.begin(request, service, pool, view, now)
+
     def refuse_waiting(
         self, ticket: fair_queue.Ticket, code: str, wait: float | None
     ) -> list[actions.Action]:
         """Refuse a request that can't start any more."""
         self.admission.discard(ticket)
-        del self.waiting[ticket.exchange]
+        _, event = self.waiting.pop(ticket.exchange)
+        request = event.request
+        service = self.configuration.find_service(request.service)
         timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
         failure = not_run(code, ticket.pool, None)
         if wait is not None:
             failure = self.admission.not_run(code, ticket.pool, wait)
+        truthful = claims.truthful(failure, request, service)
         return [
             actions.ClearTimer(timer),
-            actions.SendFailure(ticket.exchange, failure),
+            actions.SendFailure(ticket.exchange, truthful),
         ]
 
     def is_in_progress(self, exchange: int) -> bool:
         """Return whether a request still waits for its final answer."""
-        return exchange in self.streams.streams or exchange in self.calls.calls
-
-    def release_finished(self, done: list[actions.Action], now: float) -> None:
-        """Give back the places of requests that have their answer."""
-        for closed in (self.streams.closed, self.calls.closed):
-            while closed:
-                exchange = closed.pop()
-                completed = any(
-                    isinstance(action, actions.SendEnd | actions.SendAnswer)
-                    and action.exchange == exchange
-                    for action in done
-                )
-                self.admission.finish(exchange, completed, now)
+        return (
+            exchange in self.streams.streams
+            or exchange in self.calls.calls
+            or self.claims.claiming(exchange) is not None
+        )
+
+    def release_finished(
+        self, event: events.Event, done: list[actions.Action], now: float
+    ) -> None:
+        """Give back the places of requests that have ended.
+
+        A request ends with a final answer, or without one after its caller
+        has gone. Only these are looked at: a look at all that runs would be
+        as dear as relaying the tokens.
+        """
+        if isinstance(event, events.CallerGone):
+            self.abandoned.add(event.exchange)
+        for action in done:
+            if isinstance(action, FinalAnswer):
+                completed = not isinstance(action, actions.SendFailure)
+                self.release(action.exchange, completed, now)
+        for exchange in list(self.abandoned):
+            if not self.is_in_progress(exchange):
+                self.abandoned.discard(exchange)
+                self.release(exchange, False, now)
+
+    def release(self, exchange: int, completed: bool, now: float) -> None:
+        """Give back the place of a request, if it has one and has ended."""
+        if exchange not in self.running or self.is_in_progress(exchange):
+            return
+        self.claims.leave_taken(exchange)
+        self.admission.finish(exchange, completed, now)
 
     # -- other events -------------------------------------------------------
 
-    def caller_gone(self, exchange: int) -> list[actions.Action]:
+    def caller_gone(self, exchange: int, now: float) -> list[actions.Action]:
         """Stop what nobody waits for."""
         if exchange in self.waiting:
             ticket, _ = self.waiting.pop(exchange)
@@ -348,6 +404,7 @@
             timer = streams.timer_name(QUEUE_TIMER, exchange)
             return [actions.ClearTimer(timer)]
         return [
+            *self.claims.caller_gone(exchange, now),
             *self.streams.caller_gone(exchange),
             *self.calls.caller_gone(exchange),
         ]
@@ -360,6 +417,8 @@
                 return self.cancels.timer_fired(name)
             case 'queued':
                 return self.queued_too_long(int(rest))
+            case claims.DEADLINE_TIMER | claims.SETTLE_TIMER:
+                return self.claims.timer_fired(kind, rest, now)
             case calls.DEADLINE_TIMER:
                 return self.calls.deadline_passed(int(rest))
             case _:
@@ -397,6 +456,17 @@
         ]
 
 
+def needs_claim(event: Arrival, service: configuration_state.Service) -> bool:
+    """Return whether a request may be dispatched only by a claim's holder.
+
+    A caller that comes back with a cursor asks for what already runs. A
+    request without an idempotency key has an id that nobody sends again.
+    """
+    if isinstance(event, events.GenerationResumed):
+        return False
+    return event.request.has_idempotency_key and not service.idempotent
+
+
 def not_run(
     code: str, detail: str, retry_after: float | None
 ) -> requests.Failure:
--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -15,6 +15,7 @@
 from greengagelb import errors
 from greengagelb.coordination import events
 from greengagelb.state import configuration as configuration_state
+from greengagelb.state import identity
 from greengagelb.state import upstreams as upstream_state
 
 REPORT_TRUST_SECONDS = 5.0
@@ -41,6 +42,7 @@
         self.rng = rng
         self.views: dict[str, upstream_state.UpstreamView] = {}
         self.short_pools: set[str] = set()
+        self.leaving: set[identity.EngineId] = set()
         self.live_instances = 1
         self.changed = False
 
@@ -61,6 +63,7 @@
         for name in list(self.views):
             if name not in named and not self.views[name].in_flight:
                 del self.views[name]
+        self.leaving = {e for e in self.leaving if e.name in self.views}
         self.short_pools = shared_pools(configuration)
         self.changed = True
 
@@ -78,6 +81,8 @@
         view = self.views.get(report.engine.name)
         if view is None:
             return
+        if report.leaving:
+            self.leaving.add(report.engine)
         if view.incarnation != report.engine.incarnation:
             self.meet_incarnation(view, report.engine.incarnation, now)
         view.model = report.model
@@ -88,7 +93,7 @@
         view.reported_at = now
         view.in_flight_at_report = view.in_flight
         view.step_seconds = report.step_seconds
-        view.leaving = view.leaving or report.leaving
+        view.leaving = report.engine in self.leaving
         self.changed = True
 
     def meet_incarnation(
@@ -100,7 +105,6 @@
         """Forget what was known of an upstream before it restarted."""
         restarted = bool(view.incarnation)
         view.incarnation = incarnation
-        view.leaving = False
         view.cache_known = False
         view.prefixes.clear()
         if restarted:
@@ -109,10 +113,20 @@
             view.returned_at = now
 
     def mark_leaving(self, event: events.UpstreamLeaving) -> None:
-        """Give no new work to that incarnation from now on."""
+        """Give no new work to that incarnation from now on.
+
+        It is remembered by incarnation: the notice may come before the first
+        report of that incarnation, or between late reports of an older one.
+        Kept in the view alone it would be lost, and the upstream get work.
+        """
         view = self.views.get(event.engine.name)
-        if view is not None and view.incarnation == event.engine.incarnation:
-            view.leaving = True
+        if view is None:
+            return
+        engine = event.engine
+        if not engine.incarnation:
+            engine = identity.EngineId(engine.name, view.incarnation)
+        self.leaving.add(engine)
+        view.leaving = view.leaving or view.incarnation == engine.incarnation
 
     def suspect(self, name: str, now: float) -> None:
         """Keep new work away from an upstream that has just failed.
--- a/src/greengagelb/coordination/streams.py
+++ b/src/greengagelb/coordination/streams.py
@@ -58,7 +58,6 @@
         self.streams: dict[int, stream_state.Stream] = {}
         self.exchanges: dict[identity.AttemptId, int] = {}
         self.recover_by: dict[int, float] = {}
-        self.closed: list[int] = []
         self.counter = itertools.count(1)
         self.dropped_events = 0
 
@@ -405,7 +404,6 @@
         self.release_upstream(stream)
         self.streams.pop(exchange, None)
         self.recover_by.pop(exchange, None)
-        self.closed.append(exchange)
         return [
             actions.ClearTimer(timer_name(STALL_TIMER, exchange)),
             actions.ClearTimer(timer_name(RECOVERY_TIMER, exchange)),
--- a/src/greengagelb/protocol/problems.py
+++ b/src/greengagelb/protocol/problems.py
@@ -18,6 +18,8 @@
     'account-rate-exceeded': 429,
     'resume-budget-spent': 429,
     'twin-outcome-unknown': 409,
+    'idempotency-key-reused': 422,
+    'answer-not-kept': 409,
     'outcome-unknown': 502,
     'deadline-passed': 504,
     'upstream-lost': 502,
