--- /dev/null
+++ b/src/greengagelb/measure/baselines.py
@@ -0,0 +1,125 @@
+"""The naive policies that the measurements compare with.
+
+Only what each experiment compares is replaced; recovery is the same.
+"""
+
+from greengagelb.coordination import admission
+from greengagelb.coordination import fair_queue
+from greengagelb.coordination import node
+from greengagelb.coordination import routing
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import requests
+from greengagelb.state import upstreams as upstream_state
+
+
+class PlainDirectory(routing.UpstreamDirectory):
+    """Counts only its own requests against an upstream's places."""
+
+    def candidates(
+        self,
+        pool: configuration_state.Pool,
+        excluded: set[str],
+        now: float,
+    ) -> list[upstream_state.UpstreamView]:
+        """Return the views with a place, in the configuration's order."""
+        return [
+            view
+            for view in self.usable_views(pool, excluded, now)
+            if view.in_flight < pool.slots_per_upstream
+        ]
+
+
+class RoundRobin(PlainDirectory):
+    """Takes the upstreams in turn."""
+
+    turn = 0
+
+    def choose(
+        self,
+        pool: configuration_state.Pool,
+        excluded: set[str],
+        now: float,
+        priority: configuration_state.Priority = routing.RESUME,
+        prefix: str = '',
+    ) -> upstream_state.UpstreamView | None:
+        """Return the next view with a place."""
+        views = self.candidates(pool, excluded, now)
+        if not views:
+            return None
+        self.turn += 1
+        return views[self.turn % len(views)]
+
+
+class LeastReported(PlainDirectory):
+    """Takes the upstream whose last report was the lowest."""
+
+    def choose(
+        self,
+        pool: configuration_state.Pool,
+        excluded: set[str],
+        now: float,
+        priority: configuration_state.Priority = routing.RESUME,
+        prefix: str = '',
+    ) -> upstream_state.UpstreamView | None:
+        """Return the view with the lowest reported load."""
+        views = self.candidates(pool, excluded, now)
+        return min(
+            views,
+            key=lambda view: view.reported_running + view.reported_queued,
+            default=None,
+        )
+
+
+class FirstInFirstOut(fair_queue.FairQueue):
+    """Serves requests in the order of their arrival, whoever sent them."""
+
+    def make_ready(self, line: fair_queue.AccountLine) -> None:
+        """Enter a line by the number of its oldest exchange."""
+        if line.serial == fair_queue.NOT_READY and line.waiting:
+            line.finish = line.first().exchange
+            super().make_ready(line)
+
+
+class NoAdmission(admission.AdmissionControl):
+    """Refuses nobody, limits nobody and lets everybody wait in one queue."""
+
+    def may_run(self, account: configuration_state.ClientAccount) -> bool:
+        """Return that any account may run more."""
+        return True
+
+    def refusal(
+        self,
+        ticket: fair_queue.Ticket,
+        account: configuration_state.ClientAccount,
+        resumes: bool,
+        now: float,
+    ) -> requests.Failure | None:
+        """Let every request wait."""
+        return None
+
+    def expected_run(self, ticket: fair_queue.Ticket) -> float:
+        """Return nothing: each request is started, however late."""
+        return 0.0
+
+    def push(self, ticket: fair_queue.Ticket) -> None:
+        """Let a ticket wait in the order of its arrival."""
+        key = admission.key_of(ticket)
+        if key not in self.queues:
+            self.queues[key] = FirstInFirstOut()
+            self.keys = sorted(self.queues)
+        super().push(ticket)
+
+
+def replace_directory(
+    changed: node.Node, directory: routing.UpstreamDirectory
+) -> None:
+    """Give a node that has no configuration yet another directory."""
+    changed.directory = directory
+    changed.streams.directory = directory
+    changed.calls.directory = directory
+
+
+def make_naive(changed: node.Node) -> None:
+    """Turn a node into round robin with one queue for everybody."""
+    replace_directory(changed, RoundRobin(changed.directory.rng))
+    changed.admission = NoAdmission(changed.admission.rng)
