--- a/src/greengagelb/cli/demo.py
+++ b/src/greengagelb/cli/demo.py
@@ -12,7 +12,6 @@
 
 from absl import flags
 import msgspec
-import treq
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
@@ -25,9 +24,9 @@
 from greengagelb.protocol import caller_api
 from greengagelb.protocol import codec
 from greengagelb.protocol import engine_api
-from greengagelb.protocol import operator_api
 from greengagelb.protocol import sse
 from greengagelb.standins import engine
+from greengagelb.state import plans as plan_state
 from greengagelb.state import timeline as timeline_state
 from greengagelb.transport import http
 from greengagelb.transport import operator_client
@@ -115,7 +114,7 @@
     ) -> None:
         self.reactor = reactor
         self.fleet = fleet
-        self.treq = treq.client.HTTPClient(
+        self.treq = http.cookieless_client(
             http.fresh_connection_agent(reactor)
         )
         self.operators = [
@@ -138,7 +137,7 @@
 
     async def configure(self) -> None:
         """Plan and confirm a configuration, and wait until it is in force."""
-        intent = operator_api.ReplaceConfiguration(self.fleet.configuration())
+        intent = plan_state.ReplaceConfiguration(self.fleet.configuration())
         plan = await self.operators[0].propose(intent)
         say(f'planned: {"; ".join(str(step) for step in plan.steps)}')
         plan = await self.operators[0].confirm(plan.plan_id)
--- a/src/greengagelb/protocol/operator_api.py
+++ b/src/greengagelb/protocol/operator_api.py
@@ -1,38 +1,60 @@
 """Messages between operators and an instance, over HTTP on a port of its own.
 
 ``POST /v1/plans`` with an intent -> the plan; ``POST /v1/plans/{id}/confirm``
--> the plan as confirmed; ``GET /v1/plans/{id}``; ``GET /v1/status``;
-``GET /v1/timeline``, with the parameters ``account``, ``request``, ``kind``
-and ``most_events``. Header ``Authorization: Bearer KEY``.
+-> the plan as confirmed, or 409 :class:`Conflict`, or 503
+``confirm-unsettled``; ``GET /v1/plans/{id}`` -> the plan with its stage now;
+``GET /v1/status``; ``GET /v1/timeline`` as in
+:mod:`~greengagelb.protocol.timeline_api`. Header
+``Authorization: Bearer KEY``.
+
+An intent is an object with ``type``, one of :data:`INTENTS`, and the
+attributes of that data class.
 """
 
+import dataclasses
+
 import msgspec
 
 from greengagelb import errors
-from greengagelb.state import configuration
+from greengagelb.protocol import codec
+from greengagelb.state import fleet
 from greengagelb.state import plans
-from greengagelb.state import timeline
-
 
-class ReplaceConfiguration(
-    msgspec.Struct, frozen=True, tag='replace-configuration'
-):
-    """Intent to put a whole configuration in force."""
+INTENTS: dict[str, type[plans.Intent]] = {
+    'replace-configuration': plans.ReplaceConfiguration,
+    'put-account': plans.PutAccount,
+    'put-service': plans.PutService,
+    'put-pool': plans.PutPool,
+    'drain-upstream': plans.DrainUpstream,
+    'return-upstream': plans.ReturnUpstream,
+    'change-model': plans.ChangeModel,
+    'move-upstream': plans.MoveUpstream,
+    'change-role': plans.ChangeRole,
+}
 
-    configuration: configuration.Configuration
 
+class IntentType(msgspec.Struct, frozen=True):
+    """The attribute of an intent that tells its kind."""
 
-class DrainUpstream(msgspec.Struct, frozen=True, tag='drain-upstream'):
-    """Intent to give an upstream no new work."""
+    type: str
 
-    upstream: str
 
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """What is known here of another instance, or of this one."""
 
-IntentMessage = ReplaceConfiguration | DrainUpstream
+    name: str
+    data_centre: str
+    incarnation: str
+    configuration_version: int
+    standing: fleet.Standing
 
 
 class Status(msgspec.Struct, frozen=True):
-    """What one instance says of itself."""
+    """What one instance says of itself and of the others.
+
+    ``in_force_on`` of ``instances_known`` have this instance's version or a
+    later one; ``missing`` names those that have not.
+    """
 
     process: str
     data_centre: str
@@ -41,51 +63,49 @@
     stopping: bool
     running: int
     waiting: int
-
-
-class TimelinePart(msgspec.Struct, frozen=True):
-    """The events that one process still has; ``dropped`` are lost."""
-
-    process: str
-    dropped: int
-    events: list[timeline.TimelineEvent]
-
-
-MOST_TIMELINE_EVENTS = 20_000
-
-
-def parameters_of(wanted: timeline.Selection) -> dict[str, str]:
-    """Return the query parameters that ask for a selection of events."""
-    return {
-        'account': wanted.account,
-        'request': wanted.request,
-        'kind': wanted.kind,
-        'most_events': str(wanted.most_events),
-    }
-
-
-def selection_of(parameters: dict[str, str]) -> timeline.Selection:
-    """Return the selection in query parameters."""
-    unknown = set(parameters) - set(parameters_of(timeline.Selection()))
-    if unknown:
-        raise errors.BadValue(f'unknown parameter {min(unknown)}')
-    most = parameters.get('most_events', '2000')
-    if not most.isdecimal() or not 0 < int(most) <= MOST_TIMELINE_EVENTS:
-        raise errors.BadValue(
-            f'most_events: write a number from 1 to {MOST_TIMELINE_EVENTS}'
+    ready: bool = False
+    in_force_on: int = 0
+    instances_known: int = 0
+    missing: list[str] = []
+    instances: list[InstanceStatus] = []
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """Why a plan can't be confirmed any more, and what has changed since."""
+
+    title: str
+    status: int
+    code: str
+    ran: str
+    detail: str
+    current_version: int
+    changes: list[plans.Confirmation]
+
+
+def read_intent(raw: bytes) -> plans.Intent:
+    """Return the intent in a message.
+
+    Raises :class:`~greengagelb.errors.ProtocolError` for attributes that the
+    intent does not have: a misspelt one would silently keep its default.
+    """
+    kind = codec.decode(raw, IntentType).type
+    if kind not in INTENTS:
+        known = ', '.join(INTENTS)
+        raise errors.ProtocolError(
+            f'unknown type {kind}; write one of {known}'
         )
-    return timeline.Selection(
-        parameters.get('account', ''),
-        parameters.get('request', ''),
-        parameters.get('kind', ''),
-        int(most),
-    )
+    wanted = INTENTS[kind]
+    given = codec.decode(raw, dict[str, msgspec.Raw])
+    known = {field.name for field in dataclasses.fields(wanted)} | {'type'}
+    unknown = sorted(set(given) - known)
+    if unknown:
+        raise errors.ProtocolError(f'{kind} has no {", ".join(unknown)}')
+    return codec.decode(raw, wanted)
 
 
-def intent_of(message: IntentMessage) -> plans.Intent:
-    """Return the intent in a message."""
-    match message:
-        case ReplaceConfiguration(configuration=wanted):
-            return plans.ReplaceConfiguration(wanted)
-        case DrainUpstream(upstream=name):
-            return plans.DrainUpstream(name)
+def write_intent(intent: plans.Intent) -> bytes:
+    """Return an intent as a message."""
+    kind = next(
+        name for name, found in INTENTS.items() if isinstance(intent, found)
+    )
+    return codec.encode(msgspec.to_builtins(intent) | {'type': kind})
--- a/src/greengagelb/transport/operator_client.py
+++ b/src/greengagelb/transport/operator_client.py
@@ -6,7 +6,6 @@
 from typing import TypeVar
 import urllib.parse
 
-import treq
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.web import http as web_http
@@ -16,6 +15,7 @@
 from greengagelb.protocol import caller_api
 from greengagelb.protocol import codec
 from greengagelb.protocol import operator_api
+from greengagelb.protocol import timeline_api
 from greengagelb.state import plans as plan_state
 from greengagelb.state import timeline
 from greengagelb.transport import http
@@ -50,7 +50,7 @@
         self.reactor = reactor
         self.address = address
         self.headers = {'Authorization': f'Bearer {key}'}
-        self.treq = treq.client.HTTPClient(
+        self.treq = http.cookieless_client(
             http.fresh_connection_agent(reactor)
         )
 
@@ -58,13 +58,11 @@
         """Return the URL of a path at the instance."""
         return f'http://{self.address}{path}'
 
-    async def propose(
-        self, intent: operator_api.IntentMessage
-    ) -> plan_state.Plan:
+    async def propose(self, intent: plan_state.Intent) -> plan_state.Plan:
         """Return the plan that answers an intent."""
         answer = self.treq.post(
             self.url('/v1/plans'),
-            data=codec.encode(intent),
+            data=operator_api.write_intent(intent),
             headers=self.headers,
         )
         return await self.receive(answer, plan_state.Plan)
@@ -88,14 +86,14 @@
 
     async def timeline(
         self, wanted: timeline.Selection
-    ) -> operator_api.TimelinePart:
+    ) -> timeline_api.TimelinePart:
         """Return the selected events that the instance still has."""
         answer = self.treq.get(
             self.url('/v1/timeline'),
-            params=operator_api.parameters_of(wanted),
+            params=timeline_api.parameters_of(wanted),
             headers=self.headers,
         )
-        return await self.receive(answer, operator_api.TimelinePart)
+        return await self.receive(answer, timeline_api.TimelinePart)
 
     async def receive(
         self, answer: 'defer.Deferred[iweb.IResponse]', kind: type[T]
