Answer every bad request with a problem document, and bound what comes in

twisted.web writes a body above 100 kB into a temporary file, and reads a body of any size from a sender of any slowness; klein answers unknown paths in HTML and faults with an empty 500. Cursors that were not sealed here were 'bad-message', two Idempotency-Key headers were read as the last one, a key in UTF-8 went on to plain services' headers, and an operation such as a%3Fb=1 changed the URL at the plain service.

Ruled out: closing at once after the refusal (the system resets the connection and the sender loses the answer), and answering only when the body has come in (a sender decides how long that takes).

The layer test allows werkzeug in transport, since klein's own errors for unknown paths are werkzeug's; it was installed and locked already.

Not covered: a bound on the sum of all bodies being received.

--- a/src/greengagelb/protocol/caller_api.py
+++ b/src/greengagelb/protocol/caller_api.py
@@ -15,8 +15,12 @@
 be repeated say "not run" while the platform's service is away.
 """
 
+from typing import Annotated
+
 import msgspec
 
+MOST_TOKENS = 131_072
+
 
 class Message(msgspec.Struct, frozen=True):
     """One turn of the conversation that makes up the prompt."""
@@ -29,8 +33,8 @@
     """A caller's request for a streamed generation."""
 
     model: str
-    messages: list[Message]
-    max_tokens: int = 256
+    messages: Annotated[list[Message], msgspec.Meta(min_length=1)]
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=MOST_TOKENS)] = 256
     stream: bool = True
     received: list[str] = []
 
--- a/src/greengagelb/protocol/codec.py
+++ b/src/greengagelb/protocol/codec.py
@@ -56,14 +56,14 @@
         try:
             raw = base64.urlsafe_b64decode(cursor.encode())
         except (binascii.Error, ValueError) as exc:
-            raise errors.ProtocolError('cursor is not base64') from exc
+            raise errors.BadCursor('cursor was not sealed here') from exc
         tag, payload = raw[:SEAL_BYTES], raw[SEAL_BYTES:]
         if not hmac.compare_digest(tag, self.tag(payload)):
-            raise errors.ProtocolError('cursor was not sealed here')
+            raise errors.BadCursor('cursor was not sealed here')
         try:
             return msgspec.msgpack.decode(payload, type=requests.ResumePoint)
         except msgspec.DecodeError as exc:
-            raise errors.ProtocolError('cursor of another release') from exc
+            raise errors.BadCursor('cursor of another release') from exc
 
     def tag(self, payload: bytes) -> bytes:
         """Return the keyed digest of a payload; 16 bytes."""
--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -10,7 +10,6 @@
 import klein
 from twisted.internet import defer
 from twisted.internet import interfaces
-from twisted.python import failure
 from twisted.web import http as web_http
 from twisted.web import server
 
@@ -24,12 +23,10 @@
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
 from greengagelb.state import requests
+from greengagelb.transport import caller_headers
 from greengagelb.transport import engine_client
 from greengagelb.transport import http
-
-DEFAULT_DEADLINE_SECONDS = 600.0
-MOST_DEADLINE_SECONDS = 3600.0
-BEARER = 'Bearer '
+from greengagelb.transport import problem_handlers
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,36 +61,36 @@
         self.app.route('/v1/services/<service>/<operation>', methods=['POST'])(
             self.call
         )
-        self.app.handle_errors(errors.ProtocolError)(self.bad_message)
+        problem_handlers.install(self.app)
 
     # -- requests -----------------------------------------------------------
 
     def chat(self, request: server.Request) -> object:
         """Handle a request for a streamed generation."""
         account = self.authenticate(request)
-        if account is None:
-            return http.refuse(request, 'unauthenticated', 'unknown API key')
+        headers = caller_headers.read_headers(request)
         body = codec.decode(request.content.read(), caller_api.ChatCompletion)
+        if not body.stream:
+            raise errors.BadValue('stream: write true; every answer streams')
         prompt = '\n'.join(
             f'{message.role}: {message.content}' for message in body.messages
         )
-        exchange, has_key, request_id = self.name_request(request)
         generation = requests.GenerationRequest(
-            exchange,
-            identity.RequestId(account.name, request_id),
+            next(self.numbers),
+            identity.RequestId(account.name, self.name_request(headers)),
             body.model,
             prompt,
             body.max_tokens,
-            self.deadline_of(request),
-            has_key,
-            is_first_send(request),
+            self.deadline_of(headers),
+            bool(headers.idempotency_key),
+            headers.first_send,
         )
-        event = self.arrival(request, generation, tuple(body.received))
+        event = self.arrival(headers.cursor, generation, tuple(body.received))
         return self.open(request, generation, event)
 
     def arrival(
         self,
-        request: server.Request,
+        cursor: str,
         generation: requests.GenerationRequest,
         received: tuple[str, ...],
     ) -> events.Event:
@@ -102,12 +99,13 @@
         A cursor of another account is treated like one that was never
         sealed, so that nobody learns of another account's requests.
         """
-        cursor = request.getHeader('last-event-id')
         if not cursor:
+            if received:
+                raise errors.BadCursor('received: write Last-Event-ID with it')
             return events.GenerationSubmitted(generation)
         point = self.seal.open(cursor)
         if point.request.account != generation.request.account:
-            raise errors.ProtocolError('cursor was not sealed here')
+            raise errors.BadCursor('cursor was not sealed here')
         resumed = dataclasses.replace(generation, request=point.request)
         return events.GenerationResumed(resumed, point, received)
 
@@ -116,18 +114,17 @@
     ) -> object:
         """Handle a call to a plain service."""
         account = self.authenticate(request)
-        if account is None:
-            return http.refuse(request, 'unauthenticated', 'unknown API key')
-        exchange, has_key, request_id = self.name_request(request)
+        headers = caller_headers.read_headers(request)
+        caller_headers.check_operation(operation)
         call = requests.CallRequest(
-            exchange,
-            identity.RequestId(account.name, request_id),
+            next(self.numbers),
+            identity.RequestId(account.name, self.name_request(headers)),
             service,
             operation,
             request.content.read(),
-            self.deadline_of(request),
-            has_key,
-            is_first_send(request),
+            self.deadline_of(headers),
+            bool(headers.idempotency_key),
+            headers.first_send,
         )
         return self.open(request, call, events.CallSubmitted(call))
 
@@ -154,52 +151,30 @@
 
     def authenticate(
         self, request: server.Request
-    ) -> configuration_state.ClientAccount | None:
+    ) -> configuration_state.ClientAccount:
         """Return the client account of the request's API key.
 
         Every account's digest is compared, in constant time, so that the time
-        taken tells nothing about the keys.
+        taken tells nothing about the keys. Raises
+        :class:`~greengagelb.errors.Unauthenticated`.
         """
-        header = request.getHeader('authorization') or ''
-        key = header.removeprefix(BEARER)
-        digest = hashlib.sha256(key.encode()).hexdigest()
+        key = caller_headers.api_key_of(request)
+        digest = hashlib.sha256(key).hexdigest()
         found = None
         for account in self.configuration().accounts:
             if hmac.compare_digest(account.key_digest, digest):
                 found = account
+        if found is None:
+            raise errors.Unauthenticated('unknown API key')
         return found
 
-    def name_request(self, request: server.Request) -> tuple[int, bool, str]:
-        """Return exchange number, whether the caller named it, and the id."""
-        key = request.getHeader('idempotency-key')
-        return (
-            next(self.numbers),
-            bool(key),
-            key or secrets.token_urlsafe(12),
-        )
+    def name_request(self, headers: caller_headers.CallerHeaders) -> str:
+        """Return the request's id: the caller's own, or a fresh one."""
+        return headers.idempotency_key or secrets.token_urlsafe(12)
 
-    def deadline_of(self, request: server.Request) -> float:
+    def deadline_of(self, headers: caller_headers.CallerHeaders) -> float:
         """Return the monotonic time by which the caller wants its answer."""
-        text = request.getHeader('x-deadline-seconds')
-        seconds = DEFAULT_DEADLINE_SECONDS
-        if text is not None:
-            try:
-                seconds = float(text)
-            except ValueError:
-                raise errors.ProtocolError(
-                    'X-Deadline-Seconds: write seconds, such as 30'
-                ) from None
-            if not 0 < seconds <= MOST_DEADLINE_SECONDS:
-                raise errors.ProtocolError(
-                    'X-Deadline-Seconds: write seconds above 0, up to 3600'
-                )
-        return self.reactor.seconds() + seconds
-
-    def bad_message(
-        self, request: server.Request, why: failure.Failure
-    ) -> bytes:
-        """Answer a request that can't be understood."""
-        return http.refuse(request, 'bad-message', str(why.value))
+        return self.reactor.seconds() + headers.deadline_seconds
 
     # -- answers ------------------------------------------------------------
 
@@ -283,16 +258,12 @@
         exchange.done.callback(action.body)
 
 
-def is_first_send(request: server.Request) -> bool:
-    """Return whether the caller says that it never sent this key before."""
-    return request.getHeader('x-first-send') == '1'
-
-
 def health_app(
     ready: Callable[[], bool], metrics: Callable[[], bytes]
 ) -> klein.Klein:
     """Return an app with ``/healthz``, ``/readyz`` and ``/metrics``."""
     app = klein.Klein()
+    problem_handlers.install(app)
 
     @app.route('/healthz')
     def healthz(request: server.Request) -> bytes:
--- /dev/null
+++ b/src/greengagelb/transport/caller_headers.py
@@ -0,0 +1,114 @@
+"""Reads the headers of callers' requests, each with a clear refusal."""
+
+import dataclasses
+import string
+
+from twisted.web import server
+
+from greengagelb import errors
+
+DEFAULT_DEADLINE_SECONDS = 600.0
+MOST_DEADLINE_SECONDS = 3600.0
+MOST_KEY_CHARACTERS = 200
+MOST_OPERATION_CHARACTERS = 64
+BEARER = b'Bearer '
+PRINTABLE = frozenset(range(0x21, 0x7F))
+OPERATION_CHARACTERS = frozenset(string.ascii_letters + string.digits + '-_')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerHeaders:
+    """What a caller says in headers; an empty text stands for none.
+
+    ``deadline_seconds`` is what the caller allows, counted from now.
+    """
+
+    idempotency_key: str
+    cursor: str
+    deadline_seconds: float
+    first_send: bool
+
+
+def read_headers(request: server.Request) -> CallerHeaders:
+    """Return the headers of a request.
+
+    Raises :class:`~greengagelb.errors.BadValue`, or
+    :class:`~greengagelb.errors.BadCursor`.
+    """
+    return CallerHeaders(
+        idempotency_key_of(request),
+        cursor_of(request),
+        deadline_seconds_of(request),
+        single(request, 'X-First-Send') == b'1',
+    )
+
+
+def single(request: server.Request, name: str) -> bytes:
+    """Return a header's only value, or nothing if it is not there.
+
+    Of two values, a proxy on the way and this process may each believe
+    another one, so neither is believed.
+    """
+    values = request.requestHeaders.getRawHeaders(name.encode(), [])
+    if len(values) > 1:
+        raise errors.BadValue(f'{name}: write it once')
+    return values[0] if values else b''
+
+
+def api_key_of(request: server.Request) -> bytes:
+    """Return the API key as it was sent; a missing one is empty."""
+    value = single(request, 'Authorization')
+    if not value.startswith(BEARER):
+        return b''
+    return value.removeprefix(BEARER)
+
+
+def idempotency_key_of(request: server.Request) -> str:
+    """Return the caller's name for this request."""
+    raw = single(request, 'Idempotency-Key')
+    if len(raw) > MOST_KEY_CHARACTERS or not PRINTABLE.issuperset(raw):
+        raise errors.BadValue(
+            f'Idempotency-Key: write at most {MOST_KEY_CHARACTERS} printable '
+            'ASCII characters without spaces'
+        )
+    return raw.decode('ascii')
+
+
+def cursor_of(request: server.Request) -> str:
+    """Return the id of the last event that the caller holds."""
+    raw = single(request, 'Last-Event-ID')
+    if not raw.isascii():
+        raise errors.BadCursor('cursor was not sealed here')
+    return raw.decode('ascii')
+
+
+def deadline_seconds_of(request: server.Request) -> float:
+    """Return how long the caller waits for its answer."""
+    raw = single(request, 'X-Deadline-Seconds')
+    if not raw:
+        return DEFAULT_DEADLINE_SECONDS
+    try:
+        seconds = float(raw)
+    except ValueError:
+        seconds = 0.0
+    # Written so that "nan" fails it: no comparison with nan holds.
+    if not 0 < seconds <= MOST_DEADLINE_SECONDS:
+        raise errors.BadValue(
+            'X-Deadline-Seconds: write seconds above 0, up to '
+            f'{MOST_DEADLINE_SECONDS:.0f}'
+        )
+    return seconds
+
+
+def check_operation(operation: str) -> None:
+    """Refuse an operation that would change the URL it is put into.
+
+    An operation such as ``..%2Fadmin`` or ``book%3Fforce=1`` would otherwise
+    reach paths of a plain service that no client account may call.
+    """
+    known = OPERATION_CHARACTERS.issuperset(operation)
+    if not known or not 0 < len(operation) <= MOST_OPERATION_CHARACTERS:
+        raise errors.BadValue(
+            f'operation: write at most {MOST_OPERATION_CHARACTERS} letters, '
+            'digits, "-" and "_"'
+        )
--- a/src/greengagelb/transport/http.py
+++ b/src/greengagelb/transport/http.py
@@ -151,7 +151,9 @@
     if problem.retry_after is not None:
         seconds = max(1, round(problem.retry_after))
         request.setHeader(b'retry-after', str(seconds).encode())
-    return codec.encode(problem)
+    body = codec.encode(problem)
+    request.setHeader(b'content-length', str(len(body)).encode())
+    return body
 
 
 def refuse(request: server.Request, code: str, detail: str) -> bytes:
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -8,7 +8,6 @@
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
-from twisted.web import server
 
 from greengagelb import errors
 from greengagelb import settings
@@ -30,6 +29,7 @@
 from greengagelb.transport import platform_client
 from greengagelb.transport import recorder
 from greengagelb.transport import service_client
+from greengagelb.transport import serving
 
 PULSE_SECONDS = 0.1
 PAUSE_SECONDS = 0.25
@@ -115,7 +115,9 @@
 
     def listen(self, port: int, app: klein.Klein) -> None:
         """Serve an app on a port."""
-        site = listening.DrainingFactory(server.Site(app.resource()))
+        site = listening.DrainingFactory(
+            serving.bounded_site(app.resource(), self.reactor)
+        )
         host = self.settings.instance.host
         self.sites.append(site)
         self.ports.append(self.reactor.listenTCP(port, site, interface=host))
--- a/src/greengagelb/transport/operator_app.py
+++ b/src/greengagelb/transport/operator_app.py
@@ -23,6 +23,7 @@
 from greengagelb.state import requests
 from greengagelb.transport import http
 from greengagelb.transport import plan_store
+from greengagelb.transport import problem_handlers
 from greengagelb.transport import recorder
 
 BEARER = 'Bearer '
@@ -56,6 +57,7 @@
         self.app.route('/v1/status', methods=['GET'])(self.show_status)
         self.app.route('/v1/timeline', methods=['GET'])(self.show_timeline)
         self.app.handle_errors(errors.GreengagelbError)(self.failed)
+        problem_handlers.install(self.app)
 
     def failed(self, request: server.Request, why: failure.Failure) -> bytes:
         """Answer with the code of an error."""
--- /dev/null
+++ b/src/greengagelb/transport/serving.py
@@ -0,0 +1,153 @@
+"""HTTP requests that are bounded in size and in time while they come in.
+
+twisted.web puts a long body into a temporary file, and takes one of any
+length from a sender of any slowness. Instances have no disks, and a few
+senders could fill the memory or hold connections for ever; callers of other
+accounts would see the instance fail. So a body is kept in memory up to a
+bound, and a request has to come in whole within a time.
+"""
+
+import io
+import urllib.parse
+
+from twisted.internet import interfaces
+from twisted.web import http as web_http
+from twisted.web import resource
+from twisted.web import server
+
+from greengagelb import errors
+from greengagelb.protocol import codec
+from greengagelb.protocol import problems
+from greengagelb.state import requests
+
+MOST_BODY_BYTES = 4 << 20
+RECEIVE_SECONDS = 10.0
+IDLE_SECONDS = 60.0
+LINGER_SECONDS = 2.0
+SLOW_CODE = 'request-too-slow'
+SLOW_RETRY_SECONDS = 1.0
+UNKNOWN_PATH = ('not-found', requests.Ran.NO, 'see docs/api.md')
+
+
+class BoundedRequest(server.Request):
+    """A request that is refused as soon as it breaks a bound.
+
+    The refusal is written before the rest of the body has come in. That rest
+    is read and dropped for a moment: closing at once would make the system
+    reset the connection, and the sender would lose the refusal.
+    """
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)
+        self.received = 0
+        self.refused = False
+        self.pending: interfaces.IDelayedCall | None = self.channel.callLater(
+            RECEIVE_SECONDS, self.too_slow
+        )
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Prepare for a body; its length is None if it comes in chunks."""
+        self.content = io.BytesIO()
+        if length is not None and length > MOST_BODY_BYTES:
+            # A sender that waits for "100 Continue" must not be told to go on.
+            self.requestHeaders.removeHeader(b'expect')
+            self.too_large()
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keep a piece of the body, unless the request is refused."""
+        if self.refused:
+            return
+        self.received += len(data)
+        if self.received > MOST_BODY_BYTES:
+            self.too_large()
+            return
+        super().handleContentChunk(data)
+
+    def requestReceived(  # noqa: N802
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Handle a request that has come in whole."""
+        self.stop_waiting()
+        if not self.refused and not is_text(path):
+            # Routing would fail on it outside any handler of ours.
+            self.refuse(requests.Failure(*UNKNOWN_PATH))
+        if self.refused:
+            self.stop_waiting()
+            self.channel.loseConnection()
+            return
+        super().requestReceived(command, path, version)
+
+    def connectionLost(self, reason: object) -> None:  # noqa: N802
+        """Forget a request whose sender is gone."""
+        self.stop_waiting()
+        super().connectionLost(reason)
+
+    def too_large(self) -> None:
+        """Refuse a request with too long a body."""
+        self.refuse(
+            requests.Failure(
+                errors.BodyTooLarge.code,
+                requests.Ran.NO,
+                f'write at most {MOST_BODY_BYTES} bytes',
+            )
+        )
+
+    def too_slow(self) -> None:
+        """Refuse a request that does not come in within its time."""
+        self.pending = None
+        self.refuse(
+            requests.Failure(
+                SLOW_CODE,
+                requests.Ran.NO,
+                f'the request did not come in within {RECEIVE_SECONDS:.0f} s',
+                SLOW_RETRY_SECONDS,
+            )
+        )
+
+    def refuse(self, failure: requests.Failure) -> None:
+        """Write the refusal and close the connection soon."""
+        self.refused = True
+        self.stop_waiting()
+        problem = problems.problem_of(failure)
+        body = codec.encode(problem)
+        phrase = web_http.RESPONSES.get(problem.status, b'')
+        lines = [
+            b'HTTP/1.1 %d %b' % (problem.status, phrase),
+            b'Content-Type: application/problem+json',
+            b'Content-Length: %d' % len(body),
+            b'Connection: close',
+        ]
+        if failure.retry_after is not None:
+            lines.append(b'Retry-After: %d' % max(1, failure.retry_after))
+        self.channel.transport.write(b'\r\n'.join(lines) + b'\r\n\r\n' + body)
+        self.pending = self.channel.callLater(
+            LINGER_SECONDS, self.channel.loseConnection
+        )
+
+    def stop_waiting(self) -> None:
+        """Clear the timer of this request."""
+        if self.pending is not None and self.pending.active():
+            self.pending.cancel()
+        self.pending = None
+
+
+def is_text(path: bytes) -> bool:
+    """Return whether a path is UTF-8 once its escapes are resolved."""
+    try:
+        urllib.parse.unquote_to_bytes(path).decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
+def bounded_site(
+    root: resource.IResource, reactor: interfaces.IReactorTime
+) -> server.Site:
+    """Return a site whose requests are bounded."""
+    return server.Site(
+        root,
+        requestFactory=BoundedRequest,
+        parsePOSTFormSubmission=False,
+        timeout=IDLE_SECONDS,
+        reactor=reactor,
+    )
--- /dev/null
+++ b/tests/callers/test_bad_input.py
@@ -0,0 +1,281 @@
+"""Each kind of bad input has its clear answer, and no event comes of it."""
+
+import dataclasses
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from greengagelb.coordination import events
+from greengagelb.state import identity
+from greengagelb.state import requests
+from greengagelb.state import streams
+from greengagelb.transport import serving
+from tests.common import caller_sites
+from tests.common import fleet
+
+CALL = '/v1/services/charge/book'
+
+
+def answer_to(raw, site=None):
+    site = site or caller_sites.CallerSite()
+    connection = site.connect()
+    connection.send(raw)
+    return connection.answer()
+
+
+def sealed(account='teratak', seal=None):
+    seal = seal or caller_sites.CallerSite().seal
+    point = requests.ResumePoint(
+        identity.RequestId(account, 'r'),
+        1,
+        'attempt',
+        identity.EngineId('e', 'i'),
+        0,
+        streams.EMPTY_CHAIN,
+        '1',
+    )
+    return seal.seal(point).encode()
+
+
+def header(name, value):
+    return caller_sites.request(CALL, b'', name + b': ' + value)
+
+
+@pytest.mark.parametrize(
+    ('raw', 'status', 'code'),
+    [
+        (caller_sites.request(body=b'{"model": '), 400, 'bad-message'),
+        (caller_sites.request(body=b'\xff\xfe'), 400, 'bad-message'),
+        (caller_sites.request(body=b''), 400, 'bad-message'),
+        (
+            caller_sites.request(body=caller_sites.chat(temprature=1)),
+            400,
+            'bad-message',
+        ),
+        (
+            caller_sites.request(body=caller_sites.chat(max_tokens=-1)),
+            400,
+            'bad-message',
+        ),
+        (
+            caller_sites.request(body=caller_sites.chat(max_tokens=10**12)),
+            400,
+            'bad-message',
+        ),
+        (
+            caller_sites.request(body=caller_sites.chat(messages=[])),
+            400,
+            'bad-message',
+        ),
+        (
+            caller_sites.request(body=caller_sites.chat(stream=False)),
+            400,
+            'bad-value',
+        ),
+        (
+            caller_sites.request(body=caller_sites.chat(received=['a'])),
+            400,
+            'bad-cursor',
+        ),
+        (caller_sites.request(key=b''), 401, 'unauthenticated'),
+        (caller_sites.request(key=b'wrong'), 401, 'unauthenticated'),
+        (caller_sites.request(key=b'\xff\xfe'), 401, 'unauthenticated'),
+        (header(b'X-Deadline-Seconds', b'nan'), 400, 'bad-value'),
+        (header(b'X-Deadline-Seconds', b'inf'), 400, 'bad-value'),
+        (header(b'X-Deadline-Seconds', b'-1'), 400, 'bad-value'),
+        (header(b'X-Deadline-Seconds', b'soon'), 400, 'bad-value'),
+        (header(b'X-Deadline-Seconds', b'\xff'), 400, 'bad-value'),
+        (header(b'Idempotency-Key', b'k' * 201), 400, 'bad-value'),
+        (header(b'Idempotency-Key', 'schlüssel'.encode()), 400, 'bad-value'),
+        (header(b'Idempotency-Key', b'a b'), 400, 'bad-value'),
+        (
+            header(b'Idempotency-Key', b'a\r\nIdempotency-Key: b'),
+            400,
+            'bad-value',
+        ),
+        (
+            header(b'Authorization', b'Bearer other'),
+            400,
+            'bad-value',
+        ),
+        (header(b'Last-Event-ID', b'\xff'), 400, 'bad-cursor'),
+        (
+            caller_sites.request('/v1/services/charge/..%2Fstandin', b''),
+            404,
+            'not-found',
+        ),
+        (
+            caller_sites.request('/v1/services/charge/a%3Fb=1', b''),
+            400,
+            'bad-value',
+        ),
+        (caller_sites.request('/v1/nothing'), 404, 'not-found'),
+        (caller_sites.request('/v1/%ff%fe'), 404, 'not-found'),
+        (caller_sites.request(method='GET'), 405, 'method-not-allowed'),
+    ],
+)
+def test_bad_request_gets_a_problem_document(raw, status, code):
+    site = caller_sites.CallerSite()
+    answer = answer_to(raw, site)
+    problem = answer.problem()
+    assert (answer.status, problem['code']) == (status, code)
+    assert problem['status'] == status
+    assert problem['ran'] == 'not-run'
+    assert problem['detail']
+    assert site.events == []
+
+
+def test_right_request_becomes_an_event():
+    site = caller_sites.CallerSite()
+    assert answer_to(caller_sites.request(), site) is None
+    assert [type(event) for event in site.events] == [
+        events.GenerationSubmitted
+    ]
+
+
+def test_cursor_of_another_account_is_answered_like_one_that_never_was():
+    """A caller guesses or steals the cursor of another client account.
+
+    The answer must not tell whether that account's request exists.
+    """
+    site = caller_sites.CallerSite()
+    foreign = sealed('karri', site.seal)
+    broken = foreign[:-4] + b'AAAA'
+    answers = [
+        answer_to(
+            caller_sites.request(
+                '/v1/chat/completions', None, b'Last-Event-ID: ' + cursor
+            ),
+            site,
+        )
+        for cursor in (foreign, broken, b'nonsense', b'A')
+    ]
+    first = answers[0]
+    assert first.problem()['code'] == 'bad-cursor'
+    for answer in answers:
+        assert dataclasses.replace(answer, headers={}) == (
+            dataclasses.replace(first, headers={})
+        )
+    assert site.events == []
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(cursor=strategies.binary(max_size=120))
+def test_no_cursor_that_was_not_sealed_is_opened(cursor):
+    clean = bytes(byte for byte in cursor if byte not in b'\r\n\0')
+    site = caller_sites.CallerSite()
+    answer = answer_to(
+        caller_sites.request(
+            '/v1/chat/completions', None, b'Last-Event-ID: x' + clean
+        ),
+        site,
+    )
+    assert answer.status == 400
+    assert site.events == []
+
+
+@pytest.mark.parametrize('chunked', [False, True])
+def test_too_large_body_is_refused_before_it_is_in_memory(chunked):
+    """A sender announces or sends more than the process may hold.
+
+    It gets its answer before the rest has come in, and the connection is
+    closed; nothing past the bound is kept.
+    """
+    site = caller_sites.CallerSite()
+    connection = site.connect()
+    size = serving.MOST_BODY_BYTES
+    if chunked:
+        connection.send(
+            b'POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        piece = b'x' * (1 << 20)
+        for _ in range(5):
+            connection.send(b'100000\r\n' + piece + b'\r\n')
+    else:
+        connection.send(
+            b'POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n'
+            b'Expect: 100-continue\r\nContent-Length: %d\r\n\r\n' % (size + 1)
+        )
+    answer = connection.answer()
+    assert answer.status == 413
+    assert answer.problem()['code'] == 'body-too-large'
+    assert b'100 Continue' not in connection.transport.value()
+    connection.send(b'')
+    site.clock.advance(serving.LINGER_SECONDS)
+    assert not connection.transport.connected
+    assert site.events == []
+
+
+def test_body_of_many_bytes_makes_no_file(monkeypatch):
+    """The library keeps a long body in a file; instances have no disks."""
+    monkeypatch.setattr(
+        'tempfile.TemporaryFile', lambda *_: pytest.fail('opened a file')
+    )
+    site = caller_sites.CallerSite()
+    content = 'x' * 1_000_000
+    message = {'role': 'user', 'content': content}
+    answer_to(
+        caller_sites.request(body=caller_sites.chat(messages=[message])), site
+    )
+    assert content in site.events[0].request.prompt
+
+
+def test_slow_sender_is_told_so_and_cut():
+    """A sender gives a byte now and then, and never ends.
+
+    The connection is answered and closed after some time, however steadily
+    the bytes come.
+    """
+    site = caller_sites.CallerSite()
+    connection = site.connect()
+    raw = caller_sites.request()
+    connection.send(raw[:60])
+    for byte in raw[60:80]:
+        site.clock.advance(1.0)
+        connection.send(bytes([byte]))
+    answer = connection.answer()
+    assert answer.status == 408
+    assert answer.problem()['code'] == serving.SLOW_CODE
+    assert answer.headers['retry-after'] == '1'
+    assert not connection.transport.connected
+    assert site.events == []
+
+
+def test_half_a_request_leads_to_nothing():
+    """A caller dies while it sends; no request must come of the half."""
+    site = caller_sites.CallerSite()
+    connection = site.connect()
+    connection.send(caller_sites.request()[:-10])
+    connection.transport.loseConnection()
+    assert site.events == []
+    assert not site.clock.getDelayedCalls()
+
+
+def test_error_of_the_program_says_that_the_outcome_is_unknown(monkeypatch):
+    """A fault in the program itself hits a request.
+
+    The caller is not told "not run", since nobody knows.
+    """
+    site = caller_sites.CallerSite()
+    monkeypatch.setattr(site.app, 'arrival', None)
+    answer = answer_to(caller_sites.request(), site)
+    assert answer.status == 500
+    assert answer.problem()['ran'] == 'outcome-unknown'
+
+
+def test_keys_of_two_accounts_scope_the_same_idempotency_key():
+    site = caller_sites.CallerSite()
+    for key in (fleet.ACCOUNT_KEY, fleet.OTHER_KEY):
+        answer_to(
+            caller_sites.request(
+                CALL, b'', b'Idempotency-Key: k', key=key.encode()
+            ),
+            site,
+        )
+    assert [event.request.request for event in site.events] == [
+        identity.RequestId('teratak', 'k'),
+        identity.RequestId('karri', 'k'),
+    ]
--- a/tests/seam/test_layers.py
+++ b/tests/seam/test_layers.py
@@ -21,6 +21,7 @@
         'structlog',
         'treq',
         'twisted',
+        'werkzeug',
         'zmq',
         'zope',
     },
