--- a/src/greengagelb/cli/operators.py
+++ b/src/greengagelb/cli/operators.py
@@ -5,6 +5,7 @@
 import pathlib
 import sys
 from typing import Any
+from typing import TypeVar
 
 from absl import flags
 from twisted.internet import interfaces
@@ -37,6 +38,7 @@
     'intent', None, 'Intent as the JSON file that the operator API takes.'
 )
 
+T = TypeVar('T')
 Work = Callable[
     [operator_client.OperatorClient], Coroutine[Any, Any, plan_state.Plan]
 ]
@@ -145,20 +147,20 @@
         return plan_state.ReturnUpstream(RETURN.value)
     if CONFIGURATION.value is not None:
         return plan_state.ReplaceConfiguration(
-            read_file(
-                CONFIGURATION.value,
-                lambda raw: codec.decode(
-                    raw, configuration_state.Configuration
-                ),
-            )
+            read_json(CONFIGURATION.value, read_configuration)
         )
-    return read_file(INTENT.value, operator_api.read_intent)
+    return read_json(INTENT.value, operator_api.read_intent)
 
 
-def read_file(name: str, parse: Callable[[bytes], Any]) -> Any:
+def read_configuration(raw: bytes) -> configuration_state.Configuration:
+    """Return the configuration in a message."""
+    return codec.decode(raw, configuration_state.Configuration)
+
+
+def read_json(name: str, read: Callable[[bytes], T]) -> T:
     """Return the message in a JSON file, validated."""
     try:
-        return parse(pathlib.Path(name).read_bytes())
+        return read(pathlib.Path(name).read_bytes())
     except (OSError, errors.ProtocolError) as exc:
         raise errors.CommandError(f'{name}: {exc}') from exc
 
--- a/src/greengagelb/protocol/operator_api.py
+++ b/src/greengagelb/protocol/operator_api.py
@@ -85,6 +85,16 @@
     changes: list[plans.Confirmation]
 
 
+def write_intent(intent: plans.Intent) -> bytes:
+    """Return the message of an intent."""
+    (kind,) = [k for k, wanted in INTENTS.items() if wanted is type(intent)]
+    fields = {
+        field.name: getattr(intent, field.name)
+        for field in dataclasses.fields(intent)
+    }
+    return codec.encode({'type': kind, **fields})
+
+
 def read_intent(raw: bytes) -> plans.Intent:
     """Return the intent in a message.
 
@@ -104,11 +114,3 @@
     if unknown:
         raise errors.ProtocolError(f'{kind} has no {", ".join(unknown)}')
     return codec.decode(raw, wanted)
-
-
-def write_intent(intent: plans.Intent) -> bytes:
-    """Return an intent as a message."""
-    kind = next(
-        name for name, found in INTENTS.items() if isinstance(intent, found)
-    )
-    return codec.encode(msgspec.to_builtins(intent) | {'type': kind})
