--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -124,6 +124,20 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineCacheChanged:
+    """An engine stored and dropped prefixes, named by their digests.
+
+    Events come late and some are lost: ``sequence`` counts them from 1 for
+    each incarnation.
+    """
+
+    engine: identity.EngineId
+    sequence: int
+    stored: tuple[str, ...]
+    dropped: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamLeaving:
     """Some source says that an upstream is leaving; final per incarnation."""
@@ -233,6 +247,7 @@
     | AttemptCancelled
     | CancelFailed
     | UpstreamReported
+    | EngineCacheChanged
     | UpstreamUnreachable
     | UpstreamLeaving
     | ClaimWritten
