--- a/src/greengagelb/cli/commands.py
+++ b/src/greengagelb/cli/commands.py
@@ -51,8 +51,15 @@
         '--operator=IP:PORT --drain=UPSTREAM',
         'ask what an intent would do; nothing takes effect',
         operators.plan,
-        (*OPERATOR_FLAGS, 'drain', 'configuration', 'intent'),
-        details='Give exactly one of --drain, --configuration and --intent.',
+        (
+            *OPERATOR_FLAGS,
+            'drain',
+            'return_upstream',
+            'configuration',
+            'intent',
+        ),
+        details='Give exactly one intent. Intents of other kinds, such as a '
+        'change of model,\nare written to a file; docs/api.md lists them.',
     ),
     Command(
         'show-plan',
@@ -70,7 +77,9 @@
         OPERATOR_FLAGS,
         most_words=1,
         details='Exits with 5 if another plan was confirmed since this one '
-        'was made:\nplan again on top of that one.',
+        'was made:\nplan again on top of that one. Exits with 7 if nobody can '
+        'tell now whether\nit is in force: look with show-plan, or confirm '
+        'it again.',
     ),
     Command(
         'status',
--- a/src/greengagelb/cli/help_texts.py
+++ b/src/greengagelb/cli/help_texts.py
@@ -20,6 +20,7 @@
     exit_codes.ExitCode.UNREACHABLE: 'an instance gave no answer',
     exit_codes.ExitCode.CONFLICT: 'another operator was first; plan again',
     exit_codes.ExitCode.REFUSED: 'an instance answered and said no',
+    exit_codes.ExitCode.UNSETTLED: 'it may or may not have taken effect',
 }
 
 
--- a/src/greengagelb/cli/main.py
+++ b/src/greengagelb/cli/main.py
@@ -12,7 +12,6 @@
 from greengagelb.cli import help_texts
 
 HELP_WORDS = {'--help', '-h', '--helpfull', '--helpshort', 'help'}
-CONFLICT_CODES = {'version-conflict'}
 
 
 def main(arguments: list[str]) -> int:
@@ -63,8 +62,10 @@
             return exit_codes.ExitCode.USAGE
         case errors.InstanceUnreachable():
             return exit_codes.ExitCode.UNREACHABLE
-        case errors.InstanceRefused() if error.reason in CONFLICT_CODES:
+        case errors.InstanceRefused(reason=errors.VersionConflict.code):
             return exit_codes.ExitCode.CONFLICT
+        case errors.InstanceRefused(reason=errors.ConfirmUnsettled.code):
+            return exit_codes.ExitCode.UNSETTLED
         case errors.InstanceRefused():
             return exit_codes.ExitCode.REFUSED
     return exit_codes.ExitCode.FAILURE
--- a/src/greengagelb/cli/operators.py
+++ b/src/greengagelb/cli/operators.py
@@ -24,6 +24,11 @@
 DRAIN = flags.DEFINE_string(
     'drain', None, 'Intent: give the upstream of this name no new work.'
 )
+RETURN = flags.DEFINE_string(
+    'return_upstream',
+    None,
+    'Intent: give new work again to the drained upstream of this name.',
+)
 CONFIGURATION = flags.DEFINE_string(
     'configuration',
     None,
@@ -130,14 +135,16 @@
 
 def read_intent() -> plan_state.Intent:
     """Return the one intent that the flags state."""
-    given = (DRAIN.value, CONFIGURATION.value, INTENT.value)
-    if sum(value is not None for value in given) != 1:
+    flags_given = (DRAIN, RETURN, CONFIGURATION, INTENT)
+    if sum(flag.value is not None for flag in flags_given) != 1:
         raise errors.CommandError(
-            'write one of --drain=UPSTREAM, --configuration=FILE, '
-            '--intent=FILE'
+            'write one of --drain=UPSTREAM, --return_upstream=UPSTREAM, '
+            '--configuration=FILE, --intent=FILE'
         )
     if DRAIN.value is not None:
         return plan_state.DrainUpstream(DRAIN.value)
+    if RETURN.value is not None:
+        return plan_state.ReturnUpstream(RETURN.value)
     if CONFIGURATION.value is not None:
         return plan_state.ReplaceConfiguration(
             read_json(CONFIGURATION.value, read_configuration)
@@ -165,8 +172,25 @@
         f'built on configuration version {shown.base_version}',
     ]
     lines += [f'  step: {step}' for step in shown.steps]
+    lines += [
+        f'  takes about {shown.estimated_seconds:.0f} s; running requests '
+        f'that end where they are: {shown.moved}, that would be cut: '
+        f'{shown.cut}'
+    ]
+    lines += [capacity_line(capacity) for capacity in shown.capacity]
     lines += [f'  WARNING: {warning}' for warning in shown.warnings]
-    return '\n'.join(lines) + '\n'
+    return '\n'.join(tables.clean(line) for line in lines) + '\n'
+
+
+def capacity_line(capacity: plan_state.Capacity) -> str:
+    """Return one line on the places of a pool or of an account in it."""
+    owner = f'pool {capacity.pool}'
+    if capacity.account:
+        owner += f', account {capacity.account}'
+    return (
+        f'  places, {owner}: {capacity.before} now, {capacity.during} '
+        f'meanwhile, {capacity.after} after'
+    )
 
 
 def render_status(
@@ -176,13 +200,14 @@
     rows = [
         ['INSTANCE', 'DATA CENTRE', 'VERSION', 'STATE', 'RUNNING', 'WAITING']
     ]
-    notes = []
+    notes: list[str] = []
     versions = []
     for answer in answers:
         match answer:
             case operator_api.Status():
                 versions.append(answer.configuration_version)
                 rows.append(status_row(answer))
+                notes += missing_notes(answer)
             case operator_client.NoAnswer(address, _, reason):
                 rows.append([str(address), '?', '?', 'no answer', '?', '?'])
                 notes.append(f'no answer: {reason}')
@@ -194,6 +219,14 @@
     return tables.render(rows) + '\n'.join(notes) + '\n'
 
 
+def missing_notes(answer: operator_api.Status) -> list[str]:
+    """Return which instances lack the version, as this one sees them."""
+    return [
+        f'{answer.process} sees an older version on {name}'
+        for name in answer.missing
+    ]
+
+
 def status_row(answer: operator_api.Status) -> list[str]:
     """Return the cells of one instance."""
     state = 'serving' if answer.configuration_version else 'not configured'
--- a/src/greengagelb/cli/timeline.py
+++ b/src/greengagelb/cli/timeline.py
@@ -11,7 +11,7 @@
 from greengagelb.cli import operators
 from greengagelb.cli import running
 from greengagelb.cli import tables
-from greengagelb.protocol import operator_api
+from greengagelb.protocol import timeline_api
 from greengagelb.state import timeline as timeline_state
 from greengagelb.transport import operator_client
 
@@ -25,7 +25,7 @@
     2_000,
     'The last events that each instance gives.',
     lower_bound=1,
-    upper_bound=operator_api.MOST_TIMELINE_EVENTS,
+    upper_bound=timeline_api.MOST_EVENTS,
 )
 
 HEADING = [
@@ -40,7 +40,7 @@
     'ATTEMPT',
 ]
 
-Part = operator_api.TimelinePart | operator_client.NoAnswer
+Part = timeline_api.TimelinePart | operator_client.NoAnswer
 
 
 def timeline(words: list[str]) -> int:
@@ -70,7 +70,7 @@
     events = []
     for part in parts:
         match part:
-            case operator_api.TimelinePart(events=found):
+            case timeline_api.TimelinePart(events=found):
                 events += found
     return sorted(events, key=timeline_state.order_key)
 
@@ -114,7 +114,7 @@
     match part:
         case operator_client.NoAnswer(address, _, reason):
             return [f'{address} gave no events, they are missing: {reason}']
-        case operator_api.TimelinePart(process=process, dropped=dropped):
+        case timeline_api.TimelinePart(process=process, dropped=dropped):
             notes = []
             if dropped:
                 notes.append(
--- a/src/greengagelb/protocol/operator_api.py
+++ b/src/greengagelb/protocol/operator_api.py
@@ -3,8 +3,8 @@
 ``POST /v1/plans`` with an intent -> the plan; ``POST /v1/plans/{id}/confirm``
 -> the plan as confirmed, or 409 :class:`Conflict`, or 503
 ``confirm-unsettled``; ``GET /v1/plans/{id}`` -> the plan with its stage now;
-``GET /v1/status``; ``GET /v1/timeline``, with the parameters ``account``,
-``request``, ``kind`` and ``most_events``. All carry the header
+``GET /v1/status``; ``GET /v1/timeline`` as in
+:mod:`~greengagelb.protocol.timeline_api`. Header
 ``Authorization: Bearer KEY``.
 
 An intent is an object with ``type``, one of :data:`INTENTS`, and the
@@ -19,7 +19,6 @@
 from greengagelb.protocol import codec
 from greengagelb.state import fleet
 from greengagelb.state import plans
-from greengagelb.state import timeline
 
 INTENTS: dict[str, type[plans.Intent]] = {
     'replace-configuration': plans.ReplaceConfiguration,
@@ -86,14 +85,6 @@
     changes: list[plans.Confirmation]
 
 
-class TimelinePart(msgspec.Struct, frozen=True):
-    """The events that one process still has; ``dropped`` are lost."""
-
-    process: str
-    dropped: int
-    events: list[timeline.TimelineEvent]
-
-
 def write_intent(intent: plans.Intent) -> bytes:
     """Return the message of an intent."""
     (kind,) = [k for k, wanted in INTENTS.items() if wanted is type(intent)]
@@ -123,34 +114,3 @@
     if unknown:
         raise errors.ProtocolError(f'{kind} has no {", ".join(unknown)}')
     return codec.decode(raw, wanted)
-
-
-MOST_TIMELINE_EVENTS = 20_000
-
-
-def parameters_of(wanted: timeline.Selection) -> dict[str, str]:
-    """Return the query parameters that ask for a selection of events."""
-    return {
-        'account': wanted.account,
-        'request': wanted.request,
-        'kind': wanted.kind,
-        'most_events': str(wanted.most_events),
-    }
-
-
-def selection_of(parameters: dict[str, str]) -> timeline.Selection:
-    """Return the selection in query parameters."""
-    unknown = set(parameters) - set(parameters_of(timeline.Selection()))
-    if unknown:
-        raise errors.BadValue(f'unknown parameter {min(unknown)}')
-    most = parameters.get('most_events', '2000')
-    if not most.isdecimal() or not 0 < int(most) <= MOST_TIMELINE_EVENTS:
-        raise errors.BadValue(
-            f'most_events: write a number from 1 to {MOST_TIMELINE_EVENTS}'
-        )
-    return timeline.Selection(
-        parameters.get('account', ''),
-        parameters.get('request', ''),
-        parameters.get('kind', ''),
-        int(most),
-    )
