Make the slow caller's events long by its service's name

Cause: the merged bound on idempotency keys (200 characters) refuses the key of 2,000 characters by which the test filled the buffers. Change: the test uses a service with a long name; all its checks stay.

--- a/tests/process/test_slow_caller.py
+++ b/tests/process/test_slow_caller.py
@@ -11,16 +11,16 @@
 
 pytestmark = pytest.mark.slow
 
-LONG_ID = 'x' * 2000
+LONG_NAME = 'x' * 2000
 
 
 def read_a_little(port, caller):
     """Read some events over a connection with a small buffer, then stop.
 
-    The caller's long request id is part of every event, which makes the
+    The long name of its service is part of every event, which makes the
     answer large enough to fill all buffers soon.
     """
-    headers = fleet.bearer(caller.key) | {'Idempotency-Key': LONG_ID}
+    headers = fleet.bearer(caller.key)
     connection = http.client.HTTPConnection(fleet.HOST, port, timeout=20)
     connection.sock = socket.socket()
     connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -34,6 +34,15 @@
     return connection
 
 
+def with_long_name(configuration):
+    """Return a configuration whose first service has a second name."""
+    draft = configuration['services'][0]
+    configuration['services'].append(draft | {'name': LONG_NAME})
+    for account in configuration['accounts']:
+        account['services'].append(LONG_NAME)
+    return configuration
+
+
 def running(process):
     headers = fleet.bearer(fleet.OPERATOR_KEY)
     answer = fleet.ask(process.operator_port, '/v1/status', headers=headers)
@@ -49,8 +58,9 @@
     account's draft goes on meanwhile.
     """
     with fleet.small_fleet(tmp_path) as alive:
+        alive.configure(with_long_name(alive.configuration()))
         router = alive.instances['router-0']
-        slow = callers.StreamCaller('slow', 30_000)
+        slow = callers.StreamCaller('slow', 30_000, service=LONG_NAME)
         reading = read_a_little(router.port, slow)
         other = callers.StreamCaller('other', 300, key=fleet.OTHER_KEY)
         other.read_all(router.port)
