--- /dev/null
+++ b/src/greengagelb/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the decisions, in virtual time; they print JSON."""
--- a/src/greengagelb/protocol/caller_api.py
+++ b/src/greengagelb/protocol/caller_api.py
@@ -10,11 +10,17 @@
 ``POST /v1/services/{service}/{operation}`` passes a body to a plain service.
 
 Headers: ``Authorization: Bearer KEY``, ``Idempotency-Key``,
-``X-Deadline-Seconds``.
+``X-Deadline-Seconds``. With ``X-First-Send: 1`` the caller says that it has
+never sent this key before; only then can a refusal of a request that may not
+be repeated say "not run" while the platform's service is away.
 """
 
+from typing import Annotated
+
 import msgspec
 
+MOST_TOKENS = 131_072
+
 
 class Message(msgspec.Struct, frozen=True):
     """One turn of the conversation that makes up the prompt."""
@@ -27,8 +33,8 @@
     """A caller's request for a streamed generation."""
 
     model: str
-    messages: list[Message]
-    max_tokens: int = 256
+    messages: Annotated[list[Message], msgspec.Meta(min_length=1)]
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=MOST_TOKENS)] = 256
     stream: bool = True
     received: list[str] = []
 
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -8,7 +8,6 @@
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
-from twisted.web import server
 
 from greengagelb import errors
 from greengagelb import settings
@@ -21,6 +20,7 @@
 from greengagelb.state import identity
 from greengagelb.state import plans as plan_state
 from greengagelb.transport import caller_app
+from greengagelb.transport import caller_stream
 from greengagelb.transport import claim_store
 from greengagelb.transport import engine_client
 from greengagelb.transport import listening
@@ -30,6 +30,7 @@
 from greengagelb.transport import platform_client
 from greengagelb.transport import recorder
 from greengagelb.transport import service_client
+from greengagelb.transport import serving
 
 PULSE_SECONDS = 0.1
 PAUSE_SECONDS = 0.25
@@ -58,7 +59,7 @@
             instance_settings.instance.timeline_events,
         )
         self.platform = platform_client.PlatformClient(
-            reactor, instance_settings.platform
+            reactor, instance_settings.platform, self.recorder.record
         )
         self.engines = engine_client.EngineClient(reactor, self.dispatch)
         self.services = service_client.ServiceClient(reactor, self.dispatch)
@@ -117,10 +118,14 @@
 
     def listen(self, port: int, app: klein.Klein) -> None:
         """Serve an app on a port."""
-        site = listening.DrainingFactory(server.Site(app.resource()))
+        site = listening.DrainingFactory(
+            serving.bounded_site(app.resource(), self.reactor)
+        )
         host = self.settings.instance.host
         self.sites.append(site)
-        self.ports.append(self.reactor.listenTCP(port, site, interface=host))
+        listener = self.reactor.listenTCP(port, site, interface=host)
+        caller_stream.bound_kernel_buffer(listener)
+        self.ports.append(listener)
 
     def repeat(self, seconds: float, function: object) -> None:
         """Call a function now and again, as long as the process lives."""
@@ -292,10 +297,8 @@
                 self.callers.send_failure(action)
             case actions.SendAnswer():
                 self.callers.send_answer(action)
-            case actions.InsertClaim():
-                self.claims.insert(action)
-            case actions.RecordOutcome():
-                self.claims.record_outcome(action)
+            case actions.WriteClaim():
+                self.claims.write(action)
             case actions.DispatchCall():
                 self.services.call(action)
             case actions.AbandonCall(exchange):
--- a/src/greengagelb/transport/operator_app.py
+++ b/src/greengagelb/transport/operator_app.py
@@ -18,10 +18,12 @@
 from greengagelb.coordination import plans
 from greengagelb.protocol import operator_api
 from greengagelb.protocol import problems
+from greengagelb.protocol import timeline_api
 from greengagelb.state import plans as plan_state
 from greengagelb.state import requests
 from greengagelb.transport import http
 from greengagelb.transport import plan_store
+from greengagelb.transport import problem_handlers
 from greengagelb.transport import recorder
 
 BEARER = 'Bearer '
@@ -55,6 +57,7 @@
         self.app.route('/v1/status', methods=['GET'])(self.show_status)
         self.app.route('/v1/timeline', methods=['GET'])(self.show_timeline)
         self.app.handle_errors(errors.GreengagelbError)(self.failed)
+        problem_handlers.install(self.app)
 
     def failed(self, request: server.Request, why: failure.Failure) -> bytes:
         """Answer with the code of an error."""
@@ -179,9 +182,10 @@
     def show_timeline(self, request: server.Request) -> bytes:
         """Show the events that this process still has."""
         self.authenticate(request)
-        part = operator_api.TimelinePart(
+        wanted = timeline_api.selection_of(request.args)
+        part = timeline_api.TimelinePart(
             self.status().process,
             self.recorder.timeline.dropped,
-            list(self.recorder.timeline.events),
+            self.recorder.timeline.select(wanted),
         )
         return http.json_answer(request, part)
