--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -8,6 +8,7 @@
 
 from greengagelb.state import claims
 from greengagelb.state import configuration as configuration_state
+from greengagelb.state import fleet
 from greengagelb.state import identity
 from greengagelb.state import requests
 
@@ -117,6 +118,16 @@
     leaving: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadsHeard:
+    """Another instance passes on the loads of upstreams that it watches.
+
+    The indices are those of the configuration in force here.
+    """
+
+    loads: tuple[fleet.UpstreamLoad, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamUnreachable:
     """An upstream did not answer a probe in time."""
@@ -233,6 +244,7 @@
     | AttemptCancelled
     | CancelFailed
     | UpstreamReported
+    | LoadsHeard
     | UpstreamUnreachable
     | UpstreamLeaving
     | ClaimWritten
--- a/src/greengagelb/coordination/membership.py
+++ b/src/greengagelb/coordination/membership.py
@@ -101,6 +101,7 @@
         self.interval = interval
         self.own = fleet.OwnState()
         self.stamp = timeline.Stamp(0, 0)
+        self.loads: tuple[fleet.UpstreamLoad, ...] = ()
         self.peers: dict[str, fleet.PeerView] = {}
         self.noticed: dict[identity.EngineId, float] = {}
         self.summaries: dict[str, tuple[float, fleet.DataCentreSummary]] = {}
@@ -163,6 +164,8 @@
             done.append(
                 Report(events.UpstreamLeaving(engine, f'peer {peer.name}'))
             )
+        if heartbeat.loads and heartbeat.version == self.own.version:
+            done.append(Report(events.LoadsHeard(heartbeat.loads)))
         return [*done, *self.ask_if_newer(view, now), *self.sized(now)]
 
     def welcome(self, peer: fleet.PeerId, now: float) -> list[Action]:
@@ -250,8 +253,9 @@
         heartbeat = self.heartbeat(now)
         local = self.local_addresses()
         remote = self.remote_addresses(now)
+        with_loads = dataclasses.replace(heartbeat, loads=self.loads)
         done: list[Action] = [
-            SendHeartbeat(address, heartbeat) for address in sorted(local)
+            SendHeartbeat(address, with_loads) for address in sorted(local)
         ]
         if remote:
             summary = self.summary(now)
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -120,6 +120,9 @@
             case events.UpstreamReported():
                 self.directory.observe(event, now)
                 return []
+            case events.LoadsHeard(loads):
+                self.directory.hear_loads(loads, now)
+                return []
             case events.UpstreamUnreachable(name):
                 self.directory.suspect(name, now)
                 return []
--- a/src/greengagelb/protocol/peer_api.py
+++ b/src/greengagelb/protocol/peer_api.py
@@ -28,6 +28,7 @@
 from greengagelb.state import timeline
 
 TAG_BYTES = 16
+STEP_UNITS_A_SECOND = 10_000
 MOST_MESSAGE_BYTES = 4 << 20
 MOST_DOCUMENT_BYTES = 16 << 20
 KEY_PURPOSE = b'greengagelb peers'
@@ -50,6 +51,15 @@
     missing: list[str]
 
 
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """The load of an upstream; the step is in units of 0.1 ms."""
+
+    index: int
+    running: int
+    queued: int
+    step: int
+
+
 class HeartbeatMessage(msgspec.Struct, frozen=True, array_like=True, tag='h'):
     """See :class:`greengagelb.state.fleet.Heartbeat`."""
 
@@ -64,6 +74,7 @@
     count: int
     notices: list[Notice] = []
     summaries: list[Summary] = []
+    loads: list[Load] = []
 
 
 class ConfigurationQuery(
@@ -148,6 +159,15 @@
             )
             for one in heartbeat.summaries
         ],
+        loads=[
+            Load(
+                one.index,
+                one.running,
+                one.queued,
+                round(one.step_seconds * STEP_UNITS_A_SECOND),
+            )
+            for one in heartbeat.loads
+        ],
     )
 
 
@@ -177,6 +197,15 @@
             )
             for one in message.summaries
         ),
+        loads=tuple(
+            fleet.UpstreamLoad(
+                one.index,
+                one.running,
+                one.queued,
+                one.step / STEP_UNITS_A_SECOND,
+            )
+            for one in message.loads
+        ),
     )
 
 
--- a/src/greengagelb/state/fleet.py
+++ b/src/greengagelb/state/fleet.py
@@ -53,9 +53,26 @@
     missing: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLoad:
+    """The load of an upstream as its watcher was told; step in seconds.
+
+    ``index`` is its place among all upstreams of the configuration, pool by
+    pool: a name would make the heartbeat several times as long.
+    """
+
+    index: int
+    running: int
+    queued: int
+    step_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """What an instance tells others, now and again and when it changes."""
+    """What an instance tells others, now and again and when it changes.
+
+    ``loads`` count upstreams by the configuration of ``version``.
+    """
 
     sender: PeerId
     version: int
@@ -63,6 +80,7 @@
     stamp: timeline.Stamp
     leaving_upstreams: tuple[identity.EngineId, ...] = ()
     summaries: tuple[DataCentreSummary, ...] = ()
+    loads: tuple[UpstreamLoad, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -15,6 +15,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination import node
+from greengagelb.coordination import watching
 from greengagelb.protocol import codec
 from greengagelb.protocol import operator_api
 from greengagelb.state import fleet
@@ -109,7 +110,7 @@
         self.listen(place.operator_port, operators.app)
         self.peers.start()
         self.repeat(PULSE_SECONDS, self.pulse)
-        self.repeat(self.settings.peers.heartbeat_seconds, self.peers.tick)
+        self.repeat(self.settings.peers.heartbeat_seconds, self.tell_peers)
         self.repeat(PROBE_SECONDS, self.probe_upstreams)
         self.repeat(self.settings.platform.poll_seconds, self.poll)
 
@@ -151,9 +152,23 @@
         )
 
     def probe_upstreams(self) -> None:
-        """Ask every upstream for its report."""
-        for view in self.node.directory.views.values():
-            self.engines.probe(actions.ProbeUpstream(view.upstream))
+        """Ask the upstreams that this instance watches for their reports."""
+        now = self.reactor.seconds()
+        members = self.peers.membership
+        wanted = watching.upstreams_to_probe(
+            self.node.directory.views.values(),
+            self.incarnation,
+            members.live_incarnations(now),
+            now,
+        )
+        for upstream in wanted:
+            self.engines.probe(actions.ProbeUpstream(upstream))
+
+    def tell_peers(self) -> None:
+        """Send the regular heartbeats, with the loads known here."""
+        now = self.reactor.seconds()
+        self.peers.membership.loads = self.node.directory.own_loads(now)
+        self.peers.tick()
 
     @defer.inlineCallbacks
     def poll(self) -> object:
