--- a/src/greengagelb/cli/demo.py
+++ b/src/greengagelb/cli/demo.py
@@ -12,7 +12,6 @@
 
 from absl import flags
 import msgspec
-import treq
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
@@ -115,7 +114,7 @@
     ) -> None:
         self.reactor = reactor
         self.fleet = fleet
-        self.treq = treq.client.HTTPClient(
+        self.treq = http.cookieless_client(
             http.fresh_connection_agent(reactor)
         )
         self.operators = [
--- a/src/greengagelb/cli/exit_codes.py
+++ b/src/greengagelb/cli/exit_codes.py
@@ -8,7 +8,8 @@
 
     ``UNREACHABLE`` means that at least one instance gave no answer, so what
     was printed may be a part of the whole. ``REFUSED`` means that an instance
-    answered and said no; the code on standard error tells why.
+    answered and said no; the code on standard error tells why. ``UNSETTLED``
+    means that the change may or may not have taken effect.
     """
 
     SUCCESS = 0
@@ -18,3 +19,4 @@
     UNREACHABLE = 4
     CONFLICT = 5
     REFUSED = 6
+    UNSETTLED = 7
--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -10,7 +10,6 @@
 import klein
 from twisted.internet import defer
 from twisted.internet import interfaces
-from twisted.python import failure
 from twisted.web import http as web_http
 from twisted.web import server
 
@@ -24,12 +23,11 @@
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
 from greengagelb.state import requests
+from greengagelb.transport import caller_headers
+from greengagelb.transport import caller_stream
 from greengagelb.transport import engine_client
 from greengagelb.transport import http
-
-DEFAULT_DEADLINE_SECONDS = 600.0
-MOST_DEADLINE_SECONDS = 3600.0
-BEARER = 'Bearer '
+from greengagelb.transport import problem_handlers
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,7 +38,7 @@
     done: defer.Deferred
     service: str
     request_id: str
-    streaming: bool = False
+    stream: caller_stream.CallerStream | None = None
 
 
 class CallerApp:
@@ -64,36 +62,36 @@
         self.app.route('/v1/services/<service>/<operation>', methods=['POST'])(
             self.call
         )
-        self.app.handle_errors(errors.ProtocolError)(self.bad_message)
+        problem_handlers.install(self.app)
 
     # -- requests -----------------------------------------------------------
 
     def chat(self, request: server.Request) -> object:
         """Handle a request for a streamed generation."""
         account = self.authenticate(request)
-        if account is None:
-            return http.refuse(request, 'unauthenticated', 'unknown API key')
+        headers = caller_headers.read_headers(request)
         body = codec.decode(request.content.read(), caller_api.ChatCompletion)
+        if not body.stream:
+            raise errors.BadValue('stream: write true; every answer streams')
         prompt = '\n'.join(
             f'{message.role}: {message.content}' for message in body.messages
         )
-        exchange, has_key, request_id = self.name_request(request)
         generation = requests.GenerationRequest(
-            exchange,
-            identity.RequestId(account.name, request_id),
+            next(self.numbers),
+            identity.RequestId(account.name, self.name_request(headers)),
             body.model,
             prompt,
             body.max_tokens,
-            self.deadline_of(request),
-            has_key,
-            is_first_send(request),
+            self.deadline_of(headers),
+            bool(headers.idempotency_key),
+            headers.first_send,
         )
-        event = self.arrival(request, generation, tuple(body.received))
+        event = self.arrival(headers.cursor, generation, tuple(body.received))
         return self.open(request, generation, event)
 
     def arrival(
         self,
-        request: server.Request,
+        cursor: str,
         generation: requests.GenerationRequest,
         received: tuple[str, ...],
     ) -> events.Event:
@@ -102,12 +100,13 @@
         A cursor of another account is treated like one that was never
         sealed, so that nobody learns of another account's requests.
         """
-        cursor = request.getHeader('last-event-id')
         if not cursor:
+            if received:
+                raise errors.BadCursor('received: write Last-Event-ID with it')
             return events.GenerationSubmitted(generation)
         point = self.seal.open(cursor)
         if point.request.account != generation.request.account:
-            raise errors.ProtocolError('cursor was not sealed here')
+            raise errors.BadCursor('cursor was not sealed here')
         resumed = dataclasses.replace(generation, request=point.request)
         return events.GenerationResumed(resumed, point, received)
 
@@ -116,18 +115,17 @@
     ) -> object:
         """Handle a call to a plain service."""
         account = self.authenticate(request)
-        if account is None:
-            return http.refuse(request, 'unauthenticated', 'unknown API key')
-        exchange, has_key, request_id = self.name_request(request)
+        headers = caller_headers.read_headers(request)
+        caller_headers.check_operation(operation)
         call = requests.CallRequest(
-            exchange,
-            identity.RequestId(account.name, request_id),
+            next(self.numbers),
+            identity.RequestId(account.name, self.name_request(headers)),
             service,
             operation,
             request.content.read(),
-            self.deadline_of(request),
-            has_key,
-            is_first_send(request),
+            self.deadline_of(headers),
+            bool(headers.idempotency_key),
+            headers.first_send,
         )
         return self.open(request, call, events.CallSubmitted(call))
 
@@ -154,52 +152,30 @@
 
     def authenticate(
         self, request: server.Request
-    ) -> configuration_state.ClientAccount | None:
+    ) -> configuration_state.ClientAccount:
         """Return the client account of the request's API key.
 
         Every account's digest is compared, in constant time, so that the time
-        taken tells nothing about the keys.
+        taken tells nothing about the keys. Raises
+        :class:`~greengagelb.errors.Unauthenticated`.
         """
-        header = request.getHeader('authorization') or ''
-        key = header.removeprefix(BEARER)
-        digest = hashlib.sha256(key.encode()).hexdigest()
+        key = caller_headers.api_key_of(request)
+        digest = hashlib.sha256(key).hexdigest()
         found = None
         for account in self.configuration().accounts:
             if hmac.compare_digest(account.key_digest, digest):
                 found = account
+        if found is None:
+            raise errors.Unauthenticated('unknown API key')
         return found
 
-    def name_request(self, request: server.Request) -> tuple[int, bool, str]:
-        """Return exchange number, whether the caller named it, and the id."""
-        key = request.getHeader('idempotency-key')
-        return (
-            next(self.numbers),
-            bool(key),
-            key or secrets.token_urlsafe(12),
-        )
+    def name_request(self, headers: caller_headers.CallerHeaders) -> str:
+        """Return the request's id: the caller's own, or a fresh one."""
+        return headers.idempotency_key or secrets.token_urlsafe(12)
 
-    def deadline_of(self, request: server.Request) -> float:
+    def deadline_of(self, headers: caller_headers.CallerHeaders) -> float:
         """Return the monotonic time by which the caller wants its answer."""
-        text = request.getHeader('x-deadline-seconds')
-        seconds = DEFAULT_DEADLINE_SECONDS
-        if text is not None:
-            try:
-                seconds = float(text)
-            except ValueError:
-                raise errors.ProtocolError(
-                    'X-Deadline-Seconds: write seconds, such as 30'
-                ) from None
-            if not 0 < seconds <= MOST_DEADLINE_SECONDS:
-                raise errors.ProtocolError(
-                    'X-Deadline-Seconds: write seconds above 0, up to 3600'
-                )
-        return self.reactor.seconds() + seconds
-
-    def bad_message(
-        self, request: server.Request, why: failure.Failure
-    ) -> bytes:
-        """Answer a request that can't be understood."""
-        return http.refuse(request, 'bad-message', str(why.value))
+        return self.reactor.seconds() + headers.deadline_seconds
 
     # -- answers ------------------------------------------------------------
 
@@ -208,7 +184,7 @@
         exchange = self.exchanges.get(action.exchange)
         if exchange is None:
             return
-        self.begin_stream(exchange)
+        stream = self.begin_stream(exchange)
         chunk = caller_api.ChatChunk(
             id=exchange.request_id,
             model=exchange.service,
@@ -220,26 +196,34 @@
             tokens=list(action.tokens),
         )
         cursor = self.seal.seal(action.point)
-        exchange.request.write(
-            sse.write_event(codec.encode(chunk), event_id=cursor)
-        )
-
-    def begin_stream(self, exchange: Exchange) -> None:
-        """Send the headers of an event stream, once."""
-        if exchange.streaming:
-            return
-        exchange.streaming = True
-        exchange.request.setHeader(b'content-type', b'text/event-stream')
-        exchange.request.setHeader(b'cache-control', b'no-store')
+        stream.write(sse.write_event(codec.encode(chunk), event_id=cursor))
+
+    def begin_stream(self, exchange: Exchange) -> caller_stream.CallerStream:
+        """Return the stream, after its headers were set."""
+        if exchange.stream is None:
+            request = exchange.request
+            request.setHeader(b'content-type', b'text/event-stream')
+            request.setHeader(b'cache-control', b'no-store')
+            exchange.stream = caller_stream.CallerStream(
+                request, lambda: self.cut(request)
+            )
+        return exchange.stream
+
+    def cut(self, request: server.Request) -> None:
+        """Close the connection of a caller that does not read.
+
+        What waits in the transport is dropped too: flushing it would wait
+        for the same caller.
+        """
+        request.transport.abortConnection()
 
     def send_restart(self, action: actions.SendRestart) -> None:
         """Tell the caller to discard what it holds."""
         exchange = self.exchanges.get(action.exchange)
         if exchange is None:
             return
-        self.begin_stream(exchange)
         message = caller_api.Restarted(action.generation, action.reason)
-        exchange.request.write(
+        self.begin_stream(exchange).write(
             sse.write_event(codec.encode(message), 'restart')
         )
 
@@ -248,7 +232,7 @@
         exchange = self.exchanges.pop(action.exchange, None)
         if exchange is None:
             return
-        self.begin_stream(exchange)
+        stream = self.begin_stream(exchange)
         chunk = caller_api.ChatChunk(
             id=exchange.request_id,
             model=exchange.service,
@@ -260,7 +244,8 @@
             tokens=[],
         )
         last = sse.write_event(codec.encode(chunk))
-        exchange.done.callback(last + sse.write_event(b'[DONE]'))
+        last += sse.write_event(b'[DONE]')
+        exchange.done.callback(stream.finish() + last)
 
     def send_failure(self, action: actions.SendFailure) -> None:
         """Give the caller its final answer."""
@@ -268,9 +253,9 @@
         if exchange is None:
             return
         problem = problems.problem_of(action.failure)
-        if exchange.streaming:
+        if exchange.stream is not None:
             event = sse.write_event(codec.encode(problem), 'error')
-            exchange.done.callback(event)
+            exchange.done.callback(exchange.stream.finish() + event)
             return
         exchange.done.callback(http.problem_answer(exchange.request, problem))
 
@@ -283,16 +268,12 @@
         exchange.done.callback(action.body)
 
 
-def is_first_send(request: server.Request) -> bool:
-    """Return whether the caller says that it never sent this key before."""
-    return request.getHeader('x-first-send') == '1'
-
-
 def health_app(
     ready: Callable[[], bool], metrics: Callable[[], bytes]
 ) -> klein.Klein:
     """Return an app with ``/healthz``, ``/readyz`` and ``/metrics``."""
     app = klein.Klein()
+    problem_handlers.install(app)
 
     @app.route('/healthz')
     def healthz(request: server.Request) -> bytes:
