Share out the watching of engines, and pass their loads on in heartbeats

Cause: each instance asked each engine once a second. Ruled out: asking less often (a report older than a few seconds says nothing), and reports in the token streams alone (an instance has 1.4 streams on an engine of its data centre on average, and none on many). Change: two watchers an engine, by rendezvous hash over the live instances of the data centre; loads ride in the heartbeats by index, 7 bytes each; who suspects an engine, or has it as leaving, asks it too. What that brings along: a leaving notice for an incarnation that is not known here counts until the next answer, old reports of a version no longer keep an engine out, and engines of other data centres get only what finds no room here.

--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -39,10 +39,12 @@
     is either waiting, running or gone, and is counted once in admission.
     """
 
-    def __init__(self, incarnation: str, rng: random.Random) -> None:
+    def __init__(
+        self, incarnation: str, rng: random.Random, data_centre: str = ''
+    ) -> None:
         self.incarnation = incarnation
         self.configuration = configuration_state.Configuration()
-        self.directory = routing.UpstreamDirectory(rng)
+        self.directory = routing.UpstreamDirectory(rng, data_centre)
         self.admission = admission.AdmissionControl(rng)
         self.accounts: dict[str, configuration_state.ClientAccount] = {}
         self.cancels = cancellations.CancellationSupervisor()
--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -20,7 +20,7 @@
 from greengagelb.state import upstreams as upstream_state
 
 REPORT_TRUST_SECONDS = 5.0
-ASKED_TRUST_SECONDS = 3.0
+PROBE_TRUST_SECONDS = 3.0
 SUSPICION_SECONDS = 2.0
 MOST_SUSPICION_SECONDS = 30.0
 FORGIVE_SECONDS = 30.0
@@ -40,8 +40,9 @@
     tells that an upstream may have room by now that it had not before.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, data_centre: str = '') -> None:
         self.rng = rng
+        self.data_centre = data_centre
         self.views: dict[str, upstream_state.UpstreamView] = {}
         self.short_pools: set[str] = set()
         self.leaving: set[identity.EngineId] = set()
@@ -95,7 +96,7 @@
         view.reported_running = report.running
         view.reported_queued = report.queued
         view.reported_at = now
-        view.asked_at = now
+        view.probed_at = now
         view.in_flight_at_report = view.in_flight
         view.step_seconds = report.step_seconds
         view.leaving = report.engine in self.leaving
@@ -115,8 +116,9 @@
                 view.step_seconds,
             )
             for index, name in enumerate(self.order)
-            if (view := self.views[name]).reported_at == view.asked_at
-            and now - view.asked_at < REPORT_TRUST_SECONDS
+            if self.is_local(view := self.views[name])
+            and view.reported_at == view.probed_at
+            and now - view.probed_at < REPORT_TRUST_SECONDS
         )
 
     def hear_loads(
@@ -127,7 +129,7 @@
             if load.index >= len(self.order):
                 continue
             view = self.views[self.order[load.index]]
-            if now - view.asked_at < REPORT_TRUST_SECONDS:
+            if now - view.probed_at < REPORT_TRUST_SECONDS:
                 continue
             view.reported_running = load.running
             view.reported_queued = load.queued
@@ -152,9 +154,11 @@
             view.suspected_until = min(view.suspected_until, now)
             view.returned_at = now
 
-    def mark_leaving(
-        self, event: events.UpstreamLeaving, now: float
-    ) -> None:
+    def is_local(self, view: upstream_state.UpstreamView) -> bool:
+        """Return whether an upstream is in this instance's data centre."""
+        return view.upstream.data_centre == self.data_centre
+
+    def mark_leaving(self, event: events.UpstreamLeaving, now: float) -> None:
         """Give no new work to that incarnation from now on.
 
         It is remembered by incarnation: the notice may come before the first
@@ -171,7 +175,7 @@
         # An instance that does not watch the upstream may know none or an
         # old incarnation of it, and would take the notice for another's. It
         # gives no work until its own next question is answered.
-        unsure = now - view.asked_at >= ASKED_TRUST_SECONDS
+        unsure = now - view.probed_at >= PROBE_TRUST_SECONDS
         same = view.incarnation == engine.incarnation
         view.leaving = view.leaving or same or unsure
 
@@ -226,7 +230,11 @@
         priority: configuration_state.Priority = RESUME,
         prefix: str = '',
     ) -> upstream_state.UpstreamView | None:
-        """Return a view with room for one more request, or None."""
+        """Return a view with room for one more request, or None.
+
+        Upstreams of other data centres get only what finds no room here: a
+        partition would break the streams on them.
+        """
         usable = [
             view
             for view in self.usable_views(pool, excluded, now)
@@ -234,6 +242,8 @@
         ]
         if not usable:
             return None
+        local = [view for view in usable if self.is_local(view)]
+        usable = local or usable
         if prefix:
             near = self.choose_by_prefix(usable, prefix, now)
             if near is not None:
@@ -304,7 +314,7 @@
             return False
         if not view.incarnation or not pool.version:
             return True
-        if now - view.asked_at >= ASKED_TRUST_SECONDS:
+        if now - view.probed_at >= PROBE_TRUST_SECONDS:
             return True
         return (view.model, view.version, view.adapter) == (
             pool.model,
--- a/src/greengagelb/coordination/watching.py
+++ b/src/greengagelb/coordination/watching.py
@@ -14,6 +14,7 @@
 from greengagelb.state import upstreams as upstream_state
 
 WATCHERS = 2
+TURNS_BETWEEN_REMOTE = 10
 MOST_PROBES = 32
 
 
@@ -21,10 +22,15 @@
     views: Iterable[upstream_state.UpstreamView],
     me: str,
     instances: set[str],
+    data_centre: str,
+    turn: int,
     now: float,
 ) -> list[configuration_state.Upstream]:
     """Return the upstreams to ask now; ``me`` is one of ``instances``.
 
+    ``instances`` are those of this data centre. Upstreams of other data
+    centres, which get little work from here, are asked every few turns only.
+
     At most ``MOST_PROBES``: when a whole data centre of engines is lost, all
     of them are suspected at once, and asking them all each second would cost
     the time that the callers' streams need.
@@ -32,8 +38,11 @@
     watched = []
     doubtful = []
     for view in views:
-        if me in rendezvous.highest(view.upstream.name, instances, WATCHERS):
-            watched.append(view.upstream)
+        name = view.upstream.name
+        local = view.upstream.data_centre == data_centre
+        if me in rendezvous.highest(name, instances, WATCHERS):
+            if local or turn % TURNS_BETWEEN_REMOTE == 0:
+                watched.append(view.upstream)
         elif view.leaving or now < view.suspected_until:
             doubtful.append(view.upstream)
     return [*watched, *doubtful[:MOST_PROBES]]
--- a/src/greengagelb/state/upstreams.py
+++ b/src/greengagelb/state/upstreams.py
@@ -10,10 +10,12 @@
     """One upstream as seen from this instance; loads are counts of requests.
 
     ``reported_at`` is a monotonic time; a report older than a few seconds
-    says little. ``in_flight_at_report`` tells what of the reported load is
-    this instance's own. ``suspected_until``
-    keeps new work away from an upstream that has just failed, ``failures``
-    counts such times in a row and ``returned_at`` is when it last came back.
+    says little. ``probed_at`` is when this instance was last answered by the
+    upstream itself; until then a load may have been passed on by another
+    instance. ``in_flight_at_report`` tells what of the reported load is this
+    instance's own. ``suspected_until`` keeps new work away from an upstream
+    that has just failed, ``failures`` counts such times in a row and
+    ``returned_at`` is when it last came back.
     ``leaving`` is final for the incarnation.
     """
 
@@ -27,7 +29,7 @@
     reported_running: int = 0
     reported_queued: int = 0
     reported_at: float = float('-inf')
-    asked_at: float = float('-inf')
+    probed_at: float = float('-inf')
     step_seconds: float = 0.0
     leaving: bool = False
     suspected_at: float = float('-inf')
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -1,6 +1,7 @@
 """One instance: sockets, timers and clients around the decisions."""
 
 import collections
+import itertools
 import random
 import secrets
 
@@ -54,7 +55,11 @@
         self.reactor = reactor
         self.settings = instance_settings
         self.incarnation = secrets.token_hex(6)
-        self.node = node.Node(self.incarnation, random.Random())
+        self.node = node.Node(
+            self.incarnation,
+            random.Random(),
+            instance_settings.instance.data_centre,
+        )
         self.recorder = recorder.Recorder(
             instance_settings.instance.name,
             instance_settings.instance.timeline_events,
@@ -83,6 +88,7 @@
         self.timers: dict[str, interfaces.IDelayedCall] = {}
         self.backlog: collections.deque[events.Event] = collections.deque()
         self.busy = False
+        self.probe_turns = itertools.count()
         self.sites: list[listening.DrainingFactory] = []
         self.ports: list[interfaces.IListeningPort] = []
         self.finishing = False
@@ -166,6 +172,8 @@
             self.node.directory.views.values(),
             self.incarnation,
             members.live_incarnations(now),
+            self.settings.instance.data_centre,
+            next(self.probe_turns),
             now,
         )
         for upstream in wanted:
--- a/tests/fleet/test_watching.py
+++ b/tests/fleet/test_watching.py
@@ -1,9 +1,15 @@
 """Each engine is watched by few instances, and its load reaches the others."""
 
+import dataclasses
+import random
+
+from greengagelb.coordination import events
+from greengagelb.coordination import routing
 from greengagelb.coordination import watching
 from greengagelb.protocol import peer_api
 from greengagelb.state import configuration
 from greengagelb.state import fleet
+from greengagelb.state import identity
 from greengagelb.state import timeline
 from greengagelb.state import upstreams
 
@@ -22,11 +28,12 @@
     ]
 
 
+def probes(found, me, instances=INSTANCES, turn=0, now=0.0):
+    return watching.upstreams_to_probe(found, me, instances, 'kl-1', turn, now)
+
+
 def probes_by_instance(found, instances=INSTANCES, now=0.0):
-    return {
-        me: watching.upstreams_to_probe(found, me, instances, now)
-        for me in instances
-    }
+    return {me: probes(found, me, instances, now=now) for me in instances}
 
 
 def test_each_engine_is_watched_by_two_instances():
@@ -46,15 +53,11 @@
     """An engine failed a stream here while its watchers still reach it."""
     doubtful = views(1)
     others = {'incarnation-2', 'incarnation-3', 'incarnation-4'}
-    unwatched = {
-        me
-        for me in others
-        if not watching.upstreams_to_probe(doubtful, me, others, 0.0)
-    }
+    unwatched = {me for me in others if not probes(doubtful, me, others)}
     doubtful[0].suspected_until = 2.0
     for me in unwatched:
-        assert watching.upstreams_to_probe(doubtful, me, others, 1.0)
-        assert not watching.upstreams_to_probe(doubtful, me, others, 3.0)
+        assert probes(doubtful, me, others, now=1.0)
+        assert not probes(doubtful, me, others, now=3.0)
 
 
 def test_loss_of_all_engines_does_not_make_an_instance_probe_them_all():
@@ -63,10 +66,106 @@
     for view in lost:
         view.suspected_until = 2.0
     for me, probed in probes_by_instance(lost, now=1.0).items():
-        own = len(watching.upstreams_to_probe(lost, me, INSTANCES, 3.0))
+        own = len(probes(lost, me, now=3.0))
         assert len(probed) <= own + watching.MOST_PROBES
 
 
+def test_upstreams_of_other_data_centres_are_asked_every_few_turns():
+    far = upstreams.UpstreamView(
+        configuration.Upstream('far', '10.0.0.1', 1, 'kl-2')
+    )
+    asked = [probes([far], 'a', {'a'}, turn) != [] for turn in range(20)]
+    assert asked.count(True) == 2
+
+
+def report_of(name, incarnation, **changes):
+    fields = {
+        'model': 'm',
+        'version': '1',
+        'adapter': '',
+        'running': 0,
+        'queued': 0,
+        'step_seconds': 0.004,
+        'leaving': False,
+    }
+    engine = identity.EngineId(name, incarnation)
+    return events.UpstreamReported(engine, **(fields | changes))
+
+
+def directory():
+    pool = configuration.Pool(
+        'drafting', tuple(view.upstream for view in views(2)), 'm', '1'
+    )
+    found = routing.UpstreamDirectory(random.Random(1), 'kl-1')
+    found.apply(configuration.Configuration(version=1, pools=(pool,)))
+    return found, pool
+
+
+def usable(found, pool, now):
+    return {v.upstream.name for v in found.usable_views(pool, set(), now)}
+
+
+def test_leaving_notice_counts_though_the_incarnation_is_not_known_here():
+    """An engine restarts and is told to leave at once.
+
+    An instance that does not watch it knows the old incarnation at best.
+    Would it take the notice for another engine's, new requests would go on
+    to an engine that is about to stop.
+    """
+    found, pool = directory()
+    found.observe(report_of('engine-0', 'old'), 0.0)
+    notice = events.UpstreamLeaving(
+        identity.EngineId('engine-0', 'new'), 'peer i2'
+    )
+    found.mark_leaving(notice, 60.0)
+    assert usable(found, pool, 60.0) == {'engine-1'}
+    found.observe(report_of('engine-0', 'newer'), 61.0)
+    assert usable(found, pool, 61.0) == {'engine-0', 'engine-1'}
+
+
+def test_old_report_of_another_version_keeps_no_engine_out_for_ever():
+    """A pool moves to a new version, and so do its engines.
+
+    An instance that asked an engine once, long ago, remembers the old
+    version and would never give it work again.
+    """
+    found, pool = directory()
+    found.observe(report_of('engine-0', 'a', version='0'), 0.0)
+    assert usable(found, pool, 1.0) == {'engine-1'}
+    assert usable(found, pool, 10.0) == {'engine-0', 'engine-1'}
+
+
+def test_loads_heard_from_watchers_are_used_and_not_passed_on():
+    found, _ = directory()
+    heard = (
+        fleet.UpstreamLoad(1, 7, 2, 0.004),
+        fleet.UpstreamLoad(9, 1, 1, 0),
+    )
+    found.hear_loads(heard, 10.0)
+    assert found.load(found.views['engine-1'], 10.0) == 9.0
+    assert found.own_loads(10.0) == ()
+    found.observe(report_of('engine-1', 'a', running=3), 11.0)
+    found.hear_loads(heard, 11.5)
+    assert found.own_loads(12.0) == (fleet.UpstreamLoad(1, 3, 0, 0.004),)
+
+
+def test_upstreams_of_this_data_centre_come_first_while_they_have_room():
+    """The link to another data centre may be cut at any moment."""
+    near, far = views(2)
+    elsewhere = dataclasses.replace(far.upstream, data_centre='kl-2')
+    pool = configuration.Pool(
+        'p', (near.upstream, elsewhere), 'm', '1', slots_per_upstream=2
+    )
+    found = routing.UpstreamDirectory(random.Random(1), 'kl-1')
+    found.apply(configuration.Configuration(version=1, pools=(pool,)))
+    taken = []
+    for _ in range(3):
+        view = found.choose(pool, set(), 0.0)
+        found.started(view.upstream.name)
+        taken.append(view.upstream.name)
+    assert taken == ['engine-0', 'engine-0', 'engine-1']
+
+
 def test_heartbeat_with_loads_keeps_to_the_budget_of_the_design_size():
     per_instance = ENGINES * watching.WATCHERS // len(INSTANCES) + 1
     heartbeat = fleet.Heartbeat(
