Carry stamps in cursors, count outcomes, tell settings' mistakes, ship one file

A stream resumed at a second instance could sort before its beginning where the first instance's clock ran ahead: the caller was the only message between the two and carried no stamp. The cursor holds it now; it is the last stamp given, so no clock is read per token.

Metrics registered in the library's global registry as well as their own, labels were serialised per event, and the token counter was never counted. Counts are plain numbers until a scrape. Settings: two sections of one name, a byte order mark or a missing header were told in the parser's own words; colliding ports and the digest of an empty operator key were accepted.

The archive was weighed against a boot loader (two processes), zipapp (can't load compiled parts) and images: docs/design/packaging.md.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test
+.PHONY: binary demo test
 
 test:
 	bash .ci/run
@@ -12,3 +12,11 @@
 	.venv/bin/pip install --quiet --require-hashes -r requirements/dev.lock
 	.venv/bin/pip install --quiet --no-deps --no-build-isolation -e .
 	cp requirements/dev.lock .venv/installed.lock
+
+# One file that runs as one process; see docs/design/packaging.md.
+binary: .venv/installed.lock
+	rm -rf build/site
+	.venv/bin/pip install --quiet --require-hashes --no-deps --target build/site -r requirements/run.lock
+	.venv/bin/pip install --quiet --no-deps --no-build-isolation --target build/site .
+	mkdir -p dist
+	.venv/bin/shiv --compressed --reproducible --root /run/greengagelb --console-script greengagelb --python '/usr/bin/env python3.11' --site-packages build/site --output-file dist/greengagelb
--- a/src/greengagelb/cli/launcher.py
+++ b/src/greengagelb/cli/launcher.py
@@ -15,6 +15,7 @@
 import tempfile
 import textwrap
 import time
+import zipfile
 
 from greengagelb import errors
 from greengagelb.state import configuration as configuration_state
@@ -99,7 +100,7 @@
         """Start the program with these arguments; its output goes to a log."""
         log = self.enter_context((self.folder / f'{name}.log').open('wb'))
         popen = subprocess.Popen(
-            [sys.executable, '-m', 'greengagelb', *words],
+            [*program_words(), *words],
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=subprocess.STDOUT,
@@ -193,6 +194,16 @@
         return '\n'.join(parts) + '\n'
 
 
+def program_words() -> list[str]:
+    """Return the words that start this program once more.
+
+    Within the one-file archive there is no module of that name to run.
+    """
+    if zipfile.is_zipfile(sys.argv[0]):
+        return [sys.executable, sys.argv[0]]
+    return [sys.executable, '-m', 'greengagelb']
+
+
 def upstreams(
     processes: dict[str, LaunchedProcess],
 ) -> tuple[configuration_state.Upstream, ...]:
--- a/src/greengagelb/cli/timeline.py
+++ b/src/greengagelb/cli/timeline.py
@@ -28,6 +28,8 @@
     upper_bound=timeline_api.MOST_EVENTS,
 )
 
+WIDEST_CELL = 60
+CUT = '...'
 HEADING = [
     'TIME (UTC)',
     'SINCE START',
@@ -101,14 +103,25 @@
         f'{since / 1000:+.3f} s',
         event.process,
         event.kind,
-        request,
+        clip(request),
         str(event.generation or '-'),
         event.upstream or '-',
-        event.reason,
+        clip(event.reason),
         event.attempt or '-',
     ]
 
 
+def clip(cell: str) -> str:
+    """Return a cell that leaves room for the others on a screen.
+
+    Callers choose their request ids, and one long id would push all other
+    columns out of sight.
+    """
+    if len(cell) <= WIDEST_CELL:
+        return cell
+    return cell[: WIDEST_CELL - len(CUT)] + CUT
+
+
 def notes_of(part: Part, wanted: timeline_state.Selection) -> list[str]:
     """Return what a reader has to know of a part that is not whole."""
     match part:
--- a/src/greengagelb/protocol/codec.py
+++ b/src/greengagelb/protocol/codec.py
@@ -11,9 +11,11 @@
 
 from greengagelb import errors
 from greengagelb.state import requests
+from greengagelb.state import timeline
 
 T = TypeVar('T')
 SEAL_BYTES = 16
+NO_STAMP = timeline.Stamp(0, 0)
 
 _encoder = msgspec.json.Encoder()
 
@@ -34,6 +36,17 @@
         raise errors.ProtocolError(str(exc)) from exc
 
 
+class SealedCursor(msgspec.Struct, frozen=True, array_like=True):
+    """What a cursor holds: where to go on, and the time line's stamp.
+
+    The stamp is the last one of the instance that sealed the cursor. The
+    caller carries it to the next instance, whose events then sort behind.
+    """
+
+    point: requests.ResumePoint
+    stamp: timeline.Stamp
+
+
 class CursorSeal:
     """Seals resume points into event ids and opens them again.
 
@@ -46,13 +59,24 @@
     def __init__(self, secret: bytes) -> None:
         self.secret = secret
 
-    def seal(self, point: requests.ResumePoint) -> str:
+    def seal(
+        self,
+        point: requests.ResumePoint,
+        stamp: timeline.Stamp = NO_STAMP,
+    ) -> str:
         """Return the cursor of a resume point; URL-safe text."""
-        payload = msgspec.msgpack.encode(point)
+        payload = msgspec.msgpack.encode(SealedCursor(point, stamp))
         return base64.urlsafe_b64encode(self.tag(payload) + payload).decode()
 
     def open(self, cursor: str) -> requests.ResumePoint:
         """Return the resume point of a cursor that this fleet sealed."""
+        return self.open_whole(cursor).point
+
+    def open_whole(self, cursor: str) -> SealedCursor:
+        """Return all that is in a cursor that this fleet sealed.
+
+        Raises :class:`~greengagelb.errors.BadCursor`.
+        """
         try:
             raw = base64.urlsafe_b64decode(cursor.encode())
         except (binascii.Error, ValueError) as exc:
@@ -61,7 +85,7 @@
         if not hmac.compare_digest(tag, self.tag(payload)):
             raise errors.BadCursor('cursor was not sealed here')
         try:
-            return msgspec.msgpack.decode(payload, type=requests.ResumePoint)
+            return msgspec.msgpack.decode(payload, type=SealedCursor)
         except msgspec.DecodeError as exc:
             raise errors.BadCursor('cursor of another release') from exc
 
--- a/src/greengagelb/settings.py
+++ b/src/greengagelb/settings.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import configparser
 import dataclasses
+import hashlib
 import ipaddress
 import pathlib
 from typing import Any
@@ -16,6 +17,9 @@
 from greengagelb.state import fleet
 
 LEAST_SECRET_CHARACTERS = 16
+MOST_NAME_CHARACTERS = 64
+MOST_COUNT = 100_000
+NO_SECTION = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +34,14 @@
     peer_port: int
     timeline_events: int = 20_000
 
+    def __post_init__(self) -> None:
+        ports = (self.caller_port, self.operator_port, self.peer_port)
+        if len(set(ports)) != len(ports):
+            raise ValueError(
+                'caller_port, operator_port, peer_port: write three '
+                'different ports'
+            )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformSettings:
@@ -72,11 +84,24 @@
     secrets: SecretSettings
     peers: PeerSettings = PeerSettings()
 
+    def __post_init__(self) -> None:
+        place = self.instance
+        own = (place.caller_port, place.operator_port, place.peer_port)
+        same_host = place.host == self.platform.host
+        if same_host and self.platform.port in own:
+            raise ValueError(
+                '[platform] port: write the port of the platform, not one of '
+                'this instance'
+            )
+
 
 def parse_name(text: str) -> str:
-    """Return a name without white space."""
-    if not text or any(character.isspace() for character in text):
+    """Return a name of printable characters without white space."""
+    blank = any(character.isspace() for character in text)
+    if not text or blank or not text.isprintable():
         raise ValueError('write a name without spaces')
+    if len(text) > MOST_NAME_CHARACTERS:
+        raise ValueError(f'write at most {MOST_NAME_CHARACTERS} characters')
     return text
 
 
@@ -88,9 +113,19 @@
         raise ValueError('write an IP number such as 127.0.0.1') from None
 
 
+def parse_own_ip_number(text: str) -> str:
+    """Return an IP number under which other instances reach this one."""
+    host = parse_ip_number(text)
+    if ipaddress.ip_address(host).is_unspecified:
+        raise ValueError(
+            'write the IP number that others reach this instance by'
+        )
+    return host
+
+
 def parse_port(text: str) -> int:
     """Return a port number."""
-    if not text.isdecimal() or not 0 < int(text) < 65536:
+    if not is_whole_number(text) or not 0 < int(text) < 65536:
         raise ValueError('write a port number from 1 to 65535')
     return int(text)
 
@@ -116,10 +151,15 @@
     return tuple(found)
 
 
+def is_whole_number(text: str) -> bool:
+    """Return whether a text is a few decimal digits and nothing else."""
+    return text.isascii() and text.isdecimal() and len(text) < 10
+
+
 def parse_count(text: str) -> int:
     """Return a whole number above zero."""
-    if not text.isdecimal() or not int(text):
-        raise ValueError('write a whole number above 0')
+    if not is_whole_number(text) or not 0 < int(text) <= MOST_COUNT:
+        raise ValueError(f'write a whole number from 1 to {MOST_COUNT}')
     return int(text)
 
 
@@ -134,6 +174,9 @@
     """Return a SHA-256 digest in hexadecimal digits."""
     if len(text) != 64 or not set(text) <= set('0123456789abcdef'):
         raise ValueError('write the SHA-256 of the key as 64 hex digits')
+    if text == hashlib.sha256(b'').hexdigest():
+        # A request without any key would carry the right one.
+        raise ValueError('write the SHA-256 of a key that is not empty')
     return text
 
 
@@ -145,7 +188,7 @@
         {
             'name': parse_name,
             'data_centre': parse_name,
-            'host': parse_ip_number,
+            'host': parse_own_ip_number,
             'caller_port': parse_port,
             'operator_port': parse_port,
             'peer_port': parse_port,
@@ -180,12 +223,7 @@
     Raises :class:`~greengagelb.errors.SettingsError`, which names the first
     mistake.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        with path.open(encoding='utf-8') as file:
-            parser.read_file(file)
-    except (OSError, UnicodeDecodeError, configparser.Error) as exc:
-        raise errors.SettingsError(f'{path}: {exc}') from exc
+    parser = parse_file(path)
     for section in parser.sections():
         if section not in SECTIONS:
             known = ', '.join(SECTIONS)
@@ -193,7 +231,50 @@
                 f'{path}: unknown section [{section}]; write one of {known}'
             )
     parts = {name: read_section(path, parser, name) for name in SECTIONS}
-    return Settings(**parts)
+    try:
+        return Settings(**parts)
+    except ValueError as exc:
+        raise errors.SettingsError(f'{path}: {exc}') from exc
+
+
+def parse_file(path: pathlib.Path) -> configparser.ConfigParser:
+    """Return the sections of an INI file.
+
+    Keys are taken as they are written, and a section of defaults is an
+    unknown one: each setting stands once, where it belongs.
+    """
+    parser = configparser.ConfigParser(
+        interpolation=None, default_section=NO_SECTION
+    )
+    parser.optionxform = str
+    try:
+        # Some editors begin a file with a byte order mark, which "utf-8-sig"
+        # skips; read as text it would hide the first section.
+        with path.open(encoding='utf-8-sig') as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as exc:
+        raise errors.SettingsError(f'{path}: {mistake_in_file(exc)}') from exc
+    return parser
+
+
+def mistake_in_file(error: Exception) -> str:
+    """Return what is wrong with a file, and what to write instead."""
+    match error:
+        case configparser.DuplicateSectionError(section=section, lineno=line):
+            return f'line {line}: [{section}] stands twice; write it once'
+        case configparser.DuplicateOptionError(
+            section=section, option=key, lineno=line
+        ):
+            return f'line {line}: [{section}] {key}: stands twice; write one'
+        case configparser.MissingSectionHeaderError(lineno=line):
+            return f'line {line}: write a section such as [instance] first'
+        case configparser.ParsingError(errors=[(line, _), *_]):
+            return f'line {line}: write "key = value"'
+        case UnicodeDecodeError():
+            return 'not UTF-8; write the file in UTF-8'
+        case OSError(strerror=reason):
+            return f'{reason}; write the path of a readable file'
+    return str(error)
 
 
 def read_section(
@@ -221,4 +302,7 @@
             raise errors.SettingsError(
                 f'{path}: [{section}] {field.name}: missing; write it'
             )
-    return kind(**values)
+    try:
+        return kind(**values)
+    except ValueError as exc:
+        raise errors.SettingsError(f'{path}: [{section}] {exc}') from exc
--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -28,6 +28,7 @@
 from greengagelb.transport import engine_client
 from greengagelb.transport import http
 from greengagelb.transport import problem_handlers
+from greengagelb.transport import recorder
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,11 +51,13 @@
         dispatch: engine_client.Dispatch,
         configuration: Callable[[], configuration_state.Configuration],
         seal: codec.CursorSeal,
+        events_recorder: recorder.Recorder,
     ) -> None:
         self.reactor = reactor
         self.dispatch = dispatch
         self.configuration = configuration
         self.seal = seal
+        self.recorder = events_recorder
         self.exchanges: dict[int, Exchange] = {}
         self.numbers = itertools.count(1)
         self.app = klein.Klein()
@@ -62,7 +65,9 @@
         self.app.route('/v1/services/<service>/<operation>', methods=['POST'])(
             self.call
         )
-        problem_handlers.install(self.app)
+        problem_handlers.install(
+            self.app, events_recorder.metrics.count_refusal
+        )
 
     # -- requests -----------------------------------------------------------
 
@@ -104,9 +109,11 @@
             if received:
                 raise errors.BadCursor('received: write Last-Event-ID with it')
             return events.GenerationSubmitted(generation)
-        point = self.seal.open(cursor)
+        sealed = self.seal.open_whole(cursor)
+        point = sealed.point
         if point.request.account != generation.request.account:
             raise errors.BadCursor('cursor was not sealed here')
+        self.recorder.follow(sealed.stamp)
         resumed = dataclasses.replace(generation, request=point.request)
         return events.GenerationResumed(resumed, point, received)
 
@@ -195,7 +202,7 @@
             position=action.position,
             tokens=list(action.tokens),
         )
-        cursor = self.seal.seal(action.point)
+        cursor = self.seal.seal(action.point, self.recorder.clock.latest)
         stream.write(sse.write_event(codec.encode(chunk), event_id=cursor))
 
     def begin_stream(self, exchange: Exchange) -> caller_stream.CallerStream:
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -24,6 +24,7 @@
 from greengagelb.transport import claim_store
 from greengagelb.transport import engine_client
 from greengagelb.transport import listening
+from greengagelb.transport import metrics
 from greengagelb.transport import operator_app
 from greengagelb.transport import peers
 from greengagelb.transport import plan_store
@@ -77,7 +78,9 @@
             self.dispatch,
             lambda: self.node.configuration,
             codec.CursorSeal(instance_settings.secrets.cursor_secret.encode()),
+            self.recorder,
         )
+        self.recorder.metrics.sample = self.sample
         self.timers: dict[str, interfaces.IDelayedCall] = {}
         self.backlog: collections.deque[events.Event] = collections.deque()
         self.busy = False
@@ -93,7 +96,7 @@
         """Open the ports and begin to poll."""
         place = self.settings.instance
         health = caller_app.health_app(
-            lambda: self.node.ready, self.recorder.render_metrics
+            lambda: self.node.ready, self.recorder.metrics.render
         )
         self.callers.app.route('/', branch=True)(
             lambda request: health.resource()
@@ -210,6 +213,16 @@
             ),
         )
 
+    def sample(self) -> metrics.Sample:
+        """Return what a scrape shows of this instance's state."""
+        return metrics.Sample(
+            running=len(self.node.running),
+            waiting=len(self.node.waiting),
+            stale_events=self.node.streams.dropped_events,
+            configuration_version=self.node.configuration.version,
+            timeline_dropped=self.recorder.timeline.dropped,
+        )
+
     def known_instances(self) -> list[operator_api.InstanceStatus]:
         """Return what is known here of the other instances."""
         now = self.reactor.seconds()
@@ -251,10 +264,11 @@
                 self.carry_out(action)
         except Exception:
             recorder.log.exception('decision-failed', event_kind=repr(event))
-            self.recorder.error_counter.inc({})
+            self.recorder.metrics.decision_errors += 1
 
     def carry_out(self, action: actions.Action) -> None:
         """Carry out an action."""
+        self.recorder.metrics.count(action)
         match action:
             case actions.SendTokens():
                 self.callers.send_tokens(action)
--- /dev/null
+++ b/src/greengagelb/transport/metrics.py
@@ -0,0 +1,105 @@
+"""Figures of this process for scrapers.
+
+What happens per token or per answer is counted in plain numbers; those are
+put into the registry only when somebody scrapes. Labels are never taken from
+callers, so that nobody can make the number of series grow.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+
+import aioprometheus
+
+from greengagelb.coordination import actions
+
+COMPLETE = 'complete'
+ANSWERED = 'answered'
+PREFIX = 'greengagelb'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """What an instance is in the middle of, at the time of a scrape."""
+
+    running: int = 0
+    waiting: int = 0
+    stale_events: int = 0
+    configuration_version: int = 0
+    timeline_dropped: int = 0
+
+
+class Metrics:
+    """Counts what an instance does."""
+
+    def __init__(self) -> None:
+        self.tokens = 0
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.events: collections.Counter[str] = collections.Counter()
+        self.decision_errors = 0
+        self.sample: Callable[[], Sample] = Sample
+        self.registry = aioprometheus.Registry()
+        self.token_counter = self.counter('tokens', 'Tokens given to callers')
+        self.outcome_counter = self.counter(
+            'requests', 'Final answers by outcome code'
+        )
+        self.event_counter = self.counter('events', 'Time line events by kind')
+        self.error_counter = self.counter(
+            'decision_errors', 'Errors of this program itself in decisions'
+        )
+        self.stale_counter = self.counter(
+            'stale_events', 'Events of replaced attempts that were dropped'
+        )
+        self.dropped_counter = self.counter(
+            'timeline_dropped', 'Time line events that had to make room'
+        )
+        self.running_gauge = self.gauge('running', 'Requests running now')
+        self.waiting_gauge = self.gauge('waiting', 'Requests waiting now')
+        self.version_gauge = self.gauge(
+            'configuration_version', 'Configuration version in force here'
+        )
+
+    def counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        """Return a new counter."""
+        return aioprometheus.Counter(
+            f'{PREFIX}_{name}', doc, registry=self.registry
+        )
+
+    def gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
+        """Return a new gauge."""
+        return aioprometheus.Gauge(
+            f'{PREFIX}_{name}', doc, registry=self.registry
+        )
+
+    def count(self, action: actions.Action) -> None:
+        """Count an action, if it is one that is counted."""
+        match action:
+            case actions.SendTokens(tokens=tokens):
+                self.tokens += len(tokens)
+            case actions.SendEnd():
+                self.outcomes[COMPLETE] += 1
+            case actions.SendAnswer():
+                self.outcomes[ANSWERED] += 1
+            case actions.SendFailure(failure=failure):
+                self.outcomes[failure.code] += 1
+
+    def count_refusal(self, code: str) -> None:
+        """Count a request that was refused before any decision."""
+        self.outcomes[code] += 1
+
+    def render(self) -> bytes:
+        """Return all figures in the text format that scrapers read."""
+        found = self.sample()
+        self.token_counter.set({}, self.tokens)
+        for code, number in self.outcomes.items():
+            self.outcome_counter.set({'outcome': code}, number)
+        for kind, number in self.events.items():
+            self.event_counter.set({'kind': kind}, number)
+        self.error_counter.set({}, self.decision_errors)
+        self.stale_counter.set({}, found.stale_events)
+        self.dropped_counter.set({}, found.timeline_dropped)
+        self.running_gauge.set({}, found.running)
+        self.waiting_gauge.set({}, found.waiting)
+        self.version_gauge.set({}, found.configuration_version)
+        text, _ = aioprometheus.render(self.registry, [])
+        return text
--- a/src/greengagelb/transport/peers.py
+++ b/src/greengagelb/transport/peers.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import time
 
 from twisted.internet import interfaces
 import zmq
@@ -30,7 +29,6 @@
 LEAST_RECONNECT_MILLISECONDS = 100
 MOST_RECONNECT_MILLISECONDS = 2_000
 MOST_WAITING_MESSAGES = 64
-MOST_CLOCK_LEAD_MILLISECONDS = 60_000
 LAST_WORDS_MILLISECONDS = 200
 FRAMES = 2
 
@@ -194,7 +192,9 @@
 
     def tick(self) -> None:
         """Send the regular heartbeats."""
-        self.membership.stamp = self.recorder.clock.tick(wall_milliseconds())
+        self.membership.stamp = self.recorder.clock.tick(
+            recorder.wall_milliseconds()
+        )
         self.carry_out(self.membership.tick(self.reactor.seconds()))
 
     def own_changed(self, own: fleet.OwnState) -> None:
@@ -254,19 +254,14 @@
                 self.carry_out(self.membership.introduced(addresses, now))
 
     def observe_clock(self, heartbeat: fleet.Heartbeat) -> None:
-        """Keep this instance's stamps behind no other's.
-
-        A clock that is far ahead is not followed: it would drag the stamps
-        of the whole fleet with it, for good.
-        """
-        wall = wall_milliseconds()
-        lead = heartbeat.stamp.milliseconds - wall
-        if lead <= MOST_CLOCK_LEAD_MILLISECONDS:
-            self.recorder.clock.observe(heartbeat.stamp, wall)
-        elif heartbeat.sender.incarnation not in self.clocks_ahead:
+        """Keep this instance's stamps behind no other's."""
+        if self.recorder.follow(heartbeat.stamp):
+            return
+        if heartbeat.sender.incarnation not in self.clocks_ahead:
             self.clocks_ahead.add(heartbeat.sender.incarnation)
-            reason = f'{heartbeat.sender.name} by {lead} ms'
-            self.record('clock-ahead', reason)
+            wall = recorder.wall_milliseconds()
+            lead = heartbeat.stamp.milliseconds - wall
+            self.record('clock-ahead', f'{heartbeat.sender.name} by {lead} ms')
 
     def answer_query(self, address: fleet.PeerAddress) -> None:
         """Send the configuration in force here."""
@@ -327,8 +322,3 @@
         ),
         instance.state == platform_api.LEAVING,
     )
-
-
-def wall_milliseconds() -> int:
-    """Return the wall clock in milliseconds since the epoch."""
-    return time.time_ns() // 1_000_000
--- a/src/greengagelb/transport/problem_handlers.py
+++ b/src/greengagelb/transport/problem_handlers.py
@@ -4,7 +4,10 @@
 caller could not tell whether its request ran.
 """
 
+from collections.abc import Callable
+
 import klein
+import structlog
 from twisted.python import failure
 from twisted.web import http as web_http
 from twisted.web import server
@@ -14,31 +17,46 @@
 from greengagelb.protocol import problems
 from greengagelb.state import requests
 from greengagelb.transport import http
-from greengagelb.transport import recorder
 
+log = structlog.get_logger()
+
+
+def install(
+    app: klein.Klein, count: Callable[[str], None] = lambda code: None
+) -> None:
+    """Have an app answer all errors with problem documents.
+
+    ``count`` is called with the code of each.
+    """
+
+    def bad_message(request: server.Request, why: failure.Failure) -> bytes:
+        count(why.value.code)
+        return http.refuse(request, why.value.code, str(why.value))
+
+    def unknown_path(request: server.Request, why: failure.Failure) -> bytes:
+        code = code_of_path_error(why.value)
+        count(code)
+        return http.refuse(request, code, 'see docs/api.md')
+
+    def internal(request: server.Request, why: failure.Failure) -> bytes:
+        count(errors.GreengagelbError.code)
+        return internal_error(request, why)
 
-def install(app: klein.Klein) -> None:
-    """Have an app answer all errors with problem documents."""
     app.handle_errors(errors.ProtocolError)(bad_message)
     app.handle_errors(exceptions.HTTPException)(unknown_path)
     app.handle_errors(Exception)(internal)
 
 
-def bad_message(request: server.Request, why: failure.Failure) -> bytes:
-    """Answer a request that can't be understood."""
-    return http.refuse(request, why.value.code, str(why.value))
-
-
-def unknown_path(request: server.Request, why: failure.Failure) -> bytes:
-    """Answer a request for a path or a method that is not there."""
-    if why.value.code == web_http.NOT_ALLOWED:
-        return http.refuse(request, 'method-not-allowed', 'see docs/api.md')
-    return http.refuse(request, 'not-found', 'see docs/api.md')
+def code_of_path_error(error: exceptions.HTTPException) -> str:
+    """Return the code of a request for a path or method not there."""
+    if error.code == web_http.NOT_ALLOWED:
+        return 'method-not-allowed'
+    return 'not-found'
 
 
-def internal(request: server.Request, why: failure.Failure) -> bytes:
+def internal_error(request: server.Request, why: failure.Failure) -> bytes:
     """Answer a request that met an error of this program itself."""
-    recorder.log.error('handler-failed', detail=why.getTraceback())
+    log.error('handler-failed', detail=why.getTraceback())
     problem = requests.Failure(
         errors.GreengagelbError.code,
         requests.Ran.UNKNOWN,
--- a/src/greengagelb/transport/recorder.py
+++ b/src/greengagelb/transport/recorder.py
@@ -1,14 +1,15 @@
 """Time line, log and metrics of this process, fed from one place."""
 
-import dataclasses
 import time
 
-import aioprometheus
 import structlog
 from twisted import logger
 
 from greengagelb.coordination import actions
 from greengagelb.state import timeline
+from greengagelb.transport import metrics
+
+MOST_CLOCK_LEAD_MILLISECONDS = 60_000
 
 log = structlog.get_logger()
 
@@ -48,28 +49,13 @@
         self.process = process
         self.clock = timeline.HybridClock()
         self.timeline = timeline.Timeline(most_events)
-        self.registry = aioprometheus.Registry()
-        self.event_counter = self.counter(
-            'greengagelb_events', 'Time line events by kind.'
-        )
-        self.error_counter = self.counter(
-            'greengagelb_errors', 'Errors of this program itself.'
-        )
-        self.token_counter = self.counter(
-            'greengagelb_tokens', 'Tokens passed to callers.'
-        )
-
-    def counter(self, name: str, doc: str) -> aioprometheus.Counter:
-        """Return a new counter of this process."""
-        counter = aioprometheus.Counter(name, doc)
-        self.registry.register(counter)
-        return counter
+        self.metrics = metrics.Metrics()
 
     def record(self, action: actions.Record) -> None:
         """Put an event on the time line."""
         request = action.request
         event = timeline.TimelineEvent(
-            stamp=self.clock.tick(time.time_ns() // 1_000_000),
+            stamp=self.clock.tick(wall_milliseconds()),
             process=self.process,
             kind=action.kind,
             reason=action.reason,
@@ -80,14 +66,39 @@
             upstream=action.upstream,
         )
         self.timeline.append(event)
-        self.event_counter.inc({'kind': action.kind})
-        fields = dataclasses.asdict(event)
-        kind = fields.pop('kind')
-        log.info(
-            kind, **{key: value for key, value in fields.items() if value}
-        )
+        self.metrics.events[action.kind] += 1
+        log_event(event)
+
+    def follow(self, stamp: timeline.Stamp) -> bool:
+        """Let later events here sort behind a stamp that came in.
+
+        Returns False for a stamp far ahead of this clock. That is not
+        followed: it would drag the stamps of the whole fleet with it, for
+        good.
+        """
+        wall = wall_milliseconds()
+        if stamp.milliseconds - wall > MOST_CLOCK_LEAD_MILLISECONDS:
+            return False
+        self.clock.observe(stamp, wall)
+        return True
+
+
+def wall_milliseconds() -> int:
+    """Return the wall clock in milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
+
 
-    def render_metrics(self) -> bytes:
-        """Return the metrics in the text format that scrapers read."""
-        text, _ = aioprometheus.render(self.registry, [])
-        return text
+def log_event(event: timeline.TimelineEvent) -> None:
+    """Log an event as one flat line; what is empty is left out."""
+    fields = {
+        'process': event.process,
+        'reason': event.reason,
+        'account': event.account,
+        'request': event.request,
+        'generation': event.generation,
+        'attempt': event.attempt,
+        'upstream': event.upstream,
+    }
+    given = {name: value for name, value in fields.items() if value}
+    stamp = f'{event.stamp.milliseconds}.{event.stamp.count}'
+    log.info(event.kind, stamp=stamp, **given)
--- a/tests/common/caller_sites.py
+++ b/tests/common/caller_sites.py
@@ -11,6 +11,7 @@
 from greengagelb.protocol import codec
 from greengagelb.state import configuration
 from greengagelb.transport import caller_app
+from greengagelb.transport import recorder
 from greengagelb.transport import serving
 from tests.common import fleet
 
@@ -38,6 +39,7 @@
         self.clock = task.Clock()
         self.events: list[events.Event] = []
         self.seal = codec.CursorSeal(SECRET)
+        self.recorder = recorder.Recorder('instance-0', 100)
         accounts = tuple(
             configuration.ClientAccount(name, fleet.digest(key), ('draft',))
             for name, key in [
@@ -47,7 +49,11 @@
         )
         in_force = configuration.Configuration(version=1, accounts=accounts)
         self.app = caller_app.CallerApp(
-            self.clock, self.events.append, lambda: in_force, self.seal
+            self.clock,
+            self.events.append,
+            lambda: in_force,
+            self.seal,
+            self.recorder,
         )
         self.site = serving.bounded_site(self.app.app.resource(), self.clock)
 
--- /dev/null
+++ b/tests/timeline/test_order.py
@@ -0,0 +1,79 @@
+"""A cause always sorts before its effect, whatever the clocks say."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.state import identity
+from greengagelb.state import requests
+from greengagelb.state import streams
+from greengagelb.state import timeline
+from greengagelb.transport import recorder
+from tests.common import caller_sites
+
+HOUR = 3_600_000
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 2),
+            strategies.integers(0, 2),
+            strategies.integers(0, 50),
+        ),
+        max_size=60,
+    )
+)
+def test_stamps_rise_in_each_process_and_along_each_message(history):
+    clocks = [timeline.HybridClock() for _ in range(3)]
+    for sender, receiver, wall in history:
+        before = clocks[receiver].latest
+        sent = clocks[sender].tick(wall)
+        arrived = clocks[receiver].observe(sent, wall)
+        assert arrived > sent
+        assert arrived > before
+
+
+def test_resumed_stream_sorts_behind_the_lost_instance(monkeypatch):
+    """The clock of the instance that dies runs ahead of the next one's.
+
+    The caller brings its cursor to the next instance. Without the stamp in
+    the cursor, an operator would read that the stream was resumed before it
+    had begun.
+    """
+    wall = recorder.wall_milliseconds()
+    ahead = timeline.Stamp(wall + 5_000, 3)
+    site = caller_sites.CallerSite()
+    point = requests.ResumePoint(
+        identity.RequestId('teratak', 'r'),
+        1,
+        'attempt',
+        identity.EngineId('e', 'i'),
+        0,
+        streams.EMPTY_CHAIN,
+        '1',
+    )
+    cursor = site.seal.seal(point, ahead).encode()
+    site.connect().send(
+        caller_sites.request(
+            '/v1/chat/completions', None, b'Last-Event-ID: ' + cursor
+        )
+    )
+    assert isinstance(site.events[0], events.GenerationResumed)
+    site.recorder.record(actions.Record('stream-attached', 'caller came back'))
+    assert site.recorder.timeline.events[-1].stamp > ahead
+
+
+def test_clock_far_ahead_is_not_followed():
+    """A machine's clock is an hour ahead.
+
+    Following it would put an hour into all later stamps of the fleet.
+    """
+    found = recorder.Recorder('instance-0', 10)
+    wall = recorder.wall_milliseconds()
+    assert not found.follow(timeline.Stamp(wall + HOUR, 0))
+    found.record(actions.Record('stopping', 'stop requested'))
+    assert found.timeline.events[-1].stamp.milliseconds < wall + HOUR
