--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -167,12 +167,14 @@
         :class:`~greengagelb.errors.Unauthenticated`.
         """
         key = caller_headers.api_key_of(request)
-        digest = hashlib.sha256(key).hexdigest()
+        digest = hashlib.sha256(key).hexdigest().encode()
         found = None
         for account in self.configuration().accounts:
-            if hmac.compare_digest(account.key_digest, digest):
+            if hmac.compare_digest(account.key_digest.encode(), digest):
                 found = account
-        if found is None:
+        # An account that was given the digest of an empty key would be open
+        # to everybody; no key is nobody's key.
+        if found is None or not key:
             raise errors.Unauthenticated('unknown API key')
         return found
 
--- a/tests/callers/test_bad_input.py
+++ b/tests/callers/test_bad_input.py
@@ -87,7 +87,7 @@
         (header(b'X-Deadline-Seconds', b'-1'), 400, 'bad-value'),
         (header(b'X-Deadline-Seconds', b'soon'), 400, 'bad-value'),
         (header(b'X-Deadline-Seconds', b'\xff'), 400, 'bad-value'),
-        (header(b'Idempotency-Key', b'k' * 2049), 400, 'bad-value'),
+        (header(b'Idempotency-Key', b'k' * 256), 400, 'bad-value'),
         (header(b'Idempotency-Key', 'schlüssel'.encode()), 400, 'bad-value'),
         (header(b'Idempotency-Key', b'a b'), 400, 'bad-value'),
         (
--- a/tests/common/caller_sites.py
+++ b/tests/common/caller_sites.py
@@ -45,8 +45,12 @@
             for name, key in [
                 ('teratak', fleet.ACCOUNT_KEY),
                 ('karri', fleet.OTHER_KEY),
+                ('keyless', ''),
             ]
         )
+        # A digest that is none must not keep the other accounts out.
+        broken = configuration.ClientAccount('broken', 'n\xf6', ())
+        accounts = (broken, *accounts)
         in_force = configuration.Configuration(version=1, accounts=accounts)
         self.app = caller_app.CallerApp(
             self.clock,
--- /dev/null
+++ b/tests/docs/test_pages.py
@@ -0,0 +1,75 @@
+"""The pages name what the code has, all of it and nothing else."""
+
+import ast
+import dataclasses
+import pathlib
+import re
+
+from greengagelb import settings
+from greengagelb.protocol import operator_api
+from greengagelb.protocol import problems
+
+ROOT = pathlib.Path(__file__).parents[2]
+SOURCES = ROOT / 'src' / 'greengagelb'
+RECORDERS = {'Record', 'Explain', 'record', 'timeline'}
+KIND = re.compile(r'^[a-z]+(-[a-z]+)*$')
+
+
+def page(name):
+    return (ROOT / 'docs' / name).read_text('utf-8')
+
+
+def first_cells(text):
+    return set(re.findall(r'^\| `([a-z_-]+)`', text, re.MULTILINE))
+
+
+def kinds_recorded():
+    """Return the first literal argument of each call that records."""
+    found = set()
+    for path in SOURCES.glob('**/*.py'):
+        for call in ast.walk(ast.parse(path.read_text('utf-8'))):
+            if isinstance(call, ast.Call) and name_of(call) in RECORDERS:
+                texts = [
+                    argument.value
+                    for argument in call.args
+                    if isinstance(argument, ast.Constant)
+                    and isinstance(argument.value, str)
+                ]
+                found.update(texts[:1])
+    return {kind for kind in found if KIND.match(kind)}
+
+
+def name_of(call):
+    match call.func:
+        case ast.Name(id=name) | ast.Attribute(attr=name):
+            return name
+    return ''
+
+
+def test_operators_page_has_a_row_for_each_kind_of_event():
+    text = page('operators.md').partition('## Every kind of event')[2]
+    rows = first_cells(text.partition('## Metrics')[0])
+    assert rows == kinds_recorded()
+
+
+def test_operators_page_names_each_setting():
+    text = page('operators.md').partition('## Settings')[2]
+    named = set(re.findall(r'`([a-z_]+)`', text))
+    for kind, _ in settings.SECTIONS.values():
+        for field in dataclasses.fields(kind):
+            assert field.name in named
+
+
+def test_interface_page_names_each_code_and_each_intent():
+    text = page('api.md')
+    for code, status in problems.STATUS_OF_CODE.items():
+        assert f'`{code}`' in text
+        assert str(status) in text
+    for kind in operator_api.INTENTS:
+        assert f'`{kind}`' in text
+
+
+def test_links_between_pages_lead_somewhere():
+    for path in [ROOT / 'README.md', *ROOT.glob('docs/**/*.md')]:
+        for target in re.findall(r'\]\(([^)#:]+)[^)]*\)', path.read_text()):
+            assert (path.parent / target).exists(), (path, target)
