--- a/src/greengagelb/protocol/operator_api.py
+++ b/src/greengagelb/protocol/operator_api.py
@@ -3,7 +3,9 @@
 ``POST /v1/plans`` with an intent -> the plan; ``POST /v1/plans/{id}/confirm``
 -> the plan as confirmed, or 409 :class:`Conflict`, or 503
 ``confirm-unsettled``; ``GET /v1/plans/{id}`` -> the plan with its stage now;
-``GET /v1/status``; ``GET /v1/timeline``. Header ``Authorization: Bearer KEY``.
+``GET /v1/status``; ``GET /v1/timeline`` as in
+:mod:`~greengagelb.protocol.timeline_api`. Header
+``Authorization: Bearer KEY``.
 
 An intent is an object with ``type``, one of :data:`INTENTS`, and the
 attributes of that data class.
@@ -17,7 +19,6 @@
 from greengagelb.protocol import codec
 from greengagelb.state import fleet
 from greengagelb.state import plans
-from greengagelb.state import timeline
 
 INTENTS: dict[str, type[plans.Intent]] = {
     'replace-configuration': plans.ReplaceConfiguration,
@@ -84,12 +85,14 @@
     changes: list[plans.Confirmation]
 
 
-class TimelinePart(msgspec.Struct, frozen=True):
-    """The events that one process still has; ``dropped`` are lost."""
-
-    process: str
-    dropped: int
-    events: list[timeline.TimelineEvent]
+def write_intent(intent: plans.Intent) -> bytes:
+    """Return the message of an intent."""
+    (kind,) = [k for k, wanted in INTENTS.items() if wanted is type(intent)]
+    fields = {
+        field.name: getattr(intent, field.name)
+        for field in dataclasses.fields(intent)
+    }
+    return codec.encode({'type': kind, **fields})
 
 
 def read_intent(raw: bytes) -> plans.Intent:
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -8,7 +8,6 @@
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
-from twisted.web import server
 
 from greengagelb import errors
 from greengagelb import settings
@@ -31,10 +30,12 @@
 from greengagelb.transport import platform_client
 from greengagelb.transport import recorder
 from greengagelb.transport import service_client
+from greengagelb.transport import serving
 
 PULSE_SECONDS = 0.1
 PAUSE_SECONDS = 0.25
 PROBE_SECONDS = 1.0
+LIST_POLL_JITTER = (0.5, 1.5)
 
 
 class Instance:
@@ -85,6 +86,7 @@
         self.ports: list[interfaces.IListeningPort] = []
         self.finishing = False
         self.last_pulse = reactor.seconds()
+        self.next_list_poll = reactor.seconds()
         self.stopped: defer.Deferred = defer.Deferred()
 
     # -- life ---------------------------------------------------------------
@@ -116,7 +118,9 @@
 
     def listen(self, port: int, app: klein.Klein) -> None:
         """Serve an app on a port."""
-        site = listening.DrainingFactory(server.Site(app.resource()))
+        site = listening.DrainingFactory(
+            serving.bounded_site(app.resource(), self.reactor)
+        )
         host = self.settings.instance.host
         self.sites.append(site)
         listener = self.reactor.listenTCP(port, site, interface=host)
@@ -169,9 +173,26 @@
                 self.dispatch(
                     events.ConfigurationOffered(configuration, 'platform')
                 )
-            instances = yield self.platform.list_instances()
+            yield self.poll_list()
         except errors.GreengagelbError:
             return
+
+    @defer.inlineCallbacks
+    def poll_list(self) -> object:
+        """Fetch the platform's list of instances, if it is time to.
+
+        The list grows with the fleet, and whoever sees something in it tells
+        the others. So the instances of a data centre take turns: the more of
+        them there are, the more seldom each one reads it.
+        """
+        if self.reactor.seconds() < self.next_list_poll:
+            return
+        instances = yield self.platform.list_instances()
+        turns = self.peers.membership.live_instances(self.reactor.seconds())
+        seconds = self.settings.platform.poll_seconds * turns / 2
+        self.next_list_poll = self.reactor.seconds() + seconds * (
+            random.uniform(*LIST_POLL_JITTER)
+        )
         self.peers.listed(instances)
 
     def running_by_upstream(self) -> dict[str, int]:
