Exit when any port is taken, keep polling after an error, give no port out twice

Cause: a test waited 20 s for an instance that was never ready. Its log: the peer port was taken ('Address already in use' from zmq), which start() did not take for a port that can't be had, so the instance lived on without polls. The port had been drawn twice for one fleet: some 17 draws from 20,000. Ruled out: the store's circuit breaker (opens for 8 s at most), a poll that hangs (each request has its timeout). Change: CannotListen for each kind of port ends the process with its code; looping calls log an error and go on; free_port draws without replacement. Conclusion: the flaky wait is explained.

--- a/src/greengagelb/cli/launcher.py
+++ b/src/greengagelb/cli/launcher.py
@@ -7,6 +7,7 @@
 import contextlib
 import hashlib
 import pathlib
+import random
 import secrets
 import signal
 import socket
@@ -25,6 +26,8 @@
 ENDING_SECONDS = 20.0
 PORTS = range(12_000, 32_000)
 
+unused_ports = iter(random.SystemRandom().sample(PORTS, len(PORTS)))
+
 
 class LaunchedProcess:
     """A process that this one has started."""
@@ -220,16 +223,17 @@
     The system gives outgoing connections ports from 32768 up, at any time.
     A port that was free when it was picked there can be taken by one of them
     before the process that it is meant for opens it, and that process fails
-    with "address already in use". So the port is drawn from below.
+    with "address already in use". So the port is drawn from below. None is
+    given out twice: until its process has opened it, a port still looks free.
     """
-    while True:
-        port = secrets.choice(PORTS)
+    for port in unused_ports:
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
         return port
+    raise errors.CommandError('no free port is left on this machine')
 
 
 def digest(key: str) -> str:
--- a/src/greengagelb/cli/serve.py
+++ b/src/greengagelb/cli/serve.py
@@ -32,7 +32,6 @@
     found = read_settings()
     # The reactor is installed by its import, so that happens only where one
     # is run.
-    from twisted.internet import error  # noqa: PLC0415
     from twisted.internet import reactor  # noqa: PLC0415
 
     from greengagelb.coordination import events  # noqa: PLC0415
@@ -46,10 +45,10 @@
     def start() -> None:
         try:
             running.start()
-        except error.CannotListenError as exc:
+        except errors.CannotListen as exc:
             # Another process has the port. The loop would go on without it
             # and the instance would look alive while nobody reaches it.
-            sys.stderr.write(f'greengagelb: cannot-listen: {exc}\n')
+            sys.stderr.write(f'greengagelb: {exc.code}: {exc}\n')
             outcomes.append(exit_codes.ExitCode.FAILURE)
             reactor.stop()
 
--- a/src/greengagelb/errors.py
+++ b/src/greengagelb/errors.py
@@ -84,6 +84,12 @@
     code = 'unauthenticated'
 
 
+class CannotListen(TransportError):
+    """Another process has a port that this one is to listen on."""
+
+    code = 'cannot-listen'
+
+
 class UnknownPlan(TransportError):
     """No plan of that id is kept."""
 
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -7,8 +7,10 @@
 
 import klein
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import task
+from twisted.python import failure
 
 from greengagelb import errors
 from greengagelb import settings
@@ -133,13 +135,31 @@
         )
         host = self.settings.instance.host
         self.sites.append(site)
-        listener = self.reactor.listenTCP(port, site, interface=host)
+        try:
+            listener = self.reactor.listenTCP(port, site, interface=host)
+        except error.CannotListenError as exc:
+            raise errors.CannotListen(str(exc)) from exc
         caller_stream.bound_kernel_buffer(listener)
         self.ports.append(listener)
 
     def repeat(self, seconds: float, function: object) -> None:
-        """Call a function now and again, as long as the process lives."""
-        task.LoopingCall(function).start(seconds)
+        """Call a function now and again, as long as the process lives.
+
+        A looping call ends for good at the first error. An instance whose
+        poll has ended that way would serve on with an old configuration, and
+        nothing but its version would show it.
+        """
+
+        def call() -> defer.Deferred:
+            return defer.maybeDeferred(function).addErrback(self.failed)
+
+        task.LoopingCall(call).start(seconds)
+
+    def failed(self, why: failure.Failure) -> None:
+        """Log an error of this program itself."""
+        detail = why.getTraceback()
+        recorder.log.error('unhandled', detail=detail)
+        self.recorder.error_counter.inc({})
 
     def pulse(self) -> None:
         """Notice when this process itself stood still.
--- a/src/greengagelb/transport/peers.py
+++ b/src/greengagelb/transport/peers.py
@@ -81,7 +81,12 @@
 
     def bind(self, address: fleet.PeerAddress) -> None:
         """Listen on an address and begin to read."""
-        self.socket.bind(endpoint_of(address))
+        try:
+            self.socket.bind(endpoint_of(address))
+        except zmq.ZMQError as exc:
+            raise errors.CannotListen(
+                f'{endpoint_of(address)}: {exc}'
+            ) from exc
         self.reactor.addReader(self)
         self.reactor.callLater(0, self.doRead)
 
--- a/tests/process/test_product_commands.py
+++ b/tests/process/test_product_commands.py
@@ -67,20 +67,22 @@
         assert f'{second.operator_port} gave no events' in shown.output
 
 
-def test_serve_says_that_its_port_is_taken(tmp_path):
-    """Another process already listens on the callers' port.
+@pytest.mark.parametrize('taken_port', ['caller', 'operator', 'peer'])
+def test_serve_says_that_its_port_is_taken(tmp_path, taken_port):
+    """Another process already listens on one of an instance's ports.
 
     The instance says so and exits, rather than running unreachable.
     """
     with socket.socket() as taken:
         taken.bind((fleet.HOST, 0))
         taken.listen()
+        ports = {n: fleet.free_port() for n in ('caller', 'operator', 'peer')}
+        ports[taken_port] = taken.getsockname()[1]
+        lines = ''.join(f'{n}_port = {port}\n' for n, port in ports.items())
         path = tmp_path / 'a.ini'
         path.write_text(
             '[instance]\nname = a\ndata_centre = x\n'
-            f'host = {fleet.HOST}\ncaller_port = {taken.getsockname()[1]}\n'
-            f'operator_port = {fleet.free_port()}\n'
-            f'peer_port = {fleet.free_port()}\n'
+            f'host = {fleet.HOST}\n{lines}'
             f'[platform]\nhost = {fleet.HOST}\nport = 1\n'
             '[secrets]\ncursor_secret = 0123456789abcdef\n'
             f'operator_key_digest = {fleet.digest("x")}\n'
