Reserve the ports of test fleets and the demonstration

A run of all tests failed once in five with 'address already in use': a port was drawn twice, by one launcher or by two, before its process listened. With 11 ports of 20,000 in each of 25 fleets that is to be expected in about 7% of runs even alone.

Ruled out: trying again with other ports (the settings files name them), lock files (left behind by a kill). A drawn port stays bound without listening; address reuse is switched on after the binding, so its process can listen and the next one to draw it is refused.

--- a/src/greengagelb/cli/launcher.py
+++ b/src/greengagelb/cli/launcher.py
@@ -24,6 +24,7 @@
 DATA_CENTRE = 'demo-1'
 ENDING_SECONDS = 20.0
 PORTS = range(12_000, 32_000)
+RESERVATIONS: list[socket.socket] = []
 
 
 class LaunchedProcess:
@@ -215,20 +216,26 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on now.
-
-    The system gives outgoing connections ports from 32768 up, at any time.
-    A port that was free when it was picked there can be taken by one of them
-    before the process that it is meant for opens it, and that process fails
-    with "address already in use". So the port is drawn from below.
+    """Return a port that nobody uses, kept for this process's children.
+
+    The system gives outgoing connections ports from 32768 up, at any time,
+    so the port is drawn from below. It stays bound here: otherwise another
+    launcher, or this one, could draw it again before the process that it is
+    meant for listens, which then fails with "address already in use".
+    Address reuse is switched on once it is bound, so that a process which
+    sets it too, as Twisted and zmq do, may listen all the same, while the
+    next one to draw the port is refused.
     """
     while True:
         port = secrets.choice(PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
+        reservation = socket.socket()
+        try:
+            reservation.bind((HOST, port))
+        except OSError:
+            reservation.close()
+            continue
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        RESERVATIONS.append(reservation)
         return port
 
 
