--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -39,10 +39,12 @@
     is either waiting, running or gone, and is counted once in admission.
     """
 
-    def __init__(self, incarnation: str, rng: random.Random) -> None:
+    def __init__(
+        self, incarnation: str, rng: random.Random, data_centre: str = ''
+    ) -> None:
         self.incarnation = incarnation
         self.configuration = configuration_state.Configuration()
-        self.directory = routing.UpstreamDirectory(rng)
+        self.directory = routing.UpstreamDirectory(rng, data_centre)
         self.admission = admission.AdmissionControl(rng)
         self.accounts: dict[str, configuration_state.ClientAccount] = {}
         self.cancels = cancellations.CancellationSupervisor()
@@ -134,6 +136,9 @@
             case events.UpstreamReported():
                 self.directory.observe(event, now)
                 return []
+            case events.LoadsHeard(loads):
+                self.directory.hear_loads(loads, now)
+                return []
             case events.EngineCacheChanged():
                 self.directory.cache_changed(event)
                 return []
@@ -141,7 +146,7 @@
                 self.directory.suspect(name, now)
                 return []
             case events.UpstreamLeaving():
-                self.directory.mark_leaving(event)
+                self.directory.mark_leaving(event, now)
                 return []
             case events.ConfigurationOffered():
                 return self.configure(event)
