Let callers lower the priority of a request

Were they able to raise it, every account's work would soon be the most urgent, so the header only lowers what the service has; requests without it are as before.

--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -6,6 +6,7 @@
 harness drive the very same object.
 """
 
+import dataclasses
 import random
 
 from greengagelb.coordination import actions
@@ -170,7 +171,7 @@
         """Admit a request, let it wait, or refuse it at once."""
         request = event.request
         account = self.accounts.get(request.request.account)
-        service = self.configuration.find_service(request.service)
+        service = self.service_of(request)
         refusal = self.refusal(event, account, service)
         if refusal is not None or account is None or service is None:
             truthful = claims.truthful(refusal, request, service)
@@ -185,6 +186,19 @@
         self.waiting[request.exchange] = (ticket, event)
         return []
 
+    def service_of(
+        self, request: requests.GenerationRequest | requests.CallRequest
+    ) -> configuration_state.Service | None:
+        """Return the service of a request, at the priority asked for.
+
+        A caller may lower the priority that its service has. Were it able to
+        raise it, every account's work would soon be the most urgent.
+        """
+        service = self.configuration.find_service(request.service)
+        if service is None or request.priority <= service.priority:
+            return service
+        return dataclasses.replace(service, priority=request.priority)
+
     def ticket(
         self, event: Arrival, service: configuration_state.Service
     ) -> fair_queue.Ticket:
@@ -296,7 +310,7 @@
         """Start a request, or return None where there is no room."""
         pool = self.configuration.find_pool(ticket.pool)
         event = self.waiting[ticket.exchange][1]
-        service = self.configuration.find_service(event.request.service)
+        service = self.service_of(event.request)
         if account is None or pool is None or service is None:
             return self.refuse_waiting(ticket, 'service-withdrawn', None)
         if now + self.admission.expected_run(ticket) > ticket.deadline:
@@ -332,7 +346,7 @@
         """Dispatch a request whose claim this instance holds now."""
         if request is None:
             return []
-        service = self.configuration.find_service(request.service)
+        service = self.service_of(request)
         pool = self.configuration.find_pool(service.pool) if service else None
         if service is None or pool is None:
             failure = not_run('service-withdrawn', request.service, None)
@@ -353,7 +367,7 @@
         self.admission.discard(ticket)
         _, event = self.waiting.pop(ticket.exchange)
         request = event.request
-        service = self.configuration.find_service(request.service)
+        service = self.service_of(request)
         timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
         failure = not_run(code, ticket.pool, None)
         if wait is not None:
--- a/src/greengagelb/state/requests.py
+++ b/src/greengagelb/state/requests.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from greengagelb.state import configuration
 from greengagelb.state import identity
 
 
@@ -37,6 +38,8 @@
     """Whether the caller, rather than this process, chose the request id."""
     first_send: bool = False
     """Whether the caller says that it never sent this key before."""
+    priority: configuration.Priority = configuration.Priority.SHORT
+    """The class that the caller asks for; never above its service's."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +54,7 @@
     deadline: float
     has_idempotency_key: bool = False
     first_send: bool = False
+    priority: configuration.Priority = configuration.Priority.SHORT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -90,6 +90,7 @@
             self.deadline_of(headers),
             bool(headers.idempotency_key),
             headers.first_send,
+            headers.priority,
         )
         event = self.arrival(headers.cursor, generation, tuple(body.received))
         return self.open(request, generation, event)
@@ -133,6 +134,7 @@
             self.deadline_of(headers),
             bool(headers.idempotency_key),
             headers.first_send,
+            headers.priority,
         )
         return self.open(request, call, events.CallSubmitted(call))
 
--- a/src/greengagelb/transport/caller_headers.py
+++ b/src/greengagelb/transport/caller_headers.py
@@ -6,11 +6,17 @@
 from twisted.web import server
 
 from greengagelb import errors
+from greengagelb.state import configuration
 
 DEFAULT_DEADLINE_SECONDS = 600.0
 MOST_DEADLINE_SECONDS = 3600.0
 MOST_KEY_CHARACTERS = 255
 MOST_OPERATION_CHARACTERS = 64
+PRIORITIES = {
+    b'': configuration.Priority.SHORT,
+    b'short': configuration.Priority.SHORT,
+    b'long': configuration.Priority.LONG,
+}
 BEARER = b'Bearer '
 PRINTABLE = frozenset(range(0x21, 0x7F))
 OPERATION_CHARACTERS = frozenset(string.ascii_letters + string.digits + '-_')
@@ -27,6 +33,7 @@
     cursor: str
     deadline_seconds: float
     first_send: bool
+    priority: configuration.Priority
 
 
 def read_headers(request: server.Request) -> CallerHeaders:
@@ -40,6 +47,7 @@
         cursor_of(request),
         deadline_seconds_of(request),
         single(request, 'X-First-Send') == b'1',
+        priority_of(request),
     )
 
 
@@ -100,6 +108,17 @@
     return seconds
 
 
+def priority_of(request: server.Request) -> configuration.Priority:
+    """Return the priority class that the caller asks for.
+
+    Without the header it is the highest, which leaves the service's own.
+    """
+    raw = single(request, 'X-Priority')
+    if raw not in PRIORITIES:
+        raise errors.BadValue('X-Priority: write short or long')
+    return PRIORITIES[raw]
+
+
 def check_operation(operation: str) -> None:
     """Refuse an operation that would change the URL it is put into.
 
--- a/tests/callers/test_bad_input.py
+++ b/tests/callers/test_bad_input.py
@@ -101,6 +101,8 @@
             'bad-value',
         ),
         (header(b'Last-Event-ID', b'\xff'), 400, 'bad-cursor'),
+        (header(b'X-Priority', b'resume'), 400, 'bad-value'),
+        (header(b'X-Priority', b'0'), 400, 'bad-value'),
         (
             caller_sites.request('/v1/services/charge/..%2Fstandin', b''),
             404,
