--- a/src/greengagelb/cli/launcher.py
+++ b/src/greengagelb/cli/launcher.py
@@ -7,7 +7,6 @@
 import contextlib
 import hashlib
 import pathlib
-import random
 import secrets
 import signal
 import socket
@@ -25,8 +24,7 @@
 DATA_CENTRE = 'demo-1'
 ENDING_SECONDS = 20.0
 PORTS = range(12_000, 32_000)
-
-unused_ports = iter(random.SystemRandom().sample(PORTS, len(PORTS)))
+RESERVATIONS: list[socket.socket] = []
 
 
 class LaunchedProcess:
@@ -218,22 +216,27 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on now.
-
-    The system gives outgoing connections ports from 32768 up, at any time.
-    A port that was free when it was picked there can be taken by one of them
-    before the process that it is meant for opens it, and that process fails
-    with "address already in use". So the port is drawn from below. None is
-    given out twice: until its process has opened it, a port still looks free.
+    """Return a port that nobody uses, kept for this process's children.
+
+    The system gives outgoing connections ports from 32768 up, at any time,
+    so the port is drawn from below. It stays bound here: otherwise another
+    launcher, or this one, could draw it again before the process that it is
+    meant for listens, which then fails with "address already in use".
+    Address reuse is switched on once it is bound, so that a process which
+    sets it too, as Twisted and zmq do, may listen all the same, while the
+    next one to draw the port is refused.
     """
-    for port in unused_ports:
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
+    while True:
+        port = secrets.choice(PORTS)
+        reservation = socket.socket()
+        try:
+            reservation.bind((HOST, port))
+        except OSError:
+            reservation.close()
+            continue
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        RESERVATIONS.append(reservation)
         return port
-    raise errors.CommandError('no free port is left on this machine')
 
 
 def digest(key: str) -> str:
