--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -15,10 +15,12 @@
 from greengagelb import errors
 from greengagelb.coordination import events
 from greengagelb.state import configuration as configuration_state
+from greengagelb.state import fleet
 from greengagelb.state import identity
 from greengagelb.state import upstreams as upstream_state
 
 REPORT_TRUST_SECONDS = 5.0
+PROBE_TRUST_SECONDS = 3.0
 SUSPICION_SECONDS = 2.0
 MOST_SUSPICION_SECONDS = 30.0
 FORGIVE_SECONDS = 30.0
@@ -38,12 +40,14 @@
     tells that an upstream may have room by now that it had not before.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, data_centre: str = '') -> None:
         self.rng = rng
+        self.data_centre = data_centre
         self.views: dict[str, upstream_state.UpstreamView] = {}
         self.short_pools: set[str] = set()
         self.leaving: set[identity.EngineId] = set()
         self.live_instances = 1
+        self.order: list[str] = []
         self.changed = False
 
     # -- what is known ------------------------------------------------------
@@ -64,6 +68,7 @@
             if name not in named and not self.views[name].in_flight:
                 del self.views[name]
         self.leaving = {e for e in self.leaving if e.name in self.views}
+        self.order = list(named)
         self.short_pools = shared_pools(configuration)
         self.changed = True
 
@@ -91,11 +96,48 @@
         view.reported_running = report.running
         view.reported_queued = report.queued
         view.reported_at = now
+        view.probed_at = now
         view.in_flight_at_report = view.in_flight
         view.step_seconds = report.step_seconds
         view.leaving = report.engine in self.leaving
         self.changed = True
 
+    def own_loads(self, now: float) -> tuple[fleet.UpstreamLoad, ...]:
+        """Return the loads that upstreams have told this instance itself.
+
+        Loads heard from others are left out: passed on again and again, an
+        old load would look like a new one.
+        """
+        return tuple(
+            fleet.UpstreamLoad(
+                index,
+                view.reported_running,
+                view.reported_queued,
+                view.step_seconds,
+            )
+            for index, name in enumerate(self.order)
+            if self.is_local(view := self.views[name])
+            and view.reported_at == view.probed_at
+            and now - view.probed_at < REPORT_TRUST_SECONDS
+        )
+
+    def hear_loads(
+        self, loads: tuple[fleet.UpstreamLoad, ...], now: float
+    ) -> None:
+        """Take in loads that another instance passes on."""
+        for load in loads:
+            if load.index >= len(self.order):
+                continue
+            view = self.views[self.order[load.index]]
+            if now - view.probed_at < REPORT_TRUST_SECONDS:
+                continue
+            view.reported_running = load.running
+            view.reported_queued = load.queued
+            view.reported_at = now
+            view.in_flight_at_report = view.in_flight
+            view.step_seconds = load.step_seconds
+            self.changed = True
+
     def meet_incarnation(
         self,
         view: upstream_state.UpstreamView,
@@ -112,7 +154,11 @@
             view.suspected_until = min(view.suspected_until, now)
             view.returned_at = now
 
-    def mark_leaving(self, event: events.UpstreamLeaving) -> None:
+    def is_local(self, view: upstream_state.UpstreamView) -> bool:
+        """Return whether an upstream is in this instance's data centre."""
+        return view.upstream.data_centre == self.data_centre
+
+    def mark_leaving(self, event: events.UpstreamLeaving, now: float) -> None:
         """Give no new work to that incarnation from now on.
 
         It is remembered by incarnation: the notice may come before the first
@@ -126,7 +172,12 @@
         if not engine.incarnation:
             engine = identity.EngineId(engine.name, view.incarnation)
         self.leaving.add(engine)
-        view.leaving = view.leaving or view.incarnation == engine.incarnation
+        # An instance that does not watch the upstream may know none or an
+        # old incarnation of it, and would take the notice for another's. It
+        # gives no work until its own next question is answered.
+        unsure = now - view.probed_at >= PROBE_TRUST_SECONDS
+        same = view.incarnation == engine.incarnation
+        view.leaving = view.leaving or same or unsure
 
     def suspect(self, name: str, now: float) -> None:
         """Keep new work away from an upstream that has just failed.
@@ -179,7 +230,11 @@
         priority: configuration_state.Priority = RESUME,
         prefix: str = '',
     ) -> upstream_state.UpstreamView | None:
-        """Return a view with room for one more request, or None."""
+        """Return a view with room for one more request, or None.
+
+        Upstreams of other data centres get only what finds no room here: a
+        partition would break the streams on them.
+        """
         usable = [
             view
             for view in self.usable_views(pool, excluded, now)
@@ -187,6 +242,8 @@
         ]
         if not usable:
             return None
+        local = [view for view in usable if self.is_local(view)]
+        usable = local or usable
         if prefix:
             near = self.choose_by_prefix(usable, prefix, now)
             if near is not None:
@@ -231,7 +288,7 @@
             for upstream in pool.upstreams
             if upstream.name not in excluded
             and (view := self.views.get(upstream.name)) is not None
-            and self.may_get_work(view, pool)
+            and self.may_get_work(view, pool, now)
         ]
         trusted = [view for view in views if now >= view.suspected_until]
         if trusted:
@@ -242,17 +299,23 @@
         self,
         view: upstream_state.UpstreamView,
         pool: configuration_state.Pool,
+        now: float,
     ) -> bool:
         """Return whether an upstream may get new work of a pool.
 
         An upstream that has never reported is usable: a new instance must
         serve before the first reports are in. One that reports another
-        version is not, or two versions would end up in one answer.
+        version is not, or two versions would end up in one answer. Where the
+        report is old the engine itself decides: it refuses a version that it
+        does not have, while a pool moved to a new version would else stay
+        empty for all who do not watch its engines.
         """
         if view.leaving or view.upstream.draining:
             return False
         if not view.incarnation or not pool.version:
             return True
+        if now - view.probed_at >= PROBE_TRUST_SECONDS:
+            return True
         return (view.model, view.version, view.adapter) == (
             pool.model,
             pool.version,
