Drive claims through any order of faults with Hypothesis

Found by the run: requests that wait in the queue have no deadline timer and are looked at again only when some event comes in (left to admission's owner).

--- /dev/null
+++ b/tests/calls/test_at_most_once_machine.py
@@ -0,0 +1,163 @@
+"""Any order of faults around calls that may not be repeated.
+
+Hypothesis drives several real nodes that share one table service and one
+plain service. The promises are checked inside ``tests/common/call_world.py``
+at every action.
+"""
+
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tests.common import call_world
+
+PICK = strategies.integers(0, 15)
+SERVICES = (call_world.CHARGE, call_world.DIGEST, call_world.LOOKUP)
+
+
+def pick(sequence, number):
+    return sequence[number % len(sequence)]
+
+
+class AtMostOnce(stateful.RuleBasedStateMachine):
+    """Callers, faults and time in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = call_world.World()
+
+    @stateful.rule(
+        number=PICK,
+        service=strategies.sampled_from(SERVICES[:2] + SERVICES),
+        account=strategies.sampled_from(['teratak', 'karri']),
+        key=strategies.sampled_from(['k', 'l']),
+    )
+    def send(self, number, service, account, key):
+        home = pick(self.world.alive, number)
+        self.world.submit(home, service, account, key)
+
+    @stateful.precondition(lambda self: self.world.exchanges)
+    @stateful.rule(number=PICK)
+    def caller_leaves(self, number):
+        self.world.leave(pick(self.world.exchanges, number))
+
+    @stateful.precondition(lambda self: self.world.writes)
+    @stateful.rule(number=PICK)
+    def store_answers(self, number):
+        self.world.answer_write(pick(self.world.writes, number))
+
+    @stateful.precondition(lambda self: self.world.writes)
+    @stateful.rule(number=PICK, reaches_table=strategies.booleans())
+    def store_answer_is_lost(self, number, reaches_table):
+        write = pick(self.world.writes, number)
+        self.world.lose_write(write, reaches_table)
+
+    @stateful.rule()
+    def store_goes_or_comes_back(self):
+        self.world.store_down = not self.world.store_down
+
+    @stateful.precondition(lambda self: self.world.dispatches)
+    @stateful.rule(number=PICK)
+    def upstream_runs(self, number):
+        self.world.run(pick(self.world.dispatches, number))
+
+    @stateful.precondition(lambda self: self.world.dispatches)
+    @stateful.rule(number=PICK)
+    def upstream_answers(self, number):
+        self.world.finish(pick(self.world.dispatches, number))
+
+    @stateful.precondition(lambda self: self.world.dispatches)
+    @stateful.rule(number=PICK)
+    def upstream_connection_breaks(self, number):
+        self.world.break_off(pick(self.world.dispatches, number))
+
+    @stateful.precondition(lambda self: self.world.dispatches)
+    @stateful.rule(number=PICK)
+    def upstream_refuses(self, number):
+        self.world.refuse(pick(self.world.dispatches, number))
+
+    @stateful.rule(number=PICK)
+    def instance_is_paused(self, number):
+        pick(self.world.alive, number).paused = True
+
+    @stateful.rule(number=PICK, timers_first=strategies.booleans())
+    def instance_wakes(self, number, timers_first):
+        self.world.wake(pick(self.world.alive, number), timers_first)
+
+    @stateful.rule(number=PICK)
+    def instance_is_killed_and_replaced(self, number):
+        self.world.kill(pick(self.world.alive, number))
+        self.world.start(f'i{len(self.world.instances)}')
+
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 1.0, 5.0, 21.0]))
+    def time_passes(self, seconds):
+        self.world.advance(seconds)
+
+    def teardown(self):
+        self.world.retry_all()
+
+
+TestAtMostOnce = AtMostOnce.TestCase
+TestAtMostOnce.settings = hypothesis.settings(
+    max_examples=120,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def test_long_seeded_run():
+    """One process sees thousands of requests between two faults.
+
+    What adds up only over a long run, such as claims that nobody settles,
+    shows here and not in the short histories above.
+    """
+    rng = random.Random(20261202)
+    for round_number in range(30):
+        world = call_world.World()
+        for _ in range(150):
+            one_step(world, rng, f'k{rng.randrange(6)}')
+        world.retry_all()
+        assert round_number >= 0
+
+
+def one_step(world, rng, key):
+    chance = rng.random()
+    if chance < 0.25:
+        home = rng.choice(world.alive)
+        account = rng.choice(['teratak', 'karri'])
+        world.submit(home, rng.choice(SERVICES), account, key)
+    elif chance < 0.30 and world.exchanges:
+        world.leave(rng.choice(world.exchanges))
+    elif chance < 0.55 and world.writes:
+        one_step_of_store(world, rng)
+    elif chance < 0.80 and world.dispatches:
+        one_step_of_upstream(world, rng)
+    elif chance < 0.84:
+        world.store_down = not world.store_down
+    elif chance < 0.88:
+        rng.choice(world.alive).paused = True
+    elif chance < 0.94:
+        world.wake(rng.choice(world.alive), rng.random() < 0.5)
+    elif chance < 0.95:
+        world.kill(rng.choice(world.alive))
+        world.start(f'i{len(world.instances)}')
+    else:
+        world.advance(rng.choice([0.1, 1.0, 5.0]))
+
+
+def one_step_of_store(world, rng):
+    write = rng.choice(world.writes)
+    if rng.random() < 0.7:
+        world.answer_write(write)
+    else:
+        world.lose_write(write, rng.random() < 0.5)
+
+
+def one_step_of_upstream(world, rng):
+    dispatch = rng.choice(world.dispatches)
+    step = rng.choice([world.finish, world.run, world.break_off, world.refuse])
+    step(dispatch)
--- /dev/null
+++ b/tests/calls/test_claims.py
@@ -0,0 +1,325 @@
+"""Single histories around claims that once went wrong, or nearly did."""
+
+import dataclasses
+import random
+
+import pytest
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import claims
+from greengagelb.coordination import events
+from greengagelb.state import claims as claim_state
+from greengagelb.state import identity
+from greengagelb.state import requests
+from tests.common import call_world
+
+CHARGE = call_world.CHARGE
+DIGEST = call_world.DIGEST
+LOOKUP = call_world.LOOKUP
+
+
+def failure_of(exchange):
+    (answer,) = exchange.answers
+    return answer.failure
+
+
+def answer_all_writes(world):
+    while world.writes:
+        world.answer_write(world.writes[0])
+
+
+def stage_of(world):
+    ((_, record),) = world.rows.values()
+    return record.stage
+
+
+def test_accounts_with_slashes_do_not_share_a_row():
+    """Two accounts whose names and keys read the same once joined.
+
+    One account's charge would be answered with the other's booking.
+    """
+    first = identity.RequestId('a/b', 'c')
+    second = identity.RequestId('a', 'b/c')
+    assert claims.claim_key(first) != claims.claim_key(second)
+
+
+def test_row_key_stays_short_for_any_idempotency_key():
+    name = identity.RequestId('teratak', '\ud800é' * 9000)
+    assert len(claims.claim_key(name)) < 80
+
+
+def test_retry_of_a_finished_call_gets_the_same_answer():
+    world = call_world.World()
+    first = world.submit(world.instances[0], CHARGE)
+    answer_all_writes(world)
+    world.finish(world.dispatches[0])
+    answer_all_writes(world)
+    second = world.submit(world.instances[1], CHARGE)
+    answer_all_writes(world)
+    assert second.answers[0].body == first.answers[0].body
+
+
+def test_large_answer_is_said_to_have_run_but_not_kept():
+    """The answer to a charge is too large for a claim row.
+
+    The retry can't be shown it, and must not run the charge again either.
+    """
+    world = call_world.World()
+    first = world.submit(world.instances[0], CHARGE)
+    answer_all_writes(world)
+    dispatch = world.dispatches[0]
+    world.run(dispatch)
+    dispatch.answer = bytes(claims.MOST_KEPT_BODY_BYTES + 1)
+    world.answer_of[first.key].add(dispatch.answer)
+    world.finish(dispatch)
+    answer_all_writes(world)
+    second = world.submit(world.instances[1], CHARGE)
+    answer_all_writes(world)
+    assert failure_of(second).code == 'answer-not-kept'
+    assert failure_of(second).ran is requests.Ran.YES
+
+
+def test_retry_that_finds_its_twin_running_is_not_told_not_run():
+    world = call_world.World()
+    world.submit(world.instances[0], CHARGE)
+    answer_all_writes(world)
+    second = world.submit(world.instances[1], CHARGE)
+    answer_all_writes(world)
+    assert failure_of(second).code == 'twin-outcome-unknown'
+    assert failure_of(second).ran is requests.Ran.UNKNOWN
+    assert failure_of(second).retry_after is not None
+
+
+def test_key_that_comes_back_with_another_body_is_refused():
+    """A program uses one idempotency key for two different charges.
+
+    It would be shown the answer to the first for the second.
+    """
+    world = call_world.World()
+    world.submit(world.instances[0], CHARGE)
+    answer_all_writes(world)
+    world.finish(world.dispatches[0])
+    answer_all_writes(world)
+    second = world.submit(world.instances[1], CHARGE, body=b'other')
+    answer_all_writes(world)
+    assert failure_of(second).code == 'idempotency-key-reused'
+
+
+def test_retry_during_an_outage_is_not_told_not_run():
+    """An instance dies with a charge in flight; then the store goes away.
+
+    The caller sends the charge again, to another instance, which can't see
+    the claim. Told "not run", the site would book and charge anew.
+    """
+    world = call_world.World()
+    world.submit(world.instances[0], CHARGE)
+    answer_all_writes(world)
+    world.kill(world.instances[0])
+    world.run(world.dispatches[0])
+    world.store_down = True
+    second = world.submit(world.instances[1], CHARGE)
+    assert failure_of(second).ran is requests.Ran.UNKNOWN
+    assert failure_of(second).retry_after is not None
+
+
+def test_declared_first_send_during_an_outage_is_told_not_run():
+    world = call_world.World()
+    world.store_down = True
+    first = world.submit(world.instances[0], CHARGE)
+    assert failure_of(first).ran is requests.Ran.NO
+    assert not world.instances[0].node.claims.claims
+
+
+def test_claim_written_after_the_deadline_is_released_and_taken_over():
+    """The store is slow and answers a claim when the caller has given up.
+
+    The row would stay taken by a holder that never dispatched, and every
+    retry of the charge would be turned away for good.
+    """
+    world = call_world.World()
+    first = world.submit(world.instances[0], CHARGE)
+    world.advance(call_world.PATIENCE + 1)
+    assert failure_of(first).code == 'deadline-passed'
+    answer_all_writes(world)
+    assert not world.dispatches
+    assert stage_of(world) is claim_state.ClaimStage.RELEASED
+    world.submit(world.instances[1], CHARGE)
+    answer_all_writes(world)
+    assert len(world.dispatches) == 1
+
+
+def test_claim_that_lands_after_it_was_given_up_takes_nothing():
+    """Both tries of a claim time out; the first reaches the store late.
+
+    The release is already there by then, on the same version, so the late
+    write fails in place of taking the key for good.
+    """
+    world = call_world.World()
+    world.submit(world.instances[0], CHARGE)
+    late = world.writes[0]
+    world.time_out_write(late)
+    world.time_out_write(world.writes[1])
+    release = world.writes[2]
+    assert release.action.record.stage is claim_state.ClaimStage.RELEASED
+    world.answer_write(release)
+    world.answer_write(late)
+    assert stage_of(world) is claim_state.ClaimStage.RELEASED
+
+
+def test_lost_answer_to_a_claim_is_settled_by_the_same_write():
+    """The store carries a claim out and its answer is lost.
+
+    Taken for a failure, the charge would not run though its key is taken.
+    """
+    world = call_world.World()
+    world.submit(world.instances[0], CHARGE)
+    world.lose_write(world.writes[0], reaches_table=True)
+    answer_all_writes(world)
+    assert len(world.dispatches) == 1
+
+
+def test_release_is_tried_again_until_the_store_takes_it():
+    """The store goes away just as a claim is given up."""
+    world = call_world.World()
+    world.submit(world.instances[0], CHARGE)
+    world.advance(call_world.PATIENCE + 1)
+    world.lose_write(world.writes[0], reaches_table=True)
+    for _ in range(3):
+        world.store_down = True
+        world.advance(1.0)
+    world.store_down = False
+    world.advance(1.0)
+    answer_all_writes(world)
+    assert stage_of(world) is claim_state.ClaimStage.RELEASED
+
+
+def test_release_is_given_up_after_a_long_outage():
+    """A store that stays away must not fill the instance with old claims."""
+    world = call_world.World()
+    home = world.instances[0]
+    world.submit(home, CHARGE)
+    world.advance(call_world.PATIENCE + 1)
+    world.time_out_write(world.writes[0])
+    world.store_down = True
+    for _ in range(40):
+        world.advance(1.0)
+    assert not home.node.claims.claims
+    assert world.kinds['claim-left-taken'] == 1
+
+
+@pytest.mark.parametrize('timers_first', [True, False])
+@pytest.mark.parametrize('service', [CHARGE, DIGEST])
+def test_holder_that_wakes_after_the_deadline_does_not_dispatch(
+    timers_first, service
+):
+    """An instance is stopped while it claims, and wakes a minute later.
+
+    Its caller has long given up. The answer to the claim and the deadline's
+    timer wait side by side, in either order.
+    """
+    world = call_world.World()
+    home = world.instances[0]
+    world.submit(home, service)
+    home.paused = True
+    answer_all_writes(world)
+    world.advance(60.0)
+    world.wake(home, timers_first)
+    assert not world.dispatches
+    assert home.timers.keys() <= {'claim-settle:i0.1'}
+    answer_all_writes(world)
+    assert stage_of(world) is claim_state.ClaimStage.RELEASED
+
+
+def test_stop_waits_until_a_claim_is_released():
+    """An instance is replaced right after it gave up a claim.
+
+    Ended at once, it would leave the key taken for good.
+    """
+    world = call_world.World()
+    home = world.instances[0]
+    exchange = world.submit(home, CHARGE)
+    world.leave(exchange)
+    done = home.node.handle(events.StopRequested(), world.now)
+    assert actions.FinishStopping() not in done
+    answer_all_writes(world)
+    assert home.node.idle
+
+
+def test_generation_that_may_not_be_repeated_is_started_once():
+    world = call_world.World()
+    world.submit(world.instances[0], DIGEST)
+    world.submit(world.instances[1], DIGEST)
+    answer_all_writes(world)
+    assert len(world.dispatches) == 1
+
+
+def test_refused_service_makes_way_for_a_retry():
+    """All three processes of a service refuse a charge before it runs."""
+    world = call_world.World()
+    first = world.submit(world.instances[0], CHARGE)
+    answer_all_writes(world)
+    while world.dispatches:
+        world.refuse(world.dispatches[0])
+    assert failure_of(first).ran is requests.Ran.NO
+    answer_all_writes(world)
+    assert stage_of(world) is claim_state.ClaimStage.RELEASED
+
+
+def test_call_that_ran_once_is_never_told_not_run_by_a_later_refusal():
+    """A lookup's connection breaks; the second service can't be reached.
+
+    The last failure alone proves nothing about the first dispatch.
+    """
+    world = call_world.World()
+    found = world.submit(world.instances[0], LOOKUP)
+    world.break_off(world.dispatches[0])
+    for _ in range(2):
+        pending = [d for d in world.dispatches if d.awaited]
+        world.refuse(pending[0])
+    assert failure_of(found).ran is requests.Ran.UNKNOWN
+
+
+def test_retries_of_one_account_stay_within_its_budget():
+    """A service fails every lookup of a caller that asks without end.
+
+    Unbounded, three tries for each would triple the load on what is left.
+    """
+    world = call_world.World()
+    home = world.instances[0]
+    for number in range(100):
+        world.submit(home, LOOKUP, key=f'{number}')
+        while world.dispatches:
+            world.refuse(world.dispatches[0])
+        world.advance(3.0)
+    assert world.kinds['call-dispatched'] <= 100 + 10 + 11
+
+
+def test_waits_grow_with_an_outage_and_are_spread():
+    keeper = claims.ClaimKeeper('i', random.Random(1))
+    waits = [keeper.advice.failed() for _ in range(40)]
+    assert max(waits[:1]) <= 1.5
+    assert min(waits[6:]) >= 16.0
+    assert max(waits) <= 48.0
+    assert len(set(waits)) == len(waits)
+
+
+def test_queue_refusal_of_a_possible_retry_is_not_not_run():
+    """An account's queue is full when it sends a charge again.
+
+    The first send may be running at another instance.
+    """
+    world = call_world.World()
+    home = world.instances[0]
+    home.node.stopping = True
+    first = world.submit(home, CHARGE)
+    assert failure_of(first).ran is requests.Ran.NO
+    again = world.submit(home, CHARGE)
+    assert failure_of(again).ran is requests.Ran.UNKNOWN
+
+
+def test_content_tells_operation_and_body_apart():
+    request = requests.CallRequest(
+        1, identity.RequestId('a', 'k'), 's', 'op', b'body', 9.0
+    )
+    other = dataclasses.replace(request, operation='opb', body=b'ody')
+    assert claims.content_of(request) != claims.content_of(other)
--- /dev/null
+++ b/tests/calls/test_store_budget.py
@@ -0,0 +1,123 @@
+"""How much one instance asks of the platform's store."""
+
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from greengagelb.coordination import store_budget
+
+READ = store_budget.RequestKind.READ
+WRITE = store_budget.RequestKind.WRITE
+Circuit = store_budget.Circuit
+
+
+def small_budget(writes=5.0):
+    return store_budget.StoreBudget(50.0, writes, random.Random(1), 0.0)
+
+
+def fail_until_open(budget, now=0.0):
+    for _ in range(store_budget.FAILURES_TO_OPEN):
+        assert budget.admit(READ, now) is None
+        opened = budget.failed(now)
+    return opened
+
+
+def test_rate_is_bounded_after_the_burst():
+    """A flood of charges at one instance takes the fleet's writes.
+
+    Every other instance would find the store refusing its claims.
+    """
+    budget = small_budget(writes=5.0)
+    admitted = 0
+    for tick in range(1000):
+        if budget.admit(WRITE, tick * 0.01) is None:
+            admitted += 1
+            budget.succeeded()
+    assert admitted <= 5.0 * 10 + 5.0 * store_budget.BURST_SECONDS
+
+
+def test_reads_do_not_use_up_writes():
+    budget = small_budget()
+    while budget.admit(READ, 0.0) is None:
+        budget.succeeded()
+    assert budget.admit(WRITE, 0.0) is None
+
+
+def test_failures_in_a_row_open_the_circuit_and_say_so():
+    (opened,) = fail_until_open(small_budget())
+    assert opened.kind == 'store-circuit-opened'
+
+
+def test_open_circuit_refuses_at_once():
+    """Each claim would wait out its time against a store that is down."""
+    budget = small_budget()
+    fail_until_open(budget)
+    assert budget.admit(WRITE, 0.0) is store_budget.Refusal.CIRCUIT_OPEN
+    assert budget.in_flight == 0
+
+
+def test_half_open_circuit_lets_one_probe_through():
+    """The store comes back and all waiting requests fall on it at once."""
+    budget = small_budget()
+    fail_until_open(budget)
+    assert budget.admit(READ, 10.0) is None
+    assert budget.admit(READ, 10.0) is store_budget.Refusal.CIRCUIT_OPEN
+    (closed,) = budget.succeeded()
+    assert closed.kind == 'store-circuit-closed'
+    assert budget.admit(READ, 10.0) is None
+
+
+def test_failed_probe_opens_it_for_longer():
+    budget = small_budget()
+    fail_until_open(budget)
+    now = 0.0
+    waits = []
+    for _ in range(8):
+        waits.append(budget.open_until - now)
+        now = budget.open_until
+        assert budget.admit(READ, now) is None
+        budget.failed(now)
+    assert waits[0] <= store_budget.FIRST_OPEN_SECONDS
+    assert max(waits) <= store_budget.MOST_OPEN_SECONDS
+    assert min(waits[5:]) >= 4.0
+
+
+def test_requests_under_way_are_bounded():
+    """A store that takes requests and answers none fills the memory."""
+    budget = store_budget.StoreBudget(1e6, 1e6, random.Random(1), 0.0)
+    admitted = sum(budget.admit(READ, 0.0) is None for _ in range(999))
+    assert admitted == store_budget.MOST_IN_FLIGHT
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(['read', 'write', 'good', 'bad']),
+        strategies.floats(0.0, 3.0),
+    ),
+    max_size=60,
+)
+
+
+@given(STEPS)
+@settings(derandomize=True, max_examples=200, deadline=None)
+def test_any_history_keeps_the_bounds(steps):
+    budget = small_budget()
+    now = 0.0
+    for what, wait in steps:
+        now += wait
+        if what in ('read', 'write'):
+            before = budget.circuit
+            kind = READ if what == 'read' else WRITE
+            refused = budget.admit(kind, now)
+            if before is Circuit.HALF_OPEN:
+                assert refused is not None
+        elif budget.in_flight and what == 'good':
+            budget.succeeded()
+        elif budget.in_flight:
+            budget.failed(now)
+        assert 0 <= budget.in_flight <= store_budget.MOST_IN_FLIGHT
+        assert all(b.tokens >= 0.0 for b in budget.buckets.values())
+        if budget.circuit is Circuit.OPEN:
+            assert budget.open_until <= now + store_budget.MOST_OPEN_SECONDS
