--- a/src/greengagelb/coordination/calls.py
+++ b/src/greengagelb/coordination/calls.py
@@ -80,7 +80,9 @@
             raise errors.InvariantViolated('a second dispatch could run twice')
         if now >= call.request.deadline:
             return self.fail(call, 'deadline-passed', None)
-        view = self.directory.choose(call.pool, call.excluded, now)
+        view = self.directory.choose(
+            call.pool, call.excluded, now, call.service.priority
+        )
         if view is None:
             return self.fail(call, 'no-upstream', self.advice.failed())
         call.upstream = view.upstream
--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -8,6 +8,7 @@
 
 from greengagelb.state import claims
 from greengagelb.state import configuration as configuration_state
+from greengagelb.state import fleet
 from greengagelb.state import identity
 from greengagelb.state import requests
 
@@ -117,6 +118,16 @@
     leaving: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadsHeard:
+    """Another instance passes on the loads of upstreams that it watches.
+
+    The indices are those of the configuration in force here.
+    """
+
+    loads: tuple[fleet.UpstreamLoad, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamUnreachable:
     """An upstream did not answer a probe in time."""
@@ -124,6 +135,20 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineCacheChanged:
+    """An engine stored and dropped prefixes, named by their digests.
+
+    Events come late and some are lost: ``sequence`` counts them from 1 for
+    each incarnation.
+    """
+
+    engine: identity.EngineId
+    sequence: int
+    stored: tuple[str, ...]
+    dropped: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamLeaving:
     """Some source says that an upstream is leaving; final per incarnation."""
@@ -190,6 +215,13 @@
     source: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetSized:
+    """How many instances of this data centre may be serving, this one too."""
+
+    live_instances: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopRequested:
     """The platform asks this instance to stop."""
@@ -226,6 +258,8 @@
     | AttemptCancelled
     | CancelFailed
     | UpstreamReported
+    | LoadsHeard
+    | EngineCacheChanged
     | UpstreamUnreachable
     | UpstreamLeaving
     | ClaimWritten
@@ -234,6 +268,7 @@
     | CallAnswered
     | CallBroken
     | ConfigurationOffered
+    | FleetSized
     | StopRequested
     | PauseNoticed
     | TimerFired
--- a/src/greengagelb/coordination/streams.py
+++ b/src/greengagelb/coordination/streams.py
@@ -306,6 +306,24 @@
         timer = timer_name(RECOVERY_TIMER, exchange)
         return [actions.SetTimer(timer, now + RECOVERY_RETRY_SECONDS)]
 
+    def recovers_in(self, pool: configuration_state.Pool) -> bool:
+        """Return whether a stream of a pool waits for an engine."""
+        return any(
+            self.streams[exchange].pool.name == pool.name
+            for exchange in self.recover_by
+        )
+
+    def recover_waiting(self, now: float) -> list[actions.Action]:
+        """Give streams that have no engine the places that came free.
+
+        Were they to wait for their timers, new work would take each place
+        first, and streams would be given up on for want of an engine.
+        """
+        done: list[actions.Action] = []
+        for exchange in list(self.recover_by):
+            done += self.recover(self.streams[exchange], now)
+        return done
+
     def timer_fired(
         self, kind: str, exchange: int, now: float
     ) -> list[actions.Action]:
--- a/src/greengagelb/protocol/problems.py
+++ b/src/greengagelb/protocol/problems.py
@@ -6,6 +6,11 @@
 DEFAULT_STATUS = 503
 STATUS_OF_CODE = {
     'bad-message': 400,
+    'bad-value': 400,
+    'not-found': 404,
+    'method-not-allowed': 405,
+    'request-too-slow': 408,
+    'internal': 500,
     'body-too-large': 413,
     'unauthenticated': 401,
     'unknown-account': 401,
@@ -15,6 +20,8 @@
     'bad-cursor': 400,
     'received-tokens-differ': 409,
     'account-queue-full': 429,
+    'account-rate-exceeded': 429,
+    'resume-budget-spent': 429,
     'twin-outcome-unknown': 409,
     'idempotency-key-reused': 422,
     'answer-not-kept': 409,
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -1,6 +1,7 @@
 """One instance: sockets, timers and clients around the decisions."""
 
 import collections
+import itertools
 import random
 import secrets
 
@@ -8,29 +9,36 @@
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
-from twisted.web import server
 
 from greengagelb import errors
 from greengagelb import settings
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination import node
+from greengagelb.coordination import watching
 from greengagelb.protocol import codec
 from greengagelb.protocol import operator_api
+from greengagelb.state import fleet
+from greengagelb.state import identity
 from greengagelb.state import plans as plan_state
 from greengagelb.transport import caller_app
+from greengagelb.transport import caller_stream
 from greengagelb.transport import claim_store
 from greengagelb.transport import engine_client
 from greengagelb.transport import listening
+from greengagelb.transport import metrics
 from greengagelb.transport import operator_app
+from greengagelb.transport import peers
 from greengagelb.transport import plan_store
 from greengagelb.transport import platform_client
 from greengagelb.transport import recorder
 from greengagelb.transport import service_client
+from greengagelb.transport import serving
 
 PULSE_SECONDS = 0.1
 PAUSE_SECONDS = 0.25
 PROBE_SECONDS = 1.0
+LIST_POLL_JITTER = (0.5, 1.5)
 
 
 class Instance:
@@ -48,7 +56,11 @@
         self.reactor = reactor
         self.settings = instance_settings
         self.incarnation = secrets.token_hex(6)
-        self.node = node.Node(self.incarnation, random.Random())
+        self.node = node.Node(
+            self.incarnation,
+            random.Random(),
+            instance_settings.instance.data_centre,
+        )
         self.recorder = recorder.Recorder(
             instance_settings.instance.name,
             instance_settings.instance.timeline_events,
@@ -60,19 +72,31 @@
         self.services = service_client.ServiceClient(reactor, self.dispatch)
         self.claims = claim_store.ClaimStore(self.platform, self.dispatch)
         self.plans = plan_store.PlanStore(self.platform)
+        self.peers = peers.PeerLink(
+            reactor,
+            instance_settings,
+            self.incarnation,
+            self.dispatch,
+            lambda: self.node.configuration,
+            self.recorder,
+        )
         self.callers = caller_app.CallerApp(
             reactor,
             self.dispatch,
             lambda: self.node.configuration,
             codec.CursorSeal(instance_settings.secrets.cursor_secret.encode()),
+            self.recorder,
         )
+        self.recorder.metrics.sample = self.sample
         self.timers: dict[str, interfaces.IDelayedCall] = {}
         self.backlog: collections.deque[events.Event] = collections.deque()
         self.busy = False
+        self.probe_turns = itertools.count()
         self.sites: list[listening.DrainingFactory] = []
         self.ports: list[interfaces.IListeningPort] = []
         self.finishing = False
         self.last_pulse = reactor.seconds()
+        self.next_list_poll = reactor.seconds()
         self.stopped: defer.Deferred = defer.Deferred()
 
     # -- life ---------------------------------------------------------------
@@ -81,7 +105,7 @@
         """Open the ports and begin to poll."""
         place = self.settings.instance
         health = caller_app.health_app(
-            lambda: self.node.ready, self.recorder.render_metrics
+            lambda: self.node.ready, self.recorder.metrics.render
         )
         self.callers.app.route('/', branch=True)(
             lambda request: health.resource()
@@ -96,16 +120,22 @@
             self.running_by_upstream,
         )
         self.listen(place.operator_port, operators.app)
+        self.peers.start()
         self.repeat(PULSE_SECONDS, self.pulse)
+        self.repeat(self.settings.peers.heartbeat_seconds, self.tell_peers)
         self.repeat(PROBE_SECONDS, self.probe_upstreams)
         self.repeat(self.settings.platform.poll_seconds, self.poll)
 
     def listen(self, port: int, app: klein.Klein) -> None:
         """Serve an app on a port."""
-        site = listening.DrainingFactory(server.Site(app.resource()))
+        site = listening.DrainingFactory(
+            serving.bounded_site(app.resource(), self.reactor)
+        )
         host = self.settings.instance.host
         self.sites.append(site)
-        self.ports.append(self.reactor.listenTCP(port, site, interface=host))
+        listener = self.reactor.listenTCP(port, site, interface=host)
+        caller_stream.bound_kernel_buffer(listener)
+        self.ports.append(listener)
 
     def repeat(self, seconds: float, function: object) -> None:
         """Call a function now and again, as long as the process lives."""
@@ -121,26 +151,75 @@
         late = now - self.last_pulse - PULSE_SECONDS
         self.last_pulse = now
         if late > PAUSE_SECONDS:
+            self.peers.pause_noticed(late)
             self.dispatch(events.PauseNoticed(late))
+        self.peers.own_changed(self.own_state())
+
+    def own_state(self) -> fleet.OwnState:
+        """Return what other instances should know of this one."""
+        return fleet.OwnState(
+            self.node.configuration.version,
+            self.node.stopping,
+            frozenset(
+                identity.EngineId(name, view.incarnation)
+                for name, view in self.node.directory.views.items()
+                if view.leaving and view.incarnation
+            ),
+        )
 
     def probe_upstreams(self) -> None:
-        """Ask every upstream for its report."""
-        for view in self.node.directory.views.values():
-            self.engines.probe(actions.ProbeUpstream(view.upstream))
+        """Ask the upstreams that this instance watches for their reports."""
+        now = self.reactor.seconds()
+        members = self.peers.membership
+        wanted = watching.upstreams_to_probe(
+            self.node.directory.views.values(),
+            self.incarnation,
+            members.live_incarnations(now),
+            self.settings.instance.data_centre,
+            next(self.probe_turns),
+            now,
+        )
+        for upstream in wanted:
+            self.engines.probe(actions.ProbeUpstream(upstream))
+
+    def tell_peers(self) -> None:
+        """Send the regular heartbeats, with the loads known here."""
+        now = self.reactor.seconds()
+        self.peers.membership.loads = self.node.directory.own_loads(now)
+        self.peers.tick()
 
     @defer.inlineCallbacks
     def poll(self) -> object:
-        """Fetch the configuration from the platform."""
+        """Fetch the configuration and the instance list from the platform."""
         try:
             configuration = yield self.plans.read_configuration(
                 newer_than=self.node.configuration.version
             )
+            if configuration is not None:
+                self.dispatch(
+                    events.ConfigurationOffered(configuration, 'platform')
+                )
+            yield self.poll_list()
         except errors.GreengagelbError:
             return
-        if configuration is not None:
-            self.dispatch(
-                events.ConfigurationOffered(configuration, 'platform')
-            )
+
+    @defer.inlineCallbacks
+    def poll_list(self) -> object:
+        """Fetch the platform's list of instances, if it is time to.
+
+        The list grows with the fleet, and whoever sees something in it tells
+        the others. So the instances of a data centre take turns: the more of
+        them there are, the more seldom each one reads it.
+        """
+        if self.reactor.seconds() < self.next_list_poll:
+            return
+        instances = yield self.platform.list_instances()
+        turns = self.peers.membership.live_instances(self.reactor.seconds())
+        seconds = self.settings.platform.poll_seconds * turns / 2
+        self.next_list_poll = self.reactor.seconds() + seconds * (
+            random.uniform(*LIST_POLL_JITTER)
+        )
+        self.peers.listed(instances)
 
     def running_by_upstream(self) -> dict[str, int]:
         """Return how many requests run on each upstream, as far as known."""
@@ -155,6 +234,8 @@
 
     def status(self) -> operator_api.Status:
         """Return what this instance says of itself."""
+        members = self.peers.membership
+        own = members.summary(self.reactor.seconds())
         return operator_api.Status(
             process=self.settings.instance.name,
             data_centre=self.settings.instance.data_centre,
@@ -163,8 +244,42 @@
             stopping=self.node.stopping,
             running=len(self.node.running),
             waiting=len(self.node.waiting),
+            ready=self.node.ready,
+            in_force_on=own.in_force_on,
+            instances_known=own.instances,
+            missing=list(own.missing),
+            instances=self.known_instances(),
+            data_centres=[own, *members.fresh_summaries()],
+            leaving_upstreams=sorted(
+                engine.name for engine in members.own.leaving_upstreams
+            ),
         )
 
+    def sample(self) -> metrics.Sample:
+        """Return what a scrape shows of this instance's state."""
+        return metrics.Sample(
+            running=len(self.node.running),
+            waiting=len(self.node.waiting),
+            stale_events=self.node.streams.dropped_events,
+            configuration_version=self.node.configuration.version,
+            timeline_dropped=self.recorder.timeline.dropped,
+        )
+
+    def known_instances(self) -> list[operator_api.InstanceStatus]:
+        """Return what is known here of the other instances."""
+        now = self.reactor.seconds()
+        members = self.peers.membership
+        return [
+            operator_api.InstanceStatus(
+                view.peer.name,
+                view.peer.data_centre,
+                view.peer.incarnation,
+                view.version,
+                members.standing(view, now),
+            )
+            for view in members.peers.values()
+        ]
+
     # -- events and actions -------------------------------------------------
 
     def dispatch(self, event: events.Event) -> None:
@@ -191,10 +306,11 @@
                 self.carry_out(action)
         except Exception:
             recorder.log.exception('decision-failed', event_kind=repr(event))
-            self.recorder.error_counter.inc({})
+            self.recorder.metrics.decision_errors += 1
 
     def carry_out(self, action: actions.Action) -> None:
         """Carry out an action."""
+        self.recorder.metrics.count(action)
         match action:
             case actions.SendTokens():
                 self.callers.send_tokens(action)
@@ -254,6 +370,8 @@
         if self.finishing:
             return
         self.finishing = True
+        self.peers.own_changed(self.own_state())
+        self.peers.stop()
         closed = [
             defer.maybeDeferred(port.stopListening) for port in self.ports
         ]
--- /dev/null
+++ b/src/greengagelb/transport/problem_handlers.py
@@ -0,0 +1,65 @@
+"""Turns errors in HTTP handlers into problem documents.
+
+Without these the library answers in HTML, or with an empty status 500, and a
+caller could not tell whether its request ran.
+"""
+
+from collections.abc import Callable
+
+import klein
+import structlog
+from twisted.python import failure
+from twisted.web import http as web_http
+from twisted.web import server
+from werkzeug import exceptions
+
+from greengagelb import errors
+from greengagelb.protocol import problems
+from greengagelb.state import requests
+from greengagelb.transport import http
+
+log = structlog.get_logger()
+
+
+def install(
+    app: klein.Klein, count: Callable[[str], None] = lambda code: None
+) -> None:
+    """Have an app answer all errors with problem documents.
+
+    ``count`` is called with the code of each.
+    """
+
+    def bad_message(request: server.Request, why: failure.Failure) -> bytes:
+        count(why.value.code)
+        return http.refuse(request, why.value.code, str(why.value))
+
+    def unknown_path(request: server.Request, why: failure.Failure) -> bytes:
+        code = code_of_path_error(why.value)
+        count(code)
+        return http.refuse(request, code, 'see docs/api.md')
+
+    def internal(request: server.Request, why: failure.Failure) -> bytes:
+        count(errors.GreengagelbError.code)
+        return internal_error(request, why)
+
+    app.handle_errors(errors.ProtocolError)(bad_message)
+    app.handle_errors(exceptions.HTTPException)(unknown_path)
+    app.handle_errors(Exception)(internal)
+
+
+def code_of_path_error(error: exceptions.HTTPException) -> str:
+    """Return the code of a request for a path or method not there."""
+    if error.code == web_http.NOT_ALLOWED:
+        return 'method-not-allowed'
+    return 'not-found'
+
+
+def internal_error(request: server.Request, why: failure.Failure) -> bytes:
+    """Answer a request that met an error of this program itself."""
+    log.error('handler-failed', detail=why.getTraceback())
+    problem = requests.Failure(
+        errors.GreengagelbError.code,
+        requests.Ran.UNKNOWN,
+        'an error of this program; its log has the details',
+    )
+    return http.problem_answer(request, problems.problem_of(problem))
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -1,6 +1,7 @@
 """Real processes of a small fleet on loopback, ended with the test."""
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import hashlib
@@ -16,6 +17,8 @@
 import urllib.error
 import urllib.request
 
+from greengagelb.cli import launcher
+
 HOST = '127.0.0.1'
 OPERATOR_KEY = 'operator-key-of-the-tests'
 ACCOUNT_KEY = 'key-of-teratak'
@@ -25,9 +28,7 @@
 
 def free_port() -> int:
     """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    return launcher.free_port()
 
 
 def digest(key: str) -> str:
@@ -96,6 +97,15 @@
     port: int
     operator_port: int = 0
     peer_port: int = 0
+    log: pathlib.Path | None = None
+
+    def listens(self) -> bool:
+        """Return whether the process listens; fail if it has ended."""
+        if self.popen.poll() is not None:
+            found = self.log.read_text() if self.log else ''
+            raise AssertionError(f'{self.popen.args} ended: {found}')
+        ports = [self.port, self.operator_port or self.port]
+        return all(listens(port) for port in ports)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to this process only."""
@@ -108,6 +118,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         super().__init__()
         self.folder = folder
+        self.poll_seconds = 0.2
         self.platform = self.stand_in('platform', 'platform')
         self.engines: dict[str, Process] = {}
         self.services: dict[str, Process] = {}
@@ -115,7 +126,8 @@
 
     def run(self, name: str, words: list[str], port: int) -> Process:
         """Start the program with these arguments."""
-        output = self.enter_context((self.folder / f'{name}.log').open('wb'))
+        log = self.folder / f'{name}.log'
+        output = self.enter_context(log.open('wb'))
         popen = subprocess.Popen(
             [sys.executable, '-m', 'greengagelb', *words],
             stdout=output,
@@ -123,7 +135,7 @@
             env=dict(os.environ),
         )
         self.callback(self.end, popen)
-        return Process(popen, port)
+        return Process(popen, port, log=log)
 
     def end(self, popen: subprocess.Popen) -> None:
         """Kill a process that still runs, stopped ones too."""
@@ -139,10 +151,7 @@
             *self.services.values(),
             *self.instances.values(),
         ]:
-            wait_until(lambda p=process: listens(p.port))
-            # An instance opens this port last.
-            last = process.operator_port or process.port
-            wait_until(lambda port=last: listens(port))
+            wait_until(lambda p=process: p.listens())
 
     def stand_in(self, kind: str, name: str, *flags: str) -> Process:
         """Start a stand-in."""
@@ -160,18 +169,28 @@
         self.services[name] = self.stand_in('service', name)
         return self.services[name]
 
-    def instance(self, name: str, data_centre: str = 'kl-1') -> Process:
-        """Start an instance."""
+    def instance(
+        self,
+        name: str,
+        data_centre: str = 'kl-1',
+        peers: Sequence[Process] = (),
+        platform_port: int = 0,
+    ) -> Process:
+        """Start an instance, with settings that name these peers."""
         caller, operator, peer = free_port(), free_port(), free_port()
         path = self.folder / f'{name}.ini'
+        addresses = ', '.join(f'{HOST}:{one.peer_port}' for one in peers)
+        named = f'addresses = {addresses}\n' if peers else ''
+        platform = platform_port or self.platform.port
         path.write_text(
             f'[instance]\nname = {name}\ndata_centre = {data_centre}\n'
             f'host = {HOST}\ncaller_port = {caller}\n'
             f'operator_port = {operator}\npeer_port = {peer}\n'
-            f'[platform]\nhost = {HOST}\nport = {self.platform.port}\n'
-            'poll_seconds = 0.2\ntimeout_seconds = 1.0\n'
+            f'[platform]\nhost = {HOST}\nport = {platform}\n'
+            f'poll_seconds = {self.poll_seconds}\ntimeout_seconds = 1.0\n'
             '[secrets]\ncursor_secret = the-secret-of-the-test-fleet\n'
             f'operator_key_digest = {digest(OPERATOR_KEY)}\n'
+            f'[peers]\nheartbeat_seconds = 0.5\n{named}'
         )
         process = self.run(name, ['serve', f'--settings={path}'], caller)
         process.operator_port = operator
