Prove claims with real processes and on the wire

Change: four tests with real processes (store loses every answer, claimant killed with a charge in flight, claimant stopped past its deadline, store away) and the platform client's proofs over connections in memory.

--- /dev/null
+++ b/tests/calls/test_platform_client.py
@@ -0,0 +1,109 @@
+"""What the platform's client proves about a write that failed."""
+
+from greengagelb import errors
+from greengagelb import settings
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.coordination import store_budget
+from greengagelb.state import claims
+from greengagelb.transport import claim_store
+from greengagelb.transport import platform_client
+from tests.common import wires
+
+RECORD = claims.ClaimRecord('i.1', claims.ClaimStage.CLAIMED)
+
+
+class Store:
+    """A claim store and what it reports."""
+
+    def __init__(self):
+        self.network = wires.Network()
+        self.events = []
+        self.records = []
+        place = settings.PlatformSettings(wires.ADDRESS, wires.PORT)
+        self.platform = platform_client.PlatformClient(
+            self.network.reactor, place, self.records.append
+        )
+        self.claims = claim_store.ClaimStore(self.platform, self.events.append)
+
+    def write(self):
+        self.claims.write(actions.WriteClaim('i.1', 'key', 0, RECORD))
+
+    def only_event(self):
+        (found,) = self.events
+        return found
+
+
+def test_written_claim_comes_with_its_version():
+    store = Store()
+    store.write()
+    store.network.accept().answer(b'{"key":"k","version":7,"value":""}')
+    assert store.only_event() == events.ClaimWritten('i.1', 7)
+
+
+def test_conflict_shows_the_row_that_stands_there():
+    store = Store()
+    store.write()
+    body = (
+        b'{"key":"k","version":3,"value":'
+        b'"{\\"holder\\":\\"j.1\\",\\"stage\\":\\"released\\"}"}'
+    )
+    store.network.accept().answer(body, status='409 Conflict')
+    row = store.only_event().row
+    assert (row.version, row.record.holder) == (3, 'j.1')
+
+
+def test_refused_connection_proves_that_nothing_was_written():
+    store = Store()
+    store.write()
+    store.network.refuse()
+    assert not store.only_event().handed_over
+
+
+def test_silent_store_proves_nothing_and_its_connection_is_closed():
+    """The store takes a claim and says nothing.
+
+    Taken for "not written", the claim could land later and be in the way.
+    """
+    store = Store()
+    store.write()
+    wire = store.network.accept()
+    store.network.reactor.advance(10.0)
+    assert store.only_event().handed_over
+    assert wire.closed or wire.transport.disconnected
+
+
+def test_answer_that_makes_no_sense_still_ends_the_wait():
+    """Something between answers in the store's place with a page of HTML.
+
+    The caller would wait for its answer until its deadline.
+    """
+    for status, body in [('200 OK', b'<html>'), ('409 Conflict', b'{}')]:
+        store = Store()
+        store.write()
+        store.network.accept().answer(body, status=status)
+        assert store.only_event().handed_over
+
+
+def test_open_circuit_answers_without_a_connection():
+    store = Store()
+    for _ in range(store_budget.FAILURES_TO_OPEN):
+        store.write()
+        store.network.refuse()
+    before = store.network.connections
+    kinds = [record.kind for record in store.records]
+    assert 'store-circuit-opened' in kinds
+    store.platform.budget.open_until = store.network.reactor.seconds() + 5.0
+    store.write()
+    assert store.network.connections == before
+    assert not store.events[-1].handed_over
+
+
+def test_busy_store_counts_as_a_failure():
+    store = Store()
+    failed = []
+    store.platform.read('t', 'k').addErrback(failed.append)
+    store.network.accept().answer(b'', status='429 Busy', length=5)
+    (why,) = failed
+    assert why.check(errors.PlatformUnavailable)
+    assert store.platform.budget.failures == 1
--- /dev/null
+++ b/tests/process/test_calls_across_instances.py
@@ -0,0 +1,125 @@
+"""Charges across real instances whose store, claimant or service fails."""
+
+import signal
+import threading
+import time
+
+import pytest
+
+from tests.common import fleet
+
+pytestmark = pytest.mark.slow
+
+CHARGE = '/v1/services/charge/book'
+
+
+def charge(process, key='k1', **headers):
+    named = {name.replace('_', '-'): text for name, text in headers.items()}
+    sent = fleet.bearer(fleet.ACCOUNT_KEY) | {'Idempotency-Key': key} | named
+    return fleet.ask(process.port, CHARGE, {'amount': 1}, headers=sent)
+
+
+def runs_of(running, key='k1'):
+    service = running.services['plain-0']
+    runs = fleet.ask(service.port, '/standin/runs').json()
+    return runs.get(f'teratak/{key}', 0)
+
+
+def set_faults(process, **faults):
+    fleet.ask(process.port, '/standin/faults', faults)
+
+
+def charge_in_background(process, **headers):
+    thread = threading.Thread(
+        target=send_and_ignore, args=(process, headers), daemon=True
+    )
+    thread.start()
+    return thread
+
+
+def send_and_ignore(process, headers):
+    """Send a charge whose answer is lost with its instance."""
+    try:
+        charge(process, **headers)
+    except OSError:
+        return
+
+
+def test_charge_runs_once_though_the_store_loses_every_answer(tmp_path):
+    """The store carries each write out and its answers never arrive.
+
+    The charge must run, once, and its retry must get the first answer.
+    """
+    with fleet.small_fleet(tmp_path, engines=0) as running:
+        set_faults(running.platform, lose_write_answers=True)
+        first = charge(running.instances['router-0'])
+        assert first.status == 200
+        again = charge(running.instances['router-1'])
+        assert again.body == first.body
+        assert runs_of(running) == 1
+
+
+def test_killed_claimant_leaves_its_charge_unknown(tmp_path):
+    """The instance that has sent a charge on dies before the answer.
+
+    The caller's retry reaches the other instance, which can't know how the
+    charge ended: it neither runs it again nor says that it did not run.
+    """
+    with fleet.small_fleet(tmp_path, engines=0) as running:
+        service = running.services['plain-0']
+        set_faults(service, delay_seconds=3.0)
+        thread = charge_in_background(running.instances['router-0'])
+        fleet.wait_until(lambda: runs_of(running) == 1)
+        running.instances['router-0'].send_signal(signal.SIGKILL)
+        thread.join(20.0)
+        again = charge(running.instances['router-1'])
+        assert again.json()['ran'] == 'outcome-unknown'
+        assert again.json()['code'] == 'twin-outcome-unknown'
+        assert int(again.headers['Retry-After']) >= 1
+        assert runs_of(running) == 1
+
+
+def test_claimant_that_wakes_late_gives_its_charge_up(tmp_path):
+    """An instance is stopped while it claims, and wakes after the deadline.
+
+    It must not run a charge that nobody waits for any more, and the retry
+    must not be turned away for good.
+    """
+    with fleet.small_fleet(tmp_path, engines=0) as running:
+        first, other = running.instances.values()
+        set_faults(running.platform, delay_seconds=0.6)
+        thread = charge_in_background(first, X_Deadline_Seconds='1')
+        time.sleep(0.3)
+        first.send_signal(signal.SIGSTOP)
+        time.sleep(1.5)
+        set_faults(running.platform)
+        meanwhile = charge(other)
+        assert meanwhile.json()['ran'] == 'outcome-unknown'
+        assert runs_of(running) == 0
+        first.send_signal(signal.SIGCONT)
+        fleet.wait_until(lambda: charge(other).status == 200)
+        thread.join(20.0)
+        assert runs_of(running) == 1
+
+
+def test_store_outage_is_answered_and_leaves_other_calls_alone(tmp_path):
+    """The platform's store is away.
+
+    Lookups go on. A charge gets its final answer, which says "not run" only
+    to a caller that has never sent its key before.
+    """
+    with fleet.small_fleet(tmp_path, engines=0) as running:
+        first, other = running.instances.values()
+        set_faults(running.platform, outage=True)
+        refused = charge(first, X_First_Send='1')
+        assert refused.json()['ran'] == 'not-run'
+        assert int(refused.headers['Retry-After']) >= 1
+        assert charge(other).json()['ran'] == 'outcome-unknown'
+        headers = fleet.bearer(fleet.ACCOUNT_KEY)
+        lookup = fleet.ask(
+            first.port, '/v1/services/lookup/find', {}, headers=headers
+        )
+        assert lookup.status == 200
+        set_faults(running.platform)
+        fleet.wait_until(lambda: charge(first).status == 200)
+        assert runs_of(running) == 1
