--- a/tests/common/call_world.py
+++ b/tests/common/call_world.py
@@ -109,6 +109,9 @@
         self.now = 0.0
         self.rows = {}
         self.store_down = False
+        self.store_silent = False
+        self.store_loses_answers = False
+        self.upstreams_down = False
         self.writes = []
         self.dispatches = []
         self.exchanges = []
@@ -230,21 +233,32 @@
 
     # -- callers ------------------------------------------------------------
 
-    def submit(self, home, service, account='teratak', key='k', body=b'x'):
+    def submit(
+        self,
+        home,
+        service,
+        account='teratak',
+        key='k',
+        body=b'x',
+        has_key=True,
+        first_send=None,
+    ):
         """Send a request, and declare the first send of a key as such."""
         name = identity.RequestId(account, f'{service}-{key}')
         first = (service, name) not in self.sent_before
         self.sent_before.add((service, name))
+        if first_send is not None:
+            first = first_send
         number = len(self.exchanges) + 1
         deadline = self.now + PATIENCE
         if service == DIGEST:
             request = requests.GenerationRequest(
-                number, name, service, 'p', 5, deadline, True, first
+                number, name, service, 'p', 5, deadline, has_key, first
             )
             event = events.GenerationSubmitted(request)
         else:
             request = requests.CallRequest(
-                number, name, service, 'op', body, deadline, True, first
+                number, name, service, 'op', body, deadline, has_key, first
             )
             event = events.CallSubmitted(request)
         exchange = Exchange(number, home, request)
@@ -271,12 +285,16 @@
         self.writes.remove(write)
         action = write.action
         version, record = self.rows.get(action.key, (0, None))
-        if version == action.expected_version:
+        if self.takes_effect(write):
             self.rows[action.key] = (version + 1, action.record)
             return events.ClaimWritten(action.holder, version + 1)
         row = claims.ClaimRow(version, record)
         return events.ClaimConflicted(action.holder, row)
 
+    def takes_effect(self, write):
+        version, _ = self.rows.get(write.action.key, (0, None))
+        return version == write.action.expected_version
+
     def answer_write(self, write):
         event = self.carry_out_write(write)
         if write.awaited:
@@ -378,6 +396,21 @@
                 home.inbox.append(events.TimerFired(name))
         self.work_off(home)
 
+    def step_under_cut(self):
+        """Let everything in flight meet what is cut."""
+        for write in list(self.writes):
+            if self.store_silent:
+                self.time_out_write(write)
+            elif self.store_loses_answers and self.takes_effect(write):
+                self.lose_write(write, reaches_table=True)
+            else:
+                self.answer_write(write)
+        for dispatch in list(self.dispatches):
+            if self.upstreams_down:
+                self.refuse(dispatch)
+            else:
+                self.finish(dispatch)
+
     # -- the end ------------------------------------------------------------
 
     def settle(self):
