--- a/src/greengagelb/cli/launcher.py
+++ b/src/greengagelb/cli/launcher.py
@@ -15,6 +15,7 @@
 import tempfile
 import textwrap
 import time
+import zipfile
 
 from greengagelb import errors
 from greengagelb.state import configuration as configuration_state
@@ -23,6 +24,7 @@
 DATA_CENTRE = 'demo-1'
 ENDING_SECONDS = 20.0
 PORTS = range(12_000, 32_000)
+RESERVATIONS: list[socket.socket] = []
 
 
 class LaunchedProcess:
@@ -99,7 +101,7 @@
         """Start the program with these arguments; its output goes to a log."""
         log = self.enter_context((self.folder / f'{name}.log').open('wb'))
         popen = subprocess.Popen(
-            [sys.executable, '-m', 'greengagelb', *words],
+            [*program_words(), *words],
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=subprocess.STDOUT,
@@ -193,6 +195,16 @@
         return '\n'.join(parts) + '\n'
 
 
+def program_words() -> list[str]:
+    """Return the words that start this program once more.
+
+    Within the one-file archive there is no module of that name to run.
+    """
+    if zipfile.is_zipfile(sys.argv[0]):
+        return [sys.executable, sys.argv[0]]
+    return [sys.executable, '-m', 'greengagelb']
+
+
 def upstreams(
     processes: dict[str, LaunchedProcess],
 ) -> tuple[configuration_state.Upstream, ...]:
@@ -204,20 +216,26 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on now.
-
-    The system gives outgoing connections ports from 32768 up, at any time.
-    A port that was free when it was picked there can be taken by one of them
-    before the process that it is meant for opens it, and that process fails
-    with "address already in use". So the port is drawn from below.
+    """Return a port that nobody uses, kept for this process's children.
+
+    The system gives outgoing connections ports from 32768 up, at any time,
+    so the port is drawn from below. It stays bound here: otherwise another
+    launcher, or this one, could draw it again before the process that it is
+    meant for listens, which then fails with "address already in use".
+    Address reuse is switched on once it is bound, so that a process which
+    sets it too, as Twisted and zmq do, may listen all the same, while the
+    next one to draw the port is refused.
     """
     while True:
         port = secrets.choice(PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
+        reservation = socket.socket()
+        try:
+            reservation.bind((HOST, port))
+        except OSError:
+            reservation.close()
+            continue
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        RESERVATIONS.append(reservation)
         return port
 
 
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -6,6 +6,7 @@
 harness drive the very same object.
 """
 
+import dataclasses
 import random
 
 from greengagelb.coordination import actions
@@ -39,10 +40,12 @@
     is either waiting, running or gone, and is counted once in admission.
     """
 
-    def __init__(self, incarnation: str, rng: random.Random) -> None:
+    def __init__(
+        self, incarnation: str, rng: random.Random, data_centre: str = ''
+    ) -> None:
         self.incarnation = incarnation
         self.configuration = configuration_state.Configuration()
-        self.directory = routing.UpstreamDirectory(rng)
+        self.directory = routing.UpstreamDirectory(rng, data_centre)
         self.admission = admission.AdmissionControl(rng)
         self.accounts: dict[str, configuration_state.ClientAccount] = {}
         self.cancels = cancellations.CancellationSupervisor()
@@ -134,6 +137,9 @@
             case events.UpstreamReported():
                 self.directory.observe(event, now)
                 return []
+            case events.LoadsHeard(loads):
+                self.directory.hear_loads(loads, now)
+                return []
             case events.EngineCacheChanged():
                 self.directory.cache_changed(event)
                 return []
@@ -141,7 +147,7 @@
                 self.directory.suspect(name, now)
                 return []
             case events.UpstreamLeaving():
-                self.directory.mark_leaving(event)
+                self.directory.mark_leaving(event, now)
                 return []
             case events.ConfigurationOffered():
                 return self.configure(event)
@@ -165,7 +171,7 @@
         """Admit a request, let it wait, or refuse it at once."""
         request = event.request
         account = self.accounts.get(request.request.account)
-        service = self.configuration.find_service(request.service)
+        service = self.service_of(request)
         refusal = self.refusal(event, account, service)
         if refusal is not None or account is None or service is None:
             truthful = claims.truthful(refusal, request, service)
@@ -180,6 +186,19 @@
         self.waiting[request.exchange] = (ticket, event)
         return []
 
+    def service_of(
+        self, request: requests.GenerationRequest | requests.CallRequest
+    ) -> configuration_state.Service | None:
+        """Return the service of a request, at the priority asked for.
+
+        A caller may lower the priority that its service has. Were it able to
+        raise it, every account's work would soon be the most urgent.
+        """
+        service = self.configuration.find_service(request.service)
+        if service is None or request.priority <= service.priority:
+            return service
+        return dataclasses.replace(service, priority=request.priority)
+
     def ticket(
         self, event: Arrival, service: configuration_state.Service
     ) -> fair_queue.Ticket:
@@ -291,7 +310,7 @@
         """Start a request, or return None where there is no room."""
         pool = self.configuration.find_pool(ticket.pool)
         event = self.waiting[ticket.exchange][1]
-        service = self.configuration.find_service(event.request.service)
+        service = self.service_of(event.request)
         if account is None or pool is None or service is None:
             return self.refuse_waiting(ticket, 'service-withdrawn', None)
         if now + self.admission.expected_run(ticket) > ticket.deadline:
@@ -327,7 +346,7 @@
         """Dispatch a request whose claim this instance holds now."""
         if request is None:
             return []
-        service = self.configuration.find_service(request.service)
+        service = self.service_of(request)
         pool = self.configuration.find_pool(service.pool) if service else None
         if service is None or pool is None:
             failure = not_run('service-withdrawn', request.service, None)
@@ -348,7 +367,7 @@
         self.admission.discard(ticket)
         _, event = self.waiting.pop(ticket.exchange)
         request = event.request
-        service = self.configuration.find_service(request.service)
+        service = self.service_of(request)
         timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
         failure = not_run(code, ticket.pool, None)
         if wait is not None:
@@ -380,8 +399,7 @@
             self.abandoned.add(event.exchange)
         for action in done:
             if isinstance(action, FinalAnswer):
-                completed = not isinstance(action, actions.SendFailure)
-                self.release(action.exchange, completed, now)
+                self.release(action.exchange, tells_pace(action), now)
         for exchange in list(self.abandoned):
             if not self.is_in_progress(exchange):
                 self.abandoned.discard(exchange)
@@ -447,7 +465,7 @@
         self.configuration = offered
         self.accounts = {a.name: a for a in offered.accounts}
         self.directory.apply(offered)
-        self.admission.unpark_all()
+        self.admission.keep_accounts(set(self.accounts))
         return [
             actions.Record(
                 'configuration-applied',
@@ -474,6 +492,20 @@
     return requests.Failure(code, requests.Ran.NO, detail, retry_after)
 
 
+def tells_pace(answer: FinalAnswer) -> bool:
+    """Return whether a request ran for as long as such requests take.
+
+    Without those that ran into their deadline only the quick ones would be
+    seen, and too many would be let in. One that has brought no token tells
+    nothing: it may have failed everywhere, and kept no engine busy.
+    """
+    if not isinstance(answer, actions.SendFailure):
+        return True
+    failure = answer.failure
+    in_progress = failure.ran is requests.Ran.YES
+    return in_progress and failure.code == 'deadline-passed'
+
+
 def prefix_of(event: Arrival) -> str:
     """Return what requests have in common that share a cached prefix.
 
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -1,19 +1,23 @@
 """One instance: sockets, timers and clients around the decisions."""
 
 import collections
+import itertools
 import random
 import secrets
 
 import klein
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import task
+from twisted.python import failure
 
 from greengagelb import errors
 from greengagelb import settings
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination import node
+from greengagelb.coordination import watching
 from greengagelb.protocol import codec
 from greengagelb.protocol import operator_api
 from greengagelb.state import fleet
@@ -24,6 +28,7 @@
 from greengagelb.transport import claim_store
 from greengagelb.transport import engine_client
 from greengagelb.transport import listening
+from greengagelb.transport import metrics
 from greengagelb.transport import operator_app
 from greengagelb.transport import peers
 from greengagelb.transport import plan_store
@@ -53,7 +58,11 @@
         self.reactor = reactor
         self.settings = instance_settings
         self.incarnation = secrets.token_hex(6)
-        self.node = node.Node(self.incarnation, random.Random())
+        self.node = node.Node(
+            self.incarnation,
+            random.Random(),
+            instance_settings.instance.data_centre,
+        )
         self.recorder = recorder.Recorder(
             instance_settings.instance.name,
             instance_settings.instance.timeline_events,
@@ -78,10 +87,13 @@
             self.dispatch,
             lambda: self.node.configuration,
             codec.CursorSeal(instance_settings.secrets.cursor_secret.encode()),
+            self.recorder,
         )
+        self.recorder.metrics.sample = self.sample
         self.timers: dict[str, interfaces.IDelayedCall] = {}
         self.backlog: collections.deque[events.Event] = collections.deque()
         self.busy = False
+        self.probe_turns = itertools.count()
         self.sites: list[listening.DrainingFactory] = []
         self.ports: list[interfaces.IListeningPort] = []
         self.finishing = False
@@ -95,7 +107,7 @@
         """Open the ports and begin to poll."""
         place = self.settings.instance
         health = caller_app.health_app(
-            lambda: self.node.ready, self.recorder.render_metrics
+            lambda: self.node.ready, self.recorder.metrics.render
         )
         self.callers.app.route('/', branch=True)(
             lambda request: health.resource()
@@ -112,7 +124,7 @@
         self.listen(place.operator_port, operators.app)
         self.peers.start()
         self.repeat(PULSE_SECONDS, self.pulse)
-        self.repeat(self.settings.peers.heartbeat_seconds, self.peers.tick)
+        self.repeat(self.settings.peers.heartbeat_seconds, self.tell_peers)
         self.repeat(PROBE_SECONDS, self.probe_upstreams)
         self.repeat(self.settings.platform.poll_seconds, self.poll)
 
@@ -123,13 +135,31 @@
         )
         host = self.settings.instance.host
         self.sites.append(site)
-        listener = self.reactor.listenTCP(port, site, interface=host)
+        try:
+            listener = self.reactor.listenTCP(port, site, interface=host)
+        except error.CannotListenError as exc:
+            raise errors.CannotListen(str(exc)) from exc
         caller_stream.bound_kernel_buffer(listener)
         self.ports.append(listener)
 
     def repeat(self, seconds: float, function: object) -> None:
-        """Call a function now and again, as long as the process lives."""
-        task.LoopingCall(function).start(seconds)
+        """Call a function now and again, as long as the process lives.
+
+        A looping call ends for good at the first error. An instance whose
+        poll has ended that way would serve on with an old configuration, and
+        nothing but its version would show it.
+        """
+
+        def call() -> defer.Deferred:
+            return defer.maybeDeferred(function).addErrback(self.failed)
+
+        task.LoopingCall(call).start(seconds)
+
+    def failed(self, why: failure.Failure) -> None:
+        """Log an error of this program itself."""
+        detail = why.getTraceback()
+        recorder.log.error('unhandled', detail=detail)
+        self.recorder.error_counter.inc({})
 
     def pulse(self) -> None:
         """Notice when this process itself stood still.
@@ -158,9 +188,25 @@
         )
 
     def probe_upstreams(self) -> None:
-        """Ask every upstream for its report."""
-        for view in self.node.directory.views.values():
-            self.engines.probe(actions.ProbeUpstream(view.upstream))
+        """Ask the upstreams that this instance watches for their reports."""
+        now = self.reactor.seconds()
+        members = self.peers.membership
+        wanted = watching.upstreams_to_probe(
+            self.node.directory.views.values(),
+            self.incarnation,
+            members.live_incarnations(now),
+            self.settings.instance.data_centre,
+            next(self.probe_turns),
+            now,
+        )
+        for upstream in wanted:
+            self.engines.probe(actions.ProbeUpstream(upstream))
+
+    def tell_peers(self) -> None:
+        """Send the regular heartbeats, with the loads known here."""
+        now = self.reactor.seconds()
+        self.peers.membership.loads = self.node.directory.own_loads(now)
+        self.peers.tick()
 
     @defer.inlineCallbacks
     def poll(self) -> object:
@@ -229,6 +275,16 @@
             ),
         )
 
+    def sample(self) -> metrics.Sample:
+        """Return what a scrape shows of this instance's state."""
+        return metrics.Sample(
+            running=len(self.node.running),
+            waiting=len(self.node.waiting),
+            stale_events=self.node.streams.dropped_events,
+            configuration_version=self.node.configuration.version,
+            timeline_dropped=self.recorder.timeline.dropped,
+        )
+
     def known_instances(self) -> list[operator_api.InstanceStatus]:
         """Return what is known here of the other instances."""
         now = self.reactor.seconds()
@@ -270,10 +326,11 @@
                 self.carry_out(action)
         except Exception:
             recorder.log.exception('decision-failed', event_kind=repr(event))
-            self.recorder.error_counter.inc({})
+            self.recorder.metrics.decision_errors += 1
 
     def carry_out(self, action: actions.Action) -> None:
         """Carry out an action."""
+        self.recorder.metrics.count(action)
         match action:
             case actions.SendTokens():
                 self.callers.send_tokens(action)
