Carry out changes of version, adapter and role at the engines

Cause: a confirmed change of a pool's version took all its engines out at once, as they reported another version, and nobody ordered them to the new.

Ruled out: marking engines as leaving while they are changed (final per incarnation); a drain flag in the configuration per engine (a confirmation for each step of a rollout).

Change: OrderKeeper carries out PoolOrders at the platform and the engines. Engines about to be ordered are held: told in heartbeats, lapsing by themselves. A pool remembers its former version, and engines that still have it serve what the others have no room for; a resumed generation stays on its version. Two plans that claim one version now violate an invariant.

--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -116,6 +116,7 @@
     queued: int
     step_seconds: float
     leaving: bool
+    role: str = 'generate'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -215,6 +216,17 @@
     source: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamsHeld:
+    """An instance that orders engines says which get no new work meanwhile.
+
+    ``source`` is its incarnation; the names replace those it gave before.
+    """
+
+    source: str
+    upstreams: frozenset[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetSized:
     """How many instances of this data centre may be serving, this one too."""
@@ -268,6 +280,7 @@
     | CallAnswered
     | CallBroken
     | ConfigurationOffered
+    | UpstreamsHeld
     | FleetSized
     | StopRequested
     | PauseNoticed
--- a/src/greengagelb/coordination/membership.py
+++ b/src/greengagelb/coordination/membership.py
@@ -158,6 +158,11 @@
             view = self.peers[peer.incarnation] = fleet.PeerView(peer, now)
         if view.heard_at is None:
             done += self.welcome(peer, now)
+        if heartbeat.held or view.holds:
+            view.holds = bool(heartbeat.held)
+            done.append(
+                Report(events.UpstreamsHeld(peer.incarnation, heartbeat.held))
+            )
         view.heard_at = now
         view.version = max(view.version, heartbeat.version)
         view.leaving = view.leaving or heartbeat.leaving
@@ -304,6 +309,7 @@
             self.stamp,
             tuple(sorted(notices, key=lambda e: (e.name, e.incarnation))),
             relayed,
+            self.own.held,
         )
 
     def local_addresses(self) -> set[fleet.PeerAddress]:
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -9,6 +9,7 @@
 import dataclasses
 import random
 
+from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination import admission
 from greengagelb.coordination import calls
@@ -149,6 +150,9 @@
             case events.UpstreamLeaving():
                 self.directory.mark_leaving(event, now)
                 return []
+            case events.UpstreamsHeld():
+                freed = self.directory.hold(event, now)
+                return [actions.ProbeUpstream(upstream) for upstream in freed]
             case events.ConfigurationOffered():
                 return self.configure(event)
             case events.FleetSized(live_instances):
@@ -320,6 +324,9 @@
             self.streams.recovers_in(pool)
         ):
             return None
+        pool = self.directory.serving_pool(
+            pool, version_of(event), ticket.priority, now
+        )
         view = self.directory.choose(
             pool, set(), now, ticket.priority, prefix_of(event)
         )
@@ -451,6 +458,21 @@
         wait = self.admission.expected_wait(ticket)
         return self.refuse_waiting(ticket, 'deadline-passed', wait)
 
+    def check_same(self, offered: configuration_state.Configuration) -> None:
+        """Raise where two plans claim to have won the same version.
+
+        One conditional write decides; instances that follow two winners
+        would apply two configurations for as long as that version lasts.
+        """
+        current = self.configuration
+        if offered.version != current.version:
+            return
+        if offered.confirmed_by != current.confirmed_by:
+            raise errors.InvariantViolated(
+                f'version {offered.version} was confirmed twice, by '
+                f'{current.confirmed_by} and {offered.confirmed_by}'
+            )
+
     def configure(
         self, event: events.ConfigurationOffered
     ) -> list[actions.Action]:
@@ -461,6 +483,7 @@
         """
         offered = event.configuration
         if offered.version <= self.configuration.version:
+            self.check_same(offered)
             return []
         self.configuration = offered
         self.accounts = {a.name: a for a in offered.accounts}
@@ -485,6 +508,14 @@
     return event.request.has_idempotency_key and not service.idempotent
 
 
+def version_of(event: Arrival) -> str:
+    """Return the model version that a request must stay on, if any."""
+    match event:
+        case events.GenerationResumed(point=point):
+            return point.version
+    return ''
+
+
 def not_run(
     code: str, detail: str, retry_after: float | None
 ) -> requests.Failure:
--- a/src/greengagelb/coordination/orders.py
+++ b/src/greengagelb/coordination/orders.py
@@ -361,9 +361,10 @@
         self, name: str, under_way: order_state.OrderProgress
     ) -> list[Action]:
         """Return why an order is sent."""
-        kind = 'order-repeated' if under_way.sent else 'order-sent'
-        seen = self.seen[name].target
-        return [Explain(kind, f'engine reports {seen.version}', name)]
+        reason = f'engine reports {self.seen[name].target.version}'
+        if under_way.sent:
+            return [Explain('order-repeated', reason, name)]
+        return [Explain('order-sent', reason, name)]
 
     def order(self, name: str, now: float) -> SendOrder:
         """Return the order that sets an engine's target."""
--- a/src/greengagelb/coordination/plans.py
+++ b/src/greengagelb/coordination/plans.py
@@ -117,6 +117,9 @@
         model=intent.model,
         version=intent.version,
         adapter=intent.adapter,
+        former=configuration_state.ModelVersion(
+            pool.model, pool.version, pool.adapter
+        ),
     )
     result = with_pool(current, changed)
     names = frozenset(upstream.name for upstream in pool.upstreams)
--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -8,6 +8,7 @@
 busier than the others.
 """
 
+import dataclasses
 import hashlib
 import math
 import random
@@ -25,6 +26,7 @@
 MOST_SUSPICION_SECONDS = 30.0
 FORGIVE_SECONDS = 30.0
 RETURN_SECONDS = 2.0
+HOLD_SECONDS = 20.0
 CHOICES = 2
 SLOTS_PER_SHORT_RESERVE = 8
 AFFINITY_BOUND = 1.5
@@ -33,6 +35,14 @@
 RESUME = configuration_state.Priority.RESUME
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """Upstreams that an instance holds, until a monotonic time."""
+
+    upstreams: frozenset[str]
+    deadline: float
+
+
 class UpstreamDirectory:
     """All upstreams of the configuration in force, and what is known of them.
 
@@ -46,6 +56,7 @@
         self.views: dict[str, upstream_state.UpstreamView] = {}
         self.short_pools: set[str] = set()
         self.leaving: set[identity.EngineId] = set()
+        self.holds: dict[str, Hold] = {}
         self.live_instances = 1
         self.order: list[str] = []
         self.changed = False
@@ -93,6 +104,7 @@
         view.model = report.model
         view.version = report.version
         view.adapter = report.adapter
+        view.role = report.role
         view.reported_running = report.running
         view.reported_queued = report.queued
         view.reported_at = now
@@ -272,6 +284,66 @@
                 return view
         return None
 
+    def hold(
+        self, event: events.UpstreamsHeld, now: float
+    ) -> list[configuration_state.Upstream]:
+        """Give no new work to engines that are about to be ordered.
+
+        Returns those that are held no more: they have probably become
+        something else, and should be asked what. A hold lapses by itself,
+        as the instance that ordered it may have died.
+        """
+        before = self.holds.pop(event.source, Hold(frozenset(), now))
+        if event.upstreams:
+            deadline = now + HOLD_SECONDS
+            self.holds[event.source] = Hold(event.upstreams, deadline)
+        self.changed = True
+        return [
+            self.views[name].upstream
+            for name in sorted(before.upstreams - event.upstreams)
+            if name in self.views
+        ]
+
+    def held(self, now: float) -> set[str]:
+        """Return the names of all upstreams that are held now."""
+        return {
+            name
+            for hold in self.holds.values()
+            if now < hold.deadline
+            for name in hold.upstreams
+        }
+
+    def serving_pool(
+        self,
+        pool: configuration_state.Pool,
+        version: str,
+        priority: configuration_state.Priority,
+        now: float,
+    ) -> configuration_state.Pool:
+        """Return the pool with the model version that new work should have.
+
+        While a change of version is under way, engines that still have the
+        former one serve what the others have no room for: a change would
+        else take the whole pool out at once. A generation that has a
+        ``version`` stays on it.
+        """
+        if pool.former is None:
+            return pool
+        former = dataclasses.replace(
+            pool,
+            model=pool.former.model,
+            version=pool.former.version,
+            adapter=pool.former.adapter,
+            former=None,
+        )
+        if version:
+            return former if version == former.version else pool
+        if self.choose(pool, set(), now, priority) is not None:
+            return pool
+        if self.choose(former, set(), now, priority) is not None:
+            return former
+        return pool
+
     def usable_views(
         self,
         pool: configuration_state.Pool,
@@ -283,10 +355,12 @@
         Where all are suspected, those that have reported since are used: it
         may be this instance's own connections that failed.
         """
+        held = self.held(now)
         views = [
             view
             for upstream in pool.upstreams
             if upstream.name not in excluded
+            and upstream.name not in held
             and (view := self.views.get(upstream.name)) is not None
             and self.may_get_work(view, pool, now)
         ]
--- a/src/greengagelb/protocol/peer_api.py
+++ b/src/greengagelb/protocol/peer_api.py
@@ -75,6 +75,7 @@
     notices: list[Notice] = []
     summaries: list[Summary] = []
     loads: list[Load] = []
+    held: list[str] = []
 
 
 class ConfigurationQuery(
@@ -168,6 +169,7 @@
             )
             for one in heartbeat.loads
         ],
+        held=sorted(heartbeat.held),
     )
 
 
@@ -206,6 +208,7 @@
             )
             for one in message.loads
         ),
+        held=frozenset(message.held),
     )
 
 
--- a/src/greengagelb/state/configuration.py
+++ b/src/greengagelb/state/configuration.py
@@ -58,9 +58,22 @@
     role: str = 'generate'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelVersion:
+    """What an engine has loaded."""
+
+    model: str
+    version: str
+    adapter: str = ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pool:
-    """Upstreams that serve the same model version, or one plain service."""
+    """Upstreams that serve the same model version, or one plain service.
+
+    ``former`` is what the engines had before a change that may still be
+    under way: those that have it still get new work of that version.
+    """
 
     name: str
     upstreams: tuple[Upstream, ...]
@@ -68,6 +81,7 @@
     version: str = ''
     adapter: str = ''
     slots_per_upstream: int = 8
+    former: ModelVersion | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/state/fleet.py
+++ b/src/greengagelb/state/fleet.py
@@ -80,6 +80,7 @@
     stamp: timeline.Stamp
     leaving_upstreams: tuple[identity.EngineId, ...] = ()
     summaries: tuple[DataCentreSummary, ...] = ()
+    held: frozenset[str] = frozenset()
     loads: tuple[UpstreamLoad, ...] = ()
 
 
@@ -98,6 +99,7 @@
     version: int = 0
     leaving: bool = False
     leaving_upstreams: frozenset[identity.EngineId] = frozenset()
+    held: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -114,3 +116,4 @@
     version: int = 0
     leaving: bool = False
     listed: bool = False
+    holds: bool = False
--- a/src/greengagelb/state/upstreams.py
+++ b/src/greengagelb/state/upstreams.py
@@ -24,6 +24,7 @@
     model: str = ''
     version: str = ''
     adapter: str = ''
+    role: str = 'generate'
     in_flight: int = 0
     in_flight_at_report: int = 0
     reported_running: int = 0
--- a/src/greengagelb/transport/engine_client.py
+++ b/src/greengagelb/transport/engine_client.py
@@ -323,6 +323,7 @@
                 queued=report.queued,
                 step_seconds=report.step_seconds,
                 leaving=report.leaving,
+                role=report.role,
             )
         )
 
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -30,6 +30,7 @@
 from greengagelb.transport import listening
 from greengagelb.transport import metrics
 from greengagelb.transport import operator_app
+from greengagelb.transport import order_keeper
 from greengagelb.transport import peers
 from greengagelb.transport import plan_store
 from greengagelb.transport import platform_client
@@ -90,6 +91,14 @@
             self.recorder,
         )
         self.recorder.metrics.sample = self.sample
+        self.orders = order_keeper.OrderKeeper(
+            reactor,
+            self.platform,
+            self.node,
+            instance_settings.instance.data_centre,
+            self.dispatch,
+            self.recorder.record,
+        )
         self.timers: dict[str, interfaces.IDelayedCall] = {}
         self.backlog: collections.deque[events.Event] = collections.deque()
         self.busy = False
@@ -172,6 +181,7 @@
         self.last_pulse = now
         if late > PAUSE_SECONDS:
             self.peers.pause_noticed(late)
+            self.orders.pause_noticed()
             self.dispatch(events.PauseNoticed(late))
         self.peers.own_changed(self.own_state())
 
@@ -185,6 +195,7 @@
                 for name, view in self.node.directory.views.items()
                 if view.leaving and view.incarnation
             ),
+            self.orders.held,
         )
 
     def probe_upstreams(self) -> None:
@@ -199,8 +210,9 @@
             next(self.probe_turns),
             now,
         )
-        for upstream in wanted:
+        for upstream in {*wanted, *self.orders.watched()}:
             self.engines.probe(actions.ProbeUpstream(upstream))
+        self.orders.tick(members.live_incarnations(now))
 
     def tell_peers(self) -> None:
         """Send the regular heartbeats, with the loads known here."""
--- /dev/null
+++ b/src/greengagelb/transport/order_keeper.py
@@ -0,0 +1,238 @@
+"""Carries out what the order decisions want: lease rows, loads, orders."""
+
+from collections.abc import Callable
+from typing import Any
+
+import treq
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.web import client
+from twisted.web import http as web_http
+
+from greengagelb import errors
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.coordination import node
+from greengagelb.coordination import orders
+from greengagelb.coordination import rendezvous
+from greengagelb.protocol import codec
+from greengagelb.protocol import engine_api
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import orders as order_state
+from greengagelb.state import upstreams as upstream_state
+from greengagelb.transport import engine_client
+from greengagelb.transport import http
+from greengagelb.transport import platform_client
+
+LEASE_TABLE = 'order-leases'
+
+
+class OrderKeeper:
+    """The orders of all pools in this instance's data centre."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        platform: platform_client.PlatformClient,
+        decisions: node.Node,
+        data_centre: str,
+        dispatch: Callable[[events.Event], None],
+        record: Callable[[actions.Record], None],
+    ) -> None:
+        self.reactor = reactor
+        self.platform = platform
+        self.node = decisions
+        self.data_centre = data_centre
+        self.dispatch = dispatch
+        self.record = record
+        self.treq = treq.client.HTTPClient(
+            http.fresh_connection_agent(reactor)
+        )
+        self.pools: dict[str, orders.PoolOrders] = {}
+        self.version = 0
+        self.held: frozenset[str] = frozenset()
+
+    # -- from the instance --------------------------------------------------
+
+    def tick(self, live: set[str]) -> None:
+        """Go on with all pools; ``live`` are the incarnations here."""
+        self.adopt()
+        for name, pool in self.pools.items():
+            self.report_all(pool)
+            chosen = rendezvous.highest(f'orders {name}', live)
+            pool.picked = (
+                chosen == [self.node.incarnation] and not self.node.stopping
+            )
+            self.carry_out(name, pool.tick(self.reactor.seconds()))
+        held = frozenset().union(*(p.held for p in self.pools.values()))
+        if held or self.held:
+            self.held = held
+            source = self.node.incarnation
+            self.dispatch(events.UpstreamsHeld(source, held))
+
+    def adopt(self) -> None:
+        """Take over the targets of the configuration in force."""
+        applied = self.node.configuration
+        if applied.version == self.version:
+            return
+        self.version = applied.version
+        engine_pools = {p.name: p for p in applied.pools if p.version}
+        for name, pool in engine_pools.items():
+            kept = self.pools.setdefault(
+                name, orders.PoolOrders(self.node.incarnation)
+            )
+            kept.want(self.wanted(pool))
+        for name in set(self.pools) - set(engine_pools):
+            del self.pools[name]
+
+    def wanted(
+        self, pool: configuration_state.Pool
+    ) -> list[order_state.Wanted]:
+        """Return the targets of a pool's engines in this data centre."""
+        return [
+            order_state.Wanted(
+                upstream,
+                order_state.Target(
+                    pool.model, pool.version, pool.adapter, upstream.role
+                ),
+            )
+            for upstream in pool.upstreams
+            if upstream.data_centre == self.data_centre
+        ]
+
+    def report_all(self, pool: orders.PoolOrders) -> None:
+        """Pass on what the engines of a pool say of themselves."""
+        for name in pool.wanted:
+            view = self.node.directory.views.get(name)
+            if view is not None and view.incarnation:
+                pool.reported(name, seen_of(view))
+
+    def watched(self) -> list[configuration_state.Upstream]:
+        """Return the engines whose reports the orders wait for.
+
+        Few instances ask an engine for its report as a rule; whoever orders
+        it has to see for itself that it is idle, and what it has become.
+        """
+        return [
+            pool.wanted[name].upstream
+            for pool in self.pools.values()
+            for name in pool.held
+            if name in pool.wanted
+        ]
+
+    def pause_noticed(self) -> None:
+        """Drop all leases: they may have lapsed meanwhile."""
+        for name, pool in self.pools.items():
+            self.carry_out(name, pool.pause_noticed())
+
+    # -- actions ------------------------------------------------------------
+
+    def carry_out(self, name: str, wanted: list[orders.Action]) -> None:
+        """Carry out what the orders of a pool want."""
+        for action in wanted:
+            match action:
+                case orders.ReadLease():
+                    self.read_lease(name)
+                case orders.WriteLease():
+                    self.write_lease(name, action)
+                case orders.AskToLoad():
+                    self.ask_to_load(name, action)
+                case orders.SendOrder():
+                    self.send(name, action)
+                case orders.Explain(kind, reason, upstream):
+                    text = f'pool {name}: {reason}'
+                    self.record(actions.Record(kind, text, upstream=upstream))
+
+    def lease_key(self, name: str) -> str:
+        """Return the key of a pool's lease in this data centre."""
+        return f'{self.data_centre}/{name}'
+
+    @defer.inlineCallbacks
+    def read_lease(self, name: str) -> Any:
+        """Read the row of a pool's lease."""
+        pool = self.pools[name]
+        try:
+            row = yield self.platform.read(LEASE_TABLE, self.lease_key(name))
+        except errors.GreengagelbError:
+            pool.lease_unsettled()
+            return
+        found = order_state.LeaseRow(0, orders.NOBODY)
+        if row is not None:
+            lease = codec.decode(row.value, order_state.Lease)
+            found = order_state.LeaseRow(row.version, lease)
+        now = self.reactor.seconds()
+        self.carry_out(name, pool.lease_read(found, now))
+
+    @defer.inlineCallbacks
+    def write_lease(self, name: str, action: orders.WriteLease) -> Any:
+        """Write the row of a pool's lease."""
+        pool = self.pools[name]
+        value = codec.encode(action.lease).decode()
+        try:
+            row = yield self.platform.write(
+                LEASE_TABLE, self.lease_key(name), action.expected, value
+            )
+        except errors.GreengagelbError:
+            pool.lease_unsettled()
+            return
+        self.carry_out(name, pool.lease_written(row.version))
+
+    @defer.inlineCallbacks
+    def ask_to_load(self, name: str, action: orders.AskToLoad) -> Any:
+        """Ask the weight store whether an engine may load now."""
+        pool = self.pools[name]
+        target = action.target
+        try:
+            wait = yield self.platform.ask_to_load(
+                target.model, target.version
+            )
+        except errors.PlatformUnavailable:
+            wait = platform_client.LOAD_RETRY_SECONDS
+        if wait is None:
+            pool.load_allowed(action.upstream)
+            return
+        now = self.reactor.seconds()
+        self.carry_out(name, pool.load_refused(action.upstream, wait, now))
+
+    @defer.inlineCallbacks
+    def send(self, name: str, action: orders.SendOrder) -> Any:
+        """Send an order, unless its lease has lapsed by now.
+
+        The answer tells only of a refusal; whether the engine has reached
+        its target is for its reports to say.
+        """
+        if self.reactor.seconds() >= action.deadline:
+            return
+        order = engine_api.TargetOrder(
+            fencing_number=action.number,
+            model=action.target.model,
+            version=action.target.version,
+            adapter=action.target.adapter,
+            role=action.target.role,
+        )
+        url = engine_client.url_of(action.upstream, '/v1/target')
+        answer = self.treq.post(url, data=codec.encode(order))
+        answer.addTimeout(orders.ORDER_SECONDS, self.reactor)
+        pool = self.pools[name]
+        upstream = action.upstream.name
+        try:
+            response = yield answer
+            yield client.readBody(response)
+        except Exception as exc:
+            reason = f'pool {name}: {type(exc).__name__}'
+            self.record(
+                actions.Record('order-unanswered', reason, upstream=upstream)
+            )
+            return
+        if response.code == web_http.CONFLICT:
+            self.carry_out(name, pool.order_refused(upstream))
+
+
+def seen_of(view: upstream_state.UpstreamView) -> order_state.EngineSeen:
+    """Return what an engine has said of itself last."""
+    return order_state.EngineSeen(
+        view.incarnation,
+        order_state.Target(view.model, view.version, view.adapter, view.role),
+        max(view.reported_running + view.reported_queued, view.in_flight),
+        view.probed_at,
+    )
--- a/src/greengagelb/transport/platform_client.py
+++ b/src/greengagelb/transport/platform_client.py
@@ -23,6 +23,9 @@
 Asking = Callable[[], 'defer.Deferred[iweb.IResponse]']
 
 
+LOAD_RETRY_SECONDS = 1.0
+
+
 class PlatformClient:
     """Requests to the platform's service, each within its time.
 
@@ -109,6 +112,25 @@
         )
         return codec.decode(body, list[platform_api.Instance])
 
+    @defer.inlineCallbacks
+    def ask_to_load(self, model: str, version: str) -> Any:
+        """Ask the weight store for a load; return seconds to wait, or None.
+
+        Not counted with the requests to the tables: a busy weight store must
+        not keep this instance from claims.
+        """
+        url = self.url(f'/weights/{model}/{version}')
+        answer = self.treq.post(url)
+        answer.addTimeout(self.settings.timeout_seconds, self.reactor)
+        try:
+            response = yield answer
+        except Exception as exc:
+            raise errors.PlatformUnavailable(type(exc).__name__) from exc
+        http.discard_body(response)
+        if response.code == web_http.OK:
+            return None
+        return LOAD_RETRY_SECONDS
+
     def ask(
         self, kind: store_budget.RequestKind, start: Asking
     ) -> 'defer.Deferred[tuple[int, bytes]]':
