Work out watchers only when instances or upstreams change

Cause: the assignment was worked out anew each second: 630 engines times 66 instances, 41,580 hashes. Ruled out: fewer hashes by a smaller set, which would make instances disagree. Change: Watch keeps its share until the sets change.

--- a/src/greengagelb/coordination/watching.py
+++ b/src/greengagelb/coordination/watching.py
@@ -7,7 +7,7 @@
 that gave it cause: it suspects them, or they were leaving and may be back.
 """
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 from greengagelb.coordination import rendezvous
 from greengagelb.state import configuration as configuration_state
@@ -18,31 +18,63 @@
 MOST_PROBES = 32
 
 
-def upstreams_to_probe(
-    views: Iterable[upstream_state.UpstreamView],
-    me: str,
-    instances: set[str],
-    data_centre: str,
-    turn: int,
-    now: float,
-) -> list[configuration_state.Upstream]:
-    """Return the upstreams to ask now; ``me`` is one of ``instances``.
+class Watch:
+    """The part of the watching that falls to one instance.
 
-    ``instances`` are those of this data centre. Upstreams of other data
-    centres, which get little work from here, are asked every few turns only.
-
-    At most ``MOST_PROBES``: when a whole data centre of engines is lost, all
-    of them are suspected at once, and asking them all each second would cost
-    the time that the callers' streams need.
+    Invariant: ``watched`` are the upstreams that fall to this instance out of
+    ``names`` while ``instances`` share the work. It is worked out again only
+    when one of these changes: at the design size that takes 40,000 hashes.
     """
-    watched = []
-    doubtful = []
-    for view in views:
-        name = view.upstream.name
-        local = view.upstream.data_centre == data_centre
-        if me in rendezvous.highest(name, instances, WATCHERS):
-            if local or turn % TURNS_BETWEEN_REMOTE == 0:
-                watched.append(view.upstream)
-        elif view.leaving or now < view.suspected_until:
-            doubtful.append(view.upstream)
-    return [*watched, *doubtful[:MOST_PROBES]]
+
+    def __init__(self, incarnation: str, data_centre: str) -> None:
+        self.incarnation = incarnation
+        self.data_centre = data_centre
+        self.names: frozenset[str] = frozenset()
+        self.instances: frozenset[str] = frozenset()
+        self.watched: frozenset[str] = frozenset()
+        self.turn = 0
+
+    def upstreams_to_probe(
+        self,
+        views: Mapping[str, upstream_state.UpstreamView],
+        instances: set[str],
+        now: float,
+    ) -> list[configuration_state.Upstream]:
+        """Return the upstreams to ask in this turn, once a second.
+
+        ``instances`` are those of this data centre, this one included.
+        Upstreams of other data centres, which get little work from here, are
+        asked every few turns only.
+
+        Of those that are not watched here at most ``MOST_PROBES`` are asked:
+        when a whole data centre of engines is lost, all of them are suspected
+        at once, and asking them all each second would cost the time that the
+        callers' streams need.
+        """
+        self.share_out(frozenset(views), frozenset(instances))
+        remote_too = self.turn % TURNS_BETWEEN_REMOTE == 0
+        self.turn += 1
+        watched = []
+        doubtful = []
+        for name, view in views.items():
+            if name in self.watched:
+                if remote_too or view.upstream.data_centre == self.data_centre:
+                    watched.append(view.upstream)
+            elif view.leaving or now < view.suspected_until:
+                doubtful.append(view.upstream)
+        return [*watched, *doubtful[:MOST_PROBES]]
+
+    def share_out(
+        self, names: frozenset[str], instances: frozenset[str]
+    ) -> None:
+        """Work out what falls to this instance, if anything has changed."""
+        if (names, instances) == (self.names, self.instances):
+            return
+        self.names = names
+        self.instances = instances
+        self.watched = frozenset(
+            name
+            for name in names
+            if self.incarnation
+            in rendezvous.highest(name, instances, WATCHERS)
+        )
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -1,7 +1,6 @@
 """One instance: sockets, timers and clients around the decisions."""
 
 import collections
-import itertools
 import random
 import secrets
 
@@ -93,7 +92,9 @@
         self.timers: dict[str, interfaces.IDelayedCall] = {}
         self.backlog: collections.deque[events.Event] = collections.deque()
         self.busy = False
-        self.probe_turns = itertools.count()
+        self.watch = watching.Watch(
+            self.incarnation, instance_settings.instance.data_centre
+        )
         self.sites: list[listening.DrainingFactory] = []
         self.ports: list[interfaces.IListeningPort] = []
         self.finishing = False
@@ -191,13 +192,8 @@
         """Ask the upstreams that this instance watches for their reports."""
         now = self.reactor.seconds()
         members = self.peers.membership
-        wanted = watching.upstreams_to_probe(
-            self.node.directory.views.values(),
-            self.incarnation,
-            members.live_incarnations(now),
-            self.settings.instance.data_centre,
-            next(self.probe_turns),
-            now,
+        wanted = self.watch.upstreams_to_probe(
+            self.node.directory.views, members.live_incarnations(now), now
         )
         for upstream in wanted:
             self.engines.probe(actions.ProbeUpstream(upstream))
