--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -14,6 +14,8 @@
 import sys
 from typing import Any
 
+from greengagelb.coordination import watching
+
 ROOT = pathlib.Path(__file__).parent.parent
 SLOPES = ROOT / 'docs' / 'measurements' / 'slopes.json'
 PAGE = ROOT / 'docs' / 'CAPACITY.md'
@@ -24,7 +26,8 @@
 STORE_READS = 2_000
 STORE_WRITES = 300
 RESUME_SECONDS = 2.0
-WATCHERS = 2
+WATCHERS = watching.WATCHERS
+TURNS_BETWEEN_REMOTE = watching.TURNS_BETWEEN_REMOTE
 HEARTBEAT_SECONDS = 4.0
 POLL_SECONDS = 2.0
 READS_A_POLL = 2
@@ -97,9 +100,15 @@
     return f'{100 * share:.2f}% of a core'
 
 
+def probes_a_second(size: DesignSize) -> float:
+    """Return the probes that each instance sends a second."""
+    remote = (size.engines - size.local_engines) / TURNS_BETWEEN_REMOTE
+    return WATCHERS * (size.local_engines + remote) / size.local_instances
+
+
 def control_processor(size: DesignSize, slopes: Slopes) -> dict[str, float]:
     """Return the parts of an instance's control, in shares of a core."""
-    watched = WATCHERS * size.local_engines / size.local_instances
+    watched = probes_a_second(size)
     changes = size.changes_a_day / SECONDS_A_DAY
     apply = slopes.at('configuration_apply_per_account', size.accounts)
     apply += slopes.at('configuration_apply_per_engine', size.engines)
@@ -115,17 +124,18 @@
 
 def control_traffic(size: DesignSize, slopes: Slopes) -> dict[str, float]:
     """Return the parts of an instance's control, in bytes a second sent."""
-    watched = WATCHERS * size.local_engines / size.local_instances
     peers = size.local_instances - 1
     beat = slopes.slope('heartbeat_bytes')
-    beat += watched * slopes.slope('heartbeat_bytes_per_load')
+    local = WATCHERS * size.local_engines / size.local_instances
+    beat += local * slopes.slope('heartbeat_bytes_per_load')
     document = slopes.at('configuration_sent_per_account', size.accounts)
     document += slopes.at('configuration_sent_per_engine', size.engines)
     changes = size.changes_a_day / SECONDS_A_DAY
     return {
         'heartbeats': beat * peers / HEARTBEAT_SECONDS,
         'configuration changes': document * changes,
-        'probes of watched engines': watched * slopes.slope('probe_bytes'),
+        'probes of watched engines': probes_a_second(size)
+        * slopes.slope('probe_bytes'),
     }
 
 
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -14,6 +14,7 @@
 import json
 import pathlib
 import random
+import socket
 import statistics
 import tempfile
 import time
@@ -41,6 +42,7 @@
 ENGINE_COUNTS = (63, 315, 630)
 PROBE_COUNTS = (4, 16, 32)
 PEER_COUNTS = (16, 33, 66)
+LOAD_COUNTS = (1, 4, 8)
 HEARTBEAT_SECONDS = 4.0
 POLL_SECONDS = (0.05, 0.1, 0.4)
 IDLE_SECONDS = 8.0
@@ -283,9 +285,23 @@
         'heartbeat_round_per_peer': fit('processor seconds', rounds),
         'memory_per_peer': fit('bytes', memory),
         'heartbeat_bytes': Line('bytes', float(len(frame)), 0.0, []),
+        'heartbeat_bytes_per_load': fit(
+            'bytes',
+            [(float(n), heartbeat_length(codec, n)) for n in LOAD_COUNTS],
+        ),
     }
 
 
+def heartbeat_length(codec: peer_api.PeerCodec, loads: int) -> float:
+    """Return the bytes of a heartbeat with some loads."""
+    told = tuple(
+        fleet_state.UpstreamLoad(600 + number, 64, 12, 0.0042)
+        for number in range(loads)
+    )
+    heartbeat = dataclasses.replace(sample_heartbeat(1), loads=told)
+    return float(len(codec.seal(peer_api.message_of(heartbeat))))
+
+
 def relay_lines() -> dict[str, Line]:
     """Return the lines of a real instance over tokens and streams."""
     measured = {count: measure_relay(count) for count in STREAM_COUNTS}
@@ -315,13 +331,36 @@
 def probe_lines() -> dict[str, Line]:
     """Return the line of an idle instance over watched upstreams."""
     points = [(float(n), measure_probes(n)) for n in PROBE_COUNTS]
-    report = sample_report()
     return {
         'probe': fit('processor seconds', points),
-        'probe_bytes': Line('bytes', float(len(report)), 0.0, []),
+        'probe_bytes': Line('bytes', float(probe_exchange_bytes()), 0.0, []),
     }
 
 
+def probe_exchange_bytes() -> int:
+    """Return the bytes of one probe, its question and its answer."""
+    report = sample_report()
+    with (
+        socket.create_server((fleet.HOST, 0)) as listener,
+        tempfile.TemporaryDirectory() as folder,
+        fleet.Fleet(pathlib.Path(folder)) as running,
+    ):
+        running.engine('engine-0')
+        running.service('plain-0')
+        running.instance('router-0')
+        configuration = running.configuration()
+        upstream = configuration['pools'][0]['upstreams'][0]
+        upstream['port'] = listener.getsockname()[1]
+        running.configure(configuration)
+        connection, _ = listener.accept()
+        with connection:
+            question = connection.recv(65536)
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: 000\r\n'
+    head += b'Content-Type: application/json\r\nDate: ' + 29 * b'x'
+    head += b'\r\nServer: TwistedWeb/00.00.0\r\n\r\n'
+    return len(question) + len(head) + len(report)
+
+
 def sample_report() -> bytes:
     """Return an engine's report as it is sent."""
     return codec.encode(
