--- a/src/greengagelb/coordination/store_budget.py
+++ b/src/greengagelb/coordination/store_budget.py
@@ -20,13 +20,20 @@
 MOST_OPEN_SECONDS = 8.0
 LEAST_SPREAD = 0.5
 BURST_SECONDS = 2.0
+DEFERRABLE_LEAVES = 0.5
 
 
 class RequestKind(enum.Enum):
-    """What the store counts apart."""
+    """What the store counts apart.
+
+    A deferrable write is one that nobody waits for. It leaves half of a
+    burst to the writes that callers wait for: outcomes of finished calls
+    would else keep new calls from being claimed.
+    """
 
     READ = 'read'
     WRITE = 'write'
+    DEFERRABLE_WRITE = 'deferrable-write'
 
 
 class Circuit(enum.Enum):
@@ -56,13 +63,13 @@
     tokens: float
     filled_at: float
 
-    def take(self, now: float) -> bool:
-        """Take one token, if there is one."""
+    def take(self, now: float, left_share: float = 0.0) -> bool:
+        """Take one token, if that leaves a share of the burst."""
         gained = max(0.0, now - self.filled_at) * self.rate
         burst = max(1.0, self.rate * BURST_SECONDS)
         self.tokens = min(burst, self.tokens + gained)
         self.filled_at = max(now, self.filled_at)
-        if self.tokens < 1.0:
+        if self.tokens < 1.0 or self.tokens - 1.0 < left_share * (burst - 1):
             return False
         self.tokens -= 1.0
         return True
@@ -79,9 +86,11 @@
         self, reads: float, writes: float, rng: random.Random, now: float
     ) -> None:
         self.rng = rng
+        write_bucket = TokenBucket(writes, writes * BURST_SECONDS, now)
         self.buckets = {
-            RequestKind.READ: TokenBucket(reads, reads, now),
-            RequestKind.WRITE: TokenBucket(writes, writes, now),
+            RequestKind.READ: TokenBucket(reads, reads * BURST_SECONDS, now),
+            RequestKind.WRITE: write_bucket,
+            RequestKind.DEFERRABLE_WRITE: write_bucket,
         }
         self.circuit = Circuit.CLOSED
         self.in_flight = 0
@@ -97,7 +106,9 @@
             return Refusal.CIRCUIT_OPEN
         if self.in_flight >= MOST_IN_FLIGHT:
             return Refusal.TOO_MANY_IN_FLIGHT
-        if not self.buckets[kind].take(now):
+        deferrable = kind is RequestKind.DEFERRABLE_WRITE
+        left_share = DEFERRABLE_LEAVES if deferrable else 0.0
+        if not self.buckets[kind].take(now, left_share):
             return Refusal.OVER_RATE
         if self.circuit is Circuit.OPEN:
             self.circuit = Circuit.HALF_OPEN
--- a/src/greengagelb/settings.py
+++ b/src/greengagelb/settings.py
@@ -52,7 +52,7 @@
     timeout_seconds: float = 2.0
     poll_seconds: float = 2.0
     reads_per_second: int = 100
-    writes_per_second: int = 18
+    writes_per_second: int = 40
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/transport/claim_store.py
+++ b/src/greengagelb/transport/claim_store.py
@@ -9,6 +9,7 @@
 from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
+from greengagelb.coordination import store_budget
 from greengagelb.protocol import codec
 from greengagelb.protocol import platform_api
 from greengagelb.state import claims
@@ -41,9 +42,12 @@
         expires_at = time.time() + KEPT_SECONDS
         record = dataclasses.replace(action.record, expires_at=expires_at)
         value = codec.encode(record).decode()
+        kind = store_budget.RequestKind.DEFERRABLE_WRITE
+        if record.stage is claims.ClaimStage.CLAIMED:
+            kind = store_budget.RequestKind.WRITE
         try:
             row = yield self.platform.write(
-                TABLE, action.key, action.expected_version, value
+                TABLE, action.key, action.expected_version, value, kind
             )
             answer = events.ClaimWritten(holder, row.version)
         except errors.VersionConflict as exc:
--- a/src/greengagelb/transport/platform_client.py
+++ b/src/greengagelb/transport/platform_client.py
@@ -81,7 +81,12 @@
 
     @defer.inlineCallbacks
     def write(
-        self, table: str, key: str, expected_version: int, value: str
+        self,
+        table: str,
+        key: str,
+        expected_version: int,
+        value: str,
+        kind: store_budget.RequestKind = store_budget.RequestKind.WRITE,
     ) -> Any:
         """Write a row if it has the expected version; return the new row.
 
@@ -92,7 +97,7 @@
         write = platform_api.Write(expected_version, value)
         data = codec.encode(write)
         status, body = yield self.ask(
-            store_budget.RequestKind.WRITE,
+            kind,
             lambda: self.treq.put(self.row_url(table, key), data=data),
         )
         if status == web_http.CONFLICT:
--- a/tests/calls/test_store_budget.py
+++ b/tests/calls/test_store_budget.py
@@ -45,6 +45,19 @@
     assert budget.admit(WRITE, 0.0) is None
 
 
+def test_outcomes_leave_room_for_claims():
+    """A burst of charges ends and the outcomes are all written at once.
+
+    New charges would be turned away until the last outcome is kept.
+    """
+    budget = small_budget()
+    deferrable = store_budget.RequestKind.DEFERRABLE_WRITE
+    while budget.admit(deferrable, 0.0) is None:
+        budget.succeeded()
+    assert budget.buckets[WRITE].tokens >= 5.0
+    assert budget.admit(WRITE, 0.0) is None
+
+
 def test_failures_in_a_row_open_the_circuit_and_say_so():
     (opened,) = fail_until_open(small_budget())
     assert opened.kind == 'store-circuit-opened'
