Let a service bound how long a request may wait for a place

Change: Service.most_wait; a request that would wait longer is refused when it arrives, one that has waited that long gets its final answer then.

--- a/src/greengagelb/coordination/admission.py
+++ b/src/greengagelb/coordination/admission.py
@@ -107,6 +107,12 @@
                 f'would have to wait for about {wait:.1f} s',
                 wait,
             )
+        if now + WAIT_MARGIN * wait > ticket.start_by:
+            return self.not_run(
+                'wait-too-long',
+                f'would have to wait for about {wait:.1f} s',
+                wait,
+            )
         if resumes:
             return self.resume_refusal(account, now)
         return self.rate_refusal(ticket, account, now)
--- a/src/greengagelb/coordination/fair_queue.py
+++ b/src/greengagelb/coordination/fair_queue.py
@@ -24,7 +24,8 @@
     """A request that waits for a place on an upstream.
 
     ``cost`` is in tokens: prompt and the most that may be generated.
-    ``deadline`` is the monotonic time at which its caller stops waiting.
+    ``deadline`` is the monotonic time at which its caller stops waiting, and
+    ``start_by`` the one by which the service wants it started.
     """
 
     exchange: int
@@ -33,6 +34,7 @@
     priority: configuration_state.Priority
     cost: float
     deadline: float = float('inf')
+    start_by: float = float('inf')
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -175,7 +175,7 @@
         if refusal is not None or account is None or service is None:
             truthful = claims.truthful(refusal, request, service)
             return [actions.SendFailure(request.exchange, truthful)]
-        ticket = self.ticket(event, service)
+        ticket = self.ticket(event, service, now)
         resumes = isinstance(event, events.GenerationResumed)
         refusal = self.admission.refusal(ticket, account, resumes, now)
         if refusal is not None:
@@ -186,7 +186,10 @@
         return []
 
     def ticket(
-        self, event: Arrival, service: configuration_state.Service
+        self,
+        event: Arrival,
+        service: configuration_state.Service,
+        now: float,
     ) -> fair_queue.Ticket:
         """Return the ticket with which a request waits.
 
@@ -202,6 +205,7 @@
             priority,
             self.cost(event),
             event.request.deadline,
+            now + service.most_wait if service.most_wait else float('inf'),
         )
 
     def queue_timer(self, exchange: int) -> list[actions.Action]:
@@ -214,7 +218,8 @@
             return []
         ticket, _ = self.waiting[exchange]
         name = streams.timer_name(QUEUE_TIMER, exchange)
-        return [actions.SetTimer(name, ticket.deadline)]
+        give_up_at = min(ticket.deadline, ticket.start_by)
+        return [actions.SetTimer(name, give_up_at)]
 
     def refusal(
         self,
@@ -420,7 +425,7 @@
             case 'cancel':
                 return self.cancels.timer_fired(name)
             case 'queued':
-                return self.queued_too_long(int(rest))
+                return self.queued_too_long(int(rest), now)
             case claims.DEADLINE_TIMER | claims.SETTLE_TIMER:
                 return self.claims.timer_fired(kind, rest, now)
             case calls.DEADLINE_TIMER:
@@ -428,14 +433,17 @@
             case _:
                 return self.streams.timer_fired(kind, int(rest), now)
 
-    def queued_too_long(self, exchange: int) -> list[actions.Action]:
+    def queued_too_long(
+        self, exchange: int, now: float
+    ) -> list[actions.Action]:
         """Give a request that still waits its final answer."""
         waiting = self.waiting.get(exchange)
         if waiting is None:
             return []
         ticket, _ = waiting
         wait = self.admission.expected_wait(ticket)
-        return self.refuse_waiting(ticket, 'deadline-passed', wait)
+        code = 'deadline-passed' if now >= ticket.deadline else 'wait-too-long'
+        return self.refuse_waiting(ticket, code, wait)
 
     def configure(
         self, event: events.ConfigurationOffered
--- a/src/greengagelb/measure/load.py
+++ b/src/greengagelb/measure/load.py
@@ -15,6 +15,7 @@
 import json
 import random
 import sys
+import time
 
 from greengagelb.coordination import events
 from greengagelb.coordination import node
@@ -81,12 +82,14 @@
 
 
 def fleet_configuration(
-    accounts: list[str],
+    accounts: list[str], most_wait: float = 0.0
 ) -> configuration_state.Configuration:
     """Return one pool that serves drafts and quick answers."""
     kind = configuration_state.ServiceKind.GENERATION
     services = (
-        configuration_state.Service('draft', kind, 'engines'),
+        configuration_state.Service(
+            'draft', kind, 'engines', most_wait=most_wait
+        ),
         configuration_state.Service(
             'quick',
             kind,
@@ -193,11 +196,15 @@
     seconds: float,
     policy: MakePolicy,
     faults: tuple[Fault, ...] = (),
+    most_wait: float = 0.0,
 ) -> virtual_fleet.VirtualFleet:
     """Run a workload under a policy, and return what came of it."""
     accounts = sorted({source.account for source in sources})
     fleet = virtual_fleet.VirtualFleet(
-        seed, fleet_configuration(accounts), INSTANCES, STEP_SECONDS
+        seed,
+        fleet_configuration(accounts, most_wait),
+        INSTANCES,
+        STEP_SECONDS,
     )
     for instance in fleet.instances:
         policy(instance.node)
@@ -282,6 +289,15 @@
     }
 
 
+def refused_late(outcomes: list[virtual_fleet.Outcome]) -> int:
+    """Return how many failed some time after they came."""
+    return sum(
+        bool(o.failure)
+        and o.ended_at - o.arrived_at > virtual_fleet.TICK_SECONDS
+        for o in counted(outcomes)
+    )
+
+
 def summary_by_service(
     outcomes: list[virtual_fleet.Outcome], seconds: float
 ) -> dict[str, object]:
@@ -378,21 +394,23 @@
 def overload_experiment(seed: int, seconds: float) -> dict[str, object]:
     """Compare the goodput at multiples of capacity."""
     rate = capacity_rate()
-    policies: dict[str, MakePolicy] = {
-        'naive': baselines.make_naive,
-        'policy': keep_policy,
+    variants: dict[str, tuple[MakePolicy, float]] = {
+        'naive': (baselines.make_naive, 0.0),
+        'policy': (keep_policy, 0.0),
+        'policy-most-wait-2s': (keep_policy, 2.0),
     }
     figures: dict[str, object] = {}
-    for name, policy in policies.items():
+    for name, (policy, most_wait) in variants.items():
         results = {}
         for factor in (0.8, 1.0, 2.0, 5.0):
             sources = [
                 Source(f'a{number}', factor * rate / 5) for number in range(5)
             ]
-            fleet = run(seed, sources, seconds, policy)
+            fleet = run(seed, sources, seconds, policy, most_wait=most_wait)
             outcomes = list(fleet.outcomes.values())
             results[str(factor)] = summary(outcomes, seconds) | {
-                'by_service': summary_by_service(outcomes, seconds)
+                'refused_late': refused_late(outcomes),
+                'by_service': summary_by_service(outcomes, seconds),
             }
         peak = max(result['goodput'] for result in results.values())
         for result in results.values():
@@ -401,7 +419,45 @@
     return figures
 
 
+TOKEN_EVENTS = 20_000
+
+
+def token_path_experiment(seed: int, seconds: float) -> dict[str, object]:
+    """Return microseconds of processor time for one batch of tokens.
+
+    One stream runs while requests of so many accounts wait. This is the only
+    experiment that reads a clock, and its figures are of one machine.
+    """
+    figures = {}
+    for waiting in (0, 100, 1100):
+        measured = node.Node('i', random.Random(seed))
+        names = [f'a{number}' for number in range(waiting + 1)]
+        offered = fleet_configuration(names)
+        pool = dataclasses.replace(
+            offered.pools[0],
+            upstreams=offered.pools[0].upstreams[:1],
+            slots_per_upstream=1,
+        )
+        offered = dataclasses.replace(offered, pools=(pool,))
+        measured.handle(events.ConfigurationOffered(offered, 'start'), 0.0)
+        for number, name in enumerate(names):
+            identifier = identity.RequestId(name, 'r')
+            request = requests.GenerationRequest(
+                number, identifier, 'draft', 'x', 10 * TOKEN_EVENTS, 1e9
+            )
+            measured.handle(events.GenerationSubmitted(request), 0.0)
+        attempt = measured.streams.streams[0].attempt
+        begun = time.process_time()
+        for position in range(TOKEN_EVENTS):
+            event = events.TokensArrived(attempt, position, ('x',))
+            measured.handle(event, 1.0)
+        used = time.process_time() - begun
+        figures[str(waiting)] = round(used / TOKEN_EVENTS * 1e6, 2)
+    return {'microseconds_by_waiting_accounts': figures}
+
+
 EXPERIMENTS = {
+    'token-path': token_path_experiment,
     'routing': routing_experiment,
     'isolation': isolation_experiment,
     'overload': overload_experiment,
--- a/src/greengagelb/state/configuration.py
+++ b/src/greengagelb/state/configuration.py
@@ -72,7 +72,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """What client accounts call by name."""
+    """What client accounts call by name.
+
+    ``most_wait`` bounds the seconds that a request may wait for a place on an
+    upstream; 0 lets it wait until its deadline.
+    """
 
     name: str
     kind: ServiceKind
@@ -80,6 +84,7 @@
     idempotent: bool = True
     priority: Priority = Priority.LONG
     recovery: RecoveryPolicy = RecoveryPolicy()
+    most_wait: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/load/test_fair_start.py
+++ b/tests/load/test_fair_start.py
@@ -1,5 +1,7 @@
 """Which waiting request starts next, and which one never waits."""
 
+import dataclasses
+
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.state import requests
@@ -112,3 +114,28 @@
     assert len(set(seen)) == len(seen)
     for waiting, seconds in enumerate(seen):
         assert max(1, 10 * waiting) <= seconds <= max(2, 20 * waiting)
+
+
+def test_request_is_not_kept_waiting_longer_than_its_service_allows():
+    """All engines are busy, and staff wait for a draft with a guest.
+
+    A caller with a late deadline would be kept waiting for its first token
+    until then. It is told that nothing ran as soon as the wait is too long.
+    """
+    node = loaded_node.new_node([loaded_node.account('a')])
+    offered = node.configuration
+    services = [
+        dataclasses.replace(service, most_wait=2.0)
+        for service in offered.services
+    ]
+    offered = dataclasses.replace(offered, version=2, services=tuple(services))
+    node.handle(events.ConfigurationOffered(offered, 'test'), 0.5)
+    node.handle(loaded_node.draft(1, 'a'), 1.0)
+    done = node.handle(loaded_node.draft(2, 'a'), 1.0)
+    (timer,) = loaded_node.only(actions.SetTimer, done)
+    assert timer.deadline == 3.0
+    failure = loaded_node.failures(
+        node.handle(events.TimerFired(timer.name), 3.0)
+    )[2]
+    assert failure.code == 'wait-too-long'
+    assert failure.ran is requests.Ran.NO
