Bound what the bodies of one account hold, and take none from nobody

Bounds on single bodies and on the number of requests let one account hold 128 times 4 MiB at an instance, and a sender without any key as many bodies as it opened connections; the instance would end and with it every account's streams. Bodies are counted per account from their first byte to the answer, after the key in the headers is known.

Ruled out: one bound for all accounts, as one account would use it up.

--- a/src/greengagelb/errors.py
+++ b/src/greengagelb/errors.py
@@ -108,6 +108,12 @@
     code = 'body-too-large'
 
 
+class AccountBodiesFull(ProtocolError):
+    """The bodies of a client account take all the memory it may have."""
+
+    code = 'account-bodies-full'
+
+
 class InstanceUnreachable(TransportError):
     """An instance gave no answer to an operator's command."""
 
--- a/src/greengagelb/protocol/problems.py
+++ b/src/greengagelb/protocol/problems.py
@@ -20,6 +20,7 @@
     'bad-cursor': 400,
     'received-tokens-differ': 409,
     'account-queue-full': 429,
+    'account-bodies-full': 429,
     'account-rate-exceeded': 429,
     'resume-budget-spent': 429,
     'twin-outcome-unknown': 409,
--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -23,6 +23,7 @@
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
 from greengagelb.state import requests
+from greengagelb.transport import body_budget
 from greengagelb.transport import caller_headers
 from greengagelb.transport import caller_stream
 from greengagelb.transport import engine_client
@@ -58,6 +59,9 @@
         self.configuration = configuration
         self.seal = seal
         self.recorder = events_recorder
+        self.budget = body_budget.BodyBudget(
+            lambda request: self.authenticate(request).name
+        )
         self.exchanges: dict[int, Exchange] = {}
         self.numbers = itertools.count(1)
         self.app = klein.Klein()
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -21,6 +21,7 @@
 from greengagelb.state import fleet
 from greengagelb.state import identity
 from greengagelb.state import plans as plan_state
+from greengagelb.transport import body_budget
 from greengagelb.transport import caller_app
 from greengagelb.transport import caller_stream
 from greengagelb.transport import claim_store
@@ -110,7 +111,7 @@
         self.callers.app.route('/', branch=True)(
             lambda request: health.resource()
         )
-        self.listen(place.caller_port, self.callers.app)
+        self.listen(place.caller_port, self.callers.app, self.callers.budget)
         operators = operator_app.OperatorApp(
             self.plans,
             self.settings.secrets.operator_key_digest,
@@ -126,10 +127,15 @@
         self.repeat(PROBE_SECONDS, self.probe_upstreams)
         self.repeat(self.settings.platform.poll_seconds, self.poll)
 
-    def listen(self, port: int, app: klein.Klein) -> None:
+    def listen(
+        self,
+        port: int,
+        app: klein.Klein,
+        budget: body_budget.BodyBudget | None = None,
+    ) -> None:
         """Serve an app on a port."""
         site = listening.DrainingFactory(
-            serving.bounded_site(app.resource(), self.reactor)
+            serving.bounded_site(app.resource(), self.reactor, budget)
         )
         host = self.settings.instance.host
         self.sites.append(site)
--- a/src/greengagelb/transport/serving.py
+++ b/src/greengagelb/transport/serving.py
@@ -7,6 +7,7 @@
 bound, and a request has to come in whole within a time.
 """
 
+import functools
 import io
 import urllib.parse
 
@@ -19,6 +20,7 @@
 from greengagelb.protocol import codec
 from greengagelb.protocol import problems
 from greengagelb.state import requests
+from greengagelb.transport import body_budget
 
 MOST_BODY_BYTES = 4 << 20
 RECEIVE_SECONDS = 10.0
@@ -26,6 +28,7 @@
 LINGER_SECONDS = 2.0
 SLOW_CODE = 'request-too-slow'
 SLOW_RETRY_SECONDS = 1.0
+FULL_RETRY_SECONDS = 1.0
 UNKNOWN_PATH = ('not-found', requests.Ran.NO, 'see docs/api.md')
 
 
@@ -37,8 +40,15 @@
     reset the connection, and the sender would lose the refusal.
     """
 
-    def __init__(self, *args: object, **kwargs: object) -> None:
+    def __init__(
+        self,
+        budget: body_budget.BodyBudget | None,
+        *args: object,
+        **kwargs: object,
+    ) -> None:
         super().__init__(*args, **kwargs)
+        self.budget = budget
+        self.account = ''
         self.received = 0
         self.refused = False
         self.pending: interfaces.IDelayedCall | None = self.channel.callLater(
@@ -48,21 +58,49 @@
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Prepare for a body; its length is None if it comes in chunks."""
         self.content = io.BytesIO()
+        if length != 0 and self.budget is not None:
+            self.identify(self.budget)
         if length is not None and length > MOST_BODY_BYTES:
+            self.too_large()
+        if self.refused:
             # A sender that waits for "100 Continue" must not be told to go on.
             self.requestHeaders.removeHeader(b'expect')
-            self.too_large()
+
+    def identify(self, budget: body_budget.BodyBudget) -> None:
+        """Learn whose body this is, before any of it is kept."""
+        try:
+            self.account = budget.account_of(self)
+        except errors.ProtocolError as exc:
+            self.refuse(failure_of(exc))
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Keep a piece of the body, unless the request is refused."""
         if self.refused:
             return
-        self.received += len(data)
-        if self.received > MOST_BODY_BYTES:
+        if self.received + len(data) > MOST_BODY_BYTES:
             self.too_large()
             return
+        if self.budget is not None:
+            try:
+                self.budget.take(self.account, len(data))
+            except errors.ProtocolError as exc:
+                self.refuse(failure_of(exc))
+                return
+        self.received += len(data)
         super().handleContentChunk(data)
 
+    def give_back(self) -> None:
+        """Let go of the body, once."""
+        self.content = None
+        if self.budget is not None and self.received:
+            self.budget.give_back(self.account, self.received)
+        self.received = 0
+
+    def finish(self) -> None:
+        """End the answer."""
+        super().finish()
+        self.give_back()
+
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
     ) -> None:
@@ -80,6 +118,7 @@
     def connectionLost(self, reason: object) -> None:  # noqa: N802
         """Forget a request whose sender is gone."""
         self.stop_waiting()
+        self.give_back()
         super().connectionLost(reason)
 
     def too_large(self) -> None:
@@ -106,8 +145,11 @@
 
     def refuse(self, failure: requests.Failure) -> None:
         """Write the refusal and close the connection soon."""
+        if self.refused:
+            return
         self.refused = True
         self.stop_waiting()
+        self.give_back()
         problem = problems.problem_of(failure)
         body = codec.encode(problem)
         phrase = web_http.RESPONSES.get(problem.status, b'')
@@ -140,13 +182,26 @@
     return True
 
 
+def failure_of(error: errors.ProtocolError) -> requests.Failure:
+    """Return the refusal that an error stands for."""
+    wait = None
+    if isinstance(error, errors.AccountBodiesFull):
+        wait = FULL_RETRY_SECONDS
+    return requests.Failure(error.code, requests.Ran.NO, str(error), wait)
+
+
 def bounded_site(
-    root: resource.IResource, reactor: interfaces.IReactorTime
+    root: resource.IResource,
+    reactor: interfaces.IReactorTime,
+    budget: body_budget.BodyBudget | None = None,
 ) -> server.Site:
-    """Return a site whose requests are bounded."""
+    """Return a site whose requests are bounded.
+
+    Without a ``budget`` the bodies of all senders together are not.
+    """
     return server.Site(
         root,
-        requestFactory=BoundedRequest,
+        requestFactory=functools.partial(BoundedRequest, budget),
         parsePOSTFormSubmission=False,
         timeout=IDLE_SECONDS,
         reactor=reactor,
