End the demonstration's processes when it is interrupted

A SIGTERM while the demonstration waited for its processes left all seven running; one during the stream was reported as a promise that did not hold.

--- a/src/greengagelb/cli/demo.py
+++ b/src/greengagelb/cli/demo.py
@@ -5,7 +5,10 @@
 that the caller holds the whole answer exactly as generated.
 """
 
+from collections.abc import Iterator
+import contextlib
 import dataclasses
+import signal
 import sys
 import time
 from typing import Any
@@ -49,17 +52,16 @@
     """Run the demonstration; 0 if everything held."""
     say('starting the platform, three engines, a plain service, two instances')
     with launcher.Launcher() as fleet:
-        for number in range(3):
-            fleet.engine(f'engine-{number}', STEP_SECONDS)
-        fleet.service('charges-0')
-        for number in range(2):
-            fleet.instance(f'instance-{number}')
         try:
-            launcher.wait_until_listening(fleet.processes())
+            with interruptible():
+                start_all(fleet)
             running.run_once(
                 lambda reactor: Demonstration(reactor, fleet).show_all()
             )
-            stop_all(fleet)
+            with interruptible():
+                stop_all(fleet)
+        except running.Interrupted:
+            raise
         except errors.GreengagelbError:
             sys.stderr.write(fleet.last_lines())
             raise
@@ -67,6 +69,38 @@
     return exit_codes.ExitCode.SUCCESS
 
 
+def start_all(fleet: launcher.Launcher) -> None:
+    """Start every process and wait until it listens."""
+    for number in range(3):
+        fleet.engine(f'engine-{number}', STEP_SECONDS)
+    fleet.service('charges-0')
+    for number in range(2):
+        fleet.instance(f'instance-{number}')
+    launcher.wait_until_listening(fleet.processes())
+
+
+@contextlib.contextmanager
+def interruptible() -> Iterator[None]:
+    """Turn signals into an error, so that what was started is ended.
+
+    A signal that ended this process at once would leave the others running.
+    The event loop takes care of it while it runs.
+    """
+
+    def interrupt(number: int, frame: object) -> None:
+        raise running.Interrupted(running.SIGNALLED)
+
+    before = {
+        number: signal.signal(number, interrupt)
+        for number in (signal.SIGTERM, signal.SIGINT)
+    }
+    try:
+        yield
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
+
+
 def say(line: str) -> None:
     """Tell the user what happens."""
     sys.stdout.write(f'== {line}\n')
--- a/src/greengagelb/cli/running.py
+++ b/src/greengagelb/cli/running.py
@@ -12,6 +12,7 @@
 from greengagelb import errors
 
 T = TypeVar('T')
+SIGNALLED = 'stopped by a signal'
 
 
 class Interrupted(errors.GreengagelbError):
@@ -42,10 +43,15 @@
     def begin() -> None:
         defer.Deferred.fromCoroutine(work(reactor)).addBoth(finish)
 
+    def interrupted() -> None:
+        # A signal stops the loop. The work then fails with whatever the lost
+        # connections bring, which would hide that it was interrupted.
+        if not outcomes:
+            outcomes.append(failure.Failure(Interrupted(SIGNALLED)))
+
     reactor.callWhenRunning(begin)
+    reactor.addSystemEventTrigger('before', 'shutdown', interrupted)
     reactor.run()
-    if not outcomes:
-        raise Interrupted('stopped by a signal')
     if isinstance(outcomes[0], failure.Failure):
         outcomes[0].raiseException()
     return outcomes[0]
--- a/tests/common/commands.py
+++ b/tests/common/commands.py
@@ -49,3 +49,13 @@
         check=False,
     )
     return Outcome(done.returncode, done.stdout, done.stderr)
+
+
+def start_process(*words: str) -> subprocess.Popen:
+    """Start a command as a process of its own, for a test that ends it."""
+    return subprocess.Popen(
+        [sys.executable, '-m', 'greengagelb', *words],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
--- a/tests/process/test_product_archive.py
+++ b/tests/process/test_product_archive.py
@@ -11,21 +11,13 @@
 
 from tests.common import archives
 from tests.common import fleet
+from tests.common import processes
 
 pytestmark = pytest.mark.slow
 
 MEMORY = pathlib.Path('/dev/shm')
 
 
-def children_of(pid):
-    tasks = pathlib.Path(f'/proc/{pid}/task')
-    return [
-        child
-        for task in tasks.iterdir()
-        for child in (task / 'children').read_text().split()
-    ]
-
-
 @pytest.fixture
 def memory_folder():
     folder = tempfile.mkdtemp(dir=MEMORY if MEMORY.is_dir() else None)
@@ -64,7 +56,7 @@
         fleet.wait_until(lambda: fleet.listens(ports[0]))
         assert fleet.ask(ports[0], '/healthz').status == 200
         assert fleet.ask(ports[0], '/readyz').status == 503
-        assert children_of(served.pid) == []
+        assert processes.children_of(served.pid) == []
         served.send_signal(signal.SIGTERM)
         assert served.wait(20) == 0
     finally:
--- a/tests/process/test_product_commands.py
+++ b/tests/process/test_product_commands.py
@@ -10,6 +10,7 @@
 from tests.common import callers
 from tests.common import commands
 from tests.common import fleet
+from tests.common import processes
 
 pytestmark = pytest.mark.slow
 
@@ -111,3 +112,19 @@
     assert 'checked: the charge ran once' in shown.output
     assert 'attempt-replaced' in shown.output
     assert shown.output.endswith('== done: everything held\n')
+
+
+def test_interrupted_demonstration_leaves_no_process_behind():
+    """Somebody stops the demonstration while it starts its processes."""
+    demo = commands.start_process('demo')
+    try:
+        fleet.wait_until(lambda: len(processes.children_of(demo.pid)) == 7)
+        started = processes.children_of(demo.pid)
+        demo.send_signal(signal.SIGTERM)
+        _, complaint = demo.communicate(timeout=60)
+    finally:
+        demo.kill()
+        demo.communicate()
+    assert demo.returncode == Code.FAILURE
+    assert complaint == 'greengagelb: interrupted: stopped by a signal\n'
+    assert not [pid for pid in started if processes.lives(pid)]
