--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -1,7 +1,6 @@
 """One instance: sockets, timers and clients around the decisions."""
 
 import collections
-import itertools
 import random
 import secrets
 
@@ -23,6 +22,7 @@
 from greengagelb.state import fleet
 from greengagelb.state import identity
 from greengagelb.state import plans as plan_state
+from greengagelb.transport import body_budget
 from greengagelb.transport import caller_app
 from greengagelb.transport import caller_stream
 from greengagelb.transport import claim_store
@@ -102,7 +102,9 @@
         self.timers: dict[str, interfaces.IDelayedCall] = {}
         self.backlog: collections.deque[events.Event] = collections.deque()
         self.busy = False
-        self.probe_turns = itertools.count()
+        self.watch = watching.Watch(
+            self.incarnation, instance_settings.instance.data_centre
+        )
         self.sites: list[listening.DrainingFactory] = []
         self.ports: list[interfaces.IListeningPort] = []
         self.finishing = False
@@ -121,7 +123,7 @@
         self.callers.app.route('/', branch=True)(
             lambda request: health.resource()
         )
-        self.listen(place.caller_port, self.callers.app)
+        self.listen(place.caller_port, self.callers.app, self.callers.budget)
         operators = operator_app.OperatorApp(
             self.plans,
             self.settings.secrets.operator_key_digest,
@@ -137,10 +139,15 @@
         self.repeat(PROBE_SECONDS, self.probe_upstreams)
         self.repeat(self.settings.platform.poll_seconds, self.poll)
 
-    def listen(self, port: int, app: klein.Klein) -> None:
+    def listen(
+        self,
+        port: int,
+        app: klein.Klein,
+        budget: body_budget.BodyBudget | None = None,
+    ) -> None:
         """Serve an app on a port."""
         site = listening.DrainingFactory(
-            serving.bounded_site(app.resource(), self.reactor)
+            serving.bounded_site(app.resource(), self.reactor, budget)
         )
         host = self.settings.instance.host
         self.sites.append(site)
@@ -202,13 +209,8 @@
         """Ask the upstreams that this instance watches for their reports."""
         now = self.reactor.seconds()
         members = self.peers.membership
-        wanted = watching.upstreams_to_probe(
-            self.node.directory.views.values(),
-            self.incarnation,
-            members.live_incarnations(now),
-            self.settings.instance.data_centre,
-            next(self.probe_turns),
-            now,
+        wanted = self.watch.upstreams_to_probe(
+            self.node.directory.views, members.live_incarnations(now), now
         )
         for upstream in {*wanted, *self.orders.watched()}:
             self.engines.probe(actions.ProbeUpstream(upstream))
