--- a/Makefile
+++ b/Makefile
@@ -18,5 +18,6 @@
 	rm -rf build/site
 	.venv/bin/pip install --quiet --require-hashes --no-deps --target build/site -r requirements/run.lock
 	.venv/bin/pip install --quiet --no-deps --no-build-isolation --target build/site .
+	find build/site -depth -type d \( -name test -o -name tests \) -exec rm -r {} +
 	mkdir -p dist
 	.venv/bin/shiv --compressed --reproducible --root /run/greengagelb --console-script greengagelb --python '/usr/bin/env python3.11' --site-packages build/site --output-file dist/greengagelb
--- a/src/greengagelb/transport/metrics.py
+++ b/src/greengagelb/transport/metrics.py
@@ -15,6 +15,9 @@
 
 COMPLETE = 'complete'
 ANSWERED = 'answered'
+SAME_ENGINE = 'same-engine'
+ELSEWHERE = 'elsewhere'
+AFRESH = 'afresh'
 PREFIX = 'greengagelb'
 
 
@@ -36,6 +39,7 @@
         self.tokens = 0
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.events: collections.Counter[str] = collections.Counter()
+        self.resumes: collections.Counter[str] = collections.Counter()
         self.decision_errors = 0
         self.sample: Callable[[], Sample] = Sample
         self.registry = aioprometheus.Registry()
@@ -44,6 +48,9 @@
             'requests', 'Final answers by outcome code'
         )
         self.event_counter = self.counter('events', 'Time line events by kind')
+        self.resume_counter = self.counter(
+            'resumes', 'Steps taken after a loss, by kind of step'
+        )
         self.error_counter = self.counter(
             'decision_errors', 'Errors of this program itself in decisions'
         )
@@ -76,6 +83,12 @@
         match action:
             case actions.SendTokens(tokens=tokens):
                 self.tokens += len(tokens)
+            case actions.StartAttempt(received=received) if received:
+                self.resumes[ELSEWHERE] += 1
+            case actions.AttachAttempt():
+                self.resumes[SAME_ENGINE] += 1
+            case actions.SendRestart():
+                self.resumes[AFRESH] += 1
             case actions.SendEnd():
                 self.outcomes[COMPLETE] += 1
             case actions.SendAnswer():
@@ -91,6 +104,8 @@
         """Return all figures in the text format that scrapers read."""
         found = self.sample()
         self.token_counter.set({}, self.tokens)
+        for step, number in self.resumes.items():
+            self.resume_counter.set({'step': step}, number)
         for code, number in self.outcomes.items():
             self.outcome_counter.set({'outcome': code}, number)
         for kind, number in self.events.items():
--- a/tests/common/archives.py
+++ b/tests/common/archives.py
@@ -10,6 +10,8 @@
 ROOT = pathlib.Path(__file__).parents[2]
 LOCKED = re.compile(r'^([A-Za-z0-9_.-]+)==', re.MULTILINE)
 
+UNWANTED = {'..', 'test', 'tests'}
+
 
 def build_archive(folder: pathlib.Path) -> pathlib.Path:
     """Return the archive, with the same packages as ``make binary``."""
@@ -39,9 +41,9 @@
 
 
 def copy_package(name: str, site: pathlib.Path) -> None:
-    """Copy the installed files of a package, without its commands."""
+    """Copy the installed files of a package, without commands and tests."""
     for file in metadata.files(name) or []:
-        if '..' in file.parts or file.suffix == '.pyc':
+        if UNWANTED & set(file.parts) or file.suffix == '.pyc':
             continue
         target = site / file
         target.parent.mkdir(parents=True, exist_ok=True)
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -8,6 +8,7 @@
 from greengagelb import settings
 from greengagelb.protocol import operator_api
 from greengagelb.protocol import problems
+from greengagelb.transport import metrics
 
 ROOT = pathlib.Path(__file__).parents[2]
 SOURCES = ROOT / 'src' / 'greengagelb'
@@ -52,6 +53,13 @@
     assert rows == kinds_recorded()
 
 
+def test_operators_page_has_a_row_for_each_metric():
+    text = page('operators.md').partition('## Metrics')[2]
+    named = set(re.findall(r'`(greengagelb_[a-z_]+)', text))
+    shown = metrics.Metrics().render().decode()
+    assert named == set(re.findall(r'^# TYPE (\S+)', shown, re.MULTILINE))
+
+
 def test_operators_page_names_each_setting():
     text = page('operators.md').partition('## Settings')[2]
     named = set(re.findall(r'`([a-z_]+)`', text))
--- a/tests/timeline/test_reading.py
+++ b/tests/timeline/test_reading.py
@@ -116,11 +116,15 @@
     failure = requests.Failure('no-engine', requests.Ran.YES, 'x')
     found.count(actions.SendTokens(1, 0, ('a', 'b'), None))
     found.count(actions.SendFailure(1, failure))
+    found.count(actions.SendRestart(1, 2, 'x'))
+    found.count(actions.AttachAttempt(None, None, 3))
     found.count_refusal('bad-cursor')
     for _ in range(2):
         text = found.render().decode()
         assert 'greengagelb_tokens 2' in text
         assert 'greengagelb_requests{outcome="no-engine"} 1' in text
         assert 'greengagelb_requests{outcome="bad-cursor"} 1' in text
+        assert 'greengagelb_resumes{step="afresh"} 1' in text
+        assert 'greengagelb_resumes{step="same-engine"} 1' in text
         assert 'greengagelb_running 3' in text
         assert 'greengagelb_waiting 4' in text
