--- a/src/greengagelb/measure/load.py
+++ b/src/greengagelb/measure/load.py
@@ -313,9 +313,8 @@
 def work(fleet: virtual_fleet.VirtualFleet) -> dict[str, object]:
     """Return what the engines did."""
     engines = fleet.engines.values()
-    asked = len(fleet.outcomes)
     return {
-        'attempts_beyond_first': max(0, fleet.attempts - asked),
+        'attempts_beyond_first': fleet.attempts - len(fleet.started),
         'prompt_tokens': sum(e.prompt_tokens for e in engines),
         'resumed_prompt_tokens': sum(e.resumed_tokens for e in engines),
         'generated': sum(e.generated for e in engines),
--- a/src/greengagelb/measure/virtual_fleet.py
+++ b/src/greengagelb/measure/virtual_fleet.py
@@ -255,6 +255,7 @@
         match action:
             case actions.StartAttempt():
                 self.fleet.attempts += 1
+                self.fleet.started.add(action.attempt.request)
                 length = self.fleet.lengths[action.attempt.request]
                 engine = self.fleet.engines[action.upstream.name]
                 engine.start(action, self, length)
@@ -330,6 +331,7 @@
         self.outcomes: dict[int, Outcome] = {}
         self.lengths: dict[identity.RequestId, int] = {}
         self.attempts = 0
+        self.started: set[identity.RequestId] = set()
         self.engines = {
             upstream.name: VirtualEngine(
                 self.time, upstream, pool.slots_per_upstream, step_seconds
--- a/tests/load/test_measured_policies.py
+++ b/tests/load/test_measured_policies.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import functools
 
 from greengagelb.measure import baselines
 from greengagelb.measure import load
@@ -62,10 +63,36 @@
     assert fleet.attempts < asked + 400 * codes.total()
 
 
-def test_every_request_has_a_final_answer_when_engines_fail():
+def check_counts(node):
+    """Check that what is counted as running is what is in progress."""
+    assert set(node.running) == set(node.streams.streams)
+    for queue in node.admission.queues.values():
+        queue.check()
+    for name, view in node.directory.views.items():
+        held = [
+            stream
+            for stream in node.streams.streams.values()
+            if stream.upstream is not None and stream.upstream.name == name
+        ]
+        assert view.in_flight == len(held)
+
+
+def checked(strike, checks):
+    """Return a function that checks all nodes after a fault has struck."""
+
+    def strike_and_check(fleet, fault):
+        strike(fleet, fault)
+        for check in checks:
+            check()
+
+    return strike_and_check
+
+
+def test_every_request_has_a_final_answer_when_engines_fail(monkeypatch):
     """Engines slow down, die, freeze and return under a high load."""
     rate = 0.6 * load.capacity_rate()
     faults = (
+        *(load.Fault(0.7 * n, 'e5', 'fast') for n in range(1, 40)),
         load.Fault(2.0, 'e0', 'slow'),
         load.Fault(5.0, 'e1', 'kill'),
         load.Fault(8.0, 'e2', 'freeze'),
@@ -73,7 +100,15 @@
         load.Fault(15.0, 'e1', 'return'),
     )
     sources = [load.Source('a', rate / 2), load.Source('b', rate / 2)]
-    fleet = load.run(SEED, sources, SECONDS, load.keep_policy, faults)
+    checks = []
+
+    def watched(node):
+        checks.append(functools.partial(check_counts, node))
+
+    monkeypatch.setattr(
+        load, 'strike', checked(load.strike, checks), raising=True
+    )
+    fleet = load.run(SEED, sources, SECONDS, watched, faults)
     assert all(o.ended_at is not None for o in fleet.outcomes.values())
     for instance in fleet.instances:
         node = instance.node
