Count no request to the platform that could not be built

Cause: one that raised would have stayed counted as under way, and as the one probe of a half-open circuit.

--- a/src/greengagelb/transport/platform_client.py
+++ b/src/greengagelb/transport/platform_client.py
@@ -123,7 +123,9 @@
             refused = errors.PlatformUnavailable(refusal.value)
             refused.handed_over = False
             return defer.fail(refused)
-        answer = start()
+        # What raises here instead of failing would be counted as under way
+        # for good, and as the one probe of a half-open circuit.
+        answer = defer.maybeDeferred(start)
         answer.addCallback(self.read_answer)
         answer.addTimeout(self.settings.timeout_seconds, self.reactor)
         return answer.addCallbacks(self.available, self.unavailable)
--- a/tests/calls/test_platform_client.py
+++ b/tests/calls/test_platform_client.py
@@ -107,3 +107,16 @@
     (why,) = failed
     assert why.check(errors.PlatformUnavailable)
     assert store.platform.budget.failures == 1
+
+
+def test_request_that_can_not_be_built_is_not_counted_as_under_way():
+    """A bug of this program raises while a request is put together.
+
+    Counted as under way for good, 64 of them would shut the store off.
+    """
+    store = Store()
+    failed = []
+    kind = store_budget.RequestKind.READ
+    store.platform.ask(kind, lambda: 1 // 0).addErrback(failed.append)
+    assert len(failed) == 1
+    assert store.platform.budget.in_flight == 0
