Report a claim that was taken from its holder

Cause: a store restored from an old copy, or rows deleted early, let a key be claimed again; nothing said so. Ruled out: preventing it here; versions start anew with the row.

--- a/src/greengagelb/coordination/claims.py
+++ b/src/greengagelb/coordination/claims.py
@@ -59,6 +59,7 @@
     writing: claims.ClaimRecord | None = None
     tries: int = 0
     may_be_written: bool = False
+    was_held: bool = False
     settle_by: float = 0.0
 
 
@@ -190,6 +191,7 @@
                 self.give_up(claim, 'deadline-passed', requests.Ran.NO, now)
             )
         claim.phase = claims.ClaimPhase.HELD
+        claim.was_held = True
         timer = f'{DEADLINE_TIMER}:{claim.request.exchange}'
         return ClaimStep([actions.ClearTimer(timer)], claim.request)
 
@@ -203,7 +205,7 @@
         """
         self.advice.succeeded()
         if claim.phase is claims.ClaimPhase.SETTLING:
-            return self.forget(claim)
+            return self.overwritten(claim, row) + self.forget(claim)
         record = row.record
         exchange = claim.request.exchange
         if record.stage is claims.ClaimStage.RELEASED:
@@ -225,6 +227,19 @@
         answer = actions.SendAnswer(exchange, record.status, record.body)
         return [answer, *self.forget(claim)]
 
+    def overwritten(
+        self, claim: Claim, row: claims.ClaimRow
+    ) -> list[actions.Action]:
+        """Report a row that was taken from a holder that kept it.
+
+        Nothing in here does that. It happens when rows are deleted too early
+        or the store is restored from an old copy, and shows only here: the
+        request may then have run twice.
+        """
+        if not claim.was_held:
+            return []
+        return [self.record(claim, 'claim-overwritten', row.record.holder)]
+
     def write_failed(
         self, claim: Claim, handed_over: bool, now: float
     ) -> list[actions.Action]:
--- a/tests/calls/test_claims.py
+++ b/tests/calls/test_claims.py
@@ -107,6 +107,33 @@
     assert len(world.dispatches) == 1
 
 
+def test_restored_store_is_reported():
+    """The platform's operators restore the store from an old copy.
+
+    A claim that was held is gone, a retry takes the key anew, and the charge
+    runs a second time. Nobody can prevent it here, but somebody must be told.
+    """
+    world = call_world.World()
+    home, other = world.instances[:2]
+    world.submit(home, CHARGE)
+    answer_all_writes(world)
+    world.rows.clear()
+    world.may_run.clear()
+    world.submit(other, CHARGE)
+    answer_all_writes(world)
+    # Versions start anew with the row: the first outcome lands on it, and
+    # the second holder sees it.
+    first, second = world.dispatches
+    world.finish(first)
+    answer_all_writes(world)
+    assert world.kinds['claim-overwritten'] == 0
+    world.refuse(second)
+    while world.dispatches:
+        world.refuse(world.dispatches[0])
+    answer_all_writes(world)
+    assert world.kinds['claim-overwritten'] == 1
+
+
 def test_silent_service_is_left_alone_in_the_end():
     """A service takes a charge and never answers.
 
