--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -25,21 +25,32 @@
 
 
 def kinds_recorded():
-    """Return the first literal argument of each call that records."""
+    """Return what is recorded: the first literal of a call that records.
+
+    A kind that depends on something is assigned to ``kind`` first.
+    """
     found = set()
     for path in SOURCES.glob('**/*.py'):
-        for call in ast.walk(ast.parse(path.read_text('utf-8'))):
-            if isinstance(call, ast.Call) and name_of(call) in RECORDERS:
-                texts = [
-                    argument.value
-                    for argument in call.args
-                    if isinstance(argument, ast.Constant)
-                    and isinstance(argument.value, str)
-                ]
-                found.update(texts[:1])
+        for node in ast.walk(ast.parse(path.read_text('utf-8'))):
+            match node:
+                case ast.Call(args=given) if name_of(node) in RECORDERS:
+                    found.update(literals(given)[:1])
+                case ast.Assign(
+                    targets=[ast.Name(id='kind')],
+                    value=ast.IfExp(body=yes, orelse=no),
+                ):
+                    found.update(literals([yes, no]))
     return {kind for kind in found if KIND.match(kind)}
 
 
+def literals(nodes):
+    return [
+        node.value
+        for node in nodes
+        if isinstance(node, ast.Constant) and isinstance(node.value, str)
+    ]
+
+
 def name_of(call):
     match call.func:
         case ast.Name(id=name) | ast.Attribute(attr=name):
