Choose an upstream by a few looks instead of one at each

Change: a few random members are tried first; a pool that was found full is looked at again only where something has changed, or after 0.1 s; prefixes are ranked by precomputed numbers. Also: Retry-After was cut off at 120 s after the jitter, so that all callers with a longer wait would have come back at once; the wait is cut off before.

--- a/src/greengagelb/coordination/admission.py
+++ b/src/greengagelb/coordination/admission.py
@@ -161,8 +161,8 @@
         Without jitter all refused callers would come back at the same time
         and be refused again.
         """
-        seconds = max(RETRY_AFTER_SECONDS, wait) * self.rng.uniform(1.0, 2.0)
-        seconds = min(seconds, MOST_RETRY_AFTER_SECONDS)
+        base = min(max(RETRY_AFTER_SECONDS, wait), MOST_RETRY_AFTER_SECONDS)
+        seconds = base * self.rng.uniform(1.0, 2.0)
         return requests.Failure(code, requests.Ran.NO, detail, seconds)
 
     # -- estimates ----------------------------------------------------------
--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -8,12 +8,13 @@
 busier than the others.
 """
 
-import hashlib
+import dataclasses
 import math
 import random
 
 from greengagelb import errors
 from greengagelb.coordination import events
+from greengagelb.coordination import members
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import fleet
 from greengagelb.state import identity
@@ -26,6 +27,9 @@
 FORGIVE_SECONDS = 30.0
 RETURN_SECONDS = 2.0
 CHOICES = 2
+SAMPLES = 4
+TRIES = 16
+FULL_SECONDS = 0.1
 SLOTS_PER_SHORT_RESERVE = 8
 AFFINITY_BOUND = 1.5
 MOST_CACHED_PREFIXES = 4096
@@ -33,6 +37,17 @@
 RESUME = configuration_state.Priority.RESUME
 
 
+@dataclasses.dataclass(slots=True)
+class FullPool:
+    """A pool without room for a class, and what has changed since.
+
+    ``until`` is the monotonic time at which all are looked at again.
+    """
+
+    until: float
+    changed: set[str] = dataclasses.field(default_factory=set)
+
+
 class UpstreamDirectory:
     """All upstreams of the configuration in force, and what is known of them.
 
@@ -48,6 +63,10 @@
         self.leaving: set[identity.EngineId] = set()
         self.live_instances = 1
         self.order: list[str] = []
+        self.members: dict[str, members.PoolMembers] = {}
+        self.full: dict[
+            tuple[str, str, configuration_state.Priority], FullPool
+        ] = {}
         self.changed = False
 
     # -- what is known ------------------------------------------------------
@@ -69,12 +88,21 @@
                 del self.views[name]
         self.leaving = {e for e in self.leaving if e.name in self.views}
         self.order = list(named)
+        self.members.clear()
+        self.full.clear()
         self.short_pools = shared_pools(configuration)
         self.changed = True
 
     def resize(self, live_instances: int) -> None:
         """Share the upstreams' places with that many instances."""
         self.live_instances = max(1, live_instances)
+        self.full.clear()
+        self.changed = True
+
+    def touch(self, name: str) -> None:
+        """Note that an upstream may have room that it had not before."""
+        for full in self.full.values():
+            full.changed.add(name)
         self.changed = True
 
     def observe(self, report: events.UpstreamReported, now: float) -> None:
@@ -100,7 +128,7 @@
         view.in_flight_at_report = view.in_flight
         view.step_seconds = report.step_seconds
         view.leaving = report.engine in self.leaving
-        self.changed = True
+        self.touch(report.engine.name)
 
     def own_loads(self, now: float) -> tuple[fleet.UpstreamLoad, ...]:
         """Return the loads that upstreams have told this instance itself.
@@ -136,7 +164,7 @@
             view.reported_at = now
             view.in_flight_at_report = view.in_flight
             view.step_seconds = load.step_seconds
-            self.changed = True
+            self.touch(self.order[load.index])
 
     def meet_incarnation(
         self,
@@ -235,40 +263,131 @@
         Upstreams of other data centres get only what finds no room here: a
         partition would break the streams on them.
         """
+        picked = self.pick(pool, excluded, now, priority)
+        if not picked:
+            return None
+        if prefix:
+            near = self.choose_by_prefix(pool, picked, prefix, now, priority)
+            if near is not None and near.upstream.name not in excluded:
+                return near
+        return min(picked[:CHOICES], key=lambda view: self.score(view, now))
+
+    def pick(
+        self,
+        pool: configuration_state.Pool,
+        excluded: set[str],
+        now: float,
+        priority: configuration_state.Priority,
+    ) -> list[upstream_state.UpstreamView]:
+        """Return some views with room, looking at few of them.
+
+        Where a pool was found full, only the upstreams that have changed
+        since are looked at for a moment: under overload a full look at each
+        event would take more of the processor than all else. Room that comes
+        with time alone, when a suspicion ends, is found after that moment.
+        """
+        key = (pool.name, pool.version, priority)
+        full = self.full.get(key)
+        if full is not None and now < full.until and not excluded:
+            changed = [self.views[n] for n in full.changed if n in self.views]
+            names = set(self.members_of(pool).names)
+            return [
+                view
+                for view in changed
+                if view.upstream.name in names
+                and self.is_open(view, pool, priority, now)
+            ]
+        picked = self.sample(pool, excluded, now, priority)
+        if len(picked) < CHOICES:
+            picked = self.scan(pool, excluded, now, priority)
+        if not picked and not excluded:
+            self.full[key] = FullPool(now + FULL_SECONDS)
+        return picked
+
+    def sample(
+        self,
+        pool: configuration_state.Pool,
+        excluded: set[str],
+        now: float,
+        priority: configuration_state.Priority,
+    ) -> list[upstream_state.UpstreamView]:
+        """Return some near views with room out of a few random ones."""
+        names = self.members_of(pool).names
+        found: list[upstream_state.UpstreamView] = []
+        for name in self.rng.sample(names, min(TRIES, len(names))):
+            view = self.views.get(name)
+            if view is None or name in excluded:
+                continue
+            if self.is_open(view, pool, priority, now):
+                found.append(view)
+                if len(found) == SAMPLES:
+                    break
+        return found
+
+    def scan(
+        self,
+        pool: configuration_state.Pool,
+        excluded: set[str],
+        now: float,
+        priority: configuration_state.Priority,
+    ) -> list[upstream_state.UpstreamView]:
+        """Return some views with room out of all, the near ones first."""
+        views = self.usable_views(pool, excluded, now)
         usable = [
-            view
-            for view in self.usable_views(pool, excluded, now)
-            if self.has_room(view, pool, priority, now)
+            view for view in views if self.has_room(view, pool, priority, now)
         ]
         if not usable:
-            return None
+            return []
         local = [view for view in usable if self.is_local(view)]
         usable = local or usable
-        if prefix:
-            near = self.choose_by_prefix(usable, prefix, now)
-            if near is not None:
-                return near
-        picked = self.rng.sample(usable, min(CHOICES, len(usable)))
-        return min(picked, key=lambda view: self.score(view, now))
+        return self.rng.sample(usable, min(SAMPLES, len(usable)))
+
+    def is_open(
+        self,
+        view: upstream_state.UpstreamView,
+        pool: configuration_state.Pool,
+        priority: configuration_state.Priority,
+        now: float,
+    ) -> bool:
+        """Return whether a trusted upstream has room for a class."""
+        return (
+            now >= view.suspected_until
+            and self.may_get_work(view, pool, now)
+            and self.has_room(view, pool, priority, now)
+        )
+
+    def members_of(
+        self, pool: configuration_state.Pool
+    ) -> members.PoolMembers:
+        """Return a pool's members, prepared once per configuration."""
+        known = self.members.get(pool.name)
+        if known is None or known.upstreams is not pool.upstreams:
+            known = members.members_of(pool, self.data_centre)
+            self.members[pool.name] = known
+        return known
 
     def choose_by_prefix(
         self,
-        usable: list[upstream_state.UpstreamView],
+        pool: configuration_state.Pool,
+        others: list[upstream_state.UpstreamView],
         prefix: str,
         now: float,
+        priority: configuration_state.Priority,
     ) -> upstream_state.UpstreamView | None:
         """Return the upstream that is likely to hold a prefix, if not busy.
 
         Without the bound the upstream of a popular prefix would be swamped
         while the others idle.
         """
-        key = digest(prefix)
-        scores = [self.score(view, now) for view in usable]
+        key = members.digest(prefix)
+        scores = [self.score(view, now) for view in others]
         most = AFFINITY_BOUND * sum(scores) / len(scores)
-        holding = [view for view in usable if key in view.prefixes]
-        likely = max(usable, key=lambda view: rank(key, view.upstream.name))
-        for view in [*holding, likely]:
-            if self.score(view, now) <= most:
+        known = self.members_of(pool)
+        views = [self.views[name] for name in known.names]
+        holding = [view for view in views if key in view.prefixes]
+        for view in [*holding, self.views[known.likely(key)]]:
+            calm = self.score(view, now) <= most
+            if calm and self.is_open(view, pool, priority, now):
                 return view
         return None
 
@@ -407,7 +526,7 @@
         if not view.in_flight:
             raise errors.InvariantViolated(f'{name} has nothing in flight')
         view.in_flight -= 1
-        self.changed = True
+        self.touch(name)
 
 
 def shared_pools(
@@ -419,13 +538,3 @@
         is_short = service.priority is SHORT
         classes.setdefault(service.pool, set()).add(is_short)
     return {pool for pool, found in classes.items() if len(found) > 1}
-
-
-def digest(prefix: str) -> str:
-    """Return the name under which a prefix is kept; 16 hex digits."""
-    return hashlib.blake2b(prefix.encode(), digest_size=8).hexdigest()
-
-
-def rank(key: str, name: str) -> bytes:
-    """Return the rendezvous rank of an upstream for a prefix's digest."""
-    return hashlib.blake2b(f'{key}/{name}'.encode(), digest_size=8).digest()
--- a/tests/load/test_routing.py
+++ b/tests/load/test_routing.py
@@ -3,6 +3,7 @@
 import random
 
 from greengagelb.coordination import events
+from greengagelb.coordination import members
 from greengagelb.coordination import routing
 from greengagelb.state import configuration
 from greengagelb.state import identity
@@ -128,7 +129,7 @@
     made, pool = directory(engines=4)
     for number in range(4):
         report(made, f'e{number}', 1.0)
-    key = routing.digest('a/rules')
+    key = members.digest('a/rules')
     (likely,) = names(made, pool, 1.0, prefix='a/rules')
     other = next(f'e{n}' for n in range(4) if f'e{n}' != likely)
     engine = identity.EngineId(other, '1')
@@ -136,3 +137,28 @@
     assert names(made, pool, 1.0, prefix='a/rules') == {other}
     made.cache_changed(events.EngineCacheChanged(engine, 3, (), ()))
     assert names(made, pool, 1.0, prefix='a/rules') == {likely}
+
+
+def test_full_pool_is_not_looked_through_again_until_something_changes():
+    """All places are taken while requests wait and events pour in.
+
+    Looking through a data centre's engines on each event would use up the
+    processor that relays tokens.
+    """
+    made, pool = directory(engines=20, slots=1)
+    for number in range(20):
+        made.started(f'e{number}')
+    assert made.choose(pool, set(), 1.0) is None
+    made.usable_views = None
+    assert made.choose(pool, set(), 1.01) is None
+    made.finished('e7')
+    assert made.choose(pool, set(), 1.02).upstream.name == 'e7'
+
+
+def test_room_that_comes_with_time_alone_is_found():
+    """The only trusted engine is full when another's suspicion ends."""
+    made, pool = directory(slots=1)
+    made.started('e0')
+    made.suspect('e1', 1.0)
+    assert made.choose(pool, set(), 2.95) is None
+    assert made.choose(pool, set(), 3.1).upstream.name == 'e1'
