Keep held engines and former versions in all ways of choosing

A generation whose adapter was changed under the same version name, or whose version was replaced twice, could be gone on with by another one: cursors now carry model, version and adapter, and a version that is gone finds no engine.

Ruled out: a probe of every engine by every instance at a change (66 times 126 requests); trusting old reports for good.

Also a test of leaving per incarnation over any order of messages; it fails when the report alone decides.

--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -373,6 +373,7 @@
             return [actions.SendFailure(request.exchange, failure)]
         if isinstance(request, requests.CallRequest):
             return self.calls.begin(request, service, pool, now)
+        pool = self.directory.serving_pool(pool, '', service.priority, now)
         view = self.directory.choose(pool, set(), now, service.priority)
         if view is None:
             wait = self.claims.advice.failed()
--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -442,20 +442,14 @@
 
         While a change of version is under way, engines that still have the
         former one serve what the others have no room for: a change would
-        else take the whole pool out at once. A generation that has a
-        ``version`` stays on it.
+        else take the whole pool out at once. A generation stays on the one
+        that it began with, whose label is ``version``.
         """
+        if version:
+            return pool_of_label(pool, version)
         if pool.former is None:
             return pool
-        former = dataclasses.replace(
-            pool,
-            model=pool.former.model,
-            version=pool.former.version,
-            adapter=pool.former.adapter,
-            former=None,
-        )
-        if version:
-            return former if version == former.version else pool
+        former = with_version(pool, pool.former)
         if self.choose(pool, set(), now, priority) is not None:
             return pool
         if self.choose(former, set(), now, priority) is not None:
@@ -473,12 +467,10 @@
         Where all are suspected, those that have reported since are used: it
         may be this instance's own connections that failed.
         """
-        held = self.held(now)
         views = [
             view
             for upstream in pool.upstreams
             if upstream.name not in excluded
-            and upstream.name not in held
             and (view := self.views.get(upstream.name)) is not None
             and self.may_get_work(view, pool, now)
         ]
@@ -504,9 +496,12 @@
         """
         if view.leaving or view.upstream.draining:
             return False
+        if self.holds and view.upstream.name in self.held(now):
+            return False
         if not view.incarnation or not pool.version:
             return True
-        if now - view.probed_at >= PROBE_TRUST_SECONDS:
+        stale = now - view.probed_at >= PROBE_TRUST_SECONDS
+        if stale and not self.tells_in_change(view, pool):
             return True
         return (view.model, view.version, view.adapter) == (
             pool.model,
@@ -514,6 +509,25 @@
             pool.adapter,
         )
 
+    def tells_in_change(
+        self,
+        view: upstream_state.UpstreamView,
+        pool: configuration_state.Pool,
+    ) -> bool:
+        """Return whether an old report still tells what an engine has.
+
+        While a pool's version changes, each engine is asked again when it is
+        no longer held. Trusting no old report then would send all new work
+        to the new version, and most engines would refuse it.
+        """
+        if pool.former is None:
+            return False
+        former = pool.former
+        return (view.model, view.version, view.adapter) in (
+            (former.model, former.version, former.adapter),
+            (pool.model, pool.version, pool.adapter),
+        )
+
     def has_room(
         self,
         view: upstream_state.UpstreamView,
@@ -611,3 +625,30 @@
         is_short = service.priority is SHORT
         classes.setdefault(service.pool, set()).add(is_short)
     return {pool for pool, found in classes.items() if len(found) > 1}
+
+
+def pool_of_label(
+    pool: configuration_state.Pool, label: str
+) -> configuration_state.Pool:
+    """Return the pool as it is for a generation of a model version.
+
+    For one that is neither the present nor the former version no engine is
+    found to go on with. Given to the present one instead, it would become a
+    mixture of two versions that nobody notices.
+    """
+    for known in (pool.serves, pool.former):
+        if known is not None and known.label == label:
+            return with_version(pool, known)
+    return with_version(pool, configuration_state.ModelVersion('', label))
+
+
+def with_version(
+    pool: configuration_state.Pool, serves: configuration_state.ModelVersion
+) -> configuration_state.Pool:
+    """Return the pool with another model version to serve."""
+    return dataclasses.replace(
+        pool,
+        model=serves.model,
+        version=serves.version,
+        adapter=serves.adapter,
+    )
--- a/src/greengagelb/state/configuration.py
+++ b/src/greengagelb/state/configuration.py
@@ -66,6 +66,11 @@
     version: str
     adapter: str = ''
 
+    @property
+    def label(self) -> str:
+        """Return a text that no other model, version or adapter has."""
+        return '\n'.join([self.model, self.version, self.adapter])
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pool:
@@ -83,6 +88,11 @@
     slots_per_upstream: int = 8
     former: ModelVersion | None = None
 
+    @property
+    def serves(self) -> ModelVersion:
+        """Return what its engines shall have loaded."""
+        return ModelVersion(self.model, self.version, self.adapter)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
--- a/src/greengagelb/state/streams.py
+++ b/src/greengagelb/state/streams.py
@@ -78,6 +78,6 @@
             engine=identity.EngineId(self.upstream.name, self.incarnation),
             position=self.position,
             chain=self.chain,
-            version=self.pool.version,
+            version=self.pool.serves.label,
             engine_deaths=self.engine_deaths,
         )
--- /dev/null
+++ b/tests/fleet/test_changes_under_way.py
@@ -0,0 +1,107 @@
+"""Which engines get work while some of them are changed."""
+
+import random
+
+from greengagelb.coordination import events
+from greengagelb.coordination import routing
+from greengagelb.state import configuration
+from greengagelb.state import identity
+from tests.common import configurations
+
+LONG = configuration.Priority.LONG
+CHOICES = 60
+
+
+def directory_of(former=None, version='1'):
+    upstreams = tuple(
+        configurations.upstream(f'engine-{n}', 9000 + n) for n in range(6)
+    )
+    pool = configuration.Pool(
+        'drafting', upstreams, 'm', version, former=former
+    )
+    found = routing.UpstreamDirectory(random.Random(5))
+    found.apply(configuration.Configuration(1, pools=(pool,)))
+    for number in range(6):
+        report(found, number, '1', 0.0)
+    return found, pool
+
+
+def report(directory, number, version, now):
+    name = f'engine-{number}'
+    engine = identity.EngineId(name, f'start-{number}')
+    directory.observe(
+        events.UpstreamReported(engine, 'm', version, '', 0, 0, 0.01, False),
+        now,
+    )
+
+
+def chosen(directory, pool, now, prefix=''):
+    found = set()
+    for _ in range(CHOICES):
+        view = directory.choose(pool, set(), now, LONG, prefix)
+        found.add(view.upstream.name if view else None)
+    return found
+
+
+def test_held_engines_get_no_work_by_any_way_of_choosing():
+    """An instance is about to order two engines to another version.
+
+    Work given to them now would keep them from ever being idle.
+    """
+    directory, pool = directory_of()
+    held = frozenset({'engine-1', 'engine-4'})
+    directory.hold(events.UpstreamsHeld('holder', held), 1.0)
+    for prefix in ['', 'house rules', 'fault log', 'season']:
+        assert not chosen(directory, pool, 2.0, prefix) & held
+    later = 1.0 + routing.HOLD_SECONDS
+    assert chosen(directory, pool, later) >= held
+
+
+def test_release_asks_the_engines_what_they_have_become():
+    directory, _ = directory_of()
+    held = frozenset({'engine-1'})
+    directory.hold(events.UpstreamsHeld('holder', held), 1.0)
+    freed = directory.hold(events.UpstreamsHeld('holder', frozenset()), 2.0)
+    assert [upstream.name for upstream in freed] == ['engine-1']
+
+
+def test_former_version_serves_until_engines_have_the_new_one():
+    """A change of version begins, and no engine has the new one yet.
+
+    Most engines were last asked by this instance long ago. New work must go
+    to what they last reported, or each request would be refused by one after
+    the other.
+    """
+    former = configuration.ModelVersion('m', '1')
+    directory, pool = directory_of(former, '2')
+    now = 1000.0
+    serving = directory.serving_pool(pool, '', LONG, now)
+    assert serving.version == '1'
+    assert chosen(directory, serving, now) != {None}
+    report(directory, 3, '2', now)
+    serving = directory.serving_pool(pool, '', LONG, now)
+    assert serving.version == '2'
+    assert chosen(directory, serving, now) == {'engine-3'}
+
+
+def test_resumed_generation_stays_on_its_version():
+    former = configuration.ModelVersion('m', '1')
+    directory, pool = directory_of(former, '2')
+    report(directory, 3, '2', 0.0)
+    serving = directory.serving_pool(pool, former.label, LONG, 1.0)
+    assert serving.version == '1'
+    assert 'engine-3' not in chosen(directory, serving, 1.0)
+
+
+def test_generation_of_a_version_long_gone_is_not_given_to_another():
+    """A caller comes back after its version was replaced twice.
+
+    The adapter was changed, not the version's name. Going on with another
+    adapter would give the guest a mixture of two drafts.
+    """
+    former = configuration.ModelVersion('m', '1', 'second')
+    directory, pool = directory_of(former, '1')
+    gone = configuration.ModelVersion('m', '1', 'first')
+    serving = directory.serving_pool(pool, gone.label, LONG, 1.0)
+    assert serving.serves not in (pool.serves, pool.former)
+    assert chosen(directory, serving, 1.0) == {None}
--- /dev/null
+++ b/tests/fleet/test_leaving.py
@@ -0,0 +1,58 @@
+"""An upstream that leaves gets no new work, whoever said so and when."""
+
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from greengagelb.coordination import events
+from greengagelb.coordination import routing
+from greengagelb.state import configuration
+from greengagelb.state import identity
+from tests.common import configurations
+
+LONG = configuration.Priority.LONG
+STARTS = st.sampled_from(['first', 'second', 'third'])
+MESSAGES = st.lists(
+    st.tuples(st.sampled_from(['report', 'leaving report', 'notice']), STARTS),
+    max_size=12,
+)
+
+
+def message_of(kind, start):
+    engine = identity.EngineId('engine', start)
+    if kind == 'notice':
+        return events.UpstreamLeaving(engine, 'peer')
+    return events.UpstreamReported(
+        engine, 'm', '1', '', 0, 0, 0.01, kind == 'leaving report'
+    )
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(MESSAGES)
+def test_leaving_is_final_for_an_incarnation_in_any_order(messages):
+    """Reports and notices cross each other on their way.
+
+    A notice may come before the first report of the start that it is about,
+    and a report of an older start after it. Work given to an engine that is
+    about to go is a stream that has to be moved a moment later.
+    """
+    upstream = configurations.upstream('engine', 9000)
+    pool = configuration.Pool('drafting', (upstream,), 'm', '1')
+    directory = routing.UpstreamDirectory(random.Random(1))
+    directory.apply(configuration.Configuration(1, pools=(pool,)))
+    leaving, reported = set(), None
+    for number, (kind, start) in enumerate(messages):
+        message = message_of(kind, start)
+        now = 100.0 * number
+        if kind == 'notice':
+            directory.mark_leaving(message, now)
+        else:
+            directory.observe(message, now)
+            reported = start
+        if kind != 'report':
+            leaving.add(start)
+        if reported is not None:
+            chosen = directory.choose(pool, set(), now + 50.0, LONG)
+            assert (chosen is None) == (reported in leaving)
