--- a/src/greengagelb/coordination/actions.py
+++ b/src/greengagelb/coordination/actions.py
@@ -53,11 +53,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendRestart:
-    """Tell the caller that its answer starts afresh."""
+    """Tell the caller that its answer starts afresh.
+
+    ``point`` stands before the first token of the new generation: a caller
+    that loses its connection right here has discarded the old tokens, and
+    its old cursor would no longer fit what it holds.
+    """
 
     exchange: int
     generation: int
     reason: str
+    point: requests.ResumePoint
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/greengagelb/coordination/attempts.py
@@ -0,0 +1,215 @@
+"""Orders, attaches and drops attempts, and knows whose each one is."""
+
+import itertools
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import cancellations
+from greengagelb.coordination import routing
+from greengagelb.coordination import stalls
+from greengagelb.state import attempts as attempt_state
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import identity
+from greengagelb.state import requests
+from greengagelb.state import streams as stream_state
+from greengagelb.state import upstreams as upstream_state
+
+
+class AttemptTable:
+    """All attempts that count, as in flight and as sources of tokens.
+
+    Invariant: ``exchanges`` names exactly the current attempt and the spare
+    of every stream, and each of them is counted once at its upstream.
+    """
+
+    def __init__(
+        self,
+        directory: routing.UpstreamDirectory,
+        cancels: cancellations.CancellationSupervisor,
+        watch: stalls.StallWatch,
+        incarnation: str,
+    ) -> None:
+        self.directory = directory
+        self.cancels = cancels
+        self.watch = watch
+        self.incarnation = incarnation
+        self.exchanges: dict[identity.AttemptId, int] = {}
+        self.by_upstream: dict[str, set[identity.AttemptId]] = {}
+        self.counter = itertools.count(1)
+
+    def order(
+        self,
+        stream: stream_state.Stream,
+        view: upstream_state.UpstreamView,
+        now: float,
+        *,
+        spare: bool = False,
+    ) -> list[actions.Action]:
+        """Give the generation, from its position on, to an upstream."""
+        attempt = attempt_state.Attempt(
+            identity.AttemptId(
+                stream.request.request,
+                stream.generation,
+                f'{self.incarnation}.{next(self.counter)}',
+            ),
+            view.upstream,
+            view.incarnation,
+            ordered_at=now,
+        )
+        if spare:
+            stream.spare = attempt
+        else:
+            stream.attempt = attempt
+        self.count(stream, attempt)
+        kind = 'spare-started' if spare else 'attempt-started'
+        return [
+            record(stream, attempt, kind, f'at {stream.position}'),
+            actions.StartAttempt(
+                attempt.attempt_id,
+                view.upstream,
+                stream.pool.model,
+                stream.pool.version,
+                stream.pool.adapter,
+                stream.request.prompt,
+                tuple(stream.tokens),
+                stream.request.most_tokens,
+                priority_of(stream),
+                stream.request.deadline,
+            ),
+            self.watch.rearm(stream, attempt, now),
+        ]
+
+    def attach(
+        self,
+        stream: stream_state.Stream,
+        attempt: attempt_state.Attempt,
+        now: float,
+    ) -> list[actions.Action]:
+        """Ask for a running attempt over a fresh connection."""
+        attempt.suspected = True
+        attempt.answered = False
+        attempt.attached_at = now
+        view = self.directory.views.get(attempt.upstream.name)
+        if view is not None:
+            attempt.incarnation = view.incarnation
+        return [
+            actions.AttachAttempt(
+                attempt.attempt_id, attempt.upstream, stream.position
+            ),
+            self.watch.rearm(stream, attempt, now),
+        ]
+
+    def take_over(
+        self,
+        stream: stream_state.Stream,
+        point: requests.ResumePoint,
+        view: upstream_state.UpstreamView,
+        now: float,
+    ) -> attempt_state.Attempt:
+        """Count an attempt that another exchange had started."""
+        attempt = attempt_state.Attempt(
+            identity.AttemptId(point.request, point.generation, point.attempt),
+            view.upstream,
+            point.engine.incarnation,
+            ordered_at=now,
+            returned_to=True,
+        )
+        stream.attempt = attempt
+        self.count(stream, attempt)
+        return attempt
+
+    def count(
+        self, stream: stream_state.Stream, attempt: attempt_state.Attempt
+    ) -> None:
+        """Count an attempt as in flight, and as one of a stream."""
+        name = attempt.upstream.name
+        self.exchanges[attempt.attempt_id] = stream.request.exchange
+        self.by_upstream.setdefault(name, set()).add(attempt.attempt_id)
+        self.directory.started(name)
+
+    def release(
+        self, stream: stream_state.Stream, attempt: attempt_state.Attempt
+    ) -> None:
+        """Count an attempt no longer; its events are dropped from now on."""
+        name = attempt.upstream.name
+        del self.exchanges[attempt.attempt_id]
+        self.by_upstream[name].discard(attempt.attempt_id)
+        if not self.by_upstream[name]:
+            del self.by_upstream[name]
+        self.directory.finished(name)
+        if stream.attempt is attempt:
+            stream.attempt = None
+        if stream.spare is attempt:
+            stream.spare = None
+
+    def drop(
+        self, stream: stream_state.Stream, attempt: attempt_state.Attempt
+    ) -> list[actions.Action]:
+        """Release an attempt and have its engine stop it."""
+        self.release(stream, attempt)
+        return self.cancels.cancel(
+            attempt.attempt_id,
+            attempt.upstream,
+            attempt.incarnation,
+            stream.request.deadline,
+        )
+
+    def drop_all(self, stream: stream_state.Stream) -> list[actions.Action]:
+        """Drop whatever runs for a stream."""
+        done: list[actions.Action] = []
+        for attempt in stream.own_attempts():
+            done += self.drop(stream, attempt)
+        return done
+
+    def drop_spare(self, stream: stream_state.Stream) -> list[actions.Action]:
+        """Drop the spare, if there is one."""
+        if stream.spare is None:
+            return []
+        return [
+            clear_timer(stalls.SPARE_TIMER, stream),
+            *self.drop(stream, stream.spare),
+        ]
+
+    def promote_spare(
+        self, stream: stream_state.Stream, now: float
+    ) -> list[actions.Action]:
+        """Make the spare the current attempt."""
+        stream.attempt, stream.spare = stream.spare, None
+        if stream.attempt is None:
+            return []
+        return [
+            clear_timer(stalls.SPARE_TIMER, stream),
+            record(stream, stream.attempt, 'spare-promoted', 'in its place'),
+            self.watch.rearm(stream, stream.attempt, now),
+        ]
+
+
+def priority_of(
+    stream: stream_state.Stream,
+) -> configuration_state.Priority:
+    """Return an attempt's priority: continuations go before new long work."""
+    priority = stream.service.priority
+    if stream.position and priority is configuration_state.Priority.LONG:
+        return configuration_state.Priority.RESUME
+    return priority
+
+
+def clear_timer(kind: str, stream: stream_state.Stream) -> actions.ClearTimer:
+    """Return the action that forgets a timer of a stream."""
+    return actions.ClearTimer(stalls.timer_name(kind, stream.request.exchange))
+
+
+def record(
+    stream: stream_state.Stream,
+    attempt: attempt_state.Attempt | None,
+    kind: str,
+    reason: str,
+) -> actions.Record:
+    """Return a time line event about a stream."""
+    return actions.Record(
+        kind,
+        reason,
+        stream.request.request,
+        stream.generation,
+        attempt.attempt_id.attempt if attempt else '',
+        attempt.upstream.name if attempt else '',
+    )
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -6,6 +6,7 @@
 harness drive the very same object.
 """
 
+import dataclasses
 import random
 
 from greengagelb.coordination import actions
@@ -16,6 +17,7 @@
 from greengagelb.coordination import events
 from greengagelb.coordination import fair_queue
 from greengagelb.coordination import routing
+from greengagelb.coordination import stalls
 from greengagelb.coordination import streams
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
@@ -106,8 +108,7 @@
             case events.AttemptBroken():
                 return self.streams.broken(event, now)
             case events.AttemptCancelled(attempt):
-                self.cancels.confirmed(attempt)
-                return []
+                return self.cancels.confirmed(attempt)
             case events.CancelFailed(attempt):
                 return self.cancels.failed(attempt, now)
             case (
@@ -133,7 +134,10 @@
         match event:
             case events.UpstreamReported():
                 self.directory.observe(event, now)
-                return []
+                return [
+                    *self.cancels.engine_reported(event.engine),
+                    *self.streams.engine_reported(event, now),
+                ]
             case events.EngineCacheChanged():
                 self.directory.cache_changed(event)
                 return []
@@ -168,13 +172,13 @@
         service = self.configuration.find_service(request.service)
         refusal = self.refusal(event, account, service)
         if refusal is not None or account is None or service is None:
-            truthful = claims.truthful(refusal, request, service)
+            truthful = truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, truthful)]
         ticket = self.ticket(event, service)
         resumes = isinstance(event, events.GenerationResumed)
         refusal = self.admission.refusal(ticket, account, resumes, now)
         if refusal is not None:
-            truthful = claims.truthful(refusal, request, service)
+            truthful = truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, truthful)]
         self.admission.push(ticket)
         self.waiting[request.exchange] = (ticket, event)
@@ -208,7 +212,7 @@
         if exchange not in self.waiting:
             return []
         ticket, _ = self.waiting[exchange]
-        name = streams.timer_name(QUEUE_TIMER, exchange)
+        name = stalls.timer_name(QUEUE_TIMER, exchange)
         return [actions.SetTimer(name, ticket.deadline)]
 
     def refusal(
@@ -304,11 +308,12 @@
         view = self.directory.choose(
             pool, set(), now, ticket.priority, prefix_of(event)
         )
-        if view is None:
+        resumes = isinstance(event, events.GenerationResumed)
+        if view is None and not resumes:
             return None
         del self.waiting[ticket.exchange]
         self.admission.start(ticket, account.weight, now)
-        timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
+        timer = stalls.timer_name(QUEUE_TIMER, ticket.exchange)
         done: list[actions.Action] = [actions.ClearTimer(timer)]
         if needs_claim(event, service):
             return done + self.claims.begin(event.request)
@@ -349,11 +354,11 @@
         _, event = self.waiting.pop(ticket.exchange)
         request = event.request
         service = self.configuration.find_service(request.service)
-        timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
+        timer = stalls.timer_name(QUEUE_TIMER, ticket.exchange)
         failure = not_run(code, ticket.pool, None)
         if wait is not None:
             failure = self.admission.not_run(code, ticket.pool, wait)
-        truthful = claims.truthful(failure, request, service)
+        truthful = truthful_answer(failure, event, service)
         return [
             actions.ClearTimer(timer),
             actions.SendFailure(ticket.exchange, truthful),
@@ -401,7 +406,7 @@
         if exchange in self.waiting:
             ticket, _ = self.waiting.pop(exchange)
             self.admission.discard(ticket)
-            timer = streams.timer_name(QUEUE_TIMER, exchange)
+            timer = stalls.timer_name(QUEUE_TIMER, exchange)
             return [actions.ClearTimer(timer)]
         return [
             *self.claims.caller_gone(exchange, now),
@@ -413,7 +418,7 @@
         """Pass a timer to the object that set it."""
         kind, _, rest = name.partition(':')
         match kind:
-            case 'cancel':
+            case cancellations.CANCEL_TIMER:
                 return self.cancels.timer_fired(name)
             case 'queued':
                 return self.queued_too_long(int(rest))
@@ -447,6 +452,7 @@
         self.configuration = offered
         self.accounts = {a.name: a for a in offered.accounts}
         self.directory.apply(offered)
+        self.streams.apply(offered)
         self.admission.unpark_all()
         return [
             actions.Record(
@@ -467,6 +473,21 @@
     return event.request.has_idempotency_key and not service.idempotent
 
 
+def truthful_answer(
+    failure: requests.Failure,
+    event: Arrival,
+    service: configuration_state.Service | None,
+) -> requests.Failure:
+    """Return a refusal that says "not run" only where that is known.
+
+    A caller that comes back with a cursor holds tokens of its request. Told
+    "not run", it would throw them away and ask for the whole again.
+    """
+    if isinstance(event, events.GenerationResumed):
+        return dataclasses.replace(failure, ran=requests.Ran.YES)
+    return claims.truthful(failure, event.request, service)
+
+
 def not_run(
     code: str, detail: str, retry_after: float | None
 ) -> requests.Failure:
--- /dev/null
+++ b/src/greengagelb/coordination/recovery.py
@@ -0,0 +1,349 @@
+"""What is done for a stream whose attempt is lost, cheapest step first.
+
+1. Attach to the same attempt over a new connection, since the old one may
+   merely have gone silent and the engine still has its cache.
+2. Continue on another engine of the same model version and adapter, given
+   the prompt and the exact tokens so far.
+3. Start a new generation, told to the caller as a restart, if the service is
+   idempotent and no engine of the version can be had; else give the final
+   answer.
+"""
+
+import dataclasses
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import attempts
+from greengagelb.coordination import budgets
+from greengagelb.coordination import routing
+from greengagelb.coordination import stalls
+from greengagelb.state import attempts as attempt_state
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import requests
+from greengagelb.state import streams as stream_state
+from greengagelb.state import upstreams as upstream_state
+
+RECOVERY_RETRY_SECONDS = 0.05
+RECOVERY_PATIENCE_SECONDS = 1.5
+ATTACH_AGAIN_SECONDS = 1.0
+MOST_GENERATIONS = 4
+RETRY_AFTER_SECONDS = 2.0
+RECOVERY_TIMER = 'recovery'
+DEADLINE_TIMER = 'deadline'
+ALL_TIMERS = (
+    stalls.STALL_TIMER,
+    stalls.SPARE_TIMER,
+    RECOVERY_TIMER,
+    DEADLINE_TIMER,
+)
+
+
+class RecoveryLadder:
+    """Replaces lost attempts, and gives the final answer where none helps.
+
+    ``streams`` holds the running streams by exchange; ``recovering`` those
+    without an attempt, in the order in which they lost it.
+    """
+
+    def __init__(
+        self,
+        directory: routing.UpstreamDirectory,
+        table: attempts.AttemptTable,
+    ) -> None:
+        self.directory = directory
+        self.table = table
+        self.configuration = configuration_state.Configuration()
+        self.budgets = budgets.ReplayBudgets()
+        self.exhausted = budgets.ExhaustedRequests()
+        self.streams: dict[int, stream_state.Stream] = {}
+        self.recovering: dict[int, stream_state.Stream] = {}
+
+    # -- first step ---------------------------------------------------------
+
+    def lost(
+        self,
+        stream: stream_state.Stream,
+        attempt: attempt_state.Attempt,
+        now: float,
+        reason: str,
+    ) -> list[actions.Action]:
+        """Take the next step after a loss of contact with an attempt."""
+        stream.may_have_run = True
+        just_attached = now - attempt.attached_at < ATTACH_AGAIN_SECONDS
+        if attempt is stream.spare or attempt.suspected or just_attached:
+            return self.bury(stream, attempt, now, reason)
+        done = [attempts.record(stream, attempt, 'attempt-suspected', reason)]
+        done += self.table.attach(stream, attempt, now)
+        return done + self.start_spare(stream, attempt, now)
+
+    def start_spare(
+        self,
+        stream: stream_state.Stream,
+        suspected: attempt_state.Attempt,
+        now: float,
+    ) -> list[actions.Action]:
+        """Have a second engine continue while the first is asked.
+
+        It costs a prompt read for nothing where the first still lives, and
+        saves the time of asking where it is dead.
+        """
+        wanted = stream.service.recovery.spare_attempt
+        if not wanted or stream.spare is not None or stream.is_whole:
+            return []
+        if self.would_run_twice(stream):
+            return []
+        excluded = {suspected.upstream.name}
+        pool = self.pinned_pool(stream)
+        view = self.directory.choose(pool, excluded, now)
+        if view is None or self.budget_wait(stream, now):
+            return []
+        return self.table.order(stream, view, now, spare=True)
+
+    # -- second step --------------------------------------------------------
+
+    def bury(
+        self,
+        stream: stream_state.Stream,
+        attempt: attempt_state.Attempt,
+        now: float,
+        reason: str,
+    ) -> list[actions.Action]:
+        """Take an attempt's engine for dead."""
+        stream.engine_deaths += 1
+        self.directory.suspect(attempt.upstream.name, now)
+        stream.excluded.add(attempt.upstream.name)
+        return self.replace(stream, attempt, now, reason)
+
+    def replace(
+        self,
+        stream: stream_state.Stream,
+        attempt: attempt_state.Attempt,
+        now: float,
+        reason: str,
+    ) -> list[actions.Action]:
+        """Put the spare or another engine in an attempt's place."""
+        is_current = attempt is stream.attempt
+        done = [attempts.record(stream, attempt, 'attempt-replaced', reason)]
+        done += self.table.drop(stream, attempt)
+        if self.has_killed_too_many(stream):
+            self.exhausted.add(stream.request.request)
+            return done + self.fail(stream, 'engine-deaths-exceeded', None)
+        if not is_current:
+            return done
+        if stream.spare is not None:
+            return done + self.table.promote_spare(stream, now)
+        return done + self.recover(stream, now)
+
+    def has_killed_too_many(self, stream: stream_state.Stream) -> bool:
+        """Return whether more engines died than a request may be part of."""
+        most = stream.service.recovery.most_engine_deaths
+        return stream.engine_deaths > most
+
+    def recover(
+        self, stream: stream_state.Stream, now: float
+    ) -> list[actions.Action]:
+        """Find an engine for a stream that has none, or wait a little."""
+        exchange = stream.request.exchange
+        self.recovering.pop(exchange, None)
+        if stream.recover_by is None:
+            stream.recover_by = now + RECOVERY_PATIENCE_SECONDS
+        if stream.is_whole:
+            # The last token came and only the end event was lost; an engine
+            # asked to continue would generate one token too many.
+            return self.end(stream, 'length')
+        if self.would_run_twice(stream):
+            return self.fail(stream, 'outcome-unknown', None)
+        pool = self.pinned_pool(stream)
+        view = self.directory.choose(pool, stream.excluded, now)
+        if view is not None:
+            return self.go_on(stream, pool, view, now)
+        if not self.directory.may_ever_serve(pool):
+            return self.restart(stream, now)
+        return self.wait(stream, now)
+
+    def try_again(
+        self, stream: stream_state.Stream, now: float
+    ) -> list[actions.Action]:
+        """Look again, at the engines that refused or failed before too.
+
+        Only time gives them another chance. Were they asked again whenever
+        a place comes free, a refusal would bring about the next one, as fast
+        as the network allows.
+        """
+        stream.excluded.clear()
+        return self.recover(stream, now)
+
+    def go_on(
+        self,
+        stream: stream_state.Stream,
+        pool: configuration_state.Pool,
+        view: upstream_state.UpstreamView,
+        now: float,
+    ) -> list[actions.Action]:
+        """Continue a stream on an engine, within its account's budget."""
+        wait = self.budget_wait(stream, now)
+        if wait:
+            return self.fail(stream, 'replay-budget-spent', wait)
+        stream.pool = pool
+        return self.table.order(stream, view, now)
+
+    def wait(
+        self, stream: stream_state.Stream, now: float
+    ) -> list[actions.Action]:
+        """Try again soon, or give the final answer when patience is out."""
+        exchange = stream.request.exchange
+        if stream.recover_by is not None and now >= stream.recover_by:
+            return self.fail(stream, 'no-engine', RETRY_AFTER_SECONDS)
+        self.recovering[exchange] = stream
+        timer = stalls.timer_name(RECOVERY_TIMER, exchange)
+        return [actions.SetTimer(timer, now + RECOVERY_RETRY_SECONDS)]
+
+    # -- third step ---------------------------------------------------------
+
+    def restart(
+        self, stream: stream_state.Stream, now: float
+    ) -> list[actions.Action]:
+        """Start afresh on the version in force, if the request may repeat."""
+        pool = self.pool_in_force(stream)
+        if pool is None or not self.directory.may_ever_serve(pool):
+            return self.fail(stream, 'no-engine', RETRY_AFTER_SECONDS)
+        if not stream.service.idempotent and stream.may_have_run:
+            return self.fail(stream, 'version-withdrawn', None)
+        if stream.generation >= MOST_GENERATIONS:
+            return self.fail(stream, 'restarts-exceeded', None)
+        view = self.directory.choose(pool, stream.excluded, now)
+        if view is None:
+            return self.wait(stream, now)
+        if not stream.may_have_run:
+            return self.go_on(stream, pool, view, now)
+        wait = self.budget_wait(stream, now)
+        if wait:
+            return self.fail(stream, 'replay-budget-spent', wait)
+        stream.start_afresh(pool)
+        started = self.table.order(stream, view, now)
+        told = actions.SendRestart(
+            stream.request.exchange,
+            stream.generation,
+            'version-withdrawn',
+            stream.resume_point(),
+        )
+        return [
+            attempts.record(stream, None, 'stream-restarted', pool.version),
+            told,
+            *started,
+        ]
+
+    # -- ending -------------------------------------------------------------
+
+    def end(
+        self, stream: stream_state.Stream, reason: str
+    ) -> list[actions.Action]:
+        """Complete the answer."""
+        sent = actions.SendEnd(
+            stream.request.exchange,
+            stream.generation,
+            stream.position,
+            reason,
+        )
+        ended = stream.attempt
+        if ended is not None:
+            self.table.release(stream, ended)
+        return [
+            attempts.record(stream, ended, 'stream-ended', reason),
+            sent,
+            *self.close(stream),
+        ]
+
+    def fail(
+        self,
+        stream: stream_state.Stream,
+        code: str,
+        retry_after: float | None,
+    ) -> list[actions.Action]:
+        """Give the caller its final answer."""
+        failure = requests.Failure(
+            code,
+            self.what_ran(stream),
+            f'{stream.position} tokens of generation {stream.generation} sent',
+            retry_after,
+        )
+        return [
+            attempts.record(stream, stream.attempt, 'stream-failed', code),
+            actions.SendFailure(stream.request.exchange, failure),
+            *self.close(stream),
+        ]
+
+    def close(self, stream: stream_state.Stream) -> list[actions.Action]:
+        """Forget a stream, and stop what still runs for it."""
+        exchange = stream.request.exchange
+        done = self.table.drop_all(stream)
+        self.streams.pop(exchange, None)
+        self.recovering.pop(exchange, None)
+        done += [attempts.clear_timer(kind, stream) for kind in ALL_TIMERS]
+        return done
+
+    # -- helpers ------------------------------------------------------------
+
+    def what_ran(self, stream: stream_state.Stream) -> requests.Ran:
+        """Return what is known of an unfinished stream."""
+        if stream.position:
+            return requests.Ran.YES
+        if stream.may_have_run or stream.own_attempts():
+            return requests.Ran.UNKNOWN
+        return requests.Ran.NO
+
+    def would_run_twice(self, stream: stream_state.Stream) -> bool:
+        """Return whether a new attempt would repeat what may not repeat.
+
+        A continuation after the first token is the same generation. Before
+        it nothing tells a continuation from a second run.
+        """
+        first = not stream.position and stream.may_have_run
+        return first and not stream.service.idempotent
+
+    def budget_wait(self, stream: stream_state.Stream, now: float) -> float:
+        """Take a resume from the account's budget; return 0 or the wait."""
+        if not stream.may_have_run:
+            return 0.0
+        name = stream.request.request.account
+        account = self.configuration.find_account(name)
+        if account is None:
+            return 0.0
+        return self.budgets.spend(name, account.resume_budget, now)
+
+    def pinned_pool(
+        self, stream: stream_state.Stream
+    ) -> configuration_state.Pool:
+        """Return the pool's upstreams of now, at the stream's own version."""
+        pinned = stream.pool
+        current = self.configuration.find_pool(pinned.name)
+        if current is None:
+            return pinned
+        return dataclasses.replace(
+            current,
+            model=pinned.model,
+            version=pinned.version,
+            adapter=pinned.adapter,
+        )
+
+    def pool_in_force(
+        self, stream: stream_state.Stream
+    ) -> configuration_state.Pool | None:
+        """Return the service's pool of now, if its version has changed."""
+        service = self.configuration.find_service(stream.service.name)
+        if service is None:
+            return None
+        pool = self.configuration.find_pool(service.pool)
+        if pool is None or what_it_runs(pool) == what_it_runs(stream.pool):
+            return None
+        return pool
+
+
+def what_it_runs(pool: configuration_state.Pool) -> tuple[str, str, str]:
+    """Return what the engines of a pool have to run."""
+    return (pool.model, pool.version, pool.adapter)
+
+
+def deadline_timer(request: requests.GenerationRequest) -> actions.SetTimer:
+    """Return the timer of the caller's own deadline."""
+    timer = stalls.timer_name(DEADLINE_TIMER, request.exchange)
+    return actions.SetTimer(timer, request.deadline)
--- /dev/null
+++ b/src/greengagelb/coordination/returning.py
@@ -0,0 +1,163 @@
+"""Callers who come back after they lost the instance that served them.
+
+Nothing about a stream is kept outside the instance that serves it. What
+another instance needs comes with the caller: a sealed cursor, and the tokens
+that the caller holds.
+"""
+
+import dataclasses
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import attempts
+from greengagelb.coordination import events
+from greengagelb.coordination import recovery
+from greengagelb.state import attempts as attempt_state
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import requests
+from greengagelb.state import streams as stream_state
+from greengagelb.state import upstreams as upstream_state
+
+
+class ReturningCallers:
+    """Takes up streams that broke off elsewhere."""
+
+    def __init__(self, ladder: recovery.RecoveryLadder) -> None:
+        self.ladder = ladder
+        self.directory = ladder.directory
+        self.table = ladder.table
+
+    def resume(
+        self,
+        event: events.GenerationResumed,
+        service: configuration_state.Service,
+        pool: configuration_state.Pool,
+        now: float,
+    ) -> list[actions.Action]:
+        """Go on where a caller's stream broke off."""
+        stream = self.rebuild(event, service, pool)
+        code = self.objection(event, stream)
+        if code:
+            return [refusal(event.request, code)]
+        done = self.supersede(event.point)
+        self.ladder.streams[event.request.exchange] = stream
+        done.append(recovery.deadline_timer(event.request))
+        return done + self.find_attempt(stream, event.point, now)
+
+    def rebuild(
+        self,
+        event: events.GenerationResumed,
+        service: configuration_state.Service,
+        pool: configuration_state.Pool,
+    ) -> stream_state.Stream:
+        """Return the stream as the lost instance knew it."""
+        point = event.point
+        pinned = dataclasses.replace(
+            pool,
+            model=point.model,
+            version=point.version,
+            adapter=point.adapter,
+        )
+        stream = stream_state.Stream(
+            event.request,
+            service,
+            pinned,
+            stream_state.digest_of_request(event.request),
+        )
+        stream.generation = point.generation
+        stream.engine_deaths = point.engine_deaths
+        stream.may_have_run = True
+        stream.accept(0, event.received)
+        return stream
+
+    def objection(
+        self, event: events.GenerationResumed, stream: stream_state.Stream
+    ) -> str:
+        """Return why a stream can't be taken up, or an empty text.
+
+        The caller's tokens are believed only if their digest is the one in
+        the sealed cursor, and its request only if it is the one the cursor
+        was sealed for; otherwise the answer could become a mixture.
+        """
+        point = event.point
+        if event.request.request != point.request:
+            return 'bad-cursor'
+        if stream.request_digest != point.request_digest:
+            return 'request-differs'
+        if (stream.position, stream.chain) != (point.position, point.chain):
+            return 'received-tokens-differ'
+        if point.request in self.ladder.exhausted:
+            return 'engine-deaths-exceeded'
+        return ''
+
+    def supersede(self, point: requests.ResumePoint) -> list[actions.Action]:
+        """End an older exchange that still follows the same attempt.
+
+        Its caller has come back before its old connection was noticed to be
+        broken. Two exchanges can't follow one attempt, and when the older
+        one ends it must not cancel what the newer one reads.
+        """
+        for attempt_id, exchange in self.table.exchanges.items():
+            mine = (attempt_id.request, attempt_id.generation)
+            if mine != (point.request, point.generation):
+                continue
+            if attempt_id.attempt == point.attempt:
+                return self.leave(self.ladder.streams[exchange])
+        return []
+
+    def leave(self, older: stream_state.Stream) -> list[actions.Action]:
+        """End an exchange without stopping its attempt."""
+        done = self.table.drop_spare(older)
+        if older.attempt is not None:
+            self.table.release(older, older.attempt)
+        return done + self.ladder.fail(older, 'taken-over', None)
+
+    def find_attempt(
+        self,
+        stream: stream_state.Stream,
+        point: requests.ResumePoint,
+        now: float,
+    ) -> list[actions.Action]:
+        """Attach to the attempt that the lost instance had started."""
+        view = self.directory.views.get(point.engine.name)
+        if view is None:
+            return self.ladder.recover(stream, now)
+        attempt = self.table.take_over(stream, point, view, now)
+        reason = self.why_gone(stream, attempt, view)
+        if reason:
+            return self.ladder.replace(stream, attempt, now, reason)
+        return [
+            attempts.record(
+                stream, attempt, 'stream-attached', 'caller came back'
+            ),
+            *self.table.attach(stream, attempt, now),
+        ]
+
+    def why_gone(
+        self,
+        stream: stream_state.Stream,
+        attempt: attempt_state.Attempt,
+        view: upstream_state.UpstreamView,
+    ) -> str:
+        """Return why there is nothing to attach to, or an empty text."""
+        if attempt.attempt_id in self.table.cancels.pending:
+            return 'was cancelled here'
+        if not view.incarnation:
+            return ''
+        known = attempt.incarnation
+        if known and known != view.incarnation:
+            stream.engine_deaths += 1
+            return 'engine restarted'
+        runs = (view.model, view.version, view.adapter)
+        if stream.pool.version and runs != recovery.what_it_runs(stream.pool):
+            return f'engine runs {view.version} now'
+        return ''
+
+
+def refusal(
+    request: requests.GenerationRequest, code: str
+) -> actions.SendFailure:
+    """Return the final answer to a caller who can't be served."""
+    failure = requests.Failure(
+        code, requests.Ran.YES, 'this request ran before'
+    )
+    return actions.SendFailure(request.exchange, failure)
--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -259,6 +259,11 @@
             pool.adapter,
         )
 
+    def may_ever_serve(self, pool: configuration_state.Pool) -> bool:
+        """Return whether waiting may bring an upstream with room."""
+        views = (self.views.get(found.name) for found in pool.upstreams)
+        return any(view and self.may_get_work(view, pool) for view in views)
+
     def has_room(
         self,
         view: upstream_state.UpstreamView,
--- /dev/null
+++ b/src/greengagelb/state/attempts.py
@@ -0,0 +1,31 @@
+"""One try of one engine at a generation, as its instance knows it."""
+
+import dataclasses
+
+from greengagelb.state import configuration
+from greengagelb.state import identity
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """An attempt that counts as in flight at ``upstream``.
+
+    ``incarnation`` is that of the engine, empty where it has not reported.
+    ``suspected`` says that a fresh connection asks for it and no token has
+    come since. Times are monotonic seconds. ``confirming`` says that its
+    stall deadline has passed and only the sockets are still to be read.
+    """
+
+    attempt_id: identity.AttemptId
+    upstream: configuration.Upstream
+    incarnation: str
+    suspected: bool = False
+    answered: bool = False
+    has_progressed: bool = False
+    latest_arrival: float | None = None
+    ordered_at: float = float('inf')
+    attached_at: float = float('-inf')
+    stall_deadline: float = float('inf')
+    confirming: bool = False
+    late_timers: int = 0
+    returned_to: bool = False
--- a/src/greengagelb/state/requests.py
+++ b/src/greengagelb/state/requests.py
@@ -60,7 +60,8 @@
     ``position`` counts the tokens that the caller holds; ``chain`` is the
     running digest over them, so that tokens of another generation can't be
     passed off as these. ``engine`` and ``attempt`` tell where the generation
-    ran.
+    ran, ``model``, ``version`` and ``adapter`` what made its tokens, and
+    ``request_digest`` what was asked for.
     """
 
     request: identity.RequestId
@@ -69,7 +70,10 @@
     engine: identity.EngineId
     position: int
     chain: bytes
+    model: str
     version: str
+    adapter: str
+    request_digest: bytes
     engine_deaths: int = 0
 
 
--- a/src/greengagelb/state/streams.py
+++ b/src/greengagelb/state/streams.py
@@ -4,11 +4,13 @@
 import hashlib
 
 from greengagelb import errors
+from greengagelb.state import attempts
 from greengagelb.state import configuration
 from greengagelb.state import identity
 from greengagelb.state import requests
 
-EMPTY_CHAIN = bytes(16)
+DIGEST_BYTES = 16
+EMPTY_CHAIN = bytes(DIGEST_BYTES)
 
 
 def extend_chain(chain: bytes, tokens: tuple[str, ...]) -> bytes:
@@ -19,39 +21,61 @@
     """
     for token in tokens:
         raw = token.encode()
-        digest = hashlib.blake2b(chain, digest_size=16)
+        digest = hashlib.blake2b(chain, digest_size=DIGEST_BYTES)
         digest.update(len(raw).to_bytes(4, 'big'))
         digest.update(raw)
         chain = digest.digest()
     return chain
 
 
+def digest_of_request(request: requests.GenerationRequest) -> bytes:
+    """Return a digest of what a generation was asked for; 16 bytes.
+
+    A caller that comes back with its cursor but another prompt would get the
+    start of one answer and the end of another.
+    """
+    what = (request.service, request.prompt, str(request.most_tokens))
+    return extend_chain(EMPTY_CHAIN, what)
+
+
 @dataclasses.dataclass(slots=True)
 class Stream:
     """One exchange's generation.
 
-    Invariants: ``position`` equals the number of tokens sent to the caller
+    ``pool`` is pinned: its model, version and adapter are those of every
+    token in ``tokens``. ``spare`` runs beside a suspected attempt; the first
+    of the two to bring the next token stays. ``recover_by`` is the monotonic
+    time by which output goes on or the final answer is given. ``may_have_run``
+    turns true once an engine may have worked on this request.
+
+    Invariant: ``position`` equals the number of tokens sent to the caller
     and of those kept in ``tokens``; all of them belong to ``generation``.
     """
 
     request: requests.GenerationRequest
     service: configuration.Service
     pool: configuration.Pool
+    request_digest: bytes
     generation: int = 1
     tokens: list[str] = dataclasses.field(default_factory=list)
     chain: bytes = EMPTY_CHAIN
-    attempt: identity.AttemptId | None = None
-    upstream: configuration.Upstream | None = None
-    incarnation: str = ''
+    attempt: attempts.Attempt | None = None
+    spare: attempts.Attempt | None = None
     engine_deaths: int = 0
-    attached_again: bool = False
     excluded: set[str] = dataclasses.field(default_factory=set)
+    recover_by: float | None = None
+    may_have_run: bool = False
 
     @property
     def position(self) -> int:
         """Return the position of the next token."""
         return len(self.tokens)
 
+    @property
+    def is_whole(self) -> bool:
+        """Return whether no further token was asked for."""
+        return self.position >= self.request.most_tokens
+
     def accept(self, position: int, tokens: tuple[str, ...]) -> None:
         """Append tokens that must follow on exactly from what is there."""
         if position != self.position:
@@ -61,23 +85,46 @@
         self.tokens.extend(tokens)
         self.chain = extend_chain(self.chain, tokens)
 
-    def start_afresh(self) -> None:
+    def start_afresh(self, pool: configuration.Pool) -> None:
         """Begin a new generation; nothing of the old one is kept."""
+        if not self.service.idempotent:
+            raise errors.InvariantViolated('restart of what may not repeat')
         self.generation += 1
+        self.pool = pool
         self.tokens.clear()
         self.chain = EMPTY_CHAIN
 
+    def own_attempts(self) -> list[attempts.Attempt]:
+        """Return the current attempt and the spare, where there are any."""
+        both = (self.attempt, self.spare)
+        return [attempt for attempt in both if attempt is not None]
+
+    def find_attempt(
+        self, attempt_id: identity.AttemptId
+    ) -> attempts.Attempt | None:
+        """Return the attempt of that id, if it still counts."""
+        for attempt in self.own_attempts():
+            if attempt.attempt_id == attempt_id:
+                return attempt
+        return None
+
     def resume_point(self) -> requests.ResumePoint:
         """Return what a caller needs to come back through any instance."""
-        if self.attempt is None or self.upstream is None:
+        attempt = self.attempt
+        if attempt is None:
             raise errors.InvariantViolated('no attempt to resume')
         return requests.ResumePoint(
             request=self.request.request,
             generation=self.generation,
-            attempt=self.attempt.attempt,
-            engine=identity.EngineId(self.upstream.name, self.incarnation),
+            attempt=attempt.attempt_id.attempt,
+            engine=identity.EngineId(
+                attempt.upstream.name, attempt.incarnation
+            ),
             position=self.position,
             chain=self.chain,
+            model=self.pool.model,
             version=self.pool.version,
+            adapter=self.pool.adapter,
+            request_digest=self.request_digest,
             engine_deaths=self.engine_deaths,
         )
--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -223,8 +223,9 @@
         if exchange is None:
             return
         message = caller_api.Restarted(action.generation, action.reason)
+        cursor = self.seal.seal(action.point)
         self.begin_stream(exchange).write(
-            sse.write_event(codec.encode(message), 'restart')
+            sse.write_event(codec.encode(message), 'restart', cursor)
         )
 
     def send_end(self, action: actions.SendEnd) -> None:
--- a/tests/callers/test_bad_input.py
+++ b/tests/callers/test_bad_input.py
@@ -34,7 +34,10 @@
         identity.EngineId('e', 'i'),
         0,
         streams.EMPTY_CHAIN,
+        'm',
         '1',
+        '',
+        streams.EMPTY_CHAIN,
     )
     return seal.seal(point).encode()
 
--- a/tests/common/callers.py
+++ b/tests/common/callers.py
@@ -66,6 +66,7 @@
             return
         if event.kind == 'restart':
             self.tokens.clear()
+            self.cursor = event.event_id
             return
         if event.data == '[DONE]':
             return
--- a/tests/common/loaded_node.py
+++ b/tests/common/loaded_node.py
@@ -96,6 +96,7 @@
 def end(running, exchange, now):
     """Have the engine complete an exchange's answer."""
     stream = running.streams.streams[exchange]
+    attempt = stream.attempt.attempt_id
     return running.handle(
-        events.AttemptEnded(stream.attempt, stream.position, 'length'), now
+        events.AttemptEnded(attempt, stream.position, 'length'), now
     )
--- a/tests/load/test_fair_start.py
+++ b/tests/load/test_fair_start.py
@@ -69,7 +69,7 @@
     node.handle(loaded_node.draft(1, 'a'), 1.0)
     node.handle(loaded_node.draft(2, 'a'), 1.0)
     node.handle(loaded_node.draft(3, 'a'), 1.0)
-    lost = node.streams.streams[1].attempt
+    lost = node.streams.streams[1].attempt.attempt_id
     for _ in range(2):
         node.handle(events.AttemptBroken(lost, 'killed', True), 1.1)
     assert node.streams.streams[1].attempt is None
@@ -86,7 +86,7 @@
     node = loaded_node.new_node([loaded_node.account('a')])
     for exchange in (1, 2):
         node.handle(loaded_node.draft(exchange, 'a'), 1.0)
-    attempt = node.streams.streams[1].attempt
+    attempt = node.streams.streams[1].attempt.attempt_id
     monkeypatch.setattr(node.directory, 'choose', None)
     done = node.handle(events.TokensArrived(attempt, 0, ('x',)), 1.0)
     assert loaded_node.only(actions.SendTokens, done)
--- a/tests/load/test_limits.py
+++ b/tests/load/test_limits.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination import rates
 from greengagelb.state import identity
 from greengagelb.state import requests
+from greengagelb.state import streams as stream_state
 from tests.common import loaded_node
 
 
@@ -105,7 +106,10 @@
             identity.EngineId('gone', ''),
             0,
             bytes(16),
+            'm',
             '1',
+            '',
+            stream_state.digest_of_request(submitted),
         )
         event = events.GenerationResumed(submitted, point, ())
         done = node.handle(event, 1.0)
--- /dev/null
+++ b/tests/streams/test_recovery_ladder.py
@@ -0,0 +1,294 @@
+"""Each step after a loss, by itself; what the machine found is kept here."""
+
+import pytest
+
+from greengagelb.coordination import events
+from greengagelb.coordination import recovery
+from greengagelb.state import configuration
+from greengagelb.state import requests
+from tests.common import generations
+
+
+def started(service='draft', tokens=3, engines=3):
+    world = generations.World(engines)
+    world.report()
+    caller = world.submit(service)
+    world.serve(tokens)
+    assert len(caller.tokens) == tokens
+    return world, caller
+
+
+def finish(world, caller):
+    world.serve(generations.MOST_TOKENS + 2)
+    (end,) = caller.finals
+    return end
+
+
+def failure_of(caller):
+    (found,) = caller.finals
+    return found.failure
+
+
+def test_silent_connection_is_replaced_by_a_new_one_to_the_same_engine():
+    """A middlebox forgets a connection; nothing closes it.
+
+    The draft stands still for a moment and goes on, from the same engine.
+    """
+    world, caller = started()
+    engine = world.engine_of(caller)
+    engine.silence()
+    world.pass_time(0.4)
+    world.serve(1)
+    assert world.engine_of(caller) is engine
+    assert finish(world, caller).position == generations.MOST_TOKENS
+
+
+def test_second_silence_of_one_attempt_costs_no_engine_death():
+    """The same connection path is lost again, much later.
+
+    Taken for a death, it would move a healthy generation elsewhere.
+    """
+    world, caller = started()
+    for _ in range(2):
+        assert caller.waits
+        world.engine_of(caller).silence()
+        world.pass_time(0.4)
+        for _ in range(3):
+            world.serve(1)
+            world.advance(0.2)
+            world.serve(1)
+            world.advance(0.2)
+    assert world.stream_of(caller).engine_deaths == 0
+
+
+def test_paused_engine_that_comes_back_adds_nothing():
+    """An engine stands still, is replaced, and goes on as if nothing was.
+
+    Its tokens differ from those of its successor.
+    """
+    world, caller = started()
+    paused = world.engine_of(caller)
+    paused.pause()
+    for _ in range(4):
+        world.advance(0.5)
+        world.deliver_all()
+    world.serve(1)
+    assert world.engine_of(caller) is not paused
+    world.come_back(paused.name)
+    paused.generate(3)
+    world.deliver_late(world.instances[caller.instance])
+    assert finish(world, caller).position == generations.MOST_TOKENS
+
+
+def test_engine_that_reports_another_version_is_left_at_once():
+    """An engine loads another version while it generates.
+
+    What it writes from then on belongs to another model's answer.
+    """
+    world, caller = started()
+    engine = world.engine_of(caller)
+    engine.version = '2'
+    held = list(caller.tokens)
+    world.report()
+    engine.generate(2)
+    world.deliver_all()
+    assert caller.tokens[: len(held)] == held
+    assert world.engine_of(caller) is not engine
+    assert world.stream_of(caller).engine_deaths == 0
+
+
+def test_batch_lost_on_the_way_is_asked_for_again():
+    """A batch is missing, and the next one comes.
+
+    Passed on, it would leave a hole in the draft.
+    """
+    world, caller = started()
+    world.engine_of(caller).generate(2)
+    world.lose_batches(world.instances['i1'])
+    world.serve(1)
+    assert finish(world, caller).position == generations.MOST_TOKENS
+
+
+def test_end_is_not_believed_while_tokens_are_missing():
+    """The last batch is lost, but not the end event after it."""
+    world, caller = started()
+    world.engine_of(caller).generate(generations.MOST_TOKENS)
+    world.lose_batches(world.instances['i1'])
+    assert finish(world, caller).position == generations.MOST_TOKENS
+
+
+def test_lost_end_event_does_not_add_a_token():
+    """The engine dies between the last token and the end event."""
+    world, caller = started()
+    engine = world.engine_of(caller)
+    engine.generate(generations.MOST_TOKENS)
+    (connection,) = engine.connections
+    del connection.queue[-1]
+    world.deliver_all()
+    assert len(caller.tokens) == generations.MOST_TOKENS
+    engine.kill()
+    broken = events.AttemptBroken(connection.attempt, 'reset', True)
+    for _ in range(2):
+        world.tell(world.instances['i1'], broken)
+    assert finish(world, caller).reason == 'length'
+
+
+def test_withdrawn_version_restarts_what_may_be_repeated():
+    """The pool has moved to another version and the old engine dies.
+
+    The caller is told to discard what it holds; it never gets the end of
+    another generation.
+    """
+    world, caller = started()
+    for engine in world.engines.values():
+        engine.version = '2'
+    world.configure('2')
+    world.report()
+    assert (caller.generation, caller.tokens) == (2, [])
+    assert finish(world, caller).generation == 2
+
+
+def test_caller_lost_right_after_a_restart_comes_back_to_it():
+    """The connection breaks between the restart and the next token.
+
+    The caller has discarded its tokens by then. Its old cursor would no
+    longer fit, and it could never come back.
+    """
+    world, caller = started()
+    for engine in world.engines.values():
+        engine.version = '2'
+    world.configure('2')
+    world.report()
+    world.leave(caller, noticed=True)
+    world.ask(caller, 'i2')
+    assert finish(world, caller).generation == 2
+
+
+def test_withdrawn_version_ends_what_may_not_be_repeated():
+    """As before, but the request must not run again."""
+    world, caller = started('once')
+    for engine in world.engines.values():
+        engine.version = '2'
+    world.configure('2')
+    world.report()
+    assert failure_of(caller).code == 'version-withdrawn'
+
+
+def test_request_that_may_not_repeat_is_not_started_twice():
+    """The engine dies before the first token of a non-idempotent request."""
+    world, caller = started('once', tokens=0)
+    world.engine_of(caller).kill()
+    world.deliver_all()
+    assert failure_of(caller).ran is requests.Ran.UNKNOWN
+
+
+def test_refused_everywhere_is_told_at_once_as_not_run():
+    """Every engine is full; the request is refused by each of them.
+
+    The caller is told within seconds, and may believe that nothing ran. The
+    engines are not asked in a tight loop until then.
+    """
+    world = generations.World()
+    for engine in world.engines.values():
+        engine.full = True
+    caller = world.submit()
+    for _ in range(40):
+        world.deliver_all()
+        world.advance(recovery.RECOVERY_RETRY_SECONDS)
+    assert failure_of(caller).ran is requests.Ran.NO
+    assert failure_of(caller).retry_after
+    tries = recovery.RECOVERY_PATIENCE_SECONDS / 0.05 + 2
+    assert world.kinds().count('attempt-started') <= 3 * tries
+
+
+def test_nothing_that_can_help_is_waited_for():
+    """The last engine of a pool is lost while the others are drained."""
+    world, caller = started()
+    engine = world.engine_of(caller)
+    views = world.instances['i1'].node.directory.views
+    for name, view in views.items():
+        view.leaving = True
+        assert name in world.engines
+    engine.kill()
+    world.deliver_all()
+    assert failure_of(caller).code == 'no-engine'
+    assert failure_of(caller).retry_after
+
+
+@pytest.mark.parametrize('service', ['draft', 'hasty'])
+def test_request_that_kills_engines_is_stopped(service):
+    """A prompt brings down each engine that reads it.
+
+    Resumed for ever, it would take the whole pool from all accounts.
+    """
+    world, caller = started(service)
+    for _ in range(50):
+        if not caller.waits:
+            break
+        for engine in world.engines.values():
+            if any(not run.ended for run in engine.runs.values()):
+                engine.kill()
+            engine.come_back()
+        world.deliver_all()
+        world.advance(0.3)
+        world.report()
+    assert failure_of(caller).code == 'engine-deaths-exceeded'
+    assert failure_of(caller).retry_after is None
+    most = configuration.RecoveryPolicy().most_engine_deaths
+    ordered = world.kinds().count('attempt-started')
+    assert ordered + world.kinds().count('spare-started') <= 2 * (most + 1)
+
+
+def test_spare_runs_while_the_first_is_still_asked():
+    """An engine stands still under a service that values latency.
+
+    Its successor has begun before the first is taken for dead.
+    """
+    world, caller = started('hasty')
+    world.engine_of(caller).pause()
+    while 'attempt-suspected' not in world.kinds():
+        world.advance(0.05)
+    stream = world.stream_of(caller)
+    assert stream.attempt is not None
+    assert stream.spare is not None
+    world.serve(1)
+    assert stream.spare is None
+    assert len(caller.tokens) == 4
+
+
+def test_first_attempt_that_goes_on_ends_its_spare():
+    """The first engine was merely slow: its token comes before any other."""
+    world, caller = started('hasty')
+    slow = world.engine_of(caller)
+    slow.silence()
+    while 'spare-started' not in world.kinds():
+        world.advance(0.05)
+    slow.generate(1)
+    world.deliver_all()
+    assert world.engine_of(caller) is slow
+    assert world.stream_of(caller).spare is None
+    assert finish(world, caller).position == generations.MOST_TOKENS
+
+
+def test_lost_streams_go_before_new_work():
+    """One of two engines dies while new requests wait for a place.
+
+    Each place that comes free would go to a new request, and the drafts
+    that staff watch would stand still until they fail.
+    """
+    world = generations.World(2)
+    world.report()
+    callers = [world.submit() for _ in range(6)]
+    world.serve(2)
+    waiting = world.submit()
+    lost = next(c for c in callers if c.tokens)
+    engine = world.engine_of(lost)
+    hit = [c for c in callers if world.engine_of(c) is engine]
+    engine.kill()
+    world.deliver_all()
+    other = next(c for c in callers if c not in hit)
+    world.leave(other, noticed=True)
+    assert not waiting.tokens
+    served = [c for c in hit if world.stream_of(c).attempt]
+    assert len(served) == 1
+    assert waiting.exchange in world.instances['i1'].node.waiting
--- /dev/null
+++ b/tests/streams/test_returning_callers.py
@@ -0,0 +1,195 @@
+"""A caller comes back through another instance with its cursor."""
+
+import dataclasses
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from greengagelb.coordination import budgets
+from greengagelb.state import configuration
+from greengagelb.state import identity
+from tests.common import generations
+
+
+def broken_off(service='draft'):
+    world = generations.World()
+    world.report()
+    caller = world.submit(service, 'i1')
+    world.serve(4)
+    return world, caller
+
+
+def failure_code(caller):
+    return caller.finals[-1].failure.code
+
+
+def test_same_attempt_goes_on_after_its_instance_died():
+    """The instance dies; the engine has not noticed and goes on."""
+    world, caller = broken_off()
+    engine = world.engine_of(caller)
+    world.replace_instance('i1')
+    world.ask(caller, 'i2')
+    world.serve(1)
+    assert world.engine_of(caller) is engine
+    world.serve(generations.MOST_TOKENS)
+    assert caller.finals[-1].position == generations.MOST_TOKENS
+
+
+def test_engine_and_instance_lost_together():
+    """A rack goes. What the caller holds is all that is left of its draft."""
+    world, caller = broken_off()
+    world.engine_of(caller).kill()
+    world.replace_instance('i1')
+    world.ask(caller, 'i2')
+    world.serve(generations.MOST_TOKENS)
+    assert caller.finals[-1].position == generations.MOST_TOKENS
+
+
+def test_restarted_engine_is_not_asked_for_an_older_attempt():
+    """The engine died and is back under its name; the report tells so.
+
+    To wait for an answer about the old attempt would be time lost.
+    """
+    world, caller = broken_off()
+    engine = world.engine_of(caller)
+    engine.kill()
+    engine.come_back()
+    world.replace_instance('i1')
+    world.report()
+    del world.records[:]
+    world.ask(caller, 'i2')
+    assert world.kinds()[0] == 'attempt-replaced'
+    assert world.stream_of(caller).engine_deaths == 1
+
+
+def test_older_exchange_does_not_cancel_what_the_newer_one_reads():
+    """The caller is back before its instance notices the old connection.
+
+    When it does, it must not stop the attempt that is read again.
+    """
+    world, caller = broken_off()
+    older = caller.exchange
+    world.leave(caller, noticed=False)
+    world.ask(caller, 'i1')
+    world.tell(world.instances['i1'], generations.events.CallerGone(older))
+    world.serve(generations.MOST_TOKENS)
+    assert caller.finals[-1].position == generations.MOST_TOKENS
+    assert 'attempt-replaced' not in world.kinds()
+
+
+def test_generation_stays_on_its_version_at_another_instance():
+    """The pool moves to another version while the caller is away.
+
+    One engine still runs the old one, and the draft must end on it.
+    """
+    world, caller = broken_off()
+    world.engine_of(caller).kill()
+    survivor = next(
+        engine
+        for engine in world.engines.values()
+        if engine.health is not generations.sampled_engines.Health.DEAD
+    )
+    for engine in world.engines.values():
+        engine.version = '1' if engine is survivor else '2'
+    world.configure('2')
+    world.replace_instance('i1')
+    world.report()
+    world.ask(caller, 'i2')
+    world.serve(generations.MOST_TOKENS)
+    assert caller.finals[-1].position == generations.MOST_TOKENS
+    assert caller.restarts == 0
+
+
+def test_tokens_of_another_answer_are_refused():
+    """A client's store mixes up two drafts, and it sends the wrong one."""
+    world, caller = broken_off()
+    world.leave(caller, noticed=True)
+    caller.tokens[0] = 'other'
+    world.ask(caller, 'i2')
+    assert failure_code(caller) == 'received-tokens-differ'
+
+
+def test_another_prompt_is_refused():
+    """A client comes back with a longer conversation but the old cursor.
+
+    It would get the start of one answer and the end of another.
+    """
+    world, caller = broken_off()
+    world.leave(caller, noticed=True)
+    caller.prompt = 'another prompt'
+    world.ask(caller, 'i2')
+    assert failure_code(caller) == 'request-differs'
+
+
+def test_cursor_of_another_request_is_refused():
+    """Event ids of two drafts are swapped on the way."""
+    world, caller = broken_off()
+    world.leave(caller, noticed=True)
+    caller.request = identity.RequestId('teratak', 'another')
+    world.ask(caller, 'i2')
+    assert failure_code(caller) == 'bad-cursor'
+
+
+def test_deaths_ride_in_the_cursor():
+    """A request that killed engines comes back elsewhere.
+
+    Its count goes on there; from nought it could kill as many again.
+    """
+    world, caller = broken_off()
+    world.engine_of(caller).kill()
+    world.serve(1)
+    assert caller.point.engine_deaths == 1
+    most = configuration.RecoveryPolicy().most_engine_deaths
+    caller.point = dataclasses.replace(caller.point, engine_deaths=most)
+    world.replace_instance('i1')
+    world.ask(caller, 'i2')
+    world.engine_of(caller).kill()
+    world.deliver_all()
+    assert failure_code(caller) == 'engine-deaths-exceeded'
+
+
+@pytest.mark.parametrize('with_old_cursor', [True, False])
+def test_stopped_request_does_not_begin_again(with_old_cursor):
+    """A request was stopped for the engines that it killed.
+
+    Its caller tries again, with an older cursor or as if for the first time.
+    """
+    world, caller = broken_off()
+    instance = world.instances['i2']
+    instance.node.streams.ladder.exhausted.add(caller.request)
+    world.leave(caller, noticed=True)
+    if not with_old_cursor:
+        caller.point = None
+    world.ask(caller, 'i2', caller.request)
+    assert failure_code(caller) == 'engine-deaths-exceeded'
+
+
+def test_account_beyond_its_budget_is_told_when_to_come_back():
+    """Callers of one account come back in a loop.
+
+    Each time an engine reads a prompt again, which all accounts pay for.
+    """
+    world = generations.World(resume_budget=2)
+    caller = world.submit('draft', 'i1')
+    world.serve(2)
+    for _ in range(2):
+        world.leave(caller, noticed=False)
+        world.ask(caller, 'i2')
+    assert caller.waits
+    world.leave(caller, noticed=False)
+    world.ask(caller, 'i2')
+    assert failure_code(caller) == 'resume-budget-spent'
+    assert 0 < caller.finals[-1].failure.retry_after <= 60.0
+
+
+@given(st.integers(1, 200), st.floats(0.0, 1e6))
+def test_who_waits_as_long_as_told_may_resume(per_minute, now):
+    """A caller comes back exactly when Retry-After says."""
+    found = budgets.ReplayBudgets()
+    for _ in range(per_minute):
+        assert not found.spend('teratak', per_minute, now)
+    wait = found.spend('teratak', per_minute, now)
+    assert wait
+    assert not found.spend('teratak', per_minute, now + wait)
+    assert not found.spend('karri', per_minute, now)
--- /dev/null
+++ b/tests/streams/test_stalls.py
@@ -0,0 +1,118 @@
+"""Silence is judged by progress, and not at all after one's own pause."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagelb.coordination import stalls
+from greengagelb.state import pace
+from tests.common import generations
+
+
+def several_streams(count=6):
+    world = generations.World()
+    world.report()
+    callers = [world.submit() for _ in range(count)]
+    world.serve(3)
+    return world, callers
+
+
+@given(st.floats(0.2, 60.0), st.booleans())
+def test_own_pause_kills_no_engine(seconds, timers_first):
+    """An instance is stopped for a while and goes on.
+
+    Every stall timer is due, and the tokens wait unread. Judged by its
+    timers, all engines would be dead and all drafts moved at once.
+    """
+    world, callers = several_streams()
+    world.stand_still(seconds)
+    for engine in world.engines.values():
+        engine.generate(1)
+    if timers_first:
+        world.take_turn()
+    world.deliver_all()
+    world.take_turn()
+    assert 'attempt-replaced' not in world.kinds()
+    assert all(len(caller.tokens) == 4 for caller in callers)
+
+
+def test_timer_in_time_still_lets_the_sockets_be_read_first():
+    """A pause ends just when a stall timer is due, so it is not late."""
+    world, callers = several_streams(1)
+    deadline = world.stream_of(callers[0]).attempt.stall_deadline
+    for engine in world.engines.values():
+        engine.generate(1)
+    world.now = deadline
+    instance = world.instances['i1']
+    name = f'stall:{callers[0].exchange}'
+    del instance.timers[name]
+    world.tell(instance, generations.events.TimerFired(name))
+    world.deliver_all()
+    world.take_turn()
+    assert 'attempt-suspected' not in world.kinds()
+    assert len(callers[0].tokens) == 4
+
+
+def test_starved_instance_still_finds_a_dead_engine():
+    """A loop that is always late must not wait for ever."""
+    world, callers = several_streams(1)
+    engine = world.engine_of(callers[0])
+    engine.pause()
+    for _ in range(30):
+        world.stand_still(0.6)
+        world.take_turn()
+        world.deliver_all()
+    assert world.engine_of(callers[0]) is not engine
+
+
+def test_slow_engine_is_given_its_own_pace():
+    """An engine under load brings a token every 80 ms.
+
+    A constant fit for a fast engine would take it for dead again and again.
+    """
+    world = generations.World()
+    caller = world.submit()
+    world.deliver_all()
+    for _ in range(8):
+        world.advance(0.08)
+        world.serve(1)
+    stream = world.stream_of(caller)
+    wait = stream.attempt.stall_deadline - world.now
+    policy = stream.service.recovery
+    assert policy.least_stall < wait <= policy.most_stall
+    world.advance(0.5)
+    assert 'attempt-suspected' not in world.kinds()
+
+
+def test_attempt_that_waits_in_a_busy_engine_is_not_dead():
+    """An engine accepts more than it runs at once.
+
+    The later request gets no token while the engine serves others. Moved
+    about as if each engine had died, it would fail in the end.
+    """
+    world = generations.World(1)
+    busy = world.submit()
+    world.serve(2)
+    queued = world.submit()
+    world.deliver_all()
+    (run,) = [
+        run
+        for run in world.engines['e0'].runs.values()
+        if run.order.attempt.request == queued.request
+    ]
+    run.waits = True
+    for _ in range(30):
+        if not busy.waits:
+            busy = world.submit()
+        world.serve(1)
+        world.pass_time(0.2)
+    assert world.now > stalls.FIRST_TOKEN_SECONDS * 2
+    assert world.stream_of(queued).engine_deaths == 0
+    assert 'attempt-replaced' not in world.kinds()
+
+
+@given(st.lists(st.floats(0.001, 2.0), min_size=1))
+def test_observed_pace_stays_within_what_was_observed(gaps):
+    found = pace.Pace()
+    for gap in gaps:
+        found.observe(gap)
+    assert min(gaps) * 0.999 <= found.gap <= max(gaps) * 1.001
