--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -41,10 +41,12 @@
     is either waiting, running or gone, and is counted once in admission.
     """
 
-    def __init__(self, incarnation: str, rng: random.Random) -> None:
+    def __init__(
+        self, incarnation: str, rng: random.Random, data_centre: str = ''
+    ) -> None:
         self.incarnation = incarnation
         self.configuration = configuration_state.Configuration()
-        self.directory = routing.UpstreamDirectory(rng)
+        self.directory = routing.UpstreamDirectory(rng, data_centre)
         self.admission = admission.AdmissionControl(rng)
         self.accounts: dict[str, configuration_state.ClientAccount] = {}
         self.cancels = cancellations.CancellationSupervisor()
@@ -138,6 +140,9 @@
                     *self.cancels.engine_reported(event.engine),
                     *self.streams.engine_reported(event, now),
                 ]
+            case events.LoadsHeard(loads):
+                self.directory.hear_loads(loads, now)
+                return []
             case events.EngineCacheChanged():
                 self.directory.cache_changed(event)
                 return []
@@ -145,7 +150,7 @@
                 self.directory.suspect(name, now)
                 return []
             case events.UpstreamLeaving():
-                self.directory.mark_leaving(event)
+                self.directory.mark_leaving(event, now)
                 return []
             case events.ConfigurationOffered():
                 return self.configure(event)
--- a/src/greengagelb/coordination/recovery.py
+++ b/src/greengagelb/coordination/recovery.py
@@ -156,7 +156,7 @@
         view = self.directory.choose(pool, stream.excluded, now)
         if view is not None:
             return self.go_on(stream, pool, view, now)
-        if not self.directory.may_ever_serve(pool):
+        if not self.directory.may_ever_serve(pool, now):
             return self.restart(stream, now)
         return self.wait(stream, now)
 
@@ -192,11 +192,25 @@
         """Try again soon, or give the final answer when patience is out."""
         exchange = stream.request.exchange
         if stream.recover_by is not None and now >= stream.recover_by:
-            return self.fail(stream, 'no-engine', RETRY_AFTER_SECONDS)
+            return self.give_up(stream, now)
         self.recovering[exchange] = stream
         timer = stalls.timer_name(RECOVERY_TIMER, exchange)
         return [actions.SetTimer(timer, now + RECOVERY_RETRY_SECONDS)]
 
+    def give_up(
+        self, stream: stream_state.Stream, now: float
+    ) -> list[actions.Action]:
+        """Restart or fail, when patience is out.
+
+        An instance that does not watch the engines learns only from their
+        refusals that none has the version any more.
+        """
+        pool = self.pool_in_force(stream)
+        if pool is not None and self.directory.choose(pool, set(), now):
+            stream.excluded.clear()
+            return self.restart(stream, now)
+        return self.fail(stream, 'no-engine', RETRY_AFTER_SECONDS)
+
     # -- third step ---------------------------------------------------------
 
     def restart(
@@ -204,7 +218,7 @@
     ) -> list[actions.Action]:
         """Start afresh on the version in force, if the request may repeat."""
         pool = self.pool_in_force(stream)
-        if pool is None or not self.directory.may_ever_serve(pool):
+        if pool is None or not self.directory.may_ever_serve(pool, now):
             return self.fail(stream, 'no-engine', RETRY_AFTER_SECONDS)
         if not stream.service.idempotent and stream.may_have_run:
             return self.fail(stream, 'version-withdrawn', None)
--- a/src/greengagelb/coordination/returning.py
+++ b/src/greengagelb/coordination/returning.py
@@ -11,6 +11,7 @@
 from greengagelb.coordination import attempts
 from greengagelb.coordination import events
 from greengagelb.coordination import recovery
+from greengagelb.coordination import routing
 from greengagelb.state import attempts as attempt_state
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
@@ -122,7 +123,7 @@
         if view is None:
             return self.ladder.recover(stream, now)
         attempt = self.table.take_over(stream, point, view, now)
-        reason = self.why_gone(stream, attempt, view)
+        reason = self.why_gone(stream, attempt, view, now)
         if reason:
             return self.ladder.replace(stream, attempt, now, reason)
         return [
@@ -137,11 +138,16 @@
         stream: stream_state.Stream,
         attempt: attempt_state.Attempt,
         view: upstream_state.UpstreamView,
+        now: float,
     ) -> str:
-        """Return why there is nothing to attach to, or an empty text."""
+        """Return why there is nothing to attach to, or an empty text.
+
+        What was reported some time ago may be of another incarnation; the
+        engine itself is asked then.
+        """
         if attempt.attempt_id in self.table.cancels.pending:
             return 'was cancelled here'
-        if not view.incarnation:
+        if now - view.probed_at >= routing.PROBE_TRUST_SECONDS:
             return ''
         known = attempt.incarnation
         if known and known != view.incarnation:
