Prove streams with real processes: pauses, silence and double losses

Four tests with engines that sample: a connection that goes silent, an engine paused and back, an instance stopped three times for 1.6 s, instance and engine killed together and then the next engine.

--- /dev/null
+++ b/tests/process/test_streams_under_failures.py
@@ -0,0 +1,158 @@
+"""Streams with real processes: pauses, silence and engines that sample."""
+
+import signal
+import time
+
+import pytest
+
+from tests.common import callers
+from tests.common import fleet
+
+pytestmark = pytest.mark.slow
+
+LEAST_STALL = 1.0
+"""Seconds; large enough that a busy machine makes no engine seem dead."""
+STILL_SECONDS = 1.6
+
+
+@pytest.fixture
+def sampling(tmp_path):
+    """Run a fleet whose engines give each attempt its own tokens."""
+    with fleet.Fleet(tmp_path) as running:
+        for number in range(3):
+            running.engine(f'engine-{number}', '--sampled')
+        running.service('plain-0')
+        for number in range(2):
+            running.instance(f'router-{number}')
+        wanted = running.configuration()
+        wanted['services'][0]['recovery'] = {'least_stall': LEAST_STALL}
+        running.configure(wanted)
+        yield running
+
+
+def busy_engine(running):
+    """Return the name of an engine that runs something."""
+    for name, process in running.engines.items():
+        report = fleet.ask(process.port, '/v1/report').json()
+        if report['running']:
+            return name
+    raise AssertionError('no engine runs anything')
+
+
+def kinds_on_timeline(router):
+    answer = fleet.ask(
+        router.operator_port,
+        '/v1/timeline',
+        headers=fleet.bearer(fleet.OPERATOR_KEY),
+    )
+    return [event['kind'] for event in answer.json()['events']]
+
+
+def read_with(caller, port, act, at=50):
+    """Read a whole answer, and act once when some tokens are there."""
+    acted = False
+    for _ in caller.read(port):
+        if len(caller.tokens) > at and not acted:
+            act()
+            acted = True
+    assert acted
+    assert caller.error is None
+    assert len(caller.tokens) == caller.most_tokens
+
+
+def test_connection_that_goes_silent_is_replaced(sampling):
+    """A middlebox forgets the connection to an engine; new ones work.
+
+    The draft stands still for a moment and goes on from the same attempt.
+    """
+    router = sampling.instances['router-0']
+
+    def silence():
+        engine = sampling.engines[busy_engine(sampling)]
+        faults = {'silent': True}
+        assert fleet.ask(engine.port, '/standin/faults', faults).status == 200
+
+    caller = callers.StreamCaller('hello', 400)
+    read_with(caller, router.port, silence)
+    kinds = kinds_on_timeline(router)
+    assert 'attempt-suspected' in kinds
+    assert 'attempt-replaced' not in kinds
+
+
+def test_paused_engine_is_replaced_and_stopped_when_it_is_back(sampling):
+    """An engine is paused, replaced and comes back as if nothing happened.
+
+    The caller sees one answer. The engine must not go on for nobody.
+    """
+    router = sampling.instances['router-0']
+    paused = []
+
+    def pause():
+        paused.append(sampling.engines[busy_engine(sampling)])
+        paused[0].send_signal(signal.SIGSTOP)
+
+    caller = callers.StreamCaller('hello', 3000)
+    for _ in caller.read(router.port):
+        if len(caller.tokens) > 50 and not paused:
+            pause()
+        if 'attempt-replaced' in kinds_on_timeline(router):
+            break
+    paused[0].send_signal(signal.SIGCONT)
+    fleet.wait_until(
+        lambda: fleet.ask(paused[0].port, '/v1/report').json()['running'] == 0
+    )
+
+
+def test_paused_instance_takes_no_engine_for_dead(sampling):
+    """An instance is stopped for longer than any stall deadline.
+
+    When it goes on all its timers are due and all its tokens unread. Judged
+    by the timers, every draft would move to another engine.
+    """
+    router = sampling.instances['router-0']
+    seen = [
+        callers.StreamCaller(f'draft {number}', 900) for number in range(4)
+    ]
+    reading = [caller.read(router.port) for caller in seen]
+    for events in reading:
+        next(events)
+    for _ in range(3):
+        router.send_signal(signal.SIGSTOP)
+        time.sleep(STILL_SECONDS)
+        router.send_signal(signal.SIGCONT)
+        for events in reading:
+            next(events, None)
+    for caller, events in zip(seen, reading, strict=True):
+        for _ in events:
+            pass
+        assert caller.error is None
+        assert len(caller.tokens) == caller.most_tokens
+    kinds = kinds_on_timeline(router)
+    assert 'attempt-suspected' not in kinds
+    assert 'attempt-replaced' not in kinds
+
+
+def test_engine_and_instance_lost_twice_in_one_generation(sampling):
+    """Instance and engine go together, and then the next engine too.
+
+    The caller comes back each time with what it holds. Its answer is one
+    generation: engines here sample, and a glued one would be refused by the
+    digest in its own cursor.
+    """
+    first, second = sampling.instances.values()
+    caller = callers.StreamCaller('hello', 400)
+    for _ in caller.read(first.port):
+        if len(caller.tokens) > 50 and first.popen.poll() is None:
+            name = busy_engine(sampling)
+            sampling.engines.pop(name).send_signal(signal.SIGKILL)
+            first.send_signal(signal.SIGKILL)
+            first.popen.wait()
+
+    def kill_next():
+        name = busy_engine(sampling)
+        sampling.engines.pop(name).send_signal(signal.SIGKILL)
+
+    held = list(caller.tokens)
+    read_with(caller, second.port, kill_next, at=200)
+    assert caller.tokens[: len(held)] == held
+    assert caller.finish_reason == 'length'
