--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -174,12 +174,12 @@
         """Admit a request, let it wait, or refuse it at once."""
         request = event.request
         account = self.accounts.get(request.request.account)
-        service = self.configuration.find_service(request.service)
+        service = self.service_of(request)
         refusal = self.refusal(event, account, service)
         if refusal is not None or account is None or service is None:
             truthful = truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, truthful)]
-        ticket = self.ticket(event, service)
+        ticket = self.ticket(event, service, now)
         resumes = isinstance(event, events.GenerationResumed)
         refusal = self.admission.refusal(ticket, account, resumes, now)
         if refusal is not None:
@@ -189,8 +189,24 @@
         self.waiting[request.exchange] = (ticket, event)
         return []
 
+    def service_of(
+        self, request: requests.GenerationRequest | requests.CallRequest
+    ) -> configuration_state.Service | None:
+        """Return the service of a request, at the priority asked for.
+
+        A caller may lower the priority that its service has. Were it able to
+        raise it, every account's work would soon be the most urgent.
+        """
+        service = self.configuration.find_service(request.service)
+        if service is None or request.priority <= service.priority:
+            return service
+        return dataclasses.replace(service, priority=request.priority)
+
     def ticket(
-        self, event: Arrival, service: configuration_state.Service
+        self,
+        event: Arrival,
+        service: configuration_state.Service,
+        now: float,
     ) -> fair_queue.Ticket:
         """Return the ticket with which a request waits.
 
@@ -206,6 +222,7 @@
             priority,
             self.cost(event),
             event.request.deadline,
+            now + service.most_wait if service.most_wait else float('inf'),
         )
 
     def queue_timer(self, exchange: int) -> list[actions.Action]:
@@ -218,7 +235,8 @@
             return []
         ticket, _ = self.waiting[exchange]
         name = stalls.timer_name(QUEUE_TIMER, exchange)
-        return [actions.SetTimer(name, ticket.deadline)]
+        give_up_at = min(ticket.deadline, ticket.start_by)
+        return [actions.SetTimer(name, give_up_at)]
 
     def refusal(
         self,
@@ -300,7 +318,7 @@
         """Start a request, or return None where there is no room."""
         pool = self.configuration.find_pool(ticket.pool)
         event = self.waiting[ticket.exchange][1]
-        service = self.configuration.find_service(event.request.service)
+        service = self.service_of(event.request)
         if account is None or pool is None or service is None:
             return self.refuse_waiting(ticket, 'service-withdrawn', None)
         if now + self.admission.expected_run(ticket) > ticket.deadline:
@@ -337,7 +355,7 @@
         """Dispatch a request whose claim this instance holds now."""
         if request is None:
             return []
-        service = self.configuration.find_service(request.service)
+        service = self.service_of(request)
         pool = self.configuration.find_pool(service.pool) if service else None
         if service is None or pool is None:
             failure = not_run('service-withdrawn', request.service, None)
@@ -358,7 +376,7 @@
         self.admission.discard(ticket)
         _, event = self.waiting.pop(ticket.exchange)
         request = event.request
-        service = self.configuration.find_service(request.service)
+        service = self.service_of(request)
         timer = stalls.timer_name(QUEUE_TIMER, ticket.exchange)
         failure = not_run(code, ticket.pool, None)
         if wait is not None:
@@ -390,8 +408,7 @@
             self.abandoned.add(event.exchange)
         for action in done:
             if isinstance(action, FinalAnswer):
-                completed = not isinstance(action, actions.SendFailure)
-                self.release(action.exchange, completed, now)
+                self.release(action.exchange, tells_pace(action), now)
         for exchange in list(self.abandoned):
             if not self.is_in_progress(exchange):
                 self.abandoned.discard(exchange)
@@ -426,7 +443,7 @@
             case cancellations.CANCEL_TIMER:
                 return self.cancels.timer_fired(name)
             case 'queued':
-                return self.queued_too_long(int(rest))
+                return self.queued_too_long(int(rest), now)
             case claims.DEADLINE_TIMER | claims.SETTLE_TIMER:
                 return self.claims.timer_fired(kind, rest, now)
             case calls.DEADLINE_TIMER:
@@ -434,14 +451,17 @@
             case _:
                 return self.streams.timer_fired(kind, int(rest), now)
 
-    def queued_too_long(self, exchange: int) -> list[actions.Action]:
+    def queued_too_long(
+        self, exchange: int, now: float
+    ) -> list[actions.Action]:
         """Give a request that still waits its final answer."""
         waiting = self.waiting.get(exchange)
         if waiting is None:
             return []
         ticket, _ = waiting
         wait = self.admission.expected_wait(ticket)
-        return self.refuse_waiting(ticket, 'deadline-passed', wait)
+        code = 'deadline-passed' if now >= ticket.deadline else 'wait-too-long'
+        return self.refuse_waiting(ticket, code, wait)
 
     def configure(
         self, event: events.ConfigurationOffered
@@ -458,7 +478,7 @@
         self.accounts = {a.name: a for a in offered.accounts}
         self.directory.apply(offered)
         self.streams.apply(offered)
-        self.admission.unpark_all()
+        self.admission.keep_accounts(set(self.accounts))
         return [
             actions.Record(
                 'configuration-applied',
@@ -500,6 +520,20 @@
     return requests.Failure(code, requests.Ran.NO, detail, retry_after)
 
 
+def tells_pace(answer: FinalAnswer) -> bool:
+    """Return whether a request ran for as long as such requests take.
+
+    Without those that ran into their deadline only the quick ones would be
+    seen, and too many would be let in. One that has brought no token tells
+    nothing: it may have failed everywhere, and kept no engine busy.
+    """
+    if not isinstance(answer, actions.SendFailure):
+        return True
+    failure = answer.failure
+    in_progress = failure.ran is requests.Ran.YES
+    return in_progress and failure.code == 'deadline-passed'
+
+
 def prefix_of(event: Arrival) -> str:
     """Return what requests have in common that share a cached prefix.
 
--- a/src/greengagelb/coordination/streams.py
+++ b/src/greengagelb/coordination/streams.py
@@ -53,6 +53,7 @@
         self.ladder = recovery.RecoveryLadder(directory, self.table)
         self.returns = returning.ReturningCallers(self.ladder)
         self.streams = self.ladder.streams
+        self.exchanges = self.table.exchanges
         self.dropped_events = 0
 
     def apply(self, configuration: configuration_state.Configuration) -> None:
--- a/src/greengagelb/errors.py
+++ b/src/greengagelb/errors.py
@@ -84,6 +84,12 @@
     code = 'unauthenticated'
 
 
+class CannotListen(TransportError):
+    """Another process has a port that this one is to listen on."""
+
+    code = 'cannot-listen'
+
+
 class UnknownPlan(TransportError):
     """No plan of that id is kept."""
 
@@ -108,6 +114,12 @@
     code = 'body-too-large'
 
 
+class AccountBodiesFull(ProtocolError):
+    """The bodies of a client account take all the memory it may have."""
+
+    code = 'account-bodies-full'
+
+
 class InstanceUnreachable(TransportError):
     """An instance gave no answer to an operator's command."""
 
--- a/src/greengagelb/measure/baselines.py
+++ b/src/greengagelb/measure/baselines.py
@@ -7,6 +7,7 @@
 from greengagelb.coordination import fair_queue
 from greengagelb.coordination import node
 from greengagelb.coordination import routing
+from greengagelb.coordination import streams
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
 from greengagelb.state import upstreams as upstream_state
@@ -115,7 +116,9 @@
 ) -> None:
     """Give a node that has no configuration yet another directory."""
     changed.directory = directory
-    changed.streams.directory = directory
+    changed.streams = streams.StreamSupervisor(
+        directory, changed.cancels, changed.incarnation
+    )
     changed.calls.directory = directory
 
 
--- a/src/greengagelb/protocol/problems.py
+++ b/src/greengagelb/protocol/problems.py
@@ -25,6 +25,7 @@
     'replay-budget-spent': 429,
     'engine-deaths-exceeded': 502,
     'account-queue-full': 429,
+    'account-bodies-full': 429,
     'account-rate-exceeded': 429,
     'twin-outcome-unknown': 409,
     'idempotency-key-reused': 422,
--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -23,6 +23,7 @@
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
 from greengagelb.state import requests
+from greengagelb.transport import body_budget
 from greengagelb.transport import caller_headers
 from greengagelb.transport import caller_stream
 from greengagelb.transport import engine_client
@@ -58,6 +59,9 @@
         self.configuration = configuration
         self.seal = seal
         self.recorder = events_recorder
+        self.budget = body_budget.BodyBudget(
+            lambda request: self.authenticate(request).name
+        )
         self.exchanges: dict[int, Exchange] = {}
         self.numbers = itertools.count(1)
         self.app = klein.Klein()
@@ -90,6 +94,7 @@
             self.deadline_of(headers),
             bool(headers.idempotency_key),
             headers.first_send,
+            headers.priority,
         )
         event = self.arrival(headers.cursor, generation, tuple(body.received))
         return self.open(request, generation, event)
@@ -133,6 +138,7 @@
             self.deadline_of(headers),
             bool(headers.idempotency_key),
             headers.first_send,
+            headers.priority,
         )
         return self.open(request, call, events.CallSubmitted(call))
 
--- a/tests/process/test_product_commands.py
+++ b/tests/process/test_product_commands.py
@@ -10,6 +10,7 @@
 from tests.common import callers
 from tests.common import commands
 from tests.common import fleet
+from tests.common import processes
 
 pytestmark = pytest.mark.slow
 
@@ -67,20 +68,22 @@
         assert f'{second.operator_port} gave no events' in shown.output
 
 
-def test_serve_says_that_its_port_is_taken(tmp_path):
-    """Another process already listens on the callers' port.
+@pytest.mark.parametrize('taken_port', ['caller', 'operator', 'peer'])
+def test_serve_says_that_its_port_is_taken(tmp_path, taken_port):
+    """Another process already listens on one of an instance's ports.
 
     The instance says so and exits, rather than running unreachable.
     """
     with socket.socket() as taken:
         taken.bind((fleet.HOST, 0))
         taken.listen()
+        ports = {n: fleet.free_port() for n in ('caller', 'operator', 'peer')}
+        ports[taken_port] = taken.getsockname()[1]
+        lines = ''.join(f'{n}_port = {port}\n' for n, port in ports.items())
         path = tmp_path / 'a.ini'
         path.write_text(
             '[instance]\nname = a\ndata_centre = x\n'
-            f'host = {fleet.HOST}\ncaller_port = {taken.getsockname()[1]}\n'
-            f'operator_port = {fleet.free_port()}\n'
-            f'peer_port = {fleet.free_port()}\n'
+            f'host = {fleet.HOST}\n{lines}'
             f'[platform]\nhost = {fleet.HOST}\nport = 1\n'
             '[secrets]\ncursor_secret = 0123456789abcdef\n'
             f'operator_key_digest = {fleet.digest("x")}\n'
@@ -109,3 +112,19 @@
     assert 'checked: the charge ran once' in shown.output
     assert 'attempt-replaced' in shown.output
     assert shown.output.endswith('== done: everything held\n')
+
+
+def test_interrupted_demonstration_leaves_no_process_behind():
+    """Somebody stops the demonstration while it starts its processes."""
+    demo = commands.start_process('demo')
+    try:
+        fleet.wait_until(lambda: len(processes.children_of(demo.pid)) == 7)
+        started = processes.children_of(demo.pid)
+        demo.send_signal(signal.SIGTERM)
+        _, complaint = demo.communicate(timeout=60)
+    finally:
+        demo.kill()
+        demo.communicate()
+    assert demo.returncode == Code.FAILURE
+    assert complaint == 'greengagelb: interrupted: stopped by a signal\n'
+    assert not [pid for pid in started if processes.lives(pid)]
