--- a/src/greengagelb/coordination/attempts.py
+++ b/src/greengagelb/coordination/attempts.py
@@ -55,14 +55,16 @@
             view.incarnation,
             ordered_at=now,
         )
+        where = f'at {stream.position}'
         if spare:
             stream.spare = attempt
+            told = record(stream, attempt, 'spare-started', where)
         else:
             stream.attempt = attempt
+            told = record(stream, attempt, 'attempt-started', where)
         self.count(stream, attempt)
-        kind = 'spare-started' if spare else 'attempt-started'
         return [
-            record(stream, attempt, kind, f'at {stream.position}'),
+            told,
             actions.StartAttempt(
                 attempt.attempt_id,
                 view.upstream,
--- a/src/greengagelb/coordination/recovery.py
+++ b/src/greengagelb/coordination/recovery.py
@@ -273,7 +273,13 @@
         code: str,
         retry_after: float | None,
     ) -> list[actions.Action]:
-        """Give the caller its final answer."""
+        """Give the caller its final answer.
+
+        The time to come back is jittered: all streams of a lost pool fail
+        at one moment, and would all return at one moment.
+        """
+        if retry_after is not None:
+            retry_after *= self.directory.rng.uniform(1.0, 2.0)
         failure = requests.Failure(
             code,
             self.what_ran(stream),
--- a/tests/streams/test_recovery_ladder.py
+++ b/tests/streams/test_recovery_ladder.py
@@ -219,7 +219,8 @@
 def test_request_that_kills_engines_is_stopped(service):
     """A prompt brings down each engine that reads it.
 
-    Resumed for ever, it would take the whole pool from all accounts.
+    Resumed for ever, it would take the whole pool from all accounts. Sent
+    again, with an older cursor or none, it begins no new series.
     """
     world, caller = started(service)
     for _ in range(50):
@@ -237,6 +238,8 @@
     most = configuration.RecoveryPolicy().most_engine_deaths
     ordered = world.kinds().count('attempt-started')
     assert ordered + world.kinds().count('spare-started') <= 2 * (most + 1)
+    world.ask(caller, 'i1', caller.request)
+    assert caller.finals[-1].failure.code == 'engine-deaths-exceeded'
 
 
 def test_spare_runs_while_the_first_is_still_asked():
