--- a/src/greengagelb/state/streams.py
+++ b/src/greengagelb/state/streams.py
@@ -71,6 +71,11 @@
         """Return the position of the next token."""
         return len(self.tokens)
 
+    @property
+    def upstream(self) -> configuration.Upstream | None:
+        """Return where the current attempt runs, if there is one."""
+        return self.attempt.upstream if self.attempt else None
+
     @property
     def is_whole(self) -> bool:
         """Return whether no further token was asked for."""
