--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -238,7 +238,7 @@
         if exchange is None:
             return
         message = caller_api.Restarted(action.generation, action.reason)
-        cursor = self.seal.seal(action.point)
+        cursor = self.seal.seal(action.point, self.recorder.clock.latest)
         self.begin_stream(exchange).write(
             sse.write_event(codec.encode(message), 'restart', cursor)
         )
--- a/tests/streams/test_returning_callers.py
+++ b/tests/streams/test_returning_callers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from greengagelb.coordination import budgets
+from greengagelb.coordination import routing
 from greengagelb.state import configuration
 from greengagelb.state import identity
 from tests.common import generations
@@ -63,6 +64,31 @@
     assert world.stream_of(caller).engine_deaths == 1
 
 
+def test_old_report_does_not_make_a_running_attempt_gone():
+    """The instance last heard of the engine before that restarted.
+
+    It does not watch the engine. To believe the old report would read the
+    prompt again for nothing.
+    """
+    world = generations.World()
+    world.report()
+    for engine in world.engines.values():
+        engine.kill()
+        engine.come_back()
+    first = world.instances['i1']
+    for engine in world.engines.values():
+        world.tell(first, engine.report())
+    caller = world.submit('draft', 'i1')
+    world.serve(4)
+    engine = world.engine_of(caller)
+    world.advance(routing.PROBE_TRUST_SECONDS)
+    world.replace_instance('i1')
+    world.ask(caller, 'i2')
+    world.serve(1)
+    assert world.engine_of(caller) is engine
+    assert world.stream_of(caller).engine_deaths == 0
+
+
 def test_older_exchange_does_not_cancel_what_the_newer_one_reads():
     """The caller is back before its instance notices the old connection.
 
--- a/tests/timeline/test_order.py
+++ b/tests/timeline/test_order.py
@@ -54,7 +54,10 @@
         identity.EngineId('e', 'i'),
         0,
         streams.EMPTY_CHAIN,
+        'm',
         '1',
+        '',
+        streams.EMPTY_CHAIN,
     )
     cursor = site.seal.seal(point, ahead).encode()
     site.connect().send(
