--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -28,8 +28,10 @@
 from greengagelb.protocol import codec
 from greengagelb.protocol import engine_api
 from greengagelb.protocol import peer_api
+from greengagelb.protocol import platform_api
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import fleet as fleet_state
+from greengagelb.state import plans as plan_state
 from greengagelb.state import timeline
 from measure import recovery
 from tests.common import callers
@@ -352,13 +354,35 @@
         upstream = configuration['pools'][0]['upstreams'][0]
         upstream['port'] = listener.getsockname()[1]
         running.configure(configuration)
-        connection, _ = listener.accept()
-        with connection:
-            question = connection.recv(65536)
+        return exchange_bytes(listener, report)
+
+
+def poll_exchange_bytes() -> int:
+    """Return the bytes of one look at the platform's confirmation."""
+    confirmation = plan_state.Confirmation(
+        123_456, '0' * 16, ('give engine-600 no new work',)
+    )
+    value = codec.encode(confirmation).decode()
+    row = codec.encode(platform_api.Row('current', 123_456, value))
+    with (
+        socket.create_server((fleet.HOST, 0)) as listener,
+        tempfile.TemporaryDirectory() as folder,
+        fleet.Fleet(pathlib.Path(folder)) as running,
+    ):
+        port = listener.getsockname()[1]
+        running.instance('router-0', platform_port=port)
+        return exchange_bytes(listener, row)
+
+
+def exchange_bytes(listener: socket.socket, answer: bytes) -> int:
+    """Return the bytes of the first question to come and of an answer."""
+    connection, _ = listener.accept()
+    with connection:
+        question = connection.recv(65536)
     head = b'HTTP/1.1 200 OK\r\nContent-Length: 000\r\n'
     head += b'Content-Type: application/json\r\nDate: ' + 29 * b'x'
     head += b'\r\nServer: TwistedWeb/00.00.0\r\n\r\n'
-    return len(question) + len(head) + len(report)
+    return len(question) + len(head) + len(answer)
 
 
 def sample_report() -> bytes:
@@ -398,7 +422,10 @@
             time.sleep(IDLE_SECONDS)
             used = recovery.processor_seconds(instance) - before
             points.append((IDLE_SECONDS / seconds, used))
-    return {'poll': fit('processor seconds', points)}
+    return {
+        'poll': fit('processor seconds', points),
+        'poll_bytes': Line('bytes', float(poll_exchange_bytes()), 0.0, []),
+    }
 
 
 PARTS = {
@@ -422,6 +449,8 @@
     for part in arguments.parts.split(','):
         lines |= PARTS[part]()
     found = {name: dataclasses.asdict(line) for name, line in lines.items()}
+    if arguments.output and arguments.output.exists():
+        found = json.loads(arguments.output.read_text()) | found
     text = json.dumps(found, indent=2, sort_keys=True)
     print(text)
     if arguments.output:
--- a/src/greengagelb/coordination/watching.py
+++ b/src/greengagelb/coordination/watching.py
@@ -14,7 +14,7 @@
 from greengagelb.state import upstreams as upstream_state
 
 WATCHERS = 2
-TURNS_BETWEEN_REMOTE = 10
+TURNS_BETWEEN_REMOTE = 30
 MOST_PROBES = 32
 
 
