--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -538,14 +538,6 @@
     return event.request.has_idempotency_key and not service.idempotent
 
 
-def version_of(event: Arrival) -> str:
-    """Return the model version that a request must stay on, if any."""
-    match event:
-        case events.GenerationResumed(point=point):
-            return point.version
-    return ''
-
-
 def truthful_answer(
     failure: requests.Failure,
     event: Arrival,
@@ -561,6 +553,14 @@
     return claims.truthful(failure, event.request, service)
 
 
+def version_of(event: Arrival) -> str:
+    """Return the model version that a request must stay on, if any."""
+    match event:
+        case events.GenerationResumed(point=point):
+            return point.version
+    return ''
+
+
 def not_run(
     code: str, detail: str, retry_after: float | None
 ) -> requests.Failure:
