Leave an instance's claims to more than one account

Cause: all accounts shared one bucket of writes, so one that floods an instance with charges had every other account's charges turned away. Change: one account may cause at most half of an instance's writes. Trial: with the share at 1.0 the new test fails. Conclusion: two accounts that flood can still use up all writes.

--- a/src/greengagelb/coordination/actions.py
+++ b/src/greengagelb/coordination/actions.py
@@ -99,6 +99,7 @@
     key: str
     expected_version: int
     record: claims.ClaimRecord
+    account: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/claims.py
+++ b/src/greengagelb/coordination/claims.py
@@ -141,7 +141,11 @@
             raise errors.InvariantViolated('two writes of one claim at once')
         claim.writing = claim.record
         return actions.WriteClaim(
-            claim.record.holder, claim.key, claim.version, claim.record
+            claim.record.holder,
+            claim.key,
+            claim.version,
+            claim.record,
+            claim.request.request.account,
         )
 
     def answered(
--- a/src/greengagelb/coordination/store_budget.py
+++ b/src/greengagelb/coordination/store_budget.py
@@ -21,6 +21,8 @@
 LEAST_SPREAD = 0.5
 BURST_SECONDS = 2.0
 DEFERRABLE_LEAVES = 0.5
+MOST_OF_ONE_ACCOUNT = 0.5
+MOST_SHARES = 256
 
 
 class RequestKind(enum.Enum):
@@ -92,20 +94,28 @@
             RequestKind.WRITE: write_bucket,
             RequestKind.DEFERRABLE_WRITE: write_bucket,
         }
+        self.shares: dict[str, TokenBucket] = {}
         self.circuit = Circuit.CLOSED
         self.in_flight = 0
         self.failures = 0
         self.openings = 0
         self.open_until = now
 
-    def admit(self, kind: RequestKind, now: float) -> Refusal | None:
-        """Count a request as under way, or return why it may not go out."""
+    def admit(
+        self, kind: RequestKind, now: float, account: str = ''
+    ) -> Refusal | None:
+        """Count a request as under way, or return why it may not go out.
+
+        ``account`` is the client account that it is made for, if any.
+        """
         if self.circuit is Circuit.HALF_OPEN:
             return Refusal.CIRCUIT_OPEN
         if self.circuit is Circuit.OPEN and now < self.open_until:
             return Refusal.CIRCUIT_OPEN
         if self.in_flight >= MOST_IN_FLIGHT:
             return Refusal.TOO_MANY_IN_FLIGHT
+        if account and not self.share_of(account, now).take(now):
+            return Refusal.OVER_RATE
         deferrable = kind is RequestKind.DEFERRABLE_WRITE
         left_share = DEFERRABLE_LEAVES if deferrable else 0.0
         if not self.buckets[kind].take(now, left_share):
@@ -115,6 +125,18 @@
         self.in_flight += 1
         return None
 
+    def share_of(self, account: str, now: float) -> TokenBucket:
+        """Return the bucket of the writes that one account may cause.
+
+        Without it an account that floods an instance with charges uses up
+        all its writes, and other accounts' charges are turned away.
+        """
+        if len(self.shares) > MOST_SHARES:
+            self.shares.clear()
+        rate = self.buckets[RequestKind.WRITE].rate * MOST_OF_ONE_ACCOUNT
+        full = TokenBucket(rate, rate * BURST_SECONDS, now)
+        return self.shares.setdefault(account, full)
+
     def succeeded(self) -> list[actions.Record]:
         """Note that a request was answered."""
         self.in_flight -= 1
--- a/src/greengagelb/transport/claim_store.py
+++ b/src/greengagelb/transport/claim_store.py
@@ -47,7 +47,12 @@
             kind = store_budget.RequestKind.WRITE
         try:
             row = yield self.platform.write(
-                TABLE, action.key, action.expected_version, value, kind
+                TABLE,
+                action.key,
+                action.expected_version,
+                value,
+                kind,
+                action.account,
             )
             answer = events.ClaimWritten(holder, row.version)
         except errors.VersionConflict as exc:
--- a/src/greengagelb/transport/platform_client.py
+++ b/src/greengagelb/transport/platform_client.py
@@ -87,6 +87,7 @@
         expected_version: int,
         value: str,
         kind: store_budget.RequestKind = store_budget.RequestKind.WRITE,
+        account: str = '',
     ) -> Any:
         """Write a row if it has the expected version; return the new row.
 
@@ -99,6 +100,7 @@
         status, body = yield self.ask(
             kind,
             lambda: self.treq.put(self.row_url(table, key), data=data),
+            account,
         )
         if status == web_http.CONFLICT:
             found = codec.decode(body, platform_api.Row)
@@ -115,10 +117,13 @@
         return codec.decode(body, list[platform_api.Instance])
 
     def ask(
-        self, kind: store_budget.RequestKind, start: Asking
+        self,
+        kind: store_budget.RequestKind,
+        start: Asking,
+        account: str = '',
     ) -> 'defer.Deferred[tuple[int, bytes]]':
         """Return status and body, or raise that the platform is away."""
-        refusal = self.budget.admit(kind, self.reactor.seconds())
+        refusal = self.budget.admit(kind, self.reactor.seconds(), account)
         if refusal is not None:
             refused = errors.PlatformUnavailable(refusal.value)
             refused.handed_over = False
--- a/tests/calls/test_store_budget.py
+++ b/tests/calls/test_store_budget.py
@@ -58,6 +58,19 @@
     assert budget.admit(WRITE, 0.0) is None
 
 
+def test_one_account_leaves_writes_to_the_others():
+    """One account sends charges as fast as it can.
+
+    Another account's single charge would be turned away for it.
+    """
+    budget = small_budget()
+    for tick in range(500):
+        now = tick * 0.01
+        while budget.admit(WRITE, now, 'karri') is None:
+            budget.succeeded()
+    assert budget.admit(WRITE, now, 'teratak') is None
+
+
 def test_failures_in_a_row_open_the_circuit_and_say_so():
     (opened,) = fail_until_open(small_budget())
     assert opened.kind == 'store-circuit-opened'
