--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -136,6 +136,7 @@
         'configuration changes': document * changes,
         'probes of watched engines': probes_a_second(size)
         * slopes.slope('probe_bytes'),
+        'polls of the platform': slopes.slope('poll_bytes') / POLL_SECONDS,
     }
 
 
