Act on a signal to the demonstration at places of its own choice

The test of an interrupted demonstration failed once: one of the seven processes was left. The error was raised from within the signal's handler, between the start of a process and the moment at which its end is arranged.

--- a/src/greengagelb/cli/demo.py
+++ b/src/greengagelb/cli/demo.py
@@ -5,10 +5,7 @@
 that the caller holds the whole answer exactly as generated.
 """
 
-from collections.abc import Iterator
-import contextlib
 import dataclasses
-import signal
 import sys
 import time
 from typing import Any
@@ -21,6 +18,7 @@
 
 from greengagelb import errors
 from greengagelb.cli import exit_codes
+from greengagelb.cli import interruption
 from greengagelb.cli import launcher
 from greengagelb.cli import running
 from greengagelb.cli import timeline as timeline_command
@@ -53,13 +51,13 @@
     say('starting the platform, three engines, a plain service, two instances')
     with launcher.Launcher() as fleet:
         try:
-            with interruptible():
-                start_all(fleet)
+            with interruption.Interruption() as interrupted:
+                start_all(fleet, interrupted)
             running.run_once(
                 lambda reactor: Demonstration(reactor, fleet).show_all()
             )
-            with interruptible():
-                stop_all(fleet)
+            with interruption.Interruption() as interrupted:
+                stop_all(fleet, interrupted)
         except running.Interrupted:
             raise
         except errors.GreengagelbError:
@@ -69,36 +67,16 @@
     return exit_codes.ExitCode.SUCCESS
 
 
-def start_all(fleet: launcher.Launcher) -> None:
+def start_all(
+    fleet: launcher.Launcher, interrupted: interruption.Interruption
+) -> None:
     """Start every process and wait until it listens."""
     for number in range(3):
         fleet.engine(f'engine-{number}', STEP_SECONDS)
     fleet.service('charges-0')
     for number in range(2):
         fleet.instance(f'instance-{number}')
-    launcher.wait_until_listening(fleet.processes())
-
-
-@contextlib.contextmanager
-def interruptible() -> Iterator[None]:
-    """Turn signals into an error, so that what was started is ended.
-
-    A signal that ended this process at once would leave the others running.
-    The event loop takes care of it while it runs.
-    """
-
-    def interrupt(number: int, frame: object) -> None:
-        raise running.Interrupted(running.SIGNALLED)
-
-    before = {
-        number: signal.signal(number, interrupt)
-        for number in (signal.SIGTERM, signal.SIGINT)
-    }
-    try:
-        yield
-    finally:
-        for number, handler in before.items():
-            signal.signal(number, handler)
+    launcher.wait_until_listening(fleet.processes(), interrupted.check)
 
 
 def say(line: str) -> None:
@@ -114,9 +92,12 @@
     say(f'checked: {promise}')
 
 
-def stop_all(fleet: launcher.Launcher) -> None:
+def stop_all(
+    fleet: launcher.Launcher, interrupted: interruption.Interruption
+) -> None:
     """Stop every process that is left by SIGTERM."""
     for process in fleet.processes():
+        interrupted.check()
         if process.popen.poll() is not None:
             continue
         code = process.stop()
--- a/src/greengagelb/cli/launcher.py
+++ b/src/greengagelb/cli/launcher.py
@@ -4,6 +4,7 @@
 this, in place of the operator who would start them on many machines.
 """
 
+from collections.abc import Callable
 import contextlib
 import hashlib
 import pathlib
@@ -265,12 +266,18 @@
 
 
 def wait_until_listening(
-    processes: list[LaunchedProcess], patience_seconds: float = 30.0
+    processes: list[LaunchedProcess],
+    check: Callable[[], None],
+    patience_seconds: float = 30.0,
 ) -> None:
-    """Return once all processes listen; raise if one ends or takes long."""
+    """Return once all processes listen; raise if one ends or takes long.
+
+    ``check`` is called now and again, and may raise.
+    """
     give_up_at = time.monotonic() + patience_seconds
     for process in processes:
         while not all(listens(port) for port in process.served_ports):
+            check()
             if process.popen.poll() is not None:
                 raise errors.DemoFailed(f'{process.name} ended by itself')
             if time.monotonic() > give_up_at:
