--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -9,6 +9,7 @@
 import dataclasses
 import random
 
+from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination import admission
 from greengagelb.coordination import calls
@@ -17,6 +18,7 @@
 from greengagelb.coordination import events
 from greengagelb.coordination import fair_queue
 from greengagelb.coordination import routing
+from greengagelb.coordination import stalls
 from greengagelb.coordination import streams
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
@@ -109,8 +111,7 @@
             case events.AttemptBroken():
                 return self.streams.broken(event, now)
             case events.AttemptCancelled(attempt):
-                self.cancels.confirmed(attempt)
-                return []
+                return self.cancels.confirmed(attempt)
             case events.CancelFailed(attempt):
                 return self.cancels.failed(attempt, now)
             case (
@@ -120,9 +121,17 @@
             ):
                 step = self.claims.answered(event, now)
                 return step.actions + self.begin_granted(step.granted, now)
-            case events.CallAnswered():
+            case events.CallAnswered(exchange, status, body):
+                if self.calls.awaits_outcome(exchange):
+                    kept = self.claims.finish(exchange, status, body, now)
+                    return kept + self.calls.outcome_ended(exchange)
                 return self.calls.answered(event)
-            case events.CallBroken():
+            case events.CallBroken(exchange, handed_over=handed_over):
+                if self.calls.awaits_outcome(exchange):
+                    ended = self.calls.outcome_ended(exchange)
+                    if handed_over:
+                        return ended
+                    return ended + self.claims.proved_unrun(exchange, now)
                 return self.calls.broken(event, now)
             case events.TimerFired(name):
                 return self.timer_fired(name, now)
@@ -136,7 +145,10 @@
         match event:
             case events.UpstreamReported():
                 self.directory.observe(event, now)
-                return []
+                return [
+                    *self.cancels.engine_reported(event.engine),
+                    *self.streams.engine_reported(event, now),
+                ]
             case events.LoadsHeard(loads):
                 self.directory.hear_loads(loads, now)
                 return []
@@ -149,6 +161,9 @@
             case events.UpstreamLeaving():
                 self.directory.mark_leaving(event, now)
                 return []
+            case events.UpstreamsHeld():
+                freed = self.directory.hold(event, now)
+                return [actions.ProbeUpstream(upstream) for upstream in freed]
             case events.ConfigurationOffered():
                 return self.configure(event)
             case events.FleetSized(live_instances):
@@ -174,13 +189,13 @@
         service = self.service_of(request)
         refusal = self.refusal(event, account, service)
         if refusal is not None or account is None or service is None:
-            truthful = claims.truthful(refusal, request, service)
+            truthful = truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, truthful)]
         ticket = self.ticket(event, service, now)
         resumes = isinstance(event, events.GenerationResumed)
         refusal = self.admission.refusal(ticket, account, resumes, now)
         if refusal is not None:
-            truthful = claims.truthful(refusal, request, service)
+            truthful = truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, truthful)]
         self.admission.push(ticket)
         self.waiting[request.exchange] = (ticket, event)
@@ -231,7 +246,7 @@
         if exchange not in self.waiting:
             return []
         ticket, _ = self.waiting[exchange]
-        name = streams.timer_name(QUEUE_TIMER, exchange)
+        name = stalls.timer_name(QUEUE_TIMER, exchange)
         give_up_at = min(ticket.deadline, ticket.start_by)
         return [actions.SetTimer(name, give_up_at)]
 
@@ -325,14 +340,18 @@
             self.streams.recovers_in(pool)
         ):
             return None
+        pool = self.directory.serving_pool(
+            pool, version_of(event), ticket.priority, now
+        )
         view = self.directory.choose(
             pool, set(), now, ticket.priority, prefix_of(event)
         )
-        if view is None:
+        resumes = isinstance(event, events.GenerationResumed)
+        if view is None and not resumes:
             return None
         del self.waiting[ticket.exchange]
         self.admission.start(ticket, account.weight, now)
-        timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
+        timer = stalls.timer_name(QUEUE_TIMER, ticket.exchange)
         done: list[actions.Action] = [actions.ClearTimer(timer)]
         if needs_claim(event, service):
             return done + self.claims.begin(event.request)
@@ -373,11 +392,11 @@
         _, event = self.waiting.pop(ticket.exchange)
         request = event.request
         service = self.service_of(request)
-        timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
+        timer = stalls.timer_name(QUEUE_TIMER, ticket.exchange)
         failure = not_run(code, ticket.pool, None)
         if wait is not None:
             failure = self.admission.not_run(code, ticket.pool, wait)
-        truthful = claims.truthful(failure, request, service)
+        truthful = truthful_answer(failure, event, service)
         return [
             actions.ClearTimer(timer),
             actions.SendFailure(ticket.exchange, truthful),
@@ -424,7 +443,7 @@
         if exchange in self.waiting:
             ticket, _ = self.waiting.pop(exchange)
             self.admission.discard(ticket)
-            timer = streams.timer_name(QUEUE_TIMER, exchange)
+            timer = stalls.timer_name(QUEUE_TIMER, exchange)
             return [actions.ClearTimer(timer)]
         return [
             *self.claims.caller_gone(exchange, now),
@@ -436,17 +455,26 @@
         """Pass a timer to the object that set it."""
         kind, _, rest = name.partition(':')
         match kind:
-            case 'cancel':
+            case cancellations.CANCEL_TIMER:
                 return self.cancels.timer_fired(name)
             case 'queued':
                 return self.queued_too_long(int(rest), now)
             case claims.DEADLINE_TIMER | claims.SETTLE_TIMER:
                 return self.claims.timer_fired(kind, rest, now)
+            case calls.OUTCOME_TIMER:
+                return self.calls.outcome_ended(int(rest))
             case calls.DEADLINE_TIMER:
-                return self.calls.deadline_passed(int(rest))
+                return self.call_overdue(int(rest))
             case _:
                 return self.streams.timer_fired(kind, int(rest), now)
 
+    def call_overdue(self, exchange: int) -> list[actions.Action]:
+        """Answer a caller at its deadline; its call may go on without it."""
+        done = self.calls.deadline_passed(exchange)
+        if self.calls.awaits_outcome(exchange):
+            self.abandoned.add(exchange)
+        return done
+
     def queued_too_long(
         self, exchange: int, now: float
     ) -> list[actions.Action]:
@@ -459,6 +487,21 @@
         code = 'deadline-passed' if now >= ticket.deadline else 'wait-too-long'
         return self.refuse_waiting(ticket, code, wait)
 
+    def check_same(self, offered: configuration_state.Configuration) -> None:
+        """Raise where two plans claim to have won the same version.
+
+        One conditional write decides; instances that follow two winners
+        would apply two configurations for as long as that version lasts.
+        """
+        current = self.configuration
+        if offered.version != current.version:
+            return
+        if offered.confirmed_by != current.confirmed_by:
+            raise errors.InvariantViolated(
+                f'version {offered.version} was confirmed twice, by '
+                f'{current.confirmed_by} and {offered.confirmed_by}'
+            )
+
     def configure(
         self, event: events.ConfigurationOffered
     ) -> list[actions.Action]:
@@ -469,10 +512,12 @@
         """
         offered = event.configuration
         if offered.version <= self.configuration.version:
+            self.check_same(offered)
             return []
         self.configuration = offered
         self.accounts = {a.name: a for a in offered.accounts}
         self.directory.apply(offered)
+        self.streams.apply(offered)
         self.admission.keep_accounts(set(self.accounts))
         return [
             actions.Record(
@@ -493,6 +538,29 @@
     return event.request.has_idempotency_key and not service.idempotent
 
 
+def version_of(event: Arrival) -> str:
+    """Return the model version that a request must stay on, if any."""
+    match event:
+        case events.GenerationResumed(point=point):
+            return point.version
+    return ''
+
+
+def truthful_answer(
+    failure: requests.Failure,
+    event: Arrival,
+    service: configuration_state.Service | None,
+) -> requests.Failure:
+    """Return a refusal that says "not run" only where that is known.
+
+    A caller that comes back with a cursor holds tokens of its request. Told
+    "not run", it would throw them away and ask for the whole again.
+    """
+    if isinstance(event, events.GenerationResumed):
+        return dataclasses.replace(failure, ran=requests.Ran.YES)
+    return claims.truthful(failure, event.request, service)
+
+
 def not_run(
     code: str, detail: str, retry_after: float | None
 ) -> requests.Failure:
