--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -434,7 +434,6 @@
     def serving_pool(
         self,
         pool: configuration_state.Pool,
-        version: str,
         priority: configuration_state.Priority,
         now: float,
     ) -> configuration_state.Pool:
@@ -442,11 +441,8 @@
 
         While a change of version is under way, engines that still have the
         former one serve what the others have no room for: a change would
-        else take the whole pool out at once. A generation stays on the one
-        that it began with, whose label is ``version``.
+        else take the whole pool out at once.
         """
-        if version:
-            return pool_of_label(pool, version)
         if pool.former is None:
             return pool
         former = with_version(pool, pool.former)
@@ -528,6 +524,15 @@
             (pool.model, pool.version, pool.adapter),
         )
 
+    def may_ever_serve(
+        self, pool: configuration_state.Pool, now: float
+    ) -> bool:
+        """Return whether waiting may bring an upstream with room."""
+        views = (self.views.get(found.name) for found in pool.upstreams)
+        return any(
+            view and self.may_get_work(view, pool, now) for view in views
+        )
+
     def has_room(
         self,
         view: upstream_state.UpstreamView,
@@ -627,21 +632,6 @@
     return {pool for pool, found in classes.items() if len(found) > 1}
 
 
-def pool_of_label(
-    pool: configuration_state.Pool, label: str
-) -> configuration_state.Pool:
-    """Return the pool as it is for a generation of a model version.
-
-    For one that is neither the present nor the former version no engine is
-    found to go on with. Given to the present one instead, it would become a
-    mixture of two versions that nobody notices.
-    """
-    for known in (pool.serves, pool.former):
-        if known is not None and known.label == label:
-            return with_version(pool, known)
-    return with_version(pool, configuration_state.ModelVersion('', label))
-
-
 def with_version(
     pool: configuration_state.Pool, serves: configuration_state.ModelVersion
 ) -> configuration_state.Pool:
--- a/src/greengagelb/state/configuration.py
+++ b/src/greengagelb/state/configuration.py
@@ -66,11 +66,6 @@
     version: str
     adapter: str = ''
 
-    @property
-    def label(self) -> str:
-        """Return a text that no other model, version or adapter has."""
-        return '\n'.join([self.model, self.version, self.adapter])
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pool:
