--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -9,6 +9,7 @@
 import dataclasses
 import random
 
+from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination import admission
 from greengagelb.coordination import calls
@@ -120,9 +121,17 @@
             ):
                 step = self.claims.answered(event, now)
                 return step.actions + self.begin_granted(step.granted, now)
-            case events.CallAnswered():
+            case events.CallAnswered(exchange, status, body):
+                if self.calls.awaits_outcome(exchange):
+                    kept = self.claims.finish(exchange, status, body, now)
+                    return kept + self.calls.outcome_ended(exchange)
                 return self.calls.answered(event)
-            case events.CallBroken():
+            case events.CallBroken(exchange, handed_over=handed_over):
+                if self.calls.awaits_outcome(exchange):
+                    ended = self.calls.outcome_ended(exchange)
+                    if handed_over:
+                        return ended
+                    return ended + self.claims.proved_unrun(exchange, now)
                 return self.calls.broken(event, now)
             case events.TimerFired(name):
                 return self.timer_fired(name, now)
@@ -149,6 +158,9 @@
             case events.UpstreamLeaving():
                 self.directory.mark_leaving(event, now)
                 return []
+            case events.UpstreamsHeld():
+                freed = self.directory.hold(event, now)
+                return [actions.ProbeUpstream(upstream) for upstream in freed]
             case events.ConfigurationOffered():
                 return self.configure(event)
             case events.FleetSized(live_instances):
@@ -325,6 +337,9 @@
             self.streams.recovers_in(pool)
         ):
             return None
+        pool = self.directory.serving_pool(
+            pool, version_of(event), ticket.priority, now
+        )
         view = self.directory.choose(
             pool, set(), now, ticket.priority, prefix_of(event)
         )
@@ -442,11 +457,20 @@
                 return self.queued_too_long(int(rest), now)
             case claims.DEADLINE_TIMER | claims.SETTLE_TIMER:
                 return self.claims.timer_fired(kind, rest, now)
+            case calls.OUTCOME_TIMER:
+                return self.calls.outcome_ended(int(rest))
             case calls.DEADLINE_TIMER:
-                return self.calls.deadline_passed(int(rest))
+                return self.call_overdue(int(rest))
             case _:
                 return self.streams.timer_fired(kind, int(rest), now)
 
+    def call_overdue(self, exchange: int) -> list[actions.Action]:
+        """Answer a caller at its deadline; its call may go on without it."""
+        done = self.calls.deadline_passed(exchange)
+        if self.calls.awaits_outcome(exchange):
+            self.abandoned.add(exchange)
+        return done
+
     def queued_too_long(
         self, exchange: int, now: float
     ) -> list[actions.Action]:
@@ -459,6 +483,21 @@
         code = 'deadline-passed' if now >= ticket.deadline else 'wait-too-long'
         return self.refuse_waiting(ticket, code, wait)
 
+    def check_same(self, offered: configuration_state.Configuration) -> None:
+        """Raise where two plans claim to have won the same version.
+
+        One conditional write decides; instances that follow two winners
+        would apply two configurations for as long as that version lasts.
+        """
+        current = self.configuration
+        if offered.version != current.version:
+            return
+        if offered.confirmed_by != current.confirmed_by:
+            raise errors.InvariantViolated(
+                f'version {offered.version} was confirmed twice, by '
+                f'{current.confirmed_by} and {offered.confirmed_by}'
+            )
+
     def configure(
         self, event: events.ConfigurationOffered
     ) -> list[actions.Action]:
@@ -469,6 +508,7 @@
         """
         offered = event.configuration
         if offered.version <= self.configuration.version:
+            self.check_same(offered)
             return []
         self.configuration = offered
         self.accounts = {a.name: a for a in offered.accounts}
@@ -493,6 +533,14 @@
     return event.request.has_idempotency_key and not service.idempotent
 
 
+def version_of(event: Arrival) -> str:
+    """Return the model version that a request must stay on, if any."""
+    match event:
+        case events.GenerationResumed(point=point):
+            return point.version
+    return ''
+
+
 def not_run(
     code: str, detail: str, retry_after: float | None
 ) -> requests.Failure:
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -8,6 +8,7 @@
 from greengagelb import settings
 from greengagelb.protocol import operator_api
 from greengagelb.protocol import problems
+from greengagelb.transport import metrics
 
 ROOT = pathlib.Path(__file__).parents[2]
 SOURCES = ROOT / 'src' / 'greengagelb'
@@ -24,21 +25,32 @@
 
 
 def kinds_recorded():
-    """Return the first literal argument of each call that records."""
+    """Return what is recorded: the first literal of a call that records.
+
+    A kind that depends on something is assigned to ``kind`` first.
+    """
     found = set()
     for path in SOURCES.glob('**/*.py'):
-        for call in ast.walk(ast.parse(path.read_text('utf-8'))):
-            if isinstance(call, ast.Call) and name_of(call) in RECORDERS:
-                texts = [
-                    argument.value
-                    for argument in call.args
-                    if isinstance(argument, ast.Constant)
-                    and isinstance(argument.value, str)
-                ]
-                found.update(texts[:1])
+        for node in ast.walk(ast.parse(path.read_text('utf-8'))):
+            match node:
+                case ast.Call(args=given) if name_of(node) in RECORDERS:
+                    found.update(literals(given)[:1])
+                case ast.Assign(
+                    targets=[ast.Name(id='kind')],
+                    value=ast.IfExp(body=yes, orelse=no),
+                ):
+                    found.update(literals([yes, no]))
     return {kind for kind in found if KIND.match(kind)}
 
 
+def literals(nodes):
+    return [
+        node.value
+        for node in nodes
+        if isinstance(node, ast.Constant) and isinstance(node.value, str)
+    ]
+
+
 def name_of(call):
     match call.func:
         case ast.Name(id=name) | ast.Attribute(attr=name):
@@ -52,6 +64,13 @@
     assert rows == kinds_recorded()
 
 
+def test_operators_page_has_a_row_for_each_metric():
+    text = page('operators.md').partition('## Metrics')[2]
+    named = set(re.findall(r'`(greengagelb_[a-z_]+)', text))
+    shown = metrics.Metrics().render().decode()
+    assert named == set(re.findall(r'^# TYPE (\S+)', shown, re.MULTILINE))
+
+
 def test_operators_page_names_each_setting():
     text = page('operators.md').partition('## Settings')[2]
     named = set(re.findall(r'`([a-z_]+)`', text))
--- a/tests/fleet/test_watching.py
+++ b/tests/fleet/test_watching.py
@@ -77,7 +77,7 @@
     far = upstreams.UpstreamView(
         configuration.Upstream('far', '10.0.0.1', 1, 'kl-2')
     )
-    asked = [probes([far], 'a', {'a'}, turn) != [] for turn in range(20)]
+    asked = [probes([far], 'a', {'a'}, turn) != [] for turn in range(60)]
     assert asked.count(True) == 2
 
 
--- a/tests/load/test_routing.py
+++ b/tests/load/test_routing.py
@@ -139,6 +139,23 @@
     assert names(made, pool, 1.0, prefix='a/rules') == {likely}
 
 
+def test_held_engine_gets_no_work_however_it_is_chosen():
+    """An engine is about to be told to load another model.
+
+    A request that came in at that moment would be cut by the order. The
+    choice by prefix and the choice among a few looked past the hold once,
+    where they had been merged beside it.
+    """
+    made, pool = directory(engines=4)
+    for number in range(4):
+        report(made, f'e{number}', 1.0)
+    (likely,) = names(made, pool, 1.0, prefix='a/rules')
+    made.hold(events.UpstreamsHeld('other', frozenset({likely})), 1.0)
+    assert likely not in names(made, pool, 1.1, prefix='a/rules')
+    assert likely not in names(made, pool, 1.1)
+    assert likely in names(made, pool, 60.0)
+
+
 def test_full_pool_is_not_looked_through_again_until_something_changes():
     """All places are taken while requests wait and events pour in.
 
