--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -18,6 +18,7 @@
 from greengagelb.coordination import events
 from greengagelb.coordination import fair_queue
 from greengagelb.coordination import routing
+from greengagelb.coordination import stalls
 from greengagelb.coordination import streams
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
@@ -110,8 +111,7 @@
             case events.AttemptBroken():
                 return self.streams.broken(event, now)
             case events.AttemptCancelled(attempt):
-                self.cancels.confirmed(attempt)
-                return []
+                return self.cancels.confirmed(attempt)
             case events.CancelFailed(attempt):
                 return self.cancels.failed(attempt, now)
             case (
@@ -145,7 +145,10 @@
         match event:
             case events.UpstreamReported():
                 self.directory.observe(event, now)
-                return []
+                return [
+                    *self.cancels.engine_reported(event.engine),
+                    *self.streams.engine_reported(event, now),
+                ]
             case events.LoadsHeard(loads):
                 self.directory.hear_loads(loads, now)
                 return []
@@ -186,13 +189,13 @@
         service = self.service_of(request)
         refusal = self.refusal(event, account, service)
         if refusal is not None or account is None or service is None:
-            truthful = claims.truthful(refusal, request, service)
+            truthful = truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, truthful)]
         ticket = self.ticket(event, service, now)
         resumes = isinstance(event, events.GenerationResumed)
         refusal = self.admission.refusal(ticket, account, resumes, now)
         if refusal is not None:
-            truthful = claims.truthful(refusal, request, service)
+            truthful = truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, truthful)]
         self.admission.push(ticket)
         self.waiting[request.exchange] = (ticket, event)
@@ -243,7 +246,7 @@
         if exchange not in self.waiting:
             return []
         ticket, _ = self.waiting[exchange]
-        name = streams.timer_name(QUEUE_TIMER, exchange)
+        name = stalls.timer_name(QUEUE_TIMER, exchange)
         give_up_at = min(ticket.deadline, ticket.start_by)
         return [actions.SetTimer(name, give_up_at)]
 
@@ -343,11 +346,12 @@
         view = self.directory.choose(
             pool, set(), now, ticket.priority, prefix_of(event)
         )
-        if view is None:
+        resumes = isinstance(event, events.GenerationResumed)
+        if view is None and not resumes:
             return None
         del self.waiting[ticket.exchange]
         self.admission.start(ticket, account.weight, now)
-        timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
+        timer = stalls.timer_name(QUEUE_TIMER, ticket.exchange)
         done: list[actions.Action] = [actions.ClearTimer(timer)]
         if needs_claim(event, service):
             return done + self.claims.begin(event.request)
@@ -388,11 +392,11 @@
         _, event = self.waiting.pop(ticket.exchange)
         request = event.request
         service = self.service_of(request)
-        timer = streams.timer_name(QUEUE_TIMER, ticket.exchange)
+        timer = stalls.timer_name(QUEUE_TIMER, ticket.exchange)
         failure = not_run(code, ticket.pool, None)
         if wait is not None:
             failure = self.admission.not_run(code, ticket.pool, wait)
-        truthful = claims.truthful(failure, request, service)
+        truthful = truthful_answer(failure, event, service)
         return [
             actions.ClearTimer(timer),
             actions.SendFailure(ticket.exchange, truthful),
@@ -439,7 +443,7 @@
         if exchange in self.waiting:
             ticket, _ = self.waiting.pop(exchange)
             self.admission.discard(ticket)
-            timer = streams.timer_name(QUEUE_TIMER, exchange)
+            timer = stalls.timer_name(QUEUE_TIMER, exchange)
             return [actions.ClearTimer(timer)]
         return [
             *self.claims.caller_gone(exchange, now),
@@ -451,7 +455,7 @@
         """Pass a timer to the object that set it."""
         kind, _, rest = name.partition(':')
         match kind:
-            case 'cancel':
+            case cancellations.CANCEL_TIMER:
                 return self.cancels.timer_fired(name)
             case 'queued':
                 return self.queued_too_long(int(rest), now)
@@ -513,6 +517,7 @@
         self.configuration = offered
         self.accounts = {a.name: a for a in offered.accounts}
         self.directory.apply(offered)
+        self.streams.apply(offered)
         self.admission.keep_accounts(set(self.accounts))
         return [
             actions.Record(
@@ -541,6 +546,21 @@
     return ''
 
 
+def truthful_answer(
+    failure: requests.Failure,
+    event: Arrival,
+    service: configuration_state.Service | None,
+) -> requests.Failure:
+    """Return a refusal that says "not run" only where that is known.
+
+    A caller that comes back with a cursor holds tokens of its request. Told
+    "not run", it would throw them away and ask for the whole again.
+    """
+    if isinstance(event, events.GenerationResumed):
+        return dataclasses.replace(failure, ran=requests.Ran.YES)
+    return claims.truthful(failure, event.request, service)
+
+
 def not_run(
     code: str, detail: str, retry_after: float | None
 ) -> requests.Failure:
--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -38,6 +38,14 @@
 RESUME = configuration_state.Priority.RESUME
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """Upstreams that an instance holds, until a monotonic time."""
+
+    upstreams: frozenset[str]
+    deadline: float
+
+
 @dataclasses.dataclass(slots=True)
 class FullPool:
     """A pool without room for a class, and what has changed since.
@@ -49,14 +57,6 @@
     changed: set[str] = dataclasses.field(default_factory=set)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hold:
-    """Upstreams that an instance holds, until a monotonic time."""
-
-    upstreams: frozenset[str]
-    deadline: float
-
-
 class UpstreamDirectory:
     """All upstreams of the configuration in force, and what is known of them.
 
@@ -516,6 +516,15 @@
             pool.adapter,
         )
 
+    def may_ever_serve(
+        self, pool: configuration_state.Pool, now: float
+    ) -> bool:
+        """Return whether waiting may bring an upstream with room."""
+        views = (self.views.get(found.name) for found in pool.upstreams)
+        return any(
+            view and self.may_get_work(view, pool, now) for view in views
+        )
+
     def has_room(
         self,
         view: upstream_state.UpstreamView,
