--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/routing.py
@@ -73,7 +73,7 @@
         self.holds: dict[str, Hold] = {}
         self.live_instances = 1
         self.order: list[str] = []
-        self.members: dict[str, members.PoolMembers] = {}
+        self.members: dict[tuple[str, str], members.PoolMembers] = {}
         self.full: dict[
             tuple[str, str, configuration_state.Priority], FullPool
         ] = {}
@@ -363,6 +363,7 @@
         """Return whether a trusted upstream has room for a class."""
         return (
             now >= view.suspected_until
+            and not (self.holds and view.upstream.name in self.held(now))
             and self.may_get_work(view, pool, now)
             and self.has_room(view, pool, priority, now)
         )
@@ -371,10 +372,11 @@
         self, pool: configuration_state.Pool
     ) -> members.PoolMembers:
         """Return a pool's members, prepared once per configuration."""
-        known = self.members.get(pool.name)
+        key = (pool.name, pool.version)
+        known = self.members.get(key)
         if known is None or known.upstreams is not pool.upstreams:
             known = members.members_of(pool, self.data_centre)
-            self.members[pool.name] = known
+            self.members[key] = known
         return known
 
     def choose_by_prefix(
