--- a/src/greengagelb/coordination/stalls.py
+++ b/src/greengagelb/coordination/stalls.py
@@ -39,7 +39,7 @@
         now: float,
     ) -> None:
         """Learn the pace of an upstream from tokens that have arrived."""
-        found = self.paces.setdefault(attempt.upstream.name, pace.Pace())
+        found = self.pace_of(attempt)
         found.latest = now
         if attempt.latest_arrival is not None:
             gap = now - attempt.latest_arrival
@@ -60,10 +60,9 @@
         over a fresh connection is answered at once or not at all.
         """
         policy = stream.service.recovery
-        name = attempt.upstream.name
-        view = self.directory.views.get(name)
+        view = self.directory.views.get(attempt.upstream.name)
         reported = view.step_seconds if view is not None else 0.0
-        gap = max(reported, self.paces.get(name, pace.Pace()).gap)
+        gap = max(reported, self.pace_of(attempt).gap)
         steady = max(policy.least_stall, policy.stall_factor * gap)
         steady = min(steady, policy.most_stall)
         if attempt.suspected and not attempt.answered:
@@ -72,6 +71,14 @@
             return max(steady, FIRST_TOKEN_SECONDS)
         return steady
 
+    def pace_of(self, attempt: attempts.Attempt) -> pace.Pace:
+        """Return what is known of the pace of an attempt's upstream."""
+        name = attempt.upstream.name
+        found = self.paces.get(name)
+        if found is None:
+            found = self.paces[name] = pace.Pace()
+        return found
+
     def rearm(
         self,
         stream: stream_state.Stream,
@@ -133,5 +140,5 @@
             return False
         if now - attempt.ordered_at > MOST_FIRST_TOKEN_SECONDS:
             return False
-        found = self.paces.get(attempt.upstream.name, pace.Pace())
+        found = self.pace_of(attempt)
         return now - found.latest < FIRST_TOKEN_SECONDS
--- a/src/greengagelb/coordination/streams.py
+++ b/src/greengagelb/coordination/streams.py
@@ -25,7 +25,7 @@
 CANCELLED = 'cancelled'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Source:
     """A stream and that attempt of its own which an event is about."""
 
--- a/src/greengagelb/state/streams.py
+++ b/src/greengagelb/state/streams.py
@@ -108,9 +108,10 @@
         self, attempt_id: identity.AttemptId
     ) -> attempts.Attempt | None:
         """Return the attempt of that id, if it still counts."""
-        for attempt in self.own_attempts():
-            if attempt.attempt_id == attempt_id:
-                return attempt
+        if self.attempt and self.attempt.attempt_id == attempt_id:
+            return self.attempt
+        if self.spare and self.spare.attempt_id == attempt_id:
+            return self.spare
         return None
 
     def resume_point(self) -> requests.ResumePoint:
