--- a/src/greengagelb/coordination/recovery.py
+++ b/src/greengagelb/coordination/recovery.py
@@ -9,11 +9,10 @@
    answer.
 """
 
-import dataclasses
-
 from greengagelb.coordination import actions
 from greengagelb.coordination import attempts
 from greengagelb.coordination import budgets
+from greengagelb.coordination import pinning
 from greengagelb.coordination import routing
 from greengagelb.coordination import stalls
 from greengagelb.state import attempts as attempt_state
@@ -89,10 +88,10 @@
         wanted = stream.service.recovery.spare_attempt
         if not wanted or stream.spare is not None or stream.is_whole:
             return []
-        if self.would_run_twice(stream):
+        if stream.would_run_twice:
             return []
         excluded = {suspected.upstream.name}
-        pool = self.pinned_pool(stream)
+        pool = pinning.pinned_pool(self.configuration, stream)
         view = self.directory.choose(pool, excluded, now)
         if view is None or self.budget_wait(stream, now):
             return []
@@ -150,9 +149,9 @@
             # The last token came and only the end event was lost; an engine
             # asked to continue would generate one token too many.
             return self.end(stream, 'length')
-        if self.would_run_twice(stream):
+        if stream.would_run_twice:
             return self.fail(stream, 'outcome-unknown', None)
-        pool = self.pinned_pool(stream)
+        pool = pinning.pinned_pool(self.configuration, stream)
         view = self.directory.choose(pool, stream.excluded, now)
         if view is not None:
             return self.go_on(stream, pool, view, now)
@@ -205,7 +204,7 @@
         An instance that does not watch the engines learns only from their
         refusals that none has the version any more.
         """
-        pool = self.pool_in_force(stream)
+        pool = pinning.pool_in_force(self.configuration, stream)
         if pool is not None and self.directory.choose(pool, set(), now):
             stream.excluded.clear()
             return self.restart(stream, now)
@@ -217,7 +216,7 @@
         self, stream: stream_state.Stream, now: float
     ) -> list[actions.Action]:
         """Start afresh on the version in force, if the request may repeat."""
-        pool = self.pool_in_force(stream)
+        pool = pinning.pool_in_force(self.configuration, stream)
         if pool is None or not self.directory.may_ever_serve(pool, now):
             return self.fail(stream, 'no-engine', RETRY_AFTER_SECONDS)
         if not stream.service.idempotent and stream.may_have_run:
@@ -282,7 +281,7 @@
             retry_after *= self.directory.rng.uniform(1.0, 2.0)
         failure = requests.Failure(
             code,
-            self.what_ran(stream),
+            stream.what_ran,
             f'{stream.position} tokens of generation {stream.generation} sent',
             retry_after,
         )
@@ -303,23 +302,6 @@
 
     # -- helpers ------------------------------------------------------------
 
-    def what_ran(self, stream: stream_state.Stream) -> requests.Ran:
-        """Return what is known of an unfinished stream."""
-        if stream.position:
-            return requests.Ran.YES
-        if stream.may_have_run or stream.own_attempts():
-            return requests.Ran.UNKNOWN
-        return requests.Ran.NO
-
-    def would_run_twice(self, stream: stream_state.Stream) -> bool:
-        """Return whether a new attempt would repeat what may not repeat.
-
-        A continuation after the first token is the same generation. Before
-        it nothing tells a continuation from a second run.
-        """
-        first = not stream.position and stream.may_have_run
-        return first and not stream.service.idempotent
-
     def budget_wait(self, stream: stream_state.Stream, now: float) -> float:
         """Take a resume from the account's budget; return 0 or the wait."""
         if not stream.may_have_run:
@@ -330,38 +312,6 @@
             return 0.0
         return self.budgets.spend(name, account.resume_budget, now)
 
-    def pinned_pool(
-        self, stream: stream_state.Stream
-    ) -> configuration_state.Pool:
-        """Return the pool's upstreams of now, at the stream's own version."""
-        pinned = stream.pool
-        current = self.configuration.find_pool(pinned.name)
-        if current is None:
-            return pinned
-        return dataclasses.replace(
-            current,
-            model=pinned.model,
-            version=pinned.version,
-            adapter=pinned.adapter,
-        )
-
-    def pool_in_force(
-        self, stream: stream_state.Stream
-    ) -> configuration_state.Pool | None:
-        """Return the service's pool of now, if its version has changed."""
-        service = self.configuration.find_service(stream.service.name)
-        if service is None:
-            return None
-        pool = self.configuration.find_pool(service.pool)
-        if pool is None or what_it_runs(pool) == what_it_runs(stream.pool):
-            return None
-        return pool
-
-
-def what_it_runs(pool: configuration_state.Pool) -> tuple[str, str, str]:
-    """Return what the engines of a pool have to run."""
-    return (pool.model, pool.version, pool.adapter)
-
 
 def deadline_timer(request: requests.GenerationRequest) -> actions.SetTimer:
     """Return the timer of the caller's own deadline."""
--- a/src/greengagelb/coordination/returning.py
+++ b/src/greengagelb/coordination/returning.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import attempts
 from greengagelb.coordination import events
+from greengagelb.coordination import pinning
 from greengagelb.coordination import recovery
 from greengagelb.coordination import routing
 from greengagelb.state import attempts as attempt_state
@@ -154,7 +155,7 @@
             stream.engine_deaths += 1
             return 'engine restarted'
         runs = (view.model, view.version, view.adapter)
-        if stream.pool.version and runs != recovery.what_it_runs(stream.pool):
+        if stream.pool.version and runs != pinning.what_it_runs(stream.pool):
             return f'engine runs {view.version} now'
         return ''
 
--- a/src/greengagelb/coordination/streams.py
+++ b/src/greengagelb/coordination/streams.py
@@ -11,6 +11,7 @@
 from greengagelb.coordination import attempts
 from greengagelb.coordination import cancellations
 from greengagelb.coordination import events
+from greengagelb.coordination import pinning
 from greengagelb.coordination import recovery
 from greengagelb.coordination import returning
 from greengagelb.coordination import routing
@@ -231,7 +232,7 @@
         """
         stream, attempt = source.stream, source.attempt
         reported = (report.model, report.version, report.adapter)
-        pinned = recovery.what_it_runs(stream.pool)
+        pinned = pinning.what_it_runs(stream.pool)
         if stream.pool.version and reported != pinned:
             stream.may_have_run = True
             reason = f'engine runs {report.version} now'
--- a/src/greengagelb/state/streams.py
+++ b/src/greengagelb/state/streams.py
@@ -81,6 +81,25 @@
         """Return whether no further token was asked for."""
         return self.position >= self.request.most_tokens
 
+    @property
+    def would_run_twice(self) -> bool:
+        """Return whether a new attempt would repeat what may not repeat.
+
+        A continuation after the first token is the same generation. Before
+        it nothing tells a continuation from a second run.
+        """
+        first = not self.position and self.may_have_run
+        return first and not self.service.idempotent
+
+    @property
+    def what_ran(self) -> requests.Ran:
+        """Return what is known of this stream, should it end now."""
+        if self.position:
+            return requests.Ran.YES
+        if self.may_have_run or self.own_attempts():
+            return requests.Ran.UNKNOWN
+        return requests.Ran.NO
+
     def accept(self, position: int, tokens: tuple[str, ...]) -> None:
         """Append tokens that must follow on exactly from what is there."""
         if position != self.position:
