--- /dev/null
+++ b/src/greengagelb/coordination/endings.py
@@ -0,0 +1,94 @@
+"""How a stream ends: whole, or with its final answer, and nothing left."""
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import attempts
+from greengagelb.coordination import routing
+from greengagelb.coordination import stalls
+from greengagelb.state import requests
+from greengagelb.state import streams as stream_state
+
+RECOVERY_TIMER = 'recovery'
+DEADLINE_TIMER = 'deadline'
+ALL_TIMERS = (
+    stalls.STALL_TIMER,
+    stalls.SPARE_TIMER,
+    RECOVERY_TIMER,
+    DEADLINE_TIMER,
+)
+
+
+class StreamEndings:
+    """Ends streams and gives back what they had.
+
+    ``streams`` holds the running streams by exchange; ``recovering`` those
+    without an attempt, in the order in which they lost it.
+    """
+
+    def __init__(
+        self,
+        directory: routing.UpstreamDirectory,
+        table: attempts.AttemptTable,
+    ) -> None:
+        self.directory = directory
+        self.table = table
+        self.streams: dict[int, stream_state.Stream] = {}
+        self.recovering: dict[int, stream_state.Stream] = {}
+
+    def end(
+        self, stream: stream_state.Stream, reason: str
+    ) -> list[actions.Action]:
+        """Complete the answer."""
+        sent = actions.SendEnd(
+            stream.request.exchange,
+            stream.generation,
+            stream.position,
+            reason,
+        )
+        ended = stream.attempt
+        if ended is not None:
+            self.table.release(stream, ended)
+        return [
+            attempts.record(stream, ended, 'stream-ended', reason),
+            sent,
+            *self.close(stream),
+        ]
+
+    def fail(
+        self,
+        stream: stream_state.Stream,
+        code: str,
+        retry_after: float | None,
+    ) -> list[actions.Action]:
+        """Give the caller its final answer.
+
+        The time to come back is jittered: all streams of a lost pool fail
+        at one moment, and would all return at one moment.
+        """
+        if retry_after is not None:
+            retry_after *= self.directory.rng.uniform(1.0, 2.0)
+        failure = requests.Failure(
+            code,
+            stream.what_ran,
+            f'{stream.position} tokens of generation {stream.generation} sent',
+            retry_after,
+        )
+        return [
+            attempts.record(stream, stream.attempt, 'stream-failed', code),
+            actions.SendFailure(stream.request.exchange, failure),
+            *self.close(stream),
+        ]
+
+    def close(self, stream: stream_state.Stream) -> list[actions.Action]:
+        """Forget a stream, and stop what still runs for it."""
+        exchange = stream.request.exchange
+        done = self.table.drop_all(stream)
+        self.streams.pop(exchange, None)
+        self.recovering.pop(exchange, None)
+        done += [attempts.clear_timer(kind, stream) for kind in ALL_TIMERS]
+        return done
+
+
+def deadline_timer(request: requests.GenerationRequest) -> actions.SetTimer:
+    """Return the timer of the caller's own deadline."""
+    timer = stalls.timer_name(DEADLINE_TIMER, request.exchange)
+    return actions.SetTimer(timer, request.deadline)
--- a/src/greengagelb/coordination/recovery.py
+++ b/src/greengagelb/coordination/recovery.py
@@ -12,12 +12,12 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import attempts
 from greengagelb.coordination import budgets
+from greengagelb.coordination import endings
 from greengagelb.coordination import pinning
 from greengagelb.coordination import routing
 from greengagelb.coordination import stalls
 from greengagelb.state import attempts as attempt_state
 from greengagelb.state import configuration as configuration_state
-from greengagelb.state import requests
 from greengagelb.state import streams as stream_state
 from greengagelb.state import upstreams as upstream_state
 
@@ -26,35 +26,20 @@
 ATTACH_AGAIN_SECONDS = 1.0
 MOST_GENERATIONS = 4
 RETRY_AFTER_SECONDS = 2.0
-RECOVERY_TIMER = 'recovery'
-DEADLINE_TIMER = 'deadline'
-ALL_TIMERS = (
-    stalls.STALL_TIMER,
-    stalls.SPARE_TIMER,
-    RECOVERY_TIMER,
-    DEADLINE_TIMER,
-)
 
 
-class RecoveryLadder:
-    """Replaces lost attempts, and gives the final answer where none helps.
-
-    ``streams`` holds the running streams by exchange; ``recovering`` those
-    without an attempt, in the order in which they lost it.
-    """
+class RecoveryLadder(endings.StreamEndings):
+    """Replaces lost attempts, and gives the final answer where none helps."""
 
     def __init__(
         self,
         directory: routing.UpstreamDirectory,
         table: attempts.AttemptTable,
     ) -> None:
-        self.directory = directory
-        self.table = table
+        super().__init__(directory, table)
         self.configuration = configuration_state.Configuration()
         self.budgets = budgets.ReplayBudgets()
         self.exhausted = budgets.ExhaustedRequests()
-        self.streams: dict[int, stream_state.Stream] = {}
-        self.recovering: dict[int, stream_state.Stream] = {}
 
     # -- first step ---------------------------------------------------------
 
@@ -193,7 +178,7 @@
         if stream.recover_by is not None and now >= stream.recover_by:
             return self.give_up(stream, now)
         self.recovering[exchange] = stream
-        timer = stalls.timer_name(RECOVERY_TIMER, exchange)
+        timer = stalls.timer_name(endings.RECOVERY_TIMER, exchange)
         return [actions.SetTimer(timer, now + RECOVERY_RETRY_SECONDS)]
 
     def give_up(
@@ -245,61 +230,6 @@
             *started,
         ]
 
-    # -- ending -------------------------------------------------------------
-
-    def end(
-        self, stream: stream_state.Stream, reason: str
-    ) -> list[actions.Action]:
-        """Complete the answer."""
-        sent = actions.SendEnd(
-            stream.request.exchange,
-            stream.generation,
-            stream.position,
-            reason,
-        )
-        ended = stream.attempt
-        if ended is not None:
-            self.table.release(stream, ended)
-        return [
-            attempts.record(stream, ended, 'stream-ended', reason),
-            sent,
-            *self.close(stream),
-        ]
-
-    def fail(
-        self,
-        stream: stream_state.Stream,
-        code: str,
-        retry_after: float | None,
-    ) -> list[actions.Action]:
-        """Give the caller its final answer.
-
-        The time to come back is jittered: all streams of a lost pool fail
-        at one moment, and would all return at one moment.
-        """
-        if retry_after is not None:
-            retry_after *= self.directory.rng.uniform(1.0, 2.0)
-        failure = requests.Failure(
-            code,
-            stream.what_ran,
-            f'{stream.position} tokens of generation {stream.generation} sent',
-            retry_after,
-        )
-        return [
-            attempts.record(stream, stream.attempt, 'stream-failed', code),
-            actions.SendFailure(stream.request.exchange, failure),
-            *self.close(stream),
-        ]
-
-    def close(self, stream: stream_state.Stream) -> list[actions.Action]:
-        """Forget a stream, and stop what still runs for it."""
-        exchange = stream.request.exchange
-        done = self.table.drop_all(stream)
-        self.streams.pop(exchange, None)
-        self.recovering.pop(exchange, None)
-        done += [attempts.clear_timer(kind, stream) for kind in ALL_TIMERS]
-        return done
-
     # -- helpers ------------------------------------------------------------
 
     def budget_wait(self, stream: stream_state.Stream, now: float) -> float:
@@ -311,9 +241,3 @@
         if account is None:
             return 0.0
         return self.budgets.spend(name, account.resume_budget, now)
-
-
-def deadline_timer(request: requests.GenerationRequest) -> actions.SetTimer:
-    """Return the timer of the caller's own deadline."""
-    timer = stalls.timer_name(DEADLINE_TIMER, request.exchange)
-    return actions.SetTimer(timer, request.deadline)
--- a/src/greengagelb/coordination/returning.py
+++ b/src/greengagelb/coordination/returning.py
@@ -9,6 +9,7 @@
 
 from greengagelb.coordination import actions
 from greengagelb.coordination import attempts
+from greengagelb.coordination import endings
 from greengagelb.coordination import events
 from greengagelb.coordination import pinning
 from greengagelb.coordination import recovery
@@ -42,7 +43,7 @@
             return [refusal(event.request, code)]
         done = self.supersede(event.point)
         self.ladder.streams[event.request.exchange] = stream
-        done.append(recovery.deadline_timer(event.request))
+        done.append(endings.deadline_timer(event.request))
         return done + self.find_attempt(stream, event.point, now)
 
     def rebuild(
--- a/src/greengagelb/coordination/streams.py
+++ b/src/greengagelb/coordination/streams.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import attempts
 from greengagelb.coordination import cancellations
+from greengagelb.coordination import endings
 from greengagelb.coordination import events
 from greengagelb.coordination import pinning
 from greengagelb.coordination import recovery
@@ -78,7 +79,7 @@
         stream = stream_state.Stream(request, service, pool, digest)
         self.streams[request.exchange] = stream
         return [
-            recovery.deadline_timer(request),
+            endings.deadline_timer(request),
             *self.table.order(stream, view, now),
         ]
 
@@ -258,9 +259,9 @@
                 return self.silent(stream, stream.attempt, now)
             case stalls.SPARE_TIMER:
                 return self.silent(stream, stream.spare, now)
-            case recovery.RECOVERY_TIMER if stream.attempt is None:
+            case endings.RECOVERY_TIMER if stream.attempt is None:
                 return self.ladder.try_again(stream, now)
-            case recovery.DEADLINE_TIMER:
+            case endings.DEADLINE_TIMER:
                 return self.ladder.fail(stream, 'deadline-passed', None)
         return []
 
