--- a/tests/streams/test_returning_callers.py
+++ b/tests/streams/test_returning_callers.py
@@ -75,13 +75,13 @@
     for engine in world.engines.values():
         engine.kill()
         engine.come_back()
+    world.advance(routing.PROBE_TRUST_SECONDS)
     first = world.instances['i1']
     for engine in world.engines.values():
         world.tell(first, engine.report())
     caller = world.submit('draft', 'i1')
     world.serve(4)
     engine = world.engine_of(caller)
-    world.advance(routing.PROBE_TRUST_SECONDS)
     world.replace_instance('i1')
     world.ask(caller, 'i2')
     world.serve(1)
