--- a/src/greengagelb/coordination/returning.py
+++ b/src/greengagelb/coordination/returning.py
@@ -9,7 +9,9 @@
 
 from greengagelb.coordination import actions
 from greengagelb.coordination import attempts
+from greengagelb.coordination import endings
 from greengagelb.coordination import events
+from greengagelb.coordination import pinning
 from greengagelb.coordination import recovery
 from greengagelb.coordination import routing
 from greengagelb.state import attempts as attempt_state
@@ -41,7 +43,7 @@
             return [refusal(event.request, code)]
         done = self.supersede(event.point)
         self.ladder.streams[event.request.exchange] = stream
-        done.append(recovery.deadline_timer(event.request))
+        done.append(endings.deadline_timer(event.request))
         return done + self.find_attempt(stream, event.point, now)
 
     def rebuild(
@@ -154,7 +156,7 @@
             stream.engine_deaths += 1
             return 'engine restarted'
         runs = (view.model, view.version, view.adapter)
-        if stream.pool.version and runs != recovery.what_it_runs(stream.pool):
+        if stream.pool.version and runs != pinning.what_it_runs(stream.pool):
             return f'engine runs {view.version} now'
         return ''
 
--- a/src/greengagelb/coordination/streams.py
+++ b/src/greengagelb/coordination/streams.py
@@ -10,7 +10,9 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import attempts
 from greengagelb.coordination import cancellations
+from greengagelb.coordination import endings
 from greengagelb.coordination import events
+from greengagelb.coordination import pinning
 from greengagelb.coordination import recovery
 from greengagelb.coordination import returning
 from greengagelb.coordination import routing
@@ -25,7 +27,7 @@
 CANCELLED = 'cancelled'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Source:
     """A stream and that attempt of its own which an event is about."""
 
@@ -77,7 +79,7 @@
         stream = stream_state.Stream(request, service, pool, digest)
         self.streams[request.exchange] = stream
         return [
-            recovery.deadline_timer(request),
+            endings.deadline_timer(request),
             *self.table.order(stream, view, now),
         ]
 
@@ -231,7 +233,7 @@
         """
         stream, attempt = source.stream, source.attempt
         reported = (report.model, report.version, report.adapter)
-        pinned = recovery.what_it_runs(stream.pool)
+        pinned = pinning.what_it_runs(stream.pool)
         if stream.pool.version and reported != pinned:
             stream.may_have_run = True
             reason = f'engine runs {report.version} now'
@@ -257,9 +259,9 @@
                 return self.silent(stream, stream.attempt, now)
             case stalls.SPARE_TIMER:
                 return self.silent(stream, stream.spare, now)
-            case recovery.RECOVERY_TIMER if stream.attempt is None:
+            case endings.RECOVERY_TIMER if stream.attempt is None:
                 return self.ladder.try_again(stream, now)
-            case recovery.DEADLINE_TIMER:
+            case endings.DEADLINE_TIMER:
                 return self.ladder.fail(stream, 'deadline-passed', None)
         return []
 
