Follow no redirect from any upstream, close what nobody reads, bound reports

Change: one kind of client for all of them, without redirects; refused answers are discarded, reports bounded. The rolling-restart test marks its charges as first sends, without which 'not run' can't be said while the store's budget is used up: that is the API's documented rule, its checks stay. Conclusion: engines and plain services are treated alike.

--- a/src/greengagelb/cli/demo.py
+++ b/src/greengagelb/cli/demo.py
@@ -129,9 +129,7 @@
     ) -> None:
         self.reactor = reactor
         self.fleet = fleet
-        self.treq = http.cookieless_client(
-            http.fresh_connection_agent(reactor)
-        )
+        self.treq = http.direct_client(http.fresh_connection_agent(reactor))
         self.operators = [
             operator_client.OperatorClient(
                 reactor,
--- a/src/greengagelb/transport/engine_client.py
+++ b/src/greengagelb/transport/engine_client.py
@@ -5,7 +5,6 @@
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.python import failure
-from twisted.web import client
 from twisted.web import http as web_http
 from twisted.web import iweb
 
@@ -187,7 +186,7 @@
         self.reactor = reactor
         self.dispatch = dispatch
         self.agent = http.fresh_connection_agent(reactor)
-        self.treq = http.cookieless_client(self.agent)
+        self.treq = http.direct_client(self.agent)
         self.open_streams: dict[identity.AttemptId, EngineStream] = {}
         self.gathering: set[EngineStream] = set()
         self.relayed_at = float('-inf')
@@ -334,8 +333,9 @@
 
         def read(response: iweb.IResponse) -> defer.Deferred:
             if response.code != web_http.OK:
+                http.discard_body(response)
                 raise errors.TransportError(f'status {response.code}')
-            return client.readBody(response)
+            return http.read_whole_body(response)
 
         answer.addCallback(read)
         answer.addCallback(codec.decode, kind)
--- a/src/greengagelb/transport/http.py
+++ b/src/greengagelb/transport/http.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 from http import cookiejar
+from typing import Any
 
 import treq
 from treq import cookies as treq_cookies
@@ -71,8 +72,23 @@
     return client.Agent.usingEndpointFactory(reactor, factory, pool)
 
 
-def cookieless_client(agent: client.Agent) -> treq.client.HTTPClient:
-    """Return a client that neither keeps cookies nor sends any.
+class DirectClient(treq.client.HTTPClient):
+    """A client that follows no redirect.
+
+    Followed, a request would go out a second time, to an address that no
+    operator has configured.
+    """
+
+    def request(
+        self, method: str, url: str, **arguments: Any
+    ) -> 'defer.Deferred[iweb.IResponse]':
+        """Send one request, to this URL and no other."""
+        arguments.setdefault('allow_redirects', False)
+        return super().request(method, url, **arguments)
+
+
+def direct_client(agent: client.Agent) -> DirectClient:
+    """Return a client without redirects, that keeps and sends no cookies.
 
     A treq client shows the cookies that it was sent with each later request.
     Shared by all requests, it would hand what a service set in its answer to
@@ -80,7 +96,7 @@
     """
     nobody = cookiejar.DefaultCookiePolicy(allowed_domains=())
     jar = treq_cookies.IndexableCookieJar(policy=nobody)
-    return treq.client.HTTPClient(agent, cookiejar=jar)
+    return DirectClient(agent, cookiejar=jar)
 
 
 def was_handed_over(why: failure.Failure) -> bool:
--- a/src/greengagelb/transport/operator_client.py
+++ b/src/greengagelb/transport/operator_client.py
@@ -50,9 +50,7 @@
         self.reactor = reactor
         self.address = address
         self.headers = {'Authorization': f'Bearer {key}'}
-        self.treq = http.cookieless_client(
-            http.fresh_connection_agent(reactor)
-        )
+        self.treq = http.direct_client(http.fresh_connection_agent(reactor))
 
     def url(self, path: str) -> str:
         """Return the URL of a path at the instance."""
--- a/src/greengagelb/transport/order_keeper.py
+++ b/src/greengagelb/transport/order_keeper.py
@@ -3,10 +3,8 @@
 from collections.abc import Callable
 from typing import Any
 
-import treq
 from twisted.internet import defer
 from twisted.internet import interfaces
-from twisted.web import client
 from twisted.web import http as web_http
 
 from greengagelb import errors
@@ -45,9 +43,7 @@
         self.data_centre = data_centre
         self.dispatch = dispatch
         self.record = record
-        self.treq = treq.client.HTTPClient(
-            http.fresh_connection_agent(reactor)
-        )
+        self.treq = http.direct_client(http.fresh_connection_agent(reactor))
         self.pools: dict[str, orders.PoolOrders] = {}
         self.version = 0
         self.held: frozenset[str] = frozenset()
@@ -217,7 +213,7 @@
         upstream = action.upstream.name
         try:
             response = yield answer
-            yield client.readBody(response)
+            yield http.read_whole_body(response)
         except Exception as exc:
             reason = f'pool {name}: {type(exc).__name__}'
             self.record(
--- a/src/greengagelb/transport/platform_client.py
+++ b/src/greengagelb/transport/platform_client.py
@@ -49,7 +49,7 @@
             reactor.seconds(),
         )
         agent = http.fresh_connection_agent(reactor)
-        self.treq = http.cookieless_client(agent)
+        self.treq = http.direct_client(agent)
 
     def url(self, path: str) -> str:
         """Return the URL of a path at the platform."""
--- a/src/greengagelb/transport/service_client.py
+++ b/src/greengagelb/transport/service_client.py
@@ -24,7 +24,7 @@
     ) -> None:
         self.dispatch = dispatch
         agent = http.fresh_connection_agent(reactor)
-        self.treq = http.cookieless_client(agent)
+        self.treq = http.direct_client(agent)
         self.under_way: dict[int, defer.Deferred] = {}
 
     def call(self, action: actions.DispatchCall) -> None:
@@ -40,7 +40,6 @@
             url,
             data=request.body,
             headers=headers,
-            allow_redirects=False,
             unbuffered=True,
         )
         self.under_way[action.exchange] = answer
--- a/tests/process/test_fleet_stops.py
+++ b/tests/process/test_fleet_stops.py
@@ -74,7 +74,8 @@
         while not self.over.is_set():
             key = f'charge-{next(self.turns)}'
             headers = fleet.bearer(fleet.ACCOUNT_KEY) | {
-                'Idempotency-Key': key
+                'Idempotency-Key': key,
+                'X-First-Send': '1',
             }
             path = '/v1/services/charge/book'
             try:
--- /dev/null
+++ b/tests/transport/test_engine_control.py
@@ -0,0 +1,61 @@
+"""Short orders to engines, over connections that exist in memory only."""
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.state import configuration
+from greengagelb.state import identity
+from greengagelb.transport import engine_client
+from greengagelb.transport import http
+from tests.common import wires
+
+UPSTREAM = configuration.Upstream('e0', wires.ADDRESS, wires.PORT, 'kl-1')
+ATTEMPT = identity.AttemptId(identity.RequestId('teratak', 'r'), 1, 'i.1')
+
+
+def client_on(network):
+    found = []
+    client = engine_client.EngineClient(network.reactor, found.append)
+    return client, found
+
+
+def test_redirect_of_a_probe_is_not_followed():
+    """Something in front of an engine answers with a redirect.
+
+    Followed, the report of another engine would be taken for this one's.
+    """
+    network = wires.Network()
+    client, found = client_on(network)
+    client.probe(actions.ProbeUpstream(UPSTREAM))
+    wire = network.accept()
+    wire.answer(b'', 'Location: http://10.0.0.2:1/', status='302 Found')
+    assert network.connections == 1
+    assert found == [events.UpstreamUnreachable('e0')]
+
+
+def test_refused_cancellation_closes_its_connection():
+    """An engine refuses a cancellation, again and again.
+
+    An answer that nobody reads keeps its connection open for good; after
+    some thousands of them the instance can open no more.
+    """
+    network = wires.Network()
+    client, found = client_on(network)
+    client.cancel(actions.CancelAttempt(ATTEMPT, UPSTREAM))
+    wire = network.accept()
+    wire.answer(b'no', status='500 Internal Server Error', length=1000)
+    assert found == [events.CancelFailed(ATTEMPT)]
+    assert wire.closed
+
+
+def test_endless_report_is_cut_at_the_bound():
+    """An engine gone wrong sends a report that never ends.
+
+    Kept whole, it would fill the memory that all callers' streams need.
+    """
+    network = wires.Network()
+    client, found = client_on(network)
+    client.probe(actions.ProbeUpstream(UPSTREAM))
+    wire = network.accept()
+    wire.answer(bytes(http.MOST_BODY_BYTES + 1), length=1 << 40)
+    assert found == [events.UpstreamUnreachable('e0')]
+    assert wire.closed
