Move what concerns a request alone out of the node

Cause: node.py had grown to 588 lines; a newcomer had to read questions about one request between those about all of them. Change: coordination/arrivals.py; no behaviour changed.

--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -6,12 +6,12 @@
 harness drive the very same object.
 """
 
-import dataclasses
 import random
 
 from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination import admission
+from greengagelb.coordination import arrivals
 from greengagelb.coordination import calls
 from greengagelb.coordination import cancellations
 from greengagelb.coordination import claims
@@ -24,15 +24,8 @@
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
 
-CHARACTERS_PER_TOKEN = 4
 QUEUE_TIMER = 'queued'
-PREFIX_CHARACTERS = 256
 
-Arrival = (
-    events.GenerationSubmitted
-    | events.GenerationResumed
-    | events.CallSubmitted
-)
 FinalAnswer = actions.SendEnd | actions.SendAnswer | actions.SendFailure
 
 
@@ -57,7 +50,9 @@
         )
         self.calls = calls.CallSupervisor(self.directory, rng)
         self.claims = claims.ClaimKeeper(incarnation, rng)
-        self.waiting: dict[int, tuple[fair_queue.Ticket, Arrival]] = {}
+        self.waiting: dict[
+            int, tuple[fair_queue.Ticket, arrivals.Arrival]
+        ] = {}
         self.abandoned: set[int] = set()
         self.progress = lifecycle.Progress()
         self.lifecycle = lifecycle.new_lifecycle(self.progress)
@@ -85,7 +80,7 @@
         started = self.start_waiting(now)
         self.release_finished(event, started, now)
         done += started
-        if isinstance(event, Arrival):
+        if isinstance(event, arrivals.Arrival):
             done += self.queue_timer(event.request.exchange)
         if self.progress.phase is lifecycle.Phase.STOPPING and self.idle:
             self.lifecycle.emptied()
@@ -190,60 +185,38 @@
 
     # -- arrivals -----------------------------------------------------------
 
-    def arrive(self, event: Arrival, now: float) -> list[actions.Action]:
+    def arrive(
+        self, event: arrivals.Arrival, now: float
+    ) -> list[actions.Action]:
         """Admit a request, let it wait, or refuse it at once."""
         request = event.request
         account = self.accounts.get(request.request.account)
-        service = self.service_of(request)
+        service = arrivals.service_of(self.configuration, request)
         refusal = self.refusal(event, account, service)
         if refusal is not None or account is None or service is None:
-            truthful = truthful_answer(refusal, event, service)
+            truthful = arrivals.truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, truthful)]
-        ticket = self.ticket(event, service, now)
+        ticket = arrivals.ticket_of(event, service, now)
         resumes = isinstance(event, events.GenerationResumed)
         refusal = self.admission.refusal(ticket, account, resumes, now)
         if refusal is not None:
-            truthful = truthful_answer(refusal, event, service)
+            truthful = arrivals.truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, truthful)]
         self.admission.push(ticket)
         self.waiting[request.exchange] = (ticket, event)
         return []
 
-    def service_of(
-        self, request: requests.GenerationRequest | requests.CallRequest
-    ) -> configuration_state.Service | None:
-        """Return the service of a request, at the priority asked for.
-
-        A caller may lower the priority that its service has. Were it able to
-        raise it, every account's work would soon be the most urgent.
-        """
-        service = self.configuration.find_service(request.service)
-        if service is None or request.priority <= service.priority:
-            return service
-        return dataclasses.replace(service, priority=request.priority)
-
-    def ticket(
+    def refusal(
         self,
-        event: Arrival,
-        service: configuration_state.Service,
-        now: float,
-    ) -> fair_queue.Ticket:
-        """Return the ticket with which a request waits.
-
-        A caller who comes back to its stream goes before new long work.
-        """
-        priority = service.priority
-        if isinstance(event, events.GenerationResumed):
-            priority = min(priority, configuration_state.Priority.RESUME)
-        return fair_queue.Ticket(
-            event.request.exchange,
-            event.request.request.account,
-            service.pool,
-            priority,
-            self.cost(event),
-            event.request.deadline,
-            now + service.most_wait if service.most_wait else float('inf'),
-        )
+        event: arrivals.Arrival,
+        account: configuration_state.ClientAccount | None,
+        service: configuration_state.Service | None,
+    ) -> requests.Failure | None:
+        """Return why a request can't be taken now, or None."""
+        if self.stopping:
+            detail = 'this instance is stopping'
+            return arrivals.not_run('stopping', detail, 0.0)
+        return arrivals.refusal_of(event, account, service)
 
     def queue_timer(self, exchange: int) -> list[actions.Action]:
         """Return the timer that ends the wait of a request, if it waits.
@@ -258,41 +231,6 @@
         give_up_at = min(ticket.deadline, ticket.start_by)
         return [actions.SetTimer(name, give_up_at)]
 
-    def refusal(
-        self,
-        event: Arrival,
-        account: configuration_state.ClientAccount | None,
-        service: configuration_state.Service | None,
-    ) -> requests.Failure | None:
-        """Return why a request can't be taken, or None."""
-        if self.stopping:
-            return not_run('stopping', 'this instance is stopping', 0.0)
-        if account is None:
-            return not_run('unknown-account', 'no such client account', None)
-        if service is None or service.name not in account.services:
-            return not_run('unknown-service', 'no such service', None)
-        wanted = (
-            configuration_state.ServiceKind.CALL
-            if isinstance(event, events.CallSubmitted)
-            else configuration_state.ServiceKind.GENERATION
-        )
-        if service.kind is not wanted:
-            return not_run('wrong-service-kind', service.kind.value, None)
-        return None
-
-    def cost(self, event: Arrival) -> float:
-        """Return what a request may use, in tokens."""
-        match event:
-            case events.CallSubmitted():
-                return 1.0
-            case events.GenerationResumed():
-                prompt = len(event.request.prompt) / CHARACTERS_PER_TOKEN
-                left = event.request.most_tokens - len(event.received)
-                return prompt + max(1, left)
-            case _:
-                prompt = len(event.request.prompt) / CHARACTERS_PER_TOKEN
-                return prompt + event.request.most_tokens
-
     def start_waiting(self, now: float) -> list[actions.Action]:
         """Start waiting requests for which there is room.
 
@@ -338,7 +276,7 @@
         """Start a request, or return None where there is no room."""
         pool = self.configuration.find_pool(ticket.pool)
         event = self.waiting[ticket.exchange][1]
-        service = self.service_of(event.request)
+        service = arrivals.service_of(self.configuration, event.request)
         if account is None or pool is None or service is None:
             return self.refuse_waiting(ticket, 'service-withdrawn', None)
         if now + self.admission.expected_run(ticket) > ticket.deadline:
@@ -350,7 +288,7 @@
             return None
         pool = self.directory.serving_pool(pool, ticket.priority, now)
         view = self.directory.choose(
-            pool, set(), now, ticket.priority, prefix_of(event)
+            pool, set(), now, ticket.priority, arrivals.prefix_of(event)
         )
         resumes = isinstance(event, events.GenerationResumed)
         if view is None and not resumes:
@@ -359,7 +297,7 @@
         self.admission.start(ticket, account.weight, now)
         timer = stalls.timer_name(QUEUE_TIMER, ticket.exchange)
         done: list[actions.Action] = [actions.ClearTimer(timer)]
-        if needs_claim(event, service):
+        if arrivals.needs_claim(event, service):
             return done + self.claims.begin(event.request)
         match event:
             case events.GenerationSubmitted(request):
@@ -376,10 +314,12 @@
         """Dispatch a request whose claim this instance holds now."""
         if request is None:
             return []
-        service = self.service_of(request)
+        service = arrivals.service_of(self.configuration, request)
         pool = self.configuration.find_pool(service.pool) if service else None
         if service is None or pool is None:
-            failure = not_run('service-withdrawn', request.service, None)
+            failure = arrivals.not_run(
+                'service-withdrawn', request.service, None
+            )
             return [actions.SendFailure(request.exchange, failure)]
         if isinstance(request, requests.CallRequest):
             return self.calls.begin(request, service, pool, now)
@@ -387,7 +327,7 @@
         view = self.directory.choose(pool, set(), now, service.priority)
         if view is None:
             wait = self.claims.advice.failed()
-            failure = not_run('no-upstream', service.name, wait)
+            failure = arrivals.not_run('no-upstream', service.name, wait)
             return [actions.SendFailure(request.exchange, failure)]
         return self.streams.begin(request, service, pool, view, now)
 
@@ -398,12 +338,12 @@
         self.admission.discard(ticket)
         _, event = self.waiting.pop(ticket.exchange)
         request = event.request
-        service = self.service_of(request)
+        service = arrivals.service_of(self.configuration, request)
         timer = stalls.timer_name(QUEUE_TIMER, ticket.exchange)
-        failure = not_run(code, ticket.pool, None)
+        failure = arrivals.not_run(code, ticket.pool, None)
         if wait is not None:
             failure = self.admission.not_run(code, ticket.pool, wait)
-        truthful = truthful_answer(failure, event, service)
+        truthful = arrivals.truthful_answer(failure, event, service)
         return [
             actions.ClearTimer(timer),
             actions.SendFailure(ticket.exchange, truthful),
@@ -535,39 +475,6 @@
         ]
 
 
-def needs_claim(event: Arrival, service: configuration_state.Service) -> bool:
-    """Return whether a request may be dispatched only by a claim's holder.
-
-    A caller that comes back with a cursor asks for what already runs. A
-    request without an idempotency key has an id that nobody sends again.
-    """
-    if isinstance(event, events.GenerationResumed):
-        return False
-    return event.request.has_idempotency_key and not service.idempotent
-
-
-def truthful_answer(
-    failure: requests.Failure,
-    event: Arrival,
-    service: configuration_state.Service | None,
-) -> requests.Failure:
-    """Return a refusal that says "not run" only where that is known.
-
-    A caller that comes back with a cursor holds tokens of its request. Told
-    "not run", it would throw them away and ask for the whole again.
-    """
-    if isinstance(event, events.GenerationResumed):
-        return dataclasses.replace(failure, ran=requests.Ran.YES)
-    return claims.truthful(failure, event.request, service)
-
-
-def not_run(
-    code: str, detail: str, retry_after: float | None
-) -> requests.Failure:
-    """Return a failure for a request that was never handed on."""
-    return requests.Failure(code, requests.Ran.NO, detail, retry_after)
-
-
 def tells_pace(answer: FinalAnswer) -> bool:
     """Return whether a request ran for as long as such requests take.
 
@@ -580,18 +487,3 @@
     failure = answer.failure
     in_progress = failure.ran is requests.Ran.YES
     return in_progress and failure.code == 'deadline-passed'
-
-
-def prefix_of(event: Arrival) -> str:
-    """Return what requests have in common that share a cached prefix.
-
-    It is scoped by client account, so that no account can learn from its
-    own latency what another has asked.
-    """
-    if isinstance(event, events.CallSubmitted):
-        return ''
-    prompt = event.request.prompt
-    if len(prompt) < PREFIX_CHARACTERS:
-        return ''
-    account = event.request.request.account
-    return f'{account}/{prompt[:PREFIX_CHARACTERS]}'
--- a/src/greengagelb/measure/virtual_fleet.py
+++ b/src/greengagelb/measure/virtual_fleet.py
@@ -14,6 +14,7 @@
 import random
 
 from greengagelb.coordination import actions
+from greengagelb.coordination import arrivals
 from greengagelb.coordination import events
 from greengagelb.coordination import node
 from greengagelb.state import configuration as configuration_state
@@ -128,7 +129,7 @@
     def prompt_to_compute(self, order: actions.StartAttempt) -> int:
         """Return the tokens whose cache this engine lacks, and cache them."""
         tokens = len(order.prompt) // CHARACTERS_PER_TOKEN
-        key = order.prompt[: node.PREFIX_CHARACTERS]
+        key = order.prompt[: arrivals.PREFIX_CHARACTERS]
         cached = key in self.cache
         self.cache.pop(key, None)
         self.cache[key] = None
--- a/tests/callers/test_priority.py
+++ b/tests/callers/test_priority.py
@@ -1,10 +1,8 @@
 """A caller may lower the priority of its own requests only."""
 
-import random
-
 import pytest
 
-from greengagelb.coordination import node
+from greengagelb.coordination import arrivals
 from greengagelb.state import configuration
 from tests.common import caller_sites
 
@@ -31,7 +29,6 @@
     service = configuration.Service(
         'draft', configuration.ServiceKind.GENERATION, 'p', priority=own
     )
-    deciding = node.Node('i', random.Random(1))
-    deciding.configuration = configuration.Configuration(services=(service,))
+    current = configuration.Configuration(services=(service,))
     request = site.events[0].request
-    assert deciding.service_of(request).priority is served
+    assert arrivals.service_of(current, request).priority is served
