Split the directory of upstreams, share the tests' launcher, compress plan rows

Change: upstream_views.py keeps what is known, routing.py chooses; the test fleet is a launcher; documents in rows and between instances use one codec. Ruled out: a second class beside the directory that all callers would have to be given (14 places), for a split that is about reading.

--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -14,6 +14,7 @@
 import sys
 from typing import Any
 
+from greengagelb import settings
 from greengagelb.coordination import watching
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -28,7 +29,7 @@
 RESUME_SECONDS = 2.0
 WATCHERS = watching.WATCHERS
 TURNS_BETWEEN_REMOTE = watching.TURNS_BETWEEN_REMOTE
-HEARTBEAT_SECONDS = 4.0
+HEARTBEAT_SECONDS = settings.PeerSettings().heartbeat_seconds
 POLL_SECONDS = 2.0
 READS_A_POLL = 2
 WRITES_A_CLAIM = 2
--- a/measure/control_traffic.py
+++ b/measure/control_traffic.py
@@ -7,6 +7,7 @@
 import time
 
 from greengagelb.coordination import membership
+from greengagelb.protocol import codec
 from greengagelb.protocol import peer_api
 from greengagelb.state import configuration
 from greengagelb.state import fleet
@@ -64,15 +65,15 @@
 
 def main() -> None:
     """Print all figures."""
-    codec = peer_api.PeerCodec('the-secret-of-the-fleet')
+    peer_codec = peer_api.PeerCodec('the-secret-of-the-fleet')
     stamp = timeline.Stamp(int(time.time() * 1000), 3)
     plain = fleet.Heartbeat(peer(1), 100_000, False, stamp)
-    size = len(codec.seal(peer_api.message_of(plain)))
+    size = len(peer_codec.seal(peer_api.message_of(plain)))
     notices = tuple(
         identity.EngineId(f'engine-{n:03}', f'{n:012x}') for n in range(8)
     )
     noticed = fleet.Heartbeat(peer(1), 100_000, False, stamp, notices)
-    noticed_size = len(codec.seal(peer_api.message_of(noticed)))
+    noticed_size = len(peer_codec.seal(peer_api.message_of(noticed)))
     report('heartbeat', size, 'bytes')
     report('heartbeat with 8 leaving upstreams', noticed_size, 'bytes')
     others = INSTANCES - 1
@@ -80,7 +81,7 @@
     report('heartbeats sent by a node', payload, 'bytes/s')
     headers = others * TCP_BYTES * 2 / INTERVAL
     report('TCP/IP headers and acknowledgements of these', headers, 'bytes/s')
-    document = peer_api.compress(full_configuration())
+    document = codec.compress(full_configuration())
     report('configuration, compressed', len(document), 'bytes')
     per_day = len(document) * CHANGES_A_DAY / DAY_SECONDS
     report('configuration copies, mean', per_day, 'bytes/s')
@@ -88,28 +89,30 @@
     report('heartbeats at changes, mean', pushes, 'bytes/s')
     pings = 2 * others * PING_BYTES / PING_SECONDS
     report('zmq heartbeats with TCP/IP headers', pings, 'bytes/s')
-    measure_time(codec, plain)
+    measure_time(peer_codec, plain)
 
 
-def measure_time(codec: peer_api.PeerCodec, plain: fleet.Heartbeat) -> None:
+def measure_time(
+    peer_codec: peer_api.PeerCodec, plain: fleet.Heartbeat
+) -> None:
     """Print the processor time that one heartbeat takes at both ends."""
     member = membership.Membership(peer(0), (), INTERVAL)
     frames = []
     for number in range(1, INSTANCES):
         heartbeat = fleet.Heartbeat(peer(number), 1, False, plain.stamp)
-        frames.append(codec.seal(peer_api.message_of(heartbeat)))
+        frames.append(peer_codec.seal(peer_api.message_of(heartbeat)))
     begun = time.process_time()
     for turn in range(ROUNDS):
         now = turn * INTERVAL
         for frame in frames:
-            member.heard(peer_api.heartbeat_of(codec.open(frame)), now)
+            member.heard(peer_api.heartbeat_of(peer_codec.open(frame)), now)
     taken = (time.process_time() - begun) / ROUNDS / len(frames)
     report('one heartbeat taken in', taken * 1e6, 'us')
     begun = time.process_time()
     for turn in range(ROUNDS):
         for action in member.tick(ROUNDS * INTERVAL + turn):
             if isinstance(action, membership.SendHeartbeat):
-                codec.seal(peer_api.message_of(action.heartbeat))
+                peer_codec.seal(peer_api.message_of(action.heartbeat))
     sent = (time.process_time() - begun) / ROUNDS
     report('one round of heartbeats made', sent * 1e6, 'us')
     share = (taken * len(frames) + sent) / INTERVAL
--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -21,6 +21,7 @@
 import time
 from typing import Any
 
+from greengagelb.cli import launcher
 from greengagelb.protocol import codec
 from measure import deployment
 from tests.common import callers
@@ -136,20 +137,20 @@
     instance_bytes: int
 
 
-def processor_seconds(process: fleet.Process) -> float:
+def processor_seconds(process: launcher.LaunchedProcess) -> float:
     """Return the processor time that a process has used."""
     path = pathlib.Path(f'/proc/{process.popen.pid}/stat')
     fields = path.read_text().rpartition(')')[2].split()
     return (int(fields[11]) + int(fields[12])) / 100.0
 
 
-def resident_bytes(process: fleet.Process) -> int:
+def resident_bytes(process: launcher.LaunchedProcess) -> int:
     """Return the memory that a process holds."""
     path = pathlib.Path(f'/proc/{process.popen.pid}/statm')
     return int(path.read_text().split()[1]) * 4096
 
 
-def report_of(process: fleet.Process) -> Any:
+def report_of(process: launcher.LaunchedProcess) -> Any:
     """Return an engine's report."""
     return fleet.ask(process.port, '/v1/report').json()
 
--- a/src/greengagelb/cli/demo.py
+++ b/src/greengagelb/cli/demo.py
@@ -36,7 +36,7 @@
     'demo_tokens', 120, 'Tokens of the streamed answer.', lower_bound=20
 )
 
-STEP_SECONDS = 0.03
+STEP_FLAG = '--step_seconds=0.03'
 PROMPT = 'When may the guests of cottage 4 check in?'
 DRAFT_KEY = 'demo-draft'
 CHARGE_KEY = 'demo-charge'
@@ -72,7 +72,7 @@
 ) -> None:
     """Start every process and wait until it listens."""
     for number in range(3):
-        fleet.engine(f'engine-{number}', STEP_SECONDS)
+        fleet.engine(f'engine-{number}', STEP_FLAG)
     fleet.service('charges-0')
     for number in range(2):
         fleet.instance(f'instance-{number}')
@@ -282,7 +282,7 @@
         ]
         check(len(dead) == 1, 'one engine was killed in mid-stream')
         check(
-            draft.tokens == right_answer(),
+            draft.tokens == engine.answer_to(PROMPT, TOKENS.value),
             f'all {len(draft.tokens)} tokens came, none twice, none mixed',
         )
         check(draft.finish_reason == 'length', 'the answer is complete')
@@ -344,23 +344,3 @@
         if draft.printed % TOKENS_A_LINE == 0:
             sys.stdout.write('\n')
     sys.stdout.flush()
-
-
-def right_answer() -> list[str]:
-    """Return what an engine that never failed would have generated."""
-    return engine.answer_of(
-        engine_api.GenerateOrder(
-            account='',
-            request='',
-            generation=1,
-            attempt='',
-            model='m',
-            version='1',
-            adapter='',
-            prompt=f'user: {PROMPT}',
-            received=[],
-            most_tokens=TOKENS.value,
-            priority=0,
-            deadline_seconds=0.0,
-        )
-    )
--- a/src/greengagelb/cli/launcher.py
+++ b/src/greengagelb/cli/launcher.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import hashlib
 import pathlib
 import secrets
@@ -32,11 +33,16 @@
     """A process that this one has started."""
 
     def __init__(
-        self, name: str, popen: subprocess.Popen, ports: list[int]
+        self,
+        name: str,
+        popen: subprocess.Popen,
+        ports: list[int],
+        log: pathlib.Path,
     ) -> None:
         self.name = name
         self.popen = popen
         self.ports = ports
+        self.log = log
 
     @property
     def port(self) -> int:
@@ -48,6 +54,11 @@
         """Return the port of an instance's operator interface."""
         return self.ports[1]
 
+    @property
+    def peer_port(self) -> int:
+        """Return the port of an instance for other instances."""
+        return self.ports[2]
+
     @property
     def served_ports(self) -> list[int]:
         """Return the ports that are asked over HTTP.
@@ -57,6 +68,10 @@
         """
         return self.ports[:2]
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        self.popen.send_signal(number)
+
     def kill(self) -> None:
         """End the process at once, as a crash would."""
         self.popen.kill()
@@ -71,12 +86,27 @@
             raise errors.DemoFailed(f'{self.name} does not stop') from exc
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where an instance stands, and which others its settings name.
+
+    ``platform_port`` 0 stands for that of the launcher's own platform.
+    """
+
+    data_centre: str = DATA_CENTRE
+    peers: tuple[LaunchedProcess, ...] = ()
+    platform_port: int = 0
+
+
 class Launcher(contextlib.ExitStack):
     """A small fleet on loopback; whatever is left is killed on exit."""
 
-    def __init__(self) -> None:
+    poll_seconds = 0.2
+    heartbeat_seconds = 0.5
+
+    def __init__(self, folder: pathlib.Path | None = None) -> None:
         super().__init__()
-        self.folder = pathlib.Path(
+        self.folder = folder or pathlib.Path(
             self.enter_context(tempfile.TemporaryDirectory())
         )
         self.operator_key = secrets.token_urlsafe(16)
@@ -100,15 +130,25 @@
         self, name: str, words: list[str], ports: list[int]
     ) -> LaunchedProcess:
         """Start the program with these arguments; its output goes to a log."""
-        log = self.enter_context((self.folder / f'{name}.log').open('wb'))
+        log = self.folder / f'{name}.log'
         popen = subprocess.Popen(
             [*program_words(), *words],
             stdin=subprocess.DEVNULL,
-            stdout=log,
+            stdout=self.enter_context(log.open('wb')),
             stderr=subprocess.STDOUT,
         )
-        self.callback(end, popen)
-        return LaunchedProcess(name, popen, ports)
+        self.callback(self.end, popen)
+        return LaunchedProcess(name, popen, ports, log)
+
+    def end(self, popen: subprocess.Popen) -> None:
+        """End a process that still runs, if it can by itself."""
+        if popen.poll() is None:
+            popen.terminate()
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                popen.wait(1.0)
+        if popen.poll() is None:
+            popen.kill()
+        popen.wait()
 
     def stand_in(self, kind: str, name: str, *flags: str) -> LaunchedProcess:
         """Start a stand-in."""
@@ -116,30 +156,34 @@
         words = ['stand-in', kind, f'--port={port}', f'--name={name}', *flags]
         return self.start(name, words, [port])
 
-    def engine(self, name: str, step_seconds: float) -> None:
+    def engine(self, name: str, *flags: str) -> LaunchedProcess:
         """Start an engine stand-in."""
-        flag = f'--step_seconds={step_seconds}'
-        self.engines[name] = self.stand_in('engine', name, flag)
+        self.engines[name] = self.stand_in('engine', name, *flags)
+        return self.engines[name]
 
-    def service(self, name: str) -> None:
+    def service(self, name: str) -> LaunchedProcess:
         """Start a plain-service stand-in."""
         self.services[name] = self.stand_in('service', name)
+        return self.services[name]
 
-    def instance(self, name: str) -> None:
+    def instance(self, name: str, place: Place = Place()) -> LaunchedProcess:
         """Start an instance."""
         ports = [free_port() for _ in range(3)]
         path = self.folder / f'{name}.ini'
-        path.write_text(self.settings_text(name, ports))
+        path.write_text(self.settings_text(name, ports, place))
         words = ['serve', f'--settings={path}']
         self.instances[name] = self.start(name, words, ports)
+        return self.instances[name]
 
-    def settings_text(self, name: str, ports: list[int]) -> str:
+    def settings_text(self, name: str, ports: list[int], place: Place) -> str:
         """Return the settings file of an instance."""
+        peers = ', '.join(f'{HOST}:{one.peer_port}' for one in place.peers)
+        addresses = f'addresses = {peers}' if peers else ''
         return textwrap.dedent(
             f"""\
             [instance]
             name = {name}
-            data_centre = {DATA_CENTRE}
+            data_centre = {place.data_centre}
             host = {HOST}
             caller_port = {ports[0]}
             operator_port = {ports[1]}
@@ -147,13 +191,17 @@
 
             [platform]
             host = {HOST}
-            port = {self.platform.port}
-            poll_seconds = 0.2
+            port = {place.platform_port or self.platform.port}
+            poll_seconds = {self.poll_seconds}
             timeout_seconds = 1.0
 
             [secrets]
             cursor_secret = {self.cursor_secret}
             operator_key_digest = {digest(self.operator_key)}
+
+            [peers]
+            heartbeat_seconds = {self.heartbeat_seconds}
+            {addresses}
             """
         )
 
@@ -245,17 +293,6 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def end(popen: subprocess.Popen) -> None:
-    """End a process that still runs."""
-    if popen.poll() is None:
-        popen.terminate()
-        with contextlib.suppress(subprocess.TimeoutExpired):
-            popen.wait(1.0)
-    if popen.poll() is None:
-        popen.kill()
-    popen.wait()
-
-
 def listens(port: int) -> bool:
     """Return whether somebody listens on a port."""
     try:
--- a/src/greengagelb/coordination/returning.py
+++ b/src/greengagelb/coordination/returning.py
@@ -13,7 +13,7 @@
 from greengagelb.coordination import events
 from greengagelb.coordination import pinning
 from greengagelb.coordination import recovery
-from greengagelb.coordination import routing
+from greengagelb.coordination import upstream_views
 from greengagelb.state import attempts as attempt_state
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
@@ -149,7 +149,7 @@
         """
         if attempt.attempt_id in self.table.cancels.pending:
             return 'was cancelled here'
-        if now - view.probed_at >= routing.PROBE_TRUST_SECONDS:
+        if now - view.probed_at >= upstream_views.PROBE_TRUST_SECONDS:
             return ''
         known = attempt.incarnation
         if known and known != view.incarnation:
--- /dev/null
+++ b/src/greengagelb/coordination/upstream_views.py
@@ -0,0 +1,277 @@
+"""What an instance knows of the upstreams.
+
+It comes from reports that an upstream gives, from what other instances pass
+on, from orders that hold an engine, and from how this instance's own requests
+fare. All of it may be old: each question here says how old it may be.
+"""
+
+import dataclasses
+
+from greengagelb import errors
+from greengagelb.coordination import events
+from greengagelb.state import configuration as configuration_state
+from greengagelb.state import fleet
+from greengagelb.state import identity
+from greengagelb.state import upstreams as upstream_state
+
+REPORT_TRUST_SECONDS = 5.0
+PROBE_TRUST_SECONDS = 3.0
+SUSPICION_SECONDS = 2.0
+MOST_SUSPICION_SECONDS = 30.0
+FORGIVE_SECONDS = 30.0
+HOLD_SECONDS = 20.0
+MOST_CACHED_PREFIXES = 4096
+SHORT = configuration_state.Priority.SHORT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """Upstreams that an instance holds, until a monotonic time."""
+
+    upstreams: frozenset[str]
+    deadline: float
+
+
+class UpstreamViews:
+    """All upstreams of the configuration in force, and what is known of them.
+
+    Invariant: ``in_flight`` of an upstream is never negative. ``changed``
+    tells that an upstream may have room by now that it had not before.
+    """
+
+    def __init__(self, data_centre: str) -> None:
+        self.data_centre = data_centre
+        self.views: dict[str, upstream_state.UpstreamView] = {}
+        self.short_pools: set[str] = set()
+        self.leaving: set[identity.EngineId] = set()
+        self.holds: dict[str, Hold] = {}
+        self.live_instances = 1
+        self.order: list[str] = []
+        self.changed = False
+
+    def apply(self, configuration: configuration_state.Configuration) -> None:
+        """Adopt the upstreams of a configuration, keeping what is known."""
+        named = {
+            upstream.name: upstream
+            for pool in configuration.pools
+            for upstream in pool.upstreams
+        }
+        for name, upstream in named.items():
+            view = self.views.setdefault(
+                name, upstream_state.UpstreamView(upstream)
+            )
+            view.upstream = upstream
+        for name in list(self.views):
+            if name not in named and not self.views[name].in_flight:
+                del self.views[name]
+        self.leaving = {e for e in self.leaving if e.name in self.views}
+        self.order = list(named)
+        self.short_pools = shared_pools(configuration)
+        self.changed = True
+
+    def resize(self, live_instances: int) -> None:
+        """Share the upstreams' places with that many instances."""
+        self.live_instances = max(1, live_instances)
+        self.changed = True
+
+    def touch(self, name: str) -> None:
+        """Note that an upstream may have room that it had not before."""
+        self.changed = True
+
+    def observe(self, report: events.UpstreamReported, now: float) -> None:
+        """Take in an upstream's report.
+
+        A report proves that the upstream is there. It does not prove that
+        it generates: one whose work has failed stays suspected for its time.
+        """
+        view = self.views.get(report.engine.name)
+        if view is None:
+            return
+        if report.leaving:
+            self.leaving.add(report.engine)
+        if view.incarnation != report.engine.incarnation:
+            self.meet_incarnation(view, report.engine.incarnation, now)
+        view.model = report.model
+        view.version = report.version
+        view.adapter = report.adapter
+        view.role = report.role
+        view.reported_running = report.running
+        view.reported_queued = report.queued
+        view.reported_at = now
+        view.probed_at = now
+        view.in_flight_at_report = view.in_flight
+        view.step_seconds = report.step_seconds
+        view.leaving = report.engine in self.leaving
+        self.touch(report.engine.name)
+
+    def own_loads(self, now: float) -> tuple[fleet.UpstreamLoad, ...]:
+        """Return the loads that upstreams have told this instance itself.
+
+        Loads heard from others are left out: passed on again and again, an
+        old load would look like a new one.
+        """
+        return tuple(
+            fleet.UpstreamLoad(
+                index,
+                view.reported_running,
+                view.reported_queued,
+                view.step_seconds,
+            )
+            for index, name in enumerate(self.order)
+            if self.is_local(view := self.views[name])
+            and view.reported_at == view.probed_at
+            and now - view.probed_at < REPORT_TRUST_SECONDS
+        )
+
+    def hear_loads(
+        self, loads: tuple[fleet.UpstreamLoad, ...], now: float
+    ) -> None:
+        """Take in loads that another instance passes on."""
+        for load in loads:
+            if load.index >= len(self.order):
+                continue
+            view = self.views[self.order[load.index]]
+            if now - view.probed_at < REPORT_TRUST_SECONDS:
+                continue
+            view.reported_running = load.running
+            view.reported_queued = load.queued
+            view.reported_at = now
+            view.in_flight_at_report = view.in_flight
+            view.step_seconds = load.step_seconds
+            self.touch(self.order[load.index])
+
+    def meet_incarnation(
+        self,
+        view: upstream_state.UpstreamView,
+        incarnation: str,
+        now: float,
+    ) -> None:
+        """Forget what was known of an upstream before it restarted."""
+        restarted = bool(view.incarnation)
+        view.incarnation = incarnation
+        view.cache_known = False
+        view.prefixes.clear()
+        if restarted:
+            view.failures = 0
+            view.suspected_until = min(view.suspected_until, now)
+            view.returned_at = now
+
+    def is_local(self, view: upstream_state.UpstreamView) -> bool:
+        """Return whether an upstream is in this instance's data centre."""
+        return view.upstream.data_centre == self.data_centre
+
+    def mark_leaving(self, event: events.UpstreamLeaving, now: float) -> None:
+        """Give no new work to that incarnation from now on.
+
+        It is remembered by incarnation: the notice may come before the first
+        report of that incarnation, or between late reports of an older one.
+        Kept in the view alone it would be lost, and the upstream get work.
+        """
+        view = self.views.get(event.engine.name)
+        if view is None:
+            return
+        engine = event.engine
+        if not engine.incarnation:
+            engine = identity.EngineId(engine.name, view.incarnation)
+        self.leaving.add(engine)
+        # An instance that does not watch the upstream may know none or an
+        # old incarnation of it, and would take the notice for another's. It
+        # gives no work until its own next question is answered.
+        unsure = now - view.probed_at >= PROBE_TRUST_SECONDS
+        same = view.incarnation == engine.incarnation
+        view.leaving = view.leaving or same or unsure
+
+    def suspect(self, name: str, now: float) -> None:
+        """Keep new work away from an upstream that has just failed.
+
+        Each time in a row it is kept away for longer. An upstream that
+        answers probes and fails all work would otherwise be given new work
+        every few seconds. The many streams that fail at one moment count
+        once.
+        """
+        view = self.views.get(name)
+        if view is None or now < view.suspected_until:
+            return
+        if now - view.suspected_until > FORGIVE_SECONDS:
+            view.failures = 0
+        wait = min(
+            SUSPICION_SECONDS * 2**view.failures, MOST_SUSPICION_SECONDS
+        )
+        view.failures += 1
+        view.suspected_at = now
+        view.suspected_until = now + wait
+        view.returned_at = view.suspected_until
+
+    def cache_changed(self, event: events.EngineCacheChanged) -> None:
+        """Take in what an engine says of its prefix cache.
+
+        Where an event is missing, the prefixes that it dropped would be
+        thought cached for ever: all that was known is forgotten then.
+        """
+        view = self.views.get(event.engine.name)
+        if view is None or view.incarnation != event.engine.incarnation:
+            return
+        if event.sequence <= view.cache_sequence and view.cache_known:
+            return
+        if event.sequence != view.cache_sequence + 1:
+            view.prefixes.clear()
+        view.cache_known = True
+        view.cache_sequence = event.sequence
+        view.prefixes.difference_update(event.dropped)
+        view.prefixes.update(event.stored)
+        if len(view.prefixes) > MOST_CACHED_PREFIXES:
+            view.prefixes.clear()
+
+    def hold(
+        self, event: events.UpstreamsHeld, now: float
+    ) -> list[configuration_state.Upstream]:
+        """Give no new work to engines that are about to be ordered.
+
+        Returns those that are held no more: they have probably become
+        something else, and should be asked what. A hold lapses by itself,
+        as the instance that ordered it may have died.
+        """
+        before = self.holds.pop(event.source, Hold(frozenset(), now))
+        if event.upstreams:
+            deadline = now + HOLD_SECONDS
+            self.holds[event.source] = Hold(event.upstreams, deadline)
+        self.changed = True
+        return [
+            self.views[name].upstream
+            for name in sorted(before.upstreams - event.upstreams)
+            if name in self.views
+        ]
+
+    def held(self, now: float) -> set[str]:
+        """Return the names of all upstreams that are held now."""
+        return {
+            name
+            for hold in self.holds.values()
+            if now < hold.deadline
+            for name in hold.upstreams
+        }
+
+    def started(self, name: str) -> None:
+        """Count a request that has been given to an upstream."""
+        self.views[name].in_flight += 1
+
+    def finished(self, name: str) -> None:
+        """Count a request that an upstream no longer has."""
+        view = self.views.get(name)
+        if view is None:
+            return
+        if not view.in_flight:
+            raise errors.InvariantViolated(f'{name} has nothing in flight')
+        view.in_flight -= 1
+        self.touch(name)
+
+
+def shared_pools(
+    configuration: configuration_state.Configuration,
+) -> set[str]:
+    """Return the pools that serve short calls beside other work."""
+    classes: dict[str, set[bool]] = {}
+    for service in configuration.services:
+        is_short = service.priority is SHORT
+        classes.setdefault(service.pool, set()).add(is_short)
+    return {pool for pool, found in classes.items() if len(found) > 1}
--- a/src/greengagelb/protocol/codec.py
+++ b/src/greengagelb/protocol/codec.py
@@ -6,6 +6,7 @@
 import hmac
 from typing import Any
 from typing import TypeVar
+import zlib
 
 import msgspec
 
@@ -15,6 +16,7 @@
 
 T = TypeVar('T')
 SEAL_BYTES = 16
+MOST_DOCUMENT_BYTES = 16 << 20
 NO_STAMP = timeline.Stamp(0, 0)
 
 _encoder = msgspec.json.Encoder()
@@ -47,6 +49,46 @@
     stamp: timeline.Stamp
 
 
+def compress(message: Any) -> bytes:
+    """Return a message or data class as compressed JSON.
+
+    A configuration of the design size has some 300 KB of JSON, and changes
+    over a thousand times a day at each instance.
+    """
+    return zlib.compress(encode(message))
+
+
+def decompress(raw: bytes, kind: type[T]) -> T:
+    """Return the message in compressed JSON, validated.
+
+    Raises :class:`~greengagelb.errors.ProtocolError`, also for a document
+    that is larger than any configuration: a few bytes can unpack to more than
+    the memory holds.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        document = unpacker.decompress(raw, MOST_DOCUMENT_BYTES)
+    except zlib.error as exc:
+        raise errors.ProtocolError('message is not compressed') from exc
+    if unpacker.unconsumed_tail:
+        raise errors.ProtocolError('message is too large')
+    return decode(document, kind)
+
+
+def compress_to_text(message: Any) -> str:
+    """Return a message as text for a row of the platform's table."""
+    return base64.b64encode(compress(message)).decode()
+
+
+def decompress_from_text(text: str, kind: type[T]) -> T:
+    """Return the message in a row's text, validated."""
+    try:
+        raw = base64.b64decode(text, validate=True)
+    except ValueError as exc:
+        raise errors.ProtocolError('row is not base64') from exc
+    return decompress(raw, kind)
+
+
 class CursorSeal:
     """Seals resume points into event ids and opens them again.
 
--- a/src/greengagelb/protocol/peer_api.py
+++ b/src/greengagelb/protocol/peer_api.py
@@ -16,13 +16,10 @@
 
 import hashlib
 import hmac
-import zlib
 
 import msgspec
 
 from greengagelb import errors
-from greengagelb.protocol import codec
-from greengagelb.state import configuration as configuration_state
 from greengagelb.state import fleet
 from greengagelb.state import identity
 from greengagelb.state import timeline
@@ -30,7 +27,6 @@
 TAG_BYTES = 16
 STEP_UNITS_A_SECOND = 10_000
 MOST_MESSAGE_BYTES = 4 << 20
-MOST_DOCUMENT_BYTES = 16 << 20
 KEY_PURPOSE = b'greengagelb peers'
 
 
@@ -210,20 +206,3 @@
         ),
         held=frozenset(message.held),
     )
-
-
-def compress(configuration: configuration_state.Configuration) -> bytes:
-    """Return a configuration as compressed JSON."""
-    return zlib.compress(codec.encode(configuration))
-
-
-def decompress(raw: bytes) -> configuration_state.Configuration:
-    """Return the configuration in compressed JSON of bounded size."""
-    unpacker = zlib.decompressobj()
-    try:
-        document = unpacker.decompress(raw, MOST_DOCUMENT_BYTES)
-    except zlib.error as exc:
-        raise errors.ProtocolError('configuration is not compressed') from exc
-    if unpacker.unconsumed_tail:
-        raise errors.ProtocolError('configuration is too large')
-    return codec.decode(document, configuration_state.Configuration)
--- a/src/greengagelb/standins/engine.py
+++ b/src/greengagelb/standins/engine.py
@@ -264,6 +264,26 @@
             del self.runs[key]
 
 
+def answer_to(text: str, most_tokens: int) -> list[str]:
+    """Return what the stand-in's own model answers to a user's one message."""
+    return answer_of(
+        engine_api.GenerateOrder(
+            account='',
+            request='',
+            generation=1,
+            attempt='',
+            model='m',
+            version='1',
+            adapter='',
+            prompt=f'user: {text}',
+            received=[],
+            most_tokens=most_tokens,
+            priority=0,
+            deadline_seconds=0.0,
+        )
+    )
+
+
 def answer_of(order: engine_api.GenerateOrder) -> list[str]:
     """Return the tokens that an unsampled engine generates for an order."""
     run = Run(order, list(order.received), '')
--- a/src/greengagelb/transport/peers.py
+++ b/src/greengagelb/transport/peers.py
@@ -19,6 +19,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination import membership
+from greengagelb.protocol import codec
 from greengagelb.protocol import peer_api
 from greengagelb.protocol import platform_api
 from greengagelb.state import configuration as configuration_state
@@ -253,7 +254,9 @@
             case peer_api.ConfigurationQuery(host, port):
                 self.answer_query(fleet.PeerAddress(host, port))
             case peer_api.ConfigurationCopy(name, document):
-                offered = peer_api.decompress(document)
+                offered = codec.decompress(
+                    document, configuration_state.Configuration
+                )
                 self.dispatch(
                     events.ConfigurationOffered(offered, f'peer {name}')
                 )
@@ -276,7 +279,7 @@
         applied = self.configuration()
         if applied.version:
             self.membership.asked(address)
-            document = peer_api.compress(applied)
+            document = codec.compress(applied)
             self.send(
                 address, peer_api.ConfigurationCopy(self.me.name, document)
             )
--- a/src/greengagelb/transport/plan_store.py
+++ b/src/greengagelb/transport/plan_store.py
@@ -60,7 +60,7 @@
 
         Its id is new, so a row of that id after a lost answer is its own.
         """
-        value = codec.encode(plan).decode()
+        value = codec.compress_to_text(plan)
         try:
             yield self.platform.write(PLAN_TABLE, plan.plan_id, 0, value)
         except errors.PlatformUnavailable:
@@ -74,7 +74,7 @@
         row = yield self.platform.read(PLAN_TABLE, plan_id)
         if row is None:
             return None
-        return codec.decode(row.value, plan_state.Plan)
+        return codec.decompress_from_text(row.value, plan_state.Plan)
 
     def confirm(self, plan: plan_state.Plan) -> 'defer.Deferred':
         """Put a plan in force; returns the outcome of confirming."""
--- a/tests/callers/test_bad_input.py
+++ b/tests/callers/test_bad_input.py
@@ -9,8 +9,6 @@
 
 from greengagelb.coordination import events
 from greengagelb.state import identity
-from greengagelb.state import requests
-from greengagelb.state import streams
 from greengagelb.transport import body_budget
 from greengagelb.transport import serving
 from tests.common import caller_sites
@@ -28,18 +26,7 @@
 
 def sealed(account='teratak', seal=None):
     seal = seal or caller_sites.CallerSite().seal
-    point = requests.ResumePoint(
-        identity.RequestId(account, 'r'),
-        1,
-        'attempt',
-        identity.EngineId('e', 'i'),
-        0,
-        streams.EMPTY_CHAIN,
-        'm',
-        '1',
-        '',
-        streams.EMPTY_CHAIN,
-    )
+    point = caller_sites.sample_point(account)
     return seal.seal(point).encode()
 
 
--- a/tests/common/caller_sites.py
+++ b/tests/common/caller_sites.py
@@ -10,6 +10,9 @@
 from greengagelb.coordination import events
 from greengagelb.protocol import codec
 from greengagelb.state import configuration
+from greengagelb.state import identity
+from greengagelb.state import requests
+from greengagelb.state import streams
 from greengagelb.transport import caller_app
 from greengagelb.transport import recorder
 from greengagelb.transport import serving
@@ -32,6 +35,22 @@
         return json.loads(self.body)
 
 
+def sample_point(account: str) -> requests.ResumePoint:
+    """Return where a stream of an account broke off before its first token."""
+    return requests.ResumePoint(
+        identity.RequestId(account, 'r'),
+        1,
+        'attempt',
+        identity.EngineId('e', 'i'),
+        0,
+        streams.EMPTY_CHAIN,
+        'm',
+        '1',
+        '',
+        streams.EMPTY_CHAIN,
+    )
+
+
 class CallerSite:
     """Takes raw requests and keeps the events that they lead to."""
 
--- a/tests/common/callers.py
+++ b/tests/common/callers.py
@@ -1,12 +1,12 @@
 """A caller that reads a streamed answer event by event."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 import http.client
 import json
 from typing import Any
 
-from greengagelb.protocol import engine_api
 from greengagelb.standins import engine
 from tests.common import fleet
 
@@ -81,24 +81,22 @@
         for _ in self.read(port):
             pass
 
+    def read_and_act(
+        self, port: int, act: Callable[[], object], at: int = 50
+    ) -> None:
+        """Read a whole answer, and act once when some tokens are there."""
+        acted = False
+        for _ in self.read(port):
+            if len(self.tokens) > at and not acted:
+                act()
+                acted = True
+        assert acted
+        assert self.error is None
+        assert len(self.tokens) == self.most_tokens
+
     def right_answer(self) -> list[str]:
         """Return what an engine that never failed would have generated."""
-        return engine.answer_of(
-            engine_api.GenerateOrder(
-                account='',
-                request='',
-                generation=1,
-                attempt='',
-                model='m',
-                version='1',
-                adapter='',
-                prompt=f'user: {self.prompt}',
-                received=[],
-                most_tokens=self.most_tokens,
-                priority=2,
-                deadline_seconds=0.0,
-            )
-        )
+        return engine.answer_to(self.prompt, self.most_tokens)
 
 
 def read_events(answer: http.client.HTTPResponse) -> Iterator[StreamEvent]:
--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -4,14 +4,9 @@
 from collections.abc import Sequence
 import contextlib
 import dataclasses
-import hashlib
 import json
-import os
 import pathlib
-import signal
-import socket
 import subprocess
-import sys
 import time
 from typing import Any
 import urllib.error
@@ -19,21 +14,16 @@
 
 from greengagelb.cli import launcher
 
-HOST = '127.0.0.1'
+HOST = launcher.HOST
 OPERATOR_KEY = 'operator-key-of-the-tests'
 ACCOUNT_KEY = 'key-of-teratak'
 OTHER_KEY = 'key-of-karri'
 STARTING_SECONDS = 20.0
 
 
-def free_port() -> int:
-    """Return a port that nobody listens on."""
-    return launcher.free_port()
-
-
-def digest(key: str) -> str:
-    """Return the digest under which a key is kept."""
-    return hashlib.sha256(key.encode()).hexdigest()
+free_port = launcher.free_port
+digest = launcher.digest
+listens = launcher.listens
 
 
 @dataclasses.dataclass
@@ -89,53 +79,13 @@
     raise AssertionError('the condition did not come about in time')
 
 
-@dataclasses.dataclass
-class Process:
-    """A process of the fleet."""
-
-    popen: subprocess.Popen
-    port: int
-    operator_port: int = 0
-    peer_port: int = 0
-    log: pathlib.Path | None = None
-
-    def listens(self) -> bool:
-        """Return whether the process listens; fail if it has ended."""
-        if self.popen.poll() is not None:
-            found = self.log.read_text() if self.log else ''
-            raise AssertionError(f'{self.popen.args} ended: {found}')
-        ports = [self.port, self.operator_port or self.port]
-        return all(listens(port) for port in ports)
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal to this process only."""
-        self.popen.send_signal(number)
-
-
-class Fleet(contextlib.ExitStack):
+class Fleet(launcher.Launcher):
     """Starts processes, and kills those that are left when it closes."""
 
     def __init__(self, folder: pathlib.Path) -> None:
-        super().__init__()
-        self.folder = folder
-        self.poll_seconds = 0.2
-        self.platform = self.stand_in('platform', 'platform')
-        self.engines: dict[str, Process] = {}
-        self.services: dict[str, Process] = {}
-        self.instances: dict[str, Process] = {}
-
-    def run(self, name: str, words: list[str], port: int) -> Process:
-        """Start the program with these arguments."""
-        log = self.folder / f'{name}.log'
-        output = self.enter_context(log.open('wb'))
-        popen = subprocess.Popen(
-            [sys.executable, '-m', 'greengagelb', *words],
-            stdout=output,
-            stderr=subprocess.STDOUT,
-            env=dict(os.environ),
-        )
-        self.callback(self.end, popen)
-        return Process(popen, port, log=log)
+        super().__init__(folder)
+        self.operator_key = OPERATOR_KEY
+        self.cursor_secret = 'the-secret-of-the-test-fleet'
 
     def end(self, popen: subprocess.Popen) -> None:
         """Kill a process that still runs, stopped ones too."""
@@ -143,62 +93,31 @@
             popen.kill()
         popen.wait()
 
-    def wait_for_all(self) -> None:
-        """Wait until every process listens."""
-        for process in [
-            self.platform,
-            *self.engines.values(),
-            *self.services.values(),
-            *self.instances.values(),
-        ]:
-            wait_until(lambda p=process: p.listens())
-
-    def stand_in(self, kind: str, name: str, *flags: str) -> Process:
-        """Start a stand-in."""
-        port = free_port()
-        words = ['stand-in', kind, f'--port={port}', f'--name={name}', *flags]
-        return self.run(name, words, port)
-
-    def engine(self, name: str, *flags: str) -> Process:
-        """Start an engine stand-in."""
-        self.engines[name] = self.stand_in('engine', name, *flags)
-        return self.engines[name]
-
-    def service(self, name: str) -> Process:
-        """Start a plain-service stand-in."""
-        self.services[name] = self.stand_in('service', name)
-        return self.services[name]
-
     def instance(
         self,
         name: str,
         data_centre: str = 'kl-1',
-        peers: Sequence[Process] = (),
+        peers: Sequence[launcher.LaunchedProcess] = (),
         platform_port: int = 0,
-    ) -> Process:
+    ) -> launcher.LaunchedProcess:
         """Start an instance, with settings that name these peers."""
-        caller, operator, peer = free_port(), free_port(), free_port()
-        path = self.folder / f'{name}.ini'
-        addresses = ', '.join(f'{HOST}:{one.peer_port}' for one in peers)
-        named = f'addresses = {addresses}\n' if peers else ''
-        platform = platform_port or self.platform.port
-        path.write_text(
-            f'[instance]\nname = {name}\ndata_centre = {data_centre}\n'
-            f'host = {HOST}\ncaller_port = {caller}\n'
-            f'operator_port = {operator}\npeer_port = {peer}\n'
-            f'[platform]\nhost = {HOST}\nport = {platform}\n'
-            f'poll_seconds = {self.poll_seconds}\ntimeout_seconds = 1.0\n'
-            '[secrets]\ncursor_secret = the-secret-of-the-test-fleet\n'
-            f'operator_key_digest = {digest(OPERATOR_KEY)}\n'
-            f'[peers]\nheartbeat_seconds = 0.5\n{named}'
-        )
-        process = self.run(name, ['serve', f'--settings={path}'], caller)
-        process.operator_port = operator
-        process.peer_port = peer
-        self.instances[name] = process
-        return process
+        place = launcher.Place(data_centre, tuple(peers), platform_port)
+        return super().instance(name, place)
+
+    def busy_engine(self) -> str:
+        """Return the name of an engine that runs something."""
+        for name, process in self.engines.items():
+            if ask(process.port, '/v1/report').json()['running']:
+                return name
+        raise AssertionError('no engine runs anything')
 
-    def upstreams(self, processes: dict[str, Process]) -> list[dict]:
+    def wait_for_all(self) -> None:
+        """Wait until every process listens."""
+        launcher.wait_until_listening(self.processes(), lambda: None)
+
+    def upstreams(
+        self, processes: dict[str, launcher.LaunchedProcess]
+    ) -> list[dict]:
         """Return processes as upstreams of a configuration."""
         return [
             {
@@ -274,12 +193,6 @@
             wait_until(lambda p=process: ask(p.port, '/readyz').status == 200)
 
 
-def listens(port: int) -> bool:
-    """Return whether somebody listens on a port."""
-    with socket.create_connection((HOST, port), timeout=1.0):
-        return True
-
-
 @contextlib.contextmanager
 def small_fleet(
     folder: pathlib.Path, engines: int = 2, instances: int = 2
--- a/tests/fleet/test_changes_under_way.py
+++ b/tests/fleet/test_changes_under_way.py
@@ -4,6 +4,7 @@
 
 from greengagelb.coordination import events
 from greengagelb.coordination import routing
+from greengagelb.coordination import upstream_views
 from greengagelb.state import configuration
 from greengagelb.state import identity
 from tests.common import configurations
@@ -53,7 +54,7 @@
     directory.hold(events.UpstreamsHeld('holder', held), 1.0)
     for prefix in ['', 'house rules', 'fault log', 'season']:
         assert not chosen(directory, pool, 2.0, prefix) & held
-    later = 1.0 + routing.HOLD_SECONDS
+    later = 1.0 + upstream_views.HOLD_SECONDS
     assert chosen(directory, pool, later) >= held
 
 
--- a/tests/process/test_fleet_membership.py
+++ b/tests/process/test_fleet_membership.py
@@ -77,6 +77,17 @@
         assert status(alone)['configuration_version'] == 0
 
 
+def instance_cut_from_the_platform(running):
+    cut = running.instance(
+        'router-cut',
+        peers=[running.instances['router-0']],
+        platform_port=fleet.free_port(),
+    )
+    running.wait_for_all()
+    fleet.wait_until(lambda: status(cut)['configuration_version'] == 1)
+    return cut
+
+
 def test_confirmed_plan_reaches_an_instance_cut_from_the_platform(tmp_path):
     """One instance can't reach the platform, the others can.
 
@@ -84,13 +95,7 @@
     sees it in force on all.
     """
     with fleet.small_fleet(tmp_path) as running:
-        cut = running.instance(
-            'router-cut',
-            peers=[running.instances['router-0']],
-            platform_port=fleet.free_port(),
-        )
-        running.wait_for_all()
-        fleet.wait_until(lambda: status(cut)['configuration_version'] == 1)
+        cut = instance_cut_from_the_platform(running)
         running.configure(running.configuration())
         fleet.wait_until(lambda: status(cut)['configuration_version'] == 2)
         router = running.instances['router-0']
@@ -105,13 +110,7 @@
     reach the platform, must not give it work either.
     """
     with fleet.small_fleet(tmp_path) as running:
-        cut = running.instance(
-            'router-cut',
-            peers=[running.instances['router-0']],
-            platform_port=fleet.free_port(),
-        )
-        running.wait_for_all()
-        fleet.wait_until(lambda: status(cut)['configuration_version'] == 1)
+        cut = instance_cut_from_the_platform(running)
         engine = running.engines['engine-0']
         report = fleet.ask(engine.port, '/v1/report').json()
         entry = {
--- a/tests/process/test_fleet_orders.py
+++ b/tests/process/test_fleet_orders.py
@@ -53,6 +53,6 @@
         port = running.engines['engine-0'].port
         running.end(running.engines['engine-0'].popen)
         words = ['stand-in', 'engine', f'--port={port}', '--name=engine-0']
-        running.engines['engine-0'] = running.run('again', words, port)
+        running.engines['engine-0'] = running.start('again', words, [port])
         fleet.wait_until(lambda: fleet.listens(port))
         fleet.wait_until(lambda: versions(running) == {'2'}, ROLLOUT_SECONDS)
--- a/tests/process/test_streams_under_failures.py
+++ b/tests/process/test_streams_under_failures.py
@@ -30,15 +30,6 @@
         yield running
 
 
-def busy_engine(running):
-    """Return the name of an engine that runs something."""
-    for name, process in running.engines.items():
-        report = fleet.ask(process.port, '/v1/report').json()
-        if report['running']:
-            return name
-    raise AssertionError('no engine runs anything')
-
-
 def kinds_on_timeline(router):
     answer = fleet.ask(
         router.operator_port,
@@ -48,18 +39,6 @@
     return [event['kind'] for event in answer.json()['events']]
 
 
-def read_with(caller, port, act, at=50):
-    """Read a whole answer, and act once when some tokens are there."""
-    acted = False
-    for _ in caller.read(port):
-        if len(caller.tokens) > at and not acted:
-            act()
-            acted = True
-    assert acted
-    assert caller.error is None
-    assert len(caller.tokens) == caller.most_tokens
-
-
 def test_connection_that_goes_silent_is_replaced(sampling):
     """A middlebox forgets the connection to an engine; new ones work.
 
@@ -68,12 +47,12 @@
     router = sampling.instances['router-0']
 
     def silence():
-        engine = sampling.engines[busy_engine(sampling)]
+        engine = sampling.engines[sampling.busy_engine()]
         faults = {'silent': True}
         assert fleet.ask(engine.port, '/standin/faults', faults).status == 200
 
     caller = callers.StreamCaller('hello', 400)
-    read_with(caller, router.port, silence)
+    caller.read_and_act(router.port, silence)
     kinds = kinds_on_timeline(router)
     assert 'attempt-suspected' in kinds
     assert 'attempt-replaced' not in kinds
@@ -88,7 +67,7 @@
     paused = []
 
     def pause():
-        paused.append(sampling.engines[busy_engine(sampling)])
+        paused.append(sampling.engines[sampling.busy_engine()])
         paused[0].send_signal(signal.SIGSTOP)
 
     caller = callers.StreamCaller('hello', 3000)
@@ -143,16 +122,16 @@
     caller = callers.StreamCaller('hello', 400)
     for _ in caller.read(first.port):
         if len(caller.tokens) > 50 and first.popen.poll() is None:
-            name = busy_engine(sampling)
+            name = sampling.busy_engine()
             sampling.engines.pop(name).send_signal(signal.SIGKILL)
             first.send_signal(signal.SIGKILL)
             first.popen.wait()
 
     def kill_next():
-        name = busy_engine(sampling)
+        name = sampling.busy_engine()
         sampling.engines.pop(name).send_signal(signal.SIGKILL)
 
     held = list(caller.tokens)
-    read_with(caller, second.port, kill_next, at=200)
+    caller.read_and_act(second.port, kill_next, at=200)
     assert caller.tokens[: len(held)] == held
     assert caller.finish_reason == 'length'
--- a/tests/process/test_whole_path.py
+++ b/tests/process/test_whole_path.py
@@ -73,31 +73,21 @@
         for _ in caller.read(router.port):
             if len(caller.tokens) > 50 and not killed:
                 killed = True
-                name = engine_that_runs_something(running)
+                name = running.busy_engine()
                 running.engines[name].send_signal(signal.SIGKILL)
                 router.send_signal(signal.SIGKILL)
         caller.read_all(running.instances['router-1'].port)
         assert caller.tokens == caller.right_answer()
 
 
-def engine_that_runs_something(running):
-    for name, process in running.engines.items():
-        report = fleet.ask(process.port, '/v1/report').json()
-        if report['running']:
-            return name
-    raise AssertionError('no engine runs anything')
-
-
 def test_engine_kill_under_an_open_connection(tmp_path):
     """The engine dies while the caller's connection stays open."""
     with fleet.small_fleet(tmp_path) as running:
         caller = callers.StreamCaller('hello', 400)
-        killed = False
-        for _ in caller.read(running.instances['router-0'].port):
-            if len(caller.tokens) > 50 and not killed:
-                name = engine_that_runs_something(running)
-                running.engines[name].send_signal(signal.SIGKILL)
-                killed = True
+        caller.read_and_act(
+            running.instances['router-0'].port,
+            lambda: running.engines[running.busy_engine()].kill(),
+        )
         assert caller.tokens == caller.right_answer()
         assert caller.finish_reason == 'length'
 
@@ -107,10 +97,8 @@
     with fleet.small_fleet(tmp_path) as running:
         router = running.instances['router-0']
         caller = callers.StreamCaller('hello', 300)
-        stopped = False
-        for _ in caller.read(router.port):
-            if not stopped:
-                router.send_signal(signal.SIGTERM)
-                stopped = True
+        caller.read_and_act(
+            router.port, lambda: router.send_signal(signal.SIGTERM), at=0
+        )
         assert caller.tokens == caller.right_answer()
         assert router.popen.wait(timeout=10) == 0
--- a/tests/streams/test_returning_callers.py
+++ b/tests/streams/test_returning_callers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from greengagelb.coordination import budgets
-from greengagelb.coordination import routing
+from greengagelb.coordination import upstream_views
 from greengagelb.state import configuration
 from greengagelb.state import identity
 from tests.common import generations
@@ -75,7 +75,7 @@
     for engine in world.engines.values():
         engine.kill()
         engine.come_back()
-    world.advance(routing.PROBE_TRUST_SECONDS)
+    world.advance(upstream_views.PROBE_TRUST_SECONDS)
     first = world.instances['i1']
     for engine in world.engines.values():
         world.tell(first, engine.report())
--- a/tests/timeline/test_order.py
+++ b/tests/timeline/test_order.py
@@ -6,9 +6,6 @@
 
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
-from greengagelb.state import identity
-from greengagelb.state import requests
-from greengagelb.state import streams
 from greengagelb.state import timeline
 from greengagelb.transport import recorder
 from tests.common import caller_sites
@@ -47,18 +44,7 @@
     wall = recorder.wall_milliseconds()
     ahead = timeline.Stamp(wall + 5_000, 3)
     site = caller_sites.CallerSite()
-    point = requests.ResumePoint(
-        identity.RequestId('teratak', 'r'),
-        1,
-        'attempt',
-        identity.EngineId('e', 'i'),
-        0,
-        streams.EMPTY_CHAIN,
-        'm',
-        '1',
-        '',
-        streams.EMPTY_CHAIN,
-    )
+    point = caller_sites.sample_point('teratak')
     cursor = site.seal.seal(point, ahead).encode()
     site.connect().send(
         caller_sites.request(
--- /dev/null
+++ b/tests/transport/test_compressed_rows.py
@@ -0,0 +1,33 @@
+"""Documents in the platform's rows and between instances are compressed."""
+
+import base64
+import zlib
+
+import pytest
+
+from greengagelb import errors
+from greengagelb.protocol import codec
+from greengagelb.state import plans
+
+
+def test_row_gives_back_what_was_written():
+    plan = plans.Confirmation(7, 'p' * 16)
+    text = codec.compress_to_text(plan)
+    assert codec.decompress_from_text(text, plans.Confirmation) == plan
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        'no base64!',
+        base64.b64encode(b'not compressed').decode(),
+        base64.b64encode(zlib.compress(b'{"version": "x"}')).decode(),
+        base64.b64encode(
+            zlib.compress(bytes(codec.MOST_DOCUMENT_BYTES + 1))
+        ).decode(),
+    ],
+)
+def test_row_that_says_nothing_is_refused(text):
+    """Somebody has written over a row of the platform's table by hand."""
+    with pytest.raises(errors.ProtocolError):
+        codec.decompress_from_text(text, plans.Confirmation)
