Try a silent idempotent call once more beside the first try

Cause: a call whose connection had gone silent, or whose service stood still, waited for its caller's deadline, 600 s by default; a mower's stop command would hang that long though a second connection worked. Ruled out: giving the first try up (a service that merely takes long would never be heard), judging by reports (a paused process still accepts connections), two dispatches from the start (double load). Change: tries are numbered; after recovery.most_stall an idempotent call gets one more, on another upstream where there is one, from the account's retry budget; the first answer counts, the rest is closed, and an upstream that is still silent then is suspected. Measured: six lookups with one of two services stopped by SIGSTOP are all answered (tests/process/test_calls_across_instances.py); the state machine of calls passes with numbered tries. Conclusion: a non-idempotent call is left alone as before.

--- a/src/greengagelb/coordination/actions.py
+++ b/src/greengagelb/coordination/actions.py
@@ -110,16 +110,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DispatchCall:
-    """Hand a call to a plain service, on a connection used for it alone."""
+    """Hand a call to a plain service, on a connection used for it alone.
+
+    ``try_number`` counts from 1; only an idempotent call has several tries
+    under way at a time.
+    """
 
     exchange: int
     upstream: configuration_state.Upstream
     request: requests.CallRequest
+    try_number: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AbandonCall:
-    """Close the connection of a call that nobody waits for any more."""
+    """Close all connections of a call that nobody waits for any more."""
 
     exchange: int
 
--- a/src/greengagelb/coordination/calls.py
+++ b/src/greengagelb/coordination/calls.py
@@ -3,6 +3,9 @@
 A non-idempotent call with an idempotency key comes here only after its claim
 was granted (see :mod:`greengagelb.coordination.claims`). From then on it is
 dispatched a second time only where the first is proved not to have run.
+
+An idempotent call that stays without an answer is tried once more beside the
+first try, whose connection may have gone silent; the first answer counts.
 """
 
 import dataclasses
@@ -19,6 +22,7 @@
 MOST_DISPATCHES = 3
 DEADLINE_TIMER = 'call-deadline'
 OUTCOME_TIMER = 'call-outcome'
+STALL_TIMER = 'call-stall'
 OUTCOME_PATIENCE_SECONDS = 30.0
 
 
@@ -26,6 +30,7 @@
 class Call:
     """A call in progress.
 
+    ``under_way`` holds the upstream of each try that has not ended.
     ``may_have_run`` stays true once bytes of any dispatch may have reached a
     service, whatever becomes of later dispatches. ``told`` is set once the
     caller has its final answer and only the outcome is still awaited.
@@ -36,7 +41,9 @@
     request: requests.CallRequest
     service: configuration_state.Service
     pool: configuration_state.Pool
-    upstream: configuration_state.Upstream | None = None
+    under_way: dict[int, configuration_state.Upstream] = dataclasses.field(
+        default_factory=dict
+    )
     dispatches: int = 0
     may_have_run: bool = False
     told: bool = False
@@ -45,8 +52,7 @@
     @property
     def ran(self) -> requests.Ran:
         """Return what may be said of a call that brought no answer."""
-        under_way = self.upstream is not None
-        if self.may_have_run or under_way:
+        if self.may_have_run or self.under_way:
             return requests.Ran.UNKNOWN
         return requests.Ran.NO
 
@@ -90,21 +96,69 @@
         )
         if view is None:
             return self.fail(call, 'no-upstream', self.advice.failed())
-        call.upstream = view.upstream
-        call.dispatches += 1
-        self.directory.started(view.upstream.name)
+        return self.hand_over(call, view.upstream, now)
+
+    def hand_over(
+        self,
+        call: Call,
+        upstream: configuration_state.Upstream,
+        now: float,
+    ) -> list[actions.Action]:
+        """Begin one more try at an upstream."""
         exchange = call.request.exchange
-        return [
-            self.timeline(call, 'call-dispatched', f'try {call.dispatches}'),
-            actions.DispatchCall(exchange, view.upstream, call.request),
+        call.dispatches += 1
+        number = call.dispatches
+        call.under_way[number] = upstream
+        self.directory.started(upstream.name)
+        done: list[actions.Action] = [
+            self.timeline(
+                call, 'call-dispatched', f'try {number}', upstream.name
+            ),
+            actions.DispatchCall(exchange, upstream, call.request, number),
         ]
+        if call.service.idempotent:
+            stalls_at = now + call.service.recovery.most_stall
+            timer = f'{STALL_TIMER}:{exchange}'
+            done.append(actions.SetTimer(timer, stalls_at))
+        return done
+
+    def stalled(self, exchange: int, now: float) -> list[actions.Action]:
+        """Try a silent call once more, beside the tries that are under way.
+
+        A connection can go silent for good while new ones work, and nothing
+        tells that from a service that takes long. The first try is therefore
+        not given up: its answer may still be the first to come.
+        """
+        call = self.calls.get(exchange)
+        if call is None or not call.under_way or not call.service.idempotent:
+            return []
+        if not self.may_repeat(call):
+            return []
+        tried = {upstream.name for upstream in call.under_way.values()}
+        priority = call.service.priority
+        view = self.directory.choose(
+            call.pool, call.excluded | tried, now, priority
+        ) or self.directory.choose(call.pool, call.excluded, now, priority)
+        if view is None:
+            return []
+        return self.hand_over(call, view.upstream, now)
 
-    def answered(self, event: events.CallAnswered) -> list[actions.Action]:
-        """Pass the answer on."""
+    def answered(
+        self, event: events.CallAnswered, now: float
+    ) -> list[actions.Action]:
+        """Pass the answer on.
+
+        An upstream that is still silent when another has answered is
+        suspected: without that every later call would wait for it as long.
+        """
         call = self.calls.get(event.exchange)
-        if call is None:
+        upstream = self.end_try(call, event.try_number) if call else None
+        if call is None or upstream is None:
             return []
         self.advice.succeeded()
+        for silent in call.under_way.values():
+            if silent.name != upstream.name:
+                self.directory.suspect(silent.name, now)
         return [
             actions.SendAnswer(event.exchange, event.status, event.body),
             *self.close(call),
@@ -115,13 +169,14 @@
     ) -> list[actions.Action]:
         """Repeat the call elsewhere where that is safe; else say so."""
         call = self.calls.get(event.exchange)
-        if call is None or call.upstream is None:
+        upstream = self.end_try(call, event.try_number) if call else None
+        if call is None or upstream is None:
             return []
-        self.directory.finished(call.upstream.name)
-        self.directory.suspect(call.upstream.name, now)
-        call.excluded.add(call.upstream.name)
-        call.upstream = None
+        self.directory.suspect(upstream.name, now)
+        call.excluded.add(upstream.name)
         call.may_have_run = call.may_have_run or event.handed_over
+        if call.under_way:
+            return []
         if self.may_repeat(call):
             return self.dispatch(call, now)
         return self.fail(call, 'upstream-lost', self.advice.failed())
@@ -144,7 +199,7 @@
         call = self.calls.get(exchange)
         if call is None or call.told:
             return []
-        if call.upstream is None or not is_claimed(call):
+        if not call.under_way or not is_claimed(call):
             return [
                 actions.AbandonCall(exchange),
                 *self.fail(call, 'deadline-passed', None),
@@ -202,19 +257,33 @@
 
     def close(self, call: Call) -> list[actions.Action]:
         """Forget a call that has had its final answer."""
-        if call.upstream is not None:
-            self.directory.finished(call.upstream.name)
-            call.upstream = None
         exchange = call.request.exchange
+        done: list[actions.Action] = []
+        if call.under_way:
+            done.append(actions.AbandonCall(exchange))
+        for number in list(call.under_way):
+            self.end_try(call, number)
         self.calls.pop(exchange, None)
         return [
+            *done,
+            actions.ClearTimer(f'{STALL_TIMER}:{exchange}'),
             actions.ClearTimer(f'{DEADLINE_TIMER}:{exchange}'),
             actions.ClearTimer(f'{OUTCOME_TIMER}:{exchange}'),
         ]
 
-    def timeline(self, call: Call, kind: str, reason: str) -> actions.Record:
+    def end_try(
+        self, call: Call, number: int
+    ) -> configuration_state.Upstream | None:
+        """Count a try as ended and return its upstream, if it had not."""
+        upstream = call.under_way.pop(number, None)
+        if upstream is not None:
+            self.directory.finished(upstream.name)
+        return upstream
+
+    def timeline(
+        self, call: Call, kind: str, reason: str, upstream: str = ''
+    ) -> actions.Record:
         """Return a time line event about a call."""
-        upstream = call.upstream.name if call.upstream else ''
         return actions.Record(
             kind, reason, call.request.request, upstream=upstream
         )
--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -197,15 +197,17 @@
     exchange: int
     status: int
     body: bytes
+    try_number: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallBroken:
-    """A call ended without an answer."""
+    """One try of a call ended without an answer."""
 
     exchange: int
     detail: str
     handed_over: bool
+    try_number: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -128,7 +128,7 @@
                 if self.calls.awaits_outcome(exchange):
                     kept = self.claims.finish(exchange, status, body, now)
                     return kept + self.calls.outcome_ended(exchange)
-                return self.calls.answered(event)
+                return self.calls.answered(event, now)
             case events.CallBroken(exchange, handed_over=handed_over):
                 if self.calls.awaits_outcome(exchange):
                     ended = self.calls.outcome_ended(exchange)
@@ -408,6 +408,8 @@
                 return self.queued_too_long(int(rest), now)
             case claims.DEADLINE_TIMER | claims.SETTLE_TIMER:
                 return self.claims.timer_fired(kind, rest, now)
+            case calls.STALL_TIMER:
+                return self.calls.stalled(int(rest), now)
             case calls.OUTCOME_TIMER:
                 return self.calls.outcome_ended(int(rest))
             case calls.DEADLINE_TIMER:
--- a/src/greengagelb/transport/service_client.py
+++ b/src/greengagelb/transport/service_client.py
@@ -25,7 +25,7 @@
         self.dispatch = dispatch
         agent = http.fresh_connection_agent(reactor)
         self.treq = http.direct_client(agent)
-        self.under_way: dict[int, defer.Deferred] = {}
+        self.under_way: dict[int, dict[int, defer.Deferred]] = {}
 
     def call(self, action: actions.DispatchCall) -> None:
         """Hand a call to a plain service."""
@@ -42,9 +42,10 @@
             headers=headers,
             unbuffered=True,
         )
-        self.under_way[action.exchange] = answer
+        tries = self.under_way.setdefault(action.exchange, {})
+        tries[action.try_number] = answer
         answer.addCallback(self.read, action)
-        answer.addErrback(self.failed, action.exchange)
+        answer.addErrback(self.failed, action)
 
     def read(
         self, response: iweb.IResponse, action: actions.DispatchCall
@@ -56,7 +57,7 @@
             http.discard_body(response)
             raise
         body = http.read_whole_body(response)
-        return body.addCallback(self.answered, response, action.exchange)
+        return body.addCallback(self.answered, response, action)
 
     def check(
         self,
@@ -77,30 +78,50 @@
             raise errors.ProtocolError('answer to another request')
 
     def answered(
-        self, body: bytes, response: iweb.IResponse, exchange: int
+        self,
+        body: bytes,
+        response: iweb.IResponse,
+        action: actions.DispatchCall,
     ) -> None:
         """Report an answer, or that the service refused before running."""
-        if self.under_way.pop(exchange, None) is None:
+        if not self.end(action):
             return
+        exchange, number = action.exchange, action.try_number
         if first_header(response.headers, service_api.NOT_RUN_HEADER) == '1':
-            self.dispatch(events.CallBroken(exchange, 'refused', False))
+            self.dispatch(
+                events.CallBroken(exchange, 'refused', False, number)
+            )
             return
-        self.dispatch(events.CallAnswered(exchange, response.code, body))
+        self.dispatch(
+            events.CallAnswered(exchange, response.code, body, number)
+        )
 
-    def failed(self, why: failure.Failure, exchange: int) -> None:
-        """Report a call that ended without an answer."""
-        if self.under_way.pop(exchange, None) is None:
+    def failed(
+        self, why: failure.Failure, action: actions.DispatchCall
+    ) -> None:
+        """Report a try that ended without an answer."""
+        if not self.end(action):
             return
         self.dispatch(
             events.CallBroken(
-                exchange, why.type.__name__, http.was_handed_over(why)
+                action.exchange,
+                why.type.__name__,
+                http.was_handed_over(why),
+                action.try_number,
             )
         )
 
+    def end(self, action: actions.DispatchCall) -> bool:
+        """Forget a try; return false where it was abandoned before."""
+        tries = self.under_way.get(action.exchange, {})
+        known = tries.pop(action.try_number, None) is not None
+        if not tries:
+            self.under_way.pop(action.exchange, None)
+        return known
+
     def abandon(self, exchange: int) -> None:
-        """Close the connection of a call that nobody waits for."""
-        answer = self.under_way.pop(exchange, None)
-        if answer is not None:
+        """Close the connections of a call that nobody waits for."""
+        for answer in self.under_way.pop(exchange, {}).values():
             answer.cancel()
 
 
--- a/tests/common/call_world.py
+++ b/tests/common/call_world.py
@@ -88,6 +88,7 @@
     awaited: bool = True
     ran: bool = False
     answer: bytes = b''
+    try_number: int = 1
 
 
 class Instance:
@@ -157,8 +158,8 @@
         match action:
             case actions.WriteClaim():
                 self.write_asked(home, action)
-            case actions.DispatchCall(exchange):
-                self.dispatched(home, exchange)
+            case actions.DispatchCall(exchange, try_number=number):
+                self.dispatched(home, exchange, number)
             case actions.StartAttempt(attempt):
                 self.attempt_started(home, attempt)
             case actions.AbandonCall(exchange):
@@ -189,9 +190,9 @@
 
     # -- promises -----------------------------------------------------------
 
-    def dispatched(self, home, number):
+    def dispatched(self, home, number, try_number):
         exchange = self.exchange(home, number)
-        dispatch = Dispatch(home, exchange)
+        dispatch = Dispatch(home, exchange, try_number=try_number)
         self.check_dispatch(exchange)
         self.dispatches.append(dispatch)
         self.may_run[exchange.key].append(dispatch)
@@ -336,7 +337,9 @@
             ended = events.AttemptEnded(dispatch.attempt, 0, 'length')
             self.deliver(dispatch.home, ended)
         elif dispatch.awaited:
-            answer = events.CallAnswered(number, 200, dispatch.answer)
+            answer = events.CallAnswered(
+                number, 200, dispatch.answer, dispatch.try_number
+            )
             self.deliver(dispatch.home, answer)
 
     def break_off(self, dispatch):
@@ -361,7 +364,9 @@
             )
         else:
             number = dispatch.exchange.number
-            event = events.CallBroken(number, 'broken', handed_over)
+            event = events.CallBroken(
+                number, 'broken', handed_over, dispatch.try_number
+            )
         self.deliver(dispatch.home, event)
 
     # -- instances and time -------------------------------------------------
--- a/tests/process/test_calls_across_instances.py
+++ b/tests/process/test_calls_across_instances.py
@@ -123,3 +123,22 @@
         set_faults(running.platform)
         fleet.wait_until(lambda: charge(first).status == 200)
         assert runs_of(running) == 1
+
+
+def test_lookups_are_answered_while_one_service_stands_still(tmp_path):
+    """A plain service's process is paused; its connections stay open.
+
+    Lookups that went there would show no availability until their deadline.
+    """
+    with fleet.Fleet(tmp_path) as running:
+        running.service('plain-0')
+        running.service('plain-1')
+        running.instance('router-0')
+        running.configure(running.configuration())
+        running.services['plain-0'].send_signal(signal.SIGSTOP)
+        headers = fleet.bearer(fleet.ACCOUNT_KEY)
+        port = running.instances['router-0'].port
+        for number in range(6):
+            path = f'/v1/services/lookup/{number}'
+            answer = fleet.ask(port, path, {}, headers=headers)
+            assert answer.status == 200
