--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -309,6 +309,11 @@
                 self.arrivals.append((time.monotonic(), position))
         return False
 
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the last attempt brought all tokens."""
+        return bool(self.arrivals) and self.arrivals[-1][1] == TOKENS
+
     def caught_up_after(self, failed_at: float) -> float | None:
         """Return the seconds until a token came that was new to the caller."""
         before = [p for at, p in self.arrivals if at <= failed_at]
@@ -344,7 +349,7 @@
             failure,
             [seconds for seconds in found if seconds is not None],
             len(threads),
-            len(threads),
+            sum(thread.is_whole for thread in threads),
             sum(report['steps'] for report in reports),
             sum(report['prompt_tokens'] for report in reports),
             0.0,
