Keep what is repeated going after an error; one object for loop and timers

Cause: found by reading. The handler that logs an error of a repeated call named a counter that a merge had moved, so it raised itself, and the looping call ended for good: the very fault that it was written against. Change: transport/decision_loop.py holds the queue of events, timers and repeated calls, with a test of each promise; the one of a failing poll fails on the code before (the looping call ends with AttributeError). Conclusion: no test had run the error path.

--- /dev/null
+++ b/src/greengagelb/transport/decision_loop.py
@@ -0,0 +1,110 @@
+"""Feeds events to the decisions, one after the other, and keeps their timers.
+
+Events that come up while actions are carried out wait: the decisions are
+never entered twice at once, so that each of them sees a state that the one
+before has left whole.
+"""
+
+import collections
+from collections.abc import Callable
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.python import failure
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.coordination import node
+from greengagelb.transport import recorder
+
+
+class DecisionLoop:
+    """Events in, actions out, on the one loop of the process."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        decisions: node.Node,
+        carry_out: Callable[[actions.Action], None],
+        events_recorder: recorder.Recorder,
+    ) -> None:
+        self.reactor = reactor
+        self.node = decisions
+        self.carry_out = carry_out
+        self.recorder = events_recorder
+        self.timers: dict[str, interfaces.IDelayedCall] = {}
+        self.backlog: collections.deque[events.Event] = collections.deque()
+        self.busy = False
+
+    # -- events -------------------------------------------------------------
+
+    def dispatch(self, event: events.Event) -> None:
+        """Have an event decided on, after those that came before it."""
+        self.backlog.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.backlog:
+                self.decide(self.backlog.popleft())
+        finally:
+            self.busy = False
+
+    def decide(self, event: events.Event) -> None:
+        """Decide on one event and carry out what follows.
+
+        An error in here is this program's own. Events come from within HTTP
+        callbacks, and an error that got out would be taken for a broken
+        connection to whatever upstream the event came from.
+        """
+        try:
+            for action in self.node.handle(event, self.reactor.seconds()):
+                self.carry_out(action)
+        except Exception:
+            recorder.log.exception('decision-failed', event_kind=repr(event))
+            self.recorder.metrics.decision_errors += 1
+
+    # -- timers -------------------------------------------------------------
+
+    def set_timer(self, name: str, deadline: float) -> None:
+        """Fire an event at a monotonic time."""
+        wait = max(0.0, deadline - self.reactor.seconds())
+        pending = self.timers.get(name)
+        if pending is not None and pending.active():
+            pending.reset(wait)
+            return
+        self.timers[name] = self.reactor.callLater(wait, self.fire, name)
+
+    def clear_timer(self, name: str) -> None:
+        """Forget a timer."""
+        pending = self.timers.pop(name, None)
+        if pending is not None and pending.active():
+            pending.cancel()
+
+    def fire(self, name: str) -> None:
+        """Report that a timer is due."""
+        del self.timers[name]
+        self.dispatch(events.TimerFired(name))
+
+    # -- what is done now and again -----------------------------------------
+
+    def repeat(self, seconds: float, function: Callable[[], object]) -> None:
+        """Call a function now and again, as long as the process lives.
+
+        A looping call ends for good at the first error. An instance whose
+        poll has ended that way would serve on with an old configuration, and
+        nothing but its version would show it.
+        """
+
+        def call() -> defer.Deferred:
+            return defer.maybeDeferred(function).addErrback(self.failed)
+
+        looping = task.LoopingCall(call)
+        looping.clock = self.reactor
+        looping.start(seconds)
+
+    def failed(self, why: failure.Failure) -> None:
+        """Log an error of this program itself."""
+        recorder.log.error('unhandled', detail=why.getTraceback())
+        self.recorder.metrics.decision_errors += 1
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -1,6 +1,5 @@
 """One instance: sockets, timers and clients around the decisions."""
 
-import collections
 import random
 import secrets
 
@@ -8,8 +7,6 @@
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import interfaces
-from twisted.internet import task
-from twisted.python import failure
 
 from greengagelb import errors
 from greengagelb import settings
@@ -26,6 +23,7 @@
 from greengagelb.transport import caller_app
 from greengagelb.transport import caller_stream
 from greengagelb.transport import claim_store
+from greengagelb.transport import decision_loop
 from greengagelb.transport import engine_client
 from greengagelb.transport import listening
 from greengagelb.transport import metrics
@@ -45,11 +43,7 @@
 
 
 class Instance:
-    """Feeds events to the decisions and carries out their actions.
-
-    Events that come up while actions are carried out wait in ``backlog``:
-    the decisions are never entered twice at once.
-    """
+    """Owns the sockets and clients, and carries out what is decided."""
 
     def __init__(
         self,
@@ -68,6 +62,10 @@
             instance_settings.instance.name,
             instance_settings.instance.timeline_events,
         )
+        self.loop = decision_loop.DecisionLoop(
+            reactor, self.node, self.carry_out, self.recorder
+        )
+        self.dispatch = self.loop.dispatch
         self.platform = platform_client.PlatformClient(
             reactor, instance_settings.platform, self.recorder.record
         )
@@ -99,9 +97,6 @@
             self.dispatch,
             self.recorder.record,
         )
-        self.timers: dict[str, interfaces.IDelayedCall] = {}
-        self.backlog: collections.deque[events.Event] = collections.deque()
-        self.busy = False
         self.watch = watching.Watch(
             self.incarnation, instance_settings.instance.data_centre
         )
@@ -134,10 +129,12 @@
         )
         self.listen(place.operator_port, operators.app)
         self.peers.start()
-        self.repeat(PULSE_SECONDS, self.pulse)
-        self.repeat(self.settings.peers.heartbeat_seconds, self.tell_peers)
-        self.repeat(PROBE_SECONDS, self.probe_upstreams)
-        self.repeat(self.settings.platform.poll_seconds, self.poll)
+        self.loop.repeat(PULSE_SECONDS, self.pulse)
+        self.loop.repeat(
+            self.settings.peers.heartbeat_seconds, self.tell_peers
+        )
+        self.loop.repeat(PROBE_SECONDS, self.probe_upstreams)
+        self.loop.repeat(self.settings.platform.poll_seconds, self.poll)
 
     def listen(
         self,
@@ -158,25 +155,6 @@
         caller_stream.bound_kernel_buffer(listener)
         self.ports.append(listener)
 
-    def repeat(self, seconds: float, function: object) -> None:
-        """Call a function now and again, as long as the process lives.
-
-        A looping call ends for good at the first error. An instance whose
-        poll has ended that way would serve on with an old configuration, and
-        nothing but its version would show it.
-        """
-
-        def call() -> defer.Deferred:
-            return defer.maybeDeferred(function).addErrback(self.failed)
-
-        task.LoopingCall(call).start(seconds)
-
-    def failed(self, why: failure.Failure) -> None:
-        """Log an error of this program itself."""
-        detail = why.getTraceback()
-        recorder.log.error('unhandled', detail=detail)
-        self.recorder.error_counter.inc({})
-
     def pulse(self) -> None:
         """Notice when this process itself stood still.
 
@@ -314,33 +292,7 @@
             for view in members.peers.values()
         ]
 
-    # -- events and actions -------------------------------------------------
-
-    def dispatch(self, event: events.Event) -> None:
-        """Have an event decided on, after those that came before it."""
-        self.backlog.append(event)
-        if self.busy:
-            return
-        self.busy = True
-        try:
-            while self.backlog:
-                self.decide(self.backlog.popleft())
-        finally:
-            self.busy = False
-
-    def decide(self, event: events.Event) -> None:
-        """Decide on one event and carry out what follows.
-
-        An error in here is this program's own. Events come from within HTTP
-        callbacks, and an error that got out would be taken for a broken
-        connection to whatever upstream the event came from.
-        """
-        try:
-            for action in self.node.handle(event, self.reactor.seconds()):
-                self.carry_out(action)
-        except Exception:
-            recorder.log.exception('decision-failed', event_kind=repr(event))
-            self.recorder.metrics.decision_errors += 1
+    # -- actions ------------------------------------------------------------
 
     def carry_out(self, action: actions.Action) -> None:
         """Carry out an action."""
@@ -349,9 +301,9 @@
             case actions.SendTokens():
                 self.callers.send_tokens(action)
             case actions.SetTimer(name, deadline):
-                self.set_timer(name, deadline)
+                self.loop.set_timer(name, deadline)
             case actions.ClearTimer(name):
-                self.clear_timer(name)
+                self.loop.clear_timer(name)
             case actions.StartAttempt():
                 self.engines.start(action)
             case actions.AttachAttempt():
@@ -379,26 +331,6 @@
             case actions.FinishStopping():
                 self.finish()
 
-    def set_timer(self, name: str, deadline: float) -> None:
-        """Fire an event at a monotonic time."""
-        wait = max(0.0, deadline - self.reactor.seconds())
-        pending = self.timers.get(name)
-        if pending is not None and pending.active():
-            pending.reset(wait)
-            return
-        self.timers[name] = self.reactor.callLater(wait, self.fire, name)
-
-    def clear_timer(self, name: str) -> None:
-        """Forget a timer."""
-        pending = self.timers.pop(name, None)
-        if pending is not None and pending.active():
-            pending.cancel()
-
-    def fire(self, name: str) -> None:
-        """Report that a timer is due."""
-        del self.timers[name]
-        self.dispatch(events.TimerFired(name))
-
     def finish(self) -> None:
         """Let the process end once what was answered has been flushed."""
         if self.finishing:
--- a/src/greengagelb/transport/peers.py
+++ b/src/greengagelb/transport/peers.py
@@ -12,7 +12,7 @@
 
 from twisted.internet import interfaces
 import zmq
-from zope.interface import implementer
+from zope import interface
 
 from greengagelb import errors
 from greengagelb import settings
@@ -35,7 +35,7 @@
 FRAMES = 2
 
 
-@implementer(interfaces.IReadDescriptor)
+@interface.implementer(interfaces.IReadDescriptor)
 class PeerSocket:
     """The zmq socket as a reader of the event loop."""
 
--- /dev/null
+++ b/tests/transport/test_decision_loop.py
@@ -0,0 +1,67 @@
+"""The loop goes on where a part of the program fails."""
+
+import random
+
+from twisted.internet import task
+
+from greengagelb.coordination import events
+from greengagelb.coordination import node
+from greengagelb.transport import decision_loop
+from greengagelb.transport import recorder
+
+
+def new_loop(carry_out):
+    return decision_loop.DecisionLoop(
+        task.Clock(),
+        node.Node('i', random.Random(1)),
+        carry_out,
+        recorder.Recorder('instance-0', 10),
+    )
+
+
+def test_poll_that_fails_once_is_called_again():
+    """The platform answers with something that nobody foresaw.
+
+    An instance that stopped polling there would serve on with an old
+    configuration for as long as it lives.
+    """
+    calls = []
+
+    def poll():
+        calls.append(len(calls))
+        if len(calls) == 1:
+            raise KeyError('unforeseen')
+
+    loop = new_loop(lambda action: None)
+    loop.repeat(1.0, poll)
+    loop.reactor.pump([1.0, 1.0])
+    assert calls == [0, 1, 2]
+    assert loop.recorder.metrics.decision_errors == 1
+
+
+def test_event_that_comes_up_meanwhile_waits_its_turn():
+    seen = []
+
+    def carry_out(action):
+        seen.append(action.kind)
+        if len(seen) == 1:
+            loop.dispatch(events.PauseNoticed(1.0))
+            seen.append('first action done')
+
+    loop = new_loop(carry_out)
+    loop.dispatch(events.PauseNoticed(2.0))
+    assert seen == ['own-pause', 'first action done', 'own-pause']
+
+
+def test_error_of_a_decision_does_not_reach_who_brought_the_event():
+    """An action can't be carried out, within a callback of a connection.
+
+    Let out, the error would count as that engine's broken connection.
+    """
+
+    def carry_out(action):
+        raise RuntimeError('no such thing')
+
+    loop = new_loop(carry_out)
+    loop.dispatch(events.PauseNoticed(2.0))
+    assert loop.recorder.metrics.decision_errors == 1
