Forget an engine connection when it is over, not only when it is replaced

Cause: found by reading the change. EngineClient kept each connection until its attempt was attached again or cancelled; a stream that ended normally was neither, so every answer ever served stayed in memory. Ruled out: removing it where the end event is handled, which would leave out the other ways in which a connection closes itself. Change: a connection that closes tells the client, whatever closed it. Measured: the new test failed before (one stream left) and passes.

--- a/src/greengagelb/transport/engine_client.py
+++ b/src/greengagelb/transport/engine_client.py
@@ -40,10 +40,12 @@
         attempt: identity.AttemptId,
         dispatch: Dispatch,
         gather: Callable[['EngineStream'], bool],
+        forget: Callable[['EngineStream'], None],
     ) -> None:
         self.attempt = attempt
         self.dispatch = dispatch
         self.gather = gather
+        self.forget = forget
         self.gathered: list[str] = []
         self.gathered_position = 0
         self.reader = sse.EventReader()
@@ -171,6 +173,7 @@
     def close(self) -> None:
         """Abandon the connection."""
         self.closed = True
+        self.forget(self)
         if self.waiting is not None:
             self.waiting.cancel()
         if self.collector is not None:
@@ -227,7 +230,7 @@
     ) -> None:
         """Open the one connection of an attempt, in place of an older one."""
         self.close(attempt)
-        opened = EngineStream(attempt, self.dispatch, self.gather)
+        opened = EngineStream(attempt, self.dispatch, self.gather, self.forget)
         self.open_streams[attempt] = opened
         opened.open(
             self.treq.post(url, data=codec.encode(order), unbuffered=True)
@@ -274,10 +277,19 @@
 
     def close(self, attempt: identity.AttemptId) -> None:
         """Abandon the connection of an attempt, if there is one."""
-        opened = self.open_streams.pop(attempt, None)
+        opened = self.open_streams.get(attempt)
         if opened is not None:
             opened.close()
 
+    def forget(self, opened: EngineStream) -> None:
+        """Forget a connection that is over, for whatever reason.
+
+        One that was replaced by another of its attempt is not known here
+        any more.
+        """
+        if self.open_streams.get(opened.attempt) is opened:
+            del self.open_streams[opened.attempt]
+
     def cancel(self, action: actions.CancelAttempt) -> None:
         """Have the engine stop an attempt, and report whether it did."""
         attempt = action.attempt
--- a/tests/transport/test_engine_control.py
+++ b/tests/transport/test_engine_control.py
@@ -2,6 +2,9 @@
 
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
+from greengagelb.protocol import codec
+from greengagelb.protocol import engine_api
+from greengagelb.protocol import sse
 from greengagelb.state import configuration
 from greengagelb.state import identity
 from greengagelb.transport import engine_client
@@ -59,3 +62,31 @@
     wire.answer(bytes(http.MOST_BODY_BYTES + 1), length=1 << 40)
     assert found == [events.UpstreamUnreachable('e0')]
     assert wire.closed
+
+
+def test_stream_that_has_ended_is_forgotten():
+    """An instance serves one answer after the other, for weeks.
+
+    Kept after its end, each of them would take some memory for good, until
+    the instance ends and breaks the streams that it serves.
+    """
+    network = wires.Network()
+    client, found = client_on(network)
+    client.start(
+        actions.StartAttempt(
+            ATTEMPT,
+            UPSTREAM,
+            'm',
+            '1',
+            '',
+            'p',
+            (),
+            1,
+            configuration.Priority.LONG,
+            60.0,
+        )
+    )
+    ended = engine_api.Ended(1, 'i.1', 0, 'length')
+    network.accept().answer(sse.write_event(codec.encode(ended), 'ended'))
+    assert found[-1] == events.AttemptEnded(ATTEMPT, 0, 'length')
+    assert client.open_streams == {}
--- a/tests/transport/test_relay.py
+++ b/tests/transport/test_relay.py
@@ -20,7 +20,7 @@
         self.events = []
         client = engine_client.EngineClient(self.clock, self.events.append)
         self.stream = engine_client.EngineStream(
-            ATTEMPT, self.events.append, client.gather
+            ATTEMPT, self.events.append, client.gather, client.forget
         )
 
     def receive(self, position, *tokens):
