Name the queue timer once

Cause: 'queued' stood in node.py as a constant and again as a literal, since a case needs a dotted name. Change: the constant lives in arrivals.py and both use it; no behaviour changed. Measured: the fast tests of its users pass.

--- a/src/greengagelb/coordination/arrivals.py
+++ b/src/greengagelb/coordination/arrivals.py
@@ -14,6 +14,7 @@
 
 CHARACTERS_PER_TOKEN = 4
 PREFIX_CHARACTERS = 256
+QUEUE_TIMER = 'queued'
 
 Arrival = (
     events.GenerationSubmitted
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -24,8 +24,6 @@
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
 
-QUEUE_TIMER = 'queued'
-
 FinalAnswer = actions.SendEnd | actions.SendAnswer | actions.SendFailure
 
 
@@ -227,7 +225,7 @@
         if exchange not in self.waiting:
             return []
         ticket, _ = self.waiting[exchange]
-        name = stalls.timer_name(QUEUE_TIMER, exchange)
+        name = stalls.timer_name(arrivals.QUEUE_TIMER, exchange)
         give_up_at = min(ticket.deadline, ticket.start_by)
         return [actions.SetTimer(name, give_up_at)]
 
@@ -295,7 +293,7 @@
             return None
         del self.waiting[ticket.exchange]
         self.admission.start(ticket, account.weight, now)
-        timer = stalls.timer_name(QUEUE_TIMER, ticket.exchange)
+        timer = stalls.timer_name(arrivals.QUEUE_TIMER, ticket.exchange)
         done: list[actions.Action] = [actions.ClearTimer(timer)]
         if arrivals.needs_claim(event, service):
             return done + self.claims.begin(event.request)
@@ -339,7 +337,7 @@
         _, event = self.waiting.pop(ticket.exchange)
         request = event.request
         service = arrivals.service_of(self.configuration, request)
-        timer = stalls.timer_name(QUEUE_TIMER, ticket.exchange)
+        timer = stalls.timer_name(arrivals.QUEUE_TIMER, ticket.exchange)
         failure = arrivals.not_run(code, ticket.pool, None)
         if wait is not None:
             failure = self.admission.not_run(code, ticket.pool, wait)
@@ -390,7 +388,7 @@
         if exchange in self.waiting:
             ticket, _ = self.waiting.pop(exchange)
             self.admission.discard(ticket)
-            timer = stalls.timer_name(QUEUE_TIMER, exchange)
+            timer = stalls.timer_name(arrivals.QUEUE_TIMER, exchange)
             return [actions.ClearTimer(timer)]
         return [
             *self.claims.caller_gone(exchange, now),
@@ -404,7 +402,7 @@
         match kind:
             case cancellations.CANCEL_TIMER:
                 return self.cancels.timer_fired(name)
-            case 'queued':
+            case arrivals.QUEUE_TIMER:
                 return self.queued_too_long(int(rest), now)
             case claims.DEADLINE_TIMER | claims.SETTLE_TIMER:
                 return self.claims.timer_fired(kind, rest, now)
