Let instances tell each other what they put on engines, and size the shared budget

Cause: eight instances chose engines blindly, gave prompts to the same ones, then took the late first events for dead engines and read prompts again elsewhere. Copies were asked for before there were any, engines that had restarted were tried under their old identity, and each instance spent the whole shared budget of repeats (218 repeats in 10 s where 215 were allowed). Ruled out: the silence of a stream after its first event; only dark engines caused those. Change: hints by datagram (placed, ended, failed), members in the store, the budget shared by their number; a late first event is probed before it is moved; copies only after the first event; replaced and dead engines wait for a sign of life in the list.

--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -8,6 +8,7 @@
 
 from greengagelb.coordination import actions
 from greengagelb.state.relay import engines
+from greengagelb.state.relay import hints
 from greengagelb.state.relay import requests
 
 
@@ -97,6 +98,25 @@
     retry_after: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeEngine:
+    """Ask an engine for a sign of life, on a connection of its own.
+
+    Answered by exactly one ``EngineProbed`` within the time of a probe.
+    """
+
+    exchange: int
+    send: int
+    engine: engines.EngineEntry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellPeers:
+    """Give a hint to all other instances."""
+
+    hint: hints.Hint
+
+
 RelayAction = (
     Send
     | AbandonSend
@@ -106,6 +126,8 @@
     | EndStream
     | BreakOff
     | Refuse
+    | ProbeEngine
+    | TellPeers
     | actions.SetTimer
     | actions.ClearTimer
     | actions.Record
--- a/src/greengagelb/coordination/relay/budget.py
+++ b/src/greengagelb/coordination/relay/budget.py
@@ -13,6 +13,9 @@
 # The part of the shared allowance that is given out. What is left covers
 # instances that have just come up and that the others do not know yet.
 GIVEN_OUT = 0.8
+# Before an instance knows how many others there are it takes next to nothing
+# of what all share: as little as in a large fleet.
+UNKNOWN_INSTANCES = 100
 
 
 class ServiceWindow:
@@ -39,7 +42,7 @@
 
     def __init__(self, limits: bounds.RetryBounds) -> None:
         self.bounds = limits
-        self.instances = 1
+        self.instances = UNKNOWN_INSTANCES
         self.services: dict[str, ServiceWindow] = {}
 
     def resize(self, instances: int) -> None:
--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -19,7 +19,9 @@
 SECOND_TRY_SHARE = 0.6
 # Connections that could not be opened cost no attempt, as nothing was sent.
 # Bounded all the same, so that a request does not go round a dead pool.
-MOST_UNCONNECTED = 4
+MOST_UNCONNECTED = 12
+# The status by which an engine says that it is not the one that was meant.
+WRONG_ENGINE = 421
 
 Action = relay_actions.RelayAction
 
@@ -94,6 +96,8 @@
         now: float,
     ) -> list[Action]:
         """Try another engine: this one says that it did not run the call."""
+        if status == WRONG_ENGINE:
+            self.parts.engines.was_replaced(sent.entry.engine)
         why = f'not run, status {status}'
         done: list[Action] = [
             sending.record(exchange, sent, 'send-refused', why)
@@ -110,7 +114,9 @@
         now: float,
     ) -> list[Action]:
         """Go on after a send that brought no answer."""
-        self.parts.engines.failed(sent.entry.engine, now)
+        self.parts.engines.failed(
+            sent.entry.engine, now, dead=not event.handed_over
+        )
         self.parts.sends.release(exchange, sent)
         if event.handed_over:
             exchange.may_have_run = True
--- a/src/greengagelb/coordination/relay/choosing.py
+++ b/src/greengagelb/coordination/relay/choosing.py
@@ -24,6 +24,12 @@
 # What an engine without room in its memory costs: the run would wait there
 # or push out another one.
 FULL_SECONDS = 10.0
+# What a data centre costs all of whose engines have just failed, in seconds;
+# less where only some have. A connection refused costs a millisecond, but a
+# prompt given to an engine that dies next costs a second.
+FAILING_PLACE_SECONDS = 0.5
+# What the word of another instance against an engine costs it, in seconds.
+DOUBT_PENALTY_SECONDS = 1.0
 # Copies of memory take no more than this part of an engine's memory together
 # with its runs, so that they never push out a run.
 MOST_COPIED = 0.85
@@ -87,10 +93,15 @@
         if not found:
             return None
         need = prompt.most_memory if prompt else 0
-        return min(
-            found,
-            key=lambda state: self.stream_score(state, service, need, now),
-        )
+        failing = self.engines.distrusted_shares(service.name, now)
+
+        def score(state: directory.EngineState) -> float:
+            place = failing.get(state.entry.data_centre, 0.0)
+            return FAILING_PLACE_SECONDS * place + self.stream_score(
+                state, service, need, now
+            )
+
+        return min(found, key=score)
 
     def stream_score(
         self,
@@ -103,6 +114,8 @@
         work = self.loads.of(state.entry.engine)
         score = max(0.0, work.reading_until - now)
         score += RUN_SECONDS * work.runs
+        if now < state.doubted_until:
+            score += DOUBT_PENALTY_SECONDS
         score += self.rng.uniform(0.0, JITTER_SECONDS)
         if state.entry.data_centre != self.data_centre:
             score += FAR_STREAM_SECONDS
@@ -138,6 +151,7 @@
                 service.name, excluded | {own.engine}, now
             )
             if state.trusted(now)
+            and now >= state.doubted_until
             and self.held(state.entry.engine) + need <= capacity
         ]
         apart = [s for s in able if s.entry.data_centre != own.data_centre]
--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -5,6 +5,7 @@
 that failed here gets no work for a while, whatever the list says of it.
 """
 
+import collections
 import dataclasses
 
 from greengagelb.state.relay import engines
@@ -17,6 +18,15 @@
 # back after one to a few seconds; the list drops them after some four.
 SUSPECT_SECONDS = 1.0
 MOST_SUSPECT_SECONDS = 8.0
+# An engine that seems to have died is trusted again once its entry was
+# renewed this often since: the first renewal may have been on its way before
+# it died. An engine that restarts registers under another identity.
+RENEWALS_OF_THE_LIVING = 2
+# Where no renewals are seen, as the store is away, it is tried again after
+# this many seconds.
+RETRY_DEAD_SECONDS = 6.0
+# How long the word of another instance counts against an engine, in seconds.
+DOUBT_SECONDS = 1.0
 # A removed engine is remembered so long, for what still runs on it.
 FORGET_SECONDS = 60.0
 
@@ -26,7 +36,11 @@
     """What is known here of one start of an engine.
 
     ``gone_at`` is the monotonic time from which on it counts as removed.
-    ``in_flight`` counts the sends of this instance.
+    ``in_flight`` counts the sends of this instance. ``replaced`` is set when
+    another engine answers at its address. Once it seems to have died,
+    ``alive_from`` is the heartbeat that would prove it alive, and
+    ``retry_dead_at`` when it is tried without that proof. Until
+    ``doubted_until`` another instance's word speaks against it.
     """
 
     entry: engines.EngineEntry
@@ -34,6 +48,10 @@
     gone_at: float | None = None
     suspected_until: float = float('-inf')
     failures: int = 0
+    replaced: bool = False
+    alive_from: int = 0
+    retry_dead_at: float = float('-inf')
+    doubted_until: float = float('-inf')
     in_flight: int = 0
     load: engines.EngineLoad | None = None
     load_at: float = float('-inf')
@@ -43,11 +61,19 @@
     def usable(self, now: float) -> bool:
         """Return whether the engine may get new work."""
         gone = self.gone_at is not None and now >= self.gone_at
-        return not self.leaving and not gone
+        return not (self.leaving or self.replaced or gone)
 
     def trusted(self, now: float) -> bool:
         """Return whether nothing speaks against giving it work."""
-        return self.usable(now) and now >= self.suspected_until
+        if not self.usable(now) or now < self.suspected_until:
+            return False
+        alive = self.entry.heartbeat >= self.alive_from
+        return alive or now >= self.retry_dead_at
+
+    def reachable(self, now: float) -> bool:
+        """Return whether it can have what it held before a failure."""
+        alive = self.entry.heartbeat >= self.alive_from
+        return self.usable(now) and (alive or now >= self.retry_dead_at)
 
 
 class EngineDirectory:
@@ -138,14 +164,20 @@
 
     # -- what is seen here --------------------------------------------------
 
-    def failed(self, engine: str, now: float) -> None:
+    def failed(self, engine: str, now: float, *, dead: bool) -> None:
         """Leave an engine alone for a while.
 
-        Failures that come while it is already left alone are those of the
-        requests it had; they say nothing new.
+        ``dead`` tells that it seems to have died, rather than to have failed
+        one request. Failures that come while it is already left alone are
+        those of the requests it had; they say nothing new.
         """
         state = self.states.get(engine)
-        if state is None or now < state.suspected_until:
+        if state is None:
+            return
+        if dead:
+            state.alive_from = state.entry.heartbeat + RENEWALS_OF_THE_LIVING
+            state.retry_dead_at = now + RETRY_DEAD_SECONDS
+        if now < state.suspected_until:
             return
         seconds = SUSPECT_SECONDS * 2.0**state.failures
         state.suspected_until = now + min(MOST_SUSPECT_SECONDS, seconds)
@@ -158,8 +190,28 @@
             return
         state.heard_at = now
         state.failures = 0
+        state.alive_from = 0
         state.suspected_until = min(state.suspected_until, now)
 
+    def was_replaced(self, engine: str) -> None:
+        """Note that another engine answers at an engine's address.
+
+        Its entry stays in the list until it lapses. Without this, each
+        request that comes in the meantime would lose attempts on it.
+        """
+        state = self.states.get(engine)
+        if state is not None:
+            state.replaced = True
+
+    def doubted(self, engine: str, now: float) -> None:
+        """Prefer others to an engine that has failed another instance.
+
+        It is not ruled out: it may be the other one's links that failed.
+        """
+        state = self.states.get(engine)
+        if state is not None:
+            state.doubted_until = now + DOUBT_SECONDS
+
     def told_load(
         self, engine: str, load: engines.EngineLoad | None, now: float
     ) -> None:
@@ -187,5 +239,19 @@
             for name, state in self.by_service.get(service, {}).items()
             if name not in excluded and state.usable(now)
         ]
-        trusted = [s for s in usable if now >= s.suspected_until]
+        trusted = [state for state in usable if state.trusted(now)]
         return trusted or usable
+
+    def distrusted_shares(self, service: str, now: float) -> dict[str, float]:
+        """Return, by data centre, the part of the engines that has failed.
+
+        Engines of one data centre tend to fail together. The rest of one
+        where many have just failed is a bad place for new work.
+        """
+        total: collections.Counter[str] = collections.Counter()
+        distrusted: collections.Counter[str] = collections.Counter()
+        for state in self.by_service.get(service, {}).values():
+            if state.usable(now):
+                total[state.entry.data_centre] += 1
+                distrusted[state.entry.data_centre] += not state.trusted(now)
+        return {place: distrusted[place] / n for place, n in total.items()}
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -7,6 +7,7 @@
 
 from greengagelb.coordination import events
 from greengagelb.state.relay import engines
+from greengagelb.state.relay import hints
 from greengagelb.state.relay import requests
 from greengagelb.state.relay import routes
 
@@ -98,6 +99,44 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineProbed:
+    """An engine answered a probe, or did not within its time."""
+
+    exchange: int
+    send: int
+    alive: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersListed:
+    """The other instances, as the list of instances has them."""
+
+    members: tuple[hints.Member, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerHeard:
+    """Another instance says that it is there."""
+
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLeft:
+    """Another instance stops, or was started anew."""
+
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerTold:
+    """Another instance gives a hint."""
+
+    incarnation: str
+    hint: hints.Hint
+
+
 RelayEvent = (
     RequestArrived
     | AnswerBegan
@@ -109,9 +148,13 @@
     | EnginesListed
     | EnginesChanged
     | StoreLost
+    | EngineProbed
+    | MembersListed
+    | PeerHeard
+    | PeerLeft
+    | PeerTold
     | events.CallerGone
     | events.TimerFired
     | events.StopRequested
     | events.PauseNoticed
-    | events.FleetSized
 )
--- /dev/null
+++ b/src/greengagelb/coordination/relay/fleet.py
@@ -0,0 +1,85 @@
+"""The other instances, as far as their loads and the shared budget go."""
+
+from greengagelb.coordination.relay import loads
+from greengagelb.state.relay import hints
+
+# How often an instance tells the others that it is there, in seconds, and
+# how many of them at most it hears from in a second. In a large fleet each
+# one tells less often, so that what an instance hears does not grow with it.
+HEARTBEAT_SECONDS = 2.0
+MOST_HEARTBEATS_HEARD = 40.0
+# An instance that has missed so many heartbeats is not counted as loading
+# engines any more; the connections of its runs are gone by then.
+MISSED_HEARTBEATS = 3.0
+# Runs of which no end is heard are forgotten after so many seconds, the
+# longest time limit in use: a hint may be lost.
+MOST_RUN_SECONDS = 30.0
+
+
+class FleetView:
+    """Who else is there, and what they have put on engines.
+
+    Invariant: each run of another instance that is counted in ``loads`` has
+    its time in ``placed_at``.
+    """
+
+    def __init__(self, run_loads: loads.RunLoads) -> None:
+        self.loads = run_loads
+        self.listed: dict[str, hints.Member] = {}
+        self.heard_at: dict[str, float] = {}
+        self.placed_at: dict[tuple[str, int], float] = {}
+
+    @property
+    def size(self) -> int:
+        """Return how many instances there may be, this one included.
+
+        Those that are listed count even while they are not heard: they may
+        be cut off from this one only, and use their part of the budget.
+        """
+        return 1 + max(len(self.listed), len(self.heard_at))
+
+    @property
+    def heartbeat_seconds(self) -> float:
+        """Return how often this instance tells that it is there."""
+        return max(HEARTBEAT_SECONDS, self.size / MOST_HEARTBEATS_HEARD)
+
+    def take_list(self, members: tuple[hints.Member, ...]) -> None:
+        """Take in the list of the other instances."""
+        self.listed = {member.name: member for member in members}
+
+    def heard(self, incarnation: str, now: float) -> None:
+        """Note that an instance lives."""
+        self.heard_at[incarnation] = now
+
+    def left(self, incarnation: str, now: float) -> None:
+        """Forget an instance that has stopped, with its runs."""
+        self.heard_at.pop(incarnation, None)
+        self.tidy(now)
+
+    def placed(self, incarnation: str, hint: hints.Placed, now: float) -> None:
+        """Count a run of another instance."""
+        self.heard(incarnation, now)
+        key = (incarnation, hint.number)
+        self.placed_at[key] = now
+        run = loads.Run(
+            hint.engine, hint.memory_tokens, hint.unread_tokens, hint.copy_to
+        )
+        self.loads.began(key, run, now)
+
+    def ended(self, incarnation: str, hint: hints.Ended) -> None:
+        """Count a run of another instance no longer."""
+        key = (incarnation, hint.number)
+        self.placed_at.pop(key, None)
+        self.loads.ended(key)
+
+    def tidy(self, now: float) -> None:
+        """Forget instances that have fallen silent, and runs without end."""
+        missed = MISSED_HEARTBEATS * self.heartbeat_seconds
+        for incarnation, at in list(self.heard_at.items()):
+            if now > at + missed:
+                del self.heard_at[incarnation]
+        for key, at in list(self.placed_at.items()):
+            silent = key[0] not in self.heard_at
+            if silent or now > at + MOST_RUN_SECONDS:
+                del self.placed_at[key]
+                self.loads.ended(key)
--- a/src/greengagelb/coordination/relay/loads.py
+++ b/src/greengagelb/coordination/relay/loads.py
@@ -65,18 +65,14 @@
             held = self.work.setdefault(run.copy_to, EngineWork())
             held.copied_tokens += run.memory_tokens
 
-    def ended(self, key: tuple[str, int]) -> None:
-        """Count a run no longer."""
+    def ended(self, key: tuple[str, int]) -> bool:
+        """Count a run no longer; return whether it was counted."""
         run = self.runs.pop(key, None)
         if run is None:
-            return
+            return False
         work = self.work[run.engine]
         work.runs -= 1
         work.memory_tokens -= run.memory_tokens
         if run.copy_to:
             self.work[run.copy_to].copied_tokens -= run.memory_tokens
-
-    def forget_instance(self, instance: str) -> None:
-        """Drop the runs of another instance, which is gone."""
-        for key in [key for key in self.runs if key[0] == instance]:
-            self.ended(key)
+        return True
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -18,12 +18,14 @@
 from greengagelb.coordination.relay import choosing
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import fleet
 from greengagelb.coordination.relay import loads
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import streams
 from greengagelb.state import identity
 from greengagelb.state.relay import bounds
 from greengagelb.state.relay import exchanges
+from greengagelb.state.relay import hints
 from greengagelb.state.relay import requests
 from greengagelb.state.relay import routes
 
@@ -63,6 +65,7 @@
         parts = calls.Parts(self.engines, chooser, self.sends, self.answers)
         self.calls = calls.CallRelay(parts)
         self.streams = streams.StreamRelay(parts)
+        self.fleet = fleet.FleetView(self.loads)
         self.exchanges: dict[int, exchanges.Exchange] = {}
         self.progress = lifecycle.Progress()
         self.lifecycle = lifecycle.new_lifecycle(self.progress)
@@ -85,7 +88,9 @@
         ended: list[Action] = []
         for action in done:
             ended += self.close_if_final(action)
-        return done + ended
+        hinted = [relay_actions.TellPeers(h) for h in self.sends.untold]
+        self.sends.untold.clear()
+        return done + ended + hinted
 
     def close_if_final(self, action: Action) -> list[Action]:
         """Forget an exchange that has its final answer."""
@@ -121,6 +126,7 @@
                 | relay_events.StreamComplete()
                 | relay_events.AnswerComplete()
                 | relay_events.SendBroken()
+                | relay_events.EngineProbed()
             ):
                 return self.of_send(event, now)
             case events.CallerGone(exchange):
@@ -137,15 +143,39 @@
                 return self.leaving(ending)
             case relay_events.StoreLost(detail):
                 return self.store_lost(detail)
-            case events.FleetSized(live_instances):
-                self.budget.resize(live_instances)
             case events.StopRequested():
                 self.lifecycle.stop_requested()
                 return [actions.Record('stopping', 'stop requested')]
             case events.PauseNoticed(seconds):
                 return self.paused(seconds, now)
+            case _:
+                self.hear(event, now)
         return []
 
+    def hear(self, event: relay_events.RelayEvent, now: float) -> None:
+        """Take in what is known of the other instances."""
+        match event:
+            case relay_events.MembersListed(members):
+                self.fleet.take_list(members)
+            case relay_events.PeerHeard(incarnation):
+                self.fleet.heard(incarnation, now)
+                self.fleet.tidy(now)
+            case relay_events.PeerLeft(incarnation):
+                self.fleet.left(incarnation, now)
+            case relay_events.PeerTold(incarnation, hint):
+                self.told(incarnation, hint, now)
+        self.budget.resize(self.fleet.size)
+
+    def told(self, incarnation: str, hint: hints.Hint, now: float) -> None:
+        """Take in a hint of another instance."""
+        match hint:
+            case hints.Placed():
+                self.fleet.placed(incarnation, hint, now)
+            case hints.Ended():
+                self.fleet.ended(incarnation, hint)
+            case hints.Failed(engine):
+                self.engines.doubted(engine, now)
+
     # -- requests -----------------------------------------------------------
 
     def arrive(
@@ -222,6 +252,8 @@
                 return self.streams.began(exchange, sent, event, now)
             case relay_events.StreamMoved():
                 return self.streams.moved(exchange, sent, event, now)
+            case relay_events.EngineProbed():
+                return self.streams.probed(exchange, sent, event, now)
             case relay_events.StreamComplete():
                 return self.streams.complete(exchange, sent, now)
             case relay_events.AnswerComplete():
@@ -263,8 +295,9 @@
         self, exchange: exchanges.Exchange, now: float
     ) -> list[Action]:
         """Give a request its final answer when its time is over."""
-        if exchange.sends:
+        for sent in exchange.sends.values():
             exchange.may_have_run = True
+            self.engines.failed(sent.entry.engine, now, dead=False)
         done: list[Action] = [
             sending.record(exchange, None, 'deadline-passed', ''),
             *self.sends.abandon_all(exchange),
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -10,11 +10,11 @@
 from greengagelb.state import identity
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
+from greengagelb.state.relay import hints
 from greengagelb.state.relay import routes
 
 Action = relay_actions.RelayAction
-# A kept connection that was idle for longer may have been dropped by its
-# engine without a word, so what must run at most once gets a new one.
+# Names this instance's own runs among the counted ones.
 OWN = ''
 
 
@@ -35,6 +35,7 @@
         self.loads = run_loads
         self.budget = retries
         self.counter = itertools.count(1)
+        self.untold: list[hints.Hint] = []
 
     def may_repeat(self, exchange: exchanges.Exchange, now: float) -> bool:
         """Return whether a request may be sent once more; count it if so.
@@ -133,6 +134,15 @@
         copy_to = sent.copy_to.engine if sent.copy_to else ''
         run = loads.Run(sent.entry.engine, prompt.most_memory, unread, copy_to)
         self.loads.began((OWN, sent.number), run, now)
+        self.untold.append(
+            hints.Placed(
+                sent.number,
+                run.engine,
+                run.memory_tokens,
+                run.unread_tokens,
+                run.copy_to,
+            )
+        )
 
     def release(
         self, exchange: exchanges.Exchange, sent: exchanges.Sent
@@ -142,7 +152,8 @@
         state = self.engines.states.get(sent.entry.engine)
         if state is not None:
             state.in_flight -= 1
-        self.loads.ended((OWN, sent.number))
+        if self.loads.ended((OWN, sent.number)):
+            self.untold.append(hints.Ended(sent.number))
 
     def abandon(
         self, exchange: exchanges.Exchange, sent: exchanges.Sent
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -16,15 +16,20 @@
 from greengagelb.coordination.relay import sending
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
+from greengagelb.state.relay import hints
 
 SILENCE_TIMER = 'relay-silence'
+SILENT = 'silent'
 # A stream that is silent for this part of the pause that its callers do not
 # notice is moved. What is left suffices to go on elsewhere; moving earlier
 # takes streams away from engines that are only reading another prompt.
 SILENCE_SHARE = 0.55
-# How long past its expected time a first event may stay out, in seconds.
-# Moving then costs a prompt that was read in vain.
-FIRST_MARGIN_SECONDS = 1.5
+# How long past its expected time a first event may stay out, in seconds,
+# before its engine is asked for a sign of life. Moving costs a prompt that
+# was read in vain, and most engines that are late are only busy.
+FIRST_MARGIN_SECONDS = 0.5
+# The same after each sign of life.
+ALIVE_SECONDS = 1.0
 # The same for a run that goes on from a copy: it has next to nothing to read
 # and is admitted first.
 COPY_FIRST_SECONDS = 0.6
@@ -113,8 +118,34 @@
         sent = list(exchange.sends.values())[-1]
         if now < self.due(exchange, sent):
             return [self.watch(exchange, sent)]
+        if not sent.events_seen and not sent.from_copy:
+            return self.probe(exchange, sent, now)
         silent = now - sent.moved_at
-        return self.lost(exchange, sent, f'silent for {silent:.3f} s', now)
+        return self.lost(exchange, sent, f'{SILENT} for {silent:.3f} s', now)
+
+    def probe(
+        self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
+    ) -> list[Action]:
+        """Ask an engine that owes a first event for a sign of life."""
+        sent.first_due = now + ALIVE_SECONDS
+        return [
+            relay_actions.ProbeEngine(
+                exchange.number, sent.number, sent.entry
+            ),
+            self.watch(exchange, sent),
+        ]
+
+    def probed(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.Sent,
+        event: relay_events.EngineProbed,
+        now: float,
+    ) -> list[Action]:
+        """Move a stream away from an engine that gives no sign of life."""
+        if event.alive or sent.events_seen:
+            return []
+        return self.lost(exchange, sent, 'no answer to a probe', now)
 
     # -- progress -----------------------------------------------------------
 
@@ -208,6 +239,8 @@
             exchange.failed = (head, event.body)
         self.parts.sends.release(exchange, sent)
         told = sending.record(exchange, sent, 'send-refused', why)
+        if head.status == calls.WRONG_ENGINE:
+            self.parts.engines.was_replaced(sent.entry.engine)
         if not sent.from_copy:
             exchange.refused_by.add(sent.entry.engine)
         return [told, *self.start_afresh(exchange, now, 'engines-full')]
@@ -235,7 +268,11 @@
         now: float,
     ) -> list[Action]:
         """Go on elsewhere: from the copy if there is one."""
-        self.parts.engines.failed(sent.entry.engine, now)
+        dead = not detail.startswith(SILENT)
+        self.parts.engines.failed(sent.entry.engine, now, dead=dead)
+        if dead:
+            hint = hints.Failed(sent.entry.engine)
+            self.parts.sends.untold.append(hint)
         done: list[Action] = [
             sending.record(exchange, sent, 'send-lost', detail),
             *self.parts.sends.abandon(exchange, sent),
@@ -246,7 +283,7 @@
         if exchange.may_have_run and not exchange.ruling.route.repeatable:
             code = 'outcome-unknown'
             return [*done, self.parts.answers.failed(exchange, code, now)]
-        copy = self.copy_of(sent, now)
+        copy = self.copy_of(sent, now) if sent.events_seen else None
         if copy is None:
             return done + self.start_afresh(exchange, now, 'engines-failed')
         if not self.parts.sends.may_repeat(exchange, now):
@@ -261,6 +298,6 @@
         if sent.copy_to is None:
             return None
         state = self.parts.engines.states.get(sent.copy_to.engine)
-        if state is None or not state.trusted(now):
+        if state is None or not state.reachable(now):
             return None
         return state
--- a/src/greengagelb/platform/rows.py
+++ b/src/greengagelb/platform/rows.py
@@ -37,6 +37,31 @@
     has_more: bool = False
 
 
+class RowName(msgspec.Struct):
+    """Names a row."""
+
+    table: str
+    part: str
+    key: str
+
+
+class NewRow(msgspec.Struct):
+    """A row to be written; ``value`` is base64."""
+
+    table: str
+    part: str
+    key: str
+    value: str
+
+
+class Change(msgspec.Struct):
+    """A transaction: rows that must have a version, to write, to remove."""
+
+    expected_rev: list[RowName]
+    set_keys: list[NewRow]
+    remove: list[RowName]
+
+
 class WireSplit(msgspec.Struct):
     """A service's part of a route."""
 
@@ -116,6 +141,16 @@
     seq: int = 0
 
 
+def encode(message: object) -> bytes:
+    """Return a message to the store."""
+    return msgspec.json.encode(message)
+
+
+def encode_value(value: object) -> str:
+    """Return what a row is to hold."""
+    return base64.b64encode(encode(value)).decode()
+
+
 def decode(raw: bytes, kind: type[T]) -> T:
     """Return a message of the store, validated.
 
--- a/src/greengagelb/platform/store.py
+++ b/src/greengagelb/platform/store.py
@@ -6,12 +6,15 @@
 from greengagelb import errors
 from greengagelb.platform import rows
 from greengagelb.state.relay import engines
+from greengagelb.state.relay import hints
 from greengagelb.transport.relay import http_client
 from greengagelb.transport.relay import store_watch
 
 OPERATORS_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
 ENGINES_TABLE = 'servers'
+# A table of our own: one row for each instance, by its name.
+MEMBERS_TABLE = 'instances'
 OK = 200
 GONE = 410
 # An answer takes some milliseconds, and a quarter of a second while the
@@ -59,17 +62,33 @@
         self.address = address
 
     def get(self, target: str, seconds: float) -> defer.Deferred:
+        """Return the body of a good answer to a reading call."""
+        host = (b'Host', str(self.address).encode())
+        return self.ask(
+            http_client.WireRequest(b'GET', target.encode(), (host,)), seconds
+        )
+
+    def write(self, change: rows.Change) -> defer.Deferred:
+        """Carry out a change of one row."""
+        headers = (
+            (b'Host', str(self.address).encode()),
+            (b'Content-Type', b'application/json'),
+        )
+        body = rows.encode(change)
+        return self.ask(
+            http_client.WireRequest(b'POST', b'/api/rows-tx', headers, body),
+            ANSWER_SECONDS,
+        )
+
+    def ask(
+        self, request: http_client.WireRequest, seconds: float
+    ) -> defer.Deferred:
         """Return the body of a good answer.
 
         Raises :class:`~greengagelb.errors.PlatformUnavailable`, and
         :class:`~greengagelb.errors.HistoryGone`.
         """
         answer = StoreAnswer()
-        request = http_client.WireRequest(
-            b'GET',
-            target.encode(),
-            ((b'Host', str(self.address).encode()),),
-        )
         pending = self.pool.request(
             'store', self.address, lambda: request, answer
         )
@@ -124,6 +143,31 @@
             found = self.read_changes(ENGINES_TABLE, position, 0.0)
         return found.addCallback(engines_of)
 
+    def register(self, member: hints.Member) -> defer.Deferred:
+        """Write this instance's own entry."""
+        row = rows.NewRow(
+            MEMBERS_TABLE, '', member.name, rows.encode_value(member)
+        )
+        return self.write(rows.Change([], [row], []))
+
+    def unregister(self, member: hints.Member) -> defer.Deferred:
+        """Remove this instance's own entry."""
+        row = rows.RowName(MEMBERS_TABLE, '', member.name)
+        return self.write(rows.Change([], [], [row]))
+
+    def read_members(self) -> defer.Deferred:
+        """Return the entries of all instances."""
+        return self.read_all(MEMBERS_TABLE).addCallback(members_of)
+
+
+def members_of(found: rows.Rows) -> tuple[hints.Member, ...]:
+    """Return the instances in some rows."""
+    return tuple(
+        rows.decode_value(row, hints.Member)
+        for row in found.rows
+        if not row.tombstone
+    )
+
 
 def check_status(answer: tuple[int, bytes]) -> bytes:
     """Return the body of a good answer, or raise what the status means."""
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -32,6 +32,8 @@
 ENGINE = b'Instance-Id'
 # Running, waiting, slots.
 LOAD = b'Engine-Load'
+# What an engine tells of itself without a free slot.
+PROBE_TARGET = b'/api/report'
 # The status of an engine that is not the one that was expected.
 WRONG_ENGINE = 421
 # What a caller may not set: it is the system's to say, or a secret.
@@ -153,6 +155,13 @@
             return response.status_code >= 400
         return echoed == send.request.request_id.encode('latin-1')
 
+    def write_probe(
+        self, engine: engines.EngineEntry
+    ) -> http_client.WireRequest:
+        """Return a request that an engine answers while it lives."""
+        host = (b'Host', str(engine.address).encode())
+        return http_client.WireRequest(b'GET', PROBE_TARGET, (host,))
+
     def event_number(self, raw: bytes) -> int:
         """Return the number of an event of a stream."""
         for line in raw.split(b'\n'):
--- /dev/null
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -0,0 +1,108 @@
+"""Hints between instances as datagrams.
+
+Datagrams and not ``zmq``: a hint that is late is worthless, so nothing is
+queued or sent again, and an instance needs one socket for hundreds of others
+instead of a connection to each.
+"""
+
+import msgspec
+
+from greengagelb import errors
+from greengagelb.state.relay import hints
+
+MOST_DATAGRAM_BYTES = 1_200
+
+
+class Heartbeat(
+    msgspec.Struct, frozen=True, array_like=True, tag='h', tag_field='kind'
+):
+    """The sender is there; ``leaving`` that it stops now."""
+
+    name: str
+    host: str
+    data_centre: str
+    leaving: bool = False
+
+
+class Placed(
+    msgspec.Struct, frozen=True, array_like=True, tag='p', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.Placed`."""
+
+    number: int
+    engine: str
+    memory_tokens: int
+    unread_tokens: int
+    copy_to: str
+
+
+class Ended(
+    msgspec.Struct, frozen=True, array_like=True, tag='e', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.Ended`."""
+
+    number: int
+
+
+class Failed(
+    msgspec.Struct, frozen=True, array_like=True, tag='f', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.Failed`."""
+
+    engine: str
+
+
+class Datagram(msgspec.Struct, frozen=True, array_like=True):
+    """One message; ``incarnation`` is that of the sender."""
+
+    incarnation: str
+    message: Heartbeat | Placed | Ended | Failed
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Datagram)
+
+
+def encode_hint(incarnation: str, hint: hints.Hint) -> bytes:
+    """Return a hint as a datagram."""
+    match hint:
+        case hints.Placed(number, engine, memory_tokens, unread, copy_to):
+            wire = Placed(number, engine, memory_tokens, unread, copy_to)
+        case hints.Ended(number):
+            wire = Ended(number)
+        case hints.Failed(engine):
+            wire = Failed(engine)
+    return _encoder.encode(Datagram(incarnation, wire))
+
+
+def encode_heartbeat(member: hints.Member, *, leaving: bool = False) -> bytes:
+    """Return a heartbeat as a datagram."""
+    beat = Heartbeat(member.name, member.host, member.data_centre, leaving)
+    return _encoder.encode(Datagram(member.incarnation, beat))
+
+
+def decode(raw: bytes) -> tuple[str, Heartbeat | hints.Hint]:
+    """Return who sent a datagram, and what.
+
+    Raises :class:`~greengagelb.errors.ProtocolError`.
+    """
+    try:
+        datagram = _decoder.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise errors.ProtocolError(str(exc)) from exc
+    match datagram.message:
+        case Placed() as wire:
+            hint = hints.Placed(
+                wire.number,
+                wire.engine,
+                wire.memory_tokens,
+                wire.unread_tokens,
+                wire.copy_to,
+            )
+        case Ended(number):
+            hint = hints.Ended(number)
+        case Failed(engine):
+            hint = hints.Failed(engine)
+        case heartbeat:
+            return datagram.incarnation, heartbeat
+    return datagram.incarnation, hint
--- /dev/null
+++ b/src/greengagelb/state/relay/hints.py
@@ -0,0 +1,46 @@
+"""What instances tell each other while they serve.
+
+Hints are sent once and may be lost. Nothing that callers are promised rests
+on them: they only let instances choose engines by what the others have just
+put there, which the engines' own reports tell too late.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """A run was given to an engine; ``number`` names it at its instance."""
+
+    number: int
+    engine: str
+    memory_tokens: int
+    unread_tokens: int
+    copy_to: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """A run is over."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """An engine seems to have died, as seen from the sender."""
+
+    engine: str
+
+
+Hint = Placed | Ended | Failed
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """An instance of the fleet; ``incarnation`` is new at each start."""
+
+    name: str
+    incarnation: str
+    host: str
+    data_centre: str
--- a/src/greengagelb/transport/relay/dialect.py
+++ b/src/greengagelb/transport/relay/dialect.py
@@ -5,6 +5,7 @@
 import h11
 
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
 from greengagelb.transport.relay import http_client
 
@@ -38,6 +39,14 @@
     ) -> bool:
         """Return whether an answer is the one to a send."""
 
+    def write_probe(
+        self, engine: engines.EngineEntry
+    ) -> http_client.WireRequest:
+        """Return a request that an engine answers while it lives.
+
+        It needs no free slot, so that a busy engine answers too.
+        """
+
     def event_number(self, raw: bytes) -> int:
         """Return the number of an event of a stream.
 
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -13,6 +13,9 @@
 from greengagelb.transport.relay import http_client
 
 MOST_ANSWER_BYTES = 32 << 20
+# An engine that lives answers a probe in a few milliseconds, and within this
+# many seconds also where a packet was lost on the way.
+PROBE_SECONDS = 0.3
 
 Dispatch = Callable[[relay_events.RelayEvent], None]
 
@@ -109,6 +112,42 @@
         self.side.dispatch(event)
 
 
+class ProbeAnswer:
+    """Receives the answer to a probe; any answer is a sign of life."""
+
+    def __init__(
+        self, side: 'EngineSide', probe: relay_actions.ProbeEngine
+    ) -> None:
+        self.side = side
+        self.probe = probe
+        self.over = False
+
+    def answer_began(self, response: h11.Response) -> None:
+        """Report the sign of life."""
+        self.report(True)
+
+    def answer_moved(self, data: bytes) -> None:
+        """Nothing in the body matters."""
+
+    def answer_complete(self) -> None:
+        """Nothing more follows."""
+
+    def answer_broken(self, handed_over: bool, detail: str) -> None:
+        """Report that there is none."""
+        self.report(False)
+
+    def report(self, alive: bool) -> None:
+        """Report once."""
+        if self.over:
+            return
+        self.over = True
+        self.side.dispatch(
+            relay_events.EngineProbed(
+                self.probe.exchange, self.probe.send, alive
+            )
+        )
+
+
 class EngineSide:
     """The sends that are under way."""
 
@@ -137,6 +176,23 @@
         if not pending.over:
             self.under_way[key] = pending
 
+    def probe(self, probe: relay_actions.ProbeEngine) -> None:
+        """Ask an engine for a sign of life."""
+        answer = ProbeAnswer(self, probe)
+        pending = self.pool.request(
+            probe.engine.engine,
+            probe.engine.address,
+            lambda: self.dialect.write_probe(probe.engine),
+            answer,
+        )
+
+        def too_late() -> None:
+            if not answer.over:
+                pending.abandon()
+                answer.report(False)
+
+        self.pool.reactor.callLater(PROBE_SECONDS, too_late)
+
     def abandon(self, exchange: int, send: int) -> None:
         """Close the connection of a send."""
         pending = self.under_way.pop((exchange, send), None)
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import random
+import secrets
 
 from twisted.internet import defer
 from twisted.internet import error
@@ -15,6 +16,7 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import relay
 from greengagelb.state.relay import engines
+from greengagelb.state.relay import hints
 from greengagelb.state.relay import routes
 from greengagelb.transport import decision_loop
 from greengagelb.transport import recorder
@@ -22,6 +24,7 @@
 from greengagelb.transport.relay import dialect
 from greengagelb.transport.relay import engine_side
 from greengagelb.transport.relay import http_client
+from greengagelb.transport.relay import peer_link
 from greengagelb.transport.relay import readiness
 from greengagelb.transport.relay import store_watch
 
@@ -65,11 +68,24 @@
         self.callers = caller_side.CallerSide(
             reactor, wire, self.loop.dispatch, self.limits, self.refused
         )
+        place = settings.instance
+        self.own = hints.Member(
+            place.name,
+            secrets.token_hex(4),
+            place.caller_address.host,
+            place.data_centre,
+        )
+        self.peers = peer_link.PeerLink(
+            self.own, place.peer_port, self.loop.dispatch, self.bad_datagram
+        )
+        self.next_beat = reactor.seconds()
         self.watch = store_watch.StoreWatch(
             reactor,
             source_of(self.pool),
             self.loop.dispatch,
             self.recorder.record,
+            self.own,
+            self.peers.listed,
         )
         self.last_pulse = reactor.seconds()
         self.stop_by: float | None = None
@@ -88,6 +104,7 @@
         )
         self.loop.repeat(PULSE_SECONDS, self.pulse)
         self.loop.repeat(SWEEP_SECONDS, self.pool.close_expired)
+        self.peers.open(self.reactor)
         self.watch.start()
         self.recorder.record(actions.Record('started', place.name))
 
@@ -118,6 +135,13 @@
         self.last_pulse = now
         if late > PAUSE_SECONDS:
             self.loop.dispatch(events.PauseNoticed(late))
+        if now >= self.next_beat:
+            self.next_beat = now + self.relay.fleet.heartbeat_seconds
+            self.peers.beat()
+
+    def bad_datagram(self, detail: str) -> None:
+        """Record a datagram that could not be sent or read."""
+        self.recorder.record(actions.Record('bad-datagram', detail))
 
     def stop(self) -> None:
         """Stop gracefully: say so, serve what comes, and end in time.
@@ -137,15 +161,16 @@
     def look_whether_done(self) -> None:
         """End once nobody is served here any more, or time is up."""
         now = self.reactor.seconds()
-        if now < self.leave_at or self.stopped.called:
+        if now < self.leave_at or self.watch.stopped:
             return
         self.callers.close_idle()
         if now < self.stop_by and self.callers.connections:
             return
         left = len(self.relay.exchanges)
         self.recorder.record(actions.Record('stopped', f'{left} cut'))
-        self.watch.stop()
-        self.stopped.callback(None)
+        self.peers.beat(leaving=True)
+        ended = self.watch.stop()
+        ended.addBoth(lambda _: self.stopped.callback(None))
 
     # -- actions ------------------------------------------------------------
 
@@ -156,6 +181,10 @@
                 self.engines.send(action)
             case relay_actions.AbandonSend(exchange=exchange, send=send):
                 self.engines.abandon(exchange, send)
+            case relay_actions.ProbeEngine():
+                self.engines.probe(action)
+            case relay_actions.TellPeers(hint):
+                self.peers.tell(hint)
             case actions.SetTimer(name, deadline):
                 self.loop.set_timer(name, deadline)
             case actions.ClearTimer(name):
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -13,11 +13,13 @@
 from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import task
+from twisted.python import failure
 
 from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state.relay import engines
+from greengagelb.state.relay import hints
 from greengagelb.state.relay import routes
 from greengagelb.transport.relay import engine_side
 
@@ -28,6 +30,8 @@
 # How often the list of engines is looked at, in seconds: half of the time
 # within which an engine that leaves must get no more work.
 ENGINES_EVERY = 1.0
+# How often the list of instances is read, in seconds, spread by half.
+MEMBERS_EVERY = 10.0
 # The pause after a call that failed, in seconds, spread by half both ways.
 RETRY_SECONDS = 0.3
 
@@ -54,7 +58,7 @@
 class Source(Protocol):
     """The store, as far as the watch needs it.
 
-    Both raise :class:`~greengagelb.errors.PlatformUnavailable` and
+    All raise :class:`~greengagelb.errors.PlatformUnavailable` and
     :class:`~greengagelb.errors.HistoryGone`.
     """
 
@@ -66,6 +70,15 @@
     def read_engines(self, position: int | None) -> defer.Deferred:
         """Return an :class:`EnginesRead`; the whole list without position."""
 
+    def register(self, member: hints.Member) -> defer.Deferred:
+        """Write this instance's own entry."""
+
+    def unregister(self, member: hints.Member) -> defer.Deferred:
+        """Remove this instance's own entry."""
+
+    def read_members(self) -> defer.Deferred:
+        """Return the entries of all instances."""
+
 
 class StoreWatch:
     """Reads the store for as long as the process lives."""
@@ -76,11 +89,16 @@
         source: Source,
         dispatch: engine_side.Dispatch,
         record: Callable[[actions.Record], None],
+        own: hints.Member,
+        members_listed: Callable[[tuple[hints.Member, ...]], None],
     ) -> None:
         self.reactor = reactor
         self.source = source
         self.dispatch = dispatch
         self.record = record
+        self.own = own
+        self.members_listed = members_listed
+        self.registered = False
         self.configuration_position: int | None = None
         self.engines_position: int | None = None
         self.stopped = False
@@ -89,10 +107,35 @@
         """Begin to read."""
         self.follow(self.look_at_configuration)
         self.follow(self.look_at_engines)
+        self.follow(self.look_at_members)
 
-    def stop(self) -> None:
-        """Read no more."""
+    def stop(self) -> defer.Deferred:
+        """Read no more, and remove the own entry."""
         self.stopped = True
+        if not self.registered:
+            return defer.succeed(None)
+        return self.source.unregister(self.own).addErrback(self.not_removed)
+
+    def not_removed(self, why: failure.Failure) -> None:
+        """Record that the own entry stays behind; others find it silent."""
+        why.trap(errors.GreengagelbError)
+        self.record(actions.Record('entry-left-behind', str(why.value)))
+
+    @defer.inlineCallbacks
+    def look_at_members(self) -> object:
+        """Register once, then read the list of instances now and then.
+
+        Instances that start greet all that are listed, so the list need not
+        be read often.
+        """
+        if not self.registered:
+            yield self.source.register(self.own)
+            self.registered = True
+        found = yield self.source.read_members()
+        others = tuple(m for m in found if m.name != self.own.name)
+        self.members_listed(others)
+        self.dispatch(relay_events.MembersListed(others))
+        yield self.sleep(MEMBERS_EVERY * random.uniform(0.5, 1.5))
 
     @defer.inlineCallbacks
     def follow(self, look: Callable[[], defer.Deferred]) -> object:
--- /dev/null
+++ b/tests/common/relay_world.py
@@ -0,0 +1,259 @@
+"""A relay without sockets: requests, engines and time for its decisions."""
+
+import random
+
+from greengagelb.coordination import actions as common_actions
+from greengagelb.coordination import events as common_events
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import relay
+from greengagelb.state.relay import bounds
+from greengagelb.state.relay import engines
+from greengagelb.state.relay import requests
+from greengagelb.state.relay import routes
+
+KEY = 'a-key-of-an-account'
+HOST = 'api.example'
+STREAMS = 'drafts'
+CALLS = 'booking'
+PLACES = ('north', 'south', 'west')
+
+# Sizes of today's fleets: 32 slots and room for 88,000 tokens at a model
+# engine, 6 slots at an engine of a plain service.
+MODEL = routes.ModelEngines(32, 88_000, copies=True)
+STREAM_ROUTE = routes.Route(
+    'drafts',
+    HOST,
+    '/drafts/',
+    routes.Repeat.STREAM,
+    (routes.ServiceShare(STREAMS, 1.0),),
+    time_limit=25.0,
+    goal=4.5,
+    priority=1,
+    most_attempts=5,
+    resumable=True,
+    gap_goal=0.7,
+)
+CALL_ROUTE = routes.Route(
+    'booking',
+    HOST,
+    '/booking/',
+    routes.Repeat.AT_MOST_ONCE,
+    (routes.ServiceShare(CALLS, 1.0),),
+    time_limit=0.8,
+    goal=0.2,
+    priority=2,
+    most_attempts=1,
+)
+QUERY_ROUTE = routes.Route(
+    'queries',
+    HOST,
+    '/queries/',
+    routes.Repeat.IDEMPOTENT,
+    (routes.ServiceShare(CALLS, 1.0),),
+    time_limit=0.8,
+    goal=0.2,
+    priority=2,
+    most_attempts=2,
+)
+SERVICES = (
+    routes.Service(STREAMS, 240, MODEL),
+    routes.Service(CALLS, 110),
+)
+ACCOUNTS = {routes.digest_of_key(KEY): routes.Account('cottages')}
+RETRIES = bounds.RetryBounds(ratio=0.8, window_seconds=10.0, slack=150.0)
+SEAL = ((b'Content-Type', b'text/plain'),)
+
+
+def route_table(version=1, found=(STREAM_ROUTE, CALL_ROUTE, QUERY_ROUTE)):
+    """Return a configuration with one route of each kind."""
+    return routes.RouteTable(
+        version, tuple(found), SERVICES, routes.Limits(), dict(ACCOUNTS)
+    )
+
+
+def engine(name, service, place, heartbeat=1, *, leaving=False):
+    """Return an engine's entry; its address follows from its name."""
+    port = 10_000 + sum(name.encode()) % 50_000
+    slots = MODEL.slots if service == STREAMS else 6
+    return engines.EngineEntry(
+        name,
+        service,
+        engines.Address('127.0.0.1', port),
+        place,
+        slots,
+        leaving,
+        heartbeat,
+    )
+
+
+def fleet(per_place=2, heartbeat=1):
+    """Return engines of both services in three data centres."""
+    models = [
+        engine(f'model-{place}-{number}', STREAMS, place, heartbeat)
+        for place in PLACES
+        for number in range(per_place)
+    ]
+    calls = [
+        engine(f'call-{place}', CALLS, place, heartbeat) for place in PLACES
+    ]
+    return (*models, *calls)
+
+
+class RelayWorld:
+    """One relay, with a clock that the test moves.
+
+    ``actions`` holds all that the relay has ever wanted done.
+    """
+
+    def __init__(self, entries=None, table=None, seed=1, place='north'):
+        self.relay = relay.Relay(random.Random(seed), place, RETRIES)
+        self.now = 100.0
+        self.actions = []
+        self.timers = {}
+        self.last_exchange = 0
+        self.offer(table or route_table())
+        self.list_engines(fleet() if entries is None else entries)
+
+    # -- events -------------------------------------------------------------
+
+    def handle(self, event):
+        """Hand in an event; return and keep the actions."""
+        done = self.relay.handle(event, self.now)
+        self.actions += done
+        for action in done:
+            match action:
+                case common_actions.SetTimer(name, deadline):
+                    self.timers[name] = deadline
+                case common_actions.ClearTimer(name):
+                    self.timers.pop(name, None)
+        return done
+
+    def offer(self, table):
+        return self.handle(relay_events.RoutesOffered(table, 'test'))
+
+    def list_engines(self, entries):
+        return self.handle(relay_events.EnginesListed(tuple(entries)))
+
+    def change_engines(self, *entries, removed=()):
+        return self.handle(
+            relay_events.EnginesChanged(tuple(entries), tuple(removed))
+        )
+
+    def ask(self, target=b'/drafts/1', seconds=25.0, **fields):
+        """Submit a request; return its exchange."""
+        self.last_exchange += 1
+        given = {
+            'method': b'POST',
+            'host': HOST,
+            'headers': (),
+            'body': b'x',
+            'request_id': f'r{self.last_exchange}',
+            'key': KEY,
+            'prompt': requests.Prompt(8_000, 780, f'part{self.last_exchange}'),
+            **fields,
+        }
+        request = requests.CallerRequest(
+            self.last_exchange,
+            target=target,
+            received_at=self.now,
+            deadline=self.now + seconds,
+            **given,
+        )
+        self.handle(relay_events.RequestArrived(request))
+        return self.last_exchange
+
+    def call(self, **fields):
+        return self.ask(b'/booking/1', 1.5, prompt=None, **fields)
+
+    def query(self, **fields):
+        return self.ask(
+            b'/queries/1', 1.5, prompt=None, method=b'GET', **fields
+        )
+
+    def advance(self, seconds):
+        """Let time pass, firing the timers that come due on the way."""
+        until = self.now + seconds
+        while self.timers:
+            name = min(self.timers, key=lambda n: self.timers[n])
+            if self.timers[name] > until:
+                break
+            self.now = max(self.now, self.timers.pop(name))
+            self.handle(common_events.TimerFired(name))
+        self.now = until
+
+    # -- what comes from engines --------------------------------------------
+
+    def begin(self, send, **fields):
+        return self.handle(
+            relay_events.AnswerBegan(
+                send.exchange, send.send, answer_head(**fields)
+            )
+        )
+
+    def events(self, send, *numbers):
+        moved = tuple(
+            requests.StreamEvent(n, b'id: %d\n\n' % n) for n in numbers
+        )
+        return self.handle(
+            relay_events.StreamMoved(send.exchange, send.send, moved)
+        )
+
+    def complete(self, send):
+        return self.handle(
+            relay_events.StreamComplete(send.exchange, send.send)
+        )
+
+    def answer(self, send, body=b'ok', **fields):
+        return self.handle(
+            relay_events.AnswerComplete(
+                send.exchange, send.send, answer_head(**fields), body
+            )
+        )
+
+    def refuse(self, send, status=503):
+        return self.answer(
+            send, b'', status=status, not_run=True, sealed=False
+        )
+
+    def lose(self, send, detail='ConnectionLost', *, handed_over=True):
+        return self.handle(
+            relay_events.SendBroken(
+                send.exchange, send.send, handed_over, detail
+            )
+        )
+
+    def leave(self, exchange):
+        return self.handle(common_events.CallerGone(exchange))
+
+    # -- what the relay wanted ----------------------------------------------
+
+    def of_kind(self, kind, exchange=None):
+        return [
+            action
+            for action in self.actions
+            if isinstance(action, kind)
+            and (exchange is None or action.exchange == exchange)
+        ]
+
+    def sends(self, exchange=None):
+        return self.of_kind(relay_actions.Send, exchange)
+
+    def last_send(self, exchange):
+        return self.sends(exchange)[-1]
+
+    def refusals(self, exchange=None):
+        return self.of_kind(relay_actions.Refuse, exchange)
+
+    def passed_events(self, exchange):
+        """Return the numbers of the events that the caller has."""
+        return [
+            event.number
+            for action in self.of_kind(relay_actions.PassEvents, exchange)
+            for event in action.events
+        ]
+
+
+def answer_head(status=200, *, sealed=True, not_run=False, load=None):
+    """Return the head of an engine's answer."""
+    return requests.AnswerHead(status, b'', SEAL, sealed, not_run, load)
--- /dev/null
+++ b/tests/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the relay of opaque requests."""
