Send callers who come back where their prompt was read; take no stream that a stop would cut

Cause: a stopping instance took streams for three more seconds and cut up to seven of them at its end; their callers came back through other instances, where another engine read the prompt again (33 units of price for a prompt, and a second of pause). Engines that had restarted were counted as attempts. Ruled out: the engines' slots and memory (no request was preempted). Change: hints carry the own part of a prompt, and its holder is preferred by the time that reading takes; streams that can't end before the stop are refused at once; an engine that was replaced costs no attempt, and its word goes round.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -97,7 +97,8 @@
     ) -> list[Action]:
         """Try another engine: this one says that it did not run the call."""
         if status == WRONG_ENGINE:
-            self.parts.engines.was_replaced(sent.entry.engine)
+            exchange.attempts -= 1
+            self.parts.sends.found_replaced(sent)
         why = f'not run, status {status}'
         done: list[Action] = [
             sending.record(exchange, sent, 'send-refused', why)
--- a/src/greengagelb/coordination/relay/choosing.py
+++ b/src/greengagelb/coordination/relay/choosing.py
@@ -93,13 +93,16 @@
         if not found:
             return None
         need = prompt.most_memory if prompt else 0
+        part = prompt.own_part if prompt else ''
+        holder = self.loads.prompts.holder(part, now)
         failing = self.engines.distrusted_shares(service.name, now)
 
         def score(state: directory.EngineState) -> float:
             place = failing.get(state.entry.data_centre, 0.0)
-            return FAILING_PLACE_SECONDS * place + self.stream_score(
-                state, service, need, now
-            )
+            seconds = self.stream_score(state, service, need, now)
+            if state.entry.engine == holder and prompt is not None:
+                seconds -= prompt.tokens / loads.READING_RATE
+            return seconds + FAILING_PLACE_SECONDS * place
 
         return min(found, key=score)
 
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -92,6 +92,13 @@
     removed: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopBy:
+    """This instance is to stop; ``deadline`` is when all must have ended."""
+
+    deadline: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreLost:
     """The store gave no answer; what it said before may be out of date."""
@@ -148,6 +155,7 @@
     | EnginesListed
     | EnginesChanged
     | StoreLost
+    | StopBy
     | EngineProbed
     | MembersListed
     | PeerHeard
@@ -155,6 +163,5 @@
     | PeerTold
     | events.CallerGone
     | events.TimerFired
-    | events.StopRequested
     | events.PauseNoticed
 )
--- a/src/greengagelb/coordination/relay/fleet.py
+++ b/src/greengagelb/coordination/relay/fleet.py
@@ -62,7 +62,11 @@
         key = (incarnation, hint.number)
         self.placed_at[key] = now
         run = loads.Run(
-            hint.engine, hint.memory_tokens, hint.unread_tokens, hint.copy_to
+            hint.engine,
+            hint.memory_tokens,
+            hint.unread_tokens,
+            hint.copy_to,
+            hint.part,
         )
         self.loads.began(key, run, now)
 
--- a/src/greengagelb/coordination/relay/loads.py
+++ b/src/greengagelb/coordination/relay/loads.py
@@ -8,6 +8,8 @@
 
 import dataclasses
 
+from greengagelb.coordination.relay import prompts
+
 # Tokens of prompts that an engine reads in a second, before any are measured:
 # eight in a millisecond, as the users state for their engines.
 READING_RATE = 8_000.0
@@ -21,6 +23,7 @@
     memory_tokens: int
     unread_tokens: int
     copy_to: str = ''
+    part: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,7 +41,7 @@
 
 
 class RunLoads:
-    """Adds up the runs on each engine.
+    """Adds up the runs on each engine, and knows who has read what.
 
     Invariant: the sums of an engine are those of the runs that name it.
     """
@@ -46,6 +49,7 @@
     def __init__(self) -> None:
         self.runs: dict[tuple[str, int], Run] = {}
         self.work: dict[str, EngineWork] = {}
+        self.prompts = prompts.PromptHolders()
 
     def of(self, engine: str) -> EngineWork:
         """Return the work of an engine."""
@@ -56,6 +60,7 @@
         if key in self.runs:
             return
         self.runs[key] = run
+        self.prompts.read_at(run.part, run.engine, now)
         work = self.work.setdefault(run.engine, EngineWork())
         work.runs += 1
         work.memory_tokens += run.memory_tokens
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -67,6 +67,7 @@
         self.streams = streams.StreamRelay(parts)
         self.fleet = fleet.FleetView(self.loads)
         self.exchanges: dict[int, exchanges.Exchange] = {}
+        self.stop_by = float('inf')
         self.progress = lifecycle.Progress()
         self.lifecycle = lifecycle.new_lifecycle(self.progress)
 
@@ -143,9 +144,11 @@
                 return self.leaving(ending)
             case relay_events.StoreLost(detail):
                 return self.store_lost(detail)
-            case events.StopRequested():
+            case relay_events.StopBy(deadline):
                 self.lifecycle.stop_requested()
-                return [actions.Record('stopping', 'stop requested')]
+                self.stop_by = deadline
+                left = f'{deadline - now:.1f} s left'
+                return [actions.Record('stopping', left)]
             case events.PauseNoticed(seconds):
                 return self.paused(seconds, now)
             case _:
@@ -175,6 +178,8 @@
                 self.fleet.ended(incarnation, hint)
             case hints.Failed(engine):
                 self.engines.doubted(engine, now)
+            case hints.Replaced(engine):
+                self.engines.was_replaced(engine)
 
     # -- requests -----------------------------------------------------------
 
@@ -197,9 +202,19 @@
         name = stalls.timer_name(DEADLINE_TIMER, request.exchange)
         done: list[Action] = [actions.SetTimer(name, ruling.deadline)]
         if ruling.route.repeat is routes.Repeat.STREAM:
+            if now + self.streams.expected_seconds(exchange) > self.stop_by:
+                refusal = self.answers.not_run(exchange, 'stopping', now)
+                return [self.told_refusal(exchange, refusal), refusal]
             return done + self.streams.begin(exchange, now)
         return done + self.calls.begin(exchange, now)
 
+    def told_refusal(
+        self, exchange: exchanges.Exchange, refusal: relay_actions.Refuse
+    ) -> actions.Record:
+        """Return the time line event of a refusal."""
+        why = f'{refusal.status} {refusal.code}'
+        return sending.record(exchange, None, 'refused', why)
+
     def rule(
         self, request: requests.CallerRequest
     ) -> requests.Ruling | relay_actions.Refuse:
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -130,9 +130,17 @@
         prompt = exchange.request.prompt
         if prompt is None:
             return
-        unread = 0 if sent.from_copy else prompt.tokens
+        held = self.loads.prompts.holder(prompt.own_part, now)
+        read = sent.from_copy or held == sent.entry.engine
+        unread = 0 if read else prompt.tokens
         copy_to = sent.copy_to.engine if sent.copy_to else ''
-        run = loads.Run(sent.entry.engine, prompt.most_memory, unread, copy_to)
+        run = loads.Run(
+            sent.entry.engine,
+            prompt.most_memory,
+            unread,
+            copy_to,
+            prompt.own_part,
+        )
         self.loads.began((OWN, sent.number), run, now)
         self.untold.append(
             hints.Placed(
@@ -141,9 +149,15 @@
                 run.memory_tokens,
                 run.unread_tokens,
                 run.copy_to,
+                run.part,
             )
         )
 
+    def found_replaced(self, sent: exchanges.Sent) -> None:
+        """Note that a send met another engine than the one it was for."""
+        self.engines.was_replaced(sent.entry.engine)
+        self.untold.append(hints.Replaced(sent.entry.engine))
+
     def release(
         self, exchange: exchanges.Exchange, sent: exchanges.Sent
     ) -> None:
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -7,6 +7,7 @@
 """
 
 from greengagelb.coordination import actions
+from greengagelb.coordination import rates
 from greengagelb.coordination import stalls
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import calls
@@ -42,6 +43,11 @@
 
     def __init__(self, parts: calls.Parts) -> None:
         self.parts = parts
+        self.pace = rates.Pace()
+
+    def expected_seconds(self, exchange: exchanges.Exchange) -> float:
+        """Return how long a stream takes that begins now; rarely longer."""
+        return self.pace.most_seconds(cost_of(exchange))
 
     def begin(self, exchange: exchanges.Exchange, now: float) -> list[Action]:
         """Start a stream, or go on where the caller's last one broke."""
@@ -209,6 +215,9 @@
         if not exchange.begun:
             return self.lost(exchange, sent, 'no events', now)
         self.parts.sends.release(exchange, sent)
+        if not exchange.request.resumes_after:
+            took = now - exchange.request.received_at
+            self.pace.observe(took, cost_of(exchange))
         why = f'{exchange.position} events'
         return [
             sending.record(exchange, sent, 'stream-complete', why),
@@ -240,7 +249,10 @@
         self.parts.sends.release(exchange, sent)
         told = sending.record(exchange, sent, 'send-refused', why)
         if head.status == calls.WRONG_ENGINE:
-            self.parts.engines.was_replaced(sent.entry.engine)
+            # The engine that was meant has ended, so it is none of those
+            # that the request may go to.
+            exchange.attempts -= 1
+            self.parts.sends.found_replaced(sent)
         if not sent.from_copy:
             exchange.refused_by.add(sent.entry.engine)
         return [told, *self.start_afresh(exchange, now, 'engines-full')]
@@ -301,3 +313,14 @@
         if state is None or not state.reachable(now):
             return None
         return state
+
+
+def cost_of(exchange: exchanges.Exchange) -> float:
+    """Return the work of a stream, in tokens made.
+
+    Reading a token takes about a fiftieth of the time of making one.
+    """
+    prompt = exchange.request.prompt
+    if prompt is None:
+        return 1.0
+    return prompt.most_new_tokens + prompt.tokens / 50.0
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -34,6 +34,7 @@
     memory_tokens: int
     unread_tokens: int
     copy_to: str
+    part: str = ''
 
 
 class Ended(
@@ -52,11 +53,19 @@
     engine: str
 
 
+class Replaced(
+    msgspec.Struct, frozen=True, array_like=True, tag='r', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.Replaced`."""
+
+    engine: str
+
+
 class Datagram(msgspec.Struct, frozen=True, array_like=True):
     """One message; ``incarnation`` is that of the sender."""
 
     incarnation: str
-    message: Heartbeat | Placed | Ended | Failed
+    message: Heartbeat | Placed | Ended | Failed | Replaced
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -66,12 +75,14 @@
 def encode_hint(incarnation: str, hint: hints.Hint) -> bytes:
     """Return a hint as a datagram."""
     match hint:
-        case hints.Placed(number, engine, memory_tokens, unread, copy_to):
-            wire = Placed(number, engine, memory_tokens, unread, copy_to)
+        case hints.Placed(number, engine, memory, unread, copy_to, part):
+            wire = Placed(number, engine, memory, unread, copy_to, part)
         case hints.Ended(number):
             wire = Ended(number)
         case hints.Failed(engine):
             wire = Failed(engine)
+        case hints.Replaced(engine):
+            wire = Replaced(engine)
     return _encoder.encode(Datagram(incarnation, wire))
 
 
@@ -98,11 +109,14 @@
                 wire.memory_tokens,
                 wire.unread_tokens,
                 wire.copy_to,
+                wire.part,
             )
         case Ended(number):
             hint = hints.Ended(number)
         case Failed(engine):
             hint = hints.Failed(engine)
+        case Replaced(engine):
+            hint = hints.Replaced(engine)
         case heartbeat:
             return datagram.incarnation, heartbeat
     return datagram.incarnation, hint
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -10,13 +10,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placed:
-    """A run was given to an engine; ``number`` names it at its instance."""
+    """A run was given to an engine; ``number`` names it at its instance.
+
+    ``part`` names the part of its prompt that no other conversation shares.
+    """
 
     number: int
     engine: str
     memory_tokens: int
     unread_tokens: int
     copy_to: str
+    part: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,7 +37,14 @@
     engine: str
 
 
-Hint = Placed | Ended | Failed
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replaced:
+    """Another engine answers at the address of this one."""
+
+    engine: str
+
+
+Hint = Placed | Ended | Failed | Replaced
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -14,6 +14,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import relay
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
@@ -155,7 +156,7 @@
         self.stop_by = now + grace - LAST_SECONDS
         self.leave_at = now + min(LEAVE_SECONDS, grace / 2)
         self.callers.closing = True
-        self.loop.dispatch(events.StopRequested())
+        self.loop.dispatch(relay_events.StopBy(self.stop_by))
         self.loop.repeat(STOP_POLL_SECONDS, self.look_whether_done)
 
     def look_whether_done(self) -> None:
--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -1,6 +1,9 @@
 """Streams that go on after the loss of an engine."""
 
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.state.relay import hints
+from greengagelb.state.relay import requests
 from tests.common import relay_world
 
 
@@ -93,3 +96,88 @@
     )
     used = [world.last_send(world.ask()) for _ in range(20)]
     assert any(dead.engine == send.engine.engine for send in used)
+
+
+def test_caller_who_comes_back_is_sent_where_its_prompt_was_read():
+    """An instance dies and its callers come back through another one, which
+    has only heard of their runs. On any other engine the prompt would be
+    read again, for a second in which the caller's text stands still.
+    """
+    world = relay_world.RelayWorld()
+    hint = hints.Placed(7, 'model-west-1', 8_780, 8_000, '', 'my-part')
+    world.handle(relay_events.PeerTold('other', hint))
+    world.handle(relay_events.PeerTold('other', hints.Ended(7)))
+    world.advance(2.0)
+    prompt = requests.Prompt(8_000, 780, 'my-part')
+    exchange = world.ask(prompt=prompt, resumes_after=40)
+    assert world.last_send(exchange).engine.engine == 'model-west-1'
+    assert world.last_send(exchange).resume_after == 40
+
+
+def test_prompt_is_not_read_where_all_others_queue_for_one():
+    """Many callers ask about one thing at once. All sent to the engine that
+    has its prompt, they would wait for one another while the others idle.
+    """
+    world = relay_world.RelayWorld()
+    prompt = requests.Prompt(8_000, 780, 'popular')
+    used = {
+        world.last_send(world.ask(prompt=prompt)).engine.engine
+        for _ in range(40)
+    }
+    assert len(used) > 1
+
+
+def test_engines_that_were_replaced_cost_no_attempt():
+    """A data centre's engines restart and their old entries stay in the
+    list. A request that meets several of them has not used up its attempts:
+    none of those engines exists any more.
+    """
+    world = relay_world.RelayWorld(relay_world.fleet(per_place=6))
+    exchange = world.ask()
+    for _ in range(6):
+        world.refuse(world.last_send(exchange), status=421)
+    assert not world.refusals(exchange)
+    assert len(world.sends(exchange)) == 7
+
+
+def test_word_of_a_replaced_engine_goes_round():
+    """Without it each instance finds out by itself, with requests that are
+    counted as repeats in the budget that all share.
+    """
+    world = relay_world.RelayWorld()
+    first = world.last_send(world.ask())
+    world.refuse(first, status=421)
+    told = [a.hint for a in world.of_kind(relay_actions.TellPeers)]
+    assert hints.Replaced(first.engine.engine) in told
+    other = relay_world.RelayWorld()
+    other.handle(
+        relay_events.PeerTold('one', hints.Replaced(first.engine.engine))
+    )
+    for _ in range(20):
+        assert other.last_send(other.ask()).engine != first.engine
+
+
+def test_stopping_instance_takes_no_stream_that_it_can_not_finish():
+    """An instance stops within seconds, and callers still come until the
+    balancer has noticed. A long answer that begins now would be cut in the
+    middle; refused at once, its caller is served elsewhere in time.
+    """
+    world = relay_world.RelayWorld()
+    exchange = world.ask()
+    send = world.last_send(exchange)
+    world.begin(send)
+    world.advance(1.0)
+    for number in range(1, 21):
+        world.events(send, number)
+        world.advance(0.25)
+    world.complete(send)
+    world.handle(relay_events.StopBy(world.now + 7.5))
+    early = world.ask()
+    assert world.sends(early)
+    world.advance(3.0)
+    late = world.ask()
+    assert not world.sends(late)
+    [refusal] = world.refusals(late)
+    assert refusal.status == 503
+    assert refusal.retry_after is not None
+    assert world.sends(world.call())
