Count copies as memory taken; cut callers before engines at the end of a stop

Cause: runs were placed on engines whose memory was full of copies, and had their first event after five to nine seconds. At the end of a stop the engines' connections closed first, and their requests were sent elsewhere once more, for nobody.

--- a/src/greengagelb/coordination/relay/choosing.py
+++ b/src/greengagelb/coordination/relay/choosing.py
@@ -126,7 +126,8 @@
         if state.entry.data_centre != self.data_centre:
             score += FAR_STREAM_SECONDS
         if service.engines is not None:
-            over = work.memory_tokens + need - service.engines.memory_tokens
+            held = work.memory_tokens + work.copied_tokens
+            over = held + need - service.engines.memory_tokens
             if over > 0:
                 score += FULL_SECONDS * (
                     1.0 + over / service.engines.memory_tokens
--- a/src/greengagelb/transport/relay/caller_side.py
+++ b/src/greengagelb/transport/relay/caller_side.py
@@ -422,6 +422,16 @@
             if connection.exchange is None and connection.reading is None:
                 connection.close()
 
+    def break_all(self) -> None:
+        """Reset the connections that still wait for an answer.
+
+        Done before the process ends: were the engines' connections closed
+        first, their requests would be sent to other engines once more.
+        """
+        for exchange, connection in list(self.exchanges.items()):
+            self.gone(exchange)
+            connection.break_off()
+
     def carry_out(self, action: relay_actions.RelayAction) -> None:
         """Carry out what concerns a caller."""
         final = not isinstance(
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -171,6 +171,7 @@
         if now < self.stop_by and self.callers.connections:
             return
         left = len(self.relay.exchanges)
+        self.callers.break_all()
         self.recorder.record(actions.Record('stopped', f'{left} cut'))
         self.peers.beat(leaving=True)
         ended = self.watch.stop()
--- a/tests/relay/test_placing.py
+++ b/tests/relay/test_placing.py
@@ -1,5 +1,7 @@
 """Where runs and their copies are put."""
 
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.state.relay import hints
 from tests.common import relay_world
 
 
@@ -22,7 +24,7 @@
     and all streams there stand still while two prompts are read.
     """
     world = relay_world.RelayWorld(relay_world.fleet(per_place=3))
-    for _ in range(9):
+    for _ in range(10):
         world.ask()
         world.advance(0.05)
     used = [send.engine.engine for send in world.sends()]
@@ -45,3 +47,17 @@
         world.advance(0.25)
         world.lose(send, 'connect: TimeoutError', handed_over=False)
     assert timeouts <= 4
+
+
+def test_engine_full_of_copies_gets_no_run_while_others_have_room():
+    """Copies of other engines' runs fill an engine's memory. A run that is
+    sent there waits until they are gone, for many seconds, although its
+    neighbour has room.
+    """
+    world = relay_world.RelayWorld(relay_world.fleet(per_place=2))
+    for number in range(10):
+        hint = hints.Placed(number, 'elsewhere', 8_780, 0, 'model-north-0')
+        world.handle(relay_events.PeerTold('other', hint))
+    for _ in range(6):
+        send = world.last_send(world.ask())
+        assert send.engine.engine != 'model-north-0'
