--- a/src/greengagelb/cli/commands.py
+++ b/src/greengagelb/cli/commands.py
@@ -4,11 +4,13 @@
 import dataclasses
 
 from greengagelb.cli import demo
+from greengagelb.cli import explain
 from greengagelb.cli import operators
 from greengagelb.cli import serve
 from greengagelb.cli import standin
 from greengagelb.cli import timeline
 
+MOST_LOG_FILES = 1_000
 OPERATOR_FLAGS = ('operator', 'operator_key_file')
 
 
@@ -95,6 +97,16 @@
         timeline.timeline,
         (*OPERATOR_FLAGS, 'request', 'account', 'kind', 'most_events'),
     ),
+    Command(
+        'explain',
+        'REQUEST_ID [LOG_FILE...]',
+        'tell from log lines what became of a request',
+        explain.explain,
+        most_words=MOST_LOG_FILES,
+        details='Reads the log lines of any number of instances from files '
+        'or standard input.\nA star marks the events of the request itself; '
+        'the others happened around it.',
+    ),
     Command(
         'stand-in',
         'engine|service|platform --port=N',
--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 
 from greengagelb.coordination import actions
 from greengagelb.state.relay import engines
@@ -132,6 +133,22 @@
     hint: hints.Hint
 
 
+class Measured(enum.Enum):
+    """Times that are worth a histogram."""
+
+    FIRST_EVENT = 'first-event'
+    RESUME = 'resume'
+    CALL = 'call'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measure:
+    """Put a time into its histogram, in seconds."""
+
+    kind: Measured
+    seconds: float
+
+
 RelayAction = (
     Send
     | AbandonSend
@@ -145,6 +162,7 @@
     | AskSuccessor
     | TellPeers
     | TellNeighbours
+    | Measure
     | actions.SetTimer
     | actions.ClearTimer
     | actions.Record
--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -86,7 +86,9 @@
             return self.lost(exchange, sent, f'status {head.status}', now)
         done = self.parts.sends.abandon_all(exchange)
         passed = relay_actions.PassAnswer(exchange.number, head, event.body)
-        return [*done, passed]
+        took = now - exchange.request.received_at
+        call = relay_actions.Measured.CALL
+        return [*done, passed, relay_actions.Measure(call, took)]
 
     def not_run(
         self,
--- a/src/greengagelb/coordination/relay/choosing.py
+++ b/src/greengagelb/coordination/relay/choosing.py
@@ -146,7 +146,9 @@
 
         What kills an engine often kills its neighbours too, and links
         between data centres are cut. So one of the two stands in this data
-        centre and the other one outside, where that can be had.
+        centre and the other one outside, where that can be had. Engines of a
+        data centre that is just failing come last: their entries outlive
+        them by seconds.
         """
         if service.engines is None or not service.engines.copies:
             return None
@@ -164,6 +166,9 @@
         ]
         if not able:
             return None
+        failing = self.engines.failing_places(service.name, now)
+        calm = [s for s in able if failing.get(s.entry.data_centre, 0.0) < 1]
+        able = calm or able
         apart = [s for s in able if s.entry.data_centre != own.data_centre]
         near = [s for s in apart if s.entry.data_centre == self.data_centre]
         return min(near or apart or able, key=self.copy_score)
--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -298,7 +298,9 @@
         """
         failed: collections.Counter[str] = collections.Counter()
         for state in self.by_service.get(service, {}).values():
-            if state.usable(now) and not state.trusted(now):
+            if not state.usable(now):
+                continue
+            if now < state.doubted_until or not state.trusted(now):
                 failed[state.entry.data_centre] += 1
         return {
             place: min(1.0, number / FAILURES_OF_A_PLACE)
--- a/src/greengagelb/coordination/relay/fleet.py
+++ b/src/greengagelb/coordination/relay/fleet.py
@@ -51,10 +51,10 @@
         """Note that an instance lives."""
         self.heard_at[incarnation] = now
 
-    def left(self, incarnation: str, now: float) -> None:
+    def left(self, incarnation: str, now: float) -> list[str]:
         """Forget an instance that has stopped, with its runs."""
-        self.heard_at.pop(incarnation, None)
-        self.tidy(now)
+        known = self.heard_at.pop(incarnation, None) is not None
+        return ([incarnation] if known else []) + self.tidy(now)
 
     def placed(self, incarnation: str, hint: hints.Placed, now: float) -> None:
         """Count a run of another instance."""
@@ -76,14 +76,22 @@
         self.placed_at.pop(key, None)
         self.loads.ended(key)
 
-    def tidy(self, now: float) -> None:
-        """Forget instances that have fallen silent, and runs without end."""
+    def tidy(self, now: float) -> list[str]:
+        """Forget instances that have fallen silent, and runs without end.
+
+        Returns the instances that were forgotten.
+        """
         missed = MISSED_HEARTBEATS * self.heartbeat_seconds
-        for incarnation, at in list(self.heard_at.items()):
-            if now > at + missed:
-                del self.heard_at[incarnation]
+        silent_ones = [
+            incarnation
+            for incarnation, at in self.heard_at.items()
+            if now > at + missed
+        ]
+        for incarnation in silent_ones:
+            del self.heard_at[incarnation]
         for key, at in list(self.placed_at.items()):
             silent = key[0] not in self.heard_at
             if silent or now > at + MOST_RUN_SECONDS:
                 del self.placed_at[key]
                 self.loads.ended(key)
+        return silent_ones
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -114,7 +114,9 @@
                 | relay_actions.BreakOff(exchange=number)
                 | relay_actions.Refuse(exchange=number)
             ):
-                return self.close(number)
+                exchange = self.exchanges.get(number)
+                told = told_final(exchange, action) if exchange else []
+                return [*told, *self.close(number)]
         return []
 
     def close(self, number: int) -> list[Action]:
@@ -175,11 +177,14 @@
             case relay_events.MembersListed(members):
                 self.fleet.take_list(members)
             case relay_events.PeerHeard(incarnation, data_centre):
+                if incarnation not in self.fleet.heard_at:
+                    told = f'{incarnation} in {data_centre}'
+                    done.append(actions.Record('peer-heard', told))
                 self.fleet.heard(incarnation, now)
                 self.sharing.heard(incarnation, data_centre, now)
-                self.fleet.tidy(now)
+                done += forgotten(self.fleet.tidy(now))
             case relay_events.PeerLeft(incarnation):
-                self.fleet.left(incarnation, now)
+                done += forgotten(self.fleet.left(incarnation, now))
                 self.sharing.left(incarnation)
             case relay_events.PeerTold(incarnation, hint):
                 done = self.told(incarnation, hint, now)
@@ -242,8 +247,7 @@
         done: list[Action] = [actions.SetTimer(name, ruling.deadline)]
         stream = ruling.route.repeat is routes.Repeat.STREAM
         if now + self.most_seconds(exchange, stream) > self.stop_by:
-            refusal = self.answers.not_run(exchange, 'stopping', now)
-            return [self.told_refusal(exchange, refusal), refusal]
+            return [self.answers.not_run(exchange, 'stopping', now)]
         relay = self.streams if stream else self.calls
         return done + relay.begin(exchange, now)
 
@@ -259,13 +263,6 @@
             return self.streams.expected_seconds(exchange)
         return exchange.ruling.route.time_limit
 
-    def told_refusal(
-        self, exchange: exchanges.Exchange, refusal: relay_actions.Refuse
-    ) -> actions.Record:
-        """Return the time line event of a refusal."""
-        why = f'{refusal.status} {refusal.code}'
-        return sending.record(exchange, None, 'refused', why)
-
     def rule(
         self, request: requests.CallerRequest
     ) -> requests.Ruling | relay_actions.Refuse:
@@ -318,7 +315,7 @@
                 return self.streams.began(exchange, sent, event, now)
             case relay_events.StreamMoved():
                 return self.streams.moved(exchange, sent, event, now)
-            case relay_events.EngineProbed():
+            case relay_events.EngineProbed() if stream:
                 return self.streams.probed(exchange, sent, event, now)
             case relay_events.StreamComplete():
                 return self.streams.complete(exchange, sent, now)
@@ -422,7 +419,10 @@
     ) -> list[Action]:
         """Take in what was read from the store; tell the neighbours."""
         news = tuple(e for e in entries if self.engines.is_news(e))
-        done = self.leaving(self.engines.changed(entries, removed, now))
+        done: list[Action] = []
+        if self.engines.lost:
+            done.append(actions.Record('store-regained', 'list of engines'))
+        done += self.leaving(self.engines.changed(entries, removed, now))
         self.sharing.engines.known(now)
         if not self.sharing.is_reader(now):
             return done
@@ -460,3 +460,27 @@
             return []
         self.engines.store_lost()
         return [actions.Record('store-lost', detail)]
+
+
+def forgotten(incarnations: list[str]) -> list[Action]:
+    """Return the time line events of instances that are not heard any more."""
+    return [actions.Record('peer-forgotten', name) for name in incarnations]
+
+
+def told_final(
+    exchange: exchanges.Exchange, action: Action
+) -> list[actions.Record]:
+    """Return the time line event of a final answer that is no success."""
+    match action:
+        case relay_actions.Refuse(status=status, code=code):
+            why = f'{status} {code}'
+            if action.retry_after is not None:
+                why += f', back in {action.retry_after:.3f} s'
+            return [sending.record(exchange, None, 'refused', why)]
+        case relay_actions.BreakOff():
+            why = f'after event {exchange.position}'
+            return [sending.record(exchange, None, 'broken-off', why)]
+        case relay_actions.PassAnswer(head=head) if not head.succeeded:
+            why = f'status {head.status}'
+            return [sending.record(exchange, None, 'failure-passed-on', why)]
+    return []
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -130,6 +130,7 @@
             return [self.watch(exchange, sent)]
         if not sent.events_seen and not sent.from_copy:
             return self.probe(exchange, sent, now)
+        exchange.may_have_run = True
         silent = now - sent.moved_at
         return self.lost(exchange, sent, f'{SILENT} for {silent:.3f} s', now)
 
@@ -155,6 +156,7 @@
         """Move a stream away from an engine that gives no sign of life."""
         if event.alive or sent.events_seen:
             return []
+        exchange.may_have_run = True
         return self.lost(exchange, sent, 'no answer to a probe', now)
 
     # -- progress -----------------------------------------------------------
@@ -205,13 +207,26 @@
             why = f'first event after {waited:.3f} s'
             done.append(sending.record(exchange, sent, 'stream-moving', why))
             done.append(self.watch(exchange, sent))
+            done.append(self.measure(exchange, now))
         if not exchange.begun and sent.head is not None:
             exchange.begun = True
             done.append(relay_actions.BeginStream(exchange.number, sent.head))
         exchange.position = fresh[-1].number
+        exchange.moved_at = now
         done.append(relay_actions.PassEvents(exchange.number, tuple(fresh)))
         return done
 
+    def measure(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> relay_actions.Measure:
+        """Return how long a caller has waited for what comes now."""
+        if exchange.begun:
+            kind = relay_actions.Measured.RESUME
+            return relay_actions.Measure(kind, now - exchange.moved_at)
+        kind = relay_actions.Measured.FIRST_EVENT
+        waited = now - exchange.request.received_at
+        return relay_actions.Measure(kind, waited)
+
     def complete(
         self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
     ) -> list[Action]:
--- a/src/greengagelb/platform/__main__.py
+++ b/src/greengagelb/platform/__main__.py
@@ -13,9 +13,11 @@
 from greengagelb import relay_settings
 from greengagelb.platform import store
 from greengagelb.platform import wire
+from greengagelb.transport import bounded_log
 from greengagelb.transport import reactors
 
 SETTINGS_VARIABLE = 'GREENGAGELB_SETTINGS'
+LOG_FLUSH_SECONDS = 0.5
 
 
 def main() -> int:
@@ -36,13 +38,15 @@
     from greengagelb.transport import recorder  # noqa: PLC0415
     from greengagelb.transport.relay import instance  # noqa: PLC0415
 
-    recorder.configure_logging()
+    log = bounded_log.BoundedLog(sys.stdout.fileno(), reactor.seconds)
+    recorder.configure_logging(log)
     running = instance.RelayInstance(
         reactor,
         settings,
         wire.PlatformDialect(),
         lambda pool: store.PlatformStore(pool, settings.store.address),
     )
+    running.loop.repeat(LOG_FLUSH_SECONDS, log.flush)
     running.stopped.addCallback(lambda _: reactor.stop())
     reactor.callWhenRunning(running.start)
     signal.signal(
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -34,7 +34,8 @@
     ``position`` is the number of the last event that the caller has.
     ``may_have_run`` is set as soon as a send that no engine has disowned was
     handed to a connection. ``failed`` keeps an engine's own failure while
-    another engine is tried. ``tried`` names the engines that got it and
+    another engine is tried. ``moved_at`` is when the caller got the last
+    event. ``tried`` names the engines that got it and
     ``refused_by`` those that had no room for it.
     """
 
@@ -49,6 +50,7 @@
     begun: bool = False
     failed: tuple[requests.AnswerHead, bytes] | None = None
     unconnected: int = 0
+    moved_at: float = 0.0
 
     @property
     def number(self) -> int:
--- a/src/greengagelb/transport/recorder.py
+++ b/src/greengagelb/transport/recorder.py
@@ -1,6 +1,7 @@
 """Time line, log and metrics of this process, fed from one place."""
 
 import time
+from typing import TextIO
 
 import structlog
 from twisted import logger
@@ -14,9 +15,10 @@
 log = structlog.get_logger()
 
 
-def configure_logging() -> None:
-    """Write logs as JSON lines to standard output."""
+def configure_logging(stream: TextIO | None = None) -> None:
+    """Write logs as JSON lines to a stream, or to standard output."""
     structlog.configure(
+        logger_factory=structlog.PrintLoggerFactory(stream),
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
@@ -45,11 +47,16 @@
 class Recorder:
     """Stamps events and keeps, logs and counts them."""
 
-    def __init__(self, process: str, most_events: int) -> None:
+    def __init__(
+        self,
+        process: str,
+        most_events: int,
+        figures: metrics.Metrics | None = None,
+    ) -> None:
         self.process = process
         self.clock = timeline.HybridClock()
         self.timeline = timeline.Timeline(most_events)
-        self.metrics = metrics.Metrics()
+        self.metrics = figures or metrics.Metrics()
 
     def record(self, action: actions.Record) -> None:
         """Put an event on the time line."""
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -20,13 +20,15 @@
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import routes
 from greengagelb.transport import decision_loop
+from greengagelb.transport import metrics
 from greengagelb.transport import recorder
 from greengagelb.transport.relay import caller_side
 from greengagelb.transport.relay import dialect
 from greengagelb.transport.relay import engine_side
 from greengagelb.transport.relay import http_client
+from greengagelb.transport.relay import pages
 from greengagelb.transport.relay import peer_link
-from greengagelb.transport.relay import readiness
+from greengagelb.transport.relay import relay_metrics
 from greengagelb.transport.relay import store_watch
 
 PULSE_SECONDS = 0.1
@@ -66,9 +68,11 @@
             settings.retries,
             settings.engines.address_reuse_seconds,
         )
+        self.metrics = relay_metrics.RelayMetrics()
         self.recorder = recorder.Recorder(
-            settings.instance.name, settings.instance.timeline_events
+            place.name, place.timeline_events, self.metrics
         )
+        self.metrics.sample = self.sample
         self.loop = decision_loop.DecisionLoop(
             reactor, self.relay, self.carry_out, self.recorder
         )
@@ -105,7 +109,12 @@
         self.listen(place.caller_address, self.callers)
         self.listen(
             place.ready_address,
-            readiness.ReadinessFactory(lambda: self.relay.ready),
+            pages.PageFactory(lambda: pages.readiness_page(self.relay.ready)),
+        )
+        host = place.caller_address.host
+        self.listen(
+            engines.Address(host, place.metrics_port),
+            pages.PageFactory(self.metrics_page),
         )
         self.loop.repeat(PULSE_SECONDS, self.pulse)
         self.loop.repeat(SWEEP_SECONDS, self.pool.close_expired)
@@ -124,6 +133,20 @@
         except error.CannotListenError as exc:
             raise errors.CannotListen(str(exc)) from exc
 
+    def sample(self) -> metrics.Sample:
+        """Return what a scrape shows of this instance's state."""
+        table = self.relay.table
+        return metrics.Sample(
+            running=len(self.relay.exchanges),
+            configuration_version=table.version if table else 0,
+            timeline_dropped=self.recorder.timeline.dropped,
+        )
+
+    def metrics_page(self) -> pages.Page:
+        """Return the figures of this instance."""
+        body = self.metrics.render_relay(self.pool.opened)
+        return pages.Page(pages.READY, body)
+
     def limits(self) -> routes.Limits:
         """Return the limits on callers that are in force."""
         table = self.relay.table
@@ -182,7 +205,10 @@
 
     def carry_out(self, action: relay_actions.RelayAction) -> None:
         """Carry out an action."""
+        self.metrics.count(action)
         match action:
+            case relay_actions.Measure():
+                pass
             case relay_actions.Send():
                 self.engines.send(action)
             case relay_actions.AbandonSend(exchange=exchange, send=send):
--- a/src/greengagelb/transport/relay/readiness.py
+++ b/src/greengagelb/transport/relay/pages.py
@@ -1,6 +1,7 @@
-"""Answers the balancer's question whether callers may be sent here."""
+"""Small pages: whether callers may be sent here, and the metrics."""
 
 from collections.abc import Callable
+import dataclasses
 
 import h11
 from twisted.internet import protocol
@@ -9,11 +10,24 @@
 NOT_READY = 503
 
 
-class ReadinessConnection(protocol.Protocol):
-    """One connection of the balancer; any path is the same question."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """What is answered to any request."""
 
-    def __init__(self, ready: Callable[[], bool]) -> None:
-        self.ready = ready
+    status: int
+    body: bytes = b''
+
+
+def readiness_page(ready: bool) -> Page:
+    """Return the answer to whether callers may be sent here."""
+    return Page(READY if ready else NOT_READY)
+
+
+class PageConnection(protocol.Protocol):
+    """One connection; any path is the same question."""
+
+    def __init__(self, page: Callable[[], Page]) -> None:
+        self.page = page
         self.http = h11.Connection(h11.SERVER)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -32,12 +46,19 @@
             self.transport.abortConnection()
 
     def answer(self) -> None:
-        """Say whether this instance takes callers."""
-        status = READY if self.ready() else NOT_READY
+        """Answer with the page as it is now."""
+        page = self.page()
+        length = str(len(page.body)).encode()
         head = h11.Response(
-            status_code=status, headers=[(b'Content-Length', b'0')]
+            status_code=page.status,
+            headers=[
+                (b'Content-Type', b'text/plain; version=0.0.4'),
+                (b'Content-Length', length),
+            ],
         )
         out = self.http.send(head)
+        if page.body:
+            out += self.http.send(h11.Data(data=page.body))
         self.transport.write(out + self.http.send(h11.EndOfMessage()))
         if self.http.our_state is h11.DONE:
             self.http.start_next_cycle()
@@ -45,16 +66,16 @@
             self.transport.loseConnection()
 
 
-class ReadinessFactory(protocol.ServerFactory):
-    """Serves the question on one port."""
+class PageFactory(protocol.ServerFactory):
+    """Serves a page on one port."""
 
     noisy = False
 
-    def __init__(self, ready: Callable[[], bool]) -> None:
-        self.ready = ready
+    def __init__(self, page: Callable[[], Page]) -> None:
+        self.page = page
 
     def buildProtocol(  # noqa: N802
         self, addr: object
-    ) -> ReadinessConnection:
+    ) -> PageConnection:
         """Return the protocol of a new connection."""
-        return ReadinessConnection(self.ready)
+        return PageConnection(self.page)
--- /dev/null
+++ b/src/greengagelb/transport/relay/relay_metrics.py
@@ -0,0 +1,88 @@
+"""Figures of a relaying instance for scrapers.
+
+Times go into histograms, as on call it is the slow ones that count. Labels
+are never taken from callers, so that nobody can make the series grow.
+"""
+
+import aioprometheus
+
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.transport import metrics
+
+# Bounds of the histograms, in seconds. The finest lie around the pause that
+# callers of streams do not notice and the goals of short calls.
+BOUNDS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 2.0, 4.5, 10.0, 30.0)
+
+
+class RelayMetrics(metrics.Metrics):
+    """Counts what a relaying instance does."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answers: dict[str, int] = {}
+        self.sends = 0
+        self.events_passed = 0
+        self.answer_counter = self.counter(
+            'answers', 'Final answers by kind and status'
+        )
+        self.send_counter = self.counter(
+            'sends', 'Requests sent to engines, repeats included'
+        )
+        self.passed_counter = self.counter(
+            'stream_events', 'Events of streams given to callers'
+        )
+        self.connection_counter = self.counter(
+            'engine_connections', 'Connections opened to engines and store'
+        )
+        self.times = {
+            relay_actions.Measured.FIRST_EVENT: self.histogram(
+                'first_event_seconds', 'Time to the first event of a stream'
+            ),
+            relay_actions.Measured.RESUME: self.histogram(
+                'resume_seconds',
+                'Pause of a stream that went on at another engine',
+            ),
+            relay_actions.Measured.CALL: self.histogram(
+                'call_seconds', 'Time to the answer of a short call'
+            ),
+        }
+
+    def histogram(self, name: str, doc: str) -> aioprometheus.Histogram:
+        """Return a new histogram of seconds."""
+        return aioprometheus.Histogram(
+            f'{metrics.PREFIX}_{name}',
+            doc,
+            registry=self.registry,
+            buckets=list(BOUNDS),
+        )
+
+    def count(self, action: relay_actions.RelayAction) -> None:
+        """Count an action, if it is one that is counted."""
+        match action:
+            case relay_actions.Send():
+                self.sends += 1
+            case relay_actions.PassEvents(events=events):
+                self.events_passed += len(events)
+            case relay_actions.PassAnswer(head=head):
+                self.answered(f'engine {head.status}')
+            case relay_actions.EndStream():
+                self.answered('stream whole')
+            case relay_actions.BreakOff():
+                self.answered('stream broken off')
+            case relay_actions.Refuse(status=status, code=code):
+                self.answered(f'own {status} {code}')
+            case relay_actions.Measure(kind, seconds):
+                self.times[kind].observe({}, seconds)
+
+    def answered(self, kind: str) -> None:
+        """Count a final answer."""
+        self.answers[kind] = self.answers.get(kind, 0) + 1
+
+    def render_relay(self, opened: int) -> bytes:
+        """Return all figures in the text format that scrapers read."""
+        for kind, number in self.answers.items():
+            self.answer_counter.set({'kind': kind}, number)
+        self.send_counter.set({}, self.sends)
+        self.passed_counter.set({}, self.events_passed)
+        self.connection_counter.set({}, opened)
+        return self.render()
--- /dev/null
+++ b/tests/common/relay_wires.py
@@ -0,0 +1,197 @@
+"""Connections of the relay without sockets, and a small dialect for them."""
+
+import h11
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+
+from greengagelb import errors
+from greengagelb.state.relay import engines
+from greengagelb.state.relay import requests
+from greengagelb.transport.relay import http1
+from greengagelb.transport.relay import http_client
+
+ADDRESS = engines.Address('127.0.0.1', 7)
+
+
+class Handle:
+    """Takes socket options."""
+
+    def setsockopt(self, *options):
+        """Nothing depends on them here."""
+
+
+class Wire(testing.StringTransport):
+    """A transport that remembers how it was closed."""
+
+    aborted = False
+    half_closed = False
+
+    def setTcpNoDelay(self, enabled):
+        """Nothing depends on it here."""
+
+    def setTcpKeepAlive(self, enabled):
+        """Nothing depends on it here."""
+
+    def getHandle(self):
+        return Handle()
+
+    def abortConnection(self):
+        self.aborted = True
+        self.disconnecting = True
+
+    def loseWriteConnection(self):
+        self.half_closed = True
+
+
+class Dialect:
+    """The least that the relay needs: an ``Id`` field and a time left."""
+
+    def read_request(self, exchange, head, body, received_at):
+        fields = tuple(head.headers.raw_items())
+        request_id = http1.first_value(fields, b'id')
+        if request_id is None:
+            raise errors.ProtocolError('request without an id')
+        return requests.CallerRequest(
+            exchange,
+            head.method,
+            head.target,
+            'api.example',
+            http1.passed_on(fields),
+            body,
+            request_id.decode(),
+            'a key',
+            received_at,
+            received_at + 10.0,
+        )
+
+    def write_send(self, send, now):
+        left = str(int(1000 * (send.deadline - now))).encode()
+        headers = (*send.request.headers, (b'Left', left))
+        return http_client.WireRequest(
+            send.request.method,
+            send.request.target,
+            headers,
+            send.request.body,
+        )
+
+    def read_answer(self, response):
+        fields = tuple(response.headers.raw_items())
+        return requests.AnswerHead(
+            response.status_code,
+            bytes(response.reason),
+            http1.passed_on(fields),
+            http1.first_value(fields, b'seal') is not None,
+            http1.first_value(fields, b'not-run') is not None,
+        )
+
+    def answers(self, response, send):
+        fields = tuple(response.headers.raw_items())
+        echoed = http1.first_value(fields, b'id')
+        return echoed == send.request.request_id.encode()
+
+    def event_number(self, raw):
+        return int(raw.partition(b'id: ')[2].split(b'\n')[0])
+
+
+class Receiver:
+    """Keeps what a connection reports of one request."""
+
+    def __init__(self):
+        self.status = None
+        self.body = b''
+        self.complete = False
+        self.broken = None
+
+    def answer_began(self, response):
+        self.status = response.status_code
+
+    def answer_moved(self, data):
+        self.body += data
+
+    def answer_complete(self):
+        self.complete = True
+
+    def answer_broken(self, handed_over, detail):
+        self.broken = (handed_over, detail)
+
+
+def wire_request(name=b'/one', body=b''):
+    """Return a request as it goes out."""
+    method = b'POST' if body else b'GET'
+    return http_client.WireRequest(method, name, ((b'Host', b'engine'),), body)
+
+
+class Server:
+    """The far end of the connections that a pool opens."""
+
+    def __init__(self):
+        self.reactor = testing.MemoryReactorClock()
+        self.pool = http_client.ConnectionPool(self.reactor)
+        self.connections = []
+
+    def ask(self, receiver, *, fresh=False, key='engine-1', body=b''):
+        """Send a request, accepting a connection if one is opened."""
+        before = len(self.reactor.tcpClients)
+        self.pool.request(
+            key, ADDRESS, lambda: wire_request(body=body), receiver, fresh
+        )
+        if len(self.reactor.tcpClients) > before:
+            self.accept()
+        return self.connections[-1]
+
+    def accept(self):
+        """Let the connection that is being opened come up."""
+        factory = self.reactor.tcpClients[-1][2]
+        connection = factory.buildProtocol(None)
+        connection.makeConnection(Wire())
+        self.connections.append(connection)
+
+    def refuse(self):
+        """Refuse the connection that is being opened."""
+        factory = self.reactor.tcpClients[-1][2]
+        why = failure.Failure(error.ConnectionRefusedError())
+        factory.clientConnectionFailed(None, why)
+
+
+def close(connection):
+    """Let the far end close a connection in order."""
+    connection.connectionLost(failure.Failure(error.ConnectionDone()))
+
+
+def reset(connection):
+    """Let the far end reset a connection."""
+    connection.connectionLost(failure.Failure(error.ConnectionLost()))
+
+
+def parse_answers(raw):
+    """Return status and body of each answer in what a caller received.
+
+    The last one has None for a body if it does not look complete.
+    """
+    client = h11.Connection(h11.CLIENT)
+    found = []
+    rest = raw
+    while rest:
+        client = h11.Connection(h11.CLIENT)
+        client.send(h11.Request(method=b'GET', target=b'/', headers=HOST))
+        client.send(h11.EndOfMessage())
+        client.receive_data(rest)
+        status, body, whole = None, b'', False
+        while True:
+            event = client.next_event()
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                whole = True
+                break
+            elif event is h11.NEED_DATA:
+                break
+        found.append((status, body if whole else None))
+        rest = client.trailing_data[0] if whole else b''
+    return found
+
+
+HOST = [(b'Host', b'x')]
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -9,10 +9,13 @@
 from greengagelb.protocol import operator_api
 from greengagelb.protocol import problems
 from greengagelb.transport import metrics
+from greengagelb.transport.relay import relay_metrics
 
 ROOT = pathlib.Path(__file__).parents[2]
 SOURCES = ROOT / 'src' / 'greengagelb'
 RECORDERS = {'Record', 'Explain', 'record', 'timeline'}
+# The modules of relayed traffic, which has an operators' page of its own.
+RELAY = '*/relay/*.py'
 KIND = re.compile(r'^[a-z]+(-[a-z]+)*$')
 
 
@@ -24,13 +27,13 @@
     return set(re.findall(r'^\| `([a-z_-]+)`', text, re.MULTILINE))
 
 
-def kinds_recorded():
+def kinds_recorded(pattern='**/*.py'):
     """Return what is recorded: the first literal of a call that records.
 
     A kind that depends on something is assigned to ``kind`` first.
     """
     found = set()
-    for path in SOURCES.glob('**/*.py'):
+    for path in SOURCES.glob(pattern):
         for node in ast.walk(ast.parse(path.read_text('utf-8'))):
             match node:
                 case ast.Call(args=given) if name_of(node) in RECORDERS:
@@ -58,17 +61,34 @@
     return ''
 
 
-def test_operators_page_has_a_row_for_each_kind_of_event():
-    text = page('operators.md').partition('## Every kind of event')[2]
-    rows = first_cells(text.partition('## Metrics')[0])
-    assert rows == kinds_recorded()
+def events_on(name):
+    text = page(name).partition('## Every kind of event')[2]
+    return first_cells(re.split('^## ', text, flags=re.MULTILINE)[0])
 
 
-def test_operators_page_has_a_row_for_each_metric():
-    text = page('operators.md').partition('## Metrics')[2]
-    named = set(re.findall(r'`(greengagelb_[a-z_]+)', text))
-    shown = metrics.Metrics().render().decode()
-    assert named == set(re.findall(r'^# TYPE (\S+)', shown, re.MULTILINE))
+def metrics_on(name):
+    text = page(name).partition('## Metrics')[2]
+    return set(re.findall(r'`(greengagelb_[a-z_]+)', text))
+
+
+def metrics_of(figures):
+    shown = figures.render().decode()
+    return set(re.findall(r'^# TYPE (\S+)', shown, re.MULTILINE))
+
+
+def test_operators_pages_have_a_row_for_each_kind_of_event():
+    relayed = kinds_recorded(RELAY)
+    assert events_on('OPERATIONS.md') == relayed
+    assert events_on('operators.md') == kinds_recorded() - (
+        relayed - events_on('operators.md')
+    )
+
+
+def test_operators_pages_have_a_row_for_each_metric():
+    own = metrics_of(metrics.Metrics())
+    assert metrics_on('operators.md') == own
+    relayed = metrics_of(relay_metrics.RelayMetrics())
+    assert metrics_on('OPERATIONS.md') - own == relayed - own
 
 
 def test_operators_page_names_each_setting():
--- /dev/null
+++ b/tests/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of log lines."""
--- /dev/null
+++ b/tests/logs/test_bounded_log.py
@@ -0,0 +1,92 @@
+"""Log lines while nobody reads them, and while there are too many."""
+
+import json
+import os
+
+import pytest
+
+from greengagelb.transport import bounded_log
+
+
+class Pipe:
+    """A pipe with a clock; its reader reads only when told to."""
+
+    def __init__(self):
+        self.out, descriptor = os.pipe()
+        self.now = 0.0
+        os.set_blocking(self.out, False)
+        self.descriptor = descriptor
+        self.log = bounded_log.BoundedLog(descriptor, lambda: self.now)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *why):
+        os.close(self.out)
+        os.close(self.descriptor)
+
+    def read_all(self):
+        """Read until nothing waits any more."""
+        found = b''
+        while raw := self.read_raw():
+            found += raw
+            self.log.flush()
+        return found.decode().splitlines()
+
+    def read(self):
+        return self.read_raw().decode().splitlines()
+
+    def read_raw(self):
+        found = b''
+        while True:
+            try:
+                part = os.read(self.out, 1 << 20)
+            except BlockingIOError:
+                return found
+            found += part
+
+
+def test_reader_that_stops_reading_holds_nobody_up():
+    """The process that collects the logs hangs. A write that waits for it
+    would stop every caller's stream. What is left out is counted.
+    """
+    with Pipe() as pipe:
+        for number in range(1_900):
+            pipe.log.write('x' * 400 + f' {number}\n')
+        assert len(pipe.log.waiting) <= bounded_log.MOST_WAITING_BYTES
+        assert pipe.log.dropped > 0
+        dropped = pipe.log.dropped
+        rest = pipe.read_all()
+        pipe.now += 10.0
+        pipe.log.write('after\n')
+        rest += pipe.read_all()
+        told = [json.loads(line) for line in rest if line.startswith('{')]
+        assert told == [{'event': 'log-lines-dropped', 'count': dropped}]
+        assert len(rest) == 1_900 - dropped + 2
+        assert rest[-1] == 'after'
+
+
+def test_burst_of_lines_is_bounded():
+    """Everything fails at once, and each failure writes a line. The report
+    would take the processor from those who are still being served.
+    """
+    with Pipe() as pipe:
+        lines = 0
+        for _ in range(100):
+            for _ in range(100):
+                pipe.log.write('line\n')
+            lines += len(pipe.read())
+            pipe.now += 0.01
+        most = bounded_log.MOST_LINES_AT_ONCE + bounded_log.LINES_PER_SECOND
+        assert lines <= most + 1
+        assert pipe.log.dropped_in_all >= 10_000 - most - 1
+
+
+def test_reader_that_is_gone_costs_nothing():
+    pipe = Pipe()
+    os.close(pipe.out)
+    pipe.log.write('line\n')
+    assert not pipe.log.waiting
+    os.close(pipe.descriptor)
+    with pytest.raises(OSError, match='descriptor'):
+        os.write(pipe.descriptor, b'')
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/test_rows.py
@@ -0,0 +1,123 @@
+"""Rows of the platform's store."""
+
+import base64
+import json
+
+import pytest
+
+from greengagelb import errors
+from greengagelb.platform import rows
+from greengagelb.platform import store
+from greengagelb.state.relay import routes
+
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'API.example',
+            'prefix': '/a/',
+            'kind': 'streaming',
+            'timeout_ms': 25000,
+            'latency_goal_ms': 4500,
+            'priority': 1,
+            'split': [
+                {'service': 's-1', 'weight': 90},
+                {'service': 's-2', 'weight': 10},
+            ],
+            'max_attempts': 5,
+            'resumable': True,
+            'gap_aim_ms': 700,
+        },
+        {
+            'name': 'r-2',
+            'host': 'api.example',
+            'prefix': '/a/b/',
+            'kind': 'unsafe',
+            'timeout_ms': 800,
+            'service': 's-2',
+            'unheard_of': 1,
+        },
+    ],
+    'services': [
+        {'name': 's-1', 'engine': {'slots': 32, 'kv_capacity': 88000}},
+        {'name': 's-2', 'health_path': '/health'},
+    ],
+    'tenants': [{'name': 'cottages', 'api_keys': ['k1', 'k2']}],
+}
+
+
+def row(value, key='config'):
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return rows.Row(key, base64.b64encode(raw).decode(), 5)
+
+
+def test_configuration_is_decoded():
+    table = rows.read_table(row(CONFIG))
+    assert table.version == 7
+    assert table.find('api.example', '/a/x').name == 'r-1'
+    assert table.find('API.EXAMPLE', '/a/b/x').name == 'r-2'
+    assert table.find('api.example', '/c/') is None
+    assert table.account_of('k2').name == 'cottages'
+    assert table.account_of('k3') is None
+    route = table.find('api.example', '/a/x')
+    assert route.repeat is routes.Repeat.STREAM
+    assert route.gap_goal == 0.7
+    assert table.services['s-1'].engines.memory_tokens == 88_000
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'routes': [{**CONFIG['routes'][1], 'service': 'nowhere'}]},
+        {'routes': [{**CONFIG['routes'][1], 'kind': 'maybe'}]},
+        {'version': 'new'},
+    ],
+)
+def test_bad_configuration_is_told_and_the_last_good_one_stays(change):
+    """An operator's mistake, or a row that was written half. Applied as far
+    as it can be read, it would send requests to where no route allows it.
+    """
+    read = store.configuration_of(rows.Rows([row({**CONFIG, **change})], 9))
+    assert read.table is None
+    assert read.mistake
+    assert read.position == 9
+
+
+def test_row_that_is_no_json_is_told():
+    read = store.configuration_of(rows.Rows([row(b'\xff\xfe')], 9))
+    assert read.mistake
+
+
+def test_engines_are_decoded_and_bad_entries_left_out():
+    good = {
+        'service': 's-1',
+        'address': '10.0.0.1:80',
+        'zone': 'north',
+        'slots': 32,
+        'state': 'draining',
+        'seq': 4,
+    }
+    found = store.engines_of(
+        rows.Rows(
+            [
+                row(good, 'i-1'),
+                row({**good, 'address': 'nowhere'}, 'i-2'),
+                rows.Row('i-3', tombstone=True),
+            ],
+            9,
+        )
+    )
+    [entry] = found.entries
+    assert entry.engine == 'i-1'
+    assert entry.leaving
+    assert found.removed == ('i-3',)
+    assert len(found.mistakes) == 1
+
+
+def test_lost_history_is_told_apart_from_a_store_that_is_away():
+    """After the one all has to be read anew, after the other only later."""
+    with pytest.raises(errors.HistoryGone):
+        store.check_status((410, b''))
+    with pytest.raises(errors.PlatformUnavailable):
+        store.check_status((503, b''))
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,142 @@
+"""Heads of requests and answers on the users' platform."""
+
+import h11
+import pytest
+
+from greengagelb import errors
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.platform import wire
+from greengagelb.state.relay import engines
+from greengagelb.state.relay import requests
+from tests.common import relay_world
+
+FIELDS = (
+    (b'Host', b'api.example:80'),
+    (b'Request-Id', b'abc'),
+    (b'Request-Deadline', b'1500'),
+    (b'Authorization', b'Bearer secret'),
+)
+
+
+def read(*fields):
+    head = h11.Request(
+        method=b'POST', target=b'/a/b?c', headers=[*FIELDS, *fields]
+    )
+    return wire.PlatformDialect().read_request(7, head, b'body', 100.0)
+
+
+def written(request, **fields):
+    """Return the header fields with which an engine gets a request."""
+    entry = relay_world.engine('i-1', 's', 'north')
+    given = {
+        'account': 'cottages',
+        'priority': 3,
+        'deadline': 101.0,
+        'stream': True,
+        **fields,
+    }
+    send = relay_actions.Send(7, 1, entry, request, **given)
+    found = wire.PlatformDialect().write_send(send, 100.25)
+    return {name.lower(): value for name, value in found.headers}
+
+
+def test_request_is_decoded():
+    request = read(
+        (b'Token-Counts', b'8000,780'),
+        (b'Prompt-Prefix', b'aa:200,bb:7800'),
+        (b'Last-Event-Id', b'12'),
+    )
+    assert request.host == 'api.example'
+    assert request.path == '/a/b'
+    assert request.key == 'secret'
+    assert request.deadline == 101.5
+    assert request.resumes_after == 12
+    assert request.prompt == requests.Prompt(8_000, 780, 'bb')
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        ((b'Request-Id', b'twice'),),
+        ((b'Authorization', b'Bearer other'),),
+        ((b'Last-Event-Id', b'-1'),),
+        ((b'Last-Event-Id', b'9' * 20),),
+        ((b'Token-Counts', b'many'),),
+    ],
+)
+def test_field_that_can_not_be_read_is_refused(fields):
+    """Two ids or keys, or a position that is none, leave open what is meant.
+    Guessed, a caller could get another's answer or parts of its own twice.
+    """
+    with pytest.raises(errors.ProtocolError):
+        read(*fields)
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        b'Tenant',
+        b'Expect-Instance',
+        b'Request-Priority',
+        b'Kv-Backup',
+        b'Kv-From',
+        b'Hold',
+        b'Pin-Ms',
+    ],
+)
+def test_what_is_the_systems_to_set_is_not_taken_from_callers(name):
+    """A caller that names another account, or another run's memory, would
+    work at its expense or read what is not its own.
+    """
+    assert b'forged' not in written(read((name, b'forged'))).values()
+
+
+def test_key_is_not_passed_on():
+    assert b'authorization' not in written(read())
+
+
+def test_engine_gets_the_time_that_is_left():
+    assert written(read())[b'request-deadline'] == b'750'
+
+
+def test_resumed_run_names_position_and_both_copies():
+    one = relay_world.engine('i-2', 's', 'south')
+    two = relay_world.engine('i-3', 's', 'west')
+    found = written(read(), resume_after=12, copy_from=one, copy_to=two)
+    assert found[b'last-event-id'] == b'12'
+    assert found[b'kv-from'] == f'{one.address}/abc'.encode()
+    assert found[b'kv-backup'] == str(two.address).encode()
+
+
+def answer(status, *fields):
+    response = h11.Response(status_code=status, headers=list(fields))
+    return wire.PlatformDialect().read_answer(response)
+
+
+def test_refusals_that_promise_not_to_have_run():
+    assert answer(503, (b'Not-Executed', b'1')).not_run
+    assert answer(421, (b'Instance-Id', b'i-9')).not_run
+    assert not answer(503).not_run
+    assert not answer(500, (b'Engine-Seal', b'x')).not_run
+
+
+def test_load_that_can_not_be_read_is_left_out():
+    found = answer(200, (b'Engine-Load', b'3,0,8')).load
+    assert found == engines.EngineLoad(3, 0, 8)
+    assert answer(200, (b'Engine-Load', b'3;0')).load is None
+
+
+def test_answer_to_another_request_is_told_apart():
+    entry = relay_world.engine('i-1', 's', 'north')
+    send = relay_actions.Send(
+        7, 1, entry, read(), 'cottages', 3, 101.0, stream=False
+    )
+    dialect = wire.PlatformDialect()
+    mine = h11.Response(status_code=200, headers=[(b'Request-Id', b'abc')])
+    other = h11.Response(status_code=200, headers=[(b'Request-Id', b'xyz')])
+    nameless = h11.Response(status_code=200, headers=[])
+    shed = h11.Response(status_code=503, headers=[])
+    assert dialect.answers(mine, send)
+    assert not dialect.answers(other, send)
+    assert not dialect.answers(nameless, send)
+    assert dialect.answers(shed, send)
--- /dev/null
+++ b/tests/relay/test_engine_connections.py
@@ -0,0 +1,156 @@
+"""Answers of engines that are late, torn, doubled or somebody else's."""
+
+import pytest
+
+from tests.common import relay_wires
+
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+def ask_and_feed(raw):
+    """Return server, receiver and connection after some bytes came back."""
+    server = relay_wires.Server()
+    receiver = relay_wires.Receiver()
+    connection = server.ask(receiver)
+    connection.dataReceived(raw)
+    return server, receiver, connection
+
+
+def test_whole_answer_leaves_its_connection_for_the_next_request():
+    server, receiver, connection = ask_and_feed(WHOLE)
+    assert receiver.complete
+    assert receiver.body == b'ok'
+    second = relay_wires.Receiver()
+    assert server.ask(second) is connection
+    connection.dataReceived(WHOLE)
+    assert second.complete
+    assert server.pool.opened == 1
+
+
+def test_bytes_behind_an_answer_close_the_connection():
+    """An engine sends a second answer right behind the first. Kept, the
+    connection would give it to the next caller as its own.
+    """
+    server, receiver, connection = ask_and_feed(WHOLE + WHOLE)
+    assert receiver.body == b'ok'
+    assert connection.transport.aborted
+    assert not server.pool.idle
+
+
+def test_answer_that_nobody_waits_for_closes_the_connection():
+    """The second answer comes a moment later, on the idle connection."""
+    server, _, connection = ask_and_feed(WHOLE)
+    connection.dataReceived(b'HTTP/1.1 200 OK\r\nContent-Len')
+    assert connection.transport.aborted
+    assert not server.pool.idle
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nok',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Le',
+    ],
+)
+def test_torn_answer_is_broken(raw):
+    """An engine ends its connection within an answer. Passed on as it is, it
+    would look like a whole one to a caller who trusts the length it is told.
+    """
+    _, receiver, connection = ask_and_feed(raw)
+    relay_wires.close(connection)
+    assert not receiver.complete
+    assert receiver.broken[0]
+
+
+def test_answer_without_length_ends_with_its_connection():
+    raw = b'HTTP/1.1 200 OK\r\n\r\nall of it'
+    _, receiver, connection = ask_and_feed(raw)
+    assert not receiver.complete
+    relay_wires.close(connection)
+    assert receiver.complete
+    assert receiver.body == b'all of it'
+
+
+def test_answer_without_length_that_is_reset_is_broken():
+    """Nothing but the way the connection ends tells whether such an answer
+    is whole. A reset on the way would hand the caller a part as the whole.
+    """
+    raw = b'HTTP/1.1 200 OK\r\n\r\nhalf of'
+    _, receiver, connection = ask_and_feed(raw)
+    relay_wires.reset(connection)
+    assert not receiver.complete
+    assert receiver.broken[0]
+
+
+def test_bytes_that_are_no_answer_are_broken():
+    _, receiver, connection = ask_and_feed(b'\x00\x01 nonsense\r\n\r\n')
+    assert receiver.broken[0]
+    assert connection.transport.aborted
+
+
+def test_connection_that_is_to_be_closed_is_not_used_again():
+    raw = WHOLE.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+    server, receiver, connection = ask_and_feed(raw)
+    assert receiver.complete
+    assert server.ask(relay_wires.Receiver()) is not connection
+
+
+def test_stated_idle_time_is_kept_to():
+    """An engine closes idle connections after two seconds. A request that
+    crosses the close is lost, and may not be repeated if it is a charge.
+    """
+    raw = WHOLE.replace(b'\r\n\r\n', b'\r\nKeep-Alive: timeout=2\r\n\r\n')
+    server, _, connection = ask_and_feed(raw)
+    server.reactor.advance(1.5)
+    assert server.ask(relay_wires.Receiver()) is not connection
+
+
+def test_early_answer_does_not_mix_up_the_next_request():
+    """An engine answers before it has read a long body and goes on reading.
+    The body was handed over whole, so the next request's bytes come after
+    it and not in its place.
+    """
+    server = relay_wires.Server()
+    receiver = relay_wires.Receiver()
+    body = b'x' * 100_000
+    connection = server.ask(receiver, body=body)
+    connection.dataReceived(WHOLE)
+    assert receiver.complete
+    server.ask(relay_wires.Receiver())
+    sent = connection.transport.value()
+    assert sent.index(b'GET') == sent.index(body) + len(body)
+
+
+def test_refused_connection_has_sent_nothing():
+    """Only then may a charge go to another engine."""
+    server = relay_wires.Server()
+    receiver = relay_wires.Receiver()
+    server.pool.request(
+        'e', relay_wires.ADDRESS, relay_wires.wire_request, receiver
+    )
+    server.refuse()
+    assert receiver.broken[0] is False
+
+
+def test_reset_after_the_request_may_have_run():
+    _, receiver, connection = ask_and_feed(b'')
+    relay_wires.reset(connection)
+    assert receiver.broken[0] is True
+
+
+def test_engine_that_took_over_an_address_gets_no_kept_connection():
+    """An engine restarts at the same address. What was kept for the former
+    one must not carry requests to it.
+    """
+    server, _, connection = ask_and_feed(WHOLE)
+    receiver = relay_wires.Receiver()
+    assert server.ask(receiver, key='engine-2') is not connection
+
+
+def test_request_that_must_not_repeat_gets_a_new_connection():
+    """An idle connection may have been dropped without a word; what is sent
+    on it next is lost, and nobody knows whether it ran.
+    """
+    server, _, connection = ask_and_feed(WHOLE)
+    assert server.ask(relay_wires.Receiver(), fresh=True) is not connection
--- a/tests/relay/test_placing.py
+++ b/tests/relay/test_placing.py
@@ -61,3 +61,17 @@
     for _ in range(6):
         send = world.last_send(world.ask())
         assert send.engine.engine != 'model-north-0'
+
+
+def test_copy_is_not_put_where_engines_have_just_died():
+    """A data centre's engines crash together, and their entries stay in the
+    list for seconds. A copy that is sent to one that nobody has tried since
+    is lost before it begins, and so is the stream at the next failure.
+    """
+    world = relay_world.RelayWorld(relay_world.fleet(per_place=4))
+    for engine in ('model-north-0', 'model-north-1'):
+        world.handle(relay_events.PeerTold('other', hints.Failed(engine)))
+    for _ in range(8):
+        send = world.last_send(world.ask())
+        assert send.engine.data_centre != 'north'
+        assert send.copy_to.data_centre != 'north'
--- /dev/null
+++ b/tests/relay/test_promises.py
@@ -0,0 +1,256 @@
+"""What callers are promised, over random histories of the relay."""
+
+import collections
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from greengagelb.coordination import events as common_events
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.state.relay import hints
+from tests.common import relay_world
+
+PROMISE_NOT_RUN = {408, 421, 429, 503}
+FINAL = (
+    relay_actions.PassAnswer,
+    relay_actions.EndStream,
+    relay_actions.BreakOff,
+    relay_actions.Refuse,
+)
+
+
+class Promises(stateful.RuleBasedStateMachine):
+    """Callers, engines and other instances do what they like, at any time.
+
+    ``may_have_run`` counts, by exchange, the sends that an engine may have
+    begun to work on.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.world = relay_world.RelayWorld()
+        self.open = {}
+        self.calls = set()
+        self.may_have_run = collections.Counter()
+        self.given = collections.defaultdict(int)
+        self.finals = collections.Counter()
+        self.seen = 0
+        self.heartbeat = 1
+
+    # -- what the relay does ------------------------------------------------
+
+    def take_actions(self):
+        """Follow what the relay wanted since the last time."""
+        fresh = self.world.actions[self.seen :]
+        self.seen = len(self.world.actions)
+        for action in fresh:
+            match action:
+                case relay_actions.Send():
+                    self.open[action.exchange, action.send] = action
+                    self.may_have_run[action.exchange] += 1
+                case relay_actions.AbandonSend(exchange, send):
+                    self.open.pop((exchange, send), None)
+                case relay_actions.PassEvents(exchange, events):
+                    for event in events:
+                        assert event.number == self.given[exchange] + 1
+                        self.given[exchange] = event.number
+                case relay_actions.Refuse(exchange=exchange, status=status):
+                    if status in PROMISE_NOT_RUN:
+                        assert not self.may_have_run[exchange]
+            if isinstance(action, FINAL):
+                self.finals[action.exchange] += 1
+                assert self.finals[action.exchange] == 1
+
+    def pick(self, data):
+        """Choose one of the sends that are under way."""
+        keys = sorted(self.open)
+        return self.open[data.draw(st.sampled_from(keys))]
+
+    def under_way(self):
+        return bool(self.open)
+
+    # -- what happens -------------------------------------------------------
+
+    @stateful.rule(resumes_after=st.sampled_from([None, None, 3]))
+    def ask_for_a_stream(self, resumes_after):
+        number = self.world.last_exchange + 1
+        self.given[number] = resumes_after or 0
+        self.world.ask(resumes_after=resumes_after)
+        self.take_actions()
+
+    @stateful.rule()
+    def call(self):
+        self.calls.add(self.world.call())
+        self.take_actions()
+
+    @stateful.rule()
+    def query(self):
+        self.world.query()
+        self.take_actions()
+
+    @stateful.precondition(under_way)
+    @stateful.rule(data=st.data(), count=st.integers(1, 3))
+    def engine_streams(self, data, count):
+        send = self.pick(data)
+        if not send.stream:
+            return
+        start = (send.resume_after or 0) + 1
+        self.world.begin(send)
+        self.take_actions()
+        # From its start again, as a duplicate of what is known already.
+        until = max(start, self.given[send.exchange] + count)
+        self.world.events(send, *range(start, until + 1))
+        self.take_actions()
+
+    @stateful.precondition(under_way)
+    @stateful.rule(data=st.data())
+    def engine_skips_an_event(self, data):
+        send = self.pick(data)
+        if send.stream:
+            self.world.begin(send)
+            self.world.events(send, self.given[send.exchange] + 2)
+            self.open.pop((send.exchange, send.send), None)
+            self.take_actions()
+
+    @stateful.precondition(under_way)
+    @stateful.rule(data=st.data())
+    def engine_ends(self, data):
+        send = self.pick(data)
+        del self.open[send.exchange, send.send]
+        if send.stream:
+            self.world.complete(send)
+        else:
+            self.world.answer(send)
+        self.take_actions()
+
+    @stateful.precondition(under_way)
+    @stateful.rule(data=st.data(), status=st.sampled_from([503, 421]))
+    def engine_refuses(self, data, status):
+        send = self.pick(data)
+        del self.open[send.exchange, send.send]
+        self.may_have_run[send.exchange] -= 1
+        self.world.refuse(send, status)
+        self.take_actions()
+
+    @stateful.precondition(under_way)
+    @stateful.rule(data=st.data(), sealed=st.booleans())
+    def engine_fails(self, data, sealed):
+        send = self.pick(data)
+        del self.open[send.exchange, send.send]
+        self.world.answer(send, b'', status=500, sealed=sealed)
+        self.take_actions()
+
+    @stateful.precondition(under_way)
+    @stateful.rule(data=st.data())
+    def connection_breaks(self, data):
+        send = self.pick(data)
+        del self.open[send.exchange, send.send]
+        self.world.lose(send)
+        self.take_actions()
+
+    @stateful.precondition(under_way)
+    @stateful.rule(data=st.data())
+    def connection_is_refused(self, data):
+        send = self.pick(data)
+        del self.open[send.exchange, send.send]
+        self.may_have_run[send.exchange] -= 1
+        self.world.lose(send, 'ConnectionRefusedError', handed_over=False)
+        self.take_actions()
+
+    @stateful.precondition(under_way)
+    @stateful.rule(data=st.data(), alive=st.booleans())
+    def probe_is_answered(self, data, alive):
+        send = self.pick(data)
+        self.world.handle(
+            relay_events.EngineProbed(send.exchange, send.send, alive)
+        )
+        self.take_actions()
+
+    @stateful.precondition(under_way)
+    @stateful.rule(data=st.data())
+    def caller_leaves(self, data):
+        send = self.pick(data)
+        self.finals[send.exchange] += 1
+        self.world.leave(send.exchange)
+        self.take_actions()
+
+    @stateful.rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 5.0]))
+    def time_passes(self, seconds):
+        self.world.advance(seconds)
+        self.take_actions()
+
+    @stateful.rule(place=st.sampled_from(relay_world.PLACES))
+    def data_centre_is_removed_from_the_list(self, place):
+        gone = [
+            entry.engine
+            for entry in relay_world.fleet()
+            if entry.data_centre == place
+        ]
+        self.world.change_engines(removed=gone)
+        self.take_actions()
+
+    @stateful.rule()
+    def engines_register_again(self):
+        self.heartbeat += 2
+        self.world.change_engines(*relay_world.fleet(heartbeat=self.heartbeat))
+        self.take_actions()
+
+    @stateful.rule(seconds=st.sampled_from([0.5, 3.0]))
+    def process_stands_still(self, seconds):
+        self.world.now += seconds
+        self.world.handle(common_events.PauseNoticed(seconds))
+        self.take_actions()
+
+    @stateful.rule(
+        number=st.integers(1, 5),
+        engine=st.sampled_from([e.engine for e in relay_world.fleet()]),
+    )
+    def another_instance_tells(self, number, engine):
+        for hint in (
+            hints.Placed(number, engine, 8_780, 8_000, '', 'part'),
+            hints.Failed(engine),
+        ):
+            self.world.handle(relay_events.PeerTold('other', hint))
+        self.take_actions()
+
+    # -- what holds all the while -------------------------------------------
+
+    @stateful.invariant()
+    def call_runs_at_most_once(self):
+        for exchange in self.calls:
+            assert self.may_have_run[exchange] <= 1
+
+    @stateful.invariant()
+    def sends_are_counted_once(self):
+        relay = self.world.relay
+        counted = sum(s.in_flight for s in relay.engines.states.values())
+        under_way = [
+            sent
+            for exchange in relay.exchanges.values()
+            for sent in exchange.sends.values()
+        ]
+        assert counted == len(under_way)
+
+    @stateful.invariant()
+    def loads_add_up(self):
+        loads = self.world.relay.loads
+        for engine, work in loads.work.items():
+            runs = [r for r in loads.runs.values() if r.engine == engine]
+            copies = [r for r in loads.runs.values() if r.copy_to == engine]
+            assert work.runs == len(runs)
+            assert work.memory_tokens == sum(r.memory_tokens for r in runs)
+            assert work.copied_tokens == sum(r.memory_tokens for r in copies)
+
+    @stateful.invariant()
+    def open_exchanges_have_a_send_and_a_deadline(self):
+        for number, exchange in self.world.relay.exchanges.items():
+            assert exchange.sends
+            assert f'relay-deadline:{number}' in self.world.timers
+
+
+Promises.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestPromises = Promises.TestCase
--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -181,3 +181,18 @@
     assert refusal.status == 503
     assert refusal.retry_after is not None
     assert world.sends(world.call())
+
+
+def test_silent_stream_is_not_said_not_to_have_run():
+    """An engine falls silent before its first event, and no other is left.
+    It may be reading the prompt all the while. Told that nothing ran, a
+    caller would pay for the same work twice without knowing.
+    """
+    entry = relay_world.engine('only', relay_world.STREAMS, 'north')
+    world = relay_world.RelayWorld([entry])
+    exchange = world.ask()
+    send = world.last_send(exchange)
+    world.change_engines(removed=['only'])
+    world.handle(relay_events.EngineProbed(exchange, send.send, alive=False))
+    [refusal] = world.refusals(exchange)
+    assert refusal.status == 502
