Order another copy of a run when the first one is lost

Cause: in large fleets two data centres' engines crash within three seconds of each other; the second wave hits runs whose copies went with the first. Change: when an engine is lost, the runs whose copies it held are copied once more by an order to their own engine, renewed before it lapses.

--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -18,8 +18,8 @@
     """Send a request to an engine, on a connection that it has alone.
 
     ``deadline`` is monotonic. ``resume_after`` is the number of the last
-    event that the caller has. ``copy_from`` names the engine that holds a
-    copy of the run's memory, and ``copy_to`` the engine to which the run's
+    event that the caller has. ``copy_from`` names a copy of the run's memory
+    that the engine holds, and ``copy_to`` the engine to which the run's
     memory is to be copied as it grows. ``fresh`` asks for a new connection:
     an idle one may be dead without anybody having been told.
     """
@@ -33,7 +33,7 @@
     deadline: float
     stream: bool
     resume_after: int | None = None
-    copy_from: engines.EngineEntry | None = None
+    copy_from: requests.CopyName | None = None
     copy_to: engines.EngineEntry | None = None
     fresh: bool = False
 
@@ -111,6 +111,20 @@
     engine: engines.EngineEntry
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyRun:
+    """Have an engine copy a run's memory to another one.
+
+    Answered by exactly one ``RunCopied``.
+    """
+
+    exchange: int
+    send: int
+    request_id: str
+    source: engines.EngineEntry
+    target: engines.EngineEntry
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskSuccessor:
     """Ask who answers at the address of an engine that was lost."""
@@ -159,6 +173,7 @@
     | BreakOff
     | Refuse
     | ProbeEngine
+    | CopyRun
     | AskSuccessor
     | TellPeers
     | TellNeighbours
--- /dev/null
+++ b/src/greengagelb/coordination/relay/copying.py
@@ -0,0 +1,119 @@
+"""Orders a new copy of a run's memory when its first one is lost.
+
+The engine of a run sends its memory along to one other engine, chosen when
+the run begins. When that one dies the run goes on uncovered, and the next
+loss would have its prompt read again. Ordered copies fill the gap. They lapse
+after some seconds and are renewed until the run ends.
+"""
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import stalls
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import calls
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import sending
+from greengagelb.state.relay import exchanges
+from greengagelb.state.relay import requests
+
+COPY_TIMER = 'relay-copy'
+# An ordered copy is renewed after this part of the time it is kept for; only
+# what the run has added since is sent.
+RENEW_SHARE = 0.75
+
+Action = relay_actions.RelayAction
+
+
+class RunCopies:
+    """Keeps the copies of running streams."""
+
+    def __init__(
+        self,
+        parts: calls.Parts,
+        running: dict[int, exchanges.Exchange],
+    ) -> None:
+        self.parts = parts
+        self.running = running
+
+    def lost_at(self, engine: str, now: float) -> list[Action]:
+        """Order new copies of the runs whose copies an engine held."""
+        done: list[Action] = []
+        for exchange in self.running.values():
+            for sent in exchange.sends.values():
+                if sent.copy_to is not None and sent.copy_to.engine == engine:
+                    done += self.replace(exchange, sent, now)
+        return done
+
+    def replace(
+        self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
+    ) -> list[Action]:
+        """Order a copy at another engine than the one that was lost."""
+        lost = sent.copy_to.engine if sent.copy_to else ''
+        sent.copy_to = None
+        sent.copy_name = None
+        sent.copy_ordered = False
+        self.parts.sends.got_copy(exchange, sent, now)
+        model = exchange.ruling.service.engines
+        if model is None or not model.moves or not sent.events_seen:
+            return []
+        source = self.parts.engines.states.get(sent.entry.engine)
+        if source is None:
+            return []
+        target = self.parts.chooser.for_copy(
+            exchange.ruling.service,
+            exchange.request.prompt,
+            source,
+            {lost},
+            now,
+        )
+        if target is None:
+            return []
+        sent.copy_to = target.entry
+        self.parts.sends.got_copy(exchange, sent, now)
+        return [self.order(exchange, sent)]
+
+    def order(
+        self, exchange: exchanges.Exchange, sent: exchanges.Sent
+    ) -> relay_actions.CopyRun:
+        """Return the order of a copy at the engine that is to have it."""
+        return relay_actions.CopyRun(
+            exchange.number,
+            sent.number,
+            exchange.request.request_id,
+            sent.entry,
+            sent.copy_to,
+        )
+
+    def copied(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.Sent,
+        event: relay_events.RunCopied,
+        now: float,
+    ) -> list[Action]:
+        """Take in what came of an order."""
+        if sent.copy_to is None or sent.copy_to.engine != event.target:
+            return []
+        told = 'made' if event.handle else 'not made'
+        why = f'copy at {event.target} {told}'
+        done: list[Action] = [
+            sending.record(exchange, sent, 'run-copied', why)
+        ]
+        if not event.handle:
+            sent.copy_to = None
+            sent.copy_name = None
+            self.parts.sends.got_copy(exchange, sent, now)
+            return done
+        sent.copy_name = requests.CopyName(sent.entry.address, event.handle)
+        sent.copy_ordered = True
+        model = exchange.ruling.service.engines
+        renew_at = now + RENEW_SHARE * model.copy_seconds
+        name = stalls.timer_name(COPY_TIMER, exchange.number)
+        return [*done, actions.SetTimer(name, renew_at)]
+
+    def renew(self, exchange: exchanges.Exchange) -> list[Action]:
+        """Order the same copy again before it lapses."""
+        return [
+            self.order(exchange, sent)
+            for sent in exchange.sends.values()
+            if sent.copy_ordered and sent.copy_to is not None
+        ]
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -115,6 +115,16 @@
     alive: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunCopied:
+    """A run's memory was copied; without ``handle`` it could not be."""
+
+    exchange: int
+    send: int
+    target: str
+    handle: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuccessorSeen:
     """Who answers at the address of a lost engine; empty if nobody does."""
@@ -166,6 +176,7 @@
     | StoreLost
     | StopBy
     | EngineProbed
+    | RunCopied
     | SuccessorSeen
     | MembersListed
     | PeerHeard
--- a/src/greengagelb/coordination/relay/loads.py
+++ b/src/greengagelb/coordination/relay/loads.py
@@ -56,16 +56,19 @@
         return self.work.get(engine) or EngineWork()
 
     def began(self, key: tuple[str, int], run: Run, now: float) -> None:
-        """Count a run; ``key`` names the instance and its send."""
-        if key in self.runs:
-            return
+        """Count a run; ``key`` names the instance and its send.
+
+        A run that is counted already has got another copy.
+        """
+        known = self.ended(key)
         self.runs[key] = run
         self.prompts.read_at(run.part, run.engine, now)
         work = self.work.setdefault(run.engine, EngineWork())
         work.runs += 1
         work.memory_tokens += run.memory_tokens
-        start = max(now, work.reading_until)
-        work.reading_until = start + run.unread_tokens / READING_RATE
+        if not known:
+            start = max(now, work.reading_until)
+            work.reading_until = start + run.unread_tokens / READING_RATE
         if run.copy_to:
             held = self.work.setdefault(run.copy_to, EngineWork())
             held.copied_tokens += run.memory_tokens
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -16,6 +16,7 @@
 from greengagelb.coordination.relay import budget
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import choosing
+from greengagelb.coordination.relay import copying
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
@@ -33,7 +34,12 @@
 from greengagelb.state.relay import routes
 
 DEADLINE_TIMER = 'relay-deadline'
-TIMERS = (DEADLINE_TIMER, streams.SILENCE_TIMER, calls.SECOND_TRY_TIMER)
+TIMERS = (
+    DEADLINE_TIMER,
+    streams.SILENCE_TIMER,
+    calls.SECOND_TRY_TIMER,
+    copying.COPY_TIMER,
+)
 NOT_FOUND = 404
 UNAUTHORIZED = 401
 # A caller that finds an instance without a configuration is sent to another
@@ -79,6 +85,7 @@
         self.streams = streams.StreamRelay(parts, self.succession)
         self.fleet = fleet.FleetView(self.loads)
         self.exchanges: dict[int, exchanges.Exchange] = {}
+        self.copies = copying.RunCopies(parts, self.exchanges)
         self.stop_by = float('inf')
         self.progress = lifecycle.Progress()
         self.lifecycle = lifecycle.new_lifecycle(self.progress)
@@ -98,6 +105,8 @@
     ) -> list[Action]:
         """Decide what an event leads to."""
         done = self.decide(event, now)
+        for engine in self.sends.take_failed():
+            done += self.copies.lost_at(engine, now)
         ended: list[Action] = []
         for action in done:
             ended += self.close_if_final(action)
@@ -142,6 +151,7 @@
                 | relay_events.AnswerComplete()
                 | relay_events.SendBroken()
                 | relay_events.EngineProbed()
+                | relay_events.RunCopied()
             ):
                 return self.of_send(event, now)
             case events.CallerGone(exchange):
@@ -209,13 +219,15 @@
                 self.fleet.ended(incarnation, hint)
             case hints.Failed(engine):
                 self.engines.doubted(engine, now)
+                return self.copies.lost_at(engine, now)
             case hints.Replaced(engine, successor):
                 self.engines.was_replaced(engine)
                 if successor:
                     self.engines.succeed(engine, successor)
+                return self.copies.lost_at(engine, now)
             case hints.EnginesTold(entries, removed):
                 ending = self.engines.changed(entries, removed, now)
-                return self.leaving(ending)
+                return self.leaving(ending, now)
             case hints.StoreRead(digest, version):
                 known = self.table.version if self.table else 0
                 self.sharing.told(
@@ -315,6 +327,8 @@
                 return self.streams.began(exchange, sent, event, now)
             case relay_events.StreamMoved():
                 return self.streams.moved(exchange, sent, event, now)
+            case relay_events.RunCopied():
+                return self.copies.copied(exchange, sent, event, now)
             case relay_events.EngineProbed() if stream:
                 return self.streams.probed(exchange, sent, event, now)
             case relay_events.StreamComplete():
@@ -352,6 +366,8 @@
         match kind:
             case streams.SILENCE_TIMER:
                 return self.streams.look_at(exchange, now)
+            case copying.COPY_TIMER:
+                return self.copies.renew(exchange)
             case calls.SECOND_TRY_TIMER:
                 return self.calls.second_try(exchange, now)
         return self.overdue(exchange, now)
@@ -422,7 +438,7 @@
         done: list[Action] = []
         if self.engines.lost:
             done.append(actions.Record('store-regained', 'list of engines'))
-        done += self.leaving(self.engines.changed(entries, removed, now))
+        done += self.leaving(self.engines.changed(entries, removed, now), now)
         self.sharing.engines.known(now)
         if not self.sharing.is_reader(now):
             return done
@@ -447,12 +463,15 @@
         ]
         return [relay_actions.TellNeighbours(part) for part in parts]
 
-    def leaving(self, ending: list[str]) -> list[Action]:
+    def leaving(self, ending: list[str], now: float) -> list[Action]:
         """Note engines that get no more work."""
-        return [
-            actions.Record('engine-leaving', 'listed', upstream=engine)
-            for engine in ending
-        ]
+        done: list[Action] = []
+        for engine in ending:
+            done.append(
+                actions.Record('engine-leaving', 'listed', upstream=engine)
+            )
+            done += self.copies.lost_at(engine, now)
+        return done
 
     def store_lost(self, detail: str) -> list[Action]:
         """Go on with what is known; note when the store went away."""
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -1,5 +1,6 @@
 """Sends requests to engines, and counts what is under way."""
 
+import dataclasses
 import itertools
 
 from greengagelb.coordination import actions
@@ -11,6 +12,7 @@
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import hints
+from greengagelb.state.relay import requests
 from greengagelb.state.relay import routes
 
 Action = relay_actions.RelayAction
@@ -53,7 +55,7 @@
         exchange: exchanges.Exchange,
         state: directory.EngineState,
         now: float,
-        copy_from: engines.EngineEntry | None = None,
+        copy_from: requests.CopyName | None = None,
         copy_to: engines.EngineEntry | None = None,
     ) -> list[Action]:
         """Send a request, from the caller's position on."""
@@ -67,6 +69,10 @@
             copy_to=copy_to,
             from_copy=copy_from is not None,
         )
+        if copy_to is not None:
+            sent.copy_name = requests.CopyName(
+                copy_to.address, request.request_id
+            )
         exchange.sends[sent.number] = sent
         exchange.tried.add(state.entry.engine)
         exchange.attempts += 1
@@ -141,10 +147,24 @@
             copy_to,
             prompt.own_part,
         )
-        self.loads.began((OWN, sent.number), run, now)
+        self.count_and_tell(sent.number, run, now)
+
+    def got_copy(
+        self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
+    ) -> None:
+        """Count the copy of a run at another engine than before."""
+        known = self.loads.runs.get((OWN, sent.number))
+        if known is not None:
+            copy_to = sent.copy_to.engine if sent.copy_to else ''
+            run = dataclasses.replace(known, copy_to=copy_to)
+            self.count_and_tell(sent.number, run, now)
+
+    def count_and_tell(self, number: int, run: loads.Run, now: float) -> None:
+        """Count a run here, and have the other instances count it."""
+        self.loads.began((OWN, number), run, now)
         self.untold.append(
             hints.Placed(
-                sent.number,
+                number,
                 run.engine,
                 run.memory_tokens,
                 run.unread_tokens,
@@ -158,6 +178,14 @@
         self.engines.was_replaced(sent.entry.engine)
         self.untold.append(hints.Replaced(sent.entry.engine))
 
+    def take_failed(self) -> list[str]:
+        """Return the engines that were found dead just now."""
+        return [
+            hint.engine
+            for hint in self.untold
+            if isinstance(hint, hints.Failed | hints.Replaced)
+        ]
+
     def release(
         self, exchange: exchanges.Exchange, sent: exchanges.Sent
     ) -> None:
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -16,9 +16,9 @@
 from greengagelb.coordination.relay import loads
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import succession
-from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import hints
+from greengagelb.state.relay import requests
 
 SILENCE_TIMER = 'relay-silence'
 SILENT = 'silent'
@@ -77,7 +77,7 @@
         exchange: exchanges.Exchange,
         state: directory.EngineState,
         now: float,
-        copy_from: engines.EngineEntry | None = None,
+        copy_from: requests.CopyName | None = None,
     ) -> list[Action]:
         """Send a stream to an engine, with a second one for its copy."""
         copy_to = self.parts.chooser.for_copy(
@@ -322,7 +322,7 @@
         if not self.parts.sends.may_repeat(exchange, now):
             code = 'retry-budget-spent'
             return [*done, self.parts.answers.failed(exchange, code, now)]
-        return done + self.order(exchange, copy, now, copy_from=copy.entry)
+        return done + self.order(exchange, copy, now, sent.copy_name)
 
     def heard_at(self, sent: exchanges.Sent) -> float:
         """Return when an engine gave its last sign of life here."""
@@ -333,7 +333,7 @@
         self, sent: exchanges.Sent, now: float
     ) -> directory.EngineState | None:
         """Return the engine with a copy of a run, if it can go on there."""
-        if sent.copy_to is None:
+        if sent.copy_to is None or sent.copy_name is None:
             return None
         state = self.parts.engines.states.get(sent.copy_to.engine)
         if state is None or not state.reachable(now):
--- a/src/greengagelb/platform/rows.py
+++ b/src/greengagelb/platform/rows.py
@@ -93,6 +93,8 @@
     slots: int = 1
     kv_capacity: int = 0
     backups: bool = False
+    moves: bool = False
+    handle_s: float = 0.0
 
 
 class WireService(msgspec.Struct):
@@ -224,12 +226,22 @@
     return routes.Service(
         service.name,
         service.max_conns,
-        model
-        and routes.ModelEngines(model.slots, model.kv_capacity, model.backups),
+        model and read_model_engines(model),
         service.health_path,
     )
 
 
+def read_model_engines(model: WireEngines) -> routes.ModelEngines:
+    """Return what the model engines of a service have."""
+    return routes.ModelEngines(
+        model.slots,
+        model.kv_capacity,
+        model.backups,
+        model.moves,
+        model.handle_s,
+    )
+
+
 def read_limits(limits: WireLimits) -> routes.Limits:
     """Return the limits on callers."""
     return routes.Limits(
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -1,6 +1,7 @@
 """Requests and answers as the platform's callers and engines write them."""
 
 import h11
+import msgspec
 
 from greengagelb import errors
 from greengagelb.coordination.relay import actions as relay_actions
@@ -34,6 +35,8 @@
 LOAD = b'Engine-Load'
 # What an engine tells of itself without a free slot.
 PROBE_TARGET = b'/api/report'
+# Has an engine copy a run's memory.
+COPY_TARGET = b'/api/kv-move'
 # The status of an engine that is not the one that was expected.
 WRONG_ENGINE = 421
 # What a caller may not set: it is the system's to say, or a secret.
@@ -60,6 +63,19 @@
 NO_TIME_STATED = 3600.0
 
 
+class CopyOrder(msgspec.Struct):
+    """Copy the run of the request ``id`` to the engine at ``to``."""
+
+    id: str
+    to: str
+
+
+class CopyAnswer(msgspec.Struct):
+    """The copy is there, under ``handle``."""
+
+    handle: str
+
+
 class PlatformDialect:
     """Translates heads of requests and answers."""
 
@@ -120,7 +136,7 @@
         if send.copy_to is not None:
             headers.append((COPY_TO, str(send.copy_to.address).encode()))
         if send.copy_from is not None:
-            held = f'{send.copy_from.address}/{request.request_id}'
+            held = f'{send.copy_from.address}/{send.copy_from.name}'
             headers.append((COPY_FROM, held.encode()))
         return http_client.WireRequest(
             request.method, request.target, tuple(headers), request.body
@@ -162,6 +178,28 @@
         host = (b'Host', str(engine.address).encode())
         return http_client.WireRequest(b'GET', PROBE_TARGET, (host,))
 
+    def write_copy(
+        self, copy: relay_actions.CopyRun
+    ) -> http_client.WireRequest:
+        """Return the order to copy a run's memory."""
+        body = msgspec.json.encode(
+            CopyOrder(copy.request_id, str(copy.target.address))
+        )
+        headers = (
+            (b'Host', str(copy.source.address).encode()),
+            (b'Content-Type', b'application/json'),
+        )
+        return http_client.WireRequest(b'POST', COPY_TARGET, headers, body)
+
+    def read_copy(self, status: int, body: bytes) -> str:
+        """Return the handle in the answer to such an order, or ''."""
+        if status != 200:
+            return ''
+        try:
+            return msgspec.json.decode(body, type=CopyAnswer).handle
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return ''
+
     def write_question(
         self, engine: engines.EngineEntry, path: str
     ) -> http_client.WireRequest:
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -13,7 +13,9 @@
     ``moved_at`` is the monotonic time of the last sign of this send: its
     start, the answer's head, or events. ``first_due`` is when its first event
     should have come at the latest. ``copy_to`` names the engine that gets a
-    copy of the run's memory; ``from_copy`` tells that it went on from one.
+    copy of the run's memory, which is there as ``copy_name``; ``copy_ordered``
+    tells that it was ordered and lapses in time. ``from_copy`` tells that the
+    send went on from a copy.
     """
 
     number: int
@@ -22,6 +24,8 @@
     moved_at: float
     first_due: float = float('inf')
     copy_to: engines.EngineEntry | None = None
+    copy_name: requests.CopyName | None = None
+    copy_ordered: bool = False
     from_copy: bool = False
     head: requests.AnswerHead | None = None
     events_seen: int = 0
--- a/src/greengagelb/state/relay/requests.py
+++ b/src/greengagelb/state/relay/requests.py
@@ -27,6 +27,19 @@
         return self.tokens + self.most_new_tokens
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyName:
+    """Names a copy of a run's memory, as the engines know it.
+
+    A copy that an engine sends along as the run grows is named by its
+    holder's address and the request's id; one that was ordered by the
+    source's address and the handle that the source gave.
+    """
+
+    address: engines.Address
+    name: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A whole request as a caller sent it.
--- a/src/greengagelb/state/relay/routes.py
+++ b/src/greengagelb/state/relay/routes.py
@@ -61,12 +61,16 @@
     """What the model engines of a service have and can do.
 
     ``memory_tokens`` is what one engine's KV memory holds. ``copies`` says
-    whether an engine sends the memory of a run to another one as it grows.
+    whether an engine sends the memory of a run to another one as it grows,
+    ``moves`` whether it does so when told, which then stays there for
+    ``copy_seconds``.
     """
 
     slots: int
     memory_tokens: int
     copies: bool = False
+    moves: bool = False
+    copy_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/transport/relay/dialect.py
+++ b/src/greengagelb/transport/relay/dialect.py
@@ -47,6 +47,14 @@
         It needs no free slot, so that a busy engine answers too.
         """
 
+    def write_copy(
+        self, copy: relay_actions.CopyRun
+    ) -> http_client.WireRequest:
+        """Return the order to copy a run's memory."""
+
+    def read_copy(self, status: int, body: bytes) -> str:
+        """Return the handle in the answer to such an order, or ''."""
+
     def write_question(
         self, engine: engines.EngineEntry, path: str
     ) -> http_client.WireRequest:
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -17,6 +17,10 @@
 # An engine that lives answers a probe in a few milliseconds, and within this
 # many seconds also where a packet was lost on the way.
 PROBE_SECONDS = 0.3
+# A copy of a usual run takes some milliseconds; behind those of a whole data
+# centre's runs it may take a second.
+COPY_SECONDS = 2.0
+MOST_COPY_ANSWER_PARTS = 64
 
 Dispatch = Callable[[relay_events.RelayEvent], None]
 
@@ -178,6 +182,51 @@
             self.side.dispatch(relay_events.SuccessorSeen(self.old, engine))
 
 
+class CopyAnswer:
+    """Receives the answer to an order to copy a run."""
+
+    def __init__(
+        self, side: 'EngineSide', copy: relay_actions.CopyRun
+    ) -> None:
+        self.side = side
+        self.copy = copy
+        self.status = 0
+        self.body: list[bytes] = []
+        self.over = False
+
+    def answer_began(self, response: h11.Response) -> None:
+        """Keep the status."""
+        self.status = response.status_code
+
+    def answer_moved(self, data: bytes) -> None:
+        """Gather the body; it is a few bytes."""
+        if len(self.body) < MOST_COPY_ANSWER_PARTS:
+            self.body.append(data)
+
+    def answer_complete(self) -> None:
+        """Report the handle."""
+        body = b''.join(self.body)
+        self.report(self.side.dialect.read_copy(self.status, body))
+
+    def answer_broken(self, handed_over: bool, detail: str) -> None:
+        """Report that there is no copy."""
+        self.report('')
+
+    def report(self, handle: str) -> None:
+        """Report once."""
+        if self.over:
+            return
+        self.over = True
+        self.side.dispatch(
+            relay_events.RunCopied(
+                self.copy.exchange,
+                self.copy.send,
+                self.copy.target.engine,
+                handle,
+            )
+        )
+
+
 class EngineSide:
     """The sends that are under way."""
 
@@ -223,6 +272,23 @@
 
         self.pool.reactor.callLater(PROBE_SECONDS, too_late)
 
+    def copy_run(self, copy: relay_actions.CopyRun) -> None:
+        """Have an engine copy a run's memory to another one."""
+        answer = CopyAnswer(self, copy)
+        pending = self.pool.request(
+            copy.source.engine,
+            copy.source.address,
+            lambda: self.dialect.write_copy(copy),
+            answer,
+        )
+
+        def too_late() -> None:
+            if not answer.over:
+                pending.abandon()
+                answer.report('')
+
+        self.pool.reactor.callLater(COPY_SECONDS, too_late)
+
     def ask_successor(self, entry: engines.EngineEntry, path: str) -> None:
         """Ask who answers at an engine's address, on a new connection."""
         answer = SuccessorAnswer(self, entry.engine)
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -215,6 +215,8 @@
                 self.engines.abandon(exchange, send)
             case relay_actions.ProbeEngine():
                 self.engines.probe(action)
+            case relay_actions.CopyRun():
+                self.engines.copy_run(action)
             case relay_actions.AskSuccessor(entry, path):
                 self.engines.ask_successor(entry, path)
             case relay_actions.TellNeighbours(hint):
--- a/tests/common/relay_world.py
+++ b/tests/common/relay_world.py
@@ -22,7 +22,9 @@
 
 # Sizes of today's fleets: 32 slots and room for 88,000 tokens at a model
 # engine, 6 slots at an engine of a plain service.
-MODEL = routes.ModelEngines(32, 88_000, copies=True)
+MODEL = routes.ModelEngines(
+    32, 88_000, copies=True, moves=True, copy_seconds=4.0
+)
 STREAM_ROUTE = routes.Route(
     'drafts',
     HOST,
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -100,11 +100,11 @@
 
 
 def test_resumed_run_names_position_and_both_copies():
-    one = relay_world.engine('i-2', 's', 'south')
+    one = requests.CopyName(engines.Address('10.0.0.2', 80), 'abc')
     two = relay_world.engine('i-3', 's', 'west')
     found = written(read(), resume_after=12, copy_from=one, copy_to=two)
     assert found[b'last-event-id'] == b'12'
-    assert found[b'kv-from'] == f'{one.address}/abc'.encode()
+    assert found[b'kv-from'] == b'10.0.0.2:80/abc'
     assert found[b'kv-backup'] == str(two.address).encode()
 
 
--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -19,7 +19,9 @@
     world.lose(first)
     second = world.last_send(exchange)
     assert second.engine == first.copy_to
-    assert second.copy_from == first.copy_to
+    assert second.copy_from == requests.CopyName(
+        first.copy_to.address, first.request.request_id
+    )
     assert second.resume_after == 2
     world.begin(second)
     world.events(second, 3)
