--- a/src/greengagelb/cli/serve.py
+++ b/src/greengagelb/cli/serve.py
@@ -36,8 +36,10 @@
 
     from greengagelb.coordination import events  # noqa: PLC0415
     from greengagelb.transport import instance  # noqa: PLC0415
+    from greengagelb.transport import reactors  # noqa: PLC0415
     from greengagelb.transport import recorder  # noqa: PLC0415
 
+    reactors.use_monotonic_clock(reactor)
     recorder.configure_logging()
     running = instance.Instance(reactor, found)
     outcomes: list[int] = []
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -13,7 +13,6 @@
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import events as relay_events
-from greengagelb.coordination.relay import loads
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import succession
 from greengagelb.state.relay import exchanges
@@ -26,6 +25,9 @@
 # notice is moved. What is left suffices to go on elsewhere; moving earlier
 # takes streams away from engines that are only reading another prompt.
 SILENCE_SHARE = 0.55
+# The pause that is taken for unnoticed on routes that state none, in seconds:
+# callers give a stream up after two.
+NO_GAP_GOAL_SECONDS = 2.0
 # How long past its expected time a first event may stay out, in seconds,
 # before its engine is asked for a sign of life. Moving costs a prompt that
 # was read in vain, and most engines that are late are only busy.
@@ -116,7 +118,7 @@
         """Return when the next event of a send must have come."""
         if not sent.events_seen:
             return sent.first_due
-        gap = exchange.ruling.route.gap_goal or loads.READING_RATE
+        gap = exchange.ruling.route.gap_goal or NO_GAP_GOAL_SECONDS
         return sent.moved_at + SILENCE_SHARE * gap
 
     def look_at(
--- a/src/greengagelb/platform/__main__.py
+++ b/src/greengagelb/platform/__main__.py
@@ -33,11 +33,14 @@
 
 def run(settings: relay_settings.RelaySettings) -> int:
     """Run an instance with good settings."""
-    reactor = reactors.install()
-    # What these import takes the installed reactor for granted.
+    # The reactor is installed by its import; what the others import takes an
+    # installed one for granted.
+    from twisted.internet import reactor  # noqa: PLC0415
+
     from greengagelb.transport import recorder  # noqa: PLC0415
     from greengagelb.transport.relay import instance  # noqa: PLC0415
 
+    reactors.use_monotonic_clock(reactor)
     log = bounded_log.BoundedLog(sys.stdout.fileno(), reactor.seconds)
     recorder.configure_logging(log)
     running = instance.RelayInstance(
--- a/src/greengagelb/platform/rows.py
+++ b/src/greengagelb/platform/rows.py
@@ -202,8 +202,12 @@
             f'route {route.name}: unknown kind {route.kind}'
         )
     shares = tuple(
-        routes.ServiceShare(part.service, part.weight) for part in route.split
+        routes.ServiceShare(part.service, part.weight)
+        for part in route.split
+        if part.weight > 0
     )
+    if route.split and not shares:
+        raise errors.ProtocolError(f'route {route.name}: no part has a weight')
     return routes.Route(
         route.name,
         route.host.lower(),
--- a/src/greengagelb/transport/reactors.py
+++ b/src/greengagelb/transport/reactors.py
@@ -7,20 +7,14 @@
 
 import time
 
-from twisted.internet import epollreactor
-from twisted.internet import main
+from twisted.internet import base
 
 
-class MonotonicReactor(epollreactor.EPollReactor):
-    """Runs timers by the monotonic clock."""
+def use_monotonic_clock(reactor: base.ReactorBase) -> None:
+    """Have a loop run its timers by the monotonic clock.
 
-    def seconds(self) -> float:
-        """Return monotonic seconds."""
-        return time.monotonic()
-
-
-def install() -> MonotonicReactor:
-    """Make the monotonic loop the one of this process, and return it."""
-    reactor = MonotonicReactor()
-    main.installReactor(reactor)
-    return reactor
+    Before any timer is set: the two clocks have nothing in common.
+    """
+    if reactor.getDelayedCalls():
+        raise RuntimeError('timers are set already')
+    reactor.seconds = time.monotonic
--- a/src/greengagelb/transport/relay/caller_side.py
+++ b/src/greengagelb/transport/relay/caller_side.py
@@ -233,7 +233,11 @@
                 number, reading.head, bytes(reading.body), reading.received_at
             )
         except errors.ProtocolError as exc:
-            self.answer_refusal(BAD_REQUEST, str(exc), None)
+            self.side.refused(BAD_REQUEST, f'bad-request: {exc}')
+            self.write_refusal(
+                BAD_REQUEST, 'bad-request', None, close=False, detail=str(exc)
+            )
+            self.next_request()
             return
         self.exchange = number
         self.ahead = len(self.http.trailing_data[0])
@@ -268,10 +272,18 @@
         self.next_request()
 
     def write_refusal(
-        self, status: int, code: str, retry_after: float | None, close: bool
+        self,
+        status: int,
+        code: str,
+        retry_after: float | None,
+        close: bool,
+        detail: str = '',
     ) -> None:
-        """Write an answer of our own."""
-        body = json.dumps({'code': code}).encode()
+        """Write an answer of our own; ``detail`` says what is wrong."""
+        problem = {'code': code}
+        if detail:
+            problem['detail'] = detail
+        body = json.dumps(problem).encode()
         headers = [
             (b'Content-Type', b'application/json'),
             (b'Content-Length', str(len(body)).encode()),
--- a/tests/logs/test_bounded_log.py
+++ b/tests/logs/test_bounded_log.py
@@ -47,8 +47,10 @@
 
 
 def test_reader_that_stops_reading_holds_nobody_up():
-    """The process that collects the logs hangs. A write that waits for it
-    would stop every caller's stream. What is left out is counted.
+    """The process that collects the logs hangs.
+
+    A write that waits for it would stop every caller's stream. What is left
+    out is counted.
     """
     with Pipe() as pipe:
         for number in range(1_900):
@@ -67,8 +69,9 @@
 
 
 def test_burst_of_lines_is_bounded():
-    """Everything fails at once, and each failure writes a line. The report
-    would take the processor from those who are still being served.
+    """Everything fails at once, and each failure writes a line.
+
+    The report would take the processor from those who are still being served.
     """
     with Pipe() as pipe:
         lines = 0
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -72,11 +72,21 @@
         {'routes': [{**CONFIG['routes'][1], 'service': 'nowhere'}]},
         {'routes': [{**CONFIG['routes'][1], 'kind': 'maybe'}]},
         {'version': 'new'},
+        {
+            'routes': [
+                {
+                    **CONFIG['routes'][0],
+                    'split': [{'service': 's-1', 'weight': 0}],
+                }
+            ]
+        },
     ],
 )
 def test_bad_configuration_is_told_and_the_last_good_one_stays(change):
-    """An operator's mistake, or a row that was written half. Applied as far
-    as it can be read, it would send requests to where no route allows it.
+    """An operator's mistake, or a row that was written half.
+
+    Applied as far as it can be read, it would send requests to where no route
+    allows it.
     """
     read = store.configuration_of(rows.Rows([row({**CONFIG, **change})], 9))
     assert read.table is None
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -33,11 +33,12 @@
 
 
 def test_lost_answer_to_a_waiting_call_is_noticed_in_time():
-    """The store has lost the answer to a call that waits for the next
-    configuration, and the connection stays open and silent for good. Whoever
-    goes on waiting has an old configuration in force long after the store is
-    well again: keys that were added are refused, and removed ones accepted.
-    Seen on a hunted day, 2.5 s after a change and 3 s after the disturbance.
+    """The store has lost an answer, and the connection stays silent.
+
+    It was that to a call that waits for the next configuration. Whoever goes
+    on waiting has an old configuration in force long after the store is well
+    again: keys that were added are refused, and removed ones accepted. Seen on
+    a hunted day, 2.5 s after a change and 3 s after the disturbance.
     """
     server = relay_wires.Server()
     platform = store.PlatformStore(server.pool, relay_wires.ADDRESS)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -66,6 +66,7 @@
 )
 def test_field_that_can_not_be_read_is_refused(fields):
     """Two ids or keys, or a position that is none, leave open what is meant.
+
     Guessed, a caller could get another's answer or parts of its own twice.
     """
     with pytest.raises(errors.ProtocolError):
@@ -85,8 +86,10 @@
     ],
 )
 def test_what_is_the_systems_to_set_is_not_taken_from_callers(name):
-    """A caller that names another account, or another run's memory, would
-    work at its expense or read what is not its own.
+    """A caller names another account, or another run's memory.
+
+    Taken at its word, it would work at the other's expense, or read what is
+    not its own.
     """
     assert b'forged' not in written(read((name, b'forged'))).values()
 
--- a/tests/relay/test_caller_connections.py
+++ b/tests/relay/test_caller_connections.py
@@ -90,8 +90,9 @@
 
 
 def test_broken_stream_does_not_look_complete():
-    """An engine is lost for good in the middle of a stream. An orderly end
-    would tell the caller that its text is whole.
+    """An engine is lost for good in the middle of a stream.
+
+    An orderly end would tell the caller that its text is whole.
     """
     callers = Callers()
     connection = callers.connect()
@@ -138,8 +139,9 @@
     ],
 )
 def test_bad_request_gets_its_answer_and_costs_no_engine(raw, status):
-    """What a caller sends wrong is told with a status of its own. The
-    connection is not reset under the answer, which could be lost with it.
+    """What a caller sends wrong is told with a status of its own.
+
+    The connection is not reset under the answer, which could be lost with it.
     """
     callers = Callers()
     connection = callers.connect()
@@ -193,8 +195,10 @@
 
 
 def test_caller_that_does_not_read_is_given_up():
-    """A caller stops reading in the middle of a long stream. What waits for
-    it would fill the memory of the instance, at the cost of all others.
+    """A caller stops reading in the middle of a long stream.
+
+    What waits for it would fill the memory of the instance, at the cost of all
+    others.
     """
     callers = Callers()
     connection = callers.connect()
--- a/tests/relay/test_copies.py
+++ b/tests/relay/test_copies.py
@@ -20,9 +20,10 @@
 
 
 def test_run_gets_another_copy_when_the_first_is_lost():
-    """The engine with the copy of a run crashes, and a moment later the
-    engine of the run. Without a new copy in between, the prompt is read
-    again and the caller's text stands still for more than a second.
+    """The engine with the copy of a run crashes, then that of the run.
+
+    Without a new copy in between, the prompt is read again and the caller's
+    text stands still for more than a second.
     """
     world = relay_world.RelayWorld()
     send = streaming(world)
@@ -46,8 +47,10 @@
 
 
 def test_copy_that_could_not_be_made_is_not_used():
-    """The new engine has no room for a copy. A request that asked for it
-    there would be refused, and lose its time on the way.
+    """The new engine has no room for a copy.
+
+    A request that asked for it there would be refused, and lose its time on
+    the way.
     """
     world = relay_world.RelayWorld()
     send = streaming(world)
@@ -65,8 +68,9 @@
 
 
 def test_copy_made_by_hand_is_renewed_before_it_lapses():
-    """Such a copy is kept for a few seconds only. A run that goes on for
-    longer would lose it unnoticed.
+    """Such a copy is kept for a few seconds only.
+
+    A run that goes on for longer would lose it unnoticed.
     """
     world = relay_world.RelayWorld()
     send = streaming(world)
--- a/tests/relay/test_engine_connections.py
+++ b/tests/relay/test_engine_connections.py
@@ -28,8 +28,9 @@
 
 
 def test_bytes_behind_an_answer_close_the_connection():
-    """An engine sends a second answer right behind the first. Kept, the
-    connection would give it to the next caller as its own.
+    """An engine sends a second answer right behind the first.
+
+    Kept, the connection would give it to the next caller as its own.
     """
     server, receiver, connection = ask_and_feed(WHOLE + WHOLE)
     assert receiver.body == b'ok'
@@ -54,8 +55,10 @@
     ],
 )
 def test_torn_answer_is_broken(raw):
-    """An engine ends its connection within an answer. Passed on as it is, it
-    would look like a whole one to a caller who trusts the length it is told.
+    """An engine ends its connection within an answer.
+
+    Passed on as it is, it would look like a whole one to a caller who trusts
+    the length it is told.
     """
     _, receiver, connection = ask_and_feed(raw)
     relay_wires.close(connection)
@@ -73,8 +76,9 @@
 
 
 def test_answer_without_length_that_is_reset_is_broken():
-    """Nothing but the way the connection ends tells whether such an answer
-    is whole. A reset on the way would hand the caller a part as the whole.
+    """Only the way its connection ends tells whether it is whole.
+
+    A reset on the way would hand the caller a part as the whole.
     """
     raw = b'HTTP/1.1 200 OK\r\n\r\nhalf of'
     _, receiver, connection = ask_and_feed(raw)
@@ -97,8 +101,10 @@
 
 
 def test_stated_idle_time_is_kept_to():
-    """An engine closes idle connections after two seconds. A request that
-    crosses the close is lost, and may not be repeated if it is a charge.
+    """An engine closes idle connections after two seconds.
+
+    A request that crosses the close is lost, and may not be repeated if it is
+    a charge.
     """
     raw = WHOLE.replace(b'\r\n\r\n', b'\r\nKeep-Alive: timeout=2\r\n\r\n')
     server, _, connection = ask_and_feed(raw)
@@ -108,8 +114,9 @@
 
 def test_early_answer_does_not_mix_up_the_next_request():
     """An engine answers before it has read a long body and goes on reading.
-    The body was handed over whole, so the next request's bytes come after
-    it and not in its place.
+
+    The body was handed over whole, so the next request's bytes come after it
+    and not in its place.
     """
     server = relay_wires.Server()
     receiver = relay_wires.Receiver()
@@ -140,8 +147,9 @@
 
 
 def test_engine_that_took_over_an_address_gets_no_kept_connection():
-    """An engine restarts at the same address. What was kept for the former
-    one must not carry requests to it.
+    """An engine restarts at the same address.
+
+    What was kept for the former one must not carry requests to it.
     """
     server, _, connection = ask_and_feed(WHOLE)
     receiver = relay_wires.Receiver()
@@ -149,8 +157,9 @@
 
 
 def test_request_that_must_not_repeat_gets_a_new_connection():
-    """An idle connection may have been dropped without a word; what is sent
-    on it next is lost, and nobody knows whether it ran.
+    """An idle connection may have been dropped without a word.
+
+    What is sent on it next is lost, and nobody knows whether it ran.
     """
     server, _, connection = ask_and_feed(WHOLE)
     assert server.ask(relay_wires.Receiver(), fresh=True) is not connection
--- a/tests/relay/test_placing.py
+++ b/tests/relay/test_placing.py
@@ -6,9 +6,10 @@
 
 
 def test_run_and_copy_stand_on_both_sides_of_the_data_centre():
-    """A data centre's engines die together, and links between data centres
-    are cut. With a run and its copy both inside or both outside of its
-    instance's data centre, one such event would take the two of them.
+    """A data centre's engines die together, and links are cut.
+
+    With a run and its copy both inside or both outside of its instance's data
+    centre, one such event would take the two of them.
     """
     world = relay_world.RelayWorld(relay_world.fleet(per_place=4))
     for _ in range(12):
@@ -19,9 +20,10 @@
 
 
 def test_prompts_do_not_wait_for_one_another_while_engines_idle():
-    """Engines of other data centres idle while those nearby read a prompt
-    each. A stream that queues nearby gets its first token a second later,
-    and all streams there stand still while two prompts are read.
+    """Engines nearby read a prompt each while those far off idle.
+
+    A stream that queues nearby gets its first token a second later, and all
+    streams there stand still while two prompts are read.
     """
     world = relay_world.RelayWorld(relay_world.fleet(per_place=3))
     for _ in range(10):
@@ -32,9 +34,10 @@
 
 
 def test_cut_link_is_found_out_by_few_requests():
-    """The link to other data centres is cut, and connections there time out
-    after a quarter of a second each. A stream that tries one engine after
-    the other behind the cut stands still for seconds.
+    """The link to other data centres is cut.
+
+    Connections there time out after a quarter of a second each. A stream that
+    tries one engine after the other behind the cut stands still for seconds.
     """
     world = relay_world.RelayWorld(relay_world.fleet(per_place=6))
     for number in range(24):
@@ -50,9 +53,10 @@
 
 
 def test_engine_full_of_copies_gets_no_run_while_others_have_room():
-    """Copies of other engines' runs fill an engine's memory. A run that is
-    sent there waits until they are gone, for many seconds, although its
-    neighbour has room.
+    """Copies of other engines' runs fill an engine's memory.
+
+    A run that is sent there waits until they are gone, for many seconds,
+    although its neighbour has room.
     """
     world = relay_world.RelayWorld(relay_world.fleet(per_place=2))
     for number in range(10):
@@ -64,9 +68,11 @@
 
 
 def test_copy_is_not_put_where_engines_have_just_died():
-    """A data centre's engines crash together, and their entries stay in the
-    list for seconds. A copy that is sent to one that nobody has tried since
-    is lost before it begins, and so is the stream at the next failure.
+    """A data centre's engines crash together.
+
+    Their entries stay in the list for seconds. A copy that is sent to one that
+    nobody has tried since is lost before it begins, and so is the stream at
+    the next failure.
     """
     world = relay_world.RelayWorld(relay_world.fleet(per_place=4))
     for engine in ('model-north-0', 'model-north-1'):
--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -8,8 +8,10 @@
 
 
 def test_stream_goes_on_from_the_copy_at_the_next_event():
-    """An engine is reset in the middle of a stream. Reading its prompt again
-    would take a second, and the caller would see its text stand still.
+    """An engine is reset in the middle of a stream.
+
+    Reading its prompt again would take a second, and the caller would see its
+    text stand still.
     """
     world = relay_world.RelayWorld()
     exchange = world.ask()
@@ -31,9 +33,10 @@
 
 
 def test_no_copy_is_asked_for_before_the_first_event():
-    """A copy of a run grows only once the run makes tokens. Asking for one
-    that is not there costs an attempt each time, and after a few the caller
-    gets an error although engines are free.
+    """A copy of a run grows only once the run makes tokens.
+
+    Asking for one that is not there costs an attempt each time, and after a
+    few the caller gets an error although engines are free.
     """
     world = relay_world.RelayWorld()
     exchange = world.ask()
@@ -46,8 +49,10 @@
 
 
 def test_request_finds_the_living_half_of_a_fleet():
-    """A whole data centre refuses connections. Each refusal costs a caller
-    a millisecond; giving up after a few would cost it its answer.
+    """A whole data centre refuses connections.
+
+    Each refusal costs a caller a millisecond; giving up after a few would cost
+    it its answer.
     """
     world = relay_world.RelayWorld(relay_world.fleet(per_place=8))
     exchange = world.ask()
@@ -62,9 +67,11 @@
 
 
 def test_engine_that_was_replaced_gets_nothing_more():
-    """An engine restarts under a new identity, and its old entry stays in
-    the list for seconds. Whoever sends to it again and again uses up the
-    attempts of a request on an engine that does not exist any more.
+    """An engine restarts under a new identity.
+
+    Its old entry stays in the list for seconds. Whoever sends to it again and
+    again uses up the attempts of a request on an engine that does not exist
+    any more.
     """
     world = relay_world.RelayWorld()
     exchange = world.ask()
@@ -77,8 +84,10 @@
 
 
 def test_refused_connection_counts_until_the_engine_registers_again():
-    """An engine crashes and its entry lapses only seconds later. It must not
-    be tried again, or be given copies, on the strength of its old entry.
+    """An engine crashes and its entry lapses only seconds later.
+
+    It must not be tried again, or be given copies, on the strength of its old
+    entry.
     """
     entries = relay_world.fleet()
     world = relay_world.RelayWorld(entries)
@@ -101,9 +110,10 @@
 
 
 def test_caller_who_comes_back_is_sent_where_its_prompt_was_read():
-    """An instance dies and its callers come back through another one, which
-    has only heard of their runs. On any other engine the prompt would be
-    read again, for a second in which the caller's text stands still.
+    """An instance dies and its callers come back through another one.
+
+    That one has only heard of their runs. On any other engine the prompt would
+    be read again, for a second in which the caller's text stands still.
     """
     world = relay_world.RelayWorld()
     hint = hints.Placed(7, 'model-west-1', 8_780, 8_000, '', 'my-part')
@@ -117,8 +127,10 @@
 
 
 def test_prompt_is_not_read_where_all_others_queue_for_one():
-    """Many callers ask about one thing at once. All sent to the engine that
-    has its prompt, they would wait for one another while the others idle.
+    """Many callers ask about one thing at once.
+
+    All sent to the engine that has its prompt, they would wait for one another
+    while the others idle.
     """
     world = relay_world.RelayWorld()
     prompt = requests.Prompt(8_000, 780, 'popular')
@@ -130,9 +142,10 @@
 
 
 def test_engines_that_were_replaced_cost_no_attempt():
-    """A data centre's engines restart and their old entries stay in the
-    list. A request that meets several of them has not used up its attempts:
-    none of those engines exists any more.
+    """A data centre's engines restart and their old entries stay in the list.
+
+    A request that meets several of them has not used up its attempts: none of
+    those engines exists any more.
     """
     world = relay_world.RelayWorld(relay_world.fleet(per_place=6))
     exchange = world.ask()
@@ -143,8 +156,9 @@
 
 
 def test_word_of_a_replaced_engine_goes_round():
-    """Without it each instance finds out by itself, with requests that are
-    counted as repeats in the budget that all share.
+    """Each instance would find out by itself, one request after another.
+
+    Those are counted as repeats in the budget that all share.
     """
     world = relay_world.RelayWorld()
     first = world.last_send(world.ask())
@@ -160,9 +174,10 @@
 
 
 def test_stopping_instance_takes_no_stream_that_it_can_not_finish():
-    """An instance stops within seconds, and callers still come until the
-    balancer has noticed. A long answer that begins now would be cut in the
-    middle; refused at once, its caller is served elsewhere in time.
+    """An instance stops, and callers come until the balancer notices.
+
+    A long answer that begins now would be cut in the middle; refused at once,
+    its caller is served elsewhere in time.
     """
     world = relay_world.RelayWorld()
     exchange = world.ask()
@@ -187,8 +202,9 @@
 
 def test_silent_stream_is_not_said_not_to_have_run():
     """An engine falls silent before its first event, and no other is left.
-    It may be reading the prompt all the while. Told that nothing ran, a
-    caller would pay for the same work twice without knowing.
+
+    It may be reading the prompt all the while. Told that nothing ran, a caller
+    would pay for the same work twice without knowing.
     """
     entry = relay_world.engine('only', relay_world.STREAMS, 'north')
     world = relay_world.RelayWorld([entry])
--- a/tests/relay/test_retry_budget.py
+++ b/tests/relay/test_retry_budget.py
@@ -18,8 +18,9 @@
     )
 )
 def test_all_instances_together_keep_to_the_shared_bound(instances):
-    """A whole data centre of engines dies and every instance repeats what it
-    had there. Together they would finish off the engines that are left.
+    """A data centre of engines dies; all repeat what they had there.
+
+    Together they would finish off the engines that are left.
     """
     bounds = relay_world.RETRIES
     budgets = [budget.SharedRetryBudget(bounds) for _ in instances]
@@ -43,8 +44,9 @@
 
 
 def test_instance_that_knows_no_others_takes_little():
-    """Many instances start at once while the store is away. Each of them
-    taking the whole budget would multiply it by their number.
+    """Many instances start at once while the store is away.
+
+    Each of them taking the whole budget would multiply it by their number.
     """
     one = budget.SharedRetryBudget(relay_world.RETRIES)
     taken = sum(one.spend('s', 1.0) for _ in range(100))
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -5,9 +5,10 @@
 
 
 def test_call_just_before_the_end_is_refused():
-    """A caller with a kept connection sends a call a moment before the
-    process ends. Taken, its answer would be cut off, and nobody could tell
-    whether it ran; refused, it is safe to send elsewhere.
+    """A caller sends a call a moment before the process ends.
+
+    Taken, its answer would be cut off, and nobody could tell whether it ran;
+    refused, it is safe to send elsewhere.
     """
     world = relay_world.RelayWorld()
     world.handle(relay_events.StopBy(world.now + 7.0))
--- a/tests/relay/test_store_sharing.py
+++ b/tests/relay/test_store_sharing.py
@@ -30,9 +30,10 @@
 
 
 def test_one_instance_of_a_data_centre_reads_for_all():
-    """Each call to the store costs money and a share of its rate. Were every
-    instance to look for itself, a large fleet would spend more on looking
-    than on serving.
+    """Each call to the store costs money and a share of its rate.
+
+    Were every instance to look for itself, a large fleet would spend more on
+    looking than on serving.
     """
     world = world_with_reader()
     sharing = world.relay.sharing
@@ -55,9 +56,11 @@
 
 
 def test_reader_that_falls_silent_is_not_waited_for():
-    """The instance that reads for all is killed. An engine that leaves next
-    must get no more work within two seconds, so the others have to look for
-    themselves well before they take the reader for dead.
+    """The instance that reads for all is killed.
+
+    An engine that leaves next must get no more work within two seconds, so the
+    others have to look for themselves well before they take the reader for
+    dead.
     """
     world = world_with_reader()
     read_by(world)
@@ -67,8 +70,10 @@
 
 
 def test_news_reach_those_who_do_not_read():
-    """An engine starts to leave. Who only hears of it must send it nothing
-    more, just like the one who has read it.
+    """An engine starts to leave.
+
+    Who only hears of it must send it nothing more, just like the one who has
+    read it.
     """
     reader = relay_world.RelayWorld()
     leaving = relay_world.engine(
@@ -87,8 +92,9 @@
 
 
 def test_lost_news_are_noticed():
-    """A datagram is lost, and with it the word that an engine leaves. The
-    next word of the reader shows that something is missing.
+    """A datagram is lost, and with it the word that an engine leaves.
+
+    The next word of the reader shows that something is missing.
     """
     world = world_with_reader()
     read_by(world, digest=12345)
@@ -103,8 +109,10 @@
 
 
 def test_heartbeats_of_engines_are_no_news():
-    """Every engine renews its entry each second. Passed on, that would be
-    more traffic than the calls to the store that are saved.
+    """Every engine renews its entry each second.
+
+    Passed on, that would be more traffic than the calls to the store that are
+    saved.
     """
     world = relay_world.RelayWorld()
     world.handle(relay_events.PeerHeard('~after-all-others', 'north'))
--- a/tests/relay/test_successors.py
+++ b/tests/relay/test_successors.py
@@ -21,9 +21,10 @@
 
 
 def test_restarted_engine_is_used_before_the_list_tells_of_it():
-    """A data centre's engines crash and restart while the store is down for
-    seconds. They live under new identities that nobody can look up, so that
-    the rest of the fleet is swamped although they idle.
+    """Engines crash and restart while the store is down for seconds.
+
+    They live under new identities that nobody can look up, so that the rest of
+    the fleet is swamped although they idle.
     """
     world = relay_world.RelayWorld()
     dead = lose_a_stream(world)
@@ -42,9 +43,9 @@
 
 
 def test_engine_at_an_address_that_may_have_changed_hands_is_not_used():
-    """An address is given to an engine of another service some seconds after
-    its engine has ended. A request sent there would run at a service that
-    its route does not allow.
+    """An address is given to another service some seconds later.
+
+    A request sent there would run at a service that its route does not allow.
     """
     world = relay_world.RelayWorld()
     dead = lose_a_stream(world)
--- /dev/null
+++ b/tests/transport/test_reactors.py
@@ -0,0 +1,31 @@
+"""Timers while the time of day is set."""
+
+import time
+
+import pytest
+from twisted.internet import epollreactor
+
+from greengagelb.transport import reactors
+
+
+def test_timers_do_not_follow_the_time_of_day(monkeypatch):
+    """The machine's clock is set forward.
+
+    Timers that follow it all fire at once: every engine looks silent, every
+    caller is overdue, and all streams are moved or cut at the same moment.
+    """
+    reactor = epollreactor.EPollReactor()
+    reactors.use_monotonic_clock(reactor)
+    fired = []
+    reactor.callLater(10.0, fired.append, 'timer')
+    monkeypatch.setattr(time, 'time', lambda: time.monotonic() + 1e9)
+    reactor.runUntilCurrent()
+    assert not fired
+
+
+def test_timers_that_were_set_by_the_other_clock_are_noticed():
+    """They would fire years late, or at once."""
+    reactor = epollreactor.EPollReactor()
+    reactor.callLater(10.0, print)
+    with pytest.raises(RuntimeError):
+        reactors.use_monotonic_clock(reactor)
