Refuse streams whose prompt can't be read in the time left; measure the reading rate

Cause: after a loss of all instances callers come back with little time left; their prompts were read until their deadlines, ahead of those of others. Change: refused at once if even the reading takes longer than the time left. What reading takes is measured on prompts that an engine had alone.

--- a/src/greengagelb/coordination/relay/choosing.py
+++ b/src/greengagelb/coordination/relay/choosing.py
@@ -104,7 +104,7 @@
             place = failing.get(state.entry.data_centre, 0.0)
             seconds = self.stream_score(state, service, need, now)
             if state.entry.engine == holder and prompt is not None:
-                seconds -= prompt.tokens / loads.READING_RATE
+                seconds -= self.loads.reading_seconds(prompt.tokens)
             return seconds + FAILING_PLACE_SECONDS * place
 
         return min(found, key=score)
--- a/src/greengagelb/coordination/relay/loads.py
+++ b/src/greengagelb/coordination/relay/loads.py
@@ -13,6 +13,8 @@
 # Tokens of prompts that an engine reads in a second, before any are measured:
 # eight in a millisecond, as the users state for their engines.
 READING_RATE = 8_000.0
+# How much one measured prompt moves the rate that is believed.
+READING_SMOOTHING = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +52,17 @@
         self.runs: dict[tuple[str, int], Run] = {}
         self.work: dict[str, EngineWork] = {}
         self.prompts = prompts.PromptHolders()
+        self.reading_rate = READING_RATE
+
+    def reading_seconds(self, tokens: int) -> float:
+        """Return how long an engine reads a prompt, without any wait."""
+        return tokens / self.reading_rate
+
+    def read(self, tokens: int, seconds: float) -> None:
+        """Take in how long an engine took for a prompt that it had alone."""
+        if tokens and seconds > 0:
+            off = tokens / seconds - self.reading_rate
+            self.reading_rate += READING_SMOOTHING * off
 
     def of(self, engine: str) -> EngineWork:
         """Return the work of an engine."""
@@ -68,7 +81,7 @@
         work.memory_tokens += run.memory_tokens
         if not known:
             start = max(now, work.reading_until)
-            work.reading_until = start + run.unread_tokens / READING_RATE
+            work.reading_until = start + run.unread_tokens / self.reading_rate
         if run.copy_to:
             held = self.work.setdefault(run.copy_to, EngineWork())
             held.copied_tokens += run.memory_tokens
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -140,6 +140,8 @@
         read = sent.from_copy or held == sent.entry.engine
         unread = 0 if read else prompt.tokens
         copy_to = sent.copy_to.engine if sent.copy_to else ''
+        if unread and not self.loads.of(sent.entry.engine).runs:
+            sent.alone_with = unread
         run = loads.Run(
             sent.entry.engine,
             prompt.most_memory,
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -28,6 +28,8 @@
 # The pause that is taken for unnoticed on routes that state none, in seconds:
 # callers give a stream up after two.
 NO_GAP_GOAL_SECONDS = 2.0
+# A prompt takes at least this part of the time that is expected for it.
+CERTAIN_SHARE = 0.8
 # How long past its expected time a first event may stay out, in seconds,
 # before its engine is asked for a sign of life. Moving costs a prompt that
 # was read in vain, and most engines that are late are only busy.
@@ -70,10 +72,37 @@
             exchange.refused_by,
             now,
         )
-        if state is None or not self.parts.sends.may_repeat(exchange, now):
+        if state is None:
+            return [self.parts.answers.failed(exchange, code, now)]
+        if now + self.reading_seconds(exchange, state, now) > (
+            exchange.ruling.deadline
+        ):
+            code = 'deadline-too-near'
+            return [self.parts.answers.failed(exchange, code, now)]
+        if not self.parts.sends.may_repeat(exchange, now):
             return [self.parts.answers.failed(exchange, code, now)]
         return self.order(exchange, state, now)
 
+    def reading_seconds(
+        self,
+        exchange: exchanges.Exchange,
+        state: directory.EngineState,
+        now: float,
+    ) -> float:
+        """Return the least time in which an engine reads a prompt.
+
+        A caller with less time than that gets no event at all; its prompt
+        would be read for nothing, ahead of those of others.
+        """
+        prompt = exchange.request.prompt
+        if prompt is None:
+            return 0.0
+        held = self.parts.sends.loads.prompts.holder(prompt.own_part, now)
+        if held == state.entry.engine:
+            return 0.0
+        seconds = self.parts.sends.loads.reading_seconds(prompt.tokens)
+        return CERTAIN_SHARE * seconds
+
     def order(
         self,
         exchange: exchanges.Exchange,
@@ -206,6 +235,8 @@
         if first:
             self.parts.engines.worked(sent.entry.engine, now)
             waited = now - sent.began_at
+            if sent.alone_with:
+                self.parts.sends.loads.read(sent.alone_with, waited)
             why = f'first event after {waited:.3f} s'
             done.append(sending.record(exchange, sent, 'stream-moving', why))
             done.append(self.watch(exchange, sent))
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -15,7 +15,8 @@
     should have come at the latest. ``copy_to`` names the engine that gets a
     copy of the run's memory, which is there as ``copy_name``; ``copy_ordered``
     tells that it was ordered and lapses in time. ``from_copy`` tells that the
-    send went on from a copy.
+    send went on from a copy. ``alone_with`` is the size of its prompt where
+    the engine had nothing else to do and has to read it.
     """
 
     number: int
@@ -29,6 +30,7 @@
     from_copy: bool = False
     head: requests.AnswerHead | None = None
     events_seen: int = 0
+    alone_with: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/common/relay_world.py
+++ b/tests/common/relay_world.py
@@ -68,6 +68,7 @@
 RETRIES = bounds.RetryBounds(ratio=0.8, window_seconds=10.0, slack=150.0)
 # For so many seconds an engine's address goes to none of another service.
 ADDRESS_REUSE = 2.0
+PROMPT = requests.Prompt(8_000, 780, 'a-part')
 SEAL = ((b'Content-Type', b'text/plain'),)
 
 
