--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -21,6 +21,7 @@
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
 from greengagelb.coordination.relay import loads
+from greengagelb.coordination.relay import rulings
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.coordination.relay import streams
@@ -40,11 +41,6 @@
     calls.SECOND_TRY_TIMER,
     copying.COPY_TIMER,
 )
-NOT_FOUND = 404
-UNAUTHORIZED = 401
-# A caller that finds an instance without a configuration is sent to another
-# one, after so many seconds.
-NO_CONFIGURATION_WAIT = 0.2
 # Entries of engines in one datagram; ten take some 900 bytes.
 NEWS_IN_A_DATAGRAM = 10
 
@@ -79,6 +75,7 @@
             own.incarnation, own.data_centre
         )
         self.answers = answers.Answers(rng)
+        self.rulings = rulings.Rulings(rng)
         parts = calls.Parts(self.engines, chooser, self.sends, self.answers)
         self.calls = calls.CallRelay(parts)
         self.succession = succession.Succession(self.engines, address_reuse)
@@ -90,6 +87,11 @@
         self.progress = lifecycle.Progress()
         self.lifecycle = lifecycle.new_lifecycle(self.progress)
 
+    @property
+    def usable_table(self) -> routes.RouteTable | None:
+        """Return the configuration, once there are engines to go with it."""
+        return self.table if self.engines_known else None
+
     @property
     def ready(self) -> bool:
         """Return whether the balancer may send callers here."""
@@ -243,7 +245,7 @@
         self, request: requests.CallerRequest, now: float
     ) -> list[Action]:
         """Take a request, or refuse it at once."""
-        ruling = self.rule(request)
+        ruling = self.rulings.rule(request, self.usable_table)
         if isinstance(ruling, relay_actions.Refuse):
             why = f'{ruling.status} {ruling.code}'
             if self.table is not None:
@@ -275,44 +277,6 @@
             return self.streams.expected_seconds(exchange)
         return exchange.ruling.route.time_limit
 
-    def rule(
-        self, request: requests.CallerRequest
-    ) -> requests.Ruling | relay_actions.Refuse:
-        """Return what the configuration makes of a request."""
-        table = self.table
-        if table is None or not self.engines_known:
-            return relay_actions.Refuse(
-                request.exchange,
-                answers.UNAVAILABLE,
-                'no-configuration',
-                NO_CONFIGURATION_WAIT,
-            )
-        route = table.find(request.host, request.path)
-        if route is None:
-            code = 'unknown-route'
-            return relay_actions.Refuse(request.exchange, NOT_FOUND, code)
-        account = table.account_of(request.key) if request.key else None
-        closed = table.accounts is not None and not route.public
-        if account is None and closed:
-            code = 'unknown-key'
-            return relay_actions.Refuse(request.exchange, UNAUTHORIZED, code)
-        service = table.services[self.share_of(route).service]
-        priority = account.priority if account else None
-        return requests.Ruling(
-            route,
-            service,
-            account.name if account else '',
-            route.priority if priority is None else priority,
-            min(request.deadline, request.received_at + route.time_limit),
-        )
-
-    def share_of(self, route: routes.Route) -> routes.ServiceShare:
-        """Return the service that gets a request, by the shares' weights."""
-        if len(route.shares) == 1:
-            return route.shares[0]
-        weights = [share.weight for share in route.shares]
-        return self.rng.choices(route.shares, weights)[0]
-
     def of_send(
         self, event: relay_events.RelayEvent, now: float
     ) -> list[Action]:
--- /dev/null
+++ b/src/greengagelb/coordination/relay/rulings.py
@@ -0,0 +1,59 @@
+"""What the configuration makes of a request: where it may go, or why not."""
+
+import random
+
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import answers
+from greengagelb.state.relay import requests
+from greengagelb.state.relay import routes
+
+NOT_FOUND = 404
+UNAUTHORIZED = 401
+# A caller that finds an instance without a configuration is sent to another
+# one, after so many seconds.
+NO_CONFIGURATION_WAIT = 0.2
+
+
+class Rulings:
+    """Applies a configuration to requests."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+
+    def rule(
+        self,
+        request: requests.CallerRequest,
+        table: routes.RouteTable | None,
+    ) -> requests.Ruling | relay_actions.Refuse:
+        """Return what a request may have, or why it may have nothing."""
+        if table is None:
+            return relay_actions.Refuse(
+                request.exchange,
+                answers.UNAVAILABLE,
+                'no-configuration',
+                NO_CONFIGURATION_WAIT,
+            )
+        route = table.find(request.host, request.path)
+        if route is None:
+            code = 'unknown-route'
+            return relay_actions.Refuse(request.exchange, NOT_FOUND, code)
+        account = table.account_of(request.key) if request.key else None
+        closed = table.accounts is not None and not route.public
+        if account is None and closed:
+            code = 'unknown-key'
+            return relay_actions.Refuse(request.exchange, UNAUTHORIZED, code)
+        priority = account.priority if account else None
+        return requests.Ruling(
+            route,
+            table.services[self.share_of(route).service],
+            account.name if account else '',
+            route.priority if priority is None else priority,
+            min(request.deadline, request.received_at + route.time_limit),
+        )
+
+    def share_of(self, route: routes.Route) -> routes.ServiceShare:
+        """Return the service that gets a request, by the shares' weights."""
+        if len(route.shares) == 1:
+            return route.shares[0]
+        weights = [share.weight for share in route.shares]
+        return self.rng.choices(route.shares, weights)[0]
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -20,7 +20,8 @@
 # A copy of a usual run takes some milliseconds; behind those of a whole data
 # centre's runs it may take a second.
 COPY_SECONDS = 2.0
-MOST_COPY_ANSWER_PARTS = 64
+# Answers to questions of our own are smaller by far.
+MOST_SHORT_BYTES = 65_536
 
 Dispatch = Callable[[relay_events.RelayEvent], None]
 
@@ -117,114 +118,43 @@
         self.side.dispatch(event)
 
 
-class ProbeAnswer:
-    """Receives the answer to a probe; any answer is a sign of life."""
+class ShortAnswer:
+    """Receives the answer to a question of our own, or the lack of one.
+
+    ``done`` is called exactly once: with the head and the body of a whole
+    answer, or with None.
+    """
 
     def __init__(
-        self, side: 'EngineSide', probe: relay_actions.ProbeEngine
+        self, done: Callable[[h11.Response | None, bytes], None]
     ) -> None:
-        self.side = side
-        self.probe = probe
+        self.done = done
+        self.response: h11.Response | None = None
+        self.body = b''
         self.over = False
 
     def answer_began(self, response: h11.Response) -> None:
-        """Report the sign of life."""
-        self.report(True)
+        """Keep the head."""
+        self.response = response
 
     def answer_moved(self, data: bytes) -> None:
-        """Nothing in the body matters."""
+        """Gather the body, which is a few hundred bytes."""
+        if len(self.body) < MOST_SHORT_BYTES:
+            self.body += data
 
     def answer_complete(self) -> None:
-        """Nothing more follows."""
+        """Give the answer to who asked."""
+        self.finish(self.response)
 
     def answer_broken(self, handed_over: bool, detail: str) -> None:
-        """Report that there is none."""
-        self.report(False)
-
-    def report(self, alive: bool) -> None:
-        """Report once."""
-        if self.over:
-            return
-        self.over = True
-        self.side.dispatch(
-            relay_events.EngineProbed(
-                self.probe.exchange, self.probe.send, alive
-            )
-        )
-
-
-class SuccessorAnswer:
-    """Receives the answer of whoever is at an engine's address."""
-
-    def __init__(self, side: 'EngineSide', old: str) -> None:
-        self.side = side
-        self.old = old
-        self.over = False
-
-    def answer_began(self, response: h11.Response) -> None:
-        """Report who answers."""
-        self.report(self.side.dialect.read_answer(response).engine)
-
-    def answer_moved(self, data: bytes) -> None:
-        """Nothing in the body matters."""
+        """Tell who asked that there is none."""
+        self.finish(None)
 
-    def answer_complete(self) -> None:
-        """Nothing more follows."""
-
-    def answer_broken(self, handed_over: bool, detail: str) -> None:
-        """Report that nobody answers."""
-        self.report('')
-
-    def report(self, engine: str) -> None:
-        """Report once."""
+    def finish(self, response: h11.Response | None) -> None:
+        """Call back once."""
         if not self.over:
             self.over = True
-            self.side.dispatch(relay_events.SuccessorSeen(self.old, engine))
-
-
-class CopyAnswer:
-    """Receives the answer to an order to copy a run."""
-
-    def __init__(
-        self, side: 'EngineSide', copy: relay_actions.CopyRun
-    ) -> None:
-        self.side = side
-        self.copy = copy
-        self.status = 0
-        self.body: list[bytes] = []
-        self.over = False
-
-    def answer_began(self, response: h11.Response) -> None:
-        """Keep the status."""
-        self.status = response.status_code
-
-    def answer_moved(self, data: bytes) -> None:
-        """Gather the body; it is a few bytes."""
-        if len(self.body) < MOST_COPY_ANSWER_PARTS:
-            self.body.append(data)
-
-    def answer_complete(self) -> None:
-        """Report the handle."""
-        body = b''.join(self.body)
-        self.report(self.side.dialect.read_copy(self.status, body))
-
-    def answer_broken(self, handed_over: bool, detail: str) -> None:
-        """Report that there is no copy."""
-        self.report('')
-
-    def report(self, handle: str) -> None:
-        """Report once."""
-        if self.over:
-            return
-        self.over = True
-        self.side.dispatch(
-            relay_events.RunCopied(
-                self.copy.exchange,
-                self.copy.send,
-                self.copy.target.engine,
-                handle,
-            )
-        )
+            self.done(response, self.body)
 
 
 class EngineSide:
@@ -255,57 +185,68 @@
         if not pending.over:
             self.under_way[key] = pending
 
-    def probe(self, probe: relay_actions.ProbeEngine) -> None:
-        """Ask an engine for a sign of life."""
-        answer = ProbeAnswer(self, probe)
+    def ask(
+        self,
+        entry: engines.EngineEntry,
+        request: http_client.WireRequest,
+        seconds: float,
+        done: Callable[[h11.Response | None, bytes], None],
+        fresh: bool = False,
+    ) -> None:
+        """Ask an engine something of our own, for some seconds at most."""
+        answer = ShortAnswer(done)
         pending = self.pool.request(
-            probe.engine.engine,
-            probe.engine.address,
-            lambda: self.dialect.write_probe(probe.engine),
-            answer,
+            entry.engine, entry.address, lambda: request, answer, fresh
         )
 
         def too_late() -> None:
             if not answer.over:
                 pending.abandon()
-                answer.report(False)
+                answer.finish(None)
+
+        self.pool.reactor.callLater(seconds, too_late)
+
+    def probe(self, probe: relay_actions.ProbeEngine) -> None:
+        """Ask an engine for a sign of life; any answer is one."""
 
-        self.pool.reactor.callLater(PROBE_SECONDS, too_late)
+        def done(response: h11.Response | None, body: bytes) -> None:
+            self.dispatch(
+                relay_events.EngineProbed(
+                    probe.exchange, probe.send, response is not None
+                )
+            )
+
+        request = self.dialect.write_probe(probe.engine)
+        self.ask(probe.engine, request, PROBE_SECONDS, done)
 
     def copy_run(self, copy: relay_actions.CopyRun) -> None:
         """Have an engine copy a run's memory to another one."""
-        answer = CopyAnswer(self, copy)
-        pending = self.pool.request(
-            copy.source.engine,
-            copy.source.address,
-            lambda: self.dialect.write_copy(copy),
-            answer,
-        )
 
-        def too_late() -> None:
-            if not answer.over:
-                pending.abandon()
-                answer.report('')
+        def done(response: h11.Response | None, body: bytes) -> None:
+            status = response.status_code if response is not None else 0
+            self.dispatch(
+                relay_events.RunCopied(
+                    copy.exchange,
+                    copy.send,
+                    copy.target.engine,
+                    self.dialect.read_copy(status, body),
+                )
+            )
 
-        self.pool.reactor.callLater(COPY_SECONDS, too_late)
+        request = self.dialect.write_copy(copy)
+        self.ask(copy.source, request, COPY_SECONDS, done)
 
     def ask_successor(self, entry: engines.EngineEntry, path: str) -> None:
         """Ask who answers at an engine's address, on a new connection."""
-        answer = SuccessorAnswer(self, entry.engine)
-        pending = self.pool.request(
-            entry.engine,
-            entry.address,
-            lambda: self.dialect.write_question(entry, path),
-            answer,
-            fresh=True,
-        )
 
-        def too_late() -> None:
-            if not answer.over:
-                pending.abandon()
-                answer.report('')
+        def done(response: h11.Response | None, body: bytes) -> None:
+            found = ''
+            if response is not None:
+                found = self.dialect.read_answer(response).engine
+            self.dispatch(relay_events.SuccessorSeen(entry.engine, found))
 
-        self.pool.reactor.callLater(PROBE_SECONDS, too_late)
+        request = self.dialect.write_question(entry, path)
+        self.ask(entry, request, PROBE_SECONDS, done, fresh=True)
 
     def abandon(self, exchange: int, send: int) -> None:
         """Close the connection of a send."""
