Read lists that don't fit into one answer of the store whole

Cause: a read of a table took the first 500 rows for all of them. With 630 engines, 130 would get no work, and be taken as gone after each whole read. Ruled out: the feed of changes has no such bound on its page. Change: further answers are fetched from the last key on; the version is that of the first answer, so that changes in between are found again.

--- a/src/greengagelb/platform/store.py
+++ b/src/greengagelb/platform/store.py
@@ -1,5 +1,7 @@
 """The calls of the platform's store."""
 
+import urllib.parse
+
 import h11
 from twisted.internet import defer
 
@@ -15,6 +17,8 @@
 ENGINES_TABLE = 'servers'
 # A table of our own: one row for each instance, by its name.
 MEMBERS_TABLE = 'instances'
+# The most rows in one answer, by the platform's page on its store.
+MOST_ROWS = 500
 OK = 200
 GONE = 410
 # An answer takes some milliseconds, and a quarter of a second while the
@@ -107,11 +111,30 @@
         answer.done.addBoth(stop_timer)
         return answer.done.addCallback(check_status)
 
-    def read_all(self, table: str) -> defer.Deferred:
-        """Return all rows of a table."""
-        return self.get(
-            f'/api/rows-get?table={table}&part=&limit=500', ANSWER_SECONDS
-        ).addCallback(rows.decode, rows.Rows)
+    @defer.inlineCallbacks
+    def read_all(self, table: str) -> object:
+        """Return all rows of a table, however many answers they take.
+
+        The version is that of the first answer: what changes while the others
+        are fetched is then found again among the changes since.
+        """
+        first = yield self.read_page(table, '')
+        found = list(first.rows)
+        page = first
+        while page.has_more:
+            last = found[-1].key
+            page = yield self.read_page(table, last)
+            found += [row for row in page.rows if row.key != last]
+        return rows.Rows(found, first.ver)
+
+    def read_page(self, table: str, begin: str) -> defer.Deferred:
+        """Return the rows of a table from a key on, that one included."""
+        target = f'/api/rows-get?table={table}&part=&limit={MOST_ROWS}'
+        if begin:
+            target += f'&from={urllib.parse.quote(begin, safe="")}'
+        return self.get(target, ANSWER_SECONDS).addCallback(
+            rows.decode, rows.Rows
+        )
 
     def read_changes(
         self, table: str, position: int, wait_seconds: float
--- /dev/null
+++ b/tests/platform/test_long_lists.py
@@ -0,0 +1,80 @@
+"""Lists that don't fit into one answer of the platform's store."""
+
+import base64
+import json
+import urllib.parse
+
+from twisted.internet import defer
+
+from greengagelb.platform import rows
+from greengagelb.platform import store
+from greengagelb.state.relay import engines
+
+# An answer holds 500 rows; the fleet to design for has 630 engines.
+PAGE = 500
+ENGINES = 630
+
+
+def entry(number):
+    """Return an engine's row."""
+    value = {'service': 's', 'address': f'10.0.{number // 250}.9:{number + 1}'}
+    text = base64.b64encode(json.dumps(value).encode()).decode()
+    return rows.Row(f'i-{number:05}', text, ver=3)
+
+
+class PagedStore(store.PlatformStore):
+    """A store that answers from a list, a page at a time.
+
+    An engine that comes between two pages makes the version grow.
+    """
+
+    def __init__(self):
+        super().__init__(None, engines.Address('127.0.0.1', 1))
+        self.kept = [entry(number) for number in range(ENGINES)]
+        self.version = 10
+
+    def get(self, target, seconds):
+        path, _, query = target.partition('?')
+        assert path == '/api/rows-get'
+        fields = urllib.parse.parse_qs(query)
+        begin = fields.get('from', [''])[0]
+        found = [row for row in self.kept if row.key >= begin]
+        answer = rows.Rows(
+            found[:PAGE], self.version, has_more=len(found) > PAGE
+        )
+        self.version += 1
+        return defer.succeed(json.dumps(as_json(answer)).encode())
+
+
+def as_json(answer):
+    """Return an answer as the store writes it."""
+    return {
+        'ver': answer.ver,
+        'has_more': answer.has_more,
+        'rows': [
+            {'key': row.key, 'value': row.value, 'ver': row.ver}
+            for row in answer.rows
+        ],
+    }
+
+
+def test_list_of_engines_longer_than_an_answer_is_read_whole():
+    """A large fleet starts, and its list needs two answers.
+
+    Engines that only the second one names would get no work; and when the
+    list is read whole again they would all be taken as gone at once.
+    """
+    read = []
+    PagedStore().read_engines(None).addCallback(read.append)
+    assert len({found.engine for found in read[0].entries}) == ENGINES
+
+
+def test_changes_between_two_answers_are_read_again():
+    """The list changes while its second part is being fetched.
+
+    Followed from the second answer's version on, changes to rows of the first
+    part would never be seen.
+    """
+    read = []
+    PagedStore().read_engines(None).addCallback(read.append)
+    assert read[0].position == 10
