Keep no engine that left because one read of the list had failed

Cause: after any failed read, entries missing from the next one were kept for two seconds, as if the store had been away and they had lapsed. An engine that leaves without saying so then got work for up to three seconds. Beside it, two smaller delays: a configuration that was applied counted as a look at the list of engines for the neighbours, and after the store's history was gone the whole list was read only at the next look, 0.7 to 1 s later. Change: entries are kept only after a gap in what is known here that is long enough for entries to lapse, two of the engines' heartbeats (now a setting); the word on a configuration speaks of the configuration alone; the whole list is read at once.

--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -85,13 +85,17 @@
 class EngineDirectory:
     """All engines that this instance has heard of, by their identity.
 
+    ``confirmed_at`` is when the list was last known to be up to date here.
+
     Invariant: ``by_service`` names exactly the states in ``states``.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, least_lapse_seconds: float) -> None:
+        self.least_lapse_seconds = least_lapse_seconds
         self.states: dict[str, EngineState] = {}
         self.by_service: dict[str, dict[str, EngineState]] = {}
         self.lost = False
+        self.confirmed_at = float('-inf')
         self.regained_at = float('-inf')
 
     # -- what the list says -------------------------------------------------
@@ -172,10 +176,21 @@
         self.lost = True
 
     def found(self, now: float) -> None:
-        """Note that the list can be had."""
+        """Note that the list can be had.
+
+        A single read that failed is no outage: no entry lapses that fast, so
+        what is missing now has left. Kept for another two seconds it would
+        get work for longer than is promised.
+        """
         if self.lost:
             self.lost = False
-            self.regained_at = now
+            if now >= self.confirmed_at + self.least_lapse_seconds:
+                self.regained_at = now
+        self.confirmed(now)
+
+    def confirmed(self, now: float) -> None:
+        """Note that the list is as it is known here."""
+        self.confirmed_at = now
 
     def forget(self, now: float) -> None:
         """Drop engines that are long gone and have no work of ours."""
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -59,11 +59,13 @@
         rng: random.Random,
         own: hints.Member,
         retry_bounds: bounds.RetryBounds,
-        address_reuse: float,
+        engine_bounds: bounds.EngineBounds,
     ) -> None:
         self.rng = rng
         self.table: routes.RouteTable | None = None
-        self.engines = directory.EngineDirectory()
+        self.engines = directory.EngineDirectory(
+            engine_bounds.least_lapse_seconds
+        )
         self.engines_known = False
         self.loads = loads.RunLoads()
         self.budget = budget.SharedRetryBudget(retry_bounds)
@@ -78,7 +80,9 @@
         self.rulings = rulings.Rulings(rng)
         parts = calls.Parts(self.engines, chooser, self.sends, self.answers)
         self.calls = calls.CallRelay(parts)
-        self.succession = succession.Succession(self.engines, address_reuse)
+        self.succession = succession.Succession(
+            self.engines, engine_bounds.address_reuse_seconds
+        )
         self.streams = streams.StreamRelay(parts, self.succession)
         self.fleet = fleet.FleetView(self.loads)
         self.exchanges: dict[int, exchanges.Exchange] = {}
@@ -231,14 +235,20 @@
                 ending = self.engines.changed(entries, removed, now)
                 return self.leaving(ending, now)
             case hints.StoreRead(digest, version):
-                known = self.table.version if self.table else 0
-                self.sharing.told(
-                    same_engines=digest == self.engines.digest(),
-                    same_version=version <= known,
-                    now=now,
-                )
+                same = digest == self.engines.digest()
+                if same:
+                    self.engines.confirmed(now)
+                self.sharing.engines.told(same=same, now=now)
+                self.version_told(version, now)
+            case hints.ConfigurationApplied(version):
+                self.version_told(version, now)
         return []
 
+    def version_told(self, version: int, now: float) -> None:
+        """Take in which configuration another instance has."""
+        known = self.table.version if self.table else 0
+        self.sharing.configuration.told(same=version <= known, now=now)
+
     # -- requests -----------------------------------------------------------
 
     def arrive(
@@ -383,7 +393,8 @@
         why = f'version {table.version} from {event.source}'
         done: list[Action] = [actions.Record('configuration-applied', why)]
         if self.sharing.is_reader(now):
-            done.append(relay_actions.TellNeighbours(self.store_read()))
+            hint = hints.ConfigurationApplied(table.version)
+            done.append(relay_actions.TellNeighbours(hint))
         return done
 
     def store_read(self) -> hints.StoreRead:
--- a/src/greengagelb/coordination/relay/store_sharing.py
+++ b/src/greengagelb/coordination/relay/store_sharing.py
@@ -49,6 +49,13 @@
         self.fresh_at = now
         self.stale = False
 
+    def told(self, *, same: bool, now: float) -> None:
+        """Take in whether one who has just read it knows the same."""
+        if same:
+            self.known(now)
+        else:
+            self.stale = True
+
 
 class StoreSharing:
     """Decides when this instance reads the store."""
@@ -92,16 +99,3 @@
         The one who reads for all waits at the store for its next change.
         """
         return self.is_reader(now) or self.configuration.due(now)
-
-    def told(
-        self, *, same_engines: bool, same_version: bool, now: float
-    ) -> None:
-        """Take in the word of one who has read the store."""
-        for part, same in (
-            (self.engines, same_engines),
-            (self.configuration, same_version),
-        ):
-            if same:
-                part.known(now)
-            else:
-                part.stale = True
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -92,6 +92,14 @@
     version: int
 
 
+class ConfigurationApplied(
+    msgspec.Struct, frozen=True, array_like=True, tag='c', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.ConfigurationApplied`."""
+
+    version: int
+
+
 class Datagram(msgspec.Struct, frozen=True, array_like=True):
     """One message; ``incarnation`` is that of the sender."""
 
@@ -104,6 +112,7 @@
         | Replaced
         | EnginesTold
         | StoreRead
+        | ConfigurationApplied
     )
 
 
@@ -153,6 +162,8 @@
             wire = EnginesTold(tuple(map(write_engine, entries)), removed)
         case hints.StoreRead(digest, version):
             wire = StoreRead(digest, version)
+        case hints.ConfigurationApplied(version):
+            wire = ConfigurationApplied(version)
     return _encoder.encode(Datagram(incarnation, wire))
 
 
@@ -191,6 +202,8 @@
             hint = hints.EnginesTold(tuple(map(read_engine, entries)), removed)
         case StoreRead(digest, version):
             hint = hints.StoreRead(digest, version)
+        case ConfigurationApplied(version):
+            hint = hints.ConfigurationApplied(version)
         case heartbeat:
             return datagram.incarnation, heartbeat
     return datagram.incarnation, hint
--- a/src/greengagelb/relay_settings.py
+++ b/src/greengagelb/relay_settings.py
@@ -43,17 +43,6 @@
     grace_seconds: float = 8.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineSettings:
-    """Section ``[engines]``: what the platform promises of engines.
-
-    For ``address_reuse_seconds`` after an engine has ended, its address is
-    given to no engine of another service; 0 promises nothing.
-    """
-
-    address_reuse_seconds: float = 0.0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelaySettings:
     """All settings of a relaying instance."""
@@ -62,7 +51,7 @@
     store: StoreSettings
     retries: bounds.RetryBounds
     stop: StopSettings
-    engines: EngineSettings
+    engines: bounds.EngineBounds
 
     def __post_init__(self) -> None:
         place = self.instance
@@ -114,7 +103,13 @@
             'slack': parse_amount,
         },
     ),
-    'engines': (EngineSettings, {'address_reuse_seconds': parse_amount}),
+    'engines': (
+        bounds.EngineBounds,
+        {
+            'address_reuse_seconds': parse_amount,
+            'heartbeat_milliseconds': parse_amount,
+        },
+    ),
     'stop': (StopSettings, {'grace_seconds': settings.parse_seconds}),
 }
 
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -70,7 +70,25 @@
     version: int
 
 
-Hint = Placed | Ended | Failed | Replaced | EnginesTold | StoreRead
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationApplied:
+    """The sender has just taken a configuration from the store.
+
+    It says nothing of the list of engines, which it may have read long ago.
+    """
+
+    version: int
+
+
+Hint = (
+    Placed
+    | Ended
+    | Failed
+    | Replaced
+    | EnginesTold
+    | StoreRead
+    | ConfigurationApplied
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -66,7 +66,7 @@
             random.Random(),
             self.own,
             settings.retries,
-            settings.engines.address_reuse_seconds,
+            settings.engines,
         )
         self.metrics = relay_metrics.RelayMetrics()
         self.recorder = recorder.Recorder(
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -171,14 +171,13 @@
         now = self.reactor.seconds()
         reads_for_all = self.sharing.is_reader(now)
         self.sharing.configuration.looked(now)
+        wait = CONFIGURATION_WAIT if reads_for_all else 0.0
         try:
             read = yield self.source.read_configuration(
-                self.configuration_position,
-                CONFIGURATION_WAIT if reads_for_all else 0.0,
+                self.configuration_position, wait
             )
         except errors.HistoryGone:
-            self.configuration_position = None
-            return
+            read = yield self.source.read_configuration(None, wait)
         self.configuration_position = read.position
         self.sharing.configuration.known(now)
         if read.mistake:
@@ -192,12 +191,14 @@
         while not self.sharing.engines_due(self.reactor.seconds()):
             yield self.sleep(LOOK_SECONDS)
         self.sharing.engines.looked(self.reactor.seconds())
+        whole = self.engines_position is None
         try:
             read = yield self.source.read_engines(self.engines_position)
         except errors.HistoryGone:
-            self.engines_position = None
-            return
-        whole = self.engines_position is None
+            # Waiting for the next look would cost a second, in which engines
+            # that have left get work.
+            whole = True
+            read = yield self.source.read_engines(None)
         self.engines_position = read.position
         for mistake in read.mistakes:
             self.record(actions.Record('bad-engine-entry', mistake))
--- a/tests/common/relay_world.py
+++ b/tests/common/relay_world.py
@@ -68,6 +68,7 @@
 RETRIES = bounds.RetryBounds(ratio=0.8, window_seconds=10.0, slack=150.0)
 # For so many seconds an engine's address goes to none of another service.
 ADDRESS_REUSE = 2.0
+ENGINE_BOUNDS = bounds.EngineBounds(ADDRESS_REUSE)
 PROMPT = requests.Prompt(8_000, 780, 'a-part')
 SEAL = ((b'Content-Type', b'text/plain'),)
 
@@ -116,7 +117,7 @@
     def __init__(self, entries=None, table=None, seed=1, place='north'):
         own = hints.Member('own', '5-own', '127.0.0.1', place)
         self.relay = relay.Relay(
-            random.Random(seed), own, RETRIES, ADDRESS_REUSE
+            random.Random(seed), own, RETRIES, ENGINE_BOUNDS
         )
         self.now = 100.0
         self.actions = []
--- /dev/null
+++ b/tests/relay/test_leaving_engines.py
@@ -0,0 +1,155 @@
+"""Engines that leave while the store is hard to reach."""
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from greengagelb import errors
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import store_sharing
+from greengagelb.state.relay import hints
+from greengagelb.transport.relay import store_watch
+from tests.common import relay_world
+
+OWN = hints.Member('own', '5-own', '127.0.0.1', 'north')
+READER = '0-before-all-others'
+GONE = 'model-north-0'
+
+
+def engines_used(world, requests=40):
+    """Return the engines that get the next streams."""
+    return {
+        world.last_send(world.ask()).engine.engine for _ in range(requests)
+    }
+
+
+def test_engine_removed_after_one_failed_read_gets_no_more_work():
+    """One read of the list fails, and the next one tells of a removal.
+
+    An entry lapses only after several renewals were missed, so a gap of a
+    second in what is known here can't be why it is missing. An engine that
+    leaves without saying so first is just removed; kept for another two
+    seconds, it is sent streams until it cuts them off.
+    """
+    world = relay_world.RelayWorld()
+    world.advance(1.0)
+    world.change_engines()
+    world.advance(0.6)
+    world.handle(relay_events.StoreLost('no answer in time'))
+    world.advance(0.1)
+    world.change_engines(removed=[GONE])
+    assert GONE not in engines_used(world)
+
+
+def test_engines_missing_after_an_outage_are_kept_for_a_moment():
+    """The store is away for longer than entries live without renewal.
+
+    Its list is empty when it comes back, and engines need a moment to write
+    their entries again. Taken at its word it would have every request refused.
+    """
+    world = relay_world.RelayWorld()
+    world.advance(1.0)
+    world.handle(relay_events.StoreLost('away'))
+    world.advance(5.0)
+    world.change_engines(removed=[GONE])
+    assert GONE in engines_used(world)
+    world.advance(2.1)
+    assert GONE not in engines_used(world)
+
+
+def test_word_of_a_neighbour_counts_as_knowing_the_list():
+    """The neighbour that reads for all is stopped, and one own read fails.
+
+    Until then its word came each second. Measured from the last own read
+    instead, every such hand-over would look like an outage of the store, and
+    engines that leave would be kept.
+    """
+    world = relay_world.RelayWorld()
+    world.handle(relay_events.PeerHeard(READER, 'north'))
+    for _ in range(10):
+        world.advance(1.0)
+        word = hints.StoreRead(
+            world.relay.engines.digest(), world.relay.table.version
+        )
+        world.handle(relay_events.PeerTold(READER, word))
+    world.advance(1.4)
+    world.handle(relay_events.StoreLost('ConnectionLost'))
+    world.advance(0.1)
+    world.change_engines(removed=[GONE])
+    assert GONE not in engines_used(world)
+
+
+def test_news_of_a_configuration_say_nothing_of_the_engines():
+    """The neighbour that reads for all applies a configuration.
+
+    It tells the others at once, but it has not looked at the list of engines
+    just then. Taken for a look, its word would put off theirs, and an engine
+    that leaves gets work for longer than is promised.
+    """
+    reader = relay_world.RelayWorld()
+    reader.handle(relay_events.PeerHeard('~after-all-others', 'north'))
+    follower = relay_world.RelayWorld()
+    follower.handle(relay_events.PeerHeard(READER, 'north'))
+    word = hints.StoreRead(
+        follower.relay.engines.digest(), follower.relay.table.version
+    )
+    follower.handle(relay_events.PeerTold(READER, word))
+    follower.advance(1.0)
+    reader.advance(1.0)
+    before = len(reader.actions)
+    reader.offer(relay_world.route_table(2))
+    for action in reader.actions[before:]:
+        if hasattr(action, 'hint'):
+            follower.handle(relay_events.PeerTold(READER, action.hint))
+    follower.advance(0.45)
+    assert follower.relay.sharing.engines_due(follower.now)
+    assert follower.relay.sharing.configuration_due(follower.now)
+
+
+class ForgetfulStore:
+    """A source that has lost its history; counts reads of the whole list."""
+
+    def __init__(self):
+        self.whole_lists = 0
+        self.whole_configurations = 0
+
+    def read_configuration(self, position, wait_seconds):
+        if position is not None:
+            return defer.fail(errors.HistoryGone('gone'))
+        self.whole_configurations += 1
+        if self.whole_configurations > 1:
+            return defer.Deferred()
+        return defer.succeed(store_watch.ConfigurationRead(7, None))
+
+    def read_engines(self, position):
+        if position is not None:
+            return defer.fail(errors.HistoryGone('gone'))
+        self.whole_lists += 1
+        return defer.succeed(store_watch.EnginesRead(7, (), ()))
+
+    def register(self, member):
+        return defer.Deferred()
+
+
+def test_whole_list_is_read_as_soon_as_the_history_is_gone():
+    """The store forgets its history, so that changes can't be read on.
+
+    Waiting for the next look costs another second, in which an engine that
+    has left by now gets work.
+    """
+    clock = task.Clock()
+    source = ForgetfulStore()
+    sharing = store_sharing.StoreSharing(OWN.incarnation, OWN.data_centre)
+    watch = store_watch.StoreWatch(
+        clock,
+        source,
+        lambda event: None,
+        lambda record: None,
+        OWN,
+        sharing,
+        lambda members: None,
+    )
+    watch.start()
+    assert source.whole_lists == 1
+    clock.advance(store_sharing.READ_SECONDS + 0.06)
+    assert source.whole_lists == 2
+    assert source.whole_configurations == 2
