Handle signals from the first line on, and put changed settings in force

Settings that changed later were not read at all, signal or not. Ruled out: the handlers of the running process (stops and reloads of instances that had started ended none). Change: a program of a few lines handles signals, then imports the rest; the settings file is read again on a signal and when it is replaced, a bad one is refused with its mistake and the last good one stays; both are logged.

--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -91,6 +91,14 @@
         self.progress = lifecycle.Progress()
         self.lifecycle = lifecycle.new_lifecycle(self.progress)
 
+    def rebound(
+        self, retries: bounds.RetryBounds, of_engines: bounds.EngineBounds
+    ) -> None:
+        """Go by changed bounds from now on."""
+        self.budget.bounds = retries
+        self.engines.least_lapse_seconds = of_engines.least_lapse_seconds
+        self.succession.address_reuse = of_engines.address_reuse_seconds
+
     @property
     def usable_table(self) -> routes.RouteTable | None:
         """Return the configuration, once there are engines to go with it."""
--- a/src/greengagelb/platform/__main__.py
+++ b/src/greengagelb/platform/__main__.py
@@ -1,63 +1,24 @@
-"""Runs one instance on the platform: ``python3 -m greengagelb.platform``.
+"""The program of an instance: ``python3 -m greengagelb.platform``.
 
-Imports no more than serving needs. What the other commands use would take
-half as much memory again on machines that are paid for by memory.
+Signals are handled before anything large is imported, which takes half a
+second. Until then the usual handling would end the process: a reload would
+take an instance out, and a stop would look like a crash.
 """
 
-import os
-import pathlib
 import signal
 import sys
 
-from greengagelb import errors
-from greengagelb import relay_settings
-from greengagelb.platform import store
-from greengagelb.platform import wire
-from greengagelb.transport import bounded_log
-from greengagelb.transport import reactors
-
-SETTINGS_VARIABLE = 'GREENGAGELB_SETTINGS'
-LOG_FLUSH_SECONDS = 0.5
-
 
 def main() -> int:
-    """Run until the platform asks to stop and nothing is under way."""
-    try:
-        path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
-        settings = relay_settings.read_relay_settings(path)
-    except errors.SettingsError as exc:
-        sys.stderr.write(f'greengagelb: {exc.code}: {exc}\n')
-        return 2
-    return run(settings)
-
-
-def run(settings: relay_settings.RelaySettings) -> int:
-    """Run an instance with good settings."""
-    # The reactor is installed by its import; what the others import takes an
-    # installed one for granted.
-    from twisted.internet import reactor  # noqa: PLC0415
+    """Handle signals, then run an instance."""
+    # The settings are about to be read anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Nothing is under way yet, so there is nothing to finish.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
 
-    from greengagelb.transport import recorder  # noqa: PLC0415
-    from greengagelb.transport.relay import instance  # noqa: PLC0415
+    from greengagelb.platform import process  # noqa: PLC0415
 
-    reactors.use_monotonic_clock(reactor)
-    log = bounded_log.BoundedLog(sys.stdout.fileno(), reactor.seconds)
-    recorder.configure_logging(log)
-    running = instance.RelayInstance(
-        reactor,
-        settings,
-        wire.PlatformDialect(),
-        lambda pool: store.PlatformStore(pool, settings.store.address),
-    )
-    running.loop.repeat(LOG_FLUSH_SECONDS, log.flush)
-    running.stopped.addCallback(lambda _: reactor.stop())
-    reactor.callWhenRunning(running.start)
-    signal.signal(
-        signal.SIGTERM, lambda *_: reactor.callFromThread(running.stop)
-    )
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    reactor.run(installSignalHandlers=False)
-    return 0
+    return process.main()
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/src/greengagelb/platform/process.py
@@ -0,0 +1,71 @@
+"""Runs one instance on the platform, from its settings to its end.
+
+Imports no more than serving needs. What the other commands use would take
+half as much memory again on machines that are paid for by memory.
+"""
+
+import os
+import pathlib
+import signal
+import sys
+
+from greengagelb import errors
+from greengagelb import relay_settings
+from greengagelb.platform import store
+from greengagelb.platform import wire
+from greengagelb.transport import bounded_log
+from greengagelb.transport import reactors
+from greengagelb.transport import settings_file
+
+SETTINGS_VARIABLE = 'GREENGAGELB_SETTINGS'
+LOG_FLUSH_SECONDS = 0.5
+# The platform says by a signal that the file has changed, but not always.
+SETTINGS_LOOK_SECONDS = 1.0
+
+read_settings = relay_settings.read_relay_settings
+
+
+def main() -> int:
+    """Run until the platform asks to stop and nothing is under way."""
+    try:
+        path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
+        settings = read_settings(path)
+    except errors.SettingsError as exc:
+        sys.stderr.write(f'greengagelb: {exc.code}: {exc}\n')
+        return 2
+    return run(settings, path)
+
+
+def run(settings: relay_settings.RelaySettings, path: pathlib.Path) -> int:
+    """Run an instance with good settings, read from ``path``."""
+    # The reactor is installed by its import; what the others import takes an
+    # installed one for granted.
+    from twisted.internet import reactor  # noqa: PLC0415
+
+    from greengagelb.transport import recorder  # noqa: PLC0415
+    from greengagelb.transport.relay import instance  # noqa: PLC0415
+
+    reactors.use_monotonic_clock(reactor)
+    log = bounded_log.BoundedLog(sys.stdout.fileno(), reactor.seconds)
+    recorder.configure_logging(log)
+    running = instance.RelayInstance(
+        reactor,
+        settings,
+        wire.PlatformDialect(),
+        lambda pool: store.PlatformStore(pool, settings.store.address),
+    )
+    running.loop.repeat(LOG_FLUSH_SECONDS, log.flush)
+    running.stopped.addCallback(lambda _: reactor.stop())
+    reactor.callWhenRunning(running.start)
+    file = settings_file.WatchedFile(
+        path, lambda: running.reload(lambda: read_settings(path))
+    )
+    running.loop.repeat(SETTINGS_LOOK_SECONDS, file.look)
+    signal.signal(
+        signal.SIGTERM, lambda *_: reactor.callFromThread(running.stop)
+    )
+    signal.signal(
+        signal.SIGHUP, lambda *_: reactor.callFromThread(file.changed)
+    )
+    reactor.run(installSignalHandlers=False)
+    return 0
--- a/src/greengagelb/platform/store.py
+++ b/src/greengagelb/platform/store.py
@@ -65,6 +65,10 @@
         self.pool = pool
         self.address = address
 
+    def move_to(self, address: engines.Address) -> None:
+        """Ask at another address from now on."""
+        self.address = address
+
     def get(self, target: str, seconds: float) -> defer.Deferred:
         """Return the body of a good answer to a reading call."""
         host = (b'Host', str(self.address).encode())
@@ -93,9 +97,8 @@
         :class:`~greengagelb.errors.HistoryGone`.
         """
         answer = StoreAnswer()
-        pending = self.pool.request(
-            'store', self.address, lambda: request, answer
-        )
+        key = f'store {self.address}'
+        pending = self.pool.request(key, self.address, lambda: request, answer)
 
         def too_late() -> None:
             pending.abandon()
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -1,6 +1,7 @@
 """One relaying instance: sockets, timers and clients around the decisions."""
 
 from collections.abc import Callable
+import dataclasses
 import random
 import secrets
 
@@ -87,9 +88,10 @@
             self.own, place.peer_port, self.loop.dispatch, self.bad_datagram
         )
         self.next_beat = reactor.seconds()
+        self.source = source_of(self.pool)
         self.watch = store_watch.StoreWatch(
             reactor,
-            source_of(self.pool),
+            self.source,
             self.loop.dispatch,
             self.recorder.record,
             self.own,
@@ -133,6 +135,27 @@
         except error.CannotListenError as exc:
             raise errors.CannotListen(str(exc)) from exc
 
+    def reload(self, read: Callable[[], relay_settings.RelaySettings]) -> None:
+        """Put changed settings in force, as far as a running process can.
+
+        With a bad file the last good settings stay. Names and ports are those
+        that others know; they are read at the next start.
+        """
+        try:
+            new = read()
+        except errors.SettingsError as exc:
+            why = f'{exc.code}: {exc}'
+            self.recorder.record(actions.Record('settings-refused', why))
+            return
+        kept = self.settings.instance
+        why = 'applied'
+        if new.instance != kept:
+            why = 'applied but for [instance], which needs a new start'
+        self.settings = dataclasses.replace(new, instance=kept)
+        self.relay.rebound(new.retries, new.engines)
+        self.source.move_to(new.store.address)
+        self.recorder.record(actions.Record('settings-reloaded', why))
+
     def sample(self) -> metrics.Sample:
         """Return what a scrape shows of this instance's state."""
         table = self.relay.table
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -65,6 +65,9 @@
     :class:`~greengagelb.errors.HistoryGone`.
     """
 
+    def move_to(self, address: engines.Address) -> None:
+        """Ask at another address from now on."""
+
     def read_configuration(
         self, position: int | None, wait_seconds: float
     ) -> defer.Deferred:
--- /dev/null
+++ b/tests/platform/test_early_signals.py
@@ -0,0 +1,44 @@
+"""Signals that come while an instance is still starting."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+# Runs the platform's program up to its first import of a large library, and
+# prints how signals are handled there.
+LOOK = """
+import json, runpy, signal, sys
+
+class Look:
+    def find_spec(self, name, path=None, target=None):
+        if name.partition('.')[0] in ('twisted', 'msgspec', 'h11'):
+            for number in (signal.SIGHUP, signal.SIGTERM):
+                print(json.dumps(signal.getsignal(number) != signal.SIG_DFL))
+            sys.stdout.flush()
+            raise SystemExit(7)
+
+sys.meta_path.insert(0, Look())
+runpy.run_module('greengagelb.platform', run_name='__main__')
+"""
+
+
+@pytest.mark.slow
+def test_signals_are_handled_before_anything_large_is_imported():
+    """The settings change, or a stop is asked for, while a process starts.
+
+    Its libraries take half a second to import. Until then the usual handling
+    of the signal would end the process: a reload would take an instance out
+    for no reason, and a stop would look like a crash.
+    """
+    looked = subprocess.run(
+        [sys.executable, '-c', LOOK],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert looked.returncode == 7, looked.stderr
+    handled = [json.loads(line) for line in looked.stdout.split()]
+    assert handled == [True, True]
--- /dev/null
+++ b/tests/process/test_reload.py
@@ -0,0 +1,60 @@
+"""Settings that change under a running instance of the platform."""
+
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from tests.common import fleet
+from tests.soak import instances
+
+pytestmark = pytest.mark.slow
+
+
+def write_settings(path, **changed):
+    """Write settings whose ports are free now; return them."""
+    names = ('callers', 'ready', 'peers', 'metrics', 'store')
+    fields = {
+        'name': 'relay-0',
+        'place': 'north',
+        'host': '127.0.0.1',
+        'heartbeat': 1_200,
+        'grace': 2.0,
+        **{name: fleet.free_port() for name in names},
+        **changed,
+    }
+    path.write_text(instances.SETTINGS.format(**fields))
+    return fields
+
+
+def test_changed_settings_are_applied_and_bad_ones_refused(tmp_path):
+    """The platform replaces the settings file, with and without a signal.
+
+    A process that ended on the signal would take its callers' streams with
+    it; one that took a file with a mistake would not come back.
+    """
+    path = tmp_path / 'relay.ini'
+    log = tmp_path / 'log'
+    fields = write_settings(path)
+    environment = {**os.environ, 'GREENGAGELB_SETTINGS': str(path)}
+    with log.open('wb') as out:
+        process = subprocess.Popen(
+            [sys.executable, '-m', 'greengagelb.platform'],
+            env=environment,
+            stdout=out,
+        )
+    try:
+        fleet.wait_until(lambda: 'started' in log.read_text())
+        write_settings(path, **{**fields, 'grace': 3.0})
+        process.send_signal(signal.SIGHUP)
+        fleet.wait_until(lambda: 'settings-reloaded' in log.read_text())
+        path.write_text('[instance]\n')
+        fleet.wait_until(lambda: 'settings-refused' in log.read_text())
+        assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=10) == 0
+    finally:
+        process.kill()
+        process.wait()
