Add a randomized soak of relaying instances with faults from outside

Real instances as processes on loopback; store, engines and callers are small stand-ins, and proxies stand on the links that faults harm. What callers and engines see is checked against what the product promises.

--- /dev/null
+++ b/tests/soak/engines.py
@@ -0,0 +1,224 @@
+"""Stand-ins for engines: they answer, count what they ran, and keep copies.
+
+Each stands behind a proxy, through which faults reach it.
+"""
+
+import dataclasses
+import itertools
+import random
+import secrets
+
+from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.web import resource
+from twisted.web import server
+
+from tests.soak import content
+from tests.soak import proxy
+
+STREAMS = 'drafts'
+CALLS = 'booking'
+# Seconds: between events of a stream, for reading a prompt, for a call.
+EVENT_SECONDS = 0.03
+READING_SECONDS = 0.2
+CALL_SECONDS = (0.005, 0.04)
+SLOTS = 16
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """What an engine saw of one request that it began to work on."""
+
+    request_id: str
+    engine: str
+    began_at: float
+    ended_at: float | None = None
+    answered: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Arrival:
+    """A request that reached an engine, whether it ran or not."""
+
+    engine: str
+    at: float
+
+
+class Engines:
+    """All engines, what they ran, and the copies that they keep."""
+
+    def __init__(self, reactor: interfaces.IReactorTCP) -> None:
+        self.reactor = reactor
+        self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
+        self.copies: set[tuple[str, str]] = set()
+        self.engines: list[Engine] = []
+
+
+class Engine(resource.Resource):
+    """One engine; each start of it has an identity of its own."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(
+        self, pool: Engines, host: str, service: str, place: str, seed: int
+    ) -> None:
+        super().__init__()
+        self.pool = pool
+        self.service = service
+        self.place = place
+        self.rng = random.Random(seed)
+        self.identity = ''
+        self.running: list[Run] = []
+        self.state = 'ready'
+        self.lives = True
+        self.heartbeats = itertools.count(1)
+        site = server.Site(self)
+        inner = pool.reactor.listenTCP(0, site, interface=host)
+        self.link = proxy.Proxy(pool.reactor, host)
+        self.link.far = (host, inner.getHost().port)
+        self.address = f'{host}:{self.link.port}'
+        self.start()
+        pool.engines.append(self)
+
+    def start(self) -> None:
+        """Begin a new life: another identity, nothing in memory."""
+        self.identity = 'i-' + secrets.token_hex(5)
+        self.state = 'ready'
+        self.lives = True
+        kept = self.pool.copies
+        kept -= {copy for copy in kept if copy[0] == self.address}
+
+    def crash(self) -> None:
+        """End at once, with all that runs."""
+        self.lives = False
+        self.link.refuse()
+
+    def restart(self) -> None:
+        """Come back at the same address."""
+        self.start()
+        if self.link.listening is None:
+            self.link.listen()
+
+    def entry(self) -> dict[str, object]:
+        """Return what the engine writes into the list of engines."""
+        return {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.place,
+            'version': 1,
+            'slots': SLOTS,
+            'state': self.state,
+            'cold_left_ms': 0,
+            'seq': next(self.heartbeats),
+        }
+
+    # -- requests -----------------------------------------------------------
+
+    def render(self, request: server.Request) -> object:
+        """Answer a request, or begin to."""
+        head = Head(request)
+        if head.expected not in ('', self.identity):
+            return self.not_run(request, 421)
+        if request.path in (b'/health', b'/api/report'):
+            request.setHeader('Instance-Id', self.identity)
+            return b'{}'
+        if not head.request_id:
+            return self.not_run(request, 400)
+        self.pool.arrivals.append(
+            Arrival(self.identity, self.pool.reactor.seconds())
+        )
+        if len(self.running) >= SLOTS:
+            return self.not_run(request, 503)
+        if head.copy_from and (self.address, head.copied_run) not in (
+            self.pool.copies
+        ):
+            return self.not_run(request, 503)
+        run = Run(head.request_id, self.identity, self.pool.reactor.seconds())
+        self.pool.runs.append(run)
+        self.running.append(run)
+        request.notifyFinish().addBoth(lambda _: self.ended(run))
+        request.setHeader('Request-Id', head.request_id)
+        request.setHeader('Engine-Seal', f'{self.identity}.{head.request_id}')
+        request.setHeader('Engine-Load', f'{len(self.running)},0,{SLOTS}')
+        if self.service == STREAMS:
+            self.generate(request, head, run)
+        else:
+            seconds = self.rng.uniform(*CALL_SECONDS)
+            self.later(seconds, run, self.answer_call, request, head, run)
+        return server.NOT_DONE_YET
+
+    def not_run(self, request: server.Request, status: int) -> bytes:
+        """Refuse a request, and say that it has not run."""
+        request.setResponseCode(status)
+        request.setHeader('Not-Executed', '1')
+        return b''
+
+    def ended(self, run: Run) -> None:
+        """Note the end of a run, whatever ended it."""
+        run.ended_at = self.pool.reactor.seconds()
+        self.running.remove(run)
+
+    def later(self, seconds: float, run: Run, call: object, *args: object):
+        """Go on with a run after some seconds, unless it is over by then."""
+
+        def go_on() -> None:
+            if run.ended_at is None:
+                call(*args)
+
+        task.deferLater(self.pool.reactor, seconds, go_on)
+
+    def answer_call(
+        self, request: server.Request, head: 'Head', run: Run
+    ) -> None:
+        """Answer a call whole."""
+        run.answered = True
+        request.write(content.call(head.request_id, head.body))
+        request.finish()
+
+    def generate(
+        self, request: server.Request, head: 'Head', run: Run
+    ) -> None:
+        """Begin a stream: read the prompt first, unless a copy is here."""
+        request.setHeader('Content-Type', 'text/event-stream')
+        if head.copy_to:
+            self.pool.copies.add((head.copy_to, head.request_id))
+        seconds = EVENT_SECONDS if head.copy_from else READING_SECONDS
+        self.later(
+            seconds, run, self.next_event, request, head, run, head.after + 1
+        )
+
+    def next_event(
+        self, request: server.Request, head: 'Head', run: Run, number: int
+    ) -> None:
+        """Write one event, and have the next one follow."""
+        if number > content.events_wanted(head.body):
+            run.answered = True
+            request.finish()
+            return
+        request.write(content.event(head.body, number))
+        self.later(
+            EVENT_SECONDS,
+            run,
+            self.next_event,
+            request,
+            head,
+            run,
+            number + 1,
+        )
+
+
+class Head:
+    """What a request to an engine says."""
+
+    def __init__(self, request: server.Request) -> None:
+        def field(name: str) -> str:
+            return request.getHeader(name) or ''
+
+        self.request_id = field('Request-Id')
+        self.expected = field('Expect-Instance')
+        self.copy_to = field('Kv-Backup')
+        self.copy_from = field('Kv-From')
+        self.copied_run = self.copy_from.partition('/')[2]
+        self.after = int(field('Last-Event-Id') or 0)
+        self.body = request.content.read()
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,94 @@
+"""What goes wrong in a run, drawn from its seed.
+
+Each fault is a data class; ``at`` is in seconds from the start of the faults
+and ``seconds`` how long it lasts. They come in series and overlap.
+"""
+
+import dataclasses
+import enum
+import random
+
+FAULT_SECONDS = 12.0
+
+
+class What(enum.Enum):
+    """What a fault does to its target."""
+
+    KILL_INSTANCE = 'kill-instance'
+    STOP_INSTANCE = 'stop-instance'
+    PAUSE_INSTANCE = 'pause-instance'
+    RELOAD_INSTANCE = 'reload-instance'
+    KILL_ALL_INSTANCES = 'kill-all-instances'
+    CRASH_ENGINE = 'crash-engine'
+    DARK_ENGINE = 'dark-engine'
+    SILENT_ENGINE = 'silent-engine'
+    RESET_ENGINE = 'reset-engine'
+    SLOW_ENGINE_LINK = 'slow-engine-link'
+    LOST_ENGINE_ANSWERS = 'lost-engine-answers'
+    LEAVING_ENGINE = 'leaving-engine'
+    STORE_AWAY = 'store-away'
+    STORE_FORGETS = 'store-forgets'
+    STORE_SLOW = 'store-slow'
+    STORE_ANSWERS_LOST = 'store-answers-lost'
+    STORE_LINK_CUT = 'store-link-cut'
+    NEW_CONFIGURATION = 'new-configuration'
+
+
+# Those that harm an instance, or what it knows.
+OF_INSTANCES = frozenset(
+    {
+        What.KILL_INSTANCE,
+        What.PAUSE_INSTANCE,
+        What.KILL_ALL_INSTANCES,
+    }
+)
+OF_THE_STORE = frozenset(
+    {
+        What.STORE_AWAY,
+        What.STORE_FORGETS,
+        What.STORE_SLOW,
+        What.STORE_ANSWERS_LOST,
+        What.STORE_LINK_CUT,
+    }
+)
+OF_ENGINES = frozenset(
+    {
+        What.CRASH_ENGINE,
+        What.DARK_ENGINE,
+        What.SILENT_ENGINE,
+        What.RESET_ENGINE,
+        What.SLOW_ENGINE_LINK,
+        What.LOST_ENGINE_ANSWERS,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault; ``target`` is a number that its injection maps to one."""
+
+    what: What
+    at: float
+    seconds: float
+    target: int
+
+
+def plan(rng: random.Random) -> list[Fault]:
+    """Return the faults of a run, in the order of their beginnings."""
+    found = []
+    for _ in range(rng.randint(6, 14)):
+        what = rng.choice(list(What))
+        found += series(rng, what)
+    return sorted(found, key=lambda fault: fault.at)
+
+
+def series(rng: random.Random, what: What) -> list[Fault]:
+    """Return a fault once, or several times in a row."""
+    times = rng.choice((1, 1, 1, 2, 3))
+    at = rng.uniform(0.0, FAULT_SECONDS - 3.0)
+    found = []
+    for _ in range(times):
+        seconds = rng.uniform(0.3, 3.0)
+        found.append(Fault(what, at, seconds, rng.randrange(1_000)))
+        at += rng.uniform(0.2, 2.0)
+    return found
--- /dev/null
+++ b/tests/soak/judge.py
@@ -0,0 +1,195 @@
+"""What a run must not show, from what callers and engines have seen."""
+
+import collections
+from collections.abc import Iterator
+import dataclasses
+
+from tests.soak import callers
+from tests.soak import content
+from tests.soak import faults
+from tests.soak import instances
+from tests.soak import world
+
+NOT_RUN = frozenset({408, 421, 429, 503})
+# An instance counts as calm so long after the last harm to it or the store.
+TOUCH_SECONDS = 3.0
+# Past its route's time limit an answer may take so long, in seconds.
+LATE_SECONDS = 0.5
+# Of the requests in the calm at the end so many must be served.
+LEAST_SERVED = 0.9
+ROUTE_LIMITS = {
+    callers.Kind.STREAM: 10.0,
+    callers.Kind.CALL: 0.9,
+    callers.Kind.QUERY: 0.9,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """A promise that a run broke."""
+
+    promise: str
+    detail: str
+
+
+class Judge:
+    """Judges one run."""
+
+    def __init__(self, played: world.World) -> None:
+        self.world = played
+        self.outcomes = played.callers.outcomes
+        self.runs = collections.defaultdict(list)
+        for run in played.engines.runs:
+            self.runs[run.request_id].append(run)
+
+    def verdict(self) -> list[Broken]:
+        """Return all promises that were broken."""
+        return [
+            *self.wrong_answers(),
+            *self.repeated(),
+            *self.false_refusals(),
+            *self.work_for_the_leaving(),
+            *self.cut_by_stops(),
+            *self.late(),
+            *self.refused_keys(),
+            *self.not_recovered(),
+            *self.ended(),
+        ]
+
+    def calm(self, instance: str, begin: float, end: float) -> bool:
+        """Return whether nothing harmed an instance or the store."""
+        harms = faults.OF_INSTANCES | faults.OF_THE_STORE
+        for moment in self.world.moments:
+            of_it = moment.target == instance
+            of_all = moment.what in faults.OF_THE_STORE
+            if moment.what in harms and (of_it or of_all):
+                until = moment.until + TOUCH_SECONDS
+                if moment.at < end and begin < until:
+                    return False
+        return True
+
+    # -- promises -----------------------------------------------------------
+
+    def wrong_answers(self) -> Iterator[Broken]:
+        """Find answers that are not what the request asked for."""
+        for found in self.outcomes:
+            if found.status != 200:
+                continue
+            if not found.sealed:
+                yield Broken('signed answers', found.request_id)
+            if found.kind is callers.Kind.STREAM:
+                right = content.stream(found.body, found.after + 1)
+            else:
+                right = content.call(found.request_id, found.body)
+            whole = found.answer == right
+            beginning = right.startswith(found.answer)
+            if not beginning or (found.whole and not whole):
+                detail = f'{found.request_id}: {found.answer[-80:]!r}'
+                yield Broken('whole answers in order', detail)
+
+    def repeated(self) -> Iterator[Broken]:
+        """Find calls that ran twice."""
+        for found in self.outcomes:
+            runs = self.runs[found.request_id]
+            if found.kind is callers.Kind.CALL and len(runs) > 1:
+                yield Broken('at most once', found.request_id)
+
+    def false_refusals(self) -> Iterator[Broken]:
+        """Find requests that ran although their callers were told not."""
+        for found in self.outcomes:
+            if found.status not in NOT_RUN:
+                continue
+            if self.runs[found.request_id]:
+                yield Broken('not run', found.request_id)
+            if not found.retry_after:
+                yield Broken('when to come back', found.request_id)
+
+    def work_for_the_leaving(self) -> Iterator[Broken]:
+        """Find requests that reached an engine long after it left."""
+        for moment in self.world.moments:
+            if moment.what is not faults.What.LEAVING_ENGINE:
+                continue
+            late = moment.at + instances.DRAIN_SECONDS
+            names = [i.name for i in self.world.instances]
+            begin = moment.at - TOUCH_SECONDS
+            if not all(self.calm(n, begin, late + 1.0) for n in names):
+                continue
+            for arrival in self.world.engines.arrivals:
+                if arrival.engine == moment.target and arrival.at > late:
+                    detail = f'{arrival.at - moment.at:.3f} s after'
+                    yield Broken('no work for the leaving', detail)
+
+    def cut_by_stops(self) -> Iterator[Broken]:
+        """Find requests that a planned stop has cut."""
+        for moment in self.world.moments:
+            if moment.what is not faults.What.STOP_INSTANCE:
+                continue
+            until = moment.at + instances.GRACE_SECONDS + 1.0
+            for found in self.outcomes:
+                if found.instance == moment.target and self.cut(
+                    found, moment.at, until
+                ):
+                    yield Broken('stops cut nothing', found.request_id)
+
+    def cut(self, found: callers.Outcome, begin: float, end: float) -> bool:
+        """Return whether an answer ended early for no other reason."""
+        ended = found.ended_at or end
+        runs = self.runs[found.request_id]
+        if found.whole or found.given_up or not runs:
+            return False
+        if ended < begin or found.began_at > end:
+            return False
+        span = found.began_at - TOUCH_SECONDS
+        if not self.calm(found.instance, span, ended):
+            return False
+        return not any(
+            moment.what in faults.OF_ENGINES
+            and moment.at < ended
+            and span < moment.until
+            for moment in self.world.moments
+        )
+
+    def late(self) -> Iterator[Broken]:
+        """Find requests that were kept past their time limit."""
+        for found in self.outcomes:
+            if found.given_up or found.ended_at is None:
+                continue
+            took = found.ended_at - found.began_at
+            if took <= ROUTE_LIMITS[found.kind] + LATE_SECONDS:
+                continue
+            if self.calm(found.instance, found.began_at, found.ended_at):
+                detail = f'{found.request_id}: {took:.2f} s {found.error}'
+                yield Broken('time limits', detail)
+
+    def refused_keys(self) -> Iterator[Broken]:
+        """Find callers whose good key or route was not known in time.
+
+        They show a new key only when it must be in force.
+        """
+        for found in self.outcomes:
+            if found.status not in (401, 403, 404):
+                continue
+            begin = found.began_at - TOUCH_SECONDS
+            if self.calm(found.instance, begin, found.began_at):
+                yield Broken('configuration in force', found.request_id)
+
+    def not_recovered(self) -> Iterator[Broken]:
+        """Find out whether requests are served again in the calm."""
+        probes = [
+            found
+            for found in self.outcomes
+            if found.began_at > self.world.probes_from and not found.given_up
+        ]
+        served = [f for f in probes if f.status == 200 and f.whole]
+        if len(served) < LEAST_SERVED * len(probes) or not probes:
+            lost = collections.Counter(
+                (f.status, f.error[:60]) for f in probes if f not in served
+            )
+            detail = f'{len(served)} of {len(probes)} served: {lost}'
+            yield Broken('recovery', detail)
+
+    def ended(self) -> Iterator[Broken]:
+        """Find processes that ended by themselves."""
+        for instance in self.world.instances:
+            for detail in instance.unexpected_ends:
+                yield Broken('instances live on', detail)
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,167 @@
+"""A loopback proxy that harms the connections through it.
+
+Bytes that a fault has swallowed never come later: on a real link the
+connection would stay silent, since what lay between has forgotten it.
+"""
+
+import enum
+import socket
+
+from twisted.internet import interfaces
+from twisted.internet import protocol
+
+
+class Mode(enum.Enum):
+    """What happens to bytes."""
+
+    PASS = 'pass'
+    LOSE_ANSWERS = 'lose-answers'
+    DARK = 'dark'
+
+
+class Half(protocol.Protocol):
+    """One end of a connection through the proxy."""
+
+    def __init__(self, link: 'Proxy', upward: bool) -> None:
+        self.link = link
+        self.upward = upward
+        self.other: Half | None = None
+        self.waiting: list[bytes] = []
+        self.dead = False
+
+    def connectionMade(self) -> None:
+        """Connect the far side, or send what waited for it."""
+        self.transport.setTcpNoDelay(True)
+        self.link.halves.add(self)
+        if self.upward:
+            self.link.connect_far(self)
+            return
+        for data in self.other.waiting:
+            self.transport.write(data)
+        self.other.waiting.clear()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Pass bytes on, late or never as the mode says."""
+        if self.link.swallows(self.upward):
+            self.die()
+        if self.dead:
+            return
+        if self.link.delay:
+            self.link.reactor.callLater(self.link.delay, self.forward, data)
+        else:
+            self.forward(data)
+
+    def forward(self, data: bytes) -> None:
+        """Write to the other end, if it is there and well."""
+        if self.dead or self.link.swallows(self.upward):
+            self.die()
+        elif self.other is None or self.other.transport is None:
+            self.waiting.append(data)
+        else:
+            self.other.transport.write(data)
+
+    def die(self) -> None:
+        """Let nothing through any more, without closing anything."""
+        for half in (self, self.other):
+            if half is not None:
+                half.dead = True
+
+    def connectionLost(self, reason: object = protocol.connectionDone) -> None:
+        """Close the other end too, unless the link hides it."""
+        self.link.halves.discard(self)
+        other, self.other = self.other, None
+        if other is None or other.transport is None:
+            return
+        other.other = None
+        if not self.dead or self.upward:
+            other.transport.abortConnection()
+
+
+class Near(protocol.Factory):
+    """Accepts connections to the proxy."""
+
+    def __init__(self, link: 'Proxy') -> None:
+        self.link = link
+
+    def buildProtocol(self, addr: object) -> Half:
+        """Return the near end of a new connection."""
+        return Half(self.link, upward=True)
+
+
+class Far(protocol.ClientFactory):
+    """Opens the far side of one connection."""
+
+    noisy = False
+
+    def __init__(self, near: Half) -> None:
+        self.near = near
+
+    def buildProtocol(self, addr: object) -> Half:
+        """Return the far end."""
+        far = Half(self.near.link, upward=False)
+        far.other, self.near.other = self.near, far
+        return far
+
+    def clientConnectionFailed(self, connector: object, reason: object):
+        """Reset the near end: nobody listens behind it."""
+        if self.near.transport is not None:
+            self.near.transport.abortConnection()
+
+
+class Proxy:
+    """One link; ``delay`` is in seconds each way."""
+
+    def __init__(
+        self, reactor: interfaces.IReactorTCP, host: str, port: int = 0
+    ) -> None:
+        self.reactor = reactor
+        self.host = host
+        self.port = port
+        self.far: tuple[str, int] | None = None
+        self.mode = Mode.PASS
+        self.delay = 0.0
+        self.halves: set[Half] = set()
+        self.listening: interfaces.IListeningPort | None = None
+        self.listen()
+
+    def listen(self) -> None:
+        """Accept connections, always at the same port."""
+        self.listening = self.reactor.listenTCP(
+            self.port, Near(self), interface=self.host
+        )
+        self.port = self.listening.getHost().port
+
+    def refuse(self) -> None:
+        """Accept none any more, and reset those that are open."""
+        if self.listening is not None:
+            self.listening.stopListening()
+            self.listening = None
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for half in list(self.halves):
+            half.transport.abortConnection()
+
+    def silence(self) -> None:
+        """Let the open connections go silent; new ones work."""
+        for half in list(self.halves):
+            half.die()
+
+    def swallows(self, upward: bool) -> bool:
+        """Return whether bytes of a direction are lost now."""
+        if self.mode is Mode.DARK:
+            return True
+        return self.mode is Mode.LOSE_ANSWERS and not upward
+
+    def connect_far(self, near: Half) -> None:
+        """Open the far side of a connection."""
+        host, port = self.far
+        self.reactor.connectTCP(host, port, Far(near))
+
+
+def free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
+    """Return a port that is free now."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
--- /dev/null
+++ b/tests/soak/test_short_soak.py
@@ -0,0 +1,52 @@
+"""A short seeded soak, and each seed that ever broke a promise."""
+
+import random
+import subprocess
+import sys
+
+import pytest
+
+from tests.soak import faults
+
+pytestmark = pytest.mark.slow
+
+# Seconds of real time that one seed may take; most take twenty.
+LONGEST_SECONDS = 90
+
+
+def play(seed):
+    """Play a seed in a process of its own; return what it tells."""
+    return subprocess.run(
+        [sys.executable, '-m', 'tests.soak', f'--seed={seed}'],
+        capture_output=True,
+        text=True,
+        timeout=LONGEST_SECONDS,
+        check=False,
+    )
+
+
+@pytest.mark.parametrize(
+    'seed',
+    [
+        pytest.param(2, id='a usual run'),
+        # A reload and a stop came while the process was still importing its
+        # libraries, and ended it: signals were handled only after that.
+        pytest.param(8, id='signals while starting'),
+    ],
+)
+def test_seed_breaks_no_promise(seed):
+    """Faults of all kinds come in series and overlap, from a seed.
+
+    Whatever they are, no caller gets a wrong or a mixed answer, no call runs
+    twice or after it was said not to, and calm brings everything back.
+    """
+    played = play(seed)
+    assert played.returncode == 0, played.stdout + played.stderr
+    assert 'broken: none' in played.stdout
+
+
+def test_a_seed_always_plans_the_same_faults():
+    """Else a seed that failed could not be kept as a test."""
+    first = faults.plan(random.Random(5))
+    assert first == faults.plan(random.Random(5))
+    assert first != faults.plan(random.Random(6))
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,364 @@
+"""One run of the soak: a small fleet, its faults, and what it leaves."""
+
+import dataclasses
+import pathlib
+import random
+import signal
+import socket
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.web import client
+from twisted.web import server
+
+from tests.soak import callers
+from tests.soak import engines
+from tests.soak import faults
+from tests.soak import instances
+from tests.soak import proxy
+from tests.soak import store
+
+PLACES = ('north', 'south', 'west')
+MODEL_ENGINES = 6
+CALL_ENGINES = 3
+HEARTBEAT_SECONDS = instances.HEARTBEAT_MILLISECONDS / 1000.0
+# An entry lapses after so many heartbeats without renewal.
+LAPSE_HEARTBEATS = 3.0
+CALLERS = 12
+READY_POLL_SECONDS = 0.25
+START_SECONDS = 20.0
+# Calm at the end, before the fleet has to serve as before. A pause of all
+# instances, the lapse of entries and their return fit into it.
+RECOVERY_SECONDS = 7.0
+PROBE_SECONDS = 3.0
+PAUSE_SIGNALS = (signal.SIGSTOP, signal.SIGCONT)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Moment:
+    """Something that the judge has to know of, from ``at`` to ``until``."""
+
+    what: faults.What
+    target: str
+    at: float
+    until: float
+
+
+class World:
+    """The fleet of one run; clean it up with :meth:`close`."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorCore,
+        folder: pathlib.Path,
+        seed: int,
+        fleet: int = 3,
+    ) -> None:
+        self.reactor = reactor
+        self.rng = random.Random(seed)
+        self.moments: list[Moment] = []
+        self.probes_from = float('inf')
+        # Runs side by side keep to loopback networks of their own.
+        network = f'127.{20 + seed % 200}.{self.rng.randrange(1, 250)}'
+        self.store_host = f'{network}.1'
+        self.store = store.Store(reactor)
+        self.store_port = reactor.listenTCP(
+            0, server.Site(self.store), interface=self.store_host
+        )
+        self.engines = engines.Engines(reactor)
+        self.renewed_at: dict[str, float] = {}
+        self.add_engines(network, seed)
+        self.version = 0
+        self.keys = ['first-key']
+        self.configure()
+        peers = proxy.free_port(f'{network}.100', socket.SOCK_DGRAM)
+        address = (self.store_host, self.store_port.getHost().port)
+        self.instances = [
+            instances.Instance(
+                reactor,
+                folder,
+                f'relay-{number}',
+                PLACES[number % len(PLACES)],
+                f'{network}.{100 + number}',
+                peers,
+                address,
+            )
+            for number in range(fleet)
+        ]
+        self.callers = callers.Callers(reactor, self.rng, f's{seed}')
+        self.loops = [
+            task.LoopingCall(self.renew_entries),
+            task.LoopingCall(self.look_at_instances),
+        ]
+
+    def add_engines(self, network: str, seed: int) -> None:
+        """Add the engines of both services."""
+        services = [engines.STREAMS] * MODEL_ENGINES
+        services += [engines.CALLS] * CALL_ENGINES
+        for number, service in enumerate(services):
+            engines.Engine(
+                self.engines,
+                f'{network}.{10 + number}',
+                service,
+                PLACES[number % len(PLACES)],
+                seed + number,
+            )
+
+    # -- the platform's part ------------------------------------------------
+
+    def configure(self) -> None:
+        """Write the next configuration."""
+        self.version += 3
+        routes = [
+            route('stream', engines.STREAMS, 'streaming', 10_000, 5),
+            route('call', engines.CALLS, 'unsafe', 900, 1),
+            route('query', engines.CALLS, 'safe', 900, 2),
+        ]
+        model = {
+            'slots': engines.SLOTS,
+            'kv_capacity': 88_000,
+            'backups': True,
+            'moves': False,
+            'handle_s': 4.0,
+        }
+        self.store.put(
+            'op',
+            'config',
+            {
+                'version': self.version,
+                'routes': routes,
+                'services': [
+                    service(engines.STREAMS, engine=model),
+                    service(engines.CALLS),
+                ],
+                'limits': {},
+                'tenants': [{'name': 'cottages', 'api_keys': self.keys}],
+            },
+        )
+
+    def renew_entries(self) -> None:
+        """Let engines renew their entries, and let others lapse."""
+        now = self.reactor.seconds()
+        for engine in self.engines.engines:
+            if engine.lives and engine.state and not self.store.refusing:
+                self.store.put('servers', engine.identity, engine.entry())
+                self.renewed_at[engine.identity] = now
+        for identity, at in list(self.renewed_at.items()):
+            if now > at + LAPSE_HEARTBEATS * HEARTBEAT_SECONDS:
+                del self.renewed_at[identity]
+                self.store.remove('servers', identity)
+
+    def look_at_instances(self) -> None:
+        """Ask each instance whether it is ready, as a balancer does."""
+        for instance in self.instances:
+            instance.look_whether_ended()
+            target = f'http://{instance.host}:{instance.ready_port}/ready'
+            asked = self.callers.agent.request(b'GET', target.encode())
+            asked.addTimeout(READY_POLL_SECONDS, self.reactor)
+            asked.addCallbacks(
+                lambda answer, i=instance: self.told_ready(i, answer),
+                lambda _, i=instance: setattr(i, 'ready', False),
+            )
+
+    def told_ready(self, instance: instances.Instance, answer: object) -> None:
+        """Take in whether an instance is ready."""
+        instance.ready = answer.code == 200
+        client.readBody(answer).addErrback(lambda _: None)
+
+    # -- the run ------------------------------------------------------------
+
+    @defer.inlineCallbacks
+    def play(self, planned: list[faults.Fault]) -> object:
+        """Start the fleet, let faults happen, calm down, and probe."""
+        self.loops[0].start(HEARTBEAT_SECONDS)
+        for instance in self.instances:
+            instance.start()
+        self.loops[1].start(READY_POLL_SECONDS)
+        began = self.reactor.seconds()
+        while not all(instance.ready for instance in self.instances):
+            if self.reactor.seconds() > began + START_SECONDS:
+                raise RuntimeError('the fleet did not get ready')
+            yield self.sleep(0.1)
+        calm_from = max([f.at + f.seconds for f in planned], default=1.0)
+        now = self.reactor.seconds()
+        until = now + calm_from + RECOVERY_SECONDS + PROBE_SECONDS
+        self.probes_from = until - PROBE_SECONDS
+        asking = [
+            self.callers.caller(self.instances, until) for _ in range(CALLERS)
+        ]
+        for fault in planned:
+            task.deferLater(self.reactor, fault.at, self.inject, fault)
+        yield defer.gatherResults(asking)
+
+    def sleep(self, seconds: float) -> defer.Deferred:
+        """Return a Deferred that fires after some seconds."""
+        return task.deferLater(self.reactor, seconds, lambda: None)
+
+    def close(self) -> None:
+        """End all that was started."""
+        for loop in self.loops:
+            if loop.running:
+                loop.stop()
+        for instance in self.instances:
+            instance.kill()
+
+    # -- faults -------------------------------------------------------------
+
+    def note(self, fault: faults.Fault, target: str) -> None:
+        """Keep what was done, for the judge."""
+        now = self.reactor.seconds()
+        self.moments.append(
+            Moment(fault.what, target, now, now + fault.seconds)
+        )
+
+    def inject(self, fault: faults.Fault) -> None:
+        """Bring a fault about, and its end."""
+        if fault.what is faults.What.NEW_CONFIGURATION:
+            self.change_keys(fault)
+        elif fault.what is faults.What.KILL_ALL_INSTANCES:
+            for instance in self.instances:
+                self.harm_instance(fault, instance)
+        elif fault.what in faults.OF_THE_STORE:
+            self.harm_store(fault)
+        elif fault.what in faults.OF_ENGINES | {faults.What.LEAVING_ENGINE}:
+            self.harm_engine(fault)
+        else:
+            number = fault.target % len(self.instances)
+            self.harm_instance(fault, self.instances[number])
+
+    def later(self, fault: faults.Fault, call: object, *args: object) -> None:
+        """Do something when a fault ends."""
+        task.deferLater(self.reactor, fault.seconds, call, *args)
+
+    def change_keys(self, fault: faults.Fault) -> None:
+        """Add a key, and remove the one before last."""
+        self.note(fault, f'version {self.version + 3}')
+        key = f'key-{self.version}'
+        self.keys = [*self.keys[-1:], key]
+        self.configure()
+        task.deferLater(self.reactor, 2.5, setattr, self.callers, 'key', key)
+
+    def harm_instance(
+        self, fault: faults.Fault, instance: instances.Instance
+    ) -> None:
+        """Harm one instance."""
+        self.note(fault, instance.name)
+        match fault.what:
+            case faults.What.KILL_INSTANCE | faults.What.KILL_ALL_INSTANCES:
+                instance.kill()
+                self.later(fault, self.revive, instance)
+            case faults.What.STOP_INSTANCE:
+                instance.stop()
+                seconds = instances.GRACE_SECONDS + fault.seconds
+                task.deferLater(self.reactor, seconds, self.revive, instance)
+            case faults.What.PAUSE_INSTANCE:
+                instance.signal(PAUSE_SIGNALS[0])
+                self.later(fault, instance.signal, PAUSE_SIGNALS[1])
+            case faults.What.RELOAD_INSTANCE:
+                if instance.handles_signals:
+                    instance.signal(signal.SIGHUP)
+
+    def revive(self, instance: instances.Instance) -> None:
+        """Start an instance that has ended; kill one that should have."""
+        instance.look_whether_ended()
+        if instance.lives and instance.stop_asked_at is None:
+            return
+        instance.kill()
+        instance.start()
+
+    def harm_engine(self, fault: faults.Fault) -> None:
+        """Harm one engine, or the links to it."""
+        pool = self.engines.engines
+        engine = pool[fault.target % len(pool)]
+        if not engine.lives:
+            return
+        self.note(fault, engine.identity)
+        link = engine.link
+        match fault.what:
+            case faults.What.CRASH_ENGINE:
+                engine.crash()
+                self.later(fault, engine.restart)
+            case faults.What.DARK_ENGINE:
+                link.mode = proxy.Mode.DARK
+                self.later(fault, setattr, link, 'mode', proxy.Mode.PASS)
+            case faults.What.SILENT_ENGINE:
+                link.silence()
+            case faults.What.RESET_ENGINE:
+                link.reset()
+            case faults.What.SLOW_ENGINE_LINK:
+                link.delay = 0.1
+                self.later(fault, setattr, link, 'delay', 0.0)
+            case faults.What.LOST_ENGINE_ANSWERS:
+                link.mode = proxy.Mode.LOSE_ANSWERS
+                self.later(fault, setattr, link, 'mode', proxy.Mode.PASS)
+            case faults.What.LEAVING_ENGINE:
+                self.leave(engine, says_so=fault.target % 2 == 0)
+
+    def leave(self, engine: engines.Engine, *, says_so: bool) -> None:
+        """Have an engine leave and come back; some just remove their entry."""
+        if engine.state != 'ready' or self.store.refusing:
+            return
+        if says_so:
+            engine.state = 'draining'
+            self.store.put('servers', engine.identity, engine.entry())
+        else:
+            engine.state = ''
+            self.renewed_at.pop(engine.identity, None)
+            self.store.remove('servers', engine.identity)
+        seconds = instances.DRAIN_SECONDS + 1.0
+        task.deferLater(self.reactor, seconds, self.gone, engine)
+
+    def gone(self, engine: engines.Engine) -> None:
+        """End an engine that was leaving; another takes its place."""
+        self.store.remove('servers', engine.identity)
+        self.renewed_at.pop(engine.identity, None)
+        engine.crash()
+        task.deferLater(self.reactor, 1.0, engine.restart)
+
+    def harm_store(self, fault: faults.Fault) -> None:
+        """Harm the store, or an instance's link to it."""
+        instance = self.instances[fault.target % len(self.instances)]
+        links = [instance.store_link]
+        if fault.what is faults.What.STORE_SLOW:
+            links = [i.store_link for i in self.instances]
+        self.note(fault, instance.name)
+        match fault.what:
+            case faults.What.STORE_AWAY:
+                self.store.refusing = True
+                self.later(fault, setattr, self.store, 'refusing', False)
+            case faults.What.STORE_FORGETS:
+                self.store.forget()
+            case faults.What.STORE_SLOW:
+                for link in links:
+                    link.delay = 0.12
+                    self.later(fault, setattr, link, 'delay', 0.0)
+            case faults.What.STORE_ANSWERS_LOST:
+                links[0].mode = proxy.Mode.LOSE_ANSWERS
+                self.later(fault, setattr, links[0], 'mode', proxy.Mode.PASS)
+            case faults.What.STORE_LINK_CUT:
+                links[0].mode = proxy.Mode.DARK
+                self.later(fault, setattr, links[0], 'mode', proxy.Mode.PASS)
+
+
+def route(
+    name: str, to: str, kind: str, limit: int, attempts: int
+) -> dict[str, object]:
+    """Return a route of the configuration."""
+    return {
+        'name': name,
+        'host': callers.HOST,
+        'prefix': f'/{name}/',
+        'service': to,
+        'kind': kind,
+        'timeout_ms': limit,
+        'latency_goal_ms': 300,
+        'max_attempts': attempts,
+        'resumable': kind == 'streaming',
+        'gap_aim_ms': 700,
+    }
+
+
+def service(name: str, **fields: object) -> dict[str, object]:
+    """Return a service of the configuration."""
+    return {'name': name, 'max_conns': 200, 'health_path': '/health', **fields}
