Hold requests back a moment at engines that reset new connections

Cause: after all instances had lost power, engines counted their former connections for seconds more and reset new ones right after they opened. Ruled out: crashed engines (they refuse connections), and kept connections (at-most-once calls open new ones). Change: for 5 s after an engine has reset a connection that owed an answer, requests wait 5 ms on a new connection to it; a reset then finds nothing sent, and the request goes elsewhere or is refused as not run.

--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -29,6 +29,13 @@
 # The same where the server states none.
 IDLE_SECONDS = 4.0
 MOST_HEADER_BYTES = 65_536
+# A server that has too many connections resets new ones when they are open,
+# within a round trip and a millisecond. For some seconds after one was reset
+# without an answer, requests are held back for this long, so that a reset
+# finds nothing sent: a request that was may have run, and an at-most-once
+# call can then not be tried again. In seconds.
+SETTLE_SECONDS = 0.005
+WARY_SECONDS = 5.0
 
 
 class Receiver(Protocol):
@@ -81,6 +88,8 @@
             h11.CLIENT, max_incomplete_event_size=MOST_HEADER_BYTES
         )
         self.receiver: Receiver | None = None
+        self.settling: Pending | None = None
+        self.answered = False
         self.idle_until = 0.0
         self.keep_seconds = IDLE_SECONDS
         self.closed = False
@@ -94,6 +103,7 @@
         if self.http.our_state is h11.DONE:
             self.http.start_next_cycle()
         self.receiver = receiver
+        self.answered = False
         try:
             out = self.http.send(request.head())
             if request.body:
@@ -107,6 +117,7 @@
     def abandon(self) -> None:
         """Close the connection at once; nobody wants the answer."""
         self.receiver = None
+        self.settling = None
         self.drop()
 
     def drop(self) -> None:
@@ -140,6 +151,7 @@
         event = self.http.next_event()
         match event:
             case h11.Response():
+                self.answered = True
                 self.note_keep_alive(event)
                 self.receiver.answer_began(event)
             case h11.Data(data=data):
@@ -195,8 +207,15 @@
         """End what is under way; an orderly end may end an answer."""
         self.closed = True
         self.pool.forget(self)
+        settling, self.settling = self.settling, None
+        if settling is not None:
+            settling.over = True
+            detail = 'reset before anything was sent'
+            settling.receiver.answer_broken(False, detail)
         if self.receiver is None:
             return
+        if not self.answered:
+            self.pool.was_reset(self.key)
         if reason.check(error.ConnectionDone):
             self.feed(b'')
         receiver, self.receiver = self.receiver, None
@@ -283,6 +302,7 @@
     def __init__(self, reactor: interfaces.IReactorTCP) -> None:
         self.reactor = reactor
         self.idle: dict[str, list[ClientConnection]] = {}
+        self.wary_until: dict[str, float] = {}
         self.opened = 0
 
     def request(
@@ -316,13 +336,27 @@
     def connected(
         self, connection: ClientConnection, pending: Pending
     ) -> None:
-        """Send what waited for a connection."""
+        """Send what waited for a connection, if that seems to hold."""
         if pending.over:
             connection.drop()
             return
         pending.connection = connection
+        if self.reactor.seconds() < self.wary_until.get(connection.key, 0.0):
+            connection.settling = pending
+            self.reactor.callLater(SETTLE_SECONDS, self.settled, connection)
+            return
         connection.send(pending.request(), pending.receiver)
 
+    def settled(self, connection: ClientConnection) -> None:
+        """Send on a connection that was not reset right after it opened."""
+        pending, connection.settling = connection.settling, None
+        if pending is not None:
+            connection.send(pending.request(), pending.receiver)
+
+    def was_reset(self, key: str) -> None:
+        """Note that a server ended a connection that owed an answer."""
+        self.wary_until[key] = self.reactor.seconds() + WARY_SECONDS
+
     def take(self, key: str) -> ClientConnection | None:
         """Return an idle connection, the one that was used last."""
         kept = self.idle.get(key, [])
@@ -351,8 +385,11 @@
             del self.idle[connection.key]
 
     def close_expired(self) -> None:
-        """Close idle connections whose time is over."""
+        """Close idle connections whose time is over; forget old resets."""
         now = self.reactor.seconds()
+        for key, until in list(self.wary_until.items()):
+            if now >= until:
+                del self.wary_until[key]
         for kept in list(self.idle.values()):
             for connection in list(kept):
                 if connection.idle_until <= now:
--- /dev/null
+++ b/tests/relay/test_full_engines.py
@@ -0,0 +1,64 @@
+"""Engines that take no more connections."""
+
+from tests.common import relay_wires
+
+
+def test_connection_reset_right_after_it_opened_has_carried_nothing():
+    """All instances lose power, and an engine still counts their connections.
+
+    Until it notices, it resets new ones as soon as they are open. A call that
+    was written by then may have run for all anybody knows, so its caller gets
+    an error and can't try again; most of a fleet's calls end like this for
+    seconds. Once an engine has done it, the next calls wait a moment first.
+    """
+    server = relay_wires.Server()
+    first = relay_wires.Receiver()
+    relay_wires.reset(server.ask(first, fresh=True))
+    assert first.broken[0]
+    second = relay_wires.Receiver()
+    connection = server.ask(second, fresh=True)
+    assert not connection.transport.value()
+    relay_wires.reset(connection)
+    assert second.broken == (False, 'reset before anything was sent')
+
+
+def test_request_is_sent_when_the_connection_holds():
+    server = relay_wires.Server()
+    relay_wires.reset(server.ask(relay_wires.Receiver(), fresh=True))
+    receiver = relay_wires.Receiver()
+    connection = server.ask(receiver, fresh=True)
+    server.reactor.advance(0.01)
+    assert connection.transport.value().startswith(b'GET /one')
+    connection.dataReceived(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+    assert receiver.complete
+
+
+def test_other_engines_are_not_waited_for():
+    """The wait is for the engine that resets connections, and not for long."""
+    server = relay_wires.Server()
+    relay_wires.reset(server.ask(relay_wires.Receiver(), fresh=True))
+    other = server.ask(relay_wires.Receiver(), fresh=True, key='engine-2')
+    assert other.transport.value()
+    server.reactor.advance(6.0)
+    again = server.ask(relay_wires.Receiver(), fresh=True)
+    assert again.transport.value()
+
+
+def test_caller_that_leaves_meanwhile_has_nothing_sent():
+    server = relay_wires.Server()
+    relay_wires.reset(server.ask(relay_wires.Receiver(), fresh=True))
+    receiver = relay_wires.Receiver()
+    pending = server.pool.request(
+        'engine-1',
+        relay_wires.ADDRESS,
+        relay_wires.wire_request,
+        receiver,
+        True,
+    )
+    server.accept()
+    connection = server.connections[-1]
+    pending.abandon()
+    server.reactor.advance(0.01)
+    assert not connection.transport.value()
+    assert connection.transport.aborted
+    assert receiver.broken is None
