Gather answers to questions of our own in one place; one codec

The store's client and the engine side each received short answers; the rows had a codec of their own. A stream's loss says by an argument whether its engine seems dead, an engine found replaced takes its attempt back in one place, and a property that nobody used is gone.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -99,8 +99,7 @@
     ) -> list[Action]:
         """Try another engine: this one says that it did not run the call."""
         if status == WRONG_ENGINE:
-            exchange.attempts -= 1
-            self.parts.sends.found_replaced(sent)
+            self.parts.sends.found_replaced(exchange, sent)
         why = f'not run, status {status}'
         done: list[Action] = [
             sending.record(exchange, sent, 'send-refused', why)
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -109,11 +109,6 @@
         """Return whether the balancer may send callers here."""
         return self.progress.phase is lifecycle.Phase.SERVING
 
-    @property
-    def stopping(self) -> bool:
-        """Return whether this instance was asked to stop."""
-        return self.progress.phase in lifecycle.ENDING
-
     def handle(
         self, event: relay_events.RelayEvent, now: float
     ) -> list[Action]:
@@ -198,6 +193,8 @@
         """Take in what is known of the other instances."""
         done: list[Action] = []
         match event:
+            case relay_events.PeerTold(incarnation, hint):
+                return self.told(incarnation, hint, now)
             case relay_events.MembersListed(members):
                 self.fleet.take_list(members)
             case relay_events.PeerHeard(incarnation, data_centre):
@@ -210,8 +207,6 @@
             case relay_events.PeerLeft(incarnation):
                 done += forgotten(self.fleet.left(incarnation, now))
                 self.sharing.left(incarnation)
-            case relay_events.PeerTold(incarnation, hint):
-                done = self.told(incarnation, hint, now)
         self.budget.resize(self.fleet.size)
         return done
 
@@ -235,9 +230,10 @@
                 self.engines.doubted(engine, now)
                 return self.copies.lost_at(engine, now)
             case hints.Replaced(engine, successor):
-                self.engines.was_replaced(engine)
                 if successor:
                     self.engines.succeed(engine, successor)
+                else:
+                    self.engines.was_replaced(engine)
                 return self.copies.lost_at(engine, now)
             case hints.EnginesTold(entries, removed):
                 ending = self.engines.changed(entries, removed, now)
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -175,8 +175,15 @@
             )
         )
 
-    def found_replaced(self, sent: exchanges.Sent) -> None:
-        """Note that a send met another engine than the one it was for."""
+    def found_replaced(
+        self, exchange: exchanges.Exchange, sent: exchanges.Sent
+    ) -> None:
+        """Note that a send met another engine than the one it was for.
+
+        The one that was meant has ended, so it is none of those that the
+        request may go to, and costs no attempt.
+        """
+        exchange.attempts -= 1
         self.engines.was_replaced(sent.entry.engine)
         self.untold.append(hints.Replaced(sent.entry.engine))
 
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -20,7 +20,6 @@
 from greengagelb.state.relay import requests
 
 SILENCE_TIMER = 'relay-silence'
-SILENT = 'silent'
 # A stream that is silent for this part of the pause that its callers do not
 # notice is moved. What is left suffices to go on elsewhere; moving earlier
 # takes streams away from engines that are only reading another prompt.
@@ -163,7 +162,8 @@
             return self.probe(exchange, sent, now)
         exchange.may_have_run = True
         silent = now - sent.moved_at
-        return self.lost(exchange, sent, f'{SILENT} for {silent:.3f} s', now)
+        detail = f'silent for {silent:.3f} s'
+        return self.lost(exchange, sent, detail, now, dead=False)
 
     def probe(
         self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
@@ -301,10 +301,7 @@
         self.parts.sends.release(exchange, sent)
         told = sending.record(exchange, sent, 'send-refused', why)
         if head.status == calls.WRONG_ENGINE:
-            # The engine that was meant has ended, so it is none of those
-            # that the request may go to.
-            exchange.attempts -= 1
-            self.parts.sends.found_replaced(sent)
+            self.parts.sends.found_replaced(exchange, sent)
         if not sent.from_copy:
             exchange.refused_by.add(sent.entry.engine)
         return [told, *self.start_afresh(exchange, now, 'engines-full')]
@@ -330,9 +327,14 @@
         sent: exchanges.Sent,
         detail: str,
         now: float,
+        *,
+        dead: bool = True,
     ) -> list[Action]:
-        """Go on elsewhere: from the copy if there is one."""
-        dead = not detail.startswith(SILENT)
+        """Go on elsewhere: from the copy if there is one.
+
+        ``dead`` tells that the engine seems to have died. One that was only
+        silent may still be reading another prompt.
+        """
         self.parts.engines.failed(sent.entry.engine, now, dead=dead)
         if dead:
             hint = hints.Failed(sent.entry.engine)
--- a/src/greengagelb/platform/rows.py
+++ b/src/greengagelb/platform/rows.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from greengagelb import errors
+from greengagelb.protocol import codec
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import routes
 
@@ -144,25 +145,9 @@
     seq: int = 0
 
 
-def encode(message: object) -> bytes:
-    """Return a message to the store."""
-    return msgspec.json.encode(message)
-
-
 def encode_value(value: object) -> str:
     """Return what a row is to hold."""
-    return base64.b64encode(encode(value)).decode()
-
-
-def decode(raw: bytes, kind: type[T]) -> T:
-    """Return a message of the store, validated.
-
-    Raises :class:`~greengagelb.errors.ProtocolError`.
-    """
-    try:
-        return msgspec.json.decode(raw, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise errors.ProtocolError(str(exc)) from exc
+    return base64.b64encode(codec.encode(value)).decode()
 
 
 def decode_value(row: Row, kind: type[T]) -> T:
@@ -171,7 +156,7 @@
         raw = base64.b64decode(row.value, validate=True)
     except binascii.Error as exc:
         raise errors.ProtocolError('row is not base64') from exc
-    return decode(raw, kind)
+    return codec.decode(raw, kind)
 
 
 def read_table(row: Row) -> routes.RouteTable:
--- a/src/greengagelb/platform/store.py
+++ b/src/greengagelb/platform/store.py
@@ -2,14 +2,15 @@
 
 import urllib.parse
 
-import h11
 from twisted.internet import defer
 
 from greengagelb import errors
 from greengagelb.platform import rows
+from greengagelb.protocol import codec
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
 from greengagelb.transport.relay import http_client
+from greengagelb.transport.relay import questions
 from greengagelb.transport.relay import store_watch
 
 OPERATORS_TABLE = 'op'
@@ -25,35 +26,9 @@
 # store is slow. On a connection on which an answer was lost nothing more
 # ever comes. In seconds.
 ANSWER_SECONDS = 0.6
-
-
-class StoreAnswer:
-    """Receives one answer of the store into a Deferred."""
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.body: list[bytes] = []
-        self.done: defer.Deferred = defer.Deferred()
-
-    def answer_began(self, response: h11.Response) -> None:
-        """Keep the status."""
-        self.status = response.status_code
-
-    def answer_moved(self, data: bytes) -> None:
-        """Gather the body."""
-        self.body.append(data)
-
-    def answer_complete(self) -> None:
-        """Give the answer to who asked."""
-        if not self.done.called:
-            self.done.callback((self.status, b''.join(self.body)))
-
-    def answer_broken(self, handed_over: bool, detail: str) -> None:
-        """Tell who asked that there is no answer."""
-        if not self.done.called:
-            lost = errors.PlatformUnavailable(detail)
-            lost.handed_over = handed_over
-            self.done.errback(lost)
+# An answer has at most a megabyte of rows, by the platform's page on its
+# store; the second one is for what stands around them.
+MOST_BYTES = 2 << 20
 
 
 class PlatformStore:
@@ -82,7 +57,7 @@
             (b'Host', str(self.address).encode()),
             (b'Content-Type', b'application/json'),
         )
-        body = rows.encode(change)
+        body = codec.encode(change)
         return self.ask(
             http_client.WireRequest(b'POST', b'/api/rows-tx', headers, body),
             ANSWER_SECONDS,
@@ -96,23 +71,16 @@
         Raises :class:`~greengagelb.errors.PlatformUnavailable`, and
         :class:`~greengagelb.errors.HistoryGone`.
         """
-        answer = StoreAnswer()
-        key = f'store {self.address}'
-        pending = self.pool.request(key, self.address, lambda: request, answer)
-
-        def too_late() -> None:
-            pending.abandon()
-            answer.answer_broken(True, 'no answer in time')
-
-        timer = self.pool.reactor.callLater(seconds, too_late)
-
-        def stop_timer(result: object) -> object:
-            if timer.active():
-                timer.cancel()
-            return result
-
-        answer.done.addBoth(stop_timer)
-        return answer.done.addCallback(check_status)
+        asked: defer.Deferred = defer.Deferred()
+        question = questions.Question(
+            f'store {self.address}',
+            self.address,
+            request,
+            seconds,
+            MOST_BYTES,
+        )
+        questions.ask(self.pool, question, asked.callback)
+        return asked.addCallback(check_status)
 
     @defer.inlineCallbacks
     def read_all(self, table: str) -> object:
@@ -136,7 +104,7 @@
         if begin:
             target += f'&from={urllib.parse.quote(begin, safe="")}'
         return self.get(target, ANSWER_SECONDS).addCallback(
-            rows.decode, rows.Rows
+            codec.decode, rows.Rows
         )
 
     def read_changes(
@@ -147,7 +115,7 @@
         return self.get(
             f'/api/rows-feed?table={table}&after_rev={position}&wait_ms={wait}',
             wait_seconds + ANSWER_SECONDS,
-        ).addCallback(rows.decode, rows.Rows)
+        ).addCallback(codec.decode, rows.Rows)
 
     # -- what the watch asks for --------------------------------------------
 
@@ -195,14 +163,16 @@
     )
 
 
-def check_status(answer: tuple[int, bytes]) -> bytes:
-    """Return the body of a good answer, or raise what the status means."""
-    status, body = answer
+def check_status(answer: questions.Answer) -> bytes:
+    """Return the body of a good answer, or raise what is wrong with it."""
+    if answer.response is None:
+        raise errors.PlatformUnavailable(answer.detail)
+    status = answer.response.status_code
     if status == GONE:
         raise errors.HistoryGone('changes are no longer kept')
     if status != OK:
         raise errors.PlatformUnavailable(f'status {status}')
-    return body
+    return answer.body
 
 
 def configuration_of(found: rows.Rows) -> store_watch.ConfigurationRead:
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -12,6 +12,7 @@
 from greengagelb.transport.relay import dialect
 from greengagelb.transport.relay import event_stream
 from greengagelb.transport.relay import http_client
+from greengagelb.transport.relay import questions
 
 MOST_ANSWER_BYTES = 32 << 20
 # An engine that lives answers a probe in a few milliseconds, and within this
@@ -20,8 +21,6 @@
 # A copy of a usual run takes some milliseconds; behind those of a whole data
 # centre's runs it may take a second.
 COPY_SECONDS = 2.0
-# Answers to questions of our own are smaller by far.
-MOST_SHORT_BYTES = 65_536
 
 Dispatch = Callable[[relay_events.RelayEvent], None]
 
@@ -118,45 +117,6 @@
         self.side.dispatch(event)
 
 
-class ShortAnswer:
-    """Receives the answer to a question of our own, or the lack of one.
-
-    ``done`` is called exactly once: with the head and the body of a whole
-    answer, or with None.
-    """
-
-    def __init__(
-        self, done: Callable[[h11.Response | None, bytes], None]
-    ) -> None:
-        self.done = done
-        self.response: h11.Response | None = None
-        self.body = b''
-        self.over = False
-
-    def answer_began(self, response: h11.Response) -> None:
-        """Keep the head."""
-        self.response = response
-
-    def answer_moved(self, data: bytes) -> None:
-        """Gather the body, which is a few hundred bytes."""
-        if len(self.body) < MOST_SHORT_BYTES:
-            self.body += data
-
-    def answer_complete(self) -> None:
-        """Give the answer to who asked."""
-        self.finish(self.response)
-
-    def answer_broken(self, handed_over: bool, detail: str) -> None:
-        """Tell who asked that there is none."""
-        self.finish(None)
-
-    def finish(self, response: h11.Response | None) -> None:
-        """Call back once."""
-        if not self.over:
-            self.over = True
-            self.done(response, self.body)
-
-
 class EngineSide:
     """The sends that are under way."""
 
@@ -190,29 +150,22 @@
         entry: engines.EngineEntry,
         request: http_client.WireRequest,
         seconds: float,
-        done: Callable[[h11.Response | None, bytes], None],
+        done: Callable[[questions.Answer], None],
         fresh: bool = False,
     ) -> None:
         """Ask an engine something of our own, for some seconds at most."""
-        answer = ShortAnswer(done)
-        pending = self.pool.request(
-            entry.engine, entry.address, lambda: request, answer, fresh
+        question = questions.Question(
+            entry.engine, entry.address, request, seconds, fresh=fresh
         )
-
-        def too_late() -> None:
-            if not answer.over:
-                pending.abandon()
-                answer.finish(None)
-
-        self.pool.reactor.callLater(seconds, too_late)
+        questions.ask(self.pool, question, done)
 
     def probe(self, probe: relay_actions.ProbeEngine) -> None:
         """Ask an engine for a sign of life; any answer is one."""
 
-        def done(response: h11.Response | None, body: bytes) -> None:
+        def done(answer: questions.Answer) -> None:
             self.dispatch(
                 relay_events.EngineProbed(
-                    probe.exchange, probe.send, response is not None
+                    probe.exchange, probe.send, answer.response is not None
                 )
             )
 
@@ -222,14 +175,15 @@
     def copy_run(self, copy: relay_actions.CopyRun) -> None:
         """Have an engine copy a run's memory to another one."""
 
-        def done(response: h11.Response | None, body: bytes) -> None:
+        def done(answer: questions.Answer) -> None:
+            response = answer.response
             status = response.status_code if response is not None else 0
             self.dispatch(
                 relay_events.RunCopied(
                     copy.exchange,
                     copy.send,
                     copy.target.engine,
-                    self.dialect.read_copy(status, body),
+                    self.dialect.read_copy(status, answer.body),
                 )
             )
 
@@ -239,10 +193,10 @@
     def ask_successor(self, entry: engines.EngineEntry, path: str) -> None:
         """Ask who answers at an engine's address, on a new connection."""
 
-        def done(response: h11.Response | None, body: bytes) -> None:
+        def done(answer: questions.Answer) -> None:
             found = ''
-            if response is not None:
-                found = self.dialect.read_answer(response).engine
+            if answer.response is not None:
+                found = self.dialect.read_answer(answer.response).engine
             self.dispatch(relay_events.SuccessorSeen(entry.engine, found))
 
         request = self.dialect.write_question(entry, path)
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -3,12 +3,14 @@
 import base64
 import json
 
+import h11
 import pytest
 
 from greengagelb import errors
 from greengagelb.platform import rows
 from greengagelb.platform import store
 from greengagelb.state.relay import routes
+from greengagelb.transport.relay import questions
 
 CONFIG = {
     'version': 7,
@@ -47,6 +49,11 @@
 }
 
 
+def answer(status):
+    """Return an answer of the store without a body."""
+    return questions.Answer(h11.Response(status_code=status, headers=[]))
+
+
 def row(value, key='config'):
     raw = value if isinstance(value, bytes) else json.dumps(value).encode()
     return rows.Row(key, base64.b64encode(raw).decode(), 5)
@@ -128,6 +135,6 @@
 def test_lost_history_is_told_apart_from_a_store_that_is_away():
     """After the one all has to be read anew, after the other only later."""
     with pytest.raises(errors.HistoryGone):
-        store.check_status((410, b''))
+        store.check_status(answer(410))
     with pytest.raises(errors.PlatformUnavailable):
-        store.check_status((503, b''))
+        store.check_status(answer(503))
