Keep runs covered by a copy through waves of crashes

Change: a run without a copy has one ordered at its first event; an order that failed is repeated elsewhere, three orders a run at most; an engine whose address another one registers has lost what it held; two silences within a second, told between instances, speak for a dark engine. What follows from reads of the list has a module of its own.

--- a/src/greengagelb/coordination/relay/copying.py
+++ b/src/greengagelb/coordination/relay/copying.py
@@ -19,6 +19,9 @@
 # An ordered copy is renewed after this part of the time it is kept for; only
 # what the run has added since is sent.
 RENEW_SHARE = 0.75
+# Orders for one run. Each moves its memory once more, a quarter of a gigabyte
+# for a usual prompt, so a run whose copies keep failing goes without.
+MOST_ORDERS = 3
 
 Action = relay_actions.RelayAction
 
@@ -52,21 +55,44 @@
         sent.copy_name = None
         sent.copy_ordered = False
         self.parts.sends.got_copy(exchange, sent, now)
+        return self.order_new(exchange, sent, {lost}, now)
+
+    def fill(
+        self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
+    ) -> list[Action]:
+        """Order a copy of a run that has none when its first event is here.
+
+        Before, there is nothing to copy; so a copy whose engine dies while
+        the prompt is read can be replaced only now.
+        """
+        if sent.copy_to is not None:
+            return []
+        return self.order_new(exchange, sent, set(), now)
+
+    def order_new(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.Sent,
+        excluded: set[str],
+        now: float,
+    ) -> list[Action]:
+        """Order a copy at another engine than some, if that is possible."""
         model = exchange.ruling.service.engines
         if model is None or not model.moves or not sent.events_seen:
             return []
         source = self.parts.engines.states.get(sent.entry.engine)
-        if source is None:
+        if source is None or sent.copy_orders >= MOST_ORDERS:
             return []
         target = self.parts.chooser.for_copy(
             exchange.ruling.service,
             exchange.request.prompt,
             source,
-            {lost},
+            excluded,
             now,
         )
         if target is None:
             return []
+        sent.copy_orders += 1
         sent.copy_to = target.entry
         self.parts.sends.got_copy(exchange, sent, now)
         return [self.order(exchange, sent)]
@@ -99,10 +125,7 @@
             sending.record(exchange, sent, 'run-copied', why)
         ]
         if not event.handle:
-            sent.copy_to = None
-            sent.copy_name = None
-            self.parts.sends.got_copy(exchange, sent, now)
-            return done
+            return done + self.replace(exchange, sent, now)
         sent.copy_name = requests.CopyName(sent.entry.address, event.handle)
         sent.copy_ordered = True
         model = exchange.ruling.service.engines
--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -31,6 +31,12 @@
 FAILURES_OF_A_PLACE = 2
 # How long the word of another instance counts against an engine, in seconds.
 DOUBT_SECONDS = 1.0
+# Silences within so many seconds are taken for the same event. Streams notice
+# at different times, by when their last event came.
+SILENCES_SECONDS = 1.0
+# An entry has lapsed after three renewals, one and a half times as long as the
+# least outage in which one can.
+LAPSE_SHARE = 1.5
 # A removed engine is remembered so long, for what still runs on it.
 FORGET_SECONDS = 60.0
 
@@ -39,16 +45,19 @@
 class EngineState:
     """What is known here of one start of an engine.
 
-    ``listed`` tells that the list has it, and ``gone_at`` is the monotonic
-    time from which on it counts as removed. ``in_flight`` counts the sends of
+    ``learned_at`` is when this instance first heard of it. ``listed`` tells
+    that the list has it, and ``gone_at`` is the monotonic time from which on
+    it counts as removed. ``in_flight`` counts the sends of
     this instance. ``replaced`` is set when another engine answers at its
     address. Once it seems to have died,
     ``alive_from`` is the heartbeat that would prove it alive, and
     ``retry_dead_at`` when it is tried without that proof. Until
-    ``doubted_until`` another instance's word speaks against it.
+    ``doubted_until`` another instance's word speaks against it. ``silent_at``
+    is when a stream last fell silent there.
     """
 
     entry: engines.EngineEntry
+    learned_at: float
     leaving: bool = False
     listed: bool = False
     gone_at: float | None = None
@@ -58,6 +67,7 @@
     alive_from: int = 0
     retry_dead_at: float = float('-inf')
     doubted_until: float = float('-inf')
+    silent_at: float = float('-inf')
     in_flight: int = 0
     load: engines.EngineLoad | None = None
     load_at: float = float('-inf')
@@ -119,7 +129,13 @@
     ) -> list[str]:
         """Take in changes; return the engines that get no more work."""
         self.found(now)
-        ending = [e.engine for e in entries if self.take_in(e)]
+        ending = [
+            old
+            for entry in entries
+            if entry.engine not in self.states
+            for old in self.restarted_as(entry, now)
+        ]
+        ending += [e.engine for e in entries if self.take_in(e, now)]
         for entry in entries:
             self.states[entry.engine].listed = True
         for name in removed:
@@ -132,11 +148,32 @@
         self.forget(now)
         return ending
 
-    def take_in(self, entry: engines.EngineEntry) -> bool:
+    def restarted_as(
+        self, entry: engines.EngineEntry, now: float
+    ) -> list[str]:
+        """Mark the engines whose address a new one has; return them.
+
+        Their entries stay in the list until they lapse, seconds after what
+        they held was lost. An engine that was heard of only just now is not
+        one of them: the unknown entry may be what an earlier one left.
+        """
+        known_before = now - LAPSE_SHARE * self.least_lapse_seconds
+        found = [
+            name
+            for name, state in self.states.items()
+            if state.entry.address == entry.address
+            and state.learned_at < known_before
+            and not state.replaced
+        ]
+        for name in found:
+            self.states[name].replaced = True
+        return found
+
+    def take_in(self, entry: engines.EngineEntry, now: float) -> bool:
         """Take in one entry; return whether its engine is newly leaving."""
         state = self.states.get(entry.engine)
         if state is None:
-            state = EngineState(entry)
+            state = EngineState(entry, learned_at=now)
             self.states[entry.engine] = state
             of_service = self.by_service.setdefault(entry.service, {})
             of_service[entry.engine] = state
@@ -252,7 +289,22 @@
         if state is not None:
             state.doubted_until = now + DOUBT_SECONDS
 
-    def succeed(self, old: str, new: str) -> bool:
+    def silent(self, engine: str, now: float) -> bool:
+        """Take in that a stream fell silent; return whether others did too.
+
+        One may have lost its connection. Several at a time mean that their
+        engine is dark, although nothing was reset.
+        """
+        state = self.states.get(engine)
+        if state is None:
+            return False
+        again = now < state.silent_at + SILENCES_SECONDS
+        state.silent_at = now
+        if again:
+            state.doubted_until = now + DOUBT_SECONDS
+        return again
+
+    def succeed(self, old: str, new: str, now: float) -> bool:
         """Put a restarted engine in the place of its former identity."""
         state = self.states.get(old)
         if state is None:
@@ -263,7 +315,8 @@
         self.take_in(
             dataclasses.replace(
                 state.entry, engine=new, leaving=False, heartbeat=0
-            )
+            ),
+            now,
         )
         return True
 
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -18,6 +18,7 @@
 from greengagelb.coordination.relay import choosing
 from greengagelb.coordination.relay import copying
 from greengagelb.coordination.relay import directory
+from greengagelb.coordination.relay import engine_list
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
 from greengagelb.coordination.relay import loads
@@ -28,7 +29,6 @@
 from greengagelb.coordination.relay import succession
 from greengagelb.state import identity
 from greengagelb.state.relay import bounds
-from greengagelb.state.relay import engines as engine_state
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import requests
@@ -41,8 +41,6 @@
     calls.SECOND_TRY_TIMER,
     copying.COPY_TIMER,
 )
-# Entries of engines in one datagram; ten take some 900 bytes.
-NEWS_IN_A_DATAGRAM = 10
 
 Action = relay_actions.RelayAction
 
@@ -87,6 +85,9 @@
         self.fleet = fleet.FleetView(self.loads)
         self.exchanges: dict[int, exchanges.Exchange] = {}
         self.copies = copying.RunCopies(parts, self.exchanges)
+        self.listed = engine_list.EngineList(
+            self.engines, self.sharing, self.copies
+        )
         self.stop_by = float('inf')
         self.progress = lifecycle.Progress()
         self.lifecycle = lifecycle.new_lifecycle(self.progress)
@@ -114,8 +115,8 @@
     ) -> list[Action]:
         """Decide what an event leads to."""
         done = self.decide(event, now)
-        for engine in self.sends.take_failed():
-            done += self.copies.lost_at(engine, now)
+        for hint in list(self.sends.untold):
+            done += self.copies_lost_with(hint, now)
         ended: list[Action] = []
         for action in done:
             ended += self.close_if_final(action)
@@ -123,6 +124,15 @@
         self.sends.untold.clear()
         return done + ended + hinted
 
+    def copies_lost_with(self, hint: hints.Hint, now: float) -> list[Action]:
+        """Replace the copies on an engine that a hint says has died."""
+        match hint:
+            case hints.Failed(engine) | hints.Replaced(engine):
+                return self.copies.lost_at(engine, now)
+            case hints.Silent(engine) if self.engines.silent(engine, now):
+                return self.copies.lost_at(engine, now)
+        return []
+
     def close_if_final(self, action: Action) -> list[Action]:
         """Forget an exchange that has its final answer."""
         match action:
@@ -171,13 +181,11 @@
                 return self.configure(event, now)
             case relay_events.EnginesListed(entries):
                 self.engines_known = True
-                return self.read_engines(
-                    entries, self.engines.missing_from(entries), now
-                )
+                return self.listed.read_whole(entries, now)
             case relay_events.EnginesChanged(entries, removed):
-                return self.read_engines(entries, removed, now)
+                return self.listed.read(entries, removed, now)
             case relay_events.StoreLost(detail):
-                return self.store_lost(detail)
+                return self.listed.store_lost(detail)
             case relay_events.SuccessorSeen(old, new):
                 return self.successor_seen(old, new, now)
             case relay_events.StopBy(deadline):
@@ -228,16 +236,13 @@
                 self.fleet.ended(incarnation, hint)
             case hints.Failed(engine):
                 self.engines.doubted(engine, now)
-                return self.copies.lost_at(engine, now)
             case hints.Replaced(engine, successor):
                 if successor:
-                    self.engines.succeed(engine, successor)
+                    self.engines.succeed(engine, successor, now)
                 else:
                     self.engines.was_replaced(engine)
-                return self.copies.lost_at(engine, now)
             case hints.EnginesTold(entries, removed):
-                ending = self.engines.changed(entries, removed, now)
-                return self.leaving(ending, now)
+                return self.listed.changed(entries, removed, now)
             case hints.StoreRead(digest, version):
                 same = digest == self.engines.digest()
                 if same:
@@ -246,7 +251,7 @@
                 self.version_told(version, now)
             case hints.ConfigurationApplied(version):
                 self.version_told(version, now)
-        return []
+        return self.copies_lost_with(hint, now)
 
     def version_told(self, version: int, now: float) -> None:
         """Take in which configuration another instance has."""
@@ -304,7 +309,7 @@
             case relay_events.AnswerBegan():
                 return self.streams.began(exchange, sent, event, now)
             case relay_events.StreamMoved():
-                return self.streams.moved(exchange, sent, event, now)
+                return self.stream_moved(exchange, sent, event, now)
             case relay_events.RunCopied():
                 return self.copies.copied(exchange, sent, event, now)
             case relay_events.EngineProbed() if stream:
@@ -319,6 +324,20 @@
                 return relay(exchange, sent, event, now)
         return []
 
+    def stream_moved(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.Sent,
+        event: relay_events.StreamMoved,
+        now: float,
+    ) -> list[Action]:
+        """Pass events on; see to a copy when the first ones are here."""
+        first = not sent.events_seen
+        done = self.streams.moved(exchange, sent, event, now)
+        if first and sent.number in exchange.sends:
+            done += self.copies.fill(exchange, sent, now)
+        return done
+
     def caller_gone(self, number: int) -> list[Action]:
         """Stop the work for a caller that has left."""
         exchange = self.exchanges.get(number)
@@ -389,6 +408,7 @@
         if self.table is not None and table.version <= self.table.version:
             return []
         self.table = table
+        self.listed.version = table.version
         self.succession.health_paths = {
             name: service.health_path
             for name, service in table.services.items()
@@ -401,64 +421,6 @@
             done.append(relay_actions.TellNeighbours(hint))
         return done
 
-    def store_read(self) -> hints.StoreRead:
-        """Return what the neighbours compare what they know with."""
-        version = self.table.version if self.table else 0
-        return hints.StoreRead(self.engines.digest(), version)
-
-    def read_engines(
-        self,
-        entries: tuple[engine_state.EngineEntry, ...],
-        removed: tuple[str, ...],
-        now: float,
-    ) -> list[Action]:
-        """Take in what was read from the store; tell the neighbours."""
-        news = tuple(e for e in entries if self.engines.is_news(e))
-        done: list[Action] = []
-        if self.engines.lost:
-            done.append(actions.Record('store-regained', 'list of engines'))
-        done += self.leaving(self.engines.changed(entries, removed, now), now)
-        self.sharing.engines.known(now)
-        if not self.sharing.is_reader(now):
-            return done
-        if news or removed:
-            done += self.tell_news(news, removed)
-        return [*done, relay_actions.TellNeighbours(self.store_read())]
-
-    def tell_news(
-        self,
-        entries: tuple[engine_state.EngineEntry, ...],
-        removed: tuple[str, ...],
-    ) -> list[Action]:
-        """Return news in parts that fit a datagram each."""
-        size = NEWS_IN_A_DATAGRAM
-        parts = [
-            hints.EnginesTold(entries[at : at + size], ())
-            for at in range(0, len(entries), size)
-        ]
-        parts += [
-            hints.EnginesTold((), removed[at : at + size])
-            for at in range(0, len(removed), size)
-        ]
-        return [relay_actions.TellNeighbours(part) for part in parts]
-
-    def leaving(self, ending: list[str], now: float) -> list[Action]:
-        """Note engines that get no more work."""
-        done: list[Action] = []
-        for engine in ending:
-            done.append(
-                actions.Record('engine-leaving', 'listed', upstream=engine)
-            )
-            done += self.copies.lost_at(engine, now)
-        return done
-
-    def store_lost(self, detail: str) -> list[Action]:
-        """Go on with what is known; note when the store went away."""
-        if self.engines.lost:
-            return []
-        self.engines.store_lost()
-        return [actions.Record('store-lost', detail)]
-
 
 def forgotten(incarnations: list[str]) -> list[Action]:
     """Return the time line events of instances that are not heard any more."""
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -187,14 +187,6 @@
         self.engines.was_replaced(sent.entry.engine)
         self.untold.append(hints.Replaced(sent.entry.engine))
 
-    def take_failed(self) -> list[str]:
-        """Return the engines that were found dead just now."""
-        return [
-            hint.engine
-            for hint in self.untold
-            if isinstance(hint, hints.Failed | hints.Replaced)
-        ]
-
     def release(
         self, exchange: exchanges.Exchange, sent: exchanges.Sent
     ) -> None:
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -350,9 +350,9 @@
         silent may still be reading another prompt.
         """
         self.parts.engines.failed(sent.entry.engine, now, dead=dead)
-        if dead:
-            hint = hints.Failed(sent.entry.engine)
-            self.parts.sends.untold.append(hint)
+        engine = sent.entry.engine
+        hint = hints.Failed(engine) if dead else hints.Silent(engine)
+        self.parts.sends.untold.append(hint)
         done: list[Action] = [
             sending.record(exchange, sent, 'send-lost', detail),
             *self.parts.sends.abandon(exchange, sent),
--- a/src/greengagelb/coordination/relay/succession.py
+++ b/src/greengagelb/coordination/relay/succession.py
@@ -95,5 +95,5 @@
                 del self.lost[number]
             elif new not in ('', old):
                 del self.lost[number]
-                return self.engines.succeed(old, new)
+                return self.engines.succeed(old, new, now)
         return False
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -52,6 +52,14 @@
     engine: str
 
 
+class Silent(
+    msgspec.Struct, frozen=True, array_like=True, tag='q', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.Silent`."""
+
+    engine: str
+
+
 class Replaced(
     msgspec.Struct, frozen=True, array_like=True, tag='r', tag_field='kind'
 ):
@@ -109,6 +117,7 @@
         | Placed
         | Ended
         | Failed
+        | Silent
         | Replaced
         | EnginesTold
         | StoreRead
@@ -156,6 +165,8 @@
             wire = Ended(number)
         case hints.Failed(engine):
             wire = Failed(engine)
+        case hints.Silent(engine):
+            wire = Silent(engine)
         case hints.Replaced(engine, successor):
             wire = Replaced(engine, successor)
         case hints.EnginesTold(entries, removed):
@@ -196,6 +207,8 @@
             hint = hints.Ended(number)
         case Failed(engine):
             hint = hints.Failed(engine)
+        case Silent(engine):
+            hint = hints.Silent(engine)
         case Replaced(engine, successor):
             hint = hints.Replaced(engine, successor)
         case EnginesTold(entries, removed):
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -15,7 +15,8 @@
     last asked for a sign of life. ``first_due`` is when its first event
     should have come at the latest. ``copy_to`` names the engine that gets a
     copy of the run's memory, which is there as ``copy_name``; ``copy_ordered``
-    tells that it was ordered and lapses in time. ``from_copy`` tells that the
+    tells that it was ordered and lapses in time, and ``copy_orders`` how many
+    orders were given. ``from_copy`` tells that the
     send went on from a copy. ``alone_with`` is the size of its prompt where
     the engine had nothing else to do and has to read it.
     """
@@ -29,6 +30,7 @@
     copy_to: engines.EngineEntry | None = None
     copy_name: requests.CopyName | None = None
     copy_ordered: bool = False
+    copy_orders: int = 0
     from_copy: bool = False
     head: requests.AnswerHead | None = None
     events_seen: int = 0
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -39,6 +39,13 @@
     engine: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silent:
+    """A stream has fallen silent on an engine; it may be the connection."""
+
+    engine: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replaced:
     """Another engine answers at the address of this one.
@@ -84,6 +91,7 @@
     Placed
     | Ended
     | Failed
+    | Silent
     | Replaced
     | EnginesTold
     | StoreRead
--- a/tests/common/relay_world.py
+++ b/tests/common/relay_world.py
@@ -174,6 +174,11 @@
         self.handle(relay_events.RequestArrived(request))
         return self.last_exchange
 
+    def ask_little(self):
+        """Submit a stream that takes next to no room; return its exchange."""
+        part = f'part{self.last_exchange + 1}'
+        return self.ask(prompt=requests.Prompt(400, 40, part))
+
     def call(self, **fields):
         return self.ask(b'/booking/1', 1.5, prompt=None, **fields)
 
--- a/tests/relay/test_copies.py
+++ b/tests/relay/test_copies.py
@@ -98,3 +98,122 @@
         relay_events.PeerTold('other', hints.Failed(send.copy_to.engine))
     )
     assert not copies(world)
+
+
+def test_copy_lost_while_the_prompt_is_read_is_replaced_at_the_first_event():
+    """The engine that is to have the copy dies while the prompt is read.
+
+    Reading takes a second and more, so a wave of crashes often falls into it.
+    The run would go on uncovered to its end, and the next wave have its prompt
+    read again.
+    """
+    world = relay_world.RelayWorld()
+    send = world.last_send(world.ask())
+    lost = send.copy_to
+    world.handle(relay_events.PeerTold('other', hints.Failed(lost.engine)))
+    assert not copies(world)
+    world.begin(send)
+    world.events(send, 1)
+    [copy] = copies(world)
+    assert copy.source == send.engine
+    assert copy.target not in (send.engine, lost)
+    world.events(send, 2)
+    assert len(copies(world)) == 1
+
+
+def test_copy_that_could_not_be_made_is_ordered_elsewhere():
+    """The engine that was chosen has died too, or has no room any more."""
+    world = relay_world.RelayWorld(relay_world.fleet(per_place=6))
+    send = streaming(world)
+    world.handle(
+        relay_events.PeerTold('other', hints.Failed(send.copy_to.engine))
+    )
+    for _ in range(5):
+        last = copies(world)[-1]
+        world.handle(
+            relay_events.RunCopied(
+                send.exchange, send.send, last.target.engine, ''
+            )
+        )
+    targets = [copy.target.engine for copy in copies(world)]
+    assert len(targets) == 3, 'an order is repeated, but not for ever'
+    assert targets[0] != targets[1]
+    assert targets[1] != targets[2]
+
+
+def test_copies_are_replaced_when_their_engine_has_restarted():
+    """An engine goes dark, and restarts before anybody has missed it.
+
+    Nobody had a stream there, only copies. Its old entry stays in the list for
+    seconds, but another engine has registered at its address: what the old one
+    held is gone. Found out at the next loss, the stream is read again.
+    """
+    world = relay_world.RelayWorld()
+    world.advance(5.0)
+    send = streaming(world)
+    old = send.copy_to
+    successor = relay_world.engine(
+        'restarted', old.service, old.data_centre, port=old.address.port
+    )
+    world.change_engines(successor)
+    [copy] = copies(world)
+    assert copy.target.engine != old.engine
+    used = {
+        world.last_send(world.ask_little()).engine.engine for _ in range(30)
+    }
+    assert old.engine not in used
+    assert 'restarted' in used
+
+
+def test_two_streams_that_fall_silent_speak_for_the_death_of_an_engine():
+    """A data centre goes dark: its engines neither answer nor reset.
+
+    One silent stream may be a lost connection. With a second one on the same
+    engine, seen here or by another instance, its copies count as lost, and are
+    made elsewhere before the next data centre fails.
+    """
+    world = relay_world.RelayWorld()
+    send = streaming(world)
+    world.events(send, 2)
+    held_at = send.copy_to.engine
+    world.handle(relay_events.PeerTold('other', hints.Silent(held_at)))
+    assert not copies(world)
+    world.handle(relay_events.PeerTold('another', hints.Silent(held_at)))
+    assert len(copies(world)) == 1
+
+
+def test_two_silent_streams_of_one_instance_count_too():
+    world = relay_world.RelayWorld()
+    send = streaming(world)
+    held_at = send.copy_to.engine
+    for _ in range(2):
+        world.handle(relay_events.PeerTold('other', hints.Silent(held_at)))
+    assert len(copies(world)) == 1
+
+
+def test_instances_tell_of_silent_engines():
+    world = relay_world.RelayWorld()
+    send = streaming(world)
+    world.advance(0.5)
+    told = [a.hint for a in world.of_kind(relay_actions.TellPeers)]
+    assert hints.Silent(send.engine.engine) in told
+
+
+def test_old_entry_that_is_heard_of_late_puts_out_no_engine():
+    """An instance starts while an engine restarts.
+
+    It hears of the new engine first, and then finds the old one's entry in the
+    list, where it stands until it lapses. Taken for a successor, the old one
+    would have the new one left alone for good.
+    """
+    world = relay_world.RelayWorld()
+    new = relay_world.engine('new', relay_world.STREAMS, 'north')
+    world.handle(relay_events.PeerTold('other', hints.EnginesTold((new,), ())))
+    old = relay_world.engine(
+        'old', relay_world.STREAMS, 'north', port=new.address.port
+    )
+    world.change_engines(new, old)
+    used = {
+        world.last_send(world.ask_little()).engine.engine for _ in range(30)
+    }
+    assert 'new' in used
