--- a/src/greengagelb/coordination/relay/engine_list.py
+++ b/src/greengagelb/coordination/relay/engine_list.py
@@ -50,7 +50,7 @@
         if self.engines.lost:
             done.append(actions.Record('store-regained', 'list of engines'))
         done += self.changed(entries, removed, now)
-        self.sharing.engines.known(now)
+        self.sharing.engines.known(self.sharing.engines.looked_at)
         if not self.sharing.is_reader(now):
             return done
         word = hints.StoreRead(self.engines.digest(), self.version)
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -254,9 +254,15 @@
         return self.copies_lost_with(hint, now)
 
     def version_told(self, version: int, now: float) -> None:
-        """Take in which configuration another instance has."""
+        """Take in which configuration another instance has.
+
+        The word of one that lags behind does not put off the read of a newer
+        version that somebody else has told of.
+        """
         known = self.table.version if self.table else 0
-        self.sharing.configuration.told(same=version <= known, now=now)
+        waiting = self.sharing.configuration
+        if version > known or not waiting.stale:
+            waiting.told(same=version <= known, now=now)
 
     # -- requests -----------------------------------------------------------
 
--- a/src/greengagelb/coordination/relay/store_sharing.py
+++ b/src/greengagelb/coordination/relay/store_sharing.py
@@ -27,12 +27,18 @@
     """How up to date one of the two things in the store is known here.
 
     ``fresh_at`` is when it was last known to be current, ``looked_at`` when
-    it was last read here, and ``stale`` tells that something newer exists.
+    it was last read here, and ``stale_at`` when another instance last knew of
+    something newer, if one ever has.
     """
 
     fresh_at: float = float('-inf')
     looked_at: float = float('-inf')
-    stale: bool = False
+    stale_at: float | None = None
+
+    @property
+    def stale(self) -> bool:
+        """Return whether something newer is known to exist."""
+        return self.stale_at is not None and self.stale_at >= self.fresh_at
 
     def due(self, now: float) -> bool:
         """Return whether one who does not read for all has to look."""
@@ -44,17 +50,20 @@
         """Note that it is being read."""
         self.looked_at = now
 
-    def known(self, now: float) -> None:
-        """Note that what is known here is current."""
-        self.fresh_at = now
-        self.stale = False
+    def known(self, asked_at: float) -> None:
+        """Note that what is known here was current at a moment.
+
+        For a read that is when it was asked for: something newer that was
+        told of in the meantime is not in its answer.
+        """
+        self.fresh_at = max(self.fresh_at, asked_at)
 
     def told(self, *, same: bool, now: float) -> None:
         """Take in whether one who has just read it knows the same."""
         if same:
             self.known(now)
         else:
-            self.stale = True
+            self.stale_at = now
 
 
 class StoreSharing:
--- /dev/null
+++ b/tests/relay/test_configuration_machine.py
@@ -0,0 +1,110 @@
+"""Random orders in which an instance hears of configurations."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import store_sharing
+from greengagelb.state.relay import hints
+from tests.common import relay_world
+
+READER = '0-before-all-others'
+VERSIONS = st.integers(1, 12)
+
+
+def route_of(version):
+    """Return a route that tells its version by its name."""
+    route = relay_world.CALL_ROUTE
+    return type(route)(
+        **{
+            field: getattr(route, field)
+            for field in route.__dataclass_fields__
+            if field not in ('name', 'prefix')
+        },
+        name=f'v{version}',
+        prefix=f'/v{version}/',
+    )
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """Versions come late, twice and in any order; word of them gets lost."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = relay_world.RelayWorld()
+        self.highest = self.world.relay.table.version
+        self.heard_of = self.highest
+        self.word_at = float('-inf')
+        self.heard_at = float('-inf')
+
+    @property
+    def relay(self):
+        return self.world.relay
+
+    @rule(version=VERSIONS, seconds=st.sampled_from([0.0, 0.01, 0.5]))
+    def read_from_the_store(self, version, seconds):
+        """The store answers with the newest version at the time of asking."""
+        asked_at = self.world.now - seconds
+        if asked_at >= self.heard_at:
+            version = max(version, self.heard_of)
+        table = relay_world.route_table(version, [route_of(version)])
+        self.world.offer(table)
+        if version > self.highest:
+            self.highest = version
+        self.relay.sharing.configuration.known(asked_at)
+
+    @rule(version=VERSIONS, lost=st.booleans())
+    def neighbour_applies_one(self, version, lost):
+        if lost:
+            return
+        self.world.handle(relay_events.PeerHeard(READER, 'north'))
+        self.world.handle(
+            relay_events.PeerTold(READER, hints.ConfigurationApplied(version))
+        )
+        self.word_at = self.world.now
+        if version > self.heard_of:
+            self.heard_of = version
+            self.heard_at = self.world.now
+
+    @rule(seconds=st.sampled_from([0.1, 0.8, 1.5, 6.0]))
+    def wait(self, seconds):
+        self.world.advance(seconds)
+
+    @rule(version=VERSIONS)
+    def caller_comes(self, version):
+        """Requests go by the version in force, and by no other."""
+        exchange = self.world.ask(f'/v{version}/x'.encode(), 1.5, prompt=None)
+        in_force = version == self.highest and self.highest > 1
+        served = bool(self.world.sends(exchange))
+        statuses = [r.status for r in self.world.refusals(exchange)]
+        assert served == in_force
+        assert in_force or statuses == [404]
+        self.world.leave(exchange)
+
+    @invariant()
+    def version_never_falls(self):
+        assert self.relay.table.version == self.highest
+
+    @invariant()
+    def silence_of_the_neighbour_is_not_waited_out(self):
+        """Whoever reads for all may be dead; its word is good for a moment."""
+        now = self.world.now
+        late = now > self.word_at + store_sharing.WORD_SECONDS
+        sharing = self.relay.sharing
+        read_at = sharing.configuration.fresh_at
+        if late and now > read_at + store_sharing.WORD_SECONDS:
+            assert sharing.configuration_due(now)
+
+    @invariant()
+    def known_newer_version_is_fetched(self):
+        if self.heard_of > self.highest:
+            assert self.relay.sharing.configuration_due(self.world.now)
+
+
+TestConfiguration = ConfigurationMachine.TestCase
+TestConfiguration.settings = settings(
+    max_examples=150, stateful_step_count=30, deadline=None
+)
--- /dev/null
+++ b/tests/relay/test_directory_machine.py
@@ -0,0 +1,148 @@
+"""Random histories of the list of engines, and of what is seen of them."""
+
+import dataclasses
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from greengagelb.coordination.relay import directory
+from tests.common import relay_world
+
+LEAST_LAPSE = relay_world.ENGINE_BOUNDS.least_lapse_seconds
+NAMES = st.sampled_from([f'engine-{number}' for number in range(6)])
+# Six engines share three addresses, as those that restart do.
+PORTS = {f'engine-{number}': 7_000 + number % 3 for number in range(6)}
+
+
+class DirectoryMachine(RuleBasedStateMachine):
+    """Compares the directory with what an instance may never forget."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.known = directory.EngineDirectory(LEAST_LAPSE)
+        self.left: set[str] = set()
+        self.removed: dict[str, float] = {}
+        self.told_at = float('-inf')
+
+    def entry(self, name, heartbeat=1, *, leaving=False):
+        return relay_world.engine(
+            name,
+            relay_world.STREAMS,
+            'north',
+            heartbeat,
+            leaving=leaving,
+            port=PORTS[name],
+        )
+
+    def note_read(self, entries, removed):
+        """Keep what a read has told for certain."""
+        self.left |= {entry.engine for entry in entries if entry.leaving}
+        for entry in entries:
+            self.removed.pop(entry.engine, None)
+        for name in removed:
+            if name in self.known.states:
+                self.removed.setdefault(name, self.now)
+        self.told_at = self.now
+
+    @rule(seconds=st.sampled_from([0.01, 0.4, 1.0, 3.0, 61.0]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(
+        names=st.sets(NAMES),
+        leaving=st.sets(NAMES),
+        removed=st.sets(NAMES),
+        heartbeat=st.integers(1, 9),
+    )
+    def read_changes(self, names, leaving, removed, heartbeat):
+        entries = tuple(
+            self.entry(name, heartbeat, leaving=name in leaving)
+            for name in sorted(names)
+        )
+        gone = tuple(sorted(removed - names))
+        self.known.changed(entries, gone, self.now)
+        self.note_read(entries, gone)
+
+    @rule(names=st.sets(NAMES))
+    def read_whole_list(self, names):
+        entries = tuple(self.entry(name) for name in sorted(names))
+        gone = self.known.missing_from(entries)
+        self.known.changed(entries, gone, self.now)
+        self.note_read(entries, gone)
+
+    @rule()
+    def lose_the_store(self):
+        self.known.store_lost()
+
+    @rule(name=NAMES, dead=st.booleans())
+    def fail(self, name, dead):
+        self.known.failed(name, self.now, dead=dead)
+
+    @rule(name=NAMES)
+    def answer(self, name):
+        self.known.worked(name, self.now)
+
+    @rule(name=NAMES)
+    def doubt(self, name):
+        self.known.doubted(name, self.now)
+
+    @rule(name=NAMES)
+    def fall_silent(self, name):
+        self.known.silent(name, self.now)
+
+    def candidates(self):
+        found = self.known.candidates(relay_world.STREAMS, set(), self.now)
+        return {state.entry.engine for state in found}
+
+    @invariant()
+    def services_name_exactly_the_known_engines(self):
+        by_service = {
+            name
+            for of_service in self.known.by_service.values()
+            for name in of_service
+        }
+        assert by_service == set(self.known.states)
+
+    @invariant()
+    def engine_that_left_gets_no_work(self):
+        """Whatever the list says of it later."""
+        still_known = self.left & set(self.known.states)
+        self.left = still_known
+        assert not self.candidates() & still_known
+
+    @invariant()
+    def removed_engine_gets_no_work_after_the_moment_of_grace(self):
+        for name, at in self.removed.items():
+            if self.now > at + directory.RETURN_SECONDS:
+                assert name not in self.candidates()
+
+    @invariant()
+    def distrust_alone_empties_no_pool(self):
+        """A refusal for want of engines would help nobody."""
+        usable = [
+            state
+            for state in self.known.states.values()
+            if state.usable(self.now)
+        ]
+        assert bool(usable) == bool(self.candidates())
+
+    @invariant()
+    def equal_lists_have_equal_digests(self):
+        other = directory.EngineDirectory(LEAST_LAPSE)
+        entries = tuple(
+            dataclasses.replace(state.entry, leaving=state.leaving)
+            for state in self.known.states.values()
+            if state.listed
+        )
+        other.changed(entries, (), self.now)
+        assert other.digest() == self.known.digest()
+
+
+TestDirectory = DirectoryMachine.TestCase
+TestDirectory.settings = settings(
+    max_examples=150, stateful_step_count=30, deadline=None
+)
--- a/tests/relay/test_store_sharing.py
+++ b/tests/relay/test_store_sharing.py
@@ -120,3 +120,18 @@
     world.change_engines(*relay_world.fleet(heartbeat=5))
     [hint] = told(world)[before:]
     assert isinstance(hint, hints.StoreRead)
+
+
+def test_word_of_one_that_lags_does_not_put_off_a_known_version():
+    """Two instances nearby read the store, and one of them is turned away.
+
+    The first has told of a new version, and the second goes on telling of the
+    old one. Taken for the newest word, it would have keys that were added
+    refused for as long as the store turns that one away.
+    """
+    world = world_with_reader()
+    read_by(world)
+    world.advance(1.0)
+    read_by(world, version=world.relay.table.version + 1)
+    read_by(world)
+    assert world.relay.sharing.configuration_due(world.now)
