Take no stream that comes late in a stop, however short it seems

Ruled out: the balancer (it had sent no new caller for two seconds), and the estimate in itself: it is no bound and can't be one. Change: streams that come later than 3 s after a stop was asked for are refused as not run, with when to come back.

--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -41,6 +41,12 @@
     calls.SECOND_TRY_TIMER,
     copying.COPY_TIMER,
 )
+# How long after it was asked to stop an instance takes streams, in seconds:
+# as long as the balancer may send it new callers. One that comes later, on a
+# connection that its caller has kept, is not worth the risk: how long it takes
+# is only known from others, and if it is cut at the end of the stop, its
+# caller has lost it.
+STREAMS_WHILE_STOPPING = 3.0
 
 Action = relay_actions.RelayAction
 
@@ -89,6 +95,7 @@
             self.engines, self.sharing, self.copies
         )
         self.stop_by = float('inf')
+        self.streams_until = float('inf')
         self.progress = lifecycle.Progress()
         self.lifecycle = lifecycle.new_lifecycle(self.progress)
 
@@ -191,6 +198,7 @@
             case relay_events.StopBy(deadline):
                 self.lifecycle.stop_requested()
                 self.stop_by = deadline
+                self.streams_until = now + STREAMS_WHILE_STOPPING
                 left = f'{deadline - now:.1f} s left'
                 return [actions.Record('stopping', left)]
             case events.PauseNoticed(seconds):
@@ -285,7 +293,9 @@
         name = stalls.timer_name(DEADLINE_TIMER, request.exchange)
         done: list[Action] = [actions.SetTimer(name, ruling.deadline)]
         stream = ruling.route.repeat is routes.Repeat.STREAM
-        if now + self.most_seconds(exchange, stream) > self.stop_by:
+        ends_by = now + self.most_seconds(exchange, stream)
+        late_stream = stream and now >= self.streams_until
+        if late_stream or ends_by > self.stop_by:
             return [self.answers.not_run(exchange, 'stopping', now)]
         relay = self.streams if stream else self.calls
         return done + relay.begin(exchange, now)
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -18,3 +18,29 @@
     [refusal] = world.refusals(late)
     assert refusal.status == 503
     assert refusal.retry_after is not None
+
+
+def test_stream_that_comes_late_in_a_stop_is_refused_however_short():
+    """A caller sends a stream on a connection that it has kept.
+
+    The instance was asked to stop four seconds before. By what streams have
+    taken so far this one would just be over in time, but its prompt waits
+    behind others, and it is cut in the middle of its answer. New callers are
+    not sent here any more by then, and refused it is served elsewhere whole.
+    """
+    world = relay_world.RelayWorld()
+    for _ in range(20):
+        send = world.last_send(world.ask())
+        world.begin(send)
+        world.events(send, 1)
+        world.advance(0.5)
+        world.complete(send)
+    world.handle(relay_events.StopBy(world.now + 7.6))
+    world.advance(2.0)
+    assert world.sends(world.ask())
+    world.advance(2.0)
+    late = world.ask()
+    assert not world.sends(late)
+    [refusal] = world.refusals(late)
+    assert refusal.status == 503
+    assert refusal.retry_after is not None
