Log what a stopping instance takes, and what its end cuts

The logs could not tell the three hypotheses on the incident apart: neither how much time was left for a request that was taken in a stop, nor what came between the line that tells of the end and the end itself. Two kinds of event now do: taken-while-stopping and ended. No decision is changed.

--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -297,9 +297,21 @@
         late_stream = stream and now >= self.streams_until
         if late_stream or ends_by > self.stop_by:
             return [self.answers.not_run(exchange, 'stopping', now)]
+        if self.progress.phase in lifecycle.ENDING:
+            done.append(self.taken_late(exchange, ends_by, now))
         relay = self.streams if stream else self.calls
         return done + relay.begin(exchange, now)
 
+    def taken_late(
+        self, exchange: exchanges.Exchange, ends_by: float, now: float
+    ) -> actions.Record:
+        """Tell what a request was taken on, while this instance stops."""
+        left = f'{self.stop_by - now:.3f} s left'
+        need = f'needs {ends_by - now:.3f} s'
+        return sending.record(
+            exchange, None, 'taken-while-stopping', f'{left}, {need}'
+        )
+
     def most_seconds(
         self, exchange: exchanges.Exchange, stream: bool
     ) -> float:
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -222,7 +222,13 @@
         self.recorder.record(actions.Record('stopped', f'{left} cut'))
         self.peers.beat(leaving=True)
         ended = self.watch.stop()
-        ended.addBoth(lambda _: self.stopped.callback(None))
+        ended.addBoth(lambda _: self.end())
+
+    def end(self) -> None:
+        """Let the process end; tell what is lost with it."""
+        left = len(self.relay.exchanges)
+        self.recorder.record(actions.Record('ended', f'{left} cut'))
+        self.stopped.callback(None)
 
     # -- actions ------------------------------------------------------------
 
