--- /dev/null
+++ b/tests/relay/test_stop_ending.py
@@ -0,0 +1,129 @@
+"""The end of a planned stop: what still comes is answered or never read.
+
+An instance that was asked to stop serves on until its last caller is gone,
+takes its entry back in the store, and ends. On days on which all instances were
+stopped in turn, callers lost calls that had come in the last milliseconds: the
+instance had no caller left and waited for the store's answer, its port was
+open, and it sent the call to an engine as at any other time. Then the process
+ended. The caller got no answer, and as the call must not repeat nobody could
+send it again. The log proved it: the call was sent 4 ms after the line that
+tells of the end of the stop. The cause is that nothing but the process itself
+ended the taking of requests.
+"""
+
+import pytest
+
+from tests.common import instance_world
+from tests.common import relay_wires
+
+CALL = (
+    b'POST /booking/a HTTP/1.1\r\nHost: x\r\nId: r1\r\nContent-Length: 2\r\n'
+    b'\r\nhi'
+)
+STREAM = CALL.replace(b'/booking/', b'/drafts/')
+# By then the balancer sends no new callers, and an instance that nobody uses
+# takes its entry back.
+EMPTY_SECONDS = 3.7
+
+
+def ending_world():
+    """Return an instance that waits for the store to remove its entry."""
+    world = instance_world.InstanceWorld()
+    world.instance.stop()
+    world.advance(EMPTY_SECONDS)
+    assert len(world.store.removals) == 1
+    return world
+
+
+def assert_refused_as_not_run(connection):
+    """Check for the one answer that promises that nothing has run."""
+    [(status, _)] = instance_world.answers(connection)
+    assert status == 503
+    raw = connection.transport.value().lower()
+    assert b'retry-after:' in raw
+    assert b'connection: close' in raw
+
+
+@pytest.mark.parametrize('request_bytes', [CALL, STREAM])
+def test_request_on_a_new_connection_at_the_end_is_refused(request_bytes):
+    """A caller connects while the instance waits for the store's answer.
+
+    Nobody is served here any more, so the instance is about to end. A request
+    that it sent to an engine now would be cut with the process.
+    """
+    world = ending_world()
+    before = world.engine_requests
+    connection = world.connect()
+    connection.dataReceived(request_bytes)
+    assert world.engine_requests == before
+    assert_refused_as_not_run(connection)
+
+
+def test_request_in_pieces_at_the_end_is_refused():
+    """The bytes of a request come one by one while the entry is removed."""
+    world = ending_world()
+    before = world.engine_requests
+    connection = world.connect()
+    for at in range(len(CALL)):
+        connection.dataReceived(CALL[at : at + 1])
+        world.advance(0.001)
+    assert world.engine_requests == before
+    assert_refused_as_not_run(connection)
+
+
+def test_refusal_is_out_before_the_process_ends():
+    """The store answers just after a late request was refused.
+
+    The refusal is still on its way to a caller behind a slow link. What is not
+    written yet is lost with the process, and the caller sees a connection that
+    ends without an answer.
+    """
+    world = ending_world()
+    connection = world.connect()
+    connection.dataReceived(CALL)
+    world.store.removals[0].callback(None)
+    assert not world.ended
+    relay_wires.close(connection)
+    world.advance(0.2)
+    assert world.ended
+
+
+def test_request_that_is_half_read_when_time_is_up_is_refused():
+    """A caller is still sending its body when the stop has to end.
+
+    The connection would end without a word, and the caller would not know
+    whether its request has run.
+    """
+    world = instance_world.InstanceWorld()
+    connection = world.connect()
+    connection.dataReceived(CALL[:-1])
+    world.instance.stop()
+    world.advance(7.65)
+    assert world.store.removals
+    world.store.removals[0].callback(None)
+    world.advance(0.05)
+    assert_refused_as_not_run(connection)
+
+
+def test_stop_ends_in_its_time_though_the_store_is_silent():
+    """The store takes the removal of the entry and never answers.
+
+    A process that waited for it would be killed, and what it had still to
+    write would be lost.
+    """
+    world = instance_world.InstanceWorld()
+    connection = world.connect()
+    connection.dataReceived(CALL[:-1])
+    world.instance.stop()
+    world.advance(instance_world.GRACE_SECONDS - 0.1)
+    assert world.store.removals
+    assert world.ended
+
+
+def test_no_caller_can_connect_once_the_instance_has_ended():
+    """Else a caller could be accepted whom nobody reads any more."""
+    world = ending_world()
+    world.store.removals[0].callback(None)
+    world.advance(0.2)
+    assert world.ended
+    assert not world.listens
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -44,3 +44,21 @@
     [refusal] = world.refusals(late)
     assert refusal.status == 503
     assert refusal.retry_after is not None
+
+
+def test_stream_that_was_sent_near_the_end_of_the_time_for_streams():
+    """A stop is noticed late, as the instance was busy.
+
+    A stream that a caller sends three seconds after the stop was asked for is
+    then still within three seconds of the notice. Its prompt waits behind
+    others, and it is cut at the end of the stop: what is taken has to be tied
+    to the time at which the stop was asked for, with room for both.
+    """
+    world = relay_world.RelayWorld()
+    world.handle(relay_events.StopBy(world.now + 7.6))
+    world.advance(2.7)
+    late = world.ask()
+    assert not world.sends(late)
+    [refusal] = world.refusals(late)
+    assert refusal.status == 503
+    assert refusal.retry_after is not None
