End the taking of requests when an instance begins to end, not with the process

Cause: once an instance had no caller left it asked the store to remove its entry and ended when that was answered. Meanwhile its port was open and what came was decided on as at any time: nothing but the process itself ended the taking of requests. A call that was sent to an engine then was cut, and as it must not repeat nobody could send it again. Class: a state of the life cycle (the end) that only the transport knew of, as a flag. Also found by the tests: refusals in a write buffer were dropped with the process, half-read requests got no answer, a silent store (0.6 s) outlasted the 0.4 s that are left at the end, and the time for streams counted from the notice of the signal, without room. Ruled out: the balancer (calls came on kept connections too); the look at the connections itself (it and the state change are in one turn of the loop now). Change: the life cycle has the states finished (nothing is taken) and ended, with taking a request there an illegal move. The entry is removed with the port open and everything refused as not run; then the port is closed and answers flushed. Both interfaces close by one function. Deadlines of a stop count from the signal; streams are taken for 2.5 s.

--- a/src/greengagelb/coordination/lifecycle.py
+++ b/src/greengagelb/coordination/lifecycle.py
@@ -1,8 +1,9 @@
 """Life cycle of an instance, from its start to its planned stop.
 
-An instance takes no request before it has a configuration, none after it was
-asked to stop, and ends only when nothing is in flight. A move that is not
-listed here is a fault of this program and raises.
+An instance takes no request before it has a configuration, and none once it
+has begun to end. It begins to end when nothing is in flight, and the process
+ends when all that was written is out. A move that is not listed here is a
+fault of this program and raises.
 """
 
 import dataclasses
@@ -19,9 +20,10 @@
     SERVING = 'serving'
     STOPPING = 'stopping'
     FINISHED = 'finished'
+    ENDED = 'ended'
 
 
-ENDING = (Phase.STOPPING, Phase.FINISHED)
+ENDING = (Phase.STOPPING, Phase.FINISHED, Phase.ENDED)
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,15 +42,22 @@
     def stop_requested(self) -> None:
         """The platform asks the instance to stop; asking twice is harmless."""
 
+    def request_taken(self) -> None:
+        """A request is about to be sent on, or to wait for that."""
+
     def emptied(self) -> None:
         """Nothing is in flight, and nothing new is taken."""
 
+    def closed(self) -> None:
+        """All that was written is out, and nobody can connect any more."""
+
 
 builder = automat.TypeMachineBuilder(Lifecycle, Progress)
 starting = builder.state('starting')
 serving = builder.state('serving')
 stopping = builder.state('stopping')
 finished = builder.state('finished')
+ended = builder.state('ended')
 
 
 @starting.upon(Lifecycle.configured).to(serving)
@@ -71,15 +80,30 @@
 
 @stopping.upon(Lifecycle.emptied).to(finished)
 def finish(machine: Lifecycle, progress: Progress) -> None:
-    """Let the process end."""
+    """Take nothing any more, and let the process end once that is told.
+
+    A request that were sent to an engine from now on would be cut with the
+    process. Its caller would get no answer, and one that must not repeat could
+    not be sent again by anybody.
+    """
     progress.phase = Phase.FINISHED
 
 
+@finished.upon(Lifecycle.closed).to(ended)
+def end(machine: Lifecycle, progress: Progress) -> None:
+    """End the process."""
+    progress.phase = Phase.ENDED
+
+
 @serving.upon(Lifecycle.configured).loop()
+@serving.upon(Lifecycle.request_taken).loop()
+@stopping.upon(Lifecycle.request_taken).loop()
 @stopping.upon(Lifecycle.configured).loop()
 @finished.upon(Lifecycle.configured).loop()
+@ended.upon(Lifecycle.configured).loop()
 @stopping.upon(Lifecycle.stop_requested).loop()
 @finished.upon(Lifecycle.stop_requested).loop()
+@ended.upon(Lifecycle.stop_requested).loop()
 def change_nothing(machine: Lifecycle, progress: Progress) -> None:
     """Stay where the instance is."""
 
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -94,9 +94,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopBy:
-    """This instance is to stop; ``deadline`` is when all must have ended."""
+    """This instance is to stop; ``deadline`` is when all must have ended.
+
+    ``asked_at`` is when the platform asked for it, if that was noticed late.
+    """
 
     deadline: float
+    asked_at: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopDue:
+    """Nobody is served here any more, or the time for a stop is up."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Closed:
+    """All that was written is out, and nobody can connect any more."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,6 +189,8 @@
     | EnginesChanged
     | StoreLost
     | StopBy
+    | StopDue
+    | Closed
     | EngineProbed
     | RunCopied
     | SuccessorSeen
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -41,12 +41,14 @@
     calls.SECOND_TRY_TIMER,
     copying.COPY_TIMER,
 )
-# How long after it was asked to stop an instance takes streams, in seconds:
-# as long as the balancer may send it new callers. One that comes later, on a
-# connection that its caller has kept, is not worth the risk: how long it takes
-# is only known from others, and if it is cut at the end of the stop, its
-# caller has lost it.
-STREAMS_WHILE_STOPPING = 3.0
+# How long after it was asked to stop an instance takes streams, in seconds.
+# The balancer asks once a second and goes by two misses in a row, so it sends
+# no new callers after two; half a second is room for a stop that is noticed
+# late and for the way of a request. A stream that comes later, on a connection
+# that its caller has kept, is not worth the risk: how long it takes is only
+# known from others, and if it is cut at the end of the stop, its caller has
+# lost it.
+STREAMS_WHILE_STOPPING = 2.5
 
 Action = relay_actions.RelayAction
 
@@ -117,6 +119,12 @@
         """Return whether the balancer may send callers here."""
         return self.progress.phase is lifecycle.Phase.SERVING
 
+    @property
+    def finished(self) -> bool:
+        """Return whether nothing is taken any more, as the process ends."""
+        phase = self.progress.phase
+        return phase in (lifecycle.Phase.FINISHED, lifecycle.Phase.ENDED)
+
     def handle(
         self, event: relay_events.RelayEvent, now: float
     ) -> list[Action]:
@@ -195,12 +203,19 @@
                 return self.listed.store_lost(detail)
             case relay_events.SuccessorSeen(old, new):
                 return self.successor_seen(old, new, now)
-            case relay_events.StopBy(deadline):
-                self.lifecycle.stop_requested()
-                self.stop_by = deadline
-                self.streams_until = now + STREAMS_WHILE_STOPPING
-                left = f'{deadline - now:.1f} s left'
-                return [actions.Record('stopping', left)]
+            case relay_events.StopBy():
+                return self.stop_asked(event, now)
+            case relay_events.StopDue():
+                self.lifecycle.emptied()
+                left = f'{len(self.exchanges)} cut'
+                return [
+                    actions.Record('stopped', left),
+                    actions.FinishStopping(),
+                ]
+            case relay_events.Closed():
+                self.lifecycle.closed()
+                left = f'{len(self.exchanges)} cut'
+                return [actions.Record('ended', left)]
             case events.PauseNoticed(seconds):
                 return self.paused(seconds, now)
         return self.hear(event, now)
@@ -272,6 +287,35 @@
         if version > known or not waiting.stale:
             waiting.told(same=version <= known, now=now)
 
+    # -- stopping -----------------------------------------------------------
+
+    def stop_asked(
+        self, event: relay_events.StopBy, now: float
+    ) -> list[Action]:
+        """Serve on, but take only what can be finished in time."""
+        asked_at = now if event.asked_at is None else event.asked_at
+        self.lifecycle.stop_requested()
+        self.stop_by = event.deadline
+        self.streams_until = asked_at + STREAMS_WHILE_STOPPING
+        why = (
+            f'{event.deadline - now:.1f} s left, '
+            f'noticed after {now - asked_at:.3f} s'
+        )
+        return [actions.Record('stopping', why)]
+
+    def stops_too_soon(self, stream: bool, ends_by: float, now: float) -> bool:
+        """Return whether a request might be cut by the end of this instance.
+
+        ``ends_by`` is when it is taken to be over. What comes once this
+        instance has begun to end could not even be answered: the process may
+        be gone before its engine is done.
+        """
+        if self.finished:
+            return True
+        if stream and now >= self.streams_until:
+            return True
+        return ends_by > self.stop_by
+
     # -- requests -----------------------------------------------------------
 
     def arrive(
@@ -294,9 +338,9 @@
         done: list[Action] = [actions.SetTimer(name, ruling.deadline)]
         stream = ruling.route.repeat is routes.Repeat.STREAM
         ends_by = now + self.most_seconds(exchange, stream)
-        late_stream = stream and now >= self.streams_until
-        if late_stream or ends_by > self.stop_by:
+        if self.stops_too_soon(stream, ends_by, now):
             return [self.answers.not_run(exchange, 'stopping', now)]
+        self.lifecycle.request_taken()
         if self.progress.phase in lifecycle.ENDING:
             done.append(self.taken_late(exchange, ends_by, now))
         relay = self.streams if stream else self.calls
--- a/src/greengagelb/platform/process.py
+++ b/src/greengagelb/platform/process.py
@@ -61,8 +61,10 @@
         path, lambda: running.reload(lambda: read_settings(path))
     )
     running.loop.repeat(SETTINGS_LOOK_SECONDS, file.look)
+    # A busy loop looks late; the time for a stop counts from the signal.
     signal.signal(
-        signal.SIGTERM, lambda *_: reactor.callFromThread(running.stop)
+        signal.SIGTERM,
+        lambda *_: reactor.callFromThread(running.stop, reactor.seconds()),
     )
     signal.signal(
         signal.SIGHUP, lambda *_: reactor.callFromThread(file.changed)
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -338,10 +338,6 @@
         self.finishing = True
         self.peers.own_changed(self.own_state())
         self.peers.stop()
-        closed = [
-            defer.maybeDeferred(port.stopListening) for port in self.ports
-        ]
-        closed += [site.drain(self.reactor) for site in self.sites]
-        defer.DeferredList(closed, consumeErrors=True).chainDeferred(
-            self.stopped
-        )
+        drained = [site.drain(self.reactor) for site in self.sites]
+        closed = listening.close_all(self.ports, drained)
+        closed.chainDeferred(self.stopped)
--- a/src/greengagelb/transport/listening.py
+++ b/src/greengagelb/transport/listening.py
@@ -7,6 +7,18 @@
 FLUSH_SECONDS = 5.0
 
 
+def close_all(
+    ports: list[interfaces.IListeningPort], drained: list[defer.Deferred]
+) -> defer.Deferred:
+    """Close ports; fire once that is done and all Deferreds have fired.
+
+    The end of a process waits for it: closed first, a port takes no caller
+    whom nobody would read any more.
+    """
+    closed = [defer.maybeDeferred(port.stopListening) for port in ports]
+    return defer.DeferredList([*closed, *drained], consumeErrors=True)
+
+
 class DrainingFactory(policies.WrappingFactory):
     """Knows the open connections of the factory that it wraps.
 
--- a/src/greengagelb/transport/relay/caller_side.py
+++ b/src/greengagelb/transport/relay/caller_side.py
@@ -11,6 +11,7 @@
 import json
 
 import h11
+from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
@@ -42,6 +43,10 @@
 # this size are over before; a caller that far behind has stopped reading.
 MOST_UNSENT_BYTES = 1 << 20
 BODY_WAIT = 0.5
+# A caller whose request is refused as this instance ends finds another one as
+# soon as it connects again; the wait spreads those that come back together.
+# In seconds.
+STOPPING_WAIT = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,8 +90,7 @@
     ) -> None:
         """Tell the decisions that the caller is gone."""
         self.stop_waiting()
-        self.side.connections.discard(self)
-        self.side.heads.discard(self)
+        self.side.forget(self)
         self.drop_body()
         if self.exchange is not None:
             exchange, self.exchange = self.exchange, None
@@ -112,6 +116,21 @@
         """Close a connection on which nothing was asked for long."""
         self.close()
 
+    @property
+    def half_read(self) -> bool:
+        """Return whether a part of a request has come in."""
+        begun = self.reading is not None or bool(self.http.trailing_data[0])
+        return begun and self.exchange is None
+
+    def end(self) -> None:
+        """Close the connection as this instance ends, with an answer owed."""
+        if self.lingering or self.transport.disconnecting:
+            return
+        if self.half_read:
+            self.refuse_and_close(UNAVAILABLE, 'stopping', STOPPING_WAIT)
+        elif self.exchange is None:
+            self.close()
+
     def close(self) -> None:
         """Close the connection once all that was written is out."""
         self.transport.unregisterProducer()
@@ -407,6 +426,7 @@
         self.counter = itertools.count(1)
         self.body_bytes = 0
         self.closing = False
+        self.drained: defer.Deferred | None = None
 
     @property
     def limits(self) -> routes.Limits:
@@ -428,12 +448,38 @@
         if self.exchanges.pop(exchange, None) is not None:
             self.dispatch(events.CallerGone(exchange))
 
+    def forget(self, connection: CallerConnection) -> None:
+        """Forget a connection that is closed."""
+        self.connections.discard(connection)
+        self.heads.discard(connection)
+        self.check_drained()
+
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
         for connection in list(self.connections):
             if connection.exchange is None and connection.reading is None:
                 connection.close()
 
+    def drain(self) -> defer.Deferred:
+        """Close all connections; fire once all that was written is out.
+
+        A request that is not read whole is refused: without an answer its
+        caller could not know whether it has run. For those that are answered
+        already there is nothing left but to wait until their answers are out:
+        what is still in a buffer when the process ends is lost.
+        """
+        drained = self.drained = defer.Deferred()
+        for connection in list(self.connections):
+            connection.end()
+        self.check_drained()
+        return drained
+
+    def check_drained(self) -> None:
+        """Tell that the last connection is closed."""
+        if self.drained is not None and not self.connections:
+            drained, self.drained = self.drained, None
+            drained.callback(None)
+
     def break_all(self) -> None:
         """Reset the connections that still wait for an answer.
 
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -21,6 +21,7 @@
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import routes
 from greengagelb.transport import decision_loop
+from greengagelb.transport import listening
 from greengagelb.transport import metrics
 from greengagelb.transport import recorder
 from greengagelb.transport.relay import caller_side
@@ -41,9 +42,19 @@
 # What is still under way so long before the platform kills the process is
 # broken off, so that the callers learn of it. In seconds.
 LAST_SECONDS = 0.4
+# So long before the platform kills the process it no longer waits for the
+# store, and no longer for callers who are slow to read. The second figure is
+# what a process of half a core needs to end. In seconds.
+STORE_LAST_SECONDS = 0.25
+END_LAST_SECONDS = 0.15
 STOP_POLL_SECONDS = 0.1
 
 
+def store_too_slow(result: object, seconds: float) -> object:
+    """Turn the end of a wait for the store into an error of ours."""
+    raise errors.PlatformUnavailable(f'no answer within {seconds:.3f} s')
+
+
 class RelayInstance:
     """Owns the sockets and clients, and carries out what is decided."""
 
@@ -99,7 +110,9 @@
             self.peers.listed,
         )
         self.last_pulse = reactor.seconds()
+        self.ports: list[interfaces.IListeningPort] = []
         self.stop_by: float | None = None
+        self.kill_at = 0.0
         self.leave_at = 0.0
         self.stopped: defer.Deferred = defer.Deferred()
 
@@ -108,7 +121,7 @@
     def start(self) -> None:
         """Open the ports and begin to follow the store."""
         place = self.settings.instance
-        self.listen(place.caller_address, self.callers)
+        self.ports = [self.listen(place.caller_address, self.callers)]
         self.listen(
             place.ready_address,
             pages.PageFactory(lambda: pages.readiness_page(self.relay.ready)),
@@ -126,10 +139,10 @@
 
     def listen(
         self, address: engines.Address, factory: protocol.ServerFactory
-    ) -> None:
+    ) -> interfaces.IListeningPort:
         """Serve a factory at an address."""
         try:
-            self.reactor.listenTCP(
+            return self.reactor.listenTCP(
                 address.port, factory, backlog=512, interface=address.host
             )
         except error.CannotListenError as exc:
@@ -194,40 +207,60 @@
         """Record a datagram that could not be sent or read."""
         self.recorder.record(actions.Record('bad-datagram', detail))
 
-    def stop(self) -> None:
+    def stop(self, asked_at: float | None = None) -> None:
         """Stop gracefully: say so, serve what comes, and end in time.
 
-        The platform may ask twice; the first time counts.
+        ``asked_at`` is when the platform asked, now if it is not given. It may
+        ask twice; the first time counts.
         """
         if self.stop_by is not None:
             return
         now = self.reactor.seconds()
+        asked_at = now if asked_at is None else asked_at
         grace = self.settings.stop.grace_seconds
-        self.stop_by = now + grace - LAST_SECONDS
-        self.leave_at = now + min(LEAVE_SECONDS, grace / 2)
+        self.kill_at = asked_at + grace
+        self.stop_by = self.kill_at - LAST_SECONDS
+        self.leave_at = asked_at + min(LEAVE_SECONDS, grace / 2)
         self.callers.closing = True
-        self.loop.dispatch(relay_events.StopBy(self.stop_by))
+        self.loop.dispatch(relay_events.StopBy(self.stop_by, asked_at))
         self.loop.repeat(STOP_POLL_SECONDS, self.look_whether_done)
 
     def look_whether_done(self) -> None:
-        """End once nobody is served here any more, or time is up."""
+        """Begin to end once nobody is served here, or time is up."""
         now = self.reactor.seconds()
-        if now < self.leave_at or self.watch.stopped:
+        if now < self.leave_at or self.relay.finished:
             return
         self.callers.close_idle()
         if now < self.stop_by and self.callers.connections:
             return
-        left = len(self.relay.exchanges)
+        self.loop.dispatch(relay_events.StopDue())
+
+    def finish(self) -> None:
+        """Take the own entry back, then close.
+
+        The port stays open meanwhile, so that who connects is told that its
+        request has not run, rather than reset without a word.
+        """
         self.callers.break_all()
-        self.recorder.record(actions.Record('stopped', f'{left} cut'))
         self.peers.beat(leaving=True)
-        ended = self.watch.stop()
-        ended.addBoth(lambda _: self.end())
+        removed = self.watch.stop()
+        wait = self.kill_at - STORE_LAST_SECONDS - self.reactor.seconds()
+        removed.addTimeout(max(0.0, wait), self.reactor, store_too_slow)
+        removed.addErrback(self.watch.not_removed)
+        removed.addBoth(lambda _: self.close())
+        removed.addErrback(self.loop.failed)
+        removed.addBoth(lambda _: self.end())
+
+    def close(self) -> defer.Deferred:
+        """Close the port and all connections; fire when they are."""
+        wait = self.kill_at - END_LAST_SECONDS - self.reactor.seconds()
+        drained = self.callers.drain()
+        drained.addTimeout(max(0.0, wait), self.reactor)
+        return listening.close_all(self.ports, [drained])
 
     def end(self) -> None:
-        """Let the process end; tell what is lost with it."""
-        left = len(self.relay.exchanges)
-        self.recorder.record(actions.Record('ended', f'{left} cut'))
+        """Let the process end."""
+        self.loop.dispatch(relay_events.Closed())
         self.stopped.callback(None)
 
     # -- actions ------------------------------------------------------------
@@ -258,5 +291,7 @@
                 self.loop.clear_timer(name)
             case actions.Record():
                 self.recorder.record(action)
+            case actions.FinishStopping():
+                self.finish()
             case _:
                 self.callers.carry_out(action)
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -154,6 +154,9 @@
                 yield look()
                 failures = 0
             except errors.GreengagelbError as exc:
+                if self.stopped:
+                    # The process ends, and with it its connections.
+                    return
                 failures += 1
                 self.dispatch(relay_events.StoreLost(f'{exc.code}: {exc}'))
                 pause = RETRY_SECONDS if failures > 1 else FIRST_RETRY_SECONDS
--- a/tests/common/instance_world.py
+++ b/tests/common/instance_world.py
@@ -49,7 +49,7 @@
         self.ports[port] = Port(factory)
         return self.ports[port]
 
-    def listenUDP(self, port, protocol, interface='', maxPacketSize=8192):
+    def listenUDP(self, port, protocol, interface=''):
         protocol.transport = Datagrams()
 
 
--- a/tests/relay/test_stop_ending.py
+++ b/tests/relay/test_stop_ending.py
@@ -1,14 +1,14 @@
 """The end of a planned stop: what still comes is answered or never read.
 
 An instance that was asked to stop serves on until its last caller is gone,
-takes its entry back in the store, and ends. On days on which all instances were
-stopped in turn, callers lost calls that had come in the last milliseconds: the
-instance had no caller left and waited for the store's answer, its port was
-open, and it sent the call to an engine as at any other time. Then the process
-ended. The caller got no answer, and as the call must not repeat nobody could
-send it again. The log proved it: the call was sent 4 ms after the line that
-tells of the end of the stop. The cause is that nothing but the process itself
-ended the taking of requests.
+takes its entry back in the store, and ends. On days on which all instances
+were stopped in turn, callers lost calls that had come in the last
+milliseconds: the instance had no caller left and waited for the store's
+answer, its port was open, and it sent the call to an engine as at any other
+time. Then the process ended. The caller got no answer, and as the call must
+not repeat nobody could send it again. The log proved it: the call was sent
+4 ms after the line that tells of the end of the stop. The cause is that
+nothing but the process itself ended the taking of requests.
 """
 
 import pytest
