Tests of the own interface's end that fail: an operator's answer is cut

The cause of the incident acts here too: the end of a stop waits for callers' exchanges and for write buffers, but not for an answer that still waits for the store, nor for a request that is half read.

--- /dev/null
+++ b/tests/transport/test_draining.py
@@ -0,0 +1,99 @@
+"""The end of an instance's own interface: nothing that is asked is cut."""
+
+import json
+
+import klein
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.internet import testing
+
+from greengagelb.transport import listening
+from greengagelb.transport import serving
+
+CONFIRM = b'POST /plans/1/confirm HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n'
+WHOLE = CONFIRM + b'\r\n{}'
+HALF = CONFIRM + b'\r\n{'
+
+
+class Operators:
+    """An interface whose answers come when the test says so."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.asked = []
+        app = klein.Klein()
+        app.route('/plans/<plan>/confirm', methods=['POST'])(self.confirm)
+        site = serving.bounded_site(app.resource(), self.clock)
+        self.factory = listening.DrainingFactory(site)
+        self.factory.startFactory()
+
+    def confirm(self, request, plan):
+        """Answer later, as one does who waits for the store."""
+        asked = defer.Deferred()
+        self.asked.append(asked)
+        return asked
+
+    def connect(self):
+        transport = testing.StringTransportWithDisconnection()
+        connection = self.factory.buildProtocol(None)
+        transport.protocol = connection
+        connection.makeConnection(transport)
+        return connection
+
+
+def test_answer_that_waits_for_the_store_is_given_before_the_end():
+    """An operator confirms a plan while the instance stops.
+
+    No caller is served any more, so the instance is about to end, but the
+    store has not answered yet. With the connection closed the operator would
+    not know whether the plan is in force.
+    """
+    operators = Operators()
+    connection = operators.connect()
+    connection.dataReceived(WHOLE)
+    drained = operators.factory.drain(operators.clock)
+    ended = []
+    drained.addCallback(ended.append)
+    assert connection.transport.connected
+    assert not ended
+    operators.asked[0].callback(b'confirmed')
+    assert b'confirmed' in connection.transport.value()
+    assert not connection.transport.connected
+    assert ended
+
+
+def test_half_read_request_is_told_that_it_has_not_run():
+    """A request is still coming in when the instance ends.
+
+    Closed without a word, its sender could not know whether it has run.
+    """
+    operators = Operators()
+    connection = operators.connect()
+    connection.dataReceived(HALF)
+    operators.factory.drain(operators.clock)
+    head, _, body = connection.transport.value().partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 503')
+    assert json.loads(body)['ran'] == 'no'
+    assert not operators.asked
+
+
+def test_end_does_not_wait_for_an_answer_that_never_comes():
+    """The store is silent; the platform would kill the process in the end."""
+    operators = Operators()
+    connection = operators.connect()
+    connection.dataReceived(WHOLE)
+    drained = operators.factory.drain(operators.clock)
+    ended = []
+    drained.addBoth(ended.append)
+    operators.clock.advance(listening.FLUSH_SECONDS)
+    assert ended
+
+
+def test_idle_connection_is_closed_at_once():
+    operators = Operators()
+    connection = operators.connect()
+    drained = operators.factory.drain(operators.clock)
+    ended = []
+    drained.addCallback(ended.append)
+    assert not connection.transport.connected
+    assert ended
