Answer operators, and refuse half-read requests, before the own interface ends

The end of a stop waited for what the decisions know (callers' exchanges) and for write buffers; an operator's confirm that waited for the store was cut, and a half-read request ended without a word.

--- a/src/greengagelb/transport/listening.py
+++ b/src/greengagelb/transport/listening.py
@@ -25,7 +25,9 @@
     Stopping the reactor drops what is still in the write buffers: a caller
     would lose the last tokens of an answer that the decisions count as sent.
     ``drain`` therefore closes each connection only after its buffer is
-    empty, and tells when all are closed.
+    empty, and tells when all are closed. An answer that is not written yet is
+    waited for: an operator's may wait for the store, and with the connection
+    closed nobody would tell whether a plan is in force.
     """
 
     drained: defer.Deferred | None = None
@@ -38,15 +40,21 @@
         self.check_drained()
 
     def drain(self, reactor: interfaces.IReactorTime) -> defer.Deferred:
-        """Close all connections once they are flushed, within some time."""
+        """Answer what was asked, then close, within some time."""
         drained = self.drained = defer.Deferred()
-        for connection in list(self.protocols):
-            connection.loseConnection()
-        self.check_drained()
+        open_requests = self.wrappedFactory.open_requests
+        open_requests.refuse_half_read()
+        open_requests.answered().addCallback(lambda _: self.close())
         return drained.addTimeout(
             FLUSH_SECONDS, reactor, onTimeoutCancel=lambda *_: None
         )
 
+    def close(self) -> None:
+        """Close all connections once they are flushed."""
+        for connection in list(self.protocols):
+            connection.loseConnection()
+        self.check_drained()
+
     def check_drained(self) -> None:
         """Tell that the last connection is closed."""
         if self.drained is not None and not self.protocols:
--- a/src/greengagelb/transport/serving.py
+++ b/src/greengagelb/transport/serving.py
@@ -11,6 +11,7 @@
 import io
 import urllib.parse
 
+from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.web import http as web_http
 from twisted.web import resource
@@ -29,9 +30,51 @@
 SLOW_CODE = 'request-too-slow'
 SLOW_RETRY_SECONDS = 1.0
 FULL_RETRY_SECONDS = 1.0
+STOPPING_CODE = 'stopping'
+# Another instance takes the request as soon as its sender connects again.
+STOPPING_RETRY_SECONDS = 1.0
 UNKNOWN_PATH = ('not-found', requests.Ran.NO, 'see docs/api.md')
 
 
+class OpenRequests:
+    """The requests of a site that have begun to come in and are not answered.
+
+    The end of the process waits for them. Operators' requests are among them,
+    which the decisions do not know of. A refused request stays open until its
+    sender has had the time to read the refusal.
+    """
+
+    def __init__(self) -> None:
+        self.requests: set[BoundedRequest] = set()
+        self.waiting: list[defer.Deferred] = []
+
+    def begin(self, request: 'BoundedRequest') -> None:
+        """Note a request that has begun to come in."""
+        self.requests.add(request)
+
+    def end(self, request: 'BoundedRequest') -> None:
+        """Note a request that is answered, or whose sender is gone."""
+        self.requests.discard(request)
+        if not self.requests:
+            waiting, self.waiting = self.waiting, []
+            for answered in waiting:
+                answered.callback(None)
+
+    def refuse_half_read(self) -> None:
+        """Refuse the requests that have not come in whole."""
+        for request in list(self.requests):
+            if not request.whole:
+                request.stop()
+
+    def answered(self) -> defer.Deferred:
+        """Return a Deferred that fires once none is open."""
+        if not self.requests:
+            return defer.succeed(None)
+        answered = defer.Deferred()
+        self.waiting.append(answered)
+        return answered
+
+
 class BoundedRequest(server.Request):
     """A request that is refused as soon as it breaks a bound.
 
@@ -43,11 +86,15 @@
     def __init__(
         self,
         budget: body_budget.BodyBudget | None,
+        open_requests: OpenRequests,
         *args: object,
         **kwargs: object,
     ) -> None:
         super().__init__(*args, **kwargs)
         self.budget = budget
+        self.open_requests = open_requests
+        self.open_requests.begin(self)
+        self.whole = False
         self.account = ''
         self.received = 0
         self.refused = False
@@ -100,11 +147,13 @@
         """End the answer."""
         super().finish()
         self.give_back()
+        self.open_requests.end(self)
 
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
     ) -> None:
         """Handle a request that has come in whole."""
+        self.whole = True
         self.stop_waiting()
         if not self.refused and not is_text(path):
             # Routing would fail on it outside any handler of ours.
@@ -120,6 +169,7 @@
         self.stop_waiting()
         self.give_back()
         super().connectionLost(reason)
+        self.open_requests.end(self)
 
     def too_large(self) -> None:
         """Refuse a request with too long a body."""
@@ -143,6 +193,17 @@
             )
         )
 
+    def stop(self) -> None:
+        """Refuse a request that comes in while the instance ends."""
+        self.refuse(
+            requests.Failure(
+                STOPPING_CODE,
+                requests.Ran.NO,
+                'this instance is stopping',
+                STOPPING_RETRY_SECONDS,
+            )
+        )
+
     def refuse(self, failure: requests.Failure) -> None:
         """Write the refusal and close the connection soon."""
         if self.refused:
@@ -190,19 +251,30 @@
     return requests.Failure(error.code, requests.Ran.NO, str(error), wait)
 
 
+class BoundedSite(server.Site):
+    """A site that knows which of its requests are not answered yet."""
+
+    open_requests: OpenRequests
+
+
 def bounded_site(
     root: resource.IResource,
     reactor: interfaces.IReactorTime,
     budget: body_budget.BodyBudget | None = None,
-) -> server.Site:
+) -> BoundedSite:
     """Return a site whose requests are bounded.
 
     Without a ``budget`` the bodies of all senders together are not.
     """
-    return server.Site(
+    open_requests = OpenRequests()
+    site = BoundedSite(
         root,
-        requestFactory=functools.partial(BoundedRequest, budget),
+        requestFactory=functools.partial(
+            BoundedRequest, budget, open_requests
+        ),
         parsePOSTFormSubmission=False,
         timeout=IDLE_SECONDS,
         reactor=reactor,
     )
+    site.open_requests = open_requests
+    return site
--- a/tests/transport/test_draining.py
+++ b/tests/transport/test_draining.py
@@ -7,6 +7,7 @@
 from twisted.internet import task
 from twisted.internet import testing
 
+from greengagelb.state import requests
 from greengagelb.transport import listening
 from greengagelb.transport import serving
 
@@ -73,7 +74,7 @@
     operators.factory.drain(operators.clock)
     head, _, body = connection.transport.value().partition(b'\r\n\r\n')
     assert head.startswith(b'HTTP/1.1 503')
-    assert json.loads(body)['ran'] == 'no'
+    assert json.loads(body)['ran'] == requests.Ran.NO.value
     assert not operators.asked
 
 
