--- a/tests/common/instance_world.py
+++ b/tests/common/instance_world.py
@@ -94,9 +94,12 @@
 
 
 class InstanceWorld:
-    """One instance that serves; ``ended`` once its process would end."""
+    """One instance; ``ended`` once its process would end.
 
-    def __init__(self):
+    Without ``configured`` it has just started and knows no configuration.
+    """
+
+    def __init__(self, *, configured=True):
         self.reactor = Reactor()
         self.store = Store()
         place = relay_settings.InstanceSettings(
@@ -122,9 +125,13 @@
         self.ended = False
         self.instance.stopped.addCallback(self.note_end)
         self.instance.start()
-        self.handle(
-            relay_events.RoutesOffered(relay_world.route_table(), 'test')
-        )
+        if configured:
+            self.configure()
+
+    def configure(self):
+        """Give it a configuration and engines."""
+        table = relay_world.route_table()
+        self.handle(relay_events.RoutesOffered(table, 'test'))
         self.handle(relay_events.EnginesListed(relay_world.fleet()))
 
     def note_end(self, result):
--- a/tests/relay/test_stop_ending.py
+++ b/tests/relay/test_stop_ending.py
@@ -127,3 +127,38 @@
     world.advance(0.2)
     assert world.ended
     assert not world.listens
+
+
+def test_time_for_a_stop_counts_from_the_signal():
+    """The loop is busy while the signal comes, and looks 0.6 s later.
+
+    The platform counts from the signal. An instance that counted from its own
+    look would be killed while it still serves.
+    """
+    world = instance_world.InstanceWorld()
+    connection = world.connect()
+    connection.dataReceived(CALL[:-1])
+    noticed_late = 0.6
+    world.instance.stop(world.reactor.seconds() - noticed_late)
+    world.advance(instance_world.GRACE_SECONDS - noticed_late - 0.1)
+    assert world.ended
+
+
+def test_stop_that_is_asked_for_twice_begins_once():
+    """The platform signals again while the instance already stops."""
+    world = ending_world()
+    world.instance.stop()
+    world.store.removals[0].callback(None)
+    world.advance(0.2)
+    assert world.ended
+    assert len(world.store.removals) == 1
+
+
+def test_instance_without_a_configuration_can_be_stopped():
+    """It is asked to stop just after its start, with the store away."""
+    world = instance_world.InstanceWorld(configured=False)
+    world.instance.stop()
+    world.advance(EMPTY_SECONDS)
+    world.store.removals[0].callback(None)
+    world.advance(0.2)
+    assert world.ended
