--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -9,7 +9,6 @@
 
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
-from greengagelb.coordination import lifecycle
 from greengagelb.coordination import stalls
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import answers
@@ -24,6 +23,7 @@
 from greengagelb.coordination.relay import loads
 from greengagelb.coordination.relay import rulings
 from greengagelb.coordination.relay import sending
+from greengagelb.coordination.relay import stopping
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.coordination.relay import streams
 from greengagelb.coordination.relay import succession
@@ -41,14 +41,6 @@
     calls.SECOND_TRY_TIMER,
     copying.COPY_TIMER,
 )
-# How long after it was asked to stop an instance takes streams, in seconds.
-# The balancer asks once a second and goes by two misses in a row, so it sends
-# no new callers after two; half a second is room for a stop that is noticed
-# late and for the way of a request. A stream that comes later, on a connection
-# that its caller has kept, is not worth the risk: how long it takes is only
-# known from others, and if it is cut at the end of the stop, its caller has
-# lost it.
-STREAMS_WHILE_STOPPING = 2.5
 
 Action = relay_actions.RelayAction
 
@@ -96,10 +88,7 @@
         self.listed = engine_list.EngineList(
             self.engines, self.sharing, self.copies
         )
-        self.stop_by = float('inf')
-        self.streams_until = float('inf')
-        self.progress = lifecycle.Progress()
-        self.lifecycle = lifecycle.new_lifecycle(self.progress)
+        self.life = stopping.StoppableLife()
 
     def rebound(
         self, retries: bounds.RetryBounds, of_engines: bounds.EngineBounds
@@ -117,13 +106,12 @@
     @property
     def ready(self) -> bool:
         """Return whether the balancer may send callers here."""
-        return self.progress.phase is lifecycle.Phase.SERVING
+        return self.life.serving
 
     @property
     def finished(self) -> bool:
         """Return whether nothing is taken any more, as the process ends."""
-        phase = self.progress.phase
-        return phase in (lifecycle.Phase.FINISHED, lifecycle.Phase.ENDED)
+        return self.life.finished
 
     def handle(
         self, event: relay_events.RelayEvent, now: float
@@ -204,18 +192,11 @@
             case relay_events.SuccessorSeen(old, new):
                 return self.successor_seen(old, new, now)
             case relay_events.StopBy():
-                return self.stop_asked(event, now)
+                return self.life.asked(event, now)
             case relay_events.StopDue():
-                self.lifecycle.emptied()
-                left = f'{len(self.exchanges)} cut'
-                return [
-                    actions.Record('stopped', left),
-                    actions.FinishStopping(),
-                ]
+                return self.life.due(len(self.exchanges))
             case relay_events.Closed():
-                self.lifecycle.closed()
-                left = f'{len(self.exchanges)} cut'
-                return [actions.Record('ended', left)]
+                return self.life.closed(len(self.exchanges))
             case events.PauseNoticed(seconds):
                 return self.paused(seconds, now)
         return self.hear(event, now)
@@ -287,35 +268,6 @@
         if version > known or not waiting.stale:
             waiting.told(same=version <= known, now=now)
 
-    # -- stopping -----------------------------------------------------------
-
-    def stop_asked(
-        self, event: relay_events.StopBy, now: float
-    ) -> list[Action]:
-        """Serve on, but take only what can be finished in time."""
-        asked_at = now if event.asked_at is None else event.asked_at
-        self.lifecycle.stop_requested()
-        self.stop_by = event.deadline
-        self.streams_until = asked_at + STREAMS_WHILE_STOPPING
-        why = (
-            f'{event.deadline - now:.1f} s left, '
-            f'noticed after {now - asked_at:.3f} s'
-        )
-        return [actions.Record('stopping', why)]
-
-    def stops_too_soon(self, stream: bool, ends_by: float, now: float) -> bool:
-        """Return whether a request might be cut by the end of this instance.
-
-        ``ends_by`` is when it is taken to be over. What comes once this
-        instance has begun to end could not even be answered: the process may
-        be gone before its engine is done.
-        """
-        if self.finished:
-            return True
-        if stream and now >= self.streams_until:
-            return True
-        return ends_by > self.stop_by
-
     # -- requests -----------------------------------------------------------
 
     def arrive(
@@ -338,24 +290,12 @@
         done: list[Action] = [actions.SetTimer(name, ruling.deadline)]
         stream = ruling.route.repeat is routes.Repeat.STREAM
         ends_by = now + self.most_seconds(exchange, stream)
-        if self.stops_too_soon(stream, ends_by, now):
+        if self.life.too_short_for(ends_by, now, stream=stream):
             return [self.answers.not_run(exchange, 'stopping', now)]
-        self.lifecycle.request_taken()
-        if self.progress.phase in lifecycle.ENDING:
-            done.append(self.taken_late(exchange, ends_by, now))
+        done += self.life.took(exchange, ends_by, now)
         relay = self.streams if stream else self.calls
         return done + relay.begin(exchange, now)
 
-    def taken_late(
-        self, exchange: exchanges.Exchange, ends_by: float, now: float
-    ) -> actions.Record:
-        """Tell what a request was taken on, while this instance stops."""
-        left = f'{self.stop_by - now:.3f} s left'
-        need = f'needs {ends_by - now:.3f} s'
-        return sending.record(
-            exchange, None, 'taken-while-stopping', f'{left}, {need}'
-        )
-
     def most_seconds(
         self, exchange: exchanges.Exchange, stream: bool
     ) -> float:
@@ -485,7 +425,7 @@
             name: service.health_path
             for name, service in table.services.items()
         }
-        self.lifecycle.configured()
+        self.life.configured()
         why = f'version {table.version} from {event.source}'
         done: list[Action] = [actions.Record('configuration-applied', why)]
         if self.sharing.is_reader(now):
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -4,6 +4,14 @@
 from tests.common import relay_world
 
 
+def assert_refused_as_not_run(world, exchange):
+    """Check that a request reached no engine, and may come back."""
+    assert not world.sends(exchange)
+    [refusal] = world.refusals(exchange)
+    assert refusal.status == 503
+    assert refusal.retry_after is not None
+
+
 def test_call_just_before_the_end_is_refused():
     """A caller sends a call a moment before the process ends.
 
@@ -14,10 +22,7 @@
     world.handle(relay_events.StopBy(world.now + 7.0))
     world.advance(6.5)
     late = world.call()
-    assert not world.sends(late)
-    [refusal] = world.refusals(late)
-    assert refusal.status == 503
-    assert refusal.retry_after is not None
+    assert_refused_as_not_run(world, late)
 
 
 def test_stream_that_comes_late_in_a_stop_is_refused_however_short():
@@ -40,10 +45,7 @@
     assert world.sends(world.ask())
     world.advance(2.0)
     late = world.ask()
-    assert not world.sends(late)
-    [refusal] = world.refusals(late)
-    assert refusal.status == 503
-    assert refusal.retry_after is not None
+    assert_refused_as_not_run(world, late)
 
 
 def test_stream_that_was_sent_near_the_end_of_the_time_for_streams():
@@ -58,7 +60,4 @@
     world.handle(relay_events.StopBy(world.now + 7.6))
     world.advance(2.7)
     late = world.ask()
-    assert not world.sends(late)
-    [refusal] = world.refusals(late)
-    assert refusal.status == 503
-    assert refusal.retry_after is not None
+    assert_refused_as_not_run(world, late)
