--- a/src/greengagelb/cli/commands.py
+++ b/src/greengagelb/cli/commands.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from greengagelb.cli import check_config
 from greengagelb.cli import demo
 from greengagelb.cli import explain
 from greengagelb.cli import operators
@@ -45,8 +46,9 @@
         'check-config',
         '--settings=FILE',
         'read a settings file and tell what is wrong',
-        serve.check_config,
+        check_config.check_config,
         ('settings',),
+        details=check_config.DETAILS,
     ),
     Command(
         'plan',
--- a/src/greengagelb/cli/serve.py
+++ b/src/greengagelb/cli/serve.py
@@ -1,4 +1,4 @@
-"""The subcommands that run an instance and check its settings."""
+"""The subcommand that runs an instance."""
 
 import pathlib
 import signal
@@ -20,13 +20,6 @@
     return settings.read_settings(pathlib.Path(SETTINGS.value))
 
 
-def check_config(words: list[str]) -> int:
-    """Read a settings file and say that it is good."""
-    found = read_settings()
-    sys.stdout.write(f'settings of {found.instance.name} are valid\n')
-    return exit_codes.ExitCode.SUCCESS
-
-
 def serve(words: list[str]) -> int:
     """Run one instance until it is asked to stop and nothing is in flight."""
     found = read_settings()
--- a/src/greengagelb/relay_settings.py
+++ b/src/greengagelb/relay_settings.py
@@ -60,6 +60,16 @@
                 '[instance] ready_address: write another one than '
                 'caller_address'
             )
+        # The metrics are served at the callers' IP number. With a port that
+        # is taken there the process would end only once it listens.
+        metrics = engines.Address(
+            place.caller_address.host, place.metrics_port
+        )
+        if metrics in (place.caller_address, place.ready_address):
+            raise ValueError(
+                '[instance] metrics_port: write another port than those of '
+                'caller_address and ready_address'
+            )
 
 
 def parse_address(text: str) -> engines.Address:
