--- /dev/null
+++ b/tests/common/store_fleet.py
@@ -0,0 +1,213 @@
+"""The instances of one data centre around a store that counts its calls."""
+
+import random
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from greengagelb import errors
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import relay
+from greengagelb.state.relay import hints
+from greengagelb.transport.relay import store_watch
+from tests.common import relay_world
+
+PLACE = 'north'
+# As the users state them: a call of the store takes some milliseconds, and a
+# datagram one between machines of a data centre. In seconds.
+ANSWER_SECONDS = 0.006
+DATAGRAM_SECONDS = 0.001
+HEARTBEAT_SECONDS = 2.0
+
+
+class CountingStore:
+    """What the store holds, with a count of the calls that it was sent.
+
+    It refuses the calls of the instances in ``turned_away``, and all of them
+    while it is ``down``.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.calls = []
+        self.down = False
+        self.turned_away = set()
+        self.version = 1
+        self.changed_at = 1
+        self.entries = {e.engine: e for e in relay_world.fleet()}
+        self.rows = []
+        self.position = 1
+        self.waiting = []
+
+    def count(self, kind):
+        return sum(call[0] == kind for call in self.calls)
+
+    def configure(self):
+        """Put the next configuration in force."""
+        self.version += 1
+        self.position += 1
+        self.changed_at = self.position
+        waiting, self.waiting = self.waiting, []
+        for answer in waiting:
+            answer()
+
+    def remove(self, engine):
+        """Take an engine off the list."""
+        del self.entries[engine]
+        self.position += 1
+        self.rows.append((self.position, engine))
+
+    def ask(self, name, kind, answer):
+        """Count a call, and answer it after a moment unless it is refused."""
+        self.calls.append((kind, name, self.clock.seconds()))
+        done = defer.Deferred()
+        self.clock.callLater(ANSWER_SECONDS, self.end, name, done, answer)
+        return done
+
+    def end(self, name, done, answer):
+        if self.down or name in self.turned_away:
+            done.errback(errors.PlatformUnavailable('refused'))
+        else:
+            answer(done)
+
+
+class OwnSource:
+    """The store as one instance asks it."""
+
+    def __init__(self, store, name):
+        self.store = store
+        self.name = name
+
+    def read_configuration(self, position, wait_seconds):
+        store = self.store
+
+        def now(done):
+            table = None
+            if position is None or position < store.changed_at:
+                table = relay_world.route_table(store.version)
+            done.callback(store_watch.ConfigurationRead(store.position, table))
+
+        def answer(done):
+            news = position is None or position < store.changed_at
+            if news or not wait_seconds:
+                now(done)
+                return
+            late = store.clock.callLater(wait_seconds, lambda: tell())
+
+            def tell():
+                if late.active():
+                    late.cancel()
+                if tell in store.waiting:
+                    store.waiting.remove(tell)
+                if not done.called:
+                    now(done)
+
+            store.waiting.append(tell)
+
+        return store.ask(self.name, 'configuration', answer)
+
+    def read_engines(self, position):
+        store = self.store
+
+        def answer(done):
+            removed = tuple(n for at, n in store.rows if at > (position or 0))
+            entries = tuple(store.entries.values())
+            done.callback(
+                store_watch.EnginesRead(store.position, entries, removed)
+            )
+
+        return store.ask(self.name, 'engines', answer)
+
+    def register(self, member):
+        return self.store.ask(
+            self.name, 'register', lambda done: done.callback(None)
+        )
+
+    def read_members(self):
+        return self.store.ask(
+            self.name, 'members', lambda done: done.callback(())
+        )
+
+
+class Instance:
+    """One relay with its watch on the store; its hints reach the others."""
+
+    def __init__(self, fleet, number):
+        name = f'n{number:02}'
+        self.fleet = fleet
+        self.own = hints.Member(name, f'{number:02}-x', '127.0.0.1', PLACE)
+        self.relay = relay.Relay(
+            random.Random(number),
+            self.own,
+            relay_world.RETRIES,
+            relay_world.ENGINE_BOUNDS,
+        )
+        self.alive = True
+        self.watch = store_watch.StoreWatch(
+            fleet.clock,
+            OwnSource(fleet.store, name),
+            self.dispatch,
+            lambda record: None,
+            self.own,
+            self.relay.sharing,
+            lambda members: None,
+        )
+
+    @property
+    def version(self):
+        """Return the version of the configuration in force here."""
+        return self.relay.table.version if self.relay.table else 0
+
+    def knows(self, engine):
+        """Return whether an engine may get work here."""
+        state = self.relay.engines.states.get(engine)
+        return state is not None and state.usable(self.fleet.clock.seconds())
+
+    def dispatch(self, event):
+        if not self.alive:
+            return
+        for action in self.relay.handle(event, self.fleet.clock.seconds()):
+            if isinstance(action, relay_actions.TellNeighbours):
+                told = relay_events.PeerTold(self.own.incarnation, action.hint)
+                self.fleet.tell_others(self, told)
+
+    def beat(self):
+        if not self.alive:
+            return
+        heard = relay_events.PeerHeard(self.own.incarnation, PLACE)
+        self.fleet.tell_others(self, heard)
+        self.fleet.clock.callLater(HEARTBEAT_SECONDS, self.beat)
+
+    def kill(self):
+        """End without a word."""
+        self.alive = False
+        self.watch.stopped = True
+
+
+class StoreFleet:
+    """Some instances of a data centre; the first one reads for all."""
+
+    def __init__(self, size):
+        random.seed(1)
+        self.clock = task.Clock()
+        self.clock.advance(100.0)
+        self.store = CountingStore(self.clock)
+        self.instances = [Instance(self, number) for number in range(size)]
+        draw = random.Random(size)
+        for instance in self.instances:
+            self.clock.callLater(draw.uniform(0.0, 0.3), instance.beat)
+            self.clock.callLater(draw.uniform(0.0, 0.3), instance.watch.start)
+
+    def tell_others(self, sender, event):
+        for other in self.instances:
+            if other is not sender:
+                self.clock.callLater(DATAGRAM_SECONDS, other.dispatch, event)
+
+    def play(self, seconds):
+        """Let time pass; return how many calls were made meanwhile."""
+        before = len(self.store.calls)
+        until = self.clock.seconds() + seconds
+        while self.clock.seconds() < until:
+            self.clock.advance(0.001)
+        return len(self.store.calls) - before
--- /dev/null
+++ b/tests/load/test_store_calls_of_a_fleet.py
@@ -0,0 +1,123 @@
+"""What the instances of a data centre ask of the store in hard times."""
+
+import pytest
+
+from tests.common import store_fleet
+
+SIZE = 21
+GONE = 'model-north-0'
+# The bound on work for an engine that has left, and on an old configuration,
+# in seconds.
+BOUND_SECONDS = 3.0
+
+
+@pytest.fixture
+def fleet():
+    """Return a fleet that has started, and served for a while."""
+    found = store_fleet.StoreFleet(SIZE)
+    found.play(7.0)
+    return found
+
+
+def others(fleet):
+    return fleet.instances[1:]
+
+
+def test_store_that_is_away_is_not_asked_all_the_time(fleet):
+    """The store is away for eight seconds.
+
+    Calls that it refuses are paid for like others. Were each instance to ask
+    for everything several times a second, a large fleet would spend more on
+    one outage than on the whole rest of the day.
+    """
+    fleet.store.down = True
+    assert fleet.play(8.0) <= 1.5 * SIZE * 8.0
+
+
+def test_instances_whose_reader_is_turned_away_look_by_turns(fleet):
+    """The store turns away the one instance that reads for all.
+
+    The others need its word, and can read the store themselves. If all of
+    them do so, each of the fleet's data centres costs as much as twenty.
+    """
+    fleet.store.turned_away = {fleet.instances[0].own.name}
+    assert fleet.play(8.0) <= 0.6 * SIZE * 8.0
+
+
+def test_instances_that_are_turned_away_live_on_the_word_of_others(fleet):
+    """The store turns away a third of the instances, the reader among them."""
+    fleet.store.turned_away = {i.own.name for i in fleet.instances[:7]}
+    assert fleet.play(8.0) <= 0.8 * SIZE * 8.0
+
+
+def test_reader_that_is_killed_costs_few_calls(fleet):
+    """The instance that reads for all is killed; the next one takes over.
+
+    Until then the others have to look for themselves.
+    """
+    fleet.instances[0].kill()
+    assert fleet.play(8.0) <= 0.4 * SIZE * 8.0
+
+
+def test_all_are_up_to_date_soon_after_an_outage(fleet):
+    """While the store is away a new configuration is prepared.
+
+    It is put in force the moment the store is back, and an engine leaves.
+    """
+    fleet.store.down = True
+    fleet.play(8.0)
+    fleet.store.down = False
+    fleet.store.configure()
+    fleet.store.remove(GONE)
+    fleet.play(BOUND_SECONDS)
+    assert {i.version for i in fleet.instances} == {2}
+    fleet.play(1.5)
+    assert not any(i.knows(GONE) for i in fleet.instances)
+
+
+@pytest.mark.parametrize('moment', [0.0, 0.3, 0.6, 0.9, 1.2, 1.5, 5.0])
+def test_changes_are_known_in_time_without_the_reader(fleet, moment):
+    """The reader is killed, and some time later there is a change.
+
+    Nobody tells the others of it at once. They must not serve by the old
+    configuration, or use the engine that has left, for longer than is
+    promised.
+    """
+    fleet.instances[0].kill()
+    fleet.play(moment)
+    fleet.store.configure()
+    fleet.store.remove(GONE)
+    fleet.play(BOUND_SECONDS - 0.5)
+    assert {i.version for i in others(fleet)} == {2}
+    assert not any(i.knows(GONE) for i in others(fleet))
+
+
+@pytest.mark.parametrize('moment', [0.0, 0.3, 0.6, 0.9, 1.2, 1.5, 5.0])
+def test_changes_are_known_in_time_past_a_reader_that_is_refused(
+    fleet, moment
+):
+    """The store turns the reader away, which goes on telling that it lives.
+
+    The others can read the store, and so must know of changes.
+    """
+    fleet.store.turned_away = {fleet.instances[0].own.name}
+    fleet.play(moment)
+    fleet.store.configure()
+    fleet.store.remove(GONE)
+    fleet.play(BOUND_SECONDS - 0.5)
+    assert {i.version for i in others(fleet)} == {2}
+    assert not any(i.knows(GONE) for i in fleet.instances)
+
+
+@pytest.mark.parametrize('moment', [0.0, 0.4, 0.8, 1.2, 2.5])
+def test_change_of_one_thing_is_known_where_the_other_was_read(fleet, moment):
+    """The reader is refused, and only the configuration changes.
+
+    The others keep telling each other of the list of engines. That says
+    nothing of the configuration, and must not put off a look at it.
+    """
+    fleet.store.turned_away = {fleet.instances[0].own.name}
+    fleet.play(moment)
+    fleet.store.configure()
+    fleet.play(BOUND_SECONDS - 0.5)
+    assert {i.version for i in others(fleet)} == {2}
--- a/tests/relay/test_store_sharing.py
+++ b/tests/relay/test_store_sharing.py
@@ -91,6 +91,55 @@
     assert not used & {'model-north-0', 'model-south-0'}
 
 
+def test_one_lost_answer_does_not_put_off_the_next_look():
+    """The reader is dead, and the store loses one answer.
+
+    The next look has to come while the bound on engines that leave still
+    holds, so only failures after that one make it rarer.
+    """
+    world = world_with_reader()
+    read_by(world)
+    world.advance(1.45)
+    engines = world.relay.sharing.engines
+    engines.looked(world.now)
+    engines.failed()
+    world.advance(0.75)
+    assert world.relay.sharing.engines_due(world.now)
+    engines.looked(world.now)
+    engines.failed()
+    world.advance(0.75)
+    assert not world.relay.sharing.engines_due(world.now)
+    world.advance(2.0)
+    assert world.relay.sharing.engines_due(world.now)
+
+
+def test_something_newer_is_fetched_at_once_after_failures():
+    """The store was away, and a neighbour has just read it again."""
+    world = world_with_reader()
+    read_by(world)
+    world.advance(1.45)
+    for _ in range(4):
+        world.relay.sharing.engines.looked(world.now)
+        world.relay.sharing.engines.failed()
+    world.advance(0.75)
+    read_by(world, digest=12345)
+    assert world.relay.sharing.engines_due(world.now)
+
+
+def test_who_was_told_of_something_newer_tells_nobody():
+    """All neighbours hear at once that their lists are old.
+
+    Each of them reads the store. Told by each to each, that would be some
+    hundreds of datagrams for one lost one.
+    """
+    world = world_with_reader()
+    read_by(world, digest=12345)
+    before = len(told(world))
+    world.relay.sharing.engines.looked(world.now)
+    world.change_engines(*relay_world.fleet())
+    assert told(world)[before:] == []
+
+
 def test_lost_news_are_noticed():
     """A datagram is lost, and with it the word that an engine leaves.
 
