Have whoever reads the store for want of word tell its neighbours, and ask less in an outage

Why followers read as well: the instance that reads for all was turned away, killed or cut off, or the store was away. Then each of its twenty neighbours looked for itself every 1.4 s, twice, told nobody what it had read, and after a failure asked again every 0.6 s; and each of them went on reading the list of instances, which is needed every ten seconds, every 0.6 s.

Now the first that reads for want of word tells the others as the reader does; they wait for that word for different times. What it tells of the list says nothing of the configuration, so the two are told apart. The list of instances is read at its own pace also after a failure.

--- a/src/greengagelb/coordination/relay/engine_list.py
+++ b/src/greengagelb/coordination/relay/engine_list.py
@@ -51,9 +51,13 @@
             done.append(actions.Record('store-regained', 'list of engines'))
         done += self.changed(entries, removed, now)
         self.sharing.engines.known(self.sharing.engines.looked_at)
-        if not self.sharing.is_reader(now):
+        reads_for_all = self.sharing.is_reader(now)
+        if not reads_for_all and not self.sharing.engines.others_wait:
             return done
-        word = hints.StoreRead(self.engines.digest(), self.version)
+        # Only the one who reads for all waits for the next configuration, and
+        # so is sure to have the newest.
+        version = self.version if reads_for_all else None
+        word = hints.StoreRead(self.engines.digest(), version)
         told = [*parts_of(news, removed), word]
         return done + [relay_actions.TellNeighbours(hint) for hint in told]
 
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -69,6 +69,11 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationChecked:
+    """This instance has read the store; it has what is in force there."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutesOffered:
     """Some source has a configuration, perhaps an old one."""
@@ -184,6 +189,7 @@
     | StreamComplete
     | AnswerComplete
     | SendBroken
+    | ConfigurationChecked
     | RoutesOffered
     | EnginesListed
     | EnginesChanged
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -194,6 +194,8 @@
                 return self.timer_fired(name, now)
             case relay_events.RoutesOffered():
                 return self.configure(event, now)
+            case relay_events.ConfigurationChecked():
+                return self.configuration_checked(now)
             case relay_events.EnginesListed(entries):
                 self.engines_known = True
                 return self.listed.read_whole(entries, now)
@@ -271,7 +273,8 @@
                 if same:
                     self.engines.confirmed(now)
                 self.sharing.engines.told(same=same, now=now)
-                self.version_told(version, now)
+                if version is not None:
+                    self.version_told(version, now)
             case hints.ConfigurationApplied(version):
                 self.version_told(version, now)
         return self.copies_lost_with(hint, now)
@@ -493,6 +496,16 @@
             done.append(relay_actions.TellNeighbours(hint))
         return done
 
+    def configuration_checked(self, now: float) -> list[Action]:
+        """Tell the neighbours what is in force, in place of their reader."""
+        others_wait = self.sharing.configuration.others_wait
+        if self.table is None or self.sharing.is_reader(now):
+            return []
+        if not others_wait:
+            return []
+        hint = hints.ConfigurationApplied(self.table.version)
+        return [relay_actions.TellNeighbours(hint)]
+
 
 def forgotten(incarnations: list[str]) -> list[Action]:
     """Return the time line events of instances that are not heard any more."""
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -97,7 +97,7 @@
     """See :class:`greengagelb.state.relay.hints.StoreRead`."""
 
     digest: int
-    version: int
+    version: int | None
 
 
 class ConfigurationApplied(
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -70,16 +70,16 @@
     """The sender has just read the store.
 
     ``digest`` is that of the list of engines as it stands there, and
-    ``version`` that of the configuration.
+    ``version`` that of the configuration, None where that was not read.
     """
 
     digest: int
-    version: int
+    version: int | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationApplied:
-    """The sender has just taken a configuration from the store.
+    """The sender has just read the configuration in the store.
 
     It says nothing of the list of engines, which it may have read long ago.
     """
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -107,15 +107,17 @@
         self.sharing = sharing
         self.members_listed = members_listed
         self.registered = False
+        self.members_known = False
         self.configuration_position: int | None = None
         self.engines_position: int | None = None
         self.stopped = False
 
     def start(self) -> None:
         """Begin to read."""
-        self.follow(self.look_at_configuration)
-        self.follow(self.look_at_engines)
-        self.follow(self.look_at_members)
+        sharing = self.sharing
+        self.follow(self.look_at_configuration, sharing.configuration.failed)
+        self.follow(self.look_at_engines, sharing.engines.failed)
+        self.follow(self.look_at_members, lambda: None)
 
     def stop(self) -> defer.Deferred:
         """Read no more, and remove the own entry."""
@@ -134,20 +136,24 @@
         """Register once, then read the list of instances now and then.
 
         Instances that start greet all that are listed, so the list need not
-        be read often.
+        be read often, and not sooner after a read that has failed.
         """
+        if self.members_known:
+            yield self.sleep(MEMBERS_EVERY * random.uniform(0.5, 1.5))
         if not self.registered:
             yield self.source.register(self.own)
             self.registered = True
         found = yield self.source.read_members()
         others = tuple(m for m in found if m.name != self.own.name)
+        self.members_known = True
         self.members_listed(others)
         self.dispatch(relay_events.MembersListed(others))
-        yield self.sleep(MEMBERS_EVERY * random.uniform(0.5, 1.5))
 
     @defer.inlineCallbacks
-    def follow(self, look: Callable[[], defer.Deferred]) -> object:
-        """Look again and again, with a pause after each failure."""
+    def follow(
+        self, look: Callable[[], defer.Deferred], failed: Callable[[], None]
+    ) -> object:
+        """Look again and again; tell of each failure, and pause after it."""
         failures = 0
         while not self.stopped:
             try:
@@ -158,6 +164,7 @@
                     # The process ends, and with it its connections.
                     return
                 failures += 1
+                failed()
                 self.dispatch(relay_events.StoreLost(f'{exc.code}: {exc}'))
                 pause = RETRY_SECONDS if failures > 1 else FIRST_RETRY_SECONDS
                 yield self.sleep(pause * random.uniform(0.5, 1.5))
@@ -190,6 +197,7 @@
             self.record(actions.Record('bad-configuration', read.mistake))
         if read.table is not None:
             self.dispatch(relay_events.RoutesOffered(read.table, 'store'))
+        self.dispatch(relay_events.ConfigurationChecked())
 
     @defer.inlineCallbacks
     def look_at_engines(self) -> object:
