Test of calm instances that fails: they wake up forty times a second to see nothing

An instance that waits for the word of its reader asks every 50 ms, for each of the two things in the store, whether the word is late. Fails: 8,000 timers and more of 21 instances in ten calm seconds where 840 are allowed.

--- a/tests/common/store_fleet.py
+++ b/tests/common/store_fleet.py
@@ -72,6 +72,21 @@
             answer(done)
 
 
+class CountingClock:
+    """The clock of all, with a count of the timers that are set on it."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.timers = 0
+
+    def seconds(self):
+        return self.clock.seconds()
+
+    def callLater(self, *arguments, **named):  # noqa: N802
+        self.timers += 1
+        return self.clock.callLater(*arguments, **named)
+
+
 class OwnSource:
     """The store as one instance asks it."""
 
@@ -145,7 +160,7 @@
         )
         self.alive = True
         self.watch = store_watch.StoreWatch(
-            fleet.clock,
+            fleet.watch_clock,
             OwnSource(fleet.store, name),
             self.dispatch,
             lambda record: None,
@@ -168,9 +183,10 @@
         if not self.alive:
             return
         for action in self.relay.handle(event, self.fleet.clock.seconds()):
-            if isinstance(action, relay_actions.TellNeighbours):
-                told = relay_events.PeerTold(self.own.incarnation, action.hint)
-                self.fleet.tell_others(self, told)
+            match action:
+                case relay_actions.TellNeighbours(hint):
+                    told = relay_events.PeerTold(self.own.incarnation, hint)
+                    self.fleet.tell_others(self, told)
 
     def beat(self):
         if not self.alive:
@@ -192,6 +208,7 @@
         random.seed(1)
         self.clock = task.Clock()
         self.clock.advance(100.0)
+        self.watch_clock = CountingClock(self.clock)
         self.store = CountingStore(self.clock)
         self.instances = [Instance(self, number) for number in range(size)]
         draw = random.Random(size)
--- a/tests/load/test_store_calls_of_a_fleet.py
+++ b/tests/load/test_store_calls_of_a_fleet.py
@@ -109,6 +109,18 @@
     assert not any(i.knows(GONE) for i in fleet.instances)
 
 
+def test_calm_instances_sleep(fleet):
+    """Nothing happens, and the list of engines is read once a second.
+
+    Each time that a process wakes up costs a quarter of a millisecond or
+    more. Those that only wait for the word of their reader need not wake up
+    to see that it is not late yet.
+    """
+    before = fleet.watch_clock.timers
+    fleet.play(10.0)
+    assert fleet.watch_clock.timers - before <= 4 * SIZE * 10.0
+
+
 @pytest.mark.parametrize('moment', [0.0, 0.4, 0.8, 1.2, 2.5])
 def test_change_of_one_thing_is_known_where_the_other_was_read(fleet, moment):
     """The reader is refused, and only the configuration changes.
