Let an instance sleep until the store is to be read, and wake it by word of something newer

It asked every 50 ms, for each of the two things in the store, whether to read.

Who is woken still waits up to 50 ms by chance, as before, so that not all ask the store in the same millisecond.

--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -147,6 +147,11 @@
     hint: hints.Hint
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookAtStore:
+    """Look whether the store is to be read sooner than was known."""
+
+
 class Measured(enum.Enum):
     """Times that are worth a histogram."""
 
@@ -177,6 +182,7 @@
     | AskSuccessor
     | TellPeers
     | TellNeighbours
+    | LookAtStore
     | Measure
     | actions.SetTimer
     | actions.ClearTimer
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -240,6 +240,8 @@
             case relay_events.PeerLeft(incarnation):
                 done += forgotten(self.fleet.left(incarnation, now))
                 self.sharing.left(incarnation)
+                # It may have been the one that reads for all.
+                done.append(relay_actions.LookAtStore())
         self.budget.resize(self.fleet.size)
         return done
 
@@ -275,10 +277,19 @@
                 self.sharing.engines.told(same=same, now=now)
                 if version is not None:
                     self.version_told(version, now)
+                return self.look_if_stale()
             case hints.ConfigurationApplied(version):
                 self.version_told(version, now)
+                return self.look_if_stale()
         return self.copies_lost_with(hint, now)
 
+    def look_if_stale(self) -> list[Action]:
+        """Read the store if something newer is known to be there."""
+        sharing = self.sharing
+        if sharing.engines.stale or sharing.configuration.stale:
+            return [relay_actions.LookAtStore()]
+        return []
+
     def version_told(self, version: int, now: float) -> None:
         """Take in which configuration another instance has.
 
--- a/src/greengagelb/coordination/relay/store_sharing.py
+++ b/src/greengagelb/coordination/relay/store_sharing.py
@@ -70,11 +70,13 @@
             LEAST_SECONDS * 2.0 ** max(0, self.failures - 1),
         )
 
-    def due(self, now: float) -> bool:
-        """Return whether one who does not read for all has to look."""
-        if now < self.looked_at + self.least_seconds:
-            return False
-        return self.stale or now >= self.fresh_at + self.word_seconds
+    @property
+    def due_at(self) -> float:
+        """Return when one who does not read for all has to look."""
+        soonest = self.looked_at + self.least_seconds
+        if self.stale:
+            return soonest
+        return max(soonest, self.fresh_at + self.word_seconds)
 
     def looked(self, now: float) -> None:
         """Note that it is being read."""
@@ -138,15 +140,23 @@
             if now < at + NEIGHBOUR_SECONDS
         )
 
-    def engines_due(self, now: float) -> bool:
-        """Return whether the list of engines is to be read now."""
+    def engines_due_at(self, now: float) -> float:
+        """Return when the list of engines is to be read, as known now."""
         if self.is_reader(now):
-            return now >= self.engines.looked_at + READ_SECONDS
-        return self.engines.due(now)
+            return self.engines.looked_at + READ_SECONDS
+        return self.engines.due_at
 
-    def configuration_due(self, now: float) -> bool:
-        """Return whether the configuration is to be read now.
+    def configuration_due_at(self, now: float) -> float:
+        """Return when the configuration is to be read, as known now.
 
         The one who reads for all waits at the store for its next change.
         """
-        return self.is_reader(now) or self.configuration.due(now)
+        return now if self.is_reader(now) else self.configuration.due_at
+
+    def engines_due(self, now: float) -> bool:
+        """Return whether the list of engines is to be read now."""
+        return now >= self.engines_due_at(now)
+
+    def configuration_due(self, now: float) -> bool:
+        """Return whether the configuration is to be read now."""
+        return now >= self.configuration_due_at(now)
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -285,6 +285,8 @@
                 self.peers.tell_neighbours(hint)
             case relay_actions.TellPeers(hint):
                 self.peers.tell(hint)
+            case relay_actions.LookAtStore():
+                self.watch.look_again()
             case actions.SetTimer(name, deadline):
                 self.loop.set_timer(name, deadline)
             case actions.ClearTimer(name):
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -28,8 +28,12 @@
 # that is lost shows only when this and the time of an answer are over, and
 # three seconds after a disturbance the configuration has to be in force.
 CONFIGURATION_WAIT = 1.5
-# How often it is asked whether this instance has to look, in seconds.
-LOOK_SECONDS = 0.05
+# How long after word of something newer the store is read at the latest, in
+# seconds: not all who hear of it should ask in the same millisecond.
+WORD_SPREAD_SECONDS = 0.05
+# The least time between two looks whether to read, in seconds. Timers fire
+# late, but what they are late by is not known here.
+LEAST_SLEEP_SECONDS = 0.01
 # How often the list of instances is read, in seconds, spread by half.
 MEMBERS_EVERY = 10.0
 # The pause after a call that failed, in seconds, spread by half both ways:
@@ -111,6 +115,7 @@
         self.configuration_position: int | None = None
         self.engines_position: int | None = None
         self.stopped = False
+        self.asleep: set[defer.Deferred] = set()
 
     def start(self) -> None:
         """Begin to read."""
@@ -173,14 +178,43 @@
         """Return a Deferred that fires after some seconds."""
         return task.deferLater(self.reactor, seconds, lambda: None)
 
+    @defer.inlineCallbacks
+    def sleep_until_due(self, due_at: Callable[[float], float]) -> object:
+        """Return once a moment has come that may move while it is waited for.
+
+        It is asked for again when it should be there, and when there is word
+        of something newer; asking all the time would take more of the
+        processor than all other work of a calm instance.
+        """
+        while True:
+            now = self.reactor.seconds()
+            wait = due_at(now) - now
+            if wait <= 0:
+                return
+            wait = min(wait, store_sharing.WORD_SECONDS)
+            nap = self.sleep(max(LEAST_SLEEP_SECONDS, wait))
+            self.asleep.add(nap)
+            nap.addErrback(lambda why: why.trap(defer.CancelledError))
+            yield nap
+            self.asleep.discard(nap)
+
+    def look_again(self) -> None:
+        """Ask soon again whether the store is to be read."""
+        wait = random.uniform(0.0, WORD_SPREAD_SECONDS)
+        self.reactor.callLater(wait, self.wake)
+
+    def wake(self) -> None:
+        """End the sleep of all who wait for the next read."""
+        for nap in list(self.asleep):
+            nap.cancel()
+
     @defer.inlineCallbacks
     def look_at_configuration(self) -> object:
         """Read the configuration when it is time to, and apply it.
 
         The one who reads for all waits at the store for its next change.
         """
-        while not self.sharing.configuration_due(self.reactor.seconds()):
-            yield self.sleep(LOOK_SECONDS)
+        yield self.sleep_until_due(self.sharing.configuration_due_at)
         now = self.reactor.seconds()
         reads_for_all = self.sharing.is_reader(now)
         self.sharing.configuration.looked(now)
@@ -202,8 +236,7 @@
     @defer.inlineCallbacks
     def look_at_engines(self) -> object:
         """Take in what has changed in the list, when it is time to."""
-        while not self.sharing.engines_due(self.reactor.seconds()):
-            yield self.sleep(LOOK_SECONDS)
+        yield self.sleep_until_due(self.sharing.engines_due_at)
         self.sharing.engines.looked(self.reactor.seconds())
         whole = self.engines_position is None
         try:
--- a/tests/common/store_fleet.py
+++ b/tests/common/store_fleet.py
@@ -187,6 +187,8 @@
                 case relay_actions.TellNeighbours(hint):
                     told = relay_events.PeerTold(self.own.incarnation, hint)
                     self.fleet.tell_others(self, told)
+                case relay_actions.LookAtStore():
+                    self.watch.look_again()
 
     def beat(self):
         if not self.alive:
