Tests of plans after a late or still store that fail: the answer does not say when to come back

The circuit to the platform opens after five failed polls, one second, and asks nothing for up to eight. Started after the instances, or held up, the platform answers again while an instance still refuses: the answer to a plan is 503 platform-unavailable, not-run, circuit-open, without Retry-After. Fails without any load on the machine: KeyError on Retry-After, and 'plan_id' in plan.

--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -172,6 +172,13 @@
             ],
         }
 
+    def replacement(self) -> dict[str, Any]:
+        """Return the intent that puts all that were started in force."""
+        return {
+            'type': 'replace-configuration',
+            'configuration': self.configuration(),
+        }
+
     def configure(self, configuration: dict[str, Any]) -> None:
         """Plan and confirm a configuration, and wait until it is in force."""
         self.wait_for_all()
--- a/tests/process/test_fleet_plans.py
+++ b/tests/process/test_fleet_plans.py
@@ -1,6 +1,8 @@
 """Plans are confirmed at real instances while the store misbehaves."""
 
 import concurrent.futures
+import signal
+import time
 
 import pytest
 
@@ -88,3 +90,41 @@
         set_faults(running)
         assert confirm(router, plan_id).status == 200
         assert stage(router, plan_id) == 'confirmed'
+
+
+def test_operator_is_told_when_to_come_back_to_a_store_that_was_late(
+    tmp_path,
+):
+    """The platform comes up seconds after the instances.
+
+    They have stopped asking it for a moment by then, so an operator who comes
+    in that moment gets no plan although everything runs. The answer has to
+    say that nothing has happened, and when to ask again; who does so gets
+    the plan.
+    """
+    with fleet.Fleet(tmp_path) as running:
+        running.platform.send_signal(signal.SIGSTOP)
+        running.engine('engine-0')
+        running.service('plain-0')
+        router = running.instance('router-0')
+        fleet.wait_until(lambda: fleet.listens(router.operator_port))
+        first = fleet.ask(
+            router.operator_port,
+            '/v1/plans',
+            running.replacement(),
+            headers=HEADERS,
+        )
+        running.platform.send_signal(signal.SIGCONT)
+        assert first.status == 503, first.body
+        assert first.json()['ran'] == 'not-run'
+        assert 1 <= int(first.headers['Retry-After']) <= 2
+        running.configure(running.configuration())
+
+
+def test_plan_is_had_after_the_store_stood_still(tmp_path):
+    """The platform stands still for some seconds and goes on."""
+    with fleet.small_fleet(tmp_path, engines=1, instances=1) as running:
+        running.platform.send_signal(signal.SIGSTOP)
+        time.sleep(6.5)
+        running.platform.send_signal(signal.SIGCONT)
+        running.configure(running.configuration())
