--- a/src/greengagelb/transport/operator_app.py
+++ b/src/greengagelb/transport/operator_app.py
@@ -60,8 +60,20 @@
         problem_handlers.install(self.app)
 
     def failed(self, request: server.Request, why: failure.Failure) -> bytes:
-        """Answer with the code of an error."""
-        return http.refuse(request, why.value.code, str(why.value))
+        """Answer with the code of an error.
+
+        While the platform is away, and for a moment after it is back, this
+        instance asks it nothing. An operator who is not told when to come back
+        would take what is about to end for an outage.
+        """
+        away = why.check(errors.PlatformUnavailable)
+        refused = requests.Failure(
+            why.value.code,
+            requests.Ran.NO,
+            str(why.value),
+            RETRY_AFTER_SECONDS if away else None,
+        )
+        return http.problem_answer(request, problems.problem_of(refused))
 
     def authenticate(self, request: server.Request) -> None:
         """Raise unless the request carries the operators' key."""
