Tests of entries of other writers, which fail

They name modules that are not there yet, so they fail on import.

Missing fields, rows of another type in the store's answer and engines that become unusable have their cases in the same two files.

--- /dev/null
+++ b/tests/platform/test_foreign_entries.py
@@ -0,0 +1,470 @@
+"""Rows of the platform's store that other writers have written."""
+
+import base64
+import ipaddress
+import json
+
+from hypothesis import example
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from greengagelb import errors
+from greengagelb.platform import row_answers
+from greengagelb.platform import rows
+from greengagelb.platform import store
+from greengagelb.protocol import relay_hints
+from greengagelb.state.relay import hints
+from tests.common import relay_world
+
+ENGINE = {
+    'service': 's-1',
+    'address': '10.0.0.1:8080',
+    'zone': 'north',
+    'version': 'v1',
+    'slots': 32,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'seq': 4,
+}
+# The fields without which an entry says too little to go by.
+NEEDED = ('service', 'address', 'zone', 'slots', 'state', 'seq')
+MEMBER = {
+    'name': 'front-1',
+    'incarnation': '5a7c',
+    'host': '10.0.0.9',
+    'data_centre': 'north',
+}
+ROUTE = {
+    'name': 'r-1',
+    'host': 'api.example',
+    'prefix': '/a/',
+    'kind': 'streaming',
+    'timeout_ms': 25000,
+    'latency_goal_ms': 4500,
+    'priority': 1,
+    'split': [
+        {'service': 's-1', 'weight': 90},
+        {'service': 's-2', 'weight': 10},
+    ],
+    'max_attempts': 5,
+    'public': True,
+    'resumable': True,
+    'gap_aim_ms': 700,
+}
+MODEL_SERVICE = {
+    'name': 's-1',
+    'max_conns': 240,
+    'health_path': '/health',
+    'engine': {
+        'slots': 32,
+        'kv_capacity': 88000,
+        'backups': True,
+        'moves': True,
+        'handle_s': 4.0,
+    },
+}
+LIMITS = {
+    'header_bytes': 16384,
+    'max_body_bytes': 4194304,
+    'header_timeout_ms': 3000,
+    'idle_timeout_ms': 15000,
+}
+ACCOUNT = {'name': 'cottages', 'api_keys': ['k1', 'k2'], 'priority': 1}
+CONFIG = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [MODEL_SERVICE, {'name': 's-2'}],
+    'limits': LIMITS,
+    'tenants': [ACCOUNT],
+}
+
+NUMBERS = st.one_of(
+    st.integers(),
+    st.floats(),
+    st.sampled_from([0, -1, 0.0, 1e-308, 1e308, 10**20, 10**400, 2**63]),
+)
+JSON = st.recursive(
+    st.none() | st.booleans() | NUMBERS | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(), inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+DEEP = b'{"x":' + b'[' * 60_000 + b']' * 60_000 + b'}'
+
+
+def row_of(key, raw):
+    return rows.Row(key, base64.b64encode(raw).decode(), 5)
+
+
+def row(key, value):
+    return row_of(key, json.dumps(value).encode())
+
+
+def altered(whole):
+    """Return variants of an object with fields gone or of any JSON."""
+    kept = st.sets(st.sampled_from(sorted(whole)), min_size=len(whole) - 2)
+    fields = st.dictionaries(st.sampled_from(sorted(whole)), JSON, max_size=3)
+    return st.builds(
+        lambda names, changed: {name: whole[name] for name in names} | changed,
+        kept,
+        fields,
+    )
+
+
+def values(whole):
+    """Return what may stand in a row in place of an object."""
+    texts = st.one_of(JSON, altered(whole)).map(json.dumps).map(str.encode)
+    return st.one_of(st.binary(), texts)
+
+
+def is_usable(entry):
+    """Return whether a request can be sent to an engine."""
+    ipaddress.ip_address(entry.address.host)
+    return (
+        0 < entry.address.port < 65_536
+        and entry.slots >= 1
+        and entry.service
+        and entry.engine.isascii()
+    )
+
+
+def engines_beside(other):
+    """Read a list of two engines with another row between them."""
+    return store.engines_of(
+        rows.Rows([row('i-1', ENGINE), other, row('i-3', ENGINE)], 9)
+    )
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(st.text(max_size=200), values(ENGINE))
+@example('i-2', DEEP)
+@example('i-2', b'\xff\xfe')
+@example('i-2', b'null')
+@example('a\r\nb: c', json.dumps(ENGINE).encode())
+def test_any_bytes_in_an_entry_cost_nothing_but_that_entry(key, raw):
+    """Another program writes what it likes into the list of engines.
+
+    Where that spoils the reading of the whole list, all engines that start
+    meanwhile get no work, and those that leave still do.
+    """
+    other = row_of(f'i-2{key}', raw)
+    found = engines_beside(other)
+    names = [entry.engine for entry in found.entries]
+    mistaken = [mistake.name for mistake in found.mistakes]
+    assert {'i-1', 'i-3'} <= set(names)
+    assert (other.key in names) != (other.key in mistaken)
+    assert all(is_usable(entry) for entry in found.entries)
+    told = hints.EnginesTold(found.entries, ())
+    assert relay_hints.decode(relay_hints.encode_hint('x', told))[1] == told
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'starting'},
+        {'state': None},
+        {'state': 'Ready'},
+        {'slots': 0},
+        {'slots': -3},
+        {'slots': 32.0},
+        {'slots': True},
+        {'slots': '32'},
+        {'slots': 10**30},
+        {'seq': 'x'},
+        {'seq': -1},
+        {'seq': 10**30},
+        {'service': ''},
+        {'service': 7},
+        {'service': 's' * 60_000},
+        {'zone': None},
+        {'zone': 'z' * 60_000},
+        {'version': 1},
+        {'cold_left_ms': 'soon'},
+        {'address': ''},
+        {'address': 'nowhere'},
+        {'address': ':8080'},
+        {'address': '10.0.0.1'},
+        {'address': '10.0.0.1:'},
+        {'address': '10.0.0.1:0'},
+        {'address': '10.0.0.1:99999'},
+        {'address': '10.0.0.1:-1'},
+        {'address': '10.0.0.1:²'},
+        {'address': '10.0.0.1:' + '9' * 5000},
+        {'address': '10.0.0.1: 80'},
+        {'address': 'engine.example:8080'},
+        {'address': '10.0.0.1/8:8080'},
+        {'address': '0.0.0.0:8080'},
+        {'address': '224.0.0.1:8080'},
+        {'address': ['10.0.0.1', 8080]},
+    ],
+)
+def test_entry_with_a_field_that_cannot_be_used_names_no_engine(change):
+    """An entry is whole but for one field, which is not as agreed.
+
+    Taken for a ready engine it is sent requests. Those fail, as nobody or
+    somebody else is there, and each costs its caller an attempt.
+    """
+    found = engines_beside(row('i-2', {**ENGINE, **change}))
+    assert [entry.engine for entry in found.entries] == ['i-1', 'i-3']
+    [mistake] = found.mistakes
+    assert mistake.name == 'i-2'
+    assert mistake.why
+
+
+@pytest.mark.parametrize('field', NEEDED)
+def test_entry_without_a_field_names_no_engine(field):
+    """An entry lacks its state or its slots, as its writer knows none.
+
+    Taken as ready and with one slot, an engine that is leaving gets work.
+    """
+    left = {name: ENGINE[name] for name in ENGINE if name != field}
+    found = engines_beside(row('i-2', left))
+    assert [mistake.name for mistake in found.mistakes] == ['i-2']
+
+
+def test_fields_that_are_not_read_may_be_missing_or_unheard_of():
+    small = {name: ENGINE[name] for name in NEEDED}
+    found = engines_beside(row('i-2', {**small, 'unheard_of': [1]}))
+    assert [entry.engine for entry in found.entries] == ['i-1', 'i-2', 'i-3']
+    assert not found.mistakes
+
+
+def test_last_change_of_a_row_counts():
+    """One answer has two changes of an entry, the second one unusable.
+
+    An engine that would still be used after it gets work though its entry
+    names none; and one that was mended in the meantime would get none.
+    """
+    spoilt = row('i-2', {**ENGINE, 'state': 'lost'})
+    good = row('i-2', ENGINE)
+    found = store.engines_of(rows.Rows([good, spoilt], 9))
+    assert [mistake.name for mistake in found.mistakes] == ['i-2']
+    found = store.engines_of(rows.Rows([spoilt, good], 9))
+    assert not found.mistakes
+    assert [entry.engine for entry in found.entries] == ['i-2']
+    gone = rows.Row('i-2', tombstone=True)
+    found = store.engines_of(rows.Rows([gone, good], 9))
+    assert not found.removed
+    found = store.engines_of(rows.Rows([good, gone], 9))
+    assert found.removed == ('i-2',)
+
+
+def answer_with(other):
+    """Return an answer of the store with any JSON between two rows."""
+    first, last = (
+        {'key': key, 'value': row(key, ENGINE).value, 'ver': 5}
+        for key in ('i-1', 'i-3')
+    )
+    document = {'rows': [first, other, last], 'ver': 9}
+    return json.dumps(document).encode()
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    st.one_of(
+        JSON,
+        altered({'key': 'i-2', 'value': 'e30=', 'ver': 5, 'tombstone': False}),
+    )
+)
+@example({'key': 'i-2', 'value': None, 'ver': 5})
+@example({'key': 'i-2', 'value': 'é', 'ver': 5})
+@example({'key': 'i-2', 'value': '\ud800', 'ver': 5})
+@example({'key': None, 'value': 'e30=', 'ver': 5})
+def test_any_row_of_an_answer_costs_nothing_but_that_row(other):
+    """The store passes on a row in which a value is null, or no text.
+
+    An answer that is refused as a whole for it looks like a store that is
+    away, for as long as the row is there.
+    """
+    found = store.engines_of(row_answers.read_rows(answer_with(other)))
+    names = {entry.engine for entry in found.entries}
+    assert {'i-1', 'i-3'} <= names
+    assert found.position == 9
+
+
+def test_answer_that_is_no_list_of_rows_is_refused():
+    """Something else than the store answers, or the answer is cut."""
+    for body in (b'', b'[]', b'{"rows":[]}', b'{"rows":3,"ver":1}', DEEP):
+        with pytest.raises(errors.ProtocolError):
+            row_answers.read_rows(body)
+
+
+def test_row_without_a_key_is_counted_too():
+    found = store.engines_of(row_answers.read_rows(answer_with(3)))
+    [mistake] = found.mistakes
+    assert mistake.name == ''
+
+
+# -- instances ---------------------------------------------------------------
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(values(MEMBER))
+@example(DEEP)
+def test_any_bytes_in_an_entry_of_an_instance_cost_only_that_entry(raw):
+    """Another program writes into the list of instances.
+
+    Where that spoils the reading of the list, no instance learns of others
+    any more, and each one takes the whole budget of repeats for its own.
+    """
+    good = row('front-1', MEMBER)
+    found = store.members_of(rows.Rows([row_of('front-2', raw), good], 9))
+    assert [m.name for m in found.members if m.name == 'front-1']
+    assert len(found.members) + len(found.mistakes) == 2
+    for member in found.members:
+        ipaddress.ip_address(member.host)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'host': 'front.example'},
+        {'host': ''},
+        {'host': '0.0.0.0'},
+        {'incarnation': ''},
+        {'incarnation': 5},
+        {'name': 'front-1'},
+        {'data_centre': None},
+    ],
+)
+def test_entry_of_an_instance_that_cannot_be_used(change):
+    """An instance's entry has a host that no datagram can be sent to.
+
+    An error of the socket would end the reading of the list for good; and an
+    entry under another name would hide the instance of that name.
+    """
+    value = {**MEMBER, 'name': 'front-2', **change}
+    found = store.members_of(rows.Rows([row('front-2', value)], 9))
+    assert not found.members
+    assert [mistake.name for mistake in found.mistakes] == ['front-2']
+
+
+# -- the configuration -------------------------------------------------------
+
+
+def configuration_with(part, changed):
+    """Return a configuration in which one part is another one."""
+    match part:
+        case 'route':
+            return {**CONFIG, 'routes': [changed]}
+        case 'service':
+            return {**CONFIG, 'services': [changed, {'name': 's-2'}]}
+        case 'account':
+            return {**CONFIG, 'tenants': [changed]}
+        case 'limits':
+            return {**CONFIG, 'limits': changed}
+    return changed
+
+
+PARTS = {
+    'whole': CONFIG,
+    'route': ROUTE,
+    'service': MODEL_SERVICE,
+    'account': ACCOUNT,
+    'limits': LIMITS,
+}
+ALTERED = st.sampled_from(sorted(PARTS)).flatmap(
+    lambda part: altered(PARTS[part]).map(
+        lambda changed: configuration_with(part, changed)
+    )
+)
+
+
+def read_configuration(raw):
+    return store.configuration_of(rows.Rows([row_of('config', raw)], 9))
+
+
+@settings(derandomize=True, max_examples=500, deadline=None)
+@given(st.one_of(ALTERED, JSON).map(json.dumps).map(str.encode) | st.binary())
+@example(DEEP)
+def test_any_configuration_is_either_told_or_can_be_used(raw):
+    """The row of the configuration holds anything.
+
+    An error that it raises, on reading or with the first request, would end
+    the following of the configuration or the answering of requests.
+    """
+    read = read_configuration(raw)
+    assert (read.table is None) == bool(read.mistake)
+    assert read.position == 9
+    if read.table is None:
+        return
+    world = relay_world.RelayWorld(table=read.table)
+    for route in read.table.routes:
+        world.ask(f'{route.prefix}x'.encode(), 25.0, host=route.host, key='k1')
+    told = hints.ConfigurationApplied(read.table.version)
+    relay_hints.encode_hint('x', told)
+    world.advance(30.0)
+
+
+@pytest.mark.parametrize(
+    ('part', 'change'),
+    [
+        ('route', {'timeout_ms': -1}),
+        ('route', {'timeout_ms': 0}),
+        ('route', {'timeout_ms': float('nan')}),
+        ('route', {'timeout_ms': float('inf')}),
+        ('route', {'timeout_ms': 1e300}),
+        ('route', {'timeout_ms': '800'}),
+        ('route', {'latency_goal_ms': -1}),
+        ('route', {'gap_aim_ms': -700}),
+        ('route', {'priority': -1}),
+        ('route', {'max_attempts': 0}),
+        ('route', {'max_attempts': 2.5}),
+        ('route', {'prefix': ''}),
+        ('route', {'prefix': 'a/'}),
+        ('route', {'host': None}),
+        ('route', {'split': [{'service': 's-1', 'weight': -1}]}),
+        ('route', {'split': [{'service': 's-1', 'weight': 1e308}] * 2}),
+        ('route', {'split': [], 'service': 's-3'}),
+        ('service', {'health_path': 'health'}),
+        ('service', {'health_path': '/a b'}),
+        ('service', {'health_path': '/a\r\nb: c'}),
+        ('service', {'max_conns': 0}),
+        ('service', {'engine': {**MODEL_SERVICE['engine'], 'slots': 0}}),
+        ('service', {'engine': {'kv_capacity': -1}}),
+        ('service', {'engine': {'handle_s': -1.0}}),
+        ('account', {'name': ''}),
+        ('account', {'name': 'a\r\nb: c'}),
+        ('account', {'name': ' a'}),
+        ('account', {'api_keys': 'k1'}),
+        ('account', {'priority': -1}),
+        ('limits', {'header_bytes': 0}),
+        ('limits', {'max_body_bytes': -1}),
+        ('limits', {'header_timeout_ms': 0}),
+        ('limits', {'idle_timeout_ms': -1}),
+        ('whole', {'version': -1}),
+        ('whole', {'version': 10**30}),
+        ('whole', {'routes': None}),
+    ],
+)
+def test_configuration_with_a_value_that_cannot_be_used(part, change):
+    """One value of a configuration is such that nothing can go by it.
+
+    In force it would refuse each request of its route, or raise with it. The
+    last good configuration stays in force instead.
+    """
+    value = configuration_with(part, {**PARTS[part], **change})
+    read = read_configuration(json.dumps(value).encode())
+    assert read.table is None
+    assert read.mistake
+
+
+def test_configuration_whose_names_stand_twice_is_used():
+    """Nothing goes by the names of routes, and of services the last counts."""
+    twice = {**CONFIG, 'routes': [ROUTE, {**ROUTE, 'prefix': '/b/'}]}
+    read = read_configuration(json.dumps(twice).encode())
+    assert read.table.find('api.example', '/b/x').name == 'r-1'
+
+
+def test_configuration_row_of_another_type_is_told():
+    """The value of the row is null: nothing can be read, and nothing goes."""
+    body = json.dumps(
+        {'rows': [{'key': 'config', 'value': None, 'ver': 5}], 'ver': 9}
+    ).encode()
+    read = store.configuration_of(row_answers.read_rows(body))
+    assert read.table is None
+    assert read.mistake
--- /dev/null
+++ b/tests/relay/test_foreign_entries.py
@@ -0,0 +1,398 @@
+"""Engines whose entries another writer has made unusable."""
+
+from twisted.internet import abstract
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import task
+
+from greengagelb import errors
+from greengagelb.coordination import actions as common_actions
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import store_sharing
+from greengagelb.protocol import relay_hints
+from greengagelb.state.relay import hints
+from greengagelb.transport.relay import peer_link
+from greengagelb.transport.relay import relay_metrics
+from greengagelb.transport.relay import store_watch
+from greengagelb.transport.relay import unusable_entries
+from tests.common import instance_world
+from tests.common import relay_world
+
+OWN = hints.Member('own', '5-own', '127.0.0.1', 'north')
+READER = '0-before-all-others'
+SPOILT = 'model-north-0'
+WHY = 'unknown state lost'
+
+
+def spoil(world, *names, entries=()):
+    """Read a change of the list in which entries can't be used."""
+    return world.handle(
+        relay_events.EnginesChanged(tuple(entries), (), tuple(names))
+    )
+
+
+def engines_used(world, requests=40):
+    """Return the engines that get the next streams."""
+    return {
+        world.last_send(world.ask()).engine.engine for _ in range(requests)
+    }
+
+
+def spoilt_entry(**fields):
+    return relay_world.engine(SPOILT, relay_world.STREAMS, 'north', **fields)
+
+
+def records(world, kind):
+    return [
+        action
+        for action in world.of_kind(common_actions.Record)
+        if action.kind == kind
+    ]
+
+
+def test_engine_whose_entry_becomes_unusable_gets_no_more_work():
+    """Another program overwrites the entry of an engine that is in use.
+
+    The entry names no engine any more. Used on, requests go to an engine of
+    which nobody knows whether it serves.
+    """
+    world = relay_world.RelayWorld()
+    assert SPOILT in engines_used(world)
+    spoil(world, SPOILT)
+    assert SPOILT not in engines_used(world)
+    [told] = records(world, 'engine-leaving')
+    assert told.upstream == SPOILT
+
+
+def test_unusable_entry_has_no_moment_of_grace_after_an_outage():
+    """The store comes back after an outage, and an entry is unusable.
+
+    Entries that are missing then may come back in a moment. This one has not
+    lapsed, so there is nothing to wait for.
+    """
+    world = relay_world.RelayWorld()
+    world.advance(1.0)
+    world.handle(relay_events.StoreLost('away'))
+    world.advance(5.0)
+    world.change_engines(removed=[SPOILT])
+    assert SPOILT in engines_used(world)
+    spoil(world, SPOILT)
+    assert SPOILT not in engines_used(world)
+
+
+def test_entry_that_is_unusable_in_a_whole_list_names_no_engine():
+    """The list is read as a whole, just after an outage of the store."""
+    world = relay_world.RelayWorld()
+    world.advance(1.0)
+    world.handle(relay_events.StoreLost('away'))
+    world.advance(5.0)
+    others = tuple(e for e in relay_world.fleet() if e.engine != SPOILT)
+    world.handle(relay_events.EnginesListed(others, (SPOILT, 'unheard-of')))
+    assert SPOILT not in engines_used(world)
+
+
+def test_engine_is_used_again_when_its_entry_is():
+    """The engine writes its entry anew with its next heartbeat.
+
+    Left out for good, each such accident would cost an engine.
+    """
+    world = relay_world.RelayWorld()
+    spoil(world, SPOILT)
+    world.change_engines(spoilt_entry(heartbeat=2))
+    assert SPOILT in engines_used(world)
+
+
+def test_engine_that_had_said_that_it_leaves_is_not_used_again():
+    """An engine says that it leaves, and then its entry is overwritten twice.
+
+    First with what can't be used, then with an old copy that says ready.
+    What an engine said of its end stays true.
+    """
+    world = relay_world.RelayWorld()
+    world.change_engines(spoilt_entry(heartbeat=2, leaving=True))
+    spoil(world, SPOILT)
+    world.change_engines(spoilt_entry(heartbeat=1))
+    assert SPOILT not in engines_used(world)
+
+
+def test_running_stream_goes_on_at_the_engine():
+    """The entry of an engine becomes unusable while a stream runs on it.
+
+    The engine itself still serves. Cut off, the caller would wait for the
+    prompt to be read anew.
+    """
+    world = relay_world.RelayWorld()
+    exchange = world.ask()
+    send = world.last_send(exchange)
+    world.begin(send)
+    world.events(send, 1, 2)
+    spoil(world, send.engine.engine)
+    world.events(send, 3)
+    world.complete(send)
+    assert world.passed_events(exchange) == [1, 2, 3]
+    assert world.of_kind(relay_actions.EndStream, exchange)
+    assert not world.of_kind(relay_actions.AbandonSend, exchange)
+
+
+def test_copies_on_the_engine_are_replaced():
+    """The engine that holds the copy of a run gets an unusable entry.
+
+    The run can't be sent there any more when its own engine is lost, and its
+    caller would wait until the prompt was read again.
+    """
+    world = relay_world.RelayWorld()
+    exchange = world.ask()
+    send = world.last_send(exchange)
+    world.begin(send)
+    world.events(send, 1)
+    spoil(world, send.copy_to.engine)
+    [ordered] = world.of_kind(relay_actions.CopyRun, exchange)
+    assert ordered.target.engine != send.copy_to.engine
+
+
+def test_neighbours_learn_of_it_from_the_one_that_reads():
+    """One instance of a data centre reads the list for its neighbours.
+
+    They would go on using the engine until they read the list themselves.
+    """
+    reader = relay_world.RelayWorld()
+    follower = relay_world.RelayWorld()
+    spoil(reader, SPOILT, 'unheard-of')
+    told = [a.hint for a in reader.of_kind(relay_actions.TellNeighbours)]
+    [news] = [
+        h for h in told if isinstance(h, hints.EnginesTold) and h.unusable
+    ]
+    assert news.unusable == (SPOILT,)
+    raw = relay_hints.encode_hint(READER, news)
+    assert relay_hints.decode(raw) == (READER, news)
+    follower.handle(relay_events.PeerTold(READER, news))
+    assert SPOILT not in engines_used(follower)
+    assert follower.relay.engines.digest() == reader.relay.engines.digest()
+
+
+def test_neighbours_are_told_once():
+    """An unusable entry stays, and is read again with each whole list."""
+    reader = relay_world.RelayWorld()
+    spoil(reader, SPOILT)
+    before = len(reader.actions)
+    spoil(reader, SPOILT)
+    again = reader.actions[before:]
+    assert not [a for a in again if isinstance(a, common_actions.Record)]
+    assert not [
+        a
+        for a in again
+        if isinstance(a, relay_actions.TellNeighbours)
+        and isinstance(a.hint, hints.EnginesTold)
+    ]
+
+
+def test_entry_that_names_another_service_names_no_engine():
+    """The entry of a known engine suddenly names another service.
+
+    An engine serves one service. Requests of the other one would be run by an
+    engine that is not there for them, and requests of its own by one of which
+    the list says something else.
+    """
+    world = relay_world.RelayWorld()
+    moved = relay_world.engine(SPOILT, relay_world.CALLS, 'north', 2)
+    world.change_engines(moved)
+    assert SPOILT not in engines_used(world)
+    for _ in range(20):
+        exchange = world.query()
+        assert world.last_send(exchange).engine.engine != SPOILT
+        world.answer(world.last_send(exchange))
+    # It is forgotten in the end, and can then be anything.
+    world.advance(70.0)
+    world.change_engines()
+    assert SPOILT not in world.relay.engines.states
+    world.change_engines(moved)
+    assert SPOILT in world.relay.engines.by_service[relay_world.CALLS]
+
+
+def test_entry_names_its_former_service_again():
+    world = relay_world.RelayWorld()
+    world.change_engines(
+        relay_world.engine(SPOILT, relay_world.CALLS, 'north', 2)
+    )
+    world.change_engines(spoilt_entry(heartbeat=3))
+    assert SPOILT in engines_used(world)
+
+
+def test_service_that_no_configuration_names_gets_no_work_and_harms_nobody():
+    """An entry names a service that is not configured, at a known address.
+
+    Requests go by the services of the configuration, so its engine gets none,
+    and nothing else is needed. But it must not pass for the restarted engine
+    at that address either, which would take that engine out.
+    """
+    world = relay_world.RelayWorld()
+    [known] = [e for e in relay_world.fleet() if e.engine == SPOILT]
+    world.advance(10.0)
+    world.change_engines(
+        relay_world.engine(
+            'stray', 'unheard-of', 'north', port=known.address.port
+        )
+    )
+    used = engines_used(world)
+    assert SPOILT in used
+    assert 'stray' not in used
+
+
+# -- what is logged and counted ----------------------------------------------
+
+
+def mistake(name=SPOILT, why=WHY):
+    return unusable_entries.UnusableEntry(name, why)
+
+
+class StoreOfOthers:
+    """A source whose lists hold unusable entries, and has no history."""
+
+    def __init__(self):
+        self.engine_mistakes = (mistake(),)
+        self.member_mistakes = (mistake('front-2'),)
+        self.configuration_mistake = 'no part has a weight'
+        self.members = ()
+        self.registered = 0
+
+    def read_configuration(self, position, wait_seconds):
+        if position is not None:
+            return defer.fail(errors.HistoryGone('gone'))
+        return defer.succeed(
+            store_watch.ConfigurationRead(7, None, self.configuration_mistake)
+        )
+
+    def read_engines(self, position):
+        if position is not None:
+            return defer.fail(errors.HistoryGone('gone'))
+        return defer.succeed(
+            store_watch.EnginesRead(7, (), (), self.engine_mistakes)
+        )
+
+    def register(self, member):
+        self.registered += 1
+        return defer.succeed(None)
+
+    def read_members(self):
+        return defer.succeed(
+            store_watch.MembersRead(self.members, self.member_mistakes)
+        )
+
+
+def watching(source, dispatched=None):
+    """Return a clock, a watch of a source, and what it records."""
+    clock = task.Clock()
+    recorded = []
+    watch = store_watch.StoreWatch(
+        clock,
+        source,
+        (lambda event: None) if dispatched is None else dispatched.append,
+        recorded.append,
+        OWN,
+        store_sharing.StoreSharing(OWN.incarnation, OWN.data_centre),
+        lambda members: None,
+    )
+    watch.start()
+    return clock, watch, recorded
+
+
+def kinds(recorded):
+    return sorted(record.kind for record in recorded)
+
+
+def test_unusable_entries_are_logged_once_until_they_change():
+    """An unusable entry stays in the list, which is read again and again.
+
+    A line for each read would bury the other lines of the log.
+    """
+    source = StoreOfOthers()
+    dispatched = []
+    clock, watch, recorded = watching(source, dispatched)
+    clock.pump([0.1] * 300)
+    expected = ['bad-configuration', 'bad-engine-entry', 'bad-instance-entry']
+    assert kinds(recorded) == expected
+    assert {record.upstream for record in recorded} == {'', SPOILT}
+    listed = [
+        event
+        for event in dispatched
+        if isinstance(event, relay_events.EnginesListed)
+    ]
+    assert len(listed) > 10
+    assert all(event.unusable == (SPOILT,) for event in listed)
+    source.engine_mistakes = (mistake(why='bad address'),)
+    clock.pump([0.1] * 30)
+    assert kinds(recorded) == sorted([*expected, 'bad-engine-entry'])
+    source.engine_mistakes = ()
+    clock.pump([0.1] * 30)
+    source.engine_mistakes = (mistake(),)
+    clock.pump([0.1] * 30)
+    assert kinds(recorded).count('bad-engine-entry') == 3
+
+
+def test_unusable_entries_are_counted():
+    """Whoever is on call sees how many there are now, and that they came."""
+    source = StoreOfOthers()
+    clock, watch, _ = watching(source)
+    clock.pump([0.1] * 30)
+    figures = relay_metrics.RelayMetrics()
+    figures.unusable = watch.unusable_counts
+    shown = figures.render_relay(0).decode()
+    for kind in ('engine', 'instance', 'configuration'):
+        told = f'greengagelb_unusable_entries_told{{kind="{kind}"}} 1'
+        assert told in shown
+        assert f'greengagelb_unusable_entries{{kind="{kind}"}} 1' in shown
+    source.engine_mistakes = ()
+    clock.pump([0.1] * 30)
+    shown = figures.render_relay(0).decode()
+    assert 'greengagelb_unusable_entries{kind="engine"} 0' in shown
+    assert 'greengagelb_unusable_entries_told{kind="engine"} 1' in shown
+
+
+def test_metrics_page_of_an_instance_has_these_counts():
+    page = instance_world.InstanceWorld().instance.metrics_page()
+    assert b'greengagelb_unusable_entries{kind="engine"} 0' in page.body
+
+
+def test_own_entry_that_was_spoilt_is_written_again():
+    """Another program overwrites the entry of this instance.
+
+    Instances that start later would never hear of this one, as they greet
+    those that are listed.
+    """
+    source = StoreOfOthers()
+    source.members = (OWN,)
+    clock, _, _ = watching(source)
+    clock.pump([0.1] * 200)
+    assert source.registered == 1
+    source.members = ()
+    clock.pump([0.1] * 160)
+    assert source.registered > 1
+
+
+class StrictSocket:
+    """Sends to addresses only, as sockets do."""
+
+    def __init__(self):
+        self.sent = []
+
+    def write(self, raw, address):
+        host, _ = address
+        if not abstract.isIPAddress(host):
+            raise error.InvalidAddressError(host, 'not an address')
+        self.sent.append(address)
+
+
+def test_host_that_is_no_address_costs_only_its_own_datagrams():
+    """A heartbeat of another writer names a host instead of its address.
+
+    The error of the socket would go up to whatever sends to all instances,
+    and those behind it would hear nothing.
+    """
+    bad = []
+    link = peer_link.PeerLink(OWN, 7000, lambda event: None, bad.append)
+    link.transport = StrictSocket()
+    link.hosts = {'1-a': 'front.example', '2-b': '127.0.0.2'}
+    link.beat()
+    assert link.transport.sent == [('127.0.0.2', 7000)]
+    assert len(bad) == 1
