Take each entry of the store as usable or as a mistake, never as a guess

Cause: the reading code guessed what an entry leaves out (state, slots, zone), took any text before the last colon for a host, and let errors other than its own out (a port of the digit ², deep nesting, a row of another type), which cost the whole list. Decisions had no word for an entry that is there and can't be used, so that its engine was used on.

Ruled out: telling unusable engines as removed ones. Those have a moment of grace after an outage of the store, which lapsed entries need and these do not.

Change: bounds and types stand on the models of the rows; checks.py has the uses (address, header, path); row_answers.py reads the rows of an answer one by one where one of them is of another type. EnginesRead and MembersRead carry the mistakes, unusable_entries.py keeps what was told, the events and EnginesTold carry the names. An entry that moves a known engine to another service counts as unusable: by its service's index it would have had work of the former service, and forgetting it raised KeyError. An entry of a service that is not configured gets no work, as requests go by configured services, and no longer takes out the engine at its address. A datagram to a host that is no IP number no longer ends the sending to the others. An own entry that was spoilt is written again.

The machine of the directory got unusable entries and entries of another service as rules, with an invariant more.

--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -96,6 +96,7 @@
     """All engines that this instance has heard of, by their identity.
 
     ``confirmed_at`` is when the list was last known to be up to date here.
+    ``services`` are those that the configuration names, ``None`` without one.
 
     Invariant: ``by_service`` names exactly the states in ``states``.
     """
@@ -104,6 +105,7 @@
         self.least_lapse_seconds = least_lapse_seconds
         self.states: dict[str, EngineState] = {}
         self.by_service: dict[str, dict[str, EngineState]] = {}
+        self.services: frozenset[str] | None = None
         self.lost = False
         self.confirmed_at = float('-inf')
         self.regained_at = float('-inf')
@@ -155,8 +157,12 @@
 
         Their entries stay in the list until they lapse, seconds after what
         they held was lost. An engine that was heard of only just now is not
-        one of them: the unknown entry may be what an earlier one left.
+        one of them: the unknown entry may be what an earlier one left. Nor
+        does an entry of a service that is not configured end one: it may be
+        another writer's, and would take out an engine that serves.
         """
+        if not self.is_named(entry.service):
+            return []
         known_before = now - LAPSE_SHARE * self.least_lapse_seconds
         found = [
             name
@@ -169,6 +175,13 @@
             self.states[name].replaced = True
         return found
 
+    def is_named(self, service: str) -> bool:
+        """Return whether the configuration names a service, if there is one.
+
+        Requests go by its services, so engines of others get none.
+        """
+        return self.services is None or service in self.services
+
     def take_in(self, entry: engines.EngineEntry, now: float) -> bool:
         """Take in one entry; return whether its engine is newly leaving."""
         state = self.states.get(entry.engine)
@@ -183,6 +196,44 @@
         state.leaving = state.leaving or entry.leaving
         return newly
 
+    # -- entries that can't be used -----------------------------------------
+
+    def is_used(self, engine: str, now: float) -> bool:
+        """Return whether an engine is known, and not as gone."""
+        state = self.states.get(engine)
+        return state is not None and (
+            state.gone_at is None or now < state.gone_at
+        )
+
+    def spoilt(self, names: tuple[str, ...], now: float) -> list[str]:
+        """Take out the engines whose entries can't be used; return them.
+
+        At once, unlike those that are missing after an outage: their entries
+        have not lapsed, so nothing is about to come back. They are used again
+        with their next entry that can be used.
+        """
+        found = [name for name in names if self.is_used(name, now)]
+        for name in found:
+            self.states[name].listed = False
+            self.states[name].gone_at = now
+        return found
+
+    def contradicted_by(
+        self, entries: tuple[engines.EngineEntry, ...]
+    ) -> tuple[str, ...]:
+        """Return the engines that some entries put into another service.
+
+        An engine serves one service all its life. If its entry names another
+        one somebody else wrote it, and requests that go by it are run by an
+        engine that no route allows.
+        """
+        return tuple(
+            entry.engine
+            for entry in entries
+            if entry.engine in self.states
+            and entry.service != self.states[entry.engine].entry.service
+        )
+
     def is_news(self, entry: engines.EngineEntry) -> bool:
         """Return whether an entry tells more than that its engine lives."""
         state = self.states.get(entry.engine)
@@ -325,7 +376,9 @@
         return {
             name
             for name, state in self.states.items()
-            if state.entry.address == address and state.usable(now)
+            if state.entry.address == address
+            and state.usable(now)
+            and self.is_named(state.entry.service)
         }
 
     def told_load(
--- a/src/greengagelb/coordination/relay/engine_list.py
+++ b/src/greengagelb/coordination/relay/engine_list.py
@@ -33,45 +33,72 @@
         self.version = 0
 
     def read_whole(
-        self, entries: tuple[engines.EngineEntry, ...], now: float
+        self,
+        entries: tuple[engines.EngineEntry, ...],
+        unusable: tuple[str, ...],
+        now: float,
     ) -> list[Action]:
         """Take in a whole list; what it does not have is removed."""
-        return self.read(entries, self.engines.missing_from(entries), now)
+        missing = self.engines.missing_from(entries)
+        removed = tuple(name for name in missing if name not in unusable)
+        return self.read(entries, removed, unusable, now)
 
     def read(
         self,
         entries: tuple[engines.EngineEntry, ...],
         removed: tuple[str, ...],
+        unusable: tuple[str, ...],
         now: float,
     ) -> list[Action]:
         """Take in what was read from the store; tell the neighbours."""
-        news = tuple(e for e in entries if self.engines.is_news(e))
+        contrary = self.engines.contradicted_by(entries)
+        news = tuple(
+            entry
+            for entry in entries
+            if entry.engine not in contrary and self.engines.is_news(entry)
+        )
+        spoilt = tuple(
+            name
+            for name in (*unusable, *contrary)
+            if self.engines.is_used(name, now)
+        )
         done: list[Action] = []
         if self.engines.lost:
             done.append(actions.Record('store-regained', 'list of engines'))
-        done += self.changed(entries, removed, now)
+        done += self.changed(entries, removed, unusable, now)
         self.sharing.engines.known(self.sharing.engines.looked_at)
         if not self.sharing.is_reader(now):
             return done
         word = hints.StoreRead(self.engines.digest(), self.version)
-        told = [*parts_of(news, removed), word]
+        told = [*parts_of(news, removed, spoilt), word]
         return done + [relay_actions.TellNeighbours(hint) for hint in told]
 
     def changed(
         self,
         entries: tuple[engines.EngineEntry, ...],
         removed: tuple[str, ...],
+        unusable: tuple[str, ...],
         now: float,
     ) -> list[Action]:
         """Take in changes; replace the copies on engines that end."""
+        contrary = self.engines.contradicted_by(entries)
+        agreed = tuple(e for e in entries if e.engine not in contrary)
         done: list[Action] = []
-        for engine in self.engines.changed(entries, removed, now):
-            done.append(
-                actions.Record('engine-leaving', 'listed', upstream=engine)
-            )
-            done += self.copies.lost_at(engine, now)
+        for engine in self.engines.changed(agreed, removed, now):
+            done += self.engine_ends(engine, 'listed', now)
+        for engine in self.engines.spoilt(unusable, now):
+            done += self.engine_ends(engine, 'entry unusable', now)
+        for engine in self.engines.spoilt(contrary, now):
+            done += self.engine_ends(engine, 'entry of another service', now)
         return done
 
+    def engine_ends(self, engine: str, why: str, now: float) -> list[Action]:
+        """Tell that an engine gets no more work; replace the copies there."""
+        return [
+            actions.Record('engine-leaving', why, upstream=engine),
+            *self.copies.lost_at(engine, now),
+        ]
+
     def store_lost(self, detail: str) -> list[Action]:
         """Go on with what is known; note when the store went away."""
         if self.engines.lost:
@@ -81,7 +108,9 @@
 
 
 def parts_of(
-    entries: tuple[engines.EngineEntry, ...], removed: tuple[str, ...]
+    entries: tuple[engines.EngineEntry, ...],
+    removed: tuple[str, ...],
+    unusable: tuple[str, ...],
 ) -> list[hints.Hint]:
     """Return news in parts that fit a datagram each."""
     size = NEWS_IN_A_DATAGRAM
@@ -93,4 +122,8 @@
         hints.EnginesTold((), removed[at : at + size])
         for at in range(0, len(removed), size)
     ]
+    found += [
+        hints.EnginesTold((), (), unusable[at : at + size])
+        for at in range(0, len(unusable), size)
+    ]
     return found
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -79,17 +79,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EnginesListed:
-    """The whole list of engines, as of one moment."""
+    """The whole list of engines, as of one moment.
+
+    ``unusable`` names those whose entries can't be used.
+    """
 
     entries: tuple[engines.EngineEntry, ...]
+    unusable: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EnginesChanged:
-    """Entries that changed since the last look, and those removed."""
+    """Entries that changed since the last look, and those removed.
+
+    ``unusable`` names those whose entries can't be used any more.
+    """
 
     entries: tuple[engines.EngineEntry, ...]
     removed: tuple[str, ...]
+    unusable: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -194,11 +194,11 @@
                 return self.timer_fired(name, now)
             case relay_events.RoutesOffered():
                 return self.configure(event, now)
-            case relay_events.EnginesListed(entries):
+            case relay_events.EnginesListed(entries, unusable):
                 self.engines_known = True
-                return self.listed.read_whole(entries, now)
-            case relay_events.EnginesChanged(entries, removed):
-                return self.listed.read(entries, removed, now)
+                return self.listed.read_whole(entries, unusable, now)
+            case relay_events.EnginesChanged(entries, removed, unusable):
+                return self.listed.read(entries, removed, unusable, now)
             case relay_events.StoreLost(detail):
                 return self.listed.store_lost(detail)
             case relay_events.SuccessorSeen(old, new):
@@ -264,8 +264,8 @@
                     self.engines.succeed(engine, successor, now)
                 else:
                     self.engines.was_replaced(engine)
-            case hints.EnginesTold(entries, removed):
-                return self.listed.changed(entries, removed, now)
+            case hints.EnginesTold(entries, removed, unusable):
+                return self.listed.changed(entries, removed, unusable, now)
             case hints.StoreRead(digest, version):
                 same = digest == self.engines.digest()
                 if same:
@@ -481,6 +481,7 @@
             return []
         self.table = table
         self.listed.version = table.version
+        self.engines.services = frozenset(table.services)
         self.succession.health_paths = {
             name: service.health_path
             for name, service in table.services.items()
--- a/src/greengagelb/platform/rows.py
+++ b/src/greengagelb/platform/rows.py
@@ -1,18 +1,37 @@
 """Rows of the platform's store that operators and engines write."""
 
 import base64
-import binascii
+from typing import Annotated
+from typing import Literal
 from typing import TypeVar
 
 import msgspec
 
 from greengagelb import errors
+from greengagelb.platform import checks
 from greengagelb.protocol import codec
 from greengagelb.state.relay import engines
+from greengagelb.state.relay import hints
 from greengagelb.state.relay import routes
 
 T = TypeVar('T')
 
+# Bounds of what can be calculated with and told to other instances. Figures
+# beyond them would raise with the first request that they are used for.
+Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Amount = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=2**31 - 1)]
+Rank = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+Weight = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+# Eleven days at the most: a timer for longer can't be waited for.
+Milliseconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+Timeout = Annotated[float, msgspec.Meta(gt=0.0, le=1e9)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
+# As long as the store's keys may be. Ten entries with longer names would not
+# fit the datagram in which the neighbours are told of them.
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Place = Annotated[str, msgspec.Meta(max_length=200)]
+
 REPEATS = {
     'safe': routes.Repeat.IDEMPOTENT,
     'unsafe': routes.Repeat.AT_MOST_ONCE,
@@ -22,12 +41,16 @@
 
 
 class Row(msgspec.Struct):
-    """A row of any table; ``tombstone`` marks one that was removed."""
+    """A row of any table; ``tombstone`` marks one that was removed.
+
+    ``mistake`` tells why a row that was sent is none; its key may be empty.
+    """
 
     key: str
     value: str = ''
     ver: int = 0
     tombstone: bool = False
+    mistake: str = ''
 
 
 class Rows(msgspec.Struct):
@@ -67,7 +90,7 @@
     """A service's part of a route."""
 
     service: str
-    weight: float
+    weight: Weight
 
 
 class WireRoute(msgspec.Struct):
@@ -77,32 +100,32 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    latency_goal_ms: float = 1000.0
-    priority: int = 5
+    timeout_ms: Timeout
+    latency_goal_ms: Milliseconds = 1000.0
+    priority: Rank = 5
     service: str = ''
     split: list[WireSplit] = []
-    max_attempts: int = 1
+    max_attempts: Count = 1
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 0.0
+    gap_aim_ms: Milliseconds = 0.0
 
 
 class WireEngines(msgspec.Struct):
     """What the model engines of a service have."""
 
-    slots: int = 1
-    kv_capacity: int = 0
+    slots: Count = 1
+    kv_capacity: Amount = 0
     backups: bool = False
     moves: bool = False
-    handle_s: float = 0.0
+    handle_s: Seconds = 0.0
 
 
 class WireService(msgspec.Struct):
     """A service; ``engine`` is there for model engines only."""
 
     name: str
-    max_conns: int = 100
+    max_conns: Count = 100
     health_path: str = '/'
     engine: WireEngines | None = None
 
@@ -110,10 +133,10 @@
 class WireLimits(msgspec.Struct):
     """What callers may send."""
 
-    header_bytes: int = 16_384
-    max_body_bytes: int = 4 << 20
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    header_bytes: Count = 16_384
+    max_body_bytes: Amount = 4 << 20
+    header_timeout_ms: Timeout = 3_000.0
+    idle_timeout_ms: Timeout = 15_000.0
 
 
 class WireTenant(msgspec.Struct):
@@ -121,13 +144,13 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Rank | None = None
 
 
 class WireConfig(msgspec.Struct):
     """The whole configuration."""
 
-    version: int
+    version: Counter
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -135,14 +158,21 @@
 
 
 class WireEngine(msgspec.Struct):
-    """An engine's entry; its key is the engine's identity."""
+    """An engine's entry; its key is the engine's identity.
 
-    service: str
+    Entries of other writers may have anything in them. Fields without a
+    default are those that are read here: what they leave unsaid can't be
+    guessed. Of the others only the type counts.
+    """
+
+    service: Name
     address: str
-    zone: str = ''
-    slots: int = 1
-    state: str = ''
-    seq: int = 0
+    zone: Place
+    slots: Count
+    state: Literal['ready', 'draining']
+    seq: Counter
+    version: str = ''
+    cold_left_ms: float = 0.0
 
 
 def encode_value(value: object) -> str:
@@ -152,9 +182,11 @@
 
 def decode_value(row: Row, kind: type[T]) -> T:
     """Return what a row holds."""
+    if row.mistake:
+        raise errors.ProtocolError(row.mistake)
     try:
         raw = base64.b64decode(row.value, validate=True)
-    except binascii.Error as exc:
+    except ValueError as exc:
         raise errors.ProtocolError('row is not base64') from exc
     return codec.decode(raw, kind)
 
@@ -186,6 +218,10 @@
         raise errors.ProtocolError(
             f'route {route.name}: unknown kind {route.kind}'
         )
+    if not route.prefix.startswith('/'):
+        raise errors.ProtocolError(
+            f'route {route.name}: prefix begins with no slash'
+        )
     shares = tuple(
         routes.ServiceShare(part.service, part.weight)
         for part in route.split
@@ -216,7 +252,7 @@
         service.name,
         service.max_conns,
         model and read_model_engines(model),
-        service.health_path,
+        checks.read_path(service.health_path, 'health path'),
     )
 
 
@@ -248,24 +284,42 @@
     if tenants is None:
         return None
     return {
-        routes.digest_of_key(key): routes.Account(tenant.name, tenant.priority)
+        routes.digest_of_key(key): read_account(tenant)
         for tenant in tenants
         for key in tenant.api_keys
     }
 
 
+def read_account(tenant: WireTenant) -> routes.Account:
+    """Return an account; engines are told its name in a header."""
+    name = checks.read_header_text(tenant.name, 'name of an account')
+    return routes.Account(name, tenant.priority)
+
+
 def read_engine(row: Row) -> engines.EngineEntry:
-    """Return an engine's entry."""
+    """Return an engine's entry.
+
+    Raises :class:`~greengagelb.errors.ProtocolError` where it names no engine
+    that a request could be sent to.
+    """
     engine = decode_value(row, WireEngine)
-    host, _, port = engine.address.rpartition(':')
-    if not port.isdigit():
-        raise errors.ProtocolError(f'engine {row.key}: bad address')
     return engines.EngineEntry(
-        row.key,
+        checks.read_identity(row.key),
         engine.service,
-        engines.Address(host, int(port)),
+        checks.read_address(engine.address),
         engine.zone,
         engine.slots,
         engine.state == DRAINING,
         engine.seq,
     )
+
+
+def read_member(row: Row) -> hints.Member:
+    """Return the entry of an instance of ours."""
+    member = decode_value(row, hints.Member)
+    if member.name != row.key:
+        raise errors.ProtocolError('entry names another instance')
+    if not member.incarnation:
+        raise errors.ProtocolError('entry without an incarnation')
+    checks.read_host(member.host)
+    return member
--- a/src/greengagelb/platform/store.py
+++ b/src/greengagelb/platform/store.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer
 
 from greengagelb import errors
+from greengagelb.platform import row_answers
 from greengagelb.platform import rows
 from greengagelb.protocol import codec
 from greengagelb.state.relay import engines
@@ -12,6 +13,7 @@
 from greengagelb.transport.relay import http_client
 from greengagelb.transport.relay import questions
 from greengagelb.transport.relay import store_watch
+from greengagelb.transport.relay import unusable_entries
 
 OPERATORS_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
@@ -92,8 +94,9 @@
         first = yield self.read_page(table, '')
         found = list(first.rows)
         page = first
+        last = ''
         while page.has_more:
-            last = found[-1].key
+            last = last_key(page, last)
             page = yield self.read_page(table, last)
             found += [row for row in page.rows if row.key != last]
         return rows.Rows(found, first.ver)
@@ -104,7 +107,7 @@
         if begin:
             target += f'&from={urllib.parse.quote(begin, safe="")}'
         return self.get(target, ANSWER_SECONDS).addCallback(
-            codec.decode, rows.Rows
+            row_answers.read_rows
         )
 
     def read_changes(
@@ -115,7 +118,7 @@
         return self.get(
             f'/api/rows-feed?table={table}&after_rev={position}&wait_ms={wait}',
             wait_seconds + ANSWER_SECONDS,
-        ).addCallback(codec.decode, rows.Rows)
+        ).addCallback(row_answers.read_rows)
 
     # -- what the watch asks for --------------------------------------------
 
@@ -154,13 +157,40 @@
         return self.read_all(MEMBERS_TABLE).addCallback(members_of)
 
 
-def members_of(found: rows.Rows) -> tuple[hints.Member, ...]:
+def last_key(page: rows.Rows, before: str) -> str:
+    """Return the key with which the next page is to begin.
+
+    Raises :class:`~greengagelb.errors.ProtocolError` where the page brings
+    no key but the one that it began with: asked for the same again and again,
+    the store would never have told the whole list.
+    """
+    for row in reversed(page.rows):
+        if row.key and row.key != before and is_text(row.key):
+            return row.key
+    raise errors.ProtocolError('page of rows does not lead on')
+
+
+def is_text(key: str) -> bool:
+    """Return whether a key can be sent; half a surrogate pair can't."""
+    try:
+        key.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def members_of(found: rows.Rows) -> store_watch.MembersRead:
     """Return the instances in some rows."""
-    return tuple(
-        rows.decode_value(row, hints.Member)
-        for row in found.rows
-        if not row.tombstone
-    )
+    members = []
+    mistakes = {}
+    for row in found.rows:
+        if row.tombstone:
+            continue
+        try:
+            members.append(rows.read_member(row))
+        except errors.ProtocolError as exc:
+            mistakes[row.key] = str(exc)
+    return store_watch.MembersRead(tuple(members), told(mistakes))
 
 
 def check_status(answer: questions.Answer) -> bytes:
@@ -183,23 +213,41 @@
         if row.key == CONFIGURATION_KEY and not row.tombstone:
             try:
                 table = rows.read_table(row)
+                mistake = ''
             except errors.ProtocolError as exc:
                 mistake = str(exc)
     return store_watch.ConfigurationRead(found.ver, table, mistake)
 
 
 def engines_of(found: rows.Rows) -> store_watch.EnginesRead:
-    """Return the entries of engines among some rows."""
+    """Return the entries of engines among some rows.
+
+    Of several changes of one row the last one counts; that an engine said in
+    an earlier one that it leaves is kept.
+    """
     entries = []
-    mistakes = []
+    removed: dict[str, None] = {}
+    mistakes: dict[str, str] = {}
     for row in found.rows:
+        removed.pop(row.key, None)
+        mistakes.pop(row.key, None)
         if row.tombstone:
+            removed[row.key] = None
             continue
         try:
             entries.append(rows.read_engine(row))
         except errors.ProtocolError as exc:
-            mistakes.append(str(exc))
-    removed = tuple(row.key for row in found.rows if row.tombstone)
+            mistakes[row.key] = str(exc)
     return store_watch.EnginesRead(
-        found.ver, tuple(entries), removed, tuple(mistakes)
+        found.ver, tuple(entries), tuple(removed), told(mistakes)
+    )
+
+
+def told(
+    mistakes: dict[str, str],
+) -> tuple[unusable_entries.UnusableEntry, ...]:
+    """Return mistakes by the keys of their rows as they are told."""
+    return tuple(
+        unusable_entries.UnusableEntry(key, why)
+        for key, why in mistakes.items()
     )
--- a/src/greengagelb/protocol/codec.py
+++ b/src/greengagelb/protocol/codec.py
@@ -30,11 +30,12 @@
 def decode(raw: bytes | str, kind: type[T]) -> T:
     """Return the message in ``raw``, validated.
 
-    Raises :class:`~greengagelb.errors.ProtocolError` saying where it is wrong.
+    Raises :class:`~greengagelb.errors.ProtocolError` saying where it is wrong,
+    also for one that is nested deeper than can be read.
     """
     try:
         return msgspec.json.decode(raw, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise errors.ProtocolError(str(exc)) from exc
 
 
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -89,6 +89,7 @@
 
     entries: tuple[Engine, ...]
     removed: tuple[str, ...]
+    unusable: tuple[str, ...] = ()
 
 
 class StoreRead(
@@ -169,8 +170,9 @@
             wire = Silent(engine)
         case hints.Replaced(engine, successor):
             wire = Replaced(engine, successor)
-        case hints.EnginesTold(entries, removed):
-            wire = EnginesTold(tuple(map(write_engine, entries)), removed)
+        case hints.EnginesTold(entries, removed, unusable):
+            written = tuple(map(write_engine, entries))
+            wire = EnginesTold(written, removed, unusable)
         case hints.StoreRead(digest, version):
             wire = StoreRead(digest, version)
         case hints.ConfigurationApplied(version):
@@ -211,8 +213,9 @@
             hint = hints.Silent(engine)
         case Replaced(engine, successor):
             hint = hints.Replaced(engine, successor)
-        case EnginesTold(entries, removed):
-            hint = hints.EnginesTold(tuple(map(read_engine, entries)), removed)
+        case EnginesTold(entries, removed, unusable):
+            read = tuple(map(read_engine, entries))
+            hint = hints.EnginesTold(read, removed, unusable)
         case StoreRead(digest, version):
             hint = hints.StoreRead(digest, version)
         case ConfigurationApplied(version):
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -59,10 +59,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EnginesTold:
-    """What was new in the list of engines; heartbeats are not."""
+    """What was new in the list of engines; heartbeats are not.
+
+    ``unusable`` names the engines whose entries can't be used any more.
+    """
 
     entries: tuple[engines.EngineEntry, ...]
     removed: tuple[str, ...]
+    unusable: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -109,6 +109,7 @@
             self.relay.sharing,
             self.peers.listed,
         )
+        self.metrics.unusable = self.watch.unusable_counts
         self.last_pulse = reactor.seconds()
         self.ports: list[interfaces.IListeningPort] = []
         self.stop_by: float | None = None
--- a/src/greengagelb/transport/relay/peer_link.py
+++ b/src/greengagelb/transport/relay/peer_link.py
@@ -65,10 +65,14 @@
             self.send(raw, host)
 
     def send(self, raw: bytes, host: str) -> None:
-        """Send a datagram."""
+        """Send a datagram.
+
+        A host is what another one says of itself. If it is no IP number, that
+        must not keep the others from being told.
+        """
         try:
             self.transport.write(raw, (host, self.port))
-        except OSError as exc:
+        except (OSError, error.InvalidAddressError) as exc:
             self.bad_datagram(f'not sent to {host}: {exc}')
 
     def listed(self, members: tuple[hints.Member, ...]) -> None:
--- a/src/greengagelb/transport/relay/relay_metrics.py
+++ b/src/greengagelb/transport/relay/relay_metrics.py
@@ -4,10 +4,14 @@
 are never taken from callers, so that nobody can make the series grow.
 """
 
+from collections.abc import Callable
+from collections.abc import Mapping
+
 import aioprometheus
 
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.transport import metrics
+from greengagelb.transport.relay import unusable_entries
 
 # Bounds of the histograms, in seconds. The finest lie around the pause that
 # callers of streams do not notice and the goals of short calls.
@@ -15,10 +19,17 @@
 
 
 class RelayMetrics(metrics.Metrics):
-    """Counts what a relaying instance does."""
+    """Counts what a relaying instance does.
+
+    ``unusable`` returns the unusable entries of the store's lists, by what
+    they tell of.
+    """
 
     def __init__(self) -> None:
         super().__init__()
+        self.unusable: Callable[
+            [], Mapping[str, unusable_entries.UnusableEntries]
+        ] = dict
         self.answers: dict[str, int] = {}
         self.sends = 0
         self.events_passed = 0
@@ -34,6 +45,12 @@
         self.connection_counter = self.counter(
             'engine_connections', 'Connections opened to engines and store'
         )
+        self.unusable_gauge = self.gauge(
+            'unusable_entries', 'Entries in the store that can not be used now'
+        )
+        self.unusable_counter = self.counter(
+            'unusable_entries_told', 'Mistakes in entries that were logged'
+        )
         self.times = {
             relay_actions.Measured.FIRST_EVENT: self.histogram(
                 'first_event_seconds', 'Time to the first event of a stream'
@@ -85,4 +102,7 @@
         self.send_counter.set({}, self.sends)
         self.passed_counter.set({}, self.events_passed)
         self.connection_counter.set({}, opened)
+        for kind, entries in self.unusable().items():
+            self.unusable_gauge.set({'kind': kind}, len(entries.reasons))
+            self.unusable_counter.set({'kind': kind}, entries.told)
         return self.render()
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -23,6 +23,7 @@
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import routes
 from greengagelb.transport.relay import engine_side
+from greengagelb.transport.relay import unusable_entries
 
 # The longest wait for a change of the configuration, in seconds. An answer
 # that is lost shows only when this and the time of an answer are over, and
@@ -37,6 +38,8 @@
 # second after more. Calls that the store refuses cost as much as others.
 FIRST_RETRY_SECONDS = 0.1
 RETRY_SECONDS = 0.6
+# What the one entry of the configuration is called where mistakes are kept.
+CONFIGURATION = 'configuration'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,12 +53,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EnginesRead:
-    """Entries of engines, and where to read on."""
+    """Entries of engines, and where to read on.
+
+    ``mistakes`` are the entries that can't be used.
+    """
 
     position: int
     entries: tuple[engines.EngineEntry, ...]
     removed: tuple[str, ...]
-    mistakes: tuple[str, ...] = ()
+    mistakes: tuple[unusable_entries.UnusableEntry, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersRead:
+    """The instances, and the entries among them that can't be used."""
+
+    members: tuple[hints.Member, ...]
+    mistakes: tuple[unusable_entries.UnusableEntry, ...] = ()
 
 
 class Source(Protocol):
@@ -83,7 +97,7 @@
         """Remove this instance's own entry."""
 
     def read_members(self) -> defer.Deferred:
-        """Return the entries of all instances."""
+        """Return a :class:`MembersRead` of all instances."""
 
 
 class StoreWatch:
@@ -109,6 +123,9 @@
         self.registered = False
         self.configuration_position: int | None = None
         self.engines_position: int | None = None
+        self.bad_engines = unusable_entries.UnusableEntries()
+        self.bad_members = unusable_entries.UnusableEntries()
+        self.bad_configuration = unusable_entries.UnusableEntries()
         self.stopped = False
 
     def start(self) -> None:
@@ -129,18 +146,35 @@
         why.trap(errors.GreengagelbError)
         self.record(actions.Record('entry-left-behind', str(why.value)))
 
+    def unusable_counts(self) -> dict[str, unusable_entries.UnusableEntries]:
+        """Return the unusable entries of each list, by what they tell of."""
+        return {
+            'engine': self.bad_engines,
+            'instance': self.bad_members,
+            'configuration': self.bad_configuration,
+        }
+
     @defer.inlineCallbacks
     def look_at_members(self) -> object:
         """Register once, then read the list of instances now and then.
 
         Instances that start greet all that are listed, so the list need not
-        be read often.
+        be read often. An own entry that another writer has spoilt is written
+        again: those that start would never hear of this instance.
         """
         if not self.registered:
             yield self.source.register(self.own)
             self.registered = True
-        found = yield self.source.read_members()
-        others = tuple(m for m in found if m.name != self.own.name)
+        read = yield self.source.read_members()
+        for entry in self.bad_members.take_whole(read.mistakes):
+            self.record(
+                actions.Record(
+                    'bad-instance-entry', entry.why, upstream=entry.name
+                )
+            )
+        if self.own not in read.members and not self.stopped:
+            yield self.source.register(self.own)
+        others = tuple(m for m in read.members if m.name != self.own.name)
         self.members_listed(others)
         self.dispatch(relay_events.MembersListed(others))
         yield self.sleep(MEMBERS_EVERY * random.uniform(0.5, 1.5))
@@ -186,11 +220,20 @@
             read = yield self.source.read_configuration(None, wait)
         self.configuration_position = read.position
         self.sharing.configuration.known(now)
-        if read.mistake:
-            self.record(actions.Record('bad-configuration', read.mistake))
+        self.note_configuration_mistake(read)
         if read.table is not None:
             self.dispatch(relay_events.RoutesOffered(read.table, 'store'))
 
+    def note_configuration_mistake(self, read: ConfigurationRead) -> None:
+        """Tell of a configuration that can't be used, once."""
+        if read.table is not None:
+            self.bad_configuration.mended([CONFIGURATION])
+        if not read.mistake:
+            return
+        found = unusable_entries.UnusableEntry(CONFIGURATION, read.mistake)
+        for entry in self.bad_configuration.take((found,)):
+            self.record(actions.Record('bad-configuration', entry.why))
+
     @defer.inlineCallbacks
     def look_at_engines(self) -> object:
         """Take in what has changed in the list, when it is time to."""
@@ -206,11 +249,28 @@
             whole = True
             read = yield self.source.read_engines(None)
         self.engines_position = read.position
-        for mistake in read.mistakes:
-            self.record(actions.Record('bad-engine-entry', mistake))
+        self.note_engine_mistakes(read, whole=whole)
+        unusable = tuple(entry.name for entry in read.mistakes)
         if whole:
-            self.dispatch(relay_events.EnginesListed(read.entries))
+            self.dispatch(relay_events.EnginesListed(read.entries, unusable))
         else:
             self.dispatch(
-                relay_events.EnginesChanged(read.entries, read.removed)
+                relay_events.EnginesChanged(
+                    read.entries, read.removed, unusable
+                )
+            )
+
+    def note_engine_mistakes(self, read: EnginesRead, *, whole: bool) -> None:
+        """Tell of the engines' entries that can't be used, once each."""
+        if whole:
+            news = self.bad_engines.take_whole(read.mistakes)
+        else:
+            self.bad_engines.mended(read.removed)
+            self.bad_engines.mended(entry.engine for entry in read.entries)
+            news = self.bad_engines.take(read.mistakes)
+        for entry in news:
+            self.record(
+                actions.Record(
+                    'bad-engine-entry', entry.why, upstream=entry.name
+                )
             )
--- /dev/null
+++ b/src/greengagelb/transport/relay/unusable_entries.py
@@ -0,0 +1,57 @@
+"""Which entries of the store's lists can't be used, and what is new in that.
+
+Other programs write there too. An entry of theirs may stay for days and is
+read again and again, so that telling each mistake with each read would bury
+the other lines of the log.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+# The most that a line of the log has of a mistake, in characters: names in it
+# are those of the other writer, and may be of any length.
+MOST_TEXT = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnusableEntry:
+    """An entry that can't be used; ``name`` is empty where it has none."""
+
+    name: str
+    why: str
+
+
+class UnusableEntries:
+    """The unusable entries of one list.
+
+    ``reasons`` has those that stand there now; ``told`` counts the mistakes
+    that were ever returned as new.
+    """
+
+    def __init__(self) -> None:
+        self.reasons: dict[str, str] = {}
+        self.told = 0
+
+    def take_whole(
+        self, found: tuple[UnusableEntry, ...]
+    ) -> list[UnusableEntry]:
+        """Take in a whole list; return the mistakes that are new."""
+        named = {entry.name for entry in found}
+        self.mended(self.reasons.keys() - named)
+        return self.take(found)
+
+    def take(self, found: tuple[UnusableEntry, ...]) -> list[UnusableEntry]:
+        """Take in changed entries; return the mistakes that are new."""
+        news = []
+        for entry in found:
+            why = entry.why[:MOST_TEXT]
+            if self.reasons.get(entry.name) != why:
+                self.reasons[entry.name] = why
+                news.append(UnusableEntry(entry.name[:MOST_TEXT], why))
+        self.told += len(news)
+        return news
+
+    def mended(self, names: Iterable[str]) -> None:
+        """Forget entries that can be used now, or are gone."""
+        for name in list(names):
+            self.reasons.pop(name, None)
--- a/tests/relay/test_directory_machine.py
+++ b/tests/relay/test_directory_machine.py
@@ -26,6 +26,7 @@
         self.known = directory.EngineDirectory(LEAST_LAPSE)
         self.left: set[str] = set()
         self.removed: dict[str, float] = {}
+        self.spoilt: set[str] = set()
         self.told_at = float('-inf')
 
     def entry(self, name, heartbeat=1, *, leaving=False):
@@ -43,6 +44,7 @@
         self.left |= {entry.engine for entry in entries if entry.leaving}
         for entry in entries:
             self.removed.pop(entry.engine, None)
+            self.spoilt.discard(entry.engine)
         for name in removed:
             if name in self.known.states:
                 self.removed.setdefault(name, self.now)
@@ -74,6 +76,22 @@
         self.known.changed(entries, gone, self.now)
         self.note_read(entries, gone)
 
+    @rule(names=st.sets(NAMES))
+    def read_entries_that_cannot_be_used(self, names):
+        """Each engine that was in use is told once, the others are not."""
+        used = {n for n in names if self.known.is_used(n, self.now)}
+        assert set(self.known.spoilt(tuple(names), self.now)) == used
+        assert not self.known.spoilt(tuple(names), self.now)
+        self.spoilt |= names
+
+    @rule(name=NAMES)
+    def read_an_entry_of_another_service(self, name):
+        entry = dataclasses.replace(
+            self.entry(name), service=relay_world.CALLS
+        )
+        known = name in self.known.states
+        assert bool(self.known.contradicted_by((entry,))) == known
+
     @rule()
     def lose_the_store(self):
         self.known.store_lost()
@@ -120,6 +138,11 @@
             if self.now > at + directory.RETURN_SECONDS:
                 assert name not in self.candidates()
 
+    @invariant()
+    def engine_whose_entry_cannot_be_used_gets_no_work(self):
+        """Until the list has an entry of it that can be used."""
+        assert not self.candidates() & self.spoilt
+
     @invariant()
     def distrust_alone_empties_no_pool(self):
         """A refusal for want of engines would help nobody."""
