--- a/src/greengagelb/coordination/relay/choosing.py
+++ b/src/greengagelb/coordination/relay/choosing.py
@@ -140,13 +140,13 @@
             score += DOUBT_PENALTY_SECONDS
         if state.entry.data_centre != self.data_centre:
             score += FAR_STREAM_SECONDS
-        if service.engines is not None:
+        room = service.engines.memory_tokens if service.engines else 0
+        # A configuration need not say how much memory its engines have.
+        if room > 0:
             held = work.memory_tokens + work.copied_tokens
-            over = held + need - service.engines.memory_tokens
+            over = held + need - room
             if over > 0:
-                score += FULL_SECONDS * (
-                    1.0 + over / service.engines.memory_tokens
-                )
+                score += FULL_SECONDS * (1.0 + over / room)
         return score
 
     def for_copy(
--- a/tests/common/store_fleet.py
+++ b/tests/common/store_fleet.py
@@ -93,6 +93,7 @@
     def __init__(self, store, name):
         self.store = store
         self.name = name
+        self.registered = ()
 
     def read_configuration(self, position, wait_seconds):
         store = self.store
@@ -135,14 +136,17 @@
         return store.ask(self.name, 'engines', answer)
 
     def register(self, member):
-        return self.store.ask(
-            self.name, 'register', lambda done: done.callback(None)
-        )
+        def answer(done):
+            self.registered = (member,)
+            done.callback(None)
+
+        return self.store.ask(self.name, 'register', answer)
 
     def read_members(self):
-        return self.store.ask(
-            self.name, 'members', lambda done: done.callback(())
-        )
+        def answer(done):
+            done.callback(store_watch.MembersRead(self.registered))
+
+        return self.store.ask(self.name, 'members', answer)
 
 
 class Instance:
