Tests of engines that start again under their identity; they fail

They fail while they are collected: an entry has no start, and nothing in the code tells two lives of an engine apart.

--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -9,6 +9,7 @@
 from greengagelb import errors
 from greengagelb.platform import rows
 from greengagelb.platform import store
+from greengagelb.state.relay import engines
 from greengagelb.state.relay import routes
 from greengagelb.transport.relay import questions
 
@@ -106,6 +107,32 @@
     assert read.mistake
 
 
+ENGINE = {'service': 's-1', 'address': '10.0.0.1:80', 'state': 'ready'}
+
+
+def test_start_of_an_engine_is_decoded():
+    """It alone tells two lives of an engine under one identity apart."""
+    entry = rows.read_engine(row({**ENGINE, 'born': 1_796_000_000_123}))
+    assert entry.started_at_ms == 1_796_000_000_123
+
+
+def test_engine_that_does_not_say_when_it_started_is_used():
+    """Older engines have another identity after each start."""
+    entry = rows.read_engine(row(ENGINE))
+    assert entry.started_at_ms == engines.UNKNOWN_START
+
+
+@pytest.mark.parametrize('start', [-1, 2**60, 10**40, 1.5, '17', None])
+def test_entry_whose_start_is_no_time_names_no_engine(start):
+    """Another writer put something else where the start should stand.
+
+    Taken as the greatest start of all, it would outlive all true ones.
+    """
+    read = store.engines_of(rows.Rows([row({**ENGINE, 'born': start})], 9))
+    assert not read.entries
+    assert read.mistakes
+
+
 def test_engines_are_decoded_and_bad_entries_left_out():
     good = {
         'service': 's-1',
--- /dev/null
+++ b/tests/relay/test_engine_lives.py
@@ -0,0 +1,494 @@
+"""Engines that start again under the identity that they had."""
+
+import dataclasses
+
+import pytest
+
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.protocol import relay_hints
+from greengagelb.state.relay import hints
+from greengagelb.state.relay import requests
+from greengagelb.state.relay import routes
+from tests.common import relay_world
+
+FIRST_START = 1_796_000_000_000
+SECOND_START = FIRST_START + 60_000
+# Seconds after which it is sure that a request went to the life that was
+# listed all the while.
+LONG_LISTED = 5.0
+SLOW_CALLS = dataclasses.replace(
+    relay_world.CALL_ROUTE, time_limit=30.0, most_attempts=2
+)
+SLOW_QUERIES = dataclasses.replace(
+    relay_world.QUERY_ROUTE, time_limit=30.0, goal=20.0
+)
+
+
+def started(entry, at=FIRST_START, **fields):
+    """Return an entry of the life that began at a Unix time."""
+    return dataclasses.replace(entry, started_at_ms=at, **fields)
+
+
+def again(entry, heartbeat=1, **fields):
+    """Return the first entry of an engine's second life."""
+    return started(entry, SECOND_START, heartbeat=heartbeat, **fields)
+
+
+def fleet(heartbeat=40):
+    return tuple(started(e) for e in relay_world.fleet(heartbeat=heartbeat))
+
+
+def world_of_lives(**fields):
+    return relay_world.RelayWorld(fleet(), **fields)
+
+
+def streaming(world):
+    """Start a stream and let it run; return its send."""
+    send = world.last_send(world.ask())
+    world.begin(send)
+    world.events(send, 1)
+    return send
+
+
+def run_on(world, send, seconds=LONG_LISTED):
+    """Let a stream run while the list shows the same lives as before."""
+    numbers = iter(range(2, 1_000))
+    until = world.now + seconds
+    while world.now < until:
+        world.advance(0.25)
+        world.events(send, next(numbers))
+        world.change_engines()
+
+
+def state_of(world, entry):
+    return world.relay.engines.states[entry.engine]
+
+
+def peer_tells(world, hint):
+    return world.handle(relay_events.PeerTold('other', hint))
+
+
+# -- what an engine held is lost with its life ------------------------------
+
+
+def test_stream_goes_on_from_its_copy_when_its_engine_is_listed_anew():
+    """An engine behind a dark link crashes and starts again.
+
+    Nothing is reset, and only the list tells that the run is lost. Until it
+    is noticed, the caller's text stands still.
+    """
+    world = world_of_lives()
+    send = streaming(world)
+    run_on(world, send)
+    world.change_engines(again(send.engine))
+    second = world.last_send(send.exchange)
+    assert second.send != send.send
+    assert second.engine == send.copy_to
+    assert second.copy_from == requests.CopyName(
+        send.copy_to.address, f'r{send.exchange}'
+    )
+    assert second.resume_after == world.passed_events(send.exchange)[-1]
+    assert relay_actions.AbandonSend(send.exchange, send.send) in world.actions
+
+
+def test_copy_at_an_engine_that_started_again_is_replaced_and_not_used():
+    """The engine with the copy of a run starts again under its identity.
+
+    A run that is sent there to go on from the copy is refused, and its caller
+    waits while the prompt is read once more.
+    """
+    world = world_of_lives()
+    send = streaming(world)
+    world.change_engines(again(send.copy_to))
+    [copy] = world.of_kind(relay_actions.CopyRun)
+    assert copy.target.engine != send.copy_to.engine
+    world.handle(
+        relay_events.RunCopied(
+            send.exchange, send.send, copy.target.engine, 'h7'
+        )
+    )
+    world.lose(send)
+    assert world.last_send(send.exchange).engine == copy.target
+
+
+def test_engine_and_copy_that_both_started_again_leave_nothing_to_go_on_from():
+    """A data centre loses power and is back before the list is read again.
+
+    The prompt is read anew, at once and not after a refusal.
+    """
+    world = world_of_lives()
+    send = streaming(world)
+    run_on(world, send)
+    world.change_engines(again(send.copy_to), again(send.engine))
+    second = world.last_send(send.exchange)
+    assert second.send != send.send
+    assert second.copy_from is None
+    assert not world.of_kind(relay_actions.CopyRun)
+
+
+def test_lost_run_is_not_sent_to_a_copy_of_an_earlier_life():
+    """The copy's engine starts again, and no other can take a copy."""
+    table = relay_world.route_table()
+    model = dataclasses.replace(relay_world.MODEL, moves=False)
+    table.services = {
+        **table.services,
+        relay_world.STREAMS: routes.Service(relay_world.STREAMS, 240, model),
+    }
+    world = world_of_lives(table=table)
+    send = streaming(world)
+    world.change_engines(again(send.copy_to))
+    world.lose(send)
+    assert world.last_send(send.exchange).copy_from is None
+
+
+def test_new_life_has_read_no_prompt():
+    """A caller comes back with a prompt that the engine read in its last life.
+
+    Sent there in the belief that nothing has to be read, it waits behind all
+    prompts that are.
+    """
+    world = world_of_lives()
+    send = streaming(world)
+    part = f'part{send.exchange}'
+    assert world.relay.loads.prompts.holder(part, world.now)
+    world.change_engines(again(send.engine))
+    assert not world.relay.loads.prompts.holder(part, world.now)
+
+
+def test_new_life_has_none_of_the_runs_of_other_instances():
+    """Their ends were not told, or not yet.
+
+    Counted on, an idle engine would look full and get no work.
+    """
+    world = world_of_lives()
+    entry, copied_to = fleet()[0], fleet()[2]
+    peer_tells(
+        world, hints.Placed(1, entry.engine, 80_000, 80_000, copied_to.engine)
+    )
+    peer_tells(
+        world, hints.Placed(2, copied_to.engine, 70_000, 0, entry.engine)
+    )
+    world.change_engines(again(entry))
+    work = world.relay.loads.of(entry.engine)
+    assert (work.runs, work.memory_tokens, work.copied_tokens) == (0, 0, 0)
+    assert work.reading_until <= world.now
+    other = world.relay.loads.of(copied_to.engine)
+    assert (other.runs, other.copied_tokens) == (1, 0)
+
+
+def slow_call_world():
+    table = relay_world.route_table(
+        found=(relay_world.STREAM_ROUTE, SLOW_CALLS, SLOW_QUERIES)
+    )
+    return world_of_lives(table=table)
+
+
+def wait_listed(world):
+    for _ in range(5):
+        world.advance(1.0)
+        world.change_engines()
+
+
+def test_call_of_an_ended_life_is_answered_at_once_and_not_repeated():
+    """A long call is under way when its engine is listed with a new life.
+
+    No answer can come any more. It may have run, so it is not sent again, and
+    its caller need not wait for the end of its time to hear so.
+    """
+    world = slow_call_world()
+    exchange = world.call(seconds=30.0)
+    send = world.last_send(exchange)
+    wait_listed(world)
+    world.change_engines(again(send.engine))
+    [refusal] = world.refusals(exchange)
+    assert (refusal.status, refusal.code) == (502, 'outcome-unknown')
+    assert len(world.sends(exchange)) == 1
+
+
+def test_idempotent_call_of_an_ended_life_is_sent_again():
+    world = slow_call_world()
+    exchange = world.query(seconds=30.0)
+    send = world.last_send(exchange)
+    wait_listed(world)
+    world.change_engines(again(send.engine))
+    assert len(world.sends(exchange)) == 2
+
+
+# -- what is sent around the time of a start --------------------------------
+
+
+def test_send_that_may_have_reached_the_new_life_is_left_alone():
+    """An engine was idle when it crashed, and was back within the second.
+
+    The list still showed its former life when a request was sent, and the
+    engine took it. Ended by the news of the new life, a call that runs well
+    would be answered as failed, and a prompt be read twice.
+    """
+    world = world_of_lives()
+    wait_listed(world)
+    call = world.call()
+    asked = world.last_send(call)
+    stream = world.ask()
+    run = world.last_send(stream)
+    world.advance(0.3)
+    world.change_engines(again(asked.engine), again(run.engine))
+    assert not world.refusals()
+    assert [world.sends(call), world.sends(stream)] == [[asked], [run]]
+    world.answer(asked)
+    world.begin(run)
+    world.events(run, 1)
+    assert world.of_kind(relay_actions.PassAnswer, call)
+    assert world.passed_events(stream) == [1]
+
+
+def test_probe_that_a_new_life_answers_is_no_sign_of_the_run():
+    """A stream waits for its first event on an engine that has restarted.
+
+    The engine answers each probe, and its caller would wait for events until
+    the time is up.
+    """
+    world = world_of_lives()
+    exchange = world.ask()
+    send = world.last_send(exchange)
+    world.advance(2.5)
+    assert world.of_kind(relay_actions.ProbeEngine, exchange)
+    world.handle(
+        relay_events.EngineProbed(exchange, send.send, True, SECOND_START)
+    )
+    assert world.last_send(exchange).send != send.send
+    assert state_of(world, send.engine).entry.started_at_ms == SECOND_START
+
+
+@pytest.mark.parametrize('at', [0, FIRST_START, FIRST_START - 1])
+def test_probe_that_tells_of_no_newer_life_is_a_sign_of_life(at):
+    world = world_of_lives()
+    exchange = world.ask()
+    send = world.last_send(exchange)
+    world.advance(2.5)
+    world.handle(relay_events.EngineProbed(exchange, send.send, True, at))
+    assert len(world.sends(exchange)) == 1
+    assert state_of(world, send.engine).entry.started_at_ms == FIRST_START
+
+
+# -- an engine gets work as a new one does ----------------------------------
+
+
+def test_new_life_is_not_distrusted_for_what_befell_the_one_before():
+    """The connections fail first, then the list tells of the new life.
+
+    Its heartbeats begin anew: measured by those of the former life it would
+    seem dead for minutes, and its part of the work fall to the others.
+    """
+    world = world_of_lives()
+    send = streaming(world)
+    world.lose(send)
+    state = state_of(world, send.engine)
+    assert not state.trusted(world.now)
+    peer_tells(world, hints.Replaced(send.engine.engine))
+    world.change_engines(again(send.engine))
+    state = state_of(world, send.engine)
+    assert state.trusted(world.now)
+    assert state.reachable(world.now)
+    assert state.load is None
+
+
+def test_mark_of_leaving_ends_with_the_life_that_left():
+    """An engine says that it leaves, ends, and starts again under its id.
+
+    Were the mark kept, it would never get work again.
+    """
+    world = world_of_lives()
+    entry = fleet()[0]
+    world.change_engines(started(entry, leaving=True))
+    assert not state_of(world, entry).usable(world.now)
+    world.change_engines(again(entry))
+    assert state_of(world, entry).usable(world.now)
+    world.change_engines(started(entry, heartbeat=41, leaving=True))
+    assert state_of(world, entry).usable(world.now)
+
+
+def test_new_life_after_its_entry_had_lapsed_is_used():
+    world = world_of_lives()
+    entry = fleet()[0]
+    world.change_engines(removed=[entry.engine])
+    world.advance(3.0)
+    assert not state_of(world, entry).usable(world.now)
+    world.change_engines(again(entry))
+    assert state_of(world, entry).trusted(world.now)
+
+
+def test_new_life_may_serve_another_service_elsewhere():
+    """Its entry is believed whole, and nothing of the former one is."""
+    world = world_of_lives()
+    entry = fleet()[0]
+    moved = again(entry, service=relay_world.CALLS)
+    world.change_engines(moved)
+    assert state_of(world, entry).entry == moved
+    streams = world.relay.engines.by_service[relay_world.STREAMS]
+    assert entry.engine not in streams
+    calls = world.relay.engines.by_service[relay_world.CALLS]
+    assert calls[entry.engine] is state_of(world, entry)
+
+
+def test_lost_call_goes_to_the_new_life_where_there_is_no_other_engine():
+    """The only engine of a service has crashed and is back.
+
+    Passed over as one that has been tried, it would serve nobody who was
+    waiting, although it idles.
+    """
+    entries = [e for e in fleet() if e.service != relay_world.CALLS]
+    only = started(relay_world.engine('only', relay_world.CALLS, 'north'))
+    table = relay_world.route_table(
+        found=(relay_world.STREAM_ROUTE, SLOW_CALLS, SLOW_QUERIES)
+    )
+    world = relay_world.RelayWorld([*entries, only], table=table)
+    exchange = world.query(seconds=30.0)
+    wait_listed(world)
+    world.change_engines(again(only))
+    assert len(world.sends(exchange)) == 2
+
+
+# -- news that comes late or from others ------------------------------------
+
+
+def test_older_entry_changes_nothing():
+    """An instance that lags behind tells of the life before.
+
+    Believed, the new life's runs would be ended for nothing.
+    """
+    world = world_of_lives()
+    entry = fleet()[0]
+    world.change_engines(again(entry))
+    digest = world.relay.engines.digest()
+    world.change_engines(started(entry, heartbeat=90, leaving=True))
+    state = state_of(world, entry)
+    assert state.entry == again(entry)
+    assert state.trusted(world.now)
+    assert world.relay.engines.digest() == digest
+
+
+def test_entry_without_a_start_is_taken_as_before():
+    """Older engines do not say when they started, nor do older instances."""
+    world = world_of_lives()
+    send = streaming(world)
+    run_on(world, send)
+    plain = relay_world.fleet(heartbeat=50)
+    world.change_engines(*plain)
+    state = state_of(world, send.engine)
+    assert state.entry.heartbeat == 50
+    assert state.entry.started_at_ms == FIRST_START
+    assert len(world.sends(send.exchange)) == 1
+
+
+def test_start_that_is_learned_later_is_no_new_life():
+    """Another engine's address told of this one before the list did."""
+    world = relay_world.RelayWorld()
+    send = streaming(world)
+    world.change_engines(*fleet())
+    assert state_of(world, send.engine).entry.started_at_ms == FIRST_START
+    assert len(world.sends(send.exchange)) == 1
+
+
+def test_neighbours_are_told_of_a_new_life_and_can_tell_lists_apart():
+    world = world_of_lives()
+    entry = fleet()[0]
+    before = world.relay.engines.digest()
+    done = world.change_engines(again(entry))
+    told = [
+        a.hint for a in done if isinstance(a, relay_actions.TellNeighbours)
+    ]
+    assert hints.EnginesTold((again(entry),), ()) in told
+    assert world.relay.engines.digest() != before
+
+
+@pytest.mark.parametrize(
+    'hint',
+    [
+        hints.EnginesTold((again(fleet()[0]),), ()),
+        hints.Failed('e', FIRST_START),
+        hints.Silent('e', FIRST_START),
+        hints.Replaced('e', 'f', FIRST_START),
+        hints.Restarted('e', SECOND_START),
+    ],
+)
+def test_hints_tell_of_which_life_they_speak(hint):
+    raw = relay_hints.encode_hint('own', hint)
+    assert relay_hints.decode(raw) == ('own', hint)
+
+
+@pytest.mark.parametrize(
+    'kind', [hints.Failed, hints.Silent, hints.Replaced], ids=repr
+)
+def test_late_word_against_the_life_before_does_not_count(kind):
+    """Others notice the loss of an engine's connections a little later.
+
+    Their word would keep work from the new life, and have copies that were
+    just put there made again.
+    """
+    world = world_of_lives()
+    entry = fleet()[0]
+    world.change_engines(again(entry))
+    for _ in range(2):
+        if kind is hints.Replaced:
+            peer_tells(world, kind(entry.engine, '', FIRST_START))
+        else:
+            peer_tells(world, kind(entry.engine, FIRST_START))
+    state = state_of(world, entry)
+    assert state.trusted(world.now)
+    assert state.doubted_until < world.now
+
+
+# -- the store is away ------------------------------------------------------
+
+
+def test_new_life_is_found_at_its_address_while_the_store_is_away():
+    """An engine crashes and starts again while no list can be had.
+
+    Whoever answers at its address gives the same identity as before; only
+    its start tells that it is back, and empty.
+    """
+    world = world_of_lives()
+    send = streaming(world)
+    world.lose(send)
+    world.handle(relay_events.StoreLost('away'))
+    world.advance(1.3)
+    asked = [a.entry for a in world.of_kind(relay_actions.AskSuccessor)]
+    assert send.engine in asked
+    engine = send.engine.engine
+    world.handle(relay_events.SuccessorSeen(engine, engine, SECOND_START))
+    assert state_of(world, send.engine).trusted(world.now)
+    told = [a.hint for a in world.of_kind(relay_actions.TellPeers)]
+    assert hints.Restarted(engine, SECOND_START) in told
+
+
+def test_engine_that_only_lost_a_connection_is_no_new_life():
+    world = world_of_lives()
+    send = streaming(world)
+    world.lose(send)
+    engine = send.engine.engine
+    world.handle(relay_events.SuccessorSeen(engine, engine, FIRST_START))
+    assert not state_of(world, send.engine).trusted(world.now)
+    told = [a.hint for a in world.of_kind(relay_actions.TellPeers)]
+    assert hints.Restarted(engine, FIRST_START) not in told
+
+
+def test_address_of_a_life_that_is_known_to_be_over_is_not_asked():
+    """Each question is priced, and the list has answered it."""
+    world = world_of_lives()
+    send = streaming(world)
+    world.lose(send)
+    world.change_engines(again(send.engine))
+    world.advance(3.0)
+    assert not world.of_kind(relay_actions.AskSuccessor)
+
+
+def test_word_of_another_instance_ends_the_life_before():
+    """One instance finds the new life, and all use it and trust no copy."""
+    world = world_of_lives()
+    send = streaming(world)
+    peer_tells(world, hints.Restarted(send.copy_to.engine, SECOND_START))
+    state = state_of(world, send.copy_to)
+    assert state.entry.started_at_ms == SECOND_START
+    [copy] = world.of_kind(relay_actions.CopyRun)
+    assert copy.target.engine != send.copy_to.engine
