Decode when an engine started

An engine may start again under the identity that it had; the Unix millisecond of its start is what tells the two lives apart. It is decoded where entries are read and goes along where neighbours tell each other of entries. Nothing is decided by it yet. An entry whose start is no whole number, negative, or beyond any date names no engine to use: taken as the greatest start it would outlive every true one. Entries without a start are used as before.

--- a/src/greengagelb/platform/rows.py
+++ b/src/greengagelb/platform/rows.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+from typing import Annotated
 from typing import TypeVar
 
 import msgspec
@@ -19,6 +20,9 @@
     'streaming': routes.Repeat.STREAM,
 }
 DRAINING = 'draining'
+# The greatest whole number that every reader of JSON takes in exactly. As
+# milliseconds it is far beyond any date, and it fits our own datagrams.
+MOST_MILLISECONDS = 2**53
 
 
 class Row(msgspec.Struct):
@@ -143,6 +147,9 @@
     slots: int = 1
     state: str = ''
     seq: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MOST_MILLISECONDS)] = (
+        engines.UNKNOWN_START
+    )
 
 
 def encode_value(value: object) -> str:
@@ -268,4 +275,5 @@
         engine.slots,
         engine.state == DRAINING,
         engine.seq,
+        engine.born,
     )
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -80,6 +80,7 @@
     slots: int
     leaving: bool
     heartbeat: int
+    started_at_ms: int = engines.UNKNOWN_START
 
 
 class EnginesTold(
@@ -140,6 +141,7 @@
         entry.slots,
         entry.leaving,
         entry.heartbeat,
+        entry.started_at_ms,
     )
 
 
@@ -153,6 +155,7 @@
         wire.slots,
         wire.leaving,
         wire.heartbeat,
+        wire.started_at_ms,
     )
 
 
--- a/src/greengagelb/state/relay/engines.py
+++ b/src/greengagelb/state/relay/engines.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# The start of an engine that does not say when it started.
+UNKNOWN_START = 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -16,11 +19,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineEntry:
-    """One start of an engine, as it registered itself.
-
-    ``engine`` names this start alone: a restarted engine has another, and
-    so has an engine of another service that was given the same address
-    later. ``heartbeat`` counts the entry's renewals.
+    """One life of an engine, as it registered itself.
+
+    ``engine`` is the engine's identity. One that crashed comes back under
+    another identity or under the same one; it remembers nothing of before
+    either way. ``started_at_ms`` is the Unix time of its start in
+    milliseconds, by its own clock, and tells two lives under one identity
+    apart: the greater one is the later life. It is ``UNKNOWN_START`` where
+    the engine does not say it. ``heartbeat`` counts the entry's renewals,
+    and begins anew with each life.
     """
 
     engine: str
@@ -30,6 +37,14 @@
     slots: int
     leaving: bool
     heartbeat: int
+    started_at_ms: int = UNKNOWN_START
+
+    def ended_before(self, started_at_ms: int) -> bool:
+        """Return whether this is an earlier life than one that began then.
+
+        Of a life whose start is not known nobody can tell.
+        """
+        return UNKNOWN_START < self.started_at_ms < started_at_ms
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
