End at once what an engine held when it starts again under its identity

Cause: an engine was known by its identity alone. When one starts again under it, its runs, copies, prompts and loads of before were still believed, its heartbeats were measured by those of the former life, and a mark of leaving or of replacement stayed for good. The engine accepts what is sent under its identity, so neither a 421 nor a probe told of the loss.

A life is now the identity and the start that the engine states. A later start ends the former life: its runs go on elsewhere, from their copies where those are left, copies that it kept are made anew, and it gets work as a new engine does. An earlier start changes nothing, nor does a late word against the former life. While the store is away, an engine that was lost is asked for its start, and the others are told. Probes carry the start too. Connections are kept by life.

Ruled out: ending each send that was given to the former entry. An idle engine that crashes and is back within the second takes requests before its new entry is read, and a call that runs there would be answered as failed. Only what was sent well before the list last showed the former life (three heartbeats) is ended by the news; for the rest its connection and probes decide.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -117,7 +117,10 @@
     ) -> list[Action]:
         """Go on after a send that brought no answer."""
         self.parts.engines.failed(
-            sent.entry.engine, now, dead=not event.handed_over
+            sent.entry.engine,
+            now,
+            dead=not event.handed_over,
+            started_at_ms=sent.entry.started_at_ms,
         )
         self.parts.sends.release(exchange, sent)
         if event.handed_over:
--- a/src/greengagelb/coordination/relay/copying.py
+++ b/src/greengagelb/coordination/relay/copying.py
@@ -12,6 +12,7 @@
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import sending
+from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import requests
 
@@ -37,12 +38,23 @@
         self.parts = parts
         self.running = running
 
-    def lost_at(self, engine: str, now: float) -> list[Action]:
-        """Order new copies of the runs whose copies an engine held."""
+    def lost_at(
+        self,
+        engine: str,
+        now: float,
+        started_at_ms: int = engines.UNKNOWN_START,
+    ) -> list[Action]:
+        """Order new copies of the runs whose copies an engine held.
+
+        What it got in a life that began after ``started_at_ms`` is not lost.
+        """
         done: list[Action] = []
         for exchange in self.running.values():
             for sent in exchange.sends.values():
-                if sent.copy_to is not None and sent.copy_to.engine == engine:
+                held = sent.copy_to
+                if held is None or held.engine != engine:
+                    continue
+                if not engines.is_earlier(started_at_ms, held.started_at_ms):
                     done += self.replace(exchange, sent, now)
         return done
 
--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -2,7 +2,9 @@
 
 The list of engines is late, and it forgets engines while the store is away.
 What is certain is kept: an engine once known as leaving stays so, and one
-that failed here gets no work for a while, whatever the list says of it.
+that failed here gets no work for a while, whatever the list says of it. All
+this is about one life of an engine: when it starts again under its identity,
+nothing that was known of the life before holds for the new one.
 """
 
 import collections
@@ -21,7 +23,7 @@
 MOST_SUSPECT_SECONDS = 8.0
 # An engine that seems to have died is trusted again once its entry was
 # renewed this often since: the first renewal may have been on its way before
-# it died. An engine that restarts registers under another identity.
+# it died. An engine that restarts has another identity or a later start.
 RENEWALS_OF_THE_LIVING = 2
 # Where no renewals are seen, as another instance reads the list or the store
 # is away, it is tried again after this many seconds. The entry of an engine
@@ -43,7 +45,7 @@
 
 @dataclasses.dataclass(slots=True)
 class EngineState:
-    """What is known here of one start of an engine.
+    """What is known here of one life of an engine.
 
     ``learned_at`` is when this instance first heard of it. ``listed`` tells
     that the list has it, and ``gone_at`` is the monotonic time from which on
@@ -53,7 +55,8 @@
     ``alive_from`` is the heartbeat that would prove it alive, and
     ``retry_dead_at`` when it is tried without that proof. Until
     ``doubted_until`` another instance's word speaks against it. ``silent_at``
-    is when a stream last fell silent there.
+    is when a stream last fell silent there. What was sent until
+    ``former_until`` certainly went to the life before this one.
     """
 
     entry: engines.EngineEntry
@@ -73,6 +76,7 @@
     load_at: float = float('-inf')
     in_flight_at_load: int = 0
     heard_at: float = float('-inf')
+    former_until: float = float('-inf')
 
     def usable(self, now: float) -> bool:
         """Return whether the engine may get new work."""
@@ -128,16 +132,18 @@
         now: float,
     ) -> list[str]:
         """Take in changes; return the engines that get no more work."""
-        self.found(now)
         ending = [
             old
             for entry in entries
-            if entry.engine not in self.states
+            if self.begins_life(entry)
             for old in self.restarted_as(entry, now)
         ]
         ending += [e.engine for e in entries if self.take_in(e, now)]
+        # Only now: a new life is judged by when the list was current before.
+        self.found(now)
         for entry in entries:
-            self.states[entry.engine].listed = True
+            if not self.is_over(entry):
+                self.states[entry.engine].listed = True
         for name in removed:
             state = self.states.get(name)
             if state is not None:
@@ -156,12 +162,15 @@
         Their entries stay in the list until they lapse, seconds after what
         they held was lost. An engine that was heard of only just now is not
         one of them: the unknown entry may be what an earlier one left.
+        Neither is one that has started later.
         """
         known_before = now - LAPSE_SHARE * self.least_lapse_seconds
         found = [
             name
             for name, state in self.states.items()
             if state.entry.address == entry.address
+            and name != entry.engine
+            and not entry.ended_before(state.entry.started_at_ms)
             and state.learned_at < known_before
             and not state.replaced
         ]
@@ -170,30 +179,98 @@
         return found
 
     def take_in(self, entry: engines.EngineEntry, now: float) -> bool:
-        """Take in one entry; return whether its engine is newly leaving."""
-        state = self.states.get(entry.engine)
-        if state is None:
-            state = EngineState(entry, learned_at=now)
-            self.states[entry.engine] = state
-            of_service = self.by_service.setdefault(entry.service, {})
-            of_service[entry.engine] = state
-        state.entry = entry
+        """Take in one entry; return whether its engine is newly leaving.
+
+        One of a life that is over changes nothing: it comes from somebody who
+        lags behind, and believed it would end what runs on the new life.
+        """
+        if self.is_over(entry):
+            return False
+        if self.begins_life(entry):
+            self.begin_life(entry, now)
+        state = self.states[entry.engine]
+        state.entry = with_start_of(state.entry, entry)
         state.gone_at = None
         newly = entry.leaving and not state.leaving
         state.leaving = state.leaving or entry.leaving
         return newly
 
+    def begins_life(self, entry: engines.EngineEntry) -> bool:
+        """Return whether an entry is of a life that is not known yet."""
+        return entry.engine not in self.states or self.restarts(entry)
+
+    def restarts(self, entry: engines.EngineEntry) -> bool:
+        """Return whether an entry ends the life that is known."""
+        state = self.states.get(entry.engine)
+        if state is None:
+            return False
+        return state.entry.ended_before(entry.started_at_ms)
+
+    def is_over(self, entry: engines.EngineEntry) -> bool:
+        """Return whether a later life of an entry's engine is known."""
+        state = self.states.get(entry.engine)
+        if state is None:
+            return False
+        return entry.ended_before(state.entry.started_at_ms)
+
+    def begin_life(self, entry: engines.EngineEntry, now: float) -> None:
+        """Know nothing of an engine but its entry.
+
+        Its sends stay counted until each has been ended.
+        """
+        state = EngineState(entry, learned_at=now)
+        former = self.states.get(entry.engine)
+        if former is not None:
+            state.in_flight = former.in_flight
+            state.former_until = self.certain_until(former)
+            del self.by_service[former.entry.service][entry.engine]
+        self.states[entry.engine] = state
+        of_service = self.by_service.setdefault(entry.service, {})
+        of_service[entry.engine] = state
+
+    def certain_until(self, former: EngineState) -> float:
+        """Return until when all sends went to a life that is over.
+
+        An engine may take requests for some time before its new entry is
+        read: they are sent under its identity, and it accepts them. Those
+        that were sent well before the list last showed the former life went
+        to that one.
+        """
+        shown_at = self.confirmed_at if former.listed else former.learned_at
+        return shown_at - LAPSE_SHARE * self.least_lapse_seconds
+
+    def restarted(
+        self, engine: str, started_at_ms: int, now: float
+    ) -> engines.EngineEntry | None:
+        """Begin a life that somebody else than the list has told of.
+
+        Returns its entry, or None if it is not news.
+        """
+        state = self.states.get(engine)
+        if state is None or not state.entry.ended_before(started_at_ms):
+            return None
+        entry = dataclasses.replace(
+            state.entry,
+            leaving=False,
+            heartbeat=0,
+            started_at_ms=started_at_ms,
+        )
+        self.begin_life(entry, now)
+        return entry
+
     def is_news(self, entry: engines.EngineEntry) -> bool:
         """Return whether an entry tells more than that its engine lives."""
+        if self.is_over(entry):
+            return False
         state = self.states.get(entry.engine)
-        if state is None or not state.listed:
+        if state is None or not state.listed or self.restarts(entry):
             return True
         return entry.leaving and not state.leaving
 
     def digest(self) -> int:
         """Return a number that differs where the known lists differ."""
         names = sorted(
-            f'{name} {state.leaving}'
+            f'{name} {state.entry.started_at_ms} {state.leaving}'
             for name, state in self.states.items()
             if state.listed
         )
@@ -241,14 +318,32 @@
 
     # -- what is seen here --------------------------------------------------
 
-    def failed(self, engine: str, now: float, *, dead: bool) -> None:
+    def living(self, engine: str, started_at_ms: int) -> EngineState | None:
+        """Return what is known of an engine, unless a word on it is too late.
+
+        One on a life that is over must not count against the next.
+        """
+        state = self.states.get(engine)
+        if state is None:
+            return None
+        known = state.entry.started_at_ms
+        return None if engines.is_earlier(started_at_ms, known) else state
+
+    def failed(
+        self,
+        engine: str,
+        now: float,
+        *,
+        dead: bool,
+        started_at_ms: int = engines.UNKNOWN_START,
+    ) -> None:
         """Leave an engine alone for a while.
 
         ``dead`` tells that it seems to have died, rather than to have failed
         one request. Failures that come while it is already left alone are
         those of the requests it had; they say nothing new.
         """
-        state = self.states.get(engine)
+        state = self.living(engine, started_at_ms)
         if state is None:
             return
         if dead:
@@ -270,32 +365,44 @@
         state.alive_from = 0
         state.suspected_until = min(state.suspected_until, now)
 
-    def was_replaced(self, engine: str) -> None:
+    def was_replaced(
+        self, engine: str, started_at_ms: int = engines.UNKNOWN_START
+    ) -> None:
         """Note that another engine answers at an engine's address.
 
         Its entry stays in the list until it lapses. Without this, each
         request that comes in the meantime would lose attempts on it.
         """
-        state = self.states.get(engine)
+        state = self.living(engine, started_at_ms)
         if state is not None:
             state.replaced = True
 
-    def doubted(self, engine: str, now: float) -> None:
+    def doubted(
+        self,
+        engine: str,
+        now: float,
+        started_at_ms: int = engines.UNKNOWN_START,
+    ) -> None:
         """Prefer others to an engine that has failed another instance.
 
         It is not ruled out: it may be the other one's links that failed.
         """
-        state = self.states.get(engine)
+        state = self.living(engine, started_at_ms)
         if state is not None:
             state.doubted_until = now + DOUBT_SECONDS
 
-    def silent(self, engine: str, now: float) -> bool:
+    def silent(
+        self,
+        engine: str,
+        now: float,
+        started_at_ms: int = engines.UNKNOWN_START,
+    ) -> bool:
         """Take in that a stream fell silent; return whether others did too.
 
         One may have lost its connection. Several at a time mean that their
         engine is dark, although nothing was reset.
         """
-        state = self.states.get(engine)
+        state = self.living(engine, started_at_ms)
         if state is None:
             return False
         again = now < state.silent_at + SILENCES_SECONDS
@@ -304,9 +411,18 @@
             state.doubted_until = now + DOUBT_SECONDS
         return again
 
-    def succeed(self, old: str, new: str, now: float) -> bool:
-        """Put a restarted engine in the place of its former identity."""
-        state = self.states.get(old)
+    def succeed(
+        self,
+        old: str,
+        new: str,
+        now: float,
+        started_at_ms: int = engines.UNKNOWN_START,
+    ) -> bool:
+        """Put a restarted engine in the place of its former identity.
+
+        ``started_at_ms`` names the life of the former one.
+        """
+        state = self.living(old, started_at_ms)
         if state is None:
             return False
         state.replaced = True
@@ -314,7 +430,11 @@
             return False
         self.take_in(
             dataclasses.replace(
-                state.entry, engine=new, leaving=False, heartbeat=0
+                state.entry,
+                engine=new,
+                leaving=False,
+                heartbeat=0,
+                started_at_ms=engines.UNKNOWN_START,
             ),
             now,
         )
@@ -374,3 +494,14 @@
             place: min(1.0, number / FAILURES_OF_A_PLACE)
             for place, number in failed.items()
         }
+
+
+def with_start_of(
+    known: engines.EngineEntry, entry: engines.EngineEntry
+) -> engines.EngineEntry:
+    """Return an entry with the start that is known, if it tells none."""
+    if entry.started_at_ms != engines.UNKNOWN_START:
+        return entry
+    if known.started_at_ms == engines.UNKNOWN_START:
+        return entry
+    return dataclasses.replace(entry, started_at_ms=known.started_at_ms)
--- a/src/greengagelb/coordination/relay/engine_list.py
+++ b/src/greengagelb/coordination/relay/engine_list.py
@@ -4,6 +4,7 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import copying
 from greengagelb.coordination.relay import directory
+from greengagelb.coordination.relay import restarts
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
@@ -26,10 +27,12 @@
         known: directory.EngineDirectory,
         sharing: store_sharing.StoreSharing,
         copies: copying.RunCopies,
+        restarted: restarts.Restarts,
     ) -> None:
         self.engines = known
         self.sharing = sharing
         self.copies = copies
+        self.restarts = restarted
         self.version = 0
 
     def read_whole(
@@ -64,8 +67,10 @@
         now: float,
     ) -> list[Action]:
         """Take in changes; replace the copies on engines that end."""
-        done: list[Action] = []
-        for engine in self.engines.changed(entries, removed, now):
+        again = [e for e in entries if self.engines.restarts(e)]
+        ending = self.engines.changed(entries, removed, now)
+        done = self.restarts.ended(again, now)
+        for engine in ending:
             done.append(
                 actions.Record('engine-leaving', 'listed', upstream=engine)
             )
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -122,11 +122,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineProbed:
-    """An engine answered a probe, or did not within its time."""
+    """An engine answered a probe, or did not within its time.
+
+    ``started_at_ms`` is when the engine that answered says it was started.
+    """
 
     exchange: int
     send: int
     alive: bool
+    started_at_ms: int = engines.UNKNOWN_START
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,10 +145,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuccessorSeen:
-    """Who answers at the address of a lost engine; empty if nobody does."""
+    """Who answers at the address of a lost engine; empty if nobody does.
+
+    Where it is the same identity, ``started_at_ms`` is when it says that it
+    was started.
+    """
 
     old: str
     new: str
+    started_at_ms: int = engines.UNKNOWN_START
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/loads.py
+++ b/src/greengagelb/coordination/relay/loads.py
@@ -97,3 +97,23 @@
         if run.copy_to:
             self.work[run.copy_to].copied_tokens -= run.memory_tokens
         return True
+
+    def forget(self, engine: str, own: str) -> None:
+        """Count nothing at an engine that has lost all that it held.
+
+        The runs of the instance ``own`` stay counted: it ends each of them
+        itself, and the copies that they have there.
+        """
+        self.prompts.forget(engine)
+        work = self.work.get(engine)
+        if work is None:
+            return
+        work.reading_until = float('-inf')
+        for key, run in list(self.runs.items()):
+            if key[0] == own:
+                continue
+            if run.engine == engine:
+                self.ended(key)
+            elif run.copy_to == engine:
+                self.runs[key] = dataclasses.replace(run, copy_to='')
+                work.copied_tokens -= run.memory_tokens
--- a/src/greengagelb/coordination/relay/prompts.py
+++ b/src/greengagelb/coordination/relay/prompts.py
@@ -34,6 +34,12 @@
         if len(self.engines) > MOST_PROMPTS:
             self.engines.popitem(last=False)
 
+    def forget(self, engine: str) -> None:
+        """Note that an engine has no prompt in memory any more."""
+        for part, (holder, _) in list(self.engines.items()):
+            if holder == engine:
+                del self.engines[part]
+
     def holder(self, part: str, now: float) -> str:
         """Return the engine that is likely to have a prompt, or ''."""
         engine, at = self.engines.get(part, ('', float('-inf')))
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -22,6 +22,7 @@
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
 from greengagelb.coordination.relay import loads
+from greengagelb.coordination.relay import restarts
 from greengagelb.coordination.relay import rulings
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import store_sharing
@@ -93,8 +94,11 @@
         self.fleet = fleet.FleetView(self.loads)
         self.exchanges: dict[int, exchanges.Exchange] = {}
         self.copies = copying.RunCopies(parts, self.exchanges)
+        self.restarts = restarts.Restarts(
+            parts, self.calls, self.streams, self.copies, self.exchanges
+        )
         self.listed = engine_list.EngineList(
-            self.engines, self.sharing, self.copies
+            self.engines, self.sharing, self.copies, self.restarts
         )
         self.stop_by = float('inf')
         self.streams_until = float('inf')
@@ -142,10 +146,13 @@
     def copies_lost_with(self, hint: hints.Hint, now: float) -> list[Action]:
         """Replace the copies on an engine that a hint says has died."""
         match hint:
-            case hints.Failed(engine) | hints.Replaced(engine):
-                return self.copies.lost_at(engine, now)
-            case hints.Silent(engine) if self.engines.silent(engine, now):
-                return self.copies.lost_at(engine, now)
+            case hints.Failed(engine, started_at_ms=start) | hints.Replaced(
+                engine, started_at_ms=start
+            ):
+                return self.copies.lost_at(engine, now, start)
+            case hints.Silent(engine, start):
+                if self.engines.silent(engine, now, start):
+                    return self.copies.lost_at(engine, now, start)
         return []
 
     def close_if_final(self, action: Action) -> list[Action]:
@@ -201,6 +208,8 @@
                 return self.listed.read(entries, removed, now)
             case relay_events.StoreLost(detail):
                 return self.listed.store_lost(detail)
+            case relay_events.SuccessorSeen(old, new, start) if old == new:
+                return self.restarts.found(old, start, now)
             case relay_events.SuccessorSeen(old, new):
                 return self.successor_seen(old, new, now)
             case relay_events.StopBy():
@@ -257,13 +266,15 @@
                 self.fleet.placed(incarnation, hint, now)
             case hints.Ended():
                 self.fleet.ended(incarnation, hint)
-            case hints.Failed(engine):
-                self.engines.doubted(engine, now)
-            case hints.Replaced(engine, successor):
+            case hints.Failed(engine, start):
+                self.engines.doubted(engine, now, start)
+            case hints.Replaced(engine, successor, start):
                 if successor:
-                    self.engines.succeed(engine, successor, now)
+                    self.engines.succeed(engine, successor, now, start)
                 else:
-                    self.engines.was_replaced(engine)
+                    self.engines.was_replaced(engine, start)
+            case hints.Restarted(engine, start):
+                return self.restarts.heard(engine, start, now)
             case hints.EnginesTold(entries, removed):
                 return self.listed.changed(entries, removed, now)
             case hints.StoreRead(digest, version):
@@ -385,7 +396,7 @@
             case relay_events.RunCopied():
                 return self.copies.copied(exchange, sent, event, now)
             case relay_events.EngineProbed() if stream:
-                return self.streams.probed(exchange, sent, event, now)
+                return self.probed(exchange, sent, event, now)
             case relay_events.StreamComplete():
                 return self.streams.complete(exchange, sent, now)
             case relay_events.AnswerComplete():
@@ -396,6 +407,20 @@
                 return relay(exchange, sent, event, now)
         return []
 
+    def probed(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.Sent,
+        event: relay_events.EngineProbed,
+        now: float,
+    ) -> list[Action]:
+        """Take in what a probe tells of an engine, then of the run there."""
+        start = event.started_at_ms
+        done = self.restarts.found(sent.entry.engine, start, now)
+        if sent.number not in exchange.sends:
+            return done
+        return done + self.streams.probed(exchange, sent, event, now)
+
     def stream_moved(
         self,
         exchange: exchanges.Exchange,
--- /dev/null
+++ b/src/greengagelb/coordination/relay/restarts.py
@@ -0,0 +1,127 @@
+"""Ends what an engine held when it has started again under its identity.
+
+The new life knows nothing of the runs, copies and prompts of the one before,
+but it accepts what is sent under its identity. So nothing tells an instance
+that they are gone, but the start that the engine states.
+"""
+
+from greengagelb.coordination import actions
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import calls
+from greengagelb.coordination.relay import copying
+from greengagelb.coordination.relay import sending
+from greengagelb.coordination.relay import streams
+from greengagelb.state.relay import engines
+from greengagelb.state.relay import exchanges
+from greengagelb.state.relay import hints
+from greengagelb.state.relay import routes
+
+DETAIL = 'engine started again'
+
+Action = relay_actions.RelayAction
+
+
+class Restarts:
+    """Has runs go on elsewhere, and copies made elsewhere."""
+
+    def __init__(
+        self,
+        parts: calls.Parts,
+        call_relay: calls.CallRelay,
+        stream_relay: streams.StreamRelay,
+        copies: copying.RunCopies,
+        running: dict[int, exchanges.Exchange],
+    ) -> None:
+        self.parts = parts
+        self.calls = call_relay
+        self.streams = stream_relay
+        self.copies = copies
+        self.running = running
+
+    def found(
+        self, engine: str, started_at_ms: int, now: float
+    ) -> list[Action]:
+        """Take in when an engine says it was started, if that is news.
+
+        The other instances are told: while the store is away they could not
+        learn it otherwise.
+        """
+        entry = self.parts.engines.restarted(engine, started_at_ms, now)
+        if entry is None:
+            return []
+        hint = hints.Restarted(engine, started_at_ms)
+        self.parts.sends.untold.append(hint)
+        return self.ended([entry], now)
+
+    def heard(
+        self, engine: str, started_at_ms: int, now: float
+    ) -> list[Action]:
+        """Take in what another instance has found."""
+        entry = self.parts.engines.restarted(engine, started_at_ms, now)
+        return self.ended([entry], now) if entry is not None else []
+
+    def ended(
+        self, entries: list[engines.EngineEntry], now: float
+    ) -> list[Action]:
+        """End the former lives of engines; these are their new entries.
+
+        Runs go on first, then copies are replaced: a run that has moved needs
+        no copy from where it was.
+        """
+        done: list[Action] = []
+        for entry in entries:
+            why = f'started at {entry.started_at_ms} ms'
+            done.append(
+                actions.Record('engine-restarted', why, upstream=entry.engine)
+            )
+            self.parts.sends.loads.forget(entry.engine, sending.OWN)
+        for entry in entries:
+            done += self.end_sends(entry, now)
+        for entry in entries:
+            before = entry.started_at_ms - 1
+            done += self.copies.lost_at(entry.engine, now, before)
+        return done
+
+    def end_sends(
+        self, entry: engines.EngineEntry, now: float
+    ) -> list[Action]:
+        """End the sends that went to the former life of an engine."""
+        done: list[Action] = []
+        for exchange in list(self.running.values()):
+            there = [
+                sent
+                for sent in exchange.sends.values()
+                if sent.entry.engine == entry.engine
+            ]
+            lost = [sent for sent in there if self.is_lost(sent, entry)]
+            if len(lost) == len(there):
+                exchange.tried.discard(entry.engine)
+                exchange.refused_by.discard(entry.engine)
+            for sent in lost:
+                done += self.lose(exchange, sent, now)
+        return done
+
+    def is_lost(
+        self, sent: exchanges.Sent, entry: engines.EngineEntry
+    ) -> bool:
+        """Return whether a send certainly went to the life before.
+
+        One that was sent shortly before the new life was heard of may run
+        there: the engine took it, as the identity was right. Ended, a call
+        that runs well would be answered as failed. Its connection, and a
+        probe if it is a stream, tell what has become of it.
+        """
+        if sent.entry.started_at_ms == entry.started_at_ms:
+            return False
+        state = self.parts.engines.states[entry.engine]
+        return sent.began_at <= state.former_until
+
+    def lose(
+        self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
+    ) -> list[Action]:
+        """Go on elsewhere with a send that can't be answered any more."""
+        exchange.may_have_run = True
+        if exchange.ruling.route.repeat is routes.Repeat.STREAM:
+            return self.streams.go_on(exchange, sent, DETAIL, now)
+        abandoned = self.parts.sends.abandon(exchange, sent)
+        return abandoned + self.calls.lost(exchange, sent, DETAIL, now)
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -184,8 +184,11 @@
         request may go to, and costs no attempt.
         """
         exchange.attempts -= 1
-        self.engines.was_replaced(sent.entry.engine)
-        self.untold.append(hints.Replaced(sent.entry.engine))
+        met = sent.entry
+        self.engines.was_replaced(met.engine, met.started_at_ms)
+        self.untold.append(
+            hints.Replaced(met.engine, started_at_ms=met.started_at_ms)
+        )
 
     def release(
         self, exchange: exchanges.Exchange, sent: exchanges.Sent
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -197,12 +197,22 @@
         event: relay_events.EngineProbed,
         now: float,
     ) -> list[Action]:
-        """Move a stream away from an engine that gives no sign of life."""
+        """Move a stream away from an engine that gives no sign of life.
+
+        The sign of a later life of the engine is none: it has not got the
+        run, or would have begun with it by now.
+        """
         moved_since = sent.events_seen and sent.moved_at > sent.asked_at
-        if event.alive or moved_since:
+        restarted = sent.entry.ended_before(event.started_at_ms)
+        if moved_since or (event.alive and not restarted):
             return []
         exchange.may_have_run = True
-        return self.lost(exchange, sent, 'no answer to a probe', now)
+        detail = (
+            'probe answered by a later life'
+            if restarted
+            else ('no answer to a probe')
+        )
+        return self.lost(exchange, sent, detail, now)
 
     # -- progress -----------------------------------------------------------
 
@@ -344,21 +354,33 @@
         *,
         dead: bool = True,
     ) -> list[Action]:
-        """Go on elsewhere: from the copy if there is one.
+        """Distrust the engine of a send, and go on elsewhere.
 
         ``dead`` tells that the engine seems to have died. One that was only
         silent may still be reading another prompt.
         """
-        self.parts.engines.failed(sent.entry.engine, now, dead=dead)
-        engine = sent.entry.engine
-        hint = hints.Failed(engine) if dead else hints.Silent(engine)
-        self.parts.sends.untold.append(hint)
+        engine, start = sent.entry.engine, sent.entry.started_at_ms
+        self.parts.engines.failed(engine, now, dead=dead, started_at_ms=start)
+        kind = hints.Failed if dead else hints.Silent
+        self.parts.sends.untold.append(kind(engine, start))
+        heard = sent.moved_at if sent.head else self.heard_at(sent)
+        return [
+            *self.successors.lose(sent.entry, heard, now),
+            *self.go_on(exchange, sent, detail, now),
+        ]
+
+    def go_on(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.Sent,
+        detail: str,
+        now: float,
+    ) -> list[Action]:
+        """Give a send up; go on elsewhere, from the copy if there is one."""
         done: list[Action] = [
             sending.record(exchange, sent, 'send-lost', detail),
             *self.parts.sends.abandon(exchange, sent),
         ]
-        heard = sent.moved_at if sent.head else self.heard_at(sent)
-        done += self.successors.lose(sent.entry, heard, now)
         if exchange.unconnected >= calls.MOST_UNCONNECTED:
             code = 'engines-unreachable'
             return [*done, self.parts.answers.failed(exchange, code, now)]
@@ -381,9 +403,15 @@
     def copy_of(
         self, sent: exchanges.Sent, now: float
     ) -> directory.EngineState | None:
-        """Return the engine with a copy of a run, if it can go on there."""
+        """Return the engine with a copy of a run, if it can go on there.
+
+        A later life of that engine has no copy, although it answers to the
+        same identity.
+        """
         if sent.copy_to is None or sent.copy_name is None:
             return None
+        if self.parts.engines.is_over(sent.copy_to):
+            return None
         state = self.parts.engines.states.get(sent.copy_to.engine)
         if state is None or not state.reachable(now):
             return None
--- a/src/greengagelb/coordination/relay/succession.py
+++ b/src/greengagelb/coordination/relay/succession.py
@@ -1,10 +1,10 @@
 """Finds the engines that took the place of those that crashed.
 
-An engine that restarts does so under another identity, which the list tells
-only while the store is there. Its address tells it too: it is given to no
-engine of another service until some seconds after the old one has ended. So
-whoever answers there within that time, counted from the last sign of the old
-engine, is the same engine restarted.
+An engine that restarts does so under another identity or with a later start,
+which the list tells only while the store is there. Its address tells it too:
+it is given to no engine of another service until some seconds after the old
+one has ended. So whoever answers there within that time, counted from the
+last sign of the old engine, is the same engine restarted.
 """
 
 import dataclasses
@@ -56,6 +56,8 @@
         self, entry: engines.EngineEntry, heard_at: float, now: float
     ) -> list[Action]:
         """Plan to ask at the address of a lost engine."""
+        if self.engines.is_over(entry):
+            return []
         if entry in [lost.entry for lost in self.lost.values()]:
             return []
         until = heard_at + self.address_reuse
@@ -76,7 +78,11 @@
         if lost is None:
             return []
         known = self.engines.at_address(lost.entry.address, now)
-        if now > lost.same_service_until or known - {lost.entry.engine}:
+        answered = known - {lost.entry.engine}
+        if answered or self.engines.is_over(lost.entry):
+            del self.lost[number]
+            return []
+        if now > lost.same_service_until:
             del self.lost[number]
             return []
         return [
--- a/src/greengagelb/platform/rows.py
+++ b/src/greengagelb/platform/rows.py
@@ -23,6 +23,7 @@
 # The greatest whole number that every reader of JSON takes in exactly. As
 # milliseconds it is far beyond any date, and it fits our own datagrams.
 MOST_MILLISECONDS = 2**53
+StartMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=MOST_MILLISECONDS)]
 
 
 class Row(msgspec.Struct):
@@ -147,9 +148,7 @@
     slots: int = 1
     state: str = ''
     seq: int = 0
-    born: Annotated[int, msgspec.Meta(ge=0, le=MOST_MILLISECONDS)] = (
-        engines.UNKNOWN_START
-    )
+    born: StartMilliseconds = engines.UNKNOWN_START
 
 
 def encode_value(value: object) -> str:
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -5,6 +5,7 @@
 
 from greengagelb import errors
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.platform import rows
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
 from greengagelb.transport.relay import http1
@@ -76,6 +77,12 @@
     handle: str
 
 
+class Report(msgspec.Struct):
+    """What an engine tells of itself; ``born`` is when it was started."""
+
+    born: rows.StartMilliseconds = engines.UNKNOWN_START
+
+
 class PlatformDialect:
     """Translates heads of requests and answers."""
 
@@ -178,6 +185,15 @@
         host = (b'Host', str(engine.address).encode())
         return http_client.WireRequest(b'GET', PROBE_TARGET, (host,))
 
+    def read_start(self, status: int, body: bytes) -> int:
+        """Return when an engine that was probed says that it was started."""
+        if status != 200:
+            return engines.UNKNOWN_START
+        try:
+            return msgspec.json.decode(body, type=Report).born
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return engines.UNKNOWN_START
+
     def write_copy(
         self, copy: relay_actions.CopyRun
     ) -> http_client.WireRequest:
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -50,6 +50,7 @@
     """See :class:`greengagelb.state.relay.hints.Failed`."""
 
     engine: str
+    started_at_ms: int = engines.UNKNOWN_START
 
 
 class Silent(
@@ -58,6 +59,7 @@
     """See :class:`greengagelb.state.relay.hints.Silent`."""
 
     engine: str
+    started_at_ms: int = engines.UNKNOWN_START
 
 
 class Replaced(
@@ -67,6 +69,16 @@
 
     engine: str
     successor: str = ''
+    started_at_ms: int = engines.UNKNOWN_START
+
+
+class Restarted(
+    msgspec.Struct, frozen=True, array_like=True, tag='a', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.Restarted`."""
+
+    engine: str
+    started_at_ms: int
 
 
 class Engine(msgspec.Struct, frozen=True, array_like=True):
@@ -120,6 +132,7 @@
         | Failed
         | Silent
         | Replaced
+        | Restarted
         | EnginesTold
         | StoreRead
         | ConfigurationApplied
@@ -166,12 +179,14 @@
             wire = Placed(number, engine, memory, unread, copy_to, part)
         case hints.Ended(number):
             wire = Ended(number)
-        case hints.Failed(engine):
-            wire = Failed(engine)
-        case hints.Silent(engine):
-            wire = Silent(engine)
-        case hints.Replaced(engine, successor):
-            wire = Replaced(engine, successor)
+        case hints.Failed(engine, started_at_ms):
+            wire = Failed(engine, started_at_ms)
+        case hints.Silent(engine, started_at_ms):
+            wire = Silent(engine, started_at_ms)
+        case hints.Replaced(engine, successor, started_at_ms):
+            wire = Replaced(engine, successor, started_at_ms)
+        case hints.Restarted(engine, started_at_ms):
+            wire = Restarted(engine, started_at_ms)
         case hints.EnginesTold(entries, removed):
             wire = EnginesTold(tuple(map(write_engine, entries)), removed)
         case hints.StoreRead(digest, version):
@@ -208,12 +223,14 @@
             )
         case Ended(number):
             hint = hints.Ended(number)
-        case Failed(engine):
-            hint = hints.Failed(engine)
-        case Silent(engine):
-            hint = hints.Silent(engine)
-        case Replaced(engine, successor):
-            hint = hints.Replaced(engine, successor)
+        case Failed(engine, started_at_ms):
+            hint = hints.Failed(engine, started_at_ms)
+        case Silent(engine, started_at_ms):
+            hint = hints.Silent(engine, started_at_ms)
+        case Replaced(engine, successor, started_at_ms):
+            hint = hints.Replaced(engine, successor, started_at_ms)
+        case Restarted(engine, started_at_ms):
+            hint = hints.Restarted(engine, started_at_ms)
         case EnginesTold(entries, removed):
             hint = hints.EnginesTold(tuple(map(read_engine, entries)), removed)
         case StoreRead(digest, version):
--- a/src/greengagelb/state/relay/engines.py
+++ b/src/greengagelb/state/relay/engines.py
@@ -6,6 +6,11 @@
 UNKNOWN_START = 0
 
 
+def is_earlier(start: int, other: int) -> bool:
+    """Return whether one start is known to lie before another."""
+    return UNKNOWN_START < start < other
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
     """IP number and port."""
@@ -44,7 +49,14 @@
 
         Of a life whose start is not known nobody can tell.
         """
-        return UNKNOWN_START < self.started_at_ms < started_at_ms
+        return is_earlier(self.started_at_ms, started_at_ms)
+
+    @property
+    def life(self) -> str:
+        """Return a name that no other life of any engine has."""
+        if self.started_at_ms == UNKNOWN_START:
+            return self.engine
+        return f'{self.engine} {self.started_at_ms}'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -3,6 +3,9 @@
 Hints are sent once and may be lost. Nothing that callers are promised rests
 on them: they only let instances choose engines by what the others have just
 put there, which the engines' own reports tell too late.
+
+A word against an engine names the start of the life that it speaks of, since
+it may come when the engine has started again.
 """
 
 import dataclasses
@@ -37,6 +40,7 @@
     """An engine seems to have died, as seen from the sender."""
 
     engine: str
+    started_at_ms: int = engines.UNKNOWN_START
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +48,7 @@
     """A stream has fallen silent on an engine; it may be the connection."""
 
     engine: str
+    started_at_ms: int = engines.UNKNOWN_START
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +60,15 @@
 
     engine: str
     successor: str = ''
+    started_at_ms: int = engines.UNKNOWN_START
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Restarted:
+    """An engine has started again under its identity, at a Unix time."""
+
+    engine: str
+    started_at_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +107,7 @@
     | Failed
     | Silent
     | Replaced
+    | Restarted
     | EnginesTold
     | StoreRead
     | ConfigurationApplied
--- a/src/greengagelb/transport/relay/dialect.py
+++ b/src/greengagelb/transport/relay/dialect.py
@@ -47,6 +47,12 @@
         It needs no free slot, so that a busy engine answers too.
         """
 
+    def read_start(self, status: int, body: bytes) -> int:
+        """Return when an engine that was probed says that it was started.
+
+        In Unix milliseconds; ``UNKNOWN_START`` where it does not say.
+        """
+
     def write_copy(
         self, copy: relay_actions.CopyRun
     ) -> http_client.WireRequest:
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -136,7 +136,7 @@
         seconds = self.pool.reactor.seconds
         key = (send.exchange, send.send)
         pending = self.pool.request(
-            send.engine.engine,
+            send.engine.life,
             send.engine.address,
             lambda: self.dialect.write_send(send, seconds()),
             EngineAnswer(self, send),
@@ -155,7 +155,7 @@
     ) -> None:
         """Ask an engine something of our own, for some seconds at most."""
         question = questions.Question(
-            entry.engine, entry.address, request, seconds, fresh=fresh
+            entry.life, entry.address, request, seconds, fresh=fresh
         )
         questions.ask(self.pool, question, done)
 
@@ -165,13 +165,23 @@
         def done(answer: questions.Answer) -> None:
             self.dispatch(
                 relay_events.EngineProbed(
-                    probe.exchange, probe.send, answer.response is not None
+                    probe.exchange,
+                    probe.send,
+                    answer.response is not None,
+                    self.start_in(answer),
                 )
             )
 
         request = self.dialect.write_probe(probe.engine)
         self.ask(probe.engine, request, PROBE_SECONDS, done)
 
+    def start_in(self, answer: questions.Answer) -> int:
+        """Return when the engine that answered a probe was started."""
+        if answer.response is None:
+            return engines.UNKNOWN_START
+        status = answer.response.status_code
+        return self.dialect.read_start(status, answer.body)
+
     def copy_run(self, copy: relay_actions.CopyRun) -> None:
         """Have an engine copy a run's memory to another one."""
 
@@ -191,17 +201,36 @@
         self.ask(copy.source, request, COPY_SECONDS, done)
 
     def ask_successor(self, entry: engines.EngineEntry, path: str) -> None:
-        """Ask who answers at an engine's address, on a new connection."""
+        """Ask who answers at an engine's address, on a new connection.
+
+        If it is the same identity it is asked for its start too: the engine
+        may have crashed and be back.
+        """
 
         def done(answer: questions.Answer) -> None:
             found = ''
             if answer.response is not None:
                 found = self.dialect.read_answer(answer.response).engine
+            if found == entry.engine:
+                self.ask_start(entry)
+                return
             self.dispatch(relay_events.SuccessorSeen(entry.engine, found))
 
         request = self.dialect.write_question(entry, path)
         self.ask(entry, request, PROBE_SECONDS, done, fresh=True)
 
+    def ask_start(self, entry: engines.EngineEntry) -> None:
+        """Ask an engine when it was started."""
+
+        def done(answer: questions.Answer) -> None:
+            start = self.start_in(answer)
+            self.dispatch(
+                relay_events.SuccessorSeen(entry.engine, entry.engine, start)
+            )
+
+        request = self.dialect.write_probe(entry)
+        self.ask(entry, request, PROBE_SECONDS, done, fresh=True)
+
     def abandon(self, exchange: int, send: int) -> None:
         """Close the connection of a send."""
         pending = self.under_way.pop((exchange, send), None)
--- a/tests/common/relay_wires.py
+++ b/tests/common/relay_wires.py
@@ -85,6 +85,9 @@
             http1.first_value(fields, b'not-run') is not None,
         )
 
+    def read_start(self, status, body):
+        return engines.UNKNOWN_START
+
     def answers(self, response, send):
         fields = tuple(response.headers.raw_items())
         echoed = http1.first_value(fields, b'id')
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -143,3 +143,24 @@
     assert not dialect.answers(other, send)
     assert not dialect.answers(nameless, send)
     assert dialect.answers(shed, send)
+
+
+@pytest.mark.parametrize(
+    ('status', 'body', 'start'),
+    [
+        (200, b'{"seq": 2, "born": 1796000000123}', 1_796_000_000_123),
+        (200, b'{"seq": 2}', engines.UNKNOWN_START),
+        (503, b'{"born": 1796000000123}', engines.UNKNOWN_START),
+        (200, b'{"born": "soon"}', engines.UNKNOWN_START),
+        (200, b'{"born": -1}', engines.UNKNOWN_START),
+        (200, b'\xff', engines.UNKNOWN_START),
+        (200, b'', engines.UNKNOWN_START),
+    ],
+)
+def test_report_tells_when_its_engine_was_started(status, body, start):
+    """An engine that is back after a crash answers probes as before.
+
+    Only its start tells that the run it is asked about is lost. What can't be
+    read says nothing, and is a sign of life as any other answer.
+    """
+    assert wire.PlatformDialect().read_start(status, body) == start
--- a/tests/relay/test_engine_lives.py
+++ b/tests/relay/test_engine_lives.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import pytest
+from twisted.internet import task
 
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
@@ -10,6 +11,9 @@
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import requests
 from greengagelb.state.relay import routes
+from greengagelb.transport.relay import engine_side
+from greengagelb.transport.relay import http_client
+from tests.common import relay_wires
 from tests.common import relay_world
 
 FIRST_START = 1_796_000_000_000
@@ -197,7 +201,7 @@
     its caller need not wait for the end of its time to hear so.
     """
     world = slow_call_world()
-    exchange = world.call(seconds=30.0)
+    exchange = world.ask(b'/booking/1', 30.0, prompt=None)
     send = world.last_send(exchange)
     wait_listed(world)
     world.change_engines(again(send.engine))
@@ -208,7 +212,7 @@
 
 def test_idempotent_call_of_an_ended_life_is_sent_again():
     world = slow_call_world()
-    exchange = world.query(seconds=30.0)
+    exchange = world.ask(b'/queries/1', 30.0, prompt=None)
     send = world.last_send(exchange)
     wait_listed(world)
     world.change_engines(again(send.engine))
@@ -343,7 +347,7 @@
         found=(relay_world.STREAM_ROUTE, SLOW_CALLS, SLOW_QUERIES)
     )
     world = relay_world.RelayWorld([*entries, only], table=table)
-    exchange = world.query(seconds=30.0)
+    exchange = world.ask(b'/queries/1', 30.0, prompt=None)
     wait_listed(world)
     world.change_engines(again(only))
     assert len(world.sends(exchange)) == 2
@@ -492,3 +496,37 @@
     assert state.entry.started_at_ms == SECOND_START
     [copy] = world.of_kind(relay_actions.CopyRun)
     assert copy.target.engine != send.copy_to.engine
+
+
+# -- connections ------------------------------------------------------------
+
+
+class Pool:
+    """Keeps by which key connections were asked for."""
+
+    def __init__(self):
+        self.reactor = task.Clock()
+        self.keys = []
+
+    def request(self, key, address, request, receiver, fresh=False):
+        self.keys.append(key)
+        return http_client.Pending(request, receiver)
+
+
+def test_connection_to_the_life_before_carries_nothing_to_the_next():
+    """An engine behind a dark link crashes; connections to it stay open here.
+
+    What is sent on one of them reaches nobody, and a call that must not be
+    repeated is lost with it.
+    """
+    pool = Pool()
+    side = engine_side.EngineSide(pool, relay_wires.Dialect(), lambda _: None)
+    world = world_of_lives()
+    send = world.last_send(world.ask())
+    side.send(send)
+    side.send(dataclasses.replace(send, engine=again(send.engine)))
+    plain = relay_world.engine('plain', relay_world.STREAMS, 'north')
+    side.send(dataclasses.replace(send, engine=plain))
+    first, second, third = pool.keys
+    assert first != second
+    assert third == 'plain'
