--- /dev/null
+++ b/tests/relay/test_engine_lives_machine.py
@@ -0,0 +1,285 @@
+"""Random histories of engines that start again under their identity."""
+
+import dataclasses
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.state.relay import hints
+from tests.common import relay_world
+
+# Three lives of each engine; 0 where an entry does not tell which one it is.
+STARTS = (1_796_000_000_000, 1_796_000_060_000, 1_796_000_120_000)
+LIVES = st.sampled_from(STARTS)
+TOLD_LIVES = st.sampled_from((0, *STARTS))
+ENTRIES = {entry.engine: entry for entry in relay_world.fleet()}
+NAMES = st.sampled_from(sorted(ENTRIES))
+# Stands for the start of an engine that was forgotten long after its end.
+FORGOTTEN = -1
+
+
+class EngineLives(stateful.RuleBasedStateMachine):
+    """Lists, failures and reports of all lives, in any order and late.
+
+    ``latest`` is the latest start that this instance was told of each engine,
+    and ``left`` names the engines whose latest life is known as leaving.
+    """
+
+    def __init__(self):
+        super().__init__()
+        first = [
+            dataclasses.replace(entry, started_at_ms=STARTS[0])
+            for entry in ENTRIES.values()
+        ]
+        self.world = relay_world.RelayWorld(first)
+        self.latest = dict.fromkeys(ENTRIES, STARTS[0])
+        self.left = set()
+        self.seen = 0
+        self.sent = {}
+        self.copies = {}
+
+    # -- what is expected ---------------------------------------------------
+
+    def learn(self, name, start, *, leaving=False):
+        """Note what was told; a life that is over is not news."""
+        if start and start < self.latest[name]:
+            return
+        if start > self.latest[name]:
+            if self.latest[name]:
+                self.left.discard(name)
+            self.latest[name] = start
+        if leaving:
+            self.left.add(name)
+
+    def learn_from_another(self, name, start):
+        """Note what somebody else than the list has told."""
+        if 0 < self.latest[name] < start:
+            self.learn(name, start)
+
+    def state(self, name):
+        return self.world.relay.engines.states[name]
+
+    def follow(self):
+        """Look at what the relay has just wanted."""
+        for action in self.world.actions[self.seen :]:
+            match action:
+                case relay_actions.Send():
+                    self.look_at_send(action)
+                case relay_actions.AbandonSend(exchange, send):
+                    self.sent.pop((exchange, send), None)
+        self.seen = len(self.world.actions)
+        for name in set(ENTRIES) - set(self.world.relay.engines.states):
+            self.latest[name] = FORGOTTEN
+            self.left.discard(name)
+
+    def look_at_send(self, send):
+        """No send goes to a life that is over, or by what it held."""
+        assert self.lives(send.engine)
+        self.sent[send.exchange, send.send] = send
+        held = self.copies.setdefault(send.exchange, [])
+        if send.copy_from is not None:
+            named = [c for c in held if c.address == send.copy_from.address]
+            assert all(self.lives(copy) for copy in named[-1:])
+        if send.copy_to is not None:
+            assert self.lives(send.copy_to)
+            held.append(send.copy_to)
+
+    def lives(self, entry):
+        return entry.started_at_ms == self.latest[entry.engine]
+
+    # -- lists, in any order ------------------------------------------------
+
+    @stateful.rule(
+        names=st.sets(NAMES, max_size=4),
+        start=TOLD_LIVES,
+        heartbeat=st.integers(1, 60),
+        leaving=st.booleans(),
+        by_neighbour=st.booleans(),
+    )
+    def read_entries(self, names, start, heartbeat, leaving, by_neighbour):
+        entries = tuple(
+            dataclasses.replace(
+                ENTRIES[name],
+                heartbeat=heartbeat,
+                leaving=leaving,
+                started_at_ms=start,
+            )
+            for name in sorted(names)
+        )
+        for name in names:
+            self.learn(name, start, leaving=leaving)
+        if by_neighbour:
+            hint = hints.EnginesTold(entries, ())
+            self.world.handle(relay_events.PeerTold('other', hint))
+        else:
+            self.world.change_engines(*entries)
+        self.follow()
+
+    @stateful.rule(names=st.sets(NAMES, max_size=2))
+    def entries_lapse(self, names):
+        self.world.change_engines(removed=sorted(names))
+        self.follow()
+
+    @stateful.rule()
+    def store_goes_away(self):
+        self.world.handle(relay_events.StoreLost('away'))
+
+    @stateful.rule()
+    def store_is_read_again(self):
+        self.world.change_engines()
+        self.follow()
+
+    # -- reports ------------------------------------------------------------
+
+    @stateful.rule(name=NAMES, start=TOLD_LIVES)
+    def engine_is_found_at_its_address(self, name, start):
+        self.learn_from_another(name, start)
+        self.world.handle(relay_events.SuccessorSeen(name, name, start))
+        self.follow()
+
+    @stateful.rule(name=NAMES, start=LIVES)
+    def another_instance_finds_a_life(self, name, start):
+        self.learn_from_another(name, start)
+        hint = hints.Restarted(name, start)
+        self.world.handle(relay_events.PeerTold('other', hint))
+        self.follow()
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(data=st.data(), start=TOLD_LIVES, alive=st.booleans())
+    def probe_is_answered(self, data, start, alive):
+        send = self.pick(data)
+        exchange = self.world.relay.exchanges.get(send.exchange)
+        asked = exchange is not None and send.send in exchange.sends
+        if asked and send.stream and alive:
+            self.learn_from_another(send.engine.engine, start)
+        start = start if alive else 0
+        self.world.handle(
+            relay_events.EngineProbed(send.exchange, send.send, alive, start)
+        )
+        self.follow()
+
+    # -- failures -----------------------------------------------------------
+
+    @stateful.rule(
+        name=NAMES,
+        start=TOLD_LIVES,
+        kind=st.sampled_from([hints.Failed, hints.Silent]),
+    )
+    def another_instance_speaks_against_an_engine(self, name, start, kind):
+        over = 0 < start < self.latest[name]
+        before = self.state(name).doubted_until if over else None
+        hint = kind(name, start)
+        self.world.handle(relay_events.PeerTold('other', hint))
+        if over:
+            assert self.state(name).doubted_until == before
+        self.follow()
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(data=st.data(), handed_over=st.booleans())
+    def connection_breaks(self, data, handed_over):
+        send = self.pick(data)
+        del self.sent[send.exchange, send.send]
+        state = self.state(send.engine.engine)
+        before = (state.suspected_until, state.alive_from)
+        self.world.lose(send, handed_over=handed_over)
+        if send.engine.started_at_ms < self.latest[send.engine.engine]:
+            assert (state.suspected_until, state.alive_from) == before
+        self.follow()
+
+    # -- work ---------------------------------------------------------------
+
+    def pick(self, data):
+        return self.sent[data.draw(st.sampled_from(sorted(self.sent)))]
+
+    @stateful.rule(kind=st.sampled_from(['stream', 'call', 'query']))
+    def ask(self, kind):
+        asks = {
+            'stream': self.world.ask_little,
+            'call': self.world.call,
+            'query': self.world.query,
+        }
+        asks[kind]()
+        self.follow()
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(data=st.data())
+    def engine_streams(self, data):
+        send = self.pick(data)
+        if send.stream:
+            given = self.world.passed_events(send.exchange)
+            self.world.begin(send)
+            self.world.events(send, (given[-1] if given else 0) + 1)
+            self.follow()
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.6, 2.0, 5.0]))
+    def time_passes(self, seconds):
+        self.world.advance(seconds)
+        self.follow()
+
+    # -- what holds all the while -------------------------------------------
+
+    @stateful.invariant()
+    def latest_life_is_the_one_that_is_known(self):
+        for name, start in self.latest.items():
+            state = self.world.relay.engines.states.get(name)
+            if state is not None:
+                assert state.entry.started_at_ms == start
+
+    @stateful.invariant()
+    def leaving_is_of_the_latest_life_alone(self):
+        for name, state in self.world.relay.engines.states.items():
+            assert state.leaving == (name in self.left)
+
+    @stateful.invariant()
+    def engines_stand_under_the_service_of_their_latest_life(self):
+        known = self.world.relay.engines
+        for service, states in known.by_service.items():
+            for name, state in states.items():
+                assert state is known.states[name]
+                assert state.entry.service == service
+
+    @stateful.invariant()
+    def sends_are_counted_once(self):
+        relay = self.world.relay
+        counted = sum(s.in_flight for s in relay.engines.states.values())
+        under_way = [
+            sent
+            for exchange in relay.exchanges.values()
+            for sent in exchange.sends.values()
+        ]
+        assert counted == len(under_way)
+
+    @stateful.invariant()
+    def loads_add_up(self):
+        loads = self.world.relay.loads
+        for engine, work in loads.work.items():
+            runs = [r for r in loads.runs.values() if r.engine == engine]
+            copies = [r for r in loads.runs.values() if r.copy_to == engine]
+            assert work.runs == len(runs)
+            assert work.memory_tokens == sum(r.memory_tokens for r in runs)
+            assert work.copied_tokens == sum(r.memory_tokens for r in copies)
+
+    @stateful.invariant()
+    def no_copy_is_believed_at_a_life_that_is_over(self):
+        relay = self.world.relay
+        for exchange in relay.exchanges.values():
+            for sent in exchange.sends.values():
+                assert sent.copy_to is None or self.lives(sent.copy_to)
+
+    @stateful.invariant()
+    def calls_are_sent_once(self):
+        """An engine accepts what is sent under its identity, in any life."""
+        for exchange in self.world.relay.exchanges.values():
+            if exchange.ruling.route is relay_world.CALL_ROUTE:
+                broken = exchange.unconnected
+                sends = self.world.sends(exchange.number)
+                assert len(sends) <= 1 + broken
+
+
+EngineLives.TestCase.settings = settings(
+    max_examples=100, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestEngineLives = EngineLives.TestCase
