Let other instances place runs in the histories of engine lives

Changed code on a scratch copy (a trial) showed which faults the machine finds: an older entry believed, copies kept at an ended life, words against the life before counted, sends of the former life forgotten in the count, copied tokens left counted. It does not find a copy gone on from where it was lost, nor runs of other instances left counted; examples in test_engine_lives.py hold these.

--- a/tests/relay/test_engine_lives_machine.py
+++ b/tests/relay/test_engine_lives_machine.py
@@ -214,6 +214,15 @@
             self.world.events(send, (given[-1] if given else 0) + 1)
             self.follow()
 
+    @stateful.rule(
+        number=st.integers(1, 4), name=NAMES, copy_to=NAMES, over=st.booleans()
+    )
+    def another_instance_places_a_run(self, number, name, copy_to, over):
+        hint = hints.Placed(number, name, 400, 400, copy_to, f'part{number}')
+        if over:
+            hint = hints.Ended(number)
+        self.world.handle(relay_events.PeerTold('other', hint))
+
     @stateful.rule(seconds=st.sampled_from([0.1, 0.6, 2.0, 5.0]))
     def time_passes(self, seconds):
         self.world.advance(seconds)
