A test that fails: news in several parts ends a call that runs well

The first datagram of a read confirms the whole list, and the second one then ends what was sent to an engine while the list could not be had: the call is answered 502 outcome-unknown, though its engine has it.

--- a/tests/relay/test_engine_lives.py
+++ b/tests/relay/test_engine_lives.py
@@ -246,6 +246,26 @@
     assert world.passed_events(stream) == [1]
 
 
+def test_news_in_several_parts_ends_nothing_that_may_run_on_the_new_life():
+    """The store was away for long, and an engine has restarted meanwhile.
+
+    A neighbour that reads the list again tells of it in several datagrams. The
+    first one makes the list look current, while the second one has the news
+    of an engine that took a call seconds ago.
+    """
+    world = slow_call_world()
+    world.handle(relay_events.StoreLost('away'))
+    world.advance(6.0)
+    exchange = world.ask(b'/booking/1', 30.0, prompt=None)
+    send = world.last_send(exchange)
+    world.advance(5.0)
+    peer_tells(world, hints.EnginesTold((fleet(41)[0],), ()))
+    peer_tells(world, hints.EnginesTold((again(send.engine),), ()))
+    assert not world.refusals(exchange)
+    world.answer(send)
+    assert world.of_kind(relay_actions.PassAnswer, exchange)
+
+
 def test_probe_that_a_new_life_answers_is_no_sign_of_the_run():
     """A stream waits for its first event on an engine that has restarted.
 
