Judge a new life by the read before the one that tells of it

Cause: the first datagram of a read confirmed the whole list, so the moment until which the former life had been shown was that of the news itself. The parts that come within 0.3 s now count as one read. The whole suite was not run again after it.

--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -39,6 +39,9 @@
 # An entry has lapsed after three renewals, one and a half times as long as the
 # least outage in which one can.
 LAPSE_SHARE = 1.5
+# Neighbours tell of one read of the list in several datagrams, within less
+# than so many seconds; readers read once a second.
+ONE_READ_SECONDS = 0.3
 # A removed engine is remembered so long, for what still runs on it.
 FORGET_SECONDS = 60.0
 
@@ -100,6 +103,8 @@
     """All engines that this instance has heard of, by their identity.
 
     ``confirmed_at`` is when the list was last known to be up to date here.
+    The parts of the latest read came in from ``read_at`` on, and
+    ``confirmed_before`` is the last such moment before them.
 
     Invariant: ``by_service`` names exactly the states in ``states``.
     """
@@ -110,6 +115,8 @@
         self.by_service: dict[str, dict[str, EngineState]] = {}
         self.lost = False
         self.confirmed_at = float('-inf')
+        self.confirmed_before = float('-inf')
+        self.read_at = float('-inf')
         self.regained_at = float('-inf')
 
     # -- what the list says -------------------------------------------------
@@ -222,21 +229,25 @@
         former = self.states.get(entry.engine)
         if former is not None:
             state.in_flight = former.in_flight
-            state.former_until = self.certain_until(former)
+            state.former_until = self.certain_until(former, now)
             del self.by_service[former.entry.service][entry.engine]
         self.states[entry.engine] = state
         of_service = self.by_service.setdefault(entry.service, {})
         of_service[entry.engine] = state
 
-    def certain_until(self, former: EngineState) -> float:
+    def certain_until(self, former: EngineState, now: float) -> float:
         """Return until when all sends went to a life that is over.
 
         An engine may take requests for some time before its new entry is
         read: they are sent under its identity, and it accepts them. Those
         that were sent well before the list last showed the former life went
-        to that one.
+        to that one. A part of the read that tells of the new life may have
+        been taken in before; it did not show the former one.
         """
-        shown_at = self.confirmed_at if former.listed else former.learned_at
+        shown_at = former.learned_at
+        if former.listed:
+            in_parts = now < self.read_at + ONE_READ_SECONDS
+            shown_at = self.confirmed_before if in_parts else self.confirmed_at
         return shown_at - LAPSE_SHARE * self.least_lapse_seconds
 
     def restarted(
@@ -304,6 +315,9 @@
 
     def confirmed(self, now: float) -> None:
         """Note that the list is as it is known here."""
+        if now >= self.read_at + ONE_READ_SECONDS:
+            self.confirmed_before = self.confirmed_at
+            self.read_at = now
         self.confirmed_at = now
 
     def forget(self, now: float) -> None:
