--- a/src/greengagelb/platform/rows.py
+++ b/src/greengagelb/platform/rows.py
@@ -38,6 +38,10 @@
     'streaming': routes.Repeat.STREAM,
 }
 DRAINING = 'draining'
+# The greatest whole number that every reader of JSON takes in exactly. As
+# milliseconds it is far beyond any date, and it fits our own datagrams.
+MOST_MILLISECONDS = 2**53
+StartMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=MOST_MILLISECONDS)]
 
 
 class Row(msgspec.Struct):
@@ -173,6 +177,7 @@
     seq: Counter
     version: str = ''
     cold_left_ms: float = 0.0
+    born: StartMilliseconds = engines.UNKNOWN_START
 
 
 def encode_value(value: object) -> str:
@@ -311,6 +316,7 @@
         engine.slots,
         engine.state == DRAINING,
         engine.seq,
+        engine.born,
     )
 
 
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -50,6 +50,7 @@
     """See :class:`greengagelb.state.relay.hints.Failed`."""
 
     engine: str
+    started_at_ms: int = engines.UNKNOWN_START
 
 
 class Silent(
@@ -58,6 +59,7 @@
     """See :class:`greengagelb.state.relay.hints.Silent`."""
 
     engine: str
+    started_at_ms: int = engines.UNKNOWN_START
 
 
 class Replaced(
@@ -67,6 +69,16 @@
 
     engine: str
     successor: str = ''
+    started_at_ms: int = engines.UNKNOWN_START
+
+
+class Restarted(
+    msgspec.Struct, frozen=True, array_like=True, tag='a', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.Restarted`."""
+
+    engine: str
+    started_at_ms: int
 
 
 class Engine(msgspec.Struct, frozen=True, array_like=True):
@@ -80,6 +92,7 @@
     slots: int
     leaving: bool
     heartbeat: int
+    started_at_ms: int = engines.UNKNOWN_START
 
 
 class EnginesTold(
@@ -120,6 +133,7 @@
         | Failed
         | Silent
         | Replaced
+        | Restarted
         | EnginesTold
         | StoreRead
         | ConfigurationApplied
@@ -141,6 +155,7 @@
         entry.slots,
         entry.leaving,
         entry.heartbeat,
+        entry.started_at_ms,
     )
 
 
@@ -154,6 +169,7 @@
         wire.slots,
         wire.leaving,
         wire.heartbeat,
+        wire.started_at_ms,
     )
 
 
@@ -164,12 +180,14 @@
             wire = Placed(number, engine, memory, unread, copy_to, part)
         case hints.Ended(number):
             wire = Ended(number)
-        case hints.Failed(engine):
-            wire = Failed(engine)
-        case hints.Silent(engine):
-            wire = Silent(engine)
-        case hints.Replaced(engine, successor):
-            wire = Replaced(engine, successor)
+        case hints.Failed(engine, started_at_ms):
+            wire = Failed(engine, started_at_ms)
+        case hints.Silent(engine, started_at_ms):
+            wire = Silent(engine, started_at_ms)
+        case hints.Replaced(engine, successor, started_at_ms):
+            wire = Replaced(engine, successor, started_at_ms)
+        case hints.Restarted(engine, started_at_ms):
+            wire = Restarted(engine, started_at_ms)
         case hints.EnginesTold(entries, removed, unusable):
             written = tuple(map(write_engine, entries))
             wire = EnginesTold(written, removed, unusable)
@@ -207,12 +225,14 @@
             )
         case Ended(number):
             hint = hints.Ended(number)
-        case Failed(engine):
-            hint = hints.Failed(engine)
-        case Silent(engine):
-            hint = hints.Silent(engine)
-        case Replaced(engine, successor):
-            hint = hints.Replaced(engine, successor)
+        case Failed(engine, started_at_ms):
+            hint = hints.Failed(engine, started_at_ms)
+        case Silent(engine, started_at_ms):
+            hint = hints.Silent(engine, started_at_ms)
+        case Replaced(engine, successor, started_at_ms):
+            hint = hints.Replaced(engine, successor, started_at_ms)
+        case Restarted(engine, started_at_ms):
+            hint = hints.Restarted(engine, started_at_ms)
         case EnginesTold(entries, removed, unusable):
             read = tuple(map(read_engine, entries))
             hint = hints.EnginesTold(read, removed, unusable)
