--- a/tests/common/instance_world.py
+++ b/tests/common/instance_world.py
@@ -57,10 +57,12 @@
 class Store:
     """A store that answers when the test says so.
 
-    ``removals`` are the calls that take the own entry back.
+    ``removals`` are the calls that take the own entry back. Without
+    ``registers`` it never answers the one that writes it.
     """
 
-    def __init__(self):
+    def __init__(self, *, registers):
+        self.registers = registers
         self.removals = []
 
     def move_to(self, address):
@@ -73,7 +75,7 @@
         return defer.Deferred()
 
     def register(self, member):
-        return defer.succeed(None)
+        return defer.succeed(None) if self.registers else defer.Deferred()
 
     def read_members(self):
         return defer.succeed(store_watch.MembersRead(()))
@@ -100,9 +102,9 @@
     Without ``configured`` it has just started and knows no configuration.
     """
 
-    def __init__(self, *, configured=True):
+    def __init__(self, *, configured=True, registers=True):
         self.reactor = Reactor()
-        self.store = Store()
+        self.store = Store(registers=registers)
         place = relay_settings.InstanceSettings(
             'relay-0',
             'north',
--- a/tests/common/relay_wires.py
+++ b/tests/common/relay_wires.py
@@ -36,6 +36,10 @@
     def getHandle(self):
         return Handle()
 
+    def unregisterProducer(self):
+        """Forget the producer, once more too, as a socket's does."""
+        self.producer = None
+
     def abortConnection(self):
         self.aborted = True
         self.disconnecting = True
--- a/tests/process/test_planned_stops.py
+++ b/tests/process/test_planned_stops.py
@@ -239,5 +239,6 @@
     ran = set(Engine.ran)
     assert len(ran) == len(Engine.ran)
     assert ran == answered
+    assert refused
     assert not ran & refused
     assert {o.status for o in callers.offers} <= {200, 503, None}
--- a/tests/relay/test_stop_ending.py
+++ b/tests/relay/test_stop_ending.py
@@ -162,3 +162,101 @@
     world.store.removals[0].callback(None)
     world.advance(0.2)
     assert world.ended
+
+
+def nearly_empty_world():
+    """Return an instance that is just about to look who is still served."""
+    world = instance_world.InstanceWorld()
+    world.instance.stop()
+    world.advance(3.45)
+    return world
+
+
+def test_connection_with_half_a_head_is_not_closed_as_idle():
+    """The head of a request comes in two parts while a stop goes on.
+
+    Closed between them, its caller gets no answer and can't know whether the
+    request has run.
+    """
+    world = nearly_empty_world()
+    connection = world.connect()
+    connection.dataReceived(CALL[:25])
+    world.advance(0.2)
+    assert not connection.transport.disconnecting
+    connection.dataReceived(CALL[25:])
+    world.advance(0.01)
+    assert world.engine_requests
+
+
+def test_refusal_has_time_to_be_read_in_a_stop_too():
+    """A caller sends too large a body just before the instance looks again.
+
+    It still sends. Closed with its bytes unread, the connection would be
+    reset, and the refusal could be lost on its way.
+    """
+    world = nearly_empty_world()
+    connection = world.connect()
+    connection.dataReceived(
+        b'POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n'
+    )
+    world.reactor.advance(0.1)
+    world.reactor.advance(0.1)
+    assert connection.transport.half_closed
+    assert not connection.transport.disconnecting
+
+
+def test_half_read_request_is_refused_before_the_store_is_waited_for():
+    """The store is silent as the stop ends.
+
+    A caller who is still sending needs the rest of the time to read that its
+    request has not run.
+    """
+    world = instance_world.InstanceWorld()
+    connection = world.connect()
+    connection.dataReceived(CALL[:-1])
+    world.instance.stop()
+    world.reactor.advance(7.65)
+    world.reactor.advance(0.01)
+    assert_refused_as_not_run(connection)
+
+
+def test_others_hear_nothing_of_an_instance_that_has_said_goodbye():
+    """The store is silent, so the instance waits before it ends.
+
+    A further heartbeat would bring it back: its neighbours would count on it
+    to read the store for them, seconds after it has gone.
+    """
+    world = instance_world.InstanceWorld()
+    beats = []
+    world.instance.peers.beat = lambda leaving=False: beats.append(leaving)
+    connection = world.connect()
+    connection.dataReceived(CALL[:-1])
+    world.instance.next_beat = world.reactor.seconds() + 7.65
+    world.instance.stop()
+    world.advance(instance_world.GRACE_SECONDS)
+    assert beats[-1] is True
+
+
+def test_stop_ends_though_the_store_can_not_even_be_asked():
+    """Asking the store to remove the entry raises an error at once."""
+    world = instance_world.InstanceWorld()
+
+    def broken(member):
+        raise ValueError('no address')
+
+    world.store.unregister = broken
+    world.instance.stop()
+    world.advance(EMPTY_SECONDS)
+    assert world.ended
+
+
+def test_entry_that_may_have_been_written_is_removed():
+    """A stop is asked for while the store has not answered the registration.
+
+    The entry may be there already. Left behind, it would make the others count
+    on an instance that is gone.
+    """
+    world = instance_world.InstanceWorld(registers=False)
+    world.instance.stop()
+    world.advance(EMPTY_SECONDS)
+    assert len(world.store.removals) == 1
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -61,3 +61,26 @@
     world.advance(2.7)
     late = world.ask()
     assert_refused_as_not_run(world, late)
+
+
+def test_stream_is_refused_by_when_the_stop_was_asked_for():
+    """The loop was busy, and looked 0.6 s after the signal.
+
+    A stream that comes 2.0 s after that look comes 2.6 s after the signal.
+    """
+    world = relay_world.RelayWorld()
+    world.handle(relay_events.StopBy(world.now + 7.0, world.now - 0.6))
+    world.advance(2.0)
+    assert_refused_as_not_run(world, world.ask())
+
+
+def test_stream_is_refused_near_the_end_of_a_short_stop():
+    """The platform gives an instance three seconds for its stop.
+
+    Nobody has seen a stream end there yet, so how long one takes is unknown.
+    Taken with 0.2 s left, it would be cut before its first event.
+    """
+    world = relay_world.RelayWorld()
+    world.handle(relay_events.StopBy(world.now + 2.6))
+    world.advance(2.4)
+    assert_refused_as_not_run(world, world.ask())
--- a/tests/transport/test_draining.py
+++ b/tests/transport/test_draining.py
@@ -90,6 +90,21 @@
     assert ended
 
 
+def test_request_that_comes_while_answers_are_waited_for_is_refused():
+    """Another operator confirms on a connection that was open already.
+
+    Taken, it would be cut when the time is over, with its plan perhaps in
+    force; and each one taken would put off the end.
+    """
+    operators = Operators()
+    waiting, late = operators.connect(), operators.connect()
+    waiting.dataReceived(WHOLE)
+    operators.factory.drain(operators.clock)
+    late.dataReceived(WHOLE)
+    assert late.transport.value().startswith(b'HTTP/1.1 503')
+    assert len(operators.asked) == 1
+
+
 def test_idle_connection_is_closed_at_once():
     operators = Operators()
     connection = operators.connect()
