--- a/src/greengagelb/coordination/relay/stopping.py
+++ b/src/greengagelb/coordination/relay/stopping.py
@@ -20,6 +20,9 @@
 # known from others, and if it is cut at the end of the stop, its caller has
 # lost it.
 STREAMS_WHILE_STOPPING = 2.5
+# Of a short stop no more than this part: how long a stream takes may not be
+# known yet, and one needs about two seconds at least.
+STREAMS_SHARE = 1.0 / 3.0
 
 
 class StoppableLife:
@@ -57,7 +60,9 @@
         asked_at = now if event.asked_at is None else event.asked_at
         self.lifecycle.stop_requested()
         self.stop_by = event.deadline
-        self.streams_until = asked_at + STREAMS_WHILE_STOPPING
+        self.streams_until = asked_at + min(
+            STREAMS_WHILE_STOPPING, STREAMS_SHARE * (self.stop_by - asked_at)
+        )
         why = (
             f'{event.deadline - now:.1f} s left, '
             f'noticed after {now - asked_at:.3f} s'
--- a/src/greengagelb/transport/listening.py
+++ b/src/greengagelb/transport/listening.py
@@ -43,7 +43,7 @@
         """Answer what was asked, then close, within some time."""
         drained = self.drained = defer.Deferred()
         open_requests = self.wrappedFactory.open_requests
-        open_requests.refuse_half_read()
+        open_requests.take_no_more()
         open_requests.answered().addCallback(lambda _: self.close())
         return drained.addTimeout(
             FLUSH_SECONDS, reactor, onTimeoutCancel=lambda *_: None
--- a/src/greengagelb/transport/relay/caller_side.py
+++ b/src/greengagelb/transport/relay/caller_side.py
@@ -116,6 +116,12 @@
         """Close a connection on which nothing was asked for long."""
         self.close()
 
+    @property
+    def idle(self) -> bool:
+        """Return whether nothing is asked, or refused, on this connection."""
+        under_way = self.exchange is not None or self.half_read
+        return not (under_way or self.lingering)
+
     @property
     def half_read(self) -> bool:
         """Return whether a part of a request has come in."""
@@ -123,13 +129,21 @@
         return begun and self.exchange is None
 
     def end(self) -> None:
-        """Close the connection as this instance ends, with an answer owed."""
-        if self.lingering or self.transport.disconnecting:
+        """Close the connection, as this instance ends."""
+        if self.transport.disconnecting:
             return
-        if self.half_read:
-            self.refuse_and_close(UNAVAILABLE, 'stopping', STOPPING_WAIT)
-        elif self.exchange is None:
+        if self.idle:
             self.close()
+        else:
+            self.refuse_half_read()
+
+    def refuse_half_read(self) -> None:
+        """Refuse a request that has come in only in part.
+
+        Without an answer its caller could not know whether it has run.
+        """
+        if self.half_read and not self.lingering:
+            self.refuse_and_close(UNAVAILABLE, 'stopping', STOPPING_WAIT)
 
     def close(self) -> None:
         """Close the connection once all that was written is out."""
@@ -457,16 +471,18 @@
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
         for connection in list(self.connections):
-            if connection.exchange is None and connection.reading is None:
+            if connection.idle:
                 connection.close()
 
+    def refuse_half_read(self) -> None:
+        """Refuse the requests that have come in only in part."""
+        for connection in list(self.connections):
+            connection.refuse_half_read()
+
     def drain(self) -> defer.Deferred:
         """Close all connections; fire once all that was written is out.
 
-        A request that is not read whole is refused: without an answer its
-        caller could not know whether it has run. For those that are answered
-        already there is nothing left but to wait until their answers are out:
-        what is still in a buffer when the process ends is lost.
+        What is still in a buffer when the process ends is lost.
         """
         drained = self.drained = defer.Deferred()
         for connection in list(self.connections):
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -200,7 +200,7 @@
         self.last_pulse = now
         if late > PAUSE_SECONDS:
             self.loop.dispatch(events.PauseNoticed(late))
-        if now >= self.next_beat:
+        if now >= self.next_beat and not self.relay.finished:
             self.next_beat = now + self.relay.fleet.heartbeat_seconds
             self.peers.beat()
 
@@ -240,18 +240,25 @@
         """Take the own entry back, then close.
 
         The port stays open meanwhile, so that who connects is told that its
-        request has not run, rather than reset without a word.
+        request has not run, rather than reset without a word. Whatever goes
+        wrong here, the process ends.
         """
-        self.callers.break_all()
-        self.peers.beat(leaving=True)
-        removed = self.watch.stop()
+        removed = defer.maybeDeferred(self.leave)
         wait = self.kill_at - STORE_LAST_SECONDS - self.reactor.seconds()
         removed.addTimeout(max(0.0, wait), self.reactor, store_too_slow)
         removed.addErrback(self.watch.not_removed)
+        removed.addErrback(self.loop.failed)
         removed.addBoth(lambda _: self.close())
         removed.addErrback(self.loop.failed)
         removed.addBoth(lambda _: self.end())
 
+    def leave(self) -> defer.Deferred:
+        """Give up what is left, and take back what others know of us."""
+        self.callers.break_all()
+        self.callers.refuse_half_read()
+        self.peers.beat(leaving=True)
+        return self.watch.stop()
+
     def close(self) -> defer.Deferred:
         """Close the port and all connections; fire when they are."""
         wait = self.kill_at - END_LAST_SECONDS - self.reactor.seconds()
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -125,6 +125,7 @@
         self.sharing = sharing
         self.members_listed = members_listed
         self.registered = False
+        self.maybe_registered = False
         self.members_known = False
         self.configuration_position: int | None = None
         self.engines_position: int | None = None
@@ -142,9 +143,9 @@
         self.follow(self.look_at_members, lambda: None)
 
     def stop(self) -> defer.Deferred:
-        """Read no more, and remove the own entry."""
+        """Read no more, and remove the own entry, if there may be one."""
         self.stopped = True
-        if not self.registered:
+        if not self.maybe_registered:
             return defer.succeed(None)
         return self.source.unregister(self.own).addErrback(self.not_removed)
 
@@ -173,6 +174,7 @@
         if self.members_known:
             yield self.sleep(MEMBERS_EVERY * random.uniform(0.5, 1.5))
         if not self.registered:
+            self.maybe_registered = True
             yield self.source.register(self.own)
             self.registered = True
         read = yield self.source.read_members()
--- a/src/greengagelb/transport/serving.py
+++ b/src/greengagelb/transport/serving.py
@@ -45,6 +45,7 @@
     """
 
     def __init__(self) -> None:
+        self.ending = False
         self.requests: set[BoundedRequest] = set()
         self.waiting: list[defer.Deferred] = []
 
@@ -60,8 +61,12 @@
             for answered in waiting:
                 answered.callback(None)
 
-    def refuse_half_read(self) -> None:
-        """Refuse the requests that have not come in whole."""
+    def take_no_more(self) -> None:
+        """Refuse the requests that are not whole, and all that come later.
+
+        Taken, they would put off the end, and be cut by it in the end.
+        """
+        self.ending = True
         for request in list(self.requests):
             if not request.whole:
                 request.stop()
@@ -155,6 +160,8 @@
         """Handle a request that has come in whole."""
         self.whole = True
         self.stop_waiting()
+        if self.open_requests.ending:
+            self.stop()
         if not self.refused and not is_text(path):
             # Routing would fail on it outside any handler of ours.
             self.refuse(requests.Failure(*UNKNOWN_PATH))
