Group coordination/ into folders by what it keeps

Streams, calls, sharing, configuration, fleet; node, events, actions and lifecycle stay at the top as the seam that all use. Two modules would have been named as their folder: streams is continuing now, and calls dispatching.

--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from greengagelb import settings
-from greengagelb.coordination import watching
+from greengagelb.coordination.fleet import watching
 
 ROOT = pathlib.Path(__file__).parent.parent
 SLOPES = ROOT / 'docs' / 'measurements' / 'slopes.json'
--- a/measure/control_traffic.py
+++ b/measure/control_traffic.py
@@ -6,7 +6,7 @@
 import random
 import time
 
-from greengagelb.coordination import membership
+from greengagelb.coordination.fleet import membership
 from greengagelb.protocol import codec
 from greengagelb.protocol import peer_api
 from greengagelb.state import configuration
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -23,8 +23,8 @@
 import zlib
 
 from greengagelb.coordination import events
-from greengagelb.coordination import membership
 from greengagelb.coordination import node
+from greengagelb.coordination.fleet import membership
 from greengagelb.protocol import codec
 from greengagelb.protocol import engine_api
 from greengagelb.protocol import peer_api
--- /dev/null
+++ b/src/greengagelb/coordination/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on calls to plain services, which may run at most once."""
--- a/src/greengagelb/coordination/claims.py
+++ b/src/greengagelb/coordination/calls/claims.py
@@ -24,7 +24,7 @@
 from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
-from greengagelb.coordination import retry_budget
+from greengagelb.coordination.sharing import retry_budget
 from greengagelb.state import claims
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
--- a/src/greengagelb/coordination/calls.py
+++ b/src/greengagelb/coordination/calls/dispatching.py
@@ -1,8 +1,8 @@
 """Runs calls to plain services, a non-idempotent one at most once.
 
 A non-idempotent call with an idempotency key comes here only after its claim
-was granted (see :mod:`greengagelb.coordination.claims`). From then on it is
-dispatched a second time only where the first is proved not to have run.
+was granted (see :mod:`greengagelb.coordination.calls.claims`). From then on it
+is dispatched a second time only where the first is proved not to have run.
 
 An idempotent call that stays without an answer is tried once more beside the
 first try, whose connection may have gone silent; the first answer counts.
@@ -14,8 +14,8 @@
 from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
-from greengagelb.coordination import retry_budget
-from greengagelb.coordination import routing
+from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.sharing import retry_budget
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
 
--- /dev/null
+++ b/src/greengagelb/coordination/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""What operators want: plans, confirmations, and orders to engines."""
--- a/src/greengagelb/coordination/plans.py
+++ b/src/greengagelb/coordination/configuration/plans.py
@@ -5,8 +5,8 @@
 import math
 
 from greengagelb import errors
-from greengagelb.coordination import capacity
-from greengagelb.coordination import validation
+from greengagelb.coordination.configuration import capacity
+from greengagelb.coordination.configuration import validation
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import plans as plan_state
 
--- /dev/null
+++ b/src/greengagelb/coordination/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances and upstreams there are, and which one is chosen."""
--- a/src/greengagelb/coordination/membership.py
+++ b/src/greengagelb/coordination/fleet/membership.py
@@ -14,7 +14,7 @@
 import dataclasses
 
 from greengagelb.coordination import events
-from greengagelb.coordination import rendezvous
+from greengagelb.coordination.fleet import rendezvous
 from greengagelb.state import fleet
 from greengagelb.state import identity
 from greengagelb.state import timeline
--- a/src/greengagelb/coordination/routing.py
+++ b/src/greengagelb/coordination/fleet/routing.py
@@ -12,8 +12,8 @@
 import math
 import random
 
-from greengagelb.coordination import members
-from greengagelb.coordination import upstream_views
+from greengagelb.coordination.fleet import members
+from greengagelb.coordination.fleet import upstream_views
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import upstreams as upstream_state
 
--- a/src/greengagelb/coordination/watching.py
+++ b/src/greengagelb/coordination/fleet/watching.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Mapping
 
-from greengagelb.coordination import rendezvous
+from greengagelb.coordination.fleet import rendezvous
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import upstreams as upstream_state
 
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -10,17 +10,17 @@
 
 from greengagelb import errors
 from greengagelb.coordination import actions
-from greengagelb.coordination import admission
-from greengagelb.coordination import arrivals
-from greengagelb.coordination import calls
-from greengagelb.coordination import cancellations
-from greengagelb.coordination import claims
 from greengagelb.coordination import events
-from greengagelb.coordination import fair_queue
 from greengagelb.coordination import lifecycle
-from greengagelb.coordination import routing
-from greengagelb.coordination import stalls
-from greengagelb.coordination import streams
+from greengagelb.coordination.calls import claims
+from greengagelb.coordination.calls import dispatching
+from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.sharing import admission
+from greengagelb.coordination.sharing import arrivals
+from greengagelb.coordination.sharing import fair_queue
+from greengagelb.coordination.streams import cancellations
+from greengagelb.coordination.streams import continuing
+from greengagelb.coordination.streams import stalls
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
 
@@ -43,10 +43,10 @@
         self.admission = admission.AdmissionControl(rng)
         self.accounts: dict[str, configuration_state.ClientAccount] = {}
         self.cancels = cancellations.CancellationSupervisor()
-        self.streams = streams.StreamSupervisor(
+        self.streams = continuing.StreamSupervisor(
             self.directory, self.cancels, incarnation
         )
-        self.calls = calls.CallSupervisor(self.directory, rng)
+        self.calls = dispatching.CallSupervisor(self.directory, rng)
         self.claims = claims.ClaimKeeper(incarnation, rng)
         self.waiting: dict[
             int, tuple[fair_queue.Ticket, arrivals.Arrival]
@@ -406,11 +406,11 @@
                 return self.queued_too_long(int(rest), now)
             case claims.DEADLINE_TIMER | claims.SETTLE_TIMER:
                 return self.claims.timer_fired(kind, rest, now)
-            case calls.STALL_TIMER:
+            case dispatching.STALL_TIMER:
                 return self.calls.stalled(int(rest), now)
-            case calls.OUTCOME_TIMER:
+            case dispatching.OUTCOME_TIMER:
                 return self.calls.outcome_ended(int(rest))
-            case calls.DEADLINE_TIMER:
+            case dispatching.DEADLINE_TIMER:
                 return self.call_overdue(int(rest))
             case _:
                 return self.streams.timer_fired(kind, int(rest), now)
--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -3,13 +3,13 @@
 import dataclasses
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import stalls
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import answers
 from greengagelb.coordination.relay import choosing
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import sending
+from greengagelb.coordination.streams import stalls
 from greengagelb.state.relay import exchanges
 
 SECOND_TRY_TIMER = 'relay-second-try'
--- a/src/greengagelb/coordination/relay/copying.py
+++ b/src/greengagelb/coordination/relay/copying.py
@@ -7,11 +7,11 @@
 """
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import stalls
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import sending
+from greengagelb.coordination.streams import stalls
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import requests
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -9,7 +9,6 @@
 
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
-from greengagelb.coordination import stalls
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import answers
 from greengagelb.coordination.relay import budget
@@ -28,6 +27,7 @@
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.coordination.relay import streams
 from greengagelb.coordination.relay import succession
+from greengagelb.coordination.streams import stalls
 from greengagelb.state import identity
 from greengagelb.state.relay import bounds
 from greengagelb.state.relay import exchanges
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -7,8 +7,6 @@
 """
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import rates
-from greengagelb.coordination import stalls
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import choosing
@@ -16,6 +14,8 @@
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import succession
+from greengagelb.coordination.sharing import rates
+from greengagelb.coordination.streams import stalls
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import requests
--- a/src/greengagelb/coordination/relay/succession.py
+++ b/src/greengagelb/coordination/relay/succession.py
@@ -10,9 +10,9 @@
 import dataclasses
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import stalls
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import directory
+from greengagelb.coordination.streams import stalls
 from greengagelb.state.relay import engines
 
 SUCCESSOR_TIMER = 'relay-successor'
--- /dev/null
+++ b/src/greengagelb/coordination/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Who may use how much: client accounts, retries, and the store."""
--- a/src/greengagelb/coordination/admission.py
+++ b/src/greengagelb/coordination/sharing/admission.py
@@ -10,8 +10,8 @@
 import dataclasses
 import random
 
-from greengagelb.coordination import fair_queue
-from greengagelb.coordination import rates
+from greengagelb.coordination.sharing import fair_queue
+from greengagelb.coordination.sharing import rates
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
 
--- a/src/greengagelb/coordination/arrivals.py
+++ b/src/greengagelb/coordination/sharing/arrivals.py
@@ -6,9 +6,9 @@
 
 import dataclasses
 
-from greengagelb.coordination import claims
 from greengagelb.coordination import events
-from greengagelb.coordination import fair_queue
+from greengagelb.coordination.calls import claims
+from greengagelb.coordination.sharing import fair_queue
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
 
--- a/src/greengagelb/coordination/budgets.py
+++ b/src/greengagelb/coordination/sharing/budgets.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from greengagelb.coordination import rates
+from greengagelb.coordination.sharing import rates
 from greengagelb.state import identity
 
 WINDOW_SECONDS = 60.0
--- /dev/null
+++ b/src/greengagelb/coordination/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that keep streams going while engines fail."""
--- a/src/greengagelb/coordination/attempts.py
+++ b/src/greengagelb/coordination/streams/attempts.py
@@ -3,9 +3,9 @@
 import itertools
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import cancellations
-from greengagelb.coordination import routing
-from greengagelb.coordination import stalls
+from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.streams import cancellations
+from greengagelb.coordination.streams import stalls
 from greengagelb.state import attempts as attempt_state
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
--- a/src/greengagelb/coordination/streams.py
+++ b/src/greengagelb/coordination/streams/continuing.py
@@ -8,15 +8,15 @@
 import dataclasses
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import attempts
-from greengagelb.coordination import cancellations
-from greengagelb.coordination import endings
 from greengagelb.coordination import events
-from greengagelb.coordination import pinning
-from greengagelb.coordination import recovery
-from greengagelb.coordination import returning
-from greengagelb.coordination import routing
-from greengagelb.coordination import stalls
+from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.streams import attempts
+from greengagelb.coordination.streams import cancellations
+from greengagelb.coordination.streams import endings
+from greengagelb.coordination.streams import pinning
+from greengagelb.coordination.streams import recovery
+from greengagelb.coordination.streams import returning
+from greengagelb.coordination.streams import stalls
 from greengagelb.state import attempts as attempt_state
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
--- a/src/greengagelb/coordination/endings.py
+++ b/src/greengagelb/coordination/streams/endings.py
@@ -1,9 +1,9 @@
 """How a stream ends: whole, or with its final answer, and nothing left."""
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import attempts
-from greengagelb.coordination import routing
-from greengagelb.coordination import stalls
+from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.streams import attempts
+from greengagelb.coordination.streams import stalls
 from greengagelb.state import requests
 from greengagelb.state import streams as stream_state
 
--- a/src/greengagelb/coordination/recovery.py
+++ b/src/greengagelb/coordination/streams/recovery.py
@@ -10,12 +10,12 @@
 """
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import attempts
-from greengagelb.coordination import budgets
-from greengagelb.coordination import endings
-from greengagelb.coordination import pinning
-from greengagelb.coordination import routing
-from greengagelb.coordination import stalls
+from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.sharing import budgets
+from greengagelb.coordination.streams import attempts
+from greengagelb.coordination.streams import endings
+from greengagelb.coordination.streams import pinning
+from greengagelb.coordination.streams import stalls
 from greengagelb.state import attempts as attempt_state
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import streams as stream_state
--- a/src/greengagelb/coordination/returning.py
+++ b/src/greengagelb/coordination/streams/returning.py
@@ -8,12 +8,12 @@
 import dataclasses
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import attempts
-from greengagelb.coordination import endings
 from greengagelb.coordination import events
-from greengagelb.coordination import pinning
-from greengagelb.coordination import recovery
-from greengagelb.coordination import upstream_views
+from greengagelb.coordination.fleet import upstream_views
+from greengagelb.coordination.streams import attempts
+from greengagelb.coordination.streams import endings
+from greengagelb.coordination.streams import pinning
+from greengagelb.coordination.streams import recovery
 from greengagelb.state import attempts as attempt_state
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
--- a/src/greengagelb/coordination/stalls.py
+++ b/src/greengagelb/coordination/streams/stalls.py
@@ -6,7 +6,7 @@
 """
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import routing
+from greengagelb.coordination.fleet import routing
 from greengagelb.state import attempts
 from greengagelb.state import pace
 from greengagelb.state import streams as stream_state
--- a/src/greengagelb/measure/baselines.py
+++ b/src/greengagelb/measure/baselines.py
@@ -3,11 +3,11 @@
 Only what each experiment compares is replaced; recovery is the same.
 """
 
-from greengagelb.coordination import admission
-from greengagelb.coordination import fair_queue
 from greengagelb.coordination import node
-from greengagelb.coordination import routing
-from greengagelb.coordination import streams
+from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.sharing import admission
+from greengagelb.coordination.sharing import fair_queue
+from greengagelb.coordination.streams import continuing
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import requests
 from greengagelb.state import upstreams as upstream_state
@@ -116,7 +116,7 @@
 ) -> None:
     """Give a node that has no configuration yet another directory."""
     changed.directory = directory
-    changed.streams = streams.StreamSupervisor(
+    changed.streams = continuing.StreamSupervisor(
         directory, changed.cancels, changed.incarnation
     )
     changed.calls.directory = directory
--- a/src/greengagelb/measure/virtual_fleet.py
+++ b/src/greengagelb/measure/virtual_fleet.py
@@ -14,9 +14,9 @@
 import random
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import arrivals
 from greengagelb.coordination import events
 from greengagelb.coordination import node
+from greengagelb.coordination.sharing import arrivals
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
 
--- a/src/greengagelb/transport/claim_store.py
+++ b/src/greengagelb/transport/claim_store.py
@@ -9,7 +9,7 @@
 from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
-from greengagelb.coordination import store_budget
+from greengagelb.coordination.sharing import store_budget
 from greengagelb.protocol import codec
 from greengagelb.protocol import platform_api
 from greengagelb.state import claims
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -13,7 +13,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination import node
-from greengagelb.coordination import watching
+from greengagelb.coordination.fleet import watching
 from greengagelb.protocol import codec
 from greengagelb.protocol import operator_api
 from greengagelb.state import fleet
--- a/src/greengagelb/transport/operator_app.py
+++ b/src/greengagelb/transport/operator_app.py
@@ -14,8 +14,8 @@
 
 from greengagelb import errors
 from greengagelb.coordination import actions
-from greengagelb.coordination import confirming
-from greengagelb.coordination import plans
+from greengagelb.coordination.configuration import confirming
+from greengagelb.coordination.configuration import plans
 from greengagelb.protocol import operator_api
 from greengagelb.protocol import problems
 from greengagelb.protocol import timeline_api
--- a/src/greengagelb/transport/order_keeper.py
+++ b/src/greengagelb/transport/order_keeper.py
@@ -11,8 +11,8 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination import node
-from greengagelb.coordination import orders
-from greengagelb.coordination import rendezvous
+from greengagelb.coordination.configuration import orders
+from greengagelb.coordination.fleet import rendezvous
 from greengagelb.protocol import codec
 from greengagelb.protocol import engine_api
 from greengagelb.state import configuration as configuration_state
--- a/src/greengagelb/transport/peers.py
+++ b/src/greengagelb/transport/peers.py
@@ -18,7 +18,7 @@
 from greengagelb import settings
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
-from greengagelb.coordination import membership
+from greengagelb.coordination.fleet import membership
 from greengagelb.protocol import codec
 from greengagelb.protocol import peer_api
 from greengagelb.protocol import platform_api
--- a/src/greengagelb/transport/plan_store.py
+++ b/src/greengagelb/transport/plan_store.py
@@ -12,7 +12,7 @@
 from twisted.internet import defer
 
 from greengagelb import errors
-from greengagelb.coordination import confirming
+from greengagelb.coordination.configuration import confirming
 from greengagelb.protocol import codec
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import plans as plan_state
--- a/src/greengagelb/transport/platform_client.py
+++ b/src/greengagelb/transport/platform_client.py
@@ -14,7 +14,7 @@
 from greengagelb import errors
 from greengagelb import settings
 from greengagelb.coordination import actions
-from greengagelb.coordination import store_budget
+from greengagelb.coordination.sharing import store_budget
 from greengagelb.protocol import codec
 from greengagelb.protocol import platform_api
 from greengagelb.transport import http
--- a/tests/callers/test_priority.py
+++ b/tests/callers/test_priority.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from greengagelb.coordination import arrivals
+from greengagelb.coordination.sharing import arrivals
 from greengagelb.state import configuration
 from tests.common import caller_sites
 
--- a/tests/calls/test_claims.py
+++ b/tests/calls/test_claims.py
@@ -6,8 +6,8 @@
 import pytest
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import claims
 from greengagelb.coordination import events
+from greengagelb.coordination.calls import claims
 from greengagelb.state import claims as claim_state
 from greengagelb.state import identity
 from greengagelb.state import requests
--- a/tests/calls/test_platform_client.py
+++ b/tests/calls/test_platform_client.py
@@ -4,7 +4,7 @@
 from greengagelb import settings
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
-from greengagelb.coordination import store_budget
+from greengagelb.coordination.sharing import store_budget
 from greengagelb.state import claims
 from greengagelb.transport import claim_store
 from greengagelb.transport import platform_client
--- a/tests/calls/test_store_budget.py
+++ b/tests/calls/test_store_budget.py
@@ -6,7 +6,7 @@
 from hypothesis import settings
 from hypothesis import strategies
 
-from greengagelb.coordination import store_budget
+from greengagelb.coordination.sharing import store_budget
 
 READ = store_budget.RequestKind.READ
 WRITE = store_budget.RequestKind.WRITE
--- a/tests/common/confirmations.py
+++ b/tests/common/confirmations.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from greengagelb.coordination import confirming
+from greengagelb.coordination.configuration import confirming
 from greengagelb.state import configuration
 from greengagelb.state import plans
 
--- a/tests/common/members.py
+++ b/tests/common/members.py
@@ -1,6 +1,6 @@
 """A data centre of memberships joined by a network that loses messages."""
 
-from greengagelb.coordination import membership
+from greengagelb.coordination.fleet import membership
 from greengagelb.state import fleet
 
 INTERVAL = 4.0
--- a/tests/common/order_world.py
+++ b/tests/common/order_world.py
@@ -1,6 +1,6 @@
 """Holders of an order lease, a store and engines on one clock."""
 
-from greengagelb.coordination import orders
+from greengagelb.coordination.configuration import orders
 from greengagelb.state import configuration
 from greengagelb.state import orders as order_state
 
--- a/tests/fleet/test_changes_under_way.py
+++ b/tests/fleet/test_changes_under_way.py
@@ -3,8 +3,8 @@
 import random
 
 from greengagelb.coordination import events
-from greengagelb.coordination import routing
-from greengagelb.coordination import upstream_views
+from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.fleet import upstream_views
 from greengagelb.state import configuration
 from greengagelb.state import identity
 from tests.common import configurations
--- a/tests/fleet/test_leaving.py
+++ b/tests/fleet/test_leaving.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from greengagelb.coordination import events
-from greengagelb.coordination import routing
+from greengagelb.coordination.fleet import routing
 from greengagelb.state import configuration
 from greengagelb.state import identity
 from tests.common import configurations
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -6,7 +6,7 @@
 import pytest
 
 from greengagelb.coordination import events
-from greengagelb.coordination import membership
+from greengagelb.coordination.fleet import membership
 from greengagelb.state import fleet
 from greengagelb.state import identity
 from tests.common import members
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from greengagelb.coordination import orders
+from greengagelb.coordination.configuration import orders
 from greengagelb.state import orders as order_state
 from tests.common import order_world
 
--- a/tests/fleet/test_watching.py
+++ b/tests/fleet/test_watching.py
@@ -4,8 +4,8 @@
 import random
 
 from greengagelb.coordination import events
-from greengagelb.coordination import routing
-from greengagelb.coordination import watching
+from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.fleet import watching
 from greengagelb.protocol import peer_api
 from greengagelb.state import configuration
 from greengagelb.state import fleet
--- a/tests/load/test_fair_queue.py
+++ b/tests/load/test_fair_queue.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from greengagelb.coordination import fair_queue
+from greengagelb.coordination.sharing import fair_queue
 from greengagelb.state import configuration
 
 LONG = configuration.Priority.LONG
--- a/tests/load/test_limits.py
+++ b/tests/load/test_limits.py
@@ -5,9 +5,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from greengagelb.coordination import admission
 from greengagelb.coordination import events
-from greengagelb.coordination import rates
+from greengagelb.coordination.sharing import admission
+from greengagelb.coordination.sharing import rates
 from greengagelb.state import identity
 from greengagelb.state import requests
 from greengagelb.state import streams as stream_state
--- a/tests/load/test_routing.py
+++ b/tests/load/test_routing.py
@@ -3,8 +3,8 @@
 import random
 
 from greengagelb.coordination import events
-from greengagelb.coordination import members
-from greengagelb.coordination import routing
+from greengagelb.coordination.fleet import members
+from greengagelb.coordination.fleet import routing
 from greengagelb.state import configuration
 from greengagelb.state import identity
 from tests.common import loaded_node
--- a/tests/operators/test_confirm_races.py
+++ b/tests/operators/test_confirm_races.py
@@ -4,7 +4,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from greengagelb.coordination import confirming
+from greengagelb.coordination.configuration import confirming
 from tests.common import confirmations
 
 FAIR = [confirmations.Weather.FAIR]
--- a/tests/operators/test_plans.py
+++ b/tests/operators/test_plans.py
@@ -6,8 +6,8 @@
 import pytest
 
 from greengagelb import errors
-from greengagelb.coordination import plans
-from greengagelb.coordination import validation
+from greengagelb.coordination.configuration import plans
+from greengagelb.coordination.configuration import validation
 from greengagelb.protocol import operator_api
 from greengagelb.state import configuration
 from greengagelb.state import plans as plan_state
--- a/tests/streams/test_cancellations.py
+++ b/tests/streams/test_cancellations.py
@@ -1,7 +1,7 @@
 """A cancellation is repeated until it is known to have taken effect."""
 
 from greengagelb.coordination import actions
-from greengagelb.coordination import cancellations
+from greengagelb.coordination.streams import cancellations
 from greengagelb.state import configuration
 from greengagelb.state import identity
 
--- a/tests/streams/test_recovery_ladder.py
+++ b/tests/streams/test_recovery_ladder.py
@@ -3,7 +3,7 @@
 import pytest
 
 from greengagelb.coordination import events
-from greengagelb.coordination import recovery
+from greengagelb.coordination.streams import recovery
 from greengagelb.state import configuration
 from greengagelb.state import requests
 from tests.common import generations
--- a/tests/streams/test_returning_callers.py
+++ b/tests/streams/test_returning_callers.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 import pytest
 
-from greengagelb.coordination import budgets
-from greengagelb.coordination import upstream_views
+from greengagelb.coordination.fleet import upstream_views
+from greengagelb.coordination.sharing import budgets
 from greengagelb.state import configuration
 from greengagelb.state import identity
 from tests.common import generations
--- a/tests/streams/test_stalls.py
+++ b/tests/streams/test_stalls.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagelb.coordination import stalls
+from greengagelb.coordination.streams import stalls
 from greengagelb.state import pace
 from tests.common import generations
 
