Test of the soak's link that fails: it passes later bytes before earlier ones

The engine's link had been slow and became fast while its last 43 events were on the way; the end overtook the last three.

--- /dev/null
+++ b/tests/soak/test_proxy.py
@@ -0,0 +1,54 @@
+"""The soak's own link must not do what no network does."""
+
+from twisted.internet import address
+from twisted.internet import task
+from twisted.internet import testing
+
+from tests.soak import proxy
+
+
+class Port:
+    """A listening port."""
+
+    def getHost(self):
+        return address.IPv4Address('TCP', '127.0.0.1', 7)
+
+
+class Reactor(task.Clock):
+    """Time that the test moves, and ports that nobody connects to."""
+
+    def listenTCP(self, port, factory, interface=''):
+        return Port()
+
+    def connectTCP(self, host, port, factory):
+        """Nothing depends on it here."""
+
+
+class Wire(testing.StringTransport):
+    """A transport that takes the options of a socket."""
+
+    def setTcpNoDelay(self, enabled):
+        """Nothing depends on it here."""
+
+
+def test_bytes_stay_in_order_when_a_slow_link_becomes_fast_again():
+    """A link has been slow, and is not any more while bytes are on it.
+
+    Passed on at once, the end of a stream would arrive before its last events,
+    and look like the whole of it. No connection does that: the soak would
+    blame the instance for what its own link has done.
+    """
+    reactor = Reactor()
+    link = proxy.Proxy(reactor, '127.0.0.1')
+    link.far = ('127.0.0.1', 8)
+    near, far = proxy.Half(link, upward=True), proxy.Half(link, upward=False)
+    near.other, far.other = far, near
+    near.makeConnection(Wire())
+    far.makeConnection(Wire())
+    link.delay = 0.1
+    far.dataReceived(b'last event, ')
+    reactor.advance(0.05)
+    link.delay = 0.0
+    far.dataReceived(b'end')
+    reactor.advance(0.2)
+    assert near.transport.value() == b'last event, end'
