Keep the good settings file of the tests once; say what the wait at a stop is

Two tests held the same text of a settings file; tests/common has it now, and both assert what they did. A comment said that a constant wait spreads callers: it doesn't; by then the port is closed.

--- a/src/greengagelb/transport/relay/caller_side.py
+++ b/src/greengagelb/transport/relay/caller_side.py
@@ -44,8 +44,7 @@
 MOST_UNSENT_BYTES = 1 << 20
 BODY_WAIT = 0.5
 # A caller whose request is refused as this instance ends finds another one as
-# soon as it connects again; the wait spreads those that come back together.
-# In seconds.
+# soon as it connects again; by then the port here is closed. In seconds.
 STOPPING_WAIT = 0.1
 
 
--- a/tests/cli/test_check_config.py
+++ b/tests/cli/test_check_config.py
@@ -8,6 +8,7 @@
 import greengagelb
 from greengagelb.cli import exit_codes
 from tests.common import commands as runner
+from tests.common import settings_files
 
 Code = exit_codes.ExitCode
 TEMPLATE = (
@@ -169,27 +170,12 @@
 
 
 def test_settings_of_the_own_interface_are_told_apart(tmp_path):
-    own = f"""\
-[instance]
-name = a
-data_centre = kl-1
-host = 127.0.0.1
-caller_port = 1
-operator_port = 2
-peer_port = 3
-
-[platform]
-host = 127.0.0.1
-port = 4
-
-[secrets]
-cursor_secret = 0123456789abcdef
-operator_key_digest = {'a' * 64}
-"""
-    told, _ = check(tmp_path, own)
+    told, _ = check(tmp_path, settings_files.GOOD)
     assert told.code == Code.SUCCESS
     assert told.output == 'settings of a are valid for greengagelb serve\n'
-    told, _ = check(tmp_path, own + '[store]\naddress = 127.0.0.1:1\n')
+    told, _ = check(
+        tmp_path, settings_files.GOOD + '[store]\naddress = 127.0.0.1:1\n'
+    )
     assert 'unknown section [store]; write one of' in told.complaint
 
 
--- a/tests/settings/test_mistakes.py
+++ b/tests/settings/test_mistakes.py
@@ -7,24 +7,9 @@
 
 from greengagelb import errors
 from greengagelb import settings
+from tests.common import settings_files
 
-GOOD = """\
-[instance]
-name = a
-data_centre = kl-1
-host = 127.0.0.1
-caller_port = 1
-operator_port = 2
-peer_port = 3
-
-[platform]
-host = 127.0.0.1
-port = 4
-
-[secrets]
-cursor_secret = 0123456789abcdef
-operator_key_digest = DIGEST
-""".replace('DIGEST', 'a' * 64)
+GOOD = settings_files.GOOD
 
 
 def read(tmp_path, text, encoding='utf-8'):
