Wait for an answer of the store as long as it comes; ask for what there is, not for all that changed

Cause: a call to the store had 0.6 s for its whole answer. On a link of 5 Mbit/s that carries 360 kB. An instance that had been cut off for eight seconds asked for the changes of the configuration since, 25 versions in 553,696 bytes; 360,373 of them had come when the answer was given up, and the same was asked for again: 60 times on 7 instances in 17 s, as long as the versions were the newest ones. The list of engines has the same trap: after 15 s on the word of a neighbour the changes are 570 kB of renewals, against 46 kB for all entries.

Ruled out: many askers at once (the store's link is 4,000 Mbit/s, each answer came at its instance's own rate); lost answers (every answer had begun).

Change: a limit on the pause within an answer in place of one on the whole; an answer that comes for too long is an error of its own, after which the whole is asked for, as when the history is gone; the list is read whole after two seconds, the configuration once something newer is known to be there. A read that took long is no word on now, and a reader whose calls for the configuration fail has no word on it.

--- a/src/greengagelb/coordination/relay/engine_list.py
+++ b/src/greengagelb/coordination/relay/engine_list.py
@@ -9,6 +9,11 @@
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
 
+# A read that took longer than this tells the neighbours nothing about now, in
+# seconds. It is what a call to the store may take on a good link; with the
+# time that they wait for a word it stays below the bound on work for engines
+# that leave.
+PROMPT_READ_SECONDS = 0.6
 # Entries of engines in one datagram; ten take some 900 bytes.
 NEWS_IN_A_DATAGRAM = 10
 
@@ -73,13 +78,22 @@
         reads_for_all = self.sharing.is_reader(now)
         if not reads_for_all and not self.sharing.engines.others_wait:
             return done
-        # Only the one who reads for all waits for the next configuration, and
-        # so is sure to have the newest.
-        version = self.version if reads_for_all else None
-        word = hints.StoreRead(self.engines.digest(), version)
-        told = [*parts_of(news, removed, spoilt), word]
+        told = parts_of(news, removed, spoilt)
+        if self.sharing.engines.read_takes(now) <= PROMPT_READ_SECONDS:
+            told.append(self.word(reads_for_all=reads_for_all))
         return done + [relay_actions.TellNeighbours(hint) for hint in told]
 
+    def word(self, *, reads_for_all: bool) -> hints.StoreRead:
+        """Return what the neighbours are told of what stands in the store.
+
+        Only the one who reads for all waits for the next configuration, and
+        so is sure to have the newest, unless its calls for it fail.
+        """
+        sure = reads_for_all and not self.sharing.configuration.failures
+        return hints.StoreRead(
+            self.engines.digest(), self.version if sure else None
+        )
+
     def changed(
         self,
         entries: tuple[engines.EngineEntry, ...],
--- a/src/greengagelb/coordination/relay/store_sharing.py
+++ b/src/greengagelb/coordination/relay/store_sharing.py
@@ -83,6 +83,12 @@
         self.looked_at = now
         self.others_wait = not self.stale
 
+    def read_takes(self, now: float) -> float:
+        """Return for how long the latest read has been under way."""
+        if self.looked_at == float('-inf'):
+            return 0.0
+        return now - self.looked_at
+
     def failed(self) -> None:
         """Note that it could not be read."""
         self.failures += 1
--- a/src/greengagelb/errors.py
+++ b/src/greengagelb/errors.py
@@ -65,6 +65,16 @@
     handed_over = True
 
 
+class AnswerTooLong(TransportError):
+    """An answer was given up while it still came.
+
+    Who asks for the same again would give it up again; what is shorter may
+    come through.
+    """
+
+    code = 'answer-too-long'
+
+
 class HistoryGone(TransportError):
     """The store no longer has the changes since a version.
 
--- a/src/greengagelb/platform/store.py
+++ b/src/greengagelb/platform/store.py
@@ -24,13 +24,21 @@
 MOST_ROWS = 500
 OK = 200
 GONE = 410
-# An answer takes some milliseconds, and a quarter of a second while the
-# store is slow. On a connection on which an answer was lost nothing more
-# ever comes. In seconds.
+# An answer begins within some milliseconds, and within a quarter of a second
+# while the store is slow. On a connection on which an answer was lost nothing
+# more ever comes. In seconds.
 ANSWER_SECONDS = 0.6
 # An answer has at most a megabyte of rows, by the platform's page on its
 # store; the second one is for what stands around them.
 MOST_BYTES = 2 << 20
+# How long an answer may come that tells all there is, in seconds. Nothing
+# shorter could be asked for, so it only bounds what a store may hold up that
+# sends a little now and then: a megabyte takes 1.6 s on the smallest link in
+# use, of 5 Mbit/s, and that has callers to serve besides.
+WHOLE_SECONDS = 10.0
+# The same for changes. What there is may be far less than what has changed,
+# and then comes sooner.
+CHANGES_SECONDS = 1.0
 
 
 class PlatformStore:
@@ -46,12 +54,13 @@
         """Ask at another address from now on."""
         self.address = address
 
-    def get(self, target: str, seconds: float) -> defer.Deferred:
+    def get(
+        self, target: str, seconds: float, coming_seconds: float
+    ) -> defer.Deferred:
         """Return the body of a good answer to a reading call."""
         host = (b'Host', str(self.address).encode())
-        return self.ask(
-            http_client.WireRequest(b'GET', target.encode(), (host,)), seconds
-        )
+        request = http_client.WireRequest(b'GET', target.encode(), (host,))
+        return self.ask(request, seconds, coming_seconds)
 
     def write(self, change: rows.Change) -> defer.Deferred:
         """Carry out a change of one row."""
@@ -66,12 +75,16 @@
         )
 
     def ask(
-        self, request: http_client.WireRequest, seconds: float
+        self,
+        request: http_client.WireRequest,
+        seconds: float,
+        coming_seconds: float = 0.0,
     ) -> defer.Deferred:
         """Return the body of a good answer.
 
-        Raises :class:`~greengagelb.errors.PlatformUnavailable`, and
-        :class:`~greengagelb.errors.HistoryGone`.
+        Raises :class:`~greengagelb.errors.PlatformUnavailable`,
+        :class:`~greengagelb.errors.HistoryGone` and
+        :class:`~greengagelb.errors.AnswerTooLong`.
         """
         asked: defer.Deferred = defer.Deferred()
         question = questions.Question(
@@ -80,6 +93,7 @@
             request,
             seconds,
             MOST_BYTES,
+            coming_seconds=coming_seconds,
         )
         questions.ask(self.pool, question, asked.callback)
         return asked.addCallback(check_status)
@@ -106,19 +120,20 @@
         target = f'/api/rows-get?table={table}&part=&limit={MOST_ROWS}'
         if begin:
             target += f'&from={urllib.parse.quote(begin, safe="")}'
-        return self.get(target, ANSWER_SECONDS).addCallback(
-            row_answers.read_rows
-        )
+        asked = self.get(target, ANSWER_SECONDS, WHOLE_SECONDS)
+        return asked.addCallback(row_answers.read_rows)
 
     def read_changes(
         self, table: str, position: int, wait_seconds: float
     ) -> defer.Deferred:
         """Return the rows that have changed since a version."""
         wait = int(wait_seconds * 1000)
-        return self.get(
+        asked = self.get(
             f'/api/rows-feed?table={table}&after_rev={position}&wait_ms={wait}',
             wait_seconds + ANSWER_SECONDS,
-        ).addCallback(row_answers.read_rows)
+            CHANGES_SECONDS,
+        )
+        return asked.addCallback(row_answers.read_rows)
 
     # -- what the watch asks for --------------------------------------------
 
@@ -195,6 +210,8 @@
 
 def check_status(answer: questions.Answer) -> bytes:
     """Return the body of a good answer, or raise what is wrong with it."""
+    if answer.too_long:
+        raise errors.AnswerTooLong(answer.detail)
     if answer.response is None:
         raise errors.PlatformUnavailable(answer.detail)
     status = answer.response.status_code
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -42,6 +42,11 @@
 # second after more. Calls that the store refuses cost as much as others.
 FIRST_RETRY_SECONDS = 0.1
 RETRY_SECONDS = 0.6
+# Changes of the list of engines are read on from a read that is at most so
+# old, in seconds. Engines renew their entries every 1.2 seconds, and each
+# renewal is a change: those of a longer time are more than the whole list,
+# after fifteen seconds twelve times as much.
+CHANGES_SECONDS = 2.0
 # What the one entry of the configuration is called where mistakes are kept.
 CONFIGURATION = 'configuration'
 
@@ -79,8 +84,9 @@
 class Source(Protocol):
     """The store, as far as the watch needs it.
 
-    All raise :class:`~greengagelb.errors.PlatformUnavailable` and
-    :class:`~greengagelb.errors.HistoryGone`.
+    All raise :class:`~greengagelb.errors.PlatformUnavailable`,
+    :class:`~greengagelb.errors.HistoryGone` and
+    :class:`~greengagelb.errors.AnswerTooLong`.
     """
 
     def move_to(self, address: engines.Address) -> None:
@@ -129,6 +135,7 @@
         self.members_known = False
         self.configuration_position: int | None = None
         self.engines_position: int | None = None
+        self.engines_read_at = float('-inf')
         self.bad_engines = unusable_entries.UnusableEntries()
         self.bad_members = unusable_entries.UnusableEntries()
         self.bad_configuration = unusable_entries.UnusableEntries()
@@ -258,9 +265,9 @@
         wait = CONFIGURATION_WAIT if reads_for_all else 0.0
         try:
             read = yield self.source.read_configuration(
-                self.configuration_position, wait
+                self.position_of_configuration(), wait
             )
-        except errors.HistoryGone:
+        except (errors.HistoryGone, errors.AnswerTooLong):
             read = yield self.source.read_configuration(None, wait)
         self.configuration_position = read.position
         self.sharing.configuration.known(now)
@@ -269,6 +276,18 @@
             self.dispatch(relay_events.RoutesOffered(read.table, 'store'))
         self.dispatch(relay_events.ConfigurationChecked())
 
+    def position_of_configuration(self) -> int | None:
+        """Return from where to read changes on, or None to read it whole.
+
+        The changes have every version since, of which only the last counts.
+        After many versions they would fill a slow link for so long that old
+        keys and routes stay in force; so once something newer is known to be
+        there, the one in force is asked for.
+        """
+        if self.sharing.configuration.stale:
+            return None
+        return self.configuration_position
+
     def note_configuration_mistake(self, read: ConfigurationRead) -> None:
         """Tell of a configuration that can't be used, once."""
         if read.table is not None:
@@ -283,16 +302,19 @@
     def look_at_engines(self) -> object:
         """Take in what has changed in the list, when it is time to."""
         yield self.sleep_until_due(self.sharing.engines_due_at)
-        self.sharing.engines.looked(self.reactor.seconds())
-        whole = self.engines_position is None
+        now = self.reactor.seconds()
+        self.sharing.engines.looked(now)
+        whole = now > self.engines_read_at + CHANGES_SECONDS
+        position = None if whole else self.engines_position
         try:
-            read = yield self.source.read_engines(self.engines_position)
-        except errors.HistoryGone:
+            read = yield self.source.read_engines(position)
+        except (errors.HistoryGone, errors.AnswerTooLong):
             # Waiting for the next look would cost a second, in which engines
             # that have left get work.
             whole = True
             read = yield self.source.read_engines(None)
         self.engines_position = read.position
+        self.engines_read_at = now
         self.note_engine_mistakes(read, whole=whole)
         unusable = tuple(entry.name for entry in read.mistakes)
         if whole:
--- /dev/null
+++ b/tests/load/test_news_over_slow_links.py
@@ -0,0 +1,168 @@
+"""News from the store over the link of a small machine.
+
+The smallest machines in use have links of 5 Mbit/s. A fleet of their size has
+140 engines, each of which renews its entry every 1.2 seconds, and
+configurations of 21 kB come in storms of 25 within two seconds. So what has
+changed in fifteen seconds is far more than what stands in the store: some
+550 kB of configurations and 570 kB of renewals, where the one in force has
+21 kB and all entries together 46 kB.
+"""
+
+import pytest
+
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.state.relay import hints
+from tests.common import wire_store
+
+LINK_BYTES_A_SECOND = 5_000_000 // 8
+ENGINES = 140
+STORM = 25
+STORM_GAP_SECONDS = 0.08
+# Routes of a usual configuration and of one that was grown by very many.
+FEW_ROUTES = 160
+MANY_ROUTES = 1_100
+# The least bounds that the users state for work on what has left and by what
+# is no longer in force, on fleets of that size. In seconds.
+BOUND_SECONDS = 3.0
+GONE = 'i-003'
+# A neighbour that reads the store for all, by the order of their names.
+READER = '00-first'
+
+
+class World:
+    """An instance, and the operator and engines that write to its store."""
+
+    def __init__(self):
+        self.instance = wire_store.LinkedInstance(LINK_BYTES_A_SECOND)
+        self.store = self.instance.store
+        self.reactor = self.instance.reactor
+        self.renewal = 0
+        self.configured = 0
+        self.leaving = ''
+        self.configure(FEW_ROUTES)
+        self.renew()
+        self.instance.watch.start()
+
+    def configure(self, routes):
+        self.configured += 1
+        value = wire_store.configuration_value(self.configured, routes)
+        self.store.put(*wire_store.CONFIGURATION, value)
+
+    def hear_reader(self):
+        """Have a neighbour tell once a second what it reads in the store."""
+        instance = self.instance
+        instance.dispatch(relay_events.PeerHeard(READER, 'north'))
+        digest = instance.relay.engines.digest()
+        if self.leaving and instance.knows(self.leaving):
+            digest += 1
+        word = hints.StoreRead(digest, self.configured)
+        instance.dispatch(relay_events.PeerTold(READER, word))
+        self.reactor.callLater(1.0, self.hear_reader)
+
+    def storm(self, routes):
+        """Put many configurations in force, shortly after one another."""
+        for number in range(STORM):
+            self.reactor.callLater(
+                number * STORM_GAP_SECONDS, self.configure, routes
+            )
+
+    def renew(self):
+        """Have all engines renew their entries, now and later."""
+        self.renewal += 1
+        for number in range(ENGINES):
+            name = name_of(number)
+            state = 'draining' if name == self.leaving else 'ready'
+            value = wire_store.engine_value(number, self.renewal, state)
+            self.store.put('servers', name, value)
+        self.reactor.callLater(wire_store.RENEWAL_SECONDS, self.renew)
+
+    def leave(self, engine):
+        """Have an engine tell that it leaves."""
+        self.leaving = engine
+        number = int(engine.removeprefix('i-'))
+        value = wire_store.engine_value(number, self.renewal, 'draining')
+        self.store.put('servers', engine, value)
+
+
+def name_of(number):
+    return f'i-{number:03}'
+
+
+@pytest.fixture
+def world():
+    """Return a world whose instance has served for a while."""
+    found = World()
+    found.instance.play(4.0)
+    assert found.instance.version == 1
+    assert found.instance.knows(GONE)
+    return found
+
+
+def test_storm_behind_a_cut_is_caught_up_with_at_once(world):
+    """An instance is cut off while configurations come in quick succession.
+
+    When its link is whole it asks for what has changed, and gets each version
+    that came meanwhile. Cut off by a limit on the whole answer, it would ask
+    for the same again until the load is gone, and go on serving by keys and
+    routes that are no longer valid.
+    """
+    world.hear_reader()
+    world.store.cut = True
+    world.storm(FEW_ROUTES)
+    world.instance.play(8.0)
+    world.store.cut = False
+    world.instance.play(BOUND_SECONDS)
+    assert world.instance.version == world.configured
+
+
+def test_leaving_engine_is_noticed_after_long_trust_in_words(world):
+    """An engine leaves when an instance has not read the store for long.
+
+    It lived on the word of a neighbour, and the datagram with this news is
+    lost. What has changed since its last read has all renewals of all engines.
+    Given up half read and asked for again, the engine would get work for as
+    long as the store keeps them.
+    """
+    world.hear_reader()
+    world.instance.play(15.0)
+    world.leave(GONE)
+    world.instance.play(BOUND_SECONDS)
+    assert not world.instance.knows(GONE)
+
+
+def test_large_configurations_come_through(world):
+    """The configuration grows so much that an answer takes most of a second.
+
+    Two such versions shortly after one another come in one answer. Thrown
+    away half read, neither would ever be in force here.
+    """
+    world.configure(MANY_ROUTES)
+    world.instance.play(0.05)
+    world.configure(MANY_ROUTES)
+    world.instance.play(BOUND_SECONDS)
+    assert world.instance.version == world.configured
+
+
+def test_storm_of_large_configurations_comes_to_an_end(world):
+    """Each of many versions is so large that one fills the link for long.
+
+    All of them together are more than an answer may hold. The last one has to
+    be in force soon after it was written, whatever became of the others.
+    """
+    world.storm(MANY_ROUTES)
+    world.instance.play(STORM * STORM_GAP_SECONDS + BOUND_SECONDS)
+    assert world.instance.version == world.configured
+
+
+def test_store_that_answers_no_more_is_noticed_midway(world):
+    """The link goes silent while an answer is coming.
+
+    Nothing more ever comes on that connection, and a new one would bring the
+    answer at once.
+    """
+    world.configure(MANY_ROUTES)
+    world.instance.play(0.2)
+    for wire in world.store.wires:
+        wire.unsent = b''
+    world.instance.play(BOUND_SECONDS)
+    assert world.instance.version == world.configured
--- a/tests/platform/test_long_lists.py
+++ b/tests/platform/test_long_lists.py
@@ -41,7 +41,7 @@
         self.kept = [entry(number) for number in range(ENGINES)]
         self.version = 10
 
-    def get(self, target, seconds):
+    def get(self, target, seconds, coming_seconds):
         path, _, query = target.partition('?')
         assert path == '/api/rows-get'
         fields = urllib.parse.parse_qs(query)
@@ -85,7 +85,7 @@
     """
 
     class StuckStore(PagedStore):
-        def get(self, target, seconds):
+        def get(self, target, seconds, coming_seconds):
             answer = rows.Rows([entry(0)], self.version, has_more=True)
             return defer.succeed(json.dumps(as_json(answer)).encode())
 
--- a/tests/relay/test_store_sharing.py
+++ b/tests/relay/test_store_sharing.py
@@ -184,3 +184,50 @@
     read_by(world, version=world.relay.table.version + 1)
     read_by(world)
     assert world.relay.sharing.configuration_due(world.now)
+
+
+def words(world):
+    """Return what was told of whole reads of the store."""
+    return [h for h in told(world) if isinstance(h, hints.StoreRead)]
+
+
+def test_read_that_took_long_is_no_word_on_what_stands_there_now():
+    """The reader's link is slow, and a read of the list takes 1.5 seconds.
+
+    What it has read is that old. Neighbours that took its word for news of
+    this moment would wait another while before they look themselves, and give
+    work to an engine that left when the answer was on its way. What is new in
+    the answer they are told all the same.
+    """
+    reader = relay_world.RelayWorld()
+    leaving = relay_world.engine(
+        'model-north-0', relay_world.STREAMS, 'north', 2, leaving=True
+    )
+    before = len(words(reader))
+    reader.relay.sharing.engines.looked(reader.now)
+    reader.advance(1.5)
+    reader.handle(relay_events.EnginesChanged((leaving,), ()))
+    assert len(words(reader)) == before
+    assert any(
+        isinstance(hint, hints.EnginesTold) and hint.entries == (leaving,)
+        for hint in told(reader)
+    )
+
+
+def test_reader_that_can_not_read_the_configuration_has_no_word_on_it():
+    """The reader reads the list of engines, but not the configuration.
+
+    Its neighbours must not take the version that it has for the newest: they
+    would go on by keys and routes that are no longer valid for as long as its
+    calls for the configuration fail.
+    """
+    reader = relay_world.RelayWorld()
+    reader.relay.sharing.configuration.looked(reader.now)
+    reader.relay.sharing.configuration.failed()
+    reader.relay.sharing.engines.looked(reader.now)
+    reader.handle(relay_events.EnginesChanged((), ()))
+    assert words(reader)[-1].version is None
+    reader.relay.sharing.configuration.known(reader.now)
+    reader.relay.sharing.engines.looked(reader.now)
+    reader.handle(relay_events.EnginesChanged((), ()))
+    assert words(reader)[-1].version == reader.relay.table.version
