Find model engines that restarted in an outage of the store without a time limit

Hypothesis: while the store is away, engines that crash and come back are found only where a stream with an answer under way was lost on them: after that the address may be another service's.

Change: whoever answers there is asked whether it has the memory of a model engine; where one service alone has such engines, it is of that service. Asked after a loss and after a refusal by another identity, only while the list can't be had, for ten seconds at most.

--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -127,10 +127,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskSuccessor:
-    """Ask who answers at the address of an engine that was lost."""
+    """Ask who answers at the address of an engine that was lost.
+
+    If it ``may_be_another_service`` it is asked too whether it has the memory
+    of a model engine.
+    """
 
     entry: engines.EngineEntry
     path: str
+    may_be_another_service: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -161,12 +161,14 @@
     """Who answers at the address of a lost engine; empty if nobody does.
 
     Where it is the same identity, ``started_at_ms`` is when it says that it
-    was started.
+    was started. ``has_model_memory`` is whether it was asked for the memory
+    of a model engine, and has it, and is not about to leave.
     """
 
     old: str
     new: str
     started_at_ms: int = engines.UNKNOWN_START
+    has_model_memory: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -200,8 +200,8 @@
                 return self.listed.store_lost(detail)
             case relay_events.SuccessorSeen(old, new, start) if old == new:
                 return self.restarts.found(old, start, now)
-            case relay_events.SuccessorSeen(old, new):
-                return self.successor_seen(old, new, now)
+            case relay_events.SuccessorSeen():
+                return self.successor_seen(event, now)
             case relay_events.StopBy():
                 return self.life.asked(event, now)
             case relay_events.StopDue():
@@ -235,10 +235,13 @@
         self.budget.resize(self.fleet.size)
         return done
 
-    def successor_seen(self, old: str, new: str, now: float) -> list[Action]:
+    def successor_seen(
+        self, event: relay_events.SuccessorSeen, now: float
+    ) -> list[Action]:
         """Use an engine that has taken the place of a lost one."""
-        if not self.succession.seen(old, new, now):
+        if not self.succession.seen(event, now):
             return []
+        old, new = event.old, event.new
         self.sends.untold.append(hints.Replaced(old, new))
         return [actions.Record('engine-succeeded', f'by {new}', upstream=old)]
 
@@ -461,10 +464,7 @@
         self.table = table
         self.listed.version = table.version
         self.engines.services = frozenset(table.services)
-        self.succession.health_paths = {
-            name: service.health_path
-            for name, service in table.services.items()
-        }
+        self.succession.configure(table)
         self.life.configured()
         why = f'version {table.version} from {event.source}'
         done: list[Action] = [actions.Record('configuration-applied', why)]
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -322,11 +322,13 @@
             exchange.failed = (head, event.body)
         self.parts.sends.release(exchange, sent)
         told = sending.record(exchange, sent, 'send-refused', why)
+        done: list[Action] = [told]
         if head.status == calls.WRONG_ENGINE:
             self.parts.sends.found_replaced(exchange, sent)
+            done += self.successors.replaced(sent.entry, now)
         if not sent.from_copy:
             exchange.refused_by.add(sent.entry.engine)
-        return [told, *self.start_afresh(exchange, now, 'engines-full')]
+        return done + self.start_afresh(exchange, now, 'engines-full')
 
     def broken(
         self,
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -78,9 +78,14 @@
 
 
 class Report(msgspec.Struct):
-    """What an engine tells of itself; ``born`` is when it was started."""
+    """What an engine tells of itself; ``born`` is when it was started.
+
+    ``kv_total`` is the memory of a model engine, in tokens.
+    """
 
     born: rows.StartMilliseconds = engines.UNKNOWN_START
+    kv_total: rows.Amount = 0
+    state: str = ''
 
 
 class PlatformDialect:
@@ -187,12 +192,12 @@
 
     def read_start(self, status: int, body: bytes) -> int:
         """Return when an engine that was probed says that it was started."""
-        if status != 200:
-            return engines.UNKNOWN_START
-        try:
-            return msgspec.json.decode(body, type=Report).born
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            return engines.UNKNOWN_START
+        return read_report(status, body).born
+
+    def read_has_model_memory(self, status: int, body: bytes) -> bool:
+        """Return whether what was probed is a model engine, and stays one."""
+        report = read_report(status, body)
+        return report.kv_total > 0 and report.state != rows.DRAINING
 
     def write_copy(
         self, copy: relay_actions.CopyRun
@@ -237,6 +242,16 @@
         raise errors.ProtocolError('event without a number')
 
 
+def read_report(status: int, body: bytes) -> Report:
+    """Return what an engine tells of itself; nothing if it can't be read."""
+    if status != 200:
+        return Report()
+    try:
+        return msgspec.json.decode(body, type=Report)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return Report()
+
+
 def single(fields: requests.Headers, name: bytes) -> bytes | None:
     """Return a field's value; two of them would leave open which counts."""
     found = [v for n, v in fields if n.lower() == name.lower()]
--- a/src/greengagelb/transport/relay/dialect.py
+++ b/src/greengagelb/transport/relay/dialect.py
@@ -53,6 +53,9 @@
         In Unix milliseconds; ``UNKNOWN_START`` where it does not say.
         """
 
+    def read_has_model_memory(self, status: int, body: bytes) -> bool:
+        """Return whether what was probed is a model engine, and stays one."""
+
     def write_copy(
         self, copy: relay_actions.CopyRun
     ) -> http_client.WireRequest:
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -200,12 +200,13 @@
         request = self.dialect.write_copy(copy)
         self.ask(copy.source, request, COPY_SECONDS, done)
 
-    def ask_successor(self, entry: engines.EngineEntry, path: str) -> None:
+    def ask_successor(self, question: relay_actions.AskSuccessor) -> None:
         """Ask who answers at an engine's address, on a new connection.
 
         If it is the same identity it is asked for its start too: the engine
         may have crashed and be back.
         """
+        entry = question.entry
 
         def done(answer: questions.Answer) -> None:
             found = ''
@@ -213,10 +214,35 @@
                 found = self.dialect.read_answer(answer.response).engine
             if found == entry.engine:
                 self.ask_start(entry)
-                return
-            self.dispatch(relay_events.SuccessorSeen(entry.engine, found))
+            elif found and question.may_be_another_service:
+                self.ask_memory(entry, found)
+            else:
+                self.dispatch(relay_events.SuccessorSeen(entry.engine, found))
 
-        request = self.dialect.write_question(entry, path)
+        request = self.dialect.write_question(entry, question.path)
+        self.ask(entry, request, PROBE_SECONDS, done, fresh=True)
+
+    def ask_memory(self, entry: engines.EngineEntry, found: str) -> None:
+        """Ask whoever is at an address whether it is a model engine.
+
+        Addresses change hands after seconds, so this is the one that has
+        just named itself there.
+        """
+
+        def done(answer: questions.Answer) -> None:
+            has_memory = (
+                answer.response is not None
+                and self.dialect.read_has_model_memory(
+                    answer.response.status_code, answer.body
+                )
+            )
+            self.dispatch(
+                relay_events.SuccessorSeen(
+                    entry.engine, found, has_model_memory=has_memory
+                )
+            )
+
+        request = self.dialect.write_probe(entry)
         self.ask(entry, request, PROBE_SECONDS, done, fresh=True)
 
     def ask_start(self, entry: engines.EngineEntry) -> None:
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -287,8 +287,8 @@
                 self.engines.probe(action)
             case relay_actions.CopyRun():
                 self.engines.copy_run(action)
-            case relay_actions.AskSuccessor(entry, path):
-                self.engines.ask_successor(entry, path)
+            case relay_actions.AskSuccessor():
+                self.engines.ask_successor(action)
             case relay_actions.TellNeighbours(hint):
                 self.peers.tell_neighbours(hint)
             case relay_actions.TellPeers(hint):
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -164,3 +164,25 @@
     read says nothing, and is a sign of life as any other answer.
     """
     assert wire.PlatformDialect().read_start(status, body) == start
+
+
+@pytest.mark.parametrize(
+    ('body', 'expected'),
+    [
+        (b'{"kv_total":55000,"state":"ready"}', True),
+        (b'{"kv_total":55000}', True),
+        (b'{"kv_total":55000,"state":"draining"}', False),
+        (b'{"kv_total":0}', False),
+        (b'{"running":3}', False),
+        (b'{"kv_total":"many"}', False),
+        (b'no json', False),
+    ],
+)
+def test_model_memory_in_a_report(body, expected):
+    """Taken for a model engine, another one would run what no route allows.
+
+    One that is about to leave must get no more work.
+    """
+    dialect = wire.PlatformDialect()
+    assert dialect.read_has_model_memory(200, body) is expected
+    assert not dialect.read_has_model_memory(503, body)
--- a/tests/relay/test_successors.py
+++ b/tests/relay/test_successors.py
@@ -3,6 +3,7 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state.relay import hints
+from greengagelb.state.relay import routes
 from tests.common import relay_world
 
 
@@ -77,3 +78,114 @@
     assert world.relay.engines.states['model-new'].entry.address == (
         old.address
     )
+
+
+# How long after an engine was last heard it is lost in these tests: its
+# address may be another service's by then. In seconds.
+LONG_SECONDS = 5.0
+
+
+def found(world, dead, **fields):
+    """Let an engine answer where one was lost; return whether it is used."""
+    world.handle(
+        relay_events.SuccessorSeen(dead.engine, 'model-new', **fields)
+    )
+    return 'model-new' in world.relay.engines.states
+
+
+def test_idle_engine_that_restarted_in_an_outage_is_found_again():
+    """An engine without any stream crashes and restarts, and the store is away.
+
+    Nobody notices until the next prompt is refused there, long after its
+    address may have been given away. Three of nine engines were lost so for
+    eight seconds on a played day, and the prompts of all callers waited for
+    each other on the others. The one that answers says that it holds the
+    memory of a model, and no other service has such engines.
+    """
+    world = relay_world.RelayWorld()
+    world.handle(relay_events.StoreLost('away'))
+    world.advance(LONG_SECONDS)
+    send = world.last_send(world.ask())
+    world.refuse(send, 421)
+    world.advance(0.01)
+    question = world.of_kind(relay_actions.AskSuccessor)[-1]
+    assert question.entry == send.engine
+    assert question.may_be_another_service
+    assert found(world, send.engine, has_model_memory=True)
+
+
+def test_engine_lost_before_its_first_event_is_found_again():
+    """An engine crashes while it reads its first prompt for a while.
+
+    When it was last heard says nothing of when it crashed. The store is away,
+    so that nothing but its address leads to the engine that comes back.
+    """
+    world = relay_world.RelayWorld()
+    world.handle(relay_events.StoreLost('away'))
+    world.advance(LONG_SECONDS)
+    send = world.last_send(world.ask())
+    world.lose(send)
+    world.advance(1.3)
+    assert send.engine in asked_successors(world)
+    assert found(world, send.engine, has_model_memory=True)
+
+
+def test_engine_without_model_memory_is_of_another_service():
+    """The address of a lost engine has been given to a plain service."""
+    world = relay_world.RelayWorld()
+    world.handle(relay_events.StoreLost('away'))
+    world.advance(LONG_SECONDS)
+    send = world.last_send(world.ask())
+    world.refuse(send, 421)
+    assert not found(world, send.engine)
+
+
+def test_engine_of_one_of_two_model_services_is_not_taken_for_the_other():
+    """Two services have model engines, and one took the other's address."""
+    other = routes.Service('summaries', 240, relay_world.MODEL)
+    known = relay_world.route_table(2)
+    table = routes.RouteTable(
+        2,
+        known.routes,
+        (*relay_world.SERVICES, other),
+        known.limits,
+        known.accounts,
+    )
+    world = relay_world.RelayWorld(table=table)
+    world.handle(relay_events.StoreLost('away'))
+    world.advance(LONG_SECONDS)
+    send = world.last_send(world.ask())
+    world.refuse(send, 421)
+    world.advance(2.0)
+    assert not asked_successors(world)
+    assert not found(world, send.engine, has_model_memory=True)
+
+
+def test_questions_at_an_address_come_to_an_end():
+    """An engine is lost for good while the store is away.
+
+    Questions are paid for, and one that is not back after ten seconds is not
+    expected any more.
+    """
+    world = relay_world.RelayWorld()
+    world.handle(relay_events.StoreLost('away'))
+    world.advance(LONG_SECONDS)
+    dead = lose_a_stream(world)
+    world.advance(12.0)
+    asked = asked_successors(world).count(dead)
+    assert 8 <= asked <= 24
+    world.advance(30.0)
+    assert asked_successors(world).count(dead) == asked
+
+
+def test_list_that_is_back_ends_the_questions():
+    """With the store, the list tells of whoever has started anew."""
+    world = relay_world.RelayWorld()
+    world.handle(relay_events.StoreLost('away'))
+    world.advance(LONG_SECONDS)
+    dead = lose_a_stream(world)
+    world.advance(3.0)
+    world.list_engines(relay_world.fleet(heartbeat=3))
+    asked = asked_successors(world).count(dead)
+    world.advance(5.0)
+    assert asked_successors(world).count(dead) == asked
