--- a/tests/relay/test_successors.py
+++ b/tests/relay/test_successors.py
@@ -94,7 +94,7 @@
 
 
 def test_idle_engine_that_restarted_in_an_outage_is_found_again():
-    """An engine without any stream crashes and restarts, and the store is away.
+    """An engine without a stream crashes and restarts while the store is away.
 
     Nobody notices until the next prompt is refused there, long after its
     address may have been given away. Three of nine engines were lost so for
