Lend an instance what the others leave of the repeats that all share

Hypothesis: each instance keeps to its own part of the operators' bound on repeats.

Change: runs that are told to the others say whether they are repeats. Up to half of the bound an instance may use more than its part, and beyond four fifths none sends a repeat; those that can't be heard keep their part of the slack. Overshoot: what all decide within the time of a datagram. Calls are not told, and keep to their parts. The log of a broken stream tells why.

--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -80,9 +80,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BreakOff:
-    """Reset the caller's connection: its answer can't be completed."""
+    """Reset the caller's connection: its answer can't be completed.
+
+    ``code`` tells why, on the time line.
+    """
 
     exchange: int
+    code: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/answers.py
+++ b/src/greengagelb/coordination/relay/answers.py
@@ -43,7 +43,7 @@
         whether the request may have run.
         """
         if exchange.begun:
-            return relay_actions.BreakOff(exchange.number)
+            return relay_actions.BreakOff(exchange.number, code)
         if exchange.failed is not None:
             head, body = exchange.failed
             return relay_actions.PassAnswer(exchange.number, head, body)
--- a/src/greengagelb/coordination/relay/budget.py
+++ b/src/greengagelb/coordination/relay/budget.py
@@ -2,8 +2,11 @@
 
 Each repeat is one more arrival at a service that may be failing because it
 has too much to do. The operators bound the repeats of all instances together
-over any window of some seconds. Every instance keeps to its own part, so
-that the bound holds whoever can talk to whom.
+over any window of some seconds. Every instance has its own part, so that the
+bound holds whoever can talk to whom. In a large fleet that part is a few
+repeats, and the streams that an engine takes with it are not spread evenly: so
+beyond its part an instance may use what all others together leave, as far as
+they tell what they send.
 """
 
 import collections
@@ -11,43 +14,77 @@
 from greengagelb.state.relay import bounds
 
 # The part of the shared allowance that is given out. What is left covers
-# instances that have just come up and that the others do not know yet.
+# instances that have just come up and that the others do not know yet, and
+# sends that the others have not been told of yet or never are.
 GIVEN_OUT = 0.8
+# The part of it up to which an instance may use more than its own. What all
+# decide within the time of a datagram nobody has been told of: a data centre
+# of engines takes a third of all streams with it, about as many as the other
+# half allows.
+LENT = 0.5
 # Before an instance knows how many others there are it takes next to nothing
 # of what all share: as little as in a large fleet.
 UNKNOWN_INSTANCES = 100
 
 
 class ServiceWindow:
-    """Requests and repeats of one service within the window."""
+    """Requests and repeats of one service within the window.
+
+    ``others_requests`` and ``others_repeats`` are those that other instances
+    have told of.
+    """
 
     def __init__(self) -> None:
         self.requests: collections.deque[float] = collections.deque()
         self.repeats: collections.deque[float] = collections.deque()
+        self.others_requests: collections.deque[float] = collections.deque()
+        self.others_repeats: collections.deque[float] = collections.deque()
+
+    @property
+    def all_requests(self) -> int:
+        """Return how many requests there were as far as this one knows."""
+        return len(self.requests) + len(self.others_requests)
+
+    @property
+    def all_repeats(self) -> int:
+        """Return how many repeats there were as far as this one knows."""
+        return len(self.repeats) + len(self.others_repeats)
 
     def drop_before(self, moment: float) -> None:
         """Forget what lies before a moment."""
-        for times in (self.requests, self.repeats):
+        for times in (
+            self.requests,
+            self.repeats,
+            self.others_requests,
+            self.others_repeats,
+        ):
             while times and times[0] < moment:
                 times.popleft()
 
 
 class SharedRetryBudget:
-    """This instance's part of the repeats that a service may get.
+    """The repeats that a service may get, as one instance sees them.
 
     Over any window, an instance sends at most ``ratio`` times its own
     requests of that window plus its part of ``slack``. Summed over all
-    instances that is what the operators allow.
+    instances that is what the operators allow. Where all sends are told to
+    the others, it may send more while the repeats of all are few, and less
+    when they are nearly what is allowed.
     """
 
     def __init__(self, limits: bounds.RetryBounds) -> None:
         self.bounds = limits
         self.instances = UNKNOWN_INSTANCES
+        self.heard = 1
         self.services: dict[str, ServiceWindow] = {}
 
-    def resize(self, instances: int) -> None:
-        """Share the allowance with that many instances, this one included."""
+    def resize(self, instances: int, heard: int = 1) -> None:
+        """Share the allowance with that many instances, this one included.
+
+        ``heard`` of them are known to live, and tell what they send.
+        """
         self.instances = max(1, instances)
+        self.heard = min(self.instances, max(1, heard))
 
     def window(self, service: str, now: float) -> ServiceWindow:
         """Return a service's window, up to date."""
@@ -59,16 +96,38 @@
         """Count a caller's request for a service."""
         self.window(service, now).requests.append(now)
 
-    def allowance(self, service: str, now: float) -> float:
-        """Return how many repeats this instance may have in the window."""
+    def told(self, service: str, now: float, *, repeat: bool) -> None:
+        """Count what another instance has sent."""
         window = self.window(service, now)
+        times = window.others_repeats if repeat else window.others_requests
+        times.append(now)
+
+    def own_part(self, window: ServiceWindow) -> float:
+        """Return how many repeats this instance may have in the window."""
         part = GIVEN_OUT * self.bounds.slack / self.instances
         return part + self.bounds.ratio * len(window.requests)
 
-    def spend(self, service: str, now: float) -> bool:
-        """Take one repeat, if there is one."""
+    def shared(self, window: ServiceWindow) -> float:
+        """Return how many repeats all may have whom this instance hears.
+
+        Those that it does not hear have as much for themselves.
+        """
+        slack = self.bounds.slack * self.heard / self.instances
+        return slack + self.bounds.ratio * window.all_requests
+
+    def spend(
+        self, service: str, now: float, *, all_told: bool = False
+    ) -> bool:
+        """Take one repeat, if there is one.
+
+        ``all_told`` tells that each send to the service is told to the other
+        instances.
+        """
         window = self.window(service, now)
-        if len(window.repeats) + 1 > self.allowance(service, now):
-            return False
-        window.repeats.append(now)
-        return True
+        allowed = len(window.repeats) + 1 <= self.own_part(window)
+        if all_told:
+            share = GIVEN_OUT if allowed else LENT
+            allowed = window.all_repeats + 1 <= share * self.shared(window)
+        if allowed:
+            window.repeats.append(now)
+        return allowed
--- a/src/greengagelb/coordination/relay/fleet.py
+++ b/src/greengagelb/coordination/relay/fleet.py
@@ -56,10 +56,11 @@
         known = self.heard_at.pop(incarnation, None) is not None
         return ([incarnation] if known else []) + self.tidy(now)
 
-    def placed(self, incarnation: str, hint: hints.Placed, now: float) -> None:
-        """Count a run of another instance."""
+    def placed(self, incarnation: str, hint: hints.Placed, now: float) -> bool:
+        """Count a run of another instance; return whether it is a new one."""
         self.heard(incarnation, now)
         key = (incarnation, hint.number)
+        is_new = key not in self.placed_at
         self.placed_at[key] = now
         run = loads.Run(
             hint.engine,
@@ -67,8 +68,10 @@
             hint.unread_tokens,
             hint.copy_to,
             hint.part,
+            hint.attempt,
         )
         self.loads.began(key, run, now)
+        return is_new
 
     def ended(self, incarnation: str, hint: hints.Ended) -> None:
         """Count a run of another instance no longer."""
--- a/src/greengagelb/coordination/relay/loads.py
+++ b/src/greengagelb/coordination/relay/loads.py
@@ -19,13 +19,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
-    """A run on an engine, and the copy of its memory on another."""
+    """A run on an engine, and the copy of its memory on another.
+
+    ``attempt`` is 1 for the first send of its request, more for each repeat,
+    and 0 for one in place of a send that never left.
+    """
 
     engine: str
     memory_tokens: int
     unread_tokens: int
     copy_to: str = ''
     part: str = ''
+    attempt: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -232,7 +232,7 @@
                 self.sharing.left(incarnation)
                 # It may have been the one that reads for all.
                 done.append(relay_actions.LookAtStore())
-        self.budget.resize(self.fleet.size)
+        self.budget.resize(self.fleet.size, 1 + len(self.fleet.heard_at))
         return done
 
     def successor_seen(
@@ -251,7 +251,7 @@
         """Take in a hint of another instance."""
         match hint:
             case hints.Placed():
-                self.fleet.placed(incarnation, hint, now)
+                self.placed_elsewhere(incarnation, hint, now)
             case hints.Ended():
                 self.fleet.ended(incarnation, hint)
             case hints.Failed(engine, start):
@@ -278,6 +278,16 @@
                 return self.look_if_stale()
         return self.copies_lost_with(hint, now)
 
+    def placed_elsewhere(
+        self, incarnation: str, hint: hints.Placed, now: float
+    ) -> None:
+        """Count a run of another instance, and the send that began it."""
+        state = self.engines.states.get(hint.engine)
+        is_new = self.fleet.placed(incarnation, hint, now)
+        if is_new and hint.attempt and state is not None:
+            service = state.entry.service
+            self.budget.told(service, now, repeat=hint.attempt > 1)
+
     def look_if_stale(self) -> list[Action]:
         """Read the store if something newer is known to be there."""
         sharing = self.sharing
@@ -499,8 +509,8 @@
             if action.retry_after is not None:
                 why += f', back in {action.retry_after:.3f} s'
             return [sending.record(exchange, None, 'refused', why)]
-        case relay_actions.BreakOff():
-            why = f'after event {exchange.position}'
+        case relay_actions.BreakOff(code=code):
+            why = f'{code}, after event {exchange.position}'
             return [sending.record(exchange, None, 'broken-off', why)]
         case relay_actions.PassAnswer(head=head) if not head.succeeded:
             why = f'status {head.status}'
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -48,7 +48,11 @@
             return False
         if not exchange.attempts:
             return True
-        return self.budget.spend(exchange.ruling.service.name, now)
+        return self.budget.spend(
+            exchange.ruling.service.name,
+            now,
+            all_told=exchange.request.prompt is not None,
+        )
 
     def order(
         self,
@@ -148,6 +152,7 @@
             unread,
             copy_to,
             prompt.own_part,
+            attempt_told(exchange),
         )
         self.count_and_tell(sent.number, run, now)
 
@@ -172,6 +177,7 @@
                 run.unread_tokens,
                 run.copy_to,
                 run.part,
+                run.attempt,
             )
         )
 
@@ -216,6 +222,16 @@
         return done
 
 
+def attempt_told(exchange: exchanges.Exchange) -> int:
+    """Return what the others are told of a send that was just ordered.
+
+    In place of one that could not be connected it is no new request, and no
+    repeat: the engine before has got nothing.
+    """
+    first = len(exchange.tried) == 1
+    return exchange.attempts if first or exchange.attempts > 1 else 0
+
+
 def record(
     exchange: exchanges.Exchange,
     sent: exchanges.Sent | None,
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -34,6 +34,7 @@
     unread_tokens: int
     copy_to: str
     part: str = ''
+    attempt: int = 0
 
 
 class Ended(
@@ -176,8 +177,16 @@
 def encode_hint(incarnation: str, hint: hints.Hint) -> bytes:
     """Return a hint as a datagram."""
     match hint:
-        case hints.Placed(number, engine, memory, unread, copy_to, part):
-            wire = Placed(number, engine, memory, unread, copy_to, part)
+        case hints.Placed():
+            wire = Placed(
+                hint.number,
+                hint.engine,
+                hint.memory_tokens,
+                hint.unread_tokens,
+                hint.copy_to,
+                hint.part,
+                hint.attempt,
+            )
         case hints.Ended(number):
             wire = Ended(number)
         case hints.Failed(engine, started_at_ms):
@@ -222,6 +231,7 @@
                 wire.unread_tokens,
                 wire.copy_to,
                 wire.part,
+                wire.attempt,
             )
         case Ended(number):
             hint = hints.Ended(number)
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -18,6 +18,8 @@
     """A run was given to an engine; ``number`` names it at its instance.
 
     ``part`` names the part of its prompt that no other conversation shares.
+    ``attempt`` is 1 for the first send of its request, more for each repeat,
+    and 0 for one in place of a send that never left.
     """
 
     number: int
@@ -26,6 +28,7 @@
     unread_tokens: int
     copy_to: str
     part: str = ''
+    attempt: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/relay/test_retry_budget.py
+++ b/tests/relay/test_retry_budget.py
@@ -1,10 +1,16 @@
 """The budget of repeats that all instances share."""
 
+import dataclasses
+
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from greengagelb.coordination import actions as common_actions
+from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import budget
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.state.relay import hints
 from tests.common import relay_world
 
 # One second of one instance: its requests, and the repeats that it wants.
@@ -51,3 +57,144 @@
     one = budget.SharedRetryBudget(relay_world.RETRIES)
     taken = sum(one.spend('s', 1.0) for _ in range(100))
     assert 1 <= taken <= 3
+
+
+# The larger fleets: about as many instances, and requests of streams that each
+# of them has in ten seconds.
+MANY = 90
+REQUESTS_EACH = 5
+
+
+def fleet_of_budgets(number=MANY):
+    """Return the budgets of a fleet that has served for a window."""
+    budgets = [
+        budget.SharedRetryBudget(relay_world.RETRIES) for _ in range(number)
+    ]
+    for one in budgets:
+        one.resize(number, number)
+    for one in budgets:
+        for _ in range(REQUESTS_EACH):
+            request(budgets, one)
+    return budgets
+
+
+def request(budgets, one, now=1.0):
+    """Count a request at one instance, and tell the others."""
+    one.count_request('s', now)
+    for other in budgets:
+        if other is not one:
+            other.told('s', now, repeat=False)
+
+
+def repeat(budgets, one, now=1.0):
+    """Have one instance ask for a repeat, and tell the others of it."""
+    if not one.spend('s', now, all_told=True):
+        return False
+    for other in budgets:
+        if other is not one:
+            other.told('s', now, repeat=True)
+    return True
+
+
+def test_instance_that_is_hit_hard_may_use_what_the_others_leave():
+    """Engines die, and most of their streams are those of one instance.
+
+    A ninetieth of the budget is five repeats in ten seconds. On played days of
+    larger fleets one stream in ten was broken off for want of it, while all
+    instances together used less than half of what they may.
+    """
+    budgets = fleet_of_budgets()
+    assert all(repeat(budgets, budgets[0]) for _ in range(15))
+
+
+def test_all_together_keep_to_the_bound_whoever_uses_it():
+    """One instance takes what it can get, and then so does each other one."""
+    budgets = fleet_of_budgets()
+    taken = sum(repeat(budgets, one) for one in budgets for _ in range(1_000))
+    bounds = relay_world.RETRIES
+    assert taken <= bounds.ratio * MANY * REQUESTS_EACH + bounds.slack
+
+
+def test_parts_that_do_not_hear_each_other_keep_to_the_bound():
+    """The data centres are cut off from each other, and engines die in each.
+
+    Those who hear less than all of them must not take all of the budget.
+    """
+    parts = [fleet_of_budgets(MANY // 3) for _ in range(3)]
+    taken = 0
+    for budgets in parts:
+        for one in budgets:
+            one.resize(MANY, MANY // 3)
+        taken += sum(
+            repeat(budgets, one) for one in budgets for _ in range(1_000)
+        )
+    bounds = relay_world.RETRIES
+    assert taken <= bounds.ratio * MANY * REQUESTS_EACH + bounds.slack
+
+
+def test_repeats_that_nobody_tells_of_keep_to_the_own_part():
+    """Short calls are not told of, as there are too many of them."""
+    budgets = fleet_of_budgets()
+    taken = sum(budgets[0].spend('s', 1.0) for _ in range(100))
+    assert taken <= relay_world.RETRIES.ratio * REQUESTS_EACH + 2
+
+
+def test_run_that_is_told_of_twice_counts_once():
+    """An instance tells again of a run when its copy is placed elsewhere."""
+    world = relay_world.RelayWorld()
+    placed = hints.Placed(7, 'model-north-0', 6_000, 0, '', attempt=2)
+    for copy_to in ('', 'model-south-0'):
+        hint = dataclasses.replace(placed, copy_to=copy_to)
+        world.handle(relay_events.PeerTold('one', hint))
+    window = world.relay.budget.window(relay_world.STREAMS, world.now)
+    assert len(window.others_repeats) == 1
+    assert not window.others_requests
+
+
+def test_others_are_told_which_sends_are_repeats():
+    world = relay_world.RelayWorld()
+    exchange = world.ask()
+    world.lose(world.last_send(exchange))
+    told = [
+        action.hint.attempt
+        for action in world.of_kind(relay_actions.TellPeers)
+        if isinstance(action.hint, hints.Placed)
+    ]
+    assert told == [1, 2]
+
+
+def test_send_that_never_left_is_neither_request_nor_repeat():
+    """A data centre is cut off, and each of its connections fails to open.
+
+    Told of as repeats they would use up the budget of all instances; told of
+    as requests they would enlarge it.
+    """
+    world = relay_world.RelayWorld()
+    exchange = world.ask()
+    world.lose(world.last_send(exchange), handed_over=False)
+    told = [
+        action.hint.attempt
+        for action in world.of_kind(relay_actions.TellPeers)
+        if isinstance(action.hint, hints.Placed)
+    ]
+    assert told == [1, 0]
+
+
+def test_log_tells_that_a_stream_was_cut_for_want_of_a_repeat():
+    """A caller's stream ends in the middle although engines are free.
+
+    Who looks up its request finds that nothing was tried, and must find why.
+    """
+    world = relay_world.RelayWorld()
+    exchange = world.ask()
+    world.begin(world.last_send(exchange))
+    world.events(world.last_send(exchange), 1)
+    while world.relay.budget.spend(relay_world.STREAMS, world.now):
+        pass
+    world.lose(world.last_send(exchange))
+    reasons = [
+        record.reason
+        for record in world.of_kind(common_actions.Record)
+        if record.kind == 'broken-off'
+    ]
+    assert reasons == ['retry-budget-spent, after event 1']
