--- a/tests/relay/test_copies.py
+++ b/tests/relay/test_copies.py
@@ -217,3 +217,68 @@
         world.last_send(world.ask_little()).engine.engine for _ in range(30)
     }
     assert 'new' in used
+
+
+# How long a data centre whose engines have just failed is avoided, and a
+# little more, in seconds.
+CALM_AGAIN_SECONDS = 6.0
+
+
+def stream_far_from(world, place):
+    """Start a stream whose engine and copy stand in other data centres.
+
+    The engines of the given one have just failed each instance that asked.
+    """
+    for number in range(2):
+        failed = hints.Failed(f'model-{place}-{number}')
+        world.handle(relay_events.PeerTold('one', failed))
+    send = streaming(world)
+    assert place not in (send.engine.data_centre, send.copy_to.data_centre)
+    return send
+
+
+def flow(world, send, seconds):
+    """Let time pass while a stream goes on."""
+    number = 1
+    while seconds > 0:
+        world.advance(0.25)
+        seconds -= 0.25
+        number += 1
+        world.events(send, number)
+
+
+def test_copy_comes_home_when_the_engines_there_are_calm_again():
+    """Engines of a data centre fail, and the streams of its callers go on.
+
+    Run and copy stand in the two other data centres then. When the links of
+    the first are cut some seconds later, both are out of reach from there, and
+    all those streams stand still while their prompts are read again.
+    """
+    world = relay_world.RelayWorld(place='north')
+    send = stream_far_from(world, 'north')
+    flow(world, send, CALM_AGAIN_SECONDS)
+    [copy] = copies(world)
+    assert copy.source == send.engine
+    assert copy.target.data_centre == 'north'
+
+
+def test_copy_stays_where_engines_at_home_go_on_failing():
+    """Moved there it would be lost with the next of them."""
+    world = relay_world.RelayWorld(place='north')
+    send = stream_far_from(world, 'north')
+    for number in range(2, 26):
+        world.advance(0.25)
+        world.events(send, number)
+        for number in range(2):
+            failed = hints.Failed(f'model-north-{number}')
+            world.handle(relay_events.PeerTold('one', failed))
+    assert not copies(world)
+
+
+def test_copy_that_is_well_placed_is_left_alone():
+    """Each copy that is made anew is paid for by its bytes."""
+    world = relay_world.RelayWorld(place='north')
+    send = streaming(world)
+    assert 'north' in (send.engine.data_centre, send.copy_to.data_centre)
+    flow(world, send, CALM_AGAIN_SECONDS)
+    assert not copies(world)
