Avoid engines that fail more calls than the others, by the errors that all instances tell

Hypothesis: an engine that answers errors to all calls while its status check is good is trusted like the others, and preferred by the instances of its data centre.

Calls that are wrong by themselves fail at all alike.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -11,6 +11,7 @@
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import sending
 from greengagelb.state.relay import exchanges
+from greengagelb.state.relay import hints
 
 SECOND_TRY_TIMER = 'relay-second-try'
 # An idempotent call that has had no answer for this part of its goal is sent
@@ -79,6 +80,8 @@
             return self.not_run(exchange, sent, head.status, now)
         exchange.may_have_run = True
         self.parts.engines.worked(sent.entry.engine, now)
+        if head.status >= 500:
+            self.erred(sent, now)
         if not head.sealed and head.succeeded:
             return self.lost(exchange, sent, 'unsigned answer', now)
         if head.status >= 500 and exchange.ruling.route.repeatable:
@@ -90,6 +93,12 @@
         call = relay_actions.Measured.CALL
         return [*done, passed, relay_actions.Measure(call, took)]
 
+    def erred(self, sent: exchanges.Sent, now: float) -> None:
+        """Count an engine's error, here and at the other instances."""
+        engine, start = sent.entry.engine, sent.entry.started_at_ms
+        self.parts.engines.erred(engine, now, start)
+        self.parts.sends.untold.append(hints.Erred(engine, start))
+
     def not_run(
         self,
         exchange: exchanges.Exchange,
--- a/src/greengagelb/coordination/relay/choosing.py
+++ b/src/greengagelb/coordination/relay/choosing.py
@@ -15,6 +15,9 @@
 # What an engine of another data centre has to be better by, as a part of its
 # slots for calls. A link between data centres may be cut at any moment.
 FAR_CALL_PENALTY = 0.15
+# What an engine costs that fails more calls than the others, in the same
+# unit: it is used only where all slots of the others are taken.
+ERRING_CALL_PENALTY = 1.0
 # The same for streams, in seconds of waiting for the first event. The bytes
 # of a stream between data centres cost about a thousandth of its worth. More
 # would crowd the engines nearby: with 0.4 a calm day of the smaller fleet
@@ -86,6 +89,8 @@
         score = taken / max(1, state.entry.slots)
         if state.entry.data_centre != self.data_centre:
             score += FAR_CALL_PENALTY
+        if self.engines.erring.avoided(state.entry.engine, now):
+            score += ERRING_CALL_PENALTY
         return score
 
     def others_at(self, state: engine_states.EngineState, now: float) -> float:
--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -11,6 +11,7 @@
 import dataclasses
 import zlib
 
+from greengagelb.coordination.relay import erring
 from greengagelb.state.relay import engine_states
 from greengagelb.state.relay import engines
 
@@ -63,6 +64,7 @@
         self.states: dict[str, engine_states.EngineState] = {}
         self.by_service: dict[str, dict[str, engine_states.EngineState]] = {}
         self.services: frozenset[str] | None = None
+        self.erring = erring.ErringEngines()
         self.lost = False
         self.confirmed_at = float('-inf')
         self.confirmed_before = float('-inf')
@@ -192,6 +194,7 @@
             state.in_flight = former.in_flight
             state.former_until = self.certain_until(former, now)
             del self.by_service[former.entry.service][entry.engine]
+            self.erring.forget({entry.engine})
         self.states[entry.engine] = state
         of_service = self.by_service.setdefault(entry.service, {})
         of_service[entry.engine] = state
@@ -329,6 +332,7 @@
             if gone is None or now < gone + FORGET_SECONDS:
                 continue
             if not state.in_flight:
+                self.erring.forget({name})
                 del self.states[name]
                 del self.by_service[state.entry.service][name]
 
@@ -373,6 +377,24 @@
         state.suspected_until = now + min(MOST_SUSPECT_SECONDS, seconds)
         state.failures += 1
 
+    def erred(
+        self,
+        engine: str,
+        now: float,
+        started_at_ms: int = engines.UNKNOWN_START,
+    ) -> None:
+        """Count an error that an engine has answered a call with."""
+        state = self.living(engine, started_at_ms)
+        if state is None:
+            return
+        of_service = self.by_service[state.entry.service]
+        others = [
+            name
+            for name, other in of_service.items()
+            if name != engine and other.usable(now)
+        ]
+        self.erring.erred(engine, others, now)
+
     def worked(self, engine: str, now: float) -> None:
         """Trust an engine again: it has just answered."""
         state = self.states.get(engine)
--- a/src/greengagelb/coordination/relay/peer_words.py
+++ b/src/greengagelb/coordination/relay/peer_words.py
@@ -70,6 +70,8 @@
                 self.fleet.ended(incarnation, hint)
             case hints.Failed(engine, start):
                 self.engines.doubted(engine, now, start)
+            case hints.Erred(engine, start):
+                self.engines.erred(engine, now, start)
             case hints.Replaced(engine, successor, start):
                 if successor:
                     self.engines.succeed(engine, successor, now, start)
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -54,6 +54,15 @@
     started_at_ms: int = engines.UNKNOWN_START
 
 
+class Erred(
+    msgspec.Struct, frozen=True, array_like=True, tag='x', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.Erred`."""
+
+    engine: str
+    started_at_ms: int = engines.UNKNOWN_START
+
+
 class Silent(
     msgspec.Struct, frozen=True, array_like=True, tag='q', tag_field='kind'
 ):
@@ -132,6 +141,7 @@
         | Placed
         | Ended
         | Failed
+        | Erred
         | Silent
         | Replaced
         | Restarted
@@ -191,6 +201,8 @@
             wire = Ended(number)
         case hints.Failed(engine, started_at_ms):
             wire = Failed(engine, started_at_ms)
+        case hints.Erred(engine, started_at_ms):
+            wire = Erred(engine, started_at_ms)
         case hints.Silent(engine, started_at_ms):
             wire = Silent(engine, started_at_ms)
         case hints.Replaced(engine, successor, started_at_ms):
@@ -237,6 +249,8 @@
             hint = hints.Ended(number)
         case Failed(engine, started_at_ms):
             hint = hints.Failed(engine, started_at_ms)
+        case Erred(engine, started_at_ms):
+            hint = hints.Erred(engine, started_at_ms)
         case Silent(engine, started_at_ms):
             hint = hints.Silent(engine, started_at_ms)
         case Replaced(engine, successor, started_at_ms):
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -46,6 +46,14 @@
     started_at_ms: int = engines.UNKNOWN_START
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Erred:
+    """An engine has answered a call with an error of its own."""
+
+    engine: str
+    started_at_ms: int = engines.UNKNOWN_START
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Silent:
     """A stream has fallen silent on an engine; it may be the connection."""
@@ -112,6 +120,7 @@
     Placed
     | Ended
     | Failed
+    | Erred
     | Silent
     | Replaced
     | Restarted
