--- a/src/greengagelb/coordination/relay/choosing.py
+++ b/src/greengagelb/coordination/relay/choosing.py
@@ -5,7 +5,6 @@
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import loads
 from greengagelb.state.relay import engine_states
-from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
 from greengagelb.state.relay import routes
 
@@ -199,17 +198,6 @@
         drawn = self.rng.sample(found, min(COPY_CHOICES, len(found)))
         return min(drawn, key=self.copy_score)
 
-    def spans_a_cut(
-        self, run: engines.EngineEntry, copy: engines.EngineEntry
-    ) -> bool:
-        """Return whether one of a run and its copy is left by any cut.
-
-        A data centre that is cut off, or fails, leaves this instance either
-        only what is in its own or only what is not.
-        """
-        places = {run.data_centre, copy.data_centre}
-        return self.data_centre in places and len(places) > 1
-
     def held(self, engine: str) -> int:
         """Return the tokens that runs and copies hold on an engine."""
         work = self.loads.of(engine)
--- a/src/greengagelb/coordination/relay/copying.py
+++ b/src/greengagelb/coordination/relay/copying.py
@@ -12,19 +12,14 @@
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import sending
-from greengagelb.state.relay import engine_states
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import requests
 
 COPY_TIMER = 'relay-copy'
-PLACE_TIMER = 'relay-copy-place'
 # An ordered copy is renewed after this part of the time it is kept for; only
 # what the run has added since is sent.
 RENEW_SHARE = 0.75
-# How soon a copy that is not well placed is looked at again, in seconds.
-# Engines that failed together are trusted again after one to a few seconds.
-PLACE_SECONDS = 1.0
 # Orders for one run. Each moves its memory once more, a quarter of a gigabyte
 # for a usual prompt, so a run whose copies keep failing goes without.
 MOST_ORDERS = 3
@@ -83,51 +78,8 @@
         the prompt is read can be replaced only now.
         """
         if sent.copy_to is not None:
-            return self.watch_place(exchange, sent, now)
-        return self.order_new(exchange, sent, set(), now)
-
-    def watch_place(
-        self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
-    ) -> list[Action]:
-        """Plan to look again at a copy that a cut may take with its run."""
-        if not self.is_misplaced(sent):
             return []
-        name = timers.timer_name(PLACE_TIMER, exchange.number)
-        return [actions.SetTimer(name, now + PLACE_SECONDS)]
-
-    def is_misplaced(self, sent: exchanges.Sent) -> bool:
-        """Return whether one cut may take both a run and its copy."""
-        return sent.copy_to is not None and not self.parts.chooser.spans_a_cut(
-            sent.entry, sent.copy_to
-        )
-
-    def improve(
-        self, exchange: exchanges.Exchange, now: float
-    ) -> list[Action]:
-        """Order copies in better places than where they are, if there are any.
-
-        While the engines of a data centre fail, runs and copies are put into
-        the others, and both would be out of reach once it is cut off.
-        """
-        done: list[Action] = []
-        for sent in exchange.sends.values():
-            source = self.parts.engines.states.get(sent.entry.engine)
-            if source is None or not self.is_misplaced(sent):
-                continue
-            target = self.parts.chooser.for_copy(
-                exchange.ruling.service,
-                exchange.request.prompt,
-                source,
-                {sent.copy_to.engine},
-                now,
-            )
-            if target is not None and self.parts.chooser.spans_a_cut(
-                sent.entry, target.entry
-            ):
-                done += self.order_at(exchange, sent, target, now)
-            else:
-                done += self.watch_place(exchange, sent, now)
-        return done
+        return self.order_new(exchange, sent, set(), now)
 
     def order_new(
         self,
@@ -137,8 +89,11 @@
         now: float,
     ) -> list[Action]:
         """Order a copy at another engine than some, if that is possible."""
+        model = exchange.ruling.service.engines
+        if model is None or not model.moves or not sent.events_seen:
+            return []
         source = self.parts.engines.states.get(sent.entry.engine)
-        if source is None:
+        if source is None or sent.copy_orders >= MOST_ORDERS:
             return []
         target = self.parts.chooser.for_copy(
             exchange.ruling.service,
@@ -149,25 +104,8 @@
         )
         if target is None:
             return []
-        return self.order_at(exchange, sent, target, now)
-
-    def order_at(
-        self,
-        exchange: exchanges.Exchange,
-        sent: exchanges.Sent,
-        target: engine_states.EngineState,
-        now: float,
-    ) -> list[Action]:
-        """Order a copy at an engine, if runs may be copied and this one is."""
-        model = exchange.ruling.service.engines
-        if model is None or not model.moves or not sent.events_seen:
-            return []
-        if sent.copy_orders >= MOST_ORDERS:
-            return []
         sent.copy_orders += 1
         sent.copy_to = target.entry
-        sent.copy_name = None
-        sent.copy_ordered = False
         self.parts.sends.got_copy(exchange, sent, now)
         return [self.order(exchange, sent)]
 
@@ -205,11 +143,7 @@
         model = exchange.ruling.service.engines
         renew_at = now + RENEW_SHARE * model.copy_seconds
         name = timers.timer_name(COPY_TIMER, exchange.number)
-        return [
-            *done,
-            actions.SetTimer(name, renew_at),
-            *self.watch_place(exchange, sent, now),
-        ]
+        return [*done, actions.SetTimer(name, renew_at)]
 
     def renew(self, exchange: exchanges.Exchange) -> list[Action]:
         """Order the same copy again before it lapses."""
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -42,7 +42,6 @@
     streams.SILENCE_TIMER,
     calls.SECOND_TRY_TIMER,
     copying.COPY_TIMER,
-    copying.PLACE_TIMER,
 )
 
 Action = relay_actions.RelayAction
@@ -344,8 +343,6 @@
                 return self.streams.look_at(exchange, now)
             case copying.COPY_TIMER:
                 return self.copies.renew(exchange)
-            case copying.PLACE_TIMER:
-                return self.copies.improve(exchange, now)
             case calls.SECOND_TRY_TIMER:
                 return self.calls.second_try(exchange, now)
         return self.overdue(exchange, now)
