--- a/tests/relay/test_retry_budget.py
+++ b/tests/relay/test_retry_budget.py
@@ -151,16 +151,20 @@
     assert not window.others_requests
 
 
-def test_others_are_told_which_sends_are_repeats():
-    world = relay_world.RelayWorld()
-    exchange = world.ask()
-    world.lose(world.last_send(exchange))
-    told = [
+def attempts_told(world):
+    """Return what the others were told of each send."""
+    return [
         action.hint.attempt
         for action in world.of_kind(relay_actions.TellPeers)
         if isinstance(action.hint, hints.Placed)
     ]
-    assert told == [1, 2]
+
+
+def test_others_are_told_which_sends_are_repeats():
+    world = relay_world.RelayWorld()
+    exchange = world.ask()
+    world.lose(world.last_send(exchange))
+    assert attempts_told(world) == [1, 2]
 
 
 def test_send_that_never_left_is_neither_request_nor_repeat():
@@ -172,12 +176,7 @@
     world = relay_world.RelayWorld()
     exchange = world.ask()
     world.lose(world.last_send(exchange), handed_over=False)
-    told = [
-        action.hint.attempt
-        for action in world.of_kind(relay_actions.TellPeers)
-        if isinstance(action.hint, hints.Placed)
-    ]
-    assert told == [1, 0]
+    assert attempts_told(world) == [1, 0]
 
 
 def test_log_tells_that_a_stream_was_cut_for_want_of_a_repeat():
