--- a/src/greengagelb/coordination/relay/succession.py
+++ b/src/greengagelb/coordination/relay/succession.py
@@ -7,9 +7,9 @@
 last sign of the old engine, is the same engine restarted. After that time it
 is one of the same service if it has the memory of a model engine, and only
 one service has such engines. On days on which the store is away while engines
-crash, that was worth 0.05 of what all answers are worth, with a standard error
-of 0.026 over 16 pairs of plays; without it, engines that had no stream when they
-crashed were lost for the outage.
+crash, that was worth 0.052 of what all answers are worth, with a standard
+error of 0.026 over 16 pairs of plays; without it, engines that had no stream
+when they crashed were lost for the outage.
 """
 
 import dataclasses
