Never say of a stream that an engine ended that it has not run

Found by the state machine of the relay's promises when its invariants were moved, as Hypothesis then draws other histories: a stream's answer ends without an event, the next connection is refused, and the caller is told 503, not run. On sockets the head of an answer always comes first and sets the mark, so no caller could see it (engine_side.py reports an end only after a head); the decisions must not rest on that. Test first: 503 where 502 is true.

--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -286,6 +286,7 @@
         self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
     ) -> list[Action]:
         """End the caller's answer as complete."""
+        exchange.may_have_run = True
         if not exchange.begun:
             return self.lost(exchange, sent, 'no events', now)
         self.parts.sends.release(exchange, sent)
--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -272,3 +272,17 @@
     world.handle(relay_events.EngineProbed(exchange, first.send, True))
     world.advance(2.0)
     assert len(world.sends(exchange)) >= 2
+
+
+def test_stream_that_ended_without_events_is_not_said_not_to_have_run():
+    """An engine ends its answer before the first event, and others are gone.
+
+    The engine had the request, and may have worked on it. A caller that is
+    told that it has not run would believe a promise which nobody can give.
+    """
+    world = relay_world.RelayWorld()
+    exchange = world.ask()
+    world.complete(world.last_send(exchange))
+    while not world.refusals(exchange):
+        world.lose(world.last_send(exchange), handed_over=False)
+    assert [r.status for r in world.refusals(exchange)] == [502]
