--- a/tests/relay/test_engine_lives_machine.py
+++ b/tests/relay/test_engine_lives_machine.py
@@ -9,6 +9,7 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state.relay import hints
+from tests.common import relay_invariants
 from tests.common import relay_world
 
 # Three lives of each engine; 0 where an entry does not tell which one it is.
@@ -21,7 +22,9 @@
 FORGOTTEN = -1
 
 
-class EngineLives(stateful.RuleBasedStateMachine):
+class EngineLives(
+    relay_invariants.CountsAddUp, stateful.RuleBasedStateMachine
+):
     """Lists, failures and reports of all lives, in any order and late.
 
     ``latest`` is the latest start that this instance was told of each engine,
@@ -250,27 +253,6 @@
                 assert state is known.states[name]
                 assert state.entry.service == service
 
-    @stateful.invariant()
-    def sends_are_counted_once(self):
-        relay = self.world.relay
-        counted = sum(s.in_flight for s in relay.engines.states.values())
-        under_way = [
-            sent
-            for exchange in relay.exchanges.values()
-            for sent in exchange.sends.values()
-        ]
-        assert counted == len(under_way)
-
-    @stateful.invariant()
-    def loads_add_up(self):
-        loads = self.world.relay.loads
-        for engine, work in loads.work.items():
-            runs = [r for r in loads.runs.values() if r.engine == engine]
-            copies = [r for r in loads.runs.values() if r.copy_to == engine]
-            assert work.runs == len(runs)
-            assert work.memory_tokens == sum(r.memory_tokens for r in runs)
-            assert work.copied_tokens == sum(r.memory_tokens for r in copies)
-
     @stateful.invariant()
     def no_copy_is_believed_at_a_life_that_is_over(self):
         relay = self.world.relay
--- a/tests/relay/test_promises.py
+++ b/tests/relay/test_promises.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state.relay import hints
+from tests.common import relay_invariants
 from tests.common import relay_world
 
 PROMISE_NOT_RUN = {408, 421, 429, 503}
@@ -21,7 +22,7 @@
 )
 
 
-class Promises(stateful.RuleBasedStateMachine):
+class Promises(relay_invariants.CountsAddUp, stateful.RuleBasedStateMachine):
     """Callers, engines and other instances do what they like, at any time.
 
     ``may_have_run`` counts, by exchange, the sends that an engine may have
@@ -222,27 +223,6 @@
         for exchange in self.calls:
             assert self.may_have_run[exchange] <= 1
 
-    @stateful.invariant()
-    def sends_are_counted_once(self):
-        relay = self.world.relay
-        counted = sum(s.in_flight for s in relay.engines.states.values())
-        under_way = [
-            sent
-            for exchange in relay.exchanges.values()
-            for sent in exchange.sends.values()
-        ]
-        assert counted == len(under_way)
-
-    @stateful.invariant()
-    def loads_add_up(self):
-        loads = self.world.relay.loads
-        for engine, work in loads.work.items():
-            runs = [r for r in loads.runs.values() if r.engine == engine]
-            copies = [r for r in loads.runs.values() if r.copy_to == engine]
-            assert work.runs == len(runs)
-            assert work.memory_tokens == sum(r.memory_tokens for r in runs)
-            assert work.copied_tokens == sum(r.memory_tokens for r in copies)
-
     @stateful.invariant()
     def open_exchanges_have_a_send_and_a_deadline(self):
         for number, exchange in self.world.relay.exchanges.items():
