Let one instance read the store for the whole fleet

Cause: each data centre had a reader of its own, each instance read the list of instances every ten seconds, and while the store is away every instance asked for everything again and again, told or not.

Now: whoever reads for want of a notification reads for all that hear it; of two readers the lower incarnation goes on; who fails is none any more. Two instances of each other data centre forward what the reader tells. Who could not read says when it tries again, and the others who could not wait. The list of instances is read by the reader, which tells those that are missing.

Ruled out: digests of the list of instances in each notification; an entry that another writer had spoilt would have stayed away.

--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -150,8 +150,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class TellNeighbours:
-    """Give a hint to the other instances of the own data centre."""
+class TellFleet:
+    """Give a hint to all others; those far away get it from one near them.
+
+    For what is many datagrams at once, and missed by its receivers if it is
+    lost: sent to each of hundreds it would fill the link of its sender.
+    """
 
     hint: hints.Hint
 
@@ -190,7 +194,7 @@
     | CopyRun
     | AskSuccessor
     | TellPeers
-    | TellNeighbours
+    | TellFleet
     | LookAtStore
     | Measure
     | actions.SetTimer
--- a/src/greengagelb/coordination/relay/engine_list.py
+++ b/src/greengagelb/coordination/relay/engine_list.py
@@ -1,4 +1,4 @@
-"""Takes in the list of engines, and tells the neighbours what is new in it."""
+"""Takes in the list of engines, and tells the others what is new in it."""
 
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import actions as relay_actions
@@ -9,10 +9,9 @@
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
 
-# A read that took longer than this tells the neighbours nothing about now, in
+# A read that took longer than this tells the others nothing about now, in
 # seconds. It is what a call to the store may take on a good link; with the
-# time that they wait for a word it stays below the bound on work for engines
-# that leave.
+# time that they wait it stays below the bound on work for engines that leave.
 PROMPT_READ_SECONDS = 0.6
 # Entries of engines in one datagram; ten take some 900 bytes.
 NEWS_IN_A_DATAGRAM = 10
@@ -24,7 +23,7 @@
     """What follows from reads of the list, and from others' word on it.
 
     ``version`` is that of the configuration in force, 0 without one; the
-    neighbours are told of both after each read.
+    others are told of both after each read.
     """
 
     def __init__(
@@ -58,7 +57,7 @@
         unusable: tuple[str, ...],
         now: float,
     ) -> list[Action]:
-        """Take in what was read from the store; tell the neighbours."""
+        """Take in what was read from the store; tell the others."""
         contrary = self.engines.contradicted_by(entries)
         news = tuple(
             entry
@@ -74,24 +73,34 @@
         if self.engines.lost:
             done.append(actions.Record('store-regained', 'list of engines'))
         done += self.changed(entries, removed, unusable, now)
-        self.sharing.engines.known(self.sharing.engines.looked_at)
-        reads_for_all = self.sharing.is_reader(now)
-        if not reads_for_all and not self.sharing.engines.others_wait:
+        waited_before = self.sharing.reads_for_all
+        self.sharing.engines_read()
+        if not self.sharing.reads_for_all:
             return done
         told = parts_of(news, removed, spoilt)
         if self.sharing.engines.read_takes(now) <= PROMPT_READ_SECONDS:
-            told.append(self.word(reads_for_all=reads_for_all))
-        return done + [relay_actions.TellNeighbours(hint) for hint in told]
+            told.append(self.store_read(waited_before=waited_before))
+        else:
+            # The others get no notification, so one of them has to read.
+            self.sharing.reads_for_all = False
+        return done + [relay_actions.TellFleet(hint) for hint in told]
+
+    def asked(self) -> list[Action]:
+        """Tell the others who can't read it that this one tries the store."""
+        if not self.sharing.engines.failures:
+            return []
+        return [relay_actions.TellFleet(hints.StoreTried())]
 
-    def word(self, *, reads_for_all: bool) -> hints.StoreRead:
-        """Return what the neighbours are told of what stands in the store.
+    def store_read(self, *, waited_before: bool) -> hints.StoreRead:
+        """Return what the others are told of what stands in the store.
 
-        Only the one who reads for all waits for the next configuration, and
-        so is sure to have the newest, unless its calls for it fail.
+        Only who has waited at the store for the next configuration is sure to
+        have the newest, unless its calls for it fail.
         """
-        sure = reads_for_all and not self.sharing.configuration.failures
+        sure = waited_before and not self.sharing.configuration.failures
         return hints.StoreRead(
-            self.engines.digest(), self.version if sure else None
+            self.engines.digest(),
+            self.version if sure else None,
         )
 
     def changed(
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -133,6 +133,11 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EnginesAsked:
+    """The store is asked for the list of engines."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineProbed:
     """An engine answered a probe, or did not within its time.
@@ -213,6 +218,7 @@
     | EnginesListed
     | EnginesChanged
     | StoreLost
+    | EnginesAsked
     | StopBy
     | StopDue
     | Closed
--- a/src/greengagelb/coordination/relay/fleet.py
+++ b/src/greengagelb/coordination/relay/fleet.py
@@ -21,11 +21,15 @@
 
     Invariant: each run of another instance that is counted in ``loads`` has
     its time in ``placed_at``.
+
+    ``present`` are the incarnations that the list of instances has or that
+    were heard since, without those that have stopped.
     """
 
-    def __init__(self, run_loads: loads.RunLoads) -> None:
+    def __init__(self, run_loads: loads.RunLoads, own: str) -> None:
         self.loads = run_loads
-        self.listed: dict[str, hints.Member] = {}
+        self.own = own
+        self.present: set[str] = set()
         self.heard_at: dict[str, float] = {}
         self.placed_at: dict[tuple[str, int], float] = {}
 
@@ -33,10 +37,10 @@
     def size(self) -> int:
         """Return how many instances there may be, this one included.
 
-        Those that are listed count even while they are not heard: they may
-        be cut off from this one only, and use their part of the budget.
+        Those that are silent count too: they may be cut off from this one
+        only, and use their part of the budget.
         """
-        return 1 + max(len(self.listed), len(self.heard_at))
+        return 1 + len(self.present | self.heard_at.keys())
 
     @property
     def heartbeat_seconds(self) -> float:
@@ -45,14 +49,20 @@
 
     def take_list(self, members: tuple[hints.Member, ...]) -> None:
         """Take in the list of the other instances."""
-        self.listed = {member.name: member for member in members}
+        self.present = {member.incarnation for member in members}
 
     def heard(self, incarnation: str, now: float) -> None:
         """Note that an instance lives."""
         self.heard_at[incarnation] = now
 
+    def greeted(self, incarnation: str, now: float) -> None:
+        """Note that an instance says that it is there."""
+        self.present.add(incarnation)
+        self.heard(incarnation, now)
+
     def left(self, incarnation: str, now: float) -> list[str]:
         """Forget an instance that has stopped, with its runs."""
+        self.present.discard(incarnation)
         known = self.heard_at.pop(incarnation, None) is not None
         return ([incarnation] if known else []) + self.tidy(now)
 
--- a/src/greengagelb/coordination/relay/peer_words.py
+++ b/src/greengagelb/coordination/relay/peer_words.py
@@ -12,6 +12,10 @@
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.state.relay import hints
 
+# The most incarnations in one datagram, which they have to fit; the next look
+# at the list finds the others.
+MOST_NOT_LISTED = 50
+
 Action = relay_actions.RelayAction
 
 
@@ -44,18 +48,15 @@
                 return self.told(incarnation, hint, now)
             case relay_events.MembersListed(members):
                 self.fleet.take_list(members)
+                done += self.tell_unlisted()
             case relay_events.PeerHeard(incarnation, data_centre):
                 if incarnation not in self.fleet.heard_at:
                     told = f'{incarnation} in {data_centre}'
                     done.append(actions.Record('peer-heard', told))
-                self.fleet.heard(incarnation, now)
-                self.sharing.heard(incarnation, data_centre, now)
+                self.fleet.greeted(incarnation, now)
                 done += forgotten(self.fleet.tidy(now))
             case relay_events.PeerLeft(incarnation):
                 done += forgotten(self.fleet.left(incarnation, now))
-                self.sharing.left(incarnation)
-                # It may have been the one that reads for all.
-                done.append(relay_actions.LookAtStore())
         self.budget.resize(self.fleet.size, 1 + len(self.fleet.heard_at))
         return done
 
@@ -81,19 +82,48 @@
                 return self.restarts.heard(engine, start, now)
             case hints.EnginesTold(entries, removed, unusable):
                 return self.listed.changed(entries, removed, unusable, now)
-            case hints.StoreRead(digest, version):
-                same = digest == self.engines.digest()
-                if same:
-                    self.engines.confirmed(now)
-                self.sharing.engines.told(same=same, now=now)
-                if version is not None:
-                    self.version_told(version, now)
-                return self.look_if_stale()
+            case hints.StoreRead():
+                return self.store_read(incarnation, hint, now)
+            case hints.StoreTried():
+                self.sharing.tried_elsewhere(now)
+            case hints.NotListed(incarnations):
+                return self.not_listed(incarnations)
             case hints.ConfigurationApplied(version):
                 self.version_told(version, now)
                 return self.look_if_stale()
         return self.copies_lost_with(hint, now)
 
+    def tell_unlisted(self) -> list[Action]:
+        """Tell the instances that are heard, but missing in the list.
+
+        Those that start later would never hear of them.
+        """
+        missing = tuple(self.fleet.heard_at.keys() - self.fleet.present)
+        if not missing or not self.sharing.reads_for_all:
+            return []
+        hint = hints.NotListed(missing[:MOST_NOT_LISTED])
+        return [relay_actions.TellFleet(hint)]
+
+    def not_listed(self, incarnations: tuple[str, ...]) -> list[Action]:
+        """Look at the list if it lacks this instance."""
+        if self.fleet.own not in incarnations:
+            return []
+        self.sharing.not_listed()
+        return [relay_actions.LookAtStore()]
+
+    def store_read(
+        self, incarnation: str, hint: hints.StoreRead, now: float
+    ) -> list[Action]:
+        """Take in what another instance has just read from the store."""
+        self.sharing.read_elsewhere(incarnation)
+        same = hint.digest == self.engines.digest()
+        if same:
+            self.engines.confirmed(now)
+        self.sharing.engines.told(same=same, now=now)
+        if hint.version is not None:
+            self.version_told(hint.version, now)
+        return self.look_if_stale()
+
     def placed_elsewhere(
         self, incarnation: str, hint: hints.Placed, now: float
     ) -> None:
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -73,9 +73,7 @@
         chooser = choosing.Chooser(
             self.engines, self.loads, rng, own.data_centre
         )
-        self.sharing = store_sharing.StoreSharing(
-            own.incarnation, own.data_centre
-        )
+        self.sharing = store_sharing.StoreSharing(own.incarnation, rng)
         self.answers = answers.Answers(rng)
         self.rulings = rulings.Rulings(rng)
         parts = calls.Parts(self.engines, chooser, self.sends, self.answers)
@@ -84,14 +82,17 @@
             self.engines, engine_bounds.address_reuse_seconds
         )
         self.streams = streams.StreamRelay(parts, self.succession)
-        self.fleet = fleet.FleetView(self.loads)
+        self.fleet = fleet.FleetView(self.loads, own.incarnation)
         self.exchanges: dict[int, exchanges.Exchange] = {}
         self.copies = copying.RunCopies(parts, self.exchanges)
         self.restarts = restarts.Restarts(
             parts, self.calls, self.streams, self.copies, self.exchanges
         )
         self.listed = engine_list.EngineList(
-            self.engines, self.sharing, self.copies, self.restarts
+            self.engines,
+            self.sharing,
+            self.copies,
+            self.restarts,
         )
         self.peers = peer_words.PeerWords(
             self.engines,
@@ -196,6 +197,8 @@
                 return self.listed.read(entries, removed, unusable, now)
             case relay_events.StoreLost(detail):
                 return self.listed.store_lost(detail)
+            case relay_events.EnginesAsked():
+                return self.listed.asked()
             case relay_events.SuccessorSeen(old, new, start) if old == new:
                 return self.restarts.found(old, start, now)
             case relay_events.SuccessorSeen():
@@ -392,20 +395,20 @@
         self.life.configured()
         why = f'version {table.version} from {event.source}'
         done: list[Action] = [actions.Record('configuration-applied', why)]
-        if self.sharing.is_reader(now):
+        if self.sharing.reads_for_all:
             hint = hints.ConfigurationApplied(table.version)
-            done.append(relay_actions.TellNeighbours(hint))
+            done.append(relay_actions.TellFleet(hint))
         return done
 
     def configuration_checked(self, now: float) -> list[Action]:
-        """Tell the neighbours what is in force, in place of their reader."""
+        """Tell the others what is in force, in place of the reader."""
         others_wait = self.sharing.configuration.others_wait
-        if self.table is None or self.sharing.is_reader(now):
+        if self.table is None or self.sharing.reads_for_all:
             return []
         if not others_wait:
             return []
         hint = hints.ConfigurationApplied(self.table.version)
-        return [relay_actions.TellNeighbours(hint)]
+        return [relay_actions.TellFleet(hint)]
 
 
 def told_final(
--- a/src/greengagelb/coordination/relay/store_sharing.py
+++ b/src/greengagelb/coordination/relay/store_sharing.py
@@ -1,11 +1,16 @@
 """Who reads the store, and when the others have to look for themselves.
 
-In each data centre one instance reads at the pace that the bounds ask for.
-After each read it tells its neighbours what was new, with a digest of all it
-knows. Whoever hears nothing in time, or finds that its own digest differs,
-reads the store itself: a lost datagram, a dead or a cut off reader cost some
-calls, and no promise. Who has read for want of word tells the others in the
-reader's place, so that they need not ask the same.
+One instance reads at the pace that the bounds ask for. After each read it
+tells all others what was new, with digests of what it knows. Whoever hears
+nothing in time looks itself, and who succeeds in that reads for all from then
+on; of two the one with the lower incarnation goes on. So those who are cut off
+together get a reader of their own, and who finds that a digest differs reads
+the store once: a lost datagram, a dead or a cut off reader cost some calls,
+and no promise.
+
+While the store is away all of them would look again and again, and each call
+that it refuses costs as much as others. So who has failed says when it
+tries again, and the others who have failed wait for what it finds.
 """
 
 import dataclasses
@@ -14,22 +19,37 @@
 # How often a reader looks at the list of engines, in seconds: half of the
 # time within which an engine that leaves must get no more work.
 READ_SECONDS = 1.0
-# How long the others wait for its word at most, in seconds. Together with the
-# time of a call it is well below that bound.
-WORD_SECONDS = 1.4
+# How long the others wait for a notification at most, in seconds. Together
+# with the time of a call it is well below that bound.
+WAIT_SECONDS = 1.4
 # By how much they differ in that, in seconds, so that the first one that has
 # read the store in its place can tell the others before they ask too.
-WORD_SPREAD_SECONDS = 0.2
+WAIT_SPREAD_SECONDS = 0.2
 # The least time between two looks for the same reason, in seconds. Each look
 # that has failed or changed nothing would else be followed by the next.
 LEAST_SECONDS = 0.7
 # It doubles with each failure after the first, which may have been one lost
-# answer, up to this, in seconds: calls that the store refuses cost as much as
-# others. The bounds on what is known here count from three seconds or more
-# after an outage.
+# answer, up to this, in seconds. The bounds on what is known here count from
+# three seconds or more after an outage.
 MOST_LEAST_SECONDS = 2.0
-# An instance nearby that was not heard for so long does not read any more.
-NEIGHBOUR_SECONDS = 5.0
+# Who could not read the store leaves it alone for the first figure after
+# another one has tried, and for up to the second one more, drawn each time, so
+# that one of them tries before the rest.
+TRIED_SECONDS = 1.0
+TRIED_SPREAD_SECONDS = 1.0
+# The list of engines shows whether the store is there, so the configuration
+# is asked for later by the first figure, which is what a good answer takes.
+# While there is none it waits for the second, what the longest answer takes,
+# and once the list could not be read for the third, in case only the list
+# fails. In seconds.
+CONFIGURATION_AFTER_SECONDS = 0.02
+CONFIGURATION_DURING_SECONDS = 0.7
+CONFIGURATION_IN_OUTAGE_SECONDS = 10.0
+# How often a reader looks at the list of instances, in seconds.
+MEMBERS_SECONDS = 10.0
+# How often the others do, in seconds, spread by half. Heartbeats tell them
+# who comes and goes; the list shows whose end went unheard.
+MEMBERS_SELDOM_SECONDS = 300.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,24 +58,36 @@
 
     ``fresh_at`` is when it was last known to be current, ``looked_at`` when
     it was last read here, and ``stale_at`` when another instance last knew of
-    something newer, if one ever has. Word of others is waited for
-    ``word_seconds``. ``failures`` counts the looks in a row that have failed,
-    and ``others_wait`` is whether the last look was for want of word, which
-    the others want then too.
+    something newer, if one ever has. Others are waited for ``wait_seconds``.
+    ``failures`` counts the looks in a row that have failed; after one, and
+    another instance's, the next is not before ``held_until``.
+    ``others_wait`` is whether the last look was for want of a notification,
+    which the others want then too.
     """
 
-    word_seconds: float = WORD_SECONDS
+    wait_seconds: float = WAIT_SECONDS
     failures: int = 0
     others_wait: bool = False
     fresh_at: float = float('-inf')
     looked_at: float = float('-inf')
+    held_until: float = float('-inf')
     stale_at: float | None = None
 
+    @property
+    def never_read(self) -> bool:
+        """Return whether nothing is known yet."""
+        return self.fresh_at == float('-inf')
+
     @property
     def stale(self) -> bool:
         """Return whether something newer is known to exist."""
         return self.stale_at is not None and self.stale_at >= self.fresh_at
 
+    @property
+    def unanswered(self) -> bool:
+        """Return whether it was looked at, and no answer has come since."""
+        return self.looked_at > self.fresh_at
+
     @property
     def least_seconds(self) -> float:
         """Return how soon one may look again.
@@ -63,7 +95,9 @@
         While something newer is known to exist, or nothing is known yet, each
         moment counts, whatever the calls cost.
         """
-        if self.stale or self.fresh_at == float('-inf'):
+        if self.never_read and self.failures == 1:
+            return 0.0
+        if self.stale or self.never_read:
             return LEAST_SECONDS
         return min(
             MOST_LEAST_SECONDS,
@@ -76,12 +110,14 @@
         soonest = self.looked_at + self.least_seconds
         if self.stale:
             return soonest
-        return max(soonest, self.fresh_at + self.word_seconds)
+        if self.failures:
+            soonest = max(soonest, self.held_until)
+        return max(soonest, self.fresh_at + self.wait_seconds)
 
     def looked(self, now: float) -> None:
         """Note that it is being read."""
         self.looked_at = now
-        self.others_wait = not self.stale
+        self.others_wait = not (self.stale or self.never_read)
 
     def read_takes(self, now: float) -> float:
         """Return for how long the latest read has been under way."""
@@ -110,45 +146,70 @@
             self.stale_at = now
 
 
-def place_of(incarnation: str) -> float:
+def spread_of(incarnation: str) -> float:
     """Return a number from 0 to 1 that is another one at most instances."""
     return random.Random(incarnation).random()
 
 
 class StoreSharing:
-    """Decides when this instance reads the store."""
+    """Decides when this instance reads the store.
 
-    def __init__(self, incarnation: str, data_centre: str) -> None:
-        self.incarnation = incarnation
-        self.data_centre = data_centre
-        self.neighbours: dict[str, float] = {}
-        spread = WORD_SPREAD_SECONDS * place_of(incarnation)
-        self.engines = Freshness(WORD_SECONDS - spread)
-        self.configuration = Freshness(WORD_SECONDS - spread)
+    ``reads_for_all`` is whether the others rely on it.
+    """
 
-    def heard(self, incarnation: str, data_centre: str, now: float) -> None:
-        """Note that another instance lives."""
-        if data_centre == self.data_centre:
-            self.neighbours[incarnation] = now
+    def __init__(self, incarnation: str, rng: random.Random) -> None:
+        self.incarnation = incarnation
+        self.rng = rng
+        self.reads_for_all = False
+        wait = WAIT_SECONDS - WAIT_SPREAD_SECONDS * spread_of(incarnation)
+        self.engines = Freshness(wait)
+        self.configuration = Freshness(wait + CONFIGURATION_AFTER_SECONDS)
+        self.members_looked_at = float('-inf')
+        self.members_seldom_at = float('-inf')
 
-    def left(self, incarnation: str) -> None:
-        """Forget an instance that stops."""
-        self.neighbours.pop(incarnation, None)
+    # -- who reads ----------------------------------------------------------
 
-    def is_reader(self, now: float) -> bool:
-        """Return whether this instance reads for its neighbours.
+    def engines_read(self) -> None:
+        """Note that the list of engines was read as it stands there.
 
-        Two that both believe so cost a few calls and do no harm.
+        Who had heard of nobody that reads it goes on to do so.
         """
-        return not any(
-            incarnation < self.incarnation
-            for incarnation, at in self.neighbours.items()
-            if now < at + NEIGHBOUR_SECONDS
-        )
+        if self.engines.others_wait:
+            self.reads_for_all = True
+        self.engines.known(self.engines.looked_at)
+
+    def engines_failed(self) -> None:
+        """Note that the list of engines could not be read."""
+        self.engines.failed()
+        self.reads_for_all = False
+
+    def read_elsewhere(self, incarnation: str) -> None:
+        """Leave it to another instance, which has read, to read for all."""
+        if incarnation < self.incarnation:
+            self.reads_for_all = False
+
+    def tried_elsewhere(self, now: float) -> None:
+        """Note that another instance tries whether the store is back."""
+        wait = TRIED_SECONDS + self.rng.uniform(0.0, TRIED_SPREAD_SECONDS)
+        self.engines.held_until = now + wait
+
+    # -- the list of instances ----------------------------------------------
+
+    def members_looked(self, now: float) -> None:
+        """Note that the list of instances is being read."""
+        self.members_looked_at = now
+        spread = self.rng.uniform(0.5, 1.5)
+        self.members_seldom_at = now + spread * MEMBERS_SELDOM_SECONDS
+
+    def not_listed(self) -> None:
+        """Have the list read at once: this instance is missing in it."""
+        self.members_seldom_at = float('-inf')
+
+    # -- when to read -------------------------------------------------------
 
     def engines_due_at(self, now: float) -> float:
         """Return when the list of engines is to be read, as known now."""
-        if self.is_reader(now):
+        if self.reads_for_all:
             return self.engines.looked_at + READ_SECONDS
         return self.engines.due_at
 
@@ -157,7 +218,25 @@
 
         The one who reads for all waits at the store for its next change.
         """
-        return now if self.is_reader(now) else self.configuration.due_at
+        if self.reads_for_all:
+            return now
+        configuration, engines = self.configuration, self.engines
+        if configuration.stale or not engines.unanswered:
+            return configuration.due_at
+        if engines.failures:
+            last = max(engines.fresh_at, configuration.looked_at)
+            soonest = last + CONFIGURATION_IN_OUTAGE_SECONDS
+        elif configuration.never_read:
+            soonest = now
+        else:
+            soonest = engines.looked_at + CONFIGURATION_DURING_SECONDS
+        return max(configuration.due_at, soonest)
+
+    def members_due_at(self, now: float) -> float:
+        """Return when the list of instances is to be read, as known now."""
+        if self.reads_for_all:
+            return self.members_looked_at + MEMBERS_SECONDS
+        return self.members_seldom_at
 
     def engines_due(self, now: float) -> bool:
         """Return whether the list of engines is to be read now."""
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -124,6 +124,28 @@
     version: int | None
 
 
+class StoreTried(
+    msgspec.Struct, frozen=True, array_like=True, tag='u', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.StoreTried`."""
+
+
+class NotListed(
+    msgspec.Struct, frozen=True, array_like=True, tag='n', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.NotListed`."""
+
+    incarnations: tuple[str, ...]
+
+
+class Forwarded(
+    msgspec.Struct, frozen=True, array_like=True, tag='d', tag_field='kind'
+):
+    """A datagram for all instances of the receiver's data centre."""
+
+    datagram: bytes
+
+
 class ConfigurationApplied(
     msgspec.Struct, frozen=True, array_like=True, tag='c', tag_field='kind'
 ):
@@ -147,7 +169,10 @@
         | Restarted
         | EnginesTold
         | StoreRead
+        | StoreTried
+        | NotListed
         | ConfigurationApplied
+        | Forwarded
     )
 
 
@@ -214,6 +239,10 @@
             wire = EnginesTold(written, removed, unusable)
         case hints.StoreRead(digest, version):
             wire = StoreRead(digest, version)
+        case hints.StoreTried():
+            wire = StoreTried()
+        case hints.NotListed(incarnations):
+            wire = NotListed(incarnations)
         case hints.ConfigurationApplied(version):
             wire = ConfigurationApplied(version)
     return _encoder.encode(Datagram(incarnation, wire))
@@ -225,7 +254,15 @@
     return _encoder.encode(Datagram(member.incarnation, beat))
 
 
-def decode(raw: bytes) -> tuple[str, Heartbeat | hints.Hint]:
+def encode_forwarded(incarnation: str, raw: bytes) -> bytes:
+    """Return a datagram to be passed on to a data centre, as one."""
+    return _encoder.encode(Datagram(incarnation, Forwarded(raw)))
+
+
+Message = Heartbeat | Forwarded | hints.Hint
+
+
+def decode(raw: bytes) -> tuple[str, Message]:
     """Return who sent a datagram, and what.
 
     Raises :class:`~greengagelb.errors.ProtocolError`.
@@ -262,8 +299,12 @@
             hint = hints.EnginesTold(read, removed, unusable)
         case StoreRead(digest, version):
             hint = hints.StoreRead(digest, version)
+        case StoreTried():
+            hint = hints.StoreTried()
+        case NotListed(incarnations):
+            hint = hints.NotListed(incarnations)
         case ConfigurationApplied(version):
             hint = hints.ConfigurationApplied(version)
-        case heartbeat:
-            return datagram.incarnation, heartbeat
+        case other:
+            return datagram.incarnation, other
     return datagram.incarnation, hint
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -106,6 +106,18 @@
     version: int | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreTried:
+    """The sender tries again whether the store is back."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotListed:
+    """Instances that the list of instances lacks, by their incarnations."""
+
+    incarnations: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationApplied:
     """The sender has just read the configuration in the store.
@@ -126,6 +138,8 @@
     | Restarted
     | EnginesTold
     | StoreRead
+    | StoreTried
+    | NotListed
     | ConfigurationApplied
 )
 
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -96,7 +96,11 @@
             reactor, wire, self.loop.dispatch, self.limits, self.refused
         )
         self.peers = peer_link.PeerLink(
-            self.own, place.peer_port, self.loop.dispatch, self.bad_datagram
+            self.own,
+            place.peer_port,
+            self.loop.dispatch,
+            self.bad_datagram,
+            random.Random(),
         )
         self.next_beat = reactor.seconds()
         self.source = source_of(self.pool)
@@ -289,8 +293,8 @@
                 self.engines.copy_run(action)
             case relay_actions.AskSuccessor():
                 self.engines.ask_successor(action)
-            case relay_actions.TellNeighbours(hint):
-                self.peers.tell_neighbours(hint)
+            case relay_actions.TellFleet(hint):
+                self.peers.tell_fleet(hint)
             case relay_actions.TellPeers(hint):
                 self.peers.tell(hint)
             case relay_actions.LookAtStore():
--- a/src/greengagelb/transport/relay/peer_link.py
+++ b/src/greengagelb/transport/relay/peer_link.py
@@ -1,6 +1,9 @@
 """Sends hints to the other instances and hears theirs."""
 
+import collections
 from collections.abc import Callable
+import dataclasses
+import random
 
 from twisted.internet import error
 from twisted.internet import interfaces
@@ -12,13 +15,24 @@
 from greengagelb.state.relay import hints
 from greengagelb.transport.relay import engine_side
 
+# So many instances of another data centre forward a datagram there: one of
+# them may be dead without anybody knowing it yet.
+FORWARDERS_IN_A_DATA_CENTRE = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peer:
+    """Where another instance is."""
+
+    host: str
+    data_centre: str
+
 
 class PeerLink(protocol.DatagramProtocol):
     """One socket for all other instances.
 
-    ``hosts`` maps the incarnations that are known to their hosts, and
-    ``neighbours`` names those of the own data centre. All instances use the
-    same port.
+    ``peers`` are those that are known, by their incarnations. All instances
+    use the same port.
     """
 
     def __init__(
@@ -27,13 +41,14 @@
         port: int,
         dispatch: engine_side.Dispatch,
         bad_datagram: Callable[[str], None],
+        rng: random.Random,
     ) -> None:
         self.own = own
         self.port = port
         self.dispatch = dispatch
         self.bad_datagram = bad_datagram
-        self.hosts: dict[str, str] = {}
-        self.neighbours: set[str] = set()
+        self.rng = rng
+        self.peers: dict[str, Peer] = {}
 
     def open(self, reactor: interfaces.IReactorUDP) -> None:
         """Open the socket."""
@@ -48,11 +63,33 @@
         """Send a hint to all others."""
         self.send_to_all(relay_hints.encode_hint(self.own.incarnation, hint))
 
-    def tell_neighbours(self, hint: hints.Hint) -> None:
-        """Send a hint to the others of the own data centre."""
+    def tell_fleet(self, hint: hints.Hint) -> None:
+        """Send a hint to all others; some far away forward it there."""
         raw = relay_hints.encode_hint(self.own.incarnation, hint)
-        for incarnation in self.neighbours & self.hosts.keys():
-            self.send(raw, self.hosts[incarnation])
+        self.send_nearby(raw)
+        forwarded = relay_hints.encode_forwarded(self.own.incarnation, raw)
+        for host in self.forwarders():
+            self.send(forwarded, host)
+
+    def forwarders(self) -> list[str]:
+        """Return hosts of some instances in each of the other data centres."""
+        far: dict[str, list[str]] = collections.defaultdict(list)
+        for peer in self.peers.values():
+            if peer.data_centre != self.own.data_centre:
+                far[peer.data_centre].append(peer.host)
+        return [
+            host
+            for hosts in far.values()
+            for host in self.rng.sample(
+                hosts, min(FORWARDERS_IN_A_DATA_CENTRE, len(hosts))
+            )
+        ]
+
+    def send_nearby(self, raw: bytes) -> None:
+        """Send a datagram to the others of the own data centre."""
+        for peer in self.peers.values():
+            if peer.data_centre == self.own.data_centre:
+                self.send(raw, peer.host)
 
     def beat(self, *, leaving: bool = False) -> None:
         """Tell all others that this instance is there, or stops."""
@@ -61,8 +98,8 @@
 
     def send_to_all(self, raw: bytes) -> None:
         """Send a datagram to all others; what can't be sent is lost."""
-        for host in self.hosts.values():
-            self.send(raw, host)
+        for peer in self.peers.values():
+            self.send(raw, peer.host)
 
     def send(self, raw: bytes, host: str) -> None:
         """Send a datagram.
@@ -77,17 +114,12 @@
 
     def listed(self, members: tuple[hints.Member, ...]) -> None:
         """Take in who else is there, and greet those that are new."""
-        found = {m.incarnation: m.host for m in members}
+        found = {m.incarnation: Peer(m.host, m.data_centre) for m in members}
         greeting = relay_hints.encode_heartbeat(self.own)
-        for incarnation, host in found.items():
-            if incarnation not in self.hosts:
-                self.send(greeting, host)
-        self.hosts = found
-        self.neighbours = {
-            m.incarnation
-            for m in members
-            if m.data_centre == self.own.data_centre
-        }
+        for incarnation, peer in found.items():
+            if incarnation not in self.peers:
+                self.send(greeting, peer.host)
+        self.peers = found
 
     # -- hearing ------------------------------------------------------------
 
@@ -97,31 +129,41 @@
         """Hand what others tell to the decisions."""
         try:
             sender, message = relay_hints.decode(datagram)
+            if isinstance(message, relay_hints.Forwarded):
+                inner = message.datagram
+                sender, message = relay_hints.decode(inner)
+                self.forward(inner, message)
         except errors.ProtocolError as exc:
             self.bad_datagram(f'from {addr[0]}: {exc}')
             return
         if sender == self.own.incarnation:
             return
-        if isinstance(message, relay_hints.Heartbeat):
-            self.take_heartbeat(sender, message)
-        else:
-            self.dispatch(relay_events.PeerTold(sender, message))
+        match message:
+            case relay_hints.Heartbeat():
+                self.take_heartbeat(sender, message)
+            case relay_hints.Forwarded():
+                self.bad_datagram(f'from {addr[0]}: forwarded twice')
+            case _:
+                self.dispatch(relay_events.PeerTold(sender, message))
+
+    def forward(self, raw: bytes, message: relay_hints.Message) -> None:
+        """Send a datagram on to those nearby, but never a second time."""
+        if not isinstance(message, relay_hints.Forwarded):
+            self.send_nearby(raw)
 
     def take_heartbeat(self, sender: str, beat: relay_hints.Heartbeat) -> None:
         """Note who is there; the list of instances may lag behind."""
         if beat.leaving:
-            self.hosts.pop(sender, None)
+            self.peers.pop(sender, None)
             self.dispatch(relay_events.PeerLeft(sender))
             return
         stale = [
             incarnation
-            for incarnation, host in self.hosts.items()
-            if host == beat.host and incarnation != sender
+            for incarnation, peer in self.peers.items()
+            if peer.host == beat.host and incarnation != sender
         ]
         for incarnation in stale:
-            del self.hosts[incarnation]
+            del self.peers[incarnation]
             self.dispatch(relay_events.PeerLeft(incarnation))
-        self.hosts[sender] = beat.host
-        if beat.data_centre == self.own.data_centre:
-            self.neighbours.add(sender)
+        self.peers[sender] = Peer(beat.host, beat.data_centre)
         self.dispatch(relay_events.PeerHeard(sender, beat.data_centre))
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -35,8 +35,6 @@
 # The least time between two looks whether to read, in seconds. Timers fire
 # late, but what they are late by is not known here.
 LEAST_SLEEP_SECONDS = 0.01
-# How often the list of instances is read, in seconds, spread by half.
-MEMBERS_EVERY = 10.0
 # The pause after a call that failed, in seconds, spread by half both ways:
 # the first after one failure, which may have been a single lost answer, the
 # second after more. Calls that the store refuses cost as much as others.
@@ -146,7 +144,7 @@
         """Begin to read."""
         sharing = self.sharing
         self.follow(self.look_at_configuration, sharing.configuration.failed)
-        self.follow(self.look_at_engines, sharing.engines.failed)
+        self.follow(self.look_at_engines, sharing.engines_failed)
         self.follow(self.look_at_members, lambda: None)
 
     def stop(self) -> defer.Deferred:
@@ -171,15 +169,15 @@
 
     @defer.inlineCallbacks
     def look_at_members(self) -> object:
-        """Register once, then read the list of instances now and then.
+        """Register once, then read the list of instances when it is due.
 
         Instances that start greet all that are listed, so the list need not
-        be read often, and not sooner after a read that has failed. An own
-        entry that another writer has spoilt is written again: those that
-        start would never hear of this instance.
+        be read often. An own entry that another writer has spoilt is written
+        again: those that start would never hear of this instance.
         """
         if self.members_known:
-            yield self.sleep(MEMBERS_EVERY * random.uniform(0.5, 1.5))
+            yield self.sleep_until_due(self.sharing.members_due_at)
+        self.sharing.members_looked(self.reactor.seconds())
         if not self.registered:
             self.maybe_registered = True
             yield self.source.register(self.own)
@@ -235,7 +233,7 @@
             wait = due_at(now) - now
             if wait <= 0:
                 return
-            wait = min(wait, store_sharing.WORD_SECONDS)
+            wait = min(wait, store_sharing.WAIT_SECONDS)
             nap = self.sleep(max(LEAST_SLEEP_SECONDS, wait))
             self.asleep.add(nap)
             nap.addErrback(lambda why: why.trap(defer.CancelledError))
@@ -260,7 +258,7 @@
         """
         yield self.sleep_until_due(self.sharing.configuration_due_at)
         now = self.reactor.seconds()
-        reads_for_all = self.sharing.is_reader(now)
+        reads_for_all = self.sharing.reads_for_all
         self.sharing.configuration.looked(now)
         wait = CONFIGURATION_WAIT if reads_for_all else 0.0
         try:
@@ -304,6 +302,7 @@
         yield self.sleep_until_due(self.sharing.engines_due_at)
         now = self.reactor.seconds()
         self.sharing.engines.looked(now)
+        self.dispatch(relay_events.EnginesAsked())
         whole = now > self.engines_read_at + CHANGES_SECONDS
         position = None if whole else self.engines_position
         try:
@@ -313,6 +312,7 @@
             # that have left get work.
             whole = True
             read = yield self.source.read_engines(None)
+        was_away = bool(self.sharing.engines.failures)
         self.engines_position = read.position
         self.engines_read_at = now
         self.note_engine_mistakes(read, whole=whole)
@@ -325,6 +325,9 @@
                     read.entries, read.removed, unusable
                 )
             )
+        if was_away:
+            # Looks at the configuration wait for this.
+            self.wake()
 
     def note_engine_mistakes(self, read: EnginesRead, *, whole: bool) -> None:
         """Tell of the engines' entries that can't be used, once each."""
--- a/tests/common/relay_world.py
+++ b/tests/common/relay_world.py
@@ -151,6 +151,17 @@
             relay_events.EnginesChanged(tuple(entries), tuple(removed))
         )
 
+    def read_for_all(self):
+        """Have the others rely on what this instance reads in the store.
+
+        It has heard nothing for a while, and so looks at the list itself.
+        """
+        for _ in range(2):
+            self.now += 1.5
+            self.relay.sharing.engines.looked(self.now)
+            self.change_engines()
+        assert self.relay.sharing.reads_for_all
+
     def ask(self, target=b'/drafts/1', seconds=25.0, **fields):
         """Submit a request; return its exchange."""
         self.last_exchange += 1
