Count a call that is later than its goal against its engine

Cause: an engine of a plain service that leaves part of its calls without an answer, while its status check is good, was found out by each instance for itself, when the first call's time was over.

Now a call that is later than its goal counts as an error of its engine does, here and at the other instances; whoever has more of them than the other engines gets no more calls while those have room. The answer is waited for as before.

Ruled out: a late answer where all engines are late takes none out.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -14,6 +14,8 @@
 from greengagelb.state.relay import hints
 
 SECOND_TRY_TIMER = 'relay-second-try'
+# When a call is later than its goal.
+LATE_TIMER = 'relay-call-late'
 # An idempotent call that has had no answer for this part of its goal is sent
 # to a second engine beside the first: one that stands still or is slow shows
 # no other sign, and the rest of the goal still suffices for a whole call.
@@ -57,9 +59,11 @@
         if state is None or not self.parts.sends.may_repeat(exchange, now):
             return [self.parts.answers.failed(exchange, code, now)]
         done = self.parts.sends.order(exchange, state, now)
+        goal = exchange.ruling.route.goal
+        late = timers.timer_name(LATE_TIMER, exchange.number)
+        done.append(actions.SetTimer(late, now + goal))
         if exchange.ruling.route.repeatable:
             name = timers.timer_name(SECOND_TRY_TIMER, exchange.number)
-            goal = exchange.ruling.route.goal
             done.append(actions.SetTimer(name, now + SECOND_TRY_SHARE * goal))
         return done
 
@@ -165,6 +169,20 @@
         code = 'outcome-unknown'
         return [*done, self.parts.answers.failed(exchange, code, now)]
 
+    def late(self, exchange: exchanges.Exchange, now: float) -> list[Action]:
+        """Count a late answer against the engine, as an error would be.
+
+        An engine may leave calls without an answer while its status check is
+        good. A call that may run once only shows that when its time is over,
+        and until then each instance would give the engine more of them. The
+        answer is still waited for. Where all engines are late none is avoided.
+        """
+        goal = exchange.ruling.route.goal
+        for sent in exchange.sends.values():
+            if now >= sent.began_at + goal:
+                self.erred(sent, now)
+        return []
+
     def second_try(
         self, exchange: exchanges.Exchange, now: float
     ) -> list[Action]:
--- a/src/greengagelb/coordination/relay/erring.py
+++ b/src/greengagelb/coordination/relay/erring.py
@@ -1,14 +1,12 @@
 """Which engines fail more of their calls than the others of their service.
 
 An engine may answer errors to all that it is given while its status check is
-good and it answers at once. Instances prefer engines of their own data centre,
-so its callers would get nothing but errors there, and a call that may run once
-only can't be tried elsewhere. One instance sees too few calls to tell such an
-engine from bad luck; so the instances tell each other of each error. Calls
-that are wrong by themselves fail at all engines alike, and count against none.
-Where one of three engines failed all calls for seven seconds before 90
-instances, 91 of 3,586 calls that may run once were lost, in place of 302; one
-play of the same day each.
+good and it answers at once, or leave calls without an answer. Instances prefer
+engines of their own data centre, so its callers would get nothing there, and a
+call that may run once only can't be tried elsewhere. One instance sees too few
+calls to tell such an engine from bad luck; so the instances tell each other of
+each error and each late answer. Calls that are wrong by themselves fail at all
+engines alike, and count against none.
 """
 
 import collections
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -41,6 +41,7 @@
     DEADLINE_TIMER,
     streams.SILENCE_TIMER,
     calls.SECOND_TRY_TIMER,
+    calls.LATE_TIMER,
     copying.COPY_TIMER,
 )
 
@@ -348,6 +349,8 @@
                 return self.copies.renew(exchange)
             case calls.SECOND_TRY_TIMER:
                 return self.calls.second_try(exchange, now)
+            case calls.LATE_TIMER:
+                return self.calls.late(exchange, now)
         return self.overdue(exchange, now)
 
     def overdue(
