--- a/src/greengagelb/coordination/relay/store_sharing.py
+++ b/src/greengagelb/coordination/relay/store_sharing.py
@@ -16,6 +16,8 @@
 import dataclasses
 import random
 
+from greengagelb.state.relay import store_calls
+
 # How often a reader looks at the list of engines, in seconds: half of the
 # time within which an engine that leaves must get no more work.
 READ_SECONDS = 1.0
@@ -114,6 +116,17 @@
             soonest = max(soonest, self.held_until)
         return max(soonest, self.fresh_at + self.wait_seconds)
 
+    @property
+    def cause(self) -> store_calls.Cause:
+        """Return why one who does not read for all looks now."""
+        if self.never_read:
+            return store_calls.Cause.START
+        if self.failures:
+            return store_calls.Cause.AFTER_FAILURE
+        if self.stale:
+            return store_calls.Cause.NEWER_KNOWN
+        return store_calls.Cause.NO_NOTIFICATION
+
     def looked(self, now: float) -> None:
         """Note that it is being read."""
         self.looked_at = now
@@ -238,6 +251,12 @@
             return self.members_looked_at + MEMBERS_SECONDS
         return self.members_seldom_at
 
+    def cause_of(self, look: Freshness) -> store_calls.Cause:
+        """Return why one of the two is looked at now."""
+        if self.reads_for_all:
+            return store_calls.Cause.READS_FOR_ALL
+        return look.cause
+
     def engines_due(self, now: float) -> bool:
         """Return whether the list of engines is to be read now."""
         return now >= self.engines_due_at(now)
--- /dev/null
+++ b/src/greengagelb/state/relay/store_calls.py
@@ -0,0 +1,54 @@
+"""What this instance has asked of the store, and why."""
+
+import collections
+import dataclasses
+import enum
+
+
+class Call(enum.Enum):
+    """What a call is about."""
+
+    REGISTER = 'register'
+    UNREGISTER = 'unregister'
+    MEMBERS = 'instances'
+    CONFIGURATION = 'configuration'
+    ENGINES = 'engines'
+
+
+class Cause(enum.Enum):
+    """Why a call is made."""
+
+    START = 'start'
+    READS_FOR_ALL = 'reads-for-all'
+    NO_NOTIFICATION = 'no-notification'
+    NEWER_KNOWN = 'newer-known'
+    AFTER_FAILURE = 'after-failure'
+    HISTORY_GONE = 'history-gone'
+    CHECK = 'check'
+    STOP = 'stop'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CountedCall:
+    """A kind of call for one cause."""
+
+    call: Call
+    cause: Cause
+
+
+class StoreCalls:
+    """Counts calls: each costs, and what they cost adds up over a fleet."""
+
+    def __init__(self) -> None:
+        self.counts: collections.Counter[CountedCall] = collections.Counter()
+
+    def count(self, call: Call, cause: Cause) -> None:
+        """Count a call that is about to be made."""
+        self.counts[CountedCall(call, cause)] += 1
+
+    def summary(self) -> str:
+        """Return all counts in a line, the largest first."""
+        return ', '.join(
+            f'{counted.call.value} {counted.cause.value} {number}'
+            for counted, number in self.counts.most_common()
+        )
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -114,6 +114,7 @@
             self.peers.listed,
         )
         self.metrics.unusable = self.watch.unusable_counts
+        self.metrics.store_calls = self.watch.calls
         self.last_pulse = reactor.seconds()
         self.ports: list[interfaces.IListeningPort] = []
         self.stop_by: float | None = None
@@ -272,6 +273,8 @@
 
     def end(self) -> None:
         """Let the process end."""
+        summary = self.watch.calls.summary()
+        self.recorder.record(actions.Record('store-calls', summary))
         self.loop.dispatch(relay_events.Closed())
         self.stopped.callback(None)
 
--- a/src/greengagelb/transport/relay/relay_metrics.py
+++ b/src/greengagelb/transport/relay/relay_metrics.py
@@ -10,6 +10,7 @@
 import aioprometheus
 
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.state.relay import store_calls
 from greengagelb.transport import metrics
 from greengagelb.transport.relay import unusable_entries
 
@@ -22,7 +23,7 @@
     """Counts what a relaying instance does.
 
     ``unusable`` returns the unusable entries of the store's lists, by what
-    they tell of.
+    they tell of, and ``store_calls`` are those made so far.
     """
 
     def __init__(self) -> None:
@@ -30,6 +31,7 @@
         self.unusable: Callable[
             [], Mapping[str, unusable_entries.UnusableEntries]
         ] = dict
+        self.store_calls = store_calls.StoreCalls()
         self.answers: dict[str, int] = {}
         self.sends = 0
         self.events_passed = 0
@@ -45,6 +47,9 @@
         self.connection_counter = self.counter(
             'engine_connections', 'Connections opened to engines and store'
         )
+        self.store_call_counter = self.counter(
+            'store_calls', 'Calls to the store by what they ask, and why'
+        )
         self.unusable_gauge = self.gauge(
             'unusable_entries', 'Entries in the store that can not be used now'
         )
@@ -102,6 +107,9 @@
         self.send_counter.set({}, self.sends)
         self.passed_counter.set({}, self.events_passed)
         self.connection_counter.set({}, opened)
+        for counted, number in self.store_calls.counts.items():
+            labels = {'call': counted.call.value, 'cause': counted.cause.value}
+            self.store_call_counter.set(labels, number)
         for kind, entries in self.unusable().items():
             self.unusable_gauge.set({'kind': kind}, len(entries.reasons))
             self.unusable_counter.set({'kind': kind}, entries.told)
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -22,6 +22,7 @@
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import routes
+from greengagelb.state.relay import store_calls
 from greengagelb.transport.relay import engine_side
 from greengagelb.transport.relay import unusable_entries
 
@@ -137,6 +138,7 @@
         self.bad_engines = unusable_entries.UnusableEntries()
         self.bad_members = unusable_entries.UnusableEntries()
         self.bad_configuration = unusable_entries.UnusableEntries()
+        self.calls = store_calls.StoreCalls()
         self.stopped = False
         self.asleep: set[defer.Deferred] = set()
 
@@ -152,6 +154,7 @@
         self.stopped = True
         if not self.maybe_registered:
             return defer.succeed(None)
+        self.calls.count(store_calls.Call.UNREGISTER, store_calls.Cause.STOP)
         return self.source.unregister(self.own).addErrback(self.not_removed)
 
     def not_removed(self, why: failure.Failure) -> None:
@@ -180,8 +183,11 @@
         self.sharing.members_looked(self.reactor.seconds())
         if not self.registered:
             self.maybe_registered = True
-            yield self.source.register(self.own)
+            yield self.register(store_calls.Cause.START)
             self.registered = True
+        known = self.members_known
+        cause = store_calls.Cause.CHECK if known else store_calls.Cause.START
+        self.calls.count(store_calls.Call.MEMBERS, cause)
         read = yield self.source.read_members()
         for entry in self.bad_members.take_whole(read.mistakes):
             self.record(
@@ -190,12 +196,17 @@
                 )
             )
         if self.own not in read.members and not self.stopped:
-            yield self.source.register(self.own)
+            yield self.register(store_calls.Cause.CHECK)
         self.members_known = True
         others = tuple(m for m in read.members if m.name != self.own.name)
         self.members_listed(others)
         self.dispatch(relay_events.MembersListed(others))
 
+    def register(self, cause: store_calls.Cause) -> defer.Deferred:
+        """Write the own entry."""
+        self.calls.count(store_calls.Call.REGISTER, cause)
+        return self.source.register(self.own)
+
     @defer.inlineCallbacks
     def follow(
         self, look: Callable[[], defer.Deferred], failed: Callable[[], None]
@@ -259,6 +270,9 @@
         yield self.sleep_until_due(self.sharing.configuration_due_at)
         now = self.reactor.seconds()
         reads_for_all = self.sharing.reads_for_all
+        call = store_calls.Call.CONFIGURATION
+        cause = self.sharing.cause_of(self.sharing.configuration)
+        self.calls.count(call, cause)
         self.sharing.configuration.looked(now)
         wait = CONFIGURATION_WAIT if reads_for_all else 0.0
         try:
@@ -266,6 +280,7 @@
                 self.position_of_configuration(), wait
             )
         except (errors.HistoryGone, errors.AnswerTooLong):
+            self.calls.count(call, store_calls.Cause.HISTORY_GONE)
             read = yield self.source.read_configuration(None, wait)
         self.configuration_position = read.position
         self.sharing.configuration.known(now)
@@ -301,6 +316,8 @@
         """Take in what has changed in the list, when it is time to."""
         yield self.sleep_until_due(self.sharing.engines_due_at)
         now = self.reactor.seconds()
+        call = store_calls.Call.ENGINES
+        self.calls.count(call, self.sharing.cause_of(self.sharing.engines))
         self.sharing.engines.looked(now)
         self.dispatch(relay_events.EnginesAsked())
         whole = now > self.engines_read_at + CHANGES_SECONDS
@@ -311,6 +328,7 @@
             # Waiting for the next look would cost a second, in which engines
             # that have left get work.
             whole = True
+            self.calls.count(call, store_calls.Cause.HISTORY_GONE)
             read = yield self.source.read_engines(None)
         was_away = bool(self.sharing.engines.failures)
         self.engines_position = read.position
