--- a/src/greengagelb/coordination/relay/budget.py
+++ b/src/greengagelb/coordination/relay/budget.py
@@ -6,8 +6,7 @@
 bound holds whoever can talk to whom. In a large fleet that part is a few
 repeats, and the streams that an engine takes with it are not spread evenly: so
 beyond its part an instance may use what all others together leave, as far as
-they tell what they send. On one day of 90 instances this left 10 of some 630
-logged streams broken off, where it had been 73 of 700; one play each.
+they tell what they send.
 """
 
 import collections
--- a/src/greengagelb/coordination/relay/choosing.py
+++ b/src/greengagelb/coordination/relay/choosing.py
@@ -17,10 +17,8 @@
 # What an engine costs that fails more calls than the others, in the same
 # unit: it is used only where all slots of the others are taken.
 ERRING_CALL_PENALTY = 1.0
-# The same for streams, in seconds of waiting for the first event. The bytes
-# of a stream between data centres cost about a thousandth of its worth. More
-# would crowd the engines nearby: with 0.4 a calm day of the smaller fleet
-# served 9 in 100 fewer streams in time, as prompts waited for one another.
+# The same for streams, in seconds of waiting for the first event. More would
+# crowd the engines nearby, where prompts then wait for one another.
 FAR_STREAM_SECONDS = 0.03
 # What each run on an engine costs a new one there, in seconds: all runs share
 # each step, and the new prompt holds up the others.
@@ -31,9 +29,7 @@
 # a data centre are lost within a millisecond, before instances can hear of
 # each other's choices; with the small spread all of them chose the few engines
 # with the least work, and their callers waited for each other's prompts. Less
-# than half of the time that an engine reads a usual prompt for. On a day of 88
-# instances whose data centres failed in turns, answers in time rose from 0.71
-# to 0.81 of what they are worth, measured on one play each.
+# than half of the time that an engine reads a usual prompt for.
 LOSS_SPREAD_SECONDS = 0.4
 # Copies are put on the emptiest of so many engines that are drawn by chance,
 # for the same reason.
--- a/src/greengagelb/coordination/relay/succession.py
+++ b/src/greengagelb/coordination/relay/succession.py
@@ -6,10 +6,8 @@
 one has ended. So whoever answers there within that time, counted from the
 last sign of the old engine, is the same engine restarted. After that time it
 is one of the same service if it has the memory of a model engine, and only
-one service has such engines. On days on which the store is away while engines
-crash, that was worth 0.052 of what all answers are worth, with a standard
-error of 0.026 over 16 pairs of plays; without it, engines that had no stream
-when they crashed were lost for the outage.
+one service has such engines. Without this, engines that crash while the store
+is away would be lost until it is back.
 """
 
 import dataclasses
