Have a reader that steps back during a read stay back

Cause: the answer to its last read made it a reader again, as looks for want of a notification do. With a slow store two readers could go on for seconds. Found by reading; the test failed first.

--- a/src/greengagelb/coordination/relay/store_sharing.py
+++ b/src/greengagelb/coordination/relay/store_sharing.py
@@ -197,7 +197,11 @@
         self.reads_for_all = False
 
     def read_elsewhere(self, incarnation: str) -> None:
-        """Leave it to another instance, which has read, to read for all."""
+        """Leave it to another instance, which has read, to read for all.
+
+        Nobody waits for a look of this one any more that is under way.
+        """
+        self.engines.others_wait = False
         if incarnation < self.incarnation:
             self.reads_for_all = False
 
--- a/tests/relay/test_store_sharing.py
+++ b/tests/relay/test_store_sharing.py
@@ -86,6 +86,20 @@
     assert not world.relay.sharing.reads_for_all
 
 
+def test_reader_that_steps_back_during_a_read_does_not_come_back():
+    """The store is slow, and two readers hear of each other all the while.
+
+    The answer to the last read of the one that steps back is still on its way.
+    Taken for a look that others wait for, it would make it a reader again.
+    """
+    world = reading_world()
+    world.relay.sharing.engines.looked(world.now)
+    world.advance(0.1)
+    read_by(world)
+    world.change_engines()
+    assert not world.relay.sharing.reads_for_all
+
+
 def test_reader_that_is_refused_leaves_it_to_another():
     """The store turns the reader away and serves all others."""
     world = reading_world()
