Send what belongs together by the same forwarders

Cause: each datagram of a notification drew forwarders of its own, so that what had been read could arrive ahead of what was new in it. A whole data centre then took its list for out of date and asked the store.

Hints of one action go by the same forwarders now and arrive in their order.

The configuration is not passed on between instances yet.

--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -151,13 +151,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TellFleet:
-    """Give a hint to all others; those far away get it from one near them.
+    """Give hints to all others; those far away get them from one near them.
 
     For what is many datagrams at once, and missed by its receivers if it is
-    lost: sent to each of hundreds it would fill the link of its sender.
+    lost: sent to each of hundreds it would fill the link of its sender. Hints
+    of one action arrive in their order.
     """
 
-    hint: hints.Hint
+    hints: tuple[hints.Hint, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/engine_list.py
+++ b/src/greengagelb/coordination/relay/engine_list.py
@@ -83,13 +83,13 @@
         else:
             # The others get no notification, so one of them has to read.
             self.sharing.reads_for_all = False
-        return done + [relay_actions.TellFleet(hint) for hint in told]
+        return [*done, relay_actions.TellFleet(tuple(told))]
 
     def asked(self) -> list[Action]:
         """Tell the others who can't read it that this one tries the store."""
         if not self.sharing.engines.failures:
             return []
-        return [relay_actions.TellFleet(hints.StoreTried())]
+        return [relay_actions.TellFleet((hints.StoreTried(),))]
 
     def store_read(self, *, waited_before: bool) -> hints.StoreRead:
         """Return what the others are told of what stands in the store.
--- a/src/greengagelb/coordination/relay/peer_words.py
+++ b/src/greengagelb/coordination/relay/peer_words.py
@@ -102,7 +102,7 @@
         if not missing or not self.sharing.reads_for_all:
             return []
         hint = hints.NotListed(missing[:MOST_NOT_LISTED])
-        return [relay_actions.TellFleet(hint)]
+        return [relay_actions.TellFleet((hint,))]
 
     def not_listed(self, incarnations: tuple[str, ...]) -> list[Action]:
         """Look at the list if it lacks this instance."""
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -400,7 +400,7 @@
         done: list[Action] = [actions.Record('configuration-applied', why)]
         if self.sharing.reads_for_all:
             hint = hints.ConfigurationApplied(table.version)
-            done.append(relay_actions.TellFleet(hint))
+            done.append(relay_actions.TellFleet((hint,)))
         return done
 
     def configuration_checked(self, now: float) -> list[Action]:
@@ -411,7 +411,7 @@
         if not others_wait:
             return []
         hint = hints.ConfigurationApplied(self.table.version)
-        return [relay_actions.TellFleet(hint)]
+        return [relay_actions.TellFleet((hint,))]
 
 
 def told_final(
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -296,8 +296,8 @@
                 self.engines.copy_run(action)
             case relay_actions.AskSuccessor():
                 self.engines.ask_successor(action)
-            case relay_actions.TellFleet(hint):
-                self.peers.tell_fleet(hint)
+            case relay_actions.TellFleet(told):
+                self.peers.tell_fleet(told)
             case relay_actions.TellPeers(hint):
                 self.peers.tell(hint)
             case relay_actions.LookAtStore():
--- a/src/greengagelb/transport/relay/peer_link.py
+++ b/src/greengagelb/transport/relay/peer_link.py
@@ -63,13 +63,19 @@
         """Send a hint to all others."""
         self.send_to_all(relay_hints.encode_hint(self.own.incarnation, hint))
 
-    def tell_fleet(self, hint: hints.Hint) -> None:
-        """Send a hint to all others; some far away forward it there."""
-        raw = relay_hints.encode_hint(self.own.incarnation, hint)
-        self.send_nearby(raw)
-        forwarded = relay_hints.encode_forwarded(self.own.incarnation, raw)
-        for host in self.forwarders():
-            self.send(forwarded, host)
+    def tell_fleet(self, told: tuple[hints.Hint, ...]) -> None:
+        """Send hints to all others; some far away forward them there.
+
+        All go by the same forwarders, as they have to arrive in their order.
+        """
+        own = self.own.incarnation
+        hosts = self.forwarders()
+        for hint in told:
+            raw = relay_hints.encode_hint(own, hint)
+            self.send_nearby(raw)
+            forwarded = relay_hints.encode_forwarded(own, raw)
+            for host in hosts:
+                self.send(forwarded, host)
 
     def forwarders(self) -> list[str]:
         """Return hosts of some instances in each of the other data centres."""
