Random losses and cuts over the fleet's readers of the store

Thirty-six seeded histories: kills, cuts, an absent or refusing store and lost datagrams, one over the other. A change is known within two seconds after them, also when the reader dies just then, and one reader is left.

--- /dev/null
+++ b/tests/load/test_readers_under_faults.py
@@ -0,0 +1,122 @@
+"""Who reads the store for all, through random losses and cuts.
+
+Instances are killed, data centres are cut off and heard again, the store is
+away or turns some instances away, and single datagrams are lost, in any order
+and one over the other. When all that is over, or is only a data centre that
+is cut off from the others, each instance must learn of a change in time, and
+the fleet must not go on asking as if the faults were still there.
+"""
+
+import random
+
+import pytest
+
+from tests.common import store_fleet
+
+SIZE = 12
+PLACES = ('north', 'south', 'west')
+FAULTS = 8
+# How long after the last fault instances count as in touch, and how long after
+# that a change has to be known, in seconds.
+CONTACT_SECONDS = 3.0
+BOUND_SECONDS = 2.0
+# What a calm fleet of any size may ask for in a second: list and configuration
+# by one reader, and what is left of faults.
+CALLS_A_SECOND = 4.0
+GONE = 'model-north-0'
+
+
+class FaultyFleet(store_fleet.StoreFleet):
+    """A fleet that loses some of its datagrams."""
+
+    def __init__(self, seed):
+        super().__init__(SIZE, PLACES)
+        self.draw = random.Random(seed)
+        self.lost_share = 0.0
+
+    def hears(self, one, other):
+        if self.draw.random() < self.lost_share:
+            return False
+        return super().hears(one, other)
+
+    def living(self):
+        return [i for i in self.instances if i.alive]
+
+    def kill_one(self):
+        if len(self.living()) > SIZE // 2:
+            self.draw.choice(self.living()).kill()
+
+    def kill_reader(self):
+        if self.readers and len(self.living()) > SIZE // 2:
+            self.readers[0].kill()
+
+    def cut_off(self):
+        self.cut = {self.draw.choice(PLACES)}
+
+    def heal(self):
+        self.cut = set()
+
+    def store_away(self):
+        self.store.down = not self.store.down
+
+    def turn_away(self):
+        names = [i.own.name for i in self.instances]
+        self.store.turned_away = set(self.draw.sample(names, SIZE // 3))
+
+    def lose_datagrams(self):
+        self.lost_share = self.draw.choice((0.0, 0.1, 0.5))
+
+    def fault(self):
+        """Let one thing happen, and some time pass."""
+        self.draw.choice(
+            (
+                self.kill_one,
+                self.kill_reader,
+                self.cut_off,
+                self.heal,
+                self.store_away,
+                self.turn_away,
+                self.lose_datagrams,
+            )
+        )()
+        self.play(self.draw.choice((0.05, 0.4, 1.3, 3.0)))
+
+    def mend(self):
+        """End all faults but the cut of a data centre."""
+        self.store.down = False
+        self.store.turned_away = set()
+        self.lost_share = 0.0
+
+
+@pytest.mark.parametrize('reader_dies', [False, True])
+@pytest.mark.parametrize('seed', range(12))
+def test_change_is_known_in_time_after_any_faults(seed, reader_dies):
+    fleet = FaultyFleet(seed)
+    fleet.play(4.0)
+    for _ in range(FAULTS):
+        fleet.fault()
+    fleet.mend()
+    fleet.play(CONTACT_SECONDS)
+    if reader_dies:
+        fleet.kill_reader()
+    fleet.store.configure()
+    fleet.store.remove(GONE)
+    fleet.play(BOUND_SECONDS)
+    wanted = fleet.store.version
+    assert {i.version for i in fleet.living()} == {wanted}
+    # Entries that vanish just after an outage are kept for two seconds.
+    fleet.play(2.0)
+    assert not any(i.knows(GONE) for i in fleet.living())
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_fleet_calms_down_after_any_faults(seed):
+    fleet = FaultyFleet(seed)
+    fleet.play(4.0)
+    for _ in range(FAULTS):
+        fleet.fault()
+    fleet.mend()
+    fleet.heal()
+    fleet.play(CONTACT_SECONDS)
+    assert len(fleet.readers) == 1
+    assert fleet.play(10.0) <= 10.0 * CALLS_A_SECOND
