--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -1,18 +1,13 @@
 """Calls of the platform's store whose answers are lost."""
 
-import random
-
 from twisted.internet import defer
 from twisted.internet import task
 
 from greengagelb import errors
-from greengagelb.coordination.relay import store_sharing
 from greengagelb.platform import store
-from greengagelb.state.relay import hints
 from greengagelb.transport.relay import store_watch
 from tests.common import relay_wires
-
-OWN = hints.Member('own', '5-own', '127.0.0.1', 'north')
+from tests.common import watches
 
 
 class LosingStore:
@@ -55,15 +50,6 @@
 def test_call_that_failed_once_is_repeated_soon():
     clock = task.Clock()
     source = LosingStore()
-    watch = store_watch.StoreWatch(
-        clock,
-        source,
-        lambda event: None,
-        lambda record: None,
-        OWN,
-        store_sharing.StoreSharing(OWN.incarnation, random.Random(1)),
-        lambda members: None,
-    )
-    watch.start()
+    watches.watch_on(source, clock).start()
     clock.advance(0.3)
     assert source.asked == 2
--- a/tests/relay/test_foreign_entries.py
+++ b/tests/relay/test_foreign_entries.py
@@ -11,7 +11,6 @@
 from greengagelb.coordination import actions as common_actions
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
-from greengagelb.coordination.relay import store_sharing
 from greengagelb.protocol import relay_hints
 from greengagelb.state.relay import hints
 from greengagelb.transport.relay import peer_link
@@ -20,8 +19,8 @@
 from greengagelb.transport.relay import unusable_entries
 from tests.common import instance_world
 from tests.common import relay_world
+from tests.common import watches
 
-OWN = hints.Member('own', '5-own', '127.0.0.1', 'north')
 READER = '0-before-all-others'
 SPOILT = 'model-north-0'
 WHY = 'unknown state lost'
@@ -294,15 +293,8 @@
 def watching(source, dispatched=None):
     """Return a clock, a watch of a source, and what it records."""
     recorded = []
-    watch = store_watch.StoreWatch(
-        source.clock,
-        source,
-        (lambda event: None) if dispatched is None else dispatched.append,
-        recorded.append,
-        OWN,
-        store_sharing.StoreSharing(OWN.incarnation, random.Random(1)),
-        lambda members: None,
-    )
+    dispatch = None if dispatched is None else dispatched.append
+    watch = watches.watch_on(source, source.clock, dispatch, recorded.append)
     watch.start()
     return source.clock, watch, recorded
 
@@ -372,7 +364,7 @@
     those that are listed.
     """
     source = StoreOfOthers()
-    source.members = (OWN,)
+    source.members = (watches.OWN,)
     clock, watch, _ = watching(source)
     watch.sharing.reads_for_all = True
     clock.pump([0.1] * 200)
@@ -425,12 +417,12 @@
     """
     bad = []
     link = peer_link.PeerLink(
-        OWN, 7000, lambda event: None, bad.append, random.Random(1)
+        watches.OWN, 7000, lambda event: None, bad.append, random.Random(1)
     )
     link.transport = StrictSocket()
     link.peers = {
-        '1-a': peer_link.Peer('front.example', OWN.data_centre),
-        '2-b': peer_link.Peer('127.0.0.2', OWN.data_centre),
+        '1-a': peer_link.Peer('front.example', watches.OWN.data_centre),
+        '2-b': peer_link.Peer('127.0.0.2', watches.OWN.data_centre),
     }
     link.beat()
     assert link.transport.sent == [('127.0.0.2', 7000)]
--- a/tests/relay/test_leaving_engines.py
+++ b/tests/relay/test_leaving_engines.py
@@ -1,7 +1,5 @@
 """Engines that leave while the store is hard to reach."""
 
-import random
-
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -11,8 +9,8 @@
 from greengagelb.state.relay import hints
 from greengagelb.transport.relay import store_watch
 from tests.common import relay_world
+from tests.common import watches
 
-OWN = hints.Member('own', '5-own', '127.0.0.1', 'north')
 READER = '0-before-all-others'
 GONE = 'model-north-0'
 
@@ -140,17 +138,8 @@
     """
     clock = task.Clock()
     source = ForgetfulStore()
-    sharing = store_sharing.StoreSharing(OWN.incarnation, random.Random(1))
-    sharing.reads_for_all = True
-    watch = store_watch.StoreWatch(
-        clock,
-        source,
-        lambda event: None,
-        lambda record: None,
-        OWN,
-        sharing,
-        lambda members: None,
-    )
+    watch = watches.watch_on(source, clock)
+    watch.sharing.reads_for_all = True
     watch.start()
     assert source.whole_lists == 1
     clock.advance(store_sharing.READ_SECONDS + 0.06)
