--- a/src/greengagelb/coordination/relay/engine_list.py
+++ b/src/greengagelb/coordination/relay/engine_list.py
@@ -73,13 +73,13 @@
         if self.engines.lost:
             done.append(actions.Record('store-regained', 'list of engines'))
         done += self.changed(entries, removed, unusable, now)
-        waited_before = self.sharing.reads_for_all
+        was_reader = self.sharing.reads_for_all
         self.sharing.engines_read()
         if not self.sharing.reads_for_all:
             return done
         told = parts_of(news, removed, spoilt)
         if self.sharing.engines.read_takes(now) <= PROMPT_READ_SECONDS:
-            told.append(self.store_read(waited_before=waited_before))
+            told.append(self.notification(was_reader=was_reader))
         else:
             # The others get no notification, so one of them has to read.
             self.sharing.reads_for_all = False
@@ -91,13 +91,14 @@
             return []
         return [relay_actions.TellFleet((hints.StoreTried(),))]
 
-    def store_read(self, *, waited_before: bool) -> hints.StoreRead:
+    def notification(self, *, was_reader: bool) -> hints.StoreRead:
         """Return what the others are told of what stands in the store.
 
-        Only who has waited at the store for the next configuration is sure to
-        have the newest, unless its calls for it fail.
+        A reader waits at the store for the next configuration, and so is sure
+        to have the newest, unless its calls for it fail. One that has only
+        just become the reader is not.
         """
-        sure = waited_before and not self.sharing.configuration.failures
+        sure = was_reader and not self.sharing.configuration.failures
         return hints.StoreRead(
             self.engines.digest(),
             self.version if sure else None,
