Check once what all instances must know after an outage

The same nine lines stood in two tests of fleets of different sizes; found by reading the whole change again. Assertions and bounds are as they were.

--- a/tests/load/test_store_calls_of_a_fleet.py
+++ b/tests/load/test_store_calls_of_a_fleet.py
@@ -38,6 +38,19 @@
     return [i for i in fleet.instances if i is not reader]
 
 
+def all_learn_after_an_outage(fleet):
+    """Change everything the moment the store is back; check who knows it."""
+    fleet.store.down = True
+    fleet.play(8.0)
+    fleet.store.down = False
+    fleet.store.configure()
+    fleet.store.remove(GONE)
+    fleet.play(BOUND_SECONDS)
+    assert {i.version for i in fleet.instances} == {2}
+    fleet.play(1.5)
+    assert not any(i.knows(GONE) for i in fleet.instances)
+
+
 def test_calm_fleet_costs_no_more_when_it_is_large(fleet, large_fleet):
     """Three times as many instances in five data centres do their work.
 
@@ -60,15 +73,7 @@
 
 
 def test_large_fleet_notices_soon_that_the_store_is_back(large_fleet):
-    large_fleet.store.down = True
-    large_fleet.play(8.0)
-    large_fleet.store.down = False
-    large_fleet.store.configure()
-    large_fleet.store.remove(GONE)
-    large_fleet.play(BOUND_SECONDS)
-    assert {i.version for i in large_fleet.instances} == {2}
-    large_fleet.play(1.5)
-    assert not any(i.knows(GONE) for i in large_fleet.instances)
+    all_learn_after_an_outage(large_fleet)
 
 
 def test_loss_of_the_reader_costs_a_large_fleet_few_calls(large_fleet):
@@ -143,15 +148,7 @@
 
     It is put in force the moment the store is back, and an engine leaves.
     """
-    fleet.store.down = True
-    fleet.play(8.0)
-    fleet.store.down = False
-    fleet.store.configure()
-    fleet.store.remove(GONE)
-    fleet.play(BOUND_SECONDS)
-    assert {i.version for i in fleet.instances} == {2}
-    fleet.play(1.5)
-    assert not any(i.knows(GONE) for i in fleet.instances)
+    all_learn_after_an_outage(fleet)
 
 
 @pytest.mark.parametrize('moment', [0.0, 0.3, 0.6, 0.9, 1.2, 1.5, 5.0])
