Tell in the log which requests are the same, and how far a lost answer had come

The three hypotheses of the incident could not be told apart: a request that comes again has a new id, and whether a run had begun when its connection ended had to be guessed from a parser's words. `sent` has a fingerprint now (account, host, path, and body or else query) and `send-lost` the events and the time since the answer's head. The digest of claims moves to where both use it; its values stay. Tests: tests/logs/test_crash_evidence.py.

--- a/src/greengagelb/coordination/calls/claims.py
+++ b/src/greengagelb/coordination/calls/claims.py
@@ -24,6 +24,7 @@
 from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
+from greengagelb.coordination.sharing import fingerprints
 from greengagelb.coordination.sharing import retry_budget
 from greengagelb.state import claims
 from greengagelb.state import configuration as configuration_state
@@ -97,11 +98,7 @@
             parts = [operation.encode(), body]
         case requests.GenerationRequest(prompt=prompt, most_tokens=most):
             parts = [prompt.encode('utf-8', 'surrogatepass'), b'%d' % most]
-    found = hashlib.blake2b(digest_size=16)
-    for part in [request.service.encode(), *parts]:
-        found.update(b'%d:' % len(part))
-        found.update(part)
-    return found.hexdigest()
+    return fingerprints.digest_of([request.service.encode(), *parts])
 
 
 class ClaimKeeper:
--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -159,9 +159,7 @@
         now: float,
     ) -> list[Action]:
         """Repeat a call that may have run, if that does no harm."""
-        done: list[Action] = [
-            sending.record(exchange, sent, 'send-lost', detail)
-        ]
+        done: list[Action] = [sending.lost(exchange, sent, detail, now)]
         if exchange.sends:
             return done
         if exchange.ruling.route.repeatable:
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -29,6 +29,7 @@
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.coordination.relay import streams
 from greengagelb.coordination.relay import succession
+from greengagelb.coordination.sharing import fingerprints
 from greengagelb.state import identity
 from greengagelb.state.relay import bounds
 from greengagelb.state.relay import exchanges
@@ -239,7 +240,8 @@
                 'refused', why, identity.RequestId('', request.request_id)
             )
             return [told, ruling]
-        exchange = exchanges.Exchange(request, ruling)
+        fingerprint = fingerprints.of_relayed(request, ruling.account)
+        exchange = exchanges.Exchange(request, ruling, fingerprint)
         self.exchanges[request.exchange] = exchange
         self.budget.count_request(ruling.service.name, now)
         name = timers.timer_name(DEADLINE_TIMER, request.exchange)
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -122,6 +122,7 @@
         work = self.loads.of(state.entry.engine)
         parts = [
             f'attempt {exchange.attempts}',
+            f'fingerprint {exchange.fingerprint}',
             f'in_flight {state.in_flight}',
             f'runs {work.runs}',
             f'tokens {work.memory_tokens}',
@@ -233,6 +234,20 @@
     return exchange.attempts if first or exchange.attempts > 1 else 0
 
 
+def lost(
+    exchange: exchanges.Exchange,
+    sent: exchanges.Sent,
+    detail: str,
+    now: float,
+) -> actions.Record:
+    """Return the time line event of a send that brought no whole answer."""
+    progress = 'no answer begun'
+    if sent.answered_at <= now:
+        seconds = now - sent.answered_at
+        progress = f'{sent.events_seen} events in {seconds:.3f} s'
+    return record(exchange, sent, 'send-lost', f'{detail}; {progress}')
+
+
 def record(
     exchange: exchanges.Exchange,
     sent: exchanges.Sent | None,
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -230,6 +230,7 @@
         if not event.head.sealed:
             return self.lost(exchange, sent, 'unsigned answer', now)
         sent.head = event.head
+        sent.answered_at = now
         sent.moved_at = now
         self.parts.engines.told_load(sent.entry.engine, event.head.load, now)
         return []
@@ -379,7 +380,7 @@
     ) -> list[Action]:
         """Give a send up; go on elsewhere, from the copy if there is one."""
         done: list[Action] = [
-            sending.record(exchange, sent, 'send-lost', detail),
+            sending.lost(exchange, sent, detail, now),
             *self.parts.sends.abandon(exchange, sent),
         ]
         if exchange.unconnected >= calls.MOST_UNCONNECTED:
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -11,7 +11,8 @@
     """One send of a request to an engine that is still under way.
 
     ``moved_at`` is the monotonic time of the last sign of this send: its
-    start, the answer's head, or events. ``asked_at`` is when its engine was
+    start, the answer's head, or events. ``answered_at`` is when the answer's
+    head was here. ``asked_at`` is when its engine was
     last asked for a sign of life. ``first_due`` is when its first event
     should have come at the latest. ``copy_to`` names the engine that gets a
     copy of the run's memory, which is there as ``copy_name``; ``copy_ordered``
@@ -25,6 +26,7 @@
     entry: engines.EngineEntry
     began_at: float
     moved_at: float
+    answered_at: float = float('inf')
     asked_at: float = float('-inf')
     first_due: float = float('inf')
     copy_to: engines.EngineEntry | None = None
@@ -46,11 +48,13 @@
     handed to a connection. ``failed`` keeps an engine's own failure while
     another engine is tried. ``moved_at`` is when the caller got the last
     event. ``tried`` names the engines that got it and
-    ``refused_by`` those that had no room for it.
+    ``refused_by`` those that had no room for it. ``fingerprint`` is that of
+    the request.
     """
 
     request: requests.CallerRequest
     ruling: requests.Ruling
+    fingerprint: str = ''
     sends: dict[int, Sent] = dataclasses.field(default_factory=dict)
     tried: set[str] = dataclasses.field(default_factory=set)
     refused_by: set[str] = dataclasses.field(default_factory=set)
--- /dev/null
+++ b/tests/logs/test_crash_evidence.py
@@ -0,0 +1,65 @@
+"""What the log tells of requests that are under way when engines crash."""
+
+from greengagelb.coordination import actions as common_actions
+from tests.common import relay_world
+
+BODY = b'the same content'
+
+
+def reasons(world, kind):
+    """Return the reasons of all time line events of a kind."""
+    records = world.of_kind(common_actions.Record)
+    return [record.reason for record in records if record.kind == kind]
+
+
+def fingerprint_sent(world, **fields):
+    """Return the fingerprint in the log line of a new request's send."""
+    world.ask(**fields)
+    [found] = [
+        part
+        for part in reasons(world, 'sent')[-1].split(', ')
+        if part.startswith('fingerprint ')
+    ]
+    return found
+
+
+def test_a_request_that_comes_again_is_told_as_the_same():
+    """Guards against repeats that the log can't connect.
+
+    A caller sends what failed again, with a new id and at another instance.
+    """
+    here = relay_world.RelayWorld(seed=1)
+    there = relay_world.RelayWorld(seed=2)
+    first = fingerprint_sent(here, body=BODY)
+    assert fingerprint_sent(here, body=BODY) == first
+    assert fingerprint_sent(there, body=BODY) == first
+
+
+def test_other_requests_are_told_apart():
+    """Guards against a log that takes two requests for one."""
+    world = relay_world.RelayWorld()
+    told = {
+        fingerprint_sent(world, body=BODY),
+        fingerprint_sent(world, body=b'other'),
+        fingerprint_sent(world, body=BODY, target=b'/drafts/2'),
+        fingerprint_sent(world, body=b'', target=b'/drafts/1?page=1'),
+        fingerprint_sent(world, body=b'', target=b'/drafts/1?page=2'),
+    }
+    assert len(told) == 5
+
+
+def test_a_lost_send_tells_whether_its_engine_had_begun_to_answer():
+    """Guards against losses of which the log hides what the engine did."""
+    world = relay_world.RelayWorld()
+    waiting = world.last_send(world.ask())
+    world.lose(waiting)
+    begun = world.last_send(waiting.exchange)
+    world.now += 1.0
+    world.begin(begun)
+    world.now += 0.25
+    world.events(begun, 1, 2)
+    world.lose(begun)
+    assert reasons(world, 'send-lost') == [
+        'ConnectionLost; no answer begun',
+        'ConnectionLost; 2 events in 0.250 s',
+    ]
