--- a/tests/common/call_world.py
+++ b/tests/common/call_world.py
@@ -89,6 +89,7 @@
     ran: bool = False
     answer: bytes = b''
     try_number: int = 1
+    upstream: str = ''
 
 
 class Instance:
@@ -158,8 +159,8 @@
         match action:
             case actions.WriteClaim():
                 self.write_asked(home, action)
-            case actions.DispatchCall(exchange, try_number=number):
-                self.dispatched(home, exchange, number)
+            case actions.DispatchCall(exchange, upstream, try_number=number):
+                self.dispatched(home, exchange, number, upstream.name)
             case actions.StartAttempt(attempt):
                 self.attempt_started(home, attempt)
             case actions.AbandonCall(exchange):
@@ -190,9 +191,11 @@
 
     # -- promises -----------------------------------------------------------
 
-    def dispatched(self, home, number, try_number):
+    def dispatched(self, home, number, try_number, upstream):
         exchange = self.exchange(home, number)
-        dispatch = Dispatch(home, exchange, try_number=try_number)
+        dispatch = Dispatch(
+            home, exchange, try_number=try_number, upstream=upstream
+        )
         self.check_dispatch(exchange)
         self.dispatches.append(dispatch)
         self.may_run[exchange.key].append(dispatch)
--- /dev/null
+++ b/tests/common/crashing_fleet.py
@@ -0,0 +1,392 @@
+"""Relays around engines that some requests crash, without sockets.
+
+Datagrams between instances may be lost or cut. An engine that crashes ends
+all that it had, refuses connections for a while, and is listed again under
+another identity.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+from greengagelb.coordination import actions as common_actions
+from greengagelb.coordination import events as common_events
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import relay
+from greengagelb.state.relay import engines
+from greengagelb.state.relay import hints
+from greengagelb.state.relay import requests
+from tests.common import relay_world
+
+CRASHING = b'what crashes engines'
+# Within so many seconds instances that hear each other know of a crash.
+CONTACT_SECONDS = 3.0
+NETWORK_SECONDS = 0.001
+READING_SECONDS = 1.0
+COPY_SECONDS = 0.02
+CRASH_SECONDS = 0.03
+PART_SECONDS = 0.25
+PARTS = 12
+CALL_SECONDS = 0.03
+DOWN_SECONDS = 2.0
+LISTED_SECONDS = 0.5
+CALLER_SECONDS = 25.0
+PATHS = {
+    'stream': b'/drafts/1',
+    'query': b'/queries/1',
+    'call': b'/booking/1',
+}
+
+
+@dataclasses.dataclass(eq=False)
+class Run:
+    """A send that an engine has."""
+
+    instance: 'Instance'
+    send: relay_actions.Send
+    ended: bool = False
+
+    @property
+    def crashes(self):
+        return self.send.request.body == CRASHING
+
+
+class Engine:
+    """One engine's lives, one after the other, at one address."""
+
+    def __init__(self, entry):
+        self.entry = entry
+        self.alive = True
+        self.runs = []
+        self.free_at = 0.0
+
+
+class Instance:
+    """One relay; what it wants done is carried out by the fleet."""
+
+    def __init__(self, fleet, number, life=0):
+        self.fleet = fleet
+        self.number = number
+        place = relay_world.PLACES[number % len(relay_world.PLACES)]
+        self.own = hints.Member(
+            f'n{number:03}', f'{number:03}-{life}', '127.0.0.1', place
+        )
+        self.relay = relay.Relay(
+            random.Random(1000 * life + number),
+            self.own,
+            relay_world.RETRIES,
+            relay_world.ENGINE_BOUNDS,
+        )
+        self.alive = True
+        self.timers = {}
+        self.answers = {}
+        self.records = []
+
+    def handle(self, event):
+        if not self.alive:
+            return
+        for action in self.relay.handle(event, self.fleet.now):
+            self.fleet.carry_out(self, action)
+
+    def fire(self, name, deadline):
+        if self.timers.get(name) == deadline:
+            del self.timers[name]
+            self.handle(common_events.TimerFired(name))
+
+    def beat(self):
+        if self.alive:
+            self.fleet.send_heartbeat(self)
+            wait = self.relay.fleet.heartbeat_seconds
+            self.fleet.after(wait, self.beat)
+
+
+class CrashingFleet:
+    """Instances and engines on one clock.
+
+    ``arrivals`` and ``crashes`` are the times at which engines got, and were
+    ended by, what crashes them. ``loss`` is the part of all datagrams that is
+    lost, and nothing passes between a place in ``cut`` and others.
+    """
+
+    def __init__(self, size, per_place=3, loss=0.0, seed=1):
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.cut = set()
+        self.now = 100.0
+        self.events = []
+        self.order = itertools.count()
+        self.last_exchange = 0
+        self.arrivals = []
+        self.crashes = []
+        self.datagrams = 0
+        self.engines = {
+            entry.engine: Engine(entry)
+            for entry in relay_world.fleet(per_place)
+        }
+        self.instances = [Instance(self, number) for number in range(size)]
+        for instance in self.instances:
+            self.set_up(instance)
+        self.run(2.5)
+
+    # -- time ---------------------------------------------------------------
+
+    def after(self, seconds, function, *arguments):
+        at = self.now + seconds
+        heapq.heappush(
+            self.events, (at, next(self.order), function, arguments)
+        )
+
+    def run(self, seconds):
+        """Let time pass."""
+        until = self.now + seconds
+        while self.events and self.events[0][0] <= until:
+            self.now, _, function, arguments = heapq.heappop(self.events)
+            function(*arguments)
+        self.now = until
+
+    # -- instances ----------------------------------------------------------
+
+    def set_up(self, instance):
+        """Give an instance what it reads in the store when it starts."""
+        table = relay_world.route_table()
+        instance.handle(relay_events.RoutesOffered(table, 'store'))
+        entries = [e.entry for e in self.engines.values() if e.alive]
+        instance.handle(relay_events.EnginesListed(tuple(entries)))
+        members = tuple(
+            other.own for other in self.instances if other is not instance
+        )
+        instance.handle(relay_events.MembersListed(members))
+        self.after(self.rng.uniform(0.0, 0.2), instance.beat)
+
+    def restart(self, number):
+        """Kill an instance and start it anew."""
+        former = self.instances[number]
+        former.alive = False
+        life = int(former.own.incarnation.rpartition('-')[2]) + 1
+        self.instances[number] = Instance(self, number, life)
+        self.set_up(self.instances[number])
+        return self.instances[number]
+
+    def reached(self, one, other):
+        """Return whether a datagram that is sent now arrives."""
+        self.datagrams += 1
+        places = {one.own.data_centre, other.own.data_centre}
+        if len(places) > 1 and places & self.cut:
+            return False
+        return self.rng.random() >= self.loss
+
+    def tell(self, sender, event):
+        """Send a datagram to all others."""
+        for other in self.instances:
+            if other is not sender and self.reached(sender, other):
+                self.after(NETWORK_SECONDS, other.handle, event)
+
+    def send_heartbeat(self, sender):
+        own = sender.own
+        self.tell(
+            sender, relay_events.PeerHeard(own.incarnation, own.data_centre)
+        )
+
+    # -- callers ------------------------------------------------------------
+
+    def ask(self, kind='stream', body=b'innocent', instance=None):
+        """Send a request to an instance, drawn if none is given.
+
+        Returns the instance and the exchange.
+        """
+        instance = instance or self.rng.choice(self.instances)
+        self.last_exchange += 1
+        number = self.last_exchange
+        stream = kind == 'stream'
+        prompt = requests.Prompt(8_000, 780, f'part{number}')
+        instance.handle(
+            relay_events.RequestArrived(
+                requests.CallerRequest(
+                    number,
+                    b'POST',
+                    PATHS[kind],
+                    relay_world.HOST,
+                    (),
+                    body,
+                    f'r{number}',
+                    relay_world.KEY,
+                    self.now,
+                    self.now + CALLER_SECONDS,
+                    prompt=prompt if stream else None,
+                )
+            )
+        )
+        return instance, number
+
+    def ask_again_and_again(self, kind, seconds, every):
+        """Have what crashes engines come at any instance, under new ids."""
+        for number in range(int(seconds / every)):
+            self.after(number * every, self.ask, kind, CRASHING)
+        self.run(seconds)
+
+    def retries_after_the_third_crash(self):
+        """Return how often engines got it once all instances must know."""
+        if len(self.crashes) < 3:
+            return 0
+        known_at = self.crashes[2] + CONTACT_SECONDS
+        return sum(at > known_at for at in self.arrivals)
+
+    # -- what instances want done -------------------------------------------
+
+    def carry_out(self, instance, action):
+        match action:
+            case relay_actions.Send():
+                self.after(NETWORK_SECONDS, self.deliver, instance, action)
+            case relay_actions.AbandonSend(exchange, send):
+                self.abandon(instance, exchange, send)
+            case relay_actions.TellPeers(hint):
+                self.tell(
+                    instance,
+                    relay_events.PeerTold(instance.own.incarnation, hint),
+                )
+            case relay_actions.TellFleet(told):
+                for hint in told:
+                    self.tell(
+                        instance,
+                        relay_events.PeerTold(instance.own.incarnation, hint),
+                    )
+            case common_actions.SetTimer(name, deadline):
+                instance.timers[name] = deadline
+                wait = max(0.0, deadline - self.now)
+                self.after(wait, instance.fire, name, deadline)
+            case common_actions.ClearTimer(name):
+                instance.timers.pop(name, None)
+            case common_actions.Record():
+                instance.records.append(action)
+            case relay_actions.ProbeEngine(exchange, send, entry):
+                engine = self.life_of(entry)
+                probed = relay_events.EngineProbed(
+                    exchange, send, engine is not None
+                )
+                self.after(2 * NETWORK_SECONDS, instance.handle, probed)
+            case (
+                relay_actions.PassAnswer(exchange=exchange)
+                | relay_actions.EndStream(exchange=exchange)
+                | relay_actions.BreakOff(exchange=exchange)
+                | relay_actions.Refuse(exchange=exchange)
+            ):
+                instance.answers[exchange] = action
+
+    def life_of(self, entry):
+        """Return the engine of an entry, if that life has not ended."""
+        engine = self.engines.get(entry.engine)
+        return engine if engine and engine.alive else None
+
+    def deliver(self, instance, send):
+        engine = self.life_of(send.engine)
+        if engine is None:
+            broken = relay_events.SendBroken(
+                send.exchange, send.send, False, 'connect: refused'
+            )
+            instance.handle(broken)
+            return
+        run = Run(instance, send)
+        engine.runs.append(run)
+        if run.crashes:
+            self.arrivals.append(self.now)
+        if send.stream:
+            takes = COPY_SECONDS if send.copy_from else READING_SECONDS
+            engine.free_at = max(self.now, engine.free_at) + takes
+            self.after(engine.free_at - self.now, self.begin, engine, run)
+        elif run.crashes:
+            self.after(CALL_SECONDS, self.crash_by, engine, run)
+        else:
+            self.after(CALL_SECONDS, self.answer, engine, run)
+
+    def abandon(self, instance, exchange, send):
+        for engine in self.engines.values():
+            for run in engine.runs:
+                if (
+                    run.instance is instance
+                    and run.send.exchange == exchange
+                    and run.send.send == send
+                ):
+                    run.ended = True
+
+    # -- engines ------------------------------------------------------------
+
+    def begin(self, engine, run):
+        """Begin to answer a stream, as its prompt is read."""
+        if run.ended:
+            return
+        head = relay_world.answer_head()
+        run.instance.handle(
+            relay_events.AnswerBegan(run.send.exchange, run.send.send, head)
+        )
+        if run.crashes:
+            self.after(CRASH_SECONDS, self.crash_by, engine, run)
+        else:
+            first = (run.send.resume_after or 0) + 1
+            self.after(PART_SECONDS, self.go_on, engine, run, first)
+
+    def go_on(self, engine, run, number):
+        if run.ended:
+            return
+        moved = requests.StreamEvent(number, b'id: %d\n\n' % number)
+        run.instance.handle(
+            relay_events.StreamMoved(
+                run.send.exchange, run.send.send, (moved,)
+            )
+        )
+        if number < PARTS:
+            self.after(PART_SECONDS, self.go_on, engine, run, number + 1)
+            return
+        self.finish(engine, run)
+        run.instance.handle(
+            relay_events.StreamComplete(run.send.exchange, run.send.send)
+        )
+
+    def answer(self, engine, run):
+        if not run.ended:
+            self.finish(engine, run)
+            run.instance.handle(
+                relay_events.AnswerComplete(
+                    run.send.exchange,
+                    run.send.send,
+                    relay_world.answer_head(),
+                    b'ok',
+                )
+            )
+
+    def finish(self, engine, run):
+        run.ended = True
+        engine.runs.remove(run)
+
+    def crash_by(self, engine, run):
+        if engine.alive and not run.ended:
+            self.crashes.append(self.now)
+            self.crash(engine)
+
+    def crash(self, engine):
+        """End an engine with all that it has; it is back after a while."""
+        engine.alive = False
+        runs, engine.runs = engine.runs, []
+        for run in runs:
+            if not run.ended:
+                run.ended = True
+                broken = relay_events.SendBroken(
+                    run.send.exchange, run.send.send, True, 'ConnectionLost'
+                )
+                self.after(NETWORK_SECONDS, run.instance.handle, broken)
+        self.after(DOWN_SECONDS, self.come_back, engine)
+
+    def come_back(self, engine):
+        former = engine.entry
+        del self.engines[former.engine]
+        name, _, life = former.engine.partition('+')
+        entry = dataclasses.replace(
+            former,
+            engine=f'{name}+{int(life or 0) + 1}',
+            started_at_ms=engines.UNKNOWN_START,
+        )
+        self.engines[entry.engine] = Engine(entry)
+        news = relay_events.EnginesChanged((entry,), (former.engine,))
+        for instance in self.instances:
+            self.after(LISTED_SECONDS, instance.handle, news)
