--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -8,6 +8,7 @@
 import enum
 
 from greengagelb.coordination import actions
+from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import requests
@@ -115,6 +116,16 @@
     engine: engines.EngineEntry
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckEngine:
+    """Ask an engine whether it has ended, on a new connection.
+
+    Answered by exactly one ``EngineChecked`` within the time of a probe.
+    """
+
+    entry: engines.EngineEntry
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CopyRun:
     """Have an engine copy a run's memory to another one.
@@ -149,6 +160,28 @@
     hint: hints.Hint
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellPeer:
+    """Give a hint to one other instance."""
+
+    incarnation: str
+    hint: hints.Hint
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeepCrashes:
+    """Have the store keep what is known of a request."""
+
+    report: crashes.CrashReport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropCrashes:
+    """Have the store keep nothing of a request any more."""
+
+    fingerprint: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TellFleet:
     """Give hints to all others; those far away get them from one near them.
@@ -192,9 +225,13 @@
     | BreakOff
     | Refuse
     | ProbeEngine
+    | CheckEngine
     | CopyRun
     | AskSuccessor
     | TellPeers
+    | TellPeer
+    | KeepCrashes
+    | DropCrashes
     | TellFleet
     | LookAtStore
     | Measure
--- a/src/greengagelb/coordination/relay/answers.py
+++ b/src/greengagelb/coordination/relay/answers.py
@@ -8,6 +8,8 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 TIMED_OUT = 504
+# The code of what is answered to requests that crash engines.
+CRASHES_ENGINES = 'request-crashes-engines'
 # Callers come back within this part of the time they have left, or not at
 # all; a longer wait would be a loss without need.
 MOST_WAIT_SHARE = 0.25
@@ -34,6 +36,14 @@
         wait = max(LEAST_WAIT_SECONDS, longest * self.rng.uniform(0.4, 1.0))
         return relay_actions.Refuse(exchange.number, UNAVAILABLE, code, wait)
 
+    def not_before(
+        self, exchange: exchanges.Exchange, until: float, now: float
+    ) -> relay_actions.Refuse:
+        """Refuse a request that must not run before a moment."""
+        return relay_actions.Refuse(
+            exchange.number, UNAVAILABLE, CRASHES_ENGINES, until - now
+        )
+
     def failed(
         self, exchange: exchanges.Exchange, code: str, now: float
     ) -> relay_actions.RelayAction:
--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -7,6 +7,7 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import answers
 from greengagelb.coordination.relay import choosing
+from greengagelb.coordination.relay import crash_watch
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import sending
@@ -37,6 +38,7 @@
     chooser: choosing.Chooser
     sends: sending.SendTable
     answers: answers.Answers
+    crashes: crash_watch.CrashWatch
 
 
 class CallRelay:
@@ -53,6 +55,9 @@
         self, exchange: exchanges.Exchange, now: float, code: str
     ) -> list[Action]:
         """Send a call to an engine that has not had it, or end it."""
+        if self.parts.crashes.blocks(exchange, now):
+            code = answers.CRASHES_ENGINES
+            return [self.parts.answers.failed(exchange, code, now)]
         state = self.parts.chooser.for_call(
             exchange.ruling.service.name, exchange.tried, now
         )
@@ -83,6 +88,8 @@
         if head.not_run:
             return self.not_run(exchange, sent, head.status, now)
         exchange.may_have_run = True
+        told = self.parts.crashes.survived(exchange, now)
+        self.parts.sends.untold.extend(told)
         self.parts.engines.worked(sent.entry.engine, now)
         if head.status >= 500:
             self.erred(sent, now)
@@ -138,7 +145,11 @@
         self.parts.sends.release(exchange, sent)
         if event.handed_over:
             exchange.may_have_run = True
-            return self.lost(exchange, sent, event.detail, now)
+            # Nothing is heard of a call before its answer.
+            asked = self.parts.crashes.broke_off(
+                exchange, sent, sent.began_at, now
+            )
+            return asked + self.lost(exchange, sent, event.detail, now)
         exchange.attempts -= 1
         exchange.unconnected += 1
         done: list[Action] = [
@@ -163,6 +174,8 @@
         if exchange.sends:
             return done
         if exchange.ruling.route.repeatable:
+            if self.parts.crashes.holds(exchange, sent, now):
+                return done
             return done + self.send_on(exchange, now, 'engines-failed')
         code = 'outcome-unknown'
         return [*done, self.parts.answers.failed(exchange, code, now)]
@@ -187,6 +200,8 @@
         """Send a call that stays without answer to a second engine too."""
         if len(exchange.sends) != 1:
             return []
+        if self.parts.crashes.blocks(exchange, now):
+            return []
         state = self.parts.chooser.for_call(
             exchange.ruling.service.name, exchange.tried, now
         )
--- /dev/null
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -0,0 +1,170 @@
+"""Finds out which relayed requests crash engines, and has them run no more.
+
+A run that breaks off after it has begun makes its engine suspect; the engine
+is asked, and if it has ended that counts against the request. The request
+goes on elsewhere meanwhile, unless one more crash would be the last one: then
+it waits for the answer, which takes milliseconds.
+"""
+
+import dataclasses
+
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.sharing import crashes
+from greengagelb.coordination.sharing import suspicions
+from greengagelb.state import crashes as crash_state
+from greengagelb.state.relay import exchanges
+from greengagelb.state.relay import hints
+
+# An engine that does not answer is asked so often. It may be the network that
+# has lost the question.
+MOST_QUESTIONS = 3
+# How often what others know is asked for, in seconds.
+ASK_PEERS_SECONDS = 0.5
+
+Action = relay_actions.RelayAction
+
+
+@dataclasses.dataclass(slots=True)
+class Question:
+    """An engine is asked whether it has ended.
+
+    ``held`` are the runs whose requests wait for the answer.
+    """
+
+    asked: int = 1
+    held: list[tuple[int, exchanges.Sent]] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """What an answer leads to: requests that count now, and who may go on."""
+
+    counted: tuple[str, ...]
+    held: tuple[tuple[int, exchanges.Sent], ...]
+
+
+class CrashWatch:
+    """What this instance knows of requests that crash engines.
+
+    Invariant: each engine in ``questions`` has one question under way.
+    """
+
+    def __init__(self) -> None:
+        self.records = crashes.CrashRecords()
+        self.suspicions = suspicions.Suspicions()
+        self.questions: dict[str, Question] = {}
+        self.ask_peers_at = float('-inf')
+
+    def blocks(self, exchange: exchanges.Exchange, now: float) -> bool:
+        """Return whether a request must not be sent any more."""
+        return self.records.blocks(exchange.fingerprint, now)
+
+    # -- runs that broke off ------------------------------------------------
+
+    def broke_off(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.Sent,
+        began_at: float,
+        now: float,
+    ) -> list[Action]:
+        """Suspect the engine of a run that had begun; have it asked."""
+        life = sent.entry.life
+        suspicion = suspicions.Suspicion(
+            exchange.fingerprint, life, began_at, now
+        )
+        self.suspicions.forget_old(now)
+        self.suspicions.add(life, suspicion)
+        if life in self.questions:
+            return []
+        self.questions[life] = Question()
+        return [relay_actions.CheckEngine(sent.entry)]
+
+    def holds(
+        self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
+    ) -> bool:
+        """Return whether a request has to wait for what its engine did.
+
+        It does if it must run no more should that engine have ended.
+        """
+        question = self.questions.get(sent.entry.life)
+        if question is None:
+            return False
+        for suspicion in self.suspicions.waiting.get(sent.entry.life, ()):
+            if suspicion.fingerprint != exchange.fingerprint:
+                continue
+            if self.records.would_block(
+                exchange.fingerprint, crash_of(suspicion), now
+            ):
+                question.held.append((exchange.number, sent))
+                return True
+        return False
+
+    def checked(
+        self, event: relay_events.EngineChecked, now: float
+    ) -> Verdict | relay_actions.CheckEngine:
+        """Take in what has become of an engine, or have it asked again."""
+        life = event.entry.life
+        question = self.questions.get(life, Question(MOST_QUESTIONS))
+        unknown = event.fate is relay_events.EngineFate.UNKNOWN
+        if unknown and question.asked < MOST_QUESTIONS:
+            question.asked += 1
+            return relay_actions.CheckEngine(event.entry)
+        self.questions.pop(life, None)
+        found = self.suspicions.ended(life, now)
+        if event.fate is not relay_events.EngineFate.ENDED:
+            found = []
+        counted = tuple(
+            suspicion.fingerprint
+            for suspicion in found
+            if self.records.crashed(
+                suspicion.fingerprint, crash_of(suspicion), now
+            )
+        )
+        return Verdict(counted, tuple(question.held))
+
+    def survived(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> list[hints.Hint]:
+        """Note that an engine ran a request to its end.
+
+        Returns what the others have to know.
+        """
+        fingerprint = exchange.fingerprint
+        if not self.records.survived(fingerprint, now, now):
+            return []
+        return [self.records.report(fingerprint, now)]
+
+    # -- other instances ----------------------------------------------------
+
+    def differs(self, digest: int, now: float) -> bool:
+        """Return whether to ask an instance for what it knows."""
+        if digest == self.records.digest() or now < self.ask_peers_at:
+            return False
+        self.ask_peers_at = now + ASK_PEERS_SECONDS
+        return True
+
+    def reports(self, now: float) -> list[crash_state.CrashReport]:
+        """Return what an instance is told that asks."""
+        names = [*self.records.worst(), *self.records.cleared()]
+        return [self.records.report(name, now) for name in names]
+
+    # -- the store ----------------------------------------------------------
+
+    def blocked(self, now: float) -> list[str]:
+        """Return the requests that must not run, the worst first."""
+        return [
+            name
+            for name in self.records.worst()
+            if self.records.blocks(name, now)
+        ]
+
+
+def crash_of(suspicion: suspicions.Suspicion) -> crash_state.Crash:
+    """Return what a suspicion means if its engine has ended."""
+    return crash_state.Crash(
+        suspicion.life, suspicion.began_at, suspicion.broke_at
+    )
--- /dev/null
+++ b/src/greengagelb/coordination/relay/crashing.py
@@ -0,0 +1,161 @@
+"""Carries out the verdicts on relayed requests that crash engines.
+
+What must not run any more is refused when it comes and taken off the engines
+that are still reading its prompt. All instances have to know, also those that
+a datagram missed, that were cut off or that start later: heartbeats show
+whether others know the same, and the store keeps the verdicts over an end of
+all instances.
+"""
+
+from greengagelb.coordination import actions
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import answers
+from greengagelb.coordination.relay import calls
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import store_sharing
+from greengagelb.coordination.relay import streams
+from greengagelb.state import crashes as crash_state
+from greengagelb.state.relay import exchanges
+from greengagelb.state.relay import routes
+
+Action = relay_actions.RelayAction
+
+
+class CrashingRequests:
+    """Ends what must not run any more, and tells everybody."""
+
+    def __init__(
+        self,
+        parts: calls.Parts,
+        call_relay: calls.CallRelay,
+        stream_relay: streams.StreamRelay,
+        sharing: store_sharing.StoreSharing,
+        running: dict[int, exchanges.Exchange],
+    ) -> None:
+        self.parts = parts
+        self.calls = call_relay
+        self.streams = stream_relay
+        self.sharing = sharing
+        self.running = running
+        self.watch = parts.crashes
+
+    # -- what is seen here --------------------------------------------------
+
+    def refused(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> list[Action] | None:
+        """Return the answer to a request that must not run, else None."""
+        until = self.watch.records.blocked_until(exchange.fingerprint, now)
+        if until is None:
+            return None
+        return [self.parts.answers.not_before(exchange, until, now)]
+
+    def checked(
+        self, event: relay_events.EngineChecked, now: float
+    ) -> list[Action]:
+        """Count a crash, tell the others, and let go on who waited."""
+        verdict = self.watch.checked(event, now)
+        if isinstance(verdict, relay_actions.CheckEngine):
+            return [verdict]
+        done: list[Action] = []
+        for fingerprint in verdict.counted:
+            report = self.watch.records.report(fingerprint, now)
+            self.parts.sends.untold.append(report)
+            done.append(told_crash(report, event))
+            if self.watch.records.blocks(fingerprint, now):
+                done.append(relay_actions.KeepCrashes(report))
+                done += self.block(fingerprint, now)
+        for number, sent in verdict.held:
+            done += self.go_on(number, sent, now)
+        return done
+
+    def go_on(
+        self, number: int, sent: exchanges.Sent, now: float
+    ) -> list[Action]:
+        """Go on with a request that waited, if its caller is still there."""
+        exchange = self.running.get(number)
+        if exchange is None or exchange.sends:
+            return []
+        if exchange.ruling.route.repeat is routes.Repeat.STREAM:
+            return self.streams.go_on_elsewhere(exchange, sent, now)
+        return self.calls.send_on(exchange, now, 'engines-failed')
+
+    def block(self, fingerprint: str, now: float) -> list[Action]:
+        """Stop what runs of a request that must not run any more.
+
+        A stream that brings events is left alone: it may show that the
+        request does no harm.
+        """
+        why = f'fingerprint {fingerprint}'
+        done: list[Action] = [actions.Record('request-blocked', why)]
+        for exchange in list(self.running.values()):
+            begun = any(sent.events_seen for sent in exchange.sends.values())
+            if exchange.fingerprint != fingerprint or begun:
+                continue
+            if exchange.sends:
+                exchange.may_have_run = True
+                done += self.parts.sends.abandon_all(exchange)
+                code = answers.CRASHES_ENGINES
+                done.append(self.parts.answers.failed(exchange, code, now))
+        return done
+
+    # -- what others know ---------------------------------------------------
+
+    def told(
+        self, report: crash_state.CrashReport, now: float
+    ) -> list[Action]:
+        """Take in what another instance or the store knows of a request."""
+        records = self.watch.records
+        fingerprint = report.fingerprint
+        blocked_before = records.blocks(fingerprint, now)
+        if not records.told(report, now) or blocked_before:
+            return []
+        if not records.blocks(fingerprint, now):
+            return []
+        return self.block(fingerprint, now)
+
+    def heard(self, incarnation: str, digest: int, now: float) -> list[Action]:
+        """Ask an instance for what it knows, if that is something else."""
+        if not self.watch.differs(digest, now):
+            return []
+        return [relay_actions.TellPeer(incarnation, crash_state.Wanted())]
+
+    def wanted(self, incarnation: str, now: float) -> list[Action]:
+        """Tell an instance what is known here."""
+        return [
+            relay_actions.TellPeer(incarnation, report)
+            for report in self.watch.reports(now)
+        ]
+
+    def listed(
+        self, reports: tuple[crash_state.CrashReport, ...], now: float
+    ) -> list[Action]:
+        """Take in what the store keeps; the reader puts it in order.
+
+        A write may have failed, and what the store has written it may lose.
+        """
+        done: list[Action] = []
+        for report in reports:
+            done += self.told(report, now)
+        if not self.sharing.reads_for_all:
+            return done
+        kept = {report.fingerprint for report in reports}
+        blocked = set(self.watch.blocked(now))
+        for fingerprint in sorted(blocked - kept):
+            report = self.watch.records.report(fingerprint, now)
+            done.append(relay_actions.KeepCrashes(report))
+        for fingerprint in sorted(kept - blocked):
+            done.append(relay_actions.DropCrashes(fingerprint))
+        return done
+
+
+def told_crash(
+    report: crash_state.CrashReport, event: relay_events.EngineChecked
+) -> actions.Record:
+    """Return the time line event of a crash that counts."""
+    last = report.crashes[-1]
+    why = (
+        f'fingerprint {report.fingerprint}, {len(report.crashes)} crashes, '
+        f'the last after {last.seconds:.3f} s'
+    )
+    return actions.Record('engine-crashed', why, upstream=event.entry.engine)
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -4,8 +4,10 @@
 """
 
 import dataclasses
+import enum
 
 from greengagelb.coordination import events
+from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import requests
@@ -176,6 +178,33 @@
     has_model_memory: bool = False
 
 
+class EngineFate(enum.Enum):
+    """What has become of an engine whose connections broke.
+
+    ``ENDED`` is one where nobody listens or a later life answers, and
+    ``UNKNOWN`` one that gives no answer at all.
+    """
+
+    ALIVE = 'alive'
+    ENDED = 'ended'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineChecked:
+    """An engine was asked whether it has ended."""
+
+    entry: engines.EngineEntry
+    fate: EngineFate
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashesListed:
+    """What the store keeps of requests that crash engines."""
+
+    reports: tuple[crashes.CrashReport, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersListed:
     """The other instances, as the list of instances has them."""
@@ -185,10 +214,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerHeard:
-    """Another instance says that it is there."""
+    """Another instance says that it is there.
+
+    ``crashes_digest`` differs where it knows of other crashes.
+    """
 
     incarnation: str
     data_centre: str
+    crashes_digest: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -223,6 +256,8 @@
     | StopDue
     | Closed
     | EngineProbed
+    | EngineChecked
+    | CrashesListed
     | RunCopied
     | SuccessorSeen
     | MembersListed
--- a/src/greengagelb/coordination/relay/peer_words.py
+++ b/src/greengagelb/coordination/relay/peer_words.py
@@ -4,12 +4,14 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import budget
 from greengagelb.coordination.relay import copying
+from greengagelb.coordination.relay import crashing
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import engine_list
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
 from greengagelb.coordination.relay import restarts
 from greengagelb.coordination.relay import store_sharing
+from greengagelb.state import crashes
 from greengagelb.state.relay import hints
 
 # The most incarnations in one datagram, which they have to fit; the next look
@@ -31,6 +33,7 @@
         retries: budget.SharedRetryBudget,
         copies: copying.RunCopies,
         restarted: restarts.Restarts,
+        crashing_requests: crashing.CrashingRequests,
     ) -> None:
         self.engines = engines_known
         self.listed = listed
@@ -39,6 +42,7 @@
         self.budget = retries
         self.copies = copies
         self.restarts = restarted
+        self.crashing = crashing_requests
 
     def hear(self, event: relay_events.RelayEvent, now: float) -> list[Action]:
         """Take in what is known of the other instances."""
@@ -49,12 +53,13 @@
             case relay_events.MembersListed(members):
                 self.fleet.take_list(members)
                 done += self.tell_unlisted()
-            case relay_events.PeerHeard(incarnation, data_centre):
+            case relay_events.PeerHeard(incarnation, data_centre, digest):
                 if incarnation not in self.fleet.heard_at:
                     told = f'{incarnation} in {data_centre}'
                     done.append(actions.Record('peer-heard', told))
                 self.fleet.greeted(incarnation, now)
                 done += forgotten(self.fleet.tidy(now))
+                done += self.crashing.heard(incarnation, digest, now)
             case relay_events.PeerLeft(incarnation):
                 done += forgotten(self.fleet.left(incarnation, now))
         self.budget.resize(self.fleet.size, 1 + len(self.fleet.heard_at))
@@ -86,6 +91,10 @@
                 return self.store_read(incarnation, hint, now)
             case hints.StoreTried():
                 self.sharing.tried_elsewhere(now)
+            case crashes.CrashReport():
+                return self.crashing.told(hint, now)
+            case crashes.Wanted():
+                return self.crashing.wanted(incarnation, now)
             case hints.NotListed(incarnations):
                 return self.not_listed(incarnations)
             case hints.ConfigurationApplied(version):
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -16,6 +16,8 @@
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import choosing
 from greengagelb.coordination.relay import copying
+from greengagelb.coordination.relay import crash_watch
+from greengagelb.coordination.relay import crashing
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import engine_list
 from greengagelb.coordination.relay import events as relay_events
@@ -78,7 +80,10 @@
         self.sharing = store_sharing.StoreSharing(own.incarnation, rng)
         self.answers = answers.Answers(rng)
         self.rulings = rulings.Rulings(rng)
-        parts = calls.Parts(self.engines, chooser, self.sends, self.answers)
+        self.crashes = crash_watch.CrashWatch()
+        parts = calls.Parts(
+            self.engines, chooser, self.sends, self.answers, self.crashes
+        )
         self.calls = calls.CallRelay(parts)
         self.succession = succession.Succession(
             self.engines, engine_bounds.address_reuse_seconds
@@ -90,6 +95,9 @@
         self.restarts = restarts.Restarts(
             parts, self.calls, self.streams, self.copies, self.exchanges
         )
+        self.crashing = crashing.CrashingRequests(
+            parts, self.calls, self.streams, self.sharing, self.exchanges
+        )
         self.listed = engine_list.EngineList(
             self.engines,
             self.sharing,
@@ -104,6 +112,7 @@
             self.budget,
             self.copies,
             self.restarts,
+            self.crashing,
         )
         self.life = stopping.StoppableLife()
 
@@ -211,6 +220,10 @@
                 return self.life.due(len(self.exchanges))
             case relay_events.Closed():
                 return self.life.closed(len(self.exchanges))
+            case relay_events.EngineChecked():
+                return self.crashing.checked(event, now)
+            case relay_events.CrashesListed(reports):
+                return self.crashing.listed(reports, now)
             case events.PauseNoticed(seconds):
                 return self.paused(seconds, now)
         return self.peers.hear(event, now)
@@ -247,6 +260,9 @@
         name = timers.timer_name(DEADLINE_TIMER, request.exchange)
         done: list[Action] = [actions.SetTimer(name, ruling.deadline)]
         stream = ruling.route.repeat is routes.Repeat.STREAM
+        refused = self.crashing.refused(exchange, now)
+        if refused is not None:
+            return done + refused
         ends_by = now + self.most_seconds(exchange, stream)
         if self.life.too_short_for(ends_by, now, stream=stream):
             return [self.answers.not_run(exchange, 'stopping', now)]
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -9,6 +9,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import timers
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import answers
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import choosing
 from greengagelb.coordination.relay import events as relay_events
@@ -67,6 +68,9 @@
     ) -> list[Action]:
         """Have an engine read the prompt, and go on at the position."""
         lost = exchange.attempts > 0
+        if self.parts.crashes.blocks(exchange, now):
+            code = answers.CRASHES_ENGINES
+            return [self.parts.answers.failed(exchange, code, now)]
         state = self.parts.chooser.for_stream(
             exchange.ruling.service,
             exchange.request.prompt,
@@ -291,6 +295,8 @@
         if not exchange.begun:
             return self.lost(exchange, sent, 'no events', now)
         self.parts.sends.release(exchange, sent)
+        told = self.parts.crashes.survived(exchange, now)
+        self.parts.sends.untold.extend(told)
         if not exchange.request.resumes_after:
             took = now - exchange.request.received_at
             self.pace.observe(took, cost_of(exchange))
@@ -340,12 +346,17 @@
         now: float,
     ) -> list[Action]:
         """Go on after a connection that ended before its stream did."""
+        done: list[Action] = []
         if event.handed_over:
             exchange.may_have_run = True
         else:
             exchange.attempts -= 1
             exchange.unconnected += 1
-        return self.lost(exchange, sent, event.detail, now)
+        if sent.head is not None:
+            done = self.parts.crashes.broke_off(
+                exchange, sent, sent.answered_at, now
+            )
+        return done + self.lost(exchange, sent, event.detail, now)
 
     def lost(
         self,
@@ -389,13 +400,21 @@
         if exchange.may_have_run and not exchange.ruling.route.repeatable:
             code = 'outcome-unknown'
             return [*done, self.parts.answers.failed(exchange, code, now)]
+        if self.parts.crashes.holds(exchange, sent, now):
+            return done
+        return done + self.go_on_elsewhere(exchange, sent, now)
+
+    def go_on_elsewhere(
+        self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
+    ) -> list[Action]:
+        """Order a run in place of one that was given up."""
         copy = self.copy_of(sent, now) if sent.events_seen else None
-        if copy is None:
-            return done + self.start_afresh(exchange, now, 'engines-failed')
+        if copy is None or self.parts.crashes.blocks(exchange, now):
+            return self.start_afresh(exchange, now, 'engines-failed')
         if not self.parts.sends.may_repeat(exchange, now):
             code = 'retry-budget-spent'
-            return [*done, self.parts.answers.failed(exchange, code, now)]
-        return done + self.order(exchange, copy, now, sent.copy_name)
+            return [self.parts.answers.failed(exchange, code, now)]
+        return self.order(exchange, copy, now, sent.copy_name)
 
     def heard_at(self, sent: exchanges.Sent) -> float:
         """Return when an engine gave its last sign of life here."""
--- /dev/null
+++ b/src/greengagelb/coordination/sharing/suspicions.py
@@ -0,0 +1,54 @@
+"""Broken connections that may mean that an engine has crashed.
+
+Connections break for many reasons. Only an engine that has ended since counts
+against the requests that it ran, so each is asked first.
+"""
+
+import dataclasses
+
+# How long an engine may take to show what has become of it, in seconds.
+WAIT_SECONDS = 10.0
+# The most that wait for one engine.
+MOST_WAITING = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A run that broke off; see :class:`greengagelb.state.crashes.Crash`."""
+
+    fingerprint: str
+    life: str
+    began_at: float
+    broke_at: float
+
+
+class Suspicions:
+    """Runs that broke off, by the engine that had them."""
+
+    def __init__(self) -> None:
+        self.waiting: dict[str, list[Suspicion]] = {}
+
+    def add(self, engine: str, suspicion: Suspicion) -> bool:
+        """Keep a run; return whether its engine is to be asked."""
+        found = self.waiting.setdefault(engine, [])
+        found[:] = [
+            s for s in found if s.broke_at > suspicion.broke_at - WAIT_SECONDS
+        ]
+        if len(found) < MOST_WAITING:
+            found.append(suspicion)
+        return len(found) == 1
+
+    def ended(self, engine: str, now: float) -> list[Suspicion]:
+        """Return the runs that an engine's end explains, and forget them."""
+        found = self.waiting.pop(engine, [])
+        return [s for s in found if s.broke_at > now - WAIT_SECONDS]
+
+    def lives(self, engine: str) -> None:
+        """Forget the runs of an engine that is still there."""
+        self.waiting.pop(engine, None)
+
+    def forget_old(self, now: float) -> None:
+        """Forget engines that never showed what became of them."""
+        for engine, found in list(self.waiting.items()):
+            if found[-1].broke_at <= now - WAIT_SECONDS:
+                del self.waiting[engine]
--- a/src/greengagelb/platform/rows.py
+++ b/src/greengagelb/platform/rows.py
@@ -10,6 +10,7 @@
 from greengagelb import errors
 from greengagelb.platform import checks
 from greengagelb.protocol import codec
+from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import routes
@@ -329,3 +330,11 @@
         raise errors.ProtocolError('entry without an incarnation')
     checks.read_host(member.host)
     return member
+
+
+def read_crashes(row: Row, prefix: str) -> crashes.KeptCrashes:
+    """Return the crashes under a request."""
+    kept = decode_value(row, crashes.KeptCrashes)
+    if prefix + kept.fingerprint != row.key:
+        raise errors.ProtocolError('entry names another request')
+    return kept
--- a/src/greengagelb/platform/store.py
+++ b/src/greengagelb/platform/store.py
@@ -8,6 +8,7 @@
 from greengagelb.platform import row_answers
 from greengagelb.platform import rows
 from greengagelb.protocol import codec
+from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
 from greengagelb.transport.relay import http_client
@@ -20,6 +21,9 @@
 ENGINES_TABLE = 'servers'
 # A table of our own: one row for each instance, by its name.
 MEMBERS_TABLE = 'instances'
+# Beside them stand the crashes under requests, so that no further call reads
+# them. Names of instances have no slash.
+CRASHES_PREFIX = 'crashes/'
 # The most rows in one answer, by the platform's page on its store.
 MOST_ROWS = 500
 OK = 200
@@ -171,6 +175,17 @@
         """Return the entries of all instances."""
         return self.read_all(MEMBERS_TABLE).addCallback(members_of)
 
+    def keep_crashes(self, kept: crashes.KeptCrashes) -> defer.Deferred:
+        """Write the crashes under a request."""
+        key = CRASHES_PREFIX + kept.fingerprint
+        row = rows.NewRow(MEMBERS_TABLE, '', key, rows.encode_value(kept))
+        return self.write(rows.Change([], [row], []))
+
+    def drop_crashes(self, fingerprint: str) -> defer.Deferred:
+        """Remove the crashes under a request."""
+        row = rows.RowName(MEMBERS_TABLE, '', CRASHES_PREFIX + fingerprint)
+        return self.write(rows.Change([], [], [row]))
+
 
 def last_key(page: rows.Rows, before: str) -> str:
     """Return the key with which the next page is to begin.
@@ -195,17 +210,21 @@
 
 
 def members_of(found: rows.Rows) -> store_watch.MembersRead:
-    """Return the instances in some rows."""
+    """Return the instances in some rows, and the crashes beside them."""
     members = []
+    kept = []
     mistakes = {}
     for row in found.rows:
         if row.tombstone:
             continue
         try:
-            members.append(rows.read_member(row))
+            if row.key.startswith(CRASHES_PREFIX):
+                kept.append(rows.read_crashes(row, CRASHES_PREFIX))
+            else:
+                members.append(rows.read_member(row))
         except errors.ProtocolError as exc:
             mistakes[row.key] = str(exc)
-    return store_watch.MembersRead(tuple(members), told(mistakes))
+    return store_watch.MembersRead(tuple(members), told(mistakes), tuple(kept))
 
 
 def check_status(answer: questions.Answer) -> bytes:
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -5,12 +5,19 @@
 instead of a connection to each.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from greengagelb import errors
+from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
 
+Fingerprint = Annotated[str, msgspec.Meta(max_length=64)]
+# The identity of an engine and its start.
+Life = Annotated[str, msgspec.Meta(max_length=256)]
+
 
 class Heartbeat(
     msgspec.Struct, frozen=True, array_like=True, tag='h', tag_field='kind'
@@ -21,6 +28,7 @@
     host: str
     data_centre: str
     leaving: bool = False
+    crashes_digest: int = 0
 
 
 class Placed(
@@ -154,6 +162,30 @@
     version: int
 
 
+class ToldCrash(msgspec.Struct, frozen=True, array_like=True):
+    """See :class:`greengagelb.state.crashes.ToldCrash`."""
+
+    life: Life
+    seconds: float
+    age: float
+
+
+class CrashReport(
+    msgspec.Struct, frozen=True, array_like=True, tag='k', tag_field='kind'
+):
+    """See :class:`greengagelb.state.crashes.CrashReport`."""
+
+    fingerprint: Fingerprint
+    crashes: tuple[ToldCrash, ...]
+    survived_age: float | None = None
+
+
+class CrashesWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag='w', tag_field='kind'
+):
+    """See :class:`greengagelb.state.crashes.Wanted`."""
+
+
 class Datagram(msgspec.Struct, frozen=True, array_like=True):
     """One message; ``incarnation`` is that of the sender."""
 
@@ -172,6 +204,8 @@
         | StoreTried
         | NotListed
         | ConfigurationApplied
+        | CrashReport
+        | CrashesWanted
         | Forwarded
     )
 
@@ -245,12 +279,21 @@
             wire = NotListed(incarnations)
         case hints.ConfigurationApplied(version):
             wire = ConfigurationApplied(version)
+        case crashes.CrashReport(fingerprint, found, survived_age):
+            told = tuple(ToldCrash(c.life, c.seconds, c.age) for c in found)
+            wire = CrashReport(fingerprint, told, survived_age)
+        case crashes.Wanted():
+            wire = CrashesWanted()
     return _encoder.encode(Datagram(incarnation, wire))
 
 
-def encode_heartbeat(member: hints.Member, *, leaving: bool = False) -> bytes:
+def encode_heartbeat(
+    member: hints.Member, *, leaving: bool = False, crashes_digest: int = 0
+) -> bytes:
     """Return a heartbeat as a datagram."""
-    beat = Heartbeat(member.name, member.host, member.data_centre, leaving)
+    beat = Heartbeat(
+        member.name, member.host, member.data_centre, leaving, crashes_digest
+    )
     return _encoder.encode(Datagram(member.incarnation, beat))
 
 
@@ -305,6 +348,13 @@
             hint = hints.NotListed(incarnations)
         case ConfigurationApplied(version):
             hint = hints.ConfigurationApplied(version)
+        case CrashReport(fingerprint, told, survived_age):
+            found = tuple(
+                crashes.ToldCrash(c.life, c.seconds, c.age) for c in told
+            )
+            hint = crashes.CrashReport(fingerprint, found, survived_age)
+        case CrashesWanted():
+            hint = crashes.Wanted()
         case other:
             return datagram.incarnation, other
     return datagram.incarnation, hint
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 
+from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 
 
@@ -141,6 +142,8 @@
     | StoreTried
     | NotListed
     | ConfigurationApplied
+    | crashes.CrashReport
+    | crashes.Wanted
 )
 
 
--- a/src/greengagelb/state/relay/store_calls.py
+++ b/src/greengagelb/state/relay/store_calls.py
@@ -13,6 +13,7 @@
     MEMBERS = 'instances'
     CONFIGURATION = 'configuration'
     ENGINES = 'engines'
+    CRASHES = 'crashes'
 
 
 class Cause(enum.Enum):
@@ -25,6 +26,8 @@
     AFTER_FAILURE = 'after-failure'
     HISTORY_GONE = 'history-gone'
     CHECK = 'check'
+    FOUND = 'found'
+    OVER = 'over'
     STOP = 'stop'
 
 
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -182,6 +182,21 @@
         status = answer.response.status_code
         return self.dialect.read_start(status, answer.body)
 
+    def check(self, check: relay_actions.CheckEngine) -> None:
+        """Ask whether an engine has ended, on a new connection."""
+        entry = check.entry
+
+        def done(answer: questions.Answer) -> None:
+            fate = relay_events.EngineFate.ALIVE
+            if answer.refused or entry.ended_before(self.start_in(answer)):
+                fate = relay_events.EngineFate.ENDED
+            elif answer.response is None:
+                fate = relay_events.EngineFate.UNKNOWN
+            self.dispatch(relay_events.EngineChecked(entry, fate))
+
+        request = self.dialect.write_probe(entry)
+        self.ask(entry, request, PROBE_SECONDS, done, fresh=True)
+
     def copy_run(self, copy: relay_actions.CopyRun) -> None:
         """Have an engine copy a run's memory to another one."""
 
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -239,13 +239,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Pending:
-    """A request on its way: waiting for a connection, or on one."""
+    """A request on its way: waiting for a connection, or on one.
+
+    ``refused`` tells that nobody listened at its address.
+    """
 
     request: Callable[[], WireRequest]
     receiver: Receiver
     connection: ClientConnection | None = None
     connecting: interfaces.IConnector | None = None
     over: bool = False
+    refused: bool = False
 
     def abandon(self) -> None:
         """Give up the request; its receiver hears no more of it."""
@@ -286,6 +290,8 @@
         """Report that nothing was sent."""
         if not self.pending.over:
             self.pending.over = True
+            refused = reason.check(error.ConnectionRefusedError)
+            self.pending.refused = refused is not None
             detail = f'connect: {reason.type.__name__}'
             self.pending.receiver.answer_broken(False, detail)
 
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -207,7 +207,8 @@
             self.loop.dispatch(events.PauseNoticed(late))
         if now >= self.next_beat and not self.relay.finished:
             self.next_beat = now + self.relay.fleet.heartbeat_seconds
-            self.peers.beat()
+            digest = self.relay.crashes.records.digest()
+            self.peers.beat(crashes_digest=digest)
 
     def bad_datagram(self, detail: str) -> None:
         """Record a datagram that could not be sent or read."""
@@ -292,6 +293,8 @@
                 self.engines.abandon(exchange, send)
             case relay_actions.ProbeEngine():
                 self.engines.probe(action)
+            case relay_actions.CheckEngine():
+                self.engines.check(action)
             case relay_actions.CopyRun():
                 self.engines.copy_run(action)
             case relay_actions.AskSuccessor():
@@ -300,6 +303,12 @@
                 self.peers.tell_fleet(told)
             case relay_actions.TellPeers(hint):
                 self.peers.tell(hint)
+            case relay_actions.TellPeer(incarnation, hint):
+                self.peers.tell_one(incarnation, hint)
+            case relay_actions.KeepCrashes(report):
+                self.watch.keep_crashes(report)
+            case relay_actions.DropCrashes(fingerprint):
+                self.watch.drop_crashes(fingerprint)
             case relay_actions.LookAtStore():
                 self.watch.look_again()
             case actions.SetTimer(name, deadline):
--- a/src/greengagelb/transport/relay/peer_link.py
+++ b/src/greengagelb/transport/relay/peer_link.py
@@ -63,6 +63,13 @@
         """Send a hint to all others."""
         self.send_to_all(relay_hints.encode_hint(self.own.incarnation, hint))
 
+    def tell_one(self, incarnation: str, hint: hints.Hint) -> None:
+        """Send a hint to one other instance, if it is known."""
+        peer = self.peers.get(incarnation)
+        if peer is not None:
+            own = self.own.incarnation
+            self.send(relay_hints.encode_hint(own, hint), peer.host)
+
     def tell_fleet(self, told: tuple[hints.Hint, ...]) -> None:
         """Send hints to all others; some far away forward them there.
 
@@ -97,9 +104,11 @@
             if peer.data_centre == self.own.data_centre:
                 self.send(raw, peer.host)
 
-    def beat(self, *, leaving: bool = False) -> None:
+    def beat(self, *, leaving: bool = False, crashes_digest: int = 0) -> None:
         """Tell all others that this instance is there, or stops."""
-        raw = relay_hints.encode_heartbeat(self.own, leaving=leaving)
+        raw = relay_hints.encode_heartbeat(
+            self.own, leaving=leaving, crashes_digest=crashes_digest
+        )
         self.send_to_all(raw)
 
     def send_to_all(self, raw: bytes) -> None:
@@ -172,4 +181,8 @@
             del self.peers[incarnation]
             self.dispatch(relay_events.PeerLeft(incarnation))
         self.peers[sender] = Peer(beat.host, beat.data_centre)
-        self.dispatch(relay_events.PeerHeard(sender, beat.data_centre))
+        self.dispatch(
+            relay_events.PeerHeard(
+                sender, beat.data_centre, beat.crashes_digest
+            )
+        )
--- a/src/greengagelb/transport/relay/questions.py
+++ b/src/greengagelb/transport/relay/questions.py
@@ -41,13 +41,15 @@
 class Answer:
     """What came of a question: a whole answer, or why there is none.
 
-    ``too_long`` tells that it was given up while it still came.
+    ``too_long`` tells that it was given up while it still came, and
+    ``refused`` that nobody listened at the address.
     """
 
     response: h11.Response | None
     body: bytes = b''
     detail: str = ''
     too_long: bool = False
+    refused: bool = False
 
 
 class Gathering:
@@ -130,6 +132,8 @@
     def finish(answer: Answer) -> None:
         if timer.active():
             timer.cancel()
+        if pending is not None and pending.refused:
+            answer = dataclasses.replace(answer, refused=True)
         done(answer)
 
     def look() -> None:
@@ -141,6 +145,7 @@
         pending.abandon()
         gathering.give_up()
 
+    pending: http_client.Pending | None = None
     gathering = Gathering(pool.reactor, question, finish)
     timer = pool.reactor.callLater(question.seconds, look)
     pending = pool.request(
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -19,10 +19,12 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import store_sharing
+from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import routes
 from greengagelb.state.relay import store_calls
+from greengagelb.transport import recorder
 from greengagelb.transport.relay import engine_side
 from greengagelb.transport.relay import unusable_entries
 
@@ -74,10 +76,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersRead:
-    """The instances, and the entries among them that can't be used."""
+    """The instances, and the entries among them that can't be used.
+
+    ``kept_crashes`` stand beside them.
+    """
 
     members: tuple[hints.Member, ...]
     mistakes: tuple[unusable_entries.UnusableEntry, ...] = ()
+    kept_crashes: tuple[crashes.KeptCrashes, ...] = ()
 
 
 class Source(Protocol):
@@ -108,6 +114,12 @@
     def read_members(self) -> defer.Deferred:
         """Return a :class:`MembersRead` of all instances."""
 
+    def keep_crashes(self, kept: crashes.KeptCrashes) -> defer.Deferred:
+        """Write the crashes under a request."""
+
+    def drop_crashes(self, fingerprint: str) -> defer.Deferred:
+        """Remove the crashes under a request."""
+
 
 class StoreWatch:
     """Reads the store for as long as the process lives."""
@@ -201,6 +213,27 @@
         others = tuple(m for m in read.members if m.name != self.own.name)
         self.members_listed(others)
         self.dispatch(relay_events.MembersListed(others))
+        wall = recorder.wall_milliseconds()
+        reports = tuple(crashes.from_kept(k, wall) for k in read.kept_crashes)
+        self.dispatch(relay_events.CrashesListed(reports))
+
+    def keep_crashes(self, report: crashes.CrashReport) -> None:
+        """Write the crashes under a request."""
+        call, cause = store_calls.Call.CRASHES, store_calls.Cause.FOUND
+        self.calls.count(call, cause)
+        kept = crashes.to_keep(report, recorder.wall_milliseconds())
+        self.source.keep_crashes(kept).addErrback(self.crashes_not_written)
+
+    def drop_crashes(self, fingerprint: str) -> None:
+        """Remove the crashes under a request."""
+        self.calls.count(store_calls.Call.CRASHES, store_calls.Cause.OVER)
+        done = self.source.drop_crashes(fingerprint)
+        done.addErrback(self.crashes_not_written)
+
+    def crashes_not_written(self, why: failure.Failure) -> None:
+        """Record a failed write; who reads for all tries again."""
+        why.trap(errors.GreengagelbError)
+        self.record(actions.Record('crashes-not-written', str(why.value)))
 
     def register(self, cause: store_calls.Cause) -> defer.Deferred:
         """Write the own entry."""
--- a/tests/common/crashing_fleet.py
+++ b/tests/common/crashing_fleet.py
@@ -119,6 +119,7 @@
         self.order = itertools.count()
         self.last_exchange = 0
         self.arrivals = []
+        self.store = {}
         self.crashes = []
         self.datagrams = 0
         self.engines = {
@@ -158,6 +159,17 @@
             other.own for other in self.instances if other is not instance
         )
         instance.handle(relay_events.MembersListed(members))
+        kept = tuple(
+            dataclasses.replace(
+                report,
+                crashes=tuple(
+                    dataclasses.replace(c, age=c.age + self.now - at)
+                    for c in report.crashes
+                ),
+            )
+            for at, report in self.store.values()
+        )
+        instance.handle(relay_events.CrashesListed(kept))
         self.after(self.rng.uniform(0.0, 0.2), instance.beat)
 
     def restart(self, number):
@@ -185,9 +197,11 @@
 
     def send_heartbeat(self, sender):
         own = sender.own
-        self.tell(
-            sender, relay_events.PeerHeard(own.incarnation, own.data_centre)
+        digest = sender.relay.crashes.records.digest()
+        heard = relay_events.PeerHeard(
+            own.incarnation, own.data_centre, digest
         )
+        self.tell(sender, heard)
 
     # -- callers ------------------------------------------------------------
 
@@ -226,6 +240,12 @@
             self.after(number * every, self.ask, kind, CRASHING)
         self.run(seconds)
 
+    def refuses(self, instance):
+        """Return whether an instance refuses what crashes engines."""
+        _, exchange = self.ask('stream', CRASHING, instance)
+        answer = instance.answers.get(exchange)
+        return isinstance(answer, relay_actions.Refuse)
+
     def retries_after_the_third_crash(self):
         """Return how often engines got it once all instances must know."""
         if len(self.crashes) < 3:
@@ -246,6 +266,22 @@
                     instance,
                     relay_events.PeerTold(instance.own.incarnation, hint),
                 )
+            case relay_actions.TellPeer(incarnation, hint):
+                told = relay_events.PeerTold(instance.own.incarnation, hint)
+                for other in self.instances:
+                    found = other.own.incarnation == incarnation
+                    if found and self.reached(instance, other):
+                        self.after(NETWORK_SECONDS, other.handle, told)
+            case relay_actions.KeepCrashes(report):
+                self.store[report.fingerprint] = (self.now, report)
+            case relay_actions.DropCrashes(fingerprint):
+                self.store.pop(fingerprint, None)
+            case relay_actions.CheckEngine(entry):
+                fate = relay_events.EngineFate.ENDED
+                if self.life_of(entry) is not None:
+                    fate = relay_events.EngineFate.ALIVE
+                checked = relay_events.EngineChecked(entry, fate)
+                self.after(2 * NETWORK_SECONDS, instance.handle, checked)
             case relay_actions.TellFleet(told):
                 for hint in told:
                     self.tell(
--- a/tests/load/test_crashing_requests.py
+++ b/tests/load/test_crashing_requests.py
@@ -7,7 +7,11 @@
 
 import pytest
 
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import answers
+from greengagelb.coordination.relay import events as relay_events
 from tests.common import crashing_fleet
+from tests.common import relay_world
 
 # What may reach engines later than the instances need to know of the third
 # crash; the operators' bound.
@@ -22,3 +26,215 @@
     fleet.ask_again_and_again(kind, seconds=30.0, every=1.5)
     assert len(fleet.crashes) >= 3
     assert fleet.retries_after_the_third_crash() <= MOST_RETRIES
+
+
+@pytest.mark.parametrize('loss', [0.1, 0.5])
+def test_all_know_of_a_crash_although_datagrams_are_lost(loss):
+    """Guards against instances that never hear what the others know."""
+    fleet = crashing_fleet.CrashingFleet(30, loss=loss)
+    fleet.ask_again_and_again('stream', seconds=20.0, every=0.7)
+    assert len(fleet.crashes) >= 3
+    fleet.run(crashing_fleet.CONTACT_SECONDS)
+    assert all(fleet.refuses(instance) for instance in fleet.instances)
+    assert fleet.retries_after_the_third_crash() <= MOST_RETRIES
+
+
+def test_a_data_centre_learns_after_a_cut_what_the_others_know():
+    """Guards against a verdict that a cut keeps from some instances."""
+    fleet = crashing_fleet.CrashingFleet(12)
+    fleet.cut.add('west')
+    outside = [i for i in fleet.instances if i.own.data_centre != 'west']
+    while len(fleet.crashes) < 3:
+        fleet.ask('stream', crashing_fleet.CRASHING, fleet.rng.choice(outside))
+        fleet.run(5.0)
+    fleet.run(60.0)
+    fleet.cut.clear()
+    fleet.run(crashing_fleet.CONTACT_SECONDS)
+    assert all(fleet.refuses(instance) for instance in fleet.instances)
+
+
+def test_an_instance_that_starts_learns_what_the_others_know():
+    """Guards against a restart that gives a blocked request new engines."""
+    fleet = crashing_fleet.CrashingFleet(6)
+    fleet.ask_again_and_again('stream', seconds=10.0, every=1.5)
+    fleet.store.clear()
+    fleet.restart(2)
+    fleet.run(crashing_fleet.CONTACT_SECONDS)
+    assert fleet.refuses(fleet.instances[2])
+
+
+def test_the_store_keeps_what_is_blocked_over_an_end_of_all_instances():
+    """Guards against a power cut after which engines are ended anew."""
+    fleet = crashing_fleet.CrashingFleet(6)
+    fleet.ask_again_and_again('stream', seconds=10.0, every=1.5)
+    for instance in fleet.instances:
+        instance.alive = False
+    fleet.run(5.0)
+    for number in range(6):
+        fleet.restart(number)
+    fleet.run(1.0)
+    assert all(fleet.refuses(instance) for instance in fleet.instances)
+
+
+def test_requests_beside_one_that_crashes_engines_are_served():
+    """Guards against innocent requests that are blocked with the guilty one.
+
+    They are on the same engines, several of which end under each of them.
+    """
+    fleet = crashing_fleet.CrashingFleet(6, per_place=3)
+    served = []
+    for number in range(120):
+        kind = ('stream', 'query', 'call')[number % 3]
+        body = b'innocent %d' % number
+        fleet.after(
+            number * 0.2, lambda *a: served.append(fleet.ask(*a)), kind, body
+        )
+    fleet.ask_again_and_again('stream', seconds=12.0, every=1.0)
+    fleet.ask_again_and_again('query', seconds=12.0, every=1.0)
+    fleet.run(30.0)
+    assert len(fleet.crashes) >= 3
+    codes = [getattr(i.answers[n], 'code', '') for i, n in served]
+    assert answers.CRASHES_ENGINES not in codes
+
+
+def test_a_data_centre_that_goes_dark_blocks_no_request():
+    """Guards against a popular lookup that is blamed for a power cut.
+
+    It was on all engines there, and comes again while they are down.
+    """
+    fleet = crashing_fleet.CrashingFleet(6, per_place=3)
+    for _ in range(4):
+        for instance in fleet.instances:
+            fleet.ask('query', b'popular', instance)
+            fleet.ask('stream', b'popular', instance)
+        fleet.run(0.015)
+        for engine in list(fleet.engines.values()):
+            if engine.entry.data_centre == 'north':
+                fleet.crash(engine)
+        fleet.run(6.0)
+    popular = [fleet.ask('query', b'popular', i) for i in fleet.instances]
+    fleet.run(1.0)
+    for instance, exchange in popular:
+        assert isinstance(instance.answers[exchange], relay_actions.PassAnswer)
+
+
+def lone_world():
+    """Return an instance that may use all of the shared retry budget."""
+    world = relay_world.RelayWorld()
+    world.relay.budget.resize(1)
+    return world
+
+
+def test_a_connection_that_breaks_is_no_crash():
+    """Guards against resets that have a request blocked."""
+    world = lone_world()
+    for _ in range(6):
+        exchange = world.ask(body=b'x')
+        send = world.last_send(exchange)
+        world.begin(send)
+        world.lose(send)
+        check = world.of_kind(relay_actions.CheckEngine)[-1]
+        world.handle(
+            relay_events.EngineChecked(
+                check.entry, relay_events.EngineFate.ALIVE
+            )
+        )
+        world.leave(exchange)
+        world.advance(5.0)
+    assert world.sends(world.ask(body=b'x'))
+    assert not world.refusals()
+
+
+def crash_under(world, send):
+    """Have the engine of a send crash just after it has begun."""
+    world.now += 0.1
+    world.begin(send)
+    world.now += 0.03
+    world.lose(send)
+    check = world.of_kind(relay_actions.CheckEngine)[-1]
+    world.handle(
+        relay_events.EngineChecked(check.entry, relay_events.EngineFate.ENDED)
+    )
+
+
+def test_a_blocked_request_is_refused_at_once_with_when_to_come_back():
+    """Guards against callers who wait, or ask again, for nothing."""
+    world = lone_world()
+    exchange = world.ask(body=b'x')
+    for _ in range(3):
+        crash_under(world, world.last_send(exchange))
+    [failed] = world.refusals(exchange)
+    assert (failed.status, failed.code) == (502, answers.CRASHES_ENGINES)
+    again = world.ask(body=b'x')
+    [refused] = world.refusals(again)
+    assert (refused.status, refused.code) == (503, answers.CRASHES_ENGINES)
+    assert 590.0 < refused.retry_after <= 600.0
+    assert not world.sends(again)
+    world.advance(refused.retry_after + 1.0)
+    assert world.sends(world.ask(body=b'x'))
+
+
+def test_other_sends_of_a_blocked_request_are_taken_off_their_engines():
+    """Guards against the engines that are just reading its prompt."""
+    world = lone_world()
+    reading = world.ask(body=b'x')
+    other = world.ask(body=b'y')
+    exchange = world.ask(body=b'x')
+    for _ in range(3):
+        crash_under(world, world.last_send(exchange))
+    [failed] = world.refusals(reading)
+    assert (failed.status, failed.code) == (502, answers.CRASHES_ENGINES)
+    assert world.of_kind(relay_actions.AbandonSend, reading)
+    assert not world.refusals(other)
+
+
+def test_the_third_crash_is_waited_for_before_a_fourth_engine_gets_it():
+    """Guards against a fourth engine that ends while the third is asked."""
+    world = lone_world()
+    exchange = world.ask(body=b'x')
+    for _ in range(2):
+        crash_under(world, world.last_send(exchange))
+    third = world.last_send(exchange)
+    world.now += 0.1
+    world.begin(third)
+    world.lose(third)
+    assert world.last_send(exchange) is third
+    check = world.of_kind(relay_actions.CheckEngine)[-1]
+    world.handle(
+        relay_events.EngineChecked(check.entry, relay_events.EngineFate.ALIVE)
+    )
+    assert world.last_send(exchange) is not third
+
+
+def test_an_engine_that_survives_a_request_clears_it():
+    """Guards against requests that stay suspects for crashes of others."""
+    world = lone_world()
+    exchange = world.ask(body=b'x')
+    for _ in range(2):
+        crash_under(world, world.last_send(exchange))
+    last = world.last_send(exchange)
+    world.begin(last)
+    world.events(last, 1)
+    world.complete(last)
+    again = world.ask(body=b'x')
+    for _ in range(2):
+        crash_under(world, world.last_send(again))
+    assert not world.refusals()
+
+
+def test_an_engine_that_gives_no_answer_is_asked_again():
+    """Guards against crashes that a lost question leaves uncounted."""
+    world = lone_world()
+    send = world.last_send(world.ask(body=b'x'))
+    world.begin(send)
+    world.lose(send)
+    for asked in range(1, 4):
+        checks = world.of_kind(relay_actions.CheckEngine)
+        assert len(checks) == asked
+        world.handle(
+            relay_events.EngineChecked(
+                checks[-1].entry, relay_events.EngineFate.UNKNOWN
+            )
+        )
+    assert len(world.of_kind(relay_actions.CheckEngine)) == 3
+    assert not world.relay.crashes.questions
--- /dev/null
+++ b/tests/platform/test_crashes.py
@@ -0,0 +1,146 @@
+"""What instances tell each other of crashes, and what the store keeps."""
+
+import base64
+
+from hypothesis import given
+from hypothesis import strategies as st
+import msgspec
+import pytest
+from twisted.internet import defer
+
+from greengagelb import errors
+from greengagelb.platform import rows
+from greengagelb.platform import store
+from greengagelb.protocol import codec
+from greengagelb.protocol import relay_hints
+from greengagelb.state import crashes
+from greengagelb.state.relay import engines
+from greengagelb.state.relay import hints
+
+OWN = hints.Member('n1', 'n1-x', '127.0.0.1', 'north')
+WALL = 1_800_000_000_000
+# What fits a datagram that no link on the way has to split.
+MOST_DATAGRAM_BYTES = 1400
+
+TOLD = st.builds(
+    crashes.ToldCrash,
+    st.text(max_size=40),
+    st.floats(0.0, 600.0),
+    st.floats(0.0, 600.0),
+)
+REPORTS = st.builds(
+    crashes.CrashReport,
+    st.text(max_size=32),
+    st.lists(TOLD, max_size=8).map(tuple),
+    st.none() | st.floats(0.0, 600.0),
+)
+
+
+@given(REPORTS)
+def test_a_report_comes_out_as_it_went_in(report):
+    raw = relay_hints.encode_hint('x', report)
+    assert relay_hints.decode(raw) == ('x', report)
+
+
+def test_a_question_for_reports_comes_out_as_it_went_in():
+    raw = relay_hints.encode_hint('x', crashes.Wanted())
+    assert relay_hints.decode(raw) == ('x', crashes.Wanted())
+
+
+def test_the_longest_report_fits_a_datagram():
+    """Guards against reports that a lossy link loses more often than others.
+
+    Split into packets, each of them has to arrive.
+    """
+    life = f'i-{"f" * 10} {WALL}'
+    told = tuple(crashes.ToldCrash(f'{n}{life}', 0.1, 1.5) for n in range(8))
+    report = crashes.CrashReport('f' * 32, told, 0.5)
+    assert len(relay_hints.encode_hint('12345678', report)) < (
+        MOST_DATAGRAM_BYTES
+    )
+
+
+def test_heartbeats_of_a_release_without_crashes_are_understood():
+    """Guards against instances that go deaf while a release is replaced."""
+    old = msgspec.msgpack.encode(
+        ['n-x', ['h', 'n', '1.2.3.4', 'north', False]]
+    )
+    sender, beat = relay_hints.decode(old)
+    assert (sender, beat.name, beat.crashes_digest) == ('n-x', 'n', 0)
+
+
+@pytest.mark.parametrize(
+    'report',
+    [
+        crashes.CrashReport('f' * 65, ()),
+        crashes.CrashReport('f', (crashes.ToldCrash('e' * 257, 0.0, 0.0),)),
+    ],
+)
+def test_names_without_bound_are_refused(report):
+    """Guards against memory that a stranger's datagrams fill."""
+    with pytest.raises(errors.ProtocolError):
+        relay_hints.decode(relay_hints.encode_hint('x', report))
+
+
+# -- the store --------------------------------------------------------------
+
+
+class RowStore(store.PlatformStore):
+    """A store of rows in memory."""
+
+    def __init__(self):
+        super().__init__(None, engines.Address('127.0.0.1', 1))
+        self.rows = {}
+
+    def write(self, change):
+        for row in change.set_keys:
+            self.rows[row.key] = rows.Row(row.key, row.value, 1)
+        for name in change.remove:
+            self.rows.pop(name.key, None)
+        return defer.succeed(b'')
+
+    def read_all(self, table):
+        return defer.succeed(rows.Rows(list(self.rows.values()), 1))
+
+    def members(self):
+        read = []
+        self.read_members().addCallback(read.append)
+        return read[0]
+
+
+KEPT = crashes.KeptCrashes('ab12', (crashes.KeptCrash('e1 7', 0.05, WALL),))
+
+
+def test_crashes_stand_beside_the_instances():
+    """Guards against crashes that are taken for an instance's bad entry."""
+    found = RowStore()
+    found.register(OWN)
+    found.keep_crashes(KEPT)
+    read = found.members()
+    assert read.members == (OWN,)
+    assert read.kept_crashes == (KEPT,)
+    assert not read.mistakes
+    found.drop_crashes('ab12')
+    assert found.members().kept_crashes == ()
+
+
+@pytest.mark.parametrize('key', ['crashes/other', 'crashes/'])
+def test_an_entry_of_another_writer_names_no_request(key):
+    """Guards against entries that have innocent requests refused."""
+    found = RowStore()
+    text = base64.b64encode(codec.encode(KEPT)).decode()
+    found.rows[key] = rows.Row(key, text, 1)
+    found.rows['crashes/x'] = rows.Row('crashes/x', '?', 1)
+    read = found.members()
+    assert read.kept_crashes == ()
+    assert {mistake.name for mistake in read.mistakes} == {key, 'crashes/x'}
+
+
+@given(st.integers(-5_000, 600_000))
+def test_what_is_kept_ages_by_the_clock(waited):
+    """Guards against blocks that never end, or end as a clock is set back."""
+    report = crashes.CrashReport('f', (crashes.ToldCrash('e', 0.25, 2.0),))
+    kept = crashes.to_keep(report, WALL)
+    [told] = crashes.from_kept(kept, WALL + waited).crashes
+    assert told.seconds == 0.25
+    assert told.age == pytest.approx(max(0.0, 2.0 + waited / 1000))
--- /dev/null
+++ b/tests/transport/test_engine_fate.py
@@ -0,0 +1,101 @@
+"""What becomes of an engine whose connections broke, by sockets."""
+
+import h11
+import pytest
+from twisted.internet import error
+from twisted.internet import task
+from twisted.python import failure
+
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.state.relay import engines
+from greengagelb.transport.relay import engine_side
+from greengagelb.transport.relay import http_client
+from tests.common import relay_wires
+
+ENTRY = engines.EngineEntry(
+    'e', 's', relay_wires.ADDRESS, 'north', 1, False, 1, started_at_ms=1000
+)
+FATE = relay_events.EngineFate
+
+
+class Dialect(relay_wires.Dialect):
+    """Reads an engine's start from the body of its answer."""
+
+    def write_probe(self, engine):
+        host = (b'Host', b'e')
+        return http_client.WireRequest(b'GET', b'/report', (host,))
+
+    def read_start(self, status, body):
+        return int(body)
+
+
+class Reactor(task.Clock):
+    """Keeps the connections that are being opened."""
+
+    def connectTCP(self, host, port, factory, **named):  # noqa: N802
+        self.factory = factory
+        return self
+
+    def disconnect(self):
+        """Stop connecting."""
+
+
+def check():
+    """Ask an engine for its fate; return the reactor and what is reported."""
+    reactor = Reactor()
+    found = []
+    pool = http_client.ConnectionPool(reactor)
+    side = engine_side.EngineSide(pool, Dialect(), found.append)
+    side.check(relay_actions.CheckEngine(ENTRY))
+    return reactor, found
+
+
+def test_an_engine_where_nobody_listens_has_ended():
+    """Guards against crashes that count for nothing."""
+    reactor, found = check()
+    refused = failure.Failure(error.ConnectionRefusedError())
+    reactor.factory.clientConnectionFailed(None, refused)
+    assert found == [relay_events.EngineChecked(ENTRY, FATE.ENDED)]
+
+
+@pytest.mark.parametrize('why', [error.TimeoutError, error.NoRouteError])
+def test_an_engine_that_can_not_be_reached_may_live(why):
+    """Guards against links that are down and count as crashes."""
+    reactor, found = check()
+    failed = failure.Failure(why())
+    reactor.factory.clientConnectionFailed(None, failed)
+    assert found == [relay_events.EngineChecked(ENTRY, FATE.UNKNOWN)]
+
+
+def test_an_engine_that_gives_no_answer_may_live():
+    """Guards against engines that are dark and count as crashed."""
+    reactor, found = check()
+    reactor.advance(1.0)
+    assert found == [relay_events.EngineChecked(ENTRY, FATE.UNKNOWN)]
+
+
+@pytest.mark.parametrize(
+    ('start', 'fate'),
+    [(1000, FATE.ALIVE), (0, FATE.ALIVE), (1001, FATE.ENDED)],
+)
+def test_an_engine_that_answers_tells_whether_it_is_a_later_life(start, fate):
+    """Guards against an engine that is back before it is asked."""
+    reactor, found = check()
+    connection = reactor.factory.buildProtocol(None)
+    connection.makeConnection(relay_wires.Wire())
+    server = h11.Connection(h11.SERVER)
+    server.receive_data(connection.transport.value())
+    while not isinstance(server.next_event(), h11.EndOfMessage):
+        pass
+    body = str(start).encode()
+    length = str(len(body)).encode()
+    connection.dataReceived(
+        server.send(
+            h11.Response(
+                status_code=200, headers=[(b'Content-Length', length)]
+            )
+        )
+        + server.send(h11.Data(data=body))
+    )
+    assert found == [relay_events.EngineChecked(ENTRY, fate)]
