--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -151,13 +151,3 @@
         """Return what an instance is told that asks."""
         names = [*self.records.worst(), *self.records.cleared()]
         return [self.records.report(name, now) for name in names]
-
-    # -- the store ----------------------------------------------------------
-
-    def blocked(self, now: float) -> list[str]:
-        """Return the requests that must not run, the worst first."""
-        return [
-            name
-            for name in self.records.worst()
-            if self.records.blocks(name, now)
-        ]
--- a/src/greengagelb/coordination/relay/crashing.py
+++ b/src/greengagelb/coordination/relay/crashing.py
@@ -161,7 +161,7 @@
         if not self.sharing.reads_for_all:
             return done
         kept = {report.fingerprint for report in reports}
-        blocked = set(self.watch.blocked(now))
+        blocked = set(self.watch.records.blocked(now))
         for fingerprint in sorted(blocked - kept):
             report = self.watch.records.report(fingerprint, now)
             done.append(relay_actions.KeepCrashes(report))
--- a/src/greengagelb/coordination/sharing/crashes.py
+++ b/src/greengagelb/coordination/sharing/crashes.py
@@ -157,6 +157,10 @@
         """Return whether a request must not run now."""
         return self.blocked_until(fingerprint, now) is not None
 
+    def blocked(self, now: float) -> list[str]:
+        """Return the requests that must not run, the worst first."""
+        return [name for name in self.worst() if self.blocks(name, now)]
+
     def would_block(
         self, fingerprint: str, crash: crashes.Crash, now: float
     ) -> bool:
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -276,6 +276,10 @@
             stale_events=self.node.streams.dropped_events,
             configuration_version=self.node.configuration.version,
             timeline_dropped=self.recorder.timeline.dropped,
+            suspects=len(self.node.guard.records.histories),
+            blocked=len(
+                self.node.guard.records.blocked(self.reactor.seconds())
+            ),
         )
 
     def known_instances(self) -> list[operator_api.InstanceStatus]:
--- a/src/greengagelb/transport/metrics.py
+++ b/src/greengagelb/transport/metrics.py
@@ -30,6 +30,8 @@
     stale_events: int = 0
     configuration_version: int = 0
     timeline_dropped: int = 0
+    suspects: int = 0
+    blocked: int = 0
 
 
 class Metrics:
@@ -66,6 +68,13 @@
             'configuration_version', 'Configuration version in force here'
         )
 
+        self.suspect_gauge = self.gauge(
+            'crash_suspects', 'Requests that were on an engine that crashed'
+        )
+        self.blocked_gauge = self.gauge(
+            'blocked_requests', 'Requests refused because they crash engines'
+        )
+
     def counter(self, name: str, doc: str) -> aioprometheus.Counter:
         """Return a new counter."""
         return aioprometheus.Counter(
@@ -116,5 +125,7 @@
         self.running_gauge.set({}, found.running)
         self.waiting_gauge.set({}, found.waiting)
         self.version_gauge.set({}, found.configuration_version)
+        self.suspect_gauge.set({}, found.suspects)
+        self.blocked_gauge.set({}, found.blocked)
         text, _ = aioprometheus.render(self.registry, [])
         return text
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -182,6 +182,10 @@
             running=len(self.relay.exchanges),
             configuration_version=table.version if table else 0,
             timeline_dropped=self.recorder.timeline.dropped,
+            suspects=len(self.relay.crashes.records.histories),
+            blocked=len(
+                self.relay.crashes.records.blocked(self.reactor.seconds())
+            ),
         )
 
     def metrics_page(self) -> pages.Page:
