--- a/tests/load/test_crashing_requests.py
+++ b/tests/load/test_crashing_requests.py
@@ -150,6 +150,23 @@
         world.advance(5.0)
     assert world.sends(world.ask(body=b'x'))
     assert not world.refusals()
+    assert not world.relay.crashes.records.histories
+
+
+def test_a_request_that_waits_on_an_engine_that_crashes_is_no_suspect():
+    """Guards against prompts that are blocked while they are read.
+
+    The engines end under another request, which had begun there.
+    """
+    world = lone_world()
+    waiting = world.ask(body=b'waiting')
+    for _ in range(3):
+        begun = world.ask(body=b'begun')
+        crash_under(world, world.last_send(begun))
+        world.lose(world.last_send(waiting))
+        world.leave(begun)
+    assert world.refusals(world.ask(body=b'begun'))
+    assert len(world.relay.crashes.records.histories) == 1
 
 
 def crash_under(world, send):
