Go by the era of the store, which may come back from an older copy

Callers would have seen requests run by engines that drain, and withdrawn keys accepted: positions were bare versions, the store counts up past them again after a restore, and a read from there succeeds and leaves out all that changed below. One instance reads for all, so the mistake would be everybody's.

A position is an era and a version; an answer of another era than was asked from has the list read whole.

--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -41,6 +41,8 @@
 # An entry has lapsed after three renewals, one and a half times as long as the
 # least outage in which one can.
 LAPSE_SHARE = 1.5
+# A renewal takes half as long as the least outage in which one can.
+RENEWAL_SHARE = 0.5
 # Neighbours tell of one read of the list in several datagrams, within less
 # than so many seconds; readers read once a second.
 ONE_READ_SECONDS = 0.3
@@ -69,7 +71,8 @@
         self.confirmed_at = float('-inf')
         self.confirmed_before = float('-inf')
         self.read_at = float('-inf')
-        self.regained_at = float('-inf')
+        self.returning_until = float('-inf')
+        self.restored_until = float('-inf')
 
     # -- what the list says -------------------------------------------------
 
@@ -299,7 +302,7 @@
         moment to write them again. Taken at its word, the list would empty
         a healthy pool just when the store comes back.
         """
-        return max(now, self.regained_at + RETURN_SECONDS)
+        return max(now, self.returning_until)
 
     def store_lost(self) -> None:
         """Note that the list can't be had for now."""
@@ -315,9 +318,31 @@
         if self.lost:
             self.lost = False
             if now >= self.confirmed_at + self.least_lapse_seconds:
-                self.regained_at = now
+                self.returning_until = now + RETURN_SECONDS
         self.confirmed(now)
 
+    def store_restored(self, now: float) -> None:
+        """Expect engines back that a copy of the store does not have.
+
+        They write their entries again with the next renewal, or within about
+        the time that they need after an outage.
+        """
+        renewal = RENEWAL_SHARE * self.least_lapse_seconds
+        self.restored_until = now + RETURN_SECONDS + renewal
+        self.returning_until = max(self.returning_until, self.restored_until)
+
+    def is_ghost(self, entry: engines.EngineEntry, now: float) -> bool:
+        """Return whether a copy of the store shows an engine that has gone.
+
+        One that lives has renewed its entry since it was last known.
+        """
+        state = self.states.get(entry.engine)
+        if state is None or state.gone_at is None or now < state.gone_at:
+            return False
+        if now >= self.restored_until or self.restarts(entry):
+            return False
+        return entry.heartbeat <= state.entry.heartbeat
+
     def confirmed(self, now: float) -> None:
         """Note that the list is as it is known here."""
         if now >= self.read_at + ONE_READ_SECONDS:
--- a/src/greengagelb/coordination/relay/engine_list.py
+++ b/src/greengagelb/coordination/relay/engine_list.py
@@ -58,6 +58,9 @@
         now: float,
     ) -> list[Action]:
         """Take in what was read from the store; tell the others."""
+        entries = tuple(
+            entry for entry in entries if not self.engines.is_ghost(entry, now)
+        )
         contrary = self.engines.contradicted_by(entries)
         news = tuple(
             entry
@@ -77,7 +80,7 @@
         self.sharing.engines_read()
         if not self.sharing.reads_for_all:
             return done
-        told = parts_of(news, removed, spoilt)
+        told = self.eras_told() + parts_of(news, removed, spoilt)
         if self.sharing.engines.read_takes(now) <= PROMPT_READ_SECONDS:
             told.append(self.notification(was_reader=was_reader))
         else:
@@ -85,6 +88,17 @@
             self.sharing.reads_for_all = False
         return [*done, relay_actions.TellFleet(tuple(told))]
 
+    def eras_told(self) -> list[hints.Hint]:
+        """Return what the others have to know before all else."""
+        eras = self.sharing.eras
+        return [hints.StoreRestored(eras.era)] if eras.untold() else []
+
+    def restored(self, now: float) -> list[Action]:
+        """Take in that the store has come back from a copy."""
+        self.engines.store_restored(now)
+        self.sharing.restored()
+        return [relay_actions.LookAtStore()]
+
     def asked(self) -> list[Action]:
         """Tell the others who can't read it that this one tries the store."""
         if not self.sharing.engines.failures:
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -135,6 +135,11 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The store has come back from a copy; what was written since is gone."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EnginesAsked:
     """The store is asked for the list of engines."""
@@ -251,6 +256,7 @@
     | EnginesListed
     | EnginesChanged
     | StoreLost
+    | StoreRestored
     | EnginesAsked
     | StopBy
     | StopDue
--- a/src/greengagelb/coordination/relay/peer_words.py
+++ b/src/greengagelb/coordination/relay/peer_words.py
@@ -89,6 +89,9 @@
                 return self.listed.changed(entries, removed, unusable, now)
             case hints.StoreRead():
                 return self.store_read(incarnation, hint, now)
+            case hints.StoreRestored(era):
+                if self.sharing.eras.heard(era):
+                    return self.listed.restored(now)
             case hints.StoreTried():
                 self.sharing.tried_elsewhere(now)
             case crashes.CrashReport():
@@ -156,6 +159,7 @@
         The word of one that lags behind does not put off the read of a newer
         version that somebody else has told of.
         """
+        self.sharing.version_told(version)
         known = self.listed.version
         waiting = self.sharing.configuration
         if version > known or not waiting.stale:
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -40,6 +40,8 @@
 from greengagelb.state.relay import routes
 
 DEADLINE_TIMER = 'relay-deadline'
+# When an older configuration than others have is used for want of a newer.
+OLDER_TIMER = 'relay-older-configuration'
 TIMERS = (
     DEADLINE_TIMER,
     streams.SILENCE_TIMER,
@@ -67,6 +69,7 @@
     ) -> None:
         self.rng = rng
         self.table: routes.RouteTable | None = None
+        self.older_offer: relay_events.RoutesOffered | None = None
         self.engines = directory.EngineDirectory(
             engine_bounds.least_lapse_seconds
         )
@@ -208,6 +211,8 @@
                 return self.listed.read(entries, removed, unusable, now)
             case relay_events.StoreLost(detail):
                 return self.listed.store_lost(detail)
+            case relay_events.StoreRestored():
+                return self.listed.restored(now)
             case relay_events.EnginesAsked():
                 return self.listed.asked()
             case relay_events.SuccessorSeen(old, new, start) if old == new:
@@ -354,12 +359,14 @@
 
     def timer_fired(self, name: str, now: float) -> list[Action]:
         """Pass a timer to what had set it."""
+        if name == OLDER_TIMER and self.older_offer is not None:
+            return self.configure(self.older_offer, now)
         kind, _, rest = name.partition(':')
         if kind == succession.SUCCESSOR_TIMER:
             return self.succession.ask(int(rest), now)
         if kind == crashing.RETELL_TIMER:
             return self.crashing.retell(rest, now)
-        exchange = self.exchanges.get(int(rest))
+        exchange = self.exchanges.get(int(rest)) if rest else None
         if exchange is None:
             return []
         match kind:
@@ -411,6 +418,11 @@
         table = event.table
         if self.table is not None and table.version <= self.table.version:
             return []
+        usable_from = self.sharing.usable_from(table.version, now)
+        if self.table is None and now < usable_from:
+            self.older_offer = event
+            return [actions.SetTimer(OLDER_TIMER, usable_from)]
+        self.older_offer = None
         self.table = table
         self.listed.version = table.version
         self.engines.services = frozenset(table.services)
--- a/src/greengagelb/coordination/relay/store_sharing.py
+++ b/src/greengagelb/coordination/relay/store_sharing.py
@@ -16,6 +16,7 @@
 import dataclasses
 import random
 
+from greengagelb.coordination.relay import store_eras
 from greengagelb.state.relay import store_calls
 
 # How often a reader looks at the list of engines, in seconds: half of the
@@ -47,6 +48,10 @@
 CONFIGURATION_AFTER_SECONDS = 0.02
 CONFIGURATION_DURING_SECONDS = 0.7
 CONFIGURATION_IN_OUTAGE_SECONDS = 10.0
+# How long an instance that starts does without a configuration if the store
+# shows it an older one than others have in force, in seconds. A store that has
+# come back from a copy gets the newest again from its operators.
+OLDER_CONFIGURATION_SECONDS = 5.0
 # How often a reader looks at the list of instances, in seconds.
 MEMBERS_SECONDS = 10.0
 # How often the others do, in seconds, spread by half. Heartbeats tell them
@@ -174,6 +179,9 @@
         self.incarnation = incarnation
         self.rng = rng
         self.reads_for_all = False
+        self.eras = store_eras.StoreEras()
+        self.newest_version = 0
+        self.older_offered_at: float | None = None
         wait = WAIT_SECONDS - WAIT_SPREAD_SECONDS * spread_of(incarnation)
         self.engines = Freshness(wait)
         self.configuration = Freshness(wait + CONFIGURATION_AFTER_SECONDS)
@@ -210,6 +218,20 @@
         wait = TRIED_SECONDS + self.rng.uniform(0.0, TRIED_SPREAD_SECONDS)
         self.engines.held_until = now + wait
 
+    # -- the configuration --------------------------------------------------
+
+    def version_told(self, version: int) -> None:
+        """Note which configuration another instance has in force."""
+        self.newest_version = max(self.newest_version, version)
+
+    def usable_from(self, version: int, now: float) -> float:
+        """Return from when on a first configuration is to be used."""
+        if version >= self.newest_version:
+            return now
+        if self.older_offered_at is None:
+            self.older_offered_at = now
+        return self.older_offered_at + OLDER_CONFIGURATION_SECONDS
+
     # -- the list of instances ----------------------------------------------
 
     def members_looked(self, now: float) -> None:
@@ -218,6 +240,10 @@
         spread = self.rng.uniform(0.5, 1.5)
         self.members_seldom_at = now + spread * MEMBERS_SELDOM_SECONDS
 
+    def restored(self) -> None:
+        """Have a reader look at once who is missing in the list."""
+        self.members_looked_at = float('-inf')
+
     def not_listed(self) -> None:
         """Have the list read at once: this instance is missing in it."""
         self.members_seldom_at = float('-inf')
--- a/src/greengagelb/errors.py
+++ b/src/greengagelb/errors.py
@@ -84,6 +84,12 @@
     code = 'history-gone'
 
 
+class LateAnswer(TransportError):
+    """An answer is of the time before the store came back from a copy."""
+
+    code = 'late-answer'
+
+
 class VersionConflict(TransportError):
     """A conditional write lost: the row has another version by now.
 
--- a/src/greengagelb/platform/rows.py
+++ b/src/greengagelb/platform/rows.py
@@ -13,6 +13,7 @@
 from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
+from greengagelb.state.relay import positions
 from greengagelb.state.relay import routes
 
 T = TypeVar('T')
@@ -59,11 +60,20 @@
 
 
 class Rows(msgspec.Struct):
-    """Rows as of one moment; ``ver`` is the store's newest version."""
+    """Rows as of one moment; ``ver`` is the store's newest version.
+
+    ``era`` is from the head of the answer.
+    """
 
     rows: list[Row]
     ver: int
     has_more: bool = False
+    era: int = positions.NO_ERA
+
+    @property
+    def position(self) -> positions.Position:
+        """Return from where to read on."""
+        return positions.Position(self.era, self.ver)
 
 
 class RowName(msgspec.Struct):
--- a/src/greengagelb/platform/store.py
+++ b/src/greengagelb/platform/store.py
@@ -11,6 +11,8 @@
 from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
+from greengagelb.state.relay import positions
+from greengagelb.transport.relay import http1
 from greengagelb.transport.relay import http_client
 from greengagelb.transport.relay import questions
 from greengagelb.transport.relay import store_watch
@@ -26,6 +28,13 @@
 CRASHES_PREFIX = 'crashes/'
 # The most rows in one answer, by the platform's page on its store.
 MOST_ROWS = 500
+# In the head of each answer: how often the store has come back from a copy.
+ERA = b'store-era'
+# Longer ones are no count, and don't fit our own datagrams.
+MOST_ERA_DIGITS = 15
+# How often a list of several answers is begun anew, as a copy has taken the
+# store's place meanwhile.
+MOST_LIST_TRIES = 3
 OK = 200
 GONE = 410
 # An answer begins within some milliseconds, and within a quarter of a second
@@ -61,10 +70,11 @@
     def get(
         self, target: str, seconds: float, coming_seconds: float
     ) -> defer.Deferred:
-        """Return the body of a good answer to a reading call."""
+        """Return the rows in a good answer to a reading call."""
         host = (b'Host', str(self.address).encode())
         request = http_client.WireRequest(b'GET', target.encode(), (host,))
-        return self.ask(request, seconds, coming_seconds)
+        asked = self.ask(request, seconds, coming_seconds)
+        return asked.addCallback(read_rows)
 
     def write(self, change: rows.Change) -> defer.Deferred:
         """Carry out a change of one row."""
@@ -84,7 +94,7 @@
         seconds: float,
         coming_seconds: float = 0.0,
     ) -> defer.Deferred:
-        """Return the body of a good answer.
+        """Return a good answer.
 
         Raises :class:`~greengagelb.errors.PlatformUnavailable`,
         :class:`~greengagelb.errors.HistoryGone` and
@@ -107,42 +117,51 @@
         """Return all rows of a table, however many answers they take.
 
         The version is that of the first answer: what changes while the others
-        are fetched is then found again among the changes since.
+        are fetched is then found again among the changes since. Answers of
+        two eras don't belong together.
         """
-        first = yield self.read_page(table, '')
-        found = list(first.rows)
-        page = first
+        for _ in range(MOST_LIST_TRIES):
+            pages = yield self.read_pages(table)
+            if len({page.era for page in pages}) == 1:
+                found = [row for page in pages for row in page.rows]
+                return rows.Rows(found, pages[0].ver, era=pages[0].era)
+        raise errors.PlatformUnavailable('store came back within a list')
+
+    @defer.inlineCallbacks
+    def read_pages(self, table: str) -> object:
+        """Return a table's answers, up to the first of another era."""
+        pages = [(yield self.read_page(table, ''))]
         last = ''
-        while page.has_more:
-            last = last_key(page, last)
+        while pages[-1].has_more and pages[-1].era == pages[0].era:
+            last = last_key(pages[-1], last)
             page = yield self.read_page(table, last)
-            found += [row for row in page.rows if row.key != last]
-        return rows.Rows(found, first.ver)
+            page.rows = [row for row in page.rows if row.key != last]
+            pages.append(page)
+        return pages
 
     def read_page(self, table: str, begin: str) -> defer.Deferred:
         """Return the rows of a table from a key on, that one included."""
         target = f'/api/rows-get?table={table}&part=&limit={MOST_ROWS}'
         if begin:
             target += f'&from={urllib.parse.quote(begin, safe="")}'
-        asked = self.get(target, ANSWER_SECONDS, WHOLE_SECONDS)
-        return asked.addCallback(row_answers.read_rows)
+        return self.get(target, ANSWER_SECONDS, WHOLE_SECONDS)
 
     def read_changes(
-        self, table: str, position: int, wait_seconds: float
+        self, table: str, position: positions.Position, wait_seconds: float
     ) -> defer.Deferred:
         """Return the rows that have changed since a version."""
         wait = int(wait_seconds * 1000)
-        asked = self.get(
-            f'/api/rows-feed?table={table}&after_rev={position}&wait_ms={wait}',
+        since = position.version
+        return self.get(
+            f'/api/rows-feed?table={table}&after_rev={since}&wait_ms={wait}',
             wait_seconds + ANSWER_SECONDS,
             CHANGES_SECONDS,
         )
-        return asked.addCallback(row_answers.read_rows)
 
     # -- what the watch asks for --------------------------------------------
 
     def read_configuration(
-        self, position: int | None, wait_seconds: float
+        self, position: positions.Position | None, wait_seconds: float
     ) -> defer.Deferred:
         """Return the configuration, or what has become of it since."""
         if position is None:
@@ -151,7 +170,9 @@
             found = self.read_changes(OPERATORS_TABLE, position, wait_seconds)
         return found.addCallback(configuration_of)
 
-    def read_engines(self, position: int | None) -> defer.Deferred:
+    def read_engines(
+        self, position: positions.Position | None
+    ) -> defer.Deferred:
         """Return the list of engines, or what has changed in it since."""
         if position is None:
             found = self.read_all(ENGINES_TABLE)
@@ -227,8 +248,8 @@
     return store_watch.MembersRead(tuple(members), told(mistakes), tuple(kept))
 
 
-def check_status(answer: questions.Answer) -> bytes:
-    """Return the body of a good answer, or raise what is wrong with it."""
+def check_status(answer: questions.Answer) -> questions.Answer:
+    """Return a good answer, or raise what is wrong with it."""
     if answer.too_long:
         raise errors.AnswerTooLong(answer.detail)
     if answer.response is None:
@@ -238,7 +259,23 @@
         raise errors.HistoryGone('changes are no longer kept')
     if status != OK:
         raise errors.PlatformUnavailable(f'status {status}')
-    return answer.body
+    return answer
+
+
+def read_rows(answer: questions.Answer) -> rows.Rows:
+    """Return the rows in an answer, with the era in its head."""
+    found = row_answers.read_rows(answer.body)
+    found.era = read_era(answer)
+    return found
+
+
+def read_era(answer: questions.Answer) -> int:
+    """Return the era that an answer states, if it is a whole number."""
+    fields = tuple(answer.response.headers.raw_items())
+    stated = http1.first_value(fields, ERA) or b''
+    if not stated.isdigit() or len(stated) > MOST_ERA_DIGITS:
+        return positions.NO_ERA
+    return int(stated)
 
 
 def configuration_of(found: rows.Rows) -> store_watch.ConfigurationRead:
@@ -252,7 +289,7 @@
                 mistake = ''
             except errors.ProtocolError as exc:
                 mistake = str(exc)
-    return store_watch.ConfigurationRead(found.ver, table, mistake)
+    return store_watch.ConfigurationRead(found.position, table, mistake)
 
 
 def engines_of(found: rows.Rows) -> store_watch.EnginesRead:
@@ -275,7 +312,7 @@
         except errors.ProtocolError as exc:
             mistakes[row.key] = str(exc)
     return store_watch.EnginesRead(
-        found.ver, tuple(entries), tuple(removed), told(mistakes)
+        found.position, tuple(entries), tuple(removed), told(mistakes)
     )
 
 
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -138,6 +138,14 @@
     """See :class:`greengagelb.state.relay.hints.StoreTried`."""
 
 
+class StoreRestored(
+    msgspec.Struct, frozen=True, array_like=True, tag='g', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.StoreRestored`."""
+
+    era: int
+
+
 class NotListed(
     msgspec.Struct, frozen=True, array_like=True, tag='n', tag_field='kind'
 ):
@@ -202,6 +210,7 @@
         | EnginesTold
         | StoreRead
         | StoreTried
+        | StoreRestored
         | NotListed
         | ConfigurationApplied
         | CrashReport
@@ -275,6 +284,8 @@
             wire = StoreRead(digest, version)
         case hints.StoreTried():
             wire = StoreTried()
+        case hints.StoreRestored(era):
+            wire = StoreRestored(era)
         case hints.NotListed(incarnations):
             wire = NotListed(incarnations)
         case hints.ConfigurationApplied(version):
@@ -344,6 +355,8 @@
             hint = hints.StoreRead(digest, version)
         case StoreTried():
             hint = hints.StoreTried()
+        case StoreRestored(era):
+            hint = hints.StoreRestored(era)
         case NotListed(incarnations):
             hint = hints.NotListed(incarnations)
         case ConfigurationApplied(version):
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -107,6 +107,13 @@
     version: int | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The store has come back from a copy, and begun an era."""
+
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreTried:
     """The sender tries again whether the store is back."""
@@ -140,6 +147,7 @@
     | EnginesTold
     | StoreRead
     | StoreTried
+    | StoreRestored
     | NotListed
     | ConfigurationApplied
     | crashes.CrashReport
--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -18,10 +18,12 @@
 from greengagelb import errors
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import store_eras
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
+from greengagelb.state.relay import positions
 from greengagelb.state.relay import routes
 from greengagelb.state.relay import store_calls
 from greengagelb.transport import recorder
@@ -56,7 +58,7 @@
 class ConfigurationRead:
     """The configuration, if there is a new one, and where to read on."""
 
-    position: int
+    position: positions.Position
     table: routes.RouteTable | None
     mistake: str = ''
 
@@ -68,7 +70,7 @@
     ``mistakes`` are the entries that can't be used.
     """
 
-    position: int
+    position: positions.Position
     entries: tuple[engines.EngineEntry, ...]
     removed: tuple[str, ...]
     mistakes: tuple[unusable_entries.UnusableEntry, ...] = ()
@@ -98,11 +100,13 @@
         """Ask at another address from now on."""
 
     def read_configuration(
-        self, position: int | None, wait_seconds: float
+        self, position: positions.Position | None, wait_seconds: float
     ) -> defer.Deferred:
         """Return a :class:`ConfigurationRead`; all of it without position."""
 
-    def read_engines(self, position: int | None) -> defer.Deferred:
+    def read_engines(
+        self, position: positions.Position | None
+    ) -> defer.Deferred:
         """Return an :class:`EnginesRead`; the whole list without position."""
 
     def register(self, member: hints.Member) -> defer.Deferred:
@@ -144,8 +148,8 @@
         self.registered = False
         self.maybe_registered = False
         self.members_known = False
-        self.configuration_position: int | None = None
-        self.engines_position: int | None = None
+        self.configuration_position: positions.Position | None = None
+        self.engines_position: positions.Position | None = None
         self.engines_read_at = float('-inf')
         self.bad_engines = unusable_entries.UnusableEntries()
         self.bad_members = unusable_entries.UnusableEntries()
@@ -308,13 +312,14 @@
         self.calls.count(call, cause)
         self.sharing.configuration.looked(now)
         wait = CONFIGURATION_WAIT if reads_for_all else 0.0
+        position = self.position_of_configuration()
         try:
-            read = yield self.source.read_configuration(
-                self.position_of_configuration(), wait
-            )
+            read = yield self.source.read_configuration(position, wait)
+            self.check_era(read.position, position)
         except (errors.HistoryGone, errors.AnswerTooLong):
             self.calls.count(call, store_calls.Cause.HISTORY_GONE)
             read = yield self.source.read_configuration(None, wait)
+            self.check_era(read.position)
         self.configuration_position = read.position
         self.sharing.configuration.known(now)
         self.note_configuration_mistake(read)
@@ -322,7 +327,42 @@
             self.dispatch(relay_events.RoutesOffered(read.table, 'store'))
         self.dispatch(relay_events.ConfigurationChecked())
 
-    def position_of_configuration(self) -> int | None:
+    def check_era(
+        self,
+        found: positions.Position,
+        asked_from: positions.Position | None = None,
+    ) -> None:
+        """Raise what is wrong with an answer of another era.
+
+        One to a question for the changes since a version of another era leaves
+        out what has changed below that version, and nothing else shows it.
+        """
+        former = self.sharing.eras.era
+        verdict = self.sharing.eras.read(found.era, self.reactor.seconds())
+        match verdict:
+            case store_eras.Verdict.LATE:
+                why = f'era {found.era}, known is {former}'
+                raise errors.LateAnswer(why)
+            case store_eras.Verdict.RESTORED:
+                self.note_restored(former, found)
+        if asked_from is not None and asked_from.era != found.era:
+            raise errors.HistoryGone('store has come back from a copy')
+
+    def note_restored(self, former: int, found: positions.Position) -> None:
+        """Tell that the store has come back from a copy."""
+        known = max(
+            position.version if position else 0
+            for position in (
+                self.engines_position,
+                self.configuration_position,
+            )
+        )
+        back = max(0, known - found.version)
+        why = f'era {former} to {found.era}, {back} versions back'
+        self.record(actions.Record('store-restored', why))
+        self.dispatch(relay_events.StoreRestored())
+
+    def position_of_configuration(self) -> positions.Position | None:
         """Return from where to read changes on, or None to read it whole.
 
         The changes have every version since, of which only the last counts.
@@ -357,12 +397,14 @@
         position = None if whole else self.engines_position
         try:
             read = yield self.source.read_engines(position)
+            self.check_era(read.position, position)
         except (errors.HistoryGone, errors.AnswerTooLong):
             # Waiting for the next look would cost a second, in which engines
             # that have left get work.
             whole = True
             self.calls.count(call, store_calls.Cause.HISTORY_GONE)
             read = yield self.source.read_engines(None)
+            self.check_era(read.position)
         was_away = bool(self.sharing.engines.failures)
         self.engines_position = read.position
         self.engines_read_at = now
--- a/tests/common/store_fleet.py
+++ b/tests/common/store_fleet.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import relay
 from greengagelb.state.relay import hints
+from greengagelb.state.relay import positions
 from greengagelb.transport.relay import store_watch
 from tests.common import relay_world
 
@@ -39,8 +40,13 @@
         self.rows = []
         self.members = {}
         self.position = 1
+        self.era = positions.NO_ERA
         self.waiting = []
 
+    @property
+    def here(self):
+        return positions.Position(self.era, self.position)
+
     def count(self, kind):
         return sum(call[0] == kind for call in self.calls)
 
@@ -100,12 +106,12 @@
 
         def now(done):
             table = None
-            if position is None or position < store.changed_at:
+            if position is None or position.version < store.changed_at:
                 table = relay_world.route_table(store.version)
-            done.callback(store_watch.ConfigurationRead(store.position, table))
+            done.callback(store_watch.ConfigurationRead(store.here, table))
 
         def answer(done):
-            news = position is None or position < store.changed_at
+            news = position is None or position.version < store.changed_at
             if news or not wait_seconds:
                 now(done)
                 return
@@ -127,10 +133,11 @@
         store = self.store
 
         def answer(done):
-            removed = tuple(n for at, n in store.rows if at > (position or 0))
+            since = position.version if position else 0
+            removed = tuple(n for at, n in store.rows if at > since)
             entries = tuple(store.entries.values())
             done.callback(
-                store_watch.EnginesRead(store.position, entries, removed)
+                store_watch.EnginesRead(store.here, entries, removed)
             )
 
         return store.ask(self.name, 'engines', answer)
--- a/tests/common/wire_store.py
+++ b/tests/common/wire_store.py
@@ -13,6 +13,8 @@
 import h11
 from twisted.internet import testing
 
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import relay
 from greengagelb.platform import store
@@ -89,12 +91,13 @@
             elif event is h11.NEED_DATA:
                 return
 
-    def answer(self, body):
+    def answer(self, body, status=200):
         """Hand the store's answer to the link."""
         length = str(len(body)).encode()
-        head = h11.Response(
-            status_code=200, headers=[(b'Content-Length', length)]
-        )
+        headers = [(b'Content-Length', length)]
+        if self.owner.era is not None:
+            headers.append((b'Store-Era', str(self.owner.era).encode()))
+        head = h11.Response(status_code=status, headers=headers)
         self.unsent += self.server.send(head)
         self.unsent += self.server.send(h11.Data(data=body))
         self.unsent += self.server.send(h11.EndOfMessage())
@@ -121,6 +124,7 @@
         self.reactor = reactor
         self.bytes_a_second = bytes_a_second
         self.cut = False
+        self.era = None
         self.version = 0
         self.history = []
         self.rows = {}
@@ -147,6 +151,16 @@
         for answer in list(self.waiting):
             answer()
 
+    def copy(self):
+        """Return a copy, from which the store may come back."""
+        return self.version, list(self.history), dict(self.rows)
+
+    def restore(self, copy):
+        """Come back from a copy; what was written since is gone."""
+        self.version, history, rows = copy
+        self.history, self.rows = list(history), dict(rows)
+        self.era = (self.era or 0) + 1
+
     # -- calls --------------------------------------------------------------
 
     def connected(self, factory):
@@ -175,6 +189,9 @@
     def reply_with_changes(self, wire, fields):
         table = fields['table'][0]
         since = int(fields['after_rev'][0])
+        if since > self.version:
+            wire.answer(b'{}', status=410)
+            return
 
         def reply():
             if reply not in self.waiting:
@@ -245,8 +262,13 @@
     def dispatch(self, event):
         """Have an event decided, and look at the store if it says so."""
         for action in self.relay.handle(event, self.reactor.seconds()):
-            if isinstance(action, relay_actions.LookAtStore):
-                self.watch.look_again()
+            match action:
+                case relay_actions.LookAtStore():
+                    self.watch.look_again()
+                case actions.SetTimer(name, deadline):
+                    wait = max(0.0, deadline - self.reactor.seconds())
+                    fired = events.TimerFired(name)
+                    self.reactor.callLater(wait, self.dispatch, fired)
 
     @property
     def version(self):
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -18,6 +18,7 @@
 from greengagelb.platform import wire
 from greengagelb.protocol import relay_hints
 from greengagelb.state.relay import hints
+from greengagelb.state.relay import positions
 from tests.common import relay_world
 
 ENGINE = {
@@ -285,7 +286,7 @@
     found = store.engines_of(row_answers.read_rows(answer_with(other)))
     names = {entry.engine for entry in found.entries}
     assert {'i-1', 'i-3'} <= names
-    assert found.position == 9
+    assert found.position == positions.Position(positions.NO_ERA, 9)
 
 
 def test_answer_that_is_no_list_of_rows_is_refused():
@@ -397,7 +398,7 @@
     """
     read = read_configuration(raw)
     assert (read.table is None) == bool(read.mistake)
-    assert read.position == 9
+    assert read.position == positions.Position(positions.NO_ERA, 9)
     if read.table is None:
         return
     world = relay_world.RelayWorld(
--- a/tests/platform/test_long_lists.py
+++ b/tests/platform/test_long_lists.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 
 from greengagelb import errors
+from greengagelb.platform import row_answers
 from greengagelb.platform import rows
 from greengagelb.platform import store
 from greengagelb.state.relay import engines
@@ -51,7 +52,12 @@
             found[:PAGE], self.version, has_more=len(found) > PAGE
         )
         self.version += 1
-        return defer.succeed(json.dumps(as_json(answer)).encode())
+        return defer.succeed(decoded(answer))
+
+
+def decoded(answer):
+    """Return an answer as it comes out of the store's bytes."""
+    return row_answers.read_rows(json.dumps(as_json(answer)).encode())
 
 
 def as_json(answer):
@@ -87,7 +93,7 @@
     class StuckStore(PagedStore):
         def get(self, target, seconds, coming_seconds):
             answer = rows.Rows([entry(0)], self.version, has_more=True)
-            return defer.succeed(json.dumps(as_json(answer)).encode())
+            return defer.succeed(decoded(answer))
 
     failed = []
     StuckStore().read_engines(None).addErrback(failed.append)
@@ -102,4 +108,4 @@
     """
     read = []
     PagedStore().read_engines(None).addCallback(read.append)
-    assert read[0].position == 10
+    assert read[0].position.version == 10
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -10,6 +10,7 @@
 from greengagelb.platform import rows
 from greengagelb.platform import store
 from greengagelb.state.relay import engines
+from greengagelb.state.relay import positions
 from greengagelb.state.relay import routes
 from greengagelb.transport.relay import questions
 
@@ -99,7 +100,7 @@
     read = store.configuration_of(rows.Rows([row({**CONFIG, **change})], 9))
     assert read.table is None
     assert read.mistake
-    assert read.position == 9
+    assert read.position == positions.Position(positions.NO_ERA, 9)
 
 
 def test_row_that_is_no_json_is_told():
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -5,6 +5,7 @@
 
 from greengagelb import errors
 from greengagelb.platform import store
+from greengagelb.state.relay import positions
 from greengagelb.transport.relay import store_watch
 from tests.common import relay_wires
 from tests.common import watches
@@ -40,7 +41,10 @@
     server = relay_wires.Server()
     platform = store.PlatformStore(server.pool, relay_wires.ADDRESS)
     failures = []
-    asked = platform.read_configuration(5, store_watch.CONFIGURATION_WAIT)
+    position = positions.Position(positions.NO_ERA, 5)
+    asked = platform.read_configuration(
+        position, store_watch.CONFIGURATION_WAIT
+    )
     asked.addErrback(failures.append)
     server.accept()
     server.reactor.advance(2.2)
--- a/tests/relay/test_foreign_entries.py
+++ b/tests/relay/test_foreign_entries.py
@@ -13,6 +13,7 @@
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.protocol import relay_hints
 from greengagelb.state.relay import hints
+from greengagelb.state.relay import positions
 from greengagelb.transport.relay import peer_link
 from greengagelb.transport.relay import relay_metrics
 from greengagelb.transport.relay import store_watch
@@ -251,6 +252,9 @@
     return unusable_entries.UnusableEntry(name, why)
 
 
+HERE = positions.Position(positions.NO_ERA, 7)
+
+
 class StoreOfOthers:
     """A source whose lists hold unusable entries, and has no history.
 
@@ -269,7 +273,7 @@
         if position is not None:
             return defer.fail(errors.HistoryGone('gone'))
         read = store_watch.ConfigurationRead(
-            7, None, self.configuration_mistake
+            HERE, None, self.configuration_mistake
         )
         return task.deferLater(self.clock, 0.3, lambda: read)
 
@@ -277,7 +281,7 @@
         if position is not None:
             return defer.fail(errors.HistoryGone('gone'))
         return defer.succeed(
-            store_watch.EnginesRead(7, (), (), self.engine_mistakes)
+            store_watch.EnginesRead(HERE, (), (), self.engine_mistakes)
         )
 
     def register(self, member):
--- a/tests/relay/test_leaving_engines.py
+++ b/tests/relay/test_leaving_engines.py
@@ -7,6 +7,7 @@
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.state.relay import hints
+from greengagelb.state.relay import positions
 from greengagelb.transport.relay import store_watch
 from tests.common import relay_world
 from tests.common import watches
@@ -105,6 +106,9 @@
     assert follower.relay.sharing.configuration_due(follower.now)
 
 
+HERE = positions.Position(positions.NO_ERA, 7)
+
+
 class ForgetfulStore:
     """A source that has lost its history; counts reads of the whole list."""
 
@@ -118,13 +122,13 @@
         self.whole_configurations += 1
         if self.whole_configurations > 1:
             return defer.Deferred()
-        return defer.succeed(store_watch.ConfigurationRead(7, None))
+        return defer.succeed(store_watch.ConfigurationRead(HERE, None))
 
     def read_engines(self, position):
         if position is not None:
             return defer.fail(errors.HistoryGone('gone'))
         self.whole_lists += 1
-        return defer.succeed(store_watch.EnginesRead(7, (), ()))
+        return defer.succeed(store_watch.EnginesRead(HERE, (), ()))
 
     def register(self, member):
         return defer.Deferred()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,8 @@
 # Seeds below this one were played and kept before engines could start again
 # under their identity; they go on to plan what they planned then.
 FIRST_SEED_WITH_RESTARTS = 35
+# The same before the store could come back from an older copy.
+FIRST_SEED_WITH_RESTORES = 200
 
 
 class What(enum.Enum):
@@ -36,6 +38,7 @@
     STORE_LINK_CUT = 'store-link-cut'
     NEW_CONFIGURATION = 'new-configuration'
     RESTART_ENGINE = 'restart-engine'
+    STORE_RESTORED = 'store-restored'
 
 
 # Those that harm an instance, or what it knows.
@@ -53,6 +56,7 @@
         What.STORE_SLOW,
         What.STORE_ANSWERS_LOST,
         What.STORE_LINK_CUT,
+        What.STORE_RESTORED,
     }
 )
 OF_ENGINES = frozenset(
@@ -68,7 +72,8 @@
 )
 # One more here would change what every seed plans; what comes later is drawn
 # by a generator of its own.
-DRAWN = tuple(what for what in What if what is not What.RESTART_ENGINE)
+DRAWN_APART = (What.RESTART_ENGINE, What.STORE_RESTORED)
+DRAWN = tuple(what for what in What if what not in DRAWN_APART)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +106,14 @@
     return sorted(found, key=lambda fault: fault.at)
 
 
+def plan_restores(seed: int) -> list[Fault]:
+    """Return when the store comes back from an older copy."""
+    if seed < FIRST_SEED_WITH_RESTORES:
+        return []
+    rng = random.Random(f'restores of {seed}')
+    return series(rng, What.STORE_RESTORED)
+
+
 def series(rng: random.Random, what: What) -> list[Fault]:
     """Return a fault once, or several times in a row."""
     times = rng.choice((1, 1, 1, 2, 3))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -31,7 +31,11 @@
     reactor: interfaces.IReactorCore, seed: int, fleet: int = 3
 ) -> object:
     """Play one seed; return its report."""
-    planned = faults.plan(random.Random(seed)) + faults.plan_restarts(seed)
+    planned = [
+        *faults.plan(random.Random(seed)),
+        *faults.plan_restarts(seed),
+        *faults.plan_restores(seed),
+    ]
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     played = world.World(reactor, folder, seed, fleet)
     try:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -1,6 +1,8 @@
 """A stand-in for the platform's store."""
 
 import base64
+import collections
+import copy
 import json
 
 from twisted.internet import interfaces
@@ -8,6 +10,8 @@
 from twisted.web import server
 
 MOST_ROWS = 500
+# Copies that are kept, one a second.
+MOST_COPIES = 4
 
 
 class Store(resource.Resource):
@@ -26,6 +30,10 @@
         self.forgotten = 0
         self.refusing = False
         self.waiting: list[Waiter] = []
+        self.era = 0
+        self.copies: collections.deque[tuple[int, dict]] = collections.deque(
+            maxlen=MOST_COPIES
+        )
 
     # -- what the rest of the soak does -------------------------------------
 
@@ -57,10 +65,24 @@
         """Lose the history of changes."""
         self.forgotten = self.version
 
+    def keep_copy(self) -> None:
+        """Keep a copy, from which the store may come back."""
+        self.copies.append((self.version, copy.deepcopy(self.tables)))
+
+    def restore(self) -> None:
+        """Come back from the oldest copy; what was written since is gone."""
+        self.version, self.tables = self.copies[0]
+        self.copies.clear()
+        self.keep_copy()
+        self.era += 1
+        for waiter in list(self.waiting):
+            self.finish(waiter)
+
     # -- calls --------------------------------------------------------------
 
     def render(self, request: server.Request) -> object:
         """Answer a call."""
+        request.setHeader(b'Store-Era', str(self.era).encode())
         if self.refusing:
             request.setResponseCode(503)
             return b'{}'
@@ -87,7 +109,7 @@
     def feed(self, request: server.Request) -> object:
         """Return what has changed, at once or when it does."""
         after = int(argument(request, b'after_rev'))
-        if after < self.forgotten:
+        if after < self.forgotten or after > self.version:
             request.setResponseCode(410)
             return b'{}'
         table = table_of(request)
@@ -110,6 +132,7 @@
     def finish(self, waiter: 'Waiter') -> None:
         """Answer one who waits."""
         self.drop(waiter)
+        waiter.request.setHeader(b'Store-Era', str(self.era).encode())
         rows = self.changed(waiter.table, waiter.after)
         waiter.request.write(self.page(rows))
         waiter.request.finish()
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -55,6 +55,7 @@
         # The soak's own link let the end of a stream overtake its last three
         # events as it became fast again, and the stream looked complete.
         pytest.param(43, id='engines start again, a slow link recovers'),
+        pytest.param(200, id='the store comes back from an older copy'),
     ],
 )
 def test_seed_breaks_no_promise(seed):
@@ -75,6 +76,8 @@
     assert first != faults.plan(random.Random(6))
     assert faults.plan_restarts(50) == faults.plan_restarts(50)
     assert faults.plan_restarts(50)
+    assert faults.plan_restores(200)
+    assert faults.plan_restores(200) == faults.plan_restores(200)
 
 
 def test_kept_seeds_plan_what_they_planned_when_they_failed():
@@ -82,3 +85,4 @@
     planned = [(f.what.value, f.target) for f in faults.plan(random.Random(8))]
     assert planned == PLAN_OF_SEED_8
     assert faults.plan_restarts(2) == faults.plan_restarts(8) == []
+    assert faults.plan_restores(91) == []
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -110,6 +110,10 @@
     def configure(self) -> None:
         """Write the next configuration."""
         self.version += 3
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Write the configuration that is to be in force."""
         routes = [
             route('stream', engines.STREAMS, 'streaming', 10_000, 5),
             route('call', engines.CALLS, 'unsafe', 900, 1),
@@ -140,6 +144,7 @@
     def renew_entries(self) -> None:
         """Let engines renew their entries, and let others lapse."""
         now = self.reactor.seconds()
+        self.store.keep_copy()
         for engine in self.engines.engines:
             if engine.lives and engine.state and not self.store.refusing:
                 self.store.put('servers', engine.identity, engine.entry())
@@ -347,6 +352,8 @@
                 self.later(fault, setattr, self.store, 'refusing', False)
             case faults.What.STORE_FORGETS:
                 self.store.forget()
+            case faults.What.STORE_RESTORED:
+                self.restore_store(fault)
             case faults.What.STORE_SLOW:
                 for link in links:
                     link.delay = 0.12
@@ -358,6 +365,24 @@
                 links[0].mode = proxy.Mode.DARK
                 self.later(fault, setattr, links[0], 'mode', proxy.Mode.PASS)
 
+    def restore_store(self, fault: faults.Fault) -> None:
+        """Have the store come back from a copy after a moment.
+
+        Operators and engines write again what they had written; entries of
+        engines that have gone lapse.
+        """
+        self.store.refusing = True
+        self.later(fault, self.store_is_back)
+
+    def store_is_back(self) -> None:
+        """Serve from the copy."""
+        self.store.restore()
+        self.store.refusing = False
+        now = self.reactor.seconds()
+        for identity in self.store.tables.get('servers', {}):
+            self.renewed_at.setdefault(identity, now)
+        self.write_configuration()
+
 
 def next_keys(keys: list[str], shown: str, added: str) -> list[str]:
     """Return the keys that are in force once another one is added.
