Have whoever reads next tell that the store has come back from a copy

Found by a test of a restore as the reader is killed, cut off or turned away: the next reader kept the new era to itself, as it had told of none before, and the others took at once as gone what the copy lacked. Failing before in all three cases. Now each instance keeps whether the others may not know yet. The soak's store answers for a table that a copy does not have yet; the model-based test of the configuration gets a restore as a rule.

--- a/src/greengagelb/coordination/relay/engine_list.py
+++ b/src/greengagelb/coordination/relay/engine_list.py
@@ -91,7 +91,10 @@
     def eras_told(self) -> list[hints.Hint]:
         """Return what the others have to know before all else."""
         eras = self.sharing.eras
-        return [hints.StoreRestored(eras.era)] if eras.untold() else []
+        if not eras.untold:
+            return []
+        eras.untold = False
+        return [hints.StoreRestored(eras.era)]
 
     def restored(self, now: float) -> list[Action]:
         """Take in that the store has come back from a copy."""
--- a/src/greengagelb/coordination/relay/store_eras.py
+++ b/src/greengagelb/coordination/relay/store_eras.py
@@ -27,12 +27,13 @@
     """The era of the store as this instance knows it.
 
     ``doubted_at`` is when the first of the late answers came that nothing
-    current has followed. ``told_era`` is what the others were told of last.
+    current has followed. ``untold`` is whether the others may not know yet
+    that the store has come back from a copy.
     """
 
     def __init__(self) -> None:
         self.era = positions.NO_ERA
-        self.told_era = positions.NO_ERA
+        self.untold = False
         self.doubted_at: float | None = None
 
     def read(self, era: int, now: float) -> Verdict:
@@ -53,16 +54,13 @@
         is_first = self.era == positions.NO_ERA
         self.era = era
         self.doubted_at = None
-        return Verdict.CURRENT if is_first else Verdict.RESTORED
+        if is_first:
+            return Verdict.CURRENT
+        self.untold = True
+        return Verdict.RESTORED
 
     def heard(self, era: int) -> bool:
         """Take in another instance's era; return whether it is news."""
         if era <= self.era:
             return False
         return self.begin(era) is Verdict.RESTORED
-
-    def untold(self) -> bool:
-        """Return whether the others are to be told of a new era."""
-        news = self.told_era not in (positions.NO_ERA, self.era)
-        self.told_era = self.era
-        return news
--- a/tests/relay/test_configuration_machine.py
+++ b/tests/relay/test_configuration_machine.py
@@ -69,6 +69,14 @@
             self.heard_of = version
             self.heard_at = self.world.now
 
+    @rule(version=VERSIONS)
+    def store_comes_back_from_a_copy(self, version):
+        """What it shows may be older than what is in force."""
+        self.world.handle(relay_events.StoreRestored())
+        table = relay_world.route_table(version, [route_of(version)])
+        self.world.offer(table)
+        self.highest = max(self.highest, version)
+
     @rule(seconds=st.sampled_from([0.1, 0.8, 1.5, 6.0]))
     def wait(self, seconds):
         self.world.advance(seconds)
--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -337,6 +337,33 @@
     assert busiest <= MOST_WRITES
 
 
+@pytest.mark.parametrize('what', ['killed', 'cut', 'turned away'])
+def test_a_restore_as_the_reader_is_lost_reaches_all(what):
+    """Guards against a new era that the next reader keeps to itself.
+
+    The others then take at once as gone what the copy lacks.
+    """
+    fleet = store_fleet.StoreFleet(12, ('north', 'south', 'west'))
+    fleet.store.era = 1
+    run(fleet, 6.0)
+    [reader] = fleet.readers
+    place = reader.own.data_centre
+    if what == 'killed':
+        reader.kill()
+    elif what == 'cut':
+        fleet.cut.add(place)
+    else:
+        fleet.store.turned_away.add(reader.own.name)
+    fleet.store.era = 2
+    fleet.store.entries.pop('model-north-0')
+    run(fleet, 2.6)
+    alive = [one for one in fleet.instances if one.alive]
+    assert all(one.relay.sharing.eras.era == 2 for one in alive)
+    assert all(one.knows('model-north-0') for one in alive)
+    run(fleet, 6.0)
+    assert not any(one.knows('model-north-0') for one in alive)
+
+
 def run(fleet, seconds):
     for _ in range(int(seconds / 0.1)):
         fleet.clock.advance(0.1)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -101,7 +101,9 @@
         begin = argument(request, b'from')
         rows = [
             row
-            for key, row in sorted(self.tables.get(table_of(request)).items())
+            for key, row in sorted(
+                self.tables.get(table_of(request), {}).items()
+            )
             if key >= begin and not row['tombstone']
         ]
         return self.page(rows[:MOST_ROWS], has_more=len(rows) > MOST_ROWS)
