Take a crash that is not kept for no news

Found by reading: a report of a crash older than the eight that are kept came back as news each time it was told, and by the product's own interface each such news is told on. Test first: news where none is.

--- a/src/greengagelb/coordination/sharing/crashes.py
+++ b/src/greengagelb/coordination/sharing/crashes.py
@@ -59,19 +59,19 @@
         self.forget_old(now)
         if crash.ended_at <= now - REMEMBERED_SECONDS:
             return False
-        history = self.histories.get(fingerprint)
-        if history is None:
-            history = crashes.CrashHistory()
+        history = self.histories.get(fingerprint, crashes.CrashHistory())
         if crash.life in history.crashes:
             return False
         if crash.ended_at <= history.survived_at:
             return False
         history.crashes[crash.life] = crash
+        if len(history.crashes) > MOST_REMEMBERED:
+            oldest = min(history.crashes.values(), key=by_end)
+            del history.crashes[oldest.life]
+            if oldest is crash:
+                return False
         history.changed_at = now
         self.changes += 1
-        if len(history.crashes) > MOST_REMEMBERED:
-            latest = sorted(history.crashes.values(), key=by_end)
-            del history.crashes[latest[0].life]
         self.histories[fingerprint] = history
         self.make_room()
         return True
--- a/tests/load/test_crash_records.py
+++ b/tests/load/test_crash_records.py
@@ -101,6 +101,17 @@
     assert list(records.histories) == [GUILTY]
 
 
+def test_a_crash_that_is_not_kept_is_no_news():
+    """Guards against instances that tell each other of it for ever."""
+    records = crashes.CrashRecords()
+    for n in range(crashes.MOST_REMEMBERED):
+        assert records.crashed(GUILTY, crash(f'e{n}', 900.0 + n), NOW)
+    changes = records.changes
+    assert not records.crashed(GUILTY, crash('older', 890.0), NOW)
+    assert records.changes == changes
+    assert records.crashed(GUILTY, crash('newer', 950.0), NOW)
+
+
 LIVES = st.sampled_from([f'e{n}' for n in range(12)])
 NAMES = st.sampled_from([GUILTY, INNOCENT, 'third'])
 CRASHES = st.builds(
