--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -125,6 +125,26 @@
     assert instance.knows('e0')
 
 
+def test_a_restore_within_a_storm_of_configurations_leaves_the_newest():
+    """Guards against a version that falls, or one that is missed."""
+    instance = running_instance()
+    seen = []
+    for version in range(3, 9):
+        copy = instance.store.copy()
+        value = wire_store.configuration_value(version, 3)
+        instance.store.put('op', 'config', value)
+        instance.play(0.4)
+        if version % 2:
+            instance.store.restore(copy)
+            instance.play(0.4)
+            instance.store.put('op', 'config', value)
+        seen.append(instance.version)
+    instance.play(4.0)
+    seen.append(instance.version)
+    assert seen == sorted(seen)
+    assert seen[-1] == 8
+
+
 def starting_instance(newest):
     """Return an instance that starts beside one with a configuration."""
     instance = wire_store.LinkedInstance(FAST_LINK)
@@ -364,6 +384,19 @@
     assert not any(one.knows('model-north-0') for one in alive)
 
 
+def test_a_restore_as_all_instances_start_leaves_all_registered():
+    """Guards against a fleet that starts into a copy and stays unknown."""
+    fleet = store_fleet.StoreFleet(12, ('north', 'south', 'west'))
+    fleet.store.era = 1
+    run(fleet, 0.4)
+    fleet.store.era = 2
+    fleet.store.members.clear()
+    run(fleet, 14.0)
+    assert len(fleet.store.members) == 12
+    assert all(one.relay.sharing.eras.era == 2 for one in fleet.instances)
+    assert all(one.knows('model-north-0') for one in fleet.instances)
+
+
 def run(fleet, seconds):
     for _ in range(int(seconds / 0.1)):
         fleet.clock.advance(0.1)
