Tell in the log and metrics which limits engines name, and what was known at a send

The incident of the exceeded limit could not be told apart by the logs: neither whether an answer had named a limit nor whether a send was made in the knowledge of one. Answers are now read for it, by the platform's header and by headers of the product's own engine and service interfaces; `engine-limit` tells each change, `sent` the limit that was known and for how long, `engine-limit-refused` a value that can't be read, and a gauge how many engines name a limit. Nothing is decided by it yet.

Tests: tests/logs/test_limit_evidence.py, tests/platform/test_wire.py.

--- a/src/greengagelb/coordination/calls/dispatching.py
+++ b/src/greengagelb/coordination/calls/dispatching.py
@@ -15,6 +15,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.fleet import upstream_limits
 from greengagelb.coordination.sharing import crash_guard
 from greengagelb.coordination.sharing import retry_budget
 from greengagelb.state import configuration as configuration_state
@@ -92,6 +93,21 @@
             *self.dispatch(call, now),
         ]
 
+    def answer_in(
+        self, event: events.Event
+    ) -> upstream_limits.Answered | None:
+        """Return the answer of an upstream that an event brings, if any."""
+        match event:
+            case events.CallAnswered(said=said) | events.CallBroken(said=said):
+                call = self.calls.get(event.exchange)
+            case _:
+                return None
+        number = event.try_number
+        if said is None or call is None or number not in call.under_way:
+            return None
+        name = call.under_way[number].name
+        return upstream_limits.Answered(name, call.began_at[number], said)
+
     def dispatch(self, call: Call, now: float) -> list[actions.Action]:
         """Hand the call to an upstream."""
         if call.told or (call.may_have_run and not call.service.idempotent):
--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -11,6 +11,7 @@
 from greengagelb.state import crashes
 from greengagelb.state import fleet
 from greengagelb.state import identity
+from greengagelb.state import limits
 from greengagelb.state import requests
 
 
@@ -49,6 +50,7 @@
     """The engine has begun to answer with an event stream."""
 
     attempt: identity.AttemptId
+    said: limits.Said = limits.NOTHING_SAID
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +78,7 @@
     attempt: identity.AttemptId
     code: str
     retry_after: float | None
+    said: limits.Said = limits.NOTHING_SAID
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -210,16 +213,21 @@
     status: int
     body: bytes
     try_number: int = 1
+    said: limits.Said = limits.NOTHING_SAID
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallBroken:
-    """One try of a call ended without an answer."""
+    """One try of a call ended without an answer.
+
+    ``said`` is None where nothing was heard, and else from a refusal.
+    """
 
     exchange: int
     detail: str
     handed_over: bool
     try_number: int = 1
+    said: limits.Said | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -16,6 +16,7 @@
 from greengagelb.coordination.calls import claims
 from greengagelb.coordination.calls import dispatching
 from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.fleet import upstream_limits
 from greengagelb.coordination.sharing import admission
 from greengagelb.coordination.sharing import arrivals
 from greengagelb.coordination.sharing import crash_guard
@@ -45,6 +46,7 @@
         self.accounts: dict[str, configuration_state.ClientAccount] = {}
         self.cancels = cancellations.CancellationSupervisor()
         self.guard = crash_guard.CrashGuard()
+        self.limits = upstream_limits.UpstreamLimits()
         self.streams = continuing.StreamSupervisor(
             self.directory, self.cancels, incarnation, self.guard
         )
@@ -94,6 +96,16 @@
         """Return whether nothing is in flight, claims to settle included."""
         return not (self.running or self.waiting or self.claims.claims)
 
+    def answered(
+        self, found: upstream_limits.Answered | None, now: float
+    ) -> list[actions.Action]:
+        """Take in what an answer says of its upstream."""
+        if found is None:
+            return []
+        view = self.directory.views.get(found.upstream)
+        known = view.incarnation if view else ''
+        return self.limits.answered(found, known, now)
+
     def decide(self, event: events.Event, now: float) -> list[actions.Action]:
         """Pass an event to the object that it concerns."""
         match event:
@@ -106,13 +118,15 @@
             case events.CallerGone(exchange):
                 return self.caller_gone(exchange, now)
             case events.AttemptAccepted():
-                return self.streams.accepted(event, now)
+                said = self.answered(self.streams.answer_in(event), now)
+                return said + self.streams.accepted(event, now)
             case events.TokensArrived():
                 return self.streams.arrived(event, now)
             case events.AttemptEnded():
                 return self.streams.ended(event, now)
             case events.AttemptRefused():
-                return self.streams.refused(event, now)
+                said = self.answered(self.streams.answer_in(event), now)
+                return said + self.streams.refused(event, now)
             case events.AttemptBroken():
                 return self.streams.broken(event, now)
             case events.AttemptCancelled(attempt):
@@ -126,6 +140,19 @@
             ):
                 step = self.claims.answered(event, now)
                 return step.actions + self.begin_granted(step.granted, now)
+            case events.CallAnswered() | events.CallBroken():
+                said = self.answered(self.calls.answer_in(event), now)
+                return said + self.call_ended(event, now)
+            case events.TimerFired(name):
+                return self.timer_fired(name, now)
+            case _:
+                return self.decide_of_the_fleet(event, now)
+
+    def call_ended(
+        self, event: events.CallAnswered | events.CallBroken, now: float
+    ) -> list[actions.Action]:
+        """Handle the end of one try of a call."""
+        match event:
             case events.CallAnswered(exchange, status, body):
                 if self.calls.awaits_outcome(exchange):
                     kept = self.claims.finish(exchange, status, body, now)
@@ -138,10 +165,6 @@
                         return ended
                     return ended + self.claims.proved_unrun(exchange, now)
                 return self.calls.broken(event, now)
-            case events.TimerFired(name):
-                return self.timer_fired(name, now)
-            case _:
-                return self.decide_of_the_fleet(event, now)
 
     def decide_of_the_fleet(
         self, event: events.Event, now: float
@@ -150,6 +173,7 @@
         match event:
             case events.UpstreamReported():
                 crashed = self.guard.reported(event, now)
+                self.limits.met(event.engine.name, event.engine.incarnation)
                 self.directory.observe(event, now)
                 return [
                     *self.crashes_found(crashed, event.engine.name, now),
--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -82,8 +82,18 @@
         now: float,
     ) -> list[Action]:
         """Pass a whole answer on, or try another engine."""
+        told = self.parts.sends.heard(exchange, sent, event.head, now)
+        return told + self.taken(exchange, sent, event, now)
+
+    def taken(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.Sent,
+        event: relay_events.AnswerComplete,
+        now: float,
+    ) -> list[Action]:
+        """Decide what the caller gets of a whole answer."""
         head = event.head
-        self.parts.engines.told_load(sent.entry.engine, head.load, now)
         self.parts.sends.release(exchange, sent)
         if head.not_run:
             return self.not_run(exchange, sent, head.status, now)
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -8,7 +8,9 @@
 from greengagelb.coordination.relay import budget
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import loads
+from greengagelb.coordination.sharing import limit_book
 from greengagelb.state import identity
+from greengagelb.state import limits
 from greengagelb.state.relay import engine_states
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
@@ -39,6 +41,7 @@
         self.budget = retries
         self.counter = itertools.count(1)
         self.untold: list[hints.Hint] = []
+        self.limits = limit_book.LimitBook()
 
     def may_repeat(self, exchange: exchanges.Exchange, now: float) -> bool:
         """Return whether a request may be sent once more; count it if so.
@@ -102,6 +105,24 @@
             ),
         ]
 
+    def heard(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.Sent,
+        head: requests.AnswerHead,
+        now: float,
+    ) -> list[Action]:
+        """Take in what the head of an answer tells of its engine."""
+        self.engines.told_load(sent.entry.engine, head.load, now)
+        life = sent.entry.life
+        if isinstance(head.limit, limits.Unusable):
+            why = f'limit-unusable: {head.limit.text}'
+            return [record(exchange, sent, 'engine-limit-refused', why)]
+        news = self.limits.named(life, head.limit, sent.began_at, now)
+        if news is None:
+            return []
+        return [record(exchange, sent, 'engine-limit', limit_book.told(news))]
+
     def priority_of(self, exchange: exchanges.Exchange) -> int:
         """Return an engine's priority for a send, 0 the most urgent.
 
@@ -127,6 +148,10 @@
             f'runs {work.runs}',
             f'tokens {work.memory_tokens}',
         ]
+        known = self.limits.known.get(state.entry.life)
+        if known is not None and known.rate is not None:
+            age = sent.began_at - known.known_at
+            parts.append(f'limit {known.rate:g} known for {age:.3f} s')
         if exchange.position:
             parts.append(f'after {exchange.position}')
         if sent.from_copy:
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -236,8 +236,7 @@
         sent.head = event.head
         sent.answered_at = now
         sent.moved_at = now
-        self.parts.engines.told_load(sent.entry.engine, event.head.load, now)
-        return []
+        return self.parts.sends.heard(exchange, sent, event.head, now)
 
     def moved(
         self,
@@ -317,8 +316,18 @@
         now: float,
     ) -> list[Action]:
         """Go elsewhere after an engine answered with something else."""
+        told = self.parts.sends.heard(exchange, sent, event.head, now)
+        return told + self.go_on_after_refusal(exchange, sent, event, now)
+
+    def go_on_after_refusal(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.Sent,
+        event: relay_events.AnswerComplete,
+        now: float,
+    ) -> list[Action]:
+        """Pass on an answer that is final, or start the stream elsewhere."""
         head = event.head
-        self.parts.engines.told_load(sent.entry.engine, head.load, now)
         why = f'status {head.status}'
         if not head.not_run:
             exchange.may_have_run = True
--- a/src/greengagelb/coordination/streams/continuing.py
+++ b/src/greengagelb/coordination/streams/continuing.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.fleet import upstream_limits
 from greengagelb.coordination.sharing import crash_guard
 from greengagelb.coordination.sharing import fingerprints
 from greengagelb.coordination.streams import attempts
@@ -99,6 +100,20 @@
 
     # -- progress -----------------------------------------------------------
 
+    def answer_in(
+        self, event: events.AttemptAccepted | events.AttemptRefused
+    ) -> upstream_limits.Answered | None:
+        """Return the answer of an engine that an event brings."""
+        source = self.find(event.attempt)
+        if source is None:
+            return None
+        attempt = source.attempt
+        asked_at = attempt.attached_at
+        if not attempt.suspected:
+            asked_at = attempt.ordered_at
+        name = attempt.upstream.name
+        return upstream_limits.Answered(name, asked_at, event.said)
+
     def accepted(
         self, event: events.AttemptAccepted, now: float
     ) -> list[actions.Action]:
@@ -376,10 +391,16 @@
         been replaced. Its tokens may differ from those of the new attempt,
         and would mix two answers if they were passed on.
         """
+        found = self.find(attempt_id)
+        if found is None:
+            self.dropped_events += 1
+        return found
+
+    def find(self, attempt_id: identity.AttemptId) -> Source | None:
+        """Return the stream for which this attempt counts, if any."""
         exchange = self.table.exchanges.get(attempt_id)
         stream = self.streams.get(exchange or 0)
         attempt = stream.find_attempt(attempt_id) if stream else None
         if stream is None or attempt is None:
-            self.dropped_events += 1
             return None
         return Source(stream, attempt)
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -6,6 +6,7 @@
 from greengagelb import errors
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.platform import rows
+from greengagelb.protocol import limit_header
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
 from greengagelb.transport.relay import http1
@@ -34,6 +35,8 @@
 ENGINE = b'Instance-Id'
 # Running, waiting, slots.
 LOAD = b'Engine-Load'
+# The requests a second that the engine takes from all instances together.
+LIMIT = b'Server-Limit'
 # What an engine tells of itself without a free slot.
 PROBE_TARGET = b'/api/report'
 # Has an engine copy a run's memory.
@@ -168,6 +171,7 @@
             or http1.first_value(fields, NOT_RUN.lower()) is not None,
             read_load(http1.first_value(fields, LOAD.lower())),
             engine.decode('latin-1'),
+            limit_header.read_limit(values(fields, LIMIT)),
         )
 
     def answers(
@@ -252,9 +256,14 @@
         return Report()
 
 
+def values(fields: requests.Headers, name: bytes) -> list[bytes]:
+    """Return all values of a field."""
+    return [v for n, v in fields if n.lower() == name.lower()]
+
+
 def single(fields: requests.Headers, name: bytes) -> bytes | None:
     """Return a field's value; two of them would leave open which counts."""
-    found = [v for n, v in fields if n.lower() == name.lower()]
+    found = values(fields, name)
     if len(found) > 1:
         raise errors.ProtocolError(f'{name.decode()} stands twice')
     return found[0] if found else None
--- a/src/greengagelb/protocol/engine_api.py
+++ b/src/greengagelb/protocol/engine_api.py
@@ -14,6 +14,11 @@
 
 An engine refuses with a status of 400 or more and a :class:`Refusal`; a
 refusal before the event stream starts means that nothing ran.
+
+An engine in need names in each answer to ``generate`` and ``attach``, refusals
+included, how many of them it takes a second from all instances together:
+``X-Request-Limit``, a decimal number, and ``X-Incarnation``. The limit holds
+until an answer does not name it, or another incarnation answers.
 """
 
 import msgspec
--- a/src/greengagelb/protocol/service_api.py
+++ b/src/greengagelb/protocol/service_api.py
@@ -3,8 +3,9 @@
 ``POST /call/{operation}`` with the caller's body and the headers
 ``X-Client-Account`` and ``X-Request-Id``; the answer echoes both, so that a
 late answer to another request is recognised and refused. A refusal before
-the call ran carries ``X-Not-Run: 1``. ``GET /v1/report`` answers with an
-:class:`~greengagelb.protocol.engine_api.EngineReport`.
+the call ran carries ``X-Not-Run: 1``. Each answer may name a limit, as those
+of engines do (:mod:`greengagelb.protocol.engine_api`). ``GET /v1/report``
+answers with an :class:`~greengagelb.protocol.engine_api.EngineReport`.
 """
 
 ACCOUNT_HEADER = 'X-Client-Account'
--- a/src/greengagelb/standins/engine.py
+++ b/src/greengagelb/standins/engine.py
@@ -23,6 +23,7 @@
 from greengagelb.protocol import codec
 from greengagelb.protocol import engine_api
 from greengagelb.protocol import sse
+from greengagelb.transport import answer_limits
 from greengagelb.transport import http
 
 KEEP_ENDED = 512
@@ -33,7 +34,8 @@
 
     ``silent`` stops writing to the connections that are open now, for good,
     while new connections work. ``stuck`` stops generating. The process dies
-    of a prompt that holds ``dies_of``, where that is given.
+    of a prompt that holds ``dies_of``, where that is given. ``limit`` is named
+    in the answers to ``generate`` and ``attach``.
     """
 
     silent: bool = False
@@ -41,6 +43,7 @@
     leaving: bool = False
     refuse: bool = False
     dies_of: str = ''
+    limit: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,6 +127,9 @@
 
     def generate(self, request: server.Request) -> object:
         """Start or continue a generation."""
+        answer_limits.write_answer(
+            request, self.faults.limit, self.incarnation
+        )
         order = codec.decode(request.content.read(), engine_api.GenerateOrder)
         if self.faults.refuse or self.faults.leaving:
             return self.refuse(request, 'leaving', 503)
@@ -140,6 +146,9 @@
 
     def attach(self, request: server.Request) -> object:
         """Stream a known attempt from a position on."""
+        answer_limits.write_answer(
+            request, self.faults.limit, self.incarnation
+        )
         order = codec.decode(request.content.read(), engine_api.AttachOrder)
         key = (order.account, order.request, order.generation, order.attempt)
         run = self.runs.get(key)
--- a/src/greengagelb/standins/service.py
+++ b/src/greengagelb/standins/service.py
@@ -19,6 +19,7 @@
 from greengagelb.protocol import codec
 from greengagelb.protocol import engine_api
 from greengagelb.protocol import service_api
+from greengagelb.transport import answer_limits
 from greengagelb.transport import http
 
 
@@ -28,13 +29,15 @@
     ``drop_answers`` runs each call and closes the connection without an
     answer; ``delay_seconds`` passes before each answer; ``refuse`` answers
     that the call did not run. The process dies of a body that holds
-    ``dies_of``, where that is given.
+    ``dies_of``, where that is given. ``limit`` is named in the answers to
+    calls.
     """
 
     drop_answers: bool = False
     delay_seconds: float = 0.0
     refuse: bool = False
     dies_of: str = ''
+    limit: str = ''
 
 
 class ServiceStandIn:
@@ -55,6 +58,9 @@
     @defer.inlineCallbacks
     def call(self, request: server.Request, operation: str) -> object:
         """Run a call, and answer unless told not to."""
+        answer_limits.write_answer(
+            request, self.faults.limit, self.incarnation
+        )
         account = request.getHeader(service_api.ACCOUNT_HEADER)
         request_id = request.getHeader(service_api.REQUEST_HEADER)
         request.setHeader(service_api.ACCOUNT_HEADER, account)
--- a/src/greengagelb/state/relay/requests.py
+++ b/src/greengagelb/state/relay/requests.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from greengagelb.state import limits
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import routes
 
@@ -75,7 +76,8 @@
 
     ``sealed`` says whether the engine signed the answer; ``not_run`` whether
     it promises that it has not run the request and never will. ``engine`` is
-    the engine that answered, where it says so.
+    the engine that answered, where it says so. ``limit`` is what it says of
+    the requests a second that it takes.
     """
 
     status: int
@@ -85,6 +87,7 @@
     not_run: bool
     load: engines.EngineLoad | None = None
     engine: str = ''
+    limit: limits.Named = None
 
     @property
     def succeeded(self) -> bool:
--- /dev/null
+++ b/src/greengagelb/transport/answer_limits.py
@@ -0,0 +1,24 @@
+"""What answers by the product's own interface say of limits."""
+
+from twisted.web import http_headers
+from twisted.web import server
+
+from greengagelb.protocol import limit_header
+from greengagelb.state import limits
+
+
+def read_answer(headers: http_headers.Headers) -> limits.Said:
+    """Return what an answer says of its upstream."""
+    named = headers.getRawHeaders(limit_header.LIMIT_HEADER.encode(), [])
+    header = limit_header.INCARNATION_HEADER
+    [incarnation, *_] = headers.getRawHeaders(header, [''])
+    return limits.Said(limit_header.read_limit(named), incarnation)
+
+
+def write_answer(
+    request: server.Request, limit: str, incarnation: str
+) -> None:
+    """Have an answer name an upstream, and its limit if it has one."""
+    request.setHeader(limit_header.INCARNATION_HEADER, incarnation)
+    if limit:
+        request.setHeader(limit_header.LIMIT_HEADER, limit)
--- a/src/greengagelb/transport/engine_client.py
+++ b/src/greengagelb/transport/engine_client.py
@@ -16,6 +16,7 @@
 from greengagelb.protocol import sse
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
+from greengagelb.transport import answer_limits
 from greengagelb.transport import http
 
 CONTROL_SECONDS = 1.0
@@ -66,22 +67,26 @@
             return None
         if response.code != web_http.OK:
             return http.read_whole_body(response).addCallback(
-                self.refused, response.code
+                self.refused, response
             )
-        self.report(events.AttemptAccepted(self.attempt))
+        said = answer_limits.read_answer(response.headers)
+        self.report(events.AttemptAccepted(self.attempt, said))
         self.collector = http.BodyCollector(self.receive, self.failed)
         response.deliverBody(self.collector)
         return None
 
-    def refused(self, raw: bytes, status: int) -> None:
+    def refused(self, raw: bytes, response: iweb.IResponse) -> None:
         """Report that the engine did not start the attempt."""
         try:
             refusal = codec.decode(raw, engine_api.Refusal)
         except errors.ProtocolError:
-            refusal = engine_api.Refusal(f'status-{status}', '')
+            refusal = engine_api.Refusal(f'status-{response.code}', '')
         self.report(
             events.AttemptRefused(
-                self.attempt, refusal.code, refusal.retry_after
+                self.attempt,
+                refusal.code,
+                refusal.retry_after,
+                answer_limits.read_answer(response.headers),
             )
         )
 
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -280,6 +280,7 @@
             blocked=len(
                 self.node.guard.records.blocked(self.reactor.seconds())
             ),
+            limits=len(self.node.limits.book.in_force()),
         )
 
     def known_instances(self) -> list[operator_api.InstanceStatus]:
--- a/src/greengagelb/transport/metrics.py
+++ b/src/greengagelb/transport/metrics.py
@@ -32,6 +32,7 @@
     timeline_dropped: int = 0
     suspects: int = 0
     blocked: int = 0
+    limits: int = 0
 
 
 class Metrics:
@@ -74,6 +75,9 @@
         self.blocked_gauge = self.gauge(
             'blocked_requests', 'Requests refused because they crash engines'
         )
+        self.limit_gauge = self.gauge(
+            'engine_limits', 'Engines that name a limit on their requests'
+        )
 
     def counter(self, name: str, doc: str) -> aioprometheus.Counter:
         """Return a new counter."""
@@ -127,5 +131,6 @@
         self.version_gauge.set({}, found.configuration_version)
         self.suspect_gauge.set({}, found.suspects)
         self.blocked_gauge.set({}, found.blocked)
+        self.limit_gauge.set({}, found.limits)
         text, _ = aioprometheus.render(self.registry, [])
         return text
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -186,6 +186,7 @@
             blocked=len(
                 self.relay.crashes.records.blocked(self.reactor.seconds())
             ),
+            limits=len(self.relay.sends.limits.in_force()),
         )
 
     def metrics_page(self) -> pages.Page:
--- a/src/greengagelb/transport/service_client.py
+++ b/src/greengagelb/transport/service_client.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.protocol import service_api
+from greengagelb.transport import answer_limits
 from greengagelb.transport import engine_client
 from greengagelb.transport import http
 
@@ -87,13 +88,14 @@
         if not self.end(action):
             return
         exchange, number = action.exchange, action.try_number
+        said = answer_limits.read_answer(response.headers)
         if first_header(response.headers, service_api.NOT_RUN_HEADER) == '1':
             self.dispatch(
-                events.CallBroken(exchange, 'refused', False, number)
+                events.CallBroken(exchange, 'refused', False, number, said)
             )
             return
         self.dispatch(
-            events.CallAnswered(exchange, response.code, body, number)
+            events.CallAnswered(exchange, response.code, body, number, said)
         )
 
     def failed(
--- a/tests/common/relay_world.py
+++ b/tests/common/relay_world.py
@@ -269,6 +269,9 @@
     def last_send(self, exchange):
         return self.sends(exchange)[-1]
 
+    def answered(self, exchange=None):
+        return self.of_kind(relay_actions.PassAnswer, exchange)
+
     def refusals(self, exchange=None):
         return self.of_kind(relay_actions.Refuse, exchange)
 
@@ -281,6 +284,10 @@
         ]
 
 
-def answer_head(status=200, *, sealed=True, not_run=False, load=None):
+def answer_head(
+    status=200, *, sealed=True, not_run=False, load=None, limit=None
+):
     """Return the head of an engine's answer."""
-    return requests.AnswerHead(status, b'', SEAL, sealed, not_run, load)
+    return requests.AnswerHead(
+        status, b'', SEAL, sealed, not_run, load, limit=limit
+    )
--- /dev/null
+++ b/tests/logs/test_limit_evidence.py
@@ -0,0 +1,99 @@
+"""What the log tells of limits that engines name."""
+
+import pytest
+
+from greengagelb.coordination import actions as common_actions
+from greengagelb.coordination import events
+from greengagelb.state import identity
+from greengagelb.state import limits
+from tests.common import loaded_node
+from tests.common import relay_world
+
+
+def reasons(world, kind):
+    """Return the reasons of all time line events of a kind."""
+    records = world.of_kind(common_actions.Record)
+    return [record.reason for record in records if record.kind == kind]
+
+
+def test_a_limit_that_an_answer_names_is_told_once_until_it_changes():
+    """Guards against a log that hides from when on an instance knew it."""
+    world = relay_world.RelayWorld([relay_world.fleet()[-1]])
+    for rate in (2.1, 2.1, 4.0, None):
+        exchange = world.call()
+        world.now += 1.0
+        send = world.last_send(exchange)
+        world.answer(send, limit=rate)
+        world.now += 1.0
+    assert reasons(world, 'engine-limit') == [
+        '2.1 a second, version 1',
+        '4 a second, version 2',
+        'lifted, version 3',
+    ]
+
+
+def test_a_send_tells_which_limit_was_known_and_for_how_long():
+    """Guards against sends of which nobody can say why they were made."""
+    world = relay_world.RelayWorld([relay_world.fleet()[-1]])
+    first = world.last_send(world.call())
+    world.now += 0.5
+    world.answer(first, limit=2.5)
+    world.now += 4.0
+    world.call()
+    world.advance(4.0)
+    told = reasons(world, 'sent')
+    assert 'limit' not in told[0]
+    assert 'limit 2.5 known for 4' in told[1]
+
+
+@pytest.mark.parametrize('kind', ['stream', 'refused', 'error'])
+def test_each_kind_of_answer_names_a_limit(kind):
+    """Guards against limits in refusals, errors or heads of streams."""
+    world = relay_world.RelayWorld()
+    exchange = world.ask() if kind == 'stream' else world.query()
+    send = world.last_send(exchange)
+    world.now += 0.1
+    match kind:
+        case 'stream':
+            world.begin(send, limit=3.0)
+        case 'refused':
+            world.answer(send, b'', status=503, not_run=True, limit=3.0)
+        case 'error':
+            world.answer(send, b'', status=500, limit=3.0)
+    assert reasons(world, 'engine-limit') == ['3 a second, version 1']
+
+
+def test_an_unusable_limit_is_told_and_changes_nothing():
+    """Guards against a bad header that hides an answer, or the last limit."""
+    world = relay_world.RelayWorld([relay_world.fleet()[-1]])
+    first = world.last_send(world.call())
+    world.answer(first, limit=2.5)
+    world.advance(4.0)
+    world.call()
+    world.advance(0.1)
+    world.answer(world.sends()[-1], limit=limits.Unusable('-1'))
+    assert reasons(world, 'engine-limit-refused') == ['limit-unusable: -1']
+    life = first.engine.life
+    assert world.relay.sends.limits.rate(life) == 2.5
+    assert len(world.answered()) == 2
+
+
+def test_the_own_interface_tells_of_limits_too():
+    """Guards against limits of engines that only one interface tells of."""
+    said = limits.Said(2.5, 'life-1')
+    node = loaded_node.new_node([loaded_node.account('one')], engines=1)
+    done = node.handle(loaded_node.draft(1, 'one'), 0.0)
+    [start] = loaded_node.only(common_actions.StartAttempt, done)
+    accepted = events.AttemptAccepted(start.attempt, said)
+    done = node.handle(accepted, 1.0)
+    [told] = loaded_node.only(common_actions.Record, done)
+    assert (told.kind, told.reason) == (
+        'engine-limit',
+        '2.5 a second, version 1',
+    )
+    assert node.limits.rate('e0') == 2.5
+    report = events.UpstreamReported(
+        identity.EngineId('e0', 'life-2'), 'm', '1', '', 0, 0, 0.0, False
+    )
+    node.handle(report, 2.0)
+    assert node.limits.rate('e0') is None
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -6,6 +6,8 @@
 from greengagelb import errors
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.platform import wire
+from greengagelb.protocol import limit_header
+from greengagelb.state import limits
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
 from tests.common import relay_world
@@ -186,3 +188,35 @@
     dialect = wire.PlatformDialect()
     assert dialect.read_has_model_memory(200, body) is expected
     assert not dialect.read_has_model_memory(503, body)
+
+
+@pytest.mark.parametrize(
+    ('values', 'rate'),
+    [((), None), ((b'2.1',), 2.1), ((b'0',), 0.0), ((b'200',), 200.0)],
+)
+def test_a_limit_is_read_from_an_answer(values, rate):
+    """Guards against limits that are read as none, or none as one."""
+    fields = [(b'Server-Limit', value) for value in values]
+    assert answer(200, *fields).limit == rate
+
+
+@pytest.mark.parametrize(
+    'values',
+    [
+        (b'-1',),
+        (b'nan',),
+        (b'inf',),
+        (b'1e400',),
+        (b'',),
+        (b'2,1',),
+        (b'9' * 400,),
+        (b'2.1', b'3'),
+    ],
+)
+def test_an_unusable_limit_leaves_the_answer_as_it_is(values):
+    """Guards against bad limits that end an answer or are taken for one."""
+    fields = [(b'Server-Limit', value) for value in values]
+    found = answer(200, *fields)
+    assert isinstance(found.limit, limits.Unusable)
+    assert len(found.limit.text) <= limit_header.MOST_TEXT
+    assert found.status == 200
