--- a/tests/common/crashing_fleet.py
+++ b/tests/common/crashing_fleet.py
@@ -326,6 +326,7 @@
             return
         run = Run(instance, send)
         engine.runs.append(run)
+        self.arrived(engine, run)
         if run.crashes:
             self.arrivals.append(self.now)
         if send.stream:
@@ -349,11 +350,18 @@
 
     # -- engines ------------------------------------------------------------
 
+    def arrived(self, engine, run):
+        """Note that an engine has got a request."""
+
+    def head_of(self, engine, run):
+        """Return the head of an engine's answer."""
+        return relay_world.answer_head()
+
     def begin(self, engine, run):
         """Begin to answer a stream, as its prompt is read."""
         if run.ended:
             return
-        head = relay_world.answer_head()
+        head = self.head_of(engine, run)
         run.instance.handle(
             relay_events.AnswerBegan(run.send.exchange, run.send.send, head)
         )
@@ -387,7 +395,7 @@
                 relay_events.AnswerComplete(
                     run.send.exchange,
                     run.send.send,
-                    relay_world.answer_head(),
+                    self.head_of(engine, run),
                     b'ok',
                 )
             )
