Keep the relay's instances together within the limit that an engine names

What callers saw: nothing at first; an engine that had said that it takes 2 requests a second from all instances got 27 in 4 s, as before it had said so.

Cause: nobody read the limit, and nothing bounded what all instances together send to one engine. Class: a bound that holds for one instance (its choice by load) while what it protects is one engine for all of them.

Now each instance has an equal part of a limit and lends it to one borrower at a time, counted by the borrower's clock, so the parts add up to no more than the limit whoever hears whom (sharing/leases.py). For each life of an engine one instance, chosen by rendezvous hashing among those heard, borrows the parts and issues permits, fair by account and resumes first (sharing/permits.py). A send waits for its permit where it came in, for half of its goal at most; what can't have one in that time is denied at once and goes to another engine, or is refused with the time at which one is free (503 engines-limited). Limits are told to all and repaired by a digest in heartbeats; the value with the highest version wins (sharing/limit_book.py). No call to the store, no message while no engine has a limit.

--- /dev/null
+++ b/measure/limits.py
@@ -0,0 +1,79 @@
+"""How instances keep to the limits that engines name, and use them.
+
+    .venv/bin/python -m measure.limits --sizes 3,30,200
+
+Plays fleets of relays, without sockets, around engines that all name a limit,
+while callers ask for three times as much. Prints a row of JSON for each: the
+most requests that an engine got in some 4 s and what is allowed, the part of
+the limits that was used, and datagrams between instances, a second each.
+"""
+
+import argparse
+import json
+from typing import Any
+
+from tests.common import limited_fleet
+
+RATES = (0.5, 2.0, 20.0, 200.0)
+PRESSURE = 3.0
+# Long enough for a share of the lowest rate to mean something.
+LEAST_REQUESTS = 30
+LEAST_SECONDS = 15.0
+WARM_SECONDS = 5.0
+
+
+def play(
+    size: int,
+    rate: float,
+    kind: str,
+    loss: float = 0.0,
+    callers_at: tuple[int, ...] | None = None,
+    disturb: str = '',
+) -> dict[str, Any]:
+    """Return what engines with a limit got from a fleet."""
+    fleet = limited_fleet.LimitedFleet(size, per_place=1, loss=loss)
+    names = fleet.engines_of(kind)
+    fleet.limit(rate, *names)
+    pressure = PRESSURE * rate * len(names)
+    fleet.press(kind, pressure, WARM_SECONDS, callers_at)
+    since = fleet.now
+    datagrams = fleet.datagrams
+    seconds = max(LEAST_SECONDS, LEAST_REQUESTS / rate)
+    if disturb:
+        getattr(fleet, disturb)(seconds)
+    fleet.press(kind, pressure, seconds, callers_at)
+    used = [fleet.share_used(name, rate, since) for name in names]
+    return {
+        'instances': size,
+        'rate': rate,
+        'kind': kind,
+        'loss': loss,
+        'callers_at': 'one' if callers_at else 'any',
+        'disturb': disturb,
+        'worst_window': max(fleet.worst_window(name) for name in names),
+        'allowed': fleet.allowed(rate),
+        'used': round(sum(used) / len(used), 3),
+        'datagrams': round((fleet.datagrams - datagrams) / seconds / size, 1),
+    }
+
+
+def main() -> None:
+    """Print a row for each size and rate."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--sizes', default='3,30,200')
+    parser.add_argument('--rates', default=','.join(map(str, RATES)))
+    parser.add_argument('--kinds', default='call,stream')
+    parser.add_argument('--loss', type=float, default=0.0)
+    parser.add_argument('--one', action='store_true')
+    parser.add_argument('--disturb', default='')
+    chosen = parser.parse_args()
+    at = (0,) if chosen.one else None
+    for size in map(int, chosen.sizes.split(',')):
+        for rate in map(float, chosen.rates.split(',')):
+            for kind in chosen.kinds.split(','):
+                row = play(size, rate, kind, chosen.loss, at, chosen.disturb)
+                print(json.dumps(row), flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/greengagelb/coordination/relay/answers.py
+++ b/src/greengagelb/coordination/relay/answers.py
@@ -10,6 +10,10 @@
 TIMED_OUT = 504
 # The code of what is answered to requests that crash engines.
 CRASHES_ENGINES = 'request-crashes-engines'
+# The code of what is answered where engines have reached their limits.
+LIMITED = 'engines-limited'
+# By how much waits differ of callers who are turned away at the same time.
+MOST_SPREAD = 2.0
 # Callers come back within this part of the time they have left, or not at
 # all; a longer wait would be a loss without need.
 MOST_WAIT_SHARE = 0.25
@@ -44,6 +48,19 @@
             exchange.number, UNAVAILABLE, CRASHES_ENGINES, until - now
         )
 
+    def limited(
+        self, exchange: exchanges.Exchange, back_at: float, now: float
+    ) -> relay_actions.Refuse:
+        """Refuse a request that no engine takes before a moment.
+
+        Those that are turned away together come back one after the other.
+        """
+        wait = max(LEAST_WAIT_SECONDS, back_at - now)
+        wait *= self.rng.uniform(1.0, MOST_SPREAD)
+        return relay_actions.Refuse(
+            exchange.number, UNAVAILABLE, LIMITED, wait
+        )
+
     def failed(
         self, exchange: exchanges.Exchange, code: str, now: float
     ) -> relay_actions.RelayAction:
--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -10,7 +10,9 @@
 from greengagelb.coordination.relay import crash_watch
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import held_sends
 from greengagelb.coordination.relay import sending
+from greengagelb.state.relay import engine_states
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import hints
 
@@ -21,6 +23,9 @@
 # to a second engine beside the first: one that stands still or is slow shows
 # no other sign, and the rest of the goal still suffices for a whole call.
 SECOND_TRY_SHARE = 0.6
+# A call waits for this part of its goal for a permit of an engine with a
+# limit. The rest suffices for a whole call.
+PERMIT_SHARE = 0.5
 # Connections that could not be opened cost no attempt, as nothing was sent.
 # Bounded all the same, so that a request does not go round a dead pool.
 MOST_UNCONNECTED = 12
@@ -39,6 +44,26 @@
     sends: sending.SendTable
     answers: answers.Answers
     crashes: crash_watch.CrashWatch
+    held: held_sends.HeldSends
+
+    def refuse(
+        self,
+        exchange: exchanges.Exchange,
+        excluded: set[str],
+        code: str,
+        now: float,
+    ) -> Action:
+        """Return the final answer to a request that no engine takes now.
+
+        Where engines would but for their limits, it says when they do.
+        """
+        ruling = exchange.ruling
+        back_at = self.chooser.back_at(
+            ruling.service.name, excluded, now, ruling.account
+        )
+        if back_at is None or exchange.begun or exchange.may_have_run:
+            return self.answers.failed(exchange, code, now)
+        return self.answers.limited(exchange, back_at, now)
 
 
 class CallRelay:
@@ -58,10 +83,49 @@
         if self.parts.crashes.blocks(exchange, now):
             code = answers.CRASHES_ENGINES
             return [self.parts.answers.failed(exchange, code, now)]
-        state = self.parts.chooser.for_call(
-            exchange.ruling.service.name, exchange.tried, now
+        state = self.chosen(exchange, now)
+        if state is None:
+            return [self.parts.refuse(exchange, exchange.tried, code, now)]
+        if not self.parts.held.needed(state):
+            return self.send_to(exchange, state, code, now)
+        if not self.parts.sends.has_attempts(exchange):
+            return [self.parts.answers.failed(exchange, code, now)]
+        step = held_sends.CallTry(code)
+        self.hold(exchange, state, step, now)
+        return []
+
+    def chosen(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> engine_states.EngineState | None:
+        """Return the engine for a call's next try, or None."""
+        ruling = exchange.ruling
+        return self.parts.chooser.for_call(
+            ruling.service.name, exchange.tried, now, ruling.account
         )
-        if state is None or not self.parts.sends.may_repeat(exchange, now):
+
+    def hold(
+        self,
+        exchange: exchanges.Exchange,
+        state: engine_states.EngineState,
+        step: held_sends.Step,
+        now: float,
+    ) -> None:
+        """Have a call wait for a permit while it may still be in time."""
+        patience = PERMIT_SHARE * exchange.ruling.route.goal
+        self.parts.held.hold(exchange, state, step, patience, now)
+
+    def send_to(
+        self,
+        exchange: exchanges.Exchange,
+        state: engine_states.EngineState,
+        code: str,
+        now: float,
+    ) -> list[Action]:
+        """Send a call to an engine that takes it, or end it."""
+        if self.parts.crashes.blocks(exchange, now):
+            code = answers.CRASHES_ENGINES
+            return [self.parts.answers.failed(exchange, code, now)]
+        if not self.parts.sends.may_repeat(exchange, now):
             return [self.parts.answers.failed(exchange, code, now)]
         done = self.parts.sends.order(exchange, state, now)
         goal = exchange.ruling.route.goal
@@ -212,11 +276,22 @@
             return []
         if self.parts.crashes.blocks(exchange, now):
             return []
-        state = self.parts.chooser.for_call(
-            exchange.ruling.service.name, exchange.tried, now
-        )
+        state = self.chosen(exchange, now)
         if state is None or state.in_flight >= state.entry.slots:
             return []
+        if not self.parts.held.needed(state):
+            return self.send_beside(exchange, state, now)
+        if self.parts.sends.has_attempts(exchange):
+            self.hold(exchange, state, held_sends.SecondTry(), now)
+        return []
+
+    def send_beside(
+        self,
+        exchange: exchanges.Exchange,
+        state: engine_states.EngineState,
+        now: float,
+    ) -> list[Action]:
+        """Send a call to a second engine, if it may be repeated."""
         if not self.parts.sends.may_repeat(exchange, now):
             return []
         return self.parts.sends.order(exchange, state, now)
--- a/src/greengagelb/coordination/relay/choosing.py
+++ b/src/greengagelb/coordination/relay/choosing.py
@@ -4,6 +4,7 @@
 
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import loads
+from greengagelb.coordination.sharing import limit_keeper
 from greengagelb.state.relay import engine_states
 from greengagelb.state.relay import requests
 from greengagelb.state.relay import routes
@@ -17,9 +18,17 @@
 # What an engine costs that fails more calls than the others, in the same
 # unit: it is used only where all slots of the others are taken.
 ERRING_CALL_PENALTY = 1.0
+# What an engine costs that has named a limit, in the same unit: it is in need,
+# and the others come first as far as they have room. And what each second
+# costs for which a permit is waited for.
+LIMITED_CALL_PENALTY = 0.25
+PERMIT_CALL_PENALTY = 10.0
 # The same for streams, in seconds of waiting for the first event. More would
 # crowd the engines nearby, where prompts then wait for one another.
 FAR_STREAM_SECONDS = 0.03
+# What an engine costs a new stream that has named a limit, in seconds beside
+# the wait for its permit.
+LIMITED_STREAM_SECONDS = 0.1
 # What each run on an engine costs a new one there, in seconds: all runs share
 # each step, and the new prompt holds up the others.
 RUN_SECONDS = 0.05
@@ -56,21 +65,51 @@
         self,
         engines: directory.EngineDirectory,
         run_loads: loads.RunLoads,
+        keeper: limit_keeper.LimitKeeper,
         rng: random.Random,
         data_centre: str,
     ) -> None:
         self.engines = engines
         self.loads = run_loads
+        self.keeper = keeper
         self.rng = rng
         self.data_centre = data_centre
 
+    # -- limits -------------------------------------------------------------
+
+    def open(
+        self, service: str, excluded: set[str], account: str, now: float
+    ) -> list[engine_states.EngineState]:
+        """Return the engines that may take a request of an account now."""
+        found = self.engines.candidates(service, excluded, now)
+        if not self.keeper.book.known:
+            return found
+        return [
+            state
+            for state in found
+            if self.keeper.back_at(state.entry.life, account, now) is None
+        ]
+
+    def back_at(
+        self, service: str, excluded: set[str], now: float, account: str
+    ) -> float | None:
+        """Return when engines that have reached their limits take more.
+
+        None if there are no such engines.
+        """
+        found = [
+            self.keeper.back_at(state.entry.life, account, now)
+            for state in self.engines.candidates(service, excluded, now)
+        ]
+        return min((at for at in found if at is not None), default=None)
+
     # -- calls --------------------------------------------------------------
 
     def for_call(
-        self, service: str, excluded: set[str], now: float
+        self, service: str, excluded: set[str], now: float, account: str = ''
     ) -> engine_states.EngineState | None:
         """Return the engine that is likely to answer a short call soonest."""
-        found = self.engines.candidates(service, excluded, now)
+        found = self.open(service, excluded, account, now)
         if not found:
             return None
         self.rng.shuffle(found)
@@ -86,6 +125,10 @@
             score += FAR_CALL_PENALTY
         if self.engines.erring.avoided(state.entry.engine, now):
             score += ERRING_CALL_PENALTY
+        life = state.entry.life
+        if self.keeper.limited(life):
+            wait = self.keeper.expected_wait(life, now)
+            score += LIMITED_CALL_PENALTY + PERMIT_CALL_PENALTY * wait
         return score
 
     def others_at(self, state: engine_states.EngineState, now: float) -> float:
@@ -101,7 +144,7 @@
 
     def for_stream(
         self,
-        service: routes.Service,
+        ruling: requests.Ruling,
         prompt: requests.Prompt | None,
         excluded: set[str],
         now: float,
@@ -111,7 +154,8 @@
 
         Those that differ by less than ``spread`` seconds are as good.
         """
-        found = self.engines.candidates(service.name, excluded, now)
+        service = ruling.service
+        found = self.open(service.name, excluded, ruling.account, now)
         if not found:
             return None
         need = prompt.most_memory if prompt else 0
@@ -144,6 +188,10 @@
             score += DOUBT_PENALTY_SECONDS
         if state.entry.data_centre != self.data_centre:
             score += FAR_STREAM_SECONDS
+        life = state.entry.life
+        if self.keeper.limited(life):
+            score += LIMITED_STREAM_SECONDS
+            score += self.keeper.expected_wait(life, now)
         room = service.engines.memory_tokens if service.engines else 0
         # A configuration need not say how much memory its engines have.
         if room > 0:
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -219,14 +219,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerHeard:
-    """Another instance says that it is there.
-
-    ``crashes_digest`` differs where it knows of other crashes.
-    """
+    """Another instance says that it is there, and what it knows."""
 
     incarnation: str
     data_centre: str
-    crashes_digest: int = 0
+    known: hints.Digests = hints.NOTHING_KNOWN
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/fleet.py
+++ b/src/greengagelb/coordination/relay/fleet.py
@@ -27,6 +27,7 @@
     Invariant: each run of another instance that is counted in ``loads`` has
     its time in ``placed_at``.
 
+    ``listed`` tells that the list of instances was read here.
     ``present`` are the incarnations that the list of instances has or that
     were heard since, without those that have stopped.
     """
@@ -34,6 +35,7 @@
     def __init__(self, run_loads: loads.RunLoads, own: str) -> None:
         self.loads = run_loads
         self.own = own
+        self.listed = False
         self.present: set[str] = set()
         self.heard_at: dict[str, float] = {}
         self.placed_at: dict[tuple[str, int], float] = {}
@@ -59,6 +61,7 @@
 
     def take_list(self, members: tuple[hints.Member, ...]) -> None:
         """Take in the list of the other instances."""
+        self.listed = True
         self.present = {member.incarnation for member in members}
 
     def heard(self, incarnation: str, now: float) -> None:
--- /dev/null
+++ b/src/greengagelb/coordination/relay/limited.py
@@ -0,0 +1,215 @@
+"""Goes on with sends that have waited for a permit of a limited engine."""
+
+from greengagelb.coordination import actions
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import calls
+from greengagelb.coordination.relay import held_sends
+from greengagelb.coordination.relay import sending
+from greengagelb.coordination.relay import streams
+from greengagelb.coordination.sharing import limit_book
+from greengagelb.coordination.sharing import limit_keeper
+from greengagelb.state import limits
+from greengagelb.state.relay import engine_states
+from greengagelb.state.relay import exchanges
+
+LIMITS_TIMER = 'relay-limits'
+# How often limits of lives that are over are looked for, in seconds.
+TIDY_SECONDS = 1.0
+
+Action = relay_actions.RelayAction
+
+
+class LimitedSends:
+    """What this instance does about limits, between keeper and requests."""
+
+    def __init__(
+        self,
+        parts: calls.Parts,
+        call_relay: calls.CallRelay,
+        stream_relay: streams.StreamRelay,
+        running: dict[int, exchanges.Exchange],
+    ) -> None:
+        self.parts = parts
+        self.keeper = parts.held.keeper
+        self.waiting = parts.held.waiting
+        self.calls = call_relay
+        self.streams = stream_relay
+        self.running = running
+        self.timer_at = float('inf')
+        self.tidy_at = float('-inf')
+
+    # -- other instances ----------------------------------------------------
+
+    def hear(
+        self, incarnation: str, message: limits.Message, now: float
+    ) -> list[Action]:
+        """Take in a message of another instance."""
+        match message:
+            case limits.LimitNews(life):
+                if not self.is_current(life):
+                    return []
+                if not self.keeper.told(message, now):
+                    return []
+                why = f'{limit_book.told(message)}, from {incarnation}'
+                engine = life.partition(' ')[0]
+                return [actions.Record('engine-limit', why, upstream=engine)]
+        self.keeper.hear(incarnation, message, now)
+        return []
+
+    def is_current(self, life: str) -> bool:
+        """Return whether an engine is known in this life, and not as gone."""
+        state = self.parts.engines.states.get(life.partition(' ')[0])
+        if state is None or state.entry.life != life:
+            return False
+        return state.gone_at is None
+
+    # -- after each event ---------------------------------------------------
+
+    def settle(self, done: list[Action], now: float) -> list[Action]:
+        """Do what follows from an event, and from what it led to."""
+        keeper = self.keeper
+        if keeper.book.known:
+            self.count_questions(done, now)
+            self.tidy(now)
+        more: list[Action] = []
+        while keeper.outcomes:
+            more += self.go_on(keeper.outcomes.pop(0), now)
+        for outgoing in keeper.outgoing:
+            told = relay_actions.TellPeers(outgoing.message)
+            if outgoing.receiver:
+                told = relay_actions.TellPeer(
+                    outgoing.receiver, outgoing.message
+                )
+            more.append(told)
+        keeper.outgoing.clear()
+        return more + self.set_timer(now)
+
+    def set_timer(self, now: float) -> list[Action]:
+        """Return the timer that has the keeper do what is due."""
+        due_at = self.keeper.next_at(now)
+        if due_at == self.timer_at:
+            return []
+        self.timer_at = due_at
+        if due_at == float('inf'):
+            return [actions.ClearTimer(LIMITS_TIMER)]
+        return [actions.SetTimer(LIMITS_TIMER, due_at)]
+
+    def due(self, now: float) -> list[Action]:
+        """Have the keeper do what it is time for."""
+        self.timer_at = float('inf')
+        self.keeper.due(now)
+        return []
+
+    def count_questions(self, done: list[Action], now: float) -> None:
+        """Count what goes to an engine beside requests of callers."""
+        for action in done:
+            match action:
+                case (
+                    relay_actions.ProbeEngine(engine=entry)
+                    | relay_actions.CheckEngine(entry=entry)
+                    | relay_actions.CopyRun(source=entry)
+                ) if self.keeper.limited(entry.life):
+                    self.keeper.spend(entry.life, 1, now)
+
+    def tidy(self, now: float) -> None:
+        """Forget limits of lives that are over."""
+        if now < self.tidy_at:
+            return
+        self.tidy_at = now + TIDY_SECONDS
+        for life in list(self.keeper.book.known):
+            if not self.is_current(life):
+                self.keeper.ended(life)
+
+    # -- outcomes -----------------------------------------------------------
+
+    def go_on(
+        self,
+        outcome: limit_keeper.Granted | limit_keeper.Denied,
+        now: float,
+    ) -> list[Action]:
+        """Send what may be sent now, or find another engine for it."""
+        held = self.waiting.pop(outcome.number, None)
+        if held is None:
+            return []
+        exchange = self.running.get(held.exchange)
+        match outcome:
+            case limit_keeper.Granted():
+                state = self.still_wanted(held, exchange)
+                if state is not None and exchange is not None:
+                    sent = self.send(held, exchange, state, now)
+                    if any(isinstance(a, relay_actions.Send) for a in sent):
+                        return sent
+                    self.keeper.give_back(held.life, outcome, now)
+                    return sent
+                self.keeper.give_back(held.life, outcome, now)
+            case limit_keeper.Denied() if exchange is not None:
+                told = sending.record(
+                    exchange, None, 'permit-denied', self.why(held, outcome)
+                )
+                return [told, *self.elsewhere(held, exchange, now)]
+        if exchange is None or exchange.sends:
+            return []
+        return self.elsewhere(held, exchange, now)
+
+    def still_wanted(
+        self, held: held_sends.Held, exchange: exchanges.Exchange | None
+    ) -> engine_states.EngineState | None:
+        """Return the engine of a send, if it is still to be made there."""
+        state = self.parts.engines.states.get(held.engine)
+        if exchange is None or state is None:
+            return None
+        if state.entry.life != held.life or state.leaving or state.replaced:
+            return None
+        second = isinstance(held.step, held_sends.SecondTry)
+        if len(exchange.sends) != int(second):
+            return None
+        return state
+
+    def send(
+        self,
+        held: held_sends.Held,
+        exchange: exchanges.Exchange,
+        state: engine_states.EngineState,
+        now: float,
+    ) -> list[Action]:
+        """Make a send that has its permit."""
+        match held.step:
+            case held_sends.CallTry(code):
+                return self.calls.send_to(exchange, state, code, now)
+            case held_sends.SecondTry():
+                return self.calls.send_beside(exchange, state, now)
+            case held_sends.StreamStart(code):
+                return self.streams.start_at(exchange, state, code, now)
+            case held_sends.StreamFromCopy(lost):
+                return self.streams.go_on_from_copy(exchange, lost, now)
+
+    def elsewhere(
+        self,
+        held: held_sends.Held,
+        exchange: exchanges.Exchange,
+        now: float,
+    ) -> list[Action]:
+        """Choose again for a send that has no permit, if it needs one."""
+        if exchange.sends:
+            return []
+        match held.step:
+            case held_sends.CallTry(code):
+                return self.calls.send_on(exchange, now, code)
+            case held_sends.StreamStart(code):
+                return self.streams.start_afresh(exchange, now, code)
+            case held_sends.StreamFromCopy():
+                code = 'engines-failed'
+                return self.streams.start_afresh(exchange, now, code)
+        return []
+
+    def why(self, held: held_sends.Held, denied: limit_keeper.Denied) -> str:
+        """Return which limit stood in the way, its age and who had it."""
+        known = self.keeper.book.known.get(held.life)
+        limit = 'no limit any more'
+        if known is not None and known.rate is not None:
+            limit = f'limit {known.rate:g}, version {known.version}'
+        issuer = denied.issuer or 'none answered'
+        return (
+            f'{held.engine}: {limit}, issuer {issuer}, '
+            f'parts {denied.share:.3f}, wait {denied.wait:.3f} s'
+        )
--- a/src/greengagelb/coordination/relay/peer_words.py
+++ b/src/greengagelb/coordination/relay/peer_words.py
@@ -9,9 +9,11 @@
 from greengagelb.coordination.relay import engine_list
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
+from greengagelb.coordination.relay import limited
 from greengagelb.coordination.relay import restarts
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.state import crashes
+from greengagelb.state import limits
 from greengagelb.state.relay import hints
 
 # The most incarnations in one datagram, which they have to fit; the next look
@@ -34,6 +36,7 @@
         copies: copying.RunCopies,
         restarted: restarts.Restarts,
         crashing_requests: crashing.CrashingRequests,
+        limited_sends: limited.LimitedSends,
     ) -> None:
         self.engines = engines_known
         self.listed = listed
@@ -43,6 +46,8 @@
         self.copies = copies
         self.restarts = restarted
         self.crashing = crashing_requests
+        self.limited = limited_sends
+        self.keeper = limited_sends.keeper
 
     def hear(self, event: relay_events.RelayEvent, now: float) -> list[Action]:
         """Take in what is known of the other instances."""
@@ -53,16 +58,21 @@
             case relay_events.MembersListed(members):
                 self.fleet.take_list(members)
                 done += self.tell_unlisted()
-            case relay_events.PeerHeard(incarnation, data_centre, digest):
+            case relay_events.PeerHeard(incarnation, data_centre, known):
                 if incarnation not in self.fleet.heard_at:
                     told = f'{incarnation} in {data_centre}'
                     done.append(actions.Record('peer-heard', told))
                 self.fleet.greeted(incarnation, now)
                 done += forgotten(self.fleet.tidy(now))
-                done += self.crashing.heard(incarnation, digest, now)
+                done += self.crashing.heard(incarnation, known.crashes, now)
+                self.keeper.differs(incarnation, known.limits, now)
             case relay_events.PeerLeft(incarnation):
                 done += forgotten(self.fleet.left(incarnation, now))
+                self.keeper.left(incarnation, now)
         self.budget.resize(self.fleet.size, 1 + len(self.fleet.heard_at))
+        if self.fleet.listed:
+            seconds = self.fleet.heartbeat_seconds
+            self.keeper.resize(self.fleet.size, seconds, now)
         return done
 
     def told(
@@ -103,6 +113,8 @@
             case hints.ConfigurationApplied(version):
                 self.version_told(version, now)
                 return self.look_if_stale()
+            case _ if isinstance(hint, limits.Message):
+                return self.limited.hear(incarnation, hint, now)
         return self.copies_lost_with(hint, now)
 
     def tell_unlisted(self) -> list[Action]:
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -22,6 +22,8 @@
 from greengagelb.coordination.relay import engine_list
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
+from greengagelb.coordination.relay import held_sends
+from greengagelb.coordination.relay import limited
 from greengagelb.coordination.relay import loads
 from greengagelb.coordination.relay import peer_words
 from greengagelb.coordination.relay import restarts
@@ -32,6 +34,7 @@
 from greengagelb.coordination.relay import streams
 from greengagelb.coordination.relay import succession
 from greengagelb.coordination.sharing import fingerprints
+from greengagelb.coordination.sharing import limit_keeper
 from greengagelb.state import identity
 from greengagelb.state.relay import bounds
 from greengagelb.state.relay import exchanges
@@ -76,16 +79,24 @@
         self.engines_known = False
         self.loads = loads.RunLoads()
         self.budget = budget.SharedRetryBudget(retry_bounds)
-        self.sends = sending.SendTable(self.engines, self.loads, self.budget)
+        self.keeper = limit_keeper.LimitKeeper(own.incarnation)
+        self.sends = sending.SendTable(
+            self.engines, self.loads, self.budget, self.keeper
+        )
         chooser = choosing.Chooser(
-            self.engines, self.loads, rng, own.data_centre
+            self.engines, self.loads, self.keeper, rng, own.data_centre
         )
         self.sharing = store_sharing.StoreSharing(own.incarnation, rng)
         self.answers = answers.Answers(rng)
         self.rulings = rulings.Rulings(rng)
         self.crashes = crash_watch.CrashWatch()
         parts = calls.Parts(
-            self.engines, chooser, self.sends, self.answers, self.crashes
+            self.engines,
+            chooser,
+            self.sends,
+            self.answers,
+            self.crashes,
+            held_sends.HeldSends(self.keeper),
         )
         self.calls = calls.CallRelay(parts)
         self.succession = succession.Succession(
@@ -93,6 +104,7 @@
         )
         self.streams = streams.StreamRelay(parts, self.succession)
         self.fleet = fleet.FleetView(self.loads, own.incarnation)
+        self.keeper.heard = self.fleet.heard_at
         self.exchanges: dict[int, exchanges.Exchange] = {}
         self.copies = copying.RunCopies(parts, self.exchanges)
         self.restarts = restarts.Restarts(
@@ -101,6 +113,9 @@
         self.crashing = crashing.CrashingRequests(
             parts, self.calls, self.streams, self.sharing, self.exchanges
         )
+        self.limited = limited.LimitedSends(
+            parts, self.calls, self.streams, self.exchanges
+        )
         self.listed = engine_list.EngineList(
             self.engines,
             self.sharing,
@@ -116,6 +131,7 @@
             self.copies,
             self.restarts,
             self.crashing,
+            self.limited,
         )
         self.life = stopping.StoppableLife()
 
@@ -137,6 +153,13 @@
         """Return whether the balancer may send callers here."""
         return self.life.serving
 
+    @property
+    def digests(self) -> hints.Digests:
+        """Return what tells others whether they know the same."""
+        return hints.Digests(
+            self.crashes.records.digest(), self.keeper.book.digest()
+        )
+
     @property
     def finished(self) -> bool:
         """Return whether nothing is taken any more, as the process ends."""
@@ -147,6 +170,7 @@
     ) -> list[Action]:
         """Decide what an event leads to."""
         done = self.decide(event, now)
+        done += self.limited.settle(done, now)
         for hint in list(self.sends.untold):
             done += self.peers.copies_lost_with(hint, now)
         ended: list[Action] = []
@@ -366,6 +390,8 @@
             return self.succession.ask(int(rest), now)
         if kind == crashing.RETELL_TIMER:
             return self.crashing.retell(rest, now)
+        if kind == limited.LIMITS_TIMER:
+            return self.limited.due(now)
         exchange = self.exchanges.get(int(rest)) if rest else None
         if exchange is None:
             return []
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -9,6 +9,7 @@
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import loads
 from greengagelb.coordination.sharing import limit_book
+from greengagelb.coordination.sharing import limit_keeper
 from greengagelb.state import identity
 from greengagelb.state import limits
 from greengagelb.state.relay import engine_states
@@ -35,20 +36,25 @@
         engines_known: directory.EngineDirectory,
         run_loads: loads.RunLoads,
         retries: budget.SharedRetryBudget,
+        keeper: limit_keeper.LimitKeeper,
     ) -> None:
         self.engines = engines_known
         self.loads = run_loads
         self.budget = retries
         self.counter = itertools.count(1)
         self.untold: list[hints.Hint] = []
-        self.limits = limit_book.LimitBook()
+        self.keeper = keeper
+
+    def has_attempts(self, exchange: exchanges.Exchange) -> bool:
+        """Return whether a request may go to one more engine at all."""
+        return exchange.attempts < exchange.ruling.route.most_attempts
 
     def may_repeat(self, exchange: exchanges.Exchange, now: float) -> bool:
         """Return whether a request may be sent once more; count it if so.
 
         The first send of a request is no repeat.
         """
-        if exchange.attempts >= exchange.ruling.route.most_attempts:
+        if not self.has_attempts(exchange):
             return False
         if not exchange.attempts:
             return True
@@ -118,7 +124,7 @@
         if isinstance(head.limit, limits.Unusable):
             why = f'limit-unusable: {head.limit.text}'
             return [record(exchange, sent, 'engine-limit-refused', why)]
-        news = self.limits.named(life, head.limit, sent.began_at, now)
+        news = self.keeper.named(life, head.limit, sent.began_at, now)
         if news is None:
             return []
         return [record(exchange, sent, 'engine-limit', limit_book.told(news))]
@@ -148,7 +154,7 @@
             f'runs {work.runs}',
             f'tokens {work.memory_tokens}',
         ]
-        known = self.limits.known.get(state.entry.life)
+        known = self.keeper.book.known.get(state.entry.life)
         if known is not None and known.rate is not None:
             age = sent.began_at - known.known_at
             parts.append(f'limit {known.rate:g} known for {age:.3f} s')
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -13,6 +13,7 @@
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import choosing
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import held_sends
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import succession
 from greengagelb.coordination.sharing import rates
@@ -26,6 +27,9 @@
 # notice is moved. What is left suffices to go on elsewhere; moving earlier
 # takes streams away from engines that are only reading another prompt.
 SILENCE_SHARE = 0.55
+# A stream waits for this part of its goal for a permit of an engine with a
+# limit. The rest suffices to read a usual prompt.
+PERMIT_SHARE = 0.5
 # The pause that is taken for unnoticed on routes that state none, in seconds:
 # callers give a stream up after two.
 NO_GAP_GOAL_SECONDS = 2.0
@@ -72,13 +76,34 @@
             code = answers.CRASHES_ENGINES
             return [self.parts.answers.failed(exchange, code, now)]
         state = self.parts.chooser.for_stream(
-            exchange.ruling.service,
+            exchange.ruling,
             exchange.request.prompt,
             exchange.refused_by,
             now,
             choosing.LOSS_SPREAD_SECONDS if lost else choosing.JITTER_SECONDS,
         )
         if state is None:
+            refused_by = exchange.refused_by
+            return [self.parts.refuse(exchange, refused_by, code, now)]
+        if not self.parts.held.needed(state):
+            return self.start_at(exchange, state, code, now)
+        if not self.parts.sends.has_attempts(exchange):
+            return [self.parts.answers.failed(exchange, code, now)]
+        patience = PERMIT_SHARE * exchange.ruling.route.goal
+        step = held_sends.StreamStart(code)
+        self.parts.held.hold(exchange, state, step, patience, now)
+        return []
+
+    def start_at(
+        self,
+        exchange: exchanges.Exchange,
+        state: engine_states.EngineState,
+        code: str,
+        now: float,
+    ) -> list[Action]:
+        """Have an engine that takes a stream read its prompt."""
+        if self.parts.crashes.blocks(exchange, now):
+            code = answers.CRASHES_ENGINES
             return [self.parts.answers.failed(exchange, code, now)]
         if now + self.reading_seconds(exchange, state, now) > (
             exchange.ruling.deadline
@@ -418,6 +443,22 @@
     ) -> list[Action]:
         """Order a run in place of one that was given up."""
         copy = self.copy_of(sent, now) if sent.events_seen else None
+        if copy is None or self.parts.crashes.blocks(exchange, now):
+            return self.start_afresh(exchange, now, 'engines-failed')
+        if not self.parts.held.needed(copy):
+            return self.go_on_from_copy(exchange, sent, now)
+        prompt = exchange.request.prompt
+        tokens = prompt.tokens if prompt else 0
+        patience = self.parts.sends.loads.reading_seconds(tokens)
+        step = held_sends.StreamFromCopy(sent)
+        self.parts.held.hold(exchange, copy, step, patience, now)
+        return []
+
+    def go_on_from_copy(
+        self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
+    ) -> list[Action]:
+        """Have the engine go on that has the copy of a run."""
+        copy = self.copy_of(sent, now)
         if copy is None or self.parts.crashes.blocks(exchange, now):
             return self.start_afresh(exchange, now, 'engines-failed')
         if not self.parts.sends.may_repeat(exchange, now):
--- /dev/null
+++ b/src/greengagelb/protocol/limit_messages.py
@@ -0,0 +1,147 @@
+"""What instances tell each other of limits, for both ways in which they do.
+
+Arrays, as other messages between instances are. Texts are bounded, as whoever
+reaches the port may send anything.
+"""
+
+from typing import Annotated
+
+import msgspec
+
+from greengagelb.state import limits
+
+Life = Annotated[str, msgspec.Meta(max_length=256)]
+Account = Annotated[str, msgspec.Meta(max_length=256)]
+Number = Annotated[int, msgspec.Meta(ge=0)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)]
+Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Rate = Annotated[float, msgspec.Meta(ge=0.0, lt=1e10)]
+
+
+class LimitNews(
+    msgspec.Struct, frozen=True, array_like=True, tag='ln', tag_field='kind'
+):
+    """See :class:`greengagelb.state.limits.LimitNews`."""
+
+    life: Life
+    rate: Rate | None
+    version: Number
+
+
+class NewsWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag='lq', tag_field='kind'
+):
+    """See :class:`greengagelb.state.limits.NewsWanted`."""
+
+
+class LeaseWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag='lw', tag_field='kind'
+):
+    """See :class:`greengagelb.state.limits.LeaseWanted`."""
+
+    life: Life
+    stamp: float
+
+
+class Leased(
+    msgspec.Struct, frozen=True, array_like=True, tag='ll', tag_field='kind'
+):
+    """See :class:`greengagelb.state.limits.Leased`."""
+
+    life: Life
+    share: Share
+    unused: Seconds
+    stamp: float
+
+
+class LeaseReturned(
+    msgspec.Struct, frozen=True, array_like=True, tag='lr', tag_field='kind'
+):
+    """See :class:`greengagelb.state.limits.LeaseReturned`."""
+
+    life: Life
+
+
+class PermitWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag='lp', tag_field='kind'
+):
+    """See :class:`greengagelb.state.limits.PermitWanted`."""
+
+    life: Life
+    number: Number
+    account: Account
+    urgent: bool
+    wait: Seconds
+    rate: Rate
+    version: Number
+
+
+class PermitAnswer(
+    msgspec.Struct, frozen=True, array_like=True, tag='la', tag_field='kind'
+):
+    """See :class:`greengagelb.state.limits.PermitAnswer`."""
+
+    life: Life
+    number: Number
+    verdict: limits.Verdict
+    wait: Seconds
+    share: Share
+
+
+class PermitReturned(
+    msgspec.Struct, frozen=True, array_like=True, tag='lb', tag_field='kind'
+):
+    """See :class:`greengagelb.state.limits.PermitReturned`."""
+
+    life: Life
+    number: Number
+
+
+class Spent(
+    msgspec.Struct, frozen=True, array_like=True, tag='ls', tag_field='kind'
+):
+    """See :class:`greengagelb.state.limits.Spent`."""
+
+    life: Life
+    count: Number
+
+
+Wire = (
+    LimitNews
+    | NewsWanted
+    | LeaseWanted
+    | Leased
+    | LeaseReturned
+    | PermitWanted
+    | PermitAnswer
+    | PermitReturned
+    | Spent
+)
+WIRES = {
+    limits.LimitNews: LimitNews,
+    limits.NewsWanted: NewsWanted,
+    limits.LeaseWanted: LeaseWanted,
+    limits.Leased: Leased,
+    limits.LeaseReturned: LeaseReturned,
+    limits.PermitWanted: PermitWanted,
+    limits.PermitAnswer: PermitAnswer,
+    limits.PermitReturned: PermitReturned,
+    limits.Spent: Spent,
+}
+MESSAGES = {wire: message for message, wire in WIRES.items()}
+
+
+def write(message: limits.Message) -> Wire:
+    """Return a message as it is sent.
+
+    Both kinds have the same fields in the same order.
+    """
+    wire = WIRES[type(message)]
+    fields = [getattr(message, name) for name in wire.__struct_fields__]
+    return wire(*fields)
+
+
+def read(wire: Wire) -> limits.Message:
+    """Return the message that was sent."""
+    fields = [getattr(wire, name) for name in wire.__struct_fields__]
+    return MESSAGES[type(wire)](*fields)
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from greengagelb import errors
+from greengagelb.protocol import limit_messages
 from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
@@ -29,6 +30,7 @@
     data_centre: str
     leaving: bool = False
     crashes_digest: int = 0
+    limits_digest: int = 0
 
 
 class Placed(
@@ -216,6 +218,7 @@
         | CrashReport
         | CrashesWanted
         | Forwarded
+        | limit_messages.Wire
     )
 
 
@@ -295,15 +298,25 @@
             wire = CrashReport(fingerprint, told, survived_age)
         case crashes.Wanted():
             wire = CrashesWanted()
+        case _:
+            wire = limit_messages.write(hint)
     return _encoder.encode(Datagram(incarnation, wire))
 
 
 def encode_heartbeat(
-    member: hints.Member, *, leaving: bool = False, crashes_digest: int = 0
+    member: hints.Member,
+    *,
+    leaving: bool = False,
+    known: hints.Digests = hints.NOTHING_KNOWN,
 ) -> bytes:
     """Return a heartbeat as a datagram."""
     beat = Heartbeat(
-        member.name, member.host, member.data_centre, leaving, crashes_digest
+        member.name,
+        member.host,
+        member.data_centre,
+        leaving,
+        known.crashes,
+        known.limits,
     )
     return _encoder.encode(Datagram(member.incarnation, beat))
 
@@ -368,6 +381,8 @@
             hint = crashes.CrashReport(fingerprint, found, survived_age)
         case CrashesWanted():
             hint = crashes.Wanted()
-        case other:
+        case Heartbeat() | Forwarded() as other:
             return datagram.incarnation, other
+        case limited:
+            hint = limit_messages.read(limited)
     return datagram.incarnation, hint
--- a/src/greengagelb/state/limits.py
+++ b/src/greengagelb/state/limits.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,3 +58,110 @@
     version: int
     known_at: float
     confirmed_at: float = float('-inf')
+
+
+class Verdict(enum.Enum):
+    """What an issuer answers to an instance that wants a permit."""
+
+    GRANTED = 'granted'
+    QUEUED = 'queued'
+    DENIED = 'denied'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsWanted:
+    """The sender knows other limits than the receiver, and asks for them."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseWanted:
+    """The sender issues permits for a life, and asks for the parts of others.
+
+    ``stamp`` is its own monotonic time, which the answer repeats.
+    """
+
+    life: str
+    stamp: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leased:
+    """The sender's part of a limit is the receiver's for a time.
+
+    The lease began at ``stamp``, by the receiver's clock. ``share`` is the
+    part of the whole limit; it was nobody's for ``unused`` seconds before.
+    """
+
+    life: str
+    share: float
+    unused: float
+    stamp: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseReturned:
+    """The sender issues no permits for a life any more."""
+
+    life: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitWanted:
+    """The sender wants to send one request to a life with a limit.
+
+    ``number`` names the request at the sender, ``wait`` is for how many
+    seconds it can wait. ``urgent`` requests go first. ``rate`` and
+    ``version`` are the limit as the sender knows it.
+    """
+
+    life: str
+    number: int
+    account: str
+    urgent: bool
+    wait: float
+    rate: float
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitAnswer:
+    """What comes of a request for a permit.
+
+    ``wait`` is the time in seconds until one is expected; ``share`` the part
+    of the limit that the sender has leased.
+    """
+
+    life: str
+    number: int
+    verdict: Verdict
+    wait: float
+    share: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitReturned:
+    """A permit that was granted to the sender was not used."""
+
+    life: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spent:
+    """The sender has sent something to a life without a permit."""
+
+    life: str
+    count: int
+
+
+Message = (
+    LimitNews
+    | NewsWanted
+    | LeaseWanted
+    | Leased
+    | LeaseReturned
+    | PermitWanted
+    | PermitAnswer
+    | PermitReturned
+    | Spent
+)
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from greengagelb.state import crashes
+from greengagelb.state import limits
 from greengagelb.state.relay import engines
 
 
@@ -152,9 +153,24 @@
     | ConfigurationApplied
     | crashes.CrashReport
     | crashes.Wanted
+    | limits.Message
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Digests:
+    """Numbers that differ where an instance knows other things.
+
+    Of requests that crash engines, and of limits that engines name.
+    """
+
+    crashes: int = 0
+    limits: int = 0
+
+
+NOTHING_KNOWN = Digests()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
     """An instance of the fleet; ``incarnation`` is new at each start."""
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -186,7 +186,7 @@
             blocked=len(
                 self.relay.crashes.records.blocked(self.reactor.seconds())
             ),
-            limits=len(self.relay.sends.limits.in_force()),
+            limits=len(self.relay.keeper.book.in_force()),
         )
 
     def metrics_page(self) -> pages.Page:
@@ -212,8 +212,7 @@
             self.loop.dispatch(events.PauseNoticed(late))
         if now >= self.next_beat and not self.relay.finished:
             self.next_beat = self.relay.fleet.next_beat(now, self.relay.rng)
-            digest = self.relay.crashes.records.digest()
-            self.peers.beat(crashes_digest=digest)
+            self.peers.beat(known=self.relay.digests)
 
     def bad_datagram(self, detail: str) -> None:
         """Record a datagram that could not be sent or read."""
--- a/src/greengagelb/transport/relay/peer_link.py
+++ b/src/greengagelb/transport/relay/peer_link.py
@@ -104,10 +104,15 @@
             if peer.data_centre == self.own.data_centre:
                 self.send(raw, peer.host)
 
-    def beat(self, *, leaving: bool = False, crashes_digest: int = 0) -> None:
+    def beat(
+        self,
+        *,
+        leaving: bool = False,
+        known: hints.Digests = hints.NOTHING_KNOWN,
+    ) -> None:
         """Tell all others that this instance is there, or stops."""
         raw = relay_hints.encode_heartbeat(
-            self.own, leaving=leaving, crashes_digest=crashes_digest
+            self.own, leaving=leaving, known=known
         )
         self.send_to_all(raw)
 
@@ -181,8 +186,5 @@
             del self.peers[incarnation]
             self.dispatch(relay_events.PeerLeft(incarnation))
         self.peers[sender] = Peer(beat.host, beat.data_centre)
-        self.dispatch(
-            relay_events.PeerHeard(
-                sender, beat.data_centre, beat.crashes_digest
-            )
-        )
+        known = hints.Digests(beat.crashes_digest, beat.limits_digest)
+        self.dispatch(relay_events.PeerHeard(sender, beat.data_centre, known))
--- a/tests/common/crashing_fleet.py
+++ b/tests/common/crashing_fleet.py
@@ -198,9 +198,8 @@
 
     def send_heartbeat(self, sender):
         own = sender.own
-        digest = sender.relay.crashes.records.digest()
         heard = relay_events.PeerHeard(
-            own.incarnation, own.data_centre, digest
+            own.incarnation, own.data_centre, sender.relay.digests
         )
         self.tell(sender, heard)
 
--- a/tests/logs/test_limit_evidence.py
+++ b/tests/logs/test_limit_evidence.py
@@ -4,6 +4,7 @@
 
 from greengagelb.coordination import actions as common_actions
 from greengagelb.coordination import events
+from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state import identity
 from greengagelb.state import limits
 from tests.common import loaded_node
@@ -16,9 +17,17 @@
     return [record.reason for record in records if record.kind == kind]
 
 
+def lone_world():
+    """Return the only instance, before one engine."""
+    world = relay_world.RelayWorld([relay_world.fleet()[-1]])
+    world.handle(relay_events.MembersListed(()))
+    world.advance(4.0)
+    return world
+
+
 def test_a_limit_that_an_answer_names_is_told_once_until_it_changes():
     """Guards against a log that hides from when on an instance knew it."""
-    world = relay_world.RelayWorld([relay_world.fleet()[-1]])
+    world = lone_world()
     for rate in (2.1, 2.1, 4.0, None):
         exchange = world.call()
         world.now += 1.0
@@ -34,7 +43,7 @@
 
 def test_a_send_tells_which_limit_was_known_and_for_how_long():
     """Guards against sends of which nobody can say why they were made."""
-    world = relay_world.RelayWorld([relay_world.fleet()[-1]])
+    world = lone_world()
     first = world.last_send(world.call())
     world.now += 0.5
     world.answer(first, limit=2.5)
@@ -65,7 +74,7 @@
 
 def test_an_unusable_limit_is_told_and_changes_nothing():
     """Guards against a bad header that hides an answer, or the last limit."""
-    world = relay_world.RelayWorld([relay_world.fleet()[-1]])
+    world = lone_world()
     first = world.last_send(world.call())
     world.answer(first, limit=2.5)
     world.advance(4.0)
@@ -74,7 +83,7 @@
     world.answer(world.sends()[-1], limit=limits.Unusable('-1'))
     assert reasons(world, 'engine-limit-refused') == ['limit-unusable: -1']
     life = first.engine.life
-    assert world.relay.sends.limits.rate(life) == 2.5
+    assert world.relay.keeper.book.rate(life) == 2.5
     assert len(world.answered()) == 2
 
 
