Keep the own interface's instances within the limits of upstreams

What callers saw: nothing; upstreams that name a limit got three times that.

Streams, calls and keyed calls pass the one gate, the room of an upstream; a permit is kept for a call while its key is claimed. The instances of an upstream's data centre share its limit, those of others ask them. What would wait beyond its deadline is refused at once, with the time (429/503 upstreams-limited).

--- a/src/greengagelb/coordination/actions.py
+++ b/src/greengagelb/coordination/actions.py
@@ -5,6 +5,7 @@
 from greengagelb.state import claims
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
+from greengagelb.state import limits
 from greengagelb.state import requests
 
 
@@ -136,6 +137,17 @@
     upstream: configuration_state.Upstream
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellPeer:
+    """Tell another instance something about limits.
+
+    All instances of the data centre where ``incarnation`` is empty.
+    """
+
+    incarnation: str
+    message: limits.Message
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetTimer:
     """Fire ``TimerFired`` at a monotonic time; replaces one of that name."""
@@ -181,6 +193,7 @@
     | DispatchCall
     | AbandonCall
     | ProbeUpstream
+    | TellPeer
     | SetTimer
     | ClearTimer
     | Record
--- a/src/greengagelb/coordination/calls/dispatching.py
+++ b/src/greengagelb/coordination/calls/dispatching.py
@@ -134,6 +134,7 @@
         call.under_way[number] = upstream
         call.began_at[number] = now
         self.directory.started(upstream.name)
+        self.directory.limits.use(upstream.name, now)
         done: list[actions.Action] = [
             self.timeline(
                 call, 'call-dispatched', f'try {number}', upstream.name
--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -256,6 +256,21 @@
     live_instances: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersKnown:
+    """Which other instances may be serving, and their data centres."""
+
+    peers: tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerTold:
+    """Another instance says something about limits."""
+
+    incarnation: str
+    message: limits.Message
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopRequested:
     """The platform asks this instance to stop."""
@@ -305,6 +320,8 @@
     | ConfigurationOffered
     | UpstreamsHeld
     | FleetSized
+    | PeersKnown
+    | PeerTold
     | StopRequested
     | PauseNoticed
     | TimerFired
--- a/src/greengagelb/coordination/fleet/membership.py
+++ b/src/greengagelb/coordination/fleet/membership.py
@@ -110,6 +110,7 @@
         self.asked_version = 0
         self.ask_again_at = float('-inf')
         self.reported_size = 0
+        self.reported_peers: tuple[tuple[str, str], ...] = ()
         self.connected: set[fleet.PeerAddress] = set()
 
     # -- what comes in ------------------------------------------------------
@@ -471,11 +472,31 @@
 
     def sized(self, now: float) -> list[Action]:
         """Report the size of the fleet here if it has changed."""
+        done: list[Action] = []
+        peers = self.serving_peers(now)
+        if peers != self.reported_peers:
+            self.reported_peers = peers
+            done.append(Report(events.PeersKnown(peers)))
         size = self.live_instances(now)
-        if size == self.reported_size:
-            return []
-        self.reported_size = size
-        return [Report(events.FleetSized(size))]
+        if size != self.reported_size:
+            self.reported_size = size
+            done.append(Report(events.FleetSized(size)))
+        return done
+
+    def serving_peers(self, now: float) -> tuple[tuple[str, str], ...]:
+        """Return who else may be serving, here and elsewhere."""
+        return tuple(
+            sorted(
+                (incarnation, view.peer.data_centre)
+                for incarnation, view in self.peers.items()
+                if self.counted(view, now)
+            )
+        )
+
+    def address_of(self, incarnation: str) -> fleet.PeerAddress | None:
+        """Return where an instance is, if it is known."""
+        view = self.peers.get(incarnation)
+        return view.peer.address if view is not None else None
 
     def live_incarnations(self, now: float) -> set[str]:
         """Return who is live in this data centre, this instance included."""
--- a/src/greengagelb/coordination/fleet/routing.py
+++ b/src/greengagelb/coordination/fleet/routing.py
@@ -42,8 +42,13 @@
 class UpstreamDirectory(upstream_views.UpstreamViews):
     """Chooses among all upstreams of the configuration in force."""
 
-    def __init__(self, rng: random.Random, data_centre: str = '') -> None:
-        super().__init__(data_centre)
+    def __init__(
+        self,
+        rng: random.Random,
+        data_centre: str = '',
+        incarnation: str = '',
+    ) -> None:
+        super().__init__(data_centre, incarnation)
         self.rng = rng
         self.members: dict[tuple[str, str], members.PoolMembers] = {}
         self.full: dict[
@@ -305,6 +310,19 @@
             (pool.model, pool.version, pool.adapter),
         )
 
+    def limited_alone(
+        self, pool: configuration_state.Pool, now: float
+    ) -> list[str]:
+        """Return a pool's usable upstreams, if all of them have limits."""
+        if not self.limits.lives:
+            return []
+        names = [
+            view.upstream.name for view in self.usable_views(pool, set(), now)
+        ]
+        if any(self.limits.rate(name) is None for name in names):
+            return []
+        return names
+
     def may_ever_serve(
         self, pool: configuration_state.Pool, now: float
     ) -> bool:
@@ -320,6 +338,18 @@
         pool: configuration_state.Pool,
         priority: configuration_state.Priority,
         now: float,
+    ) -> bool:
+        """Return whether an upstream takes one more request of a class."""
+        if not self.has_place(view, pool, priority, now):
+            return False
+        return self.limits.admits(view.upstream.name, now)
+
+    def has_place(
+        self,
+        view: upstream_state.UpstreamView,
+        pool: configuration_state.Pool,
+        priority: configuration_state.Priority,
+        now: float,
     ) -> bool:
         """Return whether one more request of a class fits an upstream.
 
--- a/src/greengagelb/coordination/fleet/upstream_views.py
+++ b/src/greengagelb/coordination/fleet/upstream_views.py
@@ -9,6 +9,7 @@
 
 from greengagelb import errors
 from greengagelb.coordination import events
+from greengagelb.coordination.fleet import upstream_limits
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import fleet
 from greengagelb.state import identity
@@ -39,8 +40,9 @@
     tells that an upstream may have room by now that it had not before.
     """
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(self, data_centre: str, incarnation: str = '') -> None:
         self.data_centre = data_centre
+        self.limits = upstream_limits.UpstreamLimits(incarnation, data_centre)
         self.views: dict[str, upstream_state.UpstreamView] = {}
         self.short_pools: set[str] = set()
         self.leaving: set[identity.EngineId] = set()
@@ -66,6 +68,9 @@
                 del self.views[name]
         self.leaving = {e for e in self.leaving if e.name in self.views}
         self.order = list(named)
+        self.limits.places = {
+            name: upstream.data_centre for name, upstream in named.items()
+        }
         self.short_pools = shared_pools(configuration)
         self.changed = True
 
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -24,8 +24,12 @@
 from greengagelb.coordination.streams import cancellations
 from greengagelb.coordination.streams import continuing
 from greengagelb.state import configuration as configuration_state
+from greengagelb.state import limits
 from greengagelb.state import requests
 
+# A stream that has lost its engine waits for a permit for so many seconds.
+PERMIT_SECONDS = 1.0
+
 FinalAnswer = actions.SendEnd | actions.SendAnswer | actions.SendFailure
 
 
@@ -41,12 +45,14 @@
     ) -> None:
         self.incarnation = incarnation
         self.configuration = configuration_state.Configuration()
-        self.directory = routing.UpstreamDirectory(rng, data_centre)
+        self.directory = routing.UpstreamDirectory(
+            rng, data_centre, incarnation
+        )
+        self.limits = self.directory.limits
         self.admission = admission.AdmissionControl(rng)
         self.accounts: dict[str, configuration_state.ClientAccount] = {}
         self.cancels = cancellations.CancellationSupervisor()
         self.guard = crash_guard.CrashGuard()
-        self.limits = upstream_limits.UpstreamLimits()
         self.streams = continuing.StreamSupervisor(
             self.directory, self.cancels, incarnation, self.guard
         )
@@ -81,9 +87,14 @@
         done = self.decide(event, now)
         done += self.claims.served(done, now)
         self.release_finished(event, done, now)
+        for name in self.limits.take_outcomes(now):
+            self.directory.touch(name)
         started = self.start_waiting(now)
         self.release_finished(event, started, now)
         done += started
+        wanted = bool(self.waiting or self.streams.ladder.recovering)
+        self.limits.give_back(wanted, now)
+        done += self.limits.actions(now)
         if isinstance(event, arrivals.Arrival):
             done += self.queue_timer(event.request.exchange)
         if self.progress.phase is lifecycle.Phase.STOPPING and self.idle:
@@ -204,7 +215,13 @@
             case events.FleetSized(live_instances):
                 self.admission.resize(live_instances)
                 self.directory.resize(live_instances)
+                self.limits.keeper.resize(live_instances, 0.0, now)
+                return []
+            case events.PeersKnown(peers):
+                self.limits.know_peers(dict(peers), now)
                 return []
+            case events.PeerTold(incarnation, message):
+                return self.peer_told(incarnation, message, now)
             case events.StopRequested():
                 self.lifecycle.stop_requested()
                 return [actions.Record('stopping', 'stop requested')]
@@ -215,6 +232,17 @@
                 ]
         return []
 
+    def peer_told(
+        self, incarnation: str, message: limits.Message, now: float
+    ) -> list[actions.Action]:
+        """Take in what another instance says about limits."""
+        known = ''
+        if isinstance(message, limits.LimitNews):
+            name = upstream_limits.name_of(message.life)
+            view = self.directory.views.get(name)
+            known = view.incarnation if view else ''
+        return self.limits.heard(incarnation, message, known, now)
+
     # -- requests that crash engines ----------------------------------------
 
     def crashes_found(
@@ -266,6 +294,7 @@
         ticket = arrivals.ticket_of(event, service, now)
         resumes = isinstance(event, events.GenerationResumed)
         refusal = self.admission.refusal(ticket, account, resumes, now)
+        refusal = refusal or self.limit_refusal(ticket, now)
         if refusal is not None:
             truthful = arrivals.truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, truthful)]
@@ -273,6 +302,27 @@
         self.waiting[request.exchange] = (ticket, event)
         return []
 
+    def limit_refusal(
+        self, ticket: fair_queue.Ticket, now: float
+    ) -> requests.Failure | None:
+        """Return why the limits of upstreams leave no place for a request."""
+        ahead = self.admission.waiting_before(ticket)
+        wait = self.wait_for_limits(ticket, ahead, now)
+        if now + wait <= min(ticket.deadline, ticket.start_by):
+            return None
+        detail = f'would have to wait for about {wait:.1f} s'
+        return self.admission.not_run('upstreams-limited', detail, wait)
+
+    def wait_for_limits(
+        self, ticket: fair_queue.Ticket, ahead: int, now: float
+    ) -> float:
+        """Return how long limits keep a request with others ahead of it."""
+        pool = self.configuration.find_pool(ticket.pool)
+        names = self.directory.limited_alone(pool, now) if pool else []
+        if not names:
+            return 0.0
+        return self.limits.wait_for(names, ticket.account, ahead, now)
+
     def refusal(
         self,
         event: arrivals.Arrival,
@@ -308,6 +358,9 @@
             return []
         self.admission.changed = False
         self.directory.changed = False
+        self.limits.asker = upstream_limits.Asker(
+            deadline=now + PERMIT_SECONDS, urgent=True
+        )
         done = self.streams.recover_waiting(now)
         for key in self.admission.keys:
             done += self.start_queue(key, now)
@@ -353,18 +406,26 @@
             self.streams.recovers_in(pool)
         ):
             return None
+        start_by = min(ticket.deadline, ticket.start_by)
+        self.limits.asker = upstream_limits.Asker(ticket.account, start_by)
         pool = self.directory.serving_pool(pool, ticket.priority, now)
         view = self.directory.choose(
             pool, set(), now, ticket.priority, arrivals.prefix_of(event)
         )
         resumes = isinstance(event, events.GenerationResumed)
         if view is None and not resumes:
+            wait = self.wait_for_limits(ticket, 0, now)
+            if now + wait > start_by:
+                return self.refuse_waiting(ticket, 'upstreams-limited', wait)
             return None
         del self.waiting[ticket.exchange]
         self.admission.start(ticket, account.weight, now)
         timer = timers.timer_name(arrivals.QUEUE_TIMER, ticket.exchange)
         done: list[actions.Action] = [actions.ClearTimer(timer)]
         if arrivals.needs_claim(event, service):
+            if view is not None:
+                name, exchange = view.upstream.name, ticket.exchange
+                self.limits.reserve(name, exchange, now)
             return done + self.claims.begin(event.request)
         match event:
             case events.GenerationSubmitted(request):
@@ -381,6 +442,9 @@
         """Dispatch a request whose claim this instance holds now."""
         if request is None:
             return []
+        reserved_at = self.limits.unreserve(request.exchange)
+        if reserved_at:
+            self.directory.touch(reserved_at)
         service = arrivals.service_of(self.configuration, request)
         pool = self.configuration.find_pool(service.pool) if service else None
         if service is None or pool is None:
@@ -471,6 +535,9 @@
         match kind:
             case cancellations.CANCEL_TIMER:
                 return self.cancels.timer_fired(name)
+            case upstream_limits.LIMITS_TIMER:
+                self.limits.due(now)
+                return []
             case arrivals.QUEUE_TIMER:
                 return self.queued_too_long(int(rest), now)
             case claims.DEADLINE_TIMER | claims.SETTLE_TIMER:
--- a/src/greengagelb/coordination/relay/fleet.py
+++ b/src/greengagelb/coordination/relay/fleet.py
@@ -1,5 +1,6 @@
 """The other instances, as far as their loads and the shared budget go."""
 
+from collections.abc import Collection
 import random
 
 from greengagelb.coordination.relay import loads
@@ -64,6 +65,10 @@
         self.listed = True
         self.present = {member.incarnation for member in members}
 
+    def all_heard(self, life: str) -> Collection[str]:
+        """Return the instances that are heard, whatever the life."""
+        return self.heard_at.keys()
+
     def heard(self, incarnation: str, now: float) -> None:
         """Note that an instance lives."""
         self.heard_at[incarnation] = now
--- a/src/greengagelb/coordination/sharing/admission.py
+++ b/src/greengagelb/coordination/sharing/admission.py
@@ -192,6 +192,15 @@
                 cost += queue.cost
         return cost
 
+    def waiting_before(self, ticket: fair_queue.Ticket) -> int:
+        """Return how many requests are likely to start before a new one."""
+        queue = self.queues.get(key_of(ticket))
+        if queue is None or not queue.size:
+            return 0
+        own = queue.lines.get(ticket.account)
+        mine = len(own.waiting) if own is not None else 0
+        return min(queue.size, (mine + 1) * max(1, queue.active))
+
     def expected_run(self, ticket: fair_queue.Ticket) -> float:
         """Return the seconds that a request may run, as far as known.
 
--- a/src/greengagelb/coordination/sharing/limit_keeper.py
+++ b/src/greengagelb/coordination/sharing/limit_keeper.py
@@ -10,6 +10,7 @@
 question is asked again, under the same number, until it is answered.
 """
 
+from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
 import itertools
@@ -49,6 +50,8 @@
 ANSWER_SECONDS = 0.02
 # How long the first parts take that an issuer asks for, in seconds.
 GATHER_SECONDS = 0.02
+# So many instances are tried before this one issues permits itself.
+MOST_RANKED = 3
 # Which instances there are is looked at again after so many seconds.
 RANKED_SECONDS = 0.5
 # Where a permit was denied, none is asked for again before so many seconds.
@@ -144,13 +147,16 @@
 class LimitKeeper:
     """One instance's part in keeping the limits.
 
+    ``members`` returns which others are heard and may issue permits of a life,
+    and ``has_part`` whether this instance may.
     ``outgoing`` and ``outcomes`` are taken and emptied by whoever calls.
     Invariant: each number in ``asks`` has had no outcome yet, and gets one.
     """
 
     def __init__(self, own: str) -> None:
         self.own = own
-        self.heard: Collection[str] = ()
+        self.members: Callable[[str], Collection[str]] = nobody
+        self.has_part: Callable[[str], bool] = always
         self.book = limit_book.LimitBook()
         self.parts = leases.OwnParts()
         self.issuers: dict[str, permits.Issuer] = {}
@@ -319,7 +325,10 @@
         """Return who issues a life's permits, as far as is known here."""
         ranking = self.rankings.get(life)
         if ranking is None or now >= ranking.until:
-            names = rendezvous.highest(life, {*self.heard, self.own}, 3)
+            found = set(self.members(life))
+            if self.has_part(life):
+                found.add(self.own)
+            names = rendezvous.highest(life, found, MOST_RANKED)
             ranking = Ranking(tuple(names), now + RANKED_SECONDS)
             self.rankings[life] = ranking
         for name in ranking.names:
@@ -405,6 +414,8 @@
         share = self.parts.share(now)
         if known is None or known.rate is None or not share:
             return None
+        if not self.has_part(life):
+            return None
         unused = self.parts.lend(life, borrower, known.known_at, now)
         if unused is None:
             return None
@@ -466,7 +477,7 @@
             return
         self.renewed_at[life] = now
         had_parts = issuer.borrowed.total(now) > 0.0
-        lenders = {*self.heard, self.own}
+        lenders = {*self.members(life), self.own}
         wanted = limits.LeaseWanted(life, now)
         ends = now + RENEW_BEFORE_SECONDS
         for lender in issuer.borrowed.ending(lenders, ends):
@@ -589,6 +600,16 @@
         self.outgoing.append(Outgoing(receiver, message))
 
 
+def nobody(life: str) -> Collection[str]:
+    """Return no other instances."""
+    return ()
+
+
+def always(life: str) -> bool:
+    """Return that this instance has a part of each limit."""
+    return True
+
+
 def gives_up_at(ask: Ask) -> float:
     """Return when a request waits for no answer any more.
 
--- a/src/greengagelb/coordination/streams/attempts.py
+++ b/src/greengagelb/coordination/streams/attempts.py
@@ -64,6 +64,7 @@
             stream.attempt = attempt
             told = record(stream, attempt, 'attempt-started', where)
         self.count(stream, attempt)
+        self.directory.limits.use(attempt.upstream.name, now)
         return [
             told,
             actions.StartAttempt(
@@ -91,6 +92,7 @@
         attempt.suspected = True
         attempt.answered = False
         attempt.attached_at = now
+        self.directory.limits.use(attempt.upstream.name, now)
         view = self.directory.views.get(attempt.upstream.name)
         if view is not None:
             attempt.incarnation = view.incarnation
--- a/src/greengagelb/protocol/peer_api.py
+++ b/src/greengagelb/protocol/peer_api.py
@@ -8,6 +8,7 @@
 :class:`ConfigurationQuery`  asks for the configuration applied there
 :class:`ConfigurationCopy`   the configuration, as compressed JSON
 :class:`Introduction`        addresses of other instances
+:class:`LimitMessage`        limits of engines, and permits
 ============================ ==============================================
 
 Messages are arrays, not maps, and so have no attribute names in them: a
@@ -20,6 +21,7 @@
 import msgspec
 
 from greengagelb import errors
+from greengagelb.protocol import limit_messages
 from greengagelb.state import crashes
 from greengagelb.state import fleet
 from greengagelb.state import identity
@@ -114,8 +116,19 @@
     addresses: list[tuple[str, int]]
 
 
+class LimitMessage(msgspec.Struct, frozen=True, array_like=True, tag='l'):
+    """What an instance says about limits; see :mod:`.limit_messages`."""
+
+    incarnation: str
+    message: limit_messages.Wire
+
+
 Message = (
-    HeartbeatMessage | ConfigurationQuery | ConfigurationCopy | Introduction
+    HeartbeatMessage
+    | ConfigurationQuery
+    | ConfigurationCopy
+    | Introduction
+    | LimitMessage
 )
 
 
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -280,7 +280,7 @@
             blocked=len(
                 self.node.guard.records.blocked(self.reactor.seconds())
             ),
-            limits=len(self.node.limits.book.in_force()),
+            limits=len(self.node.limits.keeper.book.in_force()),
         )
 
     def known_instances(self) -> list[operator_api.InstanceStatus]:
@@ -332,6 +332,8 @@
                 self.services.call(action)
             case actions.AbandonCall(exchange):
                 self.services.abandon(exchange)
+            case actions.TellPeer():
+                self.peers.tell(action)
             case actions.Record():
                 self.recorder.record(action)
             case actions.FinishStopping():
--- a/src/greengagelb/transport/peers.py
+++ b/src/greengagelb/transport/peers.py
@@ -20,6 +20,7 @@
 from greengagelb.coordination import events
 from greengagelb.coordination.fleet import membership
 from greengagelb.protocol import codec
+from greengagelb.protocol import limit_messages
 from greengagelb.protocol import peer_api
 from greengagelb.protocol import platform_api
 from greengagelb.state import configuration as configuration_state
@@ -260,6 +261,9 @@
                 self.dispatch(
                     events.ConfigurationOffered(offered, f'peer {name}')
                 )
+            case peer_api.LimitMessage(incarnation, wire):
+                told = limit_messages.read(wire)
+                self.dispatch(events.PeerTold(incarnation, told))
             case peer_api.Introduction(pairs):
                 addresses = [fleet.PeerAddress(*pair) for pair in pairs]
                 self.carry_out(self.membership.introduced(addresses, now))
@@ -306,6 +310,17 @@
                 case membership.Explain(kind, reason):
                     self.record(kind, reason)
 
+    def tell(self, action: actions.TellPeer) -> None:
+        """Send what is said about limits to one instance, or to all here."""
+        members = self.membership
+        addresses = {members.address_of(action.incarnation)}
+        if not action.incarnation:
+            addresses = members.local_addresses()
+        wire = limit_messages.write(action.message)
+        for address in addresses - {None}:
+            message = peer_api.LimitMessage(self.me.incarnation, wire)
+            self.send(address, message)
+
     def send(
         self, address: fleet.PeerAddress, message: peer_api.Message
     ) -> None:
--- a/tests/common/limited_nodes.py
+++ b/tests/common/limited_nodes.py
@@ -102,6 +102,12 @@
             offered = events.ConfigurationOffered(configured(), 'test')
             instance.handle(offered)
             instance.handle(events.FleetSized(size))
+            others = tuple(
+                (other.name, 'kl-1')
+                for other in self.instances
+                if other is not instance
+            )
+            instance.handle(events.PeersKnown(others))
         self.report()
         self.run(3.0)
 
@@ -213,6 +219,11 @@
             case actions.CancelAttempt(attempt):
                 gone = events.AttemptCancelled(attempt)
                 self.after(NETWORK_SECONDS, instance.handle, gone)
+            case actions.TellPeer(receiver, message):
+                told = events.PeerTold(instance.name, message)
+                for other in self.instances:
+                    if other is not instance and receiver in ('', other.name):
+                        self.after(NETWORK_SECONDS, other.handle, told)
             case actions.SetTimer(name, deadline):
                 instance.timers[name] = deadline
                 wait = max(0.0, deadline - self.now)
