--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -38,6 +38,16 @@
     answered: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class NamedLimit:
+    """A limit that an engine names, from one moment to another."""
+
+    engine: str
+    rate: float
+    at: float
+    until: float = float('inf')
+
+
 @dataclasses.dataclass(slots=True)
 class Arrival:
     """A request that reached an engine, whether it ran or not."""
@@ -53,6 +63,7 @@
         self.reactor = reactor
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
+        self.limits: list[NamedLimit] = []
         self.copies: set[tuple[str, str]] = set()
         self.engines: list[Engine] = []
 
@@ -73,6 +84,7 @@
         self.identity = ''
         self.born = 0
         self.running: list[Run] = []
+        self.limit: NamedLimit | None = None
         self.state = 'ready'
         self.lives = True
         self.heartbeats = itertools.count(1)
@@ -124,6 +136,20 @@
         if self.link.listening is None:
             self.link.listen()
 
+    def name_limit(self, rate: float) -> NamedLimit:
+        """Name a limit in each answer from now on."""
+        self.lift_limit(self.limit)
+        now = self.pool.reactor.seconds()
+        self.limit = NamedLimit(self.identity, rate, now)
+        self.pool.limits.append(self.limit)
+        return self.limit
+
+    def lift_limit(self, limit: NamedLimit | None) -> None:
+        """Name a limit no longer, if it is still the one."""
+        if limit is not None and limit is self.limit:
+            limit.until = self.pool.reactor.seconds()
+            self.limit = None
+
     def entry(self) -> dict[str, object]:
         """Return what the engine writes into the list of engines."""
         return {
@@ -150,6 +176,8 @@
             return json.dumps({'born': self.born}).encode()
         if not head.request_id:
             return self.not_run(request, 400)
+        if self.limit is not None:
+            request.setHeader('Server-Limit', f'{self.limit.rate:g}')
         self.pool.arrivals.append(
             Arrival(self.identity, self.pool.reactor.seconds())
         )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,8 @@
 FIRST_SEED_WITH_RESTARTS = 35
 # The same before the store could come back from an older copy.
 FIRST_SEED_WITH_RESTORES = 200
+# The same before engines could name a limit.
+FIRST_SEED_WITH_LIMITS = 300
 
 
 class What(enum.Enum):
@@ -39,6 +41,7 @@
     NEW_CONFIGURATION = 'new-configuration'
     RESTART_ENGINE = 'restart-engine'
     STORE_RESTORED = 'store-restored'
+    LIMITED_ENGINE = 'limited-engine'
 
 
 # Those that harm an instance, or what it knows.
@@ -70,9 +73,14 @@
         What.RESTART_ENGINE,
     }
 )
+TO_ENGINES = OF_ENGINES | {What.LEAVING_ENGINE, What.LIMITED_ENGINE}
 # One more here would change what every seed plans; what comes later is drawn
 # by a generator of its own.
-DRAWN_APART = (What.RESTART_ENGINE, What.STORE_RESTORED)
+DRAWN_APART = (
+    What.RESTART_ENGINE,
+    What.STORE_RESTORED,
+    What.LIMITED_ENGINE,
+)
 DRAWN = tuple(what for what in What if what not in DRAWN_APART)
 
 
@@ -114,6 +122,21 @@
     return series(rng, What.STORE_RESTORED)
 
 
+def plan_limits(seed: int) -> list[Fault]:
+    """Return when engines name a limit.
+
+    Early, as limits last for longer than other faults.
+    """
+    if seed < FIRST_SEED_WITH_LIMITS:
+        return []
+    rng = random.Random(f'limits of {seed}')
+    found = []
+    for _ in range(rng.randint(2, 5)):
+        found += series(rng, What.LIMITED_ENGINE)
+    found = [dataclasses.replace(fault, at=fault.at / 2) for fault in found]
+    return sorted(found, key=lambda fault: fault.at)
+
+
 def series(rng: random.Random, what: What) -> list[Fault]:
     """Return a fault once, or several times in a row."""
     times = rng.choice((1, 1, 1, 2, 3))
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -17,6 +17,11 @@
 LATE_SECONDS = 0.5
 # Of the requests in the calm at the end so many must be served.
 LEAST_SERVED = 0.9
+# Within so many seconds an engine gets no more than this part of what its
+# limit allows, and some requests more.
+LIMIT_WINDOW = 4.0
+LIMIT_SHARE = 1.5
+LIMIT_SPARE = 5
 ROUTE_LIMITS = {
     callers.Kind.STREAM: 10.0,
     callers.Kind.CALL: 0.9,
@@ -52,6 +57,7 @@
             *self.cut_by_stops(),
             *self.late(),
             *self.refused_keys(),
+            *self.over_limits(),
             *self.not_recovered(),
             *self.ended(),
         ]
@@ -173,6 +179,24 @@
             if self.calm(found.instance, begin, found.began_at):
                 yield Broken('configuration in force', found.request_id)
 
+    def over_limits(self) -> Iterator[Broken]:
+        """Find engines that got more than their limit allows in some 4 s."""
+        for limit in self.world.engines.limits:
+            begin = limit.at + TOUCH_SECONDS
+            times = [
+                arrival.at
+                for arrival in self.world.engines.arrivals
+                if arrival.engine == limit.engine
+                and begin <= arrival.at < limit.until
+            ]
+            most = LIMIT_SHARE * LIMIT_WINDOW * limit.rate + LIMIT_SPARE
+            for at in times:
+                got = sum(at <= t < at + LIMIT_WINDOW for t in times)
+                if got > most:
+                    detail = f'{got} of {most:.0f} at {limit.engine}'
+                    yield Broken('limits of engines', detail)
+                    break
+
     def not_recovered(self) -> Iterator[Broken]:
         """Find out whether requests are served again in the calm."""
         probes = [
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -56,6 +56,7 @@
         # events as it became fast again, and the stream looked complete.
         pytest.param(43, id='engines start again, a slow link recovers'),
         pytest.param(200, id='the store comes back from an older copy'),
+        pytest.param(300, id='engines name limits'),
     ],
 )
 def test_seed_breaks_no_promise(seed):
@@ -78,6 +79,8 @@
     assert faults.plan_restarts(50)
     assert faults.plan_restores(200)
     assert faults.plan_restores(200) == faults.plan_restores(200)
+    assert faults.plan_limits(300)
+    assert faults.plan_limits(300) == faults.plan_limits(300)
 
 
 def test_kept_seeds_plan_what_they_planned_when_they_failed():
@@ -86,3 +89,4 @@
     assert planned == PLAN_OF_SEED_8
     assert faults.plan_restarts(2) == faults.plan_restarts(8) == []
     assert faults.plan_restores(91) == []
+    assert faults.plan_limits(200) == []
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -32,6 +32,9 @@
 # instances, the lapse of entries and their return fit into it.
 RECOVERY_SECONDS = 7.0
 PROBE_SECONDS = 3.0
+# Limits that engines name, in requests a second, and for how long at least.
+LIMITS = (0.25, 0.5, 1.0)
+LIMIT_SECONDS = 8.0
 PAUSE_SIGNALS = (signal.SIGSTOP, signal.SIGCONT)
 
 
@@ -226,7 +229,7 @@
                 self.harm_instance(fault, instance)
         elif fault.what in faults.OF_THE_STORE:
             self.harm_store(fault)
-        elif fault.what in faults.OF_ENGINES | {faults.What.LEAVING_ENGINE}:
+        elif fault.what in faults.TO_ENGINES:
             self.harm_engine(fault)
         else:
             number = fault.target % len(self.instances)
@@ -299,6 +302,13 @@
             case faults.What.LOST_ENGINE_ANSWERS:
                 link.mode = proxy.Mode.LOSE_ANSWERS
                 self.later(fault, setattr, link, 'mode', proxy.Mode.PASS)
+            case faults.What.LIMITED_ENGINE:
+                rate = LIMITS[fault.target % len(LIMITS)]
+                limit = engine.name_limit(rate)
+                seconds = LIMIT_SECONDS + fault.seconds
+                task.deferLater(
+                    self.reactor, seconds, engine.lift_limit, limit
+                )
             case faults.What.LEAVING_ENGINE:
                 self.leave(engine, says_so=fault.target % 2 == 0)
 
