Ask in one place whether a request must not run, and count crashes in one

No change of behaviour: must_not_run stood in streams and calls, the count of what an engine's end explains in both interfaces, and an alias was used once.

--- a/src/greengagelb/coordination/calls/dispatching.py
+++ b/src/greengagelb/coordination/calls/dispatching.py
@@ -157,7 +157,9 @@
         call = self.calls.get(exchange)
         if call is None or not call.under_way or not call.service.idempotent:
             return []
-        if self.must_not_run(call, now) or not self.may_repeat(call):
+        if self.guard.must_not_run(call.request, now) or not self.may_repeat(
+            call
+        ):
             return []
         tried = {upstream.name for upstream in call.under_way.values()}
         priority = call.service.priority
@@ -206,7 +208,7 @@
             done = self.suspect(call, upstream, event.try_number, now)
         if call.under_way:
             return done
-        if self.must_not_run(call, now):
+        if self.guard.must_not_run(call.request, now):
             return done + self.fail(call, crash_guard.RAN_CODE, None)
         if self.may_repeat(call):
             return done + self.dispatch(call, now)
@@ -226,13 +228,6 @@
             call.request, upstream, incarnation, call.began_at[number], now
         )
 
-    def must_not_run(self, call: Call, now: float) -> bool:
-        """Return whether a request crashes engines, or seems to."""
-        request = call.request
-        return self.guard.blocks(request, now) or self.guard.holds(
-            request, now
-        )
-
     def may_repeat(self, call: Call) -> bool:
         """Return whether a broken call may be dispatched once more."""
         if call.may_have_run and not call.service.idempotent:
--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -117,14 +117,8 @@
         found = self.suspicions.ended(life, now)
         if event.fate is not relay_events.EngineFate.ENDED:
             found = []
-        counted = tuple(
-            suspicion.fingerprint
-            for suspicion in found
-            if self.records.crashed(
-                suspicion.fingerprint, suspicions.crash_of(suspicion), now
-            )
-        )
-        return Verdict(counted, tuple(question.held))
+        counted = suspicions.count(found, self.records, now)
+        return Verdict(tuple(counted), tuple(question.held))
 
     def survived(
         self, exchange: exchanges.Exchange, now: float
--- a/src/greengagelb/coordination/sharing/crash_guard.py
+++ b/src/greengagelb/coordination/sharing/crash_guard.py
@@ -69,6 +69,12 @@
             if suspicion.fingerprint == fingerprint
         )
 
+    def must_not_run(
+        self, request: fingerprints.OwnRequest, now: float
+    ) -> bool:
+        """Return whether a request crashes engines, or seems to."""
+        return self.blocks(request, now) or self.holds(request, now)
+
     # -- what is seen here --------------------------------------------------
 
     def broke_off(
@@ -116,13 +122,8 @@
 
     def ended(self, name: str, now: float) -> list[str]:
         """Count the crash of an upstream; return what it counts against."""
-        return [
-            suspicion.fingerprint
-            for suspicion in self.suspicions.ended(name, now)
-            if self.records.crashed(
-                suspicion.fingerprint, suspicions.crash_of(suspicion), now
-            )
-        ]
+        found = self.suspicions.ended(name, now)
+        return suspicions.count(found, self.records, now)
 
     def survived(self, request: fingerprints.OwnRequest, now: float) -> None:
         """Note that an upstream ran a request to its end."""
--- a/src/greengagelb/coordination/sharing/crashes.py
+++ b/src/greengagelb/coordination/sharing/crashes.py
@@ -34,8 +34,6 @@
 MOST_TOLD = 64
 LEAST_TOLD_CRASHES = 2
 
-Histories = dict[str, crashes.CrashHistory]
-
 
 class CrashRecords:
     """All suspects known here.
@@ -47,7 +45,7 @@
     """
 
     def __init__(self) -> None:
-        self.histories: Histories = {}
+        self.histories: dict[str, crashes.CrashHistory] = {}
         self.changes = 0
 
     # -- what becomes known -------------------------------------------------
--- a/src/greengagelb/coordination/sharing/suspicions.py
+++ b/src/greengagelb/coordination/sharing/suspicions.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from greengagelb.coordination.sharing import crashes as crash_records
 from greengagelb.state import crashes
 
 # How long an engine may take to show what has become of it, in seconds.
@@ -61,3 +62,17 @@
     return crashes.Crash(
         suspicion.life, suspicion.began_at, suspicion.broke_at
     )
+
+
+def count(
+    found: list[Suspicion], records: crash_records.CrashRecords, now: float
+) -> list[str]:
+    """Count an engine's crash against the runs that it had.
+
+    Returns the fingerprints of those that it counts against.
+    """
+    return [
+        suspicion.fingerprint
+        for suspicion in found
+        if records.crashed(suspicion.fingerprint, crash_of(suspicion), now)
+    ]
--- a/src/greengagelb/coordination/streams/recovery.py
+++ b/src/greengagelb/coordination/streams/recovery.py
@@ -76,7 +76,9 @@
         wanted = stream.service.recovery.spare_attempt
         if not wanted or stream.spare is not None or stream.is_whole:
             return []
-        if stream.would_run_twice or self.must_not_run(stream, now):
+        if stream.would_run_twice or self.guard.must_not_run(
+            stream.request, now
+        ):
             return []
         excluded = {suspected.upstream.name}
         pool = pinning.pinned_pool(self.configuration, stream)
@@ -151,13 +153,6 @@
             return self.restart(stream, now)
         return self.wait(stream, now)
 
-    def must_not_run(self, stream: stream_state.Stream, now: float) -> bool:
-        """Return whether a request crashes engines, or seems to."""
-        request = stream.request
-        return self.guard.blocks(request, now) or self.guard.holds(
-            request, now
-        )
-
     def try_again(
         self, stream: stream_state.Stream, now: float
     ) -> list[actions.Action]:
@@ -204,7 +199,7 @@
         refusals that none has the version any more.
         """
         pool = pinning.pool_in_force(self.configuration, stream)
-        if self.must_not_run(stream, now):
+        if self.guard.must_not_run(stream.request, now):
             return self.fail(stream, crash_guard.RAN_CODE, None)
         if pool is not None and self.directory.choose(pool, set(), now):
             stream.excluded.clear()
