Grant a permit once though it is asked for twice; keep limits of missing engines

The timer of limits is looked at only where something about them has changed, so that events of streams cost nothing more.

--- a/src/greengagelb/coordination/fleet/upstream_limits.py
+++ b/src/greengagelb/coordination/fleet/upstream_limits.py
@@ -321,6 +321,9 @@
             for outgoing in self.keeper.outgoing
         ]
         self.keeper.outgoing.clear()
+        if not (self.keeper.stirred or self.stock or self.reserved):
+            return done
+        self.keeper.stirred = False
         due_at = self.keeper.next_at(now)
         for found in self.stock.values():
             due_at = min([due_at, *(permit.until for permit in found)])
--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -238,6 +238,14 @@
         self.begin_life(entry, now)
         return entry
 
+    def of_life(self, life: str) -> engine_states.EngineState | None:
+        """Return the engine that is in a life now, if one is."""
+        for name in (life, life.rpartition(' ')[0]):
+            state = self.states.get(name)
+            if state is not None and state.entry.life == life:
+                return state
+        return None
+
     # -- entries that can't be used -----------------------------------------
 
     def is_used(self, engine: str, now: float) -> bool:
--- a/src/greengagelb/coordination/relay/limited.py
+++ b/src/greengagelb/coordination/relay/limited.py
@@ -46,22 +46,22 @@
         """Take in a message of another instance."""
         match message:
             case limits.LimitNews(life):
-                if not self.is_current(life):
+                if not self.is_current(life, now):
                     return []
                 if not self.keeper.told(message, now):
                     return []
                 why = f'{limit_book.told(message)}, from {incarnation}'
-                engine = life.partition(' ')[0]
+                engine = self.parts.engines.of_life(life).entry.engine
                 return [actions.Record('engine-limit', why, upstream=engine)]
         self.keeper.hear(incarnation, message, now)
         return []
 
-    def is_current(self, life: str) -> bool:
-        """Return whether an engine is known in this life, and not as gone."""
-        state = self.parts.engines.states.get(life.partition(' ')[0])
-        if state is None or state.entry.life != life:
+    def is_current(self, life: str, now: float) -> bool:
+        """Return whether an engine is known in this life, and in use."""
+        state = self.parts.engines.of_life(life)
+        if state is None:
             return False
-        return state.gone_at is None
+        return self.parts.engines.is_used(state.entry.engine, now)
 
     # -- after each event ---------------------------------------------------
 
@@ -86,6 +86,9 @@
 
     def set_timer(self, now: float) -> list[Action]:
         """Return the timer that has the keeper do what is due."""
+        if not self.keeper.stirred:
+            return []
+        self.keeper.stirred = False
         due_at = self.keeper.next_at(now)
         if due_at == self.timer_at:
             return []
@@ -117,7 +120,7 @@
             return
         self.tidy_at = now + TIDY_SECONDS
         for life in list(self.keeper.book.known):
-            if not self.is_current(life):
+            if not self.is_current(life, now):
                 self.keeper.ended(life)
 
     # -- outcomes -----------------------------------------------------------
--- a/src/greengagelb/coordination/sharing/limit_keeper.py
+++ b/src/greengagelb/coordination/sharing/limit_keeper.py
@@ -162,7 +162,8 @@
 
     ``members`` returns which others are heard and may issue permits of a life,
     and ``has_part`` whether this instance may.
-    ``outgoing`` and ``outcomes`` are taken and emptied by whoever calls.
+    ``outgoing`` and ``outcomes`` are taken and emptied by whoever calls, and
+    ``stirred`` tells that ``next_at`` may have changed.
     Invariant: each number in ``asks`` has had no outcome yet, and gets one.
     """
 
@@ -181,8 +182,10 @@
         self.unanswered: dict[str, Unanswered] = {}
         self.passed_over: dict[str, PassedOver] = {}
         self.closed: dict[tuple[str, str], Closed] = {}
+        self.had: dict[int, float] = {}
         self.retell: list[tuple[float, str]] = []
         self.ask_news_at = float('-inf')
+        self.stirred = False
         self.outgoing: list[Outgoing] = []
         self.outcomes: list[Granted | Denied] = []
 
@@ -221,6 +224,7 @@
 
     def changed(self, life: str, now: float) -> None:
         """Go by a limit that has changed."""
+        self.stirred = True
         known = self.book.known.get(life)
         for key in [key for key in self.closed if key[0] == life]:
             del self.closed[key]
@@ -239,6 +243,7 @@
 
     def ended(self, life: str) -> None:
         """Forget a life that is over."""
+        self.stirred = True
         self.book.forget(life)
         self.drop_issuer(life)
         self.parts.forget(life)
@@ -295,6 +300,7 @@
 
     def put(self, ask: Ask, now: float) -> None:
         """Ask whoever issues permits now."""
+        self.stirred = True
         issuer = self.issuer_of(ask.life, now)
         if issuer != ask.issuer:
             ask.asked_for = 0
@@ -323,6 +329,7 @@
 
     def give_back(self, life: str, granted: Granted, now: float) -> None:
         """Return a permit that is not used."""
+        self.stirred = True
         returned = limits.PermitReturned(life, granted.number)
         if granted.issuer == self.own:
             self.permit_returned(self.own, returned, now)
@@ -377,6 +384,7 @@
 
     def left(self, incarnation: str, now: float) -> None:
         """Do without an instance that has stopped."""
+        self.stirred = True
         self.parts.left(incarnation, now)
         self.rankings.clear()
         self.unanswered.pop(incarnation, None)
@@ -390,6 +398,7 @@
 
     def hear(self, sender: str, message: limits.Message, now: float) -> None:
         """Take in a message of another instance."""
+        self.stirred = True
         self.unanswered.pop(sender, None)
         self.passed_over.pop(sender, None)
         match message:
@@ -444,14 +453,20 @@
     ) -> None:
         """Take in what an issuer says."""
         ask = self.asks.get(answer.number)
+        granted = answer.verdict is limits.Verdict.GRANTED
         if ask is None or ask.life != answer.life:
-            if answer.verdict is limits.Verdict.GRANTED:
+            # Asked twice, a permit is granted twice; the first counts.
+            if granted and answer.number not in self.had:
                 returned = limits.PermitReturned(answer.life, answer.number)
                 self.tell(sender, returned)
             return
         match answer.verdict:
+            case limits.Verdict.GRANTED if now > gives_up_at(ask):
+                # This process may have stood still since it was granted.
+                self.give_up(ask, now)
             case limits.Verdict.GRANTED:
                 del self.asks[ask.number]
+                self.remember(ask.number, now)
                 self.outcomes.append(Granted(ask.number, sender))
             case limits.Verdict.QUEUED:
                 ask.expected_at = now + answer.wait
@@ -461,6 +476,14 @@
                 self.close(ask, answer.wait, now)
                 self.deny(ask, answer.wait, sender, answer.share)
 
+    def remember(self, number: int, now: float) -> None:
+        """Know a permit again that is granted once more."""
+        self.had[number] = now
+        for known, at in list(self.had.items()):
+            if now < at + permits.REMEMBER_SECONDS:
+                return
+            del self.had[known]
+
     # -- permits that this instance issues ----------------------------------
 
     def wanted(
@@ -544,6 +567,7 @@
 
     def due(self, now: float) -> None:
         """Do what it is time for."""
+        self.stirred = True
         for issuer, found in list(self.unanswered.items()):
             if now >= found.silent_at:
                 del self.unanswered[issuer]
--- a/tests/common/crashing_fleet.py
+++ b/tests/common/crashing_fleet.py
@@ -114,6 +114,7 @@
     def __init__(self, size, per_place=3, loss=0.0, seed=1):
         self.rng = random.Random(seed)
         self.loss = loss
+        self.peer_seconds = NETWORK_SECONDS
         self.cut = set()
         self.now = 100.0
         self.events = []
@@ -194,7 +195,7 @@
         """Send a datagram to all others."""
         for other in self.instances:
             if other is not sender and self.reached(sender, other):
-                self.after(NETWORK_SECONDS, other.handle, event)
+                self.after(self.peer_seconds, other.handle, event)
 
     def send_heartbeat(self, sender):
         own = sender.own
@@ -271,7 +272,7 @@
                 for other in self.instances:
                     found = other.own.incarnation == incarnation
                     if found and self.reached(instance, other):
-                        self.after(NETWORK_SECONDS, other.handle, told)
+                        self.after(self.peer_seconds, other.handle, told)
             case relay_actions.KeepCrashes(report):
                 self.store[report.fingerprint] = (self.now, report)
             case relay_actions.DropCrashes(fingerprint):
--- a/tests/load/test_limits_under_faults.py
+++ b/tests/load/test_limits_under_faults.py
@@ -4,6 +4,7 @@
 
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import answers
+from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.sharing import leases
 from greengagelb.coordination.sharing import limit_keeper
 from tests.common import limited_fleet
@@ -45,6 +46,34 @@
     check_kept(played, names)
 
 
+def test_instances_are_far_from_each_other():
+    """Guards against permits that are granted again for a late answer."""
+    played, names = pressed(9)
+    played.peer_seconds = 0.03
+    assert press_on(played, names) > 0.9
+    assert played.share_used(names[0], RATE, played.now - 20.0) < 1.15
+    check_kept(played, names)
+
+
+def test_an_engine_that_is_missing_for_a_moment_keeps_its_limit():
+    """Guards against a limit that an outage of the store takes off."""
+    played, names = pressed(9)
+    for instance in played.instances:
+        instance.handle(relay_events.StoreLost('away'))
+    for _ in range(12):
+        played.press(KIND, PRESSURE * RATE * len(names), 1.0)
+        for instance in played.instances:
+            instance.handle(relay_events.StoreLost('away'))
+    for instance in played.instances:
+        gone = relay_events.EnginesChanged((), tuple(names))
+        instance.handle(gone)
+    since = played.now
+    played.press(KIND, 60.0, 1.5)
+    for name in names:
+        got = sum(a.at >= since for a in played.got[name])
+        assert got <= RATE * 1.5 + 3
+
+
 def test_all_callers_are_at_one_instance():
     """Guards against parts that lie where nobody asks."""
     played, names = pressed(30)
