--- a/measure/limits.py
+++ b/measure/limits.py
@@ -22,6 +22,25 @@
 WARM_SECONDS = 5.0
 
 
+class DisturbedFleet(limited_fleet.LimitedFleet):
+    """Brings about, within some seconds, what may go wrong."""
+
+    def place_cut(self, names: list[str], seconds: float) -> None:
+        """Cut one data centre off from the others."""
+        self.cut.add('west')
+
+    def restarts(self, names: list[str], seconds: float) -> None:
+        """Restart all instances, one after the other."""
+        size = len(self.instances)
+        for number in range(size):
+            self.after(seconds * number / size, self.restart, number)
+
+    def halved(self, names: list[str], seconds: float) -> None:
+        """Have engines name half of their limit."""
+        for name in names:
+            self.limit(self.limits[name] / 2.0, name)
+
+
 def play(
     size: int,
     rate: float,
@@ -31,7 +50,7 @@
     disturb: str = '',
 ) -> dict[str, Any]:
     """Return what engines with a limit got from a fleet."""
-    fleet = limited_fleet.LimitedFleet(size, per_place=1, loss=loss)
+    fleet = DisturbedFleet(size, per_place=1, loss=loss)
     names = fleet.engines_of(kind)
     fleet.limit(rate, *names)
     pressure = PRESSURE * rate * len(names)
@@ -40,7 +59,8 @@
     datagrams = fleet.datagrams
     seconds = max(LEAST_SECONDS, LEAST_REQUESTS / rate)
     if disturb:
-        getattr(fleet, disturb)(seconds)
+        getattr(fleet, disturb)(names, seconds)
+        rate = fleet.limits[names[0]]
     fleet.press(kind, pressure, seconds, callers_at)
     used = [fleet.share_used(name, rate, since) for name in names]
     return {
--- a/src/greengagelb/coordination/relay/limited.py
+++ b/src/greengagelb/coordination/relay/limited.py
@@ -1,5 +1,7 @@
 """Goes on with sends that have waited for a permit of a limited engine."""
 
+import dataclasses
+
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import calls
@@ -147,8 +149,12 @@
                 self.keeper.give_back(held.life, outcome, now)
             case limit_keeper.Denied() if exchange is not None:
                 told = sending.record(
-                    exchange, None, 'permit-denied', self.why(held, outcome)
+                    exchange,
+                    None,
+                    'permit-denied',
+                    self.why(held, outcome, now),
                 )
+                told = dataclasses.replace(told, upstream=held.engine)
                 return [told, *self.elsewhere(held, exchange, now)]
         if exchange is None or exchange.sends:
             return []
@@ -205,14 +211,20 @@
                 return self.streams.start_afresh(exchange, now, code)
         return []
 
-    def why(self, held: held_sends.Held, denied: limit_keeper.Denied) -> str:
+    def why(
+        self,
+        held: held_sends.Held,
+        denied: limit_keeper.Denied,
+        now: float,
+    ) -> str:
         """Return which limit stood in the way, its age and who had it."""
         known = self.keeper.book.known.get(held.life)
         limit = 'no limit any more'
         if known is not None and known.rate is not None:
-            limit = f'limit {known.rate:g}, version {known.version}'
+            age = now - known.known_at
+            limit = f'limit {known.rate:g} known for {age:.1f} s'
         issuer = denied.issuer or 'none answered'
         return (
-            f'{held.engine}: {limit}, issuer {issuer}, '
-            f'parts {denied.share:.3f}, wait {denied.wait:.3f} s'
+            f'{limit}, issuer {issuer}, parts {denied.share:.3f}, '
+            f'wait {denied.wait:.3f} s'
         )
