Test the store's restore with a reader that stands still

The drill that was left open: the reader is frozen as the store comes back from a copy, and wakes up after the others have gone on. No fault was found.

--- a/tests/common/store_fleet.py
+++ b/tests/common/store_fleet.py
@@ -20,13 +20,15 @@
 ANSWER_SECONDS = 0.006
 DATAGRAM_SECONDS = 0.001
 HEARTBEAT_SECONDS = 2.0
+# How often it is looked whether a frozen instance goes on.
+FROZEN_SECONDS = 0.05
 
 
 class CountingStore:
     """What the store holds, with a count of the calls that it was sent.
 
     It refuses the calls of the instances in ``turned_away``, and all of them
-    while it is ``down``.
+    while it is ``down``. Those in ``frozen`` read its answers once they go on.
     """
 
     def __init__(self, clock):
@@ -34,6 +36,7 @@
         self.calls = []
         self.down = False
         self.turned_away = set()
+        self.frozen = set()
         self.version = 1
         self.changed_at = 1
         self.entries = {e.engine: e for e in relay_world.fleet()}
@@ -73,7 +76,9 @@
         return done
 
     def end(self, name, done, answer):
-        if self.down or name in self.turned_away:
+        if name in self.frozen:
+            self.clock.callLater(FROZEN_SECONDS, self.end, name, done, answer)
+        elif self.down or name in self.turned_away:
             done.errback(errors.PlatformUnavailable('refused'))
         else:
             answer(done)
@@ -172,6 +177,7 @@
             relay_world.ENGINE_BOUNDS,
         )
         self.alive = True
+        self.unread = []
         self.watch = store_watch.StoreWatch(
             fleet.watch_clock,
             OwnSource(fleet.store, name),
@@ -195,6 +201,9 @@
     def dispatch(self, event):
         if not self.alive:
             return
+        if self.frozen:
+            self.unread.append(event)
+            return
         for action in self.relay.handle(event, self.fleet.clock.seconds()):
             match action:
                 case relay_actions.TellFleet(told):
@@ -210,12 +219,30 @@
     def beat(self):
         if not self.alive:
             return
+        if self.frozen:
+            self.fleet.clock.callLater(FROZEN_SECONDS, self.beat)
+            return
         heard = relay_events.PeerHeard(
             self.own.incarnation, self.own.data_centre
         )
         self.fleet.tell_others(self, heard)
         self.fleet.clock.callLater(HEARTBEAT_SECONDS, self.beat)
 
+    @property
+    def frozen(self):
+        return self.own.name in self.fleet.store.frozen
+
+    def freeze(self):
+        """Stand still; what comes meanwhile is read later."""
+        self.fleet.store.frozen.add(self.own.name)
+
+    def go_on(self):
+        """Read what has come meanwhile."""
+        self.fleet.store.frozen.discard(self.own.name)
+        unread, self.unread = self.unread, []
+        for event in unread:
+            self.dispatch(event)
+
     def kill(self):
         """End without a word."""
         self.alive = False
--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -357,7 +357,7 @@
     assert busiest <= MOST_WRITES
 
 
-@pytest.mark.parametrize('what', ['killed', 'cut', 'turned away'])
+@pytest.mark.parametrize('what', ['killed', 'cut', 'turned away', 'frozen'])
 def test_a_restore_as_the_reader_is_lost_reaches_all(what):
     """Guards against a new era that the next reader keeps to itself.
 
@@ -372,18 +372,42 @@
         reader.kill()
     elif what == 'cut':
         fleet.cut.add(place)
+    elif what == 'frozen':
+        reader.freeze()
     else:
         fleet.store.turned_away.add(reader.own.name)
     fleet.store.era = 2
     fleet.store.entries.pop('model-north-0')
     run(fleet, 2.6)
-    alive = [one for one in fleet.instances if one.alive]
+    alive = [o for o in fleet.instances if o.alive and not o.frozen]
     assert all(one.relay.sharing.eras.era == 2 for one in alive)
     assert all(one.knows('model-north-0') for one in alive)
     run(fleet, 6.0)
     assert not any(one.knows('model-north-0') for one in alive)
 
 
+def test_a_reader_that_froze_over_a_restore_brings_nothing_back():
+    """Guards against a reader that wakes up and tells what was before."""
+    fleet = store_fleet.StoreFleet(12, ('north', 'south', 'west'))
+    fleet.store.era = 1
+    run(fleet, 6.0)
+    [reader] = fleet.readers
+    reader.freeze()
+    run(fleet, 3.0)
+    fleet.store.era = 2
+    fleet.store.entries.pop('model-north-0')
+    run(fleet, 9.0)
+    others = [one for one in fleet.instances if one is not reader]
+    assert not any(one.knows('model-north-0') for one in others)
+    reader.go_on()
+    for _ in range(40):
+        run(fleet, 0.1)
+        assert not any(one.knows('model-north-0') for one in others)
+        assert all(one.relay.sharing.eras.era == 2 for one in others)
+    assert reader.relay.sharing.eras.era == 2
+    assert not reader.knows('model-north-0')
+
+
 def test_a_restore_as_all_instances_start_leaves_all_registered():
     """Guards against a fleet that starts into a copy and stays unknown."""
     fleet = store_fleet.StoreFleet(12, ('north', 'south', 'west'))
