--- a/src/greengagelb/coordination/fleet/upstream_limits.py
+++ b/src/greengagelb/coordination/fleet/upstream_limits.py
@@ -73,8 +73,8 @@
     def __init__(self, incarnation: str = '', data_centre: str = '') -> None:
         self.data_centre = data_centre
         self.keeper = limit_keeper.LimitKeeper(incarnation)
-        self.keeper.members = self.members
-        self.keeper.has_part = self.has_part
+        self.keeper.ranking.members = self.members
+        self.keeper.ranking.has_part = self.has_part
         self.lives: dict[str, str] = {}
         self.places: dict[str, str] = {}
         self.peers: dict[str, str] = {}
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -104,7 +104,7 @@
         )
         self.streams = streams.StreamRelay(parts, self.succession)
         self.fleet = fleet.FleetView(self.loads, own.incarnation)
-        self.keeper.members = self.fleet.all_heard
+        self.keeper.ranking.members = self.fleet.all_heard
         self.exchanges: dict[int, exchanges.Exchange] = {}
         self.copies = copying.RunCopies(parts, self.exchanges)
         self.restarts = restarts.Restarts(
--- /dev/null
+++ b/src/greengagelb/coordination/sharing/issuer_ranking.py
@@ -0,0 +1,129 @@
+"""Which instance issues the permits of an engine's life, as seen from here.
+
+By rendezvous hashing of those that are heard, so that all who hear the same
+agree without a message. One that does not answer is passed over for a while.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import dataclasses
+
+from greengagelb.coordination.fleet import rendezvous
+
+# An issuer that has answered none of so many questions for so many seconds is
+# passed over for the third figure, twice as long each time in a row.
+SILENT_QUESTIONS = 6
+SILENT_SECONDS = 0.2
+PASS_OVER_SECONDS = 1.0
+MOST_PASS_OVER_SECONDS = 8.0
+# So many instances are tried before this one issues permits itself.
+MOST_RANKED = 3
+# Which instances there are is looked at again after so many seconds.
+RANKED_SECONDS = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Unanswered:
+    """Questions to an issuer that has said nothing since."""
+
+    since: float
+    count: int = 0
+
+    @property
+    def silent_at(self) -> float:
+        """Return when the issuer counts as silent."""
+        few = self.count < SILENT_QUESTIONS
+        return float('inf') if few else self.since + SILENT_SECONDS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PassedOver:
+    """An issuer is not asked until a time, for so many seconds in all."""
+
+    until: float
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ranking:
+    """The instances in the order in which they issue a life's permits."""
+
+    names: tuple[str, ...]
+    until: float
+
+
+class IssuerRanking:
+    """The instances that may issue permits, and those that are silent.
+
+    ``members`` returns which others are heard and may issue permits of a life,
+    and ``has_part`` whether this instance may.
+    """
+
+    def __init__(self, own: str) -> None:
+        self.own = own
+        self.members: Callable[[str], Collection[str]] = nobody
+        self.has_part: Callable[[str], bool] = always
+        self.rankings: dict[str, Ranking] = {}
+        self.unanswered: dict[str, Unanswered] = {}
+        self.passed_over: dict[str, PassedOver] = {}
+
+    def issuer_of(self, life: str, now: float) -> str:
+        """Return who issues a life's permits, as far as is known here."""
+        ranking = self.rankings.get(life)
+        if ranking is None or now >= ranking.until:
+            found = set(self.members(life))
+            if self.has_part(life):
+                found.add(self.own)
+            names = rendezvous.highest(life, found, MOST_RANKED)
+            ranking = Ranking(tuple(names), now + RANKED_SECONDS)
+            self.rankings[life] = ranking
+        for name in ranking.names:
+            passed_over = self.passed_over.get(name)
+            if passed_over is None or now >= passed_over.until:
+                return name
+        return self.own
+
+    def asked(self, issuer: str, now: float) -> None:
+        """Count a question to an issuer."""
+        found = self.unanswered.setdefault(issuer, Unanswered(now))
+        found.count += 1
+
+    def heard(self, sender: str) -> None:
+        """Note that an instance says something."""
+        self.unanswered.pop(sender, None)
+        self.passed_over.pop(sender, None)
+
+    def left(self, incarnation: str) -> None:
+        """Do without an instance that has stopped."""
+        self.rankings.clear()
+        self.heard(incarnation)
+
+    def due(self, now: float) -> None:
+        """Pass over the issuers that are silent by now."""
+        for issuer, found in list(self.unanswered.items()):
+            if now >= found.silent_at:
+                del self.unanswered[issuer]
+                self.pass_over(issuer, now)
+
+    def pass_over(self, issuer: str, now: float) -> None:
+        """Ask others for a while, longer each time in a row."""
+        known = self.passed_over.get(issuer)
+        seconds = PASS_OVER_SECONDS
+        if known is not None:
+            seconds = min(MOST_PASS_OVER_SECONDS, 2.0 * known.seconds)
+        self.passed_over[issuer] = PassedOver(now + seconds, seconds)
+
+    def next_at(self) -> float:
+        """Return when the next issuer counts as silent."""
+        times = (found.silent_at for found in self.unanswered.values())
+        return min(times, default=float('inf'))
+
+
+def nobody(life: str) -> Collection[str]:
+    """Return no other instances."""
+    return ()
+
+
+def always(life: str) -> bool:
+    """Return that this instance has a part of each limit."""
+    return True
--- a/src/greengagelb/coordination/sharing/limit_book.py
+++ b/src/greengagelb/coordination/sharing/limit_book.py
@@ -17,6 +17,10 @@
 # A limit that has been lifted is remembered for so long, in seconds, to
 # answer those that have not heard of it.
 REMEMBER_LIFTED_SECONDS = 60.0
+# An engine that takes nothing gets nothing for so many seconds, and then so
+# many requests a second to see whether that is over.
+ZERO_SECONDS = 30.0
+TRIAL_RATE = 0.1
 # An engine may name another limit with each answer. No more than one value in
 # so many seconds is taken up, as each is told to all instances.
 LEAST_CHANGE_SECONDS = 0.1
@@ -141,3 +145,14 @@
     if news.rate is None:
         return f'lifted, version {news.version}'
     return f'{news.rate:g} a second, version {news.version}'
+
+
+def flow_of(known: limits.KnownLimit, now: float) -> float:
+    """Return the requests a second that are sent to a life with a limit.
+
+    Only an answer tells that a limit of zero is over. So after a while some
+    requests are sent to an engine that takes none.
+    """
+    rate = known.rate or 0.0
+    zero_for = now - known.known_at
+    return TRIAL_RATE if not rate and zero_for >= ZERO_SECONDS else rate
--- a/tests/load/test_limits_under_faults.py
+++ b/tests/load/test_limits_under_faults.py
@@ -6,7 +6,7 @@
 from greengagelb.coordination.relay import answers
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.sharing import leases
-from greengagelb.coordination.sharing import limit_keeper
+from greengagelb.coordination.sharing import limit_book
 from tests.common import limited_fleet
 
 KIND = 'call'
@@ -181,7 +181,7 @@
     codes = {answer.code for answer in played.refusals()}
     assert codes == {answers.LIMITED}
     played.limit(None, *names)
-    played.press(KIND, 10.0, limit_keeper.ZERO_SECONDS)
+    played.press(KIND, 10.0, limit_book.ZERO_SECONDS)
     refused = len(played.refusals())
     played.press(KIND, 10.0, 5.0)
     assert len(played.refusals()) == refused
