Pass over a silent issuer until it is heard again

An issuer that has left four questions unanswered is passed over until something is heard of it; that was six, and for a second first.

--- a/src/greengagelb/coordination/relay/peer_words.py
+++ b/src/greengagelb/coordination/relay/peer_words.py
@@ -65,6 +65,7 @@
                 self.fleet.greeted(incarnation, now)
                 done += forgotten(self.fleet.tidy(now))
                 done += self.crashing.heard(incarnation, known.crashes, now)
+                self.keeper.ranking.heard(incarnation)
                 self.keeper.differs(incarnation, known.limits, now)
             case relay_events.PeerLeft(incarnation):
                 done += forgotten(self.fleet.left(incarnation, now))
--- a/src/greengagelb/coordination/sharing/issuer_ranking.py
+++ b/src/greengagelb/coordination/sharing/issuer_ranking.py
@@ -11,13 +11,12 @@
 from greengagelb.coordination.fleet import rendezvous
 
 # An issuer that has answered none of so many questions for so many seconds is
-# passed over for the third figure, twice as long each time in a row.
-SILENT_QUESTIONS = 6
-SILENT_SECONDS = 0.2
-PASS_OVER_SECONDS = 1.0
-MOST_PASS_OVER_SECONDS = 8.0
+# passed over until it is heard again, or for the third figure.
+SILENT_QUESTIONS = 4
+SILENT_SECONDS = 0.05
+PASS_OVER_SECONDS = 20.0
 # So many instances are tried before this one issues permits itself.
-MOST_RANKED = 3
+MOST_RANKED = 8
 # Which instances there are is looked at again after so many seconds.
 RANKED_SECONDS = 0.5
 
@@ -36,14 +35,6 @@
         return float('inf') if few else self.since + SILENT_SECONDS
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PassedOver:
-    """An issuer is not asked until a time, for so many seconds in all."""
-
-    until: float
-    seconds: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ranking:
     """The instances in the order in which they issue a life's permits."""
@@ -55,6 +46,8 @@
 class IssuerRanking:
     """The instances that may issue permits, and those that are silent.
 
+    ``passed_over`` has until when a silent one is not asked.
+
     ``members`` returns which others are heard and may issue permits of a life,
     and ``has_part`` whether this instance may.
     """
@@ -65,7 +58,7 @@
         self.has_part: Callable[[str], bool] = always
         self.rankings: dict[str, Ranking] = {}
         self.unanswered: dict[str, Unanswered] = {}
-        self.passed_over: dict[str, PassedOver] = {}
+        self.passed_over: dict[str, float] = {}
 
     def issuer_of(self, life: str, now: float) -> str:
         """Return who issues a life's permits, as far as is known here."""
@@ -78,8 +71,7 @@
             ranking = Ranking(tuple(names), now + RANKED_SECONDS)
             self.rankings[life] = ranking
         for name in ranking.names:
-            passed_over = self.passed_over.get(name)
-            if passed_over is None or now >= passed_over.until:
+            if now >= self.passed_over.get(name, float('-inf')):
                 return name
         return self.own
 
@@ -103,15 +95,7 @@
         for issuer, found in list(self.unanswered.items()):
             if now >= found.silent_at:
                 del self.unanswered[issuer]
-                self.pass_over(issuer, now)
-
-    def pass_over(self, issuer: str, now: float) -> None:
-        """Ask others for a while, longer each time in a row."""
-        known = self.passed_over.get(issuer)
-        seconds = PASS_OVER_SECONDS
-        if known is not None:
-            seconds = min(MOST_PASS_OVER_SECONDS, 2.0 * known.seconds)
-        self.passed_over[issuer] = PassedOver(now + seconds, seconds)
+                self.passed_over[issuer] = now + PASS_OVER_SECONDS
 
     def next_at(self) -> float:
         """Return when the next issuer counts as silent."""
