Test that fails: news of crashes that took unequal times lead to another verdict

Found by tracing the process test that failed beside load: one instance had blocked a lookup after three crashes within 115 ms, the other knew of the crashes and never blocked it. What instances tell each other are ages, so the time of a crash comes out later by as long as the datagram took. A crash that is known keeps its first time; if its news was slower than that of the crashes after it, it seems to end after the next run began, and the two count as one.

--- a/tests/load/test_crash_records.py
+++ b/tests/load/test_crash_records.py
@@ -171,3 +171,24 @@
                 c.ended_at > history.survived_at
                 for c in history.crashes.values()
             )
+
+
+def test_news_that_was_slower_than_what_follows_leads_to_the_same_verdict():
+    """Guards against an instance that never blocks what others block.
+
+    Each run began some milliseconds after the crash before, and the news of
+    the first crash took longer than that of all three.
+    """
+    there, here = crashes.CrashRecords(), crashes.CrashRecords()
+    seen = [
+        crash_state.Crash(f'engine {n}', 100.0 + 0.02 * n, 100.016 + 0.02 * n)
+        for n in range(3)
+    ]
+    there.crashed('f', seen[0], 100.02)
+    first = there.report('f', 100.02)
+    for crash in seen[1:]:
+        there.crashed('f', crash, 100.06)
+    assert there.blocks('f', 100.06)
+    here.told(first, 100.02 + 0.01)
+    here.told(there.report('f', 100.06), 100.06 + 0.001)
+    assert here.blocks('f', 100.07)
