Keep the earliest time that is told of a crash

What callers saw: one instance refused a request that had crashed three engines, another knew of the same crashes and went on sending it to engines.

Cause: what instances tell each other are ages, so the time of a crash comes out later by as long as its news took. A crash that was known kept its first time. Where the news of one crash was slower than that of the crashes after it, that crash seemed to end after the next run had begun, and the two counted as one.

Why the fix works: delays only make a crash seem later, so the earliest of several times is the nearest to the truth, whatever came first. What is told of a request is judged by the verdict before and after, as a corrected time is no new crash but may decide.

--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -202,8 +202,8 @@
                 crashed = self.guard.unreachable(event, now)
                 return self.crashes_found(crashed, name, now)
             case events.CrashesHeard(reports):
-                news = self.guard.told(reports, now)
-                return self.block(news, now)
+                blocked = self.guard.told(reports, now)
+                return self.block(blocked, now)
             case events.UpstreamLeaving():
                 self.directory.mark_leaving(event, now)
                 return []
--- a/src/greengagelb/coordination/relay/crashing.py
+++ b/src/greengagelb/coordination/relay/crashing.py
@@ -126,14 +126,9 @@
         self, report: crash_state.CrashReport, now: float
     ) -> list[Action]:
         """Take in what another instance or the store knows of a request."""
-        records = self.watch.records
-        fingerprint = report.fingerprint
-        blocked_before = records.blocks(fingerprint, now)
-        if not records.told(report, now) or blocked_before:
+        if not self.watch.records.told(report, now):
             return []
-        if not records.blocks(fingerprint, now):
-            return []
-        return self.block(fingerprint, now)
+        return self.block(report.fingerprint, now)
 
     def heard(self, incarnation: str, digest: int, now: float) -> list[Action]:
         """Ask an instance for what it knows, if that is something else."""
--- a/src/greengagelb/coordination/sharing/crash_guard.py
+++ b/src/greengagelb/coordination/sharing/crash_guard.py
@@ -141,7 +141,7 @@
     def told(
         self, reports: tuple[crash_state.CrashReport, ...], now: float
     ) -> list[str]:
-        """Take in what others know; return the requests that is news of."""
+        """Take in what others know; return what must not run from now on."""
         return [
             report.fingerprint
             for report in reports
--- a/src/greengagelb/coordination/sharing/crashes.py
+++ b/src/greengagelb/coordination/sharing/crashes.py
@@ -53,12 +53,20 @@
     def crashed(
         self, fingerprint: str, crash: crashes.Crash, now: float
     ) -> bool:
-        """Take in a crash; return whether it is news."""
+        """Take in a crash; return whether it is news.
+
+        The time of a crash that others tell of comes out later by as long as
+        the news took, so of several times the earliest counts.
+        """
         self.forget_old(now)
         if crash.ended_at <= now - REMEMBERED_SECONDS:
             return False
         history = self.histories.get(fingerprint, crashes.CrashHistory())
-        if crash.life in history.crashes:
+        known = history.crashes.get(crash.life)
+        if known is not None:
+            if history.survived_at < crash.ended_at < known.ended_at:
+                history.crashes[crash.life] = crash
+                self.changes += 1
             return False
         if crash.ended_at <= history.survived_at:
             return False
@@ -93,17 +101,20 @@
         return bool(cleared)
 
     def told(self, report: crashes.CrashReport, now: float) -> bool:
-        """Take in what another instance knows; return whether it is news."""
-        news = False
+        """Take in what another instance knows of a request.
+
+        Returns whether the request must not run from now on.
+        """
+        blocked_before = self.blocks(report.fingerprint, now)
         if report.survived_age is not None:
             at = now - max(0.0, report.survived_age)
-            news = self.survived(report.fingerprint, at, now)
+            self.survived(report.fingerprint, at, now)
         for told in report.crashes:
             ended_at = now - max(0.0, told.age)
             began_at = ended_at - max(0.0, told.seconds)
             crash = crashes.Crash(told.life, began_at, ended_at)
-            news = self.crashed(report.fingerprint, crash, now) or news
-        return news
+            self.crashed(report.fingerprint, crash, now)
+        return not blocked_before and self.blocks(report.fingerprint, now)
 
     # -- bounds on memory ---------------------------------------------------
 
--- a/tests/load/test_crash_records.py
+++ b/tests/load/test_crash_records.py
@@ -192,3 +192,29 @@
     here.told(first, 100.02 + 0.01)
     here.told(there.report('f', 100.06), 100.06 + 0.001)
     assert here.blocks('f', 100.07)
+
+
+DELAYS = st.lists(st.floats(0.0, 0.5), max_size=3)
+
+
+@given(st.lists(st.tuples(NAMES, CRASHES, DELAYS), max_size=20))
+def test_the_quickest_news_of_each_crash_decides(found):
+    """Guards against a verdict that depends on how long news took.
+
+    Each crash is told of once without delay, before or after slower news.
+    """
+    seen, heard = crashes.CrashRecords(), crashes.CrashRecords()
+    for number, (name, one, delays) in enumerate(found):
+        life = f'engine {number}'
+        for delay in (*delays, 0.0):
+            late = crash_state.Crash(
+                life, one.began_at + delay, one.ended_at + delay
+            )
+            heard.crashed(name, late, NOW)
+        exact = crash_state.Crash(life, one.began_at, one.ended_at)
+        seen.crashed(name, exact, NOW)
+    for name in seen.histories:
+        if len(seen.histories[name].crashes) < crashes.MOST_REMEMBERED:
+            assert seen.blocked_until(name, NOW) == heard.blocked_until(
+                name, NOW
+            )
