Ask an upstream again that gave no answer about its end

Cause: an upstream whose connection broke was asked once. The relay asked three times already.

Two tests, new, failed before.

Why the fix works: the question is repeated after a pause, three times at most, so a process that has ended by then refuses.

--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -200,7 +200,10 @@
             case events.UpstreamUnreachable(name):
                 self.directory.suspect(name, now)
                 crashed = self.guard.unreachable(event, now)
-                return self.crashes_found(crashed, name, now)
+                return [
+                    *self.crashes_found(crashed, name, now),
+                    *self.guard.ask_again(event, now),
+                ]
             case events.CrashesHeard(reports):
                 blocked = self.guard.told(reports, now)
                 return self.block(blocked, now)
@@ -538,6 +541,8 @@
             case upstream_limits.LIMITS_TIMER:
                 self.limits.due(now)
                 return []
+            case crash_guard.ASK_TIMER:
+                return self.guard.ask_due(rest)
             case arrivals.QUEUE_TIMER:
                 return self.queued_too_long(int(rest), now)
             case claims.DEADLINE_TIMER | claims.SETTLE_TIMER:
--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -16,9 +16,6 @@
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import hints
 
-# An engine that does not answer is asked so often. It may be the network that
-# has lost the question.
-MOST_QUESTIONS = 3
 # How often what others know is asked for, in seconds.
 ASK_PEERS_SECONDS = 0.5
 
@@ -108,9 +105,11 @@
     ) -> Verdict | relay_actions.CheckEngine:
         """Take in what has become of an engine, or have it asked again."""
         life = event.entry.life
-        question = self.questions.get(life, Question(MOST_QUESTIONS))
+        question = self.questions.get(
+            life, Question(suspicions.MOST_QUESTIONS)
+        )
         unknown = event.fate is relay_events.EngineFate.UNKNOWN
-        if unknown and question.asked < MOST_QUESTIONS:
+        if unknown and question.asked < suspicions.MOST_QUESTIONS:
             question.asked += 1
             return relay_actions.CheckEngine(event.entry)
         self.questions.pop(life, None)
--- a/src/greengagelb/coordination/sharing/crash_guard.py
+++ b/src/greengagelb/coordination/sharing/crash_guard.py
@@ -5,6 +5,8 @@
 has crashed it.
 """
 
+import dataclasses
+
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination.sharing import crashes
@@ -17,6 +19,9 @@
 # comes, and after it has just had an engine.
 NOT_RUN_CODE = 'request-crashes-engines'
 RAN_CODE = 'engine-deaths-exceeded'
+# When an upstream that gave no answer is asked again, in seconds.
+ASK_AGAIN_SECONDS = 0.05
+ASK_TIMER = 'ask-suspect'
 # For how long others are told of a suspect after it was last news, in
 # seconds, and for how long of one with a single crash: each request that was
 # on the engine is one.
@@ -26,17 +31,25 @@
 MOST_IN_HEARTBEAT = 24
 
 
-class CrashGuard:
-    """What this instance knows of requests that crash engines.
+@dataclasses.dataclass(slots=True)
+class Question:
+    """An upstream with tries that broke off is asked whether it has ended.
 
-    ``incarnations`` are those of upstreams with tries that broke off, as they
-    were when these began.
+    ``incarnation`` is as it was when these began.
     """
 
+    upstream: configuration_state.Upstream
+    incarnation: str
+    asked: int = 1
+
+
+class CrashGuard:
+    """What this instance knows of requests that crash engines."""
+
     def __init__(self) -> None:
         self.records = crashes.CrashRecords()
         self.suspicions = suspicions.Suspicions()
-        self.incarnations: dict[str, str] = {}
+        self.questions: dict[str, Question] = {}
         self.listed_changes = 0
         self.listed: tuple[crash_state.Suspect, ...] = ()
 
@@ -95,17 +108,21 @@
             now,
         )
         is_first = self.suspicions.add(name, suspicion)
-        self.incarnations[name] = incarnation
-        return [actions.ProbeUpstream(upstream)] if is_first else []
+        if not is_first and name in self.questions:
+            self.questions[name].incarnation = incarnation
+            return []
+        self.questions[name] = Question(upstream, incarnation)
+        return [actions.ProbeUpstream(upstream)]
 
     def reported(
         self, event: events.UpstreamReported, now: float
     ) -> list[str]:
         """Take in a report; return the requests with one crash more."""
         name = event.engine.name
-        known = self.incarnations.pop(name, None)
-        if known is None:
+        question = self.questions.pop(name, None)
+        if question is None:
             return []
+        known = question.incarnation
         if known and known != event.engine.incarnation:
             return self.ended(name, now)
         self.suspicions.lives(name)
@@ -115,11 +132,29 @@
         self, event: events.UpstreamUnreachable, now: float
     ) -> list[str]:
         """Take in that an upstream gave no report; see ``reported``."""
-        if not event.refused or event.name not in self.incarnations:
+        if not event.refused or event.name not in self.questions:
             return []
-        del self.incarnations[event.name]
+        del self.questions[event.name]
         return self.ended(event.name, now)
 
+    def ask_again(
+        self, event: events.UpstreamUnreachable, now: float
+    ) -> list[actions.Action]:
+        """Return the timer for the next question, if there is to be one."""
+        question = self.questions.get(event.name)
+        if question is None or question.asked >= suspicions.MOST_QUESTIONS:
+            return []
+        timer = f'{ASK_TIMER}:{event.name}'
+        return [actions.SetTimer(timer, now + ASK_AGAIN_SECONDS)]
+
+    def ask_due(self, name: str) -> list[actions.Action]:
+        """Ask an upstream again that did not answer."""
+        question = self.questions.get(name)
+        if question is None or question.asked >= suspicions.MOST_QUESTIONS:
+            return []
+        question.asked += 1
+        return [actions.ProbeUpstream(question.upstream)]
+
     def ended(self, name: str, now: float) -> list[str]:
         """Count the crash of an upstream; return what it counts against."""
         found = self.suspicions.ended(name, now)
@@ -133,8 +168,8 @@
     def forget_old(self, now: float) -> None:
         """Forget upstreams that never showed what became of them."""
         self.suspicions.forget_old(now)
-        for name in self.incarnations.keys() - self.suspicions.waiting.keys():
-            del self.incarnations[name]
+        for name in self.questions.keys() - self.suspicions.waiting.keys():
+            del self.questions[name]
 
     # -- other instances ----------------------------------------------------
 
--- a/src/greengagelb/coordination/sharing/suspicions.py
+++ b/src/greengagelb/coordination/sharing/suspicions.py
@@ -13,6 +13,9 @@
 WAIT_SECONDS = 10.0
 # The most that wait for one engine.
 MOST_WAITING = 256
+# An engine that does not answer is asked so often. It may be the network that
+# has lost the question, or the engine is just ending.
+MOST_QUESTIONS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/common/call_world.py
+++ b/tests/common/call_world.py
@@ -123,6 +123,7 @@
         self.answer_of = {}
         self.deaths = 0
         self.kinds = collections.Counter()
+        self.probes = []
         self.instances = []
         for number in range(instances):
             self.start(f'i{number}')
@@ -177,6 +178,8 @@
                 self.answered(home, exchange, action)
             case actions.SendEnd(exchange):
                 self.answered(home, exchange, action)
+            case actions.ProbeUpstream(upstream):
+                self.probes.append(upstream.name)
             case actions.Record(kind=kind):
                 self.kinds[kind] += 1
 
--- a/tests/load/test_crashing_requests_of_the_product.py
+++ b/tests/load/test_crashing_requests_of_the_product.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination.sharing import crash_guard
+from greengagelb.coordination.sharing import suspicions
 from greengagelb.protocol import peer_api
 from greengagelb.state import crashes as crash_state
 from greengagelb.state import fleet
@@ -72,12 +73,16 @@
     assert failure.retry_after
 
 
-def report(world, home, name, life):
-    """Have an instance hear of an upstream's present life."""
-    found = events.UpstreamReported(
+def upstream_report(name, life):
+    """Return the report of an upstream in one of its lives."""
+    return events.UpstreamReported(
         identity.EngineId(name, str(life)), '', '', '', 0, 0, 0.0, False
     )
-    world.deliver(home, found)
+
+
+def report(world, home, name, life):
+    """Have an instance hear of an upstream's present life."""
+    world.deliver(home, upstream_report(name, life))
 
 
 def crash_call(world, exchange, lives):
@@ -132,6 +137,43 @@
     assert answer.failure.code == 'request-crashes-engines'
 
 
+def test_an_upstream_that_resets_the_question_is_asked_again():
+    """Guards against a crash that is never found.
+
+    A process that is ending may still take the connection with the question,
+    and reset it.
+    """
+    world = call_world.World(instances=1)
+    [home] = world.instances
+    world.submit(home, call_world.LOOKUP, has_key=False)
+    [dispatch] = world.dispatches
+    name = dispatch.upstream
+    report(world, home, name, 0)
+    lost = events.CallBroken(dispatch.exchange.number, 'lost', True, 1)
+    world.deliver(home, lost)
+    assert world.probes == [name]
+    world.deliver(home, events.UpstreamUnreachable(name))
+    world.advance(0.2)
+    assert world.probes == [name, name]
+    world.deliver(home, events.UpstreamUnreachable(name, refused=True))
+    assert world.kinds['engine-crashed'] == 1
+
+
+def test_an_upstream_that_never_answers_is_asked_a_few_times():
+    """Guards against questions without end to an upstream that is cut off."""
+    world = call_world.World(instances=1)
+    [home] = world.instances
+    world.submit(home, call_world.LOOKUP, has_key=False)
+    [dispatch] = world.dispatches
+    lost = events.CallBroken(dispatch.exchange.number, 'lost', True, 1)
+    world.deliver(home, lost)
+    for _ in range(10):
+        world.deliver(home, events.UpstreamUnreachable(dispatch.upstream))
+        world.advance(0.2)
+    assert len(world.probes) == suspicions.MOST_QUESTIONS
+    assert world.kinds['engine-crashed'] == 0
+
+
 def test_other_prompts_are_served_meanwhile():
     """Guards against an account that is refused for one of its requests."""
     world = generations.World(engines=4)
