Count the crashes that a request is suspected of together

What callers saw: a request went to a fourth engine while the ends of three were still being asked about.

Cause: whether a request has to wait was judged by the known crashes and one that is suspected, each alone. Tries follow each other within milliseconds and the answers about their engines take as long, so two or three may be suspected at a time. A request that had waited for one answer went on without a look at the others.

Evidence: test_crashes_that_are_only_suspected_count_together failed before.

Why the fix works: the verdict is asked for with all suspected crashes, one for each life, in both interfaces by one function.

--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -83,22 +83,18 @@
     def holds(
         self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
     ) -> bool:
-        """Return whether a request has to wait for what its engine did.
+        """Return whether a request has to wait for what its engines did.
 
-        It does if it must run no more should that engine have ended.
+        It does if it must run no more should those that are asked have ended.
         """
-        question = self.questions.get(sent.entry.life)
-        if question is None:
+        suspected = self.suspicions.crashes_of(exchange.fingerprint)
+        asked = [life for life in suspected if life in self.questions]
+        if not asked:
             return False
-        for suspicion in self.suspicions.waiting.get(sent.entry.life, ()):
-            if suspicion.fingerprint != exchange.fingerprint:
-                continue
-            if self.records.would_block(
-                exchange.fingerprint, suspicions.crash_of(suspicion), now
-            ):
-                question.held.append((exchange.number, sent))
-                return True
-        return False
+        if not self.records.would_block(exchange.fingerprint, suspected, now):
+            return False
+        self.questions[asked[-1]].held.append((exchange.number, sent))
+        return True
 
     def checked(
         self, event: relay_events.EngineChecked, now: float
--- a/src/greengagelb/coordination/relay/crashing.py
+++ b/src/greengagelb/coordination/relay/crashing.py
@@ -97,6 +97,8 @@
         exchange = self.running.get(number)
         if exchange is None or exchange.sends:
             return []
+        if self.watch.holds(exchange, sent, now):
+            return []
         if exchange.ruling.route.repeat is routes.Repeat.STREAM:
             return self.streams.go_on_elsewhere(exchange, sent, now)
         return self.calls.send_on(exchange, now, 'engines-failed')
--- a/src/greengagelb/coordination/sharing/crash_guard.py
+++ b/src/greengagelb/coordination/sharing/crash_guard.py
@@ -69,18 +69,14 @@
         return self.blocked_until(request, now) is not None
 
     def holds(self, request: fingerprints.OwnRequest, now: float) -> bool:
-        """Return whether a crash that is suspected would be the last one."""
-        if not self.suspicions.waiting or not self.records.histories:
+        """Return whether the crashes that are suspected would be enough."""
+        if not self.suspicions.waiting:
             return False
         fingerprint = fingerprints.of_own(request)
-        return any(
-            self.records.would_block(
-                fingerprint, suspicions.crash_of(suspicion), now
-            )
-            for waiting in self.suspicions.waiting.values()
-            for suspicion in waiting
-            if suspicion.fingerprint == fingerprint
-        )
+        suspected = self.suspicions.crashes_of(fingerprint)
+        if not suspected:
+            return False
+        return self.records.would_block(fingerprint, suspected, now)
 
     def must_not_run(
         self, request: fingerprints.OwnRequest, now: float
--- a/src/greengagelb/coordination/sharing/crashes.py
+++ b/src/greengagelb/coordination/sharing/crashes.py
@@ -171,12 +171,18 @@
         return [name for name in self.worst() if self.blocks(name, now)]
 
     def would_block(
-        self, fingerprint: str, crash: crashes.Crash, now: float
+        self,
+        fingerprint: str,
+        suspected: dict[str, crashes.Crash],
+        now: float,
     ) -> bool:
-        """Return whether a request must not run if it did one crash more."""
+        """Return whether a request must not run if it did these crashes too.
+
+        ``suspected`` holds them by life.
+        """
         history = self.histories.get(fingerprint)
-        known = history.crashes.values() if history else ()
-        return block_of([*known, crash], now) is not None
+        known = history.crashes if history else {}
+        return block_of((suspected | known).values(), now) is not None
 
     def explained(
         self, fingerprint: str, crash: crashes.Crash, now: float
--- a/src/greengagelb/coordination/sharing/suspicions.py
+++ b/src/greengagelb/coordination/sharing/suspicions.py
@@ -53,6 +53,15 @@
         """Forget the runs of an engine that is still there."""
         self.waiting.pop(engine, None)
 
+    def crashes_of(self, fingerprint: str) -> dict[str, crashes.Crash]:
+        """Return the crashes that a request is suspected of, by life."""
+        return {
+            suspicion.life: crash_of(suspicion)
+            for waiting in self.waiting.values()
+            for suspicion in waiting
+            if suspicion.fingerprint == fingerprint
+        }
+
     def forget_old(self, now: float) -> None:
         """Forget engines that never showed what became of them."""
         for engine, found in list(self.waiting.items()):
--- a/tests/load/test_crashing_requests_of_the_product.py
+++ b/tests/load/test_crashing_requests_of_the_product.py
@@ -12,9 +12,11 @@
 from greengagelb.coordination.sharing import crash_guard
 from greengagelb.coordination.sharing import suspicions
 from greengagelb.protocol import peer_api
+from greengagelb.state import configuration
 from greengagelb.state import crashes as crash_state
 from greengagelb.state import fleet
 from greengagelb.state import identity
+from greengagelb.state import requests
 from greengagelb.state import timeline
 from tests.common import call_world
 from tests.common import generations
@@ -174,6 +176,39 @@
     assert world.kinds['engine-crashed'] == 0
 
 
+def test_crashes_that_are_only_suspected_count_together():
+    """Guards against a fourth engine while three are still being asked.
+
+    The answers of engines that end may take longer than the next tries.
+    """
+    guard = crash_guard.CrashGuard()
+    request = requests.CallRequest(
+        1, identity.RequestId('teratak', 'r'), 'lookup', 'look', b'', 99.0
+    )
+    for number in range(3):
+        assert not guard.must_not_run(request, 10.0 + number)
+        name = f'plain-{number}'
+        upstream = configuration.Upstream(name, '127.0.0.1', 1, 'kl-1')
+        began = 10.0 + number
+        guard.broke_off(request, upstream, 'life', began, began + 0.1)
+    assert guard.must_not_run(request, 13.0)
+    guard.reported(upstream_report('plain-1', 'life'), 13.0)
+    assert not guard.must_not_run(request, 13.0)
+
+
+def test_an_upstream_whose_connections_break_is_one_suspect():
+    """Guards against blame for connections that break one after another."""
+    guard = crash_guard.CrashGuard()
+    request = requests.CallRequest(
+        1, identity.RequestId('teratak', 'r'), 'lookup', 'look', b'', 99.0
+    )
+    upstream = configuration.Upstream('plain', '127.0.0.1', 1, 'kl-1')
+    for number in range(5):
+        began = 10.0 + number
+        guard.broke_off(request, upstream, 'life', began, began + 0.1)
+    assert not guard.must_not_run(request, 15.0)
+
+
 def test_other_prompts_are_served_meanwhile():
     """Guards against an account that is refused for one of its requests."""
     world = generations.World(engines=4)
