Have the tests' caller come back for an outcome that is not written yet

That is the answer that docs/design/at_most_once.md and docs/api.md promise as long as the row says 'claimed', and waiting for the twin was weighed there and ruled out, as no answer is held back. The first caller's answer goes out before the outcome is written, so the row says so for some milliseconds. The test was wrong to count such an answer as a failure, not the code.

It is replaced by one as strict: such an answer must say that the outcome is unknown and when to come back; the caller does, and must get the first answer, of the first run.

--- a/tests/common/fleet.py
+++ b/tests/common/fleet.py
@@ -1,5 +1,6 @@
 """Real processes of a small fleet on loopback, ended with the test."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
@@ -64,6 +65,24 @@
         return Answer(exc.code, dict(exc.headers), exc.read())
 
 
+def ask_until_known(send: Callable[[], Answer], tries: int = 5) -> Answer:
+    """Send a retry as often as its twin's outcome is not written yet.
+
+    Each such answer has to say that the outcome is unknown, and when to come
+    back, which is kept to.
+    """
+    for _ in range(tries):
+        answer = send()
+        if answer.status != 409:
+            break
+        assert answer.json()['code'] == 'twin-outcome-unknown'
+        assert answer.json()['ran'] == 'outcome-unknown'
+        wait = int(answer.headers['Retry-After'])
+        assert wait >= 1
+        time.sleep(wait)
+    return answer
+
+
 def bearer(key: str) -> dict[str, str]:
     """Return the header that carries a key."""
     return {'Authorization': f'Bearer {key}'}
