Have a call that is tried again wait for a permit of a limited upstream

What callers saw, by the product's own interface: a lookup whose first upstream broke off failed with no-upstream although two more of its pool worked, where all of them name a limit. No permit is in stock in that moment, and none was waited for.

Cause: only the queue of new requests and streams that go on waited for permits. A second try looked once. What it asked for besides went under the account of whoever had been looked for last, and streams that go on asked under no account, so their turns were taken from others.

Why the fix works: such a call waits for a second at most, is looked after with the streams that have lost their engine and before new work, and says upstreams-limited with the time if it never ran. Each request asks under its own account.

--- a/src/greengagelb/coordination/calls/dispatching.py
+++ b/src/greengagelb/coordination/calls/dispatching.py
@@ -22,9 +22,12 @@
 from greengagelb.state import requests
 
 MOST_DISPATCHES = 3
+# The code of what limits leave no room for.
+LIMITED_CODE = 'upstreams-limited'
 DEADLINE_TIMER = 'call-deadline'
 OUTCOME_TIMER = 'call-outcome'
 STALL_TIMER = 'call-stall'
+PERMIT_TIMER = 'call-permit'
 OUTCOME_PATIENCE_SECONDS = 30.0
 
 
@@ -37,6 +40,7 @@
     ``may_have_run`` stays true once bytes of any dispatch may have reached a
     service, whatever becomes of later dispatches. ``told`` is set once the
     caller has its final answer and only the outcome is still awaited.
+    ``permit_by`` is when it waits no longer for an upstream with a limit.
     Invariant: a non-idempotent call that may have run is not dispatched
     again, nor is one whose caller was told.
     """
@@ -52,6 +56,7 @@
     may_have_run: bool = False
     told: bool = False
     excluded: set[str] = dataclasses.field(default_factory=set)
+    permit_by: float | None = None
 
     @property
     def ran(self) -> requests.Ran:
@@ -62,7 +67,10 @@
 
 
 class CallSupervisor:
-    """Decides what happens to every call in progress of an instance."""
+    """Decides what happens to every call in progress of an instance.
+
+    ``waiting`` are the calls that no upstream's limit leaves room for.
+    """
 
     def __init__(
         self,
@@ -75,6 +83,7 @@
         self.budget = retry_budget.RetryBudget()
         self.advice = retry_budget.RetryAdvice(rng)
         self.calls: dict[int, Call] = {}
+        self.waiting: dict[int, Call] = {}
 
     def begin(
         self,
@@ -114,13 +123,49 @@
             raise errors.InvariantViolated('a second dispatch could run twice')
         if now >= call.request.deadline:
             return self.fail(call, 'deadline-passed', None)
+        account = call.request.request.account
+        self.directory.limits.ask_again_for(account, now)
         view = self.directory.choose(
             call.pool, call.excluded, now, call.service.priority
         )
         if view is None:
-            return self.fail(call, 'no-upstream', self.advice.failed())
+            return self.wait_for_permit(call, now)
         return self.hand_over(call, view.upstream, now)
 
+    def wait_for_permit(self, call: Call, now: float) -> list[actions.Action]:
+        """Wait for an upstream whose limit has no room now, or give up."""
+        exchange = call.request.exchange
+        limited = self.directory.limited_alone(call.pool, now)
+        names = [name for name in limited if name not in call.excluded]
+        if not names:
+            return self.fail(call, 'no-upstream', self.advice.failed())
+        if call.permit_by is None:
+            patience = upstream_limits.REPEAT_SECONDS
+            call.permit_by = min(call.request.deadline, now + patience)
+        if now >= call.permit_by:
+            code = 'upstream-lost' if call.may_have_run else LIMITED_CODE
+            account = call.request.request.account
+            wait = self.directory.limits.wait_for(names, account, 0, now)
+            return self.fail(call, code, self.advice.spread(wait))
+        self.waiting[exchange] = call
+        timer = f'{PERMIT_TIMER}:{exchange}'
+        return [actions.SetTimer(timer, call.permit_by)]
+
+    def go_on_waiting(self, now: float) -> list[actions.Action]:
+        """Dispatch the calls whose upstreams may have room by now."""
+        waiting, self.waiting = self.waiting, {}
+        done: list[actions.Action] = []
+        for call in waiting.values():
+            done += self.dispatch(call, now)
+        return done
+
+    def permit_overdue(
+        self, exchange: int, now: float
+    ) -> list[actions.Action]:
+        """Look a last time for an upstream with room."""
+        call = self.waiting.pop(exchange, None)
+        return self.dispatch(call, now) if call is not None else []
+
     def hand_over(
         self,
         call: Call,
@@ -161,6 +206,8 @@
             call
         ):
             return []
+        account = call.request.request.account
+        self.directory.limits.ask_again_for(account, now)
         tried = {upstream.name for upstream in call.under_way.values()}
         priority = call.service.priority
         view = self.directory.choose(
@@ -311,6 +358,8 @@
         for number in list(call.under_way):
             self.end_try(call, number)
         self.calls.pop(exchange, None)
+        if self.waiting.pop(exchange, None) is not None:
+            done.append(actions.ClearTimer(f'{PERMIT_TIMER}:{exchange}'))
         return [
             *done,
             actions.ClearTimer(f'{STALL_TIMER}:{exchange}'),
--- a/src/greengagelb/coordination/fleet/upstream_limits.py
+++ b/src/greengagelb/coordination/fleet/upstream_limits.py
@@ -23,6 +23,8 @@
 MOST_PERMIT_SECONDS = 60.0
 STOCK_SECONDS = 0.25
 RESERVED_SECONDS = 2.0
+# How long what has lost its upstream waits for a permit, in seconds.
+REPEAT_SECONDS = 1.0
 # Permits of the last so many seconds tell how many come in.
 FLOW_SECONDS = 5.0
 
@@ -181,6 +183,12 @@
 
     # -- permits ------------------------------------------------------------
 
+    def ask_again_for(
+        self, account: str, now: float, *, urgent: bool = False
+    ) -> None:
+        """Ask from now on for a request that has had an upstream before."""
+        self.asker = Asker(account, now + REPEAT_SECONDS, urgent)
+
     def admits(self, name: str, now: float) -> bool:
         """Return whether an upstream may get a request now.
 
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -27,9 +27,6 @@
 from greengagelb.state import limits
 from greengagelb.state import requests
 
-# A stream that has lost its engine waits for a permit for so many seconds.
-PERMIT_SECONDS = 1.0
-
 FinalAnswer = actions.SendEnd | actions.SendAnswer | actions.SendFailure
 
 
@@ -92,7 +89,11 @@
         started = self.start_waiting(now)
         self.release_finished(event, started, now)
         done += started
-        wanted = bool(self.waiting or self.streams.ladder.recovering)
+        wanted = bool(
+            self.waiting
+            or self.streams.ladder.recovering
+            or self.calls.waiting
+        )
         self.limits.give_back(wanted, now)
         done += self.limits.actions(now)
         if isinstance(event, arrivals.Arrival):
@@ -314,7 +315,7 @@
         if now + wait <= min(ticket.deadline, ticket.start_by):
             return None
         detail = f'would have to wait for about {wait:.1f} s'
-        return self.admission.not_run('upstreams-limited', detail, wait)
+        return self.admission.not_run(dispatching.LIMITED_CODE, detail, wait)
 
     def wait_for_limits(
         self, ticket: fair_queue.Ticket, ahead: int, now: float
@@ -361,10 +362,8 @@
             return []
         self.admission.changed = False
         self.directory.changed = False
-        self.limits.asker = upstream_limits.Asker(
-            deadline=now + PERMIT_SECONDS, urgent=True
-        )
         done = self.streams.recover_waiting(now)
+        done += self.calls.go_on_waiting(now)
         for key in self.admission.keys:
             done += self.start_queue(key, now)
         return done
@@ -419,7 +418,8 @@
         if view is None and not resumes:
             wait = self.wait_for_limits(ticket, 0, now)
             if now + wait > start_by:
-                return self.refuse_waiting(ticket, 'upstreams-limited', wait)
+                code = dispatching.LIMITED_CODE
+                return self.refuse_waiting(ticket, code, wait)
             return None
         del self.waiting[ticket.exchange]
         self.admission.start(ticket, account.weight, now)
@@ -457,6 +457,7 @@
             return [actions.SendFailure(request.exchange, failure)]
         if isinstance(request, requests.CallRequest):
             return self.calls.begin(request, service, pool, now)
+        self.limits.ask_again_for(request.request.account, now)
         pool = self.directory.serving_pool(pool, service.priority, now)
         view = self.directory.choose(pool, set(), now, service.priority)
         if view is None:
@@ -549,6 +550,8 @@
                 return self.claims.timer_fired(kind, rest, now)
             case dispatching.STALL_TIMER:
                 return self.calls.stalled(int(rest), now)
+            case dispatching.PERMIT_TIMER:
+                return self.calls.permit_overdue(int(rest), now)
             case dispatching.OUTCOME_TIMER:
                 return self.calls.outcome_ended(int(rest))
             case dispatching.DEADLINE_TIMER:
--- a/src/greengagelb/coordination/streams/recovery.py
+++ b/src/greengagelb/coordination/streams/recovery.py
@@ -145,6 +145,8 @@
             return self.fail(stream, crash_guard.RAN_CODE, None)
         if self.guard.holds(stream.request, now):
             return self.wait(stream, now)
+        account = stream.request.request.account
+        self.directory.limits.ask_again_for(account, now, urgent=True)
         pool = pinning.pinned_pool(self.configuration, stream)
         view = self.directory.choose(pool, stream.excluded, now)
         if view is not None:
--- a/tests/common/limited_nodes.py
+++ b/tests/common/limited_nodes.py
@@ -84,7 +84,7 @@
     """Instances of one data centre before engines and plain services.
 
     ``limits`` are what upstreams name; ``got`` the times at which each one
-    got a request.
+    got a request. Those that are ``broken`` end each connection at once.
     """
 
     def __init__(self, size, seed=1):
@@ -96,6 +96,7 @@
         self.limits = {}
         self.lives = collections.Counter()
         self.named_at = {}
+        self.broken = set()
         self.got = collections.defaultdict(list)
         self.instances = [Instance(self, number) for number in range(size)]
         for instance in self.instances:
@@ -242,6 +243,10 @@
     def started(self, instance, action):
         name = action.upstream.name
         self.got[name].append(self.now)
+        if name in self.broken:
+            broken = events.AttemptBroken(action.attempt, 'lost', True)
+            self.after(NETWORK_SECONDS, instance.handle, broken)
+            return
         accepted = events.AttemptAccepted(action.attempt, self.said(name))
         self.after(NETWORK_SECONDS, instance.handle, accepted)
         tokens = events.TokensArrived(action.attempt, 0, tuple('abcd'))
@@ -252,6 +257,12 @@
     def called(self, instance, action):
         name = action.upstream.name
         self.got[name].append(self.now)
+        if name in self.broken:
+            broken = events.CallBroken(
+                action.exchange, 'lost', True, action.try_number
+            )
+            self.after(NETWORK_SECONDS, instance.handle, broken)
+            return
         answered = events.CallAnswered(
             action.exchange, 200, b'ok', action.try_number, self.said(name)
         )
--- a/tests/load/test_limited_upstreams.py
+++ b/tests/load/test_limited_upstreams.py
@@ -73,6 +73,59 @@
         assert used > 0.9 * RATE * 20.0
 
 
+def test_a_call_that_is_tried_again_waits_for_a_permit():
+    """Guards against calls that fail as their second upstream has a limit.
+
+    No permit is in stock at the moment in which the first try breaks off.
+    """
+    played = limited_nodes.LimitedNodes(6)
+    names = played.upstreams_of(limited_nodes.LOOKUP)
+    played.limit(RATE, *names)
+    played.press(limited_nodes.LOOKUP, 4.0, 6.0)
+    played.broken.add(names[0])
+    before = len(played.failures())
+    played.press(limited_nodes.LOOKUP, 2.0, 20.0)
+    played.run(2.0)
+    codes = collections.Counter(f.code for f in played.failures()[before:])
+    assert codes['no-upstream'] == 0
+    assert codes.total() <= 4
+    allowed = RATE * limited_fleet.WINDOW_SECONDS * limited_fleet.MOST_SHARE
+    for name in names:
+        most = allowed + limited_fleet.SPARE_REQUESTS
+        assert played.worst_window(name) <= most
+
+
+def test_what_goes_on_waits_under_its_own_account():
+    """Guards against the turns of an account that others use up.
+
+    A stream and a call lose their upstreams just after another account has
+    asked.
+    """
+    played = limited_nodes.LimitedNodes(1)
+    [instance] = played.instances
+    one, two = limited_nodes.ACCOUNTS
+    for service in (limited_nodes.DRAFT, limited_nodes.LOOKUP):
+        names = played.upstreams_of(service)
+        played.limit(RATE, *names)
+        played.press(service, 3 * RATE * len(names), 6.0)
+        played.run(4.0)
+        asked = []
+        keeper = instance.node.limits.keeper
+        put = keeper.put
+        keeper.put = lambda ask, now, put=put, asked=asked: (
+            asked.append((ask.account, ask.urgent)),
+            put(ask, now),
+        )
+        played.broken.update(names)
+        played.ask(service, one)
+        played.after(0.0005, played.ask, service, two)
+        played.run(0.3)
+        goes_on = service == limited_nodes.DRAFT
+        assert ('', goes_on) not in asked
+        assert (one, goes_on) in asked
+        keeper.put = put
+
+
 def test_a_lifted_limit_is_forgotten():
     """Guards against an upstream that is spared for ever."""
     played = limited_nodes.LimitedNodes(6)
