Ask in one place whether a send waits for a permit

The same question stood in calls and streams; what a held send waits for stands beside it now. A permit goes back where the request went to another engine than the one the permit is for: before, any send kept it.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -23,9 +23,6 @@
 # to a second engine beside the first: one that stands still or is slow shows
 # no other sign, and the rest of the goal still suffices for a whole call.
 SECOND_TRY_SHARE = 0.6
-# A call waits for this part of its goal for a permit of an engine with a
-# limit. The rest suffices for a whole call.
-PERMIT_SHARE = 0.5
 # Connections that could not be opened cost no attempt, as nothing was sent.
 # Bounded all the same, so that a request does not go round a dead pool.
 MOST_UNCONNECTED = 12
@@ -46,6 +43,26 @@
     crashes: crash_watch.CrashWatch
     held: held_sends.HeldSends
 
+    def wait_for_permit(
+        self,
+        exchange: exchanges.Exchange,
+        state: engine_states.EngineState,
+        step: held_sends.Step,
+        code: str,
+        now: float,
+    ) -> list[Action] | None:
+        """Have a send wait for a permit, if its engine has a limit.
+
+        Returns what follows, or None where the send needs no permit. It ends
+        with ``code`` if it has had all its attempts.
+        """
+        if not self.held.needed(state):
+            return None
+        if not self.sends.has_attempts(exchange):
+            return [self.answers.failed(exchange, code, now)]
+        self.held.hold(exchange, state, step, now)
+        return []
+
     def refuse(
         self,
         exchange: exchanges.Exchange,
@@ -86,13 +103,11 @@
         state = self.chosen(exchange, now)
         if state is None:
             return [self.parts.refuse(exchange, exchange.tried, code, now)]
-        if not self.parts.held.needed(state):
-            return self.send_to(exchange, state, code, now)
-        if not self.parts.sends.has_attempts(exchange):
-            return [self.parts.answers.failed(exchange, code, now)]
         step = held_sends.CallTry(code)
-        self.hold(exchange, state, step, now)
-        return []
+        waits = self.parts.wait_for_permit(exchange, state, step, code, now)
+        if waits is not None:
+            return waits
+        return self.send_to(exchange, state, code, now)
 
     def chosen(
         self, exchange: exchanges.Exchange, now: float
@@ -103,17 +118,6 @@
             ruling.service.name, exchange.tried, now, ruling.account
         )
 
-    def hold(
-        self,
-        exchange: exchanges.Exchange,
-        state: engine_states.EngineState,
-        step: held_sends.Step,
-        now: float,
-    ) -> None:
-        """Have a call wait for a permit while it may still be in time."""
-        patience = PERMIT_SHARE * exchange.ruling.route.goal
-        self.parts.held.hold(exchange, state, step, patience, now)
-
     def send_to(
         self,
         exchange: exchanges.Exchange,
@@ -282,7 +286,8 @@
         if not self.parts.held.needed(state):
             return self.send_beside(exchange, state, now)
         if self.parts.sends.has_attempts(exchange):
-            self.hold(exchange, state, held_sends.SecondTry(), now)
+            step = held_sends.SecondTry()
+            self.parts.held.hold(exchange, state, step, now)
         return []
 
     def send_beside(
--- a/src/greengagelb/coordination/relay/held_sends.py
+++ b/src/greengagelb/coordination/relay/held_sends.py
@@ -6,6 +6,10 @@
 from greengagelb.state.relay import engine_states
 from greengagelb.state.relay import exchanges
 
+# A request waits for this part of its goal for a permit of an engine with a
+# limit. The rest suffices for a whole call, or to read a usual prompt.
+PERMIT_SHARE = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallTry:
@@ -28,9 +32,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamFromCopy:
-    """A stream that goes on from the copy of a run that was given up."""
+    """A stream that goes on from the copy of a run that was given up.
+
+    ``patience`` is the time in seconds in which an engine would read its
+    prompt: to wait for longer would be worse than to start afresh.
+    """
 
     lost: exchanges.Sent
+    patience: float
 
 
 Step = CallTry | SecondTry | StreamStart | StreamFromCopy
@@ -65,12 +74,15 @@
         exchange: exchanges.Exchange,
         state: engine_states.EngineState,
         step: Step,
-        patience: float,
         now: float,
     ) -> None:
-        """Ask for the permit of a send that can wait for some seconds."""
+        """Ask for the permit of a send, which waits while it makes sense."""
         life = state.entry.life
-        urgent = exchange.begun or isinstance(step, StreamFromCopy)
+        urgent = exchange.begun
+        patience = PERMIT_SHARE * exchange.ruling.route.goal
+        if isinstance(step, StreamFromCopy):
+            urgent = True
+            patience = step.patience
         deadline = min(now + patience, exchange.ruling.deadline)
         account = exchange.ruling.account
         number = self.keeper.ask(life, account, deadline, now, urgent=urgent)
--- a/src/greengagelb/coordination/relay/limited.py
+++ b/src/greengagelb/coordination/relay/limited.py
@@ -139,33 +139,37 @@
         exchange = self.running.get(held.exchange)
         match outcome:
             case limit_keeper.Granted():
-                state = self.still_wanted(held, exchange)
-                if state is not None and exchange is not None:
-                    sent = self.send(held, exchange, state, now)
-                    if any(isinstance(a, relay_actions.Send) for a in sent):
-                        return sent
+                done = self.granted(held, exchange, now)
+                if not any(is_sent_to(held.life, action) for action in done):
                     self.keeper.give_back(held.life, outcome, now)
-                    return sent
-                self.keeper.give_back(held.life, outcome, now)
+                return done
             case limit_keeper.Denied() if exchange is not None:
-                told = sending.record(
-                    exchange,
-                    None,
-                    'permit-denied',
-                    self.why(held, outcome, now),
-                )
+                why = self.why(held, outcome, now)
+                told = sending.record(exchange, None, 'permit-denied', why)
                 told = dataclasses.replace(told, upstream=held.engine)
                 return [told, *self.elsewhere(held, exchange, now)]
-        if exchange is None or exchange.sends:
+        return []
+
+    def granted(
+        self,
+        held: held_sends.Held,
+        exchange: exchanges.Exchange | None,
+        now: float,
+    ) -> list[Action]:
+        """Make a send that has its permit, if its caller still waits."""
+        if exchange is None:
             return []
-        return self.elsewhere(held, exchange, now)
+        state = self.still_wanted(held, exchange)
+        if state is None:
+            return self.elsewhere(held, exchange, now)
+        return self.send(held, exchange, state, now)
 
     def still_wanted(
-        self, held: held_sends.Held, exchange: exchanges.Exchange | None
+        self, held: held_sends.Held, exchange: exchanges.Exchange
     ) -> engine_states.EngineState | None:
         """Return the engine of a send, if it is still to be made there."""
         state = self.parts.engines.states.get(held.engine)
-        if exchange is None or state is None:
+        if state is None:
             return None
         if state.entry.life != held.life or state.leaving or state.replaced:
             return None
@@ -189,7 +193,7 @@
                 return self.calls.send_beside(exchange, state, now)
             case held_sends.StreamStart(code):
                 return self.streams.start_at(exchange, state, code, now)
-            case held_sends.StreamFromCopy(lost):
+            case held_sends.StreamFromCopy(lost=lost):
                 return self.streams.go_on_from_copy(exchange, lost, now)
 
     def elsewhere(
@@ -228,3 +232,11 @@
             f'{limit}, issuer {issuer}, parts {denied.share:.3f}, '
             f'wait {denied.wait:.3f} s'
         )
+
+
+def is_sent_to(life: str, action: Action) -> bool:
+    """Return whether an action sends a request to an engine's life."""
+    match action:
+        case relay_actions.Send(engine=entry):
+            return entry.life == life
+    return False
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -27,9 +27,6 @@
 # notice is moved. What is left suffices to go on elsewhere; moving earlier
 # takes streams away from engines that are only reading another prompt.
 SILENCE_SHARE = 0.55
-# A stream waits for this part of its goal for a permit of an engine with a
-# limit. The rest suffices to read a usual prompt.
-PERMIT_SHARE = 0.5
 # The pause that is taken for unnoticed on routes that state none, in seconds:
 # callers give a stream up after two.
 NO_GAP_GOAL_SECONDS = 2.0
@@ -85,14 +82,11 @@
         if state is None:
             refused_by = exchange.refused_by
             return [self.parts.refuse(exchange, refused_by, code, now)]
-        if not self.parts.held.needed(state):
-            return self.start_at(exchange, state, code, now)
-        if not self.parts.sends.has_attempts(exchange):
-            return [self.parts.answers.failed(exchange, code, now)]
-        patience = PERMIT_SHARE * exchange.ruling.route.goal
         step = held_sends.StreamStart(code)
-        self.parts.held.hold(exchange, state, step, patience, now)
-        return []
+        waits = self.parts.wait_for_permit(exchange, state, step, code, now)
+        if waits is not None:
+            return waits
+        return self.start_at(exchange, state, code, now)
 
     def start_at(
         self,
@@ -445,14 +439,15 @@
         copy = self.copy_of(sent, now) if sent.events_seen else None
         if copy is None or self.parts.crashes.blocks(exchange, now):
             return self.start_afresh(exchange, now, 'engines-failed')
-        if not self.parts.held.needed(copy):
-            return self.go_on_from_copy(exchange, sent, now)
         prompt = exchange.request.prompt
         tokens = prompt.tokens if prompt else 0
         patience = self.parts.sends.loads.reading_seconds(tokens)
-        step = held_sends.StreamFromCopy(sent)
-        self.parts.held.hold(exchange, copy, step, patience, now)
-        return []
+        step = held_sends.StreamFromCopy(sent, patience)
+        code = 'retry-budget-spent'
+        waits = self.parts.wait_for_permit(exchange, copy, step, code, now)
+        if waits is not None:
+            return waits
+        return self.go_on_from_copy(exchange, sent, now)
 
     def go_on_from_copy(
         self, exchange: exchanges.Exchange, sent: exchanges.Sent, now: float
