Take a run that begins as the one before is lost for the next one everywhere

Cause: a lost try and the next one happen in one moment of one clock, so the next run began exactly when the one before ended. Other instances get ages and reckon back to times of their own; rounding then puts the beginning some 1e-13 s before the end, and the two runs count as one.

Evidence: the log of the failed run shows the three tries back to back at the first instance, and no verdict at the other for 20 s. A property over clocks, new, failed before.

Why the fix works: a millisecond is far more than rounding, and far less than runs overlap on engines that end for one cause.

--- a/src/greengagelb/coordination/sharing/crashes.py
+++ b/src/greengagelb/coordination/sharing/crashes.py
@@ -24,6 +24,9 @@
 MOST_LATE_CRASHES = 6
 # A request has just begun for so many seconds.
 JUST_BEGUN_SECONDS = 0.5
+# A run that seems to have begun so long before the crash before it, in
+# seconds, followed it: times that others tell of are not exact.
+INEXACT_SECONDS = 0.001
 # For how long a crash counts, in seconds.
 REMEMBERED_SECONDS = 600.0
 # Bounds on memory, by about 150 bytes a crash.
@@ -279,6 +282,7 @@
     """
     chain: list[crashes.Crash] = []
     for crash in sorted(found, key=by_end):
-        if not chain or crash.began_at >= chain[-1].ended_at:
+        began_at = crash.began_at + INEXACT_SECONDS
+        if not chain or began_at >= chain[-1].ended_at:
             chain.append(crash)
     return chain
--- a/tests/load/test_crash_records.py
+++ b/tests/load/test_crash_records.py
@@ -218,3 +218,24 @@
             assert seen.blocked_until(name, NOW) == heard.blocked_until(
                 name, NOW
             )
+
+
+@given(
+    st.lists(st.floats(0.001, 0.2), min_size=3, max_size=3),
+    st.floats(1e3, 1e7),
+    st.floats(1e3, 1e7),
+)
+def test_runs_without_a_pause_are_told_apart_by_all(lasted, clock, other):
+    """Guards against a verdict that hangs on the rounding of ages.
+
+    Each run began in the moment in which the one before was lost.
+    """
+    there, here = crashes.CrashRecords(), crashes.CrashRecords()
+    for number, seconds in enumerate(lasted):
+        began, clock = clock, clock + seconds
+        there.crashed(
+            'f', crash_state.Crash(f'e{number}', began, clock), clock
+        )
+    assert there.blocks('f', clock)
+    here.told(there.report('f', clock + 0.01), other)
+    assert here.blocks('f', other)
