Tell what was read and written after the store came back from a copy

The line of a restore had eras and versions, but not what was read and written again. Five seconds after it another one tells: rows of engines, instances and configurations read, own entry and crashes written. An instance that was listed and is not any more says so when it writes its entry again, once.

--- a/src/greengagelb/transport/relay/store_watch.py
+++ b/src/greengagelb/transport/relay/store_watch.py
@@ -28,6 +28,7 @@
 from greengagelb.state.relay import store_calls
 from greengagelb.transport import recorder
 from greengagelb.transport.relay import engine_side
+from greengagelb.transport.relay import restore_account
 from greengagelb.transport.relay import unusable_entries
 
 # The longest wait for a change of the configuration, in seconds. An answer
@@ -148,6 +149,7 @@
         self.registered = False
         self.maybe_registered = False
         self.members_known = False
+        self.listed = False
         self.configuration_position: positions.Position | None = None
         self.engines_position: positions.Position | None = None
         self.engines_read_at = float('-inf')
@@ -155,6 +157,7 @@
         self.bad_members = unusable_entries.UnusableEntries()
         self.bad_configuration = unusable_entries.UnusableEntries()
         self.calls = store_calls.StoreCalls()
+        self.account = restore_account.RestoreAccount()
         self.stopped = False
         self.asleep: set[defer.Deferred] = set()
 
@@ -211,8 +214,14 @@
                     'bad-instance-entry', entry.why, upstream=entry.name
                 )
             )
-        if self.own not in read.members and not self.stopped:
+        self.account.count('instances read', len(read.members))
+        was_listed, self.listed = self.listed, self.own in read.members
+        if not self.listed and not self.stopped:
             yield self.register(store_calls.Cause.CHECK)
+            self.account.count('own entry written')
+            if was_listed:
+                why = 'not in the list of instances any more'
+                self.record(actions.Record('entry-written-again', why))
         self.members_known = True
         others = tuple(m for m in read.members if m.name != self.own.name)
         self.members_listed(others)
@@ -225,6 +234,7 @@
         """Write the crashes under a request."""
         call, cause = store_calls.Call.CRASHES, store_calls.Cause.FOUND
         self.calls.count(call, cause)
+        self.account.count('crashes written')
         kept = crashes.to_keep(report, recorder.wall_milliseconds())
         self.source.keep_crashes(kept).addErrback(self.crashes_not_written)
 
@@ -324,6 +334,7 @@
         self.sharing.configuration.known(now)
         self.note_configuration_mistake(read)
         if read.table is not None:
+            self.account.count('configurations read')
             self.dispatch(relay_events.RoutesOffered(read.table, 'store'))
         self.dispatch(relay_events.ConfigurationChecked())
 
@@ -360,8 +371,18 @@
         back = max(0, known - found.version)
         why = f'era {former} to {found.era}, {back} versions back'
         self.record(actions.Record('store-restored', why))
+        self.account.begin(found.era)
+        self.reactor.callLater(
+            restore_account.TOLD_AFTER_SECONDS, self.tell_account, found.era
+        )
         self.dispatch(relay_events.StoreRestored())
 
+    def tell_account(self, era: int) -> None:
+        """Tell what was read and written since the store was restored."""
+        why = self.account.tell(era)
+        if why is not None and not self.stopped:
+            self.record(actions.Record('store-read-again', why))
+
     def position_of_configuration(self) -> positions.Position | None:
         """Return from where to read changes on, or None to read it whole.
 
@@ -410,6 +431,7 @@
         self.engines_read_at = now
         self.note_engine_mistakes(read, whole=whole)
         unusable = tuple(entry.name for entry in read.mistakes)
+        self.account.count('engines read', len(read.entries))
         if whole:
             self.dispatch(relay_events.EnginesListed(read.entries, unusable))
         else:
--- a/tests/common/wire_store.py
+++ b/tests/common/wire_store.py
@@ -248,12 +248,13 @@
             relay_world.RETRIES,
             relay_world.ENGINE_BOUNDS,
         )
+        self.records = []
         pool = http_client.ConnectionPool(self.reactor)
         self.watch = store_watch.StoreWatch(
             self.reactor,
             store.PlatformStore(pool, relay_wires.ADDRESS),
             self.dispatch,
-            lambda record: None,
+            self.records.append,
             OWN,
             self.relay.sharing,
             lambda members: None,
--- a/tests/relay/test_foreign_entries.py
+++ b/tests/relay/test_foreign_entries.py
@@ -431,3 +431,18 @@
     link.beat()
     assert link.transport.sent == [('127.0.0.2', 7000)]
     assert len(bad) == 1
+
+
+def test_an_own_entry_that_is_gone_is_told_once():
+    """Guards against staff who can't see which instances a copy lacked."""
+    source = StoreOfOthers()
+    source.members = (watches.OWN,)
+    source.member_mistakes = ()
+    clock, watch, recorded = watching(source, [])
+    watch.sharing.reads_for_all = True
+    clock.pump([0.1] * 300)
+    assert 'entry-written-again' not in kinds(recorded)
+    source.members = ()
+    clock.pump([0.1] * 600)
+    assert kinds(recorded).count('entry-written-again') == 1
+    assert source.registered > 1
--- a/tests/relay/test_store_eras.py
+++ b/tests/relay/test_store_eras.py
@@ -192,6 +192,37 @@
     assert not instance.knows('e0')
 
 
+def test_what_is_read_and_written_again_is_told_once():
+    """Guards against staff who can't see whether a restore is over.
+
+    The copy is from before this instance had registered.
+    """
+    instance = wire_store.LinkedInstance(FAST_LINK)
+    found = instance.store
+    found.era = 1
+    found.put('op', 'config', wire_store.configuration_value(2, 3))
+    for number in range(ENGINES):
+        found.put('servers', f'e{number}', wire_store.engine_value(number, 1))
+    copy = found.copy()
+    instance.watch.start()
+    instance.play(3.0)
+    found.restore(copy)
+    renew(instance, 2)
+    instance.play(12.0)
+    told = {
+        record.kind: record.reason
+        for record in instance.records
+        if record.kind.startswith('store-')
+    }
+    assert told['store-restored'].startswith('era 1 to 2')
+    done = told['store-read-again']
+    assert done.startswith('era 2: ')
+    assert f'engines read {ENGINES}' in done
+    assert 'own entry written 1' in done
+    kinds = [record.kind for record in instance.records]
+    assert kinds.count('store-read-again') == 1
+
+
 def test_two_restores_within_ten_seconds_are_borne():
     """Guards against a second copy that is taken for a late answer."""
     instance = running_instance()
