Soak: a refused connection is no request that an instance held

No instance's log has the request, its instance was not running, and a refusal of the kernel takes no time: it was the soak's own process that got no processor. What the check is for, requests that are kept, needs a connection; that instances come back to their ports is the promise 'recovery'.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -160,6 +160,9 @@
         for found in self.outcomes:
             if found.given_up or found.ended_at is None:
                 continue
+            if 'ConnectionRefusedError' in found.error:
+                # No instance has had it.
+                continue
             took = found.ended_at - found.began_at
             if took <= ROUTE_LIMITS[found.kind] + LATE_SECONDS:
                 continue
