Metrics of limits: their sum, permits granted and denied, requests held

The gauge of limits in force told that there are some, but not whether they are used up, nor how many requests they hold and refuse. Counted where permits are decided; no decision changes.

--- a/src/greengagelb/coordination/sharing/limit_keeper.py
+++ b/src/greengagelb/coordination/sharing/limit_keeper.py
@@ -112,6 +112,8 @@
         self.had: dict[int, float] = {}
         self.retell: list[tuple[float, str]] = []
         self.ask_news_at = float('-inf')
+        self.granted = 0
+        self.denied = 0
         self.stirred = False
         self.outgoing: list[issuer_ranking.Outgoing] = []
         self.outcomes: list[Granted | Denied] = []
@@ -135,6 +137,17 @@
             self.changed(life, now)
         return news
 
+    def figures(self) -> limits.Figures:
+        """Return what a scrape shows of limits."""
+        rates = self.book.in_force().values()
+        return limits.Figures(
+            len(rates),
+            sum(rates),
+            len(self.asks),
+            self.granted,
+            self.denied,
+        )
+
     def differs(self, incarnation: str, digest: int, now: float) -> None:
         """Ask an instance that knows other limits for what it knows."""
         if digest == self.book.digest() or now < self.ask_news_at:
@@ -254,6 +267,7 @@
     ) -> None:
         """Give a request its outcome, and ask no more for its account."""
         del self.asks[ask.number]
+        self.denied += 1
         self.outcomes.append(Denied(ask.number, wait, issuer, share))
 
     def close(self, ask: Ask, wait: float, now: float) -> None:
@@ -340,6 +354,7 @@
                 self.give_up(ask, now)
             case limits.Verdict.GRANTED:
                 del self.asks[ask.number]
+                self.granted += 1
                 self.remember(ask.number, now)
                 self.outcomes.append(Granted(ask.number, sender))
             case limits.Verdict.QUEUED:
--- a/src/greengagelb/state/limits.py
+++ b/src/greengagelb/state/limits.py
@@ -60,6 +60,22 @@
     confirmed_at: float = float('-inf')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Figures:
+    """What one instance knows and does of limits.
+
+    ``in_force`` counts the limits, and ``rate`` is their sum in requests a
+    second. ``held`` requests wait for a permit now; ``granted`` and ``denied``
+    count the permits asked for here since the start.
+    """
+
+    in_force: int = 0
+    rate: float = 0.0
+    held: int = 0
+    granted: int = 0
+    denied: int = 0
+
+
 class Verdict(enum.Enum):
     """What an issuer answers to an instance that wants a permit."""
 
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -280,7 +280,7 @@
             blocked=len(
                 self.node.guard.records.blocked(self.reactor.seconds())
             ),
-            limits=len(self.node.limits.keeper.book.in_force()),
+            limits=self.node.limits.keeper.figures(),
         )
 
     def known_instances(self) -> list[operator_api.InstanceStatus]:
--- a/src/greengagelb/transport/metrics.py
+++ b/src/greengagelb/transport/metrics.py
@@ -12,6 +12,7 @@
 import aioprometheus
 
 from greengagelb.coordination import actions
+from greengagelb.state import limits as limit_state
 
 COMPLETE = 'complete'
 ANSWERED = 'answered'
@@ -32,7 +33,7 @@
     timeline_dropped: int = 0
     suspects: int = 0
     blocked: int = 0
-    limits: int = 0
+    limits: limit_state.Figures = limit_state.Figures()
 
 
 class Metrics:
@@ -78,6 +79,16 @@
         self.limit_gauge = self.gauge(
             'engine_limits', 'Engines that name a limit on their requests'
         )
+        self.limit_rate_gauge = self.gauge(
+            'engine_limit_rate', 'Sum of these limits, in requests a second'
+        )
+        self.held_gauge = self.gauge(
+            'held_requests',
+            'Requests that wait for a permit of such an engine',
+        )
+        self.permit_counter = self.counter(
+            'permits', 'Permits asked for here by what came of it'
+        )
 
     def counter(self, name: str, doc: str) -> aioprometheus.Counter:
         """Return a new counter."""
@@ -131,6 +142,10 @@
         self.version_gauge.set({}, found.configuration_version)
         self.suspect_gauge.set({}, found.suspects)
         self.blocked_gauge.set({}, found.blocked)
-        self.limit_gauge.set({}, found.limits)
+        self.limit_gauge.set({}, found.limits.in_force)
+        self.limit_rate_gauge.set({}, found.limits.rate)
+        self.held_gauge.set({}, found.limits.held)
+        self.permit_counter.set({'outcome': 'granted'}, found.limits.granted)
+        self.permit_counter.set({'outcome': 'denied'}, found.limits.denied)
         text, _ = aioprometheus.render(self.registry, [])
         return text
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -186,7 +186,7 @@
             blocked=len(
                 self.relay.crashes.records.blocked(self.reactor.seconds())
             ),
-            limits=len(self.relay.keeper.book.in_force()),
+            limits=self.relay.keeper.figures(),
         )
 
     def metrics_page(self) -> pages.Page:
--- a/tests/logs/test_limit_evidence.py
+++ b/tests/logs/test_limit_evidence.py
@@ -7,6 +7,7 @@
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state import identity
 from greengagelb.state import limits
+from greengagelb.transport import metrics
 from tests.common import loaded_node
 from tests.common import relay_world
 
@@ -106,3 +107,29 @@
     )
     node.handle(report, 2.0)
     assert node.limits.rate('e0') is None
+
+
+def test_metrics_tell_of_limits_and_of_what_they_hold():
+    """Guards against limits whose use and whose price nobody can see."""
+    world = lone_world()
+    first = world.last_send(world.call())
+    world.now += 0.5
+    world.answer(first, limit=20.0)
+    world.advance(4.0)
+    for _ in range(60):
+        world.call()
+    shown = world.relay.keeper.figures()
+    assert (shown.in_force, shown.rate) == (1, 20.0)
+    assert shown.held > 0
+    world.advance(10.0)
+    shown = world.relay.keeper.figures()
+    assert shown.granted > 0
+    assert shown.denied > 0
+    assert shown.held == 0
+    found = metrics.Metrics()
+    found.sample = lambda: metrics.Sample(limits=shown)
+    page = found.render().decode()
+    assert 'greengagelb_engine_limits 1' in page
+    assert 'greengagelb_engine_limit_rate 20.0' in page
+    assert 'greengagelb_held_requests 0' in page
+    assert f'greengagelb_permits{{outcome="denied"}} {shown.denied}' in page
