Pause before an engine is asked again whether it has ended

By reading, the other interface's side of the upstream that reset its one question: the relay asked three times, but in a row, within some milliseconds. A process that is ending may reset all three, and the crash is never counted. The same pause of 50 ms lies between its questions now, by the same constant.

test_an_engine_that_gives_no_answer_is_asked_again went by the questions in a row; it still counts three of them, and now also that none follows in the same moment.

--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -8,11 +8,13 @@
 
 import dataclasses
 
+from greengagelb.coordination import actions
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.sharing import crashes
 from greengagelb.coordination.sharing import suspicions
 from greengagelb.state import crashes as crash_state
+from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import hints
 
@@ -22,6 +24,10 @@
 Action = relay_actions.RelayAction
 
 
+# Timers of questions that are asked again, by the engine's life.
+ASK_TIMER = 'relay-ask-suspect'
+
+
 @dataclasses.dataclass(slots=True)
 class Question:
     """An engine is asked whether it has ended.
@@ -29,6 +35,7 @@
     ``held`` are the runs whose requests wait for the answer.
     """
 
+    entry: engines.EngineEntry
     asked: int = 1
     held: list[tuple[int, exchanges.Sent]] = dataclasses.field(
         default_factory=list
@@ -77,7 +84,7 @@
         self.suspicions.add(life, suspicion)
         if life in self.questions:
             return []
-        self.questions[life] = Question()
+        self.questions[life] = Question(sent.entry)
         return [relay_actions.CheckEngine(sent.entry)]
 
     def holds(
@@ -98,22 +105,30 @@
 
     def checked(
         self, event: relay_events.EngineChecked, now: float
-    ) -> Verdict | relay_actions.CheckEngine:
+    ) -> Verdict | actions.SetTimer:
         """Take in what has become of an engine, or have it asked again."""
         life = event.entry.life
-        question = self.questions.get(
-            life, Question(suspicions.MOST_QUESTIONS)
-        )
-        unknown = event.fate is relay_events.EngineFate.UNKNOWN
-        if unknown and question.asked < suspicions.MOST_QUESTIONS:
-            question.asked += 1
-            return relay_actions.CheckEngine(event.entry)
+        question = self.questions.get(life)
+        if event.fate is relay_events.EngineFate.UNKNOWN and (
+            question is not None and question.asked < suspicions.MOST_QUESTIONS
+        ):
+            again_at = now + suspicions.ASK_AGAIN_SECONDS
+            return actions.SetTimer(f'{ASK_TIMER}:{life}', again_at)
         self.questions.pop(life, None)
         found = self.suspicions.ended(life, now)
         if event.fate is not relay_events.EngineFate.ENDED:
             found = []
         counted = suspicions.count(found, self.records, now)
-        return Verdict(tuple(counted), tuple(question.held))
+        held = question.held if question is not None else []
+        return Verdict(tuple(counted), tuple(held))
+
+    def ask_again(self, life: str) -> list[Action]:
+        """Ask an engine once more that gave no answer."""
+        question = self.questions.get(life)
+        if question is None:
+            return []
+        question.asked += 1
+        return [relay_actions.CheckEngine(question.entry)]
 
     def survived(
         self, exchange: exchanges.Exchange, now: float
--- a/src/greengagelb/coordination/relay/crashing.py
+++ b/src/greengagelb/coordination/relay/crashing.py
@@ -60,7 +60,7 @@
     ) -> list[Action]:
         """Count a crash, tell the others, and let go on who waited."""
         verdict = self.watch.checked(event, now)
-        if isinstance(verdict, relay_actions.CheckEngine):
+        if isinstance(verdict, actions.SetTimer):
             return [verdict]
         done: list[Action] = []
         for fingerprint in verdict.counted:
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -390,6 +390,8 @@
             return self.succession.ask(int(rest), now)
         if kind == crashing.RETELL_TIMER:
             return self.crashing.retell(rest, now)
+        if kind == crash_watch.ASK_TIMER:
+            return self.crashes.ask_again(rest)
         if kind == limited.LIMITS_TIMER:
             return self.limited.due(now)
         exchange = self.exchanges.get(int(rest)) if rest else None
--- a/src/greengagelb/coordination/sharing/crash_guard.py
+++ b/src/greengagelb/coordination/sharing/crash_guard.py
@@ -19,8 +19,6 @@
 # comes, and after it has just had an engine.
 NOT_RUN_CODE = 'request-crashes-engines'
 RAN_CODE = 'engine-deaths-exceeded'
-# When an upstream that gave no answer is asked again, in seconds.
-ASK_AGAIN_SECONDS = 0.05
 ASK_TIMER = 'ask-suspect'
 # For how long others are told of a suspect after it was last news, in
 # seconds, and for how long of one with a single crash: each request that was
@@ -141,7 +139,7 @@
         if question is None or question.asked >= suspicions.MOST_QUESTIONS:
             return []
         timer = f'{ASK_TIMER}:{event.name}'
-        return [actions.SetTimer(timer, now + ASK_AGAIN_SECONDS)]
+        return [actions.SetTimer(timer, now + suspicions.ASK_AGAIN_SECONDS)]
 
     def ask_due(self, name: str) -> list[actions.Action]:
         """Ask an upstream again that did not answer."""
--- a/src/greengagelb/coordination/sharing/suspicions.py
+++ b/src/greengagelb/coordination/sharing/suspicions.py
@@ -16,6 +16,9 @@
 # An engine that does not answer is asked so often. It may be the network that
 # has lost the question, or the engine is just ending.
 MOST_QUESTIONS = 3
+# After a question without an answer the next one waits for so many seconds: a
+# process that is ending may reset several in a row.
+ASK_AGAIN_SECONDS = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/load/test_crashing_requests.py
+++ b/tests/load/test_crashing_requests.py
@@ -247,7 +247,11 @@
 
 
 def test_an_engine_that_gives_no_answer_is_asked_again():
-    """Guards against crashes that a lost question leaves uncounted."""
+    """Guards against crashes that a lost question leaves uncounted.
+
+    A process that is ending may reset several questions in a row, so there is
+    a pause between them.
+    """
     world = lone_world()
     send = world.last_send(world.ask(body=b'x'))
     world.begin(send)
@@ -260,6 +264,8 @@
                 checks[-1].entry, relay_events.EngineFate.UNKNOWN
             )
         )
+        assert len(world.of_kind(relay_actions.CheckEngine)) == asked
+        world.advance(0.1)
     assert len(world.of_kind(relay_actions.CheckEngine)) == 3
     assert not world.relay.crashes.questions
 
