Tell what a changed settings file does before it is put in place

Staff dread to edit a settings file: nobody could tell which settings a running process takes and which need a new start, and the log of a reload said only 'applied'. Which sections need a start is known in one place now (settings_changes.py). Exit code 8: a new start is needed. Values of secrets are hidden. The page's output is checked against the program.

--- a/src/greengagelb/cli/check_config.py
+++ b/src/greengagelb/cli/check_config.py
@@ -5,11 +5,15 @@
 import pathlib
 import sys
 
+from absl import flags
+
 from greengagelb import errors
 from greengagelb import relay_settings
 from greengagelb import settings
+from greengagelb import settings_changes
 from greengagelb.cli import exit_codes
 from greengagelb.cli import serve
+from greengagelb.cli import tables
 
 Found = settings.Settings | relay_settings.RelaySettings
 
@@ -21,6 +25,7 @@
     program: str
     sections: settings.Sections
     read: Callable[[pathlib.Path], Found]
+    effects: settings_changes.Effects
 
 
 KINDS = (
@@ -28,11 +33,13 @@
         'greengagelb serve',
         settings.SECTIONS,
         settings.read_settings,
+        settings_changes.SERVE_EFFECTS,
     ),
     Kind(
         'python3 -m greengagelb.platform',
         relay_settings.SECTIONS,
         relay_settings.read_relay_settings,
+        settings_changes.RELAY_EFFECTS,
     ),
 )
 DETAILS = (
@@ -40,18 +47,50 @@
     'file is:\n'
     '  greengagelb serve                [platform] [secrets] [peers]\n'
     '  python3 -m greengagelb.platform  [store] [retries] [engines] [stop]\n'
-    'The first mistake is told with section, key and what to write instead.'
+    'The first mistake is told with section, key and what to write instead.\n'
+    'With --against=OLD it tells what differs from the settings that a '
+    'process runs\nwith, and when that takes effect. It ends with 8 if a new '
+    'start is needed.'
+)
+AGAINST = flags.DEFINE_string(
+    'against', None, 'Settings file that a process runs with now.'
 )
 
 
 def check_config(words: list[str]) -> int:
-    """Read a settings file and say that it is good."""
+    """Read a settings file, say that it is good and what it changes."""
     if not serve.SETTINGS.value:
         raise errors.CommandError('write --settings=FILE')
     path = pathlib.Path(serve.SETTINGS.value)
     kind = kind_of(path)
-    name = kind.read(path).instance.name
+    new = kind.read(path)
+    name = new.instance.name
     sys.stdout.write(f'settings of {name} are valid for {kind.program}\n')
+    if not AGAINST.value:
+        return exit_codes.ExitCode.SUCCESS
+    return compare(kind, pathlib.Path(AGAINST.value), new)
+
+
+def compare(kind: Kind, path: pathlib.Path, new: Found) -> exit_codes.ExitCode:
+    """Tell what differs from the settings in a file, and when it counts."""
+    if kind_of(path) is not kind:
+        raise errors.CommandError(
+            f'{path} is of another kind; compare settings of one program'
+        )
+    old = kind.read(path)
+    changes = settings_changes.changes_between(old, new, kind.effects)
+    if not changes:
+        sys.stdout.write(f'nothing differs from {path}\n')
+        return exit_codes.ExitCode.SUCCESS
+    rows = [['section', 'key', 'old', 'new', 'takes effect', 'then']]
+    rows += [
+        [c.section, c.key, c.old, c.new, c.effect.value, c.meaning]
+        for c in changes
+    ]
+    sys.stdout.write(tables.render(rows))
+    starts = [c for c in changes if c.effect is settings_changes.Effect.START]
+    if starts:
+        return exit_codes.ExitCode.NEEDS_START
     return exit_codes.ExitCode.SUCCESS
 
 
--- a/src/greengagelb/cli/commands.py
+++ b/src/greengagelb/cli/commands.py
@@ -44,10 +44,10 @@
     ),
     Command(
         'check-config',
-        '--settings=FILE',
-        'read a settings file and tell what is wrong',
+        '--settings=FILE [--against=OLD]',
+        'read a settings file and tell what is wrong, or what it changes',
         check_config.check_config,
-        ('settings',),
+        ('settings', 'against'),
         details=check_config.DETAILS,
     ),
     Command(
--- a/src/greengagelb/cli/exit_codes.py
+++ b/src/greengagelb/cli/exit_codes.py
@@ -9,7 +9,9 @@
     ``UNREACHABLE`` means that at least one instance gave no answer, so what
     was printed may be a part of the whole. ``REFUSED`` means that an instance
     answered and said no; the code on standard error tells why. ``UNSETTLED``
-    means that the change may or may not have taken effect.
+    means that the change may or may not have taken effect. ``NEEDS_START``
+    means that a process that runs takes a change of settings in part or not at
+    all.
     """
 
     SUCCESS = 0
@@ -20,3 +22,4 @@
     CONFLICT = 5
     REFUSED = 6
     UNSETTLED = 7
+    NEEDS_START = 8
--- a/src/greengagelb/cli/help_texts.py
+++ b/src/greengagelb/cli/help_texts.py
@@ -21,6 +21,7 @@
     exit_codes.ExitCode.CONFLICT: 'another operator was first; plan again',
     exit_codes.ExitCode.REFUSED: 'an instance answered and said no',
     exit_codes.ExitCode.UNSETTLED: 'it may or may not have taken effect',
+    exit_codes.ExitCode.NEEDS_START: 'some settings need a new start',
 }
 
 
--- a/src/greengagelb/state/fleet.py
+++ b/src/greengagelb/state/fleet.py
@@ -28,6 +28,9 @@
     host: str
     port: int
 
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerId:
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -1,7 +1,6 @@
 """One relaying instance: sockets, timers and clients around the decisions."""
 
 from collections.abc import Callable
-import dataclasses
 import random
 import secrets
 
@@ -12,6 +11,7 @@
 
 from greengagelb import errors
 from greengagelb import relay_settings
+from greengagelb import settings_changes
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination.relay import actions as relay_actions
@@ -157,8 +157,7 @@
     def reload(self, read: Callable[[], relay_settings.RelaySettings]) -> None:
         """Put changed settings in force, as far as a running process can.
 
-        With a bad file the last good settings stay. Names and ports are those
-        that others know; they are read at the next start.
+        With a bad file the last good settings stay.
         """
         try:
             new = read()
@@ -166,13 +165,12 @@
             why = f'{exc.code}: {exc}'
             self.recorder.record(actions.Record('settings-refused', why))
             return
-        kept = self.settings.instance
-        why = 'applied'
-        if new.instance != kept:
-            why = 'applied but for [instance], which needs a new start'
-        self.settings = dataclasses.replace(new, instance=kept)
-        self.relay.rebound(new.retries, new.engines)
-        self.source.move_to(new.store.address)
+        effects = settings_changes.RELAY_EFFECTS
+        changes = settings_changes.changes_between(self.settings, new, effects)
+        self.settings = settings_changes.reloaded(self.settings, new, effects)
+        self.relay.rebound(self.settings.retries, self.settings.engines)
+        self.source.move_to(self.settings.store.address)
+        why = settings_changes.summary(changes)
         self.recorder.record(actions.Record('settings-reloaded', why))
 
     def sample(self) -> metrics.Sample:
--- a/tests/cli/test_check_config.py
+++ b/tests/cli/test_check_config.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import re
+import textwrap
 
 import pytest
 
@@ -10,6 +11,7 @@
 from tests.common import commands as runner
 from tests.common import settings_files
 
+ROOT = pathlib.Path(__file__).parents[2]
 Code = exit_codes.ExitCode
 TEMPLATE = (
     pathlib.Path(greengagelb.__file__).parent / 'platform' / 'settings.ini'
@@ -184,3 +186,79 @@
     assert 'greengagelb serve' in shown
     assert 'python3 -m greengagelb.platform' in shown
     assert '[store]' in shown
+
+
+def compare(tmp_path, old, new):
+    """Run the command on two texts."""
+    before, after = tmp_path / 'old.ini', tmp_path / 'new.ini'
+    before.write_text(old, 'utf-8')
+    after.write_text(new, 'utf-8')
+    return runner.run_here(
+        'check-config', f'--settings={after}', f'--against={before}'
+    )
+
+
+def test_a_change_that_a_running_process_takes_is_told_with_its_effect(
+    tmp_path,
+):
+    """Guards against staff who dread to edit a settings file."""
+    new = filled().replace('grace_seconds = 8', 'grace_seconds = 9')
+    told = compare(tmp_path, filled(), new)
+    assert told.code == Code.SUCCESS
+    [_, head, row] = told.output.splitlines()
+    assert head.split()[:4] == ['section', 'key', 'old', 'new']
+    assert row.split()[:4] == ['stop', 'grace_seconds', '8.0', '9.0']
+    assert 'on a reload' in row
+
+
+def test_a_change_that_needs_a_new_start_has_a_code_of_its_own(tmp_path):
+    """Guards against a script that reloads and believes it has done it."""
+    new = filled().replace('data_centre = north', 'data_centre = south')
+    told = compare(tmp_path, filled(), new)
+    assert told.code == Code.NEEDS_START
+    assert 'at the next start' in told.output
+
+
+def test_equal_settings_written_in_another_way_are_no_change(tmp_path):
+    """Guards against a report that goes by the text of a file."""
+    new = filled().replace('grace_seconds = 8', 'grace_seconds = 8.00')
+    told = compare(tmp_path, filled(), new + '\n# a comment\n')
+    assert told.code == Code.SUCCESS
+    assert 'nothing differs' in told.output
+
+
+def test_secrets_are_not_shown(tmp_path):
+    """Guards against secrets in the log of a script."""
+    secret = 'fedcba9876543210'
+    new = settings_files.GOOD.replace('0123456789abcdef', secret)
+    told = compare(tmp_path, settings_files.GOOD, new)
+    assert told.code == Code.NEEDS_START
+    assert 'cursor_secret' in told.output
+    assert secret not in told.output
+    assert '0123456789abcdef' not in told.output
+
+
+def test_a_mistake_in_the_old_file_is_told_by_its_name(tmp_path):
+    """Guards against a mistake that is looked for in the wrong file."""
+    told = compare(tmp_path, filled().replace('= 8', '= no'), filled())
+    assert told.code == Code.BAD_SETTINGS
+    assert 'old.ini' in told.complaint
+
+
+def test_settings_of_two_programs_are_not_compared(tmp_path):
+    """Guards against a list of differences that means nothing."""
+    told = compare(tmp_path, settings_files.GOOD, filled())
+    assert told.code == Code.USAGE
+    assert 'another kind' in told.complaint
+
+
+def test_the_page_shows_what_the_command_prints(tmp_path):
+    """Guards against a page that tells of another program than this one."""
+    named = filled().replace('name = north-3', 'name = relay-0')
+    new = named.replace('grace_seconds = 8', 'grace_seconds = 9')
+    new = new.replace('data_centre = north', 'data_centre = south')
+    told = compare(tmp_path, named, new)
+    page = (ROOT / 'docs' / 'settings-platform.md').read_text('utf-8')
+    shown = page.partition('<!-- output against -->\n')[2]
+    shown = shown.partition('<!-- end against -->')[0]
+    assert textwrap.dedent(shown) == told.output
--- a/tests/process/test_reload.py
+++ b/tests/process/test_reload.py
@@ -50,6 +50,7 @@
         write_settings(path, **{**fields, 'grace': 3.0})
         process.send_signal(signal.SIGHUP)
         fleet.wait_until(lambda: 'settings-reloaded' in log.read_text())
+        assert 'in force: [stop] grace_seconds 2.0 -> 3.0' in log.read_text()
         path.write_text('[instance]\n')
         fleet.wait_until(lambda: 'settings-refused' in log.read_text())
         assert process.poll() is None
