Show in the metrics which instance this is and what is in force

From outside nobody could tell which instances had picked up a change of settings. Each page tells name, data centre and release, a digest of the settings that a fleet shares (secrets and what differs by design left out) and for how long they are in force, whether the instance stops, how many engines it knows and how old its knowledge of the store is.

--- a/src/greengagelb/settings_changes.py
+++ b/src/greengagelb/settings_changes.py
@@ -9,6 +9,7 @@
 import enum
 from typing import Any
 from typing import TypeVar
+import zlib
 
 T = TypeVar('T')
 
@@ -110,6 +111,20 @@
     return dataclasses.replace(new, **kept)  # type: ignore[type-var]
 
 
+def digest(settings: Any, effects: Effects) -> int:
+    """Return a number that differs where instances of a fleet differ.
+
+    Who and where an instance is differs by design, and secrets are left out,
+    as nobody is to learn of them from a page.
+    """
+    shared = [
+        f'{section} {getattr(settings, section)}'
+        for section, known in effects.items()
+        if section != 'instance' and not known.is_secret
+    ]
+    return zlib.crc32('\n'.join(shared).encode())
+
+
 def summary(changes: list[Change]) -> str:
     """Return what a reload did, and what needs a new start, as one line."""
     applied = [str(c) for c in changes if c.effect is Effect.RELOAD]
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -10,6 +10,7 @@
 
 from greengagelb import errors
 from greengagelb import settings
+from greengagelb import settings_changes
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination import node
@@ -104,6 +105,7 @@
         self.ports: list[interfaces.IListeningPort] = []
         self.finishing = False
         self.last_pulse = reactor.seconds()
+        self.settings_since = reactor.seconds()
         self.next_list_poll = reactor.seconds()
         self.stopped: defer.Deferred = defer.Deferred()
 
@@ -270,7 +272,15 @@
 
     def sample(self) -> metrics.Sample:
         """Return what a scrape shows of this instance's state."""
+        place = self.settings.instance
         return metrics.Sample(
+            identity=metrics.Identity(place.name, place.data_centre),
+            stopping=self.node.stopping,
+            settings_digest=settings_changes.digest(
+                self.settings, settings_changes.SERVE_EFFECTS
+            ),
+            settings_seconds=self.reactor.seconds() - self.settings_since,
+            engines=len(self.node.directory.views),
             running=len(self.node.running),
             waiting=len(self.node.waiting),
             stale_events=self.node.streams.dropped_events,
--- a/src/greengagelb/transport/metrics.py
+++ b/src/greengagelb/transport/metrics.py
@@ -11,6 +11,7 @@
 
 import aioprometheus
 
+import greengagelb
 from greengagelb.coordination import actions
 from greengagelb.state import limits as limit_state
 
@@ -22,9 +23,29 @@
 PREFIX = 'greengagelb'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """Which instance this is, as the settings say."""
+
+    name: str
+    data_centre: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sample:
-    """What an instance is in the middle of, at the time of a scrape."""
+    """What an instance is in the middle of, at the time of a scrape.
+
+    ``settings_seconds`` is for how long the settings are in force, and
+    ``store_seconds`` how old what is known of the store is; None if nothing
+    is, or if it is not followed.
+    """
+
+    identity: Identity | None = None
+    stopping: bool = False
+    settings_digest: int = 0
+    settings_seconds: float = 0.0
+    engines: int = 0
+    store_seconds: float | None = None
 
     running: int = 0
     waiting: int = 0
@@ -70,6 +91,22 @@
             'configuration_version', 'Configuration version in force here'
         )
 
+        self.instance_gauge = self.gauge(
+            'instance', 'This instance: its name, place and release'
+        )
+        self.stopping_gauge = self.gauge(
+            'stopping', 'Whether this instance was asked to stop'
+        )
+        self.digest_gauge = self.gauge(
+            'settings_digest', 'Differs where settings of a fleet differ'
+        )
+        self.settings_age_gauge = self.gauge(
+            'settings_age_seconds', 'For how long the settings are in force'
+        )
+        self.engines_gauge = self.gauge('engines', 'Engines known here')
+        self.store_age_gauge = self.gauge(
+            'store_age_seconds', 'How old what is known of the store is'
+        )
         self.suspect_gauge = self.gauge(
             'crash_suspects', 'Requests that were on an engine that crashed'
         )
@@ -140,6 +177,7 @@
         self.running_gauge.set({}, found.running)
         self.waiting_gauge.set({}, found.waiting)
         self.version_gauge.set({}, found.configuration_version)
+        self.show_instance(found)
         self.suspect_gauge.set({}, found.suspects)
         self.blocked_gauge.set({}, found.blocked)
         self.limit_gauge.set({}, found.limits.in_force)
@@ -149,3 +187,19 @@
         self.permit_counter.set({'outcome': 'denied'}, found.limits.denied)
         text, _ = aioprometheus.render(self.registry, [])
         return text
+
+    def show_instance(self, found: Sample) -> None:
+        """Put in which instance this is, and what is in force here."""
+        if found.identity is not None:
+            labels = {
+                'name': found.identity.name,
+                'data_centre': found.identity.data_centre,
+                'release': greengagelb.__version__,
+            }
+            self.instance_gauge.set(labels, 1)
+        self.stopping_gauge.set({}, int(found.stopping))
+        self.digest_gauge.set({}, found.settings_digest)
+        self.settings_age_gauge.set({}, found.settings_seconds)
+        self.engines_gauge.set({}, found.engines)
+        if found.store_seconds is not None:
+            self.store_age_gauge.set({}, found.store_seconds)
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -116,6 +116,7 @@
         self.metrics.unusable = self.watch.unusable_counts
         self.metrics.store_calls = self.watch.calls
         self.last_pulse = reactor.seconds()
+        self.settings_since = reactor.seconds()
         self.ports: list[interfaces.IListeningPort] = []
         self.stop_by: float | None = None
         self.kill_at = 0.0
@@ -167,7 +168,10 @@
             return
         effects = settings_changes.RELAY_EFFECTS
         changes = settings_changes.changes_between(self.settings, new, effects)
-        self.settings = settings_changes.reloaded(self.settings, new, effects)
+        former = self.settings
+        self.settings = settings_changes.reloaded(former, new, effects)
+        if self.settings != former:
+            self.settings_since = self.reactor.seconds()
         self.relay.rebound(self.settings.retries, self.settings.engines)
         self.source.move_to(self.settings.store.address)
         why = settings_changes.summary(changes)
@@ -176,7 +180,18 @@
     def sample(self) -> metrics.Sample:
         """Return what a scrape shows of this instance's state."""
         table = self.relay.table
+        now = self.reactor.seconds()
+        place = self.settings.instance
+        store = self.relay.sharing.engines
         return metrics.Sample(
+            identity=metrics.Identity(place.name, place.data_centre),
+            stopping=self.stop_by is not None,
+            settings_digest=settings_changes.digest(
+                self.settings, settings_changes.RELAY_EFFECTS
+            ),
+            settings_seconds=now - self.settings_since,
+            engines=len(self.relay.engines.states),
+            store_seconds=None if store.never_read else now - store.fresh_at,
             running=len(self.relay.exchanges),
             configuration_version=table.version if table else 0,
             timeline_dropped=self.recorder.timeline.dropped,
--- a/tests/settings/test_changes.py
+++ b/tests/settings/test_changes.py
@@ -72,6 +72,17 @@
         assert line == 'nothing differs'
 
 
+@given(SETTINGS, SETTINGS)
+def test_settings_that_a_fleet_shares_have_one_digest(one, other):
+    """Guards against instances that seem to differ, or to agree."""
+    effects = settings_changes.RELAY_EFFECTS
+    same = settings_changes.digest(one, effects) == settings_changes.digest(
+        other, effects
+    )
+    shared = ('store', 'retries', 'stop', 'engines')
+    assert same == all(getattr(one, s) == getattr(other, s) for s in shared)
+
+
 def test_a_list_of_addresses_is_shown_as_it_is_written():
     """Guards against a report that nobody can compare with the file."""
     effect = settings_changes.SERVE_EFFECTS['peers']
