Record what engines state in their answers: that they leave, that they ask for rest

The logs of both incidents could not tell whether an answer had said so, in which request's answer, nor what the instance believed afterwards. The head of each answer of an engine is now read for both, before the rest of it arrives, for sends as well as for probes, checks, copy orders and identity requests. Values that can't be used are recorded once in ten seconds for an engine.

No decision uses them yet.

--- /dev/null
+++ b/src/greengagelb/coordination/relay/engine_statements.py
@@ -0,0 +1,130 @@
+"""Keeps what engines state about themselves in their answers.
+
+A statement holds for one life of an engine, whatever the list of engines shows
+and whoever waits for the answer. An engine that leaves stays so to its end.
+Rest is asked of one instance, until a deadline; the later of several counts.
+"""
+
+from greengagelb.coordination import actions
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import calls
+from greengagelb.coordination.relay import directory
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.state import statements
+from greengagelb.state.relay import engine_states
+
+# Each answer to a request that was under way repeats the rest asked for; only
+# a deadline that moves by more than this is recorded again.
+MIN_RECORDED_SECONDS = 0.5
+# An engine's unusable values are recorded at most once in this time.
+UNUSABLE_RECORD_SECONDS = 10.0
+
+Action = relay_actions.RelayAction
+
+
+class EngineStatementHandler:
+    """Applies statements to the engines that made them."""
+
+    def __init__(self, engine_directory: directory.EngineDirectory) -> None:
+        self.engines = engine_directory
+
+    def handle_statement(
+        self, event: relay_events.EngineStated, now: float
+    ) -> list[Action]:
+        """Apply the statement in the head of an answer."""
+        state = self.find_speaker(event)
+        if state is None:
+            return []
+        statement = event.statement
+        resulting: list[Action] = []
+        if statement.unusable:
+            resulting += self.note_unusable(event, state, now)
+        if statement.leaving:
+            resulting += self.note_leaving(event, state, now)
+        if statement.rest_seconds:
+            resulting += self.note_rest(event, state, now)
+        return resulting
+
+    def find_speaker(
+        self, event: relay_events.EngineStated
+    ) -> engine_states.EngineState | None:
+        """Return the engine that made a statement, None if it is not known.
+
+        Another engine may have got the address, and an answer may be of a
+        former life, whose statements say nothing about the current one.
+        """
+        asked = event.entry
+        is_other = event.speaker not in ('', asked.engine)
+        if is_other or event.status == calls.MISDIRECTED_REQUEST:
+            state = self.engines.states.get(event.speaker)
+            if state is None or state.entry.address != asked.address:
+                return None
+            return state
+        return self.engines.find_same_life(asked.engine, asked.started_at_ms)
+
+    def note_leaving(
+        self,
+        event: relay_events.EngineStated,
+        state: engine_states.EngineState,
+        now: float,
+    ) -> list[Action]:
+        """Note that an engine says that it leaves."""
+        if state.leaving_source is not None:
+            return []
+        state.leaving_source = statements.Source(describe_answer(event), now)
+        reason = f'stated in {state.leaving_source.text}'
+        return [record(event, state, 'engine-leaving', reason)]
+
+    def note_rest(
+        self,
+        event: relay_events.EngineStated,
+        state: engine_states.EngineState,
+        now: float,
+    ) -> list[Action]:
+        """Note that an engine asks for rest."""
+        rest_until = now + event.statement.rest_seconds
+        former = state.rest_until
+        if rest_until <= former:
+            return []
+        state.rest_until = rest_until
+        state.rest_source = statements.Source(describe_answer(event), now)
+        if now < former and rest_until < former + MIN_RECORDED_SECONDS:
+            return []
+        reason = (
+            f'for {event.statement.rest_seconds:.3f} s, '
+            f'stated in {state.rest_source.text}'
+        )
+        return [record(event, state, 'engine-rest', reason)]
+
+    def note_unusable(
+        self,
+        event: relay_events.EngineStated,
+        state: engine_states.EngineState,
+        now: float,
+    ) -> list[Action]:
+        """Record values that can't be used, at a bounded rate."""
+        if now < state.next_unusable_record_at:
+            return []
+        state.next_unusable_record_at = now + UNUSABLE_RECORD_SECONDS
+        values = ', '.join(event.statement.unusable)
+        reason = f'statement-unusable: {values}'
+        return [record(event, state, 'engine-statement-refused', reason)]
+
+
+def describe_answer(event: relay_events.EngineStated) -> str:
+    """Return the answer that contains a statement, for the timeline."""
+    if event.request is None:
+        return f'an answer to a check, status {event.status}'
+    return f'the answer to {event.request.request}, status {event.status}'
+
+
+def record(
+    event: relay_events.EngineStated,
+    state: engine_states.EngineState,
+    kind: str,
+    reason: str,
+) -> actions.Record:
+    """Return the timeline event of a statement."""
+    return actions.Record(
+        kind, reason, event.request, upstream=state.entry.engine
+    )
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -9,6 +9,8 @@
 
 from greengagelb.coordination import events
 from greengagelb.state import crashes
+from greengagelb.state import identity
+from greengagelb.state import statements
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import requests
@@ -22,6 +24,23 @@
     request: requests.CallerRequest
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineStated:
+    """The head of an answer states something about the engine that sent it.
+
+    ``entry`` is the engine that was asked. ``speaker`` is the identity in the
+    answer, or empty: another engine may have got the address. ``status`` is
+    the status of the answer and ``request`` the caller's request, None if this
+    instance asked by itself. The event precedes all others of the answer.
+    """
+
+    entry: engines.EngineEntry
+    statement: statements.Statement
+    status: int
+    speaker: str = ''
+    request: identity.RequestId | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerStarted:
     """An engine has started a successful answer to a stream request."""
@@ -246,6 +265,7 @@
 
 RelayEvent = (
     RequestArrived
+    | EngineStated
     | AnswerStarted
     | StreamProgressed
     | StreamComplete
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -18,6 +18,7 @@
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import engine_list
 from greengagelb.coordination.relay import engine_selection
+from greengagelb.coordination.relay import engine_statements
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
 from greengagelb.coordination.relay import loads
@@ -124,6 +125,9 @@
             self.copies,
             self.restarts,
         )
+        self.statements = engine_statements.EngineStatementHandler(
+            self.engines
+        )
         self.peers = peer_events.PeerEventHandler(
             self.engines,
             self.engine_list,
@@ -222,6 +226,8 @@
         match event:
             case relay_events.RequestArrived(request):
                 return self.handle_request(request, now)
+            case relay_events.EngineStated():
+                return self.statements.handle_statement(event, now)
             case (
                 relay_events.AnswerStarted()
                 | relay_events.StreamProgressed()
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -7,6 +7,7 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.platform import rows
 from greengagelb.protocol import limit_header
+from greengagelb.protocol import statement_headers
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
 from greengagelb.transport.relay import http1
@@ -37,6 +38,8 @@
 LOAD_HEADER = b'Engine-Load'
 # The requests per second that the engine accepts from all instances together.
 RATE_LIMIT_HEADER = b'Server-Limit'
+# Set to 1 by an engine that is about to end.
+LEAVING_HEADER = b'Server-Leaving'
 # An engine answers this without a free slot.
 REPORT_PATH = b'/api/report'
 # Makes an engine copy a run's memory.
@@ -181,6 +184,11 @@
             parse_load(http1.first_header_value(fields, LOAD_HEADER.lower())),
             engine.decode('latin-1'),
             limit_header.parse_limit(header_values(fields, RATE_LIMIT_HEADER)),
+            statement_headers.parse_statement(
+                status,
+                header_values(fields, LEAVING_HEADER),
+                header_values(fields, statement_headers.REST_HEADER),
+            ),
         )
 
     def is_answer_to(
--- a/src/greengagelb/state/relay/engine_states.py
+++ b/src/greengagelb/state/relay/engine_states.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from greengagelb.state import statements
 from greengagelb.state.relay import engines
 
 
@@ -19,6 +20,11 @@
     a report of another instance. ``silent_at`` is when a stream last stalled
     there. Requests sent until ``former_until`` certainly went to its
     previous life.
+
+    ``leaving`` is what the list shows; ``leaving_source`` is where the engine
+    itself was heard to say so. Until ``rest_until`` the engine has asked this
+    instance for no requests, as ``rest_source`` says. Its unusable statements
+    are recorded again from ``next_unusable_record_at``.
     """
 
     entry: engines.EngineEntry
@@ -39,6 +45,10 @@
     in_flight_at_load: int = 0
     heard_at: float = float('-inf')
     former_until: float = float('-inf')
+    leaving_source: statements.Source | None = None
+    rest_until: float = float('-inf')
+    rest_source: statements.Source | None = None
+    next_unusable_record_at: float = float('-inf')
 
     def is_usable(self, now: float) -> bool:
         """Return whether the engine may get new work."""
--- a/src/greengagelb/state/relay/requests.py
+++ b/src/greengagelb/state/relay/requests.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from greengagelb.state import limits
+from greengagelb.state import statements
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import routes
 
@@ -77,7 +78,8 @@
     ``sealed`` tells whether the engine signed the answer; ``not_run`` whether
     it guarantees that it has not run the request and never will. ``engine``
     is the identity of the engine if the answer contains it. ``limit`` is the
-    advertised limit in requests per second.
+    advertised limit in requests per second, and ``statement`` what the engine
+    states about itself besides.
     """
 
     status: int
@@ -88,6 +90,7 @@
     load: engines.EngineLoad | None = None
     engine: str = ''
     limit: limits.AdvertisedLimit = None
+    statement: statements.Statement = statements.NO_STATEMENT
 
     @property
     def is_success(self) -> bool:
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -7,6 +7,8 @@
 from greengagelb import errors
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.state import identity
+from greengagelb.state import statements
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
 from greengagelb.transport.relay import dialect
@@ -46,10 +48,15 @@
         this one only in the request id that it echoes.
         """
         dialect = self.side.dialect
+        head = dialect.read_answer_head(response)
+        request_id = identity.RequestId(
+            self.send.account, self.send.request.request_id
+        )
+        self.side.report_statement(self.send.engine, head, request_id)
         if not dialect.is_answer_to(response, self.send):
             self.reject_answer('answer to another request')
             return
-        self.head = dialect.read_answer_head(response)
+        self.head = head
         if self.send.stream and self.head.is_success:
             self.splitter = event_stream.EventSplitter(
                 dialect.read_event_number
@@ -153,6 +160,21 @@
         if not pending.is_finished:
             self.pending_sends[key] = pending
 
+    def report_statement(
+        self,
+        entry: engines.EngineEntry,
+        head: requests.AnswerHead,
+        request_id: identity.RequestId | None = None,
+    ) -> None:
+        """Report what the head of an answer states about its engine."""
+        if head.statement == statements.NO_STATEMENT:
+            return
+        self.dispatch(
+            relay_events.EngineStated(
+                entry, head.statement, head.status, head.engine, request_id
+            )
+        )
+
     def query_engine(
         self,
         entry: engines.EngineEntry,
@@ -168,7 +190,14 @@
         timed_request = timed_requests.TimedRequest(
             entry.life, entry.address, request, seconds, fresh=fresh
         )
-        timed_requests.send_timed_request(self.pool, timed_request, done)
+
+        def head_received(response: h11.Response) -> None:
+            head = self.dialect.read_answer_head(response)
+            self.report_statement(entry, head)
+
+        timed_requests.send_timed_request(
+            self.pool, timed_request, done, head_received
+        )
 
     def probe_engine(self, probe: relay_actions.ProbeEngine) -> None:
         """Probe an engine; any answer shows that it is alive."""
--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -55,6 +55,8 @@
 class AnswerCollector:
     """Collects one answer; ``done`` is called exactly once.
 
+    ``head_received`` is called before, once the head of an answer is there.
+
     ``answer_started_at`` and ``last_received_at`` are when the first and the
     last part of the answer arrived.
     """
@@ -64,10 +66,12 @@
         reactor: interfaces.IReactorTime,
         timed_request: TimedRequest,
         done: Callable[[Answer], None],
+        head_received: Callable[[h11.Response], None],
     ) -> None:
         self.reactor = reactor
         self.timed_request = timed_request
         self.done = done
+        self.head_received = head_received
         self.asked_at = reactor.seconds()
         self.answer_started_at: float | None = None
         self.last_received_at = float('-inf')
@@ -90,6 +94,7 @@
         """Note the head of the answer."""
         self.response = response
         self.answer_started_at = self.last_received_at = self.reactor.seconds()
+        self.head_received(response)
 
     def body_received(self, data: bytes) -> None:
         """Append a part of the body, up to ``max_bytes``."""
@@ -129,8 +134,12 @@
     pool: http_client.ConnectionPool,
     timed_request: TimedRequest,
     done: Callable[[Answer], None],
+    head_received: Callable[[h11.Response], None] = lambda _: None,
 ) -> None:
-    """Send a request; call ``done`` with the answer or its failure."""
+    """Send a request; call ``done`` with the answer or its failure.
+
+    ``head_received`` is called as soon as the head of an answer is there.
+    """
 
     def deliver_answer(answer: Answer) -> None:
         if timer.active():
@@ -149,7 +158,9 @@
         collector.deliver_timeout()
 
     pending: http_client.PendingRequest | None = None
-    collector = AnswerCollector(pool.reactor, timed_request, deliver_answer)
+    collector = AnswerCollector(
+        pool.reactor, timed_request, deliver_answer, head_received
+    )
     timer = pool.reactor.callLater(timed_request.seconds, check_expiry)
     pending = pool.request(
         timed_request.key,
--- a/tests/common/relay_wires.py
+++ b/tests/common/relay_wires.py
@@ -6,6 +6,7 @@
 from twisted.python import failure
 
 from greengagelb import errors
+from greengagelb.protocol import statement_headers
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
 from greengagelb.transport.relay import http1
@@ -87,6 +88,11 @@
             http1.select_end_to_end_headers(fields),
             http1.first_header_value(fields, b'seal') is not None,
             http1.first_header_value(fields, b'not-run') is not None,
+            statement=statement_headers.parse_statement(
+                response.status_code,
+                [v for n, v in fields if n.lower() == b'leaving'],
+                [v for n, v in fields if n.lower() == b'retry-after'],
+            ),
         )
 
     def read_started_at_ms(self, status, body):
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -8,6 +8,7 @@
 from greengagelb.platform import wire
 from greengagelb.protocol import limit_header
 from greengagelb.state import limits
+from greengagelb.state import statements
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
 from tests.common import relay_world
@@ -232,3 +233,55 @@
     assert isinstance(found.limit, limits.UnusableLimit)
     assert len(found.limit.text) <= limit_header.MAX_TEXT_CHARACTERS
     assert found.status == 200
+
+
+@pytest.mark.parametrize('status', [200, 500, 503, 504])
+def test_leaving_is_read_from_any_answer(status):
+    """Guards against an engine's word on leaving that only some paths read."""
+    assert read_answer(status, (b'server-leaving', b'1')).statement.leaving
+
+
+@pytest.mark.parametrize(
+    ('values', 'seconds'),
+    [
+        ([b'3'], 3.0),
+        ([b'0.25'], 0.25),
+        ([b'0'], 0.0),
+        ([b'31536000'], 31_536_000.0),
+        ([b'2', b'2'], 2.0),
+        ([b'2', b'5'], 5.0),
+        ([b'-1', b'5'], 5.0),
+        ([b'-1'], 0.0),
+        ([b''], 0.0),
+        ([b'1e3'], 0.0),
+        ([b'9999999999'], 0.0),
+        ([b'Wed, 21 Oct 2026 07:28:00 GMT'], 0.0),
+        ([], 0.0),
+    ],
+)
+def test_rest_that_a_refusal_asks_for(values, seconds):
+    """Guards against rests that are guessed, or dropped for a second value."""
+    fields = [(b'Retry-After', value) for value in values]
+    assert read_answer(503, *fields).statement.rest_seconds == seconds
+
+
+@pytest.mark.parametrize(
+    'field',
+    [
+        (b'Retry-After', b'-1'),
+        (b'Retry-After', b''),
+        (b'Retry-After', b'soon' * 1_000),
+        (b'Server-Leaving', b'0'),
+        (b'Server-Leaving', b'yes'),
+    ],
+)
+def test_unusable_statement_is_reported_in_a_bounded_text(field):
+    """Guards against silence on, and unbounded log lines of, such values."""
+    [text] = read_answer(503, field).statement.unusable
+    assert len(text) < 50
+
+
+def test_rest_is_asked_for_by_refusals_only():
+    """Guards against a success that takes its engine out of use."""
+    found = read_answer(200, (b'Retry-After', b'3')).statement
+    assert found == statements.NO_STATEMENT
