--- a/tests/common/relay_world.py
+++ b/tests/common/relay_world.py
@@ -8,6 +8,8 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import relay
+from greengagelb.state import identity
+from greengagelb.state import statements
 from greengagelb.state.relay import bounds
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import hints
@@ -211,6 +213,23 @@
 
     # -- what comes from engines --------------------------------------------
 
+    def state(self, send, status=200, **fields):
+        """Have the head of a send's answer state something of its engine."""
+        request = identity.RequestId(send.account, send.request.request_id)
+        return self.handle(
+            relay_events.EngineStated(
+                send.engine,
+                statements.Statement(**fields),
+                status,
+                request=request,
+            )
+        )
+
+    def ask_for_rest(self, send, seconds):
+        """Have an engine turn a send away and ask for rest."""
+        self.state(send, 503, rest_seconds=seconds)
+        return self.refuse(send)
+
     def begin(self, send, **fields):
         return self.handle(
             relay_events.AnswerStarted(
