--- a/tests/relay/test_directory_machine.py
+++ b/tests/relay/test_directory_machine.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine
 
 from greengagelb.coordination.relay import directory
+from greengagelb.coordination.relay import listed_engines
 from tests.common import relay_world
 
 LEAST_LAPSE = relay_world.ENGINE_BOUNDS.least_lapse_seconds
@@ -137,7 +138,7 @@
     @invariant()
     def removed_engine_gets_no_work_after_the_grace_period(self):
         for name, at in self.removed.items():
-            if self.now > at + directory.REGISTRATION_GRACE_SECONDS:
+            if self.now > at + listed_engines.REGISTRATION_GRACE_SECONDS:
                 assert name not in self.candidates()
 
     @invariant()
