Give no more work to an engine that says in an answer that it leaves

Callers saw nothing, as such engines still serve for a while; the operators saw requests reach an engine 2.4 and 2.1 s after it had said so, while the store could not be reached.

Cause: leaving was known from the list of engines only. What an engine states in an answer was dropped.

Now it is read from the head of any answer and belongs to the life that made it: no row undoes it, a later life and another engine at the address start without it, as do late answers of a former one. All choices exclude the engine; sends that wait for its permits are chosen again at once, its copies are replaced, and what waits for a connection is asked once more before it is written, in the one place that writes requests. That is no failure of the engine. The others are told in one datagram. The digest of the list does not change, so no instance reads the store for it.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -64,6 +64,20 @@
         self.waiting_sends.hold_for_permit(exchange, state, continuation, now)
         return []
 
+    def is_withheld(
+        self,
+        sent: exchanges.InFlightSend,
+        event: relay_events.SendFailed,
+        now: float,
+    ) -> bool:
+        """Return whether a send was not written as its engine wants none.
+
+        The engine has not failed then.
+        """
+        return not event.handed_over and not self.engines.admits(
+            sent.entry, now
+        )
+
     def refuse_without_engine(
         self,
         exchange: exchanges.Exchange,
@@ -237,12 +251,13 @@
         now: float,
     ) -> list[Action]:
         """Handle a send that ended without an answer."""
-        self.components.engines.note_failure(
-            sent.entry.engine,
-            now,
-            dead=not event.handed_over,
-            started_at_ms=sent.entry.started_at_ms,
-        )
+        if not self.components.is_withheld(sent, event, now):
+            self.components.engines.note_failure(
+                sent.entry.engine,
+                now,
+                dead=not event.handed_over,
+                started_at_ms=sent.entry.started_at_ms,
+            )
         self.components.send_manager.release_send(exchange, sent)
         if event.handed_over:
             exchange.may_have_run = True
--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -150,6 +150,14 @@
         state.load_at = now
         state.in_flight_at_load = state.in_flight
 
+    def admits(self, entry: engines.EngineEntry, now: float) -> bool:
+        """Return whether a request may be written to an engine now.
+
+        It may have been chosen before the engine said that it leaves.
+        """
+        state = self.find_same_life(entry.engine, entry.started_at_ms)
+        return state is None or not state.is_leaving
+
     def candidates(
         self, service: str, excluded: set[str], now: float
     ) -> list[engine_states.EngineState]:
--- a/src/greengagelb/coordination/relay/engine_statements.py
+++ b/src/greengagelb/coordination/relay/engine_statements.py
@@ -8,10 +8,11 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import calls
-from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import run_copies
 from greengagelb.state import statements
 from greengagelb.state.relay import engine_states
+from greengagelb.state.relay import hints
 
 # Each answer to a request that was under way repeats the rest asked for; only
 # a deadline that moves by more than this is recorded again.
@@ -25,8 +26,15 @@
 class EngineStatementHandler:
     """Applies statements to the engines that made them."""
 
-    def __init__(self, engine_directory: directory.EngineDirectory) -> None:
-        self.engines = engine_directory
+    def __init__(
+        self,
+        components: calls.RelayComponents,
+        copies: run_copies.RunCopies,
+    ) -> None:
+        self.components = components
+        self.engines = components.engines
+        self.keeper = components.waiting_sends.keeper
+        self.copies = copies
 
     def handle_statement(
         self, event: relay_events.EngineStated, now: float
@@ -68,12 +76,49 @@
         state: engine_states.EngineState,
         now: float,
     ) -> list[Action]:
-        """Note that an engine says that it leaves."""
+        """Note that an engine says that it leaves, and tell the others."""
         if state.leaving_source is not None:
             return []
-        state.leaving_source = statements.Source(describe_answer(event), now)
-        reason = f'stated in {state.leaving_source.text}'
-        return [record(event, state, 'engine-leaving', reason)]
+        was_known = state.is_leaving
+        source = statements.Source(describe_answer(event), now)
+        resulting = self.retire(state, source, now)
+        if was_known:
+            return resulting
+        entry = state.entry
+        self.components.send_manager.pending_hints.append(
+            hints.EngineLeaving(entry.engine, entry.started_at_ms)
+        )
+        reason = f'stated in {source.text}'
+        return [record(event, state, 'engine-leaving', reason), *resulting]
+
+    def note_peer_leaving(
+        self, incarnation: str, hint: hints.EngineLeaving, now: float
+    ) -> list[Action]:
+        """Note that an engine has told another instance that it leaves."""
+        state = self.engines.find_same_life(hint.engine, hint.started_at_ms)
+        if state is None or state.is_leaving:
+            return []
+        source = statements.Source(f'instance {incarnation}', now)
+        reason = f'told by {source.text}'
+        return [
+            actions.Record('engine-leaving', reason, upstream=hint.engine),
+            *self.retire(state, source, now),
+        ]
+
+    def retire(
+        self,
+        state: engine_states.EngineState,
+        source: statements.Source,
+        now: float,
+    ) -> list[Action]:
+        """Give an engine that leaves no more work.
+
+        Sends that wait for its permits go elsewhere, and the copies of runs
+        that it holds are replaced while it still serves.
+        """
+        state.leaving_source = source
+        self.keeper.withdraw_requests(state.entry.life, now)
+        return self.copies.replace_lost_copies(state.entry.engine, now)
 
     def note_rest(
         self,
--- a/src/greengagelb/coordination/relay/listed_engines.py
+++ b/src/greengagelb/coordination/relay/listed_engines.py
@@ -147,7 +147,7 @@
         state = self.states[entry.engine]
         state.entry = with_known_start(state.entry, entry)
         state.gone_at = None
-        is_newly_leaving = entry.leaving and not state.leaving
+        is_newly_leaving = entry.leaving and not state.is_leaving
         state.leaving = state.leaving or entry.leaving
         return is_newly_leaving
 
--- a/src/greengagelb/coordination/relay/peer_events.py
+++ b/src/greengagelb/coordination/relay/peer_events.py
@@ -5,6 +5,7 @@
 from greengagelb.coordination.relay import crashing_requests
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import engine_list
+from greengagelb.coordination.relay import engine_statements
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
 from greengagelb.coordination.relay import permit_outcomes
@@ -37,6 +38,7 @@
         restart_handler: restarts.RestartHandler,
         crashing: crashing_requests.CrashingRequestHandler,
         limited: permit_outcomes.PermitOutcomeHandler,
+        statement_handler: engine_statements.EngineStatementHandler,
     ) -> None:
         self.engines = engine_directory
         self.engine_updates = engine_updates
@@ -48,6 +50,7 @@
         self.crashing = crashing
         self.limited = limited
         self.keeper = limited.keeper
+        self.statements = statement_handler
 
     def handle_event(
         self, event: relay_events.RelayEvent, now: float
@@ -116,6 +119,10 @@
                 return self.restarts.note_peer_reported_start(
                     engine, started_at_ms, now
                 )
+            case hints.EngineLeaving():
+                return self.statements.note_peer_leaving(
+                    incarnation, hint, now
+                )
             case hints.EngineListChanged(entries, removed, unusable):
                 return self.engine_updates.apply_changes(
                     entries, removed, unusable, now
--- a/src/greengagelb/coordination/relay/permit_outcomes.py
+++ b/src/greengagelb/coordination/relay/permit_outcomes.py
@@ -172,19 +172,22 @@
         """Make a send that has its permit, if its caller still waits."""
         if exchange is None:
             return []
-        state = self.find_target(held, exchange)
+        state = self.find_target(held, exchange, now)
         if state is None:
             return self.send_elsewhere(held, exchange, now)
         return self.send(held, exchange, state, now)
 
     def find_target(
-        self, held: permit_waits.WaitingSend, exchange: exchanges.Exchange
+        self,
+        held: permit_waits.WaitingSend,
+        exchange: exchanges.Exchange,
+        now: float,
     ) -> engine_states.EngineState | None:
         """Return the engine of a send, if the send is still to be made."""
         state = self.components.engines.states.get(held.engine)
         if state is None:
             return None
-        if state.entry.life != held.life or state.leaving or state.replaced:
+        if state.entry.life != held.life or not state.is_usable(now):
             return None
         is_hedge = isinstance(held.continuation, permit_waits.HedgedCall)
         if len(exchange.sends) != int(is_hedge):
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -126,7 +126,7 @@
             self.restarts,
         )
         self.statements = engine_statements.EngineStatementHandler(
-            self.engines
+            components, self.copies
         )
         self.peers = peer_events.PeerEventHandler(
             self.engines,
@@ -138,6 +138,7 @@
             self.restarts,
             self.crashing_requests,
             self.permit_outcomes,
+            self.statements,
         )
         self.lifecycle = stopping.InstanceLifecycle()
 
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -428,6 +428,10 @@
             resulting = self.components.crash_watch.suspect_engine(
                 exchange, sent, sent.answered_at, now
             )
+        if self.components.is_withheld(sent, event, now):
+            return resulting + self.replace_send(
+                exchange, sent, event.detail, now
+            )
         return resulting + self.handle_lost_send(
             exchange, sent, event.detail, now
         )
--- a/src/greengagelb/coordination/sharing/limit_keeper.py
+++ b/src/greengagelb/coordination/sharing/limit_keeper.py
@@ -191,6 +191,14 @@
         for request in [a for a in self.requests.values() if a.life == life]:
             self.deny_request(request, 0.0)
 
+    def withdraw_requests(self, life: str, now: float) -> None:
+        """Deny the requests for a life that is to get none; return permits."""
+        self.schedule_changed = True
+        for request in [a for a in self.requests.values() if a.life == life]:
+            self.deny_request(request, 0.0)
+            returned = limits.PermitReturned(life, request.number)
+            self.send_or_handle(request.issuer, returned, now)
+
     def next_permit_at(
         self, life: str, account: str, now: float
     ) -> float | None:
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -101,6 +101,15 @@
     started_at_ms: int
 
 
+class EngineLeaving(
+    msgspec.Struct, frozen=True, array_like=True, tag='l', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.EngineLeaving`."""
+
+    engine: str
+    started_at_ms: int = engines.UNKNOWN_START
+
+
 class EngineEntry(msgspec.Struct, frozen=True, array_like=True):
     """See :class:`greengagelb.state.relay.engines.EngineEntry`."""
 
@@ -209,6 +218,7 @@
         | StreamSilent
         | EngineReplaced
         | EngineRestarted
+        | EngineLeaving
         | EngineListChanged
         | StoreRead
         | StoreProbed
@@ -280,6 +290,8 @@
             wire = EngineReplaced(engine, successor, started_at_ms)
         case hints.EngineRestarted(engine, started_at_ms):
             wire = EngineRestarted(engine, started_at_ms)
+        case hints.EngineLeaving(engine, started_at_ms):
+            wire = EngineLeaving(engine, started_at_ms)
         case hints.EngineListChanged(entries, removed, unusable):
             encoded_entries = tuple(map(write_engine, entries))
             wire = EngineListChanged(encoded_entries, removed, unusable)
@@ -363,6 +375,8 @@
             hint = hints.EngineReplaced(engine, successor, started_at_ms)
         case EngineRestarted(engine, started_at_ms):
             hint = hints.EngineRestarted(engine, started_at_ms)
+        case EngineLeaving(engine, started_at_ms):
+            hint = hints.EngineLeaving(engine, started_at_ms)
         case EngineListChanged(entries, removed, unusable):
             decoded_entries = tuple(map(read_engine, entries))
             hint = hints.EngineListChanged(decoded_entries, removed, unusable)
--- a/src/greengagelb/state/relay/engine_states.py
+++ b/src/greengagelb/state/relay/engine_states.py
@@ -50,10 +50,15 @@
     rest_source: statements.Source | None = None
     next_unusable_record_at: float = float('-inf')
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether this life is about to end; it stays so."""
+        return self.leaving or self.leaving_source is not None
+
     def is_usable(self, now: float) -> bool:
         """Return whether the engine may get new work."""
         is_gone = self.gone_at is not None and now >= self.gone_at
-        return not (self.leaving or self.replaced or is_gone)
+        return not (self.is_leaving or self.replaced or is_gone)
 
     def is_trusted(self, now: float) -> bool:
         """Return whether it is usable and neither suspected nor dead."""
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -84,6 +84,14 @@
     started_at_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineLeaving:
+    """An engine has told the sender that it leaves."""
+
+    engine: str
+    started_at_ms: int = engines.UNKNOWN_START
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineListChanged:
     """Changes in the list of engines, other than of heartbeats.
@@ -146,6 +154,7 @@
     | StreamSilent
     | EngineReplaced
     | EngineRestarted
+    | EngineLeaving
     | EngineListChanged
     | StoreRead
     | StoreProbed
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -130,7 +130,8 @@
     """The sends, probes and other requests to engines.
 
     ``pending_sends`` has the sends without a final event, by exchange and
-    number of the send.
+    number of the send. ``admits`` tells whether an engine may be sent a
+    caller's request now.
     """
 
     def __init__(
@@ -138,10 +139,12 @@
         pool: http_client.ConnectionPool,
         wire_dialect: dialect.Dialect,
         dispatch: Dispatch,
+        admits: Callable[[engines.EngineEntry], bool],
     ) -> None:
         self.pool = pool
         self.dialect = wire_dialect
         self.dispatch = dispatch
+        self.admits = admits
         self.pending_sends: dict[
             tuple[int, int], http_client.PendingRequest
         ] = {}
@@ -156,6 +159,7 @@
             lambda: self.dialect.write_send(send, seconds()),
             EngineAnswer(self, send),
             fresh=send.fresh,
+            is_admitted=lambda: self.admits(send.engine),
         )
         if not pending.is_finished:
             self.pending_sends[key] = pending
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -247,15 +247,22 @@
     return DEFAULT_KEEP_ALIVE_SECONDS
 
 
+def always() -> bool:
+    """Return that a request may be written."""
+    return True
+
+
 @dataclasses.dataclass(slots=True)
 class PendingRequest:
     """A request in flight, or waiting for its connection.
 
+    ``is_admitted`` is asked right before it is written.
     ``connection_refused`` tells that its address refused the connection.
     """
 
     build_request: Callable[[], WireRequest]
     receiver: Receiver
+    is_admitted: Callable[[], bool] = always
     connection: ClientConnection | None = None
     connector: interfaces.IConnector | None = None
     is_finished: bool = False
@@ -331,18 +338,18 @@
         build_request: Callable[[], WireRequest],
         receiver: Receiver,
         fresh: bool = False,
+        is_admitted: Callable[[], bool] = always,
     ) -> PendingRequest:
         """Send a request on an idle connection, or on a new one.
 
         ``fresh`` demands a new connection. ``build_request`` is called right
         before the request is written, so that the remaining time in it is
-        correct.
+        correct. The request fails instead if ``is_admitted`` denies it then.
         """
-        pending = PendingRequest(build_request, receiver)
+        pending = PendingRequest(build_request, receiver, is_admitted)
         connection = None if fresh else self.take_idle_connection(key)
         if connection is not None:
-            pending.connection = connection
-            connection.send_request(build_request(), receiver)
+            self.write_request(connection, pending)
             return pending
         self.connections_opened += 1
         pending.connector = self.reactor.connectTCP(
@@ -372,13 +379,28 @@
                 SEND_DELAY_SECONDS, self.send_delayed_request, connection
             )
             return
-        connection.send_request(pending.build_request(), pending.receiver)
+        self.write_request(connection, pending)
 
     def send_delayed_request(self, connection: ClientConnection) -> None:
         """Send the delayed request unless its connection was reset."""
         pending, connection.delayed_request = connection.delayed_request, None
         if pending is not None:
+            self.write_request(connection, pending)
+
+    def write_request(
+        self, connection: ClientConnection, pending: PendingRequest
+    ) -> None:
+        """Write a request if it is still admitted; fail it otherwise.
+
+        All requests are written here, whatever they have waited for.
+        """
+        if pending.is_admitted():
+            pending.connection = connection
             connection.send_request(pending.build_request(), pending.receiver)
+            return
+        pending.is_finished = True
+        connection.reset_connection()
+        pending.receiver.answer_failed(False, 'server wants no requests')
 
     def note_reset(self, key: str) -> None:
         """Note that a server closed a connection without any answer."""
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -100,7 +100,7 @@
         )
         self.pool = http_client.ConnectionPool(reactor)
         self.engines = engine_side.EngineSide(
-            self.pool, wire_dialect, self.loop.dispatch
+            self.pool, wire_dialect, self.loop.dispatch, self.admits
         )
         self.callers = caller_side.CallerSide(
             reactor,
@@ -244,6 +244,10 @@
         table = self.relay.route_table
         return table.limits if table is not None else routes.CallerLimits()
 
+    def admits(self, entry: engines.EngineEntry) -> bool:
+        """Return whether an engine may be sent a caller's request now."""
+        return self.relay.engines.admits(entry, self.reactor.seconds())
+
     def record_refusal(self, status: int, code: str) -> None:
         """Record a refusal that preceded any decision."""
         self.recorder.record(actions.Record('refused', f'{status} {code}'))
--- a/tests/relay/test_engine_lives.py
+++ b/tests/relay/test_engine_lives.py
@@ -511,7 +511,7 @@
         self.reactor = task.Clock()
         self.keys = []
 
-    def request(self, key, address, request, receiver, fresh=False):
+    def request(self, key, address, request, receiver, **options):
         self.keys.append(key)
         return http_client.PendingRequest(request, receiver)
 
@@ -523,7 +523,9 @@
     be repeated would be lost.
     """
     pool = Pool()
-    side = engine_side.EngineSide(pool, relay_wires.Dialect(), lambda _: None)
+    side = engine_side.EngineSide(
+        pool, relay_wires.Dialect(), lambda _: None, lambda _: True
+    )
     world = world_of_lives()
     send = world.last_send(world.ask())
     side.send_request(send)
--- a/tests/transport/test_engine_fate.py
+++ b/tests/transport/test_engine_fate.py
@@ -46,7 +46,9 @@
     reactor = Reactor()
     found = []
     pool = http_client.ConnectionPool(reactor)
-    side = engine_side.EngineSide(pool, Dialect(), found.append)
+    side = engine_side.EngineSide(
+        pool, Dialect(), found.append, lambda _: True
+    )
     side.check_engine(relay_actions.CheckEngine(ENTRY))
     return reactor, found
 
