Leave an engine alone for the rest that it asks for

Callers of a service got 503 engines-full for nine seconds, a tenth of all calls and more: an overloaded engine turned everything away at once, so it looked idle and was chosen more often than before, while two others had room. It had asked each instance for 3 s of rest, and got 11 and 7 requests from two of them.

Cause: Retry-After of an engine's 503 was dropped, like its word on leaving.

Now the rest belongs to one life of an engine, is asked of one instance, and the later of several deadlines counts. It bounds first tries, repeats, hedges, streams that go on, copy orders, sends that wait for a permit or a connection. The engine is no outlier, not suspected, and keeps its copies. Where all engines rest, a request waits if it can be served in its time (half its goal; a stream that has begun: its deadline), accounts in turn, streams that have begun first; all others are refused at once with the end of the rest and a spread. After a rest an engine gets as many requests as it has slots within half a second, evenly spread.

--- a/src/greengagelb/coordination/relay/answers.py
+++ b/src/greengagelb/coordination/relay/answers.py
@@ -12,8 +12,12 @@
 CRASHES_ENGINES = 'request-crashes-engines'
 # The code of answers when all engines have reached their limits.
 ENGINES_LIMITED = 'engines-limited'
-# Maximum random factor on the wait of callers that are refused together.
+# The code of answers when all engines have asked for rest.
+ENGINES_RESTING = 'engines-resting'
+# Maximum random factor on the wait of callers that are refused together, and
+# the most seconds that it adds.
 MAX_WAIT_SPREAD_FACTOR = 2.0
+MAX_WAIT_SPREAD_SECONDS = 2.0
 # The wait is at most this share of the time until the caller's deadline.
 # Callers retry within it or not at all, so a longer wait would only lose
 # requests.
@@ -69,6 +73,21 @@
             exchange.number, SERVICE_UNAVAILABLE, ENGINES_LIMITED, wait_seconds
         )
 
+    def refuse_resting(
+        self, exchange: exchanges.Exchange, back_at: float, now: float
+    ) -> relay_actions.Refuse:
+        """Refuse a request as all engines rest, the first to ``back_at``.
+
+        The waits are random, so that the end of a rest does not bring back all
+        that were refused during it.
+        """
+        wait_seconds = max(MIN_WAIT_SECONDS, back_at - now)
+        spread = min(MAX_WAIT_SPREAD_SECONDS, wait_seconds)
+        wait_seconds += self.rng.uniform(0.0, spread)
+        return relay_actions.Refuse(
+            exchange.number, SERVICE_UNAVAILABLE, ENGINES_RESTING, wait_seconds
+        )
+
     def fail_request(
         self, exchange: exchanges.Exchange, code: str, now: float
     ) -> relay_actions.RelayAction:
--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -9,6 +9,7 @@
 from greengagelb.coordination.relay import crash_watch
 from greengagelb.coordination.relay import directory
 from greengagelb.coordination.relay import engine_selection
+from greengagelb.coordination.relay import engine_waits
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import permit_waits
 from greengagelb.coordination.relay import sending
@@ -27,6 +28,8 @@
 # sent. They are bounded so that a request does not try an unreachable pool
 # forever.
 MAX_FAILED_CONNECTIONS = 12
+# The most engines that the timeline names for one request.
+MAX_ENGINES_LEFT_OUT = 4
 # The status of an engine that is not the one the request was meant for.
 MISDIRECTED_REQUEST = 421
 
@@ -43,6 +46,7 @@
     answers: answers.AnswerBuilder
     crash_watch: crash_watch.CrashWatch
     waiting_sends: permit_waits.WaitingSends
+    engine_waits: engine_waits.EngineWaits
 
     def wait_for_permit(
         self,
@@ -78,24 +82,75 @@
             sent.entry, now
         )
 
-    def refuse_without_engine(
+    def wait_or_refuse(
         self,
         exchange: exchanges.Exchange,
         excluded: set[str],
-        code: str,
+        continuation: permit_waits.CallAttempt | permit_waits.StreamStart,
         now: float,
-    ) -> Action:
-        """Return the final answer to a request that no engine accepts now.
+    ) -> list[Action]:
+        """Handle a request that no engine accepts now.
 
-        If only the engines' limits prevent it, the answer says when to retry.
+        It waits if all that is missing is the end of a rest that comes in its
+        time. Otherwise it is refused at once, and told when to come back if
+        rests or limits of engines are the reason.
         """
         ruling = exchange.ruling
-        available_at = self.selector.available_again_at(
-            ruling.service.name, excluded, now, ruling.account
+        service, account = ruling.service.name, ruling.account
+        rested = self.selector.next_rested_engine(
+            service, excluded, now, account
         )
-        if available_at is None or exchange.begun or exchange.may_have_run:
-            return self.answers.fail_request(exchange, code, now)
-        return self.answers.refuse_limited(exchange, available_at, now)
+        left_out = self.describe_left_out(exchange, now)
+        if rested is not None and self.send_manager.has_attempts_left(
+            exchange
+        ):
+            expected_at = self.engine_waits.expected_at(rested, now)
+            if expected_at < self.engine_waits.deadline_of(exchange):
+                self.engine_waits.hold(exchange, continuation)
+                return left_out
+        may_come_back = not (exchange.begun or exchange.may_have_run)
+        if may_come_back and rested is not None:
+            refusal = self.answers.refuse_resting(
+                exchange, rested.available_at, now
+            )
+            return [*left_out, refusal]
+        limited_until = self.selector.available_again_at(
+            service, excluded, now, account
+        )
+        if may_come_back and limited_until is not None:
+            refusal = self.answers.refuse_limited(exchange, limited_until, now)
+            return [*left_out, refusal]
+        code = continuation.code
+        return [*left_out, self.answers.fail_request(exchange, code, now)]
+
+    def describe_left_out(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> list[Action]:
+        """Return the timeline event of the engines that want no requests."""
+        service = exchange.ruling.service.name
+        states = self.engines.by_service.get(service, {}).values()
+        found = [
+            state
+            for state in states
+            if state.leaving_source is not None or now < state.available_at
+        ]
+        if not found:
+            return []
+        reasons = [
+            f'{state.entry.engine} {describe_unavailable(state, now)}'
+            for state in found[:MAX_ENGINES_LEFT_OUT]
+        ]
+        why = f'{len(found)} of {len(states)}: {"; ".join(reasons)}'
+        return [sending.record(exchange, None, 'engines-left-out', why)]
+
+
+def describe_unavailable(state: engine_states.EngineState, now: float) -> str:
+    """Return why an engine wants no requests, for the timeline."""
+    if state.leaving_source is not None:
+        return f'leaves by {state.leaving_source.describe(now)}'
+    seconds = state.available_at - now
+    source = state.rest_source
+    return f'rests for {seconds:.3f} s by {source.describe(now)}'
 
 
 class CallRelay:
@@ -118,13 +173,11 @@
             code = answers.CRASHES_ENGINES
             return [self.components.answers.fail_request(exchange, code, now)]
         state = self.choose_engine(exchange, now)
-        if state is None:
-            return [
-                self.components.refuse_without_engine(
-                    exchange, exchange.tried, code, now
-                )
-            ]
         continuation = permit_waits.CallAttempt(code)
+        if state is None:
+            return self.components.wait_or_refuse(
+                exchange, exchange.tried, continuation, now
+            )
         pending = self.components.wait_for_permit(
             exchange, state, continuation, code, now
         )
--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -153,27 +153,40 @@
     def admits(self, entry: engines.EngineEntry, now: float) -> bool:
         """Return whether a request may be written to an engine now.
 
-        It may have been chosen before the engine said that it leaves.
+        It may have been chosen before the engine said that it leaves, or asked
+        for rest.
         """
         state = self.find_same_life(entry.engine, entry.started_at_ms)
-        return state is None or not state.is_leaving
+        if state is None:
+            return True
+        return not (state.is_leaving or state.is_resting(now))
+
+    def usable_engines(
+        self, service: str, excluded: set[str], now: float
+    ) -> list[engine_states.EngineState]:
+        """Return the engines of a service that may get work, now or later."""
+        return [
+            state
+            for name, state in self.by_service.get(service, {}).items()
+            if name not in excluded and state.is_usable(now)
+        ]
 
     def candidates(
         self, service: str, excluded: set[str], now: float
     ) -> list[engine_states.EngineState]:
-        """Return the trusted engines of a service that may get work.
+        """Return the trusted engines of a service that may get work now.
 
-        If no usable engine is trusted, all usable ones are returned: the links
-        of this instance may be at fault, and refusing the request for lack of
-        engines would help nobody.
+        If none of them is trusted, all that may get work are returned: the
+        links of this instance may be at fault, and refusing the request for
+        lack of engines would help nobody.
         """
-        usable = [
+        available = [
             state
-            for name, state in self.by_service.get(service, {}).items()
-            if name not in excluded and state.is_usable(now)
+            for state in self.usable_engines(service, excluded, now)
+            if now >= state.available_at
         ]
-        trusted = [state for state in usable if state.is_trusted(now)]
-        return trusted or usable
+        trusted = [state for state in available if state.is_trusted(now)]
+        return trusted or available
 
     def failure_risk_by_data_centre(
         self, service: str, now: float
--- a/src/greengagelb/coordination/relay/engine_selection.py
+++ b/src/greengagelb/coordination/relay/engine_selection.py
@@ -97,12 +97,27 @@
         """Return when engines at their limits accept requests again.
 
         The result is a monotonic time, or None if there are no such engines.
+        Engines that rest until later count from the end of their rest.
         """
+        found = []
+        for state in self.engines.usable_engines(service, excluded, now):
+            at = self.keeper.next_permit_at(state.entry.life, account, now)
+            if at is not None:
+                found.append(max(at, state.available_at))
+        return min(found, default=None)
+
+    def next_rested_engine(
+        self, service: str, excluded: set[str], now: float, account: str
+    ) -> engine_states.EngineState | None:
+        """Return the engine whose rest ends first, if that is all it lacks."""
         found = [
-            self.keeper.next_permit_at(state.entry.life, account, now)
-            for state in self.engines.candidates(service, excluded, now)
+            state
+            for state in self.engines.usable_engines(service, excluded, now)
+            if now < state.available_at
+            and self.keeper.next_permit_at(state.entry.life, account, now)
+            is None
         ]
-        return min((at for at in found if at is not None), default=None)
+        return min(found, key=lambda state: state.available_at, default=None)
 
     def choose_for_call(
         self, service: str, excluded: set[str], now: float, account: str = ''
--- a/src/greengagelb/coordination/relay/engine_statements.py
+++ b/src/greengagelb/coordination/relay/engine_statements.py
@@ -5,6 +5,8 @@
 Rest is asked of one instance, until a deadline; the later of several counts.
 """
 
+import collections
+
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import calls
@@ -80,7 +82,9 @@
         if state.leaving_source is not None:
             return []
         was_known = state.is_leaving
-        source = statements.Source(describe_answer(event), now)
+        source = statements.Source(
+            statements.SourceKind.ANSWER, describe_answer(event), now
+        )
         resulting = self.retire(state, source, now)
         if was_known:
             return resulting
@@ -98,7 +102,9 @@
         state = self.engines.find_same_life(hint.engine, hint.started_at_ms)
         if state is None or state.is_leaving:
             return []
-        source = statements.Source(f'instance {incarnation}', now)
+        source = statements.Source(
+            statements.SourceKind.INSTANCE, f'instance {incarnation}', now
+        )
         reason = f'told by {source.text}'
         return [
             actions.Record('engine-leaving', reason, upstream=hint.engine),
@@ -120,19 +126,42 @@
         self.keeper.withdraw_requests(state.entry.life, now)
         return self.copies.replace_lost_copies(state.entry.engine, now)
 
+    def statistics(self, now: float) -> statements.StatementStatistics:
+        """Return the metrics of statements."""
+        leaving: collections.Counter[statements.SourceKind] = (
+            collections.Counter()
+        )
+        resting = 0
+        for state in self.engines.states.values():
+            resting += state.is_resting(now)
+            if state.leaving_source is not None:
+                leaving[state.leaving_source.kind] += 1
+            elif state.leaving:
+                leaving[statements.SourceKind.LIST] += 1
+        waits = self.components.engine_waits
+        return statements.StatementStatistics(
+            leaving, resting, len(waits.waiting), waits.held_count
+        )
+
     def note_rest(
         self,
         event: relay_events.EngineStated,
         state: engine_states.EngineState,
         now: float,
     ) -> list[Action]:
-        """Note that an engine asks for rest."""
+        """Note that an engine asks for rest.
+
+        Sends that wait for its permits go elsewhere.
+        """
         rest_until = now + event.statement.rest_seconds
         former = state.rest_until
         if rest_until <= former:
             return []
         state.rest_until = rest_until
-        state.rest_source = statements.Source(describe_answer(event), now)
+        state.rest_source = statements.Source(
+            statements.SourceKind.ANSWER, describe_answer(event), now
+        )
+        self.keeper.withdraw_requests(state.entry.life, now)
         if now < former and rest_until < former + MIN_RECORDED_SECONDS:
             return []
         reason = (
--- a/src/greengagelb/coordination/relay/permit_outcomes.py
+++ b/src/greengagelb/coordination/relay/permit_outcomes.py
@@ -189,6 +189,8 @@
             return None
         if state.entry.life != held.life or not state.is_usable(now):
             return None
+        if now < state.available_at:
+            return None
         is_hedge = isinstance(held.continuation, permit_waits.HedgedCall)
         if len(exchange.sends) != int(is_hedge):
             return None
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -19,6 +19,8 @@
 from greengagelb.coordination.relay import engine_list
 from greengagelb.coordination.relay import engine_selection
 from greengagelb.coordination.relay import engine_statements
+from greengagelb.coordination.relay import engine_wait_outcomes
+from greengagelb.coordination.relay import engine_waits
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
 from greengagelb.coordination.relay import loads
@@ -100,6 +102,7 @@
             self.answers,
             self.crash_watch,
             permit_waits.WaitingSends(self.keeper),
+            engine_waits.EngineWaits(),
         )
         self.calls = calls.CallRelay(components)
         self.succession = successor_search.SuccessorSearch(
@@ -119,6 +122,9 @@
         self.permit_outcomes = permit_outcomes.PermitOutcomeHandler(
             components, self.calls, self.streams, self.exchanges
         )
+        self.engine_wait_outcomes = engine_wait_outcomes.EngineWaitHandler(
+            components, self.calls, self.streams, self.exchanges
+        )
         self.engine_list = engine_list.EngineListHandler(
             self.engines,
             self.sharing,
@@ -182,6 +188,7 @@
         """Return the actions that result from an event."""
         resulting = self.dispatch_event(event, now)
         resulting += self.permit_outcomes.finish_event(resulting, now)
+        resulting += self.engine_wait_outcomes.set_timer(now)
         for hint in list(self.send_manager.pending_hints):
             resulting += self.peers.handle_engine_loss_hint(hint, now)
         ended: list[Action] = []
@@ -215,6 +222,7 @@
         """Remove an exchange and clear its timers."""
         if self.exchanges.pop(number, None) is None:
             return []
+        self.engine_wait_outcomes.waits.discard(number)
         return [
             actions.ClearTimer(timers.timer_name(kind, number))
             for kind in TIMERS
@@ -439,6 +447,8 @@
             return self.crash_watch.check_again(rest)
         if kind == permit_outcomes.LIMITS_TIMER:
             return self.permit_outcomes.run_due_work(now)
+        if kind == engine_wait_outcomes.ENGINE_WAIT_TIMER:
+            return self.engine_wait_outcomes.continue_waiting(now)
         exchange = self.exchanges.get(int(rest)) if rest else None
         if exchange is None:
             return []
@@ -446,7 +456,7 @@
             case streams.SILENCE_TIMER:
                 return self.streams.check_silence(exchange, now)
             case run_copies.COPY_TIMER:
-                return self.copies.renew_copies(exchange)
+                return self.copies.renew_copies(exchange, now)
             case calls.HEDGE_TIMER:
                 return self.calls.start_hedge(exchange, now)
             case calls.LATE_CALL_TIMER:
--- a/src/greengagelb/coordination/relay/run_copies.py
+++ b/src/greengagelb/coordination/relay/run_copies.py
@@ -107,6 +107,8 @@
         source = self.components.engines.states.get(sent.entry.engine)
         if source is None or sent.copy_orders >= MAX_COPY_ORDERS:
             return []
+        if source.is_resting(now):
+            return [copy_timer(exchange, source.rest_until)]
         target = self.components.selector.choose_for_copy(
             exchange.ruling.service,
             exchange.request.prompt,
@@ -154,13 +156,28 @@
         sent.copy_ordered = True
         model_engines = exchange.ruling.service.engines
         renew_at = now + COPY_RENEWAL_SHARE * model_engines.copy_seconds
-        name = timers.timer_name(COPY_TIMER, exchange.number)
-        return [*resulting, actions.SetTimer(name, renew_at)]
-
-    def renew_copies(self, exchange: exchanges.Exchange) -> list[Action]:
-        """Order the same copies again before they expire."""
-        return [
-            self.build_copy_order(exchange, sent)
-            for sent in exchange.sends.values()
-            if sent.copy_ordered and sent.copy_to is not None
-        ]
+        return [*resulting, copy_timer(exchange, renew_at)]
+
+    def renew_copies(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> list[Action]:
+        """Order the same copies again before they expire.
+
+        At an engine that wants no requests they are ordered later, as are
+        copies that were not ordered for that reason.
+        """
+        resulting: list[Action] = []
+        for sent in exchange.sends.values():
+            source = self.components.engines.states.get(sent.entry.engine)
+            if source is not None and source.is_resting(now):
+                resulting.append(copy_timer(exchange, source.rest_until))
+            elif sent.copy_to is None:
+                resulting += self.order_missing_copy(exchange, sent, now)
+            elif sent.copy_ordered:
+                resulting.append(self.build_copy_order(exchange, sent))
+        return resulting
+
+
+def copy_timer(exchange: exchanges.Exchange, at: float) -> actions.SetTimer:
+    """Return the timer at which the copies of a run are ordered again."""
+    return actions.SetTimer(timers.timer_name(COPY_TIMER, exchange.number), at)
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -95,6 +95,7 @@
         exchange.tried.add(state.entry.engine)
         exchange.attempts += 1
         state.in_flight += 1
+        state.note_send(now)
         if stream:
             self.count_run(exchange, sent, now)
         return [
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -87,14 +87,11 @@
             if lost
             else engine_selection.JITTER_SECONDS,
         )
-        if state is None:
-            refused_by = exchange.refused_by
-            return [
-                self.components.refuse_without_engine(
-                    exchange, refused_by, code, now
-                )
-            ]
         continuation = permit_waits.StreamStart(code)
+        if state is None:
+            return self.components.wait_or_refuse(
+                exchange, exchange.refused_by, continuation, now
+            )
         pending = self.components.wait_for_permit(
             exchange, state, continuation, code, now
         )
@@ -551,7 +548,7 @@
         state = self.components.engines.states.get(sent.copy_to.engine)
         if state is None or not state.is_reachable(now):
             return None
-        return state
+        return None if state.is_resting(now) else state
 
 
 def token_cost(exchange: exchanges.Exchange) -> float:
--- a/src/greengagelb/state/relay/engine_states.py
+++ b/src/greengagelb/state/relay/engine_states.py
@@ -5,6 +5,10 @@
 from greengagelb.state import statements
 from greengagelb.state.relay import engines
 
+# After a rest, an engine gets as many requests as it has slots within this
+# time, evenly spread; whoever waited would otherwise overload it again.
+AFTER_REST_SECONDS = 0.5
+
 
 @dataclasses.dataclass(slots=True)
 class EngineState:
@@ -23,8 +27,9 @@
 
     ``leaving`` is what the list shows; ``leaving_source`` is where the engine
     itself was heard to say so. Until ``rest_until`` the engine has asked this
-    instance for no requests, as ``rest_source`` says. Its unusable statements
-    are recorded again from ``next_unusable_record_at``.
+    instance for no requests, as ``rest_source`` says; ``next_send_at`` is when
+    it gets the next one shortly after that. Its unusable statements are
+    recorded again from ``next_unusable_record_at``.
     """
 
     entry: engines.EngineEntry
@@ -48,6 +53,7 @@
     leaving_source: statements.Source | None = None
     rest_until: float = float('-inf')
     rest_source: statements.Source | None = None
+    next_send_at: float = float('-inf')
     next_unusable_record_at: float = float('-inf')
 
     @property
@@ -55,6 +61,25 @@
         """Return whether this life is about to end; it stays so."""
         return self.leaving or self.leaving_source is not None
 
+    @property
+    def available_at(self) -> float:
+        """Return from when on it may be sent a request, as to its rest."""
+        return max(self.rest_until, self.next_send_at)
+
+    @property
+    def seconds_between_sends_after_rest(self) -> float:
+        """Return the seconds between two sends shortly after a rest."""
+        return AFTER_REST_SECONDS / max(1, self.entry.slots)
+
+    def is_resting(self, now: float) -> bool:
+        """Return whether it has asked for no requests until later."""
+        return now < self.rest_until
+
+    def note_send(self, now: float) -> None:
+        """Note that it is sent a request."""
+        if now < self.rest_until + AFTER_REST_SECONDS:
+            self.next_send_at = now + self.seconds_between_sends_after_rest
+
     def is_usable(self, now: float) -> bool:
         """Return whether the engine may get new work."""
         is_gone = self.gone_at is not None and now >= self.gone_at
--- a/src/greengagelb/state/statements.py
+++ b/src/greengagelb/state/statements.py
@@ -3,7 +3,10 @@
 Both kinds of instance use these types; their header names differ.
 """
 
+import collections
+from collections.abc import Mapping
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,6 +26,14 @@
 NO_STATEMENT = Statement()
 
 
+class SourceKind(enum.Enum):
+    """How an instance can learn that an engine leaves."""
+
+    LIST = 'list'
+    ANSWER = 'answer'
+    INSTANCE = 'instance'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Source:
     """Where this instance learned of a statement.
@@ -30,9 +41,27 @@
     ``text`` is for the timeline; ``learned_at`` is a monotonic time.
     """
 
+    kind: SourceKind
     text: str
     learned_at: float
 
     def describe(self, now: float) -> str:
         """Return the source and its age for the timeline."""
         return f'{self.text}, {now - self.learned_at:.3f} s ago'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatementStatistics:
+    """Statistics of what engines have stated, as known to one instance.
+
+    ``leaving`` counts the engines that leave by how that became known,
+    ``resting`` those that have asked for rest. ``held`` is the number of
+    requests that wait for an engine, ``held_count`` how many ever had to.
+    """
+
+    leaving: Mapping[SourceKind, int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    resting: int = 0
+    held: int = 0
+    held_count: int = 0
--- a/src/greengagelb/transport/metrics.py
+++ b/src/greengagelb/transport/metrics.py
@@ -14,6 +14,7 @@
 import greengagelb
 from greengagelb.coordination import actions
 from greengagelb.state import limits as limit_state
+from greengagelb.state import statements as statement_state
 
 COMPLETE = 'complete'
 ANSWERED = 'answered'
@@ -55,6 +56,9 @@
     suspects: int = 0
     blocked: int = 0
     limits: limit_state.LimitStatistics = limit_state.LimitStatistics()
+    statements: statement_state.StatementStatistics = (
+        statement_state.StatementStatistics()
+    )
 
 
 class Metrics:
@@ -117,6 +121,18 @@
         self.blocked_gauge = self.new_gauge(
             'blocked_requests', 'Requests refused because they crash engines'
         )
+        self.leaving_gauge = self.new_gauge(
+            'leaving_engines', 'Engines that leave, by how that became known'
+        )
+        self.resting_gauge = self.new_gauge(
+            'resting_engines', 'Engines that have asked for no requests'
+        )
+        self.engine_wait_gauge = self.new_gauge(
+            'requests_without_engine', 'Requests that wait for an engine now'
+        )
+        self.engine_wait_counter = self.new_counter(
+            'engine_waits', 'Requests that had to wait for an engine'
+        )
         self.limit_gauge = self.new_gauge(
             'engine_limits', 'Engines that name a limit on their requests'
         )
@@ -184,6 +200,13 @@
         self.set_instance_gauges(sample)
         self.suspect_gauge.set({}, sample.suspects)
         self.blocked_gauge.set({}, sample.blocked)
+        statements = sample.statements
+        for kind in statement_state.SourceKind:
+            number = statements.leaving.get(kind, 0)
+            self.leaving_gauge.set({'known_by': kind.value}, number)
+        self.resting_gauge.set({}, statements.resting)
+        self.engine_wait_gauge.set({}, statements.held)
+        self.engine_wait_counter.set({}, statements.held_count)
         self.limit_gauge.set({}, sample.limits.in_force)
         self.limit_rate_gauge.set({}, sample.limits.rate)
         self.held_gauge.set({}, sample.limits.held)
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -232,6 +232,7 @@
                 )
             ),
             limits=self.relay.keeper.figures(),
+            statements=self.relay.statements.statistics(now),
         )
 
     def metrics_page(self) -> pages.Page:
--- a/tests/common/relay_world.py
+++ b/tests/common/relay_world.py
@@ -17,6 +17,7 @@
 from greengagelb.state.relay import routes
 
 KEY = 'a-key-of-an-account'
+OTHER_KEY = 'a-key-of-another-account'
 HOST = 'api.example'
 STREAMS = 'drafts'
 CALLS = 'booking'
@@ -82,6 +83,13 @@
     )
 
 
+def table_of_two_accounts():
+    """Return a configuration with a second account."""
+    table = route_table()
+    table.accounts[routes.hash_api_key(OTHER_KEY)] = routes.Account('chalets')
+    return table
+
+
 def engine(name, service, place, heartbeat=1, *, leaving=False, port=0):
     """Return an engine's entry; its address follows from its name."""
     port = port or 10_000 + zlib.crc32(name.encode()) % 50_000
