Read leaving and rest by the product's own interface, too

A refusal with a rest made the upstream suspected as if it had failed.

Now X-Leaving and Retry-After are read from the head of each answer, reports and cancellations included, and belong to one incarnation: what a former one was asked before the current one reported says nothing. A request waits in the fair queue if the rest ends in its time, and is refused at once as upstreams-resting otherwise. Stand-ins have both faults.

Retry-After is rounded up: rounded to the nearest second it sent callers back up to half a second before they could be served.

--- a/src/greengagelb/coordination/calls/dispatching.py
+++ b/src/greengagelb/coordination/calls/dispatching.py
@@ -23,6 +23,7 @@
 
 MAX_DISPATCHES = 3
 LIMITED_CODE = 'upstreams-limited'
+RESTING_CODE = 'upstreams-resting'
 DEADLINE_TIMER = 'call-deadline'
 OUTCOME_TIMER = 'call-outcome'
 STALL_TIMER = 'call-stall'
@@ -148,6 +149,13 @@
         exchange = call.request.exchange
         limited = self.directory.upstreams_if_all_limited(call.pool, now)
         names = [name for name in limited if name not in call.excluded]
+        rest_seconds = self.directory.rest_wait_seconds(call.pool, now)
+        if rest_seconds and not call.may_have_run:
+            return self.fail_call(
+                call,
+                RESTING_CODE,
+                self.retry_advice.delay_until_available(rest_seconds),
+            )
         if not names:
             return self.fail_call(
                 call, 'no-upstream', self.retry_advice.record_failure()
@@ -274,7 +282,10 @@
         upstream = self.end_try(call, event.try_number) if call else None
         if call is None or upstream is None:
             return []
-        self.directory.mark_suspected(upstream.name, now)
+        if event.handed_over or not self.directory.wants_no_requests(
+            upstream.name, now
+        ):
+            self.directory.mark_suspected(upstream.name, now)
         call.excluded.add(upstream.name)
         call.may_have_run = call.may_have_run or event.handed_over
         planned: list[actions.Action] = []
--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -13,6 +13,7 @@
 from greengagelb.state import identity
 from greengagelb.state import limits
 from greengagelb.state import requests
+from greengagelb.state import statements
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +46,24 @@
     exchange: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamStated:
+    """The head of an answer states something about the upstream.
+
+    ``incarnation`` is empty if the answer does not contain it. The request was
+    sent at the monotonic time ``asked_at``; ``request`` is the caller's, None
+    if this instance asked by itself. The event precedes all others of the
+    answer.
+    """
+
+    upstream: str
+    incarnation: str
+    statement: statements.Statement
+    status: int
+    asked_at: float
+    request: identity.RequestId | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptAccepted:
     """The engine has started to answer with an event stream."""
@@ -304,6 +323,7 @@
     | GenerationResumed
     | CallSubmitted
     | CallerGone
+    | UpstreamStated
     | AttemptAccepted
     | TokensArrived
     | AttemptEnded
--- a/src/greengagelb/coordination/fleet/routing.py
+++ b/src/greengagelb/coordination/fleet/routing.py
@@ -354,6 +354,18 @@
             return []
         return names
 
+    def rest_wait_seconds(
+        self, pool: configuration_state.Pool, now: float
+    ) -> float:
+        """Return the seconds until an upstream of a pool has ended its rest.
+
+        The result is 0 unless all that may get work have asked for rest.
+        """
+        ends = [
+            view.rest_until for view in self.usable_views(pool, set(), now)
+        ]
+        return max(0.0, min(ends) - now) if ends else 0.0
+
     def can_ever_serve(
         self, pool: configuration_state.Pool, now: float
     ) -> bool:
@@ -372,8 +384,11 @@
     ) -> bool:
         """Return whether a slot is free and the request limit permits it.
 
-        If only a permit is missing, one is requested.
+        An upstream that has asked for rest has no room until its end. If only
+        a permit is missing, one is requested.
         """
+        if now < view.rest_until:
+            return False
         if not self.has_free_slot(view, pool, priority, now):
             return False
         return self.limits.has_or_requests_permit(view.upstream.name, now)
--- a/src/greengagelb/coordination/fleet/upstream_limits.py
+++ b/src/greengagelb/coordination/fleet/upstream_limits.py
@@ -317,6 +317,11 @@
             return wait
         return wait + min(at for at in retry_times if at is not None) - now
 
+    def release_permits(self, name: str, now: float) -> None:
+        """Return the unused permits of an upstream that wants no requests."""
+        for permit in self.unused_permits.pop(name, ()):
+            self.keeper.return_permit(permit.life, permit.granted, now)
+
     def process_permit_outcomes(self, now: float) -> set[str]:
         """Process the answers to permit requests.
 
--- a/src/greengagelb/coordination/fleet/upstream_views.py
+++ b/src/greengagelb/coordination/fleet/upstream_views.py
@@ -120,6 +120,18 @@
         view.leaving = report.engine in self.leaving_engines
         self.mark_possible_room(report.engine.name)
 
+    def wants_no_requests(self, name: str, now: float) -> bool:
+        """Return whether an upstream leaves or has asked for rest."""
+        view = self.views.get(name)
+        return view is not None and (
+            view.leaving or self.is_resting(name, now)
+        )
+
+    def is_resting(self, name: str, now: float) -> bool:
+        """Return whether an upstream has asked for no requests until later."""
+        view = self.views.get(name)
+        return view is not None and now < view.rest_until
+
     def own_loads(self, now: float) -> tuple[fleet.UpstreamLoad, ...]:
         """Return the recent loads that this instance has probed itself.
 
@@ -165,6 +177,10 @@
         """Record a new incarnation and reset the state of the former one."""
         restarted = bool(view.incarnation)
         view.incarnation = incarnation
+        view.incarnation_known_at = now
+        if view.rest_incarnation not in ('', incarnation):
+            view.rest_until = float('-inf')
+            view.returned_at = min(view.returned_at, now)
         view.cache_known = False
         view.prefixes.clear()
         if restarted:
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -6,6 +6,7 @@
 harnesses use the same object.
 """
 
+import dataclasses
 import random
 
 from greengagelb import errors
@@ -17,6 +18,7 @@
 from greengagelb.coordination.calls import dispatching
 from greengagelb.coordination.fleet import routing
 from greengagelb.coordination.fleet import upstream_limits
+from greengagelb.coordination.fleet import upstream_statements
 from greengagelb.coordination.sharing import admission
 from greengagelb.coordination.sharing import arrivals
 from greengagelb.coordination.sharing import crash_guard
@@ -27,6 +29,15 @@
 from greengagelb.state import limits
 from greengagelb.state import requests
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamWait:
+    """The seconds until upstreams take a request, and the code if too long."""
+
+    seconds: float
+    code: str
+
+
 FinalAnswer = actions.SendEnd | actions.SendAnswer | actions.SendFailure
 
 
@@ -47,6 +58,9 @@
             rng, data_centre, incarnation
         )
         self.limits = self.directory.limits
+        self.statements = upstream_statements.UpstreamStatements(
+            self.directory
+        )
         self.admission = admission.AdmissionControl(rng)
         self.account_by_name: dict[str, configuration_state.ClientAccount] = {}
         self.cancellation_supervisor = cancellations.CancellationSupervisor()
@@ -235,6 +249,8 @@
                     ),
                     *self.stream_supervisor.handle_engine_report(event, now),
                 ]
+            case events.UpstreamStated():
+                return self.statements.handle_statement(event, now)
             case events.PeerLoadsReceived(loads):
                 self.directory.apply_peer_loads(loads, now)
                 return []
@@ -343,7 +359,7 @@
         ticket = arrivals.build_ticket(event, service, now)
         resumes = isinstance(event, events.GenerationResumed)
         refusal = self.admission.refusal(ticket, account, resumes, now)
-        refusal = refusal or self.find_limit_refusal(ticket, now)
+        refusal = refusal or self.find_upstream_refusal(ticket, now)
         if refusal is not None:
             failure_to_send = arrivals.truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, failure_to_send)]
@@ -351,19 +367,30 @@
         self.waiting_requests[request.exchange] = (ticket, event)
         return []
 
-    def find_limit_refusal(
+    def find_upstream_refusal(
         self, ticket: fair_queue.Ticket, now: float
     ) -> requests.Failure | None:
-        """Return a refusal if upstream limits delay a request too long."""
+        """Return a refusal if upstreams delay a request for too long."""
         ahead_count = self.admission.waiting_before(ticket)
-        wait_seconds = self.limit_wait_seconds(ticket, ahead_count, now)
-        if now + wait_seconds <= min(ticket.deadline, ticket.start_by):
+        wait = self.wait_for_upstreams(ticket, ahead_count, now)
+        if now + wait.seconds <= min(ticket.deadline, ticket.start_by):
             return None
-        detail = f'would have to wait for about {wait_seconds:.1f} s'
+        detail = f'would have to wait for about {wait.seconds:.1f} s'
         return self.admission.refuse_with_jitter(
-            dispatching.LIMITED_CODE, detail, wait_seconds
+            wait.code, detail, wait.seconds
         )
 
+    def wait_for_upstreams(
+        self, ticket: fair_queue.Ticket, ahead_count: int, now: float
+    ) -> UpstreamWait:
+        """Return how long limits or rests delay a request behind others."""
+        limited = self.limit_wait_seconds(ticket, ahead_count, now)
+        pool = self.configuration.find_pool(ticket.pool)
+        resting = self.directory.rest_wait_seconds(pool, now) if pool else 0.0
+        if resting > limited:
+            return UpstreamWait(resting, dispatching.RESTING_CODE)
+        return UpstreamWait(limited, dispatching.LIMITED_CODE)
+
     def limit_wait_seconds(
         self, ticket: fair_queue.Ticket, ahead_count: int, now: float
     ) -> float:
@@ -473,10 +500,11 @@
         )
         resumes = isinstance(event, events.GenerationResumed)
         if view is None and not resumes:
-            wait_seconds = self.limit_wait_seconds(ticket, 0, now)
-            if now + wait_seconds > start_by:
-                code = dispatching.LIMITED_CODE
-                return self.refuse_waiting_request(ticket, code, wait_seconds)
+            wait = self.wait_for_upstreams(ticket, 0, now)
+            if now + wait.seconds > start_by:
+                return self.refuse_waiting_request(
+                    ticket, wait.code, wait.seconds
+                )
             return None
         del self.waiting_requests[ticket.exchange]
         self.admission.start_ticket(ticket, account.weight, now)
@@ -617,6 +645,8 @@
             case upstream_limits.LIMITS_TIMER:
                 self.limits.handle_timer(now)
                 return []
+            case upstream_statements.REST_TIMER:
+                return self.statements.end_rest(timer_key)
             case crash_guard.PROBE_TIMER:
                 return self.guard.repeat_probe(timer_key)
             case arrivals.QUEUE_TIMER:
--- a/src/greengagelb/coordination/sharing/retry_budget.py
+++ b/src/greengagelb/coordination/sharing/retry_budget.py
@@ -68,6 +68,10 @@
         self.consecutive_failures += 1
         return self.add_jitter(BASE_BACKOFF_SECONDS * 2.0**doublings)
 
+    def delay_until_available(self, seconds: float) -> float:
+        """Return a random delay of at least ``seconds``."""
+        return seconds * self.rng.uniform(1.0, MAX_JITTER_FACTOR)
+
     def add_jitter(self, seconds: float) -> float:
         """Return a random delay around ``seconds``."""
         return seconds * self.rng.uniform(MIN_JITTER_FACTOR, MAX_JITTER_FACTOR)
--- a/src/greengagelb/coordination/streams/recovery.py
+++ b/src/greengagelb/coordination/streams/recovery.py
@@ -52,6 +52,10 @@
     ) -> list[actions.Action]:
         """Re-attach to a silent attempt, or replace it if that was tried."""
         stream.may_have_run = True
+        if self.directory.is_resting(attempt.upstream.name, now) and (
+            not attempt.suspected
+        ):
+            return self.replace_attempt(stream, attempt, now, reason)
         was_just_attached = (
             now - attempt.attached_at < MIN_ATTACH_INTERVAL_SECONDS
         )
--- a/src/greengagelb/standins/engine.py
+++ b/src/greengagelb/standins/engine.py
@@ -23,7 +23,7 @@
 from greengagelb.protocol import codec
 from greengagelb.protocol import engine_api
 from greengagelb.protocol import sse
-from greengagelb.transport import answer_limits
+from greengagelb.transport import answer_statements
 from greengagelb.transport import http
 
 KEEP_ENDED = 512
@@ -35,7 +35,9 @@
     ``silent`` stops writing to the connections that are open now, for good,
     while new connections work. ``stuck`` stops generating. The process dies
     of a prompt that holds ``dies_of``, where that is given. ``limit`` is named
-    in the answers to ``generate`` and ``attach``.
+    in the answers to ``generate`` and ``attach``. With ``states_leaving`` it
+    serves, and says in each answer but not in its report that it leaves; with
+    ``rest`` it turns ``generate`` and ``attach`` away and asks for that rest.
     """
 
     silent: bool = False
@@ -44,6 +46,8 @@
     refuse: bool = False
     dies_of: str = ''
     limit: str = ''
+    states_leaving: bool = False
+    rest: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,10 +131,13 @@
 
     def generate(self, request: server.Request) -> object:
         """Start or continue a generation."""
-        answer_limits.set_limit_headers(
+        answer_statements.set_limit_headers(
             request, self.faults.limit, self.incarnation
         )
+        self.state_faults(request)
         order = codec.decode(request.content.read(), engine_api.GenerateOrder)
+        if self.faults.rest:
+            return self.refuse(request, 'overloaded', 503)
         if self.faults.refuse or self.faults.leaving:
             return self.refuse(request, 'leaving', 503)
         wanted = (order.model, order.version, order.adapter)
@@ -146,10 +153,13 @@
 
     def attach(self, request: server.Request) -> object:
         """Stream a known attempt from a position on."""
-        answer_limits.set_limit_headers(
+        answer_statements.set_limit_headers(
             request, self.faults.limit, self.incarnation
         )
+        self.state_faults(request)
         order = codec.decode(request.content.read(), engine_api.AttachOrder)
+        if self.faults.rest:
+            return self.refuse(request, 'overloaded', 503)
         key = (order.account, order.request, order.generation, order.attempt)
         run = self.runs.get(key)
         if run is None or order.position > len(run.tokens):
@@ -211,6 +221,14 @@
                     run.listener.silent = True
         return b'{}'
 
+    def state_faults(self, request: server.Request) -> None:
+        """State in an answer that this engine leaves, or wants rest."""
+        answer_statements.set_statement_headers(
+            request,
+            leaving=self.faults.leaving or self.faults.states_leaving,
+            rest=self.faults.rest,
+        )
+
     def refuse(self, request: server.Request, code: str, status: int) -> bytes:
         """Answer that nothing was started."""
         return http.json_answer(
--- a/src/greengagelb/standins/service.py
+++ b/src/greengagelb/standins/service.py
@@ -19,7 +19,7 @@
 from greengagelb.protocol import codec
 from greengagelb.protocol import engine_api
 from greengagelb.protocol import service_api
-from greengagelb.transport import answer_limits
+from greengagelb.transport import answer_statements
 from greengagelb.transport import http
 
 
@@ -30,7 +30,9 @@
     answer; ``delay_seconds`` passes before each answer; ``refuse`` answers
     that the call did not run. The process dies of a body that holds
     ``dies_of``, where that is given. ``limit`` is named in the answers to
-    calls.
+    calls. With ``states_leaving`` it answers calls, and says each time but not
+    in its report that it leaves; with ``rest`` it turns calls away and asks
+    for that rest.
     """
 
     drop_answers: bool = False
@@ -38,6 +40,8 @@
     refuse: bool = False
     dies_of: str = ''
     limit: str = ''
+    states_leaving: bool = False
+    rest: str = ''
 
 
 class ServiceStandIn:
@@ -49,23 +53,31 @@
         self.incarnation = secrets.token_hex(6)
         self.faults = Faults()
         self.runs: collections.Counter[str] = collections.Counter()
+        self.arrivals = 0
         self.app = klein.Klein()
         self.app.route('/call/<operation>', methods=['POST'])(self.call)
         self.app.route('/v1/report')(self.report)
         self.app.route('/standin/faults', methods=['POST'])(self.set_faults)
         self.app.route('/standin/runs')(self.show_runs)
+        self.app.route('/standin/arrivals')(self.show_arrivals)
 
     @defer.inlineCallbacks
     def call(self, request: server.Request, operation: str) -> object:
         """Run a call, and answer unless told not to."""
-        answer_limits.set_limit_headers(
+        answer_statements.set_limit_headers(
             request, self.faults.limit, self.incarnation
         )
+        self.arrivals += 1
+        answer_statements.set_statement_headers(
+            request,
+            leaving=self.faults.states_leaving,
+            rest=self.faults.rest,
+        )
         account = request.getHeader(service_api.ACCOUNT_HEADER)
         request_id = request.getHeader(service_api.REQUEST_HEADER)
         request.setHeader(service_api.ACCOUNT_HEADER, account)
         request.setHeader(service_api.REQUEST_HEADER, request_id)
-        if self.faults.refuse:
+        if self.faults.refuse or self.faults.rest:
             request.setHeader(service_api.NOT_RUN_HEADER, '1')
             request.setResponseCode(503)
             return b''
@@ -104,6 +116,10 @@
         self.faults = codec.decode(request.content.read(), Faults)
         return b'{}'
 
+    def show_arrivals(self, request: server.Request) -> bytes:
+        """Tell how many calls arrived, those that did not run included."""
+        return http.json_answer(request, self.arrivals)
+
     def show_runs(self, request: server.Request) -> bytes:
         """Tell how often each call ran."""
         return http.json_answer(request, dict(self.runs))
--- a/src/greengagelb/state/upstreams.py
+++ b/src/greengagelb/state/upstreams.py
@@ -15,7 +15,11 @@
     ``in_flight_at_report`` is this instance's own part of the reported load.
     Until ``suspected_until`` an upstream that has just failed gets no new
     work; ``failures`` counts consecutive failures, and ``returned_at`` is
-    when it last recovered. ``leaving`` is final for the incarnation.
+    when it last recovered. ``leaving`` is final for the incarnation. Until
+    ``rest_until`` the incarnation ``rest_incarnation`` has asked this instance
+    for no requests; its unusable statements are recorded again from
+    ``next_unusable_record_at``. ``incarnation_known_at`` is when the current
+    incarnation first reported.
     """
 
     upstream: configuration.Upstream
@@ -39,3 +43,7 @@
     prefixes: set[str] = dataclasses.field(default_factory=set)
     cache_sequence: int = 0
     cache_known: bool = False
+    incarnation_known_at: float = float('-inf')
+    rest_until: float = float('-inf')
+    rest_incarnation: str = ''
+    next_unusable_record_at: float = float('-inf')
--- a/src/greengagelb/transport/engine_client.py
+++ b/src/greengagelb/transport/engine_client.py
@@ -1,6 +1,7 @@
 """HTTP client for engines: one connection per attempt, closed on abandon."""
 
 from collections.abc import Callable
+import functools
 
 from twisted.internet import defer
 from twisted.internet import interfaces
@@ -16,7 +17,7 @@
 from greengagelb.protocol import sse
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
-from greengagelb.transport import answer_limits
+from greengagelb.transport import answer_statements
 from greengagelb.transport import http
 
 CONTROL_TIMEOUT_SECONDS = 1.0
@@ -37,16 +38,19 @@
 
     ``delay_relay`` returns whether received tokens should be reported later,
     together with those of other streams; ``forget_stream`` is called on close.
+    ``report_statement`` gets the head of the answer.
     """
 
     def __init__(
         self,
         attempt: identity.AttemptId,
+        report_statement: Callable[[iweb.IResponse], None],
         dispatch: Dispatch,
         delay_relay: Callable[['EngineStream'], bool],
         forget_stream: Callable[['EngineStream'], None],
     ) -> None:
         self.attempt = attempt
+        self.report_statement = report_statement
         self.dispatch = dispatch
         self.delay_relay = delay_relay
         self.forget_stream = forget_stream
@@ -68,13 +72,14 @@
     def handle_response(self, response: iweb.IResponse) -> object:
         """Read the event stream, or the body of the engine's refusal."""
         self.pending_response = None
+        self.report_statement(response)
         if self.is_closed:
             return None
         if response.code != web_http.OK:
             return http.read_whole_body(response).addCallback(
                 self.report_refusal, response
             )
-        limit = answer_limits.read_limit_headers(response.headers)
+        limit = answer_statements.read_limit_headers(response.headers)
         self.report_event(events.AttemptAccepted(self.attempt, limit))
         self.collector = http.BodyCollector(
             self.receive_bytes, self.report_broken
@@ -93,7 +98,7 @@
                 self.attempt,
                 refusal.code,
                 refusal.retry_after,
-                answer_limits.read_limit_headers(response.headers),
+                answer_statements.read_limit_headers(response.headers),
             )
         )
 
@@ -227,9 +232,7 @@
             priority=int(action.priority),
             deadline_seconds=action.deadline - self.reactor.seconds(),
         )
-        self.open_stream(
-            attempt, url_of(action.upstream, '/v1/generate'), order
-        )
+        self.open_stream(attempt, action.upstream, '/v1/generate', order)
 
     def attach_attempt(self, action: actions.AttachAttempt) -> None:
         """Follow a running attempt over a new connection."""
@@ -241,21 +244,44 @@
             attempt=attempt.attempt,
             position=action.position,
         )
-        self.open_stream(attempt, url_of(action.upstream, '/v1/attach'), order)
+        self.open_stream(attempt, action.upstream, '/v1/attach', order)
 
     def open_stream(
-        self, attempt: identity.AttemptId, url: str, order: object
+        self,
+        attempt: identity.AttemptId,
+        upstream: configuration_state.Upstream,
+        path: str,
+        order: object,
     ) -> None:
         """Open the connection of an attempt, and close an earlier one."""
         self.close(attempt)
         stream = EngineStream(
-            attempt, self.dispatch, self.delay_relay, self.forget_stream
+            attempt,
+            self.statement_reporter(upstream, attempt.request),
+            self.dispatch,
+            self.delay_relay,
+            self.forget_stream,
         )
         self.open_streams[attempt] = stream
+        url = url_of(upstream, path)
         stream.follow_response(
             self.treq.post(url, data=codec.encode(order), unbuffered=True)
         )
 
+    def statement_reporter(
+        self,
+        upstream: configuration_state.Upstream,
+        request: identity.RequestId | None = None,
+    ) -> Callable[[iweb.IResponse], None]:
+        """Return what reports the statements in an answer, asked for now."""
+        return functools.partial(
+            answer_statements.report_statement,
+            self.dispatch,
+            upstream.name,
+            asked_at=self.reactor.seconds(),
+            request=request,
+        )
+
     def delay_relay(self, stream: EngineStream) -> bool:
         """Return whether a stream's tokens should wait for the next relay.
 
@@ -326,6 +352,7 @@
         answer = self.read_control_answer(
             self.treq.post(url, data=codec.encode(order)),
             engine_api.CancelAnswer,
+            self.statement_reporter(action.upstream, attempt.request),
         )
         answer.addCallbacks(
             lambda _: self.dispatch(events.AttemptCancelled(attempt)),
@@ -338,6 +365,7 @@
         answer = self.read_control_answer(
             self.treq.get(url_of(upstream, '/v1/report')),
             engine_api.EngineReport,
+            self.statement_reporter(upstream),
         )
         answer.addCallbacks(
             self.dispatch_report,
@@ -365,11 +393,15 @@
         )
 
     def read_control_answer(
-        self, answer: 'defer.Deferred[iweb.IResponse]', kind: type
+        self,
+        answer: 'defer.Deferred[iweb.IResponse]',
+        kind: type,
+        report_statement: Callable[[iweb.IResponse], None],
     ) -> defer.Deferred:
         """Return the decoded answer to a control request, with a timeout."""
 
         def read(response: iweb.IResponse) -> defer.Deferred:
+            report_statement(response)
             if response.code != web_http.OK:
                 http.discard_body(response)
                 raise errors.TransportError(f'status {response.code}')
--- a/src/greengagelb/transport/http.py
+++ b/src/greengagelb/transport/http.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 from http import cookiejar
+import math
 from typing import Any
 
 import treq
@@ -175,7 +176,7 @@
     request.setResponseCode(problem.status)
     request.setHeader(b'content-type', b'application/problem+json')
     if problem.retry_after is not None:
-        seconds = max(1, round(problem.retry_after))
+        seconds = max(1, math.ceil(problem.retry_after))
         request.setHeader(b'retry-after', str(seconds).encode())
     body = codec.encode(problem)
     request.setHeader(b'content-length', str(len(body)).encode())
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -304,6 +304,7 @@
                 )
             ),
             limits=self.node.limits.keeper.figures(),
+            statements=self.node.statements.statistics(self.reactor.seconds()),
         )
 
     def known_instances(self) -> list[operator_api.InstanceStatus]:
--- a/src/greengagelb/transport/service_client.py
+++ b/src/greengagelb/transport/service_client.py
@@ -10,7 +10,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.protocol import service_api
-from greengagelb.transport import answer_limits
+from greengagelb.transport import answer_statements
 from greengagelb.transport import engine_client
 from greengagelb.transport import http
 
@@ -23,6 +23,7 @@
         reactor: interfaces.IReactorTime,
         dispatch: engine_client.Dispatch,
     ) -> None:
+        self.reactor = reactor
         self.dispatch = dispatch
         agent = http.fresh_connection_agent(reactor)
         self.treq = http.direct_client(agent)
@@ -45,13 +46,26 @@
         )
         tries = self.tries_in_flight.setdefault(action.exchange, {})
         tries[action.try_number] = answer
-        answer.addCallback(self.read_response, action)
+        answer.addCallback(self.read_response, action, self.reactor.seconds())
         answer.addErrback(self.report_failure, action)
 
     def read_response(
-        self, response: iweb.IResponse, action: actions.DispatchCall
+        self,
+        response: iweb.IResponse,
+        action: actions.DispatchCall,
+        asked_at: float,
     ) -> defer.Deferred:
-        """Read an answer, if it belongs to this call."""
+        """Read an answer, if it belongs to this call.
+
+        What it states about its upstream counts in any case.
+        """
+        answer_statements.report_statement(
+            self.dispatch,
+            action.upstream.name,
+            response,
+            asked_at,
+            action.request.request,
+        )
         try:
             self.check_echo(response.headers, action)
         except errors.ProtocolError:
@@ -88,7 +102,7 @@
         if not self.forget_try(action):
             return
         exchange, number = action.exchange, action.try_number
-        limit = answer_limits.read_limit_headers(response.headers)
+        limit = answer_statements.read_limit_headers(response.headers)
         if first_header(response.headers, service_api.NOT_RUN_HEADER) == '1':
             self.dispatch(
                 events.CallBroken(exchange, 'refused', False, number, limit)
--- a/src/greengagelb/transport/serving.py
+++ b/src/greengagelb/transport/serving.py
@@ -9,6 +9,7 @@
 
 import functools
 import io
+import math
 import urllib.parse
 
 from twisted.internet import defer
@@ -233,7 +234,8 @@
             b'Connection: close',
         ]
         if failure.retry_after is not None:
-            lines.append(b'Retry-After: %d' % max(1, failure.retry_after))
+            seconds = max(1, math.ceil(failure.retry_after))
+            lines.append(b'Retry-After: %d' % seconds)
         self.channel.transport.write(b'\r\n'.join(lines) + b'\r\n\r\n' + body)
         self.connection_timer = self.channel.callLater(
             LINGER_SECONDS, self.channel.loseConnection
--- a/tests/transport/test_relay.py
+++ b/tests/transport/test_relay.py
@@ -21,6 +21,7 @@
         client = engine_client.EngineClient(self.clock, self.events.append)
         self.stream = engine_client.EngineStream(
             ATTEMPT,
+            lambda _: None,
             self.events.append,
             client.delay_relay,
             client.forget_stream,
