Prefer other engines to one that asked another instance for rest

Rest is asked of one instance, but an engine that is overloaded asks it of each in turn: a call that runs at one engine only is refused once for each instance and rest. An instance that is asked now tells the others, unless it was told; they count it as a cost, not as a bound, so nothing is refused for what others were asked. A request without attempts left, while all engines rest by either word, is told when the first rest ends. After a rest an engine gets as many requests as it has slots within 0.25 s instead of 0.5.

Also read: the state in an engine's report (any probe), the limit in the head of a stream without a signature.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -123,6 +123,18 @@
         code = continuation.code
         return [*left_out, self.answers.fail_request(exchange, code, now)]
 
+    def refuse_attempt(
+        self, exchange: exchanges.Exchange, code: str, now: float
+    ) -> Action:
+        """Return the final answer to a request with no attempts left.
+
+        If no engine of its service takes requests now, it says when one does.
+        """
+        rested_at = self.selector.rested_at(exchange.ruling.service.name, now)
+        if rested_at <= now or exchange.begun or exchange.may_have_run:
+            return self.answers.fail_request(exchange, code, now)
+        return self.answers.refuse_resting(exchange, rested_at, now)
+
     def describe_left_out(
         self, exchange: exchanges.Exchange, now: float
     ) -> list[Action]:
@@ -206,7 +218,7 @@
             code = answers.CRASHES_ENGINES
             return [self.components.answers.fail_request(exchange, code, now)]
         if not self.components.send_manager.try_spend_attempt(exchange, now):
-            return [self.components.answers.fail_request(exchange, code, now)]
+            return [self.components.refuse_attempt(exchange, code, now)]
         resulting = self.components.send_manager.start_send(
             exchange, state, now
         )
--- a/src/greengagelb/coordination/relay/engine_selection.py
+++ b/src/greengagelb/coordination/relay/engine_selection.py
@@ -18,6 +18,10 @@
 # The cost of an engine that fails more calls than others, in the same unit: it
 # is used only while all slots of the others are in use.
 OUTLIER_CALL_PENALTY = 1.0
+# The cost of an engine that has asked another instance for rest: it is likely
+# to turn away requests of this one as well.
+PEER_REST_CALL_PENALTY = 1.0
+PEER_REST_STREAM_PENALTY_SECONDS = 1.0
 # The cost of an engine that has set a rate limit, in the same unit: it is
 # short of capacity, so others with free slots come first. Each second of
 # waiting for a permit adds to the cost.
@@ -119,6 +123,18 @@
         ]
         return min(found, key=lambda state: state.available_at, default=None)
 
+    def rested_at(self, service: str, now: float) -> float:
+        """Return when the first engine of a service has ended its rest.
+
+        It may have asked this instance for it, or another one. The result is
+        ``now`` if an engine rests for neither, or if there is none.
+        """
+        ends = [
+            max(state.available_at, state.peer_rest_until)
+            for state in self.engines.usable_engines(service, set(), now)
+        ]
+        return max(now, min(ends, default=now))
+
     def choose_for_call(
         self, service: str, excluded: set[str], now: float, account: str = ''
     ) -> engine_states.EngineState | None:
@@ -137,6 +153,8 @@
             cost += REMOTE_CALL_PENALTY
         if self.engines.outliers.is_outlier(state.entry.engine, now):
             cost += OUTLIER_CALL_PENALTY
+        if now < state.peer_rest_until:
+            cost += PEER_REST_CALL_PENALTY
         life = state.entry.life
         if self.keeper.is_limited(life):
             wait = self.keeper.expected_wait_seconds(life, now)
@@ -208,6 +226,8 @@
         cost += RUN_PENALTY_SECONDS * work.runs
         if now < state.doubted_until:
             cost += DOUBT_PENALTY_SECONDS
+        if now < state.peer_rest_until:
+            cost += PEER_REST_STREAM_PENALTY_SECONDS
         if state.entry.data_centre != self.data_centre:
             cost += REMOTE_STREAM_PENALTY_SECONDS
         life = state.entry.life
--- a/src/greengagelb/coordination/relay/engine_statements.py
+++ b/src/greengagelb/coordination/relay/engine_statements.py
@@ -111,6 +111,13 @@
             *self.retire(state, source, now),
         ]
 
+    def note_peer_rest(self, hint: hints.EngineResting, now: float) -> None:
+        """Note that an engine has asked another instance for rest."""
+        state = self.engines.find_same_life(hint.engine, hint.started_at_ms)
+        if state is not None:
+            rest_until = now + hint.seconds
+            state.peer_rest_until = max(state.peer_rest_until, rest_until)
+
     def retire(
         self,
         state: engine_states.EngineState,
@@ -162,6 +169,16 @@
             statements.SourceKind.ANSWER, describe_answer(event), now
         )
         self.keeper.withdraw_requests(state.entry.life, now)
+        if now >= state.peer_rest_until:
+            entry = state.entry
+            self.components.send_manager.pending_hints.append(
+                hints.EngineResting(
+                    entry.engine,
+                    event.statement.rest_seconds,
+                    entry.started_at_ms,
+                )
+            )
+            state.peer_rest_until = rest_until
         if now < former and rest_until < former + MIN_RECORDED_SECONDS:
             return []
         reason = (
--- a/src/greengagelb/coordination/relay/peer_events.py
+++ b/src/greengagelb/coordination/relay/peer_events.py
@@ -123,6 +123,8 @@
                 return self.statements.note_peer_leaving(
                     incarnation, hint, now
                 )
+            case hints.EngineResting():
+                self.statements.note_peer_rest(hint, now)
             case hints.EngineListChanged(entries, removed, unusable):
                 return self.engine_updates.apply_changes(
                     entries, removed, unusable, now
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -270,16 +270,17 @@
         the engine fails before the first event.
         """
         exchange.may_have_run = True
+        told = self.components.send_manager.note_answer_head(
+            exchange, sent, event.head, now
+        )
         if not event.head.sealed:
-            return self.handle_lost_send(
+            return told + self.handle_lost_send(
                 exchange, sent, 'unsigned answer', now
             )
         sent.head = event.head
         sent.answered_at = now
         sent.moved_at = now
-        return self.components.send_manager.note_answer_head(
-            exchange, sent, event.head, now
-        )
+        return told
 
     def pass_events(
         self,
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -215,6 +215,10 @@
         """Return an engine's start from its answer to a probe."""
         return parse_report(status, body).born
 
+    def read_is_leaving(self, status: int, body: bytes) -> bool:
+        """Return whether a probed engine reports that it leaves."""
+        return parse_report(status, body).state == rows.DRAINING
+
     def read_has_model_memory(self, status: int, body: bytes) -> bool:
         """Return whether a probed engine is a model engine, not draining."""
         report = parse_report(status, body)
--- a/src/greengagelb/protocol/engine_api.py
+++ b/src/greengagelb/protocol/engine_api.py
@@ -21,9 +21,9 @@
 ``X-Incarnation``. The limit applies until an answer does not contain it, or
 another incarnation answers.
 
-In any answer an engine may state that it is about to end (``X-Leaving: 1``), and
-one that turns a request away with 503 that it wants no others from this
-instance for some seconds (``Retry-After``, a decimal number).
+In any answer an engine may state that it is about to end (``X-Leaving: 1``).
+One that turns a request away with 503 may state that it wants no others from
+this instance for some seconds (``Retry-After``, a decimal number).
 """
 
 import msgspec
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -16,6 +16,7 @@
 from greengagelb.state.relay import hints
 
 Fingerprint = Annotated[str, msgspec.Meta(max_length=64)]
+RestSeconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 # The identity of an engine and its start.
 Life = Annotated[str, msgspec.Meta(max_length=256)]
 
@@ -110,6 +111,16 @@
     started_at_ms: int = engines.UNKNOWN_START
 
 
+class EngineResting(
+    msgspec.Struct, frozen=True, array_like=True, tag='z', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.EngineResting`."""
+
+    engine: str
+    seconds: RestSeconds
+    started_at_ms: int = engines.UNKNOWN_START
+
+
 class EngineEntry(msgspec.Struct, frozen=True, array_like=True):
     """See :class:`greengagelb.state.relay.engines.EngineEntry`."""
 
@@ -219,6 +230,7 @@
         | EngineReplaced
         | EngineRestarted
         | EngineLeaving
+        | EngineResting
         | EngineListChanged
         | StoreRead
         | StoreProbed
@@ -292,6 +304,8 @@
             wire = EngineRestarted(engine, started_at_ms)
         case hints.EngineLeaving(engine, started_at_ms):
             wire = EngineLeaving(engine, started_at_ms)
+        case hints.EngineResting(engine, seconds, started_at_ms):
+            wire = EngineResting(engine, seconds, started_at_ms)
         case hints.EngineListChanged(entries, removed, unusable):
             encoded_entries = tuple(map(write_engine, entries))
             wire = EngineListChanged(encoded_entries, removed, unusable)
@@ -377,6 +391,8 @@
             hint = hints.EngineRestarted(engine, started_at_ms)
         case EngineLeaving(engine, started_at_ms):
             hint = hints.EngineLeaving(engine, started_at_ms)
+        case EngineResting(engine, seconds, started_at_ms):
+            hint = hints.EngineResting(engine, seconds, started_at_ms)
         case EngineListChanged(entries, removed, unusable):
             decoded_entries = tuple(map(read_engine, entries))
             hint = hints.EngineListChanged(decoded_entries, removed, unusable)
--- a/src/greengagelb/state/relay/engine_states.py
+++ b/src/greengagelb/state/relay/engine_states.py
@@ -7,7 +7,7 @@
 
 # After a rest, an engine gets as many requests as it has slots within this
 # time, evenly spread; whoever waited would otherwise overload it again.
-AFTER_REST_SECONDS = 0.5
+AFTER_REST_SECONDS = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,8 +28,9 @@
     ``leaving`` is what the list shows; ``leaving_source`` is where the engine
     itself was heard to say so. Until ``rest_until`` the engine has asked this
     instance for no requests, as ``rest_source`` says; ``next_send_at`` is when
-    it gets the next one shortly after that. Its unusable statements are
-    recorded again from ``next_unusable_record_at``.
+    it gets the next one shortly after that. Until ``peer_rest_until`` it has
+    asked another instance for none, so that others are preferred. Its unusable
+    statements are recorded again from ``next_unusable_record_at``.
     """
 
     entry: engines.EngineEntry
@@ -54,6 +55,7 @@
     rest_until: float = float('-inf')
     rest_source: statements.Source | None = None
     next_send_at: float = float('-inf')
+    peer_rest_until: float = float('-inf')
     next_unusable_record_at: float = float('-inf')
 
     @property
@@ -82,8 +84,9 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether the engine may get new work."""
-        is_gone = self.gone_at is not None and now >= self.gone_at
-        return not (self.is_leaving or self.replaced or is_gone)
+        if self.leaving or self.replaced or self.leaving_source is not None:
+            return False
+        return self.gone_at is None or now < self.gone_at
 
     def is_trusted(self, now: float) -> bool:
         """Return whether it is usable and neither suspected nor dead."""
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -92,6 +92,18 @@
     started_at_ms: int = engines.UNKNOWN_START
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineResting:
+    """An engine has asked the sender for no requests for some seconds.
+
+    It has not asked the receiver, but is likely to.
+    """
+
+    engine: str
+    seconds: float
+    started_at_ms: int = engines.UNKNOWN_START
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineListChanged:
     """Changes in the list of engines, other than of heartbeats.
@@ -155,6 +167,7 @@
     | EngineReplaced
     | EngineRestarted
     | EngineLeaving
+    | EngineResting
     | EngineListChanged
     | StoreRead
     | StoreProbed
--- a/src/greengagelb/transport/relay/dialect.py
+++ b/src/greengagelb/transport/relay/dialect.py
@@ -53,6 +53,9 @@
         In Unix milliseconds; ``UNKNOWN_START`` if the answer has none.
         """
 
+    def read_is_leaving(self, status: int, body: bytes) -> bool:
+        """Return whether an answer to a probe says that the engine leaves."""
+
     def read_has_model_memory(self, status: int, body: bytes) -> bool:
         """Return whether a probed engine has a model and is not draining."""
 
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -212,22 +212,32 @@
                     probe.exchange,
                     probe.send,
                     answer.response is not None,
-                    self.read_probed_start_ms(answer),
+                    self.read_probed_start_ms(probe.engine, answer),
                 )
             )
 
         request = self.dialect.write_probe(probe.engine)
         self.query_engine(probe.engine, request, PROBE_SECONDS, done)
 
-    def read_probed_start_ms(self, answer: timed_requests.Answer) -> int:
+    def read_probed_start_ms(
+        self, entry: engines.EngineEntry, answer: timed_requests.Answer
+    ) -> int:
         """Return the engine's start time in the answer to a probe.
 
-        In Unix milliseconds, or ``UNKNOWN_START``.
+        In Unix milliseconds, or ``UNKNOWN_START``. It is reported if the
+        answer says that the engine leaves, unless it is of another life.
         """
         if answer.response is None:
             return engines.UNKNOWN_START
         status = answer.response.status_code
-        return self.dialect.read_started_at_ms(status, answer.body)
+        started_at_ms = self.dialect.read_started_at_ms(status, answer.body)
+        if started_at_ms in (
+            engines.UNKNOWN_START,
+            entry.started_at_ms,
+        ) and self.dialect.read_is_leaving(status, answer.body):
+            statement = statements.Statement(leaving=True)
+            self.dispatch(relay_events.EngineStated(entry, statement, status))
+        return started_at_ms
 
     def check_engine(self, check: relay_actions.CheckEngine) -> None:
         """Check on a new connection whether an engine has ended.
@@ -240,7 +250,7 @@
         def done(answer: timed_requests.Answer) -> None:
             fate = relay_events.EngineFate.ALIVE
             if answer.connection_refused or entry.is_earlier_than(
-                self.read_probed_start_ms(answer)
+                self.read_probed_start_ms(entry, answer)
             ):
                 fate = relay_events.EngineFate.ENDED
             elif answer.response is None:
@@ -319,7 +329,7 @@
         """Ask an engine for its start time."""
 
         def done(answer: timed_requests.Answer) -> None:
-            start = self.read_probed_start_ms(answer)
+            start = self.read_probed_start_ms(entry, answer)
             self.dispatch(
                 relay_events.AddressProbed(entry.engine, entry.engine, start)
             )
--- a/tests/common/relay_wires.py
+++ b/tests/common/relay_wires.py
@@ -98,6 +98,9 @@
     def read_started_at_ms(self, status, body):
         return engines.UNKNOWN_START
 
+    def read_is_leaving(self, status, body):
+        return body == b'leaving'
+
     def is_answer_to(self, response, send):
         fields = tuple(response.headers.raw_items())
         echoed = http1.first_header_value(fields, b'id')
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -285,3 +285,18 @@
     """Guards against a success that takes its engine out of use."""
     found = read_answer(200, (b'Retry-After', b'3')).statement
     assert found == statements.NO_STATEMENT
+
+
+@pytest.mark.parametrize(
+    ('status', 'body', 'leaving'),
+    [
+        (200, b'{"state": "draining"}', True),
+        (200, b'{"state": "ready"}', False),
+        (200, b'{}', False),
+        (503, b'{"state": "draining"}', False),
+        (200, b'\xff', False),
+    ],
+)
+def test_report_tells_whether_its_engine_leaves(status, body, leaving):
+    """Guards against a report whose state nobody acts on."""
+    assert wire.PlatformDialect().read_is_leaving(status, body) is leaving
