--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -54,6 +54,22 @@
 
     engine: str
     at: float
+    request_id: str = ''
+    life: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class Stated:
+    """An answer in which an engine said that it leaves, or asked for rest.
+
+    It holds for the life that gave it. ``seconds`` is the rest asked for, 0.0
+    if it leaves.
+    """
+
+    life: str
+    request_id: str
+    at: float
+    seconds: float = 0.0
 
 
 class Engines:
@@ -64,6 +80,7 @@
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
         self.limits: list[NamedLimit] = []
+        self.stated: list[Stated] = []
         self.copies: set[tuple[str, str]] = set()
         self.engines: list[Engine] = []
 
@@ -87,6 +104,8 @@
         self.limit: NamedLimit | None = None
         self.state = 'ready'
         self.lives = True
+        self.states_leaving = False
+        self.rests_until = 0.0
         self.heartbeats = itertools.count(1)
         site = server.Site(self)
         inner = pool.reactor.listenTCP(0, site, interface=host)
@@ -96,6 +115,11 @@
         self.start()
         pool.engines.append(self)
 
+    @property
+    def life(self) -> str:
+        """Return what names this life among those of all engines."""
+        return f'{self.identity} {self.born}'
+
     def start(self) -> None:
         """Begin a new life: another identity, nothing in memory."""
         self.identity = 'i-' + secrets.token_hex(5)
@@ -107,6 +131,8 @@
         self.heartbeats = itertools.count(1)
         self.state = 'ready'
         self.lives = True
+        self.states_leaving = False
+        self.rests_until = 0.0
         kept = self.pool.copies
         kept -= {copy for copy in kept if copy[0] == self.address}
 
@@ -179,8 +205,15 @@
         if self.limit is not None:
             request.setHeader('Server-Limit', f'{self.limit.rate:g}')
         self.pool.arrivals.append(
-            Arrival(self.identity, self.pool.reactor.seconds())
+            Arrival(
+                self.identity,
+                self.pool.reactor.seconds(),
+                head.request_id,
+                self.life,
+            )
         )
+        if self.rests_until > self.pool.reactor.seconds():
+            return self.ask_for_rest(request, head)
         if len(self.running) >= SLOTS:
             return self.not_run(request, 503)
         if head.copy_from and (self.address, head.copied_run) not in (
@@ -207,6 +240,23 @@
         request.setHeader('Not-Executed', '1')
         return b''
 
+    def ask_for_rest(self, request: server.Request, head: 'Head') -> bytes:
+        """Turn a request away, and ask for rest until the overload ends."""
+        now = self.pool.reactor.seconds()
+        seconds = self.rests_until - now
+        stated = Stated(self.life, head.request_id, now, seconds)
+        self.pool.stated.append(stated)
+        request.setHeader('Retry-After', f'{seconds:.3f}')
+        return self.not_run(request, 503)
+
+    def say_if_leaving(self, request: server.Request, head: 'Head') -> None:
+        """Say in the head of an answer that this engine leaves, if it does."""
+        if not self.states_leaving or request.startedWriting:
+            return
+        now = self.pool.reactor.seconds()
+        self.pool.stated.append(Stated(self.life, head.request_id, now))
+        request.setHeader('Server-Leaving', '1')
+
     def ended(self, run: Run) -> None:
         """Note the end of a run, whatever ended it."""
         if run.ended_at is None:
@@ -227,6 +277,7 @@
     ) -> None:
         """Answer a call whole."""
         run.answered = True
+        self.say_if_leaving(request, head)
         request.write(content.call(head.request_id, head.body))
         request.finish()
 
@@ -250,6 +301,7 @@
             run.answered = True
             request.finish()
             return
+        self.say_if_leaving(request, head)
         request.write(content.event(head.body, number))
         self.later(
             EVENT_SECONDS,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,6 +16,8 @@
 FIRST_SEED_WITH_RESTORES = 200
 # The same before engines could name a limit.
 FIRST_SEED_WITH_LIMITS = 300
+# The same before engines could state in answers that they leave or want rest.
+FIRST_SEED_WITH_STATEMENTS = 1_000
 
 
 class What(enum.Enum):
@@ -42,6 +44,8 @@
     RESTART_ENGINE = 'restart-engine'
     STORE_RESTORED = 'store-restored'
     LIMITED_ENGINE = 'limited-engine'
+    STATED_LEAVING = 'stated-leaving'
+    RESTING_ENGINE = 'resting-engine'
 
 
 # Those that harm an instance, or what it knows.
@@ -73,13 +77,29 @@
         What.RESTART_ENGINE,
     }
 )
-TO_ENGINES = OF_ENGINES | {What.LEAVING_ENGINE, What.LIMITED_ENGINE}
+# Those that start or end the process of an instance, or stop its clock.
+OF_LIVES = frozenset(
+    {
+        What.KILL_INSTANCE,
+        What.KILL_ALL_INSTANCES,
+        What.STOP_INSTANCE,
+        What.PAUSE_INSTANCE,
+    }
+)
+TO_ENGINES = OF_ENGINES | {
+    What.LEAVING_ENGINE,
+    What.LIMITED_ENGINE,
+    What.STATED_LEAVING,
+    What.RESTING_ENGINE,
+}
 # One more here would change what every seed plans; what comes later is drawn
 # by a generator of its own.
 DRAWN_APART = (
     What.RESTART_ENGINE,
     What.STORE_RESTORED,
     What.LIMITED_ENGINE,
+    What.STATED_LEAVING,
+    What.RESTING_ENGINE,
 )
 DRAWN = tuple(what for what in What if what not in DRAWN_APART)
 
@@ -137,6 +157,18 @@
     return sorted(found, key=lambda fault: fault.at)
 
 
+def plan_statements(seed: int) -> list[Fault]:
+    """Return when engines leave by their answers alone, or want rest."""
+    if seed < FIRST_SEED_WITH_STATEMENTS:
+        return []
+    rng = random.Random(f'statements of {seed}')
+    found = []
+    for _ in range(rng.randint(2, 5)):
+        kinds = (What.STATED_LEAVING, What.RESTING_ENGINE)
+        found += series(rng, rng.choice(kinds))
+    return sorted(found, key=lambda fault: fault.at)
+
+
 def series(rng: random.Random, what: What) -> list[Fault]:
     """Return a fault once, or several times in a row."""
     times = rng.choice((1, 1, 1, 2, 3))
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -6,6 +6,7 @@
 
 from tests.soak import callers
 from tests.soak import content
+from tests.soak import engines
 from tests.soak import faults
 from tests.soak import instances
 from tests.soak import world
@@ -22,6 +23,10 @@
 LIMIT_WINDOW = 4.0
 LIMIT_SHARE = 1.5
 LIMIT_SPARE = 5
+# From half a second after an engine has asked an instance for rest it may get
+# so many requests of it within the rest.
+REST_MARGIN = 0.5
+REST_SPARE = 2
 ROUTE_LIMITS = {
     callers.Kind.STREAM: 10.0,
     callers.Kind.CALL: 0.9,
@@ -58,6 +63,7 @@
             *self.late(),
             *self.refused_keys(),
             *self.over_limits(),
+            *self.against_statements(),
             *self.not_recovered(),
             *self.ended(),
         ]
@@ -200,6 +206,60 @@
                     yield Broken('limits of engines', detail)
                     break
 
+    def against_statements(self) -> Iterator[Broken]:
+        """Find requests of an instance against what an engine told it."""
+        asked = {found.request_id: found for found in self.outcomes}
+        arrivals = collections.defaultdict(list)
+        for arrival in self.world.engines.arrivals:
+            if found := asked.get(arrival.request_id):
+                key = (arrival.life, found.instance)
+                arrivals[key].append((arrival.at, found.began_at))
+        for stated in self.world.engines.stated:
+            found = asked.get(stated.request_id)
+            if found is None:
+                continue
+            times = arrivals[stated.life, found.instance]
+            if stated.seconds:
+                yield from self.in_a_rest(stated, found.instance, times)
+            else:
+                yield from self.after_leaving(stated, found.instance, times)
+
+    def in_a_rest(
+        self,
+        stated: engines.Stated,
+        instance: str,
+        times: list[tuple[float, float]],
+    ) -> Iterator[Broken]:
+        """Find a rest in which an engine got more than is allowed."""
+        begin, end = stated.at + REST_MARGIN, stated.at + stated.seconds
+        got = [at for at, _ in times if begin < at < end]
+        if len(got) > REST_SPARE and self.same_life(instance, stated.at, end):
+            yield Broken('rest of engines', f'{len(got)} at {stated.life}')
+
+    def after_leaving(
+        self,
+        stated: engines.Stated,
+        instance: str,
+        times: list[tuple[float, float]],
+    ) -> Iterator[Broken]:
+        """Find a request sent too late to an engine that said it leaves."""
+        late = stated.at + instances.DRAIN_SECONDS
+        for at, sent_at in times:
+            if sent_at > late and self.same_life(instance, stated.at, at):
+                detail = f'{sent_at - stated.at:.3f} s after {stated.life}'
+                yield Broken('no work for what says it leaves', detail)
+                return
+
+    def same_life(self, instance: str, begin: float, end: float) -> bool:
+        """Return whether an instance ran all the while."""
+        return not any(
+            moment.what in faults.OF_LIVES
+            and moment.target == instance
+            and moment.at < end
+            and begin < moment.until + instances.GRACE_SECONDS
+            for moment in self.world.moments
+        )
+
     def not_recovered(self) -> Iterator[Broken]:
         """Find out whether requests are served again in the calm."""
         probes = [
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -36,6 +36,7 @@
         *faults.plan_restarts(seed),
         *faults.plan_restores(seed),
         *faults.plan_limits(seed),
+        *faults.plan_statements(seed),
     ]
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     played = world.World(reactor, folder, seed, fleet)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -35,6 +35,10 @@
 # Limits that engines name, in requests a second, and for how long at least.
 LIMITS = (0.25, 0.5, 1.0)
 LIMIT_SECONDS = 8.0
+# For how long at least an engine wants rest, and for how long one that leaves
+# still serves after the time in which it must get nothing new.
+REST_SECONDS = 3.0
+STATED_LEAVING_SECONDS = 2.0
 PAUSE_SIGNALS = (signal.SIGSTOP, signal.SIGCONT)
 
 
@@ -311,6 +315,10 @@
                 )
             case faults.What.LEAVING_ENGINE:
                 self.leave(engine, says_so=fault.target % 2 == 0)
+            case faults.What.STATED_LEAVING:
+                self.leave_by_answers(engine)
+            case faults.What.RESTING_ENGINE:
+                self.overload(fault, engine)
 
     def restart_engine(
         self, fault: faults.Fault, engine: engines.Engine
@@ -342,6 +350,32 @@
         seconds = instances.DRAIN_SECONDS + 1.0
         task.deferLater(self.reactor, seconds, self.gone, engine)
 
+    def overload(self, fault: faults.Fault, engine: engines.Engine) -> None:
+        """Have an engine want rest, and every other time all of its service.
+
+        Where only some of them do, the others get nearly all requests.
+        """
+        until = self.reactor.seconds() + REST_SECONDS + fault.seconds
+        for other in self.engines.engines:
+            of_service = fault.target % 2 and other.service == engine.service
+            if other is engine or of_service:
+                other.rests_until = until
+
+    def leave_by_answers(self, engine: engines.Engine) -> None:
+        """Have an engine leave whose row says that it is ready."""
+        if engine.state != 'ready' or engine.states_leaving:
+            return
+        engine.states_leaving = True
+        seconds = instances.DRAIN_SECONDS + STATED_LEAVING_SECONDS
+        task.deferLater(
+            self.reactor, seconds, self.end_stated, engine, engine.identity
+        )
+
+    def end_stated(self, engine: engines.Engine, identity: str) -> None:
+        """End an engine that has said that it leaves, unless it has ended."""
+        if engine.lives and engine.identity == identity:
+            self.gone(engine)
+
     def gone(self, engine: engines.Engine) -> None:
         """End an engine that was leaving; another takes its place."""
         self.store.remove('servers', engine.identity)
