Ask an engine again after the rest that it asked a request for

A stream that each engine of its service had turned away with a rest was refused as engines-full, and told to come back within two seconds although no engine took requests for longer: engines that refuse a request were excluded for good.

The exclusion now ends with the rest, so the request waits for it or is told when it ends.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -93,10 +93,13 @@
 
         It waits if all that is missing is the end of a rest that comes in its
         time. Otherwise it is refused at once, and told when to come back if
-        rests or limits of engines are the reason.
+        rests or limits of engines are the reason. An engine that has refused
+        it and asked for rest, one of those ``excluded``, may be asked again
+        after that.
         """
         ruling = exchange.ruling
         service, account = ruling.service.name, ruling.account
+        excluded -= self.engines.resting_engines(service, now)
         rested = self.selector.next_rested_engine(
             service, excluded, now, account
         )
--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -171,6 +171,14 @@
             if name not in excluded and state.is_usable(now)
         ]
 
+    def resting_engines(self, service: str, now: float) -> set[str]:
+        """Return the engines of a service that have asked for rest."""
+        return {
+            name
+            for name, state in self.by_service.get(service, {}).items()
+            if state.is_resting(now)
+        }
+
     def candidates(
         self, service: str, excluded: set[str], now: float
     ) -> list[engine_states.EngineState]:
--- a/tests/relay/test_engine_rest.py
+++ b/tests/relay/test_engine_rest.py
@@ -347,3 +347,37 @@
     [refusal] = world.refusals(send.exchange)
     assert refusal.code == 'engines-resting'
     assert refusal.retry_after >= REST_SECONDS
+
+
+def test_stream_that_all_engines_refused_goes_on_after_their_rest():
+    """Guards against engines that count as refusing after their rest."""
+    entries = [
+        relay_world.engine(f'model-{number}', relay_world.STREAMS, 'north')
+        for number in range(2)
+    ]
+    world = relay_world.RelayWorld(entries)
+    world.relay.budget.set_fleet_size(1)
+    exchange = world.ask_little()
+    for _ in range(2):
+        world.ask_for_rest(world.last_send(exchange), 1.0)
+    assert len(world.sends(exchange)) == 2
+    assert not world.refusals(exchange)
+    world.advance(1.1)
+    assert len(world.sends(exchange)) == 3
+
+
+@pytest.mark.parametrize('kind', ['query', 'stream'])
+def test_request_that_all_engines_refused_is_told_when_they_take_it(kind):
+    """Guards against callers sent back before the first rest is over."""
+    entries = [
+        relay_world.engine(f'{service}-{number}', service, 'north')
+        for service in (relay_world.CALLS, relay_world.STREAMS)
+        for number in range(2)
+    ]
+    world = relay_world.RelayWorld(entries)
+    exchange = KINDS[kind](world)
+    for _ in range(2):
+        world.ask_for_rest(world.last_send(exchange), 8.0)
+    [refusal] = world.refusals(exchange)
+    assert refusal.code == 'engines-resting'
+    assert refusal.retry_after >= 8.0
