Share the records of statements, and move the components of the relay

What both interfaces write about statements stands once; RelayComponents has a module of its own, as it has grown by what a request without an engine does.

--- a/src/greengagelb/coordination/fleet/upstream_statements.py
+++ b/src/greengagelb/coordination/fleet/upstream_statements.py
@@ -10,17 +10,13 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.sharing import statement_records
 from greengagelb.state import identity
 from greengagelb.state import statements
 from greengagelb.state import upstreams as upstream_state
 
 # Fires when the rest of an upstream is over.
 REST_TIMER = 'upstream-rest'
-# Each answer to a request that was under way repeats the rest asked for; only
-# a deadline that moves by more than this is recorded again.
-MIN_RECORDED_SECONDS = 0.5
-# An upstream's unusable values are recorded at most once in this time.
-UNUSABLE_RECORD_SECONDS = 10.0
 
 
 class UpstreamStatements:
@@ -60,7 +56,11 @@
         if view.leaving and engine in self.directory.leaving_engines:
             return []
         self.directory.mark_leaving(
-            events.UpstreamLeaving(engine, describe_answer(event)), now
+            events.UpstreamLeaving(
+                engine,
+                describe_answer(event),
+            ),
+            now,
         )
         view.leaving = True
         self.directory.limits.release_permits(event.upstream, now)
@@ -90,10 +90,14 @@
         self.directory.limits.release_permits(event.upstream, now)
         name = f'{REST_TIMER}:{event.upstream}'
         planned: list[actions.Action] = [actions.SetTimer(name, rest_until)]
-        if now < former and rest_until < former + MIN_RECORDED_SECONDS:
+        if (
+            now < former
+            and rest_until < former + statement_records.MIN_RECORDED_SECONDS
+        ):
             return planned
-        seconds = event.statement.rest_seconds
-        reason = f'for {seconds:.3f} s, stated in {describe_answer(event)}'
+        reason = statement_records.rest_reason(
+            event.statement.rest_seconds, describe_answer(event)
+        )
         return [*planned, record(event, 'engine-rest', reason)]
 
     def note_unusable(
@@ -105,9 +109,10 @@
         """Record values that can't be used, at a bounded rate."""
         if now < view.next_unusable_record_at:
             return []
-        view.next_unusable_record_at = now + UNUSABLE_RECORD_SECONDS
-        values = ', '.join(event.statement.unusable)
-        reason = f'statement-unusable: {values}'
+        view.next_unusable_record_at = (
+            now + statement_records.UNUSABLE_RECORD_SECONDS
+        )
+        reason = statement_records.unusable_reason(event.statement)
         return [record(event, 'engine-statement-refused', reason)]
 
     def end_rest(self, upstream: str) -> list[actions.Action]:
@@ -150,9 +155,7 @@
 
 def describe_answer(event: events.UpstreamStated) -> str:
     """Return the answer that contains a statement, for the timeline."""
-    if event.request is None:
-        return f'an answer to a check, status {event.status}'
-    return f'the answer to {event.request.request}, status {event.status}'
+    return statement_records.describe_answer(event.request, event.status)
 
 
 def record(
--- a/src/greengagelb/coordination/relay/crashing_requests.py
+++ b/src/greengagelb/coordination/relay/crashing_requests.py
@@ -11,6 +11,7 @@
 from greengagelb.coordination.relay import answers
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.coordination.relay import streams
 from greengagelb.state import crashes as crash_state
@@ -30,7 +31,7 @@
 
     def __init__(
         self,
-        components: calls.RelayComponents,
+        components: relay_components.RelayComponents,
         call_relay: calls.CallRelay,
         stream_relay: streams.StreamRelay,
         sharing: store_sharing.StoreSharing,
--- a/src/greengagelb/coordination/relay/engine_statements.py
+++ b/src/greengagelb/coordination/relay/engine_statements.py
@@ -11,17 +11,13 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import run_copies
+from greengagelb.coordination.sharing import statement_records
 from greengagelb.state import statements
 from greengagelb.state.relay import engine_states
 from greengagelb.state.relay import hints
 
-# Each answer to a request that was under way repeats the rest asked for; only
-# a deadline that moves by more than this is recorded again.
-MIN_RECORDED_SECONDS = 0.5
-# An engine's unusable values are recorded at most once in this time.
-UNUSABLE_RECORD_SECONDS = 10.0
-
 Action = relay_actions.RelayAction
 
 
@@ -30,7 +26,7 @@
 
     def __init__(
         self,
-        components: calls.RelayComponents,
+        components: relay_components.RelayComponents,
         copies: run_copies.RunCopies,
     ) -> None:
         self.components = components
@@ -83,7 +79,9 @@
             return []
         was_known = state.is_leaving
         source = statements.Source(
-            statements.SourceKind.ANSWER, describe_answer(event), now
+            statements.SourceKind.ANSWER,
+            describe_answer(event),
+            now,
         )
         resulting = self.retire(state, source, now)
         if was_known:
@@ -166,7 +164,9 @@
             return []
         state.rest_until = rest_until
         state.rest_source = statements.Source(
-            statements.SourceKind.ANSWER, describe_answer(event), now
+            statements.SourceKind.ANSWER,
+            describe_answer(event),
+            now,
         )
         self.keeper.withdraw_requests(state.entry.life, now)
         if now >= state.peer_rest_until:
@@ -179,11 +179,13 @@
                 )
             )
             state.peer_rest_until = rest_until
-        if now < former and rest_until < former + MIN_RECORDED_SECONDS:
+        if (
+            now < former
+            and rest_until < former + statement_records.MIN_RECORDED_SECONDS
+        ):
             return []
-        reason = (
-            f'for {event.statement.rest_seconds:.3f} s, '
-            f'stated in {state.rest_source.text}'
+        reason = statement_records.rest_reason(
+            event.statement.rest_seconds, state.rest_source.text
         )
         return [record(event, state, 'engine-rest', reason)]
 
@@ -196,17 +198,16 @@
         """Record values that can't be used, at a bounded rate."""
         if now < state.next_unusable_record_at:
             return []
-        state.next_unusable_record_at = now + UNUSABLE_RECORD_SECONDS
-        values = ', '.join(event.statement.unusable)
-        reason = f'statement-unusable: {values}'
+        state.next_unusable_record_at = (
+            now + statement_records.UNUSABLE_RECORD_SECONDS
+        )
+        reason = statement_records.unusable_reason(event.statement)
         return [record(event, state, 'engine-statement-refused', reason)]
 
 
 def describe_answer(event: relay_events.EngineStated) -> str:
     """Return the answer that contains a statement, for the timeline."""
-    if event.request is None:
-        return f'an answer to a check, status {event.status}'
-    return f'the answer to {event.request.request}, status {event.status}'
+    return statement_records.describe_answer(event.request, event.status)
 
 
 def record(
--- a/src/greengagelb/coordination/relay/engine_wait_outcomes.py
+++ b/src/greengagelb/coordination/relay/engine_wait_outcomes.py
@@ -5,6 +5,7 @@
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import engine_waits
 from greengagelb.coordination.relay import permit_waits
+from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import streams
 from greengagelb.state.relay import exchanges
 
@@ -21,7 +22,7 @@
 
     def __init__(
         self,
-        components: calls.RelayComponents,
+        components: relay_components.RelayComponents,
         call_relay: calls.CallRelay,
         stream_relay: streams.StreamRelay,
         open_exchanges: dict[int, exchanges.Exchange],
--- a/src/greengagelb/coordination/relay/permit_outcomes.py
+++ b/src/greengagelb/coordination/relay/permit_outcomes.py
@@ -6,6 +6,7 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import permit_waits
+from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import streams
 from greengagelb.coordination.sharing import limit_keeper
@@ -26,7 +27,7 @@
 
     def __init__(
         self,
-        components: calls.RelayComponents,
+        components: relay_components.RelayComponents,
         call_relay: calls.CallRelay,
         stream_relay: streams.StreamRelay,
         open_exchanges: dict[int, exchanges.Exchange],
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -27,6 +27,7 @@
 from greengagelb.coordination.relay import peer_events
 from greengagelb.coordination.relay import permit_outcomes
 from greengagelb.coordination.relay import permit_waits
+from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import request_routing
 from greengagelb.coordination.relay import restarts
 from greengagelb.coordination.relay import run_copies
@@ -95,7 +96,7 @@
         self.answers = answers.AnswerBuilder(rng)
         self.request_router = request_routing.RequestRouter(rng)
         self.crash_watch = crash_watch.CrashWatch()
-        components = calls.RelayComponents(
+        components = relay_components.RelayComponents(
             self.engines,
             selector,
             self.send_manager,
--- a/src/greengagelb/coordination/relay/restarts.py
+++ b/src/greengagelb/coordination/relay/restarts.py
@@ -8,6 +8,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import calls
+from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import run_copies
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import streams
@@ -26,7 +27,7 @@
 
     def __init__(
         self,
-        components: calls.RelayComponents,
+        components: relay_components.RelayComponents,
         call_relay: calls.CallRelay,
         stream_relay: streams.StreamRelay,
         copies: run_copies.RunCopies,
--- a/src/greengagelb/coordination/relay/run_copies.py
+++ b/src/greengagelb/coordination/relay/run_copies.py
@@ -9,8 +9,8 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import timers
 from greengagelb.coordination.relay import actions as relay_actions
-from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import sending
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
@@ -33,7 +33,7 @@
 
     def __init__(
         self,
-        components: calls.RelayComponents,
+        components: relay_components.RelayComponents,
         open_exchanges: dict[int, exchanges.Exchange],
     ) -> None:
         self.components = components
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -13,6 +13,7 @@
 from greengagelb.coordination.relay import engine_selection
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import permit_waits
+from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import successor_search
 from greengagelb.coordination.sharing import rates
@@ -50,7 +51,7 @@
 
     def __init__(
         self,
-        components: calls.RelayComponents,
+        components: relay_components.RelayComponents,
         stream_succession: successor_search.SuccessorSearch,
     ) -> None:
         self.components = components
--- a/tests/common/relay_world.py
+++ b/tests/common/relay_world.py
@@ -265,6 +265,15 @@
             )
         )
 
+    def engines_used(self, ask, count=40):
+        """Return the engines that get the next requests of a kind."""
+        used = set()
+        for _ in range(count):
+            send = self.last_send(ask(self))
+            used.add(send.engine.engine)
+            self.answer(send)
+        return used
+
     def refuse(self, send, status=503):
         return self.answer(
             send, b'', status=status, not_run=True, sealed=False
@@ -318,3 +327,11 @@
     return requests.AnswerHead(
         status, b'', SEAL, sealed, not_run, load, limit=limit
     )
+
+
+# How requests of each kind are made.
+ASK = {
+    'stream': RelayWorld.ask_little,
+    'call': RelayWorld.call,
+    'query': RelayWorld.query,
+}
--- a/tests/relay/test_engine_rest.py
+++ b/tests/relay/test_engine_rest.py
@@ -13,24 +13,10 @@
 from greengagelb.state.relay import hints
 from tests.common import relay_world
 
-KINDS = {
-    'stream': relay_world.RelayWorld.ask_little,
-    'call': relay_world.RelayWorld.call,
-    'query': relay_world.RelayWorld.query,
-}
+KINDS = relay_world.ASK
 REST_SECONDS = 3.0
 
 
-def engines_used(world, ask, requests=40):
-    """Return the engines that get the next requests."""
-    used = set()
-    for _ in range(requests):
-        send = world.last_send(ask(world))
-        used.add(send.engine.engine)
-        world.answer(send)
-    return used
-
-
 @pytest.mark.parametrize('kind', KINDS)
 def test_engine_that_asks_for_rest_gets_no_request_until_its_end(kind):
     """Guards against an overloaded engine that looks idle, as it refuses."""
@@ -39,10 +25,10 @@
     resting = world.last_send(ask(world))
     world.ask_for_rest(resting, REST_SECONDS)
     for _ in range(5):
-        assert resting.engine.engine not in engines_used(world, ask, 10)
+        assert resting.engine.engine not in world.engines_used(ask, 10)
         world.advance(0.59)
     world.advance(0.1)
-    assert resting.engine.engine in engines_used(world, ask)
+    assert resting.engine.engine in world.engines_used(ask)
 
 
 def rest_all(world, service, seconds=REST_SECONDS):
@@ -59,9 +45,9 @@
     world.state(first, 503, rest_seconds=5.0)
     world.ask_for_rest(first, 1.0)
     world.advance(4.9)
-    assert first.engine.engine not in engines_used(world, KINDS['call'], 10)
+    assert first.engine.engine not in world.engines_used(KINDS['call'], 10)
     world.advance(0.2)
-    assert first.engine.engine in engines_used(world, KINDS['call'])
+    assert first.engine.engine in world.engines_used(KINDS['call'])
 
 
 def test_resting_engine_has_not_failed():
@@ -255,7 +241,7 @@
     world.ask_for_rest(send, 3_600.0)
     world.advance(5.0)
     world.change_engines(dataclasses.replace(send.engine, started_at_ms=2_000))
-    assert send.engine.engine in engines_used(world, KINDS['call'])
+    assert send.engine.engine in world.engines_used(KINDS['call'])
 
 
 def test_very_long_rest_holds_for_the_life_of_its_engine():
@@ -266,7 +252,7 @@
     for _ in range(20):
         world.advance(300.0)
         world.change_engines(*relay_world.fleet(heartbeat=2))
-        used = engines_used(world, KINDS['call'], 5)
+        used = world.engines_used(KINDS['call'], 5)
         assert send.engine.engine not in used
 
 
@@ -312,9 +298,9 @@
     raw = relay_hints.encode_hint('5-own', told)
     assert relay_hints.decode_datagram(raw) == ('5-own', told)
     other.handle(relay_events.PeerTold('5-own', told))
-    assert send.engine.engine not in engines_used(other, KINDS['call'])
+    assert send.engine.engine not in other.engines_used(KINDS['call'])
     other.advance(REST_SECONDS)
-    assert send.engine.engine in engines_used(other, KINDS['call'])
+    assert send.engine.engine in other.engines_used(KINDS['call'])
 
 
 def test_rest_for_another_instance_is_no_bound():
--- a/tests/relay/test_stated_leaving.py
+++ b/tests/relay/test_stated_leaving.py
@@ -14,21 +14,7 @@
 from tests.common import relay_wires
 from tests.common import relay_world
 
-KINDS = {
-    'stream': relay_world.RelayWorld.ask_little,
-    'call': relay_world.RelayWorld.call,
-    'query': relay_world.RelayWorld.query,
-}
-
-
-def engines_used(world, ask, requests=40):
-    """Return the engines that get the next requests."""
-    used = set()
-    for _ in range(requests):
-        send = world.last_send(ask(world))
-        used.add(send.engine.engine)
-        world.answer(send)
-    return used
+KINDS = relay_world.ASK
 
 
 @pytest.mark.parametrize('kind', KINDS)
@@ -41,7 +27,7 @@
     world.state(send, leaving=True)
     world.answer(send)
     world.advance(1.0)
-    assert send.engine.engine not in engines_used(world, ask)
+    assert send.engine.engine not in world.engines_used(ask)
 
 
 def leave(world, send, **fields):
@@ -58,7 +44,7 @@
     leave(world, send)
     world.list_engines(relay_world.fleet(heartbeat=2))
     world.change_engines(*relay_world.fleet(heartbeat=3))
-    used = engines_used(world, relay_world.RelayWorld.call)
+    used = world.engines_used(KINDS['call'])
     assert send.engine.engine not in used
 
 
@@ -81,7 +67,7 @@
     leave(world, send)
     world.advance(5.0)
     world.change_engines(dataclasses.replace(send.engine, started_at_ms=2_000))
-    used = engines_used(world, relay_world.RelayWorld.call)
+    used = world.engines_used(KINDS['call'])
     assert send.engine.engine in used
 
 
@@ -96,7 +82,7 @@
     world.advance(0.1)
     world.change_engines(dataclasses.replace(send.engine, started_at_ms=2_000))
     leave(world, send)
-    used = engines_used(world, relay_world.RelayWorld.call)
+    used = world.engines_used(KINDS['call'])
     assert send.engine.engine in used
 
 
@@ -119,7 +105,7 @@
     send = world.last_send(world.query())
     world.leave(send.exchange)
     world.state(send, leaving=True)
-    used = engines_used(world, relay_world.RelayWorld.query)
+    used = world.engines_used(KINDS['query'])
     assert send.engine.engine not in used
 
 
@@ -129,7 +115,7 @@
     send = world.last_send(world.ask_little())
     statement = statements.Statement(leaving=True)
     world.handle(relay_events.EngineStated(send.engine, statement, 200))
-    used = engines_used(world, relay_world.RelayWorld.ask_little)
+    used = world.engines_used(KINDS['stream'])
     assert send.engine.engine not in used
 
 
@@ -149,7 +135,7 @@
     [line] = [a for a in resulting if isinstance(a, common_actions.Record)]
     assert line.kind == 'engine-leaving'
     assert 'instance 5-own' in line.reason
-    used = engines_used(other, relay_world.RelayWorld.call)
+    used = other.engines_used(KINDS['call'])
     assert send.engine.engine not in used
     again = other.handle(relay_events.PeerTold('6-third', told[0]))
     assert not again
