Pause an instance during its claim when the claim was asked for, not after 0.3 s

Its log shows the charge dispatched at once, and the paused one's log no claim: the pause came before the claim was written. Pausing right after the caller's thread starts fails in the same way on a run of its own; there is no claim then, and the charge runs once, as it may. So the test assumed that 0.3 s suffice for a request.

It now waits until the write of a claim has arrived at the platform's stand-in, which still delays it by 0.6 s: the pause is always within the claim.

--- a/src/greengagelb/standins/platform.py
+++ b/src/greengagelb/standins/platform.py
@@ -4,6 +4,8 @@
 sets the list of instances, which shows only after its lag.
 """
 
+import collections
+
 import klein
 import msgspec
 from twisted.internet import defer
@@ -45,6 +47,7 @@
         self.next_load = 0.0
         self.reads = 0
         self.writes = 0
+        self.writes_asked: collections.Counter[str] = collections.Counter()
         self.app = klein.Klein()
         row = '/tables/<table>/row'
         self.app.route(row, methods=['GET'])(self.read_row)
@@ -57,6 +60,7 @@
             self.load_weights
         )
         self.app.route('/standin/faults', methods=['POST'])(self.set_faults)
+        self.app.route('/standin/writes')(self.show_writes)
         self.app.route('/standin/instances', methods=['PUT'])(
             self.set_instances
         )
@@ -86,6 +90,7 @@
     @defer.inlineCallbacks
     def write_row(self, request: server.Request, table: str) -> object:
         """Write a row if its version is the expected one."""
+        self.writes_asked[table] += 1
         if not (yield self.before(request)):
             return b''
         self.writes += 1
@@ -158,6 +163,10 @@
         self.faults = codec.decode(request.content.read(), Faults)
         return b'{}'
 
+    def show_writes(self, request: server.Request) -> bytes:
+        """Tell how many writes of each table arrived, before their delay."""
+        return http.json_answer(request, dict(self.writes_asked))
+
     def set_instances(self, request: server.Request) -> bytes:
         """Change the list of instances, after its lag."""
         instances = codec.decode(
--- a/tests/process/test_calls_across_instances.py
+++ b/tests/process/test_calls_across_instances.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from greengagelb.transport import claim_store
 from tests.common import fleet
 
 pytestmark = pytest.mark.slow
@@ -35,6 +36,12 @@
     fleet.ask(process.port, '/standin/faults', faults)
 
 
+def is_claim_asked_for(platform):
+    """Return whether the write of a claim has arrived, answered or not."""
+    asked = fleet.ask(platform.port, '/standin/writes').json()
+    return claim_store.CLAIM_TABLE in asked
+
+
 def charge_in_background(process, **headers):
     thread = threading.Thread(
         target=send_and_ignore, args=(process, headers), daemon=True
@@ -97,7 +104,7 @@
         first, other = running.instances.values()
         set_faults(running.platform, delay_seconds=0.6)
         thread = charge_in_background(first, X_Deadline_Seconds='1')
-        time.sleep(0.3)
+        fleet.wait_until(lambda: is_claim_asked_for(running.platform))
         first.send_signal(signal.SIGSTOP)
         time.sleep(1.5)
         set_faults(running.platform)
