Order no copies from the timer of a former one, unless a rest put them off

Found by reading the diff: since copies can be put off by a rest, the timer that renews an ordered copy also ordered one for a run whose copy had been lost, though no engine rested: memory moved that nothing had asked for. Only an order that was put off is made then. The test failed before (one order).

--- a/src/greengagelb/coordination/relay/run_copies.py
+++ b/src/greengagelb/coordination/relay/run_copies.py
@@ -108,6 +108,7 @@
         if source is None or sent.copy_orders >= MAX_COPY_ORDERS:
             return []
         if source.is_resting(now):
+            sent.copy_postponed = True
             return [copy_timer(exchange, source.rest_until)]
         target = self.components.selector.choose_for_copy(
             exchange.ruling.service,
@@ -171,9 +172,10 @@
             source = self.components.engines.states.get(sent.entry.engine)
             if source is not None and source.is_resting(now):
                 resulting.append(copy_timer(exchange, source.rest_until))
-            elif sent.copy_to is None:
+            elif sent.copy_postponed:
+                sent.copy_postponed = False
                 resulting += self.order_missing_copy(exchange, sent, now)
-            elif sent.copy_ordered:
+            elif sent.copy_ordered and sent.copy_to is not None:
                 resulting.append(self.build_copy_order(exchange, sent))
         return resulting
 
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -17,7 +17,8 @@
     ``copy_to`` is the engine that gets a copy of the run's memory, where the
     copy is named ``copy_name``; ``copy_ordered`` is true if the copy was
     ordered and so expires after a time, and ``copy_orders`` is the number of
-    orders so far. ``from_copy`` is true if the run continued from a copy.
+    orders so far. ``copy_postponed`` is true if an order waits for the end of
+    the engine's rest. ``from_copy`` is true if the run continued from a copy.
     ``alone_with`` is the size of its prompt in tokens if the engine was idle
     and has to read the prompt, else 0.
     """
@@ -33,6 +34,7 @@
     copy_name: requests.CopyName | None = None
     copy_ordered: bool = False
     copy_orders: int = 0
+    copy_postponed: bool = False
     from_copy: bool = False
     head: requests.AnswerHead | None = None
     events_seen: int = 0
--- a/tests/relay/test_copies.py
+++ b/tests/relay/test_copies.py
@@ -1,5 +1,6 @@
 """Copies of a run's memory during the run."""
 
+from greengagelb.coordination import events as common_events
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state.relay import hints
@@ -223,3 +224,21 @@
         world.last_send(world.ask_little()).engine.engine for _ in range(30)
     }
     assert 'new' in used
+
+
+def test_run_without_a_copy_gets_none_from_the_timer_of_a_former_one():
+    """Guards against moves of memory that nothing has asked for.
+
+    An ordered copy is lost while no engine has room for another; its timer
+    still fires.
+    """
+    world = relay_world.RelayWorld()
+    send = world.last_send(world.ask())
+    world.begin(send)
+    world.events(send, 1)
+    [exchange] = world.relay.exchanges.values()
+    [sent] = exchange.sends.values()
+    sent.copy_to = None
+    sent.copy_ordered = True
+    world.handle(common_events.TimerFired(f'relay-copy:{send.exchange}'))
+    assert not world.of_kind(relay_actions.CopyRun)
