Scan a pool for rests only while an upstream may rest

Each request that arrives, and each waiting one that finds no upstream, asked all upstreams of its pool whether they rest, also where none ever did: 149 us for a pool of 630 (on its own, mean of 200). The latest end of a rest is kept now, and without a rest the question takes 0.13 us. The answer is the same.

--- a/src/greengagelb/coordination/fleet/routing.py
+++ b/src/greengagelb/coordination/fleet/routing.py
@@ -359,8 +359,11 @@
     ) -> float:
         """Return the seconds until an upstream of a pool has ended its rest.
 
-        The result is 0 unless all that may get work have asked for rest.
+        The result is 0 unless all that may get work have asked for rest. It
+        is needed for each request, so pools are scanned only during a rest.
         """
+        if now >= self.last_rest_end:
+            return 0.0
         ends = [
             view.rest_until for view in self.usable_views(pool, set(), now)
         ]
--- a/src/greengagelb/coordination/fleet/upstream_statements.py
+++ b/src/greengagelb/coordination/fleet/upstream_statements.py
@@ -85,6 +85,9 @@
         if rest_until <= former:
             return []
         view.rest_until = rest_until
+        self.directory.last_rest_end = max(
+            self.directory.last_rest_end, rest_until
+        )
         view.rest_incarnation = event.incarnation or view.incarnation
         view.returned_at = max(view.returned_at, rest_until)
         self.directory.limits.release_permits(event.upstream, now)
--- a/src/greengagelb/coordination/fleet/upstream_views.py
+++ b/src/greengagelb/coordination/fleet/upstream_views.py
@@ -40,7 +40,8 @@
     """The upstreams of the configuration in force and their known state.
 
     ``room_changed`` is set when an upstream may have gained room. ``holds``
-    are kept by the incarnation of the instance that requested them.
+    are kept by the incarnation of the instance that requested them. No
+    upstream rests after ``last_rest_end``, a monotonic time.
     Invariant: ``in_flight`` of an upstream is never negative.
     """
 
@@ -54,6 +55,7 @@
         self.live_instances = 1
         self.upstream_names: list[str] = []
         self.room_changed = False
+        self.last_rest_end = float('-inf')
 
     def apply_configuration(
         self, configuration: configuration_state.Configuration
