Continue all requests that have waited by one function; drop texts of a send that can't be

Requests that waited for the end of a rest, and those that waited for a permit, had a copy each of how they choose an engine again: PermitOutcomeHandler.send_elsewhere serves both. What is decided stays the same.

--- a/src/greengagelb/coordination/relay/engine_wait_outcomes.py
+++ b/src/greengagelb/coordination/relay/engine_wait_outcomes.py
@@ -2,11 +2,10 @@
 
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import actions as relay_actions
-from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import engine_waits
+from greengagelb.coordination.relay import permit_outcomes
 from greengagelb.coordination.relay import permit_waits
 from greengagelb.coordination.relay import relay_components
-from greengagelb.coordination.relay import streams
 from greengagelb.state.relay import exchanges
 
 ENGINE_WAIT_TIMER = 'relay-engine-wait'
@@ -18,19 +17,17 @@
 
 
 class EngineWaitHandler:
-    """Connects the waiting requests with calls, streams and the timer."""
+    """Connects the waiting requests with their continuation and the timer."""
 
     def __init__(
         self,
         components: relay_components.RelayComponents,
-        call_relay: calls.CallRelay,
-        stream_relay: streams.StreamRelay,
+        permits: permit_outcomes.PermitOutcomeHandler,
         open_exchanges: dict[int, exchanges.Exchange],
     ) -> None:
         self.components = components
         self.waits = components.engine_waits
-        self.calls = call_relay
-        self.streams = stream_relay
+        self.permits = permits
         self.open_exchanges = open_exchanges
         self.timer_set_for = float('inf')
 
@@ -106,13 +103,8 @@
     def continue_request(
         self, request: engine_waits.WaitingRequest, now: float
     ) -> list[Action]:
-        """Choose an engine again for a request."""
+        """Choose an engine again for a request, if its caller still waits."""
         exchange = self.open_exchanges.get(request.exchange)
-        if exchange is None or exchange.sends:
+        if exchange is None:
             return []
-        match request.continuation:
-            case permit_waits.StreamStart(code):
-                return self.streams.start_from_prompt(exchange, now, code)
-            case permit_waits.CallAttempt(code):
-                return self.calls.send_to_next_engine(exchange, now, code)
-        return []
+        return self.permits.send_elsewhere(request.continuation, exchange, now)
--- a/src/greengagelb/coordination/relay/permit_outcomes.py
+++ b/src/greengagelb/coordination/relay/permit_outcomes.py
@@ -161,7 +161,10 @@
                 why = self.denial_reason(held, outcome, now)
                 notice = sending.record(exchange, None, 'permit-denied', why)
                 notice = dataclasses.replace(notice, upstream=held.engine)
-                return [notice, *self.send_elsewhere(held, exchange, now)]
+                return [
+                    notice,
+                    *self.send_elsewhere(held.continuation, exchange, now),
+                ]
         return []
 
     def send_granted(
@@ -175,7 +178,7 @@
             return []
         state = self.find_target(held, exchange, now)
         if state is None:
-            return self.send_elsewhere(held, exchange, now)
+            return self.send_elsewhere(held.continuation, exchange, now)
         return self.send(held, exchange, state, now)
 
     def find_target(
@@ -217,14 +220,14 @@
 
     def send_elsewhere(
         self,
-        held: permit_waits.WaitingSend,
+        continuation: permit_waits.Continuation,
         exchange: exchanges.Exchange,
         now: float,
     ) -> list[Action]:
-        """Choose an engine again for a send without a permit, if needed."""
+        """Choose an engine again for a request that has waited, if needed."""
         if exchange.sends:
             return []
-        match held.continuation:
+        match continuation:
             case permit_waits.CallAttempt(code):
                 return self.calls.send_to_next_engine(exchange, now, code)
             case permit_waits.StreamStart(code):
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -124,7 +124,7 @@
             components, self.calls, self.streams, self.exchanges
         )
         self.engine_wait_outcomes = engine_wait_outcomes.EngineWaitHandler(
-            components, self.calls, self.streams, self.exchanges
+            components, self.permit_outcomes, self.exchanges
         )
         self.engine_list = engine_list.EngineListHandler(
             self.engines,
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -177,12 +177,6 @@
         if known is not None and known.rate is not None:
             age = sent.began_at - known.known_at
             parts.append(f'limit {known.rate:g} known for {age:.3f} s')
-        if state.leaving_source is not None:
-            said = state.leaving_source.describe(sent.began_at)
-            parts.append(f'leaves by {said}')
-        if sent.began_at < state.rest_until:
-            said = state.rest_source.describe(sent.began_at)
-            parts.append(f'asks for rest by {said}')
         if exchange.position:
             parts.append(f'resumes after event {exchange.position}')
         if sent.from_copy:
