Reach engines through other instances when own links to them are lost

Callers of instances that had lost their links to all engines were refused (RECOVER): such an instance had one way only, and took each connection that it could not open for a failure of the engine.

An engine is now connected to directly and, if that fails or takes longer than 60 ms, through another instance, which opens the connection and passes its bytes on unread. The first connection that opens carries the request; nothing is written before, so permits, budgets, deadlines, statements, resumes and 'not run' stay with the instance that has the caller, and count once. If only the direct attempt fails, its path is lost: forwarded attempts come first then, a direct one every half second beside them. Two lost paths lose a service; others are told so and ask this instance for nothing there, and its hints against the engines are withheld. Retries go on new connections, as idle ones may be dead.

The test of the operators' pages looked at modules directly in relay/ only; it looks at those in its subfolders as well now, which asks for more rows.

--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -22,7 +22,8 @@
     last event that the caller has. ``copy_from`` names a copy of the run's
     memory that the engine holds, and ``copy_to`` is the engine to which the
     run's memory is copied as it grows. ``fresh`` requires a new connection: an
-    idle one may be broken without either end having noticed.
+    idle one may be broken without either end having noticed. Retries require
+    one too, as what failed the first attempt may have broken others.
     """
 
     exchange: int
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -8,6 +8,9 @@
 import enum
 
 from greengagelb.coordination import events
+from greengagelb.coordination.relay.forwarding import (
+    events as forwarding_events,
+)
 from greengagelb.state import crashes
 from greengagelb.state import identity
 from greengagelb.state import statements
@@ -290,6 +293,7 @@
     | PeerHeard
     | PeerLeft
     | PeerTold
+    | forwarding_events.ForwardingEvent
     | events.CallerGone
     | events.TimerFired
     | events.PauseDetected
--- a/src/greengagelb/coordination/relay/fleet.py
+++ b/src/greengagelb/coordination/relay/fleet.py
@@ -27,8 +27,9 @@
 
     ``is_list_known`` tells that the list of instances was read.
     ``present_incarnations`` are those that were listed, or heard since, and
-    have not stopped. ``heard_at`` and ``placed_at`` are monotonic times in
-    seconds.
+    have not stopped. ``data_centres`` has those of the instances whose
+    heartbeats were heard. ``heard_at`` and ``placed_at`` are monotonic times
+    in seconds.
 
     Invariant: each run of another instance that is counted in ``loads`` has
     its time in ``placed_at``.
@@ -42,6 +43,7 @@
         self.is_list_known = False
         self.present_incarnations: set[str] = set()
         self.heard_at: dict[str, float] = {}
+        self.data_centres: dict[str, str] = {}
         self.placed_at: dict[tuple[str, int], float] = {}
 
     @property
@@ -67,6 +69,11 @@
             HEARTBEAT_SECONDS, self.size / MAX_HEARTBEATS_RECEIVED_PER_SECOND
         )
 
+    @property
+    def silence_limit_seconds(self) -> float:
+        """Return the silence after which an instance is forgotten."""
+        return MAX_MISSED_HEARTBEATS * self.heartbeat_seconds
+
     def next_heartbeat_at(self, now: float, rng: random.Random) -> float:
         """Return when this instance has to send its next heartbeat."""
         spread = rng.uniform(1.0 - HEARTBEAT_JITTER, 1.0 + HEARTBEAT_JITTER)
@@ -85,9 +92,12 @@
         """Note that an instance is alive."""
         self.heard_at[incarnation] = now
 
-    def note_heartbeat(self, incarnation: str, now: float) -> None:
-        """Note the heartbeat of an instance."""
+    def note_heartbeat(
+        self, incarnation: str, data_centre: str, now: float
+    ) -> None:
+        """Note the heartbeat of an instance, and where it is."""
         self.present_incarnations.add(incarnation)
+        self.data_centres[incarnation] = data_centre
         self.note_alive(incarnation, now)
 
     def remove_instance(self, incarnation: str, now: float) -> list[str]:
@@ -96,6 +106,7 @@
         Returns the instances that were forgotten.
         """
         self.present_incarnations.discard(incarnation)
+        self.data_centres.pop(incarnation, None)
         known = self.heard_at.pop(incarnation, None) is not None
         return ([incarnation] if known else []) + self.forget_silent(now)
 
@@ -129,14 +140,14 @@
 
         Returns the instances that were forgotten.
         """
-        max_silence_seconds = MAX_MISSED_HEARTBEATS * self.heartbeat_seconds
         silent_instances = [
             incarnation
             for incarnation, at in self.heard_at.items()
-            if now > at + max_silence_seconds
+            if now > at + self.silence_limit_seconds
         ]
         for incarnation in silent_instances:
             del self.heard_at[incarnation]
+            self.data_centres.pop(incarnation, None)
         for key, at in list(self.placed_at.items()):
             silent = key[0] not in self.heard_at
             if silent or now > at + MAX_RUN_SECONDS:
--- /dev/null
+++ b/src/greengagelb/coordination/relay/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that reach an engine through another instance."""
--- a/src/greengagelb/coordination/relay/peer_events.py
+++ b/src/greengagelb/coordination/relay/peer_events.py
@@ -13,6 +13,7 @@
 from greengagelb.coordination.relay import run_copies
 from greengagelb.coordination.relay import shared_retry_budget
 from greengagelb.coordination.relay import store_sharing
+from greengagelb.coordination.relay.forwarding import engine_paths
 from greengagelb.state import crashes
 from greengagelb.state import limits
 from greengagelb.state.relay import hints
@@ -39,6 +40,7 @@
         crashing: crashing_requests.CrashingRequestHandler,
         limited: permit_outcomes.PermitOutcomeHandler,
         statement_handler: engine_statements.EngineStatementHandler,
+        paths: engine_paths.EnginePaths,
     ) -> None:
         self.engines = engine_directory
         self.engine_updates = engine_updates
@@ -51,6 +53,7 @@
         self.limited = limited
         self.keeper = limited.keeper
         self.statements = statement_handler
+        self.paths = paths
 
     def handle_event(
         self, event: relay_events.RelayEvent, now: float
@@ -67,7 +70,7 @@
                 if incarnation not in self.fleet.heard_at:
                     reason = f'{incarnation} in {data_centre}'
                     resulting.append(actions.Record('peer-heard', reason))
-                self.fleet.note_heartbeat(incarnation, now)
+                self.fleet.note_heartbeat(incarnation, data_centre, now)
                 resulting += forgotten_instance_events(
                     self.fleet.forget_silent(now)
                 )
@@ -142,6 +145,10 @@
                 return self.crashing.send_reports(incarnation, now)
             case hints.InstancesNotListed(incarnations):
                 return self.handle_not_listed(incarnations)
+            case hints.ServicesUnreachable(services):
+                self.paths.forwarders.note_unreachable(
+                    incarnation, services, now
+                )
             case hints.ConfigurationApplied(version):
                 self.note_peer_version(version, now)
                 return self.read_store_if_stale()
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -37,6 +37,11 @@
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.coordination.relay import streams
 from greengagelb.coordination.relay import successor_search
+from greengagelb.coordination.relay.forwarding import engine_paths
+from greengagelb.coordination.relay.forwarding import (
+    events as forwarding_events,
+)
+from greengagelb.coordination.relay.forwarding import forwarders
 from greengagelb.coordination.sharing import fingerprints
 from greengagelb.coordination.sharing import limit_keeper
 from greengagelb.state import identity
@@ -58,6 +63,8 @@
     run_copies.COPY_TIMER,
 )
 
+BLAMING_HINTS = (hints.EngineFailed, hints.StreamSilent, hints.EngineErrored)
+
 Action = relay_actions.RelayAction
 
 
@@ -112,6 +119,10 @@
         self.streams = streams.StreamRelay(components, self.succession)
         self.fleet = fleet.FleetView(self.loads, own.incarnation)
         self.keeper.ranking.members = self.fleet.reachable_instances
+        self.paths = engine_paths.EnginePaths(
+            self.engines,
+            forwarders.ForwarderSelector(self.fleet, rng, own.data_centre),
+        )
         self.exchanges: dict[int, exchanges.Exchange] = {}
         self.copies = run_copies.RunCopies(components, self.exchanges)
         self.restarts = restarts.RestartHandler(
@@ -146,6 +157,7 @@
             self.crashing_requests,
             self.permit_outcomes,
             self.statements,
+            self.paths,
         )
         self.lifecycle = stopping.InstanceLifecycle()
 
@@ -189,6 +201,7 @@
         """Return the actions that result from an event."""
         resulting = self.dispatch_event(event, now)
         resulting += self.permit_outcomes.finish_event(resulting, now)
+        self.withhold_blameless_hints()
         resulting += self.engine_wait_outcomes.set_timer(now)
         for hint in list(self.send_manager.pending_hints):
             resulting += self.peers.handle_engine_loss_hint(hint, now)
@@ -201,6 +214,22 @@
         self.send_manager.pending_hints.clear()
         return resulting + ended + hint_actions
 
+    def withhold_blameless_hints(self) -> None:
+        """Drop the hints against engines that own links may have failed.
+
+        The other instances would avoid the engines and replace the copies on
+        them.
+        """
+        pending = self.send_manager.pending_hints
+        pending[:] = [
+            hint
+            for hint in pending
+            if not (
+                isinstance(hint, BLAMING_HINTS)
+                and self.paths.is_blameless(hint.engine)
+            )
+        ]
+
     def close_if_answered(self, action: Action) -> list[Action]:
         """Remove an exchange if an action is its final answer."""
         match action:
@@ -287,6 +316,8 @@
                 return self.crashing_requests.apply_stored(reports, now)
             case events.PauseDetected(seconds):
                 return self.handle_pause(seconds, now)
+            case _ if isinstance(event, forwarding_events.ForwardingEvent):
+                return self.paths.handle_event(event, now)
         return self.peers.handle_event(event, now)
 
     def use_successor(
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -117,7 +117,7 @@
                 exchange.position or None,
                 copy_from,
                 copy_to,
-                fresh=not ruling.route.is_repeatable,
+                fresh=not ruling.route.is_repeatable or exchange.attempts > 1,
             ),
         ]
 
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -192,6 +192,14 @@
     version: int
 
 
+class ServicesUnreachable(
+    msgspec.Struct, frozen=True, array_like=True, tag='v', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.ServicesUnreachable`."""
+
+    services: tuple[str, ...]
+
+
 class ReportedCrash(msgspec.Struct, frozen=True, array_like=True):
     """See :class:`greengagelb.state.crashes.ReportedCrash`."""
 
@@ -237,6 +245,7 @@
         | StoreRestored
         | InstancesNotListed
         | ConfigurationApplied
+        | ServicesUnreachable
         | CrashReport
         | CrashReportsRequest
         | Forwarded
@@ -319,6 +328,8 @@
             wire = InstancesNotListed(incarnations)
         case hints.ConfigurationApplied(version):
             wire = ConfigurationApplied(version)
+        case hints.ServicesUnreachable(services):
+            wire = ServicesUnreachable(services)
         case crashes.CrashReport(fingerprint, found, survived_age):
             reported = tuple(
                 ReportedCrash(c.life, c.seconds, c.age) for c in found
@@ -406,6 +417,8 @@
             hint = hints.InstancesNotListed(incarnations)
         case ConfigurationApplied(version):
             hint = hints.ConfigurationApplied(version)
+        case ServicesUnreachable(services):
+            hint = hints.ServicesUnreachable(services)
         case CrashReport(fingerprint, reported, survived_age):
             found = tuple(
                 crashes.ReportedCrash(c.life, c.seconds, c.age)
--- a/src/greengagelb/relay_settings.py
+++ b/src/greengagelb/relay_settings.py
@@ -16,8 +16,9 @@
 class InstanceSettings:
     """Section ``[instance]``: who and where this process is.
 
-    ``peer_port`` is the UDP port on which the instances tell each other what
-    they put on engines; it is the same on all of them.
+    ``peer_port`` is the port on which the instances tell each other what they
+    put on engines, over UDP, and open connections to engines for each other,
+    over TCP; it is the same on all of them.
     """
 
     name: str
@@ -65,7 +66,16 @@
         metrics = engines.Address(
             place.caller_address.host, place.metrics_port
         )
-        if metrics in (place.caller_address, place.ready_address):
+        taken = [place.caller_address, place.ready_address]
+        forwarding = engines.Address(
+            place.caller_address.host, place.peer_port
+        )
+        if forwarding in (*taken, metrics):
+            raise ValueError(
+                '[instance] peer_port: write another port than those of '
+                'caller_address, ready_address and metrics_port'
+            )
+        if metrics in taken:
             raise ValueError(
                 '[instance] metrics_port: write another port than those of '
                 'caller_address and ready_address'
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -158,6 +158,16 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServicesUnreachable:
+    """The services whose engines the sender can't reach directly.
+
+    Empty once it reaches all services again.
+    """
+
+    services: tuple[str, ...]
+
+
 Hint = (
     RunPlaced
     | RunEnded
@@ -174,6 +184,7 @@
     | StoreRestored
     | InstancesNotListed
     | ConfigurationApplied
+    | ServicesUnreachable
     | crashes.CrashReport
     | crashes.CrashReportsRequest
     | limits.Message
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -15,6 +15,7 @@
 from greengagelb.transport.relay import event_stream
 from greengagelb.transport.relay import http_client
 from greengagelb.transport.relay import timed_requests
+from greengagelb.transport.relay.forwarding import connection_race
 
 MAX_ANSWER_BYTES = 32 << 20
 # A live engine answers a probe in a few milliseconds, and within this time
@@ -131,7 +132,7 @@
 
     ``pending_sends`` has the sends without a final event, by exchange and
     number of the send. ``admits`` tells whether an engine may be sent a
-    caller's request now.
+    caller's request now, and ``opener`` opens connections.
     """
 
     def __init__(
@@ -140,8 +141,10 @@
         wire_dialect: dialect.Dialect,
         dispatch: Dispatch,
         admits: Callable[[engines.EngineEntry], bool],
+        opener: connection_race.ConnectionOpener,
     ) -> None:
         self.pool = pool
+        self.opener = opener
         self.dialect = wire_dialect
         self.dispatch = dispatch
         self.admits = admits
@@ -158,8 +161,13 @@
             send.engine.address,
             lambda: self.dialect.write_send(send, seconds()),
             EngineAnswer(self, send),
-            fresh=send.fresh,
+            fresh=send.fresh or self.opener.paths.is_silent(send.engine),
             is_admitted=lambda: self.admits(send.engine),
+            open_connection=lambda waiting: self.opener.open_for(
+                send.engine,
+                identity.RequestId(send.account, send.request.request_id),
+                waiting,
+            ),
         )
         if not pending.is_finished:
             self.pending_sends[key] = pending
@@ -192,7 +200,14 @@
         ``done`` is called with the answer or its failure.
         """
         timed_request = timed_requests.TimedRequest(
-            entry.life, entry.address, request, seconds, fresh=fresh
+            entry.life,
+            entry.address,
+            request,
+            seconds,
+            fresh=fresh or self.opener.paths.is_silent(entry),
+            open_connection=lambda waiting: self.opener.open_for(
+                entry, None, waiting
+            ),
         )
 
         def head_received(response: h11.Response) -> None:
--- /dev/null
+++ b/src/greengagelb/transport/relay/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to engines through other instances."""
--- /dev/null
+++ b/src/greengagelb/transport/relay/forwarding/connection_race.py
@@ -0,0 +1,311 @@
+"""Opens a connection to an engine, directly or through other instances.
+
+The direct attempt comes first unless its path is known to be lost. If it fails
+or takes long, other instances are asked to connect, and the first connection
+that opens carries the request. Nothing of a request is written before that, so
+no attempt can make it run twice.
+"""
+
+from collections.abc import Callable
+
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.python import failure
+
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay.forwarding import engine_paths
+from greengagelb.coordination.relay.forwarding import events
+from greengagelb.state import identity
+from greengagelb.state.relay import engines
+from greengagelb.transport.relay import http_client
+from greengagelb.transport.relay.forwarding import forwarded_connection
+
+# Connections open within a round trip, 40 ms between regions. An attempt that
+# takes longer goes on beside the next one.
+NEXT_ATTEMPT_SECONDS = 0.06
+# The most instances that are asked for one connection.
+MAX_FORWARDERS = 4
+# So many instances that can't connect either show that the engine is at fault.
+MAX_VERDICTS = 2
+VERDICTS = (
+    events.ForwardingOutcome.ENGINE_REFUSED,
+    events.ForwardingOutcome.ENGINE_SILENT,
+)
+
+
+class ConnectionOpener:
+    """Opens the connections of this instance to engines.
+
+    ``host_of`` returns the host of another instance, or None if it is not
+    known, and ``port`` is where instances take orders for connections.
+    """
+
+    def __init__(
+        self,
+        pool: http_client.ConnectionPool,
+        paths: engine_paths.EnginePaths,
+        dispatch: Callable[[relay_events.RelayEvent], None],
+        host_of: Callable[[str], str | None],
+        own_host: str,
+        port: int,
+    ) -> None:
+        self.pool = pool
+        self.paths = paths
+        self.dispatch = dispatch
+        self.host_of = host_of
+        self.own_host = own_host
+        self.port = port
+
+    def open_for(
+        self,
+        entry: engines.EngineEntry,
+        request: identity.RequestId | None,
+        pending: http_client.PendingRequest,
+    ) -> None:
+        """Open a connection for a request that waits for one."""
+        race = ConnectionRace(self, entry, request, pending)
+        pending.connector = race
+        race.start()
+
+
+class ConnectionRace:
+    """The attempts to open one connection.
+
+    ``asked`` are the instances that were asked to connect, ``verdicts`` how
+    many of them could not, and ``direct_failure`` what became of the direct
+    attempt.
+    """
+
+    def __init__(
+        self,
+        opener: ConnectionOpener,
+        entry: engines.EngineEntry,
+        request: identity.RequestId | None,
+        pending: http_client.PendingRequest,
+    ) -> None:
+        self.opener = opener
+        self.pool = opener.pool
+        self.paths = opener.paths
+        self.entry = entry
+        self.request = request
+        self.pending = pending
+        self.connector: interfaces.IConnector | None = None
+        self.direct_failure: failure.Failure | None = None
+        self.asked: set[str] = set()
+        self.open_attempts: dict[
+            str, forwarded_connection.ForwardedConnection
+        ] = {}
+        self.verdicts = 0
+        self.is_refused_elsewhere = False
+        self.won_by: str | None = None
+        self.is_over = False
+        self.next_timer: interfaces.IDelayedCall | None = None
+        self.end_timer: interfaces.IDelayedCall | None = None
+
+    def start(self) -> None:
+        """Make the first attempt."""
+        self.end_timer = self.pool.reactor.callLater(
+            http_client.CONNECT_SECONDS, self.fail
+        )
+        now = self.pool.reactor.seconds()
+        if not self.paths.is_lost(self.entry):
+            self.connect_directly()
+        else:
+            if self.paths.claim_probe(self.entry, now):
+                self.connect_directly()
+            self.ask_next_instance()
+        self.schedule_next_attempt()
+
+    def schedule_next_attempt(self) -> None:
+        """Ask an instance, or another one, if nothing opens in time."""
+        if not self.is_over:
+            self.next_timer = self.pool.reactor.callLater(
+                NEXT_ATTEMPT_SECONDS, self.make_next_attempt
+            )
+
+    def make_next_attempt(self) -> None:
+        """Ask the next instance while the other attempts go on."""
+        self.next_timer = None
+        self.ask_next_instance()
+        if len(self.asked) < MAX_FORWARDERS:
+            self.schedule_next_attempt()
+
+    def connect_directly(self) -> None:
+        """Start the direct attempt."""
+        self.pool.connections_opened += 1
+        self.connector = self.pool.reactor.connectTCP(
+            self.entry.address.host,
+            self.entry.address.port,
+            http_client.ConnectionFactory(
+                self.pool,
+                self.entry.life,
+                self.note_direct_opened,
+                self.note_direct_failed,
+            ),
+            timeout=http_client.CONNECT_SECONDS,
+        )
+
+    def ask_next_instance(self) -> bool:
+        """Ask one more instance to connect; return whether there was one."""
+        if self.is_over or len(self.asked) >= MAX_FORWARDERS:
+            return False
+        now = self.pool.reactor.seconds()
+        via = self.paths.choose_forwarder(self.entry, self.asked, now)
+        host = self.opener.host_of(via) if via is not None else None
+        if via is None or host is None:
+            return False
+        self.asked.add(via)
+        attempt = forwarded_connection.ForwardedConnection(
+            self.pool,
+            self.entry,
+            self.request.request if self.request is not None else '',
+            lambda connection: self.note_forwarded(via, connection),
+            lambda outcome: self.note_not_forwarded(via, outcome),
+        )
+        self.open_attempts[via] = attempt
+        self.pool.reactor.connectTCP(
+            host,
+            self.opener.port,
+            forwarded_connection.ForwardedConnectionFactory(attempt),
+            timeout=http_client.CONNECT_SECONDS,
+            bindAddress=(self.opener.own_host, 0),
+        )
+        return True
+
+    def note_direct_opened(
+        self, connection: http_client.ClientConnection
+    ) -> None:
+        """Use a direct connection, unless another one is in use."""
+        self.connector = None
+        if self.paths.is_lost(self.entry):
+            self.opener.dispatch(events.DirectPathOpened(self.entry))
+        if self.is_over:
+            connection.reset_connection()
+            return
+        self.win('')
+        self.pool.handle_connected(connection, self.pending)
+
+    def note_direct_failed(self, reason: failure.Failure) -> None:
+        """Ask other instances, unless the engine is known to be down."""
+        self.connector = None
+        self.direct_failure = reason
+        if self.won_by:
+            self.report_lost_path(self.won_by)
+            return
+        if self.is_over:
+            return
+        now = self.pool.reactor.seconds()
+        is_verified = self.paths.verifies_refusal(self.entry, now)
+        if not self.open_attempts and not (
+            is_verified and self.ask_next_instance()
+        ):
+            self.fail()
+
+    def note_forwarded(
+        self, via: str, connection: http_client.ClientConnection
+    ) -> None:
+        """Use a connection through another instance."""
+        del self.open_attempts[via]
+        if self.is_over:
+            connection.reset_connection()
+            return
+        self.win(via)
+        if self.direct_failure is not None:
+            self.report_lost_path(via)
+        self.opener.dispatch(
+            events.ConnectionForwarded(
+                self.entry, via, self.request, self.describe_direct()
+            )
+        )
+        self.pool.handle_connected(connection, self.pending)
+
+    def note_not_forwarded(
+        self, via: str, outcome: events.ForwardingOutcome
+    ) -> None:
+        """Ask another instance, or give up."""
+        del self.open_attempts[via]
+        if self.is_over:
+            return
+        self.opener.dispatch(events.ForwardingFailed(self.entry, via, outcome))
+        if outcome in VERDICTS:
+            self.verdicts += 1
+        if outcome is events.ForwardingOutcome.ENGINE_REFUSED:
+            self.is_refused_elsewhere = True
+        is_decided = (
+            self.verdicts >= MAX_VERDICTS
+            or outcome is events.ForwardingOutcome.NOT_ADMITTED
+        )
+        if not is_decided and self.ask_next_instance():
+            return
+        if self.open_attempts or self.connector is not None:
+            return
+        if self.direct_failure is None and not is_decided:
+            self.connect_directly()
+            return
+        self.fail()
+
+    def describe_direct(self) -> str:
+        """Return what is known of the direct path, for the time line."""
+        if self.direct_failure is not None:
+            return f'directly: {self.direct_failure.type.__name__}'
+        if self.connector is not None:
+            return 'directly: no answer yet'
+        return 'the direct path is lost'
+
+    def report_lost_path(self, via: str) -> None:
+        """Report that only the direct attempt has failed."""
+        reason = self.direct_failure
+        silent = reason.check(error.ConnectionRefusedError) is None
+        self.opener.dispatch(
+            events.DirectPathLost(
+                self.entry, via, silent, reason.type.__name__
+            )
+        )
+
+    def win(self, via: str) -> None:
+        """End the race; a direct attempt goes on, to learn its outcome."""
+        self.won_by = via
+        self.end()
+
+    def end(self) -> None:
+        """Stop all attempts through other instances, and the timers."""
+        self.is_over = True
+        for timer in (self.next_timer, self.end_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
+        for attempt in list(self.open_attempts.values()):
+            if attempt.transport is not None:
+                attempt.abandon()
+
+    def fail(self) -> None:
+        """Report that nothing was opened."""
+        if self.is_over:
+            return
+        self.end()
+        self.disconnect_directly()
+        reason = self.direct_failure
+        name = reason.type.__name__ if reason is not None else 'TimeoutError'
+        detail = f'connect: {name}'
+        if self.asked:
+            detail += f'; nor through {", ".join(sorted(self.asked))}'
+        is_refused = (
+            reason is not None
+            and reason.check(error.ConnectionRefusedError) is not None
+        )
+        pending = self.pending
+        pending.is_finished = True
+        pending.connection_refused = is_refused and (
+            self.is_refused_elsewhere or not self.asked
+        )
+        pending.receiver.answer_failed(False, detail)
+
+    def disconnect_directly(self) -> None:
+        """End the direct attempt."""
+        connector, self.connector = self.connector, None
+        if connector is not None:
+            connector.disconnect()
+
+    def disconnect(self) -> None:
+        """End all attempts, as the request is not wanted any more."""
+        self.end()
+        self.disconnect_directly()
--- /dev/null
+++ b/src/greengagelb/transport/relay/forwarding/handshake.py
@@ -0,0 +1,78 @@
+"""How an instance asks another one for a connection to an engine.
+
+It is an HTTP ``CONNECT`` request. After a 200 the connection carries the bytes
+of the engine's connection both ways; any other status is final.
+"""
+
+import dataclasses
+
+import h11
+
+from greengagelb import errors
+from greengagelb.coordination.relay.forwarding import events
+from greengagelb.state.relay import engines
+from greengagelb.transport.relay import http1
+
+ENGINE_HEADER = b'Engine'
+START_HEADER = b'Engine-Start'
+REQUEST_HEADER = b'Request'
+MAX_HEAD_BYTES = 4096
+STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
+STATUSES = {
+    events.ForwardingOutcome.NOT_ADMITTED: 409,
+    events.ForwardingOutcome.ENGINE_REFUSED: 502,
+    events.ForwardingOutcome.UNWILLING: 503,
+    events.ForwardingOutcome.ENGINE_SILENT: 504,
+}
+OUTCOMES = {status: outcome for outcome, status in STATUSES.items()}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionOrder:
+    """A connection that is to be opened.
+
+    ``request`` is the id of the caller's request, or empty.
+    """
+
+    engine: str
+    started_at_ms: int
+    address: engines.Address
+    request: str
+
+
+def write_order(entry: engines.EngineEntry, request: str) -> h11.Request:
+    """Return the request for a connection to an engine."""
+    target = str(entry.address).encode()
+    return h11.Request(
+        method=b'CONNECT',
+        target=target,
+        headers=[
+            (b'Host', target),
+            (ENGINE_HEADER, entry.engine.encode()),
+            (START_HEADER, str(entry.started_at_ms).encode()),
+            (REQUEST_HEADER, request.encode()),
+        ],
+    )
+
+
+def read_order(head: h11.Request) -> ConnectionOrder:
+    """Return the order in a request.
+
+    Raises :class:`~greengagelb.errors.ProtocolError`.
+    """
+    fields = tuple(head.headers.raw_items())
+    engine = http1.first_header_value(fields, ENGINE_HEADER.lower())
+    start = http1.first_header_value(fields, START_HEADER.lower())
+    request = http1.first_header_value(fields, REQUEST_HEADER.lower())
+    host, _, port = head.target.decode('ascii', 'replace').rpartition(':')
+    if head.method != b'CONNECT' or not engine or not host:
+        raise errors.ProtocolError('not an order for a connection')
+    if start is None or not (start.isdigit() and port.isdigit()):
+        raise errors.ProtocolError('bad start or port')
+    return ConnectionOrder(
+        engine.decode('utf-8', 'replace'),
+        int(start),
+        engines.Address(host, int(port)),
+        (request or b'').decode('utf-8', 'replace'),
+    )
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -82,12 +82,16 @@
 class ClientConnection(protocol.Protocol):
     """One connection to a server.
 
-    ``delayed_request`` waits for ``SEND_DELAY_SECONDS`` to pass.
+    ``delayed_request`` waits for ``SEND_DELAY_SECONDS`` to pass. A connection
+    through another instance, ``is_forwarded``, carries one request.
     """
 
-    def __init__(self, pool: 'ConnectionPool', key: str) -> None:
+    def __init__(
+        self, pool: 'ConnectionPool', key: str, *, is_forwarded: bool = False
+    ) -> None:
         self.pool = pool
         self.key = key
+        self.is_forwarded = is_forwarded
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
@@ -189,6 +193,7 @@
             and self.http.their_state is h11.DONE
             and not trailing_bytes
             and self.keep_alive_seconds > 0
+            and not self.is_forwarded
         )
         if reusable:
             self.pool.keep_idle_connection(self)
@@ -247,6 +252,13 @@
     return DEFAULT_KEEP_ALIVE_SECONDS
 
 
+class Connector(Protocol):
+    """An attempt to open a connection."""
+
+    def disconnect(self) -> None:
+        """End the attempt."""
+
+
 def always() -> bool:
     """Return that a request may be written."""
     return True
@@ -264,7 +276,7 @@
     receiver: Receiver
     is_admitted: Callable[[], bool] = always
     connection: ClientConnection | None = None
-    connector: interfaces.IConnector | None = None
+    connector: Connector | None = None
     is_finished: bool = False
     connection_refused: bool = False
 
@@ -277,28 +289,33 @@
             self.connector.disconnect()
 
 
-class ConnectionOpener(protocol.ClientFactory):
-    """Opens a connection for a request that waits for it."""
+class ConnectionFactory(protocol.ClientFactory):
+    """Opens a direct connection; ``opened`` or ``failed`` is called once."""
 
     noisy = False
 
     def __init__(
-        self, pool: 'ConnectionPool', key: str, pending: PendingRequest
-    ):
+        self,
+        pool: 'ConnectionPool',
+        key: str,
+        opened: Callable[[ClientConnection], None],
+        failed: Callable[[failure.Failure], None],
+    ) -> None:
         self.pool = pool
         self.key = key
-        self.pending = pending
+        self.opened = opened
+        self.failed = failed
 
     def buildProtocol(  # noqa: N802
         self, addr: object
     ) -> ClientConnection:
-        """Return a connection that sends the request once it is open."""
+        """Return a connection that is handed over once it is open."""
         connection = ClientConnection(self.pool, self.key)
         original_connection_made = connection.connectionMade
 
         def connection_made() -> None:
             original_connection_made()
-            self.pool.handle_connected(connection, self.pending)
+            self.opened(connection)
 
         connection.connectionMade = connection_made
         return connection
@@ -306,13 +323,8 @@
     def clientConnectionFailed(  # noqa: N802
         self, connector: object, reason: failure.Failure
     ) -> None:
-        """Fail the request, of which nothing was sent."""
-        if not self.pending.is_finished:
-            self.pending.is_finished = True
-            connection_refused = reason.check(error.ConnectionRefusedError)
-            self.pending.connection_refused = connection_refused is not None
-            detail = f'connect: {reason.type.__name__}'
-            self.pending.receiver.answer_failed(False, detail)
+        """Report that nothing was opened."""
+        self.failed(reason)
 
 
 class ConnectionPool:
@@ -339,9 +351,12 @@
         receiver: Receiver,
         fresh: bool = False,
         is_admitted: Callable[[], bool] = always,
+        open_connection: Callable[[PendingRequest], None] | None = None,
     ) -> PendingRequest:
         """Send a request on an idle connection, or on a new one.
 
+        ``open_connection`` opens that; without it, it is opened directly.
+
         ``fresh`` demands a new connection. ``build_request`` is called right
         before the request is written, so that the remaining time in it is
         correct. The request fails instead if ``is_admitted`` denies it then.
@@ -351,14 +366,37 @@
         if connection is not None:
             self.write_request(connection, pending)
             return pending
+        if open_connection is None:
+            self.connect_directly(key, address, pending)
+        else:
+            open_connection(pending)
+        return pending
+
+    def connect_directly(
+        self, key: str, address: engines.Address, pending: PendingRequest
+    ) -> None:
+        """Open a connection for a request that waits for one."""
+
+        def failed(reason: failure.Failure) -> None:
+            if not pending.is_finished:
+                pending.is_finished = True
+                refused = reason.check(error.ConnectionRefusedError)
+                pending.connection_refused = refused is not None
+                detail = f'connect: {reason.type.__name__}'
+                pending.receiver.answer_failed(False, detail)
+
         self.connections_opened += 1
         pending.connector = self.reactor.connectTCP(
             address.host,
             address.port,
-            ConnectionOpener(self, key, pending),
+            ConnectionFactory(
+                self,
+                key,
+                lambda connection: self.handle_connected(connection, pending),
+                failed,
+            ),
             timeout=CONNECT_SECONDS,
         )
-        return pending
 
     def handle_connected(
         self, connection: ClientConnection, pending: PendingRequest
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 
+import h11
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import interfaces
@@ -32,6 +33,8 @@
 from greengagelb.transport.relay import peer_link
 from greengagelb.transport.relay import relay_metrics
 from greengagelb.transport.relay import store_watch
+from greengagelb.transport.relay.forwarding import connection_race
+from greengagelb.transport.relay.forwarding import forwarding_port
 
 PAUSE_CHECK_SECONDS = 0.1
 MIN_REPORTED_PAUSE_SECONDS = 0.25
@@ -99,9 +102,6 @@
             reactor, self.relay, self.carry_out, self.recorder
         )
         self.pool = http_client.ConnectionPool(reactor)
-        self.engines = engine_side.EngineSide(
-            self.pool, wire_dialect, self.loop.dispatch, self.admits
-        )
         self.callers = caller_side.CallerSide(
             reactor,
             wire_dialect,
@@ -116,6 +116,29 @@
             self.record_bad_datagram,
             random.Random(),
         )
+        self.engines = engine_side.EngineSide(
+            self.pool,
+            wire_dialect,
+            self.loop.dispatch,
+            self.admits,
+            connection_race.ConnectionOpener(
+                self.pool,
+                self.relay.paths,
+                self.loop.dispatch,
+                self.peers.host_of,
+                self.own.host,
+                instance_settings.peer_port,
+            ),
+        )
+        self.forwarding = forwarding_port.ForwardingPort(
+            reactor,
+            self.relay.paths,
+            self.loop.dispatch,
+            self.admits,
+            self.peers.is_known_host,
+            self.report_forwarded_head,
+        )
+        self.metrics.forwarding = self.forwarding.statistics
         self.next_heartbeat_at = reactor.seconds()
         self.store_client = make_store_client(self.pool)
         self.watch = store_watch.StoreWatch(
@@ -157,6 +180,10 @@
             engines.Address(host, instance_settings.metrics_port),
             pages.PageFactory(self.metrics_page),
         )
+        self.listen(
+            engines.Address(host, instance_settings.peer_port),
+            self.forwarding,
+        )
         self.loop.call_periodically(
             PAUSE_CHECK_SECONDS, self.check_pause_and_heartbeat
         )
@@ -249,6 +276,13 @@
         """Return whether an engine may be sent a caller's request now."""
         return self.relay.engines.admits(entry, self.reactor.seconds())
 
+    def report_forwarded_head(
+        self, entry: engines.EngineEntry, response: h11.Response
+    ) -> None:
+        """Learn what an engine states in an answer to another instance."""
+        head = self.engines.dialect.read_answer_head(response)
+        self.engines.report_statement(entry, head)
+
     def record_refusal(self, status: int, code: str) -> None:
         """Record a refusal that preceded any decision."""
         self.recorder.record(actions.Record('refused', f'{status} {code}'))
@@ -265,6 +299,8 @@
                 now, self.relay.rng
             )
             self.peers.send_heartbeat(known=self.relay.digests)
+            if self.relay.paths.lost_services:
+                self.peers.send_hint_to_all(self.relay.paths.hint())
 
     def record_bad_datagram(self, detail: str) -> None:
         """Record a datagram that could not be sent or decoded."""
@@ -285,6 +321,7 @@
         self.abort_at = self.kill_at - ABORT_MARGIN_SECONDS
         self.serve_until = asked_at + min(READINESS_LAG_SECONDS, grace / 2)
         self.callers.is_closing = True
+        self.forwarding.is_stopping = True
         self.loop.dispatch(relay_events.StopRequested(self.abort_at, asked_at))
         self.loop.call_periodically(
             STOP_POLL_SECONDS, self.end_serving_if_done
@@ -296,7 +333,8 @@
         if now < self.serve_until or self.relay.is_finished:
             return
         self.callers.close_idle_connections()
-        if now < self.abort_at and self.callers.connections:
+        is_serving = self.callers.connections or self.forwarding.connections
+        if now < self.abort_at and is_serving:
             return
         self.loop.dispatch(relay_events.ServingEnded())
 
@@ -319,6 +357,7 @@
     def leave_fleet(self) -> defer.Deferred:
         """Abort the remaining requests, announce the end, remove the entry."""
         self.callers.reset_waiting_connections()
+        self.forwarding.close_connections()
         self.callers.refuse_partial_requests()
         self.peers.send_heartbeat(leaving=True)
         return self.watch.stop()
--- a/src/greengagelb/transport/relay/peer_link.py
+++ b/src/greengagelb/transport/relay/peer_link.py
@@ -61,6 +61,15 @@
         except error.CannotListenError as exc:
             raise errors.CannotListen(str(exc)) from exc
 
+    def host_of(self, incarnation: str) -> str | None:
+        """Return the host of another instance, or None if it is unknown."""
+        peer = self.peers.get(incarnation)
+        return peer.host if peer is not None else None
+
+    def is_known_host(self, host: str) -> bool:
+        """Return whether another instance is at a host."""
+        return any(peer.host == host for peer in self.peers.values())
+
     def send_hint_to_all(self, hint: hints.Hint) -> None:
         """Send a hint to each other instance directly."""
         self.send_to_all(relay_hints.encode_hint(self.own.incarnation, hint))
--- a/src/greengagelb/transport/relay/relay_metrics.py
+++ b/src/greengagelb/transport/relay/relay_metrics.py
@@ -10,6 +10,7 @@
 import aioprometheus
 
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.state.relay import forwarding
 from greengagelb.state.relay import store_calls
 from greengagelb.transport import metrics
 from greengagelb.transport.relay import unusable_entries
@@ -35,7 +36,8 @@
     """Counters and histograms of a relaying instance.
 
     ``get_unusable_entries`` returns the unusable entries by the kind of list,
-    and ``store_calls`` counts the calls to the store.
+    ``store_calls`` counts the calls to the store, and ``forwarding`` returns
+    what was forwarded for other instances.
     """
 
     def __init__(self) -> None:
@@ -44,6 +46,9 @@
             [], Mapping[str, unusable_entries.UnusableEntries]
         ] = dict
         self.store_calls = store_calls.StoreCalls()
+        self.forwarding: Callable[[], forwarding.ForwardingStatistics] = (
+            forwarding.ForwardingStatistics
+        )
         self.answer_counts: dict[str, int] = {}
         self.send_count = 0
         self.passed_event_count = 0
@@ -68,6 +73,15 @@
         self.unusable_counter = self.new_counter(
             'unusable_entries_told', 'Mistakes in entries that were logged'
         )
+        self.lost_services_gauge = self.new_gauge(
+            'lost_services', 'Services that are reached through others only'
+        )
+        self.forwarded_gauge = self.new_gauge(
+            'forwarded_connections', 'Connections open for other instances'
+        )
+        self.forwarding_counter = self.new_counter(
+            'forwarding_orders', 'Orders for connections by outcome'
+        )
         self.duration_histograms = {
             relay_actions.DurationKind.FIRST_EVENT: self.histogram(
                 'first_event_seconds', 'Time to the first event of a stream'
@@ -128,4 +142,16 @@
         for kind, entries in self.get_unusable_entries().items():
             self.unusable_gauge.set({'kind': kind}, len(entries.reasons))
             self.unusable_counter.set({'kind': kind}, entries.reported_count)
+        self.set_forwarding(self.forwarding())
         return self.render()
+
+    def set_forwarding(self, counts: forwarding.ForwardingStatistics) -> None:
+        """Set the metrics of connections for other instances."""
+        self.lost_services_gauge.set({}, counts.lost_services)
+        self.forwarded_gauge.set({}, counts.open_connections)
+        for outcome, number in (
+            ('taken-over', counts.taken_over),
+            ('refused', counts.refused),
+            ('stranger', counts.strangers),
+        ):
+            self.forwarding_counter.set({'outcome': outcome}, number)
--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -24,7 +24,8 @@
     answer is complete after ``seconds``, or if the body exceeds ``max_bytes``.
     An answer that has started by then may take ``receive_seconds`` from its
     start, as long as it does not pause: a long answer takes time on a slow
-    link, and a repeated request would take as long again.
+    link, and a repeated request would take as long again. ``open_connection``
+    is that of :meth:`http_client.ConnectionPool.request`.
     """
 
     key: str
@@ -34,6 +35,7 @@
     max_bytes: int = DEFAULT_MAX_BYTES
     fresh: bool = False
     receive_seconds: float = 0.0
+    open_connection: Callable[[http_client.PendingRequest], None] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,4 +170,5 @@
         lambda: timed_request.request,
         collector,
         timed_request.fresh,
+        open_connection=timed_request.open_connection,
     )
--- a/tests/cli/test_check_config.py
+++ b/tests/cli/test_check_config.py
@@ -114,6 +114,16 @@
             'metrics_port = 8080',
             '[instance] metrics_port: write another port',
         ),
+        (
+            'peer_port = 21000',
+            'peer_port = 8080',
+            '[instance] peer_port: write another port',
+        ),
+        (
+            'peer_port = 21000',
+            'peer_port = 9464',
+            '[instance] peer_port: write another port',
+        ),
         (
             'metrics_port = 9464',
             'metrics_port = 8081',
--- a/tests/common/linked_fleet.py
+++ b/tests/common/linked_fleet.py
@@ -10,7 +10,6 @@
 from greengagelb import relay_settings
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state.relay import engines
-from greengagelb.state.relay import hints
 from greengagelb.state.relay import requests
 from greengagelb.transport.relay import http1
 from greengagelb.transport.relay import http_client
@@ -86,9 +85,7 @@
                 self.head = event
             elif isinstance(event, h11.EndOfMessage):
                 self.handle_request()
-            elif event in (h11.NEED_DATA, h11.PAUSED):
-                return
-            elif isinstance(event, h11.ConnectionClosed):
+            elif not isinstance(event, h11.Data):
                 return
 
     def later(self, seconds, call, *args):
--- a/tests/common/relay_wires.py
+++ b/tests/common/relay_wires.py
@@ -11,6 +11,8 @@
 from greengagelb.state.relay import requests
 from greengagelb.transport.relay import http1
 from greengagelb.transport.relay import http_client
+from greengagelb.transport.relay.forwarding import connection_race
+from tests.common import relay_world
 
 ADDRESS = engines.Address('127.0.0.1', 7)
 
@@ -132,6 +134,14 @@
         self.broken = (handed_over, detail)
 
 
+def direct_opener(pool):
+    """Return an opener that knows no other instances to connect through."""
+    lone = relay_world.RelayWorld().relay
+    return connection_race.ConnectionOpener(
+        pool, lone.paths, lambda event: None, lambda name: None, 'own', 4
+    )
+
+
 def wire_request(name=b'/one', body=b''):
     """Return a request as it goes out."""
     method = b'POST' if body else b'GET'
--- a/tests/common/simulated_network.py
+++ b/tests/common/simulated_network.py
@@ -150,8 +150,6 @@
         else:
             self.fail(error.UserError)
 
-    stopConnecting = disconnect
-
 
 class Datagrams:
     """A socket for datagrams."""
@@ -188,7 +186,7 @@
             own_protocol
         )
 
-    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
+    def connectTCP(self, host, port, factory, timeout=30, **bound):
         return self.network.connect(self.host, host, port, factory, timeout)
 
 
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -15,7 +15,7 @@
 SOURCES = ROOT / 'src' / 'greengagelb'
 RECORDERS = {'Record', 'Explain', 'record', 'timeline'}
 # The modules of relayed traffic, which has an operators' page of its own.
-RELAY = '*/relay/*.py'
+RELAY = '*/relay/**/*.py'
 KIND = re.compile(r'^[a-z]+(-[a-z]+)*$')
 
 
--- a/tests/relay/test_engine_lives.py
+++ b/tests/relay/test_engine_lives.py
@@ -524,7 +524,11 @@
     """
     pool = Pool()
     side = engine_side.EngineSide(
-        pool, relay_wires.Dialect(), lambda _: None, lambda _: True
+        pool,
+        relay_wires.Dialect(),
+        lambda _: None,
+        lambda _: True,
+        relay_wires.direct_opener(pool),
     )
     world = world_of_lives()
     send = world.last_send(world.ask())
--- a/tests/transport/test_engine_fate.py
+++ b/tests/transport/test_engine_fate.py
@@ -47,7 +47,11 @@
     found = []
     pool = http_client.ConnectionPool(reactor)
     side = engine_side.EngineSide(
-        pool, Dialect(), found.append, lambda _: True
+        pool,
+        Dialect(),
+        found.append,
+        lambda _: True,
+        relay_wires.direct_opener(pool),
     )
     side.check_engine(relay_actions.CheckEngine(ENTRY))
     return reactor, found
--- a/tests/transport/test_engine_statements.py
+++ b/tests/transport/test_engine_statements.py
@@ -29,11 +29,13 @@
         self.reactor = testing.MemoryReactorClock()
         self.events = []
         self.admitted = True
+        pool = http_client.ConnectionPool(self.reactor)
         self.side = engine_side.EngineSide(
-            http_client.ConnectionPool(self.reactor),
+            pool,
             Dialect(),
             self.events.append,
             lambda entry: self.admitted,
+            relay_wires.direct_opener(pool),
         )
         world = relay_world.RelayWorld()
         exchange = world.ask(headers=tuple(relay_wires.HOST))
