Withhold hints against engines while own links may be at fault

Hints that an engine failed, fell silent or erred now wait for 0.1 s and are dropped if a connection had to be forwarded meanwhile or within a second.

An engine whose path is lost and that no instance is known to reach is given up at once rather than after 0.25 s. Tests of what holds on forwarded connections.

--- a/src/greengagelb/coordination/relay/forwarding/engine_paths.py
+++ b/src/greengagelb/coordination/relay/forwarding/engine_paths.py
@@ -25,6 +25,8 @@
 # For this long after other instances were refused by an engine, a refusal of
 # this one is not verified through others again.
 VERDICT_SECONDS = 1.0
+# How long own links are doubted after a connection had to be forwarded.
+DOUBT_SECONDS = 1.0
 
 Action = relay_actions.RelayAction
 
@@ -49,7 +51,8 @@
     ``lost_services`` are those of which no engine can be reached directly;
     the value tells whether open connections may be dead without a sign.
     ``opened_at`` is when a direct connection to an engine of a service was
-    last opened while a path of that service was lost.
+    last opened while a path of that service was lost. ``forwarded_at`` is when
+    a request was last forwarded.
 
     Invariant: a service in ``lost_services`` has at least one lost path.
     """
@@ -66,6 +69,7 @@
         self.opened_at: dict[str, float] = {}
         self.refused_elsewhere_at: dict[str, float] = {}
         self.next_service_probe_at: dict[str, float] = {}
+        self.forwarded_at = float('-inf')
 
     # The transport asks the following before it opens a connection.
 
@@ -119,6 +123,7 @@
             case events.ForwardingFailed(entry, via, outcome):
                 self.note_not_forwarded(entry, via, outcome, now)
             case events.ConnectionForwarded(entry, via, request, reason):
+                self.forwarded_at = now
                 why = f'through {via}; {reason}'
                 return [
                     actions.Record(
@@ -230,7 +235,7 @@
             if self.engines.find_by_life(life) is None:
                 del self.refused_elsewhere_at[life]
 
-    def is_blameless(self, engine: str) -> bool:
-        """Return whether failures of an engine may be those of own links."""
-        state = self.engines.states.get(engine)
-        return state is not None and self.is_lost(state.entry)
+    def is_at_fault(self, now: float) -> bool:
+        """Return whether failures of engines may be those of own links."""
+        doubted_until = self.forwarded_at + DOUBT_SECONDS
+        return bool(self.lost_paths) or now < doubted_until
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -42,6 +42,7 @@
     events as forwarding_events,
 )
 from greengagelb.coordination.relay.forwarding import forwarders
+from greengagelb.coordination.relay.forwarding import withheld_hints
 from greengagelb.coordination.sharing import fingerprints
 from greengagelb.coordination.sharing import limit_keeper
 from greengagelb.state import identity
@@ -63,8 +64,6 @@
     run_copies.COPY_TIMER,
 )
 
-BLAMING_HINTS = (hints.EngineFailed, hints.StreamSilent, hints.EngineErrored)
-
 Action = relay_actions.RelayAction
 
 
@@ -123,6 +122,7 @@
             self.engines,
             forwarders.ForwarderSelector(self.fleet, rng, own.data_centre),
         )
+        self.withheld_hints = withheld_hints.WithheldHints(self.paths)
         self.exchanges: dict[int, exchanges.Exchange] = {}
         self.copies = run_copies.RunCopies(components, self.exchanges)
         self.restarts = restarts.RestartHandler(
@@ -201,35 +201,19 @@
         """Return the actions that result from an event."""
         resulting = self.dispatch_event(event, now)
         resulting += self.permit_outcomes.finish_event(resulting, now)
-        self.withhold_blameless_hints()
         resulting += self.engine_wait_outcomes.set_timer(now)
-        for hint in list(self.send_manager.pending_hints):
-            resulting += self.peers.handle_engine_loss_hint(hint, now)
+        pending = self.send_manager.pending_hints
+        if not self.paths.is_at_fault(now):
+            for hint in list(pending):
+                resulting += self.peers.handle_engine_loss_hint(hint, now)
+        resulting += self.withheld_hints.hold(pending, now)
         ended: list[Action] = []
         for action in resulting:
             ended += self.close_if_answered(action)
-        hint_actions = [
-            relay_actions.TellPeers(h) for h in self.send_manager.pending_hints
-        ]
-        self.send_manager.pending_hints.clear()
+        hint_actions = [relay_actions.TellPeers(hint) for hint in pending]
+        pending.clear()
         return resulting + ended + hint_actions
 
-    def withhold_blameless_hints(self) -> None:
-        """Drop the hints against engines that own links may have failed.
-
-        The other instances would avoid the engines and replace the copies on
-        them.
-        """
-        pending = self.send_manager.pending_hints
-        pending[:] = [
-            hint
-            for hint in pending
-            if not (
-                isinstance(hint, BLAMING_HINTS)
-                and self.paths.is_blameless(hint.engine)
-            )
-        ]
-
     def close_if_answered(self, action: Action) -> list[Action]:
         """Remove an exchange if an action is its final answer."""
         match action:
@@ -471,6 +455,8 @@
         ):
             return self.apply_configuration(self.deferred_offer, now)
         kind, _, rest = name.partition(':')
+        if kind == withheld_hints.WITHHELD_TIMER:
+            return self.withheld_hints.tell_due(now)
         if kind == successor_search.SUCCESSOR_TIMER:
             return self.succession.ask_address(int(rest), now)
         if kind == crashing_requests.REANNOUNCE_TIMER:
--- a/src/greengagelb/transport/relay/forwarding/connection_race.py
+++ b/src/greengagelb/transport/relay/forwarding/connection_race.py
@@ -113,7 +113,9 @@
         else:
             if self.paths.claim_probe(self.entry, now):
                 self.connect_directly()
-            self.ask_next_instance()
+            if not self.ask_next_instance() and self.connector is None:
+                # No instance is known to reach the engine.
+                self.fail()
         self.schedule_next_attempt()
 
     def schedule_next_attempt(self) -> None:
@@ -281,9 +283,8 @@
         """Report that nothing was opened."""
         if self.is_over:
             return
-        self.end()
-        self.disconnect_directly()
         reason = self.direct_failure
+        self.disconnect()
         name = reason.type.__name__ if reason is not None else 'TimeoutError'
         detail = f'connect: {name}'
         if self.asked:
--- a/tests/common/linked_fleet.py
+++ b/tests/common/linked_fleet.py
@@ -100,6 +100,10 @@
             return
         name = request_id.decode()
         self.engine.arrivals.append((name, self.source))
+        if self.engine.is_leaving:
+            headers = [(b'Id', request_id), (b'Seal', b'x')]
+            self.answer([*headers, (b'Leaving', b'1')], b'done')
+            return
         if not self.head.target.startswith(b'/drafts/'):
             headers = [(b'Id', request_id), (b'Seal', b'x')]
             self.later(CALL_SECONDS, self.answer, headers, b'done')
@@ -142,6 +146,7 @@
         self.network = network
         self.entry = entry
         self.arrivals = []
+        self.is_leaving = False
         self.port = None
 
     def start(self):
@@ -151,9 +156,13 @@
     def crash(self):
         """End the process: connections are reset, new ones refused."""
         self.port.stopListening()
-        for socket in list(self.network.sockets):
-            if socket.host == self.entry.address.host:
-                socket.abortConnection()
+        for socket in self.sockets():
+            socket.abortConnection()
+
+    def sockets(self):
+        """Return the open connections at the engine."""
+        host = self.entry.address.host
+        return [s for s in list(self.network.sockets) if s.host == host]
 
     def buildProtocol(self, addr):
         return EngineConnection(self)
@@ -305,6 +314,17 @@
             host = self.instances[number].own.host
             self.network.cut(host, engine.entry.address.host, mode)
 
+    def kill(self, number):
+        """End an instance's process; its kernel closes the connections."""
+        host = self.instances[number].own.host
+        for key in [k for k in self.network.ports if k[0] == host]:
+            del self.network.ports[key]
+        self.network.datagram_ports.pop((host, PEER_PORT))
+        for socket in list(self.network.sockets):
+            if socket.host == host:
+                socket.loseConnection()
+        self.network.silenced.add(host)
+
     def heal(self, number, names=None):
         """End the cut of an instance."""
         for engine in self.named(names):
--- a/tests/common/simulated_network.py
+++ b/tests/common/simulated_network.py
@@ -194,7 +194,7 @@
     """All hosts, and what becomes of the paths between them.
 
     ``cuts`` has the cut paths by both hosts in order. ``loss`` is the share of
-    datagrams that are lost.
+    datagrams that are lost. Hosts in ``silenced`` send nothing any more.
     """
 
     def __init__(self, seed=1, loss=0.0):
@@ -208,6 +208,7 @@
         self.datagram_ports = {}
         self.sockets = set()
         self.cuts = {}
+        self.silenced = set()
         self.datagrams_sent = 0
 
     # -- time ---------------------------------------------------------------
@@ -276,6 +277,8 @@
     def connect(self, source, host, port, factory, timeout):
         """Try to open a connection."""
         connector = Connector(factory)
+        if source in self.silenced:
+            return connector
         if self.cuts.get((source, host)) is Cut.REFUSED:
             refused = error.ConnectionRefusedError
             self.call_later(LATENCY_SECONDS, connector.fail, refused)
@@ -303,8 +306,12 @@
         near.peer, far.peer = far, near
         connector.socket = near
         self.sockets |= {near, far}
-        far.protocol.makeConnection(far)
+        far.ended = far.protocol is None
+        if not far.ended:
+            far.protocol.makeConnection(far)
         near.protocol.makeConnection(near)
+        if far.ended:
+            near.end(error.ConnectionLost)
 
     def transmit(self, socket, item):
         """Send bytes, an orderly end or a reset to the other end."""
@@ -323,6 +330,8 @@
     def send_datagram(self, source, raw, target):
         """Send a datagram, which may be lost."""
         self.datagrams_sent += 1
+        if source in self.silenced:
+            return
         if self.rng.random() < self.loss:
             return
         if not self.is_blocked(source, target[0]):
