Find the few instances that reach engines where most have lost their links

A refusal counts as the engine's only if the instance that reports it has reached another engine directly within the last second and failed to reach none since; three such are needed while own links don't seem to work either. Instances that did not reach an engine come last for three seconds, those that did come first once one attempt has failed, and they tell all others once a second.

--- a/src/greengagelb/coordination/relay/forwarding/engine_paths.py
+++ b/src/greengagelb/coordination/relay/forwarding/engine_paths.py
@@ -25,6 +25,10 @@
 # For this long after other instances were refused by an engine, a refusal of
 # this one is not verified through others again.
 VERDICT_SECONDS = 1.0
+# A direct connection that opened within this time shows that own links work.
+REACHED_SECONDS = 1.0
+# How often an instance tells the others that it opens connections for some.
+PROOF_INTERVAL_SECONDS = 1.0
 # How long own links are doubted after a connection had to be forwarded.
 DOUBT_SECONDS = 1.0
 
@@ -52,7 +56,9 @@
     the value tells whether open connections may be dead without a sign.
     ``opened_at`` is when a direct connection to an engine of a service was
     last opened while a path of that service was lost. ``forwarded_at`` is when
-    a request was last forwarded.
+    a request was last forwarded, and ``reached_at`` when a direct connection
+    to any engine was last opened; ``failed_at`` has the lives of engines to
+    which one has failed since.
 
     Invariant: a service in ``lost_services`` has at least one lost path.
     """
@@ -70,6 +76,9 @@
         self.refused_elsewhere_at: dict[str, float] = {}
         self.next_service_probe_at: dict[str, float] = {}
         self.forwarded_at = float('-inf')
+        self.reached_at = float('-inf')
+        self.failed_at: dict[str, float] = {}
+        self.next_proof_at = float('-inf')
 
     # The transport asks the following before it opens a connection.
 
@@ -118,12 +127,15 @@
         match event:
             case events.DirectPathLost():
                 return self.note_lost(event, now)
+            case events.RefusedElsewhere(entry):
+                self.refused_elsewhere_at[entry.life] = now
             case events.DirectPathOpened(entry):
                 return self.note_opened(entry, now)
-            case events.ForwardingFailed(entry, via, outcome):
-                self.note_not_forwarded(entry, via, outcome, now)
+            case events.ForwardingFailed():
+                self.note_not_forwarded(event, now)
             case events.ConnectionForwarded(entry, via, request, reason):
                 self.forwarded_at = now
+                self.forwarders.note_proven(via, now)
                 why = f'through {via}; {reason}'
                 return [
                     actions.Record(
@@ -137,7 +149,8 @@
                         f'for {host}',
                         identity.RequestId('', request) if request else None,
                         upstream=entry.engine,
-                    )
+                    ),
+                    *self.tell_proof(now),
                 ]
         return []
 
@@ -177,22 +190,49 @@
             )
         return resulting + self.update_service(entry.service, now)
 
+    def tell_proof(self, now: float) -> list[Action]:
+        """Tell all that this instance opens connections, now and then.
+
+        Where nearly all have lost their links, each would have to search for
+        the few that have not.
+        """
+        if now < self.next_proof_at:
+            return []
+        self.next_proof_at = now + PROOF_INTERVAL_SECONDS
+        return [relay_actions.TellPeers(hints.EnginesReached())]
+
+    def note_connected(self, now: float) -> None:
+        """Note that a direct connection to an engine has opened."""
+        self.reached_at = now
+        self.failed_at.clear()
+
+    def note_unconnected(self, entry: engines.EngineEntry, now: float) -> None:
+        """Note that a direct connection to an engine has failed."""
+        self.failed_at[entry.life] = now
+
+    def seem_to_work(self, entry: engines.EngineEntry, now: float) -> bool:
+        """Return whether own links were seen to work just now.
+
+        What has failed to the engine in question is no evidence on that.
+        """
+        return now < self.reached_at + REACHED_SECONDS and not (
+            self.failed_at.keys() - {entry.life}
+        )
+
     def note_not_forwarded(
-        self,
-        entry: engines.EngineEntry,
-        via: str,
-        outcome: events.ForwardingOutcome,
-        now: float,
+        self, event: events.ForwardingFailed, now: float
     ) -> None:
         """Note why another instance opened no connection."""
-        match outcome:
+        match event.outcome:
             case (
                 events.ForwardingOutcome.UNREACHABLE
                 | events.ForwardingOutcome.UNWILLING
             ):
-                self.forwarders.note_unwilling(via, now)
-            case events.ForwardingOutcome.ENGINE_REFUSED:
-                self.refused_elsewhere_at[entry.life] = now
+                self.forwarders.note_unwilling(event.via, now)
+            case events.ForwardingOutcome.NOT_ADMITTED:
+                pass
+            case _ if not event.is_verified:
+                self.forwarders.note_doubtful(event.via, now)
 
     def update_service(self, service: str, now: float) -> list[Action]:
         """Decide whether a service is lost; tell others of a change."""
--- a/src/greengagelb/coordination/relay/forwarding/events.py
+++ b/src/greengagelb/coordination/relay/forwarding/events.py
@@ -43,13 +43,24 @@
     entry: engines.EngineEntry
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedElsewhere:
+    """An engine has refused enough instances to be at fault itself."""
+
+    entry: engines.EngineEntry
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardingFailed:
-    """Another instance did not open a connection to an engine."""
+    """Another instance did not open a connection to an engine.
+
+    ``is_verified`` tells that it has lately reached other engines directly.
+    """
 
     entry: engines.EngineEntry
     via: str
     outcome: ForwardingOutcome
+    is_verified: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +89,7 @@
 ForwardingEvent = (
     DirectPathLost
     | DirectPathOpened
+    | RefusedElsewhere
     | ForwardingFailed
     | ConnectionForwarded
     | ConnectionTakenOver
--- a/src/greengagelb/coordination/relay/forwarding/forwarders.py
+++ b/src/greengagelb/coordination/relay/forwarding/forwarders.py
@@ -8,6 +8,10 @@
 # How long an instance that could not be reached or refused to forward is not
 # asked again.
 UNWILLING_SECONDS = 1.0
+# How long an instance comes last that did not reach an engine, although the
+# engine may be at fault, and first once it was seen to reach engines.
+DOUBTFUL_SECONDS = 3.0
+PROVEN_SECONDS = 3.0
 # Instances of the own data centre are preferred while at least this share of
 # them reaches the engines; the few that are left would be overloaded.
 MIN_LOCAL_SHARE = 0.5
@@ -24,7 +28,9 @@
 class ForwarderSelector:
     """Selects among the instances that were heard lately.
 
-    ``unwilling_until`` has instances that did not forward, and
+    ``unwilling_until`` has instances that did not forward,
+    ``doubtful_until`` those that did not reach an engine, ``proven_until``
+    those that have opened connections for this or another one, and
     ``unreachable`` those that have lost their links to services themselves.
     """
 
@@ -38,16 +44,29 @@
         self.rng = rng
         self.data_centre = data_centre
         self.unwilling_until: dict[str, float] = {}
+        self.doubtful_until: dict[str, float] = {}
+        self.proven_until: dict[str, float] = {}
         self.unreachable: dict[str, UnreachableServices] = {}
 
     def note_unwilling(self, incarnation: str, now: float) -> None:
         """Ask an instance for nothing for a while."""
-        self.unwilling_until = {
-            known: until
-            for known, until in self.unwilling_until.items()
-            if now < until
-        }
-        self.unwilling_until[incarnation] = now + UNWILLING_SECONDS
+        self.proven_until.pop(incarnation, None)
+        set_until(
+            self.unwilling_until, incarnation, now, now + UNWILLING_SECONDS
+        )
+
+    def note_doubtful(self, incarnation: str, now: float) -> None:
+        """Ask an instance last for a while."""
+        self.proven_until.pop(incarnation, None)
+        set_until(
+            self.doubtful_until, incarnation, now, now + DOUBTFUL_SECONDS
+        )
+
+    def note_proven(self, incarnation: str, now: float) -> None:
+        """Note that an instance reaches engines."""
+        self.doubtful_until.pop(incarnation, None)
+        self.unwilling_until.pop(incarnation, None)
+        set_until(self.proven_until, incarnation, now, now + PROVEN_SECONDS)
 
     def note_unreachable(
         self, incarnation: str, services: tuple[str, ...], now: float
@@ -77,20 +96,28 @@
     def choose(
         self, service: str, excluded: set[str], now: float
     ) -> str | None:
-        """Return the incarnation of an instance to ask, or None."""
-        reaching = [
-            name
-            for name in self.fleet.heard_at
-            if self.reaches(name, service, now)
-        ]
+        """Return the incarnation of an instance to ask, or None.
+
+        After a first one, of those that did not connect, proven ones are
+        preferred. The first one is not, as all instances would ask the same.
+        """
         found = [
             name
-            for name in reaching
+            for name in self.fleet.heard_at
             if name not in excluded
-            and now >= self.unwilling_until.get(name, float('-inf'))
+            and not is_before(self.unwilling_until, name, now)
+            and self.reaches(name, service, now)
         ]
         if not found:
             return None
+        proven = [n for n in found if is_before(self.proven_until, n, now)]
+        if excluded and proven:
+            return self.rng.choice(proven)
+        found = [
+            name
+            for name in found
+            if not is_before(self.doubtful_until, name, now)
+        ] or found
         local = [name for name in found if self.is_local(name)]
         all_local = [n for n in self.fleet.heard_at if self.is_local(n)]
         # This instance itself has lost its links.
@@ -101,3 +128,17 @@
     def is_local(self, incarnation: str) -> bool:
         """Return whether an instance is in the data centre of this one."""
         return self.fleet.data_centres.get(incarnation) == self.data_centre
+
+
+def is_before(times: dict[str, float], name: str, now: float) -> bool:
+    """Return whether the time that is kept for an instance is to come."""
+    return now < times.get(name, float('-inf'))
+
+
+def set_until(
+    times: dict[str, float], name: str, now: float, until: float
+) -> None:
+    """Keep a time for an instance; drop those that have passed."""
+    for known in [known for known, at in times.items() if at <= now]:
+        del times[known]
+    times[name] = until
--- a/src/greengagelb/coordination/relay/peer_events.py
+++ b/src/greengagelb/coordination/relay/peer_events.py
@@ -145,6 +145,8 @@
                 return self.crashing.send_reports(incarnation, now)
             case hints.InstancesNotListed(incarnations):
                 return self.handle_not_listed(incarnations)
+            case hints.EnginesReached():
+                self.paths.forwarders.note_proven(incarnation, now)
             case hints.ServicesUnreachable(services):
                 self.paths.forwarders.note_unreachable(
                     incarnation, services, now
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -200,6 +200,12 @@
     services: tuple[str, ...]
 
 
+class EnginesReached(
+    msgspec.Struct, frozen=True, array_like=True, tag='y', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.EnginesReached`."""
+
+
 class ReportedCrash(msgspec.Struct, frozen=True, array_like=True):
     """See :class:`greengagelb.state.crashes.ReportedCrash`."""
 
@@ -246,6 +252,7 @@
         | InstancesNotListed
         | ConfigurationApplied
         | ServicesUnreachable
+        | EnginesReached
         | CrashReport
         | CrashReportsRequest
         | Forwarded
@@ -330,6 +337,8 @@
             wire = ConfigurationApplied(version)
         case hints.ServicesUnreachable(services):
             wire = ServicesUnreachable(services)
+        case hints.EnginesReached():
+            wire = EnginesReached()
         case crashes.CrashReport(fingerprint, found, survived_age):
             reported = tuple(
                 ReportedCrash(c.life, c.seconds, c.age) for c in found
@@ -419,6 +428,8 @@
             hint = hints.ConfigurationApplied(version)
         case ServicesUnreachable(services):
             hint = hints.ServicesUnreachable(services)
+        case EnginesReached():
+            hint = hints.EnginesReached()
         case CrashReport(fingerprint, reported, survived_age):
             found = tuple(
                 crashes.ReportedCrash(c.life, c.seconds, c.age)
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -168,6 +168,11 @@
     services: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EnginesReached:
+    """The sender has just reached an engine directly for another instance."""
+
+
 Hint = (
     RunPlaced
     | RunEnded
@@ -185,6 +190,7 @@
     | InstancesNotListed
     | ConfigurationApplied
     | ServicesUnreachable
+    | EnginesReached
     | crashes.CrashReport
     | crashes.CrashReportsRequest
     | limits.Message
--- a/src/greengagelb/transport/relay/forwarding/connection_race.py
+++ b/src/greengagelb/transport/relay/forwarding/connection_race.py
@@ -24,13 +24,12 @@
 # takes longer goes on beside the next one.
 NEXT_ATTEMPT_SECONDS = 0.06
 # The most instances that are asked for one connection.
-MAX_FORWARDERS = 4
-# So many instances that can't connect either show that the engine is at fault.
-MAX_VERDICTS = 2
-VERDICTS = (
-    events.ForwardingOutcome.ENGINE_REFUSED,
-    events.ForwardingOutcome.ENGINE_SILENT,
-)
+MAX_FORWARDERS = 8
+# An engine that refuses an instance whose links work is at fault. While those
+# of this one don't seem to work, more evidence is needed, as others may have
+# lost theirs at the same time.
+VERDICTS_NEEDED = 1
+VERDICTS_NEEDED_IN_DOUBT = 3
 
 
 class ConnectionOpener:
@@ -71,8 +70,10 @@
 class ConnectionRace:
     """The attempts to open one connection.
 
-    ``asked`` are the instances that were asked to connect, ``verdicts`` how
-    many of them could not, and ``direct_failure`` what became of the direct
+    ``asked`` are the instances that were asked to connect. ``refusals`` is how
+    many of them the engine has refused, and ``verdicts`` how many of these
+    have links that work. ``won_by`` is the one whose connection is used, empty
+    for the direct one, and ``direct_failure`` what became of the direct
     attempt.
     """
 
@@ -96,7 +97,13 @@
             str, forwarded_connection.ForwardedConnection
         ] = {}
         self.verdicts = 0
-        self.is_refused_elsewhere = False
+        self.refusals = 0
+        now = opener.pool.reactor.seconds()
+        self.verdicts_needed = (
+            VERDICTS_NEEDED
+            if self.paths.seem_to_work(entry, now)
+            else VERDICTS_NEEDED_IN_DOUBT
+        )
         self.won_by: str | None = None
         self.is_over = False
         self.next_timer: interfaces.IDelayedCall | None = None
@@ -162,7 +169,9 @@
             self.entry,
             self.request.request if self.request is not None else '',
             lambda connection: self.note_forwarded(via, connection),
-            lambda outcome: self.note_not_forwarded(via, outcome),
+            lambda outcome, is_verified: self.note_not_forwarded(
+                via, outcome, is_verified
+            ),
         )
         self.open_attempts[via] = attempt
         self.pool.reactor.connectTCP(
@@ -179,6 +188,7 @@
     ) -> None:
         """Use a direct connection, unless another one is in use."""
         self.connector = None
+        self.paths.note_connected(self.pool.reactor.seconds())
         if self.paths.is_lost(self.entry):
             self.opener.dispatch(events.DirectPathOpened(self.entry))
         if self.is_over:
@@ -191,6 +201,7 @@
         """Ask other instances, unless the engine is known to be down."""
         self.connector = None
         self.direct_failure = reason
+        self.paths.note_unconnected(self.entry, self.pool.reactor.seconds())
         if self.won_by:
             self.report_lost_path(self.won_by)
             return
@@ -222,19 +233,24 @@
         self.pool.handle_connected(connection, self.pending)
 
     def note_not_forwarded(
-        self, via: str, outcome: events.ForwardingOutcome
+        self,
+        via: str,
+        outcome: events.ForwardingOutcome,
+        is_verified: bool,
     ) -> None:
         """Ask another instance, or give up."""
         del self.open_attempts[via]
         if self.is_over:
             return
-        self.opener.dispatch(events.ForwardingFailed(self.entry, via, outcome))
-        if outcome in VERDICTS:
+        self.opener.dispatch(
+            events.ForwardingFailed(self.entry, via, outcome, is_verified)
+        )
+        is_refused = outcome is events.ForwardingOutcome.ENGINE_REFUSED
+        if is_refused and is_verified:
             self.verdicts += 1
-        if outcome is events.ForwardingOutcome.ENGINE_REFUSED:
-            self.is_refused_elsewhere = True
+        self.refusals += is_refused
         is_decided = (
-            self.verdicts >= MAX_VERDICTS
+            self.verdicts >= self.verdicts_needed
             or outcome is events.ForwardingOutcome.NOT_ADMITTED
         )
         if not is_decided and self.ask_next_instance():
@@ -284,6 +300,12 @@
         if self.is_over:
             return
         reason = self.direct_failure
+        for via in list(self.open_attempts):
+            self.opener.dispatch(
+                events.ForwardingFailed(
+                    self.entry, via, events.ForwardingOutcome.ENGINE_SILENT
+                )
+            )
         self.disconnect()
         name = reason.type.__name__ if reason is not None else 'TimeoutError'
         detail = f'connect: {name}'
@@ -293,11 +315,15 @@
             reason is not None
             and reason.check(error.ConnectionRefusedError) is not None
         )
+        is_verdict = (
+            self.verdicts >= self.verdicts_needed
+            or self.refusals == len(self.asked)
+        )
+        if is_refused and is_verdict and self.asked:
+            self.opener.dispatch(events.RefusedElsewhere(self.entry))
         pending = self.pending
         pending.is_finished = True
-        pending.connection_refused = is_refused and (
-            self.is_refused_elsewhere or not self.asked
-        )
+        pending.connection_refused = is_refused and is_verdict
         pending.receiver.answer_failed(False, detail)
 
     def disconnect_directly(self) -> None:
--- a/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
@@ -18,7 +18,8 @@
     """Asks for the connection, then carries that of a request.
 
     ``opened`` is called with the connection once it may carry a request, and
-    ``failed`` if it is not opened; one of them is called, once.
+    ``failed`` if it is not opened, with the outcome and whether the other
+    instance has lately reached engines; one of them is called, once.
     """
 
     def __init__(
@@ -27,7 +28,7 @@
         entry: engines.EngineEntry,
         request: str,
         opened: Callable[[http_client.ClientConnection], None],
-        failed: Callable[[events.ForwardingOutcome], None],
+        failed: Callable[[events.ForwardingOutcome, bool], None],
     ) -> None:
         self.entry = entry
         self.request = request
@@ -65,11 +66,14 @@
         if answer.status_code == handshake.STATUS_OK:
             self.open()
             return
-        self.fail(
-            handshake.OUTCOMES.get(
-                answer.status_code, events.ForwardingOutcome.UNWILLING
-            )
+        outcome = handshake.OUTCOMES.get(
+            answer.status_code, events.ForwardingOutcome.UNWILLING
         )
+        fields = tuple(answer.headers.raw_items())
+        verified = http1.first_header_value(
+            fields, handshake.VERIFIED_HEADER.lower()
+        )
+        self.fail(outcome, is_verified=verified is not None)
 
     def open(self) -> None:
         """Hand the connection over to the request that waits for it."""
@@ -77,12 +81,14 @@
         self.connection.makeConnection(self.transport)
         self.opened(self.connection)
 
-    def fail(self, outcome: events.ForwardingOutcome) -> None:
+    def fail(
+        self, outcome: events.ForwardingOutcome, *, is_verified: bool = False
+    ) -> None:
         """Report that there is no connection, and close this one."""
         if not self.has_ended:
             self.has_ended = True
             self.transport.abortConnection()
-            self.failed(outcome)
+            self.failed(outcome, is_verified)
 
     def abandon(self) -> None:
         """Close the connection, as another one is used."""
@@ -124,4 +130,5 @@
         """Report that the other instance can't be reached."""
         if not self.connection.has_ended:
             self.connection.has_ended = True
-            self.connection.failed(events.ForwardingOutcome.UNREACHABLE)
+            outcome = events.ForwardingOutcome.UNREACHABLE
+            self.connection.failed(outcome, False)
--- a/src/greengagelb/transport/relay/forwarding/forwarding_port.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarding_port.py
@@ -108,6 +108,7 @@
     ) -> None:
         """Tell the other instance why there is no connection."""
         self.near.connector = None
+        self.near.port.note_unconnected(self.near.entry)
         outcome = events.ForwardingOutcome.ENGINE_SILENT
         if reason.check(error.ConnectionRefusedError):
             outcome = events.ForwardingOutcome.ENGINE_REFUSED
@@ -174,6 +175,7 @@
     def connect_far(self, far: FarEnd) -> None:
         """Pass bytes on from here on."""
         self.connector = None
+        self.port.paths.note_connected(self.port.reactor.seconds())
         if self.is_over:
             far.transport.abortConnection()
             return
@@ -199,6 +201,8 @@
             return
         self.is_over = True
         headers = [(b'Content-Length', b'0'), (b'Connection', b'close')]
+        if self.port.seem_to_work(self.entry):
+            headers.append((handshake.VERIFIED_HEADER, b'1'))
         if self.http.our_state is h11.SEND_RESPONSE or (
             self.http.our_state is h11.MIGHT_SWITCH_PROTOCOL
         ):
@@ -275,6 +279,16 @@
             return events.ForwardingOutcome.UNWILLING
         return state.entry
 
+    def seem_to_work(self, entry: engines.EngineEntry | None) -> bool:
+        """Return whether the links of this instance seem to work."""
+        return entry is not None and self.paths.seem_to_work(
+            entry, self.reactor.seconds()
+        )
+
+    def note_unconnected(self, entry: engines.EngineEntry) -> None:
+        """Note that an engine could not be reached directly."""
+        self.paths.note_unconnected(entry, self.reactor.seconds())
+
     def note_taken_over(self, connection: NearEnd) -> None:
         """Count and record a connection that was opened for another one."""
         self.counts.taken_over += 1
--- a/src/greengagelb/transport/relay/forwarding/handshake.py
+++ b/src/greengagelb/transport/relay/forwarding/handshake.py
@@ -16,6 +16,8 @@
 ENGINE_HEADER = b'Engine'
 START_HEADER = b'Engine-Start'
 REQUEST_HEADER = b'Request'
+# In a refusal: the instance has lately reached other engines directly.
+VERIFIED_HEADER = b'Engines-Reached'
 MAX_HEAD_BYTES = 4096
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
--- a/tests/common/linked_fleet.py
+++ b/tests/common/linked_fleet.py
@@ -325,6 +325,17 @@
                 socket.loseConnection()
         self.network.silenced.add(host)
 
+    def restart(self, number):
+        """Stop an instance in order; a new one starts once it has ended."""
+        stopping = self.instances[number]
+
+        def start_again(result):
+            self.instances[number] = self.add_instance(number, seed=99)
+            self.start(self.instances[number])
+
+        stopping.stopped.addCallback(start_again)
+        stopping.stop()
+
     def heal(self, number, names=None):
         """End the cut of an instance."""
         for engine in self.named(names):
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -274,7 +274,7 @@
     opened = []
     entry = relay_world.engine('call-north', 'booking', 'north')
     forwarded = forwarded_connection.ForwardedConnection(
-        server.pool, entry, 'r1', opened.append, lambda outcome: None
+        server.pool, entry, 'r1', opened.append, lambda *failed: None
     )
     forwarded.makeConnection(relay_wires.Wire())
     forwarded.dataReceived(b'HTTP/1.1 200 OK\r\n\r\n')
@@ -318,14 +318,19 @@
     failed = []
     entry = relay_world.engine('call-north', 'booking', 'north')
     forwarded = forwarded_connection.ForwardedConnection(
-        relay_wires.Server().pool, entry, 'r1', failed.append, failed.append
+        relay_wires.Server().pool,
+        entry,
+        'r1',
+        failed.append,
+        lambda outcome, is_verified: failed.append((outcome, is_verified)),
     )
     forwarded.makeConnection(relay_wires.Wire())
     answer = h11.Connection(h11.SERVER)
     answer.receive_data(forwarded.transport.value())
     assert answer.next_event().target == str(entry.address).encode()
     forwarded.dataReceived(
-        b'HTTP/1.1 %d no\r\nContent-Length: 0\r\n\r\n' % status
+        b'HTTP/1.1 %d no\r\nContent-Length: 0\r\nEngines-Reached: 1\r\n\r\n'
+        % status
     )
     forwarded.connectionLost(failure.Failure(error.ConnectionDone()))
-    assert failed == [outcome]
+    assert failed == [(outcome, True)]
