Space out requests to engines that fail if they turn away too many

A refusal of such an engine now makes all instances leave it alone for times that differ, and come back evenly spread.

By the own interface instances don't tell each other of refusals and keep to their parts.

--- a/src/greengagelb/coordination/fleet/upstream_statements.py
+++ b/src/greengagelb/coordination/fleet/upstream_statements.py
@@ -6,10 +6,12 @@
 """
 
 import collections
+import random
 
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination.fleet import routing
+from greengagelb.coordination.sharing import refusal_rests
 from greengagelb.coordination.sharing import statement_records
 from greengagelb.state import identity
 from greengagelb.state import statements
@@ -22,8 +24,11 @@
 class UpstreamStatements:
     """Applies statements to the upstreams that made them."""
 
-    def __init__(self, directory: routing.UpstreamDirectory) -> None:
+    def __init__(
+        self, directory: routing.UpstreamDirectory, rng: random.Random
+    ) -> None:
         self.directory = directory
+        self.rng = rng
         self.answer_leaving: set[identity.EngineId] = set()
 
     def handle_statement(
@@ -39,8 +44,14 @@
             planned += self.note_unusable(event, view, now)
         if statement.leaving:
             planned += self.note_leaving(event, view, now)
-        if statement.rest_seconds:
-            planned += self.note_rest(event, view, now)
+        seconds = statement.rest_seconds
+        if refusal_rests.requires_rest(statement, event.status):
+            drawn = refusal_rests.draw_rest_seconds(
+                statement.refusal_rate, self.directory.live_instances, self.rng
+            )
+            seconds = max(seconds, drawn)
+        if seconds:
+            planned += self.note_rest(event, view, seconds, now)
         return planned
 
     def note_leaving(
@@ -73,14 +84,15 @@
         self,
         event: events.UpstreamStated,
         view: upstream_state.UpstreamView,
+        seconds: float,
         now: float,
     ) -> list[actions.Action]:
-        """Note that an upstream asks for rest.
+        """Note that an upstream asks for rest, or needs it after a refusal.
 
         Its slots become available gradually after that, as those of an
         upstream that has just returned.
         """
-        rest_until = now + event.statement.rest_seconds
+        rest_until = now + seconds
         former = view.rest_until
         if rest_until <= former:
             return []
@@ -98,9 +110,7 @@
             and rest_until < former + statement_records.MIN_RECORDED_SECONDS
         ):
             return planned
-        reason = statement_records.rest_reason(
-            event.statement.rest_seconds, describe_answer(event)
-        )
+        reason = statement_records.rest_reason(seconds, describe_answer(event))
         return [*planned, record(event, 'engine-rest', reason)]
 
     def note_unusable(
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -59,7 +59,7 @@
         )
         self.limits = self.directory.limits
         self.statements = upstream_statements.UpstreamStatements(
-            self.directory
+            self.directory, rng
         )
         self.admission = admission.AdmissionControl(rng)
         self.account_by_name: dict[str, configuration_state.ClientAccount] = {}
--- a/src/greengagelb/coordination/relay/engine_statements.py
+++ b/src/greengagelb/coordination/relay/engine_statements.py
@@ -6,13 +6,16 @@
 """
 
 import collections
+import random
 
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import fleet
 from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import run_copies
+from greengagelb.coordination.sharing import refusal_rests
 from greengagelb.coordination.sharing import statement_records
 from greengagelb.state import statements
 from greengagelb.state.relay import engine_states
@@ -28,11 +31,15 @@
         self,
         components: relay_components.RelayComponents,
         copies: run_copies.RunCopies,
+        fleet_view: fleet.FleetView,
+        rng: random.Random,
     ) -> None:
         self.components = components
         self.engines = components.engines
         self.keeper = components.waiting_sends.keeper
         self.copies = copies
+        self.fleet = fleet_view
+        self.rng = rng
 
     def handle_statement(
         self, event: relay_events.EngineStated, now: float
@@ -47,6 +54,8 @@
             resulting += self.note_unusable(event, state, now)
         if statement.leaving:
             resulting += self.note_leaving(event, state, now)
+        if refusal_rests.requires_rest(statement, event.status):
+            resulting += self.note_refusal(event, state, now)
         if statement.rest_seconds:
             resulting += self.note_rest(event, state, now)
         return resulting
@@ -163,6 +172,7 @@
         if rest_until <= former:
             return []
         state.rest_until = rest_until
+        state.resting_instances = 1
         state.rest_source = statements.Source(
             statements.SourceKind.ANSWER,
             describe_answer(event),
@@ -189,6 +199,55 @@
         )
         return [record(event, state, 'engine-rest', reason)]
 
+    def note_refusal(
+        self,
+        event: relay_events.EngineStated,
+        state: engine_states.EngineState,
+        now: float,
+    ) -> list[Action]:
+        """Space out requests after a refusal, and have all others do so."""
+        rate = event.statement.refusal_rate
+        entry = state.entry
+        self.components.send_manager.pending_hints.append(
+            hints.EngineRefused(entry.engine, rate, entry.started_at_ms)
+        )
+        source = statements.Source(
+            statements.SourceKind.ANSWER, describe_answer(event), now
+        )
+        seconds = self.rest_after_refusal(state, rate, source, now)
+        if not seconds:
+            return []
+        reason = f'for {seconds:.3f} s, turned away in {source.text}'
+        return [record(event, state, 'engine-rest', reason)]
+
+    def note_peer_refusal(
+        self, incarnation: str, hint: hints.EngineRefused, now: float
+    ) -> None:
+        """Space out requests after a refusal of another instance."""
+        state = self.engines.find_same_life(hint.engine, hint.started_at_ms)
+        if state is not None:
+            source = statements.Source(
+                statements.SourceKind.INSTANCE, f'instance {incarnation}', now
+            )
+            self.rest_after_refusal(state, hint.refusal_rate, source, now)
+
+    def rest_after_refusal(
+        self,
+        state: engine_states.EngineState,
+        rate: float,
+        source: statements.Source,
+        now: float,
+    ) -> float:
+        """Leave an engine alone; return the seconds, 0.0 if it rests."""
+        if state.is_resting(now):
+            return 0.0
+        seconds = refusal_rests.draw_rest_seconds(rate, 1, self.rng)
+        state.rest_until = now + seconds
+        state.rest_source = source
+        state.resting_instances = self.fleet.size
+        self.keeper.withdraw_requests(state.entry.life, now)
+        return seconds
+
     def note_unusable(
         self,
         event: relay_events.EngineStated,
--- a/src/greengagelb/coordination/relay/peer_events.py
+++ b/src/greengagelb/coordination/relay/peer_events.py
@@ -126,6 +126,8 @@
                 return self.statements.note_peer_leaving(
                     incarnation, hint, now
                 )
+            case hints.EngineRefused():
+                self.statements.note_peer_refusal(incarnation, hint, now)
             case hints.EngineResting():
                 self.statements.note_peer_rest(hint, now)
             case hints.EngineListChanged(entries, removed, unusable):
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -144,7 +144,7 @@
             self.restarts,
         )
         self.statements = engine_statements.EngineStatementHandler(
-            components, self.copies
+            components, self.copies, self.fleet, rng
         )
         self.peers = peer_events.PeerEventHandler(
             self.engines,
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -40,6 +40,8 @@
 RATE_LIMIT_HEADER = b'Server-Limit'
 # Set to 1 by an engine that is about to end.
 LEAVING_HEADER = b'Server-Leaving'
+# How many requests an engine can turn away in a second before it fails.
+REFUSAL_RATE_HEADER = b'Server-Brittle'
 # An engine answers this without a free slot.
 REPORT_PATH = b'/api/report'
 # Makes an engine copy a run's memory.
@@ -188,6 +190,7 @@
                 status,
                 header_values(fields, LEAVING_HEADER),
                 header_values(fields, statement_headers.REST_HEADER),
+                header_values(fields, REFUSAL_RATE_HEADER),
             ),
         )
 
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -17,6 +17,7 @@
 
 Fingerprint = Annotated[str, msgspec.Meta(max_length=64)]
 RestSeconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+RefusalRate = Annotated[float, msgspec.Meta(ge=0.0, le=1e10)]
 # The identity of an engine and its start.
 Life = Annotated[str, msgspec.Meta(max_length=256)]
 
@@ -121,6 +122,16 @@
     started_at_ms: int = engines.UNKNOWN_START
 
 
+class EngineRefused(
+    msgspec.Struct, frozen=True, array_like=True, tag='b', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.EngineRefused`."""
+
+    engine: str
+    refusal_rate: RefusalRate
+    started_at_ms: int = engines.UNKNOWN_START
+
+
 class EngineEntry(msgspec.Struct, frozen=True, array_like=True):
     """See :class:`greengagelb.state.relay.engines.EngineEntry`."""
 
@@ -245,6 +256,7 @@
         | EngineRestarted
         | EngineLeaving
         | EngineResting
+        | EngineRefused
         | EngineListChanged
         | StoreRead
         | StoreProbed
@@ -322,6 +334,8 @@
             wire = EngineLeaving(engine, started_at_ms)
         case hints.EngineResting(engine, seconds, started_at_ms):
             wire = EngineResting(engine, seconds, started_at_ms)
+        case hints.EngineRefused(engine, refusal_rate, started_at_ms):
+            wire = EngineRefused(engine, refusal_rate, started_at_ms)
         case hints.EngineListChanged(entries, removed, unusable):
             encoded_entries = tuple(map(write_engine, entries))
             wire = EngineListChanged(encoded_entries, removed, unusable)
@@ -413,6 +427,8 @@
             hint = hints.EngineLeaving(engine, started_at_ms)
         case EngineResting(engine, seconds, started_at_ms):
             hint = hints.EngineResting(engine, seconds, started_at_ms)
+        case EngineRefused(engine, refusal_rate, started_at_ms):
+            hint = hints.EngineRefused(engine, refusal_rate, started_at_ms)
         case EngineListChanged(entries, removed, unusable):
             decoded_entries = tuple(map(read_engine, entries))
             hint = hints.EngineListChanged(decoded_entries, removed, unusable)
--- a/src/greengagelb/protocol/statement_headers.py
+++ b/src/greengagelb/protocol/statement_headers.py
@@ -11,6 +11,9 @@
 # turns a request away wants no others from the instance that it answers.
 REST_HEADER = b'Retry-After'
 LEAVING_VALUE = b'1'
+# Set by an engine that fails if it has to turn away more than this many
+# requests in a second, in this product's own interface.
+REFUSAL_RATE_HEADER = b'X-Refusal-Rate'
 # An engine asks for rest only where it turns a request away.
 REST_STATUS = 503
 # The number of digits is limited so that no value is infinite.
@@ -22,14 +25,18 @@
 
 
 def parse_statement(
-    status: int, leaving: Sequence[bytes], rest: Sequence[bytes]
+    status: int,
+    leaving: Sequence[bytes],
+    rest: Sequence[bytes],
+    refusal_rates: Sequence[bytes] = (),
 ) -> statements.Statement:
-    """Return what the values of both headers state.
+    """Return what the values of the headers state.
 
-    Of several rests the longest counts, as the engine may mean it. Values that
-    differ are reported as unusable besides.
+    Of several rests the longest counts, and of several refusal rates the
+    lowest, as the engine may mean it. Values that differ are reported as
+    unusable besides.
     """
-    if not leaving and not rest:
+    if not (leaving or rest or refusal_rates):
         return statements.NO_STATEMENT
     flags = [value.strip() for value in leaving]
     unusable = [value for value in flags if value != LEAVING_VALUE]
@@ -43,9 +50,17 @@
             else [value for value in values if value not in usable]
         )
         seconds = max(map(float, usable), default=0.0)
+    rates = [value.strip() for value in refusal_rates]
+    usable_rates = [value for value in rates if SECONDS.fullmatch(value)]
+    unusable += (
+        rates
+        if len(set(rates)) > 1
+        else [value for value in rates if value not in usable_rates]
+    )
     return statements.Statement(
         LEAVING_VALUE in flags,
         seconds,
+        min(map(float, usable_rates), default=None),
         tuple(map(shorten, unusable[:MAX_UNUSABLE_VALUES])),
     )
 
--- a/src/greengagelb/state/relay/engine_states.py
+++ b/src/greengagelb/state/relay/engine_states.py
@@ -30,7 +30,9 @@
     instance for no requests, as ``rest_source`` says; ``next_send_at`` is when
     it gets the next one shortly after that. Until ``peer_rest_until`` it has
     asked another instance for none, so that others are preferred. Its unusable
-    statements are recorded again from ``next_unusable_record_at``.
+    statements are recorded again from ``next_unusable_record_at``. Shortly
+    after a rest, requests are spread by the number of instances that share it,
+    ``resting_instances``.
     """
 
     entry: engines.EngineEntry
@@ -57,6 +59,7 @@
     next_send_at: float = float('-inf')
     peer_rest_until: float = float('-inf')
     next_unusable_record_at: float = float('-inf')
+    resting_instances: int = 1
 
     @property
     def is_leaving(self) -> bool:
@@ -71,7 +74,8 @@
     @property
     def seconds_between_sends_after_rest(self) -> float:
         """Return the seconds between two sends shortly after a rest."""
-        return AFTER_REST_SECONDS / max(1, self.entry.slots)
+        seconds = AFTER_REST_SECONDS / max(1, self.entry.slots)
+        return seconds * self.resting_instances
 
     def is_resting(self, now: float) -> bool:
         """Return whether it has asked for no requests until later."""
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -158,6 +158,18 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineRefused:
+    """An engine that fails if it refuses too many has refused a request.
+
+    ``refusal_rate`` is how many it can turn away in a second.
+    """
+
+    engine: str
+    refusal_rate: float
+    started_at_ms: int = engines.UNKNOWN_START
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServicesUnreachable:
     """The services whose engines the sender can't reach directly.
@@ -183,6 +195,7 @@
     | EngineRestarted
     | EngineLeaving
     | EngineResting
+    | EngineRefused
     | EngineListChanged
     | StoreRead
     | StoreProbed
--- a/src/greengagelb/state/statements.py
+++ b/src/greengagelb/state/statements.py
@@ -15,11 +15,14 @@
 
     ``leaving`` tells that the engine is about to end. ``rest_seconds`` is how
     long it wants no requests from the instance that it answered, 0.0 if it
-    asks for no rest. ``unusable`` has the values that could not be parsed.
+    asks for no rest. ``refusal_rate`` is how many requests it can turn away in
+    a second before it fails, None if it says nothing of it. ``unusable`` has
+    the values that could not be parsed.
     """
 
     leaving: bool = False
     rest_seconds: float = 0.0
+    refusal_rate: float | None = None
     unusable: tuple[str, ...] = ()
 
 
--- a/src/greengagelb/transport/answer_statements.py
+++ b/src/greengagelb/transport/answer_statements.py
@@ -50,6 +50,7 @@
         response.code,
         headers.getRawHeaders(statement_headers.LEAVING_HEADER, []),
         headers.getRawHeaders(statement_headers.REST_HEADER, []),
+        headers.getRawHeaders(statement_headers.REFUSAL_RATE_HEADER, []),
     )
     if statement == statements.NO_STATEMENT:
         return
--- a/tests/common/linked_fleet.py
+++ b/tests/common/linked_fleet.py
@@ -25,6 +25,8 @@
 PEER_PORT = 4
 ENGINE_PORT = 8000
 CALL_SECONDS = 0.02
+SLOTS = 6
+FALLEN_SECONDS = 3.0
 EVENT_SECONDS = 0.05
 EVENTS = 40
 LIST_SECONDS = 1.0
@@ -100,20 +102,21 @@
             return
         name = request_id.decode()
         self.engine.arrivals.append((name, self.source))
+        if self.engine.is_down:
+            return
         if self.engine.is_leaving:
             headers = [(b'Id', request_id), (b'Seal', b'x')]
             self.answer([*headers, (b'Leaving', b'1')], b'done')
             return
         if not self.head.target.startswith(b'/drafts/'):
-            headers = [(b'Id', request_id), (b'Seal', b'x')]
-            self.later(CALL_SECONDS, self.answer, headers, b'done')
+            self.engine.take_call(self, request_id)
             return
         after = http1.first_header_value(fields, b'after') or b'0'
         self.send_head([(b'Id', request_id), (b'Seal', b'x')])
         self.send_event(int(after) + 1)
 
-    def send_head(self, headers):
-        head = h11.Response(status_code=200, headers=headers)
+    def send_head(self, headers, status=200):
+        head = h11.Response(status_code=status, headers=headers)
         self.transport.write(self.http.send(head))
 
     def send_event(self, number):
@@ -124,9 +127,9 @@
         else:
             self.end()
 
-    def answer(self, headers, body):
+    def answer(self, headers, body, status=200):
         length = (b'Content-Length', str(len(body)).encode())
-        self.send_head([*headers, length])
+        self.send_head([*headers, length], status)
         if body:
             self.transport.write(self.http.send(h11.Data(data=body)))
         self.end()
@@ -140,19 +143,87 @@
 
 
 class Engine(protocol.Factory):
-    """An engine; ``arrivals`` has id and sender of each request."""
+    """An engine; ``arrivals`` has id and sender of each request.
+
+    It lets ``room`` calls wait. With a ``refusal_rate`` it falls over, for
+    some seconds, if it has to turn more than that away within a second.
+    """
 
     def __init__(self, network, entry):
         self.network = network
         self.entry = entry
         self.arrivals = []
+        self.call_seconds = CALL_SECONDS
         self.is_leaving = False
+        self.is_down = False
         self.port = None
+        self.room = float('inf')
+        self.refusal_rate = None
+        self.refused_at = []
+        self.falls = 0
+        self.running = 0
+        self.waiting = collections.deque()
 
     def start(self):
         host = simulated_network.Host(self.network, self.entry.address.host)
         self.port = host.listenTCP(ENGINE_PORT, self)
 
+    def take_call(self, connection, request_id):
+        """Work on a call, let it wait, or turn it away."""
+        if self.running < SLOTS:
+            self.run_call(connection, request_id)
+        elif len(self.waiting) < self.room:
+            self.waiting.append((connection, request_id))
+        else:
+            self.refuse_call(connection, request_id)
+
+    def run_call(self, connection, request_id):
+        self.running += 1
+        self.network.call_later(
+            self.call_seconds, self.end_call, connection, request_id
+        )
+
+    def end_call(self, connection, request_id):
+        self.running -= 1
+        if not connection.transport.ended:
+            headers = [(b'Id', request_id), (b'Seal', b'x'), *self.stated()]
+            connection.answer(headers, b'done')
+        while self.waiting and self.running < SLOTS:
+            waiting, waiting_id = self.waiting.popleft()
+            if not waiting.transport.ended:
+                self.run_call(waiting, waiting_id)
+
+    def stated(self):
+        if self.refusal_rate is None:
+            return []
+        return [(b'Refusal-Rate', str(self.refusal_rate).encode())]
+
+    def refuse_call(self, connection, request_id):
+        now = self.network.now
+        self.refused_at = [at for at in self.refused_at if now < at + 1.0]
+        self.refused_at.append(now)
+        if (
+            self.refusal_rate is not None
+            and len(self.refused_at) > self.refusal_rate
+        ):
+            self.fall()
+            return
+        headers = [(b'Id', request_id), (b'Not-Run', b'1'), *self.stated()]
+        connection.answer(headers, b'full', 503)
+
+    def fall(self):
+        """Crash, and start again after some seconds."""
+        self.falls += 1
+        self.refused_at.clear()
+        self.waiting.clear()
+        self.is_down = True
+        self.crash()
+        self.network.call_later(FALLEN_SECONDS, self.rise)
+
+    def rise(self):
+        self.is_down = False
+        self.start()
+
     def crash(self):
         """End the process: connections are reset, new ones refused."""
         self.port.stopListening()
@@ -184,6 +255,12 @@
         )
         return defer.succeed(store_watch.MembersRead(members))
 
+    def write_crashes(self, kept):
+        return defer.succeed(None)
+
+    def delete_crashes(self, fingerprint):
+        return defer.succeed(None)
+
 
 class Asked(protocol.Protocol):
     """One request of a caller, on a connection of its own."""
--- a/tests/common/relay_wires.py
+++ b/tests/common/relay_wires.py
@@ -94,6 +94,7 @@
                 response.status_code,
                 [v for n, v in fields if n.lower() == b'leaving'],
                 [v for n, v in fields if n.lower() == b'retry-after'],
+                [v for n, v in fields if n.lower() == b'refusal-rate'],
             ),
         )
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -273,6 +273,8 @@
         (b'Retry-After', b'soon' * 1_000),
         (b'Server-Leaving', b'0'),
         (b'Server-Leaving', b'yes'),
+        (b'Server-Brittle', b'-3'),
+        (b'Server-Brittle', b'few'),
     ],
 )
 def test_unusable_statement_is_reported_in_a_bounded_text(field):
@@ -281,6 +283,13 @@
     assert len(text) < 50
 
 
+def test_engine_states_its_refusal_rate_in_any_answer():
+    """Guards against a rate that is read in refusals only."""
+    for status in (200, 500, 503):
+        found = read_answer(status, (b'Server-Brittle', b'7')).statement
+        assert found.refusal_rate == 7.0
+
+
 def test_rest_is_asked_for_by_refusals_only():
     """Guards against a success that takes its engine out of use."""
     found = read_answer(200, (b'Retry-After', b'3')).statement
