--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,6 +18,10 @@
 FIRST_SEED_WITH_LIMITS = 300
 # The same before engines could state in answers that they leave or want rest.
 FIRST_SEED_WITH_STATEMENTS = 1_000
+# The same before instances could lose their links to the engines.
+FIRST_SEED_WITH_LOST_LINKS = 2_000
+# For how long at least they do; callers are counted from three seconds on.
+LOST_LINKS_SECONDS = 6.5
 
 
 class What(enum.Enum):
@@ -46,6 +50,9 @@
     LIMITED_ENGINE = 'limited-engine'
     STATED_LEAVING = 'stated-leaving'
     RESTING_ENGINE = 'resting-engine'
+    LINKS_SILENT = 'links-silent'
+    LINKS_RESET = 'links-reset'
+    LINKS_REFUSED = 'links-refused'
 
 
 # Those that harm an instance, or what it knows.
@@ -92,6 +99,14 @@
     What.STATED_LEAVING,
     What.RESTING_ENGINE,
 }
+# An instance loses its links to all engines.
+OF_LINKS = frozenset({What.LINKS_SILENT, What.LINKS_RESET, What.LINKS_REFUSED})
+BESIDE_LOST_LINKS = (
+    What.STOP_INSTANCE,
+    What.CRASH_ENGINE,
+    What.RELOAD_INSTANCE,
+    What.NEW_CONFIGURATION,
+)
 # One more here would change what every seed plans; what comes later is drawn
 # by a generator of its own.
 DRAWN_APART = (
@@ -100,6 +115,7 @@
     What.LIMITED_ENGINE,
     What.STATED_LEAVING,
     What.RESTING_ENGINE,
+    *OF_LINKS,
 )
 DRAWN = tuple(what for what in What if what not in DRAWN_APART)
 
@@ -114,6 +130,26 @@
     target: int
 
 
+def plan_all(seed: int) -> list[Fault]:
+    """Return all faults of a run.
+
+    In every other run with lost links little else happens, as a harmed store
+    or instance may be the cause of a failed request.
+    """
+    if seed >= FIRST_SEED_WITH_LOST_LINKS and seed % 2 == 0:
+        rng = random.Random(f'beside lost links of {seed}')
+        beside = series(rng, rng.choice(BESIDE_LOST_LINKS))
+        return [*plan_lost_links(seed), *beside]
+    return [
+        *plan(random.Random(seed)),
+        *plan_restarts(seed),
+        *plan_restores(seed),
+        *plan_limits(seed),
+        *plan_statements(seed),
+        *plan_lost_links(seed),
+    ]
+
+
 def plan(rng: random.Random) -> list[Fault]:
     """Return the faults of a run, in the order of their beginnings."""
     found = []
@@ -169,6 +205,21 @@
     return sorted(found, key=lambda fault: fault.at)
 
 
+def plan_lost_links(seed: int) -> list[Fault]:
+    """Return when instances lose their links to all engines."""
+    if seed < FIRST_SEED_WITH_LOST_LINKS:
+        return []
+    rng = random.Random(f'lost links of {seed}')
+    kinds = sorted(OF_LINKS, key=lambda what: what.value)
+    found = []
+    for _ in range(rng.randint(1, 2)):
+        found += series(rng, rng.choice(kinds))
+    return [
+        dataclasses.replace(fault, seconds=fault.seconds + LOST_LINKS_SECONDS)
+        for fault in found
+    ]
+
+
 def series(rng: random.Random, what: What) -> list[Fault]:
     """Return a fault once, or several times in a row."""
     times = rng.choice((1, 1, 1, 2, 3))
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -10,6 +10,7 @@
 
 from tests.soak import proxy
 
+ROOT = pathlib.Path(__file__).parents[2]
 GRACE_SECONDS = 4.0
 DRAIN_SECONDS = 2.0
 HEARTBEAT_MILLISECONDS = 1_200
@@ -42,7 +43,8 @@
     """One instance: at most one process at a time.
 
     ``stop_asked_at`` is when its process was asked to stop, or None.
-    ``paused`` tells that it is suspended.
+    ``paused`` tells that it is suspended, and ``cuts`` is how often it was cut
+    off from the engines.
     """
 
     def __init__(
@@ -79,9 +81,11 @@
                 grace=GRACE_SECONDS,
             )
         )
+        self.cut_file = folder / f'{name}.cut'
         self.process: subprocess.Popen | None = None
         self.stop_asked_at: float | None = None
         self.paused = False
+        self.cuts = 0
         self.ready = False
         self.unexpected_ends: list[str] = []
 
@@ -98,8 +102,15 @@
         environment['GREENGAGELB_SETTINGS'] = str(self.settings)
         with (self.folder / f'{self.name}.log').open('ab') as log:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', 'greengagelb.platform'],
+                [
+                    sys.executable,
+                    '-m',
+                    'tests.soak.cut_process',
+                    self.host,
+                    str(self.cut_file),
+                ],
                 env=environment,
+                cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -18,6 +18,11 @@
 LATE_SECONDS = 0.5
 # Of the requests in the calm at the end so many must be served.
 LEAST_SERVED = 0.9
+# From TOUCH_SECONDS after an instance has lost its links, first tries there
+# are served at least so often, as a share of those at the others; so many, and
+# one in fifty, may fail before that counts.
+LINKS_LEAST_SHARE = 2 / 3
+LINKS_SPARE = 10
 # Within so many seconds an engine gets no more than this part of what its
 # limit allows, and some requests more.
 LIMIT_WINDOW = 4.0
@@ -64,6 +69,7 @@
             *self.refused_keys(),
             *self.over_limits(),
             *self.against_statements(),
+            *self.not_served_without_links(),
             *self.not_recovered(),
             *self.ended(),
         ]
@@ -260,6 +266,36 @@
             for moment in self.world.moments
         )
 
+    def not_served_without_links(self) -> Iterator[Broken]:
+        """Find cuts in which callers were served worse than others."""
+        cuts = [m for m in self.world.moments if m.what in faults.OF_LINKS]
+        for cut in cuts:
+            begin, end = cut.at + TOUCH_SECONDS, cut.until
+            asked = [
+                f
+                for f in self.outcomes
+                if begin < f.began_at < end
+                and not f.given_up
+                and self.calm(f.instance, f.began_at, f.began_at)
+            ]
+            here = [f for f in asked if f.instance == cut.target]
+            others = [
+                f
+                for f in asked
+                if not any(m.target == f.instance for m in cuts)
+            ]
+            failed = [f for f in here if not served(f)]
+            if not others or len(failed) <= LINKS_SPARE + len(here) / 50:
+                continue
+            share = sum(map(served, others)) / len(others)
+            served_here = len(here) - len(failed)
+            if served_here < LINKS_LEAST_SHARE * share * len(here):
+                detail = (
+                    f'{served_here} of {len(here)} at {cut.target}, '
+                    f'{share:.2f} at the others'
+                )
+                yield Broken('served without links', detail)
+
     def not_recovered(self) -> Iterator[Broken]:
         """Find out whether requests are served again in the calm."""
         probes = [
@@ -267,12 +303,13 @@
             for found in self.outcomes
             if found.began_at > self.world.probes_from and not found.given_up
         ]
-        served = [f for f in probes if f.status == 200 and f.whole]
-        if len(served) < LEAST_SERVED * len(probes) or not probes:
+        failed = [f for f in probes if not served(f)]
+        count = len(probes) - len(failed)
+        if count < LEAST_SERVED * len(probes) or not probes:
             lost = collections.Counter(
-                (f.status, f.error[:60]) for f in probes if f not in served
+                (f.status, f.error[:60]) for f in failed
             )
-            detail = f'{len(served)} of {len(probes)} served: {lost}'
+            detail = f'{count} of {len(probes)} served: {lost}'
             yield Broken('recovery', detail)
 
     def ended(self) -> Iterator[Broken]:
@@ -280,3 +317,8 @@
         for instance in self.world.instances:
             for detail in instance.unexpected_ends:
                 yield Broken('instances live on', detail)
+
+
+def served(found: callers.Outcome) -> bool:
+    """Return whether a caller got its whole answer."""
+    return found.status == 200 and found.whole
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -23,9 +23,10 @@
 class Half(protocol.Protocol):
     """One end of a connection through the proxy."""
 
-    def __init__(self, link: 'Proxy', upward: bool) -> None:
+    def __init__(self, link: 'Proxy', upward: bool, source: str = '') -> None:
         self.link = link
         self.upward = upward
+        self.source = source
         self.other: Half | None = None
         self.waiting: list[bytes] = []
         self.delayed: collections.deque[bytes] = collections.deque()
@@ -96,7 +97,7 @@
 
     def buildProtocol(self, addr: object) -> Half:
         """Return the near end of a new connection."""
-        return Half(self.link, upward=True)
+        return Half(self.link, upward=True, source=addr.host)
 
 
 class Far(protocol.ClientFactory):
@@ -159,6 +160,14 @@
         for half in list(self.halves):
             half.die()
 
+    def cut_source(self, host: str, *, reset: bool) -> None:
+        """Silence or reset the open connections from one host."""
+        for half in [h for h in self.halves if h.source == host]:
+            if reset:
+                half.transport.abortConnection()
+            else:
+                half.die()
+
     def swallows(self, upward: bool) -> bool:
         """Return whether bytes of a direction are lost now."""
         if self.mode is Mode.DARK:
@@ -176,3 +185,22 @@
     with socket.socket(socket.AF_INET, kind) as probe:
         probe.bind((host, 0))
         return probe.getsockname()[1]
+
+
+class BlackHole:
+    """An address at which connections hang: its accept queue stays full."""
+
+    def __init__(self, host: str) -> None:
+        self.listening = socket.create_server((host, 0), backlog=0)
+        self.address = self.listening.getsockname()
+        self.fillers = []
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self.fillers.append(filler)
+
+    def close(self) -> None:
+        """Close the sockets."""
+        for each in (*self.fillers, self.listening):
+            each.close()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import pathlib
-import random
 import shutil
 import tempfile
 
@@ -31,13 +30,7 @@
     reactor: interfaces.IReactorCore, seed: int, fleet: int = 3
 ) -> object:
     """Play one seed; return its report."""
-    planned = [
-        *faults.plan(random.Random(seed)),
-        *faults.plan_restarts(seed),
-        *faults.plan_restores(seed),
-        *faults.plan_limits(seed),
-        *faults.plan_statements(seed),
-    ]
+    planned = faults.plan_all(seed)
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     played = world.World(reactor, folder, seed, fleet)
     try:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,6 +1,7 @@
 """One run of the soak: a small fleet, its faults, and what it leaves."""
 
 import dataclasses
+import json
 import pathlib
 import random
 import signal
@@ -93,6 +94,9 @@
             )
             for number in range(fleet)
         ]
+        self.black_hole = proxy.BlackHole(self.store_host)
+        for instance in self.instances:
+            self.write_cut(instance, '')
         self.callers = callers.Callers(reactor, self.rng, f's{seed}')
         self.loops = [
             task.LoopingCall(self.renew_entries),
@@ -214,6 +218,7 @@
                 loop.stop()
         for instance in self.instances:
             instance.kill()
+        self.black_hole.close()
 
     # -- faults -------------------------------------------------------------
 
@@ -256,6 +261,9 @@
     ) -> None:
         """Harm one instance."""
         self.note(fault, instance.name)
+        if fault.what in faults.OF_LINKS:
+            self.cut_links(fault, instance)
+            return
         match fault.what:
             case faults.What.KILL_INSTANCE | faults.What.KILL_ALL_INSTANCES:
                 instance.kill()
@@ -271,6 +279,35 @@
                 if instance.handles_signals:
                     instance.signal(signal.SIGHUP)
 
+    def cut_links(
+        self, fault: faults.Fault, instance: instances.Instance
+    ) -> None:
+        """Cut an instance off from all engines."""
+        mode = fault.what.value.removeprefix('links-')
+        self.write_cut(instance, mode)
+        instance.cuts += 1
+        if fault.what is not faults.What.LINKS_REFUSED:
+            for engine in self.engines.engines:
+                reset = fault.what is faults.What.LINKS_RESET
+                engine.link.cut_source(instance.host, reset=reset)
+        self.later(fault, self.end_cut, instance, instance.cuts)
+
+    def end_cut(self, instance: instances.Instance, number: int) -> None:
+        """End a cut, unless a later one holds."""
+        if instance.cuts == number:
+            self.write_cut(instance, '')
+
+    def write_cut(self, instance: instances.Instance, mode: str) -> None:
+        """Write what becomes of an instance's new connections to engines."""
+        state = {
+            'mode': mode,
+            'engines': [e.link.host for e in self.engines.engines],
+            'hole': self.black_hole.address,
+        }
+        partial = instance.cut_file.with_suffix('.new')
+        partial.write_text(json.dumps(state), 'utf-8')
+        partial.replace(instance.cut_file)
+
     def revive(self, instance: instances.Instance) -> None:
         """Start an instance that has ended; kill one that should have."""
         instance.look_whether_ended()
