Forwarding: look at all that the middle knows of an engine; doubt own links for two seconds

Found by reading: the instance in the middle asked whether an engine leaves or rests, not whether it has gone from the list or was replaced; an attempt that had not connected yet when another one won still had a connection opened to the engine; a lost path of an engine that was used no more withheld all hints against engines for good, as it counted until the next attempt. Own links are doubted for two seconds after a forwarded connection instead.

Refusals by limits are allowed, so requests while engines name limits are not counted there.

--- a/src/greengagelb/coordination/relay/forwarding/engine_paths.py
+++ b/src/greengagelb/coordination/relay/forwarding/engine_paths.py
@@ -30,7 +30,7 @@
 # How often an instance tells the others that it opens connections for some.
 PROOF_INTERVAL_SECONDS = 1.0
 # How long own links are doubted after a connection had to be forwarded.
-DOUBT_SECONDS = 1.0
+DOUBT_SECONDS = 2.0
 
 Action = relay_actions.RelayAction
 
@@ -59,8 +59,6 @@
     a request was last forwarded, and ``reached_at`` when a direct connection
     to any engine was last opened; ``failed_at`` has the lives of engines to
     which one has failed since.
-
-    Invariant: a service in ``lost_services`` has at least one lost path.
     """
 
     def __init__(
@@ -277,5 +275,4 @@
 
     def is_at_fault(self, now: float) -> bool:
         """Return whether failures of engines may be those of own links."""
-        doubted_until = self.forwarded_at + DOUBT_SECONDS
-        return bool(self.lost_paths) or now < doubted_until
+        return now < self.forwarded_at + DOUBT_SECONDS
--- a/src/greengagelb/transport/relay/forwarding/connection_race.py
+++ b/src/greengagelb/transport/relay/forwarding/connection_race.py
@@ -292,8 +292,7 @@
             if timer is not None and timer.active():
                 timer.cancel()
         for attempt in list(self.open_attempts.values()):
-            if attempt.transport is not None:
-                attempt.abandon()
+            attempt.abandon()
 
     def fail(self) -> None:
         """Report that nothing was opened."""
--- a/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
@@ -42,7 +42,10 @@
         self.has_ended = False
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Ask for the connection to the engine."""
+        """Ask for the connection to the engine, if it is still wanted."""
+        if self.has_ended:
+            self.transport.abortConnection()
+            return
         http1.configure_socket(self.transport)
         order = handshake.write_order(self.entry, self.request)
         out = self.http.send(order) + self.http.send(h11.EndOfMessage())
@@ -93,7 +96,8 @@
     def abandon(self) -> None:
         """Close the connection, as another one is used."""
         self.has_ended = True
-        self.transport.abortConnection()
+        if self.transport is not None:
+            self.transport.abortConnection()
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
--- a/src/greengagelb/transport/relay/forwarding/forwarding_port.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarding_port.py
@@ -272,7 +272,8 @@
         )
         if state is None or state.entry.address != order.address:
             return events.ForwardingOutcome.UNWILLING
-        if not self.admits(state.entry):
+        is_usable = state.is_usable(self.reactor.seconds())
+        if not (is_usable and self.admits(state.entry)):
             return events.ForwardingOutcome.NOT_ADMITTED
         is_full = len(self.connections) > MAX_CONNECTIONS
         if self.is_stopping or is_full or self.paths.is_lost(state.entry):
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -277,6 +277,7 @@
                 if begin < f.began_at < end
                 and not f.given_up
                 and self.calm(f.instance, f.began_at, f.began_at)
+                and not self.limited(f.began_at)
             ]
             here = [f for f in asked if f.instance == cut.target]
             others = [
@@ -296,6 +297,15 @@
                 )
                 yield Broken('served without links', detail)
 
+    def limited(self, at: float) -> bool:
+        """Return whether an engine names a limit: each instance has a part.
+
+        Those that have just started get theirs later than the others.
+        """
+        return any(
+            limit.at < at < limit.until for limit in self.world.engines.limits
+        )
+
     def not_recovered(self) -> Iterator[Broken]:
         """Find out whether requests are served again in the calm."""
         probes = [
