--- a/src/greengagelb/coordination/relay/fleet.py
+++ b/src/greengagelb/coordination/relay/fleet.py
@@ -140,10 +140,11 @@
 
         Returns the instances that were forgotten.
         """
+        max_silence_seconds = self.silence_limit_seconds
         silent_instances = [
             incarnation
             for incarnation, at in self.heard_at.items()
-            if now > at + self.silence_limit_seconds
+            if now > at + max_silence_seconds
         ]
         for incarnation in silent_instances:
             del self.heard_at[incarnation]
