--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -335,8 +335,12 @@
                 'refused', why, identity.RequestId('', request.request_id)
             )
             return [told, ruling]
-        fingerprint = fingerprints.for_relayed_request(request, ruling.account)
-        exchange = exchanges.Exchange(request, ruling, fingerprint)
+        exchange = exchanges.Exchange(
+            request,
+            ruling,
+            fingerprints.for_relayed_request(request, ruling.account),
+            fingerprints.for_shared_parts(request, ruling.service.name),
+        )
         self.exchanges[request.exchange] = exchange
         self.budget.count_request(ruling.service.name, now)
         name = timers.timer_name(DEADLINE_TIMER, request.exchange)
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -169,6 +169,7 @@
         parts = [
             f'attempt {exchange.attempts}',
             f'fingerprint {exchange.fingerprint}',
+            f'parts {" ".join(exchange.part_fingerprints) or "none"}',
             f'in_flight {state.in_flight}',
             f'runs {work.runs}',
             f'memory tokens {work.memory_tokens}',
--- a/src/greengagelb/coordination/sharing/fingerprints.py
+++ b/src/greengagelb/coordination/sharing/fingerprints.py
@@ -11,6 +11,10 @@
 from greengagelb.state.relay import requests as relay_requests
 
 DIGEST_BYTES = 16
+# Begins the fingerprints of parts of prompts.
+PART_PREFIX = 'part-'
+# The number of parts of a prompt that are told apart; prompts have a few.
+MAX_PARTS = 64
 
 ProductRequest = requests.CallRequest | requests.GenerationRequest
 
@@ -41,6 +45,23 @@
     return digest_parts(parts)
 
 
+def for_prompt_part(service: str, part: str) -> str:
+    """Return the fingerprint of a part of the prompts to a service."""
+    digest = digest_parts((service.encode(), part.encode()))
+    return f'{PART_PREFIX}{digest}'
+
+
+def for_shared_parts(
+    request: relay_requests.CallerRequest, service: str
+) -> tuple[str, ...]:
+    """Return the fingerprints of the shared parts of a request's prompt.
+
+    Of a prompt with more than ``MAX_PARTS`` these are the first ones.
+    """
+    parts = dict.fromkeys(filter(None, request.shared_parts[:MAX_PARTS]))
+    return tuple(for_prompt_part(service, part) for part in parts)
+
+
 def content_parts(request: ProductRequest) -> list[bytes]:
     """Return the content of a request of the product's own API."""
     service = request.service.encode()
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -136,6 +136,7 @@
             received_at + seconds,
             read_integer_header(fields, RESUME_AFTER_HEADER),
             read_prompt_sizes(fields),
+            read_prompt_parts(fields)[:-1],
         )
 
     def write_send(
@@ -325,9 +326,18 @@
     read, _, made = counts.partition(b',')
     if not read.strip().isdigit() or not made.strip().isdigit():
         raise errors.ProtocolError('token counts are not two numbers')
-    parts = single_header_value(fields, PROMPT_PARTS_HEADER) or b''
-    own = parts.rsplit(b',', 1)[-1].partition(b':')[0].strip()
-    return requests.Prompt(int(read), int(made), own.decode('latin-1'))
+    single_header_value(fields, PROMPT_PARTS_HEADER)
+    own_part = (read_prompt_parts(fields) or ('',))[-1]
+    return requests.Prompt(int(read), int(made), own_part)
+
+
+def read_prompt_parts(fields: requests.Headers) -> tuple[str, ...]:
+    """Return the identities of the parts of a prompt, in their order."""
+    return tuple(
+        entry.partition(b':')[0].strip().decode('latin-1')
+        for value in header_values(fields, PROMPT_PARTS_HEADER)
+        for entry in value.split(b',')
+    )
 
 
 def parse_load(value: bytes | None) -> engines.EngineLoad | None:
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -51,12 +51,14 @@
     an engine while another engine is tried. ``moved_at`` is when the caller
     got the last event. ``tried`` names the engines that got the request and
     ``refused_by`` those that had no capacity for it. ``fingerprint`` is that
-    of the request.
+    of the request, ``part_fingerprints`` those of the parts of its prompt that
+    other requests share.
     """
 
     request: requests.CallerRequest
     ruling: requests.Ruling
     fingerprint: str = ''
+    part_fingerprints: tuple[str, ...] = ()
     sends: dict[int, InFlightSend] = dataclasses.field(default_factory=dict)
     tried: set[str] = dataclasses.field(default_factory=set)
     refused_by: set[str] = dataclasses.field(default_factory=set)
--- a/src/greengagelb/state/relay/requests.py
+++ b/src/greengagelb/state/relay/requests.py
@@ -50,6 +50,8 @@
     monotonic time at which the caller stops waiting, ``received_at`` that at
     which the head of the request was complete. ``resumes_after`` is the
     number of the last event that the caller has of a broken stream.
+    ``shared_parts`` identifies the parts of the prompt, in their order, that
+    other requests may have as well: all but the last one.
     """
 
     exchange: int
@@ -64,6 +66,7 @@
     deadline: float
     resumes_after: int | None = None
     prompt: Prompt | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/tests/logs/test_crash_evidence.py
+++ b/tests/logs/test_crash_evidence.py
@@ -48,6 +48,22 @@
     assert len(told) == 5
 
 
+def test_requests_with_a_common_part_can_be_correlated():
+    """Guards against a log that doesn't tell what crashed requests share."""
+    world = relay_world.RelayWorld()
+    for number in range(2):
+        parts = ('system prompt', f'document {number}')
+        world.ask(body=b'%d' % number, shared_parts=parts)
+    told = [
+        set(part.split()[1:])
+        for reason in reasons(world, 'sent')
+        for part in reason.split(', ')
+        if part.startswith('parts ')
+    ]
+    assert [len(parts) for parts in told] == [2, 2]
+    assert len(told[0] & told[1]) == 1
+
+
 def test_lost_send_records_whether_the_answer_had_begun():
     """Guards against log entries that omit how far a lost answer had come."""
     world = relay_world.RelayWorld()
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -55,6 +55,7 @@
     assert request.deadline == 101.5
     assert request.resumes_after == 12
     assert request.prompt == requests.Prompt(8_000, 780, 'bb')
+    assert request.shared_parts == ('aa',)
 
 
 @pytest.mark.parametrize(
