Failing test: requests that share a part of their prompts crash engines

No two requests are alike, each with one part in common with the others and the rest with sound ones.

--- a/tests/common/crashing_fleet.py
+++ b/tests/common/crashing_fleet.py
@@ -21,6 +21,8 @@
 from tests.common import relay_world
 
 CRASHING = b'what crashes engines'
+# Each request whose prompt has one of these parts crashes engines.
+CRASHING_PARTS = frozenset({'crashing part', 'other crashing part'})
 # Within so many seconds instances that hear each other know of a crash.
 CONTACT_SECONDS = 3.0
 NETWORK_SECONDS = 0.001
@@ -50,7 +52,10 @@
 
     @property
     def crashes(self):
-        return self.send.request.body == CRASHING
+        request = self.send.request
+        return request.body == CRASHING or not CRASHING_PARTS.isdisjoint(
+            request.shared_parts
+        )
 
 
 class Engine:
@@ -208,10 +213,11 @@
 
     # -- callers ------------------------------------------------------------
 
-    def ask(self, kind='stream', body=b'innocent', instance=None):
+    def ask(self, kind='stream', body=b'innocent', instance=None, parts=()):
         """Send a request to an instance, drawn if none is given.
 
-        Returns the instance and the exchange.
+        ``parts`` are those of its prompt that others share. Returns the
+        instance and the exchange.
         """
         instance = instance or self.rng.choice(self.instances)
         self.last_exchange += 1
@@ -232,6 +238,7 @@
                     self.now,
                     self.now + CALLER_SECONDS,
                     prompt=prompt if stream else None,
+                    shared_parts=parts,
                 )
             )
         )
@@ -243,6 +250,32 @@
             self.after(number * every, self.ask, kind, CRASHING)
         self.run(seconds)
 
+    def ask_with_parts(self, kind, seconds, every, *choices):
+        """Have different requests come at any instance.
+
+        Each has the parts of one of the ``choices``. Returns a list that is
+        filled with their instances and exchanges as they come.
+        """
+        asked = []
+
+        def ask():
+            body = b'content %d' % self.last_exchange
+            parts = self.rng.choice(choices)
+            asked.append(self.ask(kind, body, parts=parts))
+
+        for number in range(int(seconds / every)):
+            self.after(number * every, ask)
+        return asked
+
+    def served_share(self, asked):
+        """Return the share of requests that got their whole answer."""
+        whole = (relay_actions.EndStream, relay_actions.PassAnswer)
+        served = [
+            isinstance(instance.answers.get(exchange), whole)
+            for instance, exchange in asked
+        ]
+        return sum(served) / len(served)
+
     def refuses(self, instance, kind='stream'):
         """Return whether an instance refuses what crashes engines."""
         _, exchange = self.ask(kind, CRASHING, instance)
@@ -251,9 +284,13 @@
 
     def retries_after_the_third_crash(self):
         """Return how often engines got it once all instances must know."""
-        if len(self.crashes) < 3:
+        return self.arrivals_after_crash(3)
+
+    def arrivals_after_crash(self, number):
+        """Return how often engines got it once a crash must be known."""
+        if len(self.crashes) < number:
             return 0
-        known_at = self.crashes[2] + CONTACT_SECONDS
+        known_at = self.crashes[number - 1] + CONTACT_SECONDS
         return sum(at > known_at for at in self.arrivals)
 
     # -- what instances want done -------------------------------------------
