Block parts of prompts that crash engines, not only whole requests

Cause: a request is known by its whole content, so each of these, all different, began with no crash against it, and ended three engines before it was blocked. What is counted was narrower than what does harm.

A crash counts against each shared part of the prompt as well now, and which of them is the cause is decided by exclusion: a first event clears a part, what was sound before is blocked only for what nothing else explains, and while nothing tells two parts apart, one request at a time decides.

--- /dev/null
+++ b/measure/crashing_parts.py
@@ -0,0 +1,100 @@
+"""How many engines requests end that share a part which crashes engines.
+
+    .venv/bin/python -m measure.crashing_parts --seeds 3
+
+Plays fleets of relays, without sockets, around engines that are back two
+seconds after a crash. Each crashing request is new but for one part of its
+prompt; sound ones share its account and its other parts. Prints a row of JSON
+for each fleet: engines ended, how often engines got such requests later than
+instances must know of the fifth crash, and the share of the sound requests
+that got their whole answer, beside the share without crashing requests.
+"""
+
+import argparse
+import dataclasses
+import json
+from typing import Any
+
+from tests.common import crashing_fleet
+
+SYSTEM = 'system prompt'
+TOOLS = 'description of tools'
+CRASHING = 'crashing part'
+OTHER_CRASHING = 'other crashing part'
+SOUND = ((SYSTEM,), (SYSTEM, TOOLS))
+ONE_PART = ((SYSTEM, CRASHING), (SYSTEM, TOOLS, CRASHING))
+TWO_PARTS = ((SYSTEM, CRASHING), (SYSTEM, TOOLS, OTHER_CRASHING))
+# Engines of each data centre for so many instances.
+INSTANCES_AN_ENGINE = 5
+WARM_SECONDS = 8.0
+SOUND_EVERY_SECONDS = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """A fleet and what comes to it; times are in seconds."""
+
+    size: int
+    every: float
+    loss: float = 0.02
+    warm: bool = True
+    restarts: bool = False
+    parts: tuple[tuple[str, ...], ...] = ONE_PART
+    seconds: float = 40.0
+
+
+CASES = (
+    *(
+        Case(size, every, warm=warm)
+        for size in (3, 30)
+        for every in (0.4, 1.5)
+        for warm in (True, False)
+    ),
+    *(Case(200, 0.4, warm=warm, seconds=30.0) for warm in (True, False)),
+    Case(8, 1.0, loss=0.0),
+    *(Case(8, 1.0, loss=0.3, restarts=True, warm=w) for w in (True, False)),
+    *(Case(6, 0.7, parts=TWO_PARTS, warm=w) for w in (True, False)),
+)
+
+
+def play(case: Case, seed: int, *, crashing: bool) -> dict[str, Any]:
+    """Return what came of a case, with or without crashing requests."""
+    per_place = max(3, case.size // INSTANCES_AN_ENGINE)
+    fleet = crashing_fleet.CrashingFleet(case.size, per_place, case.loss, seed)
+    if case.warm:
+        fleet.ask_with_parts('stream', 4.0, SOUND_EVERY_SECONDS, *SOUND)
+        fleet.run(WARM_SECONDS)
+    if case.restarts:
+        for number in range(case.size):
+            fleet.after(6.0 + 0.5 * number, fleet.restart, number)
+    asked = fleet.ask_with_parts(
+        'stream', case.seconds, SOUND_EVERY_SECONDS, *SOUND
+    )
+    if crashing:
+        fleet.ask_with_parts('stream', case.seconds, case.every, *case.parts)
+    fleet.run(case.seconds + crashing_fleet.CALLER_SECONDS)
+    return {
+        'ended': len(fleet.crashes),
+        'late': fleet.arrivals_after_crash(5),
+        'served': round(fleet.served_share(asked), 3),
+    }
+
+
+def main() -> None:
+    """Print a row for each case."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=1)
+    chosen = parser.parse_args()
+    for case in CASES:
+        row: dict[str, Any] = dataclasses.asdict(case)
+        row['parts'] = len({part for parts in case.parts for part in parts})
+        for name, crashing in (('crashing', True), ('without', False)):
+            row[name] = [
+                play(case, seed, crashing=crashing)
+                for seed in range(1, chosen.seeds + 1)
+            ]
+        print(json.dumps(row), flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/greengagelb/cli/explain.py
+++ b/src/greengagelb/cli/explain.py
@@ -62,8 +62,9 @@
 ) -> list[timeline.TimelineEvent]:
     """Return the events that concern a request, in order.
 
-    These are its own events, and events of its instances and engines close to
-    them in time that belong to no request.
+    These are its own events, events of its instances and engines close to them
+    in time that belong to no request, and the crashes for which it was refused
+    or stopped.
     """
     request_events = [event for event in events if event.request == request]
     if not request_events:
@@ -73,16 +74,33 @@
     slack = CONTEXT_SECONDS * 1000
     first = min(event.stamp.milliseconds for event in request_events) - slack
     last = max(event.stamp.milliseconds for event in request_events) + slack
+    blamed = {
+        event.reason
+        for event in request_events
+        if event.kind in ('refused-for-crashes', 'stopped-for-crashes')
+    }
     context_events = [
         event
         for event in events
         if not event.request
-        and first <= event.stamp.milliseconds <= last
-        and (event.process in processes or event.upstream in upstreams)
+        and (
+            is_crash_of(event, blamed)
+            or (
+                first <= event.stamp.milliseconds <= last
+                and (event.process in processes or event.upstream in upstreams)
+            )
+        )
     ]
     return sorted(request_events + context_events, key=timeline.sort_key)
 
 
+def is_crash_of(event: timeline.TimelineEvent, blamed: set[str]) -> bool:
+    """Return whether an event is a crash under one of some fingerprints."""
+    return event.kind == 'engine-crashed' and any(
+        f'fingerprint {fingerprint},' in event.reason for fingerprint in blamed
+    )
+
+
 def render(events: list[timeline.TimelineEvent]) -> str:
     """Return events as lines, with the seconds since the first one."""
     start = events[0].stamp.milliseconds
--- a/src/greengagelb/coordination/relay/answers.py
+++ b/src/greengagelb/coordination/relay/answers.py
@@ -10,6 +10,8 @@
 GATEWAY_TIMEOUT = 504
 # The code of answers to requests that crash engines.
 CRASHES_ENGINES = 'request-crashes-engines'
+# The code of answers while another request shows which part crashes engines.
+CRASHES_UNDECIDED = 'crashes-undecided'
 # The code of answers when all engines have reached their limits.
 ENGINES_LIMITED = 'engines-limited'
 # The code of answers when all engines have asked for rest.
--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -123,6 +123,7 @@
             return self.retry_not_run(exchange, sent, head.status, now)
         exchange.may_have_run = True
         told = self.components.crash_watch.note_survival(exchange, now)
+        told += self.components.crash_watch.note_sound_parts(exchange, now)
         self.components.send_manager.pending_hints.extend(told)
         self.components.engines.note_success(sent.entry.engine, now)
         if head.status >= 500:
--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -11,7 +11,9 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import trials
 from greengagelb.coordination.sharing import broken_runs
+from greengagelb.coordination.sharing import crash_blame
 from greengagelb.coordination.sharing import crash_records
 from greengagelb.state import crashes as crash_state
 from greengagelb.state.relay import engines
@@ -45,9 +47,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CheckResult:
-    """The requests that a crash counts against, and those to resume."""
+    """What a crash counts against, and the requests to resume.
+
+    ``request_ids`` are those of the requests that the engine had begun.
+    """
 
     counted_fingerprints: tuple[str, ...]
+    request_ids: tuple[str, ...]
     requests_awaiting_check: tuple[tuple[int, exchanges.InFlightSend], ...]
 
 
@@ -61,11 +67,20 @@
         self.records = crash_records.CrashRecords()
         self.broken_runs = broken_runs.BrokenRuns()
         self.checks: dict[str, EngineCheck] = {}
+        self.trials = trials.Trials()
         self.next_peer_query_at = float('-inf')
 
+    def judge(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> crash_blame.Verdict:
+        """Return the verdict on a request by the known crashes."""
+        if not self.records.histories:
+            return crash_blame.NOT_BLAMED
+        return crash_blame.CrashBlame(self.records).judge(exchange.causes, now)
+
     def is_blocked(self, exchange: exchanges.Exchange, now: float) -> bool:
         """Return whether a request must not be sent any more."""
-        return self.records.is_blocked(exchange.fingerprint, now)
+        return isinstance(self.judge(exchange, now), crash_blame.Blocked)
 
     def suspect_engine(
         self,
@@ -74,10 +89,17 @@
         began_at: float,
         now: float,
     ) -> list[Action]:
-        """Suspect the engine of a run that broke off; have it checked."""
+        """Suspect the engine of a run that broke off; have it checked.
+
+        An engine that has written an event has survived the parts of the
+        prompt, but the request may crash it at any time.
+        """
         life = sent.entry.life
+        fingerprints = exchange.causes.fingerprints
+        if sent.events_seen:
+            fingerprints = (exchange.causes.request,)
         broken_run = broken_runs.BrokenRun(
-            exchange.fingerprint, life, began_at, now
+            fingerprints, life, began_at, now, exchange.request.request_id
         )
         self.broken_runs.forget_expired(now)
         self.broken_runs.add(life, broken_run)
@@ -97,17 +119,18 @@
         It is held if it would be blocked should all its engines under check
         turn out to have ended. Returns whether it is held.
         """
-        suspected_lives = self.broken_runs.suspected_crashes(
-            exchange.fingerprint
-        )
+        suspected = self.broken_runs.all_suspected_crashes()
         lives_under_check = [
-            life for life in suspected_lives if life in self.checks
+            life
+            for fingerprint in exchange.causes.fingerprints
+            for life in suspected.get(fingerprint, {})
+            if life in self.checks
         ]
         if not lives_under_check:
             return False
-        if not self.records.would_be_blocked(
-            exchange.fingerprint, suspected_lives, now
-        ):
+        blame = crash_blame.CrashBlame(self.records, suspected)
+        verdict = blame.judge(exchange.causes, now)
+        if not isinstance(verdict, crash_blame.Blocked):
             return False
         self.checks[lives_under_check[-1]].requests_awaiting_check.append(
             (exchange.number, sent)
@@ -136,7 +159,9 @@
             check.requests_awaiting_check if check is not None else []
         )
         return CheckResult(
-            tuple(counted_fingerprints), tuple(requests_awaiting_check)
+            tuple(counted_fingerprints),
+            tuple(run.request_id for run in suspected_runs),
+            tuple(requests_awaiting_check),
         )
 
     def check_again(self, life: str) -> list[Action]:
@@ -154,10 +179,30 @@
 
         Returns the hints for the other instances.
         """
-        fingerprint = exchange.fingerprint
-        if not self.records.record_survival(fingerprint, now, now):
-            return []
-        return [self.records.build_report(fingerprint, now)]
+        return self.note_survivals((exchange.causes.request,), now)
+
+    def note_sound_parts(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> list[hints.Hint]:
+        """Note that an engine has begun to write with the parts of a prompt.
+
+        Returns the hints for the other instances.
+        """
+        self.trials.end(exchange.causes.parts)
+        return self.note_survivals(exchange.causes.parts, now)
+
+    def note_survivals(
+        self, fingerprints: tuple[str, ...], now: float
+    ) -> list[hints.Hint]:
+        """Note what an engine has survived; return hints of what cleared."""
+        cleared = [
+            fingerprint
+            for fingerprint in fingerprints
+            if self.records.record_survival(fingerprint, now, now)
+        ]
+        for fingerprint in cleared:
+            self.records.note_survival_told(fingerprint, now)
+        return [self.records.build_report(f, now) for f in cleared]
 
     def should_query_peer(self, digest: int, now: float) -> bool:
         """Return whether to ask an instance for its reports."""
--- a/src/greengagelb/coordination/relay/crashing_requests.py
+++ b/src/greengagelb/coordination/relay/crashing_requests.py
@@ -6,14 +6,19 @@
 known, and the store keeps the verdicts when all instances end.
 """
 
+import dataclasses
+
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import answers
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import relay_components
+from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.coordination.relay import streams
+from greengagelb.coordination.sharing import crash_blame
+from greengagelb.coordination.sharing import fingerprints
 from greengagelb.state import crashes as crash_state
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import routes
@@ -22,6 +27,9 @@
 # A crash is announced again after these delays. Lost announcements are
 # otherwise repaired by heartbeats only, which are rare in a large fleet.
 REANNOUNCE_DELAYS_SECONDS = (0.4, 1.2)
+SURVIVAL_TIMER = 'relay-part-sound'
+# Several times what a hint takes, so that few instances send the same.
+MAX_SURVIVAL_DELAY_SECONDS = 0.3
 
 Action = relay_actions.RelayAction
 
@@ -47,28 +55,66 @@
     def refuse_if_blocked(
         self, exchange: exchanges.Exchange, now: float
     ) -> list[Action] | None:
-        """Return the refusal of a blocked request, else None."""
-        until = self.watch.records.blocked_until(exchange.fingerprint, now)
-        if until is None:
-            return None
-        return [self.components.answers.refuse_until(exchange, until, now)]
+        """Return the refusal of a blocked request, else None.
+
+        While it is not decided which part of a prompt crashes engines, one
+        request at a time is sent to find out.
+        """
+        match self.watch.judge(exchange, now):
+            case crash_blame.Blocked(fingerprint, until):
+                why = sending.record(
+                    exchange, None, 'refused-for-crashes', fingerprint
+                )
+                answer = self.components.answers.refuse_until(
+                    exchange, until, now
+                )
+                return [why, answer]
+            case crash_blame.Undecided(parts):
+                return self.begin_trial(exchange, parts, now)
+        return None
+
+    def begin_trial(
+        self, exchange: exchanges.Exchange, parts: tuple[str, ...], now: float
+    ) -> list[Action] | None:
+        """Have a request decide about its parts, or refuse it."""
+        if self.watch.trials.is_running(parts, now):
+            return [
+                self.components.answers.refuse_not_run(
+                    exchange, answers.CRASHES_UNDECIDED, now
+                )
+            ]
+        self.watch.trials.begin(parts, now)
+        for part in parts:
+            report = self.watch.records.build_report(part, now)
+            self.components.send_manager.pending_hints.append(
+                dataclasses.replace(report, is_on_trial=True)
+            )
+        return None
 
     def handle_engine_check(
         self, event: relay_events.EngineChecked, now: float
     ) -> list[Action]:
         """Count a crash, announce it, and resume the held requests."""
+        blocked_before = set(self.watch.records.blocked_fingerprints(now))
         result = self.watch.handle_check(event, now)
         if isinstance(result, actions.SetTimer):
             return [result]
         resulting: list[Action] = []
+        self.watch.trials.end(result.counted_fingerprints)
         for fingerprint in result.counted_fingerprints:
             report = self.watch.records.build_report(fingerprint, now)
             self.components.send_manager.pending_hints.append(report)
-            resulting.append(crash_timeline_event(report, event))
             resulting += self.schedule_reannouncements(fingerprint, now)
+            if fingerprints.is_account(fingerprint):
+                continue
+            resulting.append(
+                crash_timeline_event(report, event, result.request_ids)
+            )
             if self.watch.records.is_blocked(fingerprint, now):
                 resulting.append(relay_actions.StoreCrashReport(report))
-                resulting += self.stop_blocked(fingerprint, now)
+                if fingerprint not in blocked_before:
+                    resulting.append(blocked_timeline_event(fingerprint))
+        resulting += self.stop_blocked(now)
         for number, sent in result.requests_awaiting_check:
             resulting += self.resume_held(number, sent, now)
         return resulting
@@ -105,38 +151,75 @@
             return self.streams.start_replacement(exchange, sent, now)
         return self.calls.send_to_next_engine(exchange, now, 'engines-failed')
 
-    def stop_blocked(self, fingerprint: str, now: float) -> list[Action]:
-        """Stop the running sends of a request that was blocked.
+    def stop_blocked(self, now: float) -> list[Action]:
+        """Stop the running sends of requests that are blocked now.
 
         A stream that has delivered events is not stopped: it may show that the
         request does no harm.
         """
-        reason = f'fingerprint {fingerprint}'
-        resulting: list[Action] = [actions.Record('request-blocked', reason)]
+        resulting: list[Action] = []
         for exchange in list(self.open_exchanges.values()):
-            has_events = any(
+            if not exchange.sends or any(
                 sent.events_seen for sent in exchange.sends.values()
-            )
-            if exchange.fingerprint != fingerprint or has_events:
+            ):
                 continue
-            if exchange.sends:
-                exchange.may_have_run = True
-                resulting += self.components.send_manager.abandon_all_sends(
-                    exchange
-                )
-                code = answers.CRASHES_ENGINES
-                resulting.append(
-                    self.components.answers.fail_request(exchange, code, now)
-                )
+            match self.watch.judge(exchange, now):
+                case crash_blame.Blocked(fingerprint):
+                    resulting += self.stop_request(exchange, fingerprint, now)
         return resulting
 
+    def stop_request(
+        self, exchange: exchanges.Exchange, fingerprint: str, now: float
+    ) -> list[Action]:
+        """Stop the sends of a request that must not run."""
+        exchange.may_have_run = True
+        return [
+            sending.record(exchange, None, 'stopped-for-crashes', fingerprint),
+            *self.components.send_manager.abandon_all_sends(exchange),
+            self.components.answers.fail_request(
+                exchange, answers.CRASHES_ENGINES, now
+            ),
+        ]
+
     def apply_report(
         self, report: crash_state.CrashReport, now: float
     ) -> list[Action]:
-        """Apply what another instance or the store knows of a request."""
-        if not self.watch.records.merge_report(report, now):
+        """Apply what another instance or the store knows of a suspect."""
+        fingerprint = report.fingerprint
+        known_changes = self.watch.records.change_count
+        is_newly_blocked = self.watch.records.merge_report(report, now)
+        if report.is_on_trial:
+            self.watch.trials.begin((fingerprint,), now)
+        if self.watch.records.change_count == known_changes:
+            return []
+        if not report.is_on_trial:
+            self.watch.trials.end((fingerprint,))
+        resulting = self.schedule_survival_report(fingerprint, now)
+        if is_newly_blocked:
+            resulting.append(blocked_timeline_event(fingerprint))
+        if self.watch.records.is_blocked(fingerprint, now):
+            resulting += self.stop_blocked(now)
+        return resulting
+
+    def schedule_survival_report(
+        self, fingerprint: str, now: float
+    ) -> list[Action]:
+        """Return the timer at which the others hear that a part was sound.
+
+        The times are random, so that one instance speaks for all that know.
+        """
+        if not self.watch.records.lacks_survival(fingerprint):
             return []
-        return self.stop_blocked(report.fingerprint, now)
+        at = now + self.sharing.rng.uniform(0.0, MAX_SURVIVAL_DELAY_SECONDS)
+        return [actions.SetTimer(f'{SURVIVAL_TIMER}:{fingerprint}', at)]
+
+    def announce_survival(self, fingerprint: str, now: float) -> list[Action]:
+        """Tell the others that a part was sound, if nobody else has."""
+        if self.watch.records.lacks_survival(fingerprint):
+            self.watch.records.note_survival_told(fingerprint, now)
+            report = self.watch.records.build_report(fingerprint, now)
+            self.components.send_manager.pending_hints.append(report)
+        return []
 
     def compare_digest(
         self, incarnation: str, digest: int, now: float
@@ -179,14 +262,22 @@
         return resulting
 
 
+def blocked_timeline_event(fingerprint: str) -> actions.Record:
+    """Return the time line event of a request or part that is blocked."""
+    return actions.Record('request-blocked', f'fingerprint {fingerprint}')
+
+
 def crash_timeline_event(
-    report: crash_state.CrashReport, event: relay_events.EngineChecked
+    report: crash_state.CrashReport,
+    event: relay_events.EngineChecked,
+    request_ids: tuple[str, ...],
 ) -> actions.Record:
     """Return the time line event of a counted crash."""
     latest = report.crashes[-1]
     reason = (
         f'fingerprint {report.fingerprint}, {len(report.crashes)} crashes, '
-        f'the last {latest.seconds:.3f} s after the run began'
+        f'the last {latest.seconds:.3f} s after the run began, '
+        f'requests {" ".join(request_ids)}'
     )
     return actions.Record(
         'engine-crashed', reason, upstream=event.entry.engine
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -335,12 +335,10 @@
                 'refused', why, identity.RequestId('', request.request_id)
             )
             return [told, ruling]
-        exchange = exchanges.Exchange(
-            request,
-            ruling,
-            fingerprints.for_relayed_request(request, ruling.account),
-            fingerprints.for_shared_parts(request, ruling.service.name),
+        causes = fingerprints.possible_causes(
+            request, ruling.account, ruling.service.name
         )
+        exchange = exchanges.Exchange(request, ruling, causes)
         self.exchanges[request.exchange] = exchange
         self.budget.count_request(ruling.service.name, now)
         name = timers.timer_name(DEADLINE_TIMER, request.exchange)
@@ -471,6 +469,8 @@
             return self.succession.ask_address(int(rest), now)
         if kind == crashing_requests.REANNOUNCE_TIMER:
             return self.crashing_requests.reannounce(rest, now)
+        if kind == crashing_requests.SURVIVAL_TIMER:
+            return self.crashing_requests.announce_survival(rest, now)
         if kind == crash_watch.RECHECK_TIMER:
             return self.crash_watch.check_again(rest)
         if kind == permit_outcomes.LIMITS_TIMER:
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -168,8 +168,8 @@
         work = self.loads.work_on(state.entry.engine)
         parts = [
             f'attempt {exchange.attempts}',
-            f'fingerprint {exchange.fingerprint}',
-            f'parts {" ".join(exchange.part_fingerprints) or "none"}',
+            f'fingerprint {exchange.causes.request}',
+            f'parts {" ".join(exchange.causes.parts) or "none"}',
             f'in_flight {state.in_flight}',
             f'runs {work.runs}',
             f'memory tokens {work.memory_tokens}',
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -296,6 +296,9 @@
         first = not sent.events_seen
         sent.events_seen += len(event.events)
         sent.moved_at = now
+        if first:
+            told = self.components.crash_watch.note_sound_parts(exchange, now)
+            self.components.send_manager.pending_hints.extend(told)
         if not new_events:
             return []
         expected = range(
--- a/src/greengagelb/coordination/sharing/broken_runs.py
+++ b/src/greengagelb/coordination/sharing/broken_runs.py
@@ -22,12 +22,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BrokenRun:
-    """A broken run; see :class:`greengagelb.state.crashes.Crash`."""
+    """A broken run; see :class:`greengagelb.state.crashes.Crash`.
 
-    fingerprint: str
+    ``fingerprints`` are those under which the crash counts if its engine has
+    ended, ``request_id`` that of the caller.
+    """
+
+    fingerprints: tuple[str, ...]
     life: str
     began_at: float
     broken_at: float
+    request_id: str = ''
 
 
 class BrokenRuns:
@@ -60,13 +65,19 @@
         self.by_engine.pop(engine, None)
 
     def suspected_crashes(self, fingerprint: str) -> dict[str, crashes.Crash]:
-        """Return the suspected crashes of a request, by life."""
-        return {
-            broken_run.life: crash_from_broken_run(broken_run)
-            for runs in self.by_engine.values()
-            for broken_run in runs
-            if broken_run.fingerprint == fingerprint
-        }
+        """Return the suspected crashes under a fingerprint, by life."""
+        return self.all_suspected_crashes().get(fingerprint, {})
+
+    def all_suspected_crashes(self) -> dict[str, dict[str, crashes.Crash]]:
+        """Return the suspected crashes of each fingerprint, by life."""
+        suspected: dict[str, dict[str, crashes.Crash]] = {}
+        for runs in self.by_engine.values():
+            for broken_run in sorted(runs, key=begin_time):
+                crash = crash_from_broken_run(broken_run)
+                for fingerprint in broken_run.fingerprints:
+                    by_life = suspected.setdefault(fingerprint, {})
+                    by_life[crash.life] = crash
+        return suspected
 
     def forget_expired(self, now: float) -> None:
         """Drop engines that were never found to have ended or to be alive."""
@@ -75,6 +86,11 @@
                 del self.by_engine[engine]
 
 
+def begin_time(broken_run: BrokenRun) -> float:
+    """Return when a run began, as a sort key."""
+    return broken_run.began_at
+
+
 def crash_from_broken_run(broken_run: BrokenRun) -> crashes.Crash:
     """Return the crash that a broken run counts as if its engine ended."""
     return crashes.Crash(
@@ -87,12 +103,18 @@
 ) -> list[str]:
     """Record an engine's crash for each of the runs that it had.
 
+    What several of them have in common is judged by the one that began last.
     Returns the fingerprints for which the crash was unknown.
     """
+    last_runs = {
+        fingerprint: broken_run
+        for broken_run in sorted(runs, key=begin_time)
+        for fingerprint in broken_run.fingerprints
+    }
     return [
-        broken_run.fingerprint
-        for broken_run in runs
+        fingerprint
+        for fingerprint, broken_run in last_runs.items()
         if records.add_crash(
-            broken_run.fingerprint, crash_from_broken_run(broken_run), now
+            fingerprint, crash_from_broken_run(broken_run), now
         )
     ]
--- a/src/greengagelb/coordination/sharing/crash_guard.py
+++ b/src/greengagelb/coordination/sharing/crash_guard.py
@@ -98,7 +98,7 @@
         self.forget_expired(now)
         name = upstream.name
         broken_run = broken_runs.BrokenRun(
-            fingerprints.for_product_request(request),
+            (fingerprints.for_product_request(request),),
             f'{name} {incarnation}',
             began_at,
             now,
--- a/src/greengagelb/coordination/sharing/crash_records.py
+++ b/src/greengagelb/coordination/sharing/crash_records.py
@@ -16,6 +16,8 @@
 from collections.abc import Iterable
 import zlib
 
+from greengagelb.coordination.sharing import fingerprints
+from greengagelb.coordination.sharing import sound_parts
 from greengagelb.state import crashes
 
 # A request is blocked after EARLY_CRASHES_TO_BLOCK crashes early in its run,
@@ -42,9 +44,10 @@
 
 
 class CrashRecords:
-    """The crash histories of all suspected requests that are known here.
+    """The crash histories of all suspects that are known here.
 
-    ``change_count`` counts the changes.
+    Suspects are requests, parts of prompts, and client accounts, by their
+    fingerprints. ``change_count`` counts the changes.
 
     Invariants: no history has a crash from before its ``survived_at`` or more
     than ``MAX_CRASHES_PER_REQUEST``; there are at most ``MAX_FINGERPRINTS``.
@@ -52,6 +55,7 @@
 
     def __init__(self) -> None:
         self.histories: dict[str, crashes.CrashHistory] = {}
+        self.sound_parts = sound_parts.SoundParts()
         self.change_count = 0
 
     def add_crash(
@@ -65,7 +69,11 @@
         self.forget_expired(now)
         if crash.ended_at <= now - CRASH_TTL_SECONDS:
             return False
-        history = self.histories.get(fingerprint, crashes.CrashHistory())
+        history = self.histories.get(fingerprint)
+        if history is None:
+            history = crashes.CrashHistory(
+                survived_at=self.sound_parts.last_sound_at(fingerprint)
+            )
         known_crash = history.crashes.get(crash.life)
         if known_crash is not None:
             if history.survived_at < crash.ended_at < known_crash.ended_at:
@@ -89,11 +97,14 @@
     def record_survival(
         self, fingerprint: str, survived_at: float, now: float
     ) -> bool:
-        """Record that an engine ran a request to its end.
+        """Record that an engine survived a request, or a part of a prompt.
 
-        Returns whether that cleared crashes. Nothing is stored for requests
-        without a crash, which are by far the most.
+        It ran the request to its end, or began to write with the part. Returns
+        whether that cleared crashes. Nothing is stored for requests without a
+        crash, which are by far the most.
         """
+        if fingerprints.is_part(fingerprint):
+            self.sound_parts.note(fingerprint, survived_at)
         history = self.histories.get(fingerprint)
         if history is None or survived_at <= history.survived_at:
             return False
@@ -117,6 +128,7 @@
         if report.survived_age is not None:
             survived_at = now - max(0.0, report.survived_age)
             self.record_survival(report.fingerprint, survived_at, now)
+            self.note_survival_told(report.fingerprint, now)
         for reported in report.crashes:
             ended_at = now - max(0.0, reported.age)
             began_at = ended_at - max(0.0, reported.seconds)
@@ -124,6 +136,26 @@
             self.add_crash(report.fingerprint, crash, now)
         return not blocked_before and self.is_blocked(report.fingerprint, now)
 
+    def note_survival_told(self, fingerprint: str, now: float) -> None:
+        """Note that an instance has told the others of a survival."""
+        history = self.histories.get(fingerprint)
+        if history is not None:
+            history.survival_told_at = now
+
+    def lacks_survival(self, fingerprint: str) -> bool:
+        """Return whether the others may not know that a part was sound.
+
+        That is if it was sound here, and nobody has said so since its last
+        crash.
+        """
+        history = self.histories.get(fingerprint)
+        if history is None or not history.crashes:
+            return False
+        if history.survived_at == float('-inf'):
+            return False
+        last_crash_at = max(map(end_time, history.crashes.values()))
+        return history.survival_told_at <= last_crash_at
+
     def forget_expired(self, now: float) -> None:
         """Drop expired crashes, and requests without crashes."""
         oldest_kept_at = now - CRASH_TTL_SECONDS
@@ -152,13 +184,19 @@
         del self.histories[evicted]
 
     def blocked_until(self, fingerprint: str, now: float) -> float | None:
-        """Return the time until which a request is blocked, or None."""
+        """Return the time until which a request is blocked, or None.
+
+        Parts of prompts are judged together with what else a request has; see
+        :mod:`greengagelb.coordination.sharing.crash_blame`.
+        """
+        if fingerprints.is_account(fingerprint):
+            return None
         history = self.histories.get(fingerprint)
         if history is None or len(history.crashes) < EARLY_CRASHES_TO_BLOCK:
             return None
         until = block_expiry(history.crashes.values(), now)
-        if until is None:
-            return None
+        if until is None or fingerprints.is_part(fingerprint):
+            return until
         unexplained = [
             crash
             for crash in history.crashes.values()
@@ -206,6 +244,8 @@
             other_crash = history.crashes.get(crash.life)
             if other_fingerprint == fingerprint or other_crash is None:
                 continue
+            if fingerprints.is_account(other_fingerprint):
+                continue
             if other_crash.seconds >= crash.seconds:
                 continue
             if block_expiry(history.crashes.values(), now) is not None:
@@ -220,7 +260,10 @@
             if len(history.crashes) >= MIN_SHARED_CRASHES
         ]
         selected.sort(
-            key=lambda fingerprint: -len(self.histories[fingerprint].crashes)
+            key=lambda fingerprint: (
+                -len(self.histories[fingerprint].crashes),
+                fingerprint,
+            )
         )
         return selected[:MAX_SHARED_REQUESTS]
 
--- a/src/greengagelb/coordination/sharing/fingerprints.py
+++ b/src/greengagelb/coordination/sharing/fingerprints.py
@@ -7,12 +7,14 @@
 from collections.abc import Iterable
 import hashlib
 
+from greengagelb.state import crashes
 from greengagelb.state import requests
 from greengagelb.state.relay import requests as relay_requests
 
 DIGEST_BYTES = 16
-# Begins the fingerprints of parts of prompts.
+# What the fingerprints of parts of prompts, and of accounts, begin with.
 PART_PREFIX = 'part-'
+ACCOUNT_PREFIX = 'account-'
 # The number of parts of a prompt that are told apart; prompts have a few.
 MAX_PARTS = 64
 
@@ -45,6 +47,36 @@
     return digest_parts(parts)
 
 
+def for_account(account: str) -> str:
+    """Return the fingerprint of a client account."""
+    return f'{ACCOUNT_PREFIX}{digest_parts((account.encode(),))}'
+
+
+def is_part(fingerprint: str) -> bool:
+    """Return whether a fingerprint is that of a part of prompts."""
+    return fingerprint.startswith(PART_PREFIX)
+
+
+def is_account(fingerprint: str) -> bool:
+    """Return whether a fingerprint is that of a client account."""
+    return fingerprint.startswith(ACCOUNT_PREFIX)
+
+
+def possible_causes(
+    request: relay_requests.CallerRequest, account: str, service: str
+) -> crashes.PossibleCauses:
+    """Return what may be the cause if a relayed request crashes an engine.
+
+    The account is only an alternative to parts that others have as well.
+    """
+    parts = for_shared_parts(request, service)
+    return crashes.PossibleCauses(
+        for_relayed_request(request, account),
+        for_account(account) if parts else '',
+        parts,
+    )
+
+
 def for_prompt_part(service: str, part: str) -> str:
     """Return the fingerprint of a part of the prompts to a service."""
     digest = digest_parts((service.encode(), part.encode()))
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -237,6 +237,7 @@
     fingerprint: Fingerprint
     crashes: tuple[ReportedCrash, ...]
     survived_age: float | None = None
+    is_on_trial: bool = False
 
 
 class CrashReportsRequest(
@@ -380,11 +381,11 @@
             wire = ServicesUnreachable(services)
         case hints.EnginesReached():
             wire = EnginesReached()
-        case crashes.CrashReport(fingerprint, found, survived_age):
+        case crashes.CrashReport(fingerprint, found, survived_age, on_trial):
             reported = tuple(
                 ReportedCrash(c.life, c.seconds, c.age) for c in found
             )
-            wire = CrashReport(fingerprint, reported, survived_age)
+            wire = CrashReport(fingerprint, reported, survived_age, on_trial)
         case crashes.CrashReportsRequest():
             wire = CrashReportsRequest()
         case _:
@@ -525,12 +526,14 @@
             hint = hints.ServicesUnreachable(services)
         case EnginesReached():
             hint = hints.EnginesReached()
-        case CrashReport(fingerprint, reported, survived_age):
+        case CrashReport(fingerprint, reported, survived_age, on_trial):
             found = tuple(
                 crashes.ReportedCrash(c.life, c.seconds, c.age)
                 for c in reported
             )
-            hint = crashes.CrashReport(fingerprint, found, survived_age)
+            hint = crashes.CrashReport(
+                fingerprint, found, survived_age, on_trial
+            )
         case CrashReportsRequest():
             hint = crashes.CrashReportsRequest()
         case Heartbeat():
--- a/src/greengagelb/state/crashes.py
+++ b/src/greengagelb/state/crashes.py
@@ -27,18 +27,39 @@
         return self.ended_at - self.began_at
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PossibleCauses:
+    """Fingerprints of what may be the cause if a request crashes an engine.
+
+    The whole request, the client account, which is never blocked, and the
+    parts of the prompt that other requests may share.
+    """
+
+    request: str
+    account: str = ''
+    parts: tuple[str, ...] = ()
+
+    @property
+    def fingerprints(self) -> tuple[str, ...]:
+        """Return all of them."""
+        account = (self.account,) if self.account else ()
+        return (self.request, *account, *self.parts)
+
+
 @dataclasses.dataclass(slots=True)
 class CrashHistory:
-    """The crashes during one request, by the engine's life that ended.
+    """The crashes under one fingerprint, by the engine's life that ended.
 
-    ``survived_at`` is when an engine last completed the request; crashes
-    before that are not attributed to it. ``changed_at`` is when this instance
-    last learned something new about the request.
+    ``survived_at`` is when an engine last completed the request, or began to
+    write with the part; crashes before that are not attributed to it.
+    ``changed_at`` is when this instance last learned something new about it,
+    ``survival_told_at`` when an instance last said that it was survived.
     """
 
     crashes: dict[str, Crash] = dataclasses.field(default_factory=dict)
     survived_at: float = float('-inf')
     changed_at: float = float('-inf')
+    survival_told_at: float = float('-inf')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,14 +88,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashReport:
-    """The crashes during one request that an instance knows of.
+    """The crashes under one fingerprint that an instance knows of.
 
-    ``survived_age`` is None if no engine is known to have completed it.
+    ``survived_age`` is None if no engine is known to have completed the
+    request, or begun to write with the part. ``is_on_trial`` tells that the
+    sender has just sent a request that decides whether the part is blocked.
     """
 
     fingerprint: str
     crashes: tuple[ReportedCrash, ...]
     survived_age: float | None = None
+    is_on_trial: bool = False
 
 
 def build_crash_report(suspect: SuspectRequest, now: float) -> CrashReport:
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from greengagelb.state import crashes
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
 
@@ -50,15 +51,13 @@
     engine confirmed that it did not run. ``failed`` keeps the error answer of
     an engine while another engine is tried. ``moved_at`` is when the caller
     got the last event. ``tried`` names the engines that got the request and
-    ``refused_by`` those that had no capacity for it. ``fingerprint`` is that
-    of the request, ``part_fingerprints`` those of the parts of its prompt that
-    other requests share.
+    ``refused_by`` those that had no capacity for it. ``causes`` has the
+    fingerprints under which crashes of its engines count.
     """
 
     request: requests.CallerRequest
     ruling: requests.Ruling
-    fingerprint: str = ''
-    part_fingerprints: tuple[str, ...] = ()
+    causes: crashes.PossibleCauses
     sends: dict[int, InFlightSend] = dataclasses.field(default_factory=dict)
     tried: set[str] = dataclasses.field(default_factory=set)
     refused_by: set[str] = dataclasses.field(default_factory=set)
