--- a/tests/common/crashing_fleet.py
+++ b/tests/common/crashing_fleet.py
@@ -49,13 +49,15 @@
     instance: 'Instance'
     send: relay_actions.Send
     ended: bool = False
+    begun: bool = False
 
     @property
     def crashes(self):
         request = self.send.request
-        return request.body == CRASHING or not CRASHING_PARTS.isdisjoint(
-            request.shared_parts
-        )
+        crashing_parts = self.instance.fleet.crashing_parts
+        return request.body.startswith(
+            CRASHING
+        ) or not crashing_parts.isdisjoint(request.shared_parts)
 
 
 class Engine:
@@ -128,6 +130,7 @@
         self.order = itertools.count()
         self.last_exchange = 0
         self.arrivals = []
+        self.crashing_parts = set(CRASHING_PARTS)
         self.store = {}
         self.crashes = []
         self.datagrams = 0
@@ -160,7 +163,7 @@
 
     def set_up(self, instance):
         """Give an instance what it reads in the store when it starts."""
-        table = relay_world.route_table()
+        table = relay_world.table_of_two_accounts()
         instance.handle(relay_events.ConfigurationOffered(table, 'store'))
         entries = [e.entry for e in self.engines.values() if e.alive]
         instance.handle(relay_events.EnginesListed(tuple(entries)))
@@ -213,7 +216,14 @@
 
     # -- callers ------------------------------------------------------------
 
-    def ask(self, kind='stream', body=b'innocent', instance=None, parts=()):
+    def ask(
+        self,
+        kind='stream',
+        body=b'innocent',
+        instance=None,
+        parts=(),
+        key=relay_world.KEY,
+    ):
         """Send a request to an instance, drawn if none is given.
 
         ``parts`` are those of its prompt that others share. Returns the
@@ -234,7 +244,7 @@
                     (),
                     body,
                     f'r{number}',
-                    relay_world.KEY,
+                    key,
                     self.now,
                     self.now + CALLER_SECONDS,
                     prompt=prompt if stream else None,
@@ -407,12 +417,14 @@
         if run.crashes:
             self.after(CRASH_SECONDS, self.crash_by, engine, run)
         else:
+            run.begun = True
             first = (run.send.resume_after or 0) + 1
             self.after(PART_SECONDS, self.go_on, engine, run, first)
 
     def go_on(self, engine, run, number):
         if run.ended:
             return
+        run.begun = False
         moved = requests.StreamEvent(number, b'id: %d\n\n' % number)
         run.instance.handle(
             relay_events.StreamProgressed(
@@ -448,6 +460,16 @@
             self.crashes.append(self.now)
             self.crash(engine)
 
+    def crash_any_engine(self):
+        """End a model engine that has just begun to write, if there is one."""
+        begun = [
+            engine
+            for engine in self.engines.values()
+            if engine.alive and any(run.begun for run in engine.runs)
+        ]
+        if begun:
+            self.crash(self.rng.choice(begun))
+
     def crash(self, engine):
         """End an engine with all that it has; it is back after a while."""
         engine.alive = False
