An answer ended by its connection is complete only if its engine lives

Callers could get a part of an answer as all of it, and crashes were not counted: the connections of a process that dies are closed in good order, and for an answer with neither a length nor chunks an orderly close was its end.

The end of such an answer waits for the check of its engine that is made after any loss: alive, it is complete; ended or without an answer, it has been broken off, and a stream resumes, an idempotent call is repeated, any other gets 502.

--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -24,6 +24,7 @@
 PEER_QUERY_INTERVAL_SECONDS = 0.5
 
 Action = relay_actions.RelayAction
+EndOfAnswer = relay_events.StreamComplete | relay_events.AnswerComplete
 
 
 # Timers of repeated checks, by the engine's life.
@@ -35,7 +36,8 @@
     """A check in progress whether an engine has ended.
 
     ``requests_awaiting_check`` has the numbers of the exchange and the send of
-    each run whose request waits for the result.
+    each run whose request waits for the result, ``ended_answers`` the answers
+    that are complete only if the engine lives.
     """
 
     entry: engines.EngineEntry
@@ -43,18 +45,21 @@
     requests_awaiting_check: list[tuple[int, exchanges.InFlightSend]] = (
         dataclasses.field(default_factory=list)
     )
+    ended_answers: list[EndOfAnswer] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CheckResult:
     """What a crash counts against, and the requests to resume.
 
-    ``request_ids`` are those of the requests that the engine had begun.
+    ``request_ids`` are those of the requests that the engine had begun,
+    ``ends_of_answers`` what the answers that waited for the check have become.
     """
 
     counted_fingerprints: tuple[str, ...]
     request_ids: tuple[str, ...]
     requests_awaiting_check: tuple[tuple[int, exchanges.InFlightSend], ...]
+    ends_of_answers: tuple[EndOfAnswer | relay_events.SendFailed, ...]
 
 
 class CrashWatch:
@@ -108,6 +113,22 @@
         self.checks[life] = EngineCheck(sent.entry)
         return [relay_actions.CheckEngine(sent.entry)]
 
+    def hold_ended_answer(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        event: EndOfAnswer,
+        now: float,
+    ) -> list[Action]:
+        """Hold the end of an answer until its engine was checked.
+
+        The connections of a process that dies are closed in good order, too.
+        """
+        began_at = sent.answered_at if sent.head else sent.began_at
+        resulting = self.suspect_engine(exchange, sent, began_at, now)
+        self.checks[sent.entry.life].ended_answers.append(event)
+        return resulting
+
     def hold_until_checked(
         self,
         exchange: exchanges.Exchange,
@@ -155,13 +176,16 @@
         counted_fingerprints = broken_runs.count_crashes(
             suspected_runs, self.records, now
         )
-        requests_awaiting_check = (
-            check.requests_awaiting_check if check is not None else []
-        )
+        if check is None:
+            check = EngineCheck(event.entry)
         return CheckResult(
             tuple(counted_fingerprints),
             tuple(run.request_id for run in suspected_runs),
-            tuple(requests_awaiting_check),
+            tuple(check.requests_awaiting_check),
+            tuple(
+                decide_end(answer, event.fate)
+                for answer in check.ended_answers
+            ),
         )
 
     def check_again(self, life: str) -> list[Action]:
@@ -221,3 +245,13 @@
             self.records.build_report(fingerprint, now)
             for fingerprint in fingerprints
         ]
+
+
+def decide_end(
+    event: EndOfAnswer, fate: relay_events.EngineFate
+) -> EndOfAnswer | relay_events.SendFailed:
+    """Return what the end of an answer was, from the fate of its engine."""
+    if fate is relay_events.EngineFate.ALIVE:
+        return dataclasses.replace(event, ended_by_close=False)
+    detail = f'connection closed, engine {fate.value}'
+    return relay_events.SendFailed(event.exchange, event.send, True, detail)
--- a/src/greengagelb/coordination/relay/crashing_requests.py
+++ b/src/greengagelb/coordination/relay/crashing_requests.py
@@ -6,6 +6,7 @@
 known, and the store keeps the verdicts when all instances end.
 """
 
+from collections.abc import Callable
 import dataclasses
 
 from greengagelb.coordination import actions
@@ -32,6 +33,8 @@
 MAX_SURVIVAL_DELAY_SECONDS = 0.3
 
 Action = relay_actions.RelayAction
+# Handles an event that ends a send.
+EndAnswer = Callable[[relay_events.RelayEvent, float], list[Action]]
 
 
 class CrashingRequestHandler:
@@ -44,12 +47,14 @@
         stream_relay: streams.StreamRelay,
         sharing: store_sharing.StoreSharing,
         open_exchanges: dict[int, exchanges.Exchange],
+        end_answer: EndAnswer,
     ) -> None:
         self.components = components
         self.calls = call_relay
         self.streams = stream_relay
         self.sharing = sharing
         self.open_exchanges = open_exchanges
+        self.end_answer = end_answer
         self.watch = components.crash_watch
 
     def refuse_if_blocked(
@@ -117,6 +122,8 @@
         resulting += self.stop_blocked(now)
         for number, sent in result.requests_awaiting_check:
             resulting += self.resume_held(number, sent, now)
+        for ended in result.ends_of_answers:
+            resulting += self.end_answer(ended, now)
         return resulting
 
     def schedule_reannouncements(
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -64,20 +64,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamComplete:
-    """An engine's answer ended as a complete message after an event."""
+    """An engine's answer ended as a complete message after an event.
+
+    ``ended_by_close`` tells that nothing but the close of its connection ended
+    it, as the end of the engine's process would have done.
+    """
 
     exchange: int
     send: int
+    ended_by_close: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerComplete:
-    """A complete answer that is not a stream arrived."""
+    """A complete answer that is not a stream arrived.
+
+    ``ended_by_close`` is as that of :class:`StreamComplete`.
+    """
 
     exchange: int
     send: int
     head: requests.AnswerHead
     body: bytes
+    ended_by_close: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -129,7 +129,12 @@
             components, self.calls, self.streams, self.copies, self.exchanges
         )
         self.crashing_requests = crashing_requests.CrashingRequestHandler(
-            components, self.calls, self.streams, self.sharing, self.exchanges
+            components,
+            self.calls,
+            self.streams,
+            self.sharing,
+            self.exchanges,
+            self.handle_send_event,
         )
         self.permit_outcomes = permit_outcomes.PermitOutcomeHandler(
             components, self.calls, self.streams, self.exchanges
@@ -393,6 +398,16 @@
                 )
             case relay_events.EngineProbed() if stream:
                 return self.handle_probe(exchange, sent, event, now)
+            case relay_events.StreamComplete(ended_by_close=True):
+                return self.crash_watch.hold_ended_answer(
+                    exchange, sent, event, now
+                )
+            case relay_events.AnswerComplete(ended_by_close=True) if (
+                not event.head.not_run
+            ):
+                return self.crash_watch.hold_ended_answer(
+                    exchange, sent, event, now
+                )
             case relay_events.StreamComplete():
                 return self.streams.end_stream(exchange, sent, now)
             case relay_events.AnswerComplete():
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -93,20 +93,24 @@
             return
         self.body.append(data)
 
-    def answer_completed(self) -> None:
+    def answer_completed(self, *, ended_by_close: bool) -> None:
         """Report a complete answer."""
         exchange, send = self.send.exchange, self.send.send
         self.side.forget_send(self.send)
         if self.splitter is None:
             body = b''.join(self.body)
             self.dispatch_event(
-                relay_events.AnswerComplete(exchange, send, self.head, body)
+                relay_events.AnswerComplete(
+                    exchange, send, self.head, body, ended_by_close
+                )
             )
             return
         if self.splitter.remainder:
             self.answer_failed(True, 'ends within an event')
             return
-        self.dispatch_event(relay_events.StreamComplete(exchange, send))
+        self.dispatch_event(
+            relay_events.StreamComplete(exchange, send, ended_by_close)
+        )
 
     def answer_failed(self, handed_over: bool, detail: str) -> None:
         """Report that there will be no complete answer."""
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -48,8 +48,12 @@
     def body_received(self, data: bytes) -> None:
         """Handle a part of the body."""
 
-    def answer_completed(self) -> None:
-        """Handle the end of a complete answer; no call follows."""
+    def answer_completed(self, *, ended_by_close: bool) -> None:
+        """Handle the end of a complete answer; no call follows.
+
+        ``ended_by_close`` tells that only the orderly close of the connection
+        ended it: the answer had neither a length nor chunks.
+        """
 
     def answer_failed(self, handed_over: bool, detail: str) -> None:
         """Handle a failure: there is no complete answer; no call follows.
@@ -187,6 +191,7 @@
         send buffer, so the next one follows it on the wire.
         """
         receiver, self.receiver = self.receiver, None
+        ended_by_close = self.is_closed
         trailing_bytes = self.http.trailing_data[0]
         reusable = (
             self.http.our_state is h11.DONE
@@ -199,7 +204,7 @@
             self.pool.keep_idle_connection(self)
         else:
             self.reset_connection()
-        receiver.answer_completed()
+        receiver.answer_completed(ended_by_close=ended_by_close)
 
     def fail_request(self, handed_over: bool, detail: str) -> None:
         """Fail the request and reset the connection."""
--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -105,7 +105,7 @@
         if self.body_bytes <= self.timed_request.max_bytes:
             self.body.append(data)
 
-    def answer_completed(self) -> None:
+    def answer_completed(self, *, ended_by_close: bool) -> None:
         """Deliver the answer, or a failure if it is too large."""
         if self.body_bytes > self.timed_request.max_bytes:
             why = f'answer too large, {self.body_bytes} bytes'
--- a/tests/common/relay_wires.py
+++ b/tests/common/relay_wires.py
@@ -128,8 +128,9 @@
     def body_received(self, data):
         self.body += data
 
-    def answer_completed(self):
+    def answer_completed(self, *, ended_by_close):
         self.complete = True
+        self.ended_by_close = ended_by_close
 
     def answer_failed(self, handed_over, detail):
         self.broken = (handed_over, detail)
--- /dev/null
+++ b/tests/relay/test_answers_ended_by_close.py
@@ -0,0 +1,171 @@
+"""Answers that nothing but the close of their connection ends.
+
+They have neither a length nor chunks. The connections of a process that dies
+are closed in good order too, so such an answer is complete only if its engine
+is still alive.
+"""
+
+import pytest
+
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from tests.common import relay_world
+
+ALIVE = relay_events.EngineFate.ALIVE
+ENDED = relay_events.EngineFate.ENDED
+UNKNOWN = relay_events.EngineFate.UNKNOWN
+
+
+def lone_world():
+    """Return an instance that may use all of the shared retry budget."""
+    world = relay_world.RelayWorld()
+    world.relay.budget.set_fleet_size(1)
+    return world
+
+
+def stream_of(world, *numbers):
+    """Return a send of a stream with some events passed on."""
+    send = world.last_send(world.ask())
+    world.now += 1.0
+    world.begin(send)
+    if numbers:
+        world.events(send, *numbers)
+    return send
+
+
+def end_stream(world, send):
+    world.now += 0.03
+    world.handle(relay_events.StreamComplete(send.exchange, send.send, True))
+
+
+def end_call(world, send, **fields):
+    world.handle(
+        relay_events.AnswerComplete(
+            send.exchange,
+            send.send,
+            relay_world.answer_head(**fields),
+            b'all or a part',
+            True,
+        )
+    )
+
+
+def check(world, fate):
+    entry = world.of_kind(relay_actions.CheckEngine)[-1].entry
+    world.handle(relay_events.EngineChecked(entry, fate))
+
+
+def histories(world):
+    return world.relay.crash_watch.records.histories
+
+
+def test_a_stream_of_an_engine_that_ended_goes_on_elsewhere():
+    """Guards against a part of a stream passed on as all of it."""
+    world = lone_world()
+    send = stream_of(world, 1, 2, 3)
+    end_stream(world, send)
+    assert not world.of_kind(relay_actions.EndStream)
+    check(world, ENDED)
+    assert not world.of_kind(relay_actions.EndStream)
+    resumed = world.last_send(send.exchange)
+    assert resumed.resume_after == 3
+    assert resumed.engine != send.engine
+
+
+def test_an_engine_that_ends_with_an_empty_answer_counts_as_crashed():
+    """Guards against crashes that pass for answers without events."""
+    world = lone_world()
+    end_stream(world, stream_of(world))
+    check(world, ENDED)
+    assert histories(world)
+
+
+def test_a_resumed_stream_that_ends_so_clears_no_crash():
+    """Guards against a crash taken for a run that was survived."""
+    world = lone_world()
+    send = stream_of(world, 1, 2, 3)
+    end_stream(world, send)
+    check(world, ENDED)
+    resumed = world.last_send(send.exchange)
+    world.begin(resumed)
+    end_stream(world, resumed)
+    check(world, ENDED)
+    assert not world.of_kind(relay_actions.EndStream)
+    [history] = histories(world).values()
+    assert len(history.crashes) == 2
+
+
+def test_a_stream_of_an_engine_that_lives_is_complete():
+    """Guards against whole streams that are generated once more."""
+    world = lone_world()
+    send = stream_of(world, 1, 2, 3)
+    end_stream(world, send)
+    check(world, ALIVE)
+    assert world.of_kind(relay_actions.EndStream, send.exchange)
+    assert len(world.sends(send.exchange)) == 1
+    assert not histories(world)
+
+
+def test_a_stream_goes_on_if_its_engine_gives_no_answer():
+    """Guards against a stream that waits, or ends early, for a lost engine."""
+    world = lone_world()
+    send = stream_of(world, 1, 2)
+    end_stream(world, send)
+    for _ in range(3):
+        check(world, UNKNOWN)
+        world.advance(0.06)
+    assert not world.of_kind(relay_actions.EndStream)
+    assert world.last_send(send.exchange).resume_after == 2
+    assert not histories(world)
+
+
+def test_a_caller_who_left_needs_no_result_of_the_check():
+    """Guards against an answer to a request that is over."""
+    world = lone_world()
+    send = stream_of(world, 1)
+    end_stream(world, send)
+    world.leave(send.exchange)
+    check(world, ENDED)
+    assert len(world.sends(send.exchange)) == 1
+
+
+@pytest.mark.parametrize('fate', [ENDED, UNKNOWN])
+def test_a_call_that_must_not_repeat_is_not_answered_with_a_part(fate):
+    """Guards against a part of an answer passed on as all of it."""
+    world = lone_world()
+    exchange = world.call()
+    end_call(world, world.last_send(exchange))
+    assert not world.answered(exchange)
+    for _ in range(3):
+        check(world, fate)
+        world.advance(0.06)
+    assert not world.answered(exchange)
+    assert [r.status for r in world.refusals(exchange)] == [502]
+    assert len(world.sends(exchange)) == 1
+
+
+def test_an_idempotent_call_is_made_again():
+    """Guards against a failure where another engine can answer."""
+    world = lone_world()
+    exchange = world.query()
+    end_call(world, world.last_send(exchange))
+    check(world, ENDED)
+    assert len(world.sends(exchange)) == 2
+
+
+def test_a_call_of_an_engine_that_lives_is_answered():
+    """Guards against whole answers that are withheld."""
+    world = lone_world()
+    exchange = world.call()
+    end_call(world, world.last_send(exchange))
+    check(world, ALIVE)
+    assert world.answered(exchange)
+
+
+def test_a_refusal_needs_no_check():
+    """Guards against waiting where the head tells all."""
+    world = lone_world()
+    exchange = world.query()
+    end_call(world, world.last_send(exchange), status=503, not_run=True)
+    assert not world.of_kind(relay_actions.CheckEngine)
+    assert len(world.sends(exchange)) == 2
--- a/tests/relay/test_connection_machine.py
+++ b/tests/relay/test_connection_machine.py
@@ -30,8 +30,8 @@
     def own_answer(self):
         return f'answer to {self.number}'.encode()
 
-    def answer_completed(self):
-        super().answer_completed()
+    def answer_completed(self, *, ended_by_close):
+        super().answer_completed(ended_by_close=ended_by_close)
         self.end_count += 1
 
     def answer_failed(self, handed_over, detail):
--- a/tests/relay/test_engine_connections.py
+++ b/tests/relay/test_engine_connections.py
@@ -71,6 +71,7 @@
     assert not receiver.complete
     relay_wires.close(connection)
     assert receiver.complete
+    assert receiver.ended_by_close
     assert receiver.body == b'all of it'
 
 
