A failed or unsigned answer clears no crashes of a request

A request that crashes engines was taken for survived when an engine answered its call with a failure (500) or without its signature, so the count began anew. Cause: any whole answer cleared the record. Only a signed answer that is no failure does now. Both cases of the new test failed before.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -122,9 +122,8 @@
         if head.not_run:
             return self.retry_not_run(exchange, sent, head.status, now)
         exchange.may_have_run = True
-        told = self.components.crash_watch.note_survival(exchange, now)
-        told += self.components.crash_watch.note_sound_parts(exchange, now)
-        self.components.send_manager.pending_hints.extend(told)
+        if head.sealed and head.status < 500:
+            self.note_survived(exchange, now)
         self.components.engines.note_success(sent.entry.engine, now)
         if head.status >= 500:
             self.count_engine_error(sent, now)
@@ -143,6 +142,16 @@
         call = relay_actions.DurationKind.CALL
         return [*resulting, passed, relay_actions.ObserveDuration(call, took)]
 
+    def note_survived(self, exchange: exchanges.Exchange, now: float) -> None:
+        """Note that an engine has run a call, and tell the others."""
+        watch = self.components.crash_watch
+        self.components.send_manager.pending_hints.extend(
+            [
+                *watch.note_survival(exchange, now),
+                *watch.note_sound_parts(exchange, now),
+            ]
+        )
+
     def count_engine_error(
         self, sent: exchanges.InFlightSend, now: float
     ) -> None:
--- a/tests/load/test_crashing_requests.py
+++ b/tests/load/test_crashing_requests.py
@@ -245,6 +245,25 @@
     assert not world.refusals()
 
 
+@pytest.mark.parametrize(
+    'answer', [{'status': 500}, {'sealed': False}], ids=['failure', 'unsigned']
+)
+def test_a_failed_run_does_not_clear_a_suspect(answer):
+    """Guards against crashes forgotten for an engine that wrote no answer.
+
+    An engine that fails before it begins to write has survived nothing.
+    """
+    world = lone_world()
+    world.lose(world.last_send(world.query(body=b'x')))
+    [check] = world.of_kind(relay_actions.CheckEngine)
+    world.handle(
+        relay_events.EngineChecked(check.entry, relay_events.EngineFate.ENDED)
+    )
+    world.answer(world.last_send(world.query(body=b'x')), **answer)
+    [history] = world.relay.crash_watch.records.histories.values()
+    assert history.crashes
+
+
 def test_an_unanswered_engine_check_is_repeated():
     """Guards against crashes that are not counted as a check was lost.
 
