--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -23,6 +23,7 @@
 from greengagelb.coordination.sharing import arrivals
 from greengagelb.coordination.sharing import crash_guard
 from greengagelb.coordination.sharing import fair_queue
+from greengagelb.coordination.sharing import fingerprints
 from greengagelb.coordination.streams import cancellations
 from greengagelb.coordination.streams import supervisor
 from greengagelb.state import configuration as configuration_state
@@ -319,22 +320,22 @@
                 upstream=upstream,
             )
             for fingerprint in fingerprints_found
+            if not fingerprints.is_account(fingerprint)
         ]
         return recorded + self.stop_blocked_requests(fingerprints_found, now)
 
     def stop_blocked_requests(
         self, fingerprints_found: list[str], now: float
     ) -> list[actions.Action]:
-        """Stop the streams of those requests that are now blocked."""
-        planned: list[actions.Action] = []
-        for fingerprint in fingerprints_found:
-            if self.guard.records.is_blocked(fingerprint, now):
-                reason = f'fingerprint {fingerprint}'
-                planned.append(actions.Record('request-blocked', reason))
-                planned += self.stream_supervisor.stop_blocked_streams(
-                    fingerprint
-                )
-        return planned
+        """Stop the streams of requests that are blocked from now on."""
+        planned: list[actions.Action] = [
+            actions.Record('request-blocked', f'fingerprint {fingerprint}')
+            for fingerprint in fingerprints_found
+            if self.guard.records.is_blocked(fingerprint, now)
+        ]
+        if not planned:
+            return []
+        return planned + self.stream_supervisor.stop_blocked_streams(now)
 
     def admit_request(
         self, event: arrivals.Arrival, now: float
@@ -347,7 +348,7 @@
         if refusal is not None or account is None or service is None:
             failure_to_send = arrivals.truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, failure_to_send)]
-        blocked_until = self.guard.blocked_until(request, now)
+        blocked_until = self.guard.admit_until(request, now)
         if blocked_until is not None:
             refusal = arrivals.not_run_failure(
                 crash_guard.BLOCKED_NOT_RUN_CODE,
--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -11,10 +11,10 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
-from greengagelb.coordination.relay import trials
 from greengagelb.coordination.sharing import broken_runs
 from greengagelb.coordination.sharing import crash_blame
 from greengagelb.coordination.sharing import crash_records
+from greengagelb.coordination.sharing import trials
 from greengagelb.state import crashes as crash_state
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -340,7 +340,7 @@
                 'refused', why, identity.RequestId('', request.request_id)
             )
             return [told, ruling]
-        causes = fingerprints.possible_causes(
+        causes = fingerprints.causes_of_relayed_request(
             request, ruling.account, ruling.service.name
         )
         exchange = exchanges.Exchange(request, ruling, causes)
--- a/src/greengagelb/coordination/sharing/crash_guard.py
+++ b/src/greengagelb/coordination/sharing/crash_guard.py
@@ -10,10 +10,13 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination.sharing import broken_runs
+from greengagelb.coordination.sharing import crash_blame
 from greengagelb.coordination.sharing import crash_records
 from greengagelb.coordination.sharing import fingerprints
+from greengagelb.coordination.sharing import trials
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import crashes as crash_state
+from greengagelb.state import requests
 
 # Error codes for a blocked request: refused on arrival, and stopped after an
 # engine has begun to run it.
@@ -48,6 +51,7 @@
         self.records = crash_records.CrashRecords()
         self.broken_runs = broken_runs.BrokenRuns()
         self.pending_probes: dict[str, PendingProbe] = {}
+        self.trials = trials.Trials()
         self.cached_change_count = 0
         self.cached_suspects: tuple[crash_state.SuspectRequest, ...] = ()
 
@@ -57,8 +61,31 @@
         """Return the time until which a request is blocked, or None."""
         if not self.records.histories:
             return None
-        fingerprint = fingerprints.for_product_request(request)
-        return self.records.blocked_until(fingerprint, now)
+        causes = fingerprints.causes_of_product_request(request)
+        match crash_blame.CrashBlame(self.records).judge(causes, now):
+            case crash_blame.Blocked(until=until):
+                return until
+        return None
+
+    def admit_until(
+        self, request: fingerprints.ProductRequest, now: float
+    ) -> float | None:
+        """Return until when a new request is refused, or None.
+
+        While it is not decided which part of a prompt crashes engines, one
+        request at a time is admitted to find out.
+        """
+        if not self.records.histories:
+            return None
+        causes = fingerprints.causes_of_product_request(request)
+        match crash_blame.CrashBlame(self.records).judge(causes, now):
+            case crash_blame.Blocked(until=until):
+                return until
+            case crash_blame.Undecided(parts):
+                if self.trials.is_running(parts, now):
+                    return now + trials.TRIAL_SECONDS
+                self.trials.begin(parts, now)
+        return None
 
     def is_blocked(
         self, request: fingerprints.ProductRequest, now: float
@@ -72,11 +99,12 @@
         """Return whether suspected crashes would block a request."""
         if not self.broken_runs.by_engine:
             return False
-        fingerprint = fingerprints.for_product_request(request)
-        suspected = self.broken_runs.suspected_crashes(fingerprint)
-        if not suspected:
+        causes = fingerprints.causes_of_product_request(request)
+        suspected = self.broken_runs.all_suspected_crashes()
+        if not any(name in suspected for name in causes.fingerprints):
             return False
-        return self.records.would_be_blocked(fingerprint, suspected, now)
+        blame = crash_blame.CrashBlame(self.records, suspected)
+        return isinstance(blame.judge(causes, now), crash_blame.Blocked)
 
     def must_not_run(
         self, request: fingerprints.ProductRequest, now: float
@@ -93,12 +121,19 @@
         incarnation: str,
         began_at: float,
         now: float,
+        *,
+        has_progressed: bool = False,
     ) -> list[actions.Action]:
-        """Record a broken attempt and have its upstream probed."""
+        """Record a broken attempt and have its upstream probed.
+
+        An upstream that has generated a token has survived the parts of the
+        prompt.
+        """
+        causes = fingerprints.causes_of_product_request(request)
         self.forget_expired(now)
         name = upstream.name
         broken_run = broken_runs.BrokenRun(
-            (fingerprints.for_product_request(request),),
+            (causes.request,) if has_progressed else causes.fingerprints,
             f'{name} {incarnation}',
             began_at,
             now,
@@ -158,7 +193,9 @@
     def count_crash(self, name: str, now: float) -> list[str]:
         """Count the crash of an upstream; return the affected fingerprints."""
         runs = self.broken_runs.pop_broken_runs(name, now)
-        return broken_runs.count_crashes(runs, self.records, now)
+        counted = broken_runs.count_crashes(runs, self.records, now)
+        self.trials.end(counted)
+        return counted
 
     def record_survival(
         self, request: fingerprints.ProductRequest, now: float
@@ -169,6 +206,15 @@
                 fingerprints.for_product_request(request), now, now
             )
 
+    def record_first_token(
+        self, request: requests.GenerationRequest, now: float
+    ) -> None:
+        """Record that an upstream has begun to generate with a prompt."""
+        parts = fingerprints.causes_of_product_request(request).parts
+        self.trials.end(parts)
+        for part in parts:
+            self.records.record_survival(part, now, now)
+
     def forget_expired(self, now: float) -> None:
         """Drop broken runs and probes that were never resolved."""
         self.broken_runs.forget_expired(now)
--- a/src/greengagelb/coordination/sharing/fingerprints.py
+++ b/src/greengagelb/coordination/sharing/fingerprints.py
@@ -63,17 +63,40 @@
 
 
 def possible_causes(
-    request: relay_requests.CallerRequest, account: str, service: str
+    request: str, account: str, service: str, shared_parts: tuple[str, ...]
 ) -> crashes.PossibleCauses:
-    """Return what may be the cause if a relayed request crashes an engine.
+    """Return what may be the cause if a request crashes an engine.
 
-    The account is only an alternative to parts that others have as well.
+    ``request`` is its fingerprint. The account is only an alternative to parts
+    that others have as well.
     """
-    parts = for_shared_parts(request, service)
+    parts = for_shared_parts(shared_parts, service)
     return crashes.PossibleCauses(
-        for_relayed_request(request, account),
-        for_account(account) if parts else '',
-        parts,
+        request, for_account(account) if parts else '', parts
+    )
+
+
+def causes_of_relayed_request(
+    request: relay_requests.CallerRequest, account: str, service: str
+) -> crashes.PossibleCauses:
+    """Return the possible causes of crashes by a relayed request."""
+    fingerprint = for_relayed_request(request, account)
+    return possible_causes(fingerprint, account, service, request.shared_parts)
+
+
+def causes_of_product_request(
+    request: ProductRequest,
+) -> crashes.PossibleCauses:
+    """Return the possible causes of crashes by a request of our own API."""
+    shared_parts: tuple[str, ...] = ()
+    match request:
+        case requests.GenerationRequest():
+            shared_parts = request.shared_parts
+    return possible_causes(
+        for_product_request(request),
+        request.request.account,
+        request.service,
+        shared_parts,
     )
 
 
@@ -84,13 +107,16 @@
 
 
 def for_shared_parts(
-    request: relay_requests.CallerRequest, service: str
+    shared_parts: tuple[str, ...], service: str
 ) -> tuple[str, ...]:
-    """Return the fingerprints of the shared parts of a request's prompt.
+    """Return the fingerprints of the shared parts of a prompt.
 
-    Of a prompt with more than ``MAX_PARTS`` these are the first ones.
+    Of more than ``MAX_PARTS`` these are the first ones and the last ones.
     """
-    parts = dict.fromkeys(filter(None, request.shared_parts[:MAX_PARTS]))
+    if len(shared_parts) > MAX_PARTS:
+        half = MAX_PARTS // 2
+        shared_parts = shared_parts[:half] + shared_parts[-half:]
+    parts = dict.fromkeys(filter(None, shared_parts))
     return tuple(for_prompt_part(service, part) for part in parts)
 
 
--- a/src/greengagelb/coordination/streams/supervisor.py
+++ b/src/greengagelb/coordination/streams/supervisor.py
@@ -12,7 +12,6 @@
 from greengagelb.coordination.fleet import routing
 from greengagelb.coordination.fleet import upstream_limits
 from greengagelb.coordination.sharing import crash_guard
-from greengagelb.coordination.sharing import fingerprints
 from greengagelb.coordination.streams import attempts
 from greengagelb.coordination.streams import cancellations
 from greengagelb.coordination.streams import endings
@@ -163,6 +162,8 @@
         stream.append_tokens(event.position + already_sent, tokens)
         stream.recover_by = None
         stream.excluded.clear()
+        if not attempt.has_progressed:
+            self.guard.record_first_token(stream.request, now)
         self.stall_detector.observe_tokens(stream, attempt, now)
         planned.append(
             actions.SendTokens(
@@ -283,10 +284,11 @@
             attempt.incarnation,
             attempt.accepted_at if was_accepted else attempt.ordered_at,
             now,
+            has_progressed=attempt.has_progressed,
         )
 
-    def stop_blocked_streams(self, fingerprint: str) -> list[actions.Action]:
-        """Fail the streams of a request that is blocked for its crashes.
+    def stop_blocked_streams(self, now: float) -> list[actions.Action]:
+        """Fail the streams of requests that are blocked for their crashes.
 
         A stream that delivers tokens continues, as it may prove the request
         harmless.
@@ -295,7 +297,7 @@
             stream
             for stream in self.streams.values()
             if not (stream.attempt and stream.attempt.has_progressed)
-            and fingerprints.for_product_request(stream.request) == fingerprint
+            and self.guard.is_blocked(stream.request, now)
         ]
         return [
             action
--- a/src/greengagelb/state/requests.py
+++ b/src/greengagelb/state/requests.py
@@ -23,6 +23,9 @@
 class GenerationRequest:
     """A streamed generation.
 
+    ``shared_parts`` are the parts of the prompt that other requests may have
+    as well: all of its messages but the last.
+
     ``exchange`` identifies the caller's connection within this process. Two
     connections with the same request are two exchanges, and an answer goes
     to its own exchange only. ``deadline`` is a monotonic time.
@@ -40,6 +43,7 @@
     """Whether the caller states that it never sent this key before."""
     priority: configuration.Priority = configuration.Priority.SHORT
     """The requested priority; limited to that of the service."""
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -97,6 +97,10 @@
             bool(headers.idempotency_key),
             headers.first_send,
             headers.priority,
+            tuple(
+                f'{message.role}: {message.content}'
+                for message in body.messages[:-1]
+            ),
         )
         event = self.event_of_submission(
             headers.cursor, generation, tuple(body.received)
--- a/tests/common/generations.py
+++ b/tests/common/generations.py
@@ -36,6 +36,7 @@
     instance: str = ''
     finals: list[actions.Action] = dataclasses.field(default_factory=list)
     restarts: int = 0
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def waits(self) -> bool:
@@ -333,6 +334,7 @@
             caller.prompt,
             MOST_TOKENS,
             self.now + DEADLINE_SECONDS,
+            shared_parts=caller.shared_parts,
         )
         event: events.Event = events.GenerationSubmitted(request)
         if caller.point is not None:
--- a/tests/load/test_crashing_prompt_parts.py
+++ b/tests/load/test_crashing_prompt_parts.py
@@ -10,11 +10,11 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import answers
 from greengagelb.coordination.relay import events as relay_events
-from greengagelb.coordination.relay import trials
 from greengagelb.coordination.sharing import crash_blame
 from greengagelb.coordination.sharing import crash_records
 from greengagelb.coordination.sharing import fingerprints
 from greengagelb.coordination.sharing import sound_parts
+from greengagelb.coordination.sharing import trials
 from greengagelb.protocol import relay_hints
 from greengagelb.state import crashes
 from tests.common import crashing_fleet
--- a/tests/load/test_crashing_requests_of_the_product.py
+++ b/tests/load/test_crashing_requests_of_the_product.py
@@ -45,11 +45,13 @@
     return len(engines)
 
 
-def ask(world, service):
-    """Let a new caller send the request that crashes engines."""
+def ask(world, service, prompt=PROMPT, shared_parts=()):
+    """Let a new caller send the request that crashes engines, or another."""
     number = next(world.numbers)
     request = identity.RequestId('teratak', f'r{number}')
-    caller = generations.Caller(request, service, PROMPT)
+    caller = generations.Caller(
+        request, service, prompt, shared_parts=shared_parts
+    )
     world.callers.append(caller)
     world.ask(caller, 'i1')
     return caller
@@ -75,6 +77,58 @@
     assert failure.retry_after
 
 
+def crash_engines_with_part(world, number):
+    """Send a new request with the crashing message; return the crashes."""
+    parts = ('system: be brief', 'user: what crashes engines')
+    caller = ask(world, 'draft', f'{number}', parts)
+    crashed = 0
+    while caller.waits:
+        world.deliver_all()
+        busy = [
+            engine
+            for engine in world.engines.values()
+            if any(not run.ended for run in engine.runs.values())
+        ]
+        crashed += len(busy)
+        for engine in busy:
+            engine.kill()
+        world.deliver_all()
+        world.report()
+        world.pass_time(0.25)
+        for engine in world.engines.values():
+            engine.come_back()
+        world.report()
+    world.pass_time(2.0)
+    return crashed, caller
+
+
+def serve_with_part(world, number, *parts):
+    """Have a sound request answered; return its caller."""
+    caller = ask(world, 'draft', f'sound {number}', parts)
+    world.deliver_all()
+    for engine in world.engines.values():
+        engine.generate(generations.MOST_TOKENS)
+    world.deliver_all()
+    return caller
+
+
+def test_a_message_that_crashes_engines_is_recognized_in_other_prompts():
+    """Guards against prompts alike in one message that end all engines."""
+    world = generations.World(engines=4)
+    world.report()
+    serve_with_part(world, 0, 'system: be brief')
+    crashed = 0
+    for number in range(ROUNDS):
+        more, caller = crash_engines_with_part(world, number)
+        crashed += more
+    # After three crashes of one request another one shows that it is the part.
+    assert 0 < crashed <= MAX_ENGINES + 1
+    failure = caller.finals[-1].failure
+    assert failure.code == 'request-crashes-engines'
+    sound = serve_with_part(world, 1, 'system: be brief')
+    assert sound.tokens
+
+
 def upstream_report(name, life):
     """Return the report of an upstream in one of its lives."""
     return events.UpstreamReported(
