Soak: a part of prompts that crashes engines, and answers that end with their connection

Engines crash as they begin to write an answer with the part and close their connections in good order every other time; a tenth of all answers has neither a length nor chunks. The judge checks that at most three such requests reach engines later than three seconds after the fifth crash, and that sound ones are not refused for it. The soak's link passes an orderly close on as one.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,6 +16,8 @@
 from tests.soak import content
 
 HOST = 'api.example'
+# The part that all prompts begin with.
+COMMON_PART = 'c0'
 LIMIT_SECONDS = {'stream': 10.0, 'call': 1.0, 'query': 1.0}
 
 
@@ -49,6 +51,7 @@
     given_up: bool = False
     error: str = ''
     retry_after: str = ''
+    parts: tuple[str, ...] = (COMMON_PART,)
 
 
 class Gatherer(protocol.Protocol):
@@ -139,15 +142,24 @@
 
     @defer.inlineCallbacks
     def ask(
-        self, kind: Kind, instance: object, body: bytes = b'', after: int = 0
+        self,
+        kind: Kind,
+        instance: object,
+        body: bytes = b'',
+        after: int = 0,
+        parts: tuple[str, ...] = (COMMON_PART,),
     ) -> object:
-        """Send one request; return its outcome."""
+        """Send one request; return its outcome.
+
+        ``parts`` are those of its prompt that others may have as well.
+        """
         request_id = f'{self.run}-{next(self.numbers)}'
         if not body:
             events = self.rng.randint(5, 80)
             body = content.stream_body(request_id, events)
         now = self.reactor.seconds()
         outcome = Outcome(request_id, kind, body, instance.name, now, after)
+        outcome.parts = parts
         self.outcomes.append(outcome)
         limit = LIMIT_SECONDS[kind.value]
         target = f'http://{instance.host}:{instance.port}/{kind.value}/x'
@@ -195,7 +207,8 @@
         if outcome.kind is Kind.STREAM:
             fields['Token-Counts'] = '2000,300'
             part = outcome.body.partition(b',')[0].decode()
-            fields['Prompt-Prefix'] = f'{part}:2000'
+            shared = ''.join(f'{part}:100,' for part in outcome.parts)
+            fields['Prompt-Prefix'] = f'{shared}{part}:1900'
         if outcome.after:
             fields['Last-Event-Id'] = str(outcome.after)
         return http_headers.Headers(
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -24,6 +24,10 @@
 EVENT_SECONDS = 0.03
 READING_SECONDS = 0.2
 CALL_SECONDS = (0.005, 0.04)
+# Seconds from the head of an answer to the crash by a part of its prompt, and
+# from there to the next life.
+CRASH_SECONDS = 0.05
+DOWN_SECONDS = 1.5
 SLOTS = 16
 
 
@@ -81,6 +85,9 @@
         self.arrivals: list[Arrival] = []
         self.limits: list[NamedLimit] = []
         self.stated: list[Stated] = []
+        self.crashing_parts: set[str] = set()
+        self.crashes: list[float] = []
+        self.unframed_share = 0.0
         self.copies: set[tuple[str, str]] = set()
         self.engines: list[Engine] = []
 
@@ -147,6 +154,13 @@
         if self.link.listening is None:
             self.link.listen()
 
+    def crash_by_part(self) -> None:
+        """Crash as a prompt makes it; open connections end in good order."""
+        self.pool.crashes.append(self.pool.reactor.seconds())
+        self.lives = False
+        self.link.refuse(orderly=self.rng.random() < 0.5)
+        task.deferLater(self.pool.reactor, DOWN_SECONDS, self.restart)
+
     def crash_unnoticed(self) -> None:
         """End at once behind a link that has gone dark."""
         self.lives = False
@@ -227,6 +241,10 @@
         request.setHeader('Request-Id', head.request_id)
         request.setHeader('Engine-Seal', f'{self.identity}.{head.request_id}')
         request.setHeader('Engine-Load', f'{len(self.running)},0,{SLOTS}')
+        if self.rng.random() < self.pool.unframed_share:
+            # Without length or chunks, and at the end of the connection.
+            request.clientproto = b'HTTP/1.0'
+            request.channel.persistent = False
         if self.service == STREAMS:
             self.generate(request, head, run)
         else:
@@ -297,6 +315,10 @@
         self, request: server.Request, head: 'Head', run: Run, number: int
     ) -> None:
         """Write one event, and have the next one follow."""
+        if not self.pool.crashing_parts.isdisjoint(head.parts):
+            request.write(b'')
+            self.later(CRASH_SECONDS, run, self.crash_by_part)
+            return
         if number > content.events_wanted(head.body):
             run.answered = True
             request.finish()
@@ -327,4 +349,8 @@
         self.copy_from = field('Kv-From')
         self.copied_run = self.copy_from.partition('/')[2]
         self.after = int(field('Last-Event-Id') or 0)
+        self.parts = {
+            part.partition(':')[0]
+            for part in field('Prompt-Prefix').split(',')[:-1]
+        }
         self.body = request.content.read()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,11 @@
 FIRST_SEED_WITH_STATEMENTS = 1_000
 # The same before instances could lose their links to the engines.
 FIRST_SEED_WITH_LOST_LINKS = 2_000
+# The same before parts of prompts could crash engines, and answers could end
+# with their connection.
+FIRST_SEED_WITH_CRASHING_PARTS = 3_000
+# For so long requests with such a part come.
+CRASHING_PART_SECONDS = 12.0
 # For how long at least they do; callers are counted from three seconds on.
 LOST_LINKS_SECONDS = 6.5
 
@@ -53,6 +58,7 @@
     LINKS_SILENT = 'links-silent'
     LINKS_RESET = 'links-reset'
     LINKS_REFUSED = 'links-refused'
+    CRASHING_PART = 'crashing-part'
 
 
 # Those that harm an instance, or what it knows.
@@ -116,6 +122,7 @@
     What.STATED_LEAVING,
     What.RESTING_ENGINE,
     *OF_LINKS,
+    What.CRASHING_PART,
 )
 DRAWN = tuple(what for what in What if what not in DRAWN_APART)
 
@@ -133,9 +140,13 @@
 def plan_all(seed: int) -> list[Fault]:
     """Return all faults of a run.
 
-    In every other run with lost links little else happens, as a harmed store
-    or instance may be the cause of a failed request.
+    In every other run with lost links or crashing parts little else happens,
+    as a harmed store or instance may be the cause of a failed request.
     """
+    if seed >= FIRST_SEED_WITH_CRASHING_PARTS and seed % 2 == 0:
+        rng = random.Random(f'beside crashing parts of {seed}')
+        beside = series(rng, rng.choice(BESIDE_LOST_LINKS))
+        return [*plan_crashing_parts(seed), *beside]
     if seed >= FIRST_SEED_WITH_LOST_LINKS and seed % 2 == 0:
         rng = random.Random(f'beside lost links of {seed}')
         beside = series(rng, rng.choice(BESIDE_LOST_LINKS))
@@ -147,9 +158,19 @@
         *plan_limits(seed),
         *plan_statements(seed),
         *plan_lost_links(seed),
+        *plan_crashing_parts(seed),
     ]
 
 
+def plan_crashing_parts(seed: int) -> list[Fault]:
+    """Return when a part of prompts crashes engines."""
+    if seed < FIRST_SEED_WITH_CRASHING_PARTS:
+        return []
+    rng = random.Random(f'crashing parts of {seed}')
+    at, target = rng.uniform(0.0, 3.0), rng.randrange(1_000)
+    return [Fault(What.CRASHING_PART, at, CRASHING_PART_SECONDS, target)]
+
+
 def plan(rng: random.Random) -> list[Fault]:
     """Return the faults of a run, in the order of their beginnings."""
     found = []
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -32,6 +32,12 @@
 # so many requests of it within the rest.
 REST_MARGIN = 0.5
 REST_SPARE = 2
+# From TOUCH_SECONDS after so many crashes engines get so many requests more
+# with the part that causes them. From twice that, at least half of so many
+# sound requests or more must not be refused.
+CRASHES_KNOWN = 5
+LATE_CRASHING_SPARE = 3
+LEAST_SOUND = 20
 ROUTE_LIMITS = {
     callers.Kind.STREAM: 10.0,
     callers.Kind.CALL: 0.9,
@@ -69,6 +75,7 @@
             *self.refused_keys(),
             *self.over_limits(),
             *self.against_statements(),
+            *self.crashed_by_parts(),
             *self.not_served_without_links(),
             *self.not_recovered(),
             *self.ended(),
@@ -266,6 +273,51 @@
             for moment in self.world.moments
         )
 
+    def crashed_by_parts(self) -> Iterator[Broken]:
+        """Find crashing parts sent on, and sound requests refused for them."""
+        crashes = self.world.engines.crashes
+        for moment in self.world.moments:
+            if moment.what is not faults.What.CRASHING_PART:
+                continue
+            asked = {
+                found.request_id: found
+                for found in self.outcomes
+                if moment.target in found.parts
+            }
+            late = [
+                arrival
+                for arrival in self.world.engines.arrivals
+                if len(crashes) >= CRASHES_KNOWN
+                and arrival.at > crashes[CRASHES_KNOWN - 1] + TOUCH_SECONDS
+                and arrival.request_id in asked
+                and self.calm(
+                    asked[arrival.request_id].instance, arrival.at, arrival.at
+                )
+            ]
+            if len(late) > LATE_CRASHING_SPARE:
+                detail = f'{len(late)} after {len(crashes)} crashes'
+                yield Broken('parts that crash engines', detail)
+            yield from self.refused_for_parts(moment, crashes)
+
+    def refused_for_parts(
+        self, moment: world.Moment, crashes: list[float]
+    ) -> Iterator[Broken]:
+        """Find sound requests that are refused for a part of others."""
+        settled = crashes[:CRASHES_KNOWN][-1:] or [float('inf')]
+        begin = settled[0] + 2 * TOUCH_SECONDS
+        sound = [
+            found
+            for found in self.outcomes
+            if begin < found.began_at < moment.until
+            and found.kind is callers.Kind.STREAM
+            and moment.target not in found.parts
+            and self.calm(found.instance, found.began_at, found.began_at)
+        ]
+        refused = [found for found in sound if b'crashes-' in found.answer]
+        if len(sound) >= LEAST_SOUND and 2 * len(refused) > len(sound):
+            detail = f'{len(refused)} of {len(sound)}'
+            yield Broken('sound parts', detail)
+
     def not_served_without_links(self) -> Iterator[Broken]:
         """Find cuts in which callers were served worse than others."""
         cuts = [m for m in self.world.moments if m.what in faults.OF_LINKS]
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -9,6 +9,7 @@
 import enum
 import socket
 
+from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
 
@@ -86,7 +87,13 @@
         if other is None or other.transport is None:
             return
         other.other = None
-        if not self.dead or self.upward:
+        if self.dead and not self.upward:
+            return
+        if reason.check(error.ConnectionDone) and not self.upward:
+            self.link.reactor.callLater(
+                self.link.delay, other.transport.loseConnection
+            )
+        else:
             other.transport.abortConnection()
 
 
@@ -144,12 +151,16 @@
         )
         self.port = self.listening.getHost().port
 
-    def refuse(self) -> None:
-        """Accept none any more, and reset those that are open."""
+    def refuse(self, *, orderly: bool = False) -> None:
+        """Accept none any more, and reset or close those that are open."""
         if self.listening is not None:
             self.listening.stopListening()
             self.listening = None
-        self.reset()
+        if not orderly:
+            self.reset()
+            return
+        for half in list(self.halves):
+            half.transport.loseConnection()
 
     def reset(self) -> None:
         """Reset all connections."""
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -58,6 +58,7 @@
         pytest.param(200, id='the store comes back from an older copy'),
         pytest.param(300, id='engines name limits'),
         pytest.param(2000, id='instances lose their links to the engines'),
+        pytest.param(3000, id='a part of prompts crashes engines'),
     ],
 )
 def test_seed_breaks_no_promise(seed):
@@ -84,6 +85,8 @@
     assert faults.plan_limits(300) == faults.plan_limits(300)
     assert faults.plan_all(2000) == faults.plan_all(2000)
     assert faults.plan_lost_links(2000)
+    assert faults.plan_all(3000) == faults.plan_all(3000)
+    assert faults.plan_crashing_parts(3000)
 
 
 def test_kept_seeds_plan_what_they_planned_when_they_failed():
@@ -94,3 +97,4 @@
     assert faults.plan_restores(91) == []
     assert faults.plan_limits(200) == []
     assert faults.plan_lost_links(1053) == []
+    assert faults.plan_crashing_parts(2225) == []
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -40,6 +40,10 @@
 # still serves after the time in which it must get nothing new.
 REST_SECONDS = 3.0
 STATED_LEAVING_SECONDS = 2.0
+# Time between two requests with a part that crashes engines.
+CRASHING_EVERY_SECONDS = 0.6
+# The share of answers with neither a length nor chunks.
+UNFRAMED_SHARE = 0.1
 PAUSE_SIGNALS = (signal.SIGSTOP, signal.SIGCONT)
 
 
@@ -75,6 +79,8 @@
             0, server.Site(self.store), interface=self.store_host
         )
         self.engines = engines.Engines(reactor)
+        if seed >= faults.FIRST_SEED_WITH_CRASHING_PARTS:
+            self.engines.unframed_share = UNFRAMED_SHARE
         self.renewed_at: dict[str, float] = {}
         self.add_engines(network, seed)
         self.version = 0
@@ -233,6 +239,8 @@
         """Bring a fault about, and its end."""
         if fault.what is faults.What.NEW_CONFIGURATION:
             self.change_keys(fault)
+        elif fault.what is faults.What.CRASHING_PART:
+            self.send_crashing_part(fault)
         elif fault.what is faults.What.KILL_ALL_INSTANCES:
             for instance in self.instances:
                 self.harm_instance(fault, instance)
@@ -256,6 +264,24 @@
         self.configure()
         task.deferLater(self.reactor, 2.5, setattr, self.callers, 'key', key)
 
+    def send_crashing_part(self, fault: faults.Fault) -> None:
+        """Have requests come that share a part which crashes engines."""
+        part = f'd{fault.target}'
+        self.note(fault, part)
+        self.engines.crashing_parts.add(part)
+
+        def ask() -> None:
+            ready = [i for i in self.instances if i.ready] or self.instances
+            self.callers.ask(
+                callers.Kind.STREAM,
+                self.rng.choice(ready),
+                parts=(callers.COMMON_PART, part),
+            )
+
+        asking = task.LoopingCall(ask)
+        asking.start(CRASHING_EVERY_SECONDS)
+        self.later(fault, asking.stop)
+
     def harm_instance(
         self, fault: faults.Fault, instance: instances.Instance
     ) -> None:
