Soak: most new connections go to one instance, then to another

The judge compares first tries from three seconds on with those of the three seconds before: at least three quarters as often served.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,9 @@
 HOST = 'api.example'
 # The part that all prompts begin with.
 COMMON_PART = 'c0'
+# While most new connections go to one instance, callers pause for this share
+# of their usual time.
+CROWD_PAUSE_SHARE = 0.3
 LIMIT_SECONDS = {'stream': 10.0, 'call': 1.0, 'query': 1.0}
 
 
@@ -115,18 +118,22 @@
         self.pool.retryAutomatically = False
         self.pool.cachedConnectionTimeout = 8
         self.agent = client.Agent(reactor, connectTimeout=1, pool=self.pool)
+        self.fresh_agent = client.Agent(reactor, connectTimeout=1)
+        self.crowded: object | None = None
 
     @defer.inlineCallbacks
     def caller(self, instances: list, until: float) -> object:
         """Send one request after the other."""
         while self.reactor.seconds() < until:
-            yield task.deferLater(
-                self.reactor, self.rng.expovariate(5.0), lambda: None
-            )
+            pause = self.rng.expovariate(5.0)
+            if self.crowded is not None:
+                pause *= CROWD_PAUSE_SHARE
+            yield task.deferLater(self.reactor, pause, lambda: None)
             ready = [i for i in instances if i.ready] or instances
-            found = yield self.ask(
-                self.rng.choice(list(Kind)), self.rng.choice(ready)
-            )
+            kind, chosen = self.rng.choice(list(Kind)), self.rng.choice(ready)
+            if self.crowded is not None and self.crowded.ready:
+                chosen = self.crowded
+            found = yield self.ask(kind, chosen)
             if found.kind is Kind.STREAM and found.answer and not found.whole:
                 yield self.come_back(found, self.rng.choice(ready))
 
@@ -163,7 +170,8 @@
         self.outcomes.append(outcome)
         limit = LIMIT_SECONDS[kind.value]
         target = f'http://{instance.host}:{instance.port}/{kind.value}/x'
-        asked = self.agent.request(
+        agent = self.agent if self.crowded is None else self.fresh_agent
+        asked = agent.request(
             b'POST',
             target.encode(),
             self.headers(outcome, limit),
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -23,6 +23,9 @@
 # The same before parts of prompts could crash engines, and answers could end
 # with their connection.
 FIRST_SEED_WITH_CRASHING_PARTS = 3_000
+# The same before most new connections could go to one instance.
+FIRST_SEED_WITH_CROWDS = 3_100
+CROWD_SECONDS = 8.0
 # For so long requests with such a part come.
 CRASHING_PART_SECONDS = 12.0
 # For how long at least they do; callers are counted from three seconds on.
@@ -59,6 +62,7 @@
     LINKS_RESET = 'links-reset'
     LINKS_REFUSED = 'links-refused'
     CRASHING_PART = 'crashing-part'
+    CROWDED_INSTANCE = 'crowded-instance'
 
 
 # Those that harm an instance, or what it knows.
@@ -123,6 +127,7 @@
     What.RESTING_ENGINE,
     *OF_LINKS,
     What.CRASHING_PART,
+    What.CROWDED_INSTANCE,
 )
 DRAWN = tuple(what for what in What if what not in DRAWN_APART)
 
@@ -146,7 +151,7 @@
     if seed >= FIRST_SEED_WITH_CRASHING_PARTS and seed % 2 == 0:
         rng = random.Random(f'beside crashing parts of {seed}')
         beside = series(rng, rng.choice(BESIDE_LOST_LINKS))
-        return [*plan_crashing_parts(seed), *beside]
+        return [*plan_crashing_parts(seed), *plan_crowds(seed), *beside]
     if seed >= FIRST_SEED_WITH_LOST_LINKS and seed % 2 == 0:
         rng = random.Random(f'beside lost links of {seed}')
         beside = series(rng, rng.choice(BESIDE_LOST_LINKS))
@@ -171,6 +176,21 @@
     return [Fault(What.CRASHING_PART, at, CRASHING_PART_SECONDS, target)]
 
 
+def plan_crowds(seed: int) -> list[Fault]:
+    """Return when most new connections go to one instance, then to another.
+
+    Only beside few other faults, as the share that is served is compared.
+    """
+    if seed < FIRST_SEED_WITH_CROWDS or seed % 4:
+        return []
+    rng = random.Random(f'crowds of {seed}')
+    at, first = rng.uniform(4.0, 6.0), rng.randrange(1_000)
+    return [
+        Fault(What.CROWDED_INSTANCE, at + n * CROWD_SECONDS, CROWD_SECONDS, t)
+        for n, t in enumerate((first, first + 1))
+    ]
+
+
 def plan(rng: random.Random) -> list[Fault]:
     """Return the faults of a run, in the order of their beginnings."""
     found = []
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -38,6 +38,9 @@
 CRASHES_KNOWN = 5
 LATE_CRASHING_SPARE = 3
 LEAST_SOUND = 20
+# While most new connections go to one instance, requests are served there at
+# least so often, as a share of those before.
+CROWD_LEAST_SHARE = 3 / 4
 ROUTE_LIMITS = {
     callers.Kind.STREAM: 10.0,
     callers.Kind.CALL: 0.9,
@@ -76,6 +79,7 @@
             *self.over_limits(),
             *self.against_statements(),
             *self.crashed_by_parts(),
+            *self.not_served_in_crowds(),
             *self.not_served_without_links(),
             *self.not_recovered(),
             *self.ended(),
@@ -318,6 +322,42 @@
             detail = f'{len(refused)} of {len(sound)}'
             yield Broken('sound parts', detail)
 
+    def not_served_in_crowds(self) -> Iterator[Broken]:
+        """Find instances that serve less as most new connections come."""
+        crowds = [
+            moment
+            for moment in self.world.moments
+            if moment.what is faults.What.CROWDED_INSTANCE
+        ]
+        for crowd in crowds:
+            first_at = min(moment.at for moment in crowds)
+            before = self.first_tries(first_at - TOUCH_SECONDS, first_at)
+            during = [
+                found
+                for found in self.first_tries(
+                    crowd.at + TOUCH_SECONDS, crowd.until
+                )
+                if found.instance == crowd.target
+            ]
+            if min(len(before), len(during)) < LEAST_SOUND:
+                continue
+            usual = sum(map(served, before)) / len(before)
+            share = sum(map(served, during)) / len(during)
+            if share < CROWD_LEAST_SHARE * usual:
+                detail = f'{share:.2f} at {crowd.target}, before {usual:.2f}'
+                yield Broken('served in crowds', detail)
+
+    def first_tries(self, begin: float, end: float) -> list[callers.Outcome]:
+        """Return the sound requests that were sent in a time in the calm."""
+        return [
+            found
+            for found in self.outcomes
+            if begin < found.began_at < end
+            and not found.given_up
+            and found.parts == (callers.COMMON_PART,)
+            and self.calm(found.instance, found.began_at, found.began_at)
+        ]
+
     def not_served_without_links(self) -> Iterator[Broken]:
         """Find cuts in which callers were served worse than others."""
         cuts = [m for m in self.world.moments if m.what in faults.OF_LINKS]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -290,6 +290,10 @@
         if fault.what in faults.OF_LINKS:
             self.cut_links(fault, instance)
             return
+        if fault.what is faults.What.CROWDED_INSTANCE:
+            self.callers.crowded = instance
+            self.later(fault, self.end_crowd, instance)
+            return
         match fault.what:
             case faults.What.KILL_INSTANCE | faults.What.KILL_ALL_INSTANCES:
                 instance.kill()
@@ -305,6 +309,11 @@
                 if instance.handles_signals:
                     instance.signal(signal.SIGHUP)
 
+    def end_crowd(self, instance: instances.Instance) -> None:
+        """End a crowd, unless there is one elsewhere by now."""
+        if self.callers.crowded is instance:
+            self.callers.crowded = None
+
     def cut_links(
         self, fault: faults.Fault, instance: instances.Instance
     ) -> None:
