Verdict on parts: the same explanation at all instances, and no copies

Of several requests or accounts that cover as many crashes the choice depended on the order in which an instance had heard of them. No copies of histories are made for each suspect, as the verdict is asked for each open request.

--- a/src/greengagelb/coordination/relay/crashing_requests.py
+++ b/src/greengagelb/coordination/relay/crashing_requests.py
@@ -119,7 +119,8 @@
                 resulting.append(relay_actions.StoreCrashReport(report))
                 if fingerprint not in blocked_before:
                     resulting.append(blocked_timeline_event(fingerprint))
-        resulting += self.stop_blocked(now)
+        if result.counted_fingerprints:
+            resulting += self.stop_blocked(now)
         for number, sent in result.requests_awaiting_check:
             resulting += self.resume_held(number, sent, now)
         for ended in result.ends_of_answers:
--- a/src/greengagelb/coordination/sharing/crash_blame.py
+++ b/src/greengagelb/coordination/sharing/crash_blame.py
@@ -121,7 +121,11 @@
                 other, now
             ):
                 by_parts |= lives
-        best = max(by_single, key=lambda s: len(s - by_parts), default=set())
+        best = max(
+            by_single,
+            key=lambda lives: (len(lives - by_parts), sorted(lives)),
+            default=set(),
+        )
         return by_parts | best
 
     def other_suspects(
@@ -129,10 +133,11 @@
     ) -> Iterator[tuple[str, set[str]]]:
         """Yield what else has crashes enough, and the lives in common."""
         lives = self.crashes_of(part).keys()
-        for other in {**self.records.histories, **self.suspected}:
-            if other in own:
-                continue
+        names = self.records.histories.keys() | self.suspected.keys()
+        for other in names - own:
             found = self.crashes_of(other)
+            if len(found) < crash_records.EARLY_CRASHES_TO_BLOCK:
+                continue
             common = lives & found.keys()
             if not common:
                 continue
@@ -143,4 +148,5 @@
         """Return the known and the suspected crashes by life."""
         history = self.records.histories.get(fingerprint)
         known = history.crashes if history else {}
-        return self.suspected.get(fingerprint, {}) | known
+        suspected = self.suspected.get(fingerprint)
+        return suspected | known if suspected else known
