Operators can list and lift blocks of what crashes engines

A wrong block lasts ten minutes and can't be cleared by a run. A lift is a row in place of the block's: the instance that reads for all takes it as a survival, tells the others and removes the row. No further calls to the store.

--- a/src/greengagelb/coordination/relay/crashing_requests.py
+++ b/src/greengagelb/coordination/relay/crashing_requests.py
@@ -257,7 +257,10 @@
         """
         resulting: list[Action] = []
         for report in reports:
-            resulting += self.apply_report(report, now)
+            if report.survived_age is None:
+                resulting += self.apply_report(report, now)
+            else:
+                resulting += self.lift_block(report, now)
         if not self.sharing.reads_for_all:
             return resulting
         stored = {report.fingerprint for report in reports}
@@ -269,6 +272,20 @@
             resulting.append(relay_actions.DeleteCrashReport(fingerprint))
         return resulting
 
+    def lift_block(
+        self, report: crash_state.CrashReport, now: float
+    ) -> list[Action]:
+        """Apply that an operator has lifted a block, and tell the others."""
+        fingerprint = report.fingerprint
+        was_blocked = self.watch.records.is_blocked(fingerprint, now)
+        resulting = self.apply_report(report, now)
+        if not was_blocked or self.watch.records.is_blocked(fingerprint, now):
+            return resulting
+        told = self.watch.records.build_report(fingerprint, now)
+        self.components.send_manager.pending_hints.append(told)
+        reason = f'fingerprint {fingerprint}'
+        return [*resulting, actions.Record('block-lifted', reason)]
+
 
 def blocked_timeline_event(fingerprint: str) -> actions.Record:
     """Return the time line event of a request or part that is blocked."""
--- a/src/greengagelb/platform/__main__.py
+++ b/src/greengagelb/platform/__main__.py
@@ -1,5 +1,8 @@
 """Runs an instance: ``python3 -m greengagelb.platform``.
 
+With words behind it, it lists or lifts blocks instead; see
+:mod:`greengagelb.platform.blocks`.
+
 Signal handlers are installed before any large library is imported, because
 the imports take half a second. The default handlers would end the process
 meanwhile: a reload would stop the instance, and a stop would look like a
@@ -12,7 +15,11 @@
 
 
 def main() -> int:
-    """Install signal handlers, then run an instance."""
+    """Install signal handlers, then run an instance, or a command."""
+    if sys.argv[1:]:
+        from greengagelb.platform import blocks  # noqa: PLC0415
+
+        return blocks.main(sys.argv[1:])
     # A reload has no effect yet: the settings are read after the imports.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # No request is in flight yet, so the process can exit at once.
--- a/src/greengagelb/state/crashes.py
+++ b/src/greengagelb/state/crashes.py
@@ -124,10 +124,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredCrashes:
-    """The crashes during one request as stored."""
+    """The crashes under one fingerprint as stored.
+
+    ``lifted_at_ms`` is the Unix time at which an operator has lifted the
+    block, or None. Earlier crashes don't count any more then.
+    """
 
     fingerprint: str
     crashes: tuple[StoredCrash, ...]
+    lifted_at_ms: int | None = None
 
 
 def to_stored_crashes(
@@ -154,6 +159,9 @@
 
     Ages are at least 0, as the clock of the writer may have been ahead.
     """
+    lifted_age = None
+    if stored.lifted_at_ms is not None:
+        lifted_age = max(0, wall_milliseconds - stored.lifted_at_ms) / 1000
     return CrashReport(
         stored.fingerprint,
         tuple(
@@ -164,4 +172,5 @@
             )
             for crash in stored.crashes
         ),
+        lifted_age,
     )
