Suspected crashes are kept by fingerprint, not gathered for each lost send

When many engines end at once, each lost stream asked for all suspected crashes of all runs, and each counted crash looked through all open requests.

--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -348,7 +348,7 @@
         if refusal is not None or account is None or service is None:
             failure_to_send = arrivals.truthful_answer(refusal, event, service)
             return [actions.SendFailure(request.exchange, failure_to_send)]
-        blocked_until = self.guard.admit_until(request, now)
+        blocked_until = self.guard.refused_until(request, now)
         if blocked_until is not None:
             refusal = arrivals.not_run_failure(
                 crash_guard.BLOCKED_NOT_RUN_CODE,
--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -52,11 +52,15 @@
 class CheckResult:
     """What a crash counts against, and the requests to resume.
 
-    ``request_ids`` are those of the requests that the engine had begun,
+    ``blocked`` are those of the ``counted_fingerprints`` that are blocked,
+    ``newly_blocked`` those that were not before. ``request_ids`` are those of
+    the requests that the engine had begun,
     ``ends_of_answers`` what the answers that waited for the check have become.
     """
 
     counted_fingerprints: tuple[str, ...]
+    blocked: tuple[str, ...]
+    newly_blocked: tuple[str, ...]
     request_ids: tuple[str, ...]
     requests_awaiting_check: tuple[tuple[int, exchanges.InFlightSend], ...]
     ends_of_answers: tuple[EndOfAnswer | relay_events.SendFailed, ...]
@@ -140,16 +144,17 @@
         It is held if it would be blocked should all its engines under check
         turn out to have ended. Returns whether it is held.
         """
-        suspected = self.broken_runs.all_suspected_crashes()
         lives_under_check = [
             life
             for fingerprint in exchange.causes.fingerprints
-            for life in suspected.get(fingerprint, {})
+            for life in self.broken_runs.suspected_crashes(fingerprint)
             if life in self.checks
         ]
         if not lives_under_check:
             return False
-        blame = crash_blame.CrashBlame(self.records, suspected)
+        blame = crash_blame.CrashBlame(
+            self.records, self.broken_runs.suspected
+        )
         verdict = blame.judge(exchange.causes, now)
         if not isinstance(verdict, crash_blame.Blocked):
             return False
@@ -173,13 +178,26 @@
         suspected_runs = self.broken_runs.pop_broken_runs(life, now)
         if event.fate is not relay_events.EngineFate.ENDED:
             suspected_runs = []
+        blocked_before = {
+            fingerprint
+            for run in suspected_runs
+            for fingerprint in run.fingerprints
+            if self.records.is_blocked(fingerprint, now)
+        }
         counted_fingerprints = broken_runs.count_crashes(
             suspected_runs, self.records, now
         )
+        blocked = [
+            fingerprint
+            for fingerprint in counted_fingerprints
+            if self.records.is_blocked(fingerprint, now)
+        ]
         if check is None:
             check = EngineCheck(event.entry)
         return CheckResult(
             tuple(counted_fingerprints),
+            tuple(blocked),
+            tuple(f for f in blocked if f not in blocked_before),
             tuple(run.request_id for run in suspected_runs),
             tuple(check.requests_awaiting_check),
             tuple(
--- a/src/greengagelb/coordination/relay/crashing_requests.py
+++ b/src/greengagelb/coordination/relay/crashing_requests.py
@@ -100,7 +100,6 @@
         self, event: relay_events.EngineChecked, now: float
     ) -> list[Action]:
         """Count a crash, announce it, and resume the held requests."""
-        blocked_before = set(self.watch.records.blocked_fingerprints(now))
         result = self.watch.handle_check(event, now)
         if isinstance(result, actions.SetTimer):
             return [result]
@@ -115,11 +114,11 @@
             resulting.append(
                 crash_timeline_event(report, event, result.request_ids)
             )
-            if self.watch.records.is_blocked(fingerprint, now):
+            if fingerprint in result.blocked:
                 resulting.append(relay_actions.StoreCrashReport(report))
-                if fingerprint not in blocked_before:
-                    resulting.append(blocked_timeline_event(fingerprint))
-        if result.counted_fingerprints:
+            if fingerprint in result.newly_blocked:
+                resulting.append(blocked_timeline_event(fingerprint))
+        if result.blocked:
             resulting += self.stop_blocked(now)
         for number, sent in result.requests_awaiting_check:
             resulting += self.resume_held(number, sent, now)
--- a/src/greengagelb/coordination/sharing/broken_runs.py
+++ b/src/greengagelb/coordination/sharing/broken_runs.py
@@ -36,54 +36,76 @@
 
 
 class BrokenRuns:
-    """Runs that broke off, by engine."""
+    """Runs that broke off, by engine.
+
+    ``suspected`` has the crashes that they count as if their engines ended, by
+    fingerprint and life. What several runs of a life have in common is judged
+    by the one that began last.
+
+    Invariant: ``suspected`` has exactly the lives of the runs in
+    ``by_engine``, under their fingerprints.
+    """
 
     def __init__(self) -> None:
         self.by_engine: dict[str, list[BrokenRun]] = {}
+        self.suspected: dict[str, dict[str, crashes.Crash]] = {}
 
     def add(self, engine: str, broken_run: BrokenRun) -> bool:
         """Add a run; return whether its engine is to be probed."""
-        runs = self.by_engine.setdefault(engine, [])
-        runs[:] = [
-            run
-            for run in runs
-            if run.broken_at > broken_run.broken_at - BROKEN_RUN_TTL_SECONDS
-        ]
+        runs = self.by_engine.get(engine, [])
+        oldest_kept_at = broken_run.broken_at - BROKEN_RUN_TTL_SECONDS
+        if runs and runs[0].broken_at <= oldest_kept_at:
+            self.remove_engine(engine)
+            runs = [run for run in runs if run.broken_at > oldest_kept_at]
+            for run in runs:
+                self.suspect(run)
+        self.by_engine[engine] = runs
         if len(runs) < MAX_BROKEN_RUNS_PER_ENGINE:
             runs.append(broken_run)
+            self.suspect(broken_run)
         return len(runs) == 1
 
+    def suspect(self, broken_run: BrokenRun) -> None:
+        """Count a run as a suspected crash."""
+        crash = crash_from_broken_run(broken_run)
+        for fingerprint in broken_run.fingerprints:
+            by_life = self.suspected.setdefault(fingerprint, {})
+            known = by_life.get(crash.life)
+            if known is None or known.began_at <= crash.began_at:
+                by_life[crash.life] = crash
+
+    def remove_engine(self, engine: str) -> list[BrokenRun]:
+        """Remove and return the runs of an engine."""
+        runs = self.by_engine.pop(engine, [])
+        for run in runs:
+            for fingerprint in run.fingerprints:
+                by_life = self.suspected.get(fingerprint, {})
+                by_life.pop(run.life, None)
+                if not by_life:
+                    self.suspected.pop(fingerprint, None)
+        return runs
+
     def pop_broken_runs(self, engine: str, now: float) -> list[BrokenRun]:
         """Remove and return the recent runs of an engine."""
-        runs = self.by_engine.pop(engine, [])
         return [
-            run for run in runs if run.broken_at > now - BROKEN_RUN_TTL_SECONDS
+            run
+            for run in self.remove_engine(engine)
+            if run.broken_at > now - BROKEN_RUN_TTL_SECONDS
         ]
 
     def clear_engine(self, engine: str) -> None:
         """Drop the runs of an engine that is still alive."""
-        self.by_engine.pop(engine, None)
+        self.remove_engine(engine)
 
     def suspected_crashes(self, fingerprint: str) -> dict[str, crashes.Crash]:
         """Return the suspected crashes under a fingerprint, by life."""
-        return self.all_suspected_crashes().get(fingerprint, {})
-
-    def all_suspected_crashes(self) -> dict[str, dict[str, crashes.Crash]]:
-        """Return the suspected crashes of each fingerprint, by life."""
-        suspected: dict[str, dict[str, crashes.Crash]] = {}
-        for runs in self.by_engine.values():
-            for broken_run in sorted(runs, key=begin_time):
-                crash = crash_from_broken_run(broken_run)
-                for fingerprint in broken_run.fingerprints:
-                    by_life = suspected.setdefault(fingerprint, {})
-                    by_life[crash.life] = crash
-        return suspected
+        return self.suspected.get(fingerprint, {})
 
     def forget_expired(self, now: float) -> None:
         """Drop engines that were never found to have ended or to be alive."""
         for engine, runs in list(self.by_engine.items()):
             if runs[-1].broken_at <= now - BROKEN_RUN_TTL_SECONDS:
-                del self.by_engine[engine]
+                self.remove_engine(engine)
 
 
 def begin_time(broken_run: BrokenRun) -> float:
--- a/src/greengagelb/coordination/sharing/crash_guard.py
+++ b/src/greengagelb/coordination/sharing/crash_guard.py
@@ -55,19 +55,16 @@
         self.cached_change_count = 0
         self.cached_suspects: tuple[crash_state.SuspectRequest, ...] = ()
 
-    def blocked_until(
+    def judge(
         self, request: fingerprints.ProductRequest, now: float
-    ) -> float | None:
-        """Return the time until which a request is blocked, or None."""
+    ) -> crash_blame.Verdict:
+        """Return the verdict on a request by the known crashes."""
         if not self.records.histories:
-            return None
+            return crash_blame.NOT_BLAMED
         causes = fingerprints.causes_of_product_request(request)
-        match crash_blame.CrashBlame(self.records).judge(causes, now):
-            case crash_blame.Blocked(until=until):
-                return until
-        return None
+        return crash_blame.CrashBlame(self.records).judge(causes, now)
 
-    def admit_until(
+    def refused_until(
         self, request: fingerprints.ProductRequest, now: float
     ) -> float | None:
         """Return until when a new request is refused, or None.
@@ -75,10 +72,7 @@
         While it is not decided which part of a prompt crashes engines, one
         request at a time is admitted to find out.
         """
-        if not self.records.histories:
-            return None
-        causes = fingerprints.causes_of_product_request(request)
-        match crash_blame.CrashBlame(self.records).judge(causes, now):
+        match self.judge(request, now):
             case crash_blame.Blocked(until=until):
                 return until
             case crash_blame.Undecided(parts):
@@ -91,7 +85,7 @@
         self, request: fingerprints.ProductRequest, now: float
     ) -> bool:
         """Return whether a request is blocked now."""
-        return self.blocked_until(request, now) is not None
+        return isinstance(self.judge(request, now), crash_blame.Blocked)
 
     def has_blocking_suspected_crashes(
         self, request: fingerprints.ProductRequest, now: float
@@ -100,7 +94,7 @@
         if not self.broken_runs.by_engine:
             return False
         causes = fingerprints.causes_of_product_request(request)
-        suspected = self.broken_runs.all_suspected_crashes()
+        suspected = self.broken_runs.suspected
         if not any(name in suspected for name in causes.fingerprints):
             return False
         blame = crash_blame.CrashBlame(self.records, suspected)
--- a/tests/load/test_crash_records.py
+++ b/tests/load/test_crash_records.py
@@ -6,6 +6,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from greengagelb.coordination.sharing import broken_runs
 from greengagelb.coordination.sharing import crash_records
 from greengagelb.state import crashes as crash_state
 
@@ -252,3 +253,34 @@
     assert remote.is_blocked('f', clock)
     local.merge_report(remote.build_report('f', clock + 0.01), other)
     assert local.is_blocked('f', other)
+
+
+RUNS = st.builds(
+    broken_runs.BrokenRun,
+    st.lists(NAMES, min_size=1, unique=True).map(tuple),
+    LIVES,
+    st.floats(900.0, 930.0),
+    st.floats(900.0, 930.0),
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(RUNS, max_size=30), st.lists(LIVES, max_size=4))
+def test_suspected_crashes_are_those_of_the_runs_that_are_kept(runs, gone):
+    """Guards against requests held for engines that were checked long ago."""
+    kept = broken_runs.BrokenRuns()
+    for run in sorted(runs, key=lambda run: run.broken_at):
+        kept.add(run.life, run)
+    for life in gone:
+        kept.pop_broken_runs(life, 930.0)
+    expected = {
+        (fingerprint, run.life)
+        for found in kept.by_engine.values()
+        for run in found
+        for fingerprint in run.fingerprints
+    }
+    assert expected == {
+        (fingerprint, life)
+        for fingerprint, lives in kept.suspected.items()
+        for life in lives
+    }
