Soak: limits and rests count from the first answer that comes through

By the instances' logs the link swallowed the answers that asked for rest and named the limit (lost-engine-answers); none had come when the counted requests were sent, and the first that came was kept to at once. The check counted what engines wrote.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -94,6 +94,8 @@
         What.RESTART_ENGINE,
     }
 )
+# Those in which a link loses what an engine has written.
+SWALLOWING = frozenset({What.DARK_ENGINE, What.LOST_ENGINE_ANSWERS})
 # Those that start or end the process of an instance, or stop its clock.
 OF_LIVES = frozenset(
     {
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -214,6 +214,9 @@
                 for arrival in self.world.engines.arrivals
                 if arrival.engine == limit.engine
                 and begin <= arrival.at < limit.until
+                and not self.answers_swallowed(
+                    limit.engine, arrival.at, TOUCH_SECONDS
+                )
             ]
             most = LIMIT_SHARE * LIMIT_WINDOW * limit.rate + LIMIT_SPARE
             for at in times:
@@ -236,11 +239,32 @@
             if found is None:
                 continue
             times = arrivals[stated.life, found.instance]
+            if self.answer_was_lost(stated):
+                continue
             if stated.seconds:
                 yield from self.in_a_rest(stated, found.instance, times)
             else:
                 yield from self.after_leaving(stated, found.instance, times)
 
+    def answer_was_lost(self, stated: engines.Stated) -> bool:
+        """Return whether the link swallowed the answer with a statement.
+
+        What the engine states in the next answer that comes through counts.
+        """
+        engine = stated.life.partition(' ')[0]
+        return self.answers_swallowed(engine, stated.at, 0.0)
+
+    def answers_swallowed(
+        self, engine: str, at: float, seconds: float
+    ) -> bool:
+        """Return whether a link lost answers then, or some seconds before."""
+        return any(
+            moment.what in faults.SWALLOWING
+            and moment.target == engine
+            and moment.at <= at < moment.until + seconds
+            for moment in self.world.moments
+        )
+
     def in_a_rest(
         self,
         stated: engines.Stated,
