--- a/src/greengagelb/coordination/sharing/crash_blame.py
+++ b/src/greengagelb/coordination/sharing/crash_blame.py
@@ -40,7 +40,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Undecided:
-    """Parts of a request have crashed engines, or others beside them have."""
+    """The crashes of some parts may as well be due to other parts."""
 
     parts: tuple[str, ...]
 
@@ -104,7 +104,7 @@
     def explained_lives(
         self, part: str, causes: crashes.PossibleCauses, now: float
     ) -> set[str]:
-        """Return the engines' lives whose end others than a part explain.
+        """Return the lives of engines whose end others than a part explain.
 
         What a request has itself excuses none of its parts. Several other
         parts may crash engines, but several requests or accounts without a
--- a/src/greengagelb/coordination/sharing/crash_records.py
+++ b/src/greengagelb/coordination/sharing/crash_records.py
@@ -216,22 +216,6 @@
             if self.is_blocked(fingerprint, now)
         ]
 
-    def would_be_blocked(
-        self,
-        fingerprint: str,
-        suspected: dict[str, crashes.Crash],
-        now: float,
-    ) -> bool:
-        """Return whether a request is blocked if the suspected crashes count.
-
-        ``suspected`` holds them by life.
-        """
-        history = self.histories.get(fingerprint)
-        known_crashes = history.crashes if history else {}
-        return (
-            block_expiry((suspected | known_crashes).values(), now) is not None
-        )
-
     def is_explained_by_other(
         self, fingerprint: str, crash: crashes.Crash, now: float
     ) -> bool:
--- a/src/greengagelb/coordination/sharing/trials.py
+++ b/src/greengagelb/coordination/sharing/trials.py
@@ -1,4 +1,8 @@
-"""Requests that decide which of several parts of prompts crashes engines."""
+"""Requests that decide which of several parts of prompts crashes engines.
+
+Each may end the engine that it is sent to, so there is one at a time for a
+part. It ends with the first event of its answer, or with a crash.
+"""
 
 # How long other requests with the parts are refused if nothing is heard of the
 # outcome: engines read all but the longest prompts within this time.
@@ -6,10 +10,7 @@
 
 
 class Trials:
-    """The parts on trial, with the monotonic times at which trials lapse.
-
-    One request at a time decides about a part, as it may end its engine.
-    """
+    """The parts on trial, with the monotonic times at which trials lapse."""
 
     def __init__(self) -> None:
         self.lapse_at: dict[str, float] = {}
--- a/src/greengagelb/platform/blocks.py
+++ b/src/greengagelb/platform/blocks.py
@@ -58,20 +58,20 @@
 
     @defer.inlineCallbacks
     def work() -> object:
-        try:
-            read = yield client.read_members()
-            match words:
-                case ['blocks']:
-                    sys.stdout.write(render(read.kept_crashes, time.time()))
-                case ['lift', fingerprint]:
-                    lifted = lift(read.kept_crashes, fingerprint, time.time())
-                    yield client.write_crashes(lifted)
-                    sys.stdout.write(f'lifted: {fingerprint}\n')
-        except errors.GreengagelbError as exc:
-            failures.append(exc)
-        reactor.stop()
-
-    reactor.callWhenRunning(work)
+        read = yield client.read_members()
+        match words:
+            case ['blocks']:
+                sys.stdout.write(render(read.kept_crashes, time.time()))
+            case ['lift', fingerprint]:
+                lifted = lift(read.kept_crashes, fingerprint, time.time())
+                yield client.write_crashes(lifted)
+                sys.stdout.write(f'lifted: {fingerprint}\n')
+
+    def start() -> None:
+        done = work().addErrback(lambda why: failures.append(why.value))
+        done.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(start)
     reactor.run()
     if failures:
         raise failures[0]
