An instance that starts during an outage serves by the reader's list of engines

The instance started while the store was away, heard all engines from the instance that reads for all, and so never read the list itself, which alone made it serve. By its log it has a configuration, 70 refusals and no store-regained. The list counts as complete now when the reader's notification has the same digest.

--- a/src/greengagelb/coordination/relay/listed_engines.py
+++ b/src/greengagelb/coordination/relay/listed_engines.py
@@ -37,6 +37,8 @@
 class ListedEngines:
     """The lives of all engines known to this instance, by identity.
 
+    ``is_complete`` tells whether the whole list was read here, or was the same
+    as that of an instance that has read it.
     ``confirmed_at`` is when the list was last known to be current here.
     ``services`` are the services of the configuration in force, ``None``
     without one. One read of the list may arrive in several parts:
@@ -65,6 +67,7 @@
         self.services: frozenset[str] | None = None
         self.outliers = outliers.OutlierDetector()
         self.is_store_lost = False
+        self.is_complete = False
         self.confirmed_at = float('-inf')
         self.previously_confirmed_at = float('-inf')
         self.read_began_at = float('-inf')
--- a/src/greengagelb/coordination/relay/peer_events.py
+++ b/src/greengagelb/coordination/relay/peer_events.py
@@ -187,6 +187,7 @@
         self.sharing.note_peer_read(incarnation)
         is_same = hint.digest == self.engines.digest()
         if is_same:
+            self.engines.is_complete = True
             self.engines.note_confirmed(now)
         self.sharing.engine_list_freshness.note_peer_knowledge(
             is_same=is_same, now=now
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -89,7 +89,6 @@
         self.engines = directory.EngineDirectory(
             engine_bounds.least_lapse_seconds, self.keeper.carry_over_limit
         )
-        self.has_engine_list = False
         self.loads = loads.RunLoads()
         self.budget = shared_retry_budget.SharedRetryBudget(retry_bounds)
         self.send_manager = sending.SendManager(
@@ -181,7 +180,7 @@
     @property
     def usable_route_table(self) -> routes.RouteTable | None:
         """Return the configuration, or None until engines are listed."""
-        return self.route_table if self.has_engine_list else None
+        return self.route_table if self.engines.is_complete else None
 
     @property
     def is_ready(self) -> bool:
@@ -278,7 +277,7 @@
             case relay_events.ConfigurationChecked():
                 return self.announce_configuration(now)
             case relay_events.EnginesListed(entries, unusable):
-                self.has_engine_list = True
+                self.engines.is_complete = True
                 return self.engine_list.apply_whole_list(
                     entries, unusable, now
                 )
--- a/tests/relay/test_store_sharing.py
+++ b/tests/relay/test_store_sharing.py
@@ -1,9 +1,12 @@
 """Instances that share what one of them reads from the store."""
 
+import random
+
 import pytest
 
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import relay
 from greengagelb.state.relay import hints
 from tests.common import relay_world
 
@@ -318,3 +321,29 @@
         read_notifications(reader)[-1].version
         == reader.relay.route_table.version
     )
+
+
+def test_an_instance_that_starts_during_an_outage_serves_by_the_readers_list():
+    """Guards against an instance that refuses all requests after an outage.
+
+    It has heard the changes that the reader found, so that it has the same
+    list, and so does not read the store itself.
+    """
+    own = hints.Member('own', '5-own', '127.0.0.1', 'north')
+    world = relay_world.RelayWorld()
+    world.relay = relay.Relay(
+        random.Random(1),
+        own,
+        relay_world.RETRIES,
+        relay_world.ENGINE_BOUNDS,
+    )
+    world.offer(relay_world.route_table())
+    world.handle(relay_events.PeerHeard(READER, 'north'))
+    world.handle(relay_events.StoreLost('status 503'))
+    entries = tuple(relay_world.fleet())
+    told = hints.EngineListChanged(entries, ())
+    world.handle(relay_events.PeerTold(READER, told))
+    [early] = world.refusals(world.ask())
+    assert early.code == 'no-configuration'
+    notify_read(world)
+    assert world.sends(world.ask())
