Read once more: prompts hashed and parts parsed once, one play for tests and measurement

By the product's own interface the first token of each stream hashed the whole prompt, of which only the parts were used. The platform's header of parts was parsed twice for each request, and the messages of a prompt were joined twice. The tests and the measurement of crashing parts had the same play and names. No decision is changed.

--- a/measure/crashing_parts.py
+++ b/measure/crashing_parts.py
@@ -17,17 +17,14 @@
 
 from tests.common import crashing_fleet
 
-SYSTEM = 'system prompt'
-TOOLS = 'description of tools'
-CRASHING = 'crashing part'
-OTHER_CRASHING = 'other crashing part'
-SOUND = ((SYSTEM,), (SYSTEM, TOOLS))
+SYSTEM = crashing_fleet.SYSTEM_PART
+TOOLS = crashing_fleet.TOOLS_PART
+CRASHING = crashing_fleet.CRASHING_PART
+OTHER_CRASHING = crashing_fleet.OTHER_CRASHING_PART
 ONE_PART = ((SYSTEM, CRASHING), (SYSTEM, TOOLS, CRASHING))
 TWO_PARTS = ((SYSTEM, CRASHING), (SYSTEM, TOOLS, OTHER_CRASHING))
 # Engines of each data centre for so many instances.
 INSTANCES_AN_ENGINE = 5
-WARM_SECONDS = 8.0
-SOUND_EVERY_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,18 +58,12 @@
     """Return what came of a case, with or without crashing requests."""
     per_place = max(3, case.size // INSTANCES_AN_ENGINE)
     fleet = crashing_fleet.CrashingFleet(case.size, per_place, case.loss, seed)
-    if case.warm:
-        fleet.ask_with_parts('stream', 4.0, SOUND_EVERY_SECONDS, *SOUND)
-        fleet.run(WARM_SECONDS)
     if case.restarts:
+        begin = 6.0 + (crashing_fleet.WARM_SECONDS if case.warm else 0.0)
         for number in range(case.size):
-            fleet.after(6.0 + 0.5 * number, fleet.restart, number)
-    asked = fleet.ask_with_parts(
-        'stream', case.seconds, SOUND_EVERY_SECONDS, *SOUND
-    )
-    if crashing:
-        fleet.ask_with_parts('stream', case.seconds, case.every, *case.parts)
-    fleet.run(case.seconds + crashing_fleet.CALLER_SECONDS)
+            fleet.after(begin + 0.5 * number, fleet.restart, number)
+    choices = case.parts if crashing else ()
+    asked = fleet.play_parts(case.seconds, case.every, choices, warm=case.warm)
     return {
         'ended': len(fleet.crashes),
         'late': fleet.arrivals_after_crash(5),
--- a/src/greengagelb/coordination/sharing/broken_runs.py
+++ b/src/greengagelb/coordination/sharing/broken_runs.py
@@ -93,10 +93,6 @@
             if run.broken_at > now - BROKEN_RUN_TTL_SECONDS
         ]
 
-    def clear_engine(self, engine: str) -> None:
-        """Drop the runs of an engine that is still alive."""
-        self.remove_engine(engine)
-
     def suspected_crashes(self, fingerprint: str) -> dict[str, crashes.Crash]:
         """Return the suspected crashes under a fingerprint, by life."""
         return self.suspected.get(fingerprint, {})
--- a/src/greengagelb/coordination/sharing/crash_guard.py
+++ b/src/greengagelb/coordination/sharing/crash_guard.py
@@ -150,7 +150,7 @@
         known_incarnation = probe.incarnation
         if known_incarnation and known_incarnation != event.engine.incarnation:
             return self.count_crash(name, now)
-        self.broken_runs.clear_engine(name)
+        self.broken_runs.remove_engine(name)
         return []
 
     def handle_unreachable(
@@ -204,7 +204,9 @@
         self, request: requests.GenerationRequest, now: float
     ) -> None:
         """Record that an upstream has begun to generate with a prompt."""
-        parts = fingerprints.causes_of_product_request(request).parts
+        parts = fingerprints.for_shared_parts(
+            request.shared_parts, request.service
+        )
         self.trials.end(parts)
         for part in parts:
             self.records.record_survival(part, now, now)
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -119,6 +119,7 @@
         )
         left = read_integer_header(fields, TIME_LEFT_HEADER)
         seconds = DEFAULT_TIMEOUT_SECONDS if left is None else left / 1000.0
+        parts = read_prompt_parts(fields)
         host = single_header_value(fields, b'Host') or b''
         request_id = single_header_value(fields, REQUEST_ID_HEADER)
         if not request_id:
@@ -135,8 +136,8 @@
             received_at,
             received_at + seconds,
             read_integer_header(fields, RESUME_AFTER_HEADER),
-            read_prompt_sizes(fields),
-            read_prompt_parts(fields)[:-1],
+            read_prompt_sizes(fields, parts),
+            parts[:-1],
         )
 
     def write_send(
@@ -318,7 +319,9 @@
     return value[len(API_KEY_SCHEME) :].strip().decode('latin-1')
 
 
-def read_prompt_sizes(fields: requests.Headers) -> requests.Prompt | None:
+def read_prompt_sizes(
+    fields: requests.Headers, parts: tuple[str, ...]
+) -> requests.Prompt | None:
     """Return the token counts of a generation, if the request has them."""
     counts = single_header_value(fields, TOKEN_COUNTS_HEADER)
     if counts is None:
@@ -327,7 +330,7 @@
     if not read.strip().isdigit() or not made.strip().isdigit():
         raise errors.ProtocolError('token counts are not two numbers')
     single_header_value(fields, PROMPT_PARTS_HEADER)
-    own_part = (read_prompt_parts(fields) or ('',))[-1]
+    own_part = parts[-1] if parts else ''
     return requests.Prompt(int(read), int(made), own_part)
 
 
--- a/src/greengagelb/transport/caller_app.py
+++ b/src/greengagelb/transport/caller_app.py
@@ -84,23 +84,20 @@
             raise errors.BadValue(
                 'stream: must be true; every answer is streamed'
             )
-        prompt = '\n'.join(
+        parts = tuple(
             f'{message.role}: {message.content}' for message in body.messages
         )
         generation = requests.GenerationRequest(
             next(self.exchange_numbers),
             identity.RequestId(account.name, self.choose_request_id(headers)),
             body.model,
-            prompt,
+            '\n'.join(parts),
             body.max_tokens,
             self.deadline_of(headers),
             bool(headers.idempotency_key),
             headers.first_send,
             headers.priority,
-            tuple(
-                f'{message.role}: {message.content}'
-                for message in body.messages[:-1]
-            ),
+            parts[:-1],
         )
         event = self.event_of_submission(
             headers.cursor, generation, tuple(body.received)
--- a/tests/common/crashing_fleet.py
+++ b/tests/common/crashing_fleet.py
@@ -22,7 +22,15 @@
 
 CRASHING = b'what crashes engines'
 # Each request whose prompt has one of these parts crashes engines.
-CRASHING_PARTS = frozenset({'crashing part', 'other crashing part'})
+CRASHING_PART = 'crashing part'
+OTHER_CRASHING_PART = 'other crashing part'
+CRASHING_PARTS = frozenset({CRASHING_PART, OTHER_CRASHING_PART})
+# Parts that sound requests and crashing ones have in common.
+SYSTEM_PART = 'system prompt'
+TOOLS_PART = 'description of tools'
+SOUND_PARTS = ((SYSTEM_PART,), (SYSTEM_PART, TOOLS_PART))
+# Time for sound requests before the first crashing one.
+WARM_SECONDS = 8.0
 # Within so many seconds instances that hear each other know of a crash.
 CONTACT_SECONDS = 3.0
 NETWORK_SECONDS = 0.001
@@ -277,6 +285,22 @@
             self.after(number * every, ask)
         return asked
 
+    def play_parts(self, seconds, every, choices, *, warm):
+        """Play sound requests and crashing ones; return the sound ones.
+
+        The crashing ones come ``every`` so many seconds and have the parts of
+        one of the ``choices``; without choices there are none. ``warm`` is
+        whether sound requests came before.
+        """
+        if warm:
+            self.ask_with_parts('stream', 4.0, 0.5, *SOUND_PARTS)
+            self.run(WARM_SECONDS)
+        sound = self.ask_with_parts('stream', seconds, 0.5, *SOUND_PARTS)
+        if choices:
+            self.ask_with_parts('stream', seconds, every, *choices)
+        self.run(seconds + CALLER_SECONDS)
+        return sound
+
     def served_share(self, asked):
         """Return the share of requests that got their whole answer."""
         whole = (relay_actions.EndStream, relay_actions.PassAnswer)
--- a/tests/load/test_crashing_prompt_parts.py
+++ b/tests/load/test_crashing_prompt_parts.py
@@ -23,26 +23,17 @@
 # The operators' bound on how often engines get such requests after the
 # instances need to know of the fifth crash.
 MAX_LATE_ARRIVALS = 3
-CRASHING = 'crashing part'
-OTHER_CRASHING = 'other crashing part'
-SYSTEM = 'system prompt'
-TOOLS = 'description of tools'
-SOUND_PARTS = ((SYSTEM,), (SYSTEM, TOOLS))
+CRASHING = crashing_fleet.CRASHING_PART
+OTHER_CRASHING = crashing_fleet.OTHER_CRASHING_PART
+SYSTEM = crashing_fleet.SYSTEM_PART
+TOOLS = crashing_fleet.TOOLS_PART
+SOUND_PARTS = crashing_fleet.SOUND_PARTS
 CRASHING_PARTS = ((SYSTEM, CRASHING), (SYSTEM, TOOLS, CRASHING))
 
 
-def play(played, every, *, warm, parts=CRASHING_PARTS, seconds=40.0):
-    """Play sound requests and crashing ones; return the sound ones.
-
-    ``warm`` is whether sound requests came before the crashing ones.
-    """
-    if warm:
-        played.ask_with_parts('stream', 4.0, 0.5, *SOUND_PARTS)
-        played.run(8.0)
-    sound = played.ask_with_parts('stream', seconds, 0.5, *SOUND_PARTS)
-    played.ask_with_parts('stream', seconds, every, *parts)
-    played.run(seconds + crashing_fleet.CALLER_SECONDS)
-    return sound
+def play(played, every, *, warm, parts=CRASHING_PARTS):
+    """Play sound requests and crashing ones; return the sound ones."""
+    return played.play_parts(40.0, every, parts, warm=warm)
 
 
 @pytest.mark.parametrize('warm', [False, True])
