--- /dev/null
+++ b/review/entries/21-6/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case can't run.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
