Timeline: why a stream was cut, and what a silence says

No decision changes.

send-lost of a silent run has the lateness of the timer and the time since another engine of the service was heard; attempt-refused has the attempts or the state of the retry budget; sent has that state for each retry.

--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -83,14 +83,36 @@
 
     def note_success(self, engine: str, now: float) -> None:
         """End the suspicion of an engine that has just answered."""
+        self.note_heard(engine, now)
         state = self.states.get(engine)
         if state is None:
             return
-        state.heard_at = now
         state.failures = 0
         state.alive_from = 0
         state.suspected_until = min(state.suspected_until, now)
 
+    def note_heard(self, engine: str, now: float) -> None:
+        """Record that an engine has sent something to this instance."""
+        state = self.states.get(engine)
+        if state is not None:
+            state.heard_at = now
+
+    def others_heard_at(self, entry: engines.EngineEntry) -> float:
+        """Return when another engine of the same service was last heard.
+
+        The result is a monotonic time.
+        """
+        return max(
+            (
+                state.heard_at
+                for name, state in self.by_service.get(
+                    entry.service, {}
+                ).items()
+                if name != entry.engine
+            ),
+            default=float('-inf'),
+        )
+
     def note_replaced(
         self, engine: str, started_at_ms: int = engines.UNKNOWN_START
     ) -> None:
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -68,6 +68,16 @@
             announced=exchange.request.prompt is not None,
         )
 
+    def record_refused_attempt(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> actions.Record:
+        """Return the timeline event of an attempt that is not allowed."""
+        why = self.budget.describe(exchange.ruling.service.name, now)
+        if not self.has_attempts_left(exchange):
+            most = exchange.ruling.route.most_attempts
+            why = f'attempts {exchange.attempts} of {most}'
+        return record(exchange, None, 'attempt-refused', why)
+
     def start_send(
         self,
         exchange: exchanges.Exchange,
@@ -103,7 +113,7 @@
                 exchange,
                 sent,
                 'sent',
-                self.describe_send(exchange, state, sent),
+                self.describe_send(exchange, state, sent, now),
             ),
             relay_actions.Send(
                 exchange.number,
@@ -163,6 +173,7 @@
         exchange: exchanges.Exchange,
         state: engine_states.EngineState,
         sent: exchanges.InFlightSend,
+        now: float,
     ) -> str:
         """Return the figures behind the choice of an engine for a send."""
         work = self.loads.work_on(state.entry.engine)
@@ -178,6 +189,9 @@
         if known is not None and known.rate is not None:
             age = sent.began_at - known.known_at
             parts.append(f'limit {known.rate:g} known for {age:.3f} s')
+        if exchange.attempts > 1:
+            service = exchange.ruling.service.name
+            parts.append(self.budget.describe(service, now))
         if exchange.position:
             parts.append(f'resumes after event {exchange.position}')
         if sent.from_copy:
--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -122,6 +122,17 @@
         slack = self.bounds.slack * self.reachable / self.instances
         return slack + self.bounds.ratio * window.all_requests
 
+    def describe(self, service: str, now: float) -> str:
+        """Return the retries of a service in the window, for the timeline."""
+        window = self.window(service, now)
+        return (
+            f'own retries {len(window.retries)} '
+            f'of {self.own_allowance(window):.1f}, '
+            f'known {window.all_retries} '
+            f'of {self.shared_allowance(window):.1f}, '
+            f'{self.reachable} of {self.instances} instances'
+        )
+
     def try_spend(
         self, service: str, now: float, *, announced: bool = False
     ) -> bool:
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -117,9 +117,18 @@
             code = 'deadline-too-near'
             return [self.components.answers.fail_request(exchange, code, now)]
         if not self.components.send_manager.try_spend_attempt(exchange, now):
-            return [self.components.answers.fail_request(exchange, code, now)]
+            return self.refuse_attempt(exchange, code, now)
         return self.send_stream(exchange, state, now)
 
+    def refuse_attempt(
+        self, exchange: exchanges.Exchange, code: str, now: float
+    ) -> list[Action]:
+        """End a stream that may not be sent once more."""
+        return [
+            self.components.send_manager.record_refused_attempt(exchange, now),
+            self.components.answers.fail_request(exchange, code, now),
+        ]
+
     def min_reading_seconds(
         self,
         exchange: exchanges.Exchange,
@@ -216,10 +225,28 @@
         if first or (has_no_copy and is_not_probed):
             return self.probe_engine(exchange, sent, now)
         exchange.may_have_run = True
-        silent = now - sent.moved_at
-        detail = f'silent for {silent:.3f} s'
+        detail = self.describe_silence(exchange, sent, now)
         return self.handle_lost_send(exchange, sent, detail, now, dead=False)
 
+    def describe_silence(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> str:
+        """Return what separates one silent engine from several or our own.
+
+        A late timer means that this process stood still, and no word from
+        other engines that the cause is none of this engine's.
+        """
+        silent = now - sent.moved_at
+        late = now - self.next_event_due_at(exchange, sent)
+        heard = now - self.components.engines.others_heard_at(sent.entry)
+        return (
+            f'silent for {silent:.3f} s, noticed {late:.3f} s late, '
+            f'others heard {heard:.3f} s ago'
+        )
+
     def probe_engine(
         self,
         exchange: exchanges.Exchange,
@@ -296,6 +323,7 @@
         first = not sent.events_seen
         sent.events_seen += len(event.events)
         sent.moved_at = now
+        self.components.engines.note_heard(sent.entry.engine, now)
         if first:
             told = self.components.crash_watch.note_sound_parts(exchange, now)
             self.components.send_manager.pending_hints.extend(told)
@@ -529,8 +557,7 @@
         ):
             return self.start_from_prompt(exchange, now, 'engines-failed')
         if not self.components.send_manager.try_spend_attempt(exchange, now):
-            code = 'retry-budget-spent'
-            return [self.components.answers.fail_request(exchange, code, now)]
+            return self.refuse_attempt(exchange, 'retry-budget-spent', now)
         return self.send_stream(exchange, copy, now, sent.copy_name)
 
     def engine_heard_at(self, sent: exchanges.InFlightSend) -> float:
