Streams: a silent run stays open until another one has written

A run silent for 0.385 s was abandoned when the next one was started, that one after 0.6 s, and so on; once no attempt or no retry was left, or at once on a route without resumption, the stream was cut although each of the abandoned runs would have gone on.

Now a run is ended by its own end, by the next event of the other run, or, if its engine answers a probe, because two runs must not overlap for 0.4 s. An answer that a silent run may still give is never given up for lack of something better: give_up() fails a stream only if no run of it is open. Where an engine in reach has no copy elsewhere, its run is left only while other engines of the service are heard; if none is, another run would be as silent. An engine out of reach is probed again while its run has a replacement, and left to go on if it comes back.

--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -113,6 +113,14 @@
             default=float('-inf'),
         )
 
+    def has_other_sends(self, entry: engines.EngineEntry) -> bool:
+        """Return whether other engines of a service have requests of ours."""
+        return any(
+            state.in_flight
+            for name, state in self.by_service.get(entry.service, {}).items()
+            if name != entry.engine
+        )
+
     def note_replaced(
         self, engine: str, started_at_ms: int = engines.UNKNOWN_START
     ) -> None:
--- a/src/greengagelb/coordination/relay/permit_outcomes.py
+++ b/src/greengagelb/coordination/relay/permit_outcomes.py
@@ -195,10 +195,21 @@
             return None
         if now < state.available_at:
             return None
-        is_hedge = isinstance(held.continuation, permit_waits.HedgedCall)
-        if len(exchange.sends) != int(is_hedge):
-            return None
-        return state
+        return state if self.is_wanted(held, exchange) else None
+
+    def is_wanted(
+        self, held: permit_waits.WaitingSend, exchange: exchanges.Exchange
+    ) -> bool:
+        """Return whether a request still needs the send that has waited."""
+        match held.continuation:
+            case permit_waits.HedgedCall():
+                return len(exchange.sends) == 1
+            case permit_waits.CallAttempt():
+                return not exchange.sends
+        return (
+            not exchange.sends
+            or self.streams.silent_runs.wants_replacement(exchange)
+        )
 
     def send(
         self,
@@ -225,7 +236,9 @@
         now: float,
     ) -> list[Action]:
         """Choose an engine again for a request that has waited, if needed."""
-        if exchange.sends:
+        if exchange.sends and not (
+            self.streams.silent_runs.wants_replacement(exchange)
+        ):
             return []
         match continuation:
             case permit_waits.CallAttempt(code):
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -33,6 +33,7 @@
 from greengagelb.coordination.relay import run_copies
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import shared_retry_budget
+from greengagelb.coordination.relay import silent_runs
 from greengagelb.coordination.relay import stopping
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.coordination.relay import streams
@@ -58,7 +59,7 @@
 OLDER_CONFIGURATION_TIMER = 'relay-older-configuration'
 TIMERS = (
     DEADLINE_TIMER,
-    streams.SILENCE_TIMER,
+    silent_runs.SILENCE_TIMER,
     calls.HEDGE_TIMER,
     calls.LATE_CALL_TIMER,
     run_copies.COPY_TIMER,
@@ -450,10 +451,15 @@
         event: relay_events.StreamProgressed,
         now: float,
     ) -> list[Action]:
-        """Pass events on; order a missing copy after the first ones."""
+        """Pass events on; order a copy if there is none, or it was used."""
         first = not sent.events_seen
         resulting = self.streams.pass_events(exchange, sent, event, now)
-        if first and sent.number in exchange.sends:
+        if sent.number not in exchange.sends:
+            return resulting
+        if sent.copy_used:
+            sent.copy_used = False
+            return resulting + self.copies.replace_copy(exchange, sent, now)
+        if first:
             resulting += self.copies.order_missing_copy(exchange, sent, now)
         return resulting
 
@@ -495,8 +501,8 @@
         if exchange is None:
             return []
         match kind:
-            case streams.SILENCE_TIMER:
-                return self.streams.check_silence(exchange, now)
+            case silent_runs.SILENCE_TIMER:
+                return self.streams.silent_runs.check_silence(exchange, now)
             case run_copies.COPY_TIMER:
                 return self.copies.renew_copies(exchange, now)
             case calls.HEDGE_TIMER:
--- a/src/greengagelb/coordination/relay/relay_components.py
+++ b/src/greengagelb/coordination/relay/relay_components.py
@@ -48,6 +48,8 @@
         if not self.waiting_sends.needs_permit(state):
             return None
         if not self.send_manager.has_attempts_left(exchange):
+            if exchange.sends:
+                return []
             return [self.answers.fail_request(exchange, code, now)]
         self.waiting_sends.hold_for_permit(exchange, state, continuation, now)
         return []
@@ -75,12 +77,14 @@
     ) -> list[Action]:
         """Handle a request that no engine accepts now.
 
-        It waits if all that is missing is the end of a rest that comes in its
-        time. Otherwise it is refused at once, and told when to come back if
-        rests or limits of engines are the reason. An engine that has refused
-        it and asked for rest, one of those ``excluded``, may be asked again
-        after that.
+        One that has an open run goes on with it. Else it waits if all that is
+        missing is the end of a rest that comes in its time. Otherwise it is
+        refused at once, and told when to come back if rests or limits of
+        engines are the reason. An engine that has refused it and asked for
+        rest, one of those ``excluded``, may be asked again after that.
         """
+        if exchange.sends:
+            return []
         ruling = exchange.ruling
         service, account = ruling.service.name, ruling.account
         excluded -= self.engines.resting_engines(service, now)
--- /dev/null
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -0,0 +1,463 @@
+"""Starts other runs beside those that are silent, and ends one of the two.
+
+A silent engine may have failed, or it may only make a pause, as after a
+preemption or on a busy machine. A run is therefore not ended for its silence.
+Another run is started beside it, and the first of them to write the next event
+goes on. If no other run may be started, the silent one stays until the
+deadline of its request.
+
+An exchange has at most two open runs: the one that has come furthest, and its
+replacement, which has not written anything yet.
+"""
+
+from collections.abc import Callable
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import timers
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import relay_components
+from greengagelb.coordination.relay import sending
+from greengagelb.coordination.relay import successor_search
+from greengagelb.state.relay import engine_states
+from greengagelb.state.relay import exchanges
+from greengagelb.state.relay import hints
+
+SILENCE_TIMER = 'relay-silence'
+# Another run is started after a silence of this share of the pause that
+# callers accept. The rest suffices to continue on another engine; starting
+# earlier takes streams away from engines that only read another prompt.
+MAX_SILENCE_SHARE = 0.55
+# The longest pause that callers accept, for routes that state none: they give
+# up on a stream after two seconds.
+DEFAULT_GAP_GOAL_SECONDS = 2.0
+# How long a first event may be overdue before its engine is probed. Moving
+# the stream wastes the work of reading its prompt, and most late engines are
+# only busy.
+FIRST_EVENT_MARGIN_SECONDS = 0.5
+# How long an engine that answers probes has to send the next event.
+PROBED_MARGIN_SECONDS = 1.0
+# How long the first event of a run that resumes from a copy may take before
+# its engine is probed: it has almost nothing to read, and engines admit it
+# first.
+COPY_FIRST_EVENT_SECONDS = 0.3
+# The time from the start of a replacement to the probe of the silent engine.
+# Most replacements have written by then.
+PROBE_DELAY_SECONDS = 0.05
+# How long the answer to a probe, or the lack of one, is relied upon.
+PROBE_VALID_SECONDS = 1.5
+# Two runs of a stream overlap for less than 0.4 s if both engines are in
+# reach; the rest is for the end of one of them to arrive.
+MAX_OVERLAP_SECONDS = 0.25
+# The time between two probes of an engine that has not answered one while its
+# run has a replacement; a probe takes a little less.
+REPROBE_SECONDS = 0.35
+# The time until a silent run is checked again, doubled with each check.
+FIRST_KEPT_SECONDS = 0.4
+MAX_KEPT_SECONDS = 6.4
+
+Action = relay_actions.RelayAction
+StartRun = Callable[
+    [exchanges.Exchange, exchanges.InFlightSend, float], list[Action]
+]
+
+
+class SilentRuns:
+    """Watches the open runs of streams.
+
+    ``start_run`` starts a run in place of, or beside, the given one, if that
+    is possible.
+    """
+
+    def __init__(
+        self,
+        components: relay_components.RelayComponents,
+        succession: successor_search.SuccessorSearch,
+        start_run: StartRun,
+    ) -> None:
+        self.components = components
+        self.succession = succession
+        self.start_run = start_run
+
+    # -- deadlines ----------------------------------------------------------
+
+    def first_event_due_at(
+        self, state: engine_states.EngineState, from_copy: bool, now: float
+    ) -> float:
+        """Return the monotonic time by which the first event is due."""
+        if from_copy:
+            return now + COPY_FIRST_EVENT_SECONDS
+        work = self.components.send_manager.loads.work_on(state.entry.engine)
+        return max(now, work.reading_until) + FIRST_EVENT_MARGIN_SECONDS
+
+    def next_event_due_at(
+        self, exchange: exchanges.Exchange, sent: exchanges.InFlightSend
+    ) -> float:
+        """Return the monotonic time of the next check of a silent run."""
+        if not sent.events_seen:
+            return max(sent.first_due, sent.next_check_at)
+        due_at = sent.moved_at + max_silence_seconds(exchange)
+        return max(due_at, sent.next_check_at)
+
+    def silence_timer(self, exchange: exchanges.Exchange) -> actions.SetTimer:
+        """Return the timer at which the open runs are checked next."""
+        name = timers.timer_name(SILENCE_TIMER, exchange.number)
+        due_at = min(
+            self.next_event_due_at(exchange, sent)
+            for sent in exchange.sends.values()
+        )
+        return actions.SetTimer(name, min(due_at, exchange.overlap_until))
+
+    # -- checks -------------------------------------------------------------
+
+    def check_silence(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> list[Action]:
+        """Check all open runs of a stream that are silent for too long."""
+        resulting: list[Action] = []
+        if now >= exchange.overlap_until:
+            resulting += self.end_overlap(exchange, now)
+        for sent in list(exchange.sends.values()):
+            is_open = sent.number in exchange.sends
+            if is_open and now >= self.next_event_due_at(exchange, sent):
+                resulting += self.check_run(exchange, sent, now)
+        if exchange.sends:
+            resulting.append(self.silence_timer(exchange))
+        return resulting
+
+    def check_run(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """Decide what to do about a run whose next event is overdue.
+
+        Without a copy, another engine has to read the prompt again, which
+        takes longer than the silence, so the engine is probed first.
+        """
+        replacement = replacement_of(exchange)
+        if replacement is not None and sent is not replacement:
+            return self.probe_run(exchange, sent, REPROBE_SECONDS, now)
+        if self.usable_copy_engine(sent, now) is not None:
+            return self.start_replacement(exchange, sent, now)
+        is_reading = not sent.events_seen and not sent.from_copy
+        probed_since = max(sent.moved_at, now - PROBE_VALID_SECONDS)
+        if is_reading or sent.asked_at <= probed_since:
+            return self.probe_run(exchange, sent, PROBED_MARGIN_SECONDS, now)
+        if sent.is_unreachable or self.is_silent_alone(exchange, sent, now):
+            return self.start_another_run(exchange, sent, now)
+        return self.keep_run(sent, now)
+
+    def start_another_run(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """Start a run beside a silent one, or in place of a replacement."""
+        if sent is replacement_of(exchange):
+            return self.exchange_replacement(exchange, sent, now)
+        return self.start_replacement(exchange, sent, now)
+
+    def exchange_replacement(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """Start another replacement, and end the former one for it."""
+        former = next(iter(exchange.sends.values()))
+        told = self.suspect_engine(exchange, sent, now)
+        numbers = set(exchange.sends)
+        resulting = self.start_run(exchange, former, now)
+        if set(exchange.sends) == numbers:
+            return [*told, *resulting, *self.keep_run(sent, now)]
+        return [*told, *self.end_run(exchange, sent, now), *resulting]
+
+    def is_silent_alone(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> bool:
+        """Return whether other engines are heard while this one is silent.
+
+        If none is, they make the same pause or this instance does not hear
+        them, and another run would be as silent.
+        """
+        others_heard_at = self.components.engines.others_heard_at(sent.entry)
+        if now - others_heard_at <= max_silence_seconds(exchange):
+            return True
+        return not self.components.engines.has_other_sends(sent.entry)
+
+    def keep_run(
+        self, sent: exchanges.InFlightSend, now: float
+    ) -> list[Action]:
+        """Leave a silent run open, and check it later."""
+        seconds = FIRST_KEPT_SECONDS * 2.0**sent.times_kept
+        sent.next_check_at = now + min(MAX_KEPT_SECONDS, seconds)
+        sent.times_kept += 1
+        return []
+
+    # -- probes -------------------------------------------------------------
+
+    def probe_run(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        seconds: float,
+        now: float,
+    ) -> list[Action]:
+        """Probe the engine of a silent run, and check the run later."""
+        sent.asked_at = now
+        sent.next_check_at = now + seconds
+        return [
+            relay_actions.ProbeEngine(exchange.number, sent.number, sent.entry)
+        ]
+
+    def handle_probe(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        event: relay_events.EngineProbed,
+        now: float,
+    ) -> list[Action]:
+        """Start another run if an engine does not answer a probe.
+
+        The caller has handled an engine that has restarted: it does not have
+        the run.
+        """
+        if sent.events_seen and sent.moved_at > sent.asked_at:
+            return []
+        if event.alive:
+            resulting = self.note_reached(exchange, sent, now)
+        else:
+            resulting = self.note_unreachable(exchange, sent, now)
+        if exchange.sends:
+            resulting.append(self.silence_timer(exchange))
+        return resulting
+
+    def note_unreachable(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """Start another run, as a silent one is at an engine out of reach."""
+        sent.is_unreachable = True
+        replacement = replacement_of(exchange)
+        if replacement is not None and sent is not replacement:
+            return self.blame_engine(sent, now, dead=True)
+        return self.start_another_run(exchange, sent, now)
+
+    def note_reached(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """Note that the engine of a silent run is in reach.
+
+        It may work on the run, so a replacement may not run beside it for
+        long.
+        """
+        replacement = replacement_of(exchange)
+        if replacement is None or sent is replacement:
+            sent.is_unreachable = False
+            return []
+        exchange.overlap_until = replacement.began_at + MAX_OVERLAP_SECONDS
+        if now < exchange.overlap_until:
+            return []
+        return self.end_overlap(exchange, now)
+
+    def end_overlap(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> list[Action]:
+        """End one of two silent runs of a stream, as both are in reach.
+
+        A replacement from a copy would have written by now. One that reads
+        the prompt was started as the first engine had answered a probe and
+        then nothing; if that engine has only now come back, it needs no
+        reading and is left to go on.
+        """
+        exchange.overlap_until = float('inf')
+        replacement = replacement_of(exchange)
+        if replacement is None:
+            return []
+        former = next(iter(exchange.sends.values()))
+        if not replacement.from_copy and not former.is_unreachable:
+            return self.end_run(exchange, former, now)
+        former.is_unreachable = False
+        self.keep_run(former, now)
+        return self.end_run(exchange, replacement, now)
+
+    # -- runs ---------------------------------------------------------------
+
+    def start_replacement(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """Start another run beside a silent one, if that is possible."""
+        exchange.may_have_run = True
+        told = self.suspect_engine(exchange, sent, now)
+        self.keep_run(sent, now)
+        if not exchange.ruling.route.is_repeatable:
+            return told
+        resulting = self.start_run(exchange, sent, now)
+        if replacement_of(exchange) is not None:
+            seconds = PROBE_DELAY_SECONDS
+            if sent.is_unreachable:
+                seconds = REPROBE_SECONDS
+            sent.next_check_at = now + seconds
+            resulting.append(self.silence_timer(exchange))
+        return [*told, *resulting]
+
+    def suspect_engine(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """Record a silence, once, and prefer other engines for a while."""
+        if sent.is_suspected:
+            return []
+        sent.is_suspected = True
+        detail = self.describe_silence(exchange, sent, now)
+        return [
+            sending.record(exchange, sent, 'send-suspected', detail),
+            *self.blame_engine(sent, now, dead=sent.is_unreachable),
+        ]
+
+    def blame_engine(
+        self, sent: exchanges.InFlightSend, now: float, *, dead: bool
+    ) -> list[Action]:
+        """Count a failure of a run's engine, and tell the others.
+
+        ``dead`` is whether the engine seems to have failed. An engine that
+        was only silent may still be reading another prompt.
+        """
+        engine, start = sent.entry.engine, sent.entry.started_at_ms
+        self.components.engines.note_failure(
+            engine, now, dead=dead, started_at_ms=start
+        )
+        kind = hints.EngineFailed if dead else hints.StreamSilent
+        self.components.send_manager.pending_hints.append(kind(engine, start))
+        heard_at = sent.moved_at if sent.head else self.engine_heard_at(sent)
+        return self.succession.search_after_loss(sent.entry, heard_at, now)
+
+    def describe_silence(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> str:
+        """Return what separates one silent engine from several or our own.
+
+        A late timer means that this process stood still, and no word from
+        other engines that the cause is none of this engine's.
+        """
+        silent = now - sent.moved_at
+        late = max(0.0, now - self.next_event_due_at(exchange, sent))
+        heard = now - self.components.engines.others_heard_at(sent.entry)
+        reach = 'no answer to a probe, ' if sent.is_unreachable else ''
+        return (
+            f'{reach}silent for {silent:.3f} s, noticed {late:.3f} s late, '
+            f'others heard {heard:.3f} s ago'
+        )
+
+    def keep_winner(
+        self,
+        exchange: exchanges.Exchange,
+        winner: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """Go on with the run that has written the next event."""
+        if winner.is_suspected:
+            winner.is_suspected = False
+            self.components.engines.note_success(winner.entry.engine, now)
+        winner.is_unreachable = False
+        winner.times_kept = 0
+        winner.next_check_at = float('-inf')
+        exchange.overlap_until = float('inf')
+        return [
+            action
+            for sent in list(exchange.sends.values())
+            if sent is not winner
+            for action in self.end_run(exchange, sent, now)
+        ]
+
+    def end_run(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """End a run of a stream that has another one."""
+        detail = 'another run goes on'
+        return [
+            sending.lost_send_record(exchange, sent, detail, now),
+            *self.components.send_manager.abandon_send(exchange, sent),
+        ]
+
+    def go_on_with_other_run(
+        self,
+        exchange: exchanges.Exchange,
+        ended: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """Go on with the other run of a stream as one has ended by itself.
+
+        If the copy could not be used, the silent run gets another replacement
+        at once; otherwise later, as one refusal is often followed by the next.
+        """
+        exchange.overlap_until = float('inf')
+        [other] = exchange.sends.values()
+        if ended.from_copy and other.is_suspected:
+            other.next_check_at = now
+        return [self.silence_timer(exchange)]
+
+    def wants_replacement(self, exchange: exchanges.Exchange) -> bool:
+        """Return whether the only open run of a stream is a silent one."""
+        sends = list(exchange.sends.values())
+        return len(sends) == 1 and sends[0].is_suspected
+
+    def engine_heard_at(self, sent: exchanges.InFlightSend) -> float:
+        """Return the monotonic time when an engine was last heard from."""
+        state = self.components.engines.states.get(sent.entry.engine)
+        return state.heard_at if state else float('-inf')
+
+    def usable_copy_engine(
+        self, sent: exchanges.InFlightSend, now: float
+    ) -> engine_states.EngineState | None:
+        """Return the engine with a copy of a run, if it can resume it.
+
+        A copy can be used once. After a restart the engine answers under the
+        same identity but has no copy.
+        """
+        if sent.copy_to is None or sent.copy_name is None or sent.copy_used:
+            return None
+        if not sent.events_seen:
+            return None
+        if self.components.engines.is_former_life(sent.copy_to):
+            return None
+        state = self.components.engines.states.get(sent.copy_to.engine)
+        if state is None or not state.is_reachable(now):
+            return None
+        return None if state.is_resting(now) else state
+
+
+def max_silence_seconds(exchange: exchanges.Exchange) -> float:
+    """Return the seconds without events after which a run is checked."""
+    gap = exchange.ruling.route.gap_goal or DEFAULT_GAP_GOAL_SECONDS
+    return MAX_SILENCE_SHARE * gap
+
+
+def replacement_of(
+    exchange: exchanges.Exchange,
+) -> exchanges.InFlightSend | None:
+    """Return the run that was started beside a silent one, if any."""
+    sends = list(exchange.sends.values())
+    return sends[-1] if len(sends) > 1 else None
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -3,10 +3,10 @@
 The memory of each run is copied to a second engine as it grows. If the first
 engine is lost, the second one continues with the next event. Reading the
 prompt again would take longer than any pause that callers do not notice.
+Streams whose runs are only silent are continued by
+:mod:`greengagelb.coordination.relay.silent_runs`.
 """
 
-from greengagelb.coordination import actions
-from greengagelb.coordination import timers
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import answers
 from greengagelb.coordination.relay import calls
@@ -15,33 +15,15 @@
 from greengagelb.coordination.relay import permit_waits
 from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import sending
+from greengagelb.coordination.relay import silent_runs
 from greengagelb.coordination.relay import successor_search
 from greengagelb.coordination.sharing import rates
 from greengagelb.state.relay import engine_states
 from greengagelb.state.relay import exchanges
-from greengagelb.state.relay import hints
 from greengagelb.state.relay import requests
 
-SILENCE_TIMER = 'relay-silence'
-# A stream is moved after it has been silent for this share of the pause that
-# its callers accept. The rest suffices to continue on another engine;
-# moving earlier takes streams away from engines that are only reading another
-# prompt.
-MAX_SILENCE_SHARE = 0.55
-# The longest pause that callers accept, for routes that state none: they give
-# up on a stream after two seconds.
-DEFAULT_GAP_GOAL_SECONDS = 2.0
 # Reading a prompt takes at least this share of the expected time.
 MIN_READING_SHARE = 0.8
-# How long a first event may be overdue before its engine is probed. Moving
-# the stream wastes the work of reading its prompt, and most late engines are
-# only busy.
-FIRST_EVENT_MARGIN_SECONDS = 0.5
-# How long an engine has to send the next event after a probe.
-PROBED_MARGIN_SECONDS = 1.0
-# The time for the first event of a run that resumes from a copy: it has
-# almost nothing to read, and engines admit it first.
-COPY_FIRST_EVENT_SECONDS = 0.6
 
 Action = relay_actions.RelayAction
 
@@ -56,6 +38,9 @@
     ) -> None:
         self.components = components
         self.succession = stream_succession
+        self.silent_runs = silent_runs.SilentRuns(
+            components, stream_succession, self.start_replacement
+        )
         self.duration_estimate = rates.DurationEstimate()
 
     def conservative_seconds(self, exchange: exchanges.Exchange) -> float:
@@ -77,12 +62,11 @@
         """Have an engine read the prompt and continue at the position."""
         lost = exchange.attempts > 0
         if self.components.crash_watch.is_blocked(exchange, now):
-            code = answers.CRASHES_ENGINES
-            return [self.components.answers.fail_request(exchange, code, now)]
+            return self.give_up(exchange, answers.CRASHES_ENGINES, now)
         state = self.components.selector.choose_for_stream(
             exchange.ruling,
             exchange.request.prompt,
-            exchange.refused_by,
+            exchange.refused_by | engines_in_use(exchange),
             now,
             engine_selection.LOSS_JITTER_SECONDS
             if lost
@@ -109,13 +93,11 @@
     ) -> list[Action]:
         """Send a stream to the chosen engine, which reads its prompt."""
         if self.components.crash_watch.is_blocked(exchange, now):
-            code = answers.CRASHES_ENGINES
-            return [self.components.answers.fail_request(exchange, code, now)]
+            return self.give_up(exchange, answers.CRASHES_ENGINES, now)
         if now + self.min_reading_seconds(exchange, state, now) > (
             exchange.ruling.deadline
         ):
-            code = 'deadline-too-near'
-            return [self.components.answers.fail_request(exchange, code, now)]
+            return self.give_up(exchange, 'deadline-too-near', now)
         if not self.components.send_manager.try_spend_attempt(exchange, now):
             return self.refuse_attempt(exchange, code, now)
         return self.send_stream(exchange, state, now)
@@ -126,9 +108,17 @@
         """End a stream that may not be sent once more."""
         return [
             self.components.send_manager.record_refused_attempt(exchange, now),
-            self.components.answers.fail_request(exchange, code, now),
+            *self.give_up(exchange, code, now),
         ]
 
+    def give_up(
+        self, exchange: exchanges.Exchange, code: str, now: float
+    ) -> list[Action]:
+        """End a stream that no engine will continue, unless a run is open."""
+        if exchange.sends:
+            return []
+        return [self.components.answers.fail_request(exchange, code, now)]
+
     def min_reading_seconds(
         self,
         exchange: exchanges.Exchange,
@@ -165,103 +155,17 @@
             exchange.ruling.service,
             exchange.request.prompt,
             state,
-            exchange.refused_by,
+            exchange.refused_by | engines_in_use(exchange),
             now,
         )
         resulting = self.components.send_manager.start_send(
             exchange, state, now, copy_from, copy_to.entry if copy_to else None
         )
         sent = list(exchange.sends.values())[-1]
-        sent.first_due = self.first_event_due_at(
+        sent.first_due = self.silent_runs.first_event_due_at(
             state, copy_from is not None, now
         )
-        return [*resulting, self.silence_timer(exchange, sent)]
-
-    def first_event_due_at(
-        self, state: engine_states.EngineState, from_copy: bool, now: float
-    ) -> float:
-        """Return the monotonic time by which the first event is due."""
-        if from_copy:
-            return now + COPY_FIRST_EVENT_SECONDS
-        work = self.components.send_manager.loads.work_on(state.entry.engine)
-        return max(now, work.reading_until) + FIRST_EVENT_MARGIN_SECONDS
-
-    def silence_timer(
-        self, exchange: exchanges.Exchange, sent: exchanges.InFlightSend
-    ) -> actions.SetTimer:
-        """Return the timer at which a send is checked for silence."""
-        name = timers.timer_name(SILENCE_TIMER, exchange.number)
-        return actions.SetTimer(name, self.next_event_due_at(exchange, sent))
-
-    def next_event_due_at(
-        self, exchange: exchanges.Exchange, sent: exchanges.InFlightSend
-    ) -> float:
-        """Return the monotonic time by which the next event is due."""
-        if not sent.events_seen:
-            return sent.first_due
-        if sent.asked_at > sent.moved_at:
-            return sent.asked_at + PROBED_MARGIN_SECONDS
-        gap = exchange.ruling.route.gap_goal or DEFAULT_GAP_GOAL_SECONDS
-        return sent.moved_at + MAX_SILENCE_SHARE * gap
-
-    def check_silence(
-        self, exchange: exchanges.Exchange, now: float
-    ) -> list[Action]:
-        """Move a stream whose engine has been silent for too long.
-
-        Without a copy, another engine has to read the prompt again, which
-        takes longer than the silence, so the engine is probed first.
-        """
-        if not exchange.sends:
-            return []
-        sent = list(exchange.sends.values())[-1]
-        if now < self.next_event_due_at(exchange, sent):
-            return [self.silence_timer(exchange, sent)]
-        first = not sent.events_seen and not sent.from_copy
-        is_not_probed = sent.asked_at <= sent.moved_at
-        has_no_copy = (
-            sent.events_seen and self.usable_copy_engine(sent, now) is None
-        )
-        if first or (has_no_copy and is_not_probed):
-            return self.probe_engine(exchange, sent, now)
-        exchange.may_have_run = True
-        detail = self.describe_silence(exchange, sent, now)
-        return self.handle_lost_send(exchange, sent, detail, now, dead=False)
-
-    def describe_silence(
-        self,
-        exchange: exchanges.Exchange,
-        sent: exchanges.InFlightSend,
-        now: float,
-    ) -> str:
-        """Return what separates one silent engine from several or our own.
-
-        A late timer means that this process stood still, and no word from
-        other engines that the cause is none of this engine's.
-        """
-        silent = now - sent.moved_at
-        late = now - self.next_event_due_at(exchange, sent)
-        heard = now - self.components.engines.others_heard_at(sent.entry)
-        return (
-            f'silent for {silent:.3f} s, noticed {late:.3f} s late, '
-            f'others heard {heard:.3f} s ago'
-        )
-
-    def probe_engine(
-        self,
-        exchange: exchanges.Exchange,
-        sent: exchanges.InFlightSend,
-        now: float,
-    ) -> list[Action]:
-        """Probe an engine whose next event is overdue."""
-        sent.first_due = now + PROBED_MARGIN_SECONDS
-        sent.asked_at = now
-        return [
-            relay_actions.ProbeEngine(
-                exchange.number, sent.number, sent.entry
-            ),
-            self.silence_timer(exchange, sent),
-        ]
+        return [*resulting, self.silent_runs.silence_timer(exchange)]
 
     def handle_probe(
         self,
@@ -270,20 +174,26 @@
         event: relay_events.EngineProbed,
         now: float,
     ) -> list[Action]:
-        """Move a stream away from an engine that does not answer a probe.
+        """Handle a probe result for the engine of a silent run.
 
-        An engine that has restarted counts as not answering: it does not have
-        the run, or would have started it by now.
+        An engine that has restarted does not have the run, or would have
+        started it by now.
         """
         progressed_since = sent.events_seen and sent.moved_at > sent.asked_at
         restarted = sent.entry.is_earlier_than(event.started_at_ms)
-        if progressed_since or (event.alive and not restarted):
-            return []
-        exchange.may_have_run = True
-        detail = 'no answer to a probe'
-        if restarted:
+        if restarted and not progressed_since:
+            exchange.may_have_run = True
             detail = 'probe answered after a restart of the engine'
-        return self.handle_lost_send(exchange, sent, detail, now)
+            return self.handle_lost_send(exchange, sent, detail, now)
+        resulting = self.silent_runs.handle_probe(exchange, sent, event, now)
+        is_only_run = list(exchange.sends.values()) == [sent]
+        is_gone = not event.alive and not self.components.engines.is_in_use(
+            sent.entry.engine, now
+        )
+        if is_gone and is_only_run and not exchange.begun:
+            detail = 'no answer to a probe, engine not listed'
+            resulting += self.replace_send(exchange, sent, detail, now)
+        return resulting
 
     def handle_answer_head(
         self,
@@ -347,13 +257,14 @@
             resulting.append(
                 sending.record(exchange, sent, 'stream-moving', why)
             )
-            resulting.append(self.silence_timer(exchange, sent))
+            resulting.append(self.silent_runs.silence_timer(exchange))
             resulting.append(self.measure_wait(exchange, now))
         if not exchange.begun and sent.head is not None:
             exchange.begun = True
             resulting.append(
                 relay_actions.BeginStream(exchange.number, sent.head)
             )
+        resulting += self.silent_runs.keep_winner(exchange, sent, now)
         exchange.position = new_events[-1].number
         exchange.moved_at = now
         resulting.append(
@@ -420,12 +331,13 @@
         why = f'status {head.status}'
         if not head.not_run:
             exchange.may_have_run = True
-            if head.status < 500:
+            if head.status < 500 and len(exchange.sends) == 1:
                 self.components.send_manager.release_send(exchange, sent)
                 return [
                     relay_actions.PassAnswer(exchange.number, head, event.body)
                 ]
-            exchange.failed = (head, event.body)
+            if len(exchange.sends) == 1:
+                exchange.failed = (head, event.body)
         self.components.send_manager.release_send(exchange, sent)
         told = sending.record(exchange, sent, 'send-refused', why)
         resulting: list[Action] = [told]
@@ -436,6 +348,10 @@
             )
         if not sent.from_copy:
             exchange.refused_by.add(sent.entry.engine)
+        if exchange.sends:
+            return resulting + self.silent_runs.go_on_with_other_run(
+                exchange, sent, now
+            )
         return resulting + self.start_from_prompt(
             exchange, now, 'engines-full'
         )
@@ -472,23 +388,10 @@
         sent: exchanges.InFlightSend,
         detail: str,
         now: float,
-        *,
-        dead: bool = True,
     ) -> list[Action]:
-        """Record the failure of a send's engine, and replace the send.
-
-        ``dead`` is whether the engine seems to have failed. An engine that was
-        only silent may still be reading another prompt.
-        """
-        engine, start = sent.entry.engine, sent.entry.started_at_ms
-        self.components.engines.note_failure(
-            engine, now, dead=dead, started_at_ms=start
-        )
-        kind = hints.EngineFailed if dead else hints.StreamSilent
-        self.components.send_manager.pending_hints.append(kind(engine, start))
-        heard_at = sent.moved_at if sent.head else self.engine_heard_at(sent)
+        """Record the failure of a send's engine, and replace the send."""
         return [
-            *self.succession.search_after_loss(sent.entry, heard_at, now),
+            *self.silent_runs.blame_engine(sent, now, dead=True),
             *self.replace_send(exchange, sent, detail, now),
         ]
 
@@ -504,6 +407,11 @@
             sending.lost_send_record(exchange, sent, detail, now),
             *self.components.send_manager.abandon_send(exchange, sent),
         ]
+        if exchange.sends:
+            return [
+                *resulting,
+                *self.silent_runs.go_on_with_other_run(exchange, sent, now),
+            ]
         if exchange.unconnected >= calls.MAX_FAILED_CONNECTIONS:
             code = 'engines-unreachable'
             return [
@@ -527,7 +435,7 @@
         now: float,
     ) -> list[Action]:
         """Start a run in place of an abandoned one."""
-        copy = self.usable_copy_engine(sent, now) if sent.events_seen else None
+        copy = self.silent_runs.usable_copy_engine(sent, now)
         if copy is None or self.components.crash_watch.is_blocked(
             exchange, now
         ):
@@ -551,36 +459,20 @@
         now: float,
     ) -> list[Action]:
         """Resume a run on the engine that holds its copy."""
-        copy = self.usable_copy_engine(sent, now)
+        copy = self.silent_runs.usable_copy_engine(sent, now)
         if copy is None or self.components.crash_watch.is_blocked(
             exchange, now
         ):
             return self.start_from_prompt(exchange, now, 'engines-failed')
         if not self.components.send_manager.try_spend_attempt(exchange, now):
             return self.refuse_attempt(exchange, 'retry-budget-spent', now)
+        sent.copy_used = True
         return self.send_stream(exchange, copy, now, sent.copy_name)
 
-    def engine_heard_at(self, sent: exchanges.InFlightSend) -> float:
-        """Return the monotonic time when an engine was last heard from."""
-        state = self.components.engines.states.get(sent.entry.engine)
-        return state.heard_at if state else float('-inf')
 
-    def usable_copy_engine(
-        self, sent: exchanges.InFlightSend, now: float
-    ) -> engine_states.EngineState | None:
-        """Return the engine with a copy of a run, if it can resume it.
-
-        After a restart the engine answers under the same identity but has no
-        copy.
-        """
-        if sent.copy_to is None or sent.copy_name is None:
-            return None
-        if self.components.engines.is_former_life(sent.copy_to):
-            return None
-        state = self.components.engines.states.get(sent.copy_to.engine)
-        if state is None or not state.is_reachable(now):
-            return None
-        return None if state.is_resting(now) else state
+def engines_in_use(exchange: exchanges.Exchange) -> set[str]:
+    """Return the engines of the open runs of a stream."""
+    return {sent.entry.engine for sent in exchange.sends.values()}
 
 
 def token_cost(exchange: exchanges.Exchange) -> float:
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -20,6 +20,10 @@
     ordered and so expires after a time, and ``copy_orders`` is the number of
     orders so far. ``copy_postponed`` is true if an order waits for the end of
     the engine's rest. ``from_copy`` is true if the run continued from a copy.
+    ``is_suspected`` is true if it has been silent for too long since its last
+    event, and ``is_unreachable`` if its engine did not answer a probe since;
+    it is checked again from ``next_check_at``, after ``times_kept`` checks
+    that have left it open. ``copy_used`` is true if its copy was used up.
     ``alone_with`` is the size of its prompt in tokens if the engine was idle
     and has to read the prompt, else 0.
     """
@@ -40,6 +44,11 @@
     head: requests.AnswerHead | None = None
     events_seen: int = 0
     alone_with: int = 0
+    is_suspected: bool = False
+    is_unreachable: bool = False
+    next_check_at: float = float('-inf')
+    times_kept: int = 0
+    copy_used: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,7 +61,8 @@
     an engine while another engine is tried. ``moved_at`` is when the caller
     got the last event. ``tried`` names the engines that got the request and
     ``refused_by`` those that had no capacity for it. ``causes`` has the
-    fingerprints under which crashes of its engines count.
+    fingerprints under which crashes of its engines count. From
+    ``overlap_until`` a stream must not have two open runs.
     """
 
     request: requests.CallerRequest
@@ -68,6 +78,7 @@
     failed: tuple[requests.AnswerHead, bytes] | None = None
     unconnected: int = 0
     moved_at: float = 0.0
+    overlap_until: float = float('inf')
 
     @property
     def number(self) -> int:
