Streams: one resumed after its last event ends as complete

A caller that had all events but not the end came back with Last-Event-Id of the last one. A sound engine has nothing more to write and answers with an empty stream; each such answer was taken for a failure, so that the request went to max_attempts engines and its caller got 502. The test failed before: five sends and no end. A stream that the caller has not begun with an earlier position is treated as before.

--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -289,10 +289,19 @@
         sent: exchanges.InFlightSend,
         now: float,
     ) -> list[Action]:
-        """End the caller's answer as complete, unless it has no events."""
+        """End the caller's answer as complete, unless it has no events.
+
+        A stream that is resumed after its last event has none.
+        """
         exchange.may_have_run = True
+        resulting: list[Action] = []
         if not exchange.begun:
-            return self.handle_lost_send(exchange, sent, 'no events', now)
+            if not exchange.position or sent.head is None:
+                return self.handle_lost_send(exchange, sent, 'no events', now)
+            exchange.begun = True
+            resulting.append(
+                relay_actions.BeginStream(exchange.number, sent.head)
+            )
         self.components.send_manager.release_send(exchange, sent)
         told = self.components.crash_watch.note_survival(exchange, now)
         self.components.send_manager.pending_hints.extend(told)
@@ -301,6 +310,7 @@
             self.duration_estimate.observe(took, token_cost(exchange))
         why = f'{exchange.position} events'
         return [
+            *resulting,
             sending.record(exchange, sent, 'stream-complete', why),
             *self.components.send_manager.abandon_all_sends(exchange),
             relay_actions.EndStream(exchange.number),
--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -284,3 +284,19 @@
     while not world.refusals(exchange):
         world.lose(world.last_send(exchange), handed_over=False)
     assert [r.status for r in world.refusals(exchange)] == [502]
+
+
+def test_stream_resumed_after_its_last_event_ends_as_complete():
+    """Guards against a failure instead of the end of a complete stream.
+
+    Only the end was lost. The engine has nothing more to write, and its empty
+    answer was taken for a failure of each engine in turn.
+    """
+    world = relay_world.RelayWorld()
+    exchange = world.ask(resumes_after=130)
+    send = world.last_send(exchange)
+    world.begin(send)
+    world.complete(send)
+    assert world.sends(exchange) == [send]
+    assert world.of_kind(relay_actions.BeginStream, exchange)
+    assert world.of_kind(relay_actions.EndStream, exchange)
