Streams: a run that writes again after a silence is watched as before

The next check of a silent run that was kept may be seconds away. After it had written again, a second silence was noticed only then. The test failed: no second run 0.5 s after the last event.

--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -245,11 +245,14 @@
         now: float,
     ) -> list[Action]:
         """Start another run, as a silent one is at an engine out of reach."""
+        told: list[Action] = []
+        if sent.is_suspected and not sent.is_unreachable:
+            told = self.blame_engine(sent, now, dead=True)
         sent.is_unreachable = True
         replacement = replacement_of(exchange)
         if replacement is not None and sent is not replacement:
-            return self.blame_engine(sent, now, dead=True)
-        return self.start_another_run(exchange, sent, now)
+            return told
+        return [*told, *self.start_another_run(exchange, sent, now)]
 
     def note_reached(
         self,
@@ -306,14 +309,19 @@
         self.keep_run(sent, now)
         if not exchange.ruling.route.is_repeatable:
             return told
-        resulting = self.start_run(exchange, sent, now)
-        if replacement_of(exchange) is not None:
-            seconds = PROBE_DELAY_SECONDS
-            if sent.is_unreachable:
-                seconds = REPROBE_SECONDS
-            sent.next_check_at = now + seconds
-            resulting.append(self.silence_timer(exchange))
-        return [*told, *resulting]
+        return [*told, *self.start_run(exchange, sent, now)]
+
+    def schedule_probe_of_former(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> None:
+        """Have the engine of a silent run probed once it has a replacement."""
+        if replacement_of(exchange) is None:
+            return
+        former = next(iter(exchange.sends.values()))
+        seconds = PROBE_DELAY_SECONDS
+        if former.is_unreachable:
+            seconds = REPROBE_SECONDS
+        former.next_check_at = now + seconds
 
     def suspect_engine(
         self,
@@ -380,14 +388,17 @@
             self.components.engines.note_success(winner.entry.engine, now)
         winner.is_unreachable = False
         winner.times_kept = 0
-        winner.next_check_at = float('-inf')
         exchange.overlap_until = float('inf')
-        return [
+        resulting = [
             action
             for sent in list(exchange.sends.values())
             if sent is not winner
             for action in self.end_run(exchange, sent, now)
         ]
+        if winner.next_check_at > now:
+            winner.next_check_at = now
+            resulting.append(self.silence_timer(exchange))
+        return resulting
 
     def end_run(
         self,
--- a/tests/relay/test_silent_runs.py
+++ b/tests/relay/test_silent_runs.py
@@ -171,6 +171,18 @@
         assert silent.world.now - second_since < 0.4
 
 
+def test_run_that_was_silent_is_watched_as_before():
+    """Guards against a loss that is noticed late after an earlier silence."""
+    silent = SilentEngines()
+    silent.world.relay.budget.bounds = bounds.RetryBounds(0.0, 10.0, 0.0)
+    exchange, send = silent.start_stream()
+    silent.wait(5.0)
+    silent.world.relay.budget.bounds = relay_world.RETRIES
+    silent.world.events(send, LAST_EVENT + 1)
+    silent.wait(0.5)
+    assert len(silent.world.sends(exchange)) == 2
+
+
 @settings(derandomize=True, deadline=None, max_examples=150)
 @given(st.data())
 def test_events_of_both_runs_make_one_stream(data):
