A stream that may not run again gets an engine's own failure

Callers of routes without `resumable` got answers of runs that had been started twice: an engine answered 500 itself, and the instance sent the request to the next one. StreamRelay.pass_on_or_restart asked only for the status, not whether the route allows a second run.

Now such an answer is passed on unchanged. One with `Not-Executed` goes elsewhere as before, whatever its status.

--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -420,7 +420,8 @@
         why = f'status {head.status}'
         if not head.not_run:
             exchange.may_have_run = True
-            if head.status < 500:
+            may_run_again = exchange.ruling.route.is_repeatable
+            if head.status < 500 or not may_run_again:
                 self.components.send_manager.release_send(exchange, sent)
                 return [
                     relay_actions.PassAnswer(exchange.number, head, event.body)
--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -9,6 +9,8 @@
 from greengagelb.state.relay import routes
 from tests.common import relay_world
 
+NOT_RESUMABLE = dataclasses.replace(relay_world.STREAM_ROUTE, resumable=False)
+
 
 def test_stream_goes_on_from_the_copy_at_the_next_event():
     """An engine is reset in the middle of a stream.
@@ -284,3 +286,23 @@
     while not world.refusals(exchange):
         world.lose(world.last_send(exchange), handed_over=False)
     assert [r.status for r in world.refusals(exchange)] == [502]
+
+
+def test_stream_that_may_not_run_again_gets_an_engines_own_failure():
+    """Guards against a second run of a stream that may not be repeated.
+
+    An engine that answers 500 itself may have run it. The earlier requests
+    are worth the retries that a second run would spend.
+    """
+    world = relay_world.RelayWorld(
+        table=relay_world.route_table(found=(NOT_RESUMABLE,))
+    )
+    exchange = [world.ask() for _ in range(10)][-1]
+    world.refuse(world.last_send(exchange), status=500)
+    failing = world.last_send(exchange)
+    world.answer(failing, b'failed', status=500)
+    assert world.last_send(exchange) == failing
+    assert len(world.sends(exchange)) == 2
+    [passed] = world.answered(exchange)
+    assert (passed.head.status, passed.body) == (500, b'failed')
+    assert exchange not in world.relay.exchanges
