Requests to engines are freed with their bodies once they have ended

Instances exceeded 300 MB and were killed, and the calls on their kept channels were lost: bodies of answered requests stayed in memory until the garbage collector came to its older generations.

PendingRequest kept the request (the closures that write and admit it) and its receiver after the write. It was kept by a cycle: a connection had a closure of itself as its connectionMade, which held its factory, that the attempt that opened it (ConnectionRace), that the PendingRequest, that the connection. While the connection was open, its socket's connector held the factory, too.

Now a PendingRequest releases both when it is written, fails or is abandoned, and what waited for the connection; a factory releases its callbacks once it has called one, and no connection has a closure of itself. The sockets of abandoned requests were in a cycle as well (socket and connector, in Twisted), with all bytes not yet sent: the connector releases its socket when that is lost.

--- a/src/greengagelb/transport/relay/forwarding/connection_race.py
+++ b/src/greengagelb/transport/relay/forwarding/connection_race.py
@@ -320,10 +320,8 @@
         )
         if is_refused and is_verdict and self.asked:
             self.opener.dispatch(events.RefusedElsewhere(self.entry))
-        pending = self.pending
-        pending.is_finished = True
-        pending.connection_refused = is_refused and is_verdict
-        pending.receiver.answer_failed(False, detail)
+        self.pending.connection_refused = is_refused and is_verdict
+        self.pending.fail(detail)
 
     def disconnect_directly(self) -> None:
         """End the direct attempt."""
--- a/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
@@ -116,11 +116,9 @@
         self.connection.connectionLost(reason)
 
 
-class ForwardedConnectionFactory(protocol.ClientFactory):
+class ForwardedConnectionFactory(http_client.SingleUseFactory):
     """Opens a connection to another instance for one to an engine."""
 
-    noisy = False
-
     def __init__(self, connection: ForwardedConnection) -> None:
         self.connection = connection
 
--- a/src/greengagelb/transport/relay/forwarding/forwarding_port.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarding_port.py
@@ -91,11 +91,9 @@
             self.near.transport.abortConnection()
 
 
-class FarFactory(protocol.ClientFactory):
+class FarFactory(http_client.SingleUseFactory):
     """Opens the connection to the engine."""
 
-    noisy = False
-
     def __init__(self, near: 'NearEnd') -> None:
         self.near = near
 
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -86,15 +86,22 @@
 class ClientConnection(protocol.Protocol):
     """One connection to a server.
 
+    ``opened``, if given, is called once the connection is open.
     ``delayed_request`` waits for ``SEND_DELAY_SECONDS`` to pass. A connection
     through another instance, ``is_forwarded``, carries one request.
     """
 
     def __init__(
-        self, pool: 'ConnectionPool', key: str, *, is_forwarded: bool = False
+        self,
+        pool: 'ConnectionPool',
+        key: str,
+        opened: Callable[['ClientConnection'], None] | None = None,
+        *,
+        is_forwarded: bool = False,
     ) -> None:
         self.pool = pool
         self.key = key
+        self.opened = opened
         self.is_forwarded = is_forwarded
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
@@ -107,8 +114,11 @@
         self.is_closed = False
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Set the options of the socket."""
+        """Set the options of the socket, and hand the connection over."""
         http1.configure_socket(self.transport)
+        opened, self.opened = self.opened, None
+        if opened is not None:
+            opened(self)
 
     def send_request(self, request: WireRequest, receiver: Receiver) -> None:
         """Write a whole request; the connection must be idle or new."""
@@ -224,9 +234,7 @@
         self.pool.remove_idle_connection(self)
         delayed_request, self.delayed_request = self.delayed_request, None
         if delayed_request is not None:
-            delayed_request.is_finished = True
-            detail = 'reset before anything was sent'
-            delayed_request.receiver.answer_failed(False, detail)
+            delayed_request.fail('reset before anything was sent')
         if self.receiver is None:
             return
         if not self.has_answer_started:
@@ -275,30 +283,73 @@
 
     ``is_admitted`` is asked right before it is written.
     ``connection_refused`` tells that its address refused the connection.
+
+    Invariant: the request and its receiver are None once it is written or
+    over. Connections refer to what they have carried, partly in cycles, and
+    bodies would stay in memory until the garbage collector came to them.
     """
 
-    build_request: Callable[[], WireRequest]
-    receiver: Receiver
+    build_request: Callable[[], WireRequest] | None
+    receiver: Receiver | None
     is_admitted: Callable[[], bool] = always
     connection: ClientConnection | None = None
     connector: Connector | None = None
     is_finished: bool = False
     connection_refused: bool = False
 
+    def write(self, connection: ClientConnection) -> None:
+        """Write the request to a connection, which calls the receiver."""
+        build_request, receiver = self.build_request, self.receiver
+        self.release()
+        self.connection = connection
+        connection.send_request(build_request(), receiver)
+
+    def fail(self, detail: str) -> None:
+        """Tell the receiver that nothing of the request was written."""
+        receiver = self.receiver
+        self.is_finished = True
+        self.release()
+        receiver.answer_failed(False, detail)
+
     def abandon(self) -> None:
         """Drop the request; its receiver is not called any more."""
+        connector = self.connector
         self.is_finished = True
+        self.release()
         if self.connection is not None:
             self.connection.abandon()
-        elif self.connector is not None:
-            self.connector.disconnect()
+        elif connector is not None:
+            connector.disconnect()
 
+    def release(self) -> None:
+        """Release the request with its body, and all that it waited for."""
+        self.build_request = None
+        self.receiver = None
+        self.is_admitted = always
+        self.connector = None
 
-class ConnectionFactory(protocol.ClientFactory):
-    """Opens a direct connection; ``opened`` or ``failed`` is called once."""
+
+class SingleUseFactory(protocol.ClientFactory):
+    """Opens one connection."""
 
     noisy = False
 
+    def clientConnectionLost(  # noqa: N802
+        self, connector: object, reason: failure.Failure
+    ) -> None:
+        """Release the socket, and with it the bytes that were not sent.
+
+        The connector and the socket refer to each other.
+        """
+        connector.transport = None
+
+
+class ConnectionFactory(SingleUseFactory):
+    """Opens a direct connection; ``opened`` or ``failed`` is called once.
+
+    Neither is kept after that: the connection refers to its factory.
+    """
+
     def __init__(
         self,
         pool: 'ConnectionPool',
@@ -308,28 +359,22 @@
     ) -> None:
         self.pool = pool
         self.key = key
-        self.opened = opened
-        self.failed = failed
+        self.opened: Callable[[ClientConnection], None] | None = opened
+        self.failed: Callable[[failure.Failure], None] | None = failed
 
     def buildProtocol(  # noqa: N802
         self, addr: object
     ) -> ClientConnection:
         """Return a connection that is handed over once it is open."""
-        connection = ClientConnection(self.pool, self.key)
-        original_connection_made = connection.connectionMade
-
-        def connection_made() -> None:
-            original_connection_made()
-            self.opened(connection)
-
-        connection.connectionMade = connection_made
-        return connection
+        opened, self.opened, self.failed = self.opened, None, None
+        return ClientConnection(self.pool, self.key, opened)
 
     def clientConnectionFailed(  # noqa: N802
         self, connector: object, reason: failure.Failure
     ) -> None:
         """Report that nothing was opened."""
-        self.failed(reason)
+        failed, self.opened, self.failed = self.failed, None, None
+        failed(reason)
 
 
 class ConnectionPool:
@@ -384,11 +429,9 @@
 
         def failed(reason: failure.Failure) -> None:
             if not pending.is_finished:
-                pending.is_finished = True
                 refused = reason.check(error.ConnectionRefusedError)
                 pending.connection_refused = refused is not None
-                detail = f'connect: {reason.type.__name__}'
-                pending.receiver.answer_failed(False, detail)
+                pending.fail(f'connect: {reason.type.__name__}')
 
         self.connections_opened += 1
         pending.connector = self.reactor.connectTCP(
@@ -438,12 +481,10 @@
         All requests are written here, whatever they have waited for.
         """
         if pending.is_admitted():
-            pending.connection = connection
-            connection.send_request(pending.build_request(), pending.receiver)
+            pending.write(connection)
             return
-        pending.is_finished = True
         connection.reset_connection()
-        pending.receiver.answer_failed(False, 'server wants no requests')
+        pending.fail('server wants no requests')
 
     def note_reset(self, key: str) -> None:
         """Note that a server closed a connection without any answer."""
