Answers to the instance's own requests are freed once they are read

The function that checked a request for its timeout scheduled itself again, so it referred to itself, and with it to the collector of the answer. It is a method of that collector now, which releases its timer.

Evidence: the test failed before for a complete answer and for one that timed out.

--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -58,6 +58,7 @@
     """Collects one answer; ``done`` is called exactly once.
 
     ``head_received`` is called before, once the head of an answer is there.
+    ``pending`` is the request, once there is one.
 
     ``answer_started_at`` and ``last_received_at`` are when the first and the
     last part of the answer arrived.
@@ -81,6 +82,10 @@
         self.body: list[bytes] = []
         self.body_bytes = 0
         self.is_finished = False
+        self.pending: http_client.PendingRequest | None = None
+        self.timer: interfaces.IDelayedCall | None = reactor.callLater(
+            timed_request.seconds, self.check_expiry
+        )
 
     @property
     def expires_at(self) -> float:
@@ -117,6 +122,16 @@
         """Deliver the failure of the request."""
         self.deliver_answer(Answer(None, detail=detail))
 
+    def check_expiry(self) -> None:
+        """Give the request up if it has timed out."""
+        self.timer = None
+        left = self.expires_at - self.reactor.seconds()
+        if left > 0:
+            self.timer = self.reactor.callLater(left, self.check_expiry)
+            return
+        self.pending.abandon()
+        self.deliver_timeout()
+
     def deliver_timeout(self) -> None:
         """Deliver a timeout, with the number of bytes received."""
         is_receiving = (
@@ -127,9 +142,15 @@
 
     def deliver_answer(self, answer: Answer) -> None:
         """Call ``done``, unless it was called before."""
-        if not self.is_finished:
-            self.is_finished = True
-            self.done(answer)
+        if self.is_finished:
+            return
+        self.is_finished = True
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.pending is not None and self.pending.connection_refused:
+            answer = dataclasses.replace(answer, connection_refused=True)
+        self.done(answer)
 
 
 def send_timed_request(
@@ -142,29 +163,10 @@
 
     ``head_received`` is called as soon as the head of an answer is there.
     """
-
-    def deliver_answer(answer: Answer) -> None:
-        if timer.active():
-            timer.cancel()
-        if pending is not None and pending.connection_refused:
-            answer = dataclasses.replace(answer, connection_refused=True)
-        done(answer)
-
-    def check_expiry() -> None:
-        nonlocal timer
-        left = collector.expires_at - pool.reactor.seconds()
-        if left > 0:
-            timer = pool.reactor.callLater(left, check_expiry)
-            return
-        pending.abandon()
-        collector.deliver_timeout()
-
-    pending: http_client.PendingRequest | None = None
     collector = AnswerCollector(
-        pool.reactor, timed_request, deliver_answer, head_received
+        pool.reactor, timed_request, done, head_received
     )
-    timer = pool.reactor.callLater(timed_request.seconds, check_expiry)
-    pending = pool.request(
+    collector.pending = pool.request(
         timed_request.key,
         timed_request.address,
         lambda: timed_request.request,
--- a/tests/relay/test_ended_requests.py
+++ b/tests/relay/test_ended_requests.py
@@ -12,6 +12,7 @@
 from greengagelb.state.relay import engines
 from greengagelb.transport.relay import engine_side
 from greengagelb.transport.relay import http_client
+from greengagelb.transport.relay import timed_requests
 from tests.common import relay_wires
 from tests.common import relay_world
 
@@ -109,6 +110,39 @@
     assert not sending.is_body_kept
 
 
+class Answers(list):
+    """Takes the answer to a request of the instance itself."""
+
+    def __call__(self, found):
+        self.append(found)
+
+
+@pytest.mark.parametrize('body', [b'half', b'all of it'])
+def test_answer_to_the_instance_itself_is_not_kept(body):
+    """Guards against answers of the store that stay, some of them long.
+
+    The function that checked for a timeout referred to itself.
+    """
+    server = relay_wires.Server()
+    taken = Answers()
+    timed_requests.send_timed_request(
+        server.pool,
+        timed_requests.TimedRequest(
+            'store', relay_wires.ADDRESS, relay_wires.wire_request(), 0.5
+        ),
+        taken,
+    )
+    server.accept()
+    server.connections[-1].dataReceived(
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n' + body
+    )
+    kept = weakref.ref(taken)
+    server.reactor.advance(2.0)
+    assert len(taken) == 1
+    del taken
+    assert kept() is None
+
+
 class Engine(protocol.Protocol):
     """Reads nothing of what it is sent."""
 
