A stop counts from before a pause in which its signal may have been sent

Calls that must not repeat were cut by the platform's SIGKILL: an instance that was suspended as its SIGTERM came ran the handler of the signal 3.5 s later, counted its 8 s from then, and went on taking calls that were not over in time.

The instance can't know when a signal was sent, but it knows how long its loop stood still: the check for pauses is overdue. A signal that is noticed before that check has run may have been sent at any time since the check before. The handler takes that time now, where the delay is one that is reported as a pause, and all deadlines of the stop that the platform sets count from it. How long new callers are still served counts from the notice: the load balancer learns of the stop only then. The product's own interface sets no deadline for its stop.

A loop that was only busy gets a shorter stop than it could have, by no more than its delay.

--- a/src/greengagelb/platform/process.py
+++ b/src/greengagelb/platform/process.py
@@ -84,7 +84,7 @@
     signal.signal(
         signal.SIGTERM,
         lambda *_: reactor.callFromThread(
-            relay_instance.stop, reactor.seconds()
+            relay_instance.stop, relay_instance.earliest_signal_at()
         ),
     )
     signal.signal(
--- a/src/greengagelb/transport/relay/instance.py
+++ b/src/greengagelb/transport/relay/instance.py
@@ -340,7 +340,7 @@
     def check_pause_and_heartbeat(self) -> None:
         """Report pauses of this process; send heartbeats when due."""
         now = self.reactor.seconds()
-        late = now - self.last_pause_check_at - PAUSE_CHECK_SECONDS
+        late = self.pause_check_delay(now)
         self.last_pause_check_at = now
         if late > MIN_REPORTED_PAUSE_SECONDS:
             self.loop.dispatch(events.PauseDetected(late))
@@ -348,6 +348,20 @@
         if not self.relay.is_finished:
             self.peers.send_due()
 
+    def pause_check_delay(self, now: float) -> float:
+        """Return how late the next check for a pause is, in seconds."""
+        return now - self.last_pause_check_at - PAUSE_CHECK_SECONDS
+
+    def earliest_signal_at(self) -> float:
+        """Return when a signal that is noticed now may have been sent.
+
+        A process that stood still notices it only afterwards.
+        """
+        now = self.reactor.seconds()
+        if self.pause_check_delay(now) > MIN_REPORTED_PAUSE_SECONDS:
+            return self.last_pause_check_at
+        return now
+
     def build_peer_status(self) -> peer_link.Status:
         """Return what heartbeats tell of this instance."""
         paths = self.relay.paths
@@ -366,8 +380,8 @@
     def stop(self, asked_at: float | None = None) -> None:
         """Stop gracefully: report not ready, finish requests, end in time.
 
-        ``asked_at`` is the time of the platform's signal, by default now. The
-        platform may signal twice; the first signal counts.
+        ``asked_at`` is the earliest time at which the platform may have sent
+        its signal, by default now. It may signal twice; the first one counts.
         """
         if self.is_stopping:
             return
@@ -376,7 +390,9 @@
         grace = self.settings.stop.grace_seconds
         self.kill_at = asked_at + grace
         self.abort_at = self.kill_at - ABORT_MARGIN_SECONDS
-        self.serve_until = asked_at + min(READINESS_LAG_SECONDS, grace / 2)
+        # The load balancer can't have learned of it before now.
+        lag = min(READINESS_LAG_SECONDS, grace / 2)
+        self.serve_until = min(now + lag, self.abort_at)
         self.callers.is_closing = True
         self.forwarding.is_stopping = True
         self.loop.dispatch(relay_events.StopRequested(self.abort_at, asked_at))
--- a/tests/process/test_planned_stops.py
+++ b/tests/process/test_planned_stops.py
@@ -19,6 +19,7 @@
 
 import pytest
 
+from greengagelb.cli import launcher
 from tests.common import fleet
 from tests.process import test_reload
 from tests.soak import world
@@ -251,3 +252,25 @@
     assert refused
     assert not ran & refused
     assert {o.status for o in callers.sent_calls} <= {200, 503, None}
+
+
+def test_stop_counts_from_a_signal_that_was_sent_during_a_pause(tmp_path):
+    """Guards against a stop that outlasts the platform's patience.
+
+    The process is suspended as it is asked to stop, and counted its time from
+    when it ran again.
+    """
+    pause = 1.0
+    with (
+        serving(Store) as store_port,
+        running_instance(tmp_path, store_port) as (process, port),
+    ):
+        fleet.wait_until(lambda: launcher.is_listening(port))
+        process.send_signal(signal.SIGSTOP)
+        process.send_signal(signal.SIGTERM)
+        time.sleep(pause)
+        process.send_signal(signal.SIGCONT)
+        log = tmp_path / 'log'
+        fleet.wait_until(lambda: 'noticed after' in log.read_text('utf-8'))
+    noticed = log.read_text('utf-8').partition('noticed after ')[2]
+    assert float(noticed.split(' s')[0]) >= pause
--- a/tests/relay/test_stop_ending.py
+++ b/tests/relay/test_stop_ending.py
@@ -21,6 +21,7 @@
 # By then the load balancer sends no new callers, and an instance without
 # callers removes its entry.
 EMPTY_SECONDS = 3.7
+PAUSE_SECONDS = 3.5
 
 
 def create_ending_world():
@@ -140,6 +141,40 @@
     assert world.ended
 
 
+def stop_after_pause(world):
+    """Stop an instance that stands still as the platform signals."""
+    world.advance(1.0)
+    world.reactor.rightNow += PAUSE_SECONDS
+    world.instance.stop(world.instance.earliest_signal_at())
+
+
+def test_time_for_a_stop_counts_from_before_a_pause_of_the_process():
+    """Guards against calls that the platform cuts at the end of a stop.
+
+    The process notices the signal only after the pause.
+    """
+    world = instance_world.InstanceWorld()
+    connection = world.connect()
+    connection.dataReceived(CALL[:-1])
+    stop_after_pause(world)
+    world.advance(instance_world.GRACE_SECONDS - PAUSE_SECONDS - 0.1)
+    assert_refused_as_not_run(connection)
+    assert world.ended
+
+
+def test_new_callers_are_served_after_a_pause_of_the_process():
+    """Guards against an end while callers are still sent to the instance.
+
+    The load balancer learns of the stop only after the pause.
+    """
+    world = instance_world.InstanceWorld()
+    stop_after_pause(world)
+    world.advance(3.0)
+    before = world.engine_requests
+    world.connect().dataReceived(CALL)
+    assert world.engine_requests > before
+
+
 def test_second_stop_request_has_no_effect():
     """The platform signals again while the instance already stops."""
     world = create_ending_world()
