--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -342,7 +342,9 @@
         why = f'status {head.status}'
         if not head.not_run:
             exchange.may_have_run = True
-            if head.status < 500 and len(exchange.sends) == 1:
+            may_run_again = exchange.ruling.route.is_repeatable
+            is_final = head.status < 500 or not may_run_again
+            if is_final and len(exchange.sends) == 1:
                 self.components.send_manager.release_send(exchange, sent)
                 return [
                     relay_actions.PassAnswer(exchange.number, head, event.body)
