Read sockets before timers that are due

What callers saw: 504 after a pause of an instance (suspended, garbage collection, busy machine), although the answer had arrived in time; engines were taken for silent, hedges were started.

Cause: Twisted runs all due timers, then polls. A process that stood still in its poll gets EINTR, finds no time left, and returns without reading.

--- a/src/greengagelb/cli/serve.py
+++ b/src/greengagelb/cli/serve.py
@@ -32,6 +32,7 @@
     from greengagelb.transport import recorder  # noqa: PLC0415
 
     reactors.use_monotonic_clock(reactor)
+    reactors.read_before_timers(reactor)
     recorder.configure_logging()
     served_instance = instance.Instance(reactor, found)
     outcomes: list[int] = []
--- a/src/greengagelb/platform/process.py
+++ b/src/greengagelb/platform/process.py
@@ -59,6 +59,7 @@
     gc.enable()
     times.note('imports')
     reactors.use_monotonic_clock(reactor)
+    reactors.read_before_timers(reactor)
     log = bounded_log.BoundedLog(sys.stdout.fileno(), reactor.seconds)
     recorder.configure_logging(log)
     relay_instance = instance.RelayInstance(
