A probe waits for its answer, not for this process

What happened: an instance stood still while the connection of a probe opened. When it went on, it wrote the probe and took it for unanswered in the same turn of the loop: the engine counted as dead and its sends were moved, though it had never been asked.

A check of a timed request that runs more than 0.1 s later than its timer was due is made again, after as long as it was late but at most the request's time; three times at most, so that a dead server is found by a loop that is always late too.

test_probe_sent_after_a_pause_still_waits_for_its_answer failed before (the answer was a failure before the engine had answered); the other two guard the bounds.

--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -14,6 +14,12 @@
 # The longest pause within an answer. A lost packet is retransmitted within a
 # quarter of a second; a connection without input for longer may be dead.
 MAX_PAUSE_SECONDS = 0.6
+# A check that runs later than this proves nothing: this process stood still,
+# and may not even have written the request. It is made again after as long as
+# it was late. An event loop that is always late still detects a dead server
+# after MAX_LATE_CHECKS.
+LATE_CHECK_SECONDS = 0.1
+MAX_LATE_CHECKS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,14 +157,20 @@
         done(answer)
 
     def check_expiry() -> None:
-        nonlocal timer
-        left = collector.expires_at - pool.reactor.seconds()
-        if left > 0:
-            timer = pool.reactor.callLater(left, check_expiry)
+        nonlocal timer, late_checks
+        now = pool.reactor.seconds()
+        wait = collector.expires_at - now
+        late = now - timer.getTime()
+        if late > LATE_CHECK_SECONDS and late_checks < MAX_LATE_CHECKS:
+            late_checks += 1
+            wait = min(late, timed_request.seconds)
+        if wait > 0:
+            timer = pool.reactor.callLater(wait, check_expiry)
             return
         pending.abandon()
         collector.deliver_timeout()
 
+    late_checks = 0
     pending: http_client.PendingRequest | None = None
     collector = AnswerCollector(
         pool.reactor, timed_request, deliver_answer, head_received
--- a/tests/transport/test_late_timers.py
+++ b/tests/transport/test_late_timers.py
@@ -8,9 +8,12 @@
 
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
+from greengagelb.state.relay import engines
 from greengagelb.transport import decision_loop
 from greengagelb.transport import reactors
 from greengagelb.transport import recorder
+from greengagelb.transport.relay import http_client
+from greengagelb.transport.relay import timed_requests
 
 READ_BYTES = 65_536
 END = b'!'
@@ -106,3 +109,63 @@
     time.sleep(0.2)
     reactor.iterate(0)
     assert fired == ['timer']
+
+
+def ask(reactor):
+    """Probe an engine that listens, within 0.2 s."""
+    engine = socket.create_server(('127.0.0.1', 0))
+    engine.settimeout(1.0)
+    request = http_client.WireRequest(b'GET', b'/', ((b'Host', b'e0'),))
+    address = engines.Address(*engine.getsockname())
+    answers = []
+    timed_requests.send_timed_request(
+        http_client.ConnectionPool(reactor),
+        timed_requests.TimedRequest('e0', address, request, 0.2),
+        answers.append,
+    )
+    reactor.iterate(0)
+    return engine, answers
+
+
+def test_probe_sent_after_a_pause_still_waits_for_its_answer():
+    """An instance stands still while the connection of a probe opens.
+
+    Its time is over before it was written: the engine would be taken for
+    dead though it was never asked.
+    """
+    reactor = new_reactor()
+    engine, answers = ask(reactor)
+    connection, _ = engine.accept()
+    time.sleep(0.4)
+    for _ in range(3):
+        reactor.iterate(0)
+    assert connection.recv(READ_BYTES).startswith(b'GET')
+    assert not answers
+    connection.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+    reactor.iterate(0.1)
+    assert answers[0].response is not None
+
+
+def test_probe_that_waited_anew_after_a_pause_still_fails():
+    """A pause must not make an instance wait for a dead engine for ever."""
+    reactor = new_reactor()
+    _engine, answers = ask(reactor)
+    for _ in range(timed_requests.MAX_LATE_CHECKS):
+        time.sleep(0.4)
+        reactor.iterate(0)
+        assert not answers
+    time.sleep(0.4)
+    reactor.iterate(0)
+    assert answers[0].response is None
+
+
+def test_probe_waits_anew_only_once_for_one_pause():
+    """A dead engine is found within twice the time of a probe."""
+    reactor = new_reactor()
+    _engine, answers = ask(reactor)
+    time.sleep(0.4)
+    reactor.iterate(0)
+    assert not answers
+    reactor.iterate(0.25)
+    reactor.iterate(0)
+    assert answers[0].response is None
