--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -209,6 +209,7 @@
             request,
             seconds,
             fresh=fresh or self.opener.paths.is_silent(entry),
+            allows_for_own_pause=True,
             open_connection=lambda waiting: self.opener.open_for(
                 entry, None, waiting
             ),
--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -14,10 +14,9 @@
 # The longest pause within an answer. A lost packet is retransmitted within a
 # quarter of a second; a connection without input for longer may be dead.
 MAX_PAUSE_SECONDS = 0.6
-# A check that runs later than this proves nothing: this process stood still,
-# and may not even have written the request. It is made again after as long as
-# it was late. An event loop that is always late still detects a dead server
-# after MAX_LATE_CHECKS.
+# A check that runs later than this proves nothing about the server: this
+# process stood still, and may not even have written the request. An event loop
+# that is always late still detects a dead server after MAX_LATE_CHECKS.
 LATE_CHECK_SECONDS = 0.1
 MAX_LATE_CHECKS = 3
 
@@ -30,8 +29,10 @@
     answer is complete after ``seconds``, or if the body exceeds ``max_bytes``.
     An answer that has started by then may take ``receive_seconds`` from its
     start, as long as it does not pause: a long answer takes time on a slow
-    link, and a repeated request would take as long again. ``open_connection``
-    is that of :meth:`http_client.ConnectionPool.request`.
+    link, and a repeated request would take as long again. With
+    ``allows_for_own_pause`` a check that this process makes late is made again
+    after as long as it was late, but no longer than ``seconds``.
+    ``open_connection`` is that of :meth:`http_client.ConnectionPool.request`.
     """
 
     key: str
@@ -41,6 +42,7 @@
     max_bytes: int = DEFAULT_MAX_BYTES
     fresh: bool = False
     receive_seconds: float = 0.0
+    allows_for_own_pause: bool = False
     open_connection: Callable[[http_client.PendingRequest], None] | None = None
 
 
@@ -161,7 +163,11 @@
         now = pool.reactor.seconds()
         wait = collector.expires_at - now
         late = now - timer.getTime()
-        if late > LATE_CHECK_SECONDS and late_checks < MAX_LATE_CHECKS:
+        if (
+            timed_request.allows_for_own_pause
+            and late > LATE_CHECK_SECONDS
+            and late_checks < MAX_LATE_CHECKS
+        ):
             late_checks += 1
             wait = min(late, timed_request.seconds)
         if wait > 0:
--- a/tests/transport/test_late_timers.py
+++ b/tests/transport/test_late_timers.py
@@ -120,7 +120,9 @@
     answers = []
     timed_requests.send_timed_request(
         http_client.ConnectionPool(reactor),
-        timed_requests.TimedRequest('e0', address, request, 0.2),
+        timed_requests.TimedRequest(
+            'e0', address, request, 0.2, allows_for_own_pause=True
+        ),
         answers.append,
     )
     reactor.iterate(0)
