--- /dev/null
+++ b/tests/transport/test_late_timers.py
@@ -0,0 +1,173 @@
+"""Timers of an instance that stood still while answers arrived."""
+
+import socket
+import time
+
+import pytest
+from twisted.internet import epollreactor
+
+from greengagelb.coordination import actions
+from greengagelb.coordination import events
+from greengagelb.state.relay import engines
+from greengagelb.transport import decision_loop
+from greengagelb.transport import reactors
+from greengagelb.transport import recorder
+from greengagelb.transport.relay import http_client
+from greengagelb.transport.relay import timed_requests
+
+READ_BYTES = 65_536
+END = b'!'
+
+
+class Answer:
+    """An answer to a request, as a reactor reads it."""
+
+    def __init__(self, reactor, dispatch):
+        self.dispatch = dispatch
+        self.ours, self.theirs = socket.socketpair()
+        for end in (self.ours, self.theirs):
+            end.setblocking(False)
+        # The kernel counts its own overhead: this holds 256 KiB of an answer.
+        self.theirs.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 19)
+        reactor.addReader(self)
+
+    def fileno(self):
+        return self.ours.fileno()
+
+    def logPrefix(self):  # noqa: N802
+        return 'answer'
+
+    def doRead(self):  # noqa: N802
+        if self.ours.recv(READ_BYTES).endswith(END):
+            self.dispatch(events.CallerGone(1))
+
+    def connectionLost(self, reason):  # noqa: N802
+        self.ours.close()
+
+
+class Decisions:
+    """One request: its answer clears its deadline, and the reverse."""
+
+    def __init__(self):
+        self.outcomes = []
+
+    def handle(self, event, now):
+        match event:
+            case events.TimerFired():
+                self.outcomes.append('deadline-passed')
+            case events.CallerGone():
+                self.outcomes.append('answered')
+                return [actions.ClearTimer('deadline:1')]
+        return []
+
+
+def new_reactor():
+    reactor = epollreactor.EPollReactor()
+    reactors.use_monotonic_clock(reactor)
+    reactors.read_before_timers(reactor)
+    return reactor
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'answer_bytes'), [(0.03, 100), (0.3, 100), (0.3, 200_000)]
+)
+def test_answer_that_came_in_time_wins_over_its_deadline(
+    seconds, answer_bytes
+):
+    """An instance stands still; an answer arrives, then a deadline passes.
+
+    Timers run before sockets are read: the caller would get 504 while the
+    answer lies in the socket, and its engine would be blamed.
+    """
+    reactor = new_reactor()
+    decisions = Decisions()
+    loop = decision_loop.DecisionLoop(
+        reactor,
+        decisions,
+        lambda action: loop.clear_timer(action.name),
+        recorder.Recorder('instance-0', 10),
+    )
+    answer = Answer(reactor, loop.dispatch)
+    loop.set_timer('deadline:1', reactor.seconds() + 0.02)
+    reactor.iterate(0)
+    sent = answer.theirs.send(bytes(answer_bytes - 1) + END)
+    assert sent == answer_bytes
+    time.sleep(seconds)
+    for _ in range(3):
+        reactor.iterate(0)
+    assert decisions.outcomes == ['answered']
+
+
+def test_timers_run_although_there_is_always_something_to_read():
+    """A flood of input must not keep timers from running."""
+    reactor = new_reactor()
+    flood = Answer(reactor, lambda event: None)
+    fired = []
+    reactor.callLater(0.01, fired.append, 'timer')
+    flood.theirs.send(bytes(100))
+    flood.doRead = lambda: None
+    time.sleep(0.2)
+    reactor.iterate(0)
+    assert fired == ['timer']
+
+
+def ask(reactor):
+    """Probe an engine that listens, within 0.2 s."""
+    engine = socket.create_server(('127.0.0.1', 0))
+    engine.settimeout(1.0)
+    request = http_client.WireRequest(b'GET', b'/', ((b'Host', b'e0'),))
+    address = engines.Address(*engine.getsockname())
+    answers = []
+    timed_requests.send_timed_request(
+        http_client.ConnectionPool(reactor),
+        timed_requests.TimedRequest(
+            'e0', address, request, 0.2, allows_for_own_pause=True
+        ),
+        answers.append,
+    )
+    reactor.iterate(0)
+    return engine, answers
+
+
+def test_probe_sent_after_a_pause_still_waits_for_its_answer():
+    """An instance stands still while the connection of a probe opens.
+
+    Its time is over before it was written: the engine would be taken for
+    dead though it was never asked.
+    """
+    reactor = new_reactor()
+    engine, answers = ask(reactor)
+    connection, _ = engine.accept()
+    time.sleep(0.4)
+    for _ in range(3):
+        reactor.iterate(0)
+    assert connection.recv(READ_BYTES).startswith(b'GET')
+    assert not answers
+    connection.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+    reactor.iterate(0.1)
+    assert answers[0].response is not None
+
+
+def test_probe_that_waited_anew_after_a_pause_still_fails():
+    """A pause must not make an instance wait for a dead engine for ever."""
+    reactor = new_reactor()
+    _engine, answers = ask(reactor)
+    for _ in range(timed_requests.MAX_LATE_CHECKS):
+        time.sleep(0.4)
+        reactor.iterate(0)
+        assert not answers
+    time.sleep(0.4)
+    reactor.iterate(0)
+    assert answers[0].response is None
+
+
+def test_probe_waits_anew_only_once_for_one_pause():
+    """A dead engine is found within twice the time of a probe."""
+    reactor = new_reactor()
+    _engine, answers = ask(reactor)
+    time.sleep(0.4)
+    reactor.iterate(0)
+    assert not answers
+    reactor.iterate(0.25)
+    reactor.iterate(0)
+    assert answers[0].response is None
