--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -14,6 +14,11 @@
 # The longest pause within an answer. A lost packet is retransmitted within a
 # quarter of a second; a connection without input for longer may be dead.
 MAX_PAUSE_SECONDS = 0.6
+# A check that runs later than this proves nothing about the server: this
+# process stood still, and may not even have written the request. An event loop
+# that is always late still detects a dead server after MAX_LATE_CHECKS.
+LATE_CHECK_SECONDS = 0.1
+MAX_LATE_CHECKS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,8 +29,10 @@
     answer is complete after ``seconds``, or if the body exceeds ``max_bytes``.
     An answer that has started by then may take ``receive_seconds`` from its
     start, as long as it does not pause: a long answer takes time on a slow
-    link, and a repeated request would take as long again. ``open_connection``
-    is that of :meth:`http_client.ConnectionPool.request`.
+    link, and a repeated request would take as long again. With
+    ``allows_for_own_pause`` a check that this process makes late is made again
+    after as long as it was late, but no longer than ``seconds``.
+    ``open_connection`` is that of :meth:`http_client.ConnectionPool.request`.
     """
 
     key: str
@@ -35,6 +42,7 @@
     max_bytes: int = DEFAULT_MAX_BYTES
     fresh: bool = False
     receive_seconds: float = 0.0
+    allows_for_own_pause: bool = False
     open_connection: Callable[[http_client.PendingRequest], None] | None = None
 
 
@@ -58,6 +66,7 @@
     """Collects one answer; ``done`` is called exactly once.
 
     ``head_received`` is called before, once the head of an answer is there.
+    ``pending`` is the request, once there is one.
 
     ``answer_started_at`` and ``last_received_at`` are when the first and the
     last part of the answer arrived.
@@ -81,6 +90,11 @@
         self.body: list[bytes] = []
         self.body_bytes = 0
         self.is_finished = False
+        self.late_checks = 0
+        self.pending: http_client.PendingRequest | None = None
+        self.timer: interfaces.IDelayedCall | None = reactor.callLater(
+            timed_request.seconds, self.check_expiry
+        )
 
     @property
     def expires_at(self) -> float:
@@ -117,6 +131,25 @@
         """Deliver the failure of the request."""
         self.deliver_answer(Answer(None, detail=detail))
 
+    def check_expiry(self) -> None:
+        """Give the request up if it has timed out."""
+        now = self.reactor.seconds()
+        wait = self.expires_at - now
+        late = now - self.timer.getTime()
+        if (
+            self.timed_request.allows_for_own_pause
+            and late > LATE_CHECK_SECONDS
+            and self.late_checks < MAX_LATE_CHECKS
+        ):
+            self.late_checks += 1
+            wait = min(late, self.timed_request.seconds)
+        if wait > 0:
+            self.timer = self.reactor.callLater(wait, self.check_expiry)
+            return
+        self.timer = None
+        self.pending.abandon()
+        self.deliver_timeout()
+
     def deliver_timeout(self) -> None:
         """Deliver a timeout, with the number of bytes received."""
         is_receiving = (
@@ -127,9 +160,15 @@
 
     def deliver_answer(self, answer: Answer) -> None:
         """Call ``done``, unless it was called before."""
-        if not self.is_finished:
-            self.is_finished = True
-            self.done(answer)
+        if self.is_finished:
+            return
+        self.is_finished = True
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.pending is not None and self.pending.connection_refused:
+            answer = dataclasses.replace(answer, connection_refused=True)
+        self.done(answer)
 
 
 def send_timed_request(
@@ -142,29 +181,10 @@
 
     ``head_received`` is called as soon as the head of an answer is there.
     """
-
-    def deliver_answer(answer: Answer) -> None:
-        if timer.active():
-            timer.cancel()
-        if pending is not None and pending.connection_refused:
-            answer = dataclasses.replace(answer, connection_refused=True)
-        done(answer)
-
-    def check_expiry() -> None:
-        nonlocal timer
-        left = collector.expires_at - pool.reactor.seconds()
-        if left > 0:
-            timer = pool.reactor.callLater(left, check_expiry)
-            return
-        pending.abandon()
-        collector.deliver_timeout()
-
-    pending: http_client.PendingRequest | None = None
     collector = AnswerCollector(
-        pool.reactor, timed_request, deliver_answer, head_received
+        pool.reactor, timed_request, done, head_received
     )
-    timer = pool.reactor.callLater(timed_request.seconds, check_expiry)
-    pending = pool.request(
+    collector.pending = pool.request(
         timed_request.key,
         timed_request.address,
         lambda: timed_request.request,
