Retry budget: a new instance does not spend its predecessor's part again

Callers saw nothing; engines did: after a roll or a kill an instance started with an empty window. It had its part of the fixed allowance (150 over all instances) again, and borrowed up to half of everything, although its predecessor and the others had spent the same retries seconds before.

Evidence: eight instances' decisions driven together, every engine full, arrivals counted at the engines as the rule is written; 15 requests a second.

For the first window after it hears of the fleet an instance has its share of its own new requests and a part of the fifth of the fixed allowance that is not allocated, and borrows nothing. Its predecessor's part and its own are then together at most a whole part, as long as it is replaced once in a window. In fleets of more than 25 the part is not made smaller than one retry; a whole such fleet that is replaced within one window may exceed the bound.

The first test failed before; the second guards against taking too much away.

--- a/src/greengagelb/coordination/relay/peer_events.py
+++ b/src/greengagelb/coordination/relay/peer_events.py
@@ -86,6 +86,7 @@
                     self.fleet.remove_instance(incarnation, now)
                 )
                 self.keeper.remove_instance(incarnation, now)
+        self.budget.note_fleet_heard(now)
         self.budget.set_fleet_size(
             self.fleet.size, 1 + len(self.fleet.heard_at)
         )
--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -74,13 +74,18 @@
     close to the bound.
 
     ``instances`` is the size of the fleet, ``reachable`` how many of these are
-    known to be alive; both include this instance.
+    known to be alive; both include this instance. Until the monotonic time
+    ``past_known_from``, sends of before this instance started may still be in
+    the window: its predecessor's, and those that others borrowed. They may
+    have used up its part of ``slack``, so it gets one of what is not allocated
+    instead. It is None until this instance hears of the fleet.
     """
 
     def __init__(self, limits: bounds.RetryBounds) -> None:
         self.bounds = limits
         self.instances = ASSUMED_INSTANCES
         self.reachable = 1
+        self.past_known_from: float | None = None
         self.services: dict[str, ServiceWindow] = {}
 
     def set_fleet_size(self, instances: int, reachable: int = 1) -> None:
@@ -91,6 +96,18 @@
         self.instances = max(1, instances)
         self.reachable = min(self.instances, max(1, reachable))
 
+    def note_fleet_heard(self, now: float) -> None:
+        """Note that the sends of other instances are heard from now on.
+
+        Only the first such time counts.
+        """
+        if self.past_known_from is None:
+            self.past_known_from = now + self.bounds.window_seconds
+
+    def is_past_known(self, now: float) -> bool:
+        """Return whether this instance has heard all sends of the window."""
+        return self.past_known_from is None or now >= self.past_known_from
+
     def window(self, service: str, now: float) -> ServiceWindow:
         """Return the window of a service, without expired times."""
         found = self.services.setdefault(service, ServiceWindow())
@@ -109,9 +126,15 @@
         send_times = window.peer_retries if is_retry else window.peer_requests
         send_times.append(now)
 
-    def own_allowance(self, window: ServiceWindow) -> float:
+    def own_allowance(self, window: ServiceWindow, now: float) -> float:
         """Return how many retries this instance may send in the window."""
-        own_slack = ALLOCATED_SHARE * self.bounds.slack / self.instances
+        share = ALLOCATED_SHARE / self.instances
+        if not self.is_past_known(now):
+            share = max(
+                (1.0 - ALLOCATED_SHARE) / self.instances,
+                ALLOCATED_SHARE / ASSUMED_INSTANCES,
+            )
+        own_slack = share * self.bounds.slack
         return own_slack + self.bounds.ratio * len(window.requests)
 
     def shared_allowance(self, window: ServiceWindow) -> float:
@@ -127,7 +150,7 @@
         window = self.window(service, now)
         return (
             f'own retries {len(window.retries)} '
-            f'of {self.own_allowance(window):.1f}, '
+            f'of {self.own_allowance(window, now):.1f}, '
             f'known {window.all_retries} '
             f'of {self.shared_allowance(window):.1f}, '
             f'{self.reachable} of {self.instances} instances'
@@ -142,8 +165,8 @@
         other instances.
         """
         window = self.window(service, now)
-        allowed = len(window.retries) + 1 <= self.own_allowance(window)
-        if announced:
+        allowed = len(window.retries) + 1 <= self.own_allowance(window, now)
+        if announced and (allowed or self.is_past_known(now)):
             share = ALLOCATED_SHARE if allowed else BORROWING_SHARE
             allowed = window.all_retries + 1 <= share * self.shared_allowance(
                 window
--- /dev/null
+++ b/tests/common/budget_fleet.py
@@ -0,0 +1,169 @@
+"""Decisions of several instances, and engines that count what arrives.
+
+No sockets: announcements between instances take a while, and some are lost.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+
+from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from greengagelb.state.relay import hints
+from tests.common import relay_world
+
+LINK_SECONDS = 0.001
+
+
+class Instance(relay_world.RelayWorld):
+    """One life of an instance in the fleet."""
+
+    def __init__(self, fleet, name, now):
+        self.fleet = None
+        super().__init__(seed=fleet.rng.randrange(1_000_000))
+        self.fleet = fleet
+        self.name = name
+        self.now = now
+
+    def handle(self, event):
+        done = super().handle(event)
+        if self.fleet is not None:
+            self.fleet.carry_out(self, done)
+        return done
+
+
+class BudgetFleet:
+    """Instances whose sends and announcements travel on one clock.
+
+    ``status`` is what engines answer a send with; ``asked_at`` has the times
+    of clients' requests, ``repeated_at`` those of the arrivals beyond the
+    first of each. Until ``held_until``, sends stand in the engines' sockets.
+    """
+
+    def __init__(self, size, seed=1, delays=(0.001, 0.005), loss=0.0):
+        self.rng = random.Random(seed)
+        self.delays = delays
+        self.loss = loss
+        self.now = 100.0
+        self.heap = []
+        self.serials = itertools.count()
+        self.status = 503
+        self.held_until = 0.0
+        self.asked_at = []
+        self.repeated_at = []
+        self.arrivals = collections.Counter()
+        self.instances = []
+        for _ in range(size):
+            self.instances.append(self.start())
+        for one in self.instances:
+            self.introduce(one)
+
+    def start(self):
+        return Instance(self, f'{next(self.serials)}-i', self.now)
+
+    def introduce(self, one):
+        """Have an instance know all the others."""
+        others = [other for other in self.instances if other is not one]
+        members = tuple(
+            hints.Member(other.name, other.name, '127.0.0.1', 'north')
+            for other in others
+        )
+        one.handle(relay_events.MembersListed(members))
+        for other in others:
+            one.handle(
+                relay_events.PeerHeard(other.name, 'north', one.relay.digests)
+            )
+
+    def restart(self, number):
+        """Kill an instance; the next one starts at once."""
+        killed = self.instances[number]
+        self.instances[number] = self.start()
+        for other in self.instances:
+            other.now = self.now
+            other.handle(relay_events.PeerLeft(killed.name))
+            self.introduce(other)
+
+    def at(self, seconds, call, *given):
+        serial = next(self.serials)
+        heapq.heappush(self.heap, (seconds, serial, call, given))
+
+    def advance(self, seconds):
+        """Let time pass."""
+        until = self.now + seconds
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, call, given = heapq.heappop(self.heap)
+            call(*given)
+        self.now = until
+
+    def ask(self, number):
+        """Have a client ask an instance for a stream."""
+        self.asked_at.append(self.now)
+        asked = self.instances[number]
+        asked.advance(self.now - asked.now)
+        asked.ask_little()
+
+    def ask_for(self, seconds, rate):
+        """Have clients ask random instances for a time."""
+        for _ in range(round(seconds * rate)):
+            self.ask(self.rng.randrange(len(self.instances)))
+            self.advance(1.0 / rate)
+
+    def carry_out(self, one, done):
+        for action in done:
+            match action:
+                case relay_actions.Send():
+                    arrives_at = max(self.now, self.held_until) + LINK_SECONDS
+                    self.at(arrives_at, self.arrive, one, action)
+                case relay_actions.TellPeers(hint=hints.RunPlaced() as hint):
+                    self.tell(one, hint)
+
+    def tell(self, one, hint):
+        for other in self.instances:
+            if other is not one and self.rng.random() >= self.loss:
+                delay = self.rng.uniform(*self.delays)
+                told = relay_events.PeerTold(one.name, hint)
+                self.at(self.now + delay, self.give, other, told)
+
+    def give(self, one, event):
+        """Give an instance an event, unless it has been killed."""
+        if one in self.instances:
+            one.advance(self.now - one.now)
+            one.handle(event)
+
+    def arrive(self, one, send):
+        """Count a send at its engine, which refuses it."""
+        key = (one.name, send.exchange)
+        self.arrivals[key] += 1
+        if self.arrivals[key] > 1:
+            self.repeated_at.append(self.now)
+        answered = relay_events.AnswerComplete(
+            send.exchange,
+            send.send,
+            relay_world.answer_head(self.status, sealed=False, not_run=True),
+            b'',
+        )
+        self.give(one, answered)
+
+    def excess(self):
+        """Return by how much the worst window exceeds the bound, or less.
+
+        The requests are those of that window, of the one before it, or of the
+        one half a window before it.
+        """
+        bounds = relay_world.RETRIES
+        seconds = bounds.window_seconds
+
+        def count(times, start):
+            return sum(start <= at < start + seconds for at in times)
+
+        return max(
+            count(self.repeated_at, start)
+            - bounds.slack
+            - bounds.ratio
+            * max(
+                count(self.asked_at, start - earlier)
+                for earlier in (0.0, seconds / 2, seconds)
+            )
+            for start in self.repeated_at
+        )
--- /dev/null
+++ b/tests/relay/test_retry_bound.py
@@ -0,0 +1,30 @@
+"""The retry budget as engines see it, over whole fleets of instances."""
+
+from tests.common import budget_fleet
+
+
+def test_rolling_restart_keeps_to_the_bound():
+    """All instances are replaced within one window while engines are full.
+
+    An instance that starts knows nothing of what its predecessor has sent
+    again. If it had a part of its own at once, and borrowed beside it, the
+    engines would get the budget twice.
+    """
+    fleet = budget_fleet.BudgetFleet(8)
+    fleet.ask_for(12.0, rate=15)
+    for number in range(8):
+        fleet.restart(number)
+        fleet.ask_for(1.0, rate=15)
+    fleet.ask_for(10.0, rate=15)
+    assert fleet.excess() <= 0.0
+
+
+def test_new_instance_repeats_the_streams_that_it_has_just_begun():
+    """An engine of a young instance fails; its callers would see the loss."""
+    fleet = budget_fleet.BudgetFleet(8)
+    fleet.ask_for(12.0, rate=15)
+    fleet.restart(3)
+    before = len(fleet.repeated_at)
+    fleet.ask(3)
+    fleet.advance(1.0)
+    assert len(fleet.repeated_at) - before >= 2
