Retry budget: count the sends that follow a 421

An engine that has a former engine's address rejects requests with 421. Such a send costs no attempt, as the route's limit is of engines that run a request, and so the next send was taken for the first: it spent no retry and was announced as 0. The rule counts arrivals that an engine rejects.

Exchange.arrivals now counts what an engine may have received, beside attempts; a send whose first byte never left takes both back (note_unconnected). Where no right engine has received the request yet, it may borrow without regard to how many instances are heard: otherwise a request that tries several former engines would be refused (tests/relay/test_resuming.py has one that meets six).

Both new tests failed before (13.0 above; announced [1, 0], not [1, 2]).

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -208,8 +208,7 @@
             return asked + self.handle_lost_send(
                 exchange, sent, event.detail, now
             )
-        exchange.attempts -= 1
-        exchange.unconnected += 1
+        self.components.send_manager.note_unconnected(exchange)
         resulting: list[Action] = [
             sending.record(exchange, sent, 'send-unconnected', event.detail)
         ]
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -56,14 +56,20 @@
     ) -> bool:
         """Return whether one more attempt is allowed; spend a retry for it.
 
-        The first attempt spends none, nor does one that is not allowed.
+        The first arrival at an engine spends none, nor does an attempt that
+        is not allowed.
         """
         if not self.has_attempts_left(exchange):
             return False
-        if not exchange.attempts:
+        if not exchange.arrivals:
+            return True
+        service = exchange.ruling.service.name
+        if not exchange.attempts and self.budget.try_spend_misdirected(
+            service, now
+        ):
             return True
         return self.budget.try_spend(
-            exchange.ruling.service.name,
+            service,
             now,
             announced=exchange.request.prompt is not None,
         )
@@ -104,6 +110,7 @@
         exchange.sends[sent.number] = sent
         exchange.tried.add(state.entry.engine)
         exchange.attempts += 1
+        exchange.arrivals += 1
         state.in_flight += 1
         state.note_send(now)
         if stream:
@@ -189,7 +196,7 @@
         if known is not None and known.rate is not None:
             age = sent.began_at - known.known_at
             parts.append(f'limit {known.rate:g} known for {age:.3f} s')
-        if exchange.attempts > 1:
+        if exchange.arrivals > 1:
             service = exchange.ruling.service.name
             parts.append(self.budget.describe(service, now))
         if exchange.position:
@@ -256,13 +263,22 @@
             )
         )
 
+    def note_unconnected(self, exchange: exchanges.Exchange) -> None:
+        """Record that no byte of a send has left.
+
+        It counts neither as an attempt nor as an arrival.
+        """
+        exchange.attempts -= 1
+        exchange.arrivals -= 1
+        exchange.unconnected += 1
+
     def note_engine_replaced(
         self, exchange: exchanges.Exchange, sent: exchanges.InFlightSend
     ) -> None:
         """Record that another engine answered at a send's address.
 
         The intended engine no longer exists, so the send does not count as
-        an attempt.
+        an attempt. It has arrived at an engine, and the budget counts that.
         """
         exchange.attempts -= 1
         replaced = sent.entry
@@ -306,7 +322,7 @@
     received nothing, so this is neither a new request nor a retry.
     """
     first = len(exchange.tried) == 1
-    return exchange.attempts if first or exchange.attempts > 1 else 0
+    return exchange.arrivals if first or exchange.arrivals > 1 else 0
 
 
 def lost_send_record(
--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -156,6 +156,20 @@
             f'{self.reachable} of {self.instances} instances'
         )
 
+    def try_spend_misdirected(self, service: str, now: float) -> bool:
+        """Spend a retry for a request that only wrong engines have received.
+
+        They reject it at the addresses of engines that have ended. Each does
+        so once or twice before all instances know, so that borrowing does not
+        need to be limited to the part of the instances that are heard.
+        """
+        window = self.window(service, now)
+        most = self.bounds.slack + self.bounds.ratio * window.all_requests
+        allowed = window.all_retries + 1 <= BORROWING_SHARE * most
+        if allowed:
+            window.retries.append(now)
+        return allowed
+
     def try_spend(
         self, service: str, now: float, *, announced: bool = False
     ) -> bool:
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -452,8 +452,7 @@
         if event.handed_over:
             exchange.may_have_run = True
         else:
-            exchange.attempts -= 1
-            exchange.unconnected += 1
+            self.components.send_manager.note_unconnected(exchange)
         if sent.head is not None:
             resulting = self.components.crash_watch.suspect_engine(
                 exchange, sent, sent.answered_at, now
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -53,6 +53,10 @@
     got the last event. ``tried`` names the engines that got the request and
     ``refused_by`` those that had no capacity for it. ``causes`` has the
     fingerprints under which crashes of its engines count.
+
+    ``attempts`` counts the sends that the route's limit applies to,
+    ``arrivals`` those that an engine may have received, also one that it was
+    not meant for.
     """
 
     request: requests.CallerRequest
@@ -62,6 +66,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     refused_by: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
+    arrivals: int = 0
     may_have_run: bool = False
     position: int = 0
     begun: bool = False
--- a/tests/common/budget_fleet.py
+++ b/tests/common/budget_fleet.py
@@ -21,7 +21,7 @@
 
     def __init__(self, fleet, name, now):
         self.fleet = None
-        super().__init__(seed=fleet.rng.randrange(1_000_000))
+        super().__init__(fleet.engines, seed=fleet.rng.randrange(1_000_000))
         self.fleet = fleet
         self.name = name
         self.now = now
@@ -41,7 +41,10 @@
     first of each. Until ``held_until``, sends stand in the engines' sockets.
     """
 
-    def __init__(self, size, seed=1, delays=(0.001, 0.005), loss=0.0):
+    def __init__(
+        self, size, seed=1, delays=(0.001, 0.005), loss=0.0, per_place=2
+    ):
+        self.engines = relay_world.fleet(per_place)
         self.rng = random.Random(seed)
         self.delays = delays
         self.loss = loss
@@ -115,7 +118,7 @@
                 case relay_actions.Send():
                     arrives_at = max(self.now, self.held_until) + LINK_SECONDS
                     self.at(arrives_at, self.arrive, one, action)
-                case relay_actions.TellPeers(hint=hints.RunPlaced() as hint):
+                case relay_actions.TellPeers(hint):
                     self.tell(one, hint)
 
     def tell(self, one, hint):
--- a/tests/relay/test_retry_bound.py
+++ b/tests/relay/test_retry_bound.py
@@ -28,3 +28,14 @@
     fleet.ask(3)
     fleet.advance(1.0)
     assert len(fleet.repeated_at) - before >= 2
+
+
+def test_replaced_engines_keep_to_the_bound():
+    """All engines get new identities while the list of them is not renewed.
+
+    Each instance meets each of them once, and is told late by the others.
+    """
+    fleet = budget_fleet.BudgetFleet(8, delays=(0.005, 0.5), per_place=30)
+    fleet.status = 421
+    fleet.ask_for(12.0, rate=15)
+    assert fleet.excess() <= 0.0
--- a/tests/relay/test_retry_budget.py
+++ b/tests/relay/test_retry_budget.py
@@ -185,6 +185,20 @@
     assert announced_attempts(world) == [1, 0]
 
 
+def test_send_to_a_replaced_engine_counts_as_an_arrival():
+    """Other engines answer at the addresses of those that have ended.
+
+    Each turns requests away with 421, and such arrivals count too. The sends
+    after them were free, so that the engines left got any number.
+    """
+    world = relay_world.RelayWorld()
+    exchange = world.ask()
+    world.refuse(world.last_send(exchange), 421)
+    assert announced_attempts(world) == [1, 2]
+    window = world.relay.budget.window(relay_world.STREAMS, world.now)
+    assert len(window.retries) == 1
+
+
 def test_timeline_shows_that_the_retry_budget_ended_a_stream():
     """A stream is broken off although engines are free.
 
