--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -21,6 +21,7 @@
 # While most new connections go to one instance, callers pause for this share
 # of their usual time.
 CROWD_PAUSE_SHARE = 0.3
+MOST_EVENTS = 80
 LIMIT_SECONDS = {'stream': 10.0, 'call': 1.0, 'query': 1.0}
 
 
@@ -120,6 +121,7 @@
         self.agent = client.Agent(reactor, connectTimeout=1, pool=self.pool)
         self.fresh_agent = client.Agent(reactor, connectTimeout=1)
         self.crowded: object | None = None
+        self.most_events = MOST_EVENTS
 
     @defer.inlineCallbacks
     def caller(self, instances: list, until: float) -> object:
@@ -162,7 +164,7 @@
         """
         request_id = f'{self.run}-{next(self.numbers)}'
         if not body:
-            events = self.rng.randint(5, 80)
+            events = self.rng.randint(5, self.most_events)
             body = content.stream_body(request_id, events)
         now = self.reactor.seconds()
         outcome = Outcome(request_id, kind, body, instance.name, now, after)
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -40,6 +40,7 @@
     began_at: float
     ended_at: float | None = None
     answered: bool = False
+    broken_off: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,6 +63,15 @@
     life: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A request that reached an engine, whatever was answered."""
+
+    service: str
+    request_id: str
+    at: float
+
+
 @dataclasses.dataclass(slots=True)
 class Stated:
     """An answer in which an engine said that it leaves, or asked for rest.
@@ -83,6 +93,7 @@
         self.reactor = reactor
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
+        self.received: list[Received] = []
         self.limits: list[NamedLimit] = []
         self.stated: list[Stated] = []
         self.crashing_parts: set[str] = set()
@@ -113,6 +124,9 @@
         self.lives = True
         self.states_leaving = False
         self.rests_until = 0.0
+        self.paused_until = 0.0
+        self.frozen_until = 0.0
+        self.full_until = 0.0
         self.heartbeats = itertools.count(1)
         site = server.Site(self)
         inner = pool.reactor.listenTCP(0, site, interface=host)
@@ -140,12 +154,16 @@
         self.lives = True
         self.states_leaving = False
         self.rests_until = 0.0
+        self.paused_until = 0.0
+        self.frozen_until = 0.0
+        self.full_until = 0.0
         kept = self.pool.copies
         kept -= {copy for copy in kept if copy[0] == self.address}
 
     def crash(self) -> None:
         """End at once, with all that runs."""
         self.lives = False
+        self.break_off()
         self.link.refuse()
 
     def restart(self) -> None:
@@ -158,17 +176,24 @@
         """Crash as a prompt makes it; open connections end in good order."""
         self.pool.crashes.append(self.pool.reactor.seconds())
         self.lives = False
+        self.break_off()
         self.link.refuse(orderly=self.rng.random() < 0.5)
         task.deferLater(self.pool.reactor, DOWN_SECONDS, self.restart)
 
     def crash_unnoticed(self) -> None:
         """End at once behind a link that has gone dark."""
         self.lives = False
+        self.break_off()
         self.link.mode = proxy.Mode.DARK
         self.link.silence()
         for run in list(self.running):
             self.ended(run)
 
+    def break_off(self) -> None:
+        """Note that this engine itself ends all that runs."""
+        for run in self.running:
+            run.broken_off = True
+
     def start_again(self) -> None:
         """Come back at the same address, under the same identity."""
         self.begin_life()
@@ -176,6 +201,16 @@
         if self.link.listening is None:
             self.link.listen()
 
+    def pause(self, until: float, *, frozen: bool) -> None:
+        """Write nothing of any answer for some time; lose nothing.
+
+        While frozen, the engine doesn't read requests either, status checks
+        included.
+        """
+        self.paused_until = max(until, self.paused_until)
+        if frozen:
+            self.frozen_until = max(until, self.frozen_until)
+
     def name_limit(self, rate: float) -> NamedLimit:
         """Name a limit in each answer from now on."""
         self.lift_limit(self.limit)
@@ -207,8 +242,35 @@
     # -- requests -----------------------------------------------------------
 
     def render(self, request: server.Request) -> object:
-        """Answer a request, or begin to."""
+        """Count a request, and answer it once the engine isn't frozen."""
         head = Head(request)
+        now = self.pool.reactor.seconds()
+        if head.request_id:
+            received = Received(self.service, head.request_id, now)
+            self.pool.received.append(received)
+        if self.frozen_until <= now:
+            return self.answer(request, head)
+        gone = []
+        request.notifyFinish().addErrback(gone.append)
+        seconds = self.frozen_until - now
+        task.deferLater(
+            self.pool.reactor, seconds, self.answer_late, request, head, gone
+        )
+        return server.NOT_DONE_YET
+
+    def answer_late(
+        self, request: server.Request, head: 'Head', gone: list[object]
+    ) -> None:
+        """Answer a request that came while the engine was frozen."""
+        if gone:
+            return
+        answer = self.answer(request, head)
+        if answer is not server.NOT_DONE_YET:
+            request.write(answer)
+            request.finish()
+
+    def answer(self, request: server.Request, head: 'Head') -> object:
+        """Answer a request, or begin to."""
         if head.expected not in ('', self.identity):
             return self.not_run(request, 421)
         if request.path in (b'/health', b'/api/report'):
@@ -228,7 +290,8 @@
         )
         if self.rests_until > self.pool.reactor.seconds():
             return self.ask_for_rest(request, head)
-        if len(self.running) >= SLOTS:
+        is_full = self.full_until > self.pool.reactor.seconds()
+        if is_full or len(self.running) >= SLOTS:
             return self.not_run(request, 503)
         if head.copy_from and (self.address, head.copied_run) not in (
             self.pool.copies
@@ -282,10 +345,18 @@
             self.running.remove(run)
 
     def later(self, seconds: float, run: Run, call: object, *args: object):
-        """Go on with a run after some seconds, unless it is over by then."""
+        """Go on with a run after some seconds, unless it is over by then.
+
+        Pauses make it later.
+        """
 
         def go_on() -> None:
-            if run.ended_at is None:
+            wait = self.paused_until - self.pool.reactor.seconds()
+            if run.ended_at is not None:
+                return
+            if wait > 0.0:
+                task.deferLater(self.pool.reactor, wait, go_on)
+            else:
                 call(*args)
 
         task.deferLater(self.pool.reactor, seconds, go_on)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,6 +25,9 @@
 FIRST_SEED_WITH_CRASHING_PARTS = 3_000
 # The same before most new connections could go to one instance.
 FIRST_SEED_WITH_CROWDS = 3_100
+# The same before engines could pause or be full for some seconds.
+FIRST_SEED_WITH_PAUSES = 4_000
+PAUSE_SECONDS = (0.5, 4.0)
 CROWD_SECONDS = 8.0
 # For so long requests with such a part come.
 CRASHING_PART_SECONDS = 12.0
@@ -63,6 +66,9 @@
     LINKS_REFUSED = 'links-refused'
     CRASHING_PART = 'crashing-part'
     CROWDED_INSTANCE = 'crowded-instance'
+    PAUSED_ENGINES = 'paused-engines'
+    FROZEN_ENGINES = 'frozen-engines'
+    FULL_ENGINES = 'full-engines'
 
 
 # Those that harm an instance, or what it knows.
@@ -113,6 +119,15 @@
 }
 # An instance loses its links to all engines.
 OF_LINKS = frozenset({What.LINKS_SILENT, What.LINKS_RESET, What.LINKS_REFUSED})
+# Engines write nothing for some time, lose nothing and go on by themselves.
+# Frozen ones answer no status checks either.
+PAUSES = frozenset({What.PAUSED_ENGINES, What.FROZEN_ENGINES})
+OF_MANY_ENGINES = PAUSES | {What.FULL_ENGINES}
+PLANNED_WORK = (
+    What.STOP_INSTANCE,
+    What.RELOAD_INSTANCE,
+    What.NEW_CONFIGURATION,
+)
 BESIDE_LOST_LINKS = (
     What.STOP_INSTANCE,
     What.CRASH_ENGINE,
@@ -130,6 +145,7 @@
     *OF_LINKS,
     What.CRASHING_PART,
     What.CROWDED_INSTANCE,
+    *OF_MANY_ENGINES,
 )
 DRAWN = tuple(what for what in What if what not in DRAWN_APART)
 
@@ -148,8 +164,14 @@
     """Return all faults of a run.
 
     In every other run with lost links or crashing parts little else happens,
-    as a harmed store or instance may be the cause of a failed request.
+    as a harmed store or instance may be the cause of a failed request. The
+    same holds for two of three runs with pauses; one of these has planned work
+    beside them.
     """
+    if seed >= FIRST_SEED_WITH_PAUSES and seed % 3 == 0:
+        return plan_pauses(seed)
+    if seed >= FIRST_SEED_WITH_PAUSES and seed % 3 == 1:
+        return [*plan_pauses(seed), *plan_work(seed)]
     if seed >= FIRST_SEED_WITH_CRASHING_PARTS and seed % 2 == 0:
         rng = random.Random(f'beside crashing parts of {seed}')
         beside = series(rng, rng.choice(BESIDE_LOST_LINKS))
@@ -166,6 +188,7 @@
         *plan_statements(seed),
         *plan_lost_links(seed),
         *plan_crashing_parts(seed),
+        *plan_pauses(seed),
     ]
 
 
@@ -193,6 +216,35 @@
     ]
 
 
+def plan_pauses(seed: int) -> list[Fault]:
+    """Return when engines pause, and when they are full."""
+    if seed < FIRST_SEED_WITH_PAUSES:
+        return []
+    rng = random.Random(f'pauses of {seed}')
+    kinds = sorted(PAUSES, key=lambda what: what.value)
+    drawn = [rng.choice(kinds) for _ in range(rng.randint(3, 6))]
+    drawn += [What.FULL_ENGINES] * rng.randint(0, 2)
+    found = [
+        Fault(
+            what,
+            rng.uniform(1.0, FAULT_SECONDS),
+            rng.uniform(*PAUSE_SECONDS),
+            rng.randrange(1_000),
+        )
+        for what in drawn
+    ]
+    return sorted(found, key=lambda fault: fault.at)
+
+
+def plan_work(seed: int) -> list[Fault]:
+    """Return when instances are stopped, reloaded and configured."""
+    rng = random.Random(f'planned work of {seed}')
+    found = []
+    for _ in range(rng.randint(1, 3)):
+        found += series(rng, rng.choice(PLANNED_WORK))
+    return sorted(found, key=lambda fault: fault.at)
+
+
 def plan(rng: random.Random) -> list[Fault]:
     """Return the faults of a run, in the order of their beginnings."""
     found = []
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -14,6 +14,8 @@
 GRACE_SECONDS = 4.0
 DRAIN_SECONDS = 2.0
 HEARTBEAT_MILLISECONDS = 1_200
+RETRY_RATIO = 0.8
+RETRY_WINDOW_SECONDS = 10.0
 SETTINGS = """[instance]
 name = {name}
 data_centre = {place}
@@ -26,9 +28,9 @@
 address = {host}:{store}
 
 [retries]
-ratio = 0.8
-window_seconds = 10
-slack = 150
+ratio = {ratio}
+window_seconds = {window}
+slack = {slack}
 
 [engines]
 address_reuse_seconds = 2
@@ -56,6 +58,7 @@
         host: str,
         peer_port: int,
         store: tuple[str, int],
+        retry_slack: float,
     ) -> None:
         self.reactor = reactor
         self.folder = folder
@@ -77,6 +80,9 @@
                 store=self.store_link.port,
                 heartbeat=HEARTBEAT_MILLISECONDS,
                 grace=GRACE_SECONDS,
+                ratio=RETRY_RATIO,
+                window=RETRY_WINDOW_SECONDS,
+                slack=retry_slack,
             )
         )
         self.cut_file = folder / f'{name}.cut'
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -3,9 +3,12 @@
 import collections
 from collections.abc import Iterator
 import dataclasses
+import itertools
 
+from tests.soak import budget
 from tests.soak import callers
 from tests.soak import content
+from tests.soak import cuts
 from tests.soak import engines
 from tests.soak import faults
 from tests.soak import instances
@@ -41,11 +44,9 @@
 # While most new connections go to one instance, requests are served there at
 # least so often, as a share of those before.
 CROWD_LEAST_SHARE = 3 / 4
-ROUTE_LIMITS = {
-    callers.Kind.STREAM: 10.0,
-    callers.Kind.CALL: 0.9,
-    callers.Kind.QUERY: 0.9,
-}
+# An engine in reach may still work on a stream for so many seconds after
+# another one has begun to go on with it.
+OVERLAP_SECONDS = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +75,9 @@
             *self.false_refusals(),
             *self.work_for_the_leaving(),
             *self.cut_by_stops(),
+            *self.lost_answers(),
+            *self.over_budget(),
+            *self.overlapping_runs(),
             *self.late(),
             *self.refused_keys(),
             *self.over_limits(),
@@ -150,6 +154,11 @@
 
     def cut_by_stops(self) -> Iterator[Broken]:
         """Find requests that a planned stop has cut."""
+        if self.world.has_pauses:
+            # Streams there may outlast the grace time.
+            for found in cuts.Cuts(self.world).beside_stops():
+                yield Broken('stops cut nothing', tell_cut(found))
+            return
         for moment in self.world.moments:
             if moment.what is not faults.What.STOP_INSTANCE:
                 continue
@@ -160,6 +169,81 @@
                 ):
                     yield Broken('stops cut nothing', found.request_id)
 
+    def lost_answers(self) -> Iterator[Broken]:
+        """Find requests cut beside reloads, configurations and pauses."""
+        lost = cuts.Cuts(self.world)
+        for found in lost.beside_reloads():
+            yield Broken('reloads cut nothing', tell_cut(found))
+        for name, beside, others in lost.beside_configurations():
+            detail = f'{beside} at {name}, {others} at other times'
+            yield Broken('configurations cut nothing', detail)
+        for found in lost.by_pauses():
+            yield Broken('pauses cut nothing', tell_cut(found))
+
+    def over_budget(self) -> Iterator[Broken]:
+        """Find services that got more retries than all instances may send."""
+        bounds = budget.Bounds(
+            instances.RETRY_RATIO,
+            self.world.retry_slack,
+            instances.RETRY_WINDOW_SECONDS,
+        )
+        for service in (engines.STREAMS, engines.CALLS):
+            received = [
+                arrival
+                for arrival in self.world.engines.received
+                if arrival.service == service
+            ]
+            requests = sorted(
+                found.began_at
+                for found in self.outcomes
+                if (found.kind is callers.Kind.STREAM)
+                == (service == engines.STREAMS)
+            )
+            worst = budget.worst_window(
+                requests, budget.repeats(received), bounds
+            )
+            if worst is not None and worst.over > 0:
+                detail = (
+                    f'{worst.retries} to {service} in {bounds.window:.0f} s, '
+                    f'{worst.over:.1f} too many'
+                )
+                yield Broken('retry budget', detail)
+
+    def overlapping_runs(self) -> Iterator[Broken]:
+        """Find streams on which two engines in reach worked for too long."""
+        if not self.world.has_pauses:
+            return
+        for found in self.outcomes:
+            runs = sorted(
+                self.runs[found.request_id], key=lambda run: run.began_at
+            )
+            for run, later in itertools.pairwise(runs):
+                ended_at = run.ended_at or later.began_at
+                overlap = ended_at - later.began_at
+                if overlap > OVERLAP_SECONDS and self.reached(
+                    found.instance, run.engine, later.began_at, ended_at
+                ):
+                    detail = f'{found.request_id}: {overlap:.2f} s'
+                    yield Broken('one run of a stream', detail)
+
+    def reached(
+        self, instance: str, engine: str, begin: float, end: float
+    ) -> bool:
+        """Return whether an instance could tell an engine to end a run."""
+        begin -= TOUCH_SECONDS
+        if not self.calm(instance, begin, end):
+            return False
+        harms = faults.OF_ENGINES | {faults.What.FROZEN_ENGINES}
+        return not any(
+            moment.at < end
+            and begin < moment.until
+            and (
+                (moment.what in harms and engine in moment.target)
+                or (moment.what in faults.OF_LINKS)
+            )
+            for moment in self.world.moments
+        )
+
     def cut(self, found: callers.Outcome, begin: float, end: float) -> bool:
         """Return whether an answer ended early for no other reason."""
         ended = found.ended_at or end
@@ -187,7 +271,7 @@
                 # No instance has had it.
                 continue
             took = found.ended_at - found.began_at
-            if took <= ROUTE_LIMITS[found.kind] + LATE_SECONDS:
+            if took <= cuts.ROUTE_LIMITS[found.kind] + LATE_SECONDS:
                 continue
             if self.calm(found.instance, found.began_at, found.ended_at):
                 detail = f'{found.request_id}: {took:.2f} s {found.error}'
@@ -454,6 +538,13 @@
     return found.status == 200 and found.whole
 
 
+def tell_cut(found: callers.Outcome) -> str:
+    """Return what is known of a request that was cut."""
+    events = found.answer.count(b'\n\n')
+    took = cuts.used(found)
+    return f'{found.request_id}: {events} events, {took:.2f} s {found.error}'
+
+
 def is_beside(found: callers.Outcome, others: list[callers.Outcome]) -> bool:
     """Return whether another instance served somebody at about that time.
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -27,6 +27,14 @@
 # An entry lapses after so many heartbeats without renewal.
 LAPSE_HEARTBEATS = 3.0
 CALLERS = 12
+# A configuration is in force so long after it was written.
+CONFIG_APPLY_SECONDS = 2.5
+# Retries in a window that all instances may send beyond their ratio. With
+# pauses they are as few, beside the soak's traffic, as operators set them.
+RETRY_SLACK = 150.0
+RETRY_SLACK_WITH_PAUSES = 20.0
+# Streams in runs with pauses last for about as long as the longest pause.
+MOST_EVENTS_WITH_PAUSES = 130
 READY_POLL_SECONDS = 0.25
 START_SECONDS = 20.0
 # Calm at the end, before the fleet has to serve as before. A pause of all
@@ -71,6 +79,10 @@
         self.rng = random.Random(seed)
         self.moments: list[Moment] = []
         self.probes_from = float('inf')
+        self.has_pauses = seed >= faults.FIRST_SEED_WITH_PAUSES
+        self.retry_slack = RETRY_SLACK
+        if self.has_pauses:
+            self.retry_slack = RETRY_SLACK_WITH_PAUSES
         # Runs side by side keep to loopback networks of their own.
         network = f'127.{20 + seed % 200}.{self.rng.randrange(1, 250)}'
         self.store_host = f'{network}.1'
@@ -97,6 +109,7 @@
                 f'{network}.{100 + number}',
                 peers,
                 address,
+                self.retry_slack,
             )
             for number in range(fleet)
         ]
@@ -104,6 +117,8 @@
         for instance in self.instances:
             self.write_cut(instance, '')
         self.callers = callers.Callers(reactor, self.rng, f's{seed}')
+        if self.has_pauses:
+            self.callers.most_events = MOST_EVENTS_WITH_PAUSES
         self.loops = [
             task.LoopingCall(self.renew_entries),
             task.LoopingCall(self.look_at_instances),
@@ -248,6 +263,8 @@
             self.harm_store(fault)
         elif fault.what in faults.TO_ENGINES:
             self.harm_engine(fault)
+        elif fault.what in faults.OF_MANY_ENGINES:
+            self.hold_engines(fault)
         else:
             number = fault.target % len(self.instances)
             self.harm_instance(fault, self.instances[number])
@@ -262,7 +279,14 @@
         key = f'key-{self.version}'
         self.keys = next_keys(self.keys, shown=self.callers.key, added=key)
         self.configure()
-        task.deferLater(self.reactor, 2.5, setattr, self.callers, 'key', key)
+        task.deferLater(
+            self.reactor,
+            CONFIG_APPLY_SECONDS,
+            setattr,
+            self.callers,
+            'key',
+            key,
+        )
 
     def send_crashing_part(self, fault: faults.Fault) -> None:
         """Have requests come that share a part which crashes engines."""
@@ -392,6 +416,26 @@
             case faults.What.RESTING_ENGINE:
                 self.overload(fault, engine)
 
+    def hold_engines(self, fault: faults.Fault) -> None:
+        """Have one engine, every other one or all of them pause or be full."""
+        pool = self.engines.engines
+        number = fault.target // 3
+        match fault.target % 3:
+            case 0:
+                held = [pool[number % len(pool)]]
+            case 1:
+                held = pool[number % 2 :: 2]
+            case _:
+                held = pool
+        self.note(fault, ' '.join(engine.identity for engine in held))
+        until = self.reactor.seconds() + fault.seconds
+        for engine in held:
+            if fault.what is faults.What.FULL_ENGINES:
+                engine.full_until = until
+            else:
+                frozen = fault.what is faults.What.FROZEN_ENGINES
+                engine.pause(until, frozen=frozen)
+
     def restart_engine(
         self, fault: faults.Fault, engine: engines.Engine
     ) -> None:
