--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -181,6 +181,7 @@
         )
         leaves = self.rng.random() < 0.04
         patience = self.rng.uniform(0.05, 0.5) if leaves else limit + 2.0
+        leaves_at = now + patience
         try:
             yield self.gather(asked, outcome).addTimeout(
                 patience, self.reactor
@@ -190,6 +191,8 @@
             outcome.error = 'no end'
         except Exception as exc:  # noqa: BLE001 - any failure is an outcome
             outcome.error = repr(exc)[:200]
+            # Who leaves before the head of an answer gets no TimeoutError.
+            outcome.given_up = leaves and self.reactor.seconds() >= leaves_at
         outcome.ended_at = self.reactor.seconds()
         return outcome
 
