--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -164,14 +164,10 @@
     """Return all faults of a run.
 
     In every other run with lost links or crashing parts little else happens,
-    as a harmed store or instance may be the cause of a failed request. The
-    same holds for two of three runs with pauses; one of these has planned work
-    beside them.
+    as a harmed store or instance may be the cause of a failed request.
     """
-    if seed >= FIRST_SEED_WITH_PAUSES and seed % 3 == 0:
-        return plan_pauses(seed)
-    if seed >= FIRST_SEED_WITH_PAUSES and seed % 3 == 1:
-        return [*plan_pauses(seed), *plan_work(seed)]
+    if seed >= FIRST_SEED_WITH_PAUSES:
+        return plan_with_pauses(seed)
     if seed >= FIRST_SEED_WITH_CRASHING_PARTS and seed % 2 == 0:
         rng = random.Random(f'beside crashing parts of {seed}')
         beside = series(rng, rng.choice(BESIDE_LOST_LINKS))
@@ -180,6 +176,23 @@
         rng = random.Random(f'beside lost links of {seed}')
         beside = series(rng, rng.choice(BESIDE_LOST_LINKS))
         return [*plan_lost_links(seed), *beside]
+    return plan_of_all_kinds(seed)
+
+
+def plan_with_pauses(seed: int) -> list[Fault]:
+    """Return pauses alone, pauses with planned work, or all kinds."""
+    pauses = plan_pauses(seed)
+    match seed % 3:
+        case 0:
+            return pauses
+        case 1:
+            return [*pauses, *plan_work(seed, pauses)]
+        case _:
+            return [*plan_of_all_kinds(seed), *pauses]
+
+
+def plan_of_all_kinds(seed: int) -> list[Fault]:
+    """Return faults of instances, the store, engines and links."""
     return [
         *plan(random.Random(seed)),
         *plan_restarts(seed),
@@ -188,7 +201,6 @@
         *plan_statements(seed),
         *plan_lost_links(seed),
         *plan_crashing_parts(seed),
-        *plan_pauses(seed),
     ]
 
 
@@ -222,7 +234,7 @@
         return []
     rng = random.Random(f'pauses of {seed}')
     kinds = sorted(PAUSES, key=lambda what: what.value)
-    drawn = [rng.choice(kinds) for _ in range(rng.randint(3, 6))]
+    drawn = [rng.choice(kinds) for _ in range(rng.randint(4, 8))]
     drawn += [What.FULL_ENGINES] * rng.randint(0, 2)
     found = [
         Fault(
@@ -236,12 +248,17 @@
     return sorted(found, key=lambda fault: fault.at)
 
 
-def plan_work(seed: int) -> list[Fault]:
-    """Return when instances are stopped, reloaded and configured."""
+def plan_work(seed: int, pauses: list[Fault]) -> list[Fault]:
+    """Return when instances are stopped, reloaded and configured.
+
+    That is shortly before some of the pauses, or during them.
+    """
     rng = random.Random(f'planned work of {seed}')
     found = []
-    for _ in range(rng.randint(1, 3)):
-        found += series(rng, rng.choice(PLANNED_WORK))
+    for pause in rng.sample(pauses, k=2):
+        for fault in series(rng, rng.choice(PLANNED_WORK)):
+            at = max(0.0, pause.at + rng.uniform(-1.5, 1.0))
+            found.append(dataclasses.replace(fault, at=at))
     return sorted(found, key=lambda fault: fault.at)
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -33,6 +33,8 @@
 # pauses they are as few, beside the soak's traffic, as operators set them.
 RETRY_SLACK = 150.0
 RETRY_SLACK_WITH_PAUSES = 20.0
+# So many of them wait for engines that pause.
+CALLERS_WITH_PAUSES = 24
 # Streams in runs with pauses last for about as long as the longest pause.
 MOST_EVENTS_WITH_PAUSES = 130
 READY_POLL_SECONDS = 0.25
@@ -222,7 +224,8 @@
         until = now + calm_from + RECOVERY_SECONDS + PROBE_SECONDS
         self.probes_from = until - PROBE_SECONDS
         asking = [
-            self.callers.caller(self.instances, until) for _ in range(CALLERS)
+            self.callers.caller(self.instances, until)
+            for _ in range(CALLERS_WITH_PAUSES if self.has_pauses else CALLERS)
         ]
         for fault in planned:
             task.deferLater(self.reactor, fault.at, self.inject, fault)
