--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -87,6 +87,8 @@
     assert faults.plan_lost_links(2000)
     assert faults.plan_all(3000) == faults.plan_all(3000)
     assert faults.plan_crashing_parts(3000)
+    assert faults.plan_all(4000) == faults.plan_all(4000)
+    assert faults.plan_pauses(4000)
 
 
 def test_kept_seeds_plan_what_they_planned_when_they_failed():
@@ -98,3 +100,4 @@
     assert faults.plan_limits(200) == []
     assert faults.plan_lost_links(1053) == []
     assert faults.plan_crashing_parts(2225) == []
+    assert faults.plan_pauses(3169) == []
