--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -86,7 +86,7 @@
 
     def beside_stops(self) -> Iterator[callers.Outcome]:
         """Find requests cut by a planned stop."""
-        for moment in self.of_kind(faults.What.STOP_INSTANCE):
+        for moment in self.first_stops():
             until = moment.at + instances.GRACE_SECONDS + 1.0
             for found in self.lost:
                 if (
@@ -97,6 +97,18 @@
                 ):
                     yield found
 
+    def first_stops(self) -> Iterator[world.Moment]:
+        """Return the stops from which grace times count.
+
+        Another signal to an instance that is stopping gives it no more time.
+        """
+        counts_from: dict[str, float] = {}
+        for moment in self.of_kind(faults.What.STOP_INSTANCE):
+            earlier = counts_from.get(moment.target, float('-inf'))
+            if moment.at > earlier + instances.GRACE_SECONDS:
+                counts_from[moment.target] = moment.at
+                yield moment
+
     def outlasts_stop(
         self, found: callers.Outcome, stop: world.Moment
     ) -> bool:
@@ -147,7 +159,7 @@
         Stops have a rule of their own.
         """
         pauses = [m for m in self.moments if m.what in faults.PAUSES]
-        stops = list(self.of_kind(faults.What.STOP_INSTANCE))
+        stops = list(self.first_stops())
         for found in self.lost:
             stopped = any(
                 stop.target == found.instance
