--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -165,6 +165,7 @@
         sent.first_due = self.silent_runs.first_event_due_at(
             state, copy_from is not None, now
         )
+        self.silent_runs.schedule_probe_of_former(exchange, now)
         return [*resulting, self.silent_runs.silence_timer(exchange)]
 
     def handle_probe(
@@ -289,10 +290,19 @@
         sent: exchanges.InFlightSend,
         now: float,
     ) -> list[Action]:
-        """End the caller's answer as complete, unless it has no events."""
+        """End the caller's answer as complete, unless it has no events.
+
+        A stream that is resumed after its last event has none.
+        """
         exchange.may_have_run = True
+        resulting: list[Action] = []
         if not exchange.begun:
-            return self.handle_lost_send(exchange, sent, 'no events', now)
+            if not exchange.position or sent.head is None:
+                return self.handle_lost_send(exchange, sent, 'no events', now)
+            exchange.begun = True
+            resulting.append(
+                relay_actions.BeginStream(exchange.number, sent.head)
+            )
         self.components.send_manager.release_send(exchange, sent)
         told = self.components.crash_watch.note_survival(exchange, now)
         self.components.send_manager.pending_hints.extend(told)
@@ -301,6 +311,7 @@
             self.duration_estimate.observe(took, token_cost(exchange))
         why = f'{exchange.position} events'
         return [
+            *resulting,
             sending.record(exchange, sent, 'stream-complete', why),
             *self.components.send_manager.abandon_all_sends(exchange),
             relay_actions.EndStream(exchange.number),
@@ -331,7 +342,9 @@
         why = f'status {head.status}'
         if not head.not_run:
             exchange.may_have_run = True
-            if head.status < 500 and len(exchange.sends) == 1:
+            may_run_again = exchange.ruling.route.is_repeatable
+            is_final = head.status < 500 or not may_run_again
+            if is_final and len(exchange.sends) == 1:
                 self.components.send_manager.release_send(exchange, sent)
                 return [
                     relay_actions.PassAnswer(exchange.number, head, event.body)
