--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,6 +25,9 @@
 FIRST_SEED_WITH_CRASHING_PARTS = 3_000
 # The same before most new connections could go to one instance.
 FIRST_SEED_WITH_CROWDS = 3_100
+# The same before engines could pause or be full for some seconds.
+FIRST_SEED_WITH_PAUSES = 4_000
+PAUSE_SECONDS = (0.5, 4.0)
 CROWD_SECONDS = 8.0
 # For so long requests with such a part come.
 CRASHING_PART_SECONDS = 12.0
@@ -63,6 +66,9 @@
     LINKS_REFUSED = 'links-refused'
     CRASHING_PART = 'crashing-part'
     CROWDED_INSTANCE = 'crowded-instance'
+    PAUSED_ENGINES = 'paused-engines'
+    FROZEN_ENGINES = 'frozen-engines'
+    FULL_ENGINES = 'full-engines'
 
 
 # Those that harm an instance, or what it knows.
@@ -113,6 +119,15 @@
 }
 # An instance loses its links to all engines.
 OF_LINKS = frozenset({What.LINKS_SILENT, What.LINKS_RESET, What.LINKS_REFUSED})
+# Engines write nothing for some time, lose nothing and go on by themselves.
+# Frozen ones answer no status checks either.
+PAUSES = frozenset({What.PAUSED_ENGINES, What.FROZEN_ENGINES})
+OF_MANY_ENGINES = PAUSES | {What.FULL_ENGINES}
+PLANNED_WORK = (
+    What.STOP_INSTANCE,
+    What.RELOAD_INSTANCE,
+    What.NEW_CONFIGURATION,
+)
 BESIDE_LOST_LINKS = (
     What.STOP_INSTANCE,
     What.CRASH_ENGINE,
@@ -130,6 +145,7 @@
     *OF_LINKS,
     What.CRASHING_PART,
     What.CROWDED_INSTANCE,
+    *OF_MANY_ENGINES,
 )
 DRAWN = tuple(what for what in What if what not in DRAWN_APART)
 
@@ -150,6 +166,8 @@
     In every other run with lost links or crashing parts little else happens,
     as a harmed store or instance may be the cause of a failed request.
     """
+    if seed >= FIRST_SEED_WITH_PAUSES:
+        return plan_with_pauses(seed)
     if seed >= FIRST_SEED_WITH_CRASHING_PARTS and seed % 2 == 0:
         rng = random.Random(f'beside crashing parts of {seed}')
         beside = series(rng, rng.choice(BESIDE_LOST_LINKS))
@@ -158,6 +176,23 @@
         rng = random.Random(f'beside lost links of {seed}')
         beside = series(rng, rng.choice(BESIDE_LOST_LINKS))
         return [*plan_lost_links(seed), *beside]
+    return plan_of_all_kinds(seed)
+
+
+def plan_with_pauses(seed: int) -> list[Fault]:
+    """Return pauses alone, pauses with planned work, or all kinds."""
+    pauses = plan_pauses(seed)
+    match seed % 3:
+        case 0:
+            return pauses
+        case 1:
+            return [*pauses, *plan_work(seed, pauses)]
+        case _:
+            return [*plan_of_all_kinds(seed), *pauses]
+
+
+def plan_of_all_kinds(seed: int) -> list[Fault]:
+    """Return faults of instances, the store, engines and links."""
     return [
         *plan(random.Random(seed)),
         *plan_restarts(seed),
@@ -193,6 +228,40 @@
     ]
 
 
+def plan_pauses(seed: int) -> list[Fault]:
+    """Return when engines pause, and when they are full."""
+    if seed < FIRST_SEED_WITH_PAUSES:
+        return []
+    rng = random.Random(f'pauses of {seed}')
+    kinds = sorted(PAUSES, key=lambda what: what.value)
+    drawn = [rng.choice(kinds) for _ in range(rng.randint(4, 8))]
+    drawn += [What.FULL_ENGINES] * rng.randint(0, 2)
+    found = [
+        Fault(
+            what,
+            rng.uniform(1.0, FAULT_SECONDS),
+            rng.uniform(*PAUSE_SECONDS),
+            rng.randrange(1_000),
+        )
+        for what in drawn
+    ]
+    return sorted(found, key=lambda fault: fault.at)
+
+
+def plan_work(seed: int, pauses: list[Fault]) -> list[Fault]:
+    """Return when instances are stopped, reloaded and configured.
+
+    That is shortly before some of the pauses, or during them.
+    """
+    rng = random.Random(f'planned work of {seed}')
+    found = []
+    for pause in rng.sample(pauses, k=2):
+        for fault in series(rng, rng.choice(PLANNED_WORK)):
+            at = max(0.0, pause.at + rng.uniform(-1.5, 1.0))
+            found.append(dataclasses.replace(fault, at=at))
+    return sorted(found, key=lambda fault: fault.at)
+
+
 def plan(rng: random.Random) -> list[Fault]:
     """Return the faults of a run, in the order of their beginnings."""
     found = []
