--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -63,7 +63,6 @@
     ``refused_by`` those that had no capacity for it. ``causes`` has the
     fingerprints under which crashes of its engines count. From
     ``overlap_until`` a stream must not have two open runs.
-    fingerprints under which crashes of its engines count.
 
     ``attempts`` counts the sends that the route's limit applies to,
     ``arrivals`` those that an engine may have received, also one that it was
