--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -251,6 +251,7 @@
         sent.is_unreachable = True
         replacement = replacement_of(exchange)
         if replacement is not None and sent is not replacement:
+            exchange.overlap_until = float('inf')
             return told
         return [*told, *self.start_another_run(exchange, sent, now)]
 
@@ -269,7 +270,13 @@
         if replacement is None or sent is replacement:
             sent.is_unreachable = False
             return []
-        exchange.overlap_until = replacement.began_at + MAX_OVERLAP_SECONDS
+        if exchange.overlap_until < float('inf'):
+            return []
+        overlaps_since = replacement.began_at
+        if sent.is_unreachable:
+            # It has only now come back, and may write at once.
+            overlaps_since = now
+        exchange.overlap_until = overlaps_since + MAX_OVERLAP_SECONDS
         if now < exchange.overlap_until:
             return []
         return self.end_overlap(exchange, now)
@@ -279,17 +286,17 @@
     ) -> list[Action]:
         """End one of two silent runs of a stream, as both are in reach.
 
-        A replacement from a copy would have written by now. One that reads
-        the prompt was started as the first engine had answered a probe and
-        then nothing; if that engine has only now come back, it needs no
-        reading and is left to go on.
+        A replacement from a copy would have written by now, if its engine
+        could. One that reads the prompt needs more time, and the first engine
+        was silent while it was in reach.
         """
         exchange.overlap_until = float('inf')
         replacement = replacement_of(exchange)
         if replacement is None:
             return []
         former = next(iter(exchange.sends.values()))
-        if not replacement.from_copy and not former.is_unreachable:
+        resumes_late = replacement.from_copy and not former.is_unreachable
+        if not (replacement.is_unreachable or resumes_late):
             return self.end_run(exchange, former, now)
         former.is_unreachable = False
         self.keep_run(former, now)
--- a/tests/relay/test_silent_runs.py
+++ b/tests/relay/test_silent_runs.py
@@ -183,6 +183,22 @@
     assert len(silent.world.sends(exchange)) == 2
 
 
+def test_engine_that_comes_back_without_its_run_ends_no_other():
+    """Guards against a prompt read in vain as a lost engine is back.
+
+    Its link has healed, but the connection of the run stays dead.
+    """
+    silent = SilentEngines()
+    exchange = silent.world.ask()
+    [former] = silent.open_runs(exchange)
+    while len(silent.open_runs(exchange)) < 2:
+        silent.wait(STEP_SECONDS)
+    silent.alive = True
+    silent.wait(1.0)
+    [going_on] = silent.open_runs(exchange)
+    assert going_on != former
+
+
 @settings(derandomize=True, deadline=None, max_examples=150)
 @given(st.data())
 def test_events_of_both_runs_make_one_stream(data):
