Retry budget: count retries until engines that paused have read them

The rule counts arrivals, and a retry was forgotten ten seconds after it was sent. Engines that stand still read at once what was sent meanwhile, so that the arrivals of ten seconds are those of up to 13.5 s of sends.

Retries stay counted for 4 s longer than the window, requests do not.

--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -24,6 +24,10 @@
 # streams, a third of all, within the travel time of a datagram. That is about
 # as many as the other half allows.
 BORROWING_SHARE = 0.5
+# A retry stays counted for this much longer than the window. Engines count it
+# when it arrives: those that make a pause, or whose connection does, read all
+# that was sent meanwhile at once.
+HELD_UP_SECONDS = 4.0
 # The assumed fleet size until it is known: an instance takes as little of the
 # shared allowance as in a large fleet.
 ASSUMED_INSTANCES = 100
@@ -53,15 +57,11 @@
         return len(self.retries) + len(self.peer_retries)
 
     def drop_before(self, earliest: float) -> None:
-        """Drop all times before a monotonic time."""
-        for send_times in (
-            self.requests,
-            self.retries,
-            self.peer_requests,
-            self.peer_retries,
-        ):
-            while send_times and send_times[0] < earliest:
-                send_times.popleft()
+        """Drop the requests before a monotonic time, and older retries."""
+        for request_times in (self.requests, self.peer_requests):
+            drop_times_before(request_times, earliest)
+        for retry_times in (self.retries, self.peer_retries):
+            drop_times_before(retry_times, earliest - HELD_UP_SECONDS)
 
 
 class SharedRetryBudget:
@@ -102,7 +102,9 @@
         Only the first such time counts.
         """
         if self.past_known_from is None:
-            self.past_known_from = now + self.bounds.window_seconds
+            self.past_known_from = (
+                now + self.bounds.window_seconds + HELD_UP_SECONDS
+            )
 
     def is_past_known(self, now: float) -> bool:
         """Return whether this instance has heard all sends of the window."""
@@ -188,3 +190,11 @@
         if allowed:
             window.retries.append(now)
         return allowed
+
+
+def drop_times_before(
+    times: collections.deque[float], earliest: float
+) -> None:
+    """Drop the times before another one; they are in order."""
+    while times and times[0] < earliest:
+        times.popleft()
--- a/tests/relay/test_retry_bound.py
+++ b/tests/relay/test_retry_bound.py
@@ -39,3 +39,16 @@
     fleet.status = 421
     fleet.ask_for(12.0, rate=15)
     assert fleet.excess() <= 0.0
+
+
+def test_sends_that_engines_read_late_keep_to_the_bound():
+    """All engines stand still for 3.5 s, every ten seconds.
+
+    They then read at once what was sent in 13.5 s, more than one window's.
+    """
+    fleet = budget_fleet.BudgetFleet(8, delays=(0.1, 0.5), loss=1 / 3)
+    fleet.ask_for(10.0, rate=15)
+    for _ in range(4):
+        fleet.held_until = fleet.now + 3.5
+        fleet.ask_for(10.0, rate=15)
+    assert fleet.excess() <= 0.0
