A silent attempt is kept until another gives the next token

What callers saw: streams of the product's own interface failed or were moved when engines stood still: 'no-engine', 'replay-budget-spent', 'engine-deaths-exceeded', 'outcome-unknown', though the engines went on after seconds.

Cause: an attempt that stayed silent over a new connection counted as an engine death and was cancelled first; only then another engine was looked for.

Now silence, and a connection that can't be opened without being refused, only start a second attempt beside the first (the machinery of spares). The first to give the next token goes on, the other is cancelled. A silent spare, which has given nothing, is replaced or kept. What is known to be lost goes on as before. Silences limit the start of others, as deaths did, and never end a stream; they are forgotten when a silent attempt goes on by itself.

The machine has a new step, cut_off.

Tests changed: test_delayed_event_loop_still_detects_a_dead_engine expected the move with no engine giving a token; it now lets the others give one and checks that it reached the caller. check_in_flight_counts of test_measured_policies counted current attempts only, and now the second ones as well, which hold a place too.

--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -105,12 +105,14 @@
     """The attempt's connection ended before the generation did.
 
     ``handed_over`` is false only if no byte of the order was ever written to
-    a transport.
+    a transport. ``unreachable`` tells that no connection could be opened and
+    none was refused, so that the engine may be working all the same.
     """
 
     attempt: identity.AttemptId
     detail: str
     handed_over: bool
+    unreachable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/streams/attempts.py
+++ b/src/greengagelb/coordination/streams/attempts.py
@@ -96,6 +96,7 @@
         """Request a running attempt's stream over a new connection."""
         attempt.suspected = True
         attempt.answered = False
+        attempt.unreachable = False
         attempt.attached_at = now
         self.directory.limits.spend_permit(attempt.upstream.name, now)
         view = self.directory.views.get(attempt.upstream.name)
--- a/src/greengagelb/coordination/streams/recovery.py
+++ b/src/greengagelb/coordination/streams/recovery.py
@@ -6,6 +6,8 @@
    prompt and the exact tokens so far.
 3. If no engine of the version is available: start a new generation, announced
    to the caller as a restart, if the service is idempotent; otherwise fail.
+
+An attempt that is only silent is not lost: see ``silent_attempts``.
 """
 
 from greengagelb.coordination import actions
@@ -50,7 +52,7 @@
         now: float,
         reason: str,
     ) -> list[actions.Action]:
-        """Re-attach to a silent attempt, or replace it if that was tried."""
+        """Re-attach to a lost attempt, or replace it if that was tried."""
         stream.may_have_run = True
         if self.directory.is_resting(attempt.upstream.name, now) and (
             not attempt.suspected
@@ -65,12 +67,11 @@
             attempts.record(stream, attempt, 'attempt-suspected', reason)
         ]
         planned += self.attempt_table.attach_attempt(stream, attempt, now)
-        return planned + self.start_spare(stream, attempt, now)
+        return planned + self.start_spare(stream, now)
 
     def start_spare(
         self,
         stream: stream_state.Stream,
-        suspected: attempt_state.Attempt,
         now: float,
     ) -> list[actions.Action]:
         """Start a hedging attempt on a second engine, if the service wants it.
@@ -78,24 +79,62 @@
         It wastes a prompt evaluation if the first engine is alive, and saves
         the probe's waiting time if it is dead.
         """
-        is_spare_wanted = stream.service.recovery.spare_attempt
-        if (
-            not is_spare_wanted
-            or stream.spare is not None
-            or stream.is_complete
-        ):
+        if not stream.service.recovery.spare_attempt:
             return []
-        if stream.would_run_twice or self.guard.must_not_run(
-            stream.request, now
-        ):
+        return self.start_second_attempt(stream, now)
+
+    def start_second_attempt(
+        self, stream: stream_state.Stream, now: float
+    ) -> list[actions.Action]:
+        """Start an attempt beside the current one, if that is allowed."""
+        self.recovering_streams.pop(stream.request.exchange, None)
+        if stream.spare is not None:
             return []
-        excluded = {suspected.upstream.name}
-        pool = pinning.pinned_pool(self.configuration, stream)
-        view = self.directory.choose_upstream(pool, excluded, now)
-        if view is None or self.spend_resume_budget(stream, now):
+        view = self.choose_for_second_attempt(stream, now)
+        if view is None:
             return []
         return self.attempt_table.start_attempt(stream, view, now, spare=True)
 
+    def choose_for_second_attempt(
+        self, stream: stream_state.Stream, now: float
+    ) -> upstream_state.UpstreamView | None:
+        """Return an engine for an attempt beside those of a stream, or None.
+
+        Spends a resume if there is one.
+        """
+        if stream.is_complete or stream.would_run_twice:
+            return None
+        if self.exceeds_engine_deaths(stream, stream.silences):
+            return None
+        if self.guard.must_not_run(stream.request, now):
+            return None
+        account = stream.request.request.account
+        self.directory.limits.set_retry_requester(account, now, urgent=True)
+        used = {found.upstream.name for found in stream.active_attempts()}
+        pool = pinning.pinned_pool(self.configuration, stream)
+        view = self.directory.choose_upstream(
+            pool, stream.excluded | used, now
+        )
+        if view is None:
+            self.claim_next_place(stream, now)
+            return None
+        return None if self.spend_resume_budget(stream, now) else view
+
+    def claim_next_place(
+        self, stream: stream_state.Stream, now: float
+    ) -> None:
+        """Give a stream whose attempt is silent the next free place.
+
+        Only for a while: new work of its pool must not wait for it until its
+        deadline.
+        """
+        if stream.attempt is None or not stream.attempt.silent:
+            return
+        if stream.recover_by is None:
+            stream.recover_by = now + RECOVERY_TIMEOUT_SECONDS
+        if now < stream.recover_by:
+            self.recovering_streams[stream.request.exchange] = stream
+
     def replace_dead_engine(
         self,
         stream: stream_state.Stream,
@@ -128,15 +167,28 @@
                 stream, crash_guard.BLOCKED_RAN_CODE, None
             )
         if not is_current:
-            return planned
+            return planned + self.start_beside_silent(stream, now)
+        if attempt.silent:
+            # Until now its output could still continue.
+            stream.recover_by = None
         if stream.spare is not None:
             return planned + self.attempt_table.promote_spare(stream, now)
         return planned + self.recover_stream(stream, now)
 
-    def exceeds_engine_deaths(self, stream: stream_state.Stream) -> bool:
+    def start_beside_silent(
+        self, stream: stream_state.Stream, now: float
+    ) -> list[actions.Action]:
+        """Start an attempt beside the current one if that is silent."""
+        if stream.attempt is None or not stream.attempt.silent:
+            return []
+        return self.start_second_attempt(stream, now)
+
+    def exceeds_engine_deaths(
+        self, stream: stream_state.Stream, silences: int = 0
+    ) -> bool:
         """Return whether more engines died under a request than allowed."""
         max_deaths = stream.service.recovery.most_engine_deaths
-        return stream.engine_deaths > max_deaths
+        return stream.engine_deaths + silences > max_deaths
 
     def recover_stream(
         self, stream: stream_state.Stream, now: float
@@ -144,6 +196,8 @@
         """Find an engine for a stream without one, or wait for one."""
         exchange = stream.request.exchange
         self.recovering_streams.pop(exchange, None)
+        if stream.attempt is not None:
+            return self.start_beside_silent(stream, now)
         if stream.recover_by is None:
             stream.recover_by = now + RECOVERY_TIMEOUT_SECONDS
         if stream.is_complete:
--- a/src/greengagelb/coordination/streams/stalls.py
+++ b/src/greengagelb/coordination/streams/stalls.py
@@ -46,6 +46,11 @@
         attempt.has_progressed = True
         attempt.answered = True
         attempt.suspected = False
+        if attempt.silent:
+            # The engine went on by itself, so it may have been the pause of
+            # several engines.
+            attempt.silent = False
+            stream.silences = 0
         attempt.late_timers = 0
 
     def stall_timeout_seconds(
--- a/src/greengagelb/coordination/streams/supervisor.py
+++ b/src/greengagelb/coordination/streams/supervisor.py
@@ -18,6 +18,7 @@
 from greengagelb.coordination.streams import pinning
 from greengagelb.coordination.streams import recovery
 from greengagelb.coordination.streams import resumption
+from greengagelb.coordination.streams import silent_attempts
 from greengagelb.coordination.streams import stalls
 from greengagelb.state import attempts as attempt_state
 from greengagelb.state import configuration as configuration_state
@@ -63,6 +64,9 @@
         self.stream_recovery = recovery.StreamRecovery(
             directory, self.attempt_table, guard
         )
+        self.silent_attempts = silent_attempts.SilentAttempts(
+            self.stream_recovery, self.stall_detector
+        )
         self.stream_resumption = resumption.StreamResumption(
             self.stream_recovery
         )
@@ -162,6 +166,9 @@
         stream.append_tokens(event.position + already_sent, tokens)
         stream.recover_by = None
         stream.excluded.clear()
+        self.stream_recovery.recovering_streams.pop(
+            stream.request.exchange, None
+        )
         if not attempt.has_progressed:
             self.guard.record_first_token(stream.request, now)
         self.stall_detector.observe_tokens(stream, attempt, now)
@@ -252,6 +259,11 @@
             return []
         stream, attempt = source.stream, source.attempt
         has_reached_engine = attempt.answered or attempt.suspected
+        if event.unreachable and has_reached_engine:
+            attempt.unreachable = True
+            return self.silent_attempts.handle_silence(
+                stream, attempt, now, event.detail
+            )
         if event.handed_over or has_reached_engine:
             crash_check: list[actions.Action] = []
             if event.handed_over and not attempt.suspected:
@@ -349,6 +361,11 @@
             or known_incarnation == report.engine.incarnation
         ):
             return []
+        if attempt.silent:
+            stream.engine_deaths += 1
+            return self.stream_recovery.replace_attempt(
+                stream, attempt, now, 'engine restarted'
+            )
         if attempt.suspected:
             return []
         return self.stream_recovery.handle_lost_contact(
@@ -387,7 +404,7 @@
         timer = self.stall_detector.check_stall(stream, attempt, now)
         if timer is not None:
             return [timer]
-        return self.stream_recovery.handle_lost_contact(
+        return self.silent_attempts.handle_silence(
             stream, attempt, now, 'no progress'
         )
 
--- a/src/greengagelb/state/attempts.py
+++ b/src/greengagelb/state/attempts.py
@@ -12,7 +12,9 @@
 
     ``incarnation`` is that of the engine, empty until the engine has
     reported. ``suspected`` is true while a new connection is checking the
-    attempt and no token has arrived since. Times are monotonic seconds.
+    attempt and no token has arrived since. ``silent`` is true once that has
+    taken too long as well, and ``unreachable`` while the new connection could
+    not be opened. Times are monotonic seconds.
     ``accepted_at`` is when the engine first answered. ``confirming`` is true
     once the stall deadline has passed and only data that may already wait in
     the sockets remains to be read.
@@ -22,6 +24,8 @@
     upstream: configuration.Upstream
     incarnation: str
     suspected: bool = False
+    silent: bool = False
+    unreachable: bool = False
     answered: bool = False
     accepted_at: float = float('inf')
     has_progressed: bool = False
--- a/src/greengagelb/state/streams.py
+++ b/src/greengagelb/state/streams.py
@@ -45,6 +45,8 @@
     ``pool`` does not follow configuration changes: its model, version and
     adapter are those of every token in ``tokens``. ``spare`` runs beside a
     suspected attempt; the one that delivers the next token first is kept.
+    ``silences`` counts attempts that were silent and did not go on so far; no
+    second attempt starts once they and the deaths exceed the allowed deaths.
     ``recover_by`` is the monotonic time by which output has to continue,
     else the final answer is sent. ``may_have_run`` is true once an engine may
     have worked on this request.
@@ -63,6 +65,7 @@
     attempt: attempts.Attempt | None = None
     spare: attempts.Attempt | None = None
     engine_deaths: int = 0
+    silences: int = 0
     excluded: set[str] = dataclasses.field(default_factory=set)
     recover_by: float | None = None
     may_have_run: bool = False
--- a/src/greengagelb/transport/engine_client.py
+++ b/src/greengagelb/transport/engine_client.py
@@ -178,6 +178,7 @@
                 self.attempt,
                 why.type.__name__,
                 http.was_handed_over(why),
+                http.was_unreachable(why),
             )
         )
 
--- a/src/greengagelb/transport/http.py
+++ b/src/greengagelb/transport/http.py
@@ -113,6 +113,11 @@
     return why.check(error.ConnectionRefusedError) is not None
 
 
+def was_unreachable(why: failure.Failure) -> bool:
+    """Return whether no connection could be opened, but none was refused."""
+    return not (was_handed_over(why) or was_connection_refused(why))
+
+
 class BodyCollector(protocol.Protocol):
     """Passes on a response body as it arrives, and can abort it.
 
--- a/tests/common/sampled_engines.py
+++ b/tests/common/sampled_engines.py
@@ -19,6 +19,7 @@
 
     ALIVE = 'alive'
     PAUSED = 'paused'
+    CUT_OFF = 'cut off'
     DEAD = 'dead'
 
 
@@ -121,6 +122,11 @@
             case Health.DEAD:
                 broken = events.AttemptBroken(order.attempt, 'refused', False)
                 connection.queue.append(broken)
+            case Health.CUT_OFF:
+                timeout = events.AttemptBroken(
+                    order.attempt, 'TimeoutError', False, unreachable=True
+                )
+                connection.queue.append(timeout)
             case Health.PAUSED:
                 self.unread.append((connection, order))
             case Health.ALIVE:
@@ -179,7 +185,7 @@
 
     def generate(self, count: int) -> None:
         """Sample some tokens for every run and write them out."""
-        if self.health is not Health.ALIVE:
+        if self.health not in (Health.ALIVE, Health.CUT_OFF):
             return
         for run in self.runs.values():
             run.generate(count)
@@ -208,6 +214,17 @@
         if self.health is Health.ALIVE:
             self.health = Health.PAUSED
 
+    def cut_off(self) -> None:
+        """Lose the way to the engine; its open connections stay silent."""
+        if self.health is Health.ALIVE:
+            self.silence()
+            self.health = Health.CUT_OFF
+
+    def reach_again(self) -> None:
+        """Let new connections reach the engine, which has gone on."""
+        if self.health is Health.CUT_OFF:
+            self.health = Health.ALIVE
+
     def come_back(self) -> None:
         """Start anew after a death, or go on as if nothing had happened."""
         if self.health is Health.DEAD:
--- a/tests/load/test_measured_policies.py
+++ b/tests/load/test_measured_policies.py
@@ -70,9 +70,10 @@
         queue.check_invariants()
     for name, view in node.directory.views.items():
         held = [
-            stream
+            attempt
             for stream in node.stream_supervisor.streams.values()
-            if stream.upstream is not None and stream.upstream.name == name
+            for attempt in stream.active_attempts()
+            if attempt.upstream.name == name
         ]
         assert view.in_flight == len(held)
 
--- a/tests/streams/test_stalls.py
+++ b/tests/streams/test_stalls.py
@@ -62,6 +62,8 @@
         world.stand_still(0.6)
         world.take_turn()
         world.deliver_all()
+    world.serve(1)
+    assert len(callers[0].tokens) == 4
     assert world.engine_of(callers[0]) is not engine
 
 
--- a/tests/streams/test_stream_machine.py
+++ b/tests/streams/test_stream_machine.py
@@ -93,6 +93,10 @@
     def silence(self, name):
         self.world.engines[name].silence()
 
+    @stateful.rule(name=ENGINES)
+    def cut_off(self, name):
+        self.world.engines[name].cut_off()
+
     @stateful.rule(name=ENGINES, full=st.booleans())
     def refuse_new_runs(self, name, full):
         self.world.engines[name].full = full
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -1,5 +1,6 @@
 """Attempts to connect to upstreams, without a network."""
 
+import pytest
 from twisted.internet import error
 from twisted.internet import testing
 from twisted.python import failure
@@ -23,3 +24,16 @@
     factory.clientConnectionFailed(reactor.connectors[0], refused)
     assert failures[0].check(error.ConnectionRefusedError)
     assert not http.was_handed_over(failures[0])
+    assert not http.was_unreachable(failures[0])
+
+
+@pytest.mark.parametrize('why', [error.TimeoutError, error.NoRouteError])
+def test_connection_that_did_not_open_proves_nothing(why):
+    """The way to an engine is cut while it works on an attempt.
+
+    Taken for an engine that refuses, its attempt would be given up.
+    """
+    failed = failure.Failure(why())
+    assert http.was_unreachable(failed)
+    assert not http.was_handed_over(failed)
+    assert not http.was_unreachable(failure.Failure(error.ConnectionLost()))
