An answer ended by close is kept while its engine is silent

What callers saw: 502 outcome-unknown for a call that must not repeat, though its whole answer had arrived, if the engine paused right after it; for other calls the answer was dropped and another engine asked, or the call failed where no retry was left.

Cause: such an answer is complete only if its engine lives. Three checks without an answer, about a second, were taken as proof that it does not.

Now an unanswered check decides nothing for a call. Its answer is kept and the engine checked every 0.25 s until it answers, or until the call has ended at its deadline; a repeatable call gets its second try from the hedge timer, beside the first. Streams go on elsewhere as before (the rule for those is streams.py's). What waits for the check for other reasons is released as before.

Four new cases failed before: 502 instead of none or 504, and no answer. test_a_call_that_must_not_repeat_is_not_answered_with_a_part expected 502 for an engine that gives no answer: that was the fault. It keeps the case of an engine that has ended; for the silent one the new tests demand that no part is passed on, that nothing runs twice, and 504 at the deadline.

--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -27,6 +27,8 @@
 EndOfAnswer = relay_events.StreamComplete | relay_events.AnswerComplete
 
 
+# How often the engine of a kept answer is checked after MAX_PROBES.
+KEPT_ANSWER_CHECK_SECONDS = 0.25
 # Timers of repeated checks, by the engine's life.
 RECHECK_TIMER = 'relay-ask-suspect'
 
@@ -55,7 +57,8 @@
     ``blocked`` are those of the ``counted_fingerprints`` that are blocked,
     ``newly_blocked`` those that were not before. ``request_ids`` are those of
     the requests that the engine had begun,
-    ``ends_of_answers`` what the answers that waited for the check have become.
+    ``ends_of_answers`` what the answers that waited for the check have become,
+    ``undecided_answers`` those whose engine has not answered.
     """
 
     counted_fingerprints: tuple[str, ...]
@@ -64,6 +67,7 @@
     request_ids: tuple[str, ...]
     requests_awaiting_check: tuple[tuple[int, exchanges.InFlightSend], ...]
     ends_of_answers: tuple[EndOfAnswer | relay_events.SendFailed, ...]
+    undecided_answers: tuple[EndOfAnswer, ...]
 
 
 class CrashWatch:
@@ -200,12 +204,28 @@
             tuple(f for f in blocked if f not in blocked_before),
             tuple(run.request_id for run in suspected_runs),
             tuple(check.requests_awaiting_check),
-            tuple(
-                decide_end(answer, event.fate)
-                for answer in check.ended_answers
-            ),
+            *decide_ends(check.ended_answers, event.fate),
         )
 
+    def keep_answers(
+        self,
+        entry: engines.EngineEntry,
+        kept: tuple[EndOfAnswer, ...],
+        now: float,
+    ) -> list[Action]:
+        """Go on checking the engine of answers that nothing can replace."""
+        if not kept:
+            return []
+        check = self.checks.get(entry.life)
+        if check is not None:
+            check.ended_answers.extend(kept)
+            return []
+        self.checks[entry.life] = EngineCheck(
+            entry, broken_runs.MAX_PROBES, ended_answers=list(kept)
+        )
+        again_at = now + KEPT_ANSWER_CHECK_SECONDS
+        return [actions.SetTimer(f'{RECHECK_TIMER}:{entry.life}', again_at)]
+
     def check_again(self, life: str) -> list[Action]:
         """Repeat the check of an engine that gave no answer."""
         check = self.checks.get(life)
@@ -265,6 +285,15 @@
         ]
 
 
+def decide_ends(
+    ended: list[EndOfAnswer], fate: relay_events.EngineFate
+) -> tuple[tuple, tuple]:
+    """Return what ended answers have become, and those left undecided."""
+    if fate is relay_events.EngineFate.UNKNOWN:
+        return (), tuple(ended)
+    return tuple(decide_end(answer, fate) for answer in ended), ()
+
+
 def decide_end(
     event: EndOfAnswer, fate: relay_events.EngineFate
 ) -> EndOfAnswer | relay_events.SendFailed:
--- a/src/greengagelb/coordination/relay/crashing_requests.py
+++ b/src/greengagelb/coordination/relay/crashing_requests.py
@@ -13,6 +13,7 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import answers
 from greengagelb.coordination.relay import calls
+from greengagelb.coordination.relay import crash_watch
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import sending
@@ -124,6 +125,31 @@
             resulting += self.resume_held(number, sent, now)
         for ended in result.ends_of_answers:
             resulting += self.end_answer(ended, now)
+        return resulting + self.keep_undecided(event, result, now)
+
+    def keep_undecided(
+        self,
+        event: relay_events.EngineChecked,
+        result: crash_watch.CheckResult,
+        now: float,
+    ) -> list[Action]:
+        """Keep answers to calls until their engine answers, or the deadline.
+
+        The silence of an engine does not prove that its answer is incomplete.
+        A stream goes on at another engine instead.
+        """
+        kept: list[crash_watch.EndOfAnswer] = []
+        resulting: list[Action] = []
+        for ended in result.undecided_answers:
+            exchange = self.open_exchanges.get(ended.exchange)
+            if exchange is None or ended.send not in exchange.sends:
+                continue
+            if exchange.ruling.route.repeat is routes.RepeatPolicy.STREAM:
+                lost = crash_watch.decide_end(ended, event.fate)
+                resulting += self.end_answer(lost, now)
+            else:
+                kept.append(ended)
+        resulting += self.watch.keep_answers(event.entry, tuple(kept), now)
         return resulting
 
     def schedule_reannouncements(
--- a/tests/relay/test_answers_ended_by_close.py
+++ b/tests/relay/test_answers_ended_by_close.py
@@ -129,21 +129,71 @@
     assert len(world.sends(send.exchange)) == 1
 
 
-@pytest.mark.parametrize('fate', [ENDED, UNKNOWN])
-def test_a_call_that_must_not_repeat_is_not_answered_with_a_part(fate):
+def test_a_call_that_must_not_repeat_is_not_answered_with_a_part():
     """Guards against a part of an answer passed on as all of it."""
     world = lone_world()
     exchange = world.call()
     end_call(world, world.last_send(exchange))
     assert not world.answered(exchange)
-    for _ in range(3):
-        check(world, fate)
-        world.advance(0.06)
+    check(world, ENDED)
     assert not world.answered(exchange)
     assert [r.status for r in world.refusals(exchange)] == [502]
     assert len(world.sends(exchange)) == 1
 
 
+def fail_checks(world):
+    """Have an engine give no answer to the checks of 0.64 s."""
+    for wait in (0.06, 0.06, 0.26, 0.26):
+        asked = len(world.of_kind(relay_actions.CheckEngine))
+        check(world, UNKNOWN)
+        world.advance(wait)
+        assert len(world.of_kind(relay_actions.CheckEngine)) == asked + 1
+
+
+@pytest.mark.parametrize('fate', [ALIVE, ENDED])
+def test_an_answer_is_kept_while_its_engine_is_silent(fate):
+    """An engine pauses right after it has given an answer.
+
+    The whole answer is there; the call must not repeat, and would be failed.
+    """
+    world = lone_world()
+    exchange = world.call()
+    end_call(world, world.last_send(exchange))
+    fail_checks(world)
+    assert not world.answered(exchange)
+    assert not world.refusals(exchange)
+    check(world, fate)
+    assert bool(world.answered(exchange)) == (fate is ALIVE)
+    assert len(world.sends(exchange)) == 1
+
+
+def test_a_call_whose_engine_stays_silent_ends_at_its_deadline():
+    """Guards against a part passed on, and checks that never end."""
+    world = lone_world()
+    exchange = world.call()
+    end_call(world, world.last_send(exchange))
+    fail_checks(world)
+    world.advance(1.0)
+    assert not world.answered(exchange)
+    assert [r.status for r in world.refusals(exchange)] == [504]
+    asked = len(world.of_kind(relay_actions.CheckEngine))
+    check(world, UNKNOWN)
+    world.advance(1.0)
+    assert len(world.of_kind(relay_actions.CheckEngine)) == asked
+
+
+def test_an_answer_is_kept_beside_a_second_try():
+    """Guards against an answer given up for another that is yet to come."""
+    world = lone_world()
+    exchange = world.query()
+    first = world.last_send(exchange)
+    end_call(world, first)
+    fail_checks(world)
+    assert len(world.sends(exchange)) == 2
+    check(world, ALIVE)
+    assert world.answered(exchange)
+
+
 def test_an_idempotent_call_is_made_again():
     """Guards against a failure where another engine can answer."""
     world = lone_world()
