A late timer waits for the turn that notices the pause

What happened: after a pause of an instance the timers of sends, streams and deadlines ran in the same turn as those that resume paused connections of engines (read every relay interval) and before the one that notices the pause, if that was due later. Answers that lay in a connection that was not read just then were given up, and engines blamed for the time of the pause, before handle_pause could allow for it.

A timer of the decisions that is more than 0.1 s late is dispatched one turn later. Moved or cleared until then, it doesn't fire.

test_late_timer_waits_for_connections_that_are_read_again failed before with 'deadline-passed' before 'answered', test_late_timer_waits_until_the_pause_is_noticed with 'deadline-passed' before 'pause'.

--- a/src/greengagelb/transport/decision_loop.py
+++ b/src/greengagelb/transport/decision_loop.py
@@ -19,6 +19,9 @@
 from greengagelb.transport import event_costs
 from greengagelb.transport import recorder
 
+# A timer that is due for longer shows that this process stood still.
+LATE_TIMER_SECONDS = 0.1
+
 
 class Decisions(Protocol):
     """The interface of the decisions: turns events into actions, without I/O.
@@ -33,7 +36,11 @@
 
 
 class DecisionLoop:
-    """Dispatches events and carries out actions, on the reactor thread."""
+    """Dispatches events and carries out actions, on the reactor thread.
+
+    ``postponed_timers`` are those of ``timers`` that were late and wait for
+    the next turn of the reactor.
+    """
 
     def __init__(
         self,
@@ -47,6 +54,7 @@
         self.carry_out = carry_out
         self.recorder = events_recorder
         self.timers: dict[str, interfaces.IDelayedCall] = {}
+        self.postponed_timers: set[str] = set()
         self.pending_events: collections.deque[events.Event] = (
             collections.deque()
         )
@@ -86,6 +94,7 @@
 
     def set_timer(self, name: str, deadline: float) -> None:
         """Set a timer to a monotonic time, or move it there."""
+        self.postponed_timers.discard(name)
         wait = max(0.0, deadline - self.reactor.seconds())
         pending = self.timers.get(name)
         if pending is not None and pending.active():
@@ -95,12 +104,27 @@
 
     def clear_timer(self, name: str) -> None:
         """Cancel a timer, if it is set."""
+        self.postponed_timers.discard(name)
         pending = self.timers.pop(name, None)
         if pending is not None and pending.active():
             pending.cancel()
 
     def fire_timer(self, name: str) -> None:
-        """Dispatch the event of a timer that is due."""
+        """Dispatch the event of a timer that is due.
+
+        After a pause of this process others are due as well, such as those
+        that notice the pause or resume the reading of connections. A late
+        timer is dispatched in the next turn of the reactor, unless it is moved
+        or cleared until then.
+        """
+        late = self.reactor.seconds() - self.timers[name].getTime()
+        if late > LATE_TIMER_SECONDS and name not in self.postponed_timers:
+            self.postponed_timers.add(name)
+            self.timers[name] = self.reactor.callLater(
+                0, self.fire_timer, name
+            )
+            return
+        self.postponed_timers.discard(name)
         del self.timers[name]
         self.dispatch(events.TimerFired(name))
 
--- a/tests/transport/test_late_timers.py
+++ b/tests/transport/test_late_timers.py
@@ -55,6 +55,9 @@
         match event:
             case events.TimerFired():
                 self.outcomes.append('deadline-passed')
+            case events.PauseDetected():
+                self.outcomes.append('pause')
+                return [actions.ClearTimer('deadline:1')]
             case events.CallerGone():
                 self.outcomes.append('answered')
                 return [actions.ClearTimer('deadline:1')]
@@ -98,6 +101,62 @@
     assert decisions.outcomes == ['answered']
 
 
+def stand_still_past_a_deadline(prepare):
+    """Return what comes of a request whose deadline passes unnoticed.
+
+    ``prepare`` is called before, with the loop and the answer.
+    """
+    reactor = new_reactor()
+    decisions = Decisions()
+    loop = decision_loop.DecisionLoop(
+        reactor,
+        decisions,
+        lambda action: loop.clear_timer(action.name),
+        recorder.Recorder('instance-0', 10),
+    )
+    answer = Answer(reactor, loop.dispatch)
+    loop.set_timer('deadline:1', reactor.seconds() + 0.02)
+    prepare(loop, answer)
+    reactor.iterate(0)
+    time.sleep(0.3)
+    for _ in range(3):
+        reactor.iterate(0)
+    return decisions.outcomes
+
+
+def test_late_timer_waits_for_connections_that_are_read_again():
+    """Connections are paused between two relays of tokens.
+
+    After a pause the timer that resumes them is due beside the deadline.
+    """
+
+    def pause_reading(loop, answer):
+        loop.reactor.removeReader(answer)
+        loop.reactor.callLater(0.01, loop.reactor.addReader, answer)
+        answer.theirs.send(END)
+
+    assert stand_still_past_a_deadline(pause_reading) == ['answered']
+
+
+def test_late_timer_waits_until_the_pause_is_noticed():
+    """The check that notices a pause is due later than other timers.
+
+    They would blame engines for the time in which nothing was read. What the
+    pause moves or clears must not fire.
+    """
+
+    def notice_pause(loop, answer):
+        loop.reactor.callLater(0.1, loop.dispatch, events.PauseDetected(0.2))
+
+    assert stand_still_past_a_deadline(notice_pause) == ['pause']
+
+
+def test_late_timer_is_dispatched():
+    assert stand_still_past_a_deadline(lambda loop, answer: None) == [
+        'deadline-passed'
+    ]
+
+
 def test_timers_run_although_there_is_always_something_to_read():
     """A flood of input must not keep timers from running."""
     reactor = new_reactor()
