--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -97,10 +97,22 @@
         begin at regular times, the first one a whole window ago.
         """
         steps = round(self.window_seconds / WINDOW_STEP_SECONDS)
-        return [
+        later = [
             self.count_window(now - step * WINDOW_STEP_SECONDS)
-            for step in range(steps, -1, -1)
+            for step in range(steps)
         ]
+        return [self.count_last_window(now), *later]
+
+    def count_last_window(self, now: float) -> WindowCounts:
+        """Return the counts of the window that ends now.
+
+        Its requests are those in it alone: each instance takes the most of
+        its own windows, which are not always the same ones.
+        """
+        begin = now - self.window_seconds
+        own = self.requests.count(begin)
+        peers = self.peer_requests.count(begin)
+        return self.with_retries(begin, own, own + peers)
 
     def count_window(self, begin: float) -> WindowCounts:
         """Return the counts of the window from a monotonic time on.
@@ -112,11 +124,18 @@
         begins = (begin, begin - window / 2.0, begin - window)
         own = [self.requests.count(at, at + window) for at in begins]
         peers = [self.peer_requests.count(at, at + window) for at in begins]
+        known = [sum(counts) for counts in zip(own, peers, strict=True)]
+        return self.with_retries(begin, max(own), max(known))
+
+    def with_retries(
+        self, begin: float, own_requests: int, all_requests: int
+    ) -> WindowCounts:
+        """Return the counts of a window, with the retries that it may get."""
         sent_from = begin - HELD_UP_SECONDS
         own_retries = self.retries.count(sent_from)
         return WindowCounts(
-            max(own),
-            max(map(sum, zip(own, peers, strict=True))),
+            own_requests,
+            all_requests,
             own_retries,
             own_retries + self.peer_retries.count(sent_from),
         )
@@ -211,7 +230,7 @@
     def describe(self, service: str, now: float) -> str:
         """Return the retries in the last window, for the timeline."""
         sends = self.sends(service, now)
-        counts = sends.count_window(now - self.bounds.window_seconds)
+        counts = sends.count_last_window(now)
         return (
             f'own retries {counts.own_retries} '
             f'of {self.own_allowance(counts, now):.1f}, '
