--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -63,6 +63,10 @@
     ``refused_by`` those that had no capacity for it. ``causes`` has the
     fingerprints under which crashes of its engines count. From
     ``overlap_until`` a stream must not have two open runs.
+
+    ``attempts`` counts the sends that the route's limit applies to,
+    ``arrivals`` those that an engine may have received, also one that it was
+    not meant for.
     """
 
     request: requests.CallerRequest
@@ -72,6 +76,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     refused_by: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
+    arrivals: int = 0
     may_have_run: bool = False
     position: int = 0
     begun: bool = False
