--- a/tests/relay/test_silent_runs_review.py
+++ b/tests/relay/test_silent_runs_review.py
@@ -199,3 +199,42 @@
     silent.wait(8.0)
     last = exchanges[3]
     assert len(world.sends(last)) == 1
+
+
+@pytest.mark.parametrize('has_copy', [False, True])
+def test_engine_back_in_reach_does_not_overlap_for_long(has_copy):
+    """Guards against two engines at work on one stream for 0.4 s.
+
+    An engine out of reach is back just after a probe went unanswered.
+    """
+    silent = test_silent_runs.SilentEngines()
+    world = silent.world
+    exchange, send = silent.start_stream()
+    if not has_copy:
+        world.relay.exchanges[exchange].sends[send.send].copy_to = None
+    first = world.relay.exchanges[exchange].sends[send.send]
+    while len(silent.open_runs(exchange)) < 2 or not first.is_unreachable:
+        silent.wait(0.01)
+    probes = silent.answered_probes
+    while silent.answered_probes == probes:
+        silent.wait(0.01)
+    silent.alive = True
+    back_at = world.now
+    while len(silent.open_runs(exchange)) == 2:
+        silent.wait(0.01)
+        assert world.now - back_at < 0.4
+
+
+def test_paused_engine_that_is_back_outlives_a_silent_copy():
+    """Guards against a cut stream after a pause of two engines.
+
+    The first one is back and answers probes; the run from the copy has not
+    written anything and fails later.
+    """
+    silent = test_silent_runs.SilentEngines()
+    exchange, send = silent.start_stream()
+    silent.wait(1.0)
+    assert len(silent.open_runs(exchange)) == 2
+    silent.alive = True
+    silent.wait(1.0)
+    assert send in silent.open_runs(exchange)
