--- a/tests/relay/test_silent_runs_review.py
+++ b/tests/relay/test_silent_runs_review.py
@@ -4,7 +4,9 @@
 
 from greengagelb.coordination import events as common_events
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state.relay import bounds
+from greengagelb.state.relay import hints
 from tests.common import relay_world
 from tests.relay import test_silent_runs
 
@@ -238,3 +240,23 @@
     silent.alive = True
     silent.wait(1.0)
     assert send in silent.open_runs(exchange)
+
+
+def test_copy_on_a_silent_engine_is_kept_until_there_is_another():
+    """Guards against a prompt that is read again after a pause.
+
+    Streams on an engine are silent, and the copies of other runs on it are
+    given up before the new ones are made.
+    """
+    silent = test_silent_runs.SilentEngines()
+    world = silent.world
+    exchange, send = silent.start_stream()
+    run = world.relay.exchanges[exchange].sends[send.send]
+    holder = run.copy_to
+    assert holder is not None
+    for name in ('one', 'two', 'three'):
+        world.handle(
+            relay_events.PeerTold(name, hints.StreamSilent(holder.engine, 0))
+        )
+    world.lose(send)
+    assert world.last_send(exchange).copy_from is not None
