--- a/tests/relay/test_silent_runs_review.py
+++ b/tests/relay/test_silent_runs_review.py
@@ -260,3 +260,25 @@
         )
     world.lose(send)
     assert world.last_send(exchange).copy_from is not None
+
+
+@pytest.mark.parametrize('end', ['lose', 'refuse'])
+def test_stream_outlives_a_pause_of_its_engine_alone(end):
+    """Guards against a cut stream whose engine only made a pause.
+
+    The engine answers probes, others write; the runs started elsewhere are
+    refused or break off half a second after their start.
+    """
+    silent = test_silent_runs.SilentEngines(alive=True)
+    world = silent.world
+    world.relay.budget.set_fleet_size(1, 1)
+    exchange, send = silent.start_stream()
+    world.relay.exchanges[exchange].sends[send.send].copy_to = None
+    for _ in range(16):
+        for _ in range(10):
+            heard(world, 'model-west-1')
+            silent.wait(0.05)
+        for other in silent.open_runs(exchange):
+            if other is not send:
+                getattr(world, end)(other)
+    assert not world.of_kind(relay_actions.AbortStream, exchange)
