--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -137,16 +137,13 @@
         self.checks[sent.entry.life].ended_answers.append(event)
         return resulting
 
-    def hold_until_checked(
-        self,
-        exchange: exchanges.Exchange,
-        sent: exchanges.InFlightSend,
-        now: float,
-    ) -> bool:
-        """Hold a request that the checks in progress may block.
+    def check_that_may_block(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> str | None:
+        """Return the engine life whose check may block a request, or None.
 
-        It is held if it would be blocked should all its engines under check
-        turn out to have ended. Returns whether it is held.
+        The request would be blocked should all its engines under check turn
+        out to have ended.
         """
         lives_under_check = [
             life
@@ -155,14 +152,29 @@
             if life in self.checks
         ]
         if not lives_under_check:
-            return False
+            return None
         blame = crash_blame.CrashBlame(
             self.records, self.broken_runs.suspected
         )
         verdict = blame.judge(exchange.causes, now)
         if not isinstance(verdict, crash_blame.Blocked):
+            return None
+        return lives_under_check[-1]
+
+    def hold_until_checked(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> bool:
+        """Hold a request that the checks in progress may block.
+
+        Returns whether it is held.
+        """
+        life = self.check_that_may_block(exchange, now)
+        if life is None:
             return False
-        self.checks[lives_under_check[-1]].requests_awaiting_check.append(
+        self.checks[life].requests_awaiting_check.append(
             (exchange.number, sent)
         )
         return True
--- a/src/greengagelb/coordination/relay/permit_outcomes.py
+++ b/src/greengagelb/coordination/relay/permit_outcomes.py
@@ -195,10 +195,13 @@
             return None
         if now < state.available_at:
             return None
-        return state if self.is_wanted(held, exchange) else None
+        return state if self.is_wanted(held, exchange, now) else None
 
     def is_wanted(
-        self, held: permit_waits.WaitingSend, exchange: exchanges.Exchange
+        self,
+        held: permit_waits.WaitingSend,
+        exchange: exchanges.Exchange,
+        now: float,
     ) -> bool:
         """Return whether a request still needs the send that has waited."""
         match held.continuation:
@@ -208,7 +211,7 @@
                 return not exchange.sends
         return (
             not exchange.sends
-            or self.streams.silent_runs.wants_replacement(exchange)
+            or self.streams.silent_runs.wants_replacement(exchange, now)
         )
 
     def send(
@@ -237,7 +240,7 @@
     ) -> list[Action]:
         """Choose an engine again for a request that has waited, if needed."""
         if exchange.sends and not (
-            self.streams.silent_runs.wants_replacement(exchange)
+            self.streams.silent_runs.wants_replacement(exchange, now)
         ):
             return []
         match continuation:
--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -11,6 +11,7 @@
 """
 
 import bisect
+from collections.abc import Iterator
 import dataclasses
 
 from greengagelb.state.relay import bounds
@@ -90,18 +91,16 @@
         for retries in (self.retries, self.peer_retries):
             retries.drop_before(now - self.window_seconds - HELD_UP_SECONDS)
 
-    def open_windows(self, now: float) -> list[WindowCounts]:
+    def open_windows(self, now: float) -> Iterator[WindowCounts]:
         """Return the counts of windows that contain the present time.
 
         A retry counts in all of them, so each must have room for it. They
         begin at regular times, the first one a whole window ago.
         """
+        yield self.count_last_window(now)
         steps = round(self.window_seconds / WINDOW_STEP_SECONDS)
-        later = [
-            self.count_window(now - step * WINDOW_STEP_SECONDS)
-            for step in range(steps)
-        ]
-        return [self.count_last_window(now), *later]
+        for step in range(steps):
+            yield self.count_window(now - step * WINDOW_STEP_SECONDS)
 
     def count_last_window(self, now: float) -> WindowCounts:
         """Return the counts of the window that ends now.
@@ -266,16 +265,15 @@
         other instances.
         """
         sends = self.sends(service, now)
-        windows = sends.open_windows(now)
         allowed = all(
             counts.own_retries + 1 <= self.own_allowance(counts, now)
-            for counts in windows
+            for counts in sends.open_windows(now)
         )
         if announced and (allowed or self.is_past_known(now)):
             share = ALLOCATED_SHARE if allowed else BORROWING_SHARE
             allowed = all(
                 counts.all_retries + 1 <= share * self.shared_allowance(counts)
-                for counts in windows
+                for counts in sends.open_windows(now)
             )
         if allowed:
             sends.retries.append(now)
--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -50,8 +50,10 @@
 # reach; the rest is for the end of one of them to arrive.
 MAX_OVERLAP_SECONDS = 0.25
 # The time between two probes of an engine that has not answered one while its
-# run has a replacement; a probe takes a little less.
-REPROBE_SECONDS = 0.35
+# run has a replacement; a probe takes no longer.
+REPROBE_SECONDS = 0.3
+# How long an engine that is back in reach has to write the next event.
+BACK_IN_REACH_SECONDS = 0.05
 # The time until a silent run is checked again, doubled with each check.
 FIRST_KEPT_SECONDS = 0.4
 MAX_KEPT_SECONDS = 6.4
@@ -93,7 +95,13 @@
     def next_event_due_at(
         self, exchange: exchanges.Exchange, sent: exchanges.InFlightSend
     ) -> float:
-        """Return the monotonic time of the next check of a silent run."""
+        """Return the monotonic time of the next check of a silent run.
+
+        A run with a replacement is checked whatever this process was doing.
+        """
+        replacement = replacement_of(exchange)
+        if replacement is not None and sent is not replacement:
+            return sent.next_check_at
         if not sent.events_seen:
             return max(sent.first_due, sent.next_check_at)
         due_at = sent.moved_at + max_silence_seconds(exchange)
@@ -272,11 +280,9 @@
             return []
         if exchange.overlap_until < float('inf'):
             return []
-        overlaps_since = replacement.began_at
+        exchange.overlap_until = replacement.began_at + MAX_OVERLAP_SECONDS
         if sent.is_unreachable:
-            # It has only now come back, and may write at once.
-            overlaps_since = now
-        exchange.overlap_until = overlaps_since + MAX_OVERLAP_SECONDS
+            exchange.overlap_until = now + BACK_IN_REACH_SECONDS
         if now < exchange.overlap_until:
             return []
         return self.end_overlap(exchange, now)
@@ -288,7 +294,8 @@
 
         A replacement from a copy would have written by now, if its engine
         could. One that reads the prompt needs more time, and the first engine
-        was silent while it was in reach.
+        was silent while it was in reach; but nothing could replace the last
+        attempt.
         """
         exchange.overlap_until = float('inf')
         replacement = replacement_of(exchange)
@@ -296,7 +303,8 @@
             return []
         former = next(iter(exchange.sends.values()))
         resumes_late = replacement.from_copy and not former.is_unreachable
-        if not (replacement.is_unreachable or resumes_late):
+        is_last = not self.components.send_manager.has_attempts_left(exchange)
+        if not (replacement.is_unreachable or resumes_late or is_last):
             return self.end_run(exchange, former, now)
         former.is_unreachable = False
         self.keep_run(former, now)
@@ -311,10 +319,11 @@
         now: float,
     ) -> list[Action]:
         """Start another run beside a silent one, if that is possible."""
-        exchange.may_have_run = True
         told = self.suspect_engine(exchange, sent, now)
         self.keep_run(sent, now)
-        if not exchange.ruling.route.is_repeatable:
+        watch = self.components.crash_watch
+        is_held = watch.check_that_may_block(exchange, now) is not None
+        if is_held or not exchange.ruling.route.is_repeatable:
             return told
         return [*told, *self.start_run(exchange, sent, now)]
 
@@ -414,6 +423,7 @@
         now: float,
     ) -> list[Action]:
         """End a run of a stream that has another one."""
+        exchange.may_have_run = True
         detail = 'another run goes on'
         return [
             sending.lost_send_record(exchange, sent, detail, now),
@@ -437,10 +447,15 @@
             other.next_check_at = now
         return [self.silence_timer(exchange)]
 
-    def wants_replacement(self, exchange: exchanges.Exchange) -> bool:
+    def wants_replacement(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> bool:
         """Return whether the only open run of a stream is a silent one."""
         sends = list(exchange.sends.values())
-        return len(sends) == 1 and sends[0].is_suspected
+        if len(sends) != 1 or not sends[0].is_suspected:
+            return False
+        watch = self.components.crash_watch
+        return watch.check_that_may_block(exchange, now) is None
 
     def engine_heard_at(self, sent: exchanges.InFlightSend) -> float:
         """Return the monotonic time when an engine was last heard from."""
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -191,7 +191,9 @@
         is_gone = not event.alive and not self.components.engines.is_in_use(
             sent.entry.engine, now
         )
-        if is_gone and is_only_run and not exchange.begun:
+        may_go_on = exchange.ruling.route.is_repeatable and not exchange.begun
+        if is_gone and is_only_run and may_go_on:
+            exchange.may_have_run = True
             detail = 'no answer to a probe, engine not listed'
             resulting += self.replace_send(exchange, sent, detail, now)
         return resulting
