Process tests of silent engines of the product's own interface

test_pause_of_all_engines_ends_no_stream stops the processes of all engines for 8 s.

test_paused_engine_is_replaced_and_stopped_when_it_resumes waited for attempt-replaced, which a silent attempt no longer gets when another one is first: it now waits for spare-promoted, and also demands that this comes before the stream's end.

--- a/tests/process/test_streams_under_failures.py
+++ b/tests/process/test_streams_under_failures.py
@@ -1,6 +1,7 @@
 """Streams with real processes: pauses, silence and engines that sample."""
 
 import signal
+import threading
 import time
 
 import pytest
@@ -13,6 +14,7 @@
 MIN_STALL_SECONDS = 1.0
 """Seconds; long enough that a busy machine makes no engine look dead."""
 PAUSE_SECONDS = 1.6
+ALL_PAUSED_SECONDS = 8.0
 
 
 @pytest.fixture
@@ -75,14 +77,36 @@
     for _ in caller.read(router.port):
         if len(caller.tokens) > 50 and not paused:
             pause()
-        if 'attempt-replaced' in kinds_on_timeline(router):
+        if 'spare-promoted' in kinds_on_timeline(router):
             break
+    assert len(caller.tokens) < caller.most_tokens
     paused[0].send_signal(signal.SIGCONT)
     fleet.wait_until(
         lambda: fleet.ask(paused[0].port, '/v1/report').json()['running'] == 0
     )
 
 
+def test_pause_of_all_engines_ends_no_stream(sampling_fleet):
+    """All machines of the engines stand still and go on by themselves."""
+    router = sampling_fleet.instances['router-0']
+
+    def send_to_all(number):
+        for engine in sampling_fleet.engines.values():
+            engine.send_signal(number)
+
+    resume = threading.Timer(ALL_PAUSED_SECONDS, send_to_all, [signal.SIGCONT])
+
+    def pause():
+        send_to_all(signal.SIGSTOP)
+        resume.start()
+
+    caller = callers.StreamCaller('hello', 400)
+    caller.read_and_act(router.port, pause)
+    resume.join()
+    assert caller.finish_reason == 'length'
+    assert 'attempt-silent' in kinds_on_timeline(router)
+
+
 def test_paused_instance_does_not_suspect_engines(sampling_fleet):
     """An instance is paused for longer than any stall deadline.
 
