A broken attempt of a resting engine is asked for after the rest

What callers saw: a stream whose connection broke while its engine wanted no requests failed after 1.5 s (no-engine) if no other engine had room. The attempt may run on, but was cancelled, as an engine at rest is not asked.

Now it is treated as a silent one: another attempt is started beside it, and it is asked for once the rest is over.

test_attempt_of_a_resting_engine_is_asked_for_after_its_rest failed before (SendFailure instead of the end).

--- a/src/greengagelb/coordination/streams/supervisor.py
+++ b/src/greengagelb/coordination/streams/supervisor.py
@@ -268,16 +268,30 @@
             crash_check: list[actions.Action] = []
             if event.handed_over and not attempt.suspected:
                 crash_check = self.request_crash_check(stream, attempt, now)
-            recovered = self.stream_recovery.handle_lost_contact(
-                stream, attempt, now, event.detail
+            return crash_check + self.handle_broken_contact(
+                source, event.detail, now
             )
-            return crash_check + recovered
         self.directory.mark_suspected(attempt.upstream.name, now)
         stream.excluded.add(attempt.upstream.name)
         return self.stream_recovery.replace_attempt(
             stream, attempt, now, event.detail
         )
 
+    def handle_broken_contact(
+        self, source: StreamAttempt, detail: str, now: float
+    ) -> list[actions.Action]:
+        """Ask for an attempt again, or later if its engine asked for rest."""
+        stream, attempt = source.stream, source.attempt
+        is_resting = self.directory.is_resting(attempt.upstream.name, now)
+        is_asked_now = attempt is stream.spare or attempt.suspected
+        if is_resting and not is_asked_now:
+            return self.silent_attempts.handle_silence(
+                stream, attempt, now, detail
+            )
+        return self.stream_recovery.handle_lost_contact(
+            stream, attempt, now, detail
+        )
+
     def request_crash_check(
         self,
         stream: stream_state.Stream,
--- a/tests/streams/test_silent_attempts.py
+++ b/tests/streams/test_silent_attempts.py
@@ -131,6 +131,25 @@
     check_all_end_whole(world, callers)
 
 
+def test_attempt_of_a_resting_engine_is_asked_for_after_its_rest():
+    """A connection breaks while its engine wants no requests.
+
+    The attempt may run on, and no other engine has room.
+    """
+    world, callers = start_streams(['draft'])
+    resting = world.engine_of(callers[0])
+    for engine in world.engines.values():
+        engine.full = True
+    views = world.instances['i1'].node.directory.views
+    views[resting.name].rest_until = world.now + 3.0
+    for attempt in resting.runs:
+        resting.break_connections(attempt)
+    world.pass_time(2.9)
+    assert 'attempt-suspected' not in world.kinds()
+    world.pass_time(1.0)
+    check_all_end_whole(world, callers)
+
+
 def test_silent_attempt_is_asked_for_again_and_again():
     """A middlebox loses the new connection to an attempt, too.
 
