Connects get their time after a pause of this process

What happened: an instance stood still in the turn that wanted a connection (a long turn, garbage collection). Twisted begins a connect by a timer, and its time limit was due in the same turn: nothing was asked of the engine, and it was taken for dead and its path for lost, as was each engine of that turn.

A connect's limit that is more than 0.1 s late is extended once, by as long as it was late and 0.5 s at most; so is that of a race of connections. Probes, races and timers of the decisions now share one measure of lateness (reactors.lateness).

--- a/src/greengagelb/transport/decision_loop.py
+++ b/src/greengagelb/transport/decision_loop.py
@@ -17,11 +17,9 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.transport import event_costs
+from greengagelb.transport import reactors
 from greengagelb.transport import recorder
 
-# A timer that is due for longer shows that this process stood still.
-LATE_TIMER_SECONDS = 0.1
-
 
 class Decisions(Protocol):
     """The interface of the decisions: turns events into actions, without I/O.
@@ -117,8 +115,9 @@
         timer is dispatched in the next turn of the reactor, unless it is moved
         or cleared until then.
         """
-        late = self.reactor.seconds() - self.timers[name].getTime()
-        if late > LATE_TIMER_SECONDS and name not in self.postponed_timers:
+        late = reactors.lateness(self.reactor, self.timers[name])
+        is_late = late > reactors.LATE_TIMER_SECONDS
+        if is_late and name not in self.postponed_timers:
             self.postponed_timers.add(name)
             self.timers[name] = self.reactor.callLater(
                 0, self.fire_timer, name
--- a/src/greengagelb/transport/reactors.py
+++ b/src/greengagelb/transport/reactors.py
@@ -11,15 +11,22 @@
 
 import select
 import time
+import weakref
 
 from twisted.internet import base
 from twisted.internet import epollreactor
+from twisted.internet import interfaces
+from twisted.internet import tcp
 
 # How long sockets are read before timers that are due, if there is always
 # something to read: timers that are punctual wait for MIN_READ_SECONDS, others
 # as long again as they are late, up to MAX_READ_SECONDS.
 MIN_READ_SECONDS = 0.01
 MAX_READ_SECONDS = 0.25
+# A timer that is due for longer shows that this process stood still.
+LATE_TIMER_SECONDS = 0.1
+# The most by which a time limit is extended for a pause of this process.
+MAX_EXTENSION_SECONDS = 0.5
 
 
 def use_monotonic_clock(reactor: base.ReactorBase) -> None:
@@ -39,15 +46,45 @@
     # An epoll object can itself be polled: is anything of it ready?
     unread = select.poll()
     unread.register(reactor._poller.fileno(), select.POLLIN)
+    extended: weakref.WeakSet[interfaces.IDelayedCall] = weakref.WeakSet()
 
     def read_then_run_timers() -> None:
         if reactor.timeout() == 0:
+            extend_connect_limits(reactor, extended)
             read_arrived(reactor, unread)
         run_due_timers()
 
     reactor.runUntilCurrent = read_then_run_timers
 
 
+def lateness(
+    reactor: base.ReactorBase, call: interfaces.IDelayedCall
+) -> float:
+    """Return for how many seconds a call has been due."""
+    return reactor.seconds() - call.getTime()
+
+
+def extend_connect_limits(
+    reactor: epollreactor.EPollReactor,
+    extended: weakref.WeakSet[interfaces.IDelayedCall],
+) -> None:
+    """Extend, once, time limits of connects that passed during a pause.
+
+    The connect may not even have begun: Twisted begins it by a timer, and its
+    time limit is due in the same turn. ``extended`` has the limits extended.
+    """
+    if lateness(reactor, reactor._pendingTimedCalls[0]) <= LATE_TIMER_SECONDS:
+        return
+    for call in reactor.getDelayedCalls():
+        late = lateness(reactor, call)
+        if late <= LATE_TIMER_SECONDS or call in extended:
+            continue
+        function = getattr(call.func, '__func__', None)
+        if function is tcp.BaseClient.failIfNotConnected:
+            extended.add(call)
+            call.reset(min(late, MAX_EXTENSION_SECONDS))
+
+
 def read_arrived(
     reactor: epollreactor.EPollReactor, unread: select.poll
 ) -> None:
@@ -55,10 +92,9 @@
 
     One turn of the reactor reads a part of what a socket holds.
     """
-    now = reactor.seconds()
-    due_at = reactor._pendingTimedCalls[0].getTime()
-    allowed = MIN_READ_SECONDS + max(0.0, now - due_at)
-    read_until = now + min(allowed, MAX_READ_SECONDS)
+    late = max(0.0, lateness(reactor, reactor._pendingTimedCalls[0]))
+    allowed = min(MIN_READ_SECONDS + late, MAX_READ_SECONDS)
+    read_until = reactor.seconds() + allowed
     while unread.poll(0):
         reactor.doIteration(0)
         if reactor.seconds() >= read_until:
--- a/src/greengagelb/transport/relay/forwarding/connection_race.py
+++ b/src/greengagelb/transport/relay/forwarding/connection_race.py
@@ -17,6 +17,7 @@
 from greengagelb.coordination.relay.forwarding import events
 from greengagelb.state import identity
 from greengagelb.state.relay import engines
+from greengagelb.transport import reactors
 from greengagelb.transport.relay import http_client
 from greengagelb.transport.relay.forwarding import forwarded_connection
 
@@ -106,13 +107,14 @@
         )
         self.won_by: str | None = None
         self.is_over = False
+        self.is_extended = False
         self.next_timer: interfaces.IDelayedCall | None = None
         self.end_timer: interfaces.IDelayedCall | None = None
 
     def start(self) -> None:
         """Make the first attempt."""
         self.end_timer = self.pool.reactor.callLater(
-            http_client.CONNECT_SECONDS, self.fail
+            http_client.CONNECT_SECONDS, self.handle_end_timer
         )
         now = self.pool.reactor.seconds()
         if not self.paths.is_lost(self.entry):
@@ -125,6 +127,19 @@
                 self.fail()
         self.schedule_next_attempt()
 
+    def handle_end_timer(self) -> None:
+        """Fail, unless this process stood still; wait then once more."""
+        reactor = self.pool.reactor
+        late = reactors.lateness(reactor, self.end_timer)
+        if late > reactors.LATE_TIMER_SECONDS and not self.is_extended:
+            self.is_extended = True
+            self.end_timer = reactor.callLater(
+                min(late, reactors.MAX_EXTENSION_SECONDS),
+                self.handle_end_timer,
+            )
+            return
+        self.fail()
+
     def schedule_next_attempt(self) -> None:
         """Ask an instance, or another one, if nothing opens in time."""
         if not self.is_over:
--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -7,6 +7,7 @@
 from twisted.internet import interfaces
 
 from greengagelb.state.relay import engines
+from greengagelb.transport import reactors
 from greengagelb.transport.relay import http_client
 
 # Engines' answers to probes have a few hundred bytes.
@@ -14,10 +15,9 @@
 # The longest pause within an answer. A lost packet is retransmitted within a
 # quarter of a second; a connection without input for longer may be dead.
 MAX_PAUSE_SECONDS = 0.6
-# A check that runs later than this proves nothing about the server: this
-# process stood still, and may not even have written the request. An event loop
-# that is always late still detects a dead server after MAX_LATE_CHECKS.
-LATE_CHECK_SECONDS = 0.1
+# A check that runs late proves nothing about the server: this process stood
+# still, and may not even have written the request. An event loop that is
+# always late still detects a dead server after MAX_LATE_CHECKS.
 MAX_LATE_CHECKS = 3
 
 
@@ -162,10 +162,10 @@
         nonlocal timer, late_checks
         now = pool.reactor.seconds()
         wait = collector.expires_at - now
-        late = now - timer.getTime()
+        late = reactors.lateness(pool.reactor, timer)
         if (
             timed_request.allows_for_own_pause
-            and late > LATE_CHECK_SECONDS
+            and late > reactors.LATE_TIMER_SECONDS
             and late_checks < MAX_LATE_CHECKS
         ):
             late_checks += 1
