Tests of processes name the retry settings that the soak's template asks for

tests/process/test_reload.py, test_planned_stops.py and test_in_force.py use the soak's settings file. Since that has fields for the bounds of retries they failed at once (KeyError: 'ratio'). They use the values now that the file had before.

--- a/tests/process/test_in_force.py
+++ b/tests/process/test_in_force.py
@@ -36,6 +36,7 @@
             'grace': 2.0,
             # Nothing listens on this port; all instances use it.
             'store': 1,
+            **instances.USUAL_RETRIES,
             **{port: fleet.free_port() for port in ports},
         }
         self.write(grace=2.0)
--- a/tests/process/test_reload.py
+++ b/tests/process/test_reload.py
@@ -22,6 +22,7 @@
         'host': '127.0.0.1',
         'heartbeat': 1_200,
         'grace': 2.0,
+        **instances.USUAL_RETRIES,
         **{name: fleet.free_port() for name in names},
         **changed,
     }
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -16,6 +16,12 @@
 HEARTBEAT_MILLISECONDS = 1_200
 RETRY_RATIO = 0.8
 RETRY_WINDOW_SECONDS = 10.0
+# The fields of ``SETTINGS`` for tests in which nothing depends on retries.
+USUAL_RETRIES = {
+    'ratio': RETRY_RATIO,
+    'window': RETRY_WINDOW_SECONDS,
+    'slack': 150.0,
+}
 SETTINGS = """[instance]
 name = {name}
 data_centre = {place}
