A stop comes before the requests that arrived while the process stood still

Requests that had come in while an instance was suspended, as its SIGTERM had, were taken without the limits of the stop: since sockets are read before timers, they were read before the call that the signal's handler had asked for, as Twisted runs such calls together with the timers. A stream taken then could be cut by the end of the stop.

Evidence: the new test of the event loop and the extended one with a process failed before.

--- a/src/greengagelb/transport/reactors.py
+++ b/src/greengagelb/transport/reactors.py
@@ -42,12 +42,24 @@
 
     def read_then_run_timers() -> None:
         if reactor.timeout() == 0:
+            run_requested_calls(reactor)
             read_arrived(reactor, unread)
         run_due_timers()
 
     reactor.runUntilCurrent = read_then_run_timers
 
 
+def run_requested_calls(reactor: epollreactor.EPollReactor) -> None:
+    """Run what handlers of signals have asked the event loop for.
+
+    Requests that are read next must know of a stop that came before them.
+    """
+    requested = list(reactor.threadCallQueue)
+    del reactor.threadCallQueue[: len(requested)]
+    for function, arguments, named in requested:
+        function(*arguments, **named)
+
+
 def read_arrived(
     reactor: epollreactor.EPollReactor, unread: select.poll
 ) -> None:
--- a/tests/process/test_planned_stops.py
+++ b/tests/process/test_planned_stops.py
@@ -258,7 +258,7 @@
     """Guards against a stop that outlasts the platform's patience.
 
     The process is suspended as it is asked to stop, and counted its time from
-    when it ran again.
+    when it ran again. Requests that came meanwhile must know of the stop.
     """
     pause = 1.0
     with (
@@ -268,9 +268,14 @@
         fleet.wait_until(lambda: launcher.is_listening(port))
         process.send_signal(signal.SIGSTOP)
         process.send_signal(signal.SIGTERM)
+        callers = Callers(port)
+        callers.send_call()
         time.sleep(pause)
         process.send_signal(signal.SIGCONT)
+        callers.join()
         log = tmp_path / 'log'
         fleet.wait_until(lambda: 'noticed after' in log.read_text('utf-8'))
-    noticed = log.read_text('utf-8').partition('noticed after ')[2]
-    assert float(noticed.split(' s')[0]) >= pause
+    before, _, after = log.read_text('utf-8').partition('noticed after ')
+    assert float(after.split(' s')[0]) >= pause
+    assert callers.sent_calls[0].call not in before
+    assert callers.sent_calls[0].call in after
--- a/tests/transport/test_late_timers.py
+++ b/tests/transport/test_late_timers.py
@@ -157,6 +157,22 @@
     ]
 
 
+def test_stop_comes_before_requests_that_arrived_in_a_pause():
+    """Guards against requests that are taken as if no stop were known.
+
+    A stop is signalled to a process that stands still while requests arrive.
+    """
+    reactor = new_reactor()
+    order = []
+    request = Answer(reactor, lambda event: order.append('request'))
+    reactor.callLater(0.01, order.append, 'timer')
+    request.theirs.send(END)
+    time.sleep(0.2)
+    reactor.callFromThread(order.append, 'stop')
+    reactor.iterate(0)
+    assert order == ['stop', 'request', 'timer']
+
+
 def test_timers_run_although_there_is_always_something_to_read():
     """A flood of input must not keep timers from running."""
     reactor = new_reactor()
