Retry budget: a new instance borrows nothing for rejected sends either

A request that only former engines' successors had rejected could borrow half of the allowance at a new instance too. A new one has forgotten which engines were replaced, meets each of them again, and does not know what its predecessor has sent.

--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -163,11 +163,15 @@
 
         They reject it at the addresses of engines that have ended. Each does
         so once or twice before all instances know, so that borrowing does not
-        need to be limited to the part of the instances that are heard.
+        need to be limited to the part of the instances that are heard. A new
+        instance knows neither which were replaced nor what was sent.
         """
         window = self.window(service, now)
         most = self.bounds.slack + self.bounds.ratio * window.all_requests
-        allowed = window.all_retries + 1 <= BORROWING_SHARE * most
+        allowed = (
+            self.is_past_known(now)
+            and window.all_retries + 1 <= BORROWING_SHARE * most
+        )
         if allowed:
             window.retries.append(now)
         return allowed
--- a/tests/common/budget_fleet.py
+++ b/tests/common/budget_fleet.py
@@ -3,6 +3,7 @@
 No sockets: announcements between instances take a while, and some are lost.
 """
 
+import bisect
 import collections
 import heapq
 import itertools
@@ -158,7 +159,8 @@
         seconds = bounds.window_seconds
 
         def count(times, start):
-            return sum(start <= at < start + seconds for at in times)
+            first = bisect.bisect_left(times, start)
+            return bisect.bisect_left(times, start + seconds) - first
 
         return max(
             count(self.repeated_at, start)
