--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -243,10 +243,11 @@
 
         They reject it at the addresses of engines that have ended. Each does
         so once or twice before all instances know, so that borrowing does not
-        need to be limited to the part of the instances that are heard.
+        need to be limited to the part of the instances that are heard. A new
+        instance knows neither which were replaced nor what was sent.
         """
         sends = self.sends(service, now)
-        allowed = all(
+        allowed = self.is_past_known(now) and all(
             counts.all_retries + 1
             <= BORROWING_SHARE
             * (self.bounds.slack + self.bounds.ratio * counts.all_requests)
