--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -14,6 +14,11 @@
 # The longest pause within an answer. A lost packet is retransmitted within a
 # quarter of a second; a connection without input for longer may be dead.
 MAX_PAUSE_SECONDS = 0.6
+# A check that runs later than this proves nothing about the server: this
+# process stood still, and may not even have written the request. An event loop
+# that is always late still detects a dead server after MAX_LATE_CHECKS.
+LATE_CHECK_SECONDS = 0.1
+MAX_LATE_CHECKS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,8 +29,10 @@
     answer is complete after ``seconds``, or if the body exceeds ``max_bytes``.
     An answer that has started by then may take ``receive_seconds`` from its
     start, as long as it does not pause: a long answer takes time on a slow
-    link, and a repeated request would take as long again. ``open_connection``
-    is that of :meth:`http_client.ConnectionPool.request`.
+    link, and a repeated request would take as long again. With
+    ``allows_for_own_pause`` a check that this process makes late is made again
+    after as long as it was late, but no longer than ``seconds``.
+    ``open_connection`` is that of :meth:`http_client.ConnectionPool.request`.
     """
 
     key: str
@@ -35,6 +42,7 @@
     max_bytes: int = DEFAULT_MAX_BYTES
     fresh: bool = False
     receive_seconds: float = 0.0
+    allows_for_own_pause: bool = False
     open_connection: Callable[[http_client.PendingRequest], None] | None = None
 
 
@@ -82,6 +90,7 @@
         self.body: list[bytes] = []
         self.body_bytes = 0
         self.is_finished = False
+        self.late_checks = 0
         self.pending: http_client.PendingRequest | None = None
         self.timer: interfaces.IDelayedCall | None = reactor.callLater(
             timed_request.seconds, self.check_expiry
@@ -124,11 +133,20 @@
 
     def check_expiry(self) -> None:
         """Give the request up if it has timed out."""
-        self.timer = None
-        left = self.expires_at - self.reactor.seconds()
-        if left > 0:
-            self.timer = self.reactor.callLater(left, self.check_expiry)
+        now = self.reactor.seconds()
+        wait = self.expires_at - now
+        late = now - self.timer.getTime()
+        if (
+            self.timed_request.allows_for_own_pause
+            and late > LATE_CHECK_SECONDS
+            and self.late_checks < MAX_LATE_CHECKS
+        ):
+            self.late_checks += 1
+            wait = min(late, self.timed_request.seconds)
+        if wait > 0:
+            self.timer = self.reactor.callLater(wait, self.check_expiry)
             return
+        self.timer = None
         self.pending.abandon()
         self.deliver_timeout()
 
