--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -59,6 +59,9 @@
         pytest.param(300, id='engines name limits'),
         pytest.param(2000, id='instances lose their links to the engines'),
         pytest.param(3000, id='a part of prompts crashes engines'),
+        # Streams were cut beside reloads and new configurations, as a run that
+        # was only silent was ended before another one had written.
+        pytest.param(4009, id='engines pause beside planned work'),
     ],
 )
 def test_seed_breaks_no_promise(seed):
