Soak: a slow link lets all bytes through before it closes

An engine's answer may end with its connection. As the connection closed, the soak's slow link dropped the bytes that it still delayed, or closed first if it had become fast meanwhile; what was left looked like a whole answer.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -33,6 +33,7 @@
         self.waiting: list[bytes] = []
         self.delayed: collections.deque[bytes] = collections.deque()
         self.dead = False
+        self.ended = False
 
     def connectionMade(self) -> None:
         """Connect the far side, or send what waited for it."""
@@ -64,6 +65,14 @@
         each timer lets one piece through, whichever that is.
         """
         self.forward(self.delayed.popleft())
+        if self.ended and not self.delayed:
+            self.close_other()
+
+    def close_other(self) -> None:
+        """Close the other end in good order, unless the link hides it."""
+        other, self.other = self.other, None
+        if not self.dead:
+            other.transport.loseConnection()
 
     def forward(self, data: bytes) -> None:
         """Write to the other end, if it is there and well."""
@@ -83,19 +92,24 @@
     def connectionLost(self, reason: object = protocol.connectionDone) -> None:
         """Close the other end too, unless the link hides it."""
         self.link.halves.discard(self)
-        other, self.other = self.other, None
+        other = self.other
         if other is None or other.transport is None:
+            self.other = None
             return
         other.other = None
-        if self.dead and not self.upward:
-            return
         if reason.check(error.ConnectionDone) and not self.upward:
-            self.link.reactor.callLater(
-                self.link.delay, other.transport.loseConnection
-            )
-        else:
+            self.end_in_order()
+            return
+        self.other = None
+        if self.upward or not self.dead:
             other.transport.abortConnection()
 
+    def end_in_order(self) -> None:
+        """Close the other end once all that was delayed is through."""
+        self.ended = True
+        if not self.delayed:
+            self.link.reactor.callLater(self.link.delay, self.close_other)
+
 
 class Near(protocol.Factory):
     """Accepts connections to the proxy."""
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -1,8 +1,11 @@
 """The soak's own link must not do what no network does."""
 
+import pytest
 from twisted.internet import address
+from twisted.internet import error
 from twisted.internet import task
 from twisted.internet import testing
+from twisted.python import failure
 
 from tests.soak import proxy
 
@@ -31,6 +34,17 @@
         """Nothing depends on it here."""
 
 
+def joined_halves(reactor):
+    """Return a link, and both ends of a connection through it."""
+    link = proxy.Proxy(reactor, '127.0.0.1')
+    link.far = ('127.0.0.1', 8)
+    near, far = proxy.Half(link, upward=True), proxy.Half(link, upward=False)
+    near.other, far.other = far, near
+    near.makeConnection(Wire())
+    far.makeConnection(Wire())
+    return link, near, far
+
+
 def test_bytes_stay_in_order_when_a_slow_link_becomes_fast_again():
     """A link has been slow, and is not any more while bytes are on it.
 
@@ -39,12 +53,7 @@
     blame the instance for what its own link has done.
     """
     reactor = Reactor()
-    link = proxy.Proxy(reactor, '127.0.0.1')
-    link.far = ('127.0.0.1', 8)
-    near, far = proxy.Half(link, upward=True), proxy.Half(link, upward=False)
-    near.other, far.other = far, near
-    near.makeConnection(Wire())
-    far.makeConnection(Wire())
+    link, near, far = joined_halves(reactor)
     link.delay = 0.1
     far.dataReceived(b'last event, ')
     reactor.advance(0.05)
@@ -54,6 +63,26 @@
     assert near.transport.value() == b'last event, end'
 
 
+@pytest.mark.parametrize('delay_at_end', [0.1, 0.0])
+def test_end_of_a_connection_comes_after_delayed_bytes(delay_at_end):
+    """An engine ends its answer with the connection, and the link is slow.
+
+    Closed before its last bytes are through, or without them, the connection
+    would make a part of the answer look like all of it.
+    """
+    reactor = Reactor()
+    link, near, far = joined_halves(reactor)
+    link.delay = 0.1
+    far.dataReceived(b'last event')
+    link.delay = delay_at_end
+    far.connectionLost(failure.Failure(error.ConnectionDone()))
+    reactor.advance(0.05)
+    assert not near.transport.disconnecting
+    reactor.advance(0.1)
+    assert near.transport.value() == b'last event'
+    assert near.transport.disconnecting
+
+
 def test_ports_of_an_instance_differ():
     """Guards against a run that fails as an instance's settings are bad."""
     for _ in range(200):
