--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -10,9 +10,7 @@
 as far as they announce their sends.
 """
 
-import bisect
-from collections.abc import Iterator
-import dataclasses
+import collections
 
 from greengagelb.state.relay import bounds
 
@@ -30,114 +28,40 @@
 # when it arrives: those that make a pause, or whose connection does, read all
 # that was sent meanwhile at once.
 HELD_UP_SECONDS = 4.0
-# The time between the beginnings of the windows that are checked.
-WINDOW_STEP_SECONDS = 1.0
 # The assumed fleet size until it is known: an instance takes as little of the
 # shared allowance as in a large fleet.
 ASSUMED_INSTANCES = 100
 
 
-class SendTimes:
-    """Monotonic times of sends, in order."""
-
-    def __init__(self) -> None:
-        self.times: list[float] = []
-
-    def __len__(self) -> int:
-        return len(self.times)
-
-    def append(self, at: float) -> None:
-        """Add the time of a send, which is the latest one."""
-        self.times.append(at)
-
-    def count(self, begin: float, end: float = float('inf')) -> int:
-        """Return the number of sends from ``begin`` until before ``end``."""
-        first = bisect.bisect_left(self.times, begin)
-        return bisect.bisect_left(self.times, end) - first
-
-    def drop_before(self, earliest: float) -> None:
-        """Drop all times before a monotonic time."""
-        del self.times[: bisect.bisect_left(self.times, earliest)]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WindowCounts:
-    """What counts in one window: own sends, and all that are known."""
-
-    own_requests: int
-    all_requests: int
-    own_retries: int
-    all_retries: int
-
-
-class ServiceSends:
-    """The times of requests and retries of one service.
+class ServiceWindow:
+    """The times of requests and retries of one service in the window.
 
     ``peer_requests`` and ``peer_retries`` are those announced by other
     instances.
     """
 
-    def __init__(self, window_seconds: float) -> None:
-        self.window_seconds = window_seconds
-        self.requests = SendTimes()
-        self.retries = SendTimes()
-        self.peer_requests = SendTimes()
-        self.peer_retries = SendTimes()
-
-    def drop_expired(self, now: float) -> None:
-        """Drop the times that are in none of the open windows."""
-        for requests in (self.requests, self.peer_requests):
-            requests.drop_before(now - 2.0 * self.window_seconds)
-        for retries in (self.retries, self.peer_retries):
-            retries.drop_before(now - self.window_seconds - HELD_UP_SECONDS)
-
-    def open_windows(self, now: float) -> Iterator[WindowCounts]:
-        """Return the counts of windows that contain the present time.
-
-        A retry counts in all of them, so each must have room for it. They
-        begin at regular times, the first one a whole window ago.
-        """
-        yield self.count_last_window(now)
-        steps = round(self.window_seconds / WINDOW_STEP_SECONDS)
-        for step in range(steps):
-            yield self.count_window(now - step * WINDOW_STEP_SECONDS)
-
-    def count_last_window(self, now: float) -> WindowCounts:
-        """Return the counts of the window that ends now.
+    def __init__(self) -> None:
+        self.requests: collections.deque[float] = collections.deque()
+        self.retries: collections.deque[float] = collections.deque()
+        self.peer_requests: collections.deque[float] = collections.deque()
+        self.peer_retries: collections.deque[float] = collections.deque()
 
-        Its requests are those in it alone: each instance takes the most of
-        its own windows, which are not always the same ones.
-        """
-        begin = now - self.window_seconds
-        own = self.requests.count(begin)
-        peers = self.peer_requests.count(begin)
-        return self.with_retries(begin, own, own + peers)
+    @property
+    def all_requests(self) -> int:
+        """Return the number of requests known to this instance."""
+        return len(self.requests) + len(self.peer_requests)
 
-    def count_window(self, begin: float) -> WindowCounts:
-        """Return the counts of the window from a monotonic time on.
+    @property
+    def all_retries(self) -> int:
+        """Return the number of retries known to this instance."""
+        return len(self.retries) + len(self.peer_retries)
 
-        Its requests are those in it, in the one before it, or in the one half
-        a window before it, whichever are most.
-        """
-        window = self.window_seconds
-        begins = (begin, begin - window / 2.0, begin - window)
-        own = [self.requests.count(at, at + window) for at in begins]
-        peers = [self.peer_requests.count(at, at + window) for at in begins]
-        known = [sum(counts) for counts in zip(own, peers, strict=True)]
-        return self.with_retries(begin, max(own), max(known))
-
-    def with_retries(
-        self, begin: float, own_requests: int, all_requests: int
-    ) -> WindowCounts:
-        """Return the counts of a window, with the retries that it may get."""
-        sent_from = begin - HELD_UP_SECONDS
-        own_retries = self.retries.count(sent_from)
-        return WindowCounts(
-            own_requests,
-            all_requests,
-            own_retries,
-            own_retries + self.peer_retries.count(sent_from),
-        )
+    def drop_before(self, earliest: float) -> None:
+        """Drop the requests before a monotonic time, and older retries."""
+        for request_times in (self.requests, self.peer_requests):
+            drop_times_before(request_times, earliest)
+        for retry_times in (self.retries, self.peer_retries):
+            drop_times_before(retry_times, earliest - HELD_UP_SECONDS)
 
 
 class SharedRetryBudget:
@@ -162,7 +86,7 @@
         self.instances = ASSUMED_INSTANCES
         self.reachable = 1
         self.past_known_from: float | None = None
-        self.services: dict[str, ServiceSends] = {}
+        self.services: dict[str, ServiceWindow] = {}
 
     def set_fleet_size(self, instances: int, reachable: int = 1) -> None:
         """Divide the allowance by the number of instances, this one included.
@@ -186,29 +110,26 @@
         """Return whether this instance has heard all sends of the window."""
         return self.past_known_from is None or now >= self.past_known_from
 
-    def sends(self, service: str, now: float) -> ServiceSends:
-        """Return the sends to a service, without expired ones."""
-        found = self.services.setdefault(
-            service, ServiceSends(self.bounds.window_seconds)
-        )
-        found.window_seconds = self.bounds.window_seconds
-        found.drop_expired(now)
+    def window(self, service: str, now: float) -> ServiceWindow:
+        """Return the window of a service, without expired times."""
+        found = self.services.setdefault(service, ServiceWindow())
+        found.drop_before(now - self.bounds.window_seconds)
         return found
 
     def count_request(self, service: str, now: float) -> None:
         """Count a caller's request for a service."""
-        self.sends(service, now).requests.append(now)
+        self.window(service, now).requests.append(now)
 
     def count_peer_send(
         self, service: str, now: float, *, is_retry: bool
     ) -> None:
         """Count a send of another instance."""
-        sends = self.sends(service, now)
-        send_times = sends.peer_retries if is_retry else sends.peer_requests
+        window = self.window(service, now)
+        send_times = window.peer_retries if is_retry else window.peer_requests
         send_times.append(now)
 
-    def own_allowance(self, counts: WindowCounts, now: float) -> float:
-        """Return how many retries this instance may send in a window."""
+    def own_allowance(self, window: ServiceWindow, now: float) -> float:
+        """Return how many retries this instance may send in the window."""
         share = ALLOCATED_SHARE / self.instances
         if not self.is_past_known(now):
             share = max(
@@ -216,25 +137,24 @@
                 ALLOCATED_SHARE / ASSUMED_INSTANCES,
             )
         own_slack = share * self.bounds.slack
-        return own_slack + self.bounds.ratio * counts.own_requests
+        return own_slack + self.bounds.ratio * len(window.requests)
 
-    def shared_allowance(self, counts: WindowCounts) -> float:
+    def shared_allowance(self, window: ServiceWindow) -> float:
         """Return how many retries all reachable instances may send together.
 
         The unreachable ones have as much for themselves.
         """
         slack = self.bounds.slack * self.reachable / self.instances
-        return slack + self.bounds.ratio * counts.all_requests
+        return slack + self.bounds.ratio * window.all_requests
 
     def describe(self, service: str, now: float) -> str:
-        """Return the retries in the last window, for the timeline."""
-        sends = self.sends(service, now)
-        counts = sends.count_last_window(now)
+        """Return the retries of a service in the window, for the timeline."""
+        window = self.window(service, now)
         return (
-            f'own retries {counts.own_retries} '
-            f'of {self.own_allowance(counts, now):.1f}, '
-            f'known {counts.all_retries} '
-            f'of {self.shared_allowance(counts):.1f}, '
+            f'own retries {len(window.retries)} '
+            f'of {self.own_allowance(window, now):.1f}, '
+            f'known {window.all_retries} '
+            f'of {self.shared_allowance(window):.1f}, '
             f'{self.reachable} of {self.instances} instances'
         )
 
@@ -246,15 +166,14 @@
         need to be limited to the part of the instances that are heard. A new
         instance knows neither which were replaced nor what was sent.
         """
-        sends = self.sends(service, now)
-        allowed = self.is_past_known(now) and all(
-            counts.all_retries + 1
-            <= BORROWING_SHARE
-            * (self.bounds.slack + self.bounds.ratio * counts.all_requests)
-            for counts in sends.open_windows(now)
+        window = self.window(service, now)
+        most = self.bounds.slack + self.bounds.ratio * window.all_requests
+        allowed = (
+            self.is_past_known(now)
+            and window.all_retries + 1 <= BORROWING_SHARE * most
         )
         if allowed:
-            sends.retries.append(now)
+            window.retries.append(now)
         return allowed
 
     def try_spend(
@@ -265,17 +184,21 @@
         ``announced`` tells that every send to the service is announced to the
         other instances.
         """
-        sends = self.sends(service, now)
-        allowed = all(
-            counts.own_retries + 1 <= self.own_allowance(counts, now)
-            for counts in sends.open_windows(now)
-        )
+        window = self.window(service, now)
+        allowed = len(window.retries) + 1 <= self.own_allowance(window, now)
         if announced and (allowed or self.is_past_known(now)):
             share = ALLOCATED_SHARE if allowed else BORROWING_SHARE
-            allowed = all(
-                counts.all_retries + 1 <= share * self.shared_allowance(counts)
-                for counts in sends.open_windows(now)
+            allowed = window.all_retries + 1 <= share * self.shared_allowance(
+                window
             )
         if allowed:
-            sends.retries.append(now)
+            window.retries.append(now)
         return allowed
+
+
+def drop_times_before(
+    times: collections.deque[float], earliest: float
+) -> None:
+    """Drop the times before another one; they are in order."""
+    while times and times[0] < earliest:
+        times.popleft()
