--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -322,3 +322,22 @@
     [passed] = world.answered(exchange)
     assert (passed.head.status, passed.body) == (500, b'failed')
     assert exchange not in world.relay.exchanges
+
+
+def test_stream_that_has_begun_gets_no_second_answer():
+    """Guards against a caller that waits for the end of a broken stream.
+
+    The engine that resumes it answers with a status of its own, below 500.
+    A second head can't be written, and the connection stayed open for good.
+    """
+    world = relay_world.RelayWorld()
+    exchange = [world.ask() for _ in range(10)][-1]
+    send = world.last_send(exchange)
+    world.begin(send)
+    world.events(send, 1, 2)
+    world.lose(send)
+    while world.last_send(exchange) != send:
+        send = world.last_send(exchange)
+        world.answer(send, b'no', status=404)
+    assert not world.answered(exchange)
+    assert world.of_kind(relay_actions.AbortStream, exchange)
