Own interface: an engine's own failure counts as a run

Callers of a generation that is not idempotent got the answer of a second run after the first engine had failed with a 500; where no other engine was free, they were told "not run" for a request that had run, and its claim was given back, so that a retry ran it once more.

EngineStream took every status but 200 for a refusal, and reported "the engine did not start the attempt" also where the body was none. Now only a refusal that can be read, with a status of 400 or more, says so. Everything else is AttemptFailed: the stream may have run, and goes on elsewhere only where a second run is allowed. Failures count like deaths of engines, so that a request which fails everywhere has an end.

--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -100,6 +100,18 @@
     said: limits.UpstreamAdvertisement = limits.NO_ADVERTISEMENT
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """The engine answered with a failure of its own.
+
+    Unlike a refusal it does not say that nothing ran.
+    """
+
+    attempt: identity.AttemptId
+    code: str
+    said: limits.UpstreamAdvertisement = limits.NO_ADVERTISEMENT
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptBroken:
     """The attempt's connection ended before the generation did.
@@ -330,6 +342,7 @@
     | TokensArrived
     | AttemptEnded
     | AttemptRefused
+    | AttemptFailed
     | AttemptBroken
     | AttemptCancelled
     | CancelFailed
--- a/src/greengagelb/coordination/node.py
+++ b/src/greengagelb/coordination/node.py
@@ -176,6 +176,14 @@
                     limit_actions
                     + self.stream_supervisor.handle_attempt_refused(event, now)
                 )
+            case events.AttemptFailed():
+                limit_actions = self.apply_limit_answer(
+                    self.stream_supervisor.find_limit_answer(event), now
+                )
+                return (
+                    limit_actions
+                    + self.stream_supervisor.handle_attempt_failed(event, now)
+                )
             case events.AttemptBroken():
                 return self.stream_supervisor.handle_attempt_broken(event, now)
             case events.AttemptCancelled(attempt):
--- a/src/greengagelb/coordination/streams/supervisor.py
+++ b/src/greengagelb/coordination/streams/supervisor.py
@@ -114,7 +114,12 @@
         return self.stream_resumption.resume_stream(event, service, pool, now)
 
     def find_limit_answer(
-        self, event: events.AttemptAccepted | events.AttemptRefused
+        self,
+        event: (
+            events.AttemptAccepted
+            | events.AttemptRefused
+            | events.AttemptFailed
+        ),
     ) -> upstream_limits.UpstreamAnswer | None:
         """Return what an event says about its engine's limit, if current."""
         source = self.find_stream_attempt(event.attempt)
@@ -250,6 +255,25 @@
             stream, attempt, now, event.code
         )
 
+    def handle_attempt_failed(
+        self, event: events.AttemptFailed, now: float
+    ) -> list[actions.Action]:
+        """Try another engine after a failure, if a second run is allowed.
+
+        Failures count like deaths of engines, so that a request that fails
+        everywhere is not run without end.
+        """
+        source = self.find_or_count_dropped(event.attempt)
+        if source is None:
+            return []
+        stream, attempt = source.stream, source.attempt
+        stream.may_have_run = True
+        stream.engine_deaths += 1
+        stream.excluded.add(attempt.upstream.name)
+        return self.stream_recovery.replace_attempt(
+            stream, attempt, now, event.code
+        )
+
     def handle_attempt_broken(
         self, event: events.AttemptBroken, now: float
     ) -> list[actions.Action]:
--- a/src/greengagelb/transport/engine_client.py
+++ b/src/greengagelb/transport/engine_client.py
@@ -70,14 +70,14 @@
         answer.addErrback(self.report_broken)
 
     def handle_response(self, response: iweb.IResponse) -> object:
-        """Read the event stream, or the body of the engine's refusal."""
+        """Read the event stream, or the body of another answer."""
         self.pending_response = None
         self.report_statement(response)
         if self.is_closed:
             return None
         if response.code != web_http.OK:
             return http.read_whole_body(response).addCallback(
-                self.report_refusal, response
+                self.report_other_answer, response
             )
         limit = answer_statements.read_limit_headers(response.headers)
         self.report_event(events.AttemptAccepted(self.attempt, limit))
@@ -87,18 +87,27 @@
         response.deliverBody(self.collector)
         return None
 
-    def report_refusal(self, raw: bytes, response: iweb.IResponse) -> None:
-        """Report that the engine did not start the attempt."""
+    def report_other_answer(
+        self, raw: bytes, response: iweb.IResponse
+    ) -> None:
+        """Report a refusal, or a failure after which the attempt may have run.
+
+        Only a refusal that can be read says that nothing ran.
+        """
+        limit = answer_statements.read_limit_headers(response.headers)
+        code = f'status-{response.code}'
+        failed = events.AttemptFailed(self.attempt, code, limit)
+        if response.code < web_http.BAD_REQUEST:
+            self.report_event(failed)
+            return
         try:
             refusal = codec.decode(raw, engine_api.Refusal)
         except errors.ProtocolError:
-            refusal = engine_api.Refusal(f'status-{response.code}', '')
+            self.report_event(failed)
+            return
         self.report_event(
             events.AttemptRefused(
-                self.attempt,
-                refusal.code,
-                refusal.retry_after,
-                answer_statements.read_limit_headers(response.headers),
+                self.attempt, refusal.code, refusal.retry_after, limit
             )
         )
 
