Stateful test of streams: engines that fail after a run

No test double of the own interface failed an attempt after running it, so the history of a run that was repeated after a failure could not come about.

--- a/tests/common/generations.py
+++ b/tests/common/generations.py
@@ -467,6 +467,7 @@
         """Heal everything, and check that all ends and nothing leaks."""
         for engine in self.engines.values():
             engine.full = False
+            engine.failing = False
             engine.version = self.configuration.pools[0].version
             self.come_back(engine.name)
         for _ in range(SETTLING_ROUNDS):
--- a/tests/common/sampled_engines.py
+++ b/tests/common/sampled_engines.py
@@ -14,6 +14,9 @@
 from greengagelb.state import identity
 
 
+FAILED = 'failed'
+
+
 class Health(enum.Enum):
     """What an engine does with what it is sent."""
 
@@ -83,6 +86,7 @@
         self.health = Health.ALIVE
         self.starts = 1
         self.full = False
+        self.failing = False
         self.runs: dict[identity.AttemptId, Run] = {}
         self.connections: list[Connection] = []
         self.unread: list[tuple[Connection, actions.Action]] = []
@@ -147,11 +151,17 @@
                     list(order.received),
                 )
                 connection.position = len(order.received)
+                if self.failing:
+                    self.fail(connection)
+                    return
             case actions.AttachAttempt():
                 run = self.runs.get(order.attempt)
                 if run is None or order.position > len(run.tokens):
                     self.refuse(connection, 'unknown-attempt')
                     return
+                if run.ended == FAILED:
+                    self.fail(connection)
+                    return
                 connection.position = order.position
                 self.break_connections(order.attempt)
         connection.run = self.runs[connection.attempt]
@@ -164,6 +174,13 @@
             events.AttemptRefused(connection.attempt, code, None)
         )
 
+    def fail(self, connection: Connection) -> None:
+        """Answer with a failure after the run was started."""
+        self.runs[connection.attempt].ended = FAILED
+        connection.queue.append(
+            events.AttemptFailed(connection.attempt, 'status-500')
+        )
+
     def break_connections(self, attempt: identity.AttemptId) -> None:
         """Close what is open for an attempt: one connection may follow it."""
         for connection in self.connections:
--- a/tests/streams/test_stream_machine.py
+++ b/tests/streams/test_stream_machine.py
@@ -101,6 +101,10 @@
     def refuse_new_runs(self, name, full):
         self.world.engines[name].full = full
 
+    @stateful.rule(name=ENGINES, failing=st.booleans())
+    def fail_after_runs(self, name, failing):
+        self.world.engines[name].failing = failing
+
     @stateful.rule()
     def report(self):
         self.world.report()
@@ -183,6 +187,8 @@
         engine.silence()
     elif draw < 0.94 and waiting:
         world.leave(rng.choice(waiting), rng.random() < 0.5)
+    elif draw < 0.95:
+        engine.failing = not engine.failing
     elif draw < 0.97 and away:
         world.ask(rng.choice(away), instance.name)
     elif draw < 0.98 and world.told:
