A stream that has begun gets no second answer

Callers of a stream that was to be resumed kept an open connection for as long as they waited, without the rest of the answer: the engine that was to resume it answered with a status of its own below 500 (404, say), the instance passed this on, and a second head can't be written to a connection that has had one (LocalProtocolError).

pass_on_or_restart asked for the status and for other runs, not whether the stream had begun. Now a stream that has begun goes on elsewhere after any answer that is not a stream, and is cut if no engine is left.

--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -339,21 +339,34 @@
         event: relay_events.AnswerComplete,
         now: float,
     ) -> list[Action]:
-        """Pass on a final answer, or start the stream on another engine."""
+        """Pass on a final answer, or go on without it.
+
+        The caller of a stream that has begun can get no other answer.
+        """
         head = event.head
-        why = f'status {head.status}'
-        if not head.not_run:
-            exchange.may_have_run = True
-            may_run_again = exchange.ruling.route.is_repeatable
-            is_final = head.status < 500 or not may_run_again
-            if is_final and len(exchange.sends) == 1:
-                self.components.send_manager.release_send(exchange, sent)
-                return [
-                    relay_actions.PassAnswer(exchange.number, head, event.body)
-                ]
-            if len(exchange.sends) == 1:
-                exchange.failed = (head, event.body)
+        if head.not_run:
+            return self.go_on_without(exchange, sent, head, now)
+        exchange.may_have_run = True
+        if exchange.begun or len(exchange.sends) > 1:
+            return self.go_on_without(exchange, sent, head, now)
+        if head.status < 500 or not exchange.ruling.route.is_repeatable:
+            self.components.send_manager.release_send(exchange, sent)
+            return [
+                relay_actions.PassAnswer(exchange.number, head, event.body)
+            ]
+        exchange.failed = (head, event.body)
+        return self.go_on_without(exchange, sent, head, now)
+
+    def go_on_without(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        head: requests.AnswerHead,
+        now: float,
+    ) -> list[Action]:
+        """Go on with the other run of a stream, or on another engine."""
         self.components.send_manager.release_send(exchange, sent)
+        why = f'status {head.status}'
         told = sending.record(exchange, sent, 'send-refused', why)
         resulting: list[Action] = [told]
         if head.status == calls.MISDIRECTED_REQUEST:
