An engine's busy status does not promise that a request has not run

Callers of calls and streams that may run once got an engine's own 408, 429 or 503 passed on, also where the engine had not said that it did not run the request. To callers these statuses are a promise ("not run, and never will be"), so they send the request again, and it runs twice.

PROTOCOL: "A response that has Not-Executed states that the engine did not run the request [...]. No other response states this." Such an answer to a request that may not repeat is now replaced by 502 outcome-unknown, with a line that tells the engine's status. Repeatable requests get it unchanged, as before.

Evidence: test_failure_of_an_engine_does_not_promise_that_nothing_ran failed before in all six cases (the status was passed on). The stateful test of the relay's promises now has a streaming route that isn't resumable, engines that fail a run with 404, 429, 503 and 504, and checks for both faults.

--- a/src/greengagelb/coordination/relay/answers.py
+++ b/src/greengagelb/coordination/relay/answers.py
@@ -3,11 +3,15 @@
 import random
 
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import sending
 from greengagelb.state.relay import exchanges
+from greengagelb.state.relay import requests
 
 BAD_GATEWAY = 502
 SERVICE_UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
+# Statuses by which callers know that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # The code of answers to requests that crash engines.
 CRASHES_ENGINES = 'request-crashes-engines'
 # The code of answers while another request shows which part crashes engines.
@@ -90,6 +94,30 @@
             exchange.number, SERVICE_UNAVAILABLE, ENGINES_RESTING, wait_seconds
         )
 
+    def pass_on(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        head: requests.AnswerHead,
+        body: bytes,
+        now: float,
+    ) -> list[relay_actions.RelayAction]:
+        """Pass on an engine's answer to a run, as the caller's final answer.
+
+        A status that promises "not run" is replaced where a caller that
+        relies on it would have the request run a second time.
+        """
+        is_repeatable = exchange.ruling.route.is_repeatable
+        if head.status in NOT_RUN_STATUSES and not is_repeatable:
+            detail = f'status {head.status}, may have run'
+            return [
+                sending.lost_send_record(exchange, sent, detail, now),
+                relay_actions.Refuse(
+                    exchange.number, BAD_GATEWAY, 'outcome-unknown'
+                ),
+            ]
+        return [relay_actions.PassAnswer(exchange.number, head, body)]
+
     def fail_request(
         self, exchange: exchanges.Exchange, code: str, now: float
     ) -> relay_actions.RelayAction:
--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -137,10 +137,12 @@
                 exchange, sent, f'status {head.status}', now
             )
         resulting = self.components.send_manager.abandon_all_sends(exchange)
-        passed = relay_actions.PassAnswer(exchange.number, head, event.body)
+        passed = self.components.answers.pass_on(
+            exchange, sent, head, event.body, now
+        )
         took = now - exchange.request.received_at
         call = relay_actions.DurationKind.CALL
-        return [*resulting, passed, relay_actions.ObserveDuration(call, took)]
+        return [*resulting, *passed, relay_actions.ObserveDuration(call, took)]
 
     def note_survived(self, exchange: exchanges.Exchange, now: float) -> None:
         """Note that an engine has run a call, and tell the others."""
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -351,9 +351,9 @@
             return self.go_on_without(exchange, sent, head, now)
         if head.status < 500 or not exchange.ruling.route.is_repeatable:
             self.components.send_manager.release_send(exchange, sent)
-            return [
-                relay_actions.PassAnswer(exchange.number, head, event.body)
-            ]
+            return self.components.answers.pass_on(
+                exchange, sent, head, event.body, now
+            )
         exchange.failed = (head, event.body)
         return self.go_on_without(exchange, sent, head, now)
 
--- a/tests/common/sampled_engines.py
+++ b/tests/common/sampled_engines.py
@@ -13,7 +13,6 @@
 from greengagelb.coordination import events
 from greengagelb.state import identity
 
-
 FAILED = 'failed'
 
 
--- a/tests/relay/test_promises.py
+++ b/tests/relay/test_promises.py
@@ -1,6 +1,7 @@
 """Guarantees to callers, tested over random histories of the relay."""
 
 import collections
+import dataclasses
 
 from hypothesis import settings
 from hypothesis import stateful
@@ -14,6 +15,18 @@
 from tests.common import relay_world
 
 PROMISE_NOT_RUN = {408, 421, 429, 503}
+ONCE_ROUTE = dataclasses.replace(
+    relay_world.STREAM_ROUTE,
+    name='letters',
+    prefix='/letters/',
+    resumable=False,
+)
+ROUTES = (
+    relay_world.STREAM_ROUTE,
+    relay_world.CALL_ROUTE,
+    relay_world.QUERY_ROUTE,
+    ONCE_ROUTE,
+)
 FATES = list(relay_events.EngineFate)
 FINAL = (
     relay_actions.PassAnswer,
@@ -37,9 +50,12 @@
 
     def __init__(self):
         super().__init__()
-        self.world = relay_world.RelayWorld()
+        self.world = relay_world.RelayWorld(
+            table=relay_world.route_table(found=ROUTES)
+        )
         self.open = {}
-        self.calls = set()
+        self.run_once = set()
+        self.begun = set()
         self.may_have_run = collections.Counter()
         self.given = collections.defaultdict(int)
         self.finals = collections.Counter()
@@ -67,6 +83,12 @@
                     for event in events:
                         assert event.number == self.given[exchange] + 1
                         self.given[exchange] = event.number
+                case relay_actions.BeginStream(exchange=exchange):
+                    self.begun.add(exchange)
+                case relay_actions.PassAnswer(exchange=exchange, head=head):
+                    assert exchange not in self.begun
+                    if exchange in self.run_once:
+                        assert head.status not in PROMISE_NOT_RUN
                 case relay_actions.Refuse(exchange=exchange, status=status):
                     if status in PROMISE_NOT_RUN:
                         assert not self.may_have_run[exchange]
@@ -89,9 +111,14 @@
         self.world.ask(resumes_after=resumes_after)
         self.take_actions()
 
+    @stateful.rule()
+    def ask_for_a_stream_that_may_not_run_again(self):
+        self.run_once.add(self.world.ask(b'/letters/1'))
+        self.take_actions()
+
     @stateful.rule()
     def call(self):
-        self.calls.add(self.world.call())
+        self.run_once.add(self.world.call())
         self.take_actions()
 
     @stateful.rule()
@@ -145,11 +172,16 @@
         self.take_actions()
 
     @stateful.precondition(under_way)
-    @stateful.rule(data=st.data(), sealed=st.booleans())
-    def engine_fails(self, data, sealed):
+    @stateful.rule(
+        data=st.data(),
+        sealed=st.booleans(),
+        status=st.sampled_from([404, 429, 500, 503, 504]),
+    )
+    def engine_fails(self, data, sealed, status):
+        """Have an engine answer a run with a failure of its own."""
         send = self.pick(data)
         del self.open[send.exchange, send.send]
-        self.world.answer(send, b'', status=500, sealed=sealed)
+        self.world.answer(send, b'', status=status, sealed=sealed)
         self.take_actions()
 
     @stateful.precondition(under_way)
@@ -226,8 +258,8 @@
         self.take_actions()
 
     @stateful.invariant()
-    def call_runs_at_most_once(self):
-        for exchange in self.calls:
+    def request_that_may_not_repeat_runs_at_most_once(self):
+        for exchange in self.run_once:
             assert self.may_have_run[exchange] <= 1
 
     @stateful.precondition(lambda self: self.unchecked)
--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state.relay import hints
@@ -341,3 +343,20 @@
         world.answer(send, b'no', status=404)
     assert not world.answered(exchange)
     assert world.of_kind(relay_actions.AbortStream, exchange)
+
+
+@pytest.mark.parametrize('status', [408, 429, 503])
+@pytest.mark.parametrize('kind', ['call', 'stream'])
+def test_failure_of_an_engine_does_not_promise_that_nothing_ran(kind, status):
+    """Guards against a second run, by a caller who relies on the status.
+
+    Only an engine that says so has not run the request.
+    """
+    once = (NOT_RESUMABLE, relay_world.CALL_ROUTE)
+    world = relay_world.RelayWorld(table=relay_world.route_table(found=once))
+    exchange = relay_world.ASK[kind](world)
+    world.answer(world.last_send(exchange), b'busy', status=status)
+    assert len(world.sends(exchange)) == 1
+    assert not world.answered(exchange)
+    [refusal] = world.refusals(exchange)
+    assert (refusal.status, refusal.code) == (502, 'outcome-unknown')
