An unsigned success is not passed on as the answer to a stream

Callers could get a 200 that no engine had signed: a plain answer, not a stream of events, to a streaming request. Calls and streams of events are checked for the signature, plain answers to streams were not. It is handled as a lost send now, like the others: a stream that may be resumed goes on elsewhere, one that may not ends as outcome-unknown.

Evidence: test_unsigned_success_of_a_stream_is_not_passed_on failed before for both kinds of routes.

--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -347,6 +347,10 @@
         if head.not_run:
             return self.go_on_without(exchange, sent, head, now)
         exchange.may_have_run = True
+        if head.is_success and not head.sealed:
+            return self.handle_lost_send(
+                exchange, sent, 'unsigned answer', now
+            )
         if exchange.begun or len(exchange.sends) > 1:
             return self.go_on_without(exchange, sent, head, now)
         if head.status < 500 or not exchange.ruling.route.is_repeatable:
--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -360,3 +360,16 @@
     assert not world.answered(exchange)
     [refusal] = world.refusals(exchange)
     assert (refusal.status, refusal.code) == (502, 'outcome-unknown')
+
+
+@pytest.mark.parametrize('route', [relay_world.STREAM_ROUTE, NOT_RESUMABLE])
+def test_unsigned_success_of_a_stream_is_not_passed_on(route):
+    """Guards against an answer that no engine has signed."""
+    world = relay_world.RelayWorld(
+        table=relay_world.route_table(found=(route,))
+    )
+    exchange = [world.ask() for _ in range(10)][-1]
+    send = world.last_send(exchange)
+    world.answer(send, b'not events', sealed=False)
+    assert not world.answered(exchange)
+    assert len(world.sends(exchange)) == 1 + route.resumable
