Soak: streams that run once, and engines that fail after a run

From seed 5000 on both come, in the runs with pauses: engines answer a share of what they have run with 500 or 504, what runs once also with 429 or 503, resumed streams also with 400. Streams that may not be resumed are judged like calls: one run, nothing that ran is called not run. Plans of earlier seeds are unchanged.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -22,7 +22,7 @@
 # of their usual time.
 CROWD_PAUSE_SHARE = 0.3
 MOST_EVENTS = 80
-LIMIT_SECONDS = {'stream': 10.0, 'call': 1.0, 'query': 1.0}
+LIMIT_SECONDS = {'stream': 10.0, 'call': 1.0, 'query': 1.0, 'letter': 10.0}
 
 
 class Kind(enum.Enum):
@@ -31,6 +31,12 @@
     STREAM = 'stream'
     CALL = 'call'
     QUERY = 'query'
+    LETTER = 'letter'
+
+
+# Letters are streams that may not be resumed.
+STREAMING = frozenset({Kind.STREAM, Kind.LETTER})
+RUN_ONCE = frozenset({Kind.CALL, Kind.LETTER})
 
 
 @dataclasses.dataclass(slots=True)
@@ -122,6 +128,7 @@
         self.fresh_agent = client.Agent(reactor, connectTimeout=1)
         self.crowded: object | None = None
         self.most_events = MOST_EVENTS
+        self.kinds = [Kind.STREAM, Kind.CALL, Kind.QUERY]
 
     @defer.inlineCallbacks
     def caller(self, instances: list, until: float) -> object:
@@ -132,7 +139,7 @@
                 pause *= CROWD_PAUSE_SHARE
             yield task.deferLater(self.reactor, pause, lambda: None)
             ready = [i for i in instances if i.ready] or instances
-            kind, chosen = self.rng.choice(list(Kind)), self.rng.choice(ready)
+            kind, chosen = self.rng.choice(self.kinds), self.rng.choice(ready)
             if self.crowded is not None and self.crowded.ready:
                 chosen = self.crowded
             found = yield self.ask(kind, chosen)
@@ -217,7 +224,7 @@
             'Request-Deadline': str(int(limit * 1000)),
             'Authorization': f'Bearer {self.key}',
         }
-        if outcome.kind is Kind.STREAM:
+        if outcome.kind in STREAMING:
             fields['Token-Counts'] = '2000,300'
             part = outcome.body.partition(b',')[0].decode()
             shared = ''.join(f'{part}:100,' for part in outcome.parts)
--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -14,6 +14,7 @@
     callers.Kind.STREAM: 10.0,
     callers.Kind.CALL: 0.9,
     callers.Kind.QUERY: 0.9,
+    callers.Kind.LETTER: 10.0,
 }
 # An answer that ends within so many seconds of its limit has reached it.
 LIMIT_MARGIN = 0.1
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -29,6 +29,13 @@
 CRASH_SECONDS = 0.05
 DOWN_SECONDS = 1.5
 SLOTS = 16
+# Of the requests to a failing engine so many fail after they have run.
+FAILURE_SHARE = 0.4
+FAILURE_STATUSES = (500, 504)
+# Without word that nothing ran, these promise nothing.
+STATUSES_OF_THOSE_RUN_ONCE = (500, 504, 429, 503)
+STATUSES_OF_RESUMED_STREAMS = (500, 504, 400)
+RUN_ONCE_ROUTES = ('call', 'letter')
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,6 +134,7 @@
         self.paused_until = 0.0
         self.frozen_until = 0.0
         self.full_until = 0.0
+        self.failing_until = 0.0
         self.heartbeats = itertools.count(1)
         site = server.Site(self)
         inner = pool.reactor.listenTCP(0, site, interface=host)
@@ -157,6 +165,7 @@
         self.paused_until = 0.0
         self.frozen_until = 0.0
         self.full_until = 0.0
+        self.failing_until = 0.0
         kept = self.pool.copies
         kept -= {copy for copy in kept if copy[0] == self.address}
 
@@ -308,7 +317,11 @@
             # Without length or chunks, and at the end of the connection.
             request.clientproto = b'HTTP/1.0'
             request.channel.persistent = False
-        if self.service == STREAMS:
+        if self.fails_now():
+            self.later(
+                READING_SECONDS, run, self.answer_failure, request, head, run
+            )
+        elif self.service == STREAMS:
             self.generate(request, head, run)
         else:
             seconds = self.rng.uniform(*CALL_SECONDS)
@@ -361,6 +374,26 @@
 
         task.deferLater(self.pool.reactor, seconds, go_on)
 
+    def fails_now(self) -> bool:
+        """Return whether the next run is to fail."""
+        if self.failing_until <= self.pool.reactor.seconds():
+            return False
+        return self.rng.random() < FAILURE_SHARE
+
+    def answer_failure(
+        self, request: server.Request, head: 'Head', run: Run
+    ) -> None:
+        """Answer a run with a failure, which doesn't say that it was none."""
+        run.answered = True
+        statuses = FAILURE_STATUSES
+        if head.route in RUN_ONCE_ROUTES:
+            statuses = STATUSES_OF_THOSE_RUN_ONCE
+        elif head.after:
+            statuses = STATUSES_OF_RESUMED_STREAMS
+        request.setResponseCode(self.rng.choice(statuses))
+        request.write(b'{"error": "internal"}')
+        request.finish()
+
     def answer_call(
         self, request: server.Request, head: 'Head', run: Run
     ) -> None:
@@ -414,6 +447,7 @@
         def field(name: str) -> str:
             return request.getHeader(name) or ''
 
+        self.route = request.path.decode().split('/')[1]
         self.request_id = field('Request-Id')
         self.expected = field('Expect-Instance')
         self.copy_to = field('Kv-Backup')
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -27,6 +27,9 @@
 FIRST_SEED_WITH_CROWDS = 3_100
 # The same before engines could pause or be full for some seconds.
 FIRST_SEED_WITH_PAUSES = 4_000
+# The same before streams could be such that run once, and engines could fail
+# after a run.
+FIRST_SEED_WITH_FAILED_RUNS = 5_000
 PAUSE_SECONDS = (0.5, 4.0)
 CROWD_SECONDS = 8.0
 # For so long requests with such a part come.
@@ -69,6 +72,7 @@
     PAUSED_ENGINES = 'paused-engines'
     FROZEN_ENGINES = 'frozen-engines'
     FULL_ENGINES = 'full-engines'
+    FAILING_ENGINES = 'failing-engines'
 
 
 # Those that harm an instance, or what it knows.
@@ -122,7 +126,7 @@
 # Engines write nothing for some time, lose nothing and go on by themselves.
 # Frozen ones answer no status checks either.
 PAUSES = frozenset({What.PAUSED_ENGINES, What.FROZEN_ENGINES})
-OF_MANY_ENGINES = PAUSES | {What.FULL_ENGINES}
+OF_MANY_ENGINES = PAUSES | {What.FULL_ENGINES, What.FAILING_ENGINES}
 PLANNED_WORK = (
     What.STOP_INSTANCE,
     What.RELOAD_INSTANCE,
@@ -182,13 +186,14 @@
 def plan_with_pauses(seed: int) -> list[Fault]:
     """Return pauses alone, pauses with planned work, or all kinds."""
     pauses = plan_pauses(seed)
+    failures = plan_failures(seed)
     match seed % 3:
         case 0:
-            return pauses
+            return [*pauses, *failures]
         case 1:
-            return [*pauses, *plan_work(seed, pauses)]
+            return [*pauses, *failures, *plan_work(seed, pauses)]
         case _:
-            return [*plan_of_all_kinds(seed), *pauses]
+            return [*plan_of_all_kinds(seed), *pauses, *failures]
 
 
 def plan_of_all_kinds(seed: int) -> list[Fault]:
@@ -248,6 +253,17 @@
     return sorted(found, key=lambda fault: fault.at)
 
 
+def plan_failures(seed: int) -> list[Fault]:
+    """Return when engines fail some of their requests after running them."""
+    if seed < FIRST_SEED_WITH_FAILED_RUNS:
+        return []
+    rng = random.Random(f'failures of {seed}')
+    found = []
+    for _ in range(rng.randint(2, 4)):
+        found += series(rng, What.FAILING_ENGINES)
+    return sorted(found, key=lambda fault: fault.at)
+
+
 def plan_work(seed: int, pauses: list[Fault]) -> list[Fault]:
     """Return when instances are stopped, reloaded and configured.
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -110,7 +110,7 @@
                 continue
             if not found.sealed:
                 yield Broken('signed answers', found.request_id)
-            if found.kind is callers.Kind.STREAM:
+            if found.kind in callers.STREAMING:
                 right = content.stream(found.body, found.after + 1)
             else:
                 right = content.call(found.request_id, found.body)
@@ -121,11 +121,12 @@
                 yield Broken('whole answers in order', detail)
 
     def repeated(self) -> Iterator[Broken]:
-        """Find calls that ran twice."""
+        """Find calls and streams that may run once and ran twice."""
         for found in self.outcomes:
             runs = self.runs[found.request_id]
-            if found.kind is callers.Kind.CALL and len(runs) > 1:
-                yield Broken('at most once', found.request_id)
+            if found.kind in callers.RUN_ONCE and len(runs) > 1:
+                detail = f'{found.kind.value} {found.request_id}'
+                yield Broken('at most once', detail)
 
     def false_refusals(self) -> Iterator[Broken]:
         """Find requests that ran although their callers were told not."""
@@ -196,7 +197,7 @@
             requests = sorted(
                 found.began_at
                 for found in self.outcomes
-                if (found.kind is callers.Kind.STREAM)
+                if (found.kind in callers.STREAMING)
                 == (service == engines.STREAMS)
             )
             worst = budget.worst_window(
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -92,6 +92,8 @@
     assert faults.plan_crashing_parts(3000)
     assert faults.plan_all(4000) == faults.plan_all(4000)
     assert faults.plan_pauses(4000)
+    assert faults.plan_all(5000) == faults.plan_all(5000)
+    assert faults.plan_failures(5000)
 
 
 def test_kept_seeds_plan_what_they_planned_when_they_failed():
@@ -104,3 +106,4 @@
     assert faults.plan_lost_links(1053) == []
     assert faults.plan_crashing_parts(2225) == []
     assert faults.plan_pauses(3169) == []
+    assert faults.plan_failures(4046) == []
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -82,6 +82,7 @@
         self.moments: list[Moment] = []
         self.probes_from = float('inf')
         self.has_pauses = seed >= faults.FIRST_SEED_WITH_PAUSES
+        self.has_letters = seed >= faults.FIRST_SEED_WITH_FAILED_RUNS
         self.retry_slack = RETRY_SLACK
         if self.has_pauses:
             self.retry_slack = RETRY_SLACK_WITH_PAUSES
@@ -121,6 +122,8 @@
         self.callers = callers.Callers(reactor, self.rng, f's{seed}')
         if self.has_pauses:
             self.callers.most_events = MOST_EVENTS_WITH_PAUSES
+        if self.has_letters:
+            self.callers.kinds.append(callers.Kind.LETTER)
         self.loops = [
             task.LoopingCall(self.renew_entries),
             task.LoopingCall(self.look_at_instances),
@@ -153,6 +156,9 @@
             route('call', engines.CALLS, 'unsafe', 900, 1),
             route('query', engines.CALLS, 'safe', 900, 2),
         ]
+        if self.has_letters:
+            letters = route('letter', engines.STREAMS, 'streaming', 10_000, 5)
+            routes.append({**letters, 'resumable': False})
         model = {
             'slots': engines.SLOTS,
             'kv_capacity': 88_000,
@@ -420,7 +426,7 @@
                 self.overload(fault, engine)
 
     def hold_engines(self, fault: faults.Fault) -> None:
-        """Have one engine, every other one or all of them pause or be full."""
+        """Have one engine, every other one or all pause, fail or be full."""
         pool = self.engines.engines
         number = fault.target // 3
         match fault.target % 3:
@@ -435,6 +441,8 @@
         for engine in held:
             if fault.what is faults.What.FULL_ENGINES:
                 engine.full_until = until
+            elif fault.what is faults.What.FAILING_ENGINES:
+                engine.failing_until = until
             else:
                 frozen = fault.what is faults.What.FROZEN_ENGINES
                 engine.pause(until, frozen=frozen)
