Silent runs: one that its engine holds is not ended for another

Streams were cut although their engine was in reach, had only preempted the run and would have gone on: the run was ended for one elsewhere that was still reading the prompt, and when that one failed nothing was left.

A run in reach that writes nothing looked like one whose connection is dead, so it was left for another one. The report with which engines answer probes tells the two apart: it lists the runs with the events that they have made. A run that is listed with no event beyond those that have arrived is held by its engine: it is kept, as a run whose engines are all silent is. One that isn't listed, or has made events that did not arrive, goes on elsewhere as before.

Evidence: test_run_that_its_engine_holds_is_not_ended and test_held_run_is_preferred_to_one_that_reads_the_prompt failed before.

--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -111,11 +111,13 @@
     """Probe an engine with an overdue event, on a separate connection.
 
     Results in exactly one ``EngineProbed`` within the time of a probe.
+    ``request_id`` names the run that the engine is asked about.
     """
 
     exchange: int
     send: int
     engine: engines.EngineEntry
+    request_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -182,13 +182,16 @@
 class EngineProbed:
     """An engine answered a probe, or did not answer in time.
 
-    ``started_at_ms`` is the start time that the answering engine reported.
+    ``started_at_ms`` is the start time that the answering engine reported,
+    ``run_events`` how many events it has made for the run, or None if it did
+    not list the run.
     """
 
     exchange: int
     send: int
     alive: bool
     started_at_ms: int = engines.UNKNOWN_START
+    run_events: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -153,7 +153,9 @@
         probed_since = max(sent.moved_at, now - PROBE_VALID_SECONDS)
         if is_reading or sent.asked_at <= probed_since:
             return self.probe_run(exchange, sent, PROBED_MARGIN_SECONDS, now)
-        if sent.is_unreachable or self.is_silent_alone(exchange, sent, now):
+        if sent.is_unreachable:
+            return self.start_another_run(exchange, sent, now)
+        if not sent.is_held and self.is_silent_alone(exchange, sent, now):
             return self.start_another_run(exchange, sent, now)
         return self.keep_run(sent, now)
 
@@ -221,7 +223,12 @@
         sent.asked_at = now
         sent.next_check_at = now + seconds
         return [
-            relay_actions.ProbeEngine(exchange.number, sent.number, sent.entry)
+            relay_actions.ProbeEngine(
+                exchange.number,
+                sent.number,
+                sent.entry,
+                exchange.request.request_id,
+            )
         ]
 
     def handle_probe(
@@ -238,6 +245,10 @@
         """
         if sent.events_seen and sent.moved_at > sent.asked_at:
             return []
+        sent.is_held = (
+            event.run_events is not None
+            and event.run_events <= sent.events_seen
+        )
         if event.alive:
             resulting = self.note_reached(exchange, sent, now)
         else:
@@ -293,18 +304,20 @@
         """End one of two silent runs of a stream, as both are in reach.
 
         A replacement from a copy would have written by now, if its engine
-        could. One that reads the prompt needs more time, and the first engine
-        was silent while it was in reach; but nothing could replace the last
-        attempt.
+        could. One that reads the prompt needs more time; the first run is
+        ended for it unless its engine still holds it, or the other one was
+        the last attempt.
         """
         exchange.overlap_until = float('inf')
         replacement = replacement_of(exchange)
         if replacement is None:
             return []
         former = next(iter(exchange.sends.values()))
-        resumes_late = replacement.from_copy and not former.is_unreachable
+        is_former_kept = (
+            replacement.from_copy or former.is_held
+        ) and not former.is_unreachable
         is_last = not self.components.send_manager.has_attempts_left(exchange)
-        if not (replacement.is_unreachable or resumes_late or is_last):
+        if not (replacement.is_unreachable or is_former_kept or is_last):
             return self.end_run(exchange, former, now)
         former.is_unreachable = False
         self.keep_run(former, now)
@@ -403,6 +416,7 @@
             winner.is_suspected = False
             self.components.engines.note_success(winner.entry.engine, now)
         winner.is_unreachable = False
+        winner.is_held = False
         winner.times_kept = 0
         exchange.overlap_until = float('inf')
         resulting = [
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -97,6 +97,12 @@
     state: str = ''
 
 
+class ReportedRuns(msgspec.Struct):
+    """The runs in an engine's report: id, tokens, events and priority."""
+
+    runs: list[tuple[str, int, int, int]]
+
+
 class PlatformDialect:
     """Converts requests and answers between the platform and the product."""
 
@@ -224,6 +230,19 @@
         """Return whether a probed engine reports that it leaves."""
         return parse_report(status, body).state == rows.DRAINING
 
+    def read_run_events(
+        self, status: int, body: bytes, request_id: str
+    ) -> int | None:
+        """Return how many events a probed engine reports for a run."""
+        if status != 200:
+            return None
+        try:
+            report = msgspec.json.decode(body, type=ReportedRuns)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return None
+        events_by_id = {run[0]: run[2] for run in report.runs}
+        return events_by_id.get(request_id)
+
     def read_has_model_memory(self, status: int, body: bytes) -> bool:
         """Return whether a probed engine is a model engine, not draining."""
         report = parse_report(status, body)
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -24,6 +24,8 @@
     event, and ``is_unreachable`` if its engine did not answer a probe since;
     it is checked again from ``next_check_at``, after ``times_kept`` checks
     that have left it open. ``copy_used`` is true if its copy was used up.
+    ``is_held`` is true if its engine then reported the run, and no event that
+    has not arrived.
     ``alone_with`` is the size of its prompt in tokens if the engine was idle
     and has to read the prompt, else 0.
     """
@@ -46,6 +48,7 @@
     alone_with: int = 0
     is_suspected: bool = False
     is_unreachable: bool = False
+    is_held: bool = False
     next_check_at: float = float('-inf')
     times_kept: int = 0
     copy_used: bool = False
--- a/src/greengagelb/transport/relay/dialect.py
+++ b/src/greengagelb/transport/relay/dialect.py
@@ -56,6 +56,14 @@
     def read_is_leaving(self, status: int, body: bytes) -> bool:
         """Return whether an answer to a probe says that the engine leaves."""
 
+    def read_run_events(
+        self, status: int, body: bytes, request_id: str
+    ) -> int | None:
+        """Return how many events a probed engine reports for a run.
+
+        None if its answer does not list the run.
+        """
+
     def read_has_model_memory(self, status: int, body: bytes) -> bool:
         """Return whether a probed engine has a model and is not draining."""
 
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -233,12 +233,23 @@
                     probe.send,
                     answer.response is not None,
                     self.read_probed_start_ms(probe.engine, answer),
+                    self.read_run_events(probe, answer),
                 )
             )
 
         request = self.dialect.write_probe(probe.engine)
         self.query_engine(probe.engine, request, PROBE_SECONDS, done)
 
+    def read_run_events(
+        self, probe: relay_actions.ProbeEngine, answer: timed_requests.Answer
+    ) -> int | None:
+        """Return how many events an engine reports for the probed run."""
+        if answer.response is None:
+            return None
+        return self.dialect.read_run_events(
+            answer.response.status_code, answer.body, probe.request_id
+        )
+
     def read_probed_start_ms(
         self, entry: engines.EngineEntry, answer: timed_requests.Answer
     ) -> int:
--- a/tests/common/relay_wires.py
+++ b/tests/common/relay_wires.py
@@ -101,6 +101,9 @@
     def read_started_at_ms(self, status, body):
         return engines.UNKNOWN_START
 
+    def read_run_events(self, status, body, request_id):
+        return None
+
     def read_is_leaving(self, status, body):
         return body == b'leaving'
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -310,3 +310,20 @@
 def test_report_tells_whether_its_engine_leaves(status, body, leaving):
     """Guards against a report whose state nobody acts on."""
     assert wire.PlatformDialect().read_is_leaving(status, body) is leaving
+
+
+@pytest.mark.parametrize(
+    ('status', 'body', 'events'),
+    [
+        (200, b'{"runs": [["a", 9, 3, 5], ["r1", 8000, 12, 5]]}', 12),
+        (200, b'{"runs": [["a", 9, 3, 5]]}', None),
+        (200, b'{"runs": [["r1", 8000, "many", 5]]}', None),
+        (200, b'{"born": 1}', None),
+        (200, b'{', None),
+        (503, b'{"runs": [["r1", 8000, 12, 5]]}', None),
+    ],
+)
+def test_report_tells_how_far_a_run_has_come(status, body, events):
+    """Guards against runs that are ended although their engine holds them."""
+    dialect = wire.PlatformDialect()
+    assert dialect.read_run_events(status, body, 'r1') == events
--- a/tests/relay/test_silent_runs.py
+++ b/tests/relay/test_silent_runs.py
@@ -21,10 +21,13 @@
 class SilentEngines:
     """A relay whose engines write nothing while their runs go on."""
 
-    def __init__(self, route=relay_world.STREAM_ROUTE, *, alive=False):
+    def __init__(
+        self, route=relay_world.STREAM_ROUTE, *, alive=False, run_events=None
+    ):
         table = relay_world.route_table(found=(route,))
         self.world = relay_world.RelayWorld(table=table)
         self.alive = alive
+        self.run_events = run_events
         self.answered_probes = 0
 
     def start_stream(self, events=LAST_EVENT):
@@ -48,7 +51,10 @@
             self.answered_probes += 1
             self.world.handle(
                 relay_events.EngineProbed(
-                    probe.exchange, probe.send, self.alive
+                    probe.exchange,
+                    probe.send,
+                    self.alive,
+                    run_events=self.run_events,
                 )
             )
 
@@ -230,3 +236,59 @@
     assert numbers == list(range(1, len(numbers) + 1))
     cut = silent.world.of_kind(relay_actions.AbortStream, exchange)
     assert not cut or not silent.open_runs(exchange)
+
+
+def hear_others(silent, seconds):
+    """Let time pass while other engines of the service are heard."""
+    until = silent.world.now + seconds
+    while silent.world.now < until:
+        silent.world.relay.engines.note_heard('model-west-1', silent.world.now)
+        silent.wait(STEP_SECONDS)
+
+
+def test_run_that_its_engine_holds_is_not_ended():
+    """Guards against a cut stream whose engine has preempted its run.
+
+    The engine reports the run and no event beyond those that have arrived.
+    The runs started elsewhere break off.
+    """
+    silent = SilentEngines(alive=True, run_events=LAST_EVENT)
+    exchange, send = silent.start_stream()
+    silent.world.relay.exchanges[exchange].sends[send.send].copy_to = None
+    for _ in range(16):
+        hear_others(silent, 0.5)
+        assert send in silent.open_runs(exchange)
+        for other in silent.open_runs(exchange):
+            if other is not send:
+                silent.world.lose(other)
+    silent.finish(exchange, send)
+    silent.assert_whole(exchange)
+
+
+@pytest.mark.parametrize('run_events', [None, LAST_EVENT + 1])
+def test_run_whose_connection_is_dead_goes_on_elsewhere(run_events):
+    """Guards against waiting for events that have been lost.
+
+    The engine is in reach and has written them, or does not list the run.
+    """
+    silent = SilentEngines(alive=True, run_events=run_events)
+    exchange, send = silent.start_stream()
+    silent.world.relay.exchanges[exchange].sends[send.send].copy_to = None
+    hear_others(silent, 3.0)
+    [going_on] = silent.open_runs(exchange)
+    assert going_on != send
+
+
+def test_held_run_is_preferred_to_one_that_reads_the_prompt():
+    """Guards against ending a run that its engine still holds.
+
+    The probe that shows it comes after the other run was started.
+    """
+    silent = SilentEngines(alive=True)
+    exchange, send = silent.start_stream()
+    silent.world.relay.exchanges[exchange].sends[send.send].copy_to = None
+    while len(silent.open_runs(exchange)) < 2:
+        hear_others(silent, STEP_SECONDS)
+    silent.run_events = LAST_EVENT
+    hear_others(silent, 0.4)
+    assert silent.open_runs(exchange) == [send]
