Failed connections of replacements no longer count once a stream goes on

A stream was cut (engines-unreachable) although an engine was free: while its run was silent, the connections of its replacements had failed twelve times; it went on, and when its engine failed later, no other one was tried. The bound keeps a request from trying an unreachable pool forever, so an event starts it anew.

--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -418,6 +418,7 @@
         winner.is_unreachable = False
         winner.is_held = False
         winner.times_kept = 0
+        exchange.unconnected = 0
         exchange.overlap_until = float('inf')
         resulting = [
             action
