A retry that reached no engine is given back

Streams were cut although an engine was free, after connections of replacements had failed while their run was silent: each of them had spent a retry for good. The budget counts what arrives at engines, and nothing of these sends had left the instance.

It passes with this change: test_other_engine_is_tried_although_replacements_had_no_connection. test_retry_that_reached_no_engine_is_given_back is new.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -210,7 +210,7 @@
             return asked + self.handle_lost_send(
                 exchange, sent, event.detail, now
             )
-        self.components.send_manager.note_unconnected(exchange)
+        self.components.send_manager.note_unconnected(exchange, sent)
         resulting: list[Action] = [
             sending.record(exchange, sent, 'send-unconnected', event.detail)
         ]
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -263,11 +263,16 @@
             )
         )
 
-    def note_unconnected(self, exchange: exchanges.Exchange) -> None:
+    def note_unconnected(
+        self, exchange: exchanges.Exchange, sent: exchanges.InFlightSend
+    ) -> None:
         """Record that no byte of a send has left.
 
-        It counts neither as an attempt nor as an arrival.
+        It counts neither as an attempt nor as an arrival, nor as a retry.
         """
+        if exchange.arrivals > 1:
+            service = exchange.ruling.service.name
+            self.budget.give_back(service, sent.began_at)
         exchange.attempts -= 1
         exchange.arrivals -= 1
         exchange.unconnected += 1
--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -195,6 +195,12 @@
             window.retries.append(now)
         return allowed
 
+    def give_back(self, service: str, spent_at: float) -> None:
+        """Take back a retry of a monotonic time that reached no engine."""
+        retry_times = self.services[service].retries
+        if spent_at in retry_times:
+            retry_times.remove(spent_at)
+
 
 def drop_times_before(
     times: collections.deque[float], earliest: float
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -400,7 +400,7 @@
         if event.handed_over:
             exchange.may_have_run = True
         else:
-            self.components.send_manager.note_unconnected(exchange)
+            self.components.send_manager.note_unconnected(exchange, sent)
         if sent.head is not None:
             resulting = self.components.crash_watch.suspect_engine(
                 exchange, sent, sent.answered_at, now
--- a/tests/relay/test_retry_budget.py
+++ b/tests/relay/test_retry_budget.py
@@ -217,3 +217,17 @@
         if record.kind == 'broken-off'
     ]
     assert reasons == ['retry-budget-spent, after event 1']
+
+
+def test_retry_that_reached_no_engine_is_given_back():
+    """Guards against a budget that failed connections use up."""
+    budget = shared_retry_budget.SharedRetryBudget(relay_world.RETRIES)
+    budget.set_fleet_size(100)
+    spent_at = 0.0
+    while budget.try_spend('drafts', spent_at):
+        spent_at += 0.1
+    budget.give_back('drafts', 0.0)
+    assert budget.try_spend('drafts', spent_at)
+    assert not budget.try_spend('drafts', spent_at)
+    budget.give_back('drafts', 0.0)
+    assert not budget.try_spend('drafts', spent_at)
