--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -30,7 +30,7 @@
 DOWN_SECONDS = 1.5
 SLOTS = 16
 # Of the requests to a failing engine so many fail after they have run.
-FAILURE_SHARE = 0.4
+FAILURE_SHARE = 0.6
 FAILURE_STATUSES = (500, 504)
 # Without word that nothing ran, these promise nothing.
 STATUSES_OF_THOSE_RUN_ONCE = (500, 504, 429, 503)
@@ -48,6 +48,7 @@
     ended_at: float | None = None
     answered: bool = False
     broken_off: bool = False
+    events: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -284,7 +285,7 @@
             return self.not_run(request, 421)
         if request.path in (b'/health', b'/api/report'):
             request.setHeader('Instance-Id', self.identity)
-            return json.dumps({'born': self.born}).encode()
+            return self.report()
         if not head.request_id:
             return self.not_run(request, 400)
         if self.limit is not None:
@@ -328,6 +329,11 @@
             self.later(seconds, run, self.answer_call, request, head, run)
         return server.NOT_DONE_YET
 
+    def report(self) -> bytes:
+        """Report the start of this life, and what runs."""
+        runs = [[run.request_id, 0, run.events, 5] for run in self.running]
+        return json.dumps({'born': self.born, 'runs': runs}).encode()
+
     def not_run(self, request: server.Request, status: int) -> bytes:
         """Refuse a request, and say that it has not run."""
         request.setResponseCode(status)
@@ -428,6 +434,7 @@
             request.finish()
             return
         self.say_if_leaving(request, head)
+        run.events += 1
         request.write(content.event(head.body, number))
         self.later(
             EVENT_SECONDS,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -31,6 +31,8 @@
 # after a run.
 FIRST_SEED_WITH_FAILED_RUNS = 5_000
 PAUSE_SECONDS = (0.5, 4.0)
+# For how long at least engines fail a part of their requests.
+FAILING_SECONDS = 3.0
 CROWD_SECONDS = 8.0
 # For so long requests with such a part come.
 CRASHING_PART_SECONDS = 12.0
@@ -261,6 +263,10 @@
     found = []
     for _ in range(rng.randint(2, 4)):
         found += series(rng, What.FAILING_ENGINES)
+    found = [
+        dataclasses.replace(fault, seconds=fault.seconds + FAILING_SECONDS)
+        for fault in found
+    ]
     return sorted(found, key=lambda fault: fault.at)
 
 
