Silent runs: one that is held is kept when its engine is back in reach

The first engine still held the run and would have gone on.

The report that a probe brings says so.

--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -313,9 +313,8 @@
         if replacement is None:
             return []
         former = next(iter(exchange.sends.values()))
-        is_former_kept = (
-            replacement.from_copy or former.is_held
-        ) and not former.is_unreachable
+        resumes_late = replacement.from_copy and not former.is_unreachable
+        is_former_kept = former.is_held or resumes_late
         is_last = not self.components.send_manager.has_attempts_left(exchange)
         if not (replacement.is_unreachable or is_former_kept or is_last):
             return self.end_run(exchange, former, now)
--- a/tests/relay/test_silent_runs.py
+++ b/tests/relay/test_silent_runs.py
@@ -292,3 +292,22 @@
     silent.run_events = LAST_EVENT
     hear_others(silent, 0.4)
     assert silent.open_runs(exchange) == [send]
+
+
+@pytest.mark.parametrize('has_copy', [False, True])
+def test_held_run_is_kept_once_its_engine_is_back_in_reach(has_copy):
+    """Guards against a cut stream whose engine was out of reach for a while.
+
+    It still holds the run; the engine of the other run has written nothing
+    and fails it.
+    """
+    silent = SilentEngines(run_events=LAST_EVENT)
+    exchange, send = silent.start_stream()
+    former = silent.world.relay.exchanges[exchange].sends[send.send]
+    if not has_copy:
+        former.copy_to = None
+    while len(silent.open_runs(exchange)) < 2 or not former.is_unreachable:
+        silent.wait(STEP_SECONDS)
+    silent.alive = True
+    silent.wait(1.0)
+    assert silent.open_runs(exchange) == [send]
