Own interface: an engine that fails its work is suspected

An engine that fails at once has the fewest requests and so draws most new ones.

The test runs services of both kinds against engines that fail after a run, refuse, pause and go silent, as processes, and counts the runs at the engines. With failures reported as refusals, as they were before, it fails ("ran twice").

--- a/src/greengagelb/coordination/streams/supervisor.py
+++ b/src/greengagelb/coordination/streams/supervisor.py
@@ -268,9 +268,7 @@
             return []
         stream, attempt = source.stream, source.attempt
         stream.may_have_run = True
-        stream.engine_deaths += 1
-        stream.excluded.add(attempt.upstream.name)
-        return self.stream_recovery.replace_attempt(
+        return self.stream_recovery.replace_dead_engine(
             stream, attempt, now, event.code
         )
 
--- a/src/greengagelb/standins/engine.py
+++ b/src/greengagelb/standins/engine.py
@@ -5,9 +5,11 @@
 ``sampled`` on, each attempt also draws its own nonce, as an engine that
 samples does: two attempts from the same position then differ.
 
-``POST /standin/faults`` takes a :class:`Faults`.
+``POST /standin/faults`` takes a :class:`Faults`. ``GET /standin/starts`` tells
+how often each prompt was run from its beginning.
 """
 
+import collections
 import dataclasses
 import hashlib
 import os
@@ -27,6 +29,7 @@
 from greengagelb.transport import http
 
 KEEP_ENDED = 512
+FAILED_STATUS = 500
 
 
 class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -38,6 +41,7 @@
     in the answers to ``generate`` and ``attach``. With ``states_leaving`` it
     serves, and says in each answer but not in its report that it leaves; with
     ``rest`` it turns ``generate`` and ``attach`` away and asks for that rest.
+    With ``fails`` it answers each attempt with a 500 once it has run it.
     """
 
     silent: bool = False
@@ -48,6 +52,7 @@
     limit: str = ''
     states_leaving: bool = False
     rest: str = ''
+    fails: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,6 +121,7 @@
         self.sampled = sampled
         self.faults = Faults()
         self.runs: dict[tuple[str, str, int, str], Run] = {}
+        self.starts: collections.Counter[str] = collections.Counter()
         self.steps = 0
         self.prompt_tokens = 0
         self.app = klein.Klein()
@@ -126,6 +132,7 @@
         self.app.route('/v1/target', **post)(self.target)
         self.app.route('/v1/report')(self.report)
         self.app.route('/standin/faults', **post)(self.set_faults)
+        self.app.route('/standin/starts')(self.count_starts)
 
     # -- requests -----------------------------------------------------------
 
@@ -143,6 +150,11 @@
         wanted = (order.model, order.version, order.adapter)
         if wanted != (self.model, self.version, self.adapter):
             return self.refuse(request, 'wrong-version', 409)
+        if not order.received:
+            self.starts[order.prompt] += 1
+        if self.faults.fails:
+            request.setResponseCode(FAILED_STATUS)
+            return b'failed'
         nonce = secrets.token_hex(4) if self.sampled else ''
         run = Run(order, list(order.received), nonce)
         key = (order.account, order.request, order.generation, order.attempt)
@@ -221,6 +233,10 @@
                     run.listener.silent = True
         return b'{}'
 
+    def count_starts(self, request: server.Request) -> bytes:
+        """Tell how often each prompt was run from its beginning."""
+        return http.json_answer(request, self.starts)
+
     def state_faults(self, request: server.Request) -> None:
         """State in an answer that this engine leaves, or wants rest."""
         answer_statements.set_statement_headers(
