An error of one requested call no longer loses those behind it

Handlers of signals ask the event loop for calls. They were all taken out of the queue before the first one ran, so that a stop was lost if a call before it raised an error. Each is taken out as it is run; the reactor logs the error as before.

Evidence: test_call_behind_a_failed_one_is_not_lost failed before (nothing was called).

--- a/src/greengagelb/transport/reactors.py
+++ b/src/greengagelb/transport/reactors.py
@@ -89,11 +89,11 @@
 def run_requested_calls(reactor: epollreactor.EPollReactor) -> None:
     """Run what handlers of signals have asked the event loop for.
 
-    Requests that are read next must know of a stop that came before them.
+    Requests that are read next must know of a stop that came before them. If
+    a call fails, the reactor logs its error, and the next turn runs the rest.
     """
-    requested = list(reactor.threadCallQueue)
-    del reactor.threadCallQueue[: len(requested)]
-    for function, arguments, named in requested:
+    for _ in range(len(reactor.threadCallQueue)):
+        function, arguments, named = reactor.threadCallQueue.pop(0)
         function(*arguments, **named)
 
 
--- a/tests/transport/test_reactors.py
+++ b/tests/transport/test_reactors.py
@@ -30,3 +30,17 @@
     reactor.callLater(10.0, print)
     with pytest.raises(RuntimeError):
         reactors.use_monotonic_clock(reactor)
+
+
+def test_call_behind_a_failed_one_is_not_lost():
+    """Guards against a stop that is lost as another call fails."""
+    reactor = epollreactor.EPollReactor()
+    called = []
+    reactor.threadCallQueue += [
+        (called.__getitem__, (0,), {}),
+        (called.append, ('stop',), {}),
+    ]
+    with pytest.raises(IndexError):
+        reactors.run_requested_calls(reactor)
+    reactors.run_requested_calls(reactor)
+    assert called == ['stop']
