Silent runs, late timers: the list of the last reading

No change of behaviour. The first of two runs and whether a run has a replacement are asked in functions of their own; keep_run returns nothing, as two of its callers dropped its empty list; replacement_of builds no list for a stream with one run, as is asked for each event. When a timer counts as late stands in one place.

--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -99,8 +99,7 @@
 
         A run with a replacement is checked whatever this process was doing.
         """
-        replacement = replacement_of(exchange)
-        if replacement is not None and sent is not replacement:
+        if is_replaced(exchange, sent):
             return sent.next_check_at
         if not sent.events_seen:
             return max(sent.first_due, sent.next_check_at)
@@ -144,8 +143,7 @@
         Without a copy, another engine has to read the prompt again, which
         takes longer than the silence, so the engine is probed first.
         """
-        replacement = replacement_of(exchange)
-        if replacement is not None and sent is not replacement:
+        if is_replaced(exchange, sent):
             return self.probe_run(exchange, sent, REPROBE_SECONDS, now)
         if self.usable_copy_engine(sent, now) is not None:
             return self.start_replacement(exchange, sent, now)
@@ -157,7 +155,8 @@
             return self.start_another_run(exchange, sent, now)
         if not sent.is_held and self.is_silent_alone(exchange, sent, now):
             return self.start_another_run(exchange, sent, now)
-        return self.keep_run(sent, now)
+        self.keep_run(sent, now)
+        return []
 
     def start_another_run(
         self,
@@ -177,12 +176,13 @@
         now: float,
     ) -> list[Action]:
         """Start another replacement, and end the former one for it."""
-        former = next(iter(exchange.sends.values()))
+        former = first_run_of(exchange)
         told = self.suspect_engine(exchange, sent, now)
         numbers = set(exchange.sends)
         resulting = self.start_run(exchange, former, now)
         if set(exchange.sends) == numbers:
-            return [*told, *resulting, *self.keep_run(sent, now)]
+            self.keep_run(sent, now)
+            return [*told, *resulting]
         return [*told, *self.end_run(exchange, sent, now), *resulting]
 
     def is_silent_alone(
@@ -201,14 +201,11 @@
             return True
         return not self.components.engines.has_other_sends(sent.entry)
 
-    def keep_run(
-        self, sent: exchanges.InFlightSend, now: float
-    ) -> list[Action]:
+    def keep_run(self, sent: exchanges.InFlightSend, now: float) -> None:
         """Leave a silent run open, and check it later."""
         seconds = FIRST_KEPT_SECONDS * 2.0**sent.times_kept
         sent.next_check_at = now + min(MAX_KEPT_SECONDS, seconds)
         sent.times_kept += 1
-        return []
 
     # -- probes -------------------------------------------------------------
 
@@ -268,8 +265,7 @@
         if sent.is_suspected and not sent.is_unreachable:
             told = self.blame_engine(sent, now, dead=True)
         sent.is_unreachable = True
-        replacement = replacement_of(exchange)
-        if replacement is not None and sent is not replacement:
+        if is_replaced(exchange, sent):
             exchange.overlap_until = float('inf')
             return told
         return [*told, *self.start_another_run(exchange, sent, now)]
@@ -312,7 +308,7 @@
         replacement = replacement_of(exchange)
         if replacement is None:
             return []
-        former = next(iter(exchange.sends.values()))
+        former = first_run_of(exchange)
         resumes_late = replacement.from_copy and not former.is_unreachable
         is_former_kept = former.is_held or resumes_late
         is_last = not self.components.send_manager.has_attempts_left(exchange)
@@ -345,7 +341,7 @@
         """Have the engine of a silent run probed once it has a replacement."""
         if replacement_of(exchange) is None:
             return
-        former = next(iter(exchange.sends.values()))
+        former = first_run_of(exchange)
         seconds = PROBE_DELAY_SECONDS
         if former.is_unreachable:
             seconds = REPROBE_SECONDS
@@ -502,9 +498,23 @@
     return MAX_SILENCE_SHARE * gap
 
 
+def first_run_of(exchange: exchanges.Exchange) -> exchanges.InFlightSend:
+    """Return the open run that was started first."""
+    return next(iter(exchange.sends.values()))
+
+
+def is_replaced(
+    exchange: exchanges.Exchange, sent: exchanges.InFlightSend
+) -> bool:
+    """Return whether another run was started beside an open one."""
+    replacement = replacement_of(exchange)
+    return replacement is not None and sent is not replacement
+
+
 def replacement_of(
     exchange: exchanges.Exchange,
 ) -> exchanges.InFlightSend | None:
     """Return the run that was started beside a silent one, if any."""
-    sends = list(exchange.sends.values())
-    return sends[-1] if len(sends) > 1 else None
+    if len(exchange.sends) < 2:
+        return None
+    return list(exchange.sends.values())[-1]
--- a/src/greengagelb/coordination/streams/stalls.py
+++ b/src/greengagelb/coordination/streams/stalls.py
@@ -15,7 +15,6 @@
 FIRST_TOKEN_TIMEOUT_SECONDS = 2.0
 MAX_FIRST_TOKEN_WAIT_SECONDS = 30.0
 PROBE_TIMEOUT_SECONDS = 0.5
-LATE_TIMER_SECONDS = 0.1
 MAX_LATE_TIMERS = 3
 STALL_TIMER = 'stall'
 SPARE_TIMER = 'spare'
@@ -118,7 +117,7 @@
         """
         if now < attempt.stall_deadline:
             return self.stall_timer(stream, attempt)
-        is_late = now - attempt.stall_deadline > LATE_TIMER_SECONDS
+        is_late = now - attempt.stall_deadline > timers.LATE_TIMER_SECONDS
         if is_late and attempt.late_timers < MAX_LATE_TIMERS:
             attempt.late_timers += 1
             return self.reset_stall_timer(stream, attempt, now)
--- a/src/greengagelb/coordination/timers.py
+++ b/src/greengagelb/coordination/timers.py
@@ -1,4 +1,7 @@
-"""Names of the timers that decisions set."""
+"""Names of the timers that decisions set, and when they count as late."""
+
+# A timer that fires later than this shows that the process stood still.
+LATE_TIMER_SECONDS = 0.1
 
 
 def timer_name(kind: str, exchange: int) -> str:
--- a/src/greengagelb/transport/decision_loop.py
+++ b/src/greengagelb/transport/decision_loop.py
@@ -16,6 +16,7 @@
 
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
+from greengagelb.coordination import timers
 from greengagelb.transport import event_costs
 from greengagelb.transport import reactors
 from greengagelb.transport import recorder
@@ -116,7 +117,7 @@
         or cleared until then.
         """
         late = reactors.lateness(self.reactor, self.timers[name])
-        is_late = late > reactors.LATE_TIMER_SECONDS
+        is_late = late > timers.LATE_TIMER_SECONDS
         if is_late and name not in self.postponed_timers:
             self.postponed_timers.add(name)
             self.timers[name] = self.reactor.callLater(
--- a/src/greengagelb/transport/reactors.py
+++ b/src/greengagelb/transport/reactors.py
@@ -18,13 +18,13 @@
 from twisted.internet import interfaces
 from twisted.internet import tcp
 
+from greengagelb.coordination import timers
+
 # How long sockets are read before timers that are due, if there is always
 # something to read: timers that are punctual wait for MIN_READ_SECONDS, others
 # as long again as they are late, up to MAX_READ_SECONDS.
 MIN_READ_SECONDS = 0.01
 MAX_READ_SECONDS = 0.25
-# A timer that is due for longer shows that this process stood still.
-LATE_TIMER_SECONDS = 0.1
 # The most by which a time limit is extended for a pause of this process.
 MAX_EXTENSION_SECONDS = 0.5
 
@@ -74,11 +74,14 @@
     The connect may not even have begun: Twisted begins it by a timer, and its
     time limit is due in the same turn. ``extended`` has the limits extended.
     """
-    if lateness(reactor, reactor._pendingTimedCalls[0]) <= LATE_TIMER_SECONDS:
+    if (
+        lateness(reactor, reactor._pendingTimedCalls[0])
+        <= timers.LATE_TIMER_SECONDS
+    ):
         return
     for call in reactor.getDelayedCalls():
         late = lateness(reactor, call)
-        if late <= LATE_TIMER_SECONDS or call in extended:
+        if late <= timers.LATE_TIMER_SECONDS or call in extended:
             continue
         function = getattr(call.func, '__func__', None)
         if function is tcp.BaseClient.failIfNotConnected:
--- a/src/greengagelb/transport/relay/forwarding/connection_race.py
+++ b/src/greengagelb/transport/relay/forwarding/connection_race.py
@@ -12,6 +12,7 @@
 from twisted.internet import interfaces
 from twisted.python import failure
 
+from greengagelb.coordination import timers
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay.forwarding import engine_paths
 from greengagelb.coordination.relay.forwarding import events
@@ -131,7 +132,7 @@
         """Fail, unless this process stood still; wait then once more."""
         reactor = self.pool.reactor
         late = reactors.lateness(reactor, self.end_timer)
-        if late > reactors.LATE_TIMER_SECONDS and not self.is_extended:
+        if late > timers.LATE_TIMER_SECONDS and not self.is_extended:
             self.is_extended = True
             self.end_timer = reactor.callLater(
                 min(late, reactors.MAX_EXTENSION_SECONDS),
--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -6,6 +6,7 @@
 import h11
 from twisted.internet import interfaces
 
+from greengagelb.coordination import timers
 from greengagelb.state.relay import engines
 from greengagelb.transport import reactors
 from greengagelb.transport.relay import http_client
@@ -138,7 +139,7 @@
         late = reactors.lateness(self.reactor, self.timer)
         if (
             self.timed_request.allows_for_own_pause
-            and late > reactors.LATE_TIMER_SECONDS
+            and late > timers.LATE_TIMER_SECONDS
             and self.late_checks < MAX_LATE_CHECKS
         ):
             self.late_checks += 1
