Own interface: an attempt outlives a refused connection to it

A generation that may run once was answered outcome-unknown although its engine went on with it: its connection broke, the engine was asked for the attempt again, and turned that away as it was overloaded. A begun one was moved, at the price of its prompt and a counted engine death.

Only unknown-attempt says that the engine has lost an attempt. After any other refusal the attempt counts as silent: it is asked for every 3 s, and another one is started beside it where that is allowed.

Evidence: test_engine_that_turns_an_attach_away_keeps_its_attempt failed before (outcome-unknown at once).

--- a/src/greengagelb/coordination/events.py
+++ b/src/greengagelb/coordination/events.py
@@ -90,9 +90,18 @@
     reason: str
 
 
+# The code with which an engine that is asked for an attempt again says that it
+# does not have it.
+UNKNOWN_ATTEMPT = 'unknown-attempt'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptRefused:
-    """The engine refused the attempt before it started; nothing ran."""
+    """The engine refused the attempt before it started; nothing ran.
+
+    Where it was asked for an attempt again, only ``UNKNOWN_ATTEMPT`` says that
+    the attempt is lost.
+    """
 
     attempt: identity.AttemptId
     code: str
--- a/src/greengagelb/coordination/streams/supervisor.py
+++ b/src/greengagelb/coordination/streams/supervisor.py
@@ -239,12 +239,18 @@
     ) -> list[actions.Action]:
         """Try another engine after a refusal.
 
-        The engine is full or leaving, or has lost the attempt.
+        The engine is full or leaving, or has lost the attempt. One that is
+        asked for an attempt again and turns only the connection away may
+        still work on it.
         """
         source = self.find_or_count_dropped(event.attempt)
         if source is None:
             return []
         stream, attempt = source.stream, source.attempt
+        if attempt.suspected and event.code != events.UNKNOWN_ATTEMPT:
+            return self.silent_attempts.handle_silence(
+                stream, attempt, now, event.code
+            )
         if attempt.suspected and not attempt.returned_to:
             # The attempt ran there and was not cancelled here, so the engine
             # has crashed since, even if it restarted quickly.
--- a/src/greengagelb/protocol/engine_api.py
+++ b/src/greengagelb/protocol/engine_api.py
@@ -14,7 +14,9 @@
 
 An engine refuses with a status of 400 or more and a :class:`Refusal`; a
 refusal before the event stream starts means that nothing ran. After any other
-answer without an event stream the attempt may have run.
+answer without an event stream the attempt may have run. An engine that is
+asked to attach to an attempt that it does not have refuses with
+``unknown-attempt``; any other refusal there turns only the connection away.
 
 An overloaded engine advertises in each answer to ``generate`` and ``attach``,
 including refusals, how many of these requests per second it accepts from all
--- a/tests/streams/test_engine_failures.py
+++ b/tests/streams/test_engine_failures.py
@@ -45,6 +45,7 @@
             self.network.reactor, self.handle
         )
         self.answers = []
+        self.timers = {}
         offered = generations.configuration_of(1, generations.pool_of('1', 3))
         self.handle(events.ConfigurationOffered(offered, 'test'))
 
@@ -56,9 +57,23 @@
                     self.client.start_attempt(action)
                 case actions.AttachAttempt():
                     self.client.attach_attempt(action)
+                case actions.SetTimer(name, deadline):
+                    self.timers[name] = deadline
+                case actions.ClearTimer(name):
+                    self.timers.pop(name, None)
                 case actions.SendFailure() | actions.SendTokens():
                     self.answers.append(action)
 
+    def advance(self, seconds):
+        """Let time pass, in steps; timers fire that are due."""
+        until = self.network.reactor.seconds() + seconds
+        while self.network.reactor.seconds() < until:
+            self.network.reactor.advance(0.05)
+            now = self.network.reactor.seconds()
+            for name in [n for n, at in self.timers.items() if at <= now]:
+                del self.timers[name]
+                self.handle(events.TimerFired(name))
+
     def submit(self, service):
         request = requests.GenerationRequest(
             1, identity.RequestId('teratak', 'r1'), service, 'p', 3, 60.0
@@ -152,3 +167,18 @@
         instance.fail_with('500 Internal Server Error', b'')
         instance.network.reactor.advance(0.05)
     assert answered <= 1 + configuration.RecoveryPolicy().most_engine_deaths
+
+
+def test_engine_that_turns_an_attach_away_keeps_its_attempt():
+    """Guards against giving up an attempt that its engine goes on with.
+
+    Its connection breaks, and the engine is too busy for another one.
+    """
+    instance = Instance()
+    instance.submit('once')
+    instance.network.accept().break_off()
+    instance.fail_with('503 Service Unavailable', REFUSAL)
+    assert not instance.answers
+    instance.advance(4.0)
+    assert instance.network.connections == 3
+    assert instance.network.accept().sent.startswith(b'POST /v1/attach')
