--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -62,6 +62,9 @@
         # Streams were cut beside reloads and new configurations, as a run that
         # was only silent was ended before another one had written.
         pytest.param(4009, id='engines pause beside planned work'),
+        # A run that its engine held was ended for another one, which failed.
+        # With an engine's failure taken for a refusal, streams ran twice.
+        pytest.param(5001, id='engines fail after a run'),
     ],
 )
 def test_seed_breaks_no_promise(seed):
