Test: retries beyond the bound where streams outlast its window (red)

The test plays the decisions of 12 instances without sockets: 24 s of streams under way (497), a window of 10 s that allows 310 retries.

--- a/tests/common/budget_fleet.py
+++ b/tests/common/budget_fleet.py
@@ -15,6 +15,10 @@
 from tests.common import relay_world
 
 LINK_SECONDS = 0.001
+PROBE_SECONDS = 0.3
+TICK_SECONDS = 0.05
+EVENT_SECONDS = 0.35
+SERVED = 200
 
 
 class Instance(relay_world.RelayWorld):
@@ -37,9 +41,13 @@
 class BudgetFleet:
     """Instances whose sends and announcements travel on one clock.
 
-    ``status`` is what engines answer a send with; ``asked_at`` has the times
-    of clients' requests, ``repeated_at`` those of the arrivals beyond the
-    first of each. Until ``held_until``, sends stand in the engines' sockets.
+    ``status`` is what engines answer a send with; after 200 they write an
+    event every ``EVENT_SECONDS``, ``events`` in all. ``asked_at`` has the
+    times of clients' requests, ``repeated_at`` those of the arrivals beyond
+    the first of each. Until ``held_until``, sends stand in the engines'
+    sockets. ``running`` has the sends whose engine works on them. Until
+    ``silent_until`` no engine writes anything; they answer probes if they are
+    ``in_reach``.
     """
 
     def __init__(
@@ -54,6 +62,10 @@
         self.serials = itertools.count()
         self.status = 503
         self.held_until = 0.0
+        self.events = 70
+        self.silent_until = 0.0
+        self.in_reach = True
+        self.running = {}
         self.asked_at = []
         self.repeated_at = []
         self.arrivals = collections.Counter()
@@ -119,15 +131,23 @@
                 case relay_actions.Send():
                     arrives_at = max(self.now, self.held_until) + LINK_SECONDS
                     self.at(arrives_at, self.arrive, one, action)
+                case relay_actions.AbandonSend(exchange, send):
+                    self.running.pop((one.name, exchange, send), None)
+                case relay_actions.ProbeEngine(exchange, send):
+                    alive = self.in_reach or self.now >= self.silent_until
+                    probed = relay_events.EngineProbed(exchange, send, alive)
+                    seconds = LINK_SECONDS if alive else PROBE_SECONDS
+                    self.at(self.now + seconds, self.give, one, probed)
                 case relay_actions.TellPeers(hint):
-                    self.tell(one, hint)
+                    for other in self.instances:
+                        self.tell(one, other, hint)
 
-    def tell(self, one, hint):
-        for other in self.instances:
-            if other is not one and self.rng.random() >= self.loss:
-                delay = self.rng.uniform(*self.delays)
-                told = relay_events.PeerTold(one.name, hint)
-                self.at(self.now + delay, self.give, other, told)
+    def tell(self, one, other, hint):
+        """Have a hint travel to another instance, unless it is lost."""
+        if other is not one and self.rng.random() >= self.loss:
+            delay = self.rng.uniform(*self.delays)
+            told = relay_events.PeerTold(one.name, hint)
+            self.at(self.now + delay, self.give, other, told)
 
     def give(self, one, event):
         """Give an instance an event, unless it has been killed."""
@@ -135,12 +155,63 @@
             one.advance(self.now - one.now)
             one.handle(event)
 
+    def serve(self, one, send):
+        """Begin to answer a send."""
+        key = (one.name, send.exchange, send.send)
+        self.running[key] = one, send
+        one.begin(send)
+        first = (send.resume_after or 0) + 1
+        self.at(self.now + EVENT_SECONDS, self.write, key, first)
+
+    def write(self, key, number):
+        """Write an event of a run, or its end, unless engines are silent."""
+        if key not in self.running:
+            return
+        if self.now < self.silent_until:
+            self.at(self.silent_until, self.write, key, number)
+            return
+        one, send = self.running[key]
+        one.advance(self.now - one.now)
+        if key not in self.running:
+            return
+        if number > self.events:
+            del self.running[key]
+            one.complete(send)
+            return
+        one.events(send, number)
+        self.at(self.now + EVENT_SECONDS, self.write, key, number + 1)
+
+    def break_all(self):
+        """Break the connection of every run."""
+        for one, send in list(self.running.values()):
+            self.at(self.now, self.break_run, one, send)
+
+    def break_run(self, one, send):
+        if self.running.pop((one.name, send.exchange, send.send), None):
+            self.give(
+                one,
+                relay_events.SendFailed(
+                    send.exchange, send.send, True, 'ConnectionLost'
+                ),
+            )
+
+    def silence_all(self, seconds):
+        """Have all engines write nothing for a time."""
+        self.silent_until = self.now + seconds
+        while self.now < self.silent_until:
+            self.advance(TICK_SECONDS)
+            for one in self.instances:
+                one.advance(self.now - one.now)
+
     def arrive(self, one, send):
-        """Count a send at its engine, which refuses it."""
+        """Count a send at its engine, which refuses or serves it."""
         key = (one.name, send.exchange)
         self.arrivals[key] += 1
         if self.arrivals[key] > 1:
             self.repeated_at.append(self.now)
+        if self.status == SERVED:
+            self.serve(one, send)
+            return
         answered = relay_events.AnswerComplete(
             send.exchange,
             send.send,
