A begun stream that may not run again ends at a plain answer

Cause: goes on without a plain answer once events of a stream have been passed on, and did not ask whether its route allows a second run. The decision was reachable by decisions alone: the transport reports no plain answer behind events of the same send.

Change: such a stream ends as one of unknown outcome. The new test failed before (two sends).

--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -351,9 +351,13 @@
             return self.handle_lost_send(
                 exchange, sent, 'unsigned answer', now
             )
+        is_repeatable = exchange.ruling.route.is_repeatable
+        if exchange.begun and not is_repeatable:
+            detail = f'status {head.status}'
+            return self.handle_lost_send(exchange, sent, detail, now)
         if exchange.begun or len(exchange.sends) > 1:
             return self.go_on_without(exchange, sent, head, now)
-        if head.status < 500 or not exchange.ruling.route.is_repeatable:
+        if head.status < 500 or not is_repeatable:
             self.components.send_manager.release_send(exchange, sent)
             return self.components.answers.pass_on(
                 exchange, sent, head, event.body, now
--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -326,6 +326,24 @@
     assert exchange not in world.relay.exchanges
 
 
+def test_begun_stream_that_may_not_run_again_ends_at_a_plain_answer():
+    """Guards against a second run of a stream that may not be repeated.
+
+    Its events have reached the caller before the engine answers otherwise.
+    """
+    world = relay_world.RelayWorld(
+        table=relay_world.route_table(found=(NOT_RESUMABLE,))
+    )
+    exchange = [world.ask() for _ in range(10)][-1]
+    failing = world.last_send(exchange)
+    world.begin(failing)
+    world.events(failing, 1)
+    world.answer(failing, b'', status=404, sealed=False)
+    assert world.sends(exchange) == [failing]
+    [ended] = world.of_kind(relay_actions.AbortStream, exchange)
+    assert ended.code == 'outcome-unknown'
+
+
 def test_stream_that_has_begun_gets_no_second_answer():
     """Guards against a caller that waits for the end of a broken stream.
 
