Retry budget: instances spend only what is their own, and lend it

Cause: an instance could exceed its part by what the others had announced. Until announcements arrive, each sees an almost empty window and takes half of the whole; with streams longer than the window there are enough of them to do it. Class: a bound on all instances that rests on knowledge of the others being complete. Two more of the class: retries after a 421 went by the same count, and shares of stopped instances passed on at once although they may have been spent.

Change: nothing is taken on announcements any more. A request earns half of the ratio for six seconds, so that each retry of a window (sent up to four seconds before it) was earned in that window or the one before it; of the fixed allowance each instance has its share. What an instance lacks it asks others for; the lender counts a loan as spent at once, and it is worthless half a second after it was asked for, whenever it arrives. Announcements of attempts are gone from the hints.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -82,6 +82,9 @@
             code = answers.CRASHES_ENGINES
             return [self.components.answers.fail_request(exchange, code, now)]
         if not self.components.send_manager.try_spend_attempt(exchange, now):
+            attempt = permit_waits.CallAttempt(code)
+            if self.components.wait_for_retry(exchange, attempt, now):
+                return []
             return [self.components.refuse_attempt(exchange, code, now)]
         resulting = self.components.send_manager.start_send(
             exchange, state, now
--- a/src/greengagelb/coordination/relay/fleet.py
+++ b/src/greengagelb/coordination/relay/fleet.py
@@ -143,11 +143,10 @@
 
     def add_peer_run(
         self, incarnation: str, hint: hints.RunPlaced, now: float
-    ) -> bool:
-        """Count a run of another instance; return whether it is new."""
+    ) -> None:
+        """Count a run of another instance."""
         self.note_alive(incarnation, now)
         key = (incarnation, hint.number)
-        is_new = key not in self.placed_at
         self.placed_at[key] = now
         run = loads.Run(
             hint.engine,
@@ -155,10 +154,8 @@
             hint.unread_tokens,
             hint.copy_to,
             hint.part,
-            hint.attempt,
         )
         self.loads.add_run(key, run, now)
-        return is_new
 
     def end_peer_run(self, incarnation: str, hint: hints.RunEnded) -> None:
         """Stop counting a run of another instance."""
--- a/src/greengagelb/coordination/relay/loads.py
+++ b/src/greengagelb/coordination/relay/loads.py
@@ -19,18 +19,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
-    """A run on an engine, and the copy of its memory on another engine.
-
-    ``attempt`` is 1 for the first send of a request, higher for retries, and 0
-    for a send that replaces one that was never connected.
-    """
+    """A run on an engine, and the copy of its memory on another engine."""
 
     engine: str
     memory_tokens: int
     unread_tokens: int
     copy_to: str = ''
     part: str = ''
-    attempt: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/greengagelb/coordination/relay/peer_events.py
+++ b/src/greengagelb/coordination/relay/peer_events.py
@@ -10,8 +10,8 @@
 from greengagelb.coordination.relay import fleet
 from greengagelb.coordination.relay import permit_outcomes
 from greengagelb.coordination.relay import restarts
+from greengagelb.coordination.relay import retry_loan_outcomes
 from greengagelb.coordination.relay import run_copies
-from greengagelb.coordination.relay import shared_retry_budget
 from greengagelb.coordination.relay import store_sharing
 from greengagelb.coordination.relay.forwarding import engine_paths
 from greengagelb.state import crashes
@@ -34,7 +34,7 @@
         engine_updates: engine_list.EngineListHandler,
         fleet_view: fleet.FleetView,
         sharing: store_sharing.StoreSharing,
-        retries: shared_retry_budget.SharedRetryBudget,
+        loans: retry_loan_outcomes.RetryLoanHandler,
         run_copies: run_copies.RunCopies,
         restart_handler: restarts.RestartHandler,
         crashing: crashing_requests.CrashingRequestHandler,
@@ -46,7 +46,8 @@
         self.engine_updates = engine_updates
         self.fleet = fleet_view
         self.sharing = sharing
-        self.budget = retries
+        self.loans = loans
+        self.budget = loans.loans.budget
         self.copies = run_copies
         self.restarts = restart_handler
         self.crashing = crashing
@@ -87,9 +88,7 @@
                 )
                 self.keeper.remove_instance(incarnation, now)
         self.budget.note_fleet_heard(now)
-        self.budget.set_fleet_size(
-            self.fleet.size, 1 + len(self.fleet.heard_at)
-        )
+        self.budget.set_fleet_size(self.fleet.size, now)
         if (
             self.fleet.is_list_known
             and self.fleet.size != self.keeper.parts.instance_count
@@ -105,7 +104,7 @@
         """Apply a hint of another instance."""
         match hint:
             case hints.RunPlaced():
-                self.count_peer_run(incarnation, hint, now)
+                self.fleet.add_peer_run(incarnation, hint, now)
             case hints.RunEnded():
                 self.fleet.end_peer_run(incarnation, hint)
             case hints.EngineFailed(engine, started_at_ms):
@@ -154,6 +153,10 @@
                 self.paths.forwarders.note_unreachable(
                     incarnation, services, now
                 )
+            case hints.LoanRequested():
+                return self.loans.lend(incarnation, hint, now)
+            case hints.LoanGranted():
+                return self.loans.receive(incarnation, hint, now)
             case hints.ConfigurationApplied(version):
                 self.note_peer_version(version, now)
                 return self.read_store_if_stale()
@@ -197,18 +200,6 @@
             self.note_peer_version(hint.version, now)
         return self.read_store_if_stale()
 
-    def count_peer_run(
-        self, incarnation: str, hint: hints.RunPlaced, now: float
-    ) -> None:
-        """Count a run of another instance, and the send that began it."""
-        state = self.engines.states.get(hint.engine)
-        is_new = self.fleet.add_peer_run(incarnation, hint, now)
-        if is_new and hint.attempt and state is not None:
-            service = state.entry.service
-            self.budget.count_peer_send(
-                service, now, is_retry=hint.attempt > 1
-            )
-
     def read_store_if_stale(self) -> list[Action]:
         """Read the store if something newer is known to be there."""
         sharing = self.sharing
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -30,6 +30,8 @@
 from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import request_routing
 from greengagelb.coordination.relay import restarts
+from greengagelb.coordination.relay import retry_loan_outcomes
+from greengagelb.coordination.relay import retry_loans
 from greengagelb.coordination.relay import run_copies
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import shared_retry_budget
@@ -102,6 +104,7 @@
         self.answers = answers.AnswerBuilder(rng)
         self.request_router = request_routing.RequestRouter(rng)
         self.crash_watch = crash_watch.CrashWatch()
+        self.fleet = fleet.FleetView(self.loads, own.incarnation)
         components = relay_components.RelayComponents(
             self.engines,
             selector,
@@ -110,13 +113,15 @@
             self.crash_watch,
             permit_waits.WaitingSends(self.keeper),
             engine_waits.EngineWaits(),
+            retry_loans.RetryLoans(
+                self.budget, self.fleet.heard_at.keys(), rng
+            ),
         )
         self.calls = calls.CallRelay(components)
         self.succession = successor_search.SuccessorSearch(
             self.engines, engine_bounds.address_reuse_seconds
         )
         self.streams = streams.StreamRelay(components, self.succession)
-        self.fleet = fleet.FleetView(self.loads, own.incarnation)
         self.keeper.ranking.members = self.fleet.reachable_instances
         self.paths = engine_paths.EnginePaths(
             self.engines,
@@ -142,6 +147,9 @@
         self.engine_wait_outcomes = engine_wait_outcomes.EngineWaitHandler(
             components, self.permit_outcomes, self.exchanges
         )
+        self.retry_loan_outcomes = retry_loan_outcomes.RetryLoanHandler(
+            components, self.permit_outcomes, self.exchanges
+        )
         self.engine_list = engine_list.EngineListHandler(
             self.engines,
             self.sharing,
@@ -156,7 +164,7 @@
             self.engine_list,
             self.fleet,
             self.sharing,
-            self.budget,
+            self.retry_loan_outcomes,
             self.copies,
             self.restarts,
             self.crashing_requests,
@@ -206,6 +214,7 @@
         """Return the actions that result from an event."""
         resulting = self.dispatch_event(event, now)
         resulting += self.permit_outcomes.finish_event(resulting, now)
+        resulting += self.retry_loan_outcomes.finish_event(now)
         resulting += self.engine_wait_outcomes.set_timer(now)
         pending = self.send_manager.pending_hints
         if not self.paths.is_at_fault(now):
@@ -245,6 +254,7 @@
         if self.exchanges.pop(number, None) is None:
             return []
         self.engine_wait_outcomes.waits.discard(number)
+        self.retry_loan_outcomes.loans.discard(number)
         return [
             actions.ClearTimer(timers.timer_name(kind, number))
             for kind in TIMERS
@@ -495,6 +505,8 @@
             return self.crash_watch.check_again(rest)
         if kind == permit_outcomes.LIMITS_TIMER:
             return self.permit_outcomes.run_due_work(now)
+        if kind == retry_loan_outcomes.RETRY_LOAN_TIMER:
+            return self.retry_loan_outcomes.continue_expired(now)
         if kind == engine_wait_outcomes.ENGINE_WAIT_TIMER:
             return self.engine_wait_outcomes.continue_waiting(now)
         exchange = self.exchanges.get(int(rest)) if rest else None
--- a/src/greengagelb/coordination/relay/relay_components.py
+++ b/src/greengagelb/coordination/relay/relay_components.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination.relay import engine_waits
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import permit_waits
+from greengagelb.coordination.relay import retry_loans
 from greengagelb.coordination.relay import sending
 from greengagelb.state.relay import engine_states
 from greengagelb.state.relay import exchanges
@@ -31,6 +32,7 @@
     crash_watch: crash_watch.CrashWatch
     waiting_sends: permit_waits.WaitingSends
     engine_waits: engine_waits.EngineWaits
+    retry_loans: retry_loans.RetryLoans
 
     def wait_for_permit(
         self,
@@ -54,6 +56,20 @@
         self.waiting_sends.hold_for_permit(exchange, state, continuation, now)
         return []
 
+    def wait_for_retry(
+        self,
+        exchange: exchanges.Exchange,
+        continuation: permit_waits.Continuation,
+        now: float,
+    ) -> bool:
+        """Have a request wait for a loan if all that it lacks is a retry.
+
+        Returns whether it waits.
+        """
+        return self.send_manager.has_attempts_left(
+            exchange
+        ) and self.retry_loans.hold(exchange, continuation, now)
+
     def is_withheld(
         self,
         sent: exchanges.InFlightSend,
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -63,16 +63,7 @@
             return False
         if not exchange.arrivals:
             return True
-        service = exchange.ruling.service.name
-        if not exchange.attempts and self.budget.try_spend_misdirected(
-            service, now
-        ):
-            return True
-        return self.budget.try_spend(
-            service,
-            now,
-            announced=exchange.request.prompt is not None,
-        )
+        return self.budget.try_spend(exchange.ruling.service.name, now)
 
     def record_refused_attempt(
         self, exchange: exchanges.Exchange, now: float
@@ -229,7 +220,6 @@
             unread_tokens,
             copy_to,
             prompt.own_part,
-            announced_attempt(exchange),
         )
         self.count_and_announce_run(sent.number, run, now)
 
@@ -259,7 +249,6 @@
                 run.unread_tokens,
                 run.copy_to,
                 run.part,
-                run.attempt,
             )
         )
 
@@ -320,16 +309,6 @@
         return resulting
 
 
-def announced_attempt(exchange: exchanges.Exchange) -> int:
-    """Return the attempt number that other instances count for a send.
-
-    It is 0 if the send replaces one that could not connect: the other engine
-    received nothing, so this is neither a new request nor a retry.
-    """
-    first = len(exchange.tried) == 1
-    return exchange.arrivals if first or exchange.arrivals > 1 else 0
-
-
 def lost_send_record(
     exchange: exchanges.Exchange,
     sent: exchanges.InFlightSend,
--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -3,208 +3,284 @@
 A retry is any send of a request after its first, except in place of a send
 that was never connected. Each one adds load to a service that may be failing
 from overload. The operators bound the retries of all instances together over
-any window of some seconds. Every instance has a part of its own, so that the
-bound holds whichever instances can communicate. In a large fleet that part is
-a few retries, and the streams of a failed engine are spread unevenly over the
-instances. Beyond its part an instance may therefore use what all others leave,
-as far as they announce their sends.
+any window of some seconds.
+
+Each instance spends only what is its own, so that the bound holds whatever
+the instances know of each other:
+
+- Each request earns a part of a retry at the instance that received it.
+- Each instance has its share of the fixed allowance.
+- An instance may lend what it has left to another one. The lender counts it as
+  spent, so that no loan adds to the sum.
 """
 
 import collections
+import dataclasses
+import math
 
 from greengagelb.state.relay import bounds
 
-# The share of the allowance that is allocated. The rest covers instances that
-# have just started and are not known to the others yet, and sends that the
-# others do not know of yet, or never will.
+# The share of the fixed allowance that is allocated. The rest is for instances
+# that have just started and are not known to the others yet.
 ALLOCATED_SHARE = 0.8
-# An instance may exceed its own part while all known retries are below this
-# share of the shared allowance. The rest is left for retries that are not
-# known yet: when one of three data centres fails, all instances retry its
-# streams, a third of all, within the travel time of a datagram. That is about
-# as many as the other half allows.
-BORROWING_SHARE = 0.5
-# A retry stays counted for this much longer than the window. Engines count it
+# A retry may be counted this much later than it was sent. Engines count it
 # when it arrives: those that make a pause, or whose connection does, read all
 # that was sent meanwhile at once.
 HELD_UP_SECONDS = 4.0
+# A request may be spent from its window to the end of the next one, and both
+# windows count all of it.
+EARNED_SHARE = 0.5
 # The assumed fleet size until it is known: an instance takes as little of the
-# shared allowance as in a large fleet.
+# fixed allowance as in a large fleet.
 ASSUMED_INSTANCES = 100
+# How long a loan may be used, counted from when it was asked for. It is not
+# given back, so a longer time would only keep the lender from using it.
+LOAN_SECONDS = 0.5
+# Parts that expire within such a time of each other are kept as one.
+PART_SECONDS = 0.05
+# Parts of a retry are summed in floating point.
+ROUNDING = 1e-9
 
 
-class ServiceWindow:
-    """The times of requests and retries of one service in the window.
+@dataclasses.dataclass(slots=True)
+class Part:
+    """An earned or lent part of a retry.
 
-    ``peer_requests`` and ``peer_retries`` are those announced by other
-    instances.
+    It may be spent before ``usable_until``, a monotonic time.
     """
 
-    def __init__(self) -> None:
-        self.requests: collections.deque[float] = collections.deque()
-        self.retries: collections.deque[float] = collections.deque()
-        self.peer_requests: collections.deque[float] = collections.deque()
-        self.peer_retries: collections.deque[float] = collections.deque()
+    usable_until: float
+    retries: float
 
-    @property
-    def all_requests(self) -> int:
-        """Return the number of requests known to this instance."""
-        return len(self.requests) + len(self.peer_requests)
 
-    @property
-    def all_retries(self) -> int:
-        """Return the number of retries known to this instance."""
-        return len(self.retries) + len(self.peer_retries)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spent:
+    """One retry, or a loan to another instance, and where it came from.
+
+    ``at`` is the latest monotonic time at which it may be sent, ``slack`` what
+    was taken of the fixed allowance.
+    """
+
+    at: float
+    parts: tuple[Part, ...]
+    slack: float
+
 
-    def drop_before(self, earliest: float) -> None:
-        """Drop the requests before a monotonic time, and older retries."""
-        for request_times in (self.requests, self.peer_requests):
-            drop_times_before(request_times, earliest)
-        for retry_times in (self.retries, self.peer_retries):
-            drop_times_before(retry_times, earliest - HELD_UP_SECONDS)
+class ServiceRetries:
+    """The retries that one instance has for one service.
+
+    Invariants: ``parts`` are in the order in which they expire; ``spent`` has
+    all that still counts against the fixed allowance.
+    """
+
+    def __init__(self) -> None:
+        self.parts: list[Part] = []
+        self.spent: list[Spent] = []
+
+    def drop_expired(self, now: float, spent_before: float) -> None:
+        """Drop expired parts, and what was spent before a monotonic time."""
+        self.parts = [part for part in self.parts if part.usable_until > now]
+        self.spent = [each for each in self.spent if each.at >= spent_before]
+
+    def add_part(self, usable_until: float, retries: float) -> None:
+        """Add a part, to another that expires a little earlier if possible."""
+        index = len(self.parts)
+        while index and self.parts[index - 1].usable_until > usable_until:
+            index -= 1
+        if index:
+            earlier = self.parts[index - 1]
+            if usable_until - earlier.usable_until < PART_SECONDS:
+                earlier.retries += retries
+                return
+        self.parts.insert(index, Part(usable_until, retries))
+
+    def take_parts(self, most: float, usable_until: float) -> list[Part]:
+        """Take parts of up to ``most`` that can be used until then."""
+        taken: list[Part] = []
+        for part in self.parts:
+            if most <= 0.0:
+                break
+            if part.usable_until < usable_until:
+                continue
+            retries = min(part.retries, most)
+            part.retries -= retries
+            most -= retries
+            taken.append(Part(part.usable_until, retries))
+        return taken
+
+    def earned(self, usable_until: float) -> float:
+        """Return the retries in parts that can be used until then."""
+        return sum(
+            part.retries
+            for part in self.parts
+            if part.usable_until >= usable_until
+        )
+
+    @property
+    def slack_spent(self) -> float:
+        """Return what is spent of the fixed allowance."""
+        return sum(each.slack for each in self.spent)
 
 
 class SharedRetryBudget:
-    """The retries that a service may get, as known to one instance.
-
-    Over any window an instance sends at most ``ratio`` times its own requests
-    plus its part of ``slack``. The sum over all instances is what the
-    operators allow. For sends that are announced to the others, an instance
-    may send more while the retries of all are few, and less when they are
-    close to the bound.
-
-    ``instances`` is the size of the fleet, ``reachable`` how many of these are
-    known to be alive; both include this instance. Until the monotonic time
-    ``past_known_from``, sends of before this instance started may still be in
-    the window: its predecessor's, and those that others borrowed. They may
-    have used up its part of ``slack``, so it gets one of what is not allocated
+    """The retries that a service may get, as far as one instance sends them.
+
+    The sum over all instances keeps to the bound. A retry that arrives in a
+    window was sent up to ``HELD_UP_SECONDS`` before it. It was earned by a
+    request of that window or the one before it, or is part of the fixed
+    allowance, of which no instance spends more than its share in the time in
+    which retries can arrive in one window.
+
+    ``fleet_size`` includes this instance; ``larger_sizes`` has the larger ones
+    of before, each with the monotonic time when it ended. Until the time
+    ``past_known_from``, the predecessor of this instance may have used its
+    share of the fixed allowance, so it gets one of what is not allocated
     instead. It is None until this instance hears of the fleet.
     """
 
     def __init__(self, limits: bounds.RetryBounds) -> None:
         self.bounds = limits
-        self.instances = ASSUMED_INSTANCES
-        self.reachable = 1
+        self.fleet_size: int | None = None
+        self.larger_sizes: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self.past_known_from: float | None = None
-        self.services: dict[str, ServiceWindow] = {}
+        self.services: dict[str, ServiceRetries] = {}
 
-    def set_fleet_size(self, instances: int, reachable: int = 1) -> None:
-        """Divide the allowance by the number of instances, this one included.
+    @property
+    def counted_seconds(self) -> float:
+        """Return the time in which sends can arrive in one window."""
+        return self.bounds.window_seconds + HELD_UP_SECONDS
 
-        ``reachable`` of them are known to be alive, and announce their sends.
+    @property
+    def earned_seconds(self) -> float:
+        """Return how long an earned part may be spent."""
+        return max(0.0, self.bounds.window_seconds - HELD_UP_SECONDS)
+
+    def set_fleet_size(self, instances: int, now: float = 0.0) -> None:
+        """Set the number of instances, this one included."""
+        former, self.fleet_size = self.fleet_size, max(1, instances)
+        if former is not None and former > self.fleet_size:
+            self.larger_sizes.append((now, former))
+        while self.larger_sizes and (
+            self.larger_sizes[-1][1] <= self.fleet_size
+        ):
+            self.larger_sizes.pop()
+
+    def sharing_instances(self, now: float) -> int:
+        """Return by how many instances the fixed allowance is divided.
+
+        Those that have stopped may have spent their shares, which therefore
+        pass to the others only once that no longer counts.
         """
-        self.instances = max(1, instances)
-        self.reachable = min(self.instances, max(1, reachable))
+        sizes = self.larger_sizes
+        while sizes and sizes[0][0] < now - self.counted_seconds:
+            sizes.popleft()
+        if sizes:
+            return sizes[0][1]
+        return self.fleet_size or ASSUMED_INSTANCES
 
     def note_fleet_heard(self, now: float) -> None:
-        """Note that the sends of other instances are heard from now on.
+        """Note that other instances are heard of from now on.
 
         Only the first such time counts.
         """
         if self.past_known_from is None:
-            self.past_known_from = (
-                now + self.bounds.window_seconds + HELD_UP_SECONDS
-            )
+            self.past_known_from = now + self.counted_seconds
 
     def is_past_known(self, now: float) -> bool:
-        """Return whether this instance has heard all sends of the window."""
+        """Return whether no predecessor's retries count any longer."""
         return self.past_known_from is None or now >= self.past_known_from
 
-    def window(self, service: str, now: float) -> ServiceWindow:
-        """Return the window of a service, without expired times."""
-        found = self.services.setdefault(service, ServiceWindow())
-        found.drop_before(now - self.bounds.window_seconds)
+    def retries_of(self, service: str, now: float) -> ServiceRetries:
+        """Return the retries for a service, without expired ones."""
+        found = self.services.setdefault(service, ServiceRetries())
+        found.drop_expired(now, now - self.counted_seconds)
         return found
 
     def count_request(self, service: str, now: float) -> None:
-        """Count a caller's request for a service."""
-        self.window(service, now).requests.append(now)
-
-    def count_peer_send(
-        self, service: str, now: float, *, is_retry: bool
-    ) -> None:
-        """Count a send of another instance."""
-        window = self.window(service, now)
-        send_times = window.peer_retries if is_retry else window.peer_requests
-        send_times.append(now)
-
-    def own_allowance(self, window: ServiceWindow, now: float) -> float:
-        """Return how many retries this instance may send in the window."""
-        share = ALLOCATED_SHARE / self.instances
+        """Earn a part of a retry by a caller's request for a service."""
+        earned = EARNED_SHARE * self.bounds.ratio
+        usable_until = now + self.earned_seconds
+        self.retries_of(service, now).add_part(usable_until, earned)
+
+    def slack_share(self, now: float) -> float:
+        """Return this instance's share of the fixed allowance."""
+        instances = self.sharing_instances(now)
+        share = ALLOCATED_SHARE / instances
         if not self.is_past_known(now):
             share = max(
-                (1.0 - ALLOCATED_SHARE) / self.instances,
+                (1.0 - ALLOCATED_SHARE) / instances,
                 ALLOCATED_SHARE / ASSUMED_INSTANCES,
             )
-        own_slack = share * self.bounds.slack
-        return own_slack + self.bounds.ratio * len(window.requests)
-
-    def shared_allowance(self, window: ServiceWindow) -> float:
-        """Return how many retries all reachable instances may send together.
+        return share * self.bounds.slack
+
+    def available(
+        self, service: str, now: float, usable_until: float | None = None
+    ) -> float:
+        """Return the retries, in parts, that can be used until then."""
+        own = self.retries_of(service, now)
+        slack = max(0.0, self.slack_share(now) - own.slack_spent)
+        return slack + own.earned(
+            now if usable_until is None else usable_until
+        )
 
-        The unreachable ones have as much for themselves.
-        """
-        slack = self.bounds.slack * self.reachable / self.instances
-        return slack + self.bounds.ratio * window.all_requests
+    def has_retry(self, service: str, now: float) -> bool:
+        """Return whether one retry is left."""
+        return self.available(service, now) >= 1.0 - ROUNDING
 
     def describe(self, service: str, now: float) -> str:
-        """Return the retries of a service in the window, for the timeline."""
-        window = self.window(service, now)
+        """Return what is spent and left of a service, for the timeline."""
+        own = self.retries_of(service, now)
         return (
-            f'own retries {len(window.retries)} '
-            f'of {self.own_allowance(window, now):.1f}, '
-            f'known {window.all_retries} '
-            f'of {self.shared_allowance(window):.1f}, '
-            f'{self.reachable} of {self.instances} instances'
-        )
-
-    def try_spend_misdirected(self, service: str, now: float) -> bool:
-        """Spend a retry for a request that only wrong engines have received.
-
-        They reject it at the addresses of engines that have ended. Each does
-        so once or twice before all instances know, so that borrowing does not
-        need to be limited to the part of the instances that are heard. A new
-        instance knows neither which were replaced nor what was sent.
-        """
-        window = self.window(service, now)
-        most = self.bounds.slack + self.bounds.ratio * window.all_requests
-        allowed = (
-            self.is_past_known(now)
-            and window.all_retries + 1 <= BORROWING_SHARE * most
+            f'retries spent {len(own.spent)}, '
+            f'left {self.available(service, now):.1f}, '
+            f'slack {own.slack_spent:.1f} of {self.slack_share(now):.1f}, '
+            f'{self.sharing_instances(now)} instances'
         )
-        if allowed:
-            window.retries.append(now)
-        return allowed
 
-    def try_spend(
-        self, service: str, now: float, *, announced: bool = False
-    ) -> bool:
-        """Spend one retry of the budget; return whether there was one left.
+    def try_spend(self, service: str, now: float) -> bool:
+        """Spend one retry of the budget; return whether there was one left."""
+        if not self.has_retry(service, now):
+            return False
+        self.take(service, 1.0, now, sent_until=now)
+        return True
 
-        ``announced`` tells that every send to the service is announced to the
-        other instances.
-        """
-        window = self.window(service, now)
-        allowed = len(window.retries) + 1 <= self.own_allowance(window, now)
-        if announced and (allowed or self.is_past_known(now)):
-            share = ALLOCATED_SHARE if allowed else BORROWING_SHARE
-            allowed = window.all_retries + 1 <= share * self.shared_allowance(
-                window
-            )
-        if allowed:
-            window.retries.append(now)
-        return allowed
+    def take(
+        self, service: str, retries: float, now: float, sent_until: float
+    ) -> None:
+        """Take parts that may be sent until then, the earned ones first."""
+        own = self.retries_of(service, now)
+        parts = own.take_parts(retries, sent_until)
+        slack = max(0.0, retries - sum(part.retries for part in parts))
+        own.spent.append(Spent(sent_until, tuple(parts), slack))
 
     def give_back(self, service: str, spent_at: float) -> None:
         """Take back a retry of a monotonic time that reached no engine."""
-        retry_times = self.services[service].retries
-        if spent_at in retry_times:
-            retry_times.remove(spent_at)
-
-
-def drop_times_before(
-    times: collections.deque[float], earliest: float
-) -> None:
-    """Drop the times before another one; they are in order."""
-    while times and times[0] < earliest:
-        times.popleft()
+        own = self.services[service]
+        for index, each in enumerate(own.spent):
+            if each.at == spent_at:
+                del own.spent[index]
+                for part in each.parts:
+                    own.add_part(part.usable_until, part.retries)
+                return
+
+    def lend(self, service: str, most: float, now: float) -> float:
+        """Lend up to ``most`` retries to another instance; return how many.
+
+        It may use them for ``LOAN_SECONDS`` from when it asked.
+        """
+        sent_until = now + LOAN_SECONDS
+        lent = min(most, self.available(service, now, sent_until))
+        if not math.isfinite(lent) or lent <= 0.0:
+            return 0.0
+        self.take(service, lent, now, sent_until)
+        return lent
+
+    def add_loan(
+        self, service: str, retries: float, asked_at: float, now: float
+    ) -> None:
+        """Add what another instance has lent after ``asked_at``."""
+        usable_until = asked_at + LOAN_SECONDS
+        if usable_until > now:
+            self.retries_of(service, now).add_part(usable_until, retries)
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -99,6 +99,9 @@
         ):
             return self.give_up(exchange, 'deadline-too-near', now)
         if not self.components.send_manager.try_spend_attempt(exchange, now):
+            start = permit_waits.StreamStart(code)
+            if self.components.wait_for_retry(exchange, start, now):
+                return []
             return self.refuse_attempt(exchange, code, now)
         return self.send_stream(exchange, state, now)
 
@@ -475,10 +478,7 @@
             exchange, now
         ):
             return self.start_from_prompt(exchange, now, 'engines-failed')
-        prompt = exchange.request.prompt
-        tokens = prompt.tokens if prompt else 0
-        patience = self.components.send_manager.loads.reading_seconds(tokens)
-        continuation = permit_waits.StreamFromCopy(sent, patience)
+        continuation = self.continue_from_copy(exchange, sent)
         code = 'retry-budget-spent'
         pending = self.components.wait_for_permit(
             exchange, copy, continuation, code, now
@@ -487,6 +487,28 @@
             return pending
         return self.resume_from_copy(exchange, sent, now)
 
+    def continue_from_lost(
+        self,
+        exchange: exchanges.Exchange,
+        lost: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """Start a run in place of a lost or silent one, if still needed."""
+        if exchange.sends and not self.silent_runs.wants_replacement(
+            exchange, now
+        ):
+            return []
+        return self.start_replacement(exchange, lost, now)
+
+    def continue_from_copy(
+        self, exchange: exchanges.Exchange, sent: exchanges.InFlightSend
+    ) -> permit_waits.StreamFromCopy:
+        """Return how a stream goes on that waits to resume from a copy."""
+        prompt = exchange.request.prompt
+        tokens = prompt.tokens if prompt else 0
+        patience = self.components.send_manager.loads.reading_seconds(tokens)
+        return permit_waits.StreamFromCopy(sent, patience)
+
     def resume_from_copy(
         self,
         exchange: exchanges.Exchange,
@@ -500,6 +522,9 @@
         ):
             return self.start_from_prompt(exchange, now, 'engines-failed')
         if not self.components.send_manager.try_spend_attempt(exchange, now):
+            continuation = self.continue_from_copy(exchange, sent)
+            if self.components.wait_for_retry(exchange, continuation, now):
+                return []
             return self.refuse_attempt(exchange, 'retry-budget-spent', now)
         sent.copy_used = True
         return self.send_stream(exchange, copy, now, sent.copy_name)
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -22,6 +22,7 @@
 Fingerprint = Annotated[str, msgspec.Meta(max_length=64)]
 RestSeconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 RefusalRate = Annotated[float, msgspec.Meta(ge=0.0, le=1e10)]
+Retries = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 # The identity of an engine and its start.
 Life = Annotated[str, msgspec.Meta(max_length=256)]
 
@@ -50,7 +51,6 @@
     unread_tokens: int
     copy_to: str
     part: str = ''
-    attempt: int = 0
 
 
 class RunEnded(
@@ -221,6 +221,25 @@
     """See :class:`greengagelb.state.relay.hints.EnginesReached`."""
 
 
+class LoanRequested(
+    msgspec.Struct, frozen=True, array_like=True, tag='rq', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.LoanRequested`."""
+
+    number: int
+    service: str
+    retries: Retries
+
+
+class LoanGranted(
+    msgspec.Struct, frozen=True, array_like=True, tag='rg', tag_field='kind'
+):
+    """See :class:`greengagelb.state.relay.hints.LoanGranted`."""
+
+    number: int
+    retries: Retries
+
+
 class ReportedCrash(msgspec.Struct, frozen=True, array_like=True):
     """See :class:`greengagelb.state.crashes.ReportedCrash`."""
 
@@ -266,6 +285,8 @@
     | ConfigurationApplied
     | ServicesUnreachable
     | EnginesReached
+    | LoanRequested
+    | LoanGranted
     | CrashReport
     | CrashReportsRequest
     | limit_messages.WireMessage
@@ -344,7 +365,6 @@
                 hint.unread_tokens,
                 hint.copy_to,
                 hint.part,
-                hint.attempt,
             )
         case hints.RunEnded(number):
             wire = RunEnded(number)
@@ -381,6 +401,10 @@
             wire = ServicesUnreachable(services)
         case hints.EnginesReached():
             wire = EnginesReached()
+        case hints.LoanRequested(number, service, retries):
+            wire = LoanRequested(number, service, retries)
+        case hints.LoanGranted(number, retries):
+            wire = LoanGranted(number, retries)
         case crashes.CrashReport(fingerprint, found, survived_age, on_trial):
             reported = tuple(
                 ReportedCrash(c.life, c.seconds, c.age) for c in found
@@ -489,7 +513,6 @@
                 wire.unread_tokens,
                 wire.copy_to,
                 wire.part,
-                wire.attempt,
             )
         case RunEnded(number):
             hint = hints.RunEnded(number)
@@ -526,6 +549,10 @@
             hint = hints.ServicesUnreachable(services)
         case EnginesReached():
             hint = hints.EnginesReached()
+        case LoanRequested(number, service, retries):
+            hint = hints.LoanRequested(number, service, retries)
+        case LoanGranted(number, retries):
+            hint = hints.LoanGranted(number, retries)
         case CrashReport(fingerprint, reported, survived_age, on_trial):
             found = tuple(
                 crashes.ReportedCrash(c.life, c.seconds, c.age)
--- a/src/greengagelb/state/relay/hints.py
+++ b/src/greengagelb/state/relay/hints.py
@@ -20,8 +20,7 @@
     """A run was placed on an engine; ``number`` identifies it at the sender.
 
     ``part`` identifies the part of its prompt that no other conversation
-    shares. ``attempt`` is 1 for the first send of a request, higher for each
-    retry, and 0 for the replacement of a send that was never transmitted.
+    shares.
     """
 
     number: int
@@ -30,7 +29,6 @@
     unread_tokens: int
     copy_to: str
     part: str = ''
-    attempt: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,6 +183,26 @@
     """The sender has just reached an engine directly for another instance."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoanRequested:
+    """The sender asks for up to so many ``retries`` for a service.
+
+    ``number`` identifies the question at the sender.
+    """
+
+    number: int
+    service: str
+    retries: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoanGranted:
+    """The sender lends so many ``retries``, in answer to a question."""
+
+    number: int
+    retries: float
+
+
 Hint = (
     RunPlaced
     | RunEnded
@@ -204,6 +222,8 @@
     | ConfigurationApplied
     | ServicesUnreachable
     | EnginesReached
+    | LoanRequested
+    | LoanGranted
     | crashes.CrashReport
     | crashes.CrashReportsRequest
     | limits.Message
--- a/tests/common/budget_fleet.py
+++ b/tests/common/budget_fleet.py
@@ -138,6 +138,10 @@
                     probed = relay_events.EngineProbed(exchange, send, alive)
                     seconds = LINK_SECONDS if alive else PROBE_SECONDS
                     self.at(self.now + seconds, self.give, one, probed)
+                case relay_actions.TellPeer(name, hint):
+                    for other in self.instances:
+                        if other.name == name:
+                            self.tell(one, other, hint)
                 case relay_actions.TellPeers(hint):
                     for other in self.instances:
                         self.tell(one, other, hint)
--- a/tests/relay/test_resuming.py
+++ b/tests/relay/test_resuming.py
@@ -153,6 +153,7 @@
     attempts, as none of those engines exists any more.
     """
     world = relay_world.RelayWorld(relay_world.fleet(per_place=6))
+    world.relay.budget.set_fleet_size(1)
     exchange = world.ask()
     for _ in range(6):
         world.refuse(world.last_send(exchange), status=421)
