Answers without end: heads and all answers together are bounded

Cause: the client of the own interface keeps header lines and skips informational answers without a bound; the relay bounded each head, but not the informational ones together. Events were joined anew with each read, and an answer to the instance itself was read on, beyond its bound, until the time limit.

Change: one endpoint for all uses of twisted's client counts the heads of an answer and resets the connection at 64 kB; the relay counts all heads of an answer. All incomplete answers hold 48 MB together; beyond that the largest is rejected, so that small ones go on. Blank lines are found by one splitter that looks at each byte once.

--- a/src/greengagelb/protocol/sse.py
+++ b/src/greengagelb/protocol/sse.py
@@ -8,6 +8,7 @@
 
 from greengagelb import errors
 
+END_OF_EVENT = b'\n\n'
 MAX_EVENT_BYTES = 1 << 20
 
 
@@ -29,22 +30,47 @@
     return field_lines + b'data: ' + data + b'\n\n'
 
 
+class BlockSplitter:
+    """Splits a byte stream at blank lines; holds back an incomplete block.
+
+    Each byte is searched about once, however the stream is cut.
+    """
+
+    def __init__(self) -> None:
+        self.pending_bytes = bytearray()
+
+    def feed(self, raw: bytes) -> list[bytes]:
+        """Return the blocks that ``raw`` completes.
+
+        Raises :class:`~greengagelb.errors.ProtocolError` if an incomplete one
+        exceeds ``MAX_EVENT_BYTES``, so that a faulty upstream can't exhaust
+        the memory.
+        """
+        pending = self.pending_bytes
+        blocks: list[bytes] = []
+        begin, searched = 0, max(0, len(pending) - len(END_OF_EVENT) + 1)
+        pending += raw
+        while (end := pending.find(END_OF_EVENT, searched)) >= 0:
+            blocks.append(bytes(pending[begin:end]))
+            begin = searched = end + len(END_OF_EVENT)
+        del pending[:begin]
+        if len(pending) > MAX_EVENT_BYTES:
+            raise errors.ProtocolError('event without an end')
+        return blocks
+
+
 class EventReader:
-    """Splits a byte stream into events and buffers an incomplete one."""
+    """Reads events from a byte stream."""
 
     def __init__(self) -> None:
-        self.pending_bytes = b''
+        self.splitter = BlockSplitter()
 
     def feed(self, raw: bytes) -> list[ServerSentEvent]:
         """Return the events that ``raw`` completes.
 
-        Raises :class:`~greengagelb.errors.ProtocolError` if an event exceeds
-        the size limit, so that a faulty upstream can't exhaust the memory.
+        Raises the errors of :meth:`BlockSplitter.feed`.
         """
-        *blocks, self.pending_bytes = (self.pending_bytes + raw).split(b'\n\n')
-        if len(self.pending_bytes) > MAX_EVENT_BYTES:
-            raise errors.ProtocolError('event exceeds the size limit')
-        return [parse_event(block) for block in blocks]
+        return [parse_event(block) for block in self.splitter.feed(raw)]
 
 
 def parse_event(block: bytes) -> ServerSentEvent:
--- a/src/greengagelb/transport/engine_client.py
+++ b/src/greengagelb/transport/engine_client.py
@@ -17,6 +17,7 @@
 from greengagelb.protocol import sse
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import identity
+from greengagelb.transport import answer_memory
 from greengagelb.transport import answer_statements
 from greengagelb.transport import http
 
@@ -38,7 +39,8 @@
 
     ``delay_relay`` returns whether received tokens should be reported later,
     together with those of other streams; ``forget_stream`` is called on close.
-    ``report_statement`` gets the head of the answer.
+    ``report_statement`` gets the head of the answer. ``memory`` bounds what
+    all answers hold.
     """
 
     def __init__(
@@ -48,12 +50,14 @@
         dispatch: Dispatch,
         delay_relay: Callable[['EngineStream'], bool],
         forget_stream: Callable[['EngineStream'], None],
+        memory: answer_memory.AnswerMemory,
     ) -> None:
         self.attempt = attempt
         self.report_statement = report_statement
         self.dispatch = dispatch
         self.delay_relay = delay_relay
         self.forget_stream = forget_stream
+        self.memory = memory
         self.pending_tokens: list[str] = []
         self.pending_position = 0
         self.event_reader = sse.EventReader()
@@ -76,9 +80,8 @@
         if self.is_closed:
             return None
         if response.code != web_http.OK:
-            return http.read_whole_body(response).addCallback(
-                self.report_other_answer, response
-            )
+            body = http.read_whole_body(response, memory=self.memory)
+            return body.addCallback(self.report_other_answer, response)
         limit = answer_statements.read_limit_headers(response.headers)
         self.report_event(events.AttemptAccepted(self.attempt, limit))
         self.collector = http.BodyCollector(
@@ -117,10 +120,16 @@
             for event in self.event_reader.feed(raw):
                 self.receive_event(event)
         except errors.ProtocolError as exc:
-            self.report_event(
-                events.AttemptBroken(self.attempt, str(exc), True)
-            )
-            self.close()
+            self.reject_answer(str(exc))
+            return
+        if not self.is_closed:
+            pending = self.event_reader.splitter.pending_bytes
+            self.memory.hold(self, len(pending))
+
+    def reject_answer(self, detail: str) -> None:
+        """Report that the answer can't be used, and close the connection."""
+        self.report_event(events.AttemptBroken(self.attempt, detail, True))
+        self.close()
 
     def receive_event(self, event: sse.ServerSentEvent) -> None:
         """Report one event, if it belongs to this attempt."""
@@ -182,6 +191,7 @@
     def report_broken(self, why: failure.Failure) -> None:
         """Report that the connection ended before the generation did."""
         self.pending_response = None
+        self.memory.release(self)
         self.report_event(
             events.AttemptBroken(
                 self.attempt,
@@ -204,6 +214,7 @@
     def close(self) -> None:
         """Abandon the connection."""
         self.is_closed = True
+        self.memory.release(self)
         self.forget_stream(self)
         if self.pending_response is not None:
             self.pending_response.cancel()
@@ -215,9 +226,13 @@
     """This instance's connections to engines."""
 
     def __init__(
-        self, reactor: interfaces.IReactorTime, dispatch: Dispatch
+        self,
+        reactor: interfaces.IReactorTime,
+        dispatch: Dispatch,
+        memory: answer_memory.AnswerMemory | None = None,
     ) -> None:
         self.reactor = reactor
+        self.memory = memory or answer_memory.AnswerMemory()
         self.dispatch = dispatch
         self.agent = http.fresh_connection_agent(reactor)
         self.treq = http.direct_client(self.agent)
@@ -271,6 +286,7 @@
             self.dispatch,
             self.delay_relay,
             self.forget_stream,
+            self.memory,
         )
         self.open_streams[attempt] = stream
         url = url_of(upstream, path)
@@ -415,7 +431,7 @@
             if response.code != web_http.OK:
                 http.discard_body(response)
                 raise errors.TransportError(f'status {response.code}')
-            return http.read_whole_body(response)
+            return http.read_whole_body(response, memory=self.memory)
 
         answer.addCallback(read)
         answer.addCallback(codec.decode, kind)
--- a/src/greengagelb/transport/http.py
+++ b/src/greengagelb/transport/http.py
@@ -25,6 +25,8 @@
 from greengagelb.protocol import codec
 from greengagelb.protocol import problems
 from greengagelb.state import requests
+from greengagelb.transport import answer_memory
+from greengagelb.transport import bounded_heads
 
 CONNECT_SECONDS = 0.5
 MAX_BODY_BYTES = 4 << 20
@@ -47,7 +49,7 @@
 
     def endpointForURI(  # noqa: N802
         self, uri: client.URI
-    ) -> endpoints.TCP4ClientEndpoint:
+    ) -> bounded_heads.BoundedHeadEndpoint:
         """Return the endpoint of a URI whose host is an IP address."""
         host = uri.host.decode('ascii')
         kind = (
@@ -55,7 +57,9 @@
             if ':' in host
             else endpoints.TCP4ClientEndpoint
         )
-        return kind(self.reactor, host, uri.port, self.connect_seconds)
+        return bounded_heads.BoundedHeadEndpoint(
+            kind(self.reactor, host, uri.port, self.connect_seconds)
+        )
 
 
 def fresh_connection_agent(
@@ -198,16 +202,23 @@
     """Reads a response body of at most ``max_bytes``.
 
     ``complete_body`` fires with the body; cancelling it closes the connection.
-    It fails if the body is longer, or ends before its announced length.
+    It fails if the body is longer, or ends before its announced length, or if
+    it is rejected by the ``memory`` of all answers.
     """
 
-    def __init__(self, response: iweb.IResponse, max_bytes: int) -> None:
+    def __init__(
+        self,
+        response: iweb.IResponse,
+        max_bytes: int,
+        memory: answer_memory.AnswerMemory,
+    ) -> None:
         self.max_bytes = max_bytes
+        self.memory = memory
         self.chunks: list[bytes] = []
         self.length = 0
         self.collector = BodyCollector(self.receive_chunk, self.handle_end)
         self.complete_body: defer.Deferred[bytes] = defer.Deferred(
-            lambda _: self.collector.abort()
+            lambda _: self.close()
         )
         response.deliverBody(self.collector)
 
@@ -216,13 +227,24 @@
         self.chunks.append(data)
         self.length += len(data)
         if self.length > self.max_bytes:
-            self.collector.abort()
-            self.complete_body.errback(
-                errors.TransportError(f'body exceeds {self.max_bytes} bytes')
-            )
+            self.reject_answer(f'body exceeds {self.max_bytes} bytes')
+            return
+        self.memory.hold(self, self.length)
+
+    def reject_answer(self, detail: str) -> None:
+        """Close the connection, and fail."""
+        self.close()
+        self.complete_body.errback(errors.TransportError(detail))
+
+    def close(self) -> None:
+        """Close the connection, and release what was received."""
+        self.collector.abort()
+        self.memory.release(self)
+        self.chunks.clear()
 
     def handle_end(self, why: failure.Failure) -> None:
         """Return the body, if it is complete."""
+        self.memory.release(self)
         if why.check(client.ResponseDone):
             self.complete_body.callback(b''.join(self.chunks))
         else:
@@ -230,10 +252,16 @@
 
 
 def read_whole_body(
-    response: iweb.IResponse, max_bytes: int = MAX_BODY_BYTES
+    response: iweb.IResponse,
+    max_bytes: int = MAX_BODY_BYTES,
+    memory: answer_memory.AnswerMemory | None = None,
 ) -> 'defer.Deferred[bytes]':
-    """Return the body of a response, up to a limit; cancelling closes it."""
-    return BoundedBody(response, max_bytes).complete_body
+    """Return the body of a response, up to a limit; cancelling closes it.
+
+    ``memory`` bounds it together with others.
+    """
+    memory = memory or answer_memory.AnswerMemory()
+    return BoundedBody(response, max_bytes, memory).complete_body
 
 
 def discard_body(response: iweb.IResponse) -> None:
--- a/src/greengagelb/transport/instance.py
+++ b/src/greengagelb/transport/instance.py
@@ -21,6 +21,7 @@
 from greengagelb.state import fleet
 from greengagelb.state import identity
 from greengagelb.state import plans as plan_state
+from greengagelb.transport import answer_memory
 from greengagelb.transport import body_budget
 from greengagelb.transport import caller_app
 from greengagelb.transport import caller_stream
@@ -71,8 +72,13 @@
         self.platform = platform_client.PlatformClient(
             reactor, instance_settings.platform, self.recorder.record
         )
-        self.engines = engine_client.EngineClient(reactor, self.dispatch)
-        self.services = service_client.ServiceClient(reactor, self.dispatch)
+        memory = answer_memory.AnswerMemory()
+        self.engines = engine_client.EngineClient(
+            reactor, self.dispatch, memory
+        )
+        self.services = service_client.ServiceClient(
+            reactor, self.dispatch, memory
+        )
         self.claims = claim_store.ClaimStore(self.platform, self.dispatch)
         self.plans = plan_store.PlanStore(self.platform)
         self.peers = peers.PeerLink(
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -1,6 +1,7 @@
 """Sends requests to engines and reports their answers as events."""
 
 from collections.abc import Callable
+import dataclasses
 
 import h11
 
@@ -11,6 +12,7 @@
 from greengagelb.state import statements
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
+from greengagelb.transport import answer_memory
 from greengagelb.transport.relay import dialect
 from greengagelb.transport.relay import event_stream
 from greengagelb.transport.relay import http_client
@@ -78,6 +80,7 @@
         except errors.ProtocolError as exc:
             self.reject_answer(str(exc))
             return
+        self.side.memory.hold(self, len(self.splitter.remainder))
         if events:
             self.dispatch_event(
                 relay_events.StreamProgressed(
@@ -92,11 +95,12 @@
             self.reject_answer('answer too large')
             return
         self.body.append(data)
+        self.side.memory.hold(self, self.body_bytes)
 
     def answer_completed(self, *, ended_by_close: bool) -> None:
         """Report a complete answer."""
         exchange, send = self.send.exchange, self.send.send
-        self.side.forget_send(self.send)
+        self.release()
         if self.splitter is None:
             body = b''.join(self.body)
             self.dispatch_event(
@@ -114,7 +118,7 @@
 
     def answer_failed(self, handed_over: bool, detail: str) -> None:
         """Report that there will be no complete answer."""
-        self.side.forget_send(self.send)
+        self.release()
         self.dispatch_event(
             relay_events.SendFailed(
                 self.send.exchange, self.send.send, handed_over, detail
@@ -126,17 +130,31 @@
         self.side.abandon_send(self.send.exchange, self.send.send)
         self.answer_failed(True, detail)
 
+    def release(self) -> None:
+        """Stop holding the answer, which has ended."""
+        self.side.forget_send(self.send)
+        self.side.memory.release(self)
+
     def dispatch_event(self, event: relay_events.RelayEvent) -> None:
         """Hand an event to the decisions."""
         self.side.dispatch(event)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingSend:
+    """A send without a final event, and the receiver of its answer."""
+
+    request: http_client.PendingRequest
+    answer: EngineAnswer
+
+
 class EngineSide:
     """The sends, probes and other requests to engines.
 
     ``pending_sends`` has the sends without a final event, by exchange and
     number of the send. ``admits`` tells whether an engine may be sent a
-    caller's request now, and ``opener`` opens connections.
+    caller's request now, and ``opener`` opens connections. ``memory`` bounds
+    what all answers hold.
     """
 
     def __init__(
@@ -152,19 +170,19 @@
         self.dialect = wire_dialect
         self.dispatch = dispatch
         self.admits = admits
-        self.pending_sends: dict[
-            tuple[int, int], http_client.PendingRequest
-        ] = {}
+        self.pending_sends: dict[tuple[int, int], PendingSend] = {}
+        self.memory = answer_memory.AnswerMemory()
 
     def send_request(self, send: relay_actions.Send) -> None:
         """Send a caller's request to an engine."""
         seconds = self.pool.reactor.seconds
         key = (send.exchange, send.send)
+        answer = EngineAnswer(self, send)
         pending = self.pool.request(
             send.engine.life,
             send.engine.address,
             lambda: self.dialect.write_send(send, seconds()),
-            EngineAnswer(self, send),
+            answer,
             fresh=send.fresh or self.opener.paths.is_silent(send.engine),
             is_admitted=lambda: self.admits(send.engine),
             open_connection=lambda waiting: self.opener.open_for(
@@ -174,7 +192,7 @@
             ),
         )
         if not pending.is_finished:
-            self.pending_sends[key] = pending
+            self.pending_sends[key] = PendingSend(pending, answer)
 
     def report_statement(
         self,
@@ -372,7 +390,8 @@
         """Close the connection of a send that is no longer wanted."""
         pending = self.pending_sends.pop((exchange, send), None)
         if pending is not None:
-            pending.abandon()
+            pending.request.abandon()
+            self.memory.release(pending.answer)
 
     def forget_send(self, send: relay_actions.Send) -> None:
         """Remove a send that has ended."""
--- a/src/greengagelb/transport/relay/event_stream.py
+++ b/src/greengagelb/transport/relay/event_stream.py
@@ -2,12 +2,9 @@
 
 from collections.abc import Callable
 
-from greengagelb import errors
+from greengagelb.protocol import sse
 from greengagelb.state.relay import requests
 
-END_OF_EVENT = b'\n\n'
-MAX_EVENT_BYTES = 1 << 20
-
 
 class EventSplitter:
     """Holds an incomplete event back until the rest of it arrives.
@@ -18,18 +15,20 @@
 
     def __init__(self, read_number: Callable[[bytes], int]) -> None:
         self.read_number = read_number
-        self.remainder = b''
+        self.splitter = sse.BlockSplitter()
+
+    @property
+    def remainder(self) -> bytearray:
+        """Return what was received of an incomplete event."""
+        return self.splitter.pending_bytes
 
     def add_bytes(self, data: bytes) -> tuple[requests.StreamEvent, ...]:
         """Return the events that are complete with the added bytes.
 
         Raises :class:`~greengagelb.errors.ProtocolError` for an event without
-        a number or of more than ``MAX_EVENT_BYTES``.
+        a number, or one that is too long.
         """
-        *whole, self.remainder = (self.remainder + data).split(END_OF_EVENT)
-        if len(self.remainder) > MAX_EVENT_BYTES:
-            raise errors.ProtocolError('event without an end')
         return tuple(
-            requests.StreamEvent(self.read_number(raw), raw + END_OF_EVENT)
-            for raw in whole
+            requests.StreamEvent(self.read_number(raw), raw + sse.END_OF_EVENT)
+            for raw in self.splitter.feed(data)
         )
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -109,6 +109,7 @@
         self.receiver: Receiver | None = None
         self.delayed_request: PendingRequest | None = None
         self.has_answer_started = False
+        self.head_bytes = 0
         self.idle_until = 0.0
         self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self.is_closed = False
@@ -126,6 +127,7 @@
             self.http.start_next_cycle()
         self.receiver = receiver
         self.has_answer_started = False
+        self.head_bytes = 0
         try:
             out = self.http.send(request.build_head())
             if request.body:
@@ -165,6 +167,19 @@
                 pass
         except h11.RemoteProtocolError as exc:
             self.fail_request(True, f'not an answer: {exc}')
+            return
+        self.bound_head(len(data))
+
+    def bound_head(self, length: int) -> None:
+        """Fail a request whose answer goes on without a head.
+
+        The parser bounds each head, but not the informational ones together.
+        """
+        if self.receiver is None or self.has_answer_started:
+            return
+        self.head_bytes += length
+        if self.head_bytes > MAX_HEADER_BYTES:
+            self.fail_request(True, 'not an answer: no end of its head')
 
     def handle_next_event(self) -> bool:
         """Handle one parsed event; return whether more may follow."""
--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -119,14 +119,18 @@
         self.body_bytes += len(data)
         if self.body_bytes <= self.timed_request.max_bytes:
             self.body.append(data)
+            return
+        self.pending.abandon()
+        self.deliver_too_large()
 
     def answer_completed(self, *, ended_by_close: bool) -> None:
-        """Deliver the answer, or a failure if it is too large."""
-        if self.body_bytes > self.timed_request.max_bytes:
-            why = f'answer too large, {self.body_bytes} bytes'
-            self.deliver_answer(Answer(None, detail=why, too_long=True))
-        else:
-            self.deliver_answer(Answer(self.response, b''.join(self.body)))
+        """Deliver the answer."""
+        self.deliver_answer(Answer(self.response, b''.join(self.body)))
+
+    def deliver_too_large(self) -> None:
+        """Deliver the failure of an answer that exceeds ``max_bytes``."""
+        why = f'answer too large, over {self.timed_request.max_bytes} bytes'
+        self.deliver_answer(Answer(None, detail=why, too_long=True))
 
     def answer_failed(self, handed_over: bool, detail: str) -> None:
         """Deliver the failure of the request."""
--- a/src/greengagelb/transport/service_client.py
+++ b/src/greengagelb/transport/service_client.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.protocol import service_api
+from greengagelb.transport import answer_memory
 from greengagelb.transport import answer_statements
 from greengagelb.transport import engine_client
 from greengagelb.transport import http
@@ -22,8 +23,10 @@
         self,
         reactor: interfaces.IReactorTime,
         dispatch: engine_client.Dispatch,
+        memory: answer_memory.AnswerMemory | None = None,
     ) -> None:
         self.reactor = reactor
+        self.memory = memory or answer_memory.AnswerMemory()
         self.dispatch = dispatch
         agent = http.fresh_connection_agent(reactor)
         self.treq = http.direct_client(agent)
@@ -71,7 +74,7 @@
         except errors.ProtocolError:
             http.discard_body(response)
             raise
-        body = http.read_whole_body(response)
+        body = http.read_whole_body(response, memory=self.memory)
         return body.addCallback(self.report_answer, response, action)
 
     def check_echo(
--- a/tests/transport/test_relay.py
+++ b/tests/transport/test_relay.py
@@ -25,6 +25,7 @@
             self.events.append,
             client.delay_relay,
             client.forget_stream,
+            client.memory,
         )
 
     def receive(self, position, *tokens):
