--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -22,7 +22,7 @@
 # of their usual time.
 CROWD_PAUSE_SHARE = 0.3
 MOST_EVENTS = 80
-LIMIT_SECONDS = {'stream': 10.0, 'call': 1.0, 'query': 1.0, 'letter': 10.0}
+LEAST_EVENTS = 5
 
 
 class Kind(enum.Enum):
@@ -34,6 +34,13 @@
     LETTER = 'letter'
 
 
+# How long callers wait for an answer.
+LIMIT_SECONDS = {
+    Kind.STREAM: 10.0,
+    Kind.CALL: 1.0,
+    Kind.QUERY: 1.0,
+    Kind.LETTER: 10.0,
+}
 # Letters are streams that may not be resumed.
 STREAMING = frozenset({Kind.STREAM, Kind.LETTER})
 RUN_ONCE = frozenset({Kind.CALL, Kind.LETTER})
@@ -127,7 +134,9 @@
         self.agent = client.Agent(reactor, connectTimeout=1, pool=self.pool)
         self.fresh_agent = client.Agent(reactor, connectTimeout=1)
         self.crowded: object | None = None
+        self.least_events = LEAST_EVENTS
         self.most_events = MOST_EVENTS
+        self.limits = dict(LIMIT_SECONDS)
         self.kinds = [Kind.STREAM, Kind.CALL, Kind.QUERY]
 
     @defer.inlineCallbacks
@@ -171,13 +180,13 @@
         """
         request_id = f'{self.run}-{next(self.numbers)}'
         if not body:
-            events = self.rng.randint(5, self.most_events)
+            events = self.rng.randint(self.least_events, self.most_events)
             body = content.stream_body(request_id, events)
         now = self.reactor.seconds()
         outcome = Outcome(request_id, kind, body, instance.name, now, after)
         outcome.parts = parts
         self.outcomes.append(outcome)
-        limit = LIMIT_SECONDS[kind.value]
+        limit = self.limits[kind]
         target = f'http://{instance.host}:{instance.port}/{kind.value}/x'
         agent = self.agent if self.crowded is None else self.fresh_agent
         asked = agent.request(
--- a/tests/soak/cut_process.py
+++ b/tests/soak/cut_process.py
@@ -7,6 +7,7 @@
 
 import json
 import pathlib
+import random
 import sys
 
 from twisted.internet import reactor
@@ -16,6 +17,34 @@
 REFUSED_PORT = 1
 
 
+class Messages:
+    """Loses some of the messages to other instances, and delays the others."""
+
+    def __init__(self, control: pathlib.Path) -> None:
+        state = json.loads(control.read_text('utf-8'))
+        self.loss = state['message_loss']
+        self.delay = state['message_delay']
+        self.rng = random.Random(str(control))
+        self.plain = reactor.listenUDP
+
+    def listen(self, port: int, protocol: object, interface: str) -> object:
+        """Open a socket whose datagrams are harmed."""
+        opened = self.plain(port, protocol, interface=interface)
+        send = opened.write
+
+        def write(raw: bytes, address: tuple[str, int]) -> None:
+            if self.rng.random() < self.loss:
+                return
+            if not self.delay:
+                send(raw, address)
+                return
+            seconds = self.rng.uniform(0.5, 1.0) * self.delay
+            reactor.callLater(seconds, send, raw, address)
+
+        opened.write = write
+        return opened
+
+
 class Connections:
     """Opens the connections of the process."""
 
@@ -48,6 +77,8 @@
     host, control = sys.argv[1:]
     connections = Connections(host, pathlib.Path(control))
     reactor.connectTCP = connections.connect
+    messages = Messages(pathlib.Path(control))
+    reactor.listenUDP = messages.listen
     return process.main()
 
 
--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -10,12 +10,6 @@
 
 # So long after the last harm nothing that fails is blamed on it.
 TOUCH_SECONDS = 3.0
-ROUTE_LIMITS = {
-    callers.Kind.STREAM: 10.0,
-    callers.Kind.CALL: 0.9,
-    callers.Kind.QUERY: 0.9,
-    callers.Kind.LETTER: 10.0,
-}
 # An answer that ends within so many seconds of its limit has reached it.
 LIMIT_MARGIN = 0.1
 # Beside a configuration, requests are cut at most so many times as often as
@@ -38,6 +32,7 @@
     def __init__(self, played: world.World) -> None:
         self.moments = played.moments
         self.outcomes = played.callers.outcomes
+        self.limits = played.route_limits
         self.instances = [each.name for each in played.instances]
         self.runs: dict[str, list[engines.Run]] = {}
         for run in played.engines.runs:
@@ -56,7 +51,7 @@
         """
         if found.whole or found.given_up or found.ended_at is None:
             return False
-        if used(found) > ROUTE_LIMITS[found.kind] - LIMIT_MARGIN:
+        if used(found) > self.limits[found.kind] - LIMIT_MARGIN:
             return False
         runs = self.runs.get(found.request_id, [])
         if any(run.broken_off for run in runs):
@@ -151,7 +146,7 @@
             counted = [
                 found
                 for found in beside
-                if used(found) < USED_SHARE * ROUTE_LIMITS[found.kind]
+                if used(found) < USED_SHARE * self.limits[found.kind]
             ]
             usual = others / other_seconds * beside_seconds
             if len(counted) > MOST_TIMES_AS_OFTEN * usual:
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -107,6 +107,7 @@
         self.crashing_parts: set[str] = set()
         self.crashes: list[float] = []
         self.unframed_share = 0.0
+        self.event_seconds = EVENT_SECONDS
         self.copies: set[tuple[str, str]] = set()
         self.engines: list[Engine] = []
 
@@ -416,7 +417,9 @@
         request.setHeader('Content-Type', 'text/event-stream')
         if head.copy_to:
             self.pool.copies.add((head.copy_to, head.request_id))
-        seconds = EVENT_SECONDS if head.copy_from else READING_SECONDS
+        seconds = READING_SECONDS
+        if head.copy_from:
+            seconds = self.pool.event_seconds
         self.later(
             seconds, run, self.next_event, request, head, run, head.after + 1
         )
@@ -437,7 +440,7 @@
         run.events += 1
         request.write(content.event(head.body, number))
         self.later(
-            EVENT_SECONDS,
+            self.pool.event_seconds,
             run,
             self.next_event,
             request,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,14 @@
 # The same before streams could be such that run once, and engines could fail
 # after a run.
 FIRST_SEED_WITH_FAILED_RUNS = 5_000
+# The same before streams could last longer than the window in which retries
+# are counted, while instances hear late of each other, or not at all.
+FIRST_SEED_WITH_LONG_STREAMS = 6_000
+# In every other such run engines answer without an end instead.
+ENDLESS_SECONDS = (1.0, 4.0)
+# By then as many streams are under way as there will be.
+LONG_STREAMS_SECONDS = 24.0
+LONG_PAUSE_SECONDS = (0.8, 1.6)
 PAUSE_SECONDS = (0.5, 4.0)
 # For how long at least engines fail a part of their requests.
 FAILING_SECONDS = 3.0
@@ -75,6 +83,7 @@
     FROZEN_ENGINES = 'frozen-engines'
     FULL_ENGINES = 'full-engines'
     FAILING_ENGINES = 'failing-engines'
+    ENDLESS_ENGINES = 'endless-engines'
 
 
 # Those that harm an instance, or what it knows.
@@ -128,7 +137,11 @@
 # Engines write nothing for some time, lose nothing and go on by themselves.
 # Frozen ones answer no status checks either.
 PAUSES = frozenset({What.PAUSED_ENGINES, What.FROZEN_ENGINES})
-OF_MANY_ENGINES = PAUSES | {What.FULL_ENGINES, What.FAILING_ENGINES}
+OF_MANY_ENGINES = PAUSES | {
+    What.FULL_ENGINES,
+    What.FAILING_ENGINES,
+    What.ENDLESS_ENGINES,
+}
 PLANNED_WORK = (
     What.STOP_INSTANCE,
     What.RELOAD_INSTANCE,
@@ -172,6 +185,10 @@
     In every other run with lost links or crashing parts little else happens,
     as a harmed store or instance may be the cause of a failed request.
     """
+    if has_long_streams(seed):
+        return plan_beside_long_streams(seed)
+    if seed >= FIRST_SEED_WITH_LONG_STREAMS:
+        return plan_endless_answers(seed)
     if seed >= FIRST_SEED_WITH_PAUSES:
         return plan_with_pauses(seed)
     if seed >= FIRST_SEED_WITH_CRASHING_PARTS and seed % 2 == 0:
@@ -198,6 +215,48 @@
             return [*plan_of_all_kinds(seed), *pauses, *failures]
 
 
+def has_long_streams(seed: int) -> bool:
+    """Return whether a run has streams longer than the window of retries."""
+    return seed >= FIRST_SEED_WITH_LONG_STREAMS and seed % 2 == 0
+
+
+def plan_endless_answers(seed: int) -> list[Fault]:
+    """Return when one engine, every other one or all answer without an end."""
+    rng = random.Random(f'endless answers of {seed}')
+    found = [
+        Fault(
+            What.ENDLESS_ENGINES,
+            rng.uniform(0.5, FAULT_SECONDS - 4.0),
+            rng.uniform(*ENDLESS_SECONDS),
+            rng.randrange(1_000),
+        )
+        for _ in range(rng.randint(3, 6))
+    ]
+    return sorted(found, key=lambda fault: fault.at)
+
+
+def plan_beside_long_streams(seed: int) -> list[Fault]:
+    """Return pauses of all engines and of some, and planned work beside them.
+
+    Instances stand still in some of them, as on a busy machine.
+    """
+    rng = random.Random(f'beside long streams of {seed}')
+    found = []
+    at = LONG_STREAMS_SECONDS
+    for _ in range(rng.randint(2, 4)):
+        what = rng.choice((What.PAUSED_ENGINES, What.FROZEN_ENGINES))
+        seconds = rng.uniform(*LONG_PAUSE_SECONDS)
+        found.append(Fault(what, at, seconds, rng.choice((1, 2, 2))))
+        beside = rng.choice((None, What.PAUSE_INSTANCE, *PLANNED_WORK))
+        if beside is not None:
+            found += [
+                Fault(beside, at + rng.uniform(0.0, 0.4), seconds / 2, number)
+                for number in range(rng.randint(1, 8))
+            ]
+        at += rng.uniform(2.0, 7.0)
+    return sorted(found, key=lambda fault: fault.at)
+
+
 def plan_of_all_kinds(seed: int) -> list[Fault]:
     """Return faults of instances, the store, engines and links."""
     return [
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -97,6 +97,7 @@
         self.paused = False
         self.cuts = 0
         self.ready = False
+        self.peak_megabytes = 0.0
         self.unexpected_ends: list[str] = []
 
     @property
@@ -145,6 +146,16 @@
         handled = int(masks['SigCgt'], 16) | int(masks['SigIgn'], 16)
         return bool(handled & 1 << (signal.SIGTERM - 1))
 
+    def look_at_memory(self) -> None:
+        """Note the most memory that the process has had."""
+        if self.handles_signals:
+            status = pathlib.Path(f'/proc/{self.process.pid}/status')
+            fields = dict(
+                line.split(':', 1) for line in status.read_text().splitlines()
+            )
+            peak = int(fields['VmHWM'].split()[0]) / 1024.0
+            self.peak_megabytes = max(self.peak_megabytes, peak)
+
     def kill(self) -> None:
         """End the process at once."""
         self.signal(signal.SIGKILL)
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -44,6 +44,8 @@
 # While most new connections go to one instance, requests are served there at
 # least so often, as a share of those before.
 CROWD_LEAST_SHARE = 3 / 4
+# The memory of the smallest machines that instances run on.
+MACHINE_MEGABYTES = 200.0
 # An engine in reach may still work on a stream for so many seconds after
 # another one has begun to go on with it.
 OVERLAP_SECONDS = 0.4
@@ -86,6 +88,7 @@
             *self.not_served_in_crowds(),
             *self.not_served_without_links(),
             *self.not_recovered(),
+            *self.over_memory(),
             *self.ended(),
         ]
 
@@ -282,7 +285,7 @@
                 # No instance has had it.
                 continue
             took = found.ended_at - found.began_at
-            if took <= cuts.ROUTE_LIMITS[found.kind] + LATE_SECONDS:
+            if took <= self.world.route_limits[found.kind] + LATE_SECONDS:
                 continue
             if self.calm(found.instance, found.began_at, found.ended_at):
                 detail = f'{found.request_id}: {took:.2f} s {found.error}'
@@ -540,6 +543,13 @@
             detail = f'{count} of {len(probes)} served: {lost}'
             yield Broken('recovery', detail)
 
+    def over_memory(self) -> Iterator[Broken]:
+        """Find instances that had more memory than the smallest machine."""
+        for instance in self.world.instances:
+            if instance.peak_megabytes > MACHINE_MEGABYTES:
+                detail = f'{instance.peak_megabytes:.0f} MB {instance.name}'
+                yield Broken('memory of instances', detail)
+
     def ended(self) -> Iterator[Broken]:
         """Find processes that ended by themselves."""
         for instance in self.world.instances:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -12,6 +12,7 @@
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
+from zope import interface
 
 
 class Mode(enum.Enum):
@@ -20,6 +21,39 @@
     PASS = 'pass'
     LOSE_ANSWERS = 'lose-answers'
     DARK = 'dark'
+    ENDLESS = 'endless'
+
+
+# What the far side of an endless link writes first, and then again and again.
+ENDLESS_ANSWERS = (
+    (b'HTTP/1.1 200 OK\r\n', b'X-Filler: ' + b'f' * 1_000 + b'\r\n'),
+    (b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
+    (b'HTTP/1.1 200 OK\r\n\r\n', b'f' * 1_000),
+    (
+        b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ',
+        b'f' * 1_000,
+    ),
+)
+ENDLESS_PIECE_BYTES = 65_536
+
+
+@interface.implementer(interfaces.IPullProducer)
+class EndlessAnswer:
+    """Writes bytes to a connection until it is closed."""
+
+    def __init__(self, transport: interfaces.ITCPTransport, kind: int) -> None:
+        self.transport = transport
+        first, more = ENDLESS_ANSWERS[kind % len(ENDLESS_ANSWERS)]
+        self.piece = more * (ENDLESS_PIECE_BYTES // len(more))
+        transport.registerProducer(self, False)
+        transport.write(first)
+
+    def resumeProducing(self) -> None:
+        """Write the next piece."""
+        self.transport.write(self.piece)
+
+    def stopProducing(self) -> None:
+        """The connection is closed."""
 
 
 class Half(protocol.Protocol):
@@ -39,6 +73,10 @@
         """Connect the far side, or send what waited for it."""
         self.transport.setTcpNoDelay(True)
         self.link.halves.add(self)
+        if self.upward and self.link.mode is Mode.ENDLESS:
+            EndlessAnswer(self.transport, self.link.endless_kind)
+            self.dead = True
+            return
         if self.upward:
             self.link.connect_far(self)
             return
@@ -153,6 +191,7 @@
         self.port = port
         self.far: tuple[str, int] | None = None
         self.mode = Mode.PASS
+        self.endless_kind = 0
         self.delay = 0.0
         self.halves: set[Half] = set()
         self.listening: interfaces.IListeningPort | None = None
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -27,6 +27,12 @@
 # An entry lapses after so many heartbeats without renewal.
 LAPSE_HEARTBEATS = 3.0
 CALLERS = 12
+ROUTE_LIMITS = {
+    callers.Kind.STREAM: 10.0,
+    callers.Kind.CALL: 0.9,
+    callers.Kind.QUERY: 0.9,
+    callers.Kind.LETTER: 10.0,
+}
 # A configuration is in force so long after it was written.
 CONFIG_APPLY_SECONDS = 2.5
 # Retries in a window that all instances may send beyond their ratio. With
@@ -37,6 +43,17 @@
 CALLERS_WITH_PAUSES = 24
 # Streams in runs with pauses last for about as long as the longest pause.
 MOST_EVENTS_WITH_PAUSES = 130
+# Streams that last longer than the window in which retries are counted: more
+# of them are under way at a time than begin in a window.
+LONG_STREAM_SECONDS = 40.0
+LONG_STREAM_EVENTS = 130
+SLOW_EVENT_SECONDS = 0.18
+CALLERS_OF_LONG_STREAMS = 64
+SECONDS_BETWEEN_CALLERS = 0.35
+# What becomes of the messages between instances in runs with such streams:
+# the share that is lost, and by how many seconds the others are late.
+LOST_MESSAGES = (0.0, 0.5, 1.0)
+LATE_MESSAGES = (0.0, 0.3, 1.0)
 READY_POLL_SECONDS = 0.25
 START_SECONDS = 20.0
 # Calm at the end, before the fleet has to serve as before. A pause of all
@@ -83,6 +100,13 @@
         self.probes_from = float('inf')
         self.has_pauses = seed >= faults.FIRST_SEED_WITH_PAUSES
         self.has_letters = seed >= faults.FIRST_SEED_WITH_FAILED_RUNS
+        self.has_long_streams = faults.has_long_streams(seed)
+        self.message_loss = self.message_delay = 0.0
+        if self.has_long_streams:
+            messages = random.Random(f'messages of {seed}')
+            self.message_loss = messages.choice(LOST_MESSAGES)
+            self.message_delay = messages.choice(LATE_MESSAGES)
+        self.route_limits = dict(ROUTE_LIMITS)
         self.retry_slack = RETRY_SLACK
         if self.has_pauses:
             self.retry_slack = RETRY_SLACK_WITH_PAUSES
@@ -124,11 +148,23 @@
             self.callers.most_events = MOST_EVENTS_WITH_PAUSES
         if self.has_letters:
             self.callers.kinds.append(callers.Kind.LETTER)
+        if self.has_long_streams:
+            self.lengthen_streams()
         self.loops = [
             task.LoopingCall(self.renew_entries),
             task.LoopingCall(self.look_at_instances),
         ]
 
+    def lengthen_streams(self) -> None:
+        """Have callers ask for long streams alone, of slow engines."""
+        self.engines.event_seconds = SLOW_EVENT_SECONDS
+        self.callers.kinds = [callers.Kind.STREAM]
+        self.callers.least_events = LONG_STREAM_EVENTS
+        self.callers.most_events = LONG_STREAM_EVENTS
+        self.callers.limits[callers.Kind.STREAM] = LONG_STREAM_SECONDS
+        self.route_limits[callers.Kind.STREAM] = LONG_STREAM_SECONDS
+        self.configure()
+
     def add_engines(self, network: str, seed: int) -> None:
         """Add the engines of both services."""
         services = [engines.STREAMS] * MODEL_ENGINES
@@ -152,7 +188,13 @@
     def write_configuration(self) -> None:
         """Write the configuration that is to be in force."""
         routes = [
-            route('stream', engines.STREAMS, 'streaming', 10_000, 5),
+            route(
+                'stream',
+                engines.STREAMS,
+                'streaming',
+                int(1000 * self.route_limits[callers.Kind.STREAM]),
+                5,
+            ),
             route('call', engines.CALLS, 'unsafe', 900, 1),
             route('query', engines.CALLS, 'safe', 900, 2),
         ]
@@ -198,6 +240,7 @@
         """Ask each instance whether it is ready, as a balancer does."""
         for instance in self.instances:
             instance.look_whether_ended()
+            instance.look_at_memory()
             target = f'http://{instance.host}:{instance.ready_port}/ready'
             asked = self.callers.agent.request(b'GET', target.encode())
             asked.addTimeout(READY_POLL_SECONDS, self.reactor)
@@ -230,13 +273,27 @@
         until = now + calm_from + RECOVERY_SECONDS + PROBE_SECONDS
         self.probes_from = until - PROBE_SECONDS
         asking = [
-            self.callers.caller(self.instances, until)
-            for _ in range(CALLERS_WITH_PAUSES if self.has_pauses else CALLERS)
+            self.begin_caller(number, until)
+            for number in range(self.caller_count)
         ]
         for fault in planned:
             task.deferLater(self.reactor, fault.at, self.inject, fault)
         yield defer.gatherResults(asking)
 
+    @property
+    def caller_count(self) -> int:
+        """Return how many callers ask at a time."""
+        if self.has_long_streams:
+            return CALLERS_OF_LONG_STREAMS
+        return CALLERS_WITH_PAUSES if self.has_pauses else CALLERS
+
+    @defer.inlineCallbacks
+    def begin_caller(self, number: int, until: float) -> object:
+        """Have a caller ask; those of long streams begin one by one."""
+        if self.has_long_streams:
+            yield self.sleep(SECONDS_BETWEEN_CALLERS * number)
+        yield self.callers.caller(self.instances, until)
+
     def sleep(self, seconds: float) -> defer.Deferred:
         """Return a Deferred that fires after some seconds."""
         return task.deferLater(self.reactor, seconds, lambda: None)
@@ -371,6 +428,8 @@
             'mode': mode,
             'engines': [e.link.host for e in self.engines.engines],
             'hole': self.black_hole.address,
+            'message_loss': self.message_loss,
+            'message_delay': self.message_delay,
         }
         partial = instance.cut_file.with_suffix('.new')
         partial.write_text(json.dumps(state), 'utf-8')
@@ -443,10 +502,20 @@
                 engine.full_until = until
             elif fault.what is faults.What.FAILING_ENGINES:
                 engine.failing_until = until
+            elif fault.what is faults.What.ENDLESS_ENGINES:
+                engine.link.endless_kind = self.rng.randrange(1_000)
+                engine.link.mode = proxy.Mode.ENDLESS
+                self.later(fault, self.end_endless, engine)
             else:
                 frozen = fault.what is faults.What.FROZEN_ENGINES
                 engine.pause(until, frozen=frozen)
 
+    def end_endless(self, engine: engines.Engine) -> None:
+        """Have an engine answer properly again, on all its connections."""
+        engine.link.mode = proxy.Mode.PASS
+        for half in [h for h in engine.link.halves if h.dead]:
+            half.transport.abortConnection()
+
     def restart_engine(
         self, fault: faults.Fault, engine: engines.Engine
     ) -> None:
