Retry budget: expired parts leave at the front

count_request walked all parts of a service for each request. What is spent or earned is nearly in the order in which it expires, so only the front is looked at; a loan at the front keeps what follows it for half a second longer, which is on the safe side.

--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -70,17 +70,20 @@
     """The retries that one instance has for one service.
 
     Invariants: ``parts`` are in the order in which they expire; ``spent`` has
-    all that still counts against the fixed allowance.
+    all that still counts against the fixed allowance. A loan in it is dropped
+    no earlier, and what follows it up to ``LOAN_SECONDS`` later.
     """
 
     def __init__(self) -> None:
-        self.parts: list[Part] = []
-        self.spent: list[Spent] = []
+        self.parts: collections.deque[Part] = collections.deque()
+        self.spent: collections.deque[Spent] = collections.deque()
 
     def drop_expired(self, now: float, spent_before: float) -> None:
         """Drop expired parts, and what was spent before a monotonic time."""
-        self.parts = [part for part in self.parts if part.usable_until > now]
-        self.spent = [each for each in self.spent if each.at >= spent_before]
+        while self.parts and self.parts[0].usable_until <= now:
+            self.parts.popleft()
+        while self.spent and self.spent[0].at < spent_before:
+            self.spent.popleft()
 
     def add_part(self, usable_until: float, retries: float) -> None:
         """Add a part, to another that expires a little earlier if possible."""
