--- a/tests/relay/test_retry_budget.py
+++ b/tests/relay/test_retry_budget.py
@@ -5,10 +5,12 @@
 from hypothesis import strategies as st
 import pytest
 
+from greengagelb import errors
 from greengagelb.coordination import actions as common_actions
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import shared_retry_budget
+from greengagelb.protocol import relay_hints
 from greengagelb.state.relay import hints
 from tests.common import relay_world
 
@@ -239,6 +241,22 @@
     assert world.refusals(following)
 
 
+@pytest.mark.parametrize(
+    'hint',
+    [hints.LoanRequested(1, 'drafts', 0.5), hints.LoanGranted(1, 0.25)],
+)
+def test_loans_survive_their_way_as_datagrams(hint):
+    raw = relay_hints.encode_hint('x', hint)
+    assert relay_hints.decode_datagram(raw) == ('x', hint)
+
+
+def test_negative_loan_is_no_message():
+    """Guards against a loan that takes retries from its borrower."""
+    raw = relay_hints.encode_hint('x', hints.LoanGranted(1, -1.0))
+    with pytest.raises(errors.ProtocolError):
+        relay_hints.decode_datagram(raw)
+
+
 def test_caller_who_leaves_waits_for_no_loan():
     world, exchange = borrower_among()
     world.leave(exchange)
