--- a/src/greengagelb/coordination/relay/retry_loans.py
+++ b/src/greengagelb/coordination/relay/retry_loans.py
@@ -31,7 +31,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaitingRetry:
-    """A request that needs a retry, at the latest at a monotonic time."""
+    """A request that waits for a retry until a monotonic time.
+
+    ``continuation`` says how it goes on, with a retry or without.
+    """
 
     exchange: int
     service: str
@@ -53,7 +56,8 @@
     """The loans of one instance, and the requests that wait for one.
 
     ``lenders`` has the other instances that are heard. ``outgoing`` has the
-    messages to send, each with its receiver.
+    messages to send, each with its receiver. Until the monotonic time in
+    ``refused_until``, no request for a service waits.
 
     Invariant: a request is in ``waiting`` at most once.
     """
--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -27,8 +27,9 @@
 # when it arrives: those that make a pause, or whose connection does, read all
 # that was sent meanwhile at once.
 HELD_UP_SECONDS = 4.0
-# A request may be spent from its window to the end of the next one, and both
-# windows count all of it.
+# The share of the ratio that a request earns. The retries of one window were
+# earned in it and in the window before it; the bound counts the requests of
+# only one of the two.
 EARNED_SHARE = 0.5
 # The assumed fleet size until it is known: an instance takes as little of the
 # fixed allowance as in a large fleet.
--- a/src/greengagelb/state/relay/bounds.py
+++ b/src/greengagelb/state/relay/bounds.py
@@ -7,8 +7,10 @@
 class RetryBounds:
     """Retry budget of a service across all instances.
 
-    In any ``window_seconds`` the retries may number ``ratio`` times the
-    requests for the service, plus ``slack``.
+    In any ``window_seconds`` the retries that arrive may number ``ratio``
+    times the requests for the service, plus ``slack``. The requests are those
+    of that window, of the one before it or of the one half a window before
+    it, whichever has most.
     """
 
     ratio: float = 0.1
