Soak: all three sentences of the retry rule, data centres that are lost

The soak judged only how many retries a service gets. Now also: requests that ran on more engines than their route allows (engines that ended meanwhile don't count), engines that were told to have more time than is left, and, in runs from seed 7000 on, where the engines of one data centre after the other end, requests that more than one successor there turned away.

--- a/tests/soak/budget.py
+++ b/tests/soak/budget.py
@@ -1,4 +1,8 @@
-"""Counts the retries that a service got, over all windows of time."""
+"""Counts the retries that a service got, and what they were allowed.
+
+The rule has three parts: the retries of a service over all windows of time,
+the engines of one request, and the time that engines are told to have.
+"""
 
 import bisect
 from collections.abc import Iterable
@@ -7,6 +11,9 @@
 
 from tests.soak import engines
 
+# Engines may be told to have this much more time than is left, in seconds.
+MOST_TIME_BEYOND = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
@@ -40,6 +47,36 @@
     return found
 
 
+def engines_used(runs: Iterable[engines.Run]) -> int:
+    """Return on how many engines a request ran that did not end meanwhile."""
+    return len({run.engine for run in runs if not run.broken_off})
+
+
+def is_told_too_long(
+    arrival: engines.Received,
+    first: engines.Received,
+    asked_at: float,
+    limit: float,
+) -> bool:
+    """Return whether an engine was told to have more time than is left.
+
+    The caller waits ``limit`` seconds from ``asked_at`` on; ``first`` is the
+    first arrival of the same request.
+    """
+    if arrival.left is None or arrival.left > limit + MOST_TIME_BEYOND:
+        return True
+    if not is_late_retry(arrival, first):
+        return False
+    first_end = first.at + (first.left or 0.0)
+    end = max(first_end, asked_at + limit)
+    return arrival.at + arrival.left > end + MOST_TIME_BEYOND
+
+
+def is_late_retry(arrival: engines.Received, first: engines.Received) -> bool:
+    """Return whether the time left has changed since the first arrival."""
+    return arrival.at > first.at + MOST_TIME_BEYOND
+
+
 def worst_window(
     requests: list[float], retries: list[float], bounds: Bounds
 ) -> Excess | None:
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -73,11 +73,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Received:
-    """A request that reached an engine, whatever was answered."""
+    """A request that reached an engine, whatever was answered.
+
+    ``left`` is the time that the engine was told to have for it, in seconds,
+    and ``misdirected_in`` the data centre of an engine that it was not meant
+    for.
+    """
 
     service: str
     request_id: str
     at: float
+    left: float | None = None
+    misdirected_in: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -257,7 +264,14 @@
         head = Head(request)
         now = self.pool.reactor.seconds()
         if head.request_id:
-            received = Received(self.service, head.request_id, now)
+            is_meant = head.expected in ('', self.identity)
+            received = Received(
+                self.service,
+                head.request_id,
+                now,
+                head.left,
+                '' if is_meant else self.place,
+            )
             self.pool.received.append(received)
         if self.frozen_until <= now:
             return self.answer(request, head)
@@ -464,6 +478,8 @@
         self.copy_from = field('Kv-From')
         self.copied_run = self.copy_from.partition('/')[2]
         self.after = int(field('Last-Event-Id') or 0)
+        left = field('Request-Deadline')
+        self.left = int(left) / 1000.0 if left else None
         self.parts = {
             part.partition(':')[0]
             for part in field('Prompt-Prefix').split(',')[:-1]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -33,7 +33,13 @@
 # The same before streams could last longer than the window in which retries
 # are counted, while instances hear late of each other, or not at all.
 FIRST_SEED_WITH_LONG_STREAMS = 6_000
-# In every other such run engines answer without an end instead.
+# The same before all engines of a data centre could end together.
+FIRST_SEED_WITH_LOST_PLACES = 7_000
+# As often, and for so long. The share of a data centre's engines that end.
+LOST_PLACE_EVERY_SECONDS = (5.0, 7.0)
+LOST_PLACE_SECONDS = 1.2
+LOST_PLACE_SHARE = 0.9
+# In every other run with long streams engines answer without an end instead.
 ENDLESS_SECONDS = (1.0, 4.0)
 # By then as many streams are under way as there will be.
 LONG_STREAMS_SECONDS = 24.0
@@ -84,6 +90,7 @@
     FULL_ENGINES = 'full-engines'
     FAILING_ENGINES = 'failing-engines'
     ENDLESS_ENGINES = 'endless-engines'
+    LOST_PLACE = 'lost-place'
 
 
 # Those that harm an instance, or what it knows.
@@ -113,6 +120,7 @@
         What.SLOW_ENGINE_LINK,
         What.LOST_ENGINE_ANSWERS,
         What.RESTART_ENGINE,
+        What.LOST_PLACE,
     }
 )
 # Those in which a link loses what an engine has written.
@@ -126,7 +134,7 @@
         What.PAUSE_INSTANCE,
     }
 )
-TO_ENGINES = OF_ENGINES | {
+TO_ENGINES = (OF_ENGINES - {What.LOST_PLACE}) | {
     What.LEAVING_ENGINE,
     What.LIMITED_ENGINE,
     What.STATED_LEAVING,
@@ -165,6 +173,7 @@
     What.CRASHING_PART,
     What.CROWDED_INSTANCE,
     *OF_MANY_ENGINES,
+    What.LOST_PLACE,
 )
 DRAWN = tuple(what for what in What if what not in DRAWN_APART)
 
@@ -185,6 +194,8 @@
     In every other run with lost links or crashing parts little else happens,
     as a harmed store or instance may be the cause of a failed request.
     """
+    if seed >= FIRST_SEED_WITH_LOST_PLACES:
+        return plan_lost_places(seed)
     if has_long_streams(seed):
         return plan_beside_long_streams(seed)
     if seed >= FIRST_SEED_WITH_LONG_STREAMS:
@@ -217,7 +228,27 @@
 
 def has_long_streams(seed: int) -> bool:
     """Return whether a run has streams longer than the window of retries."""
-    return seed >= FIRST_SEED_WITH_LONG_STREAMS and seed % 2 == 0
+    is_odd = seed % 2 or seed >= FIRST_SEED_WITH_LOST_PLACES
+    return seed >= FIRST_SEED_WITH_LONG_STREAMS and not is_odd
+
+
+def plan_lost_places(seed: int) -> list[Fault]:
+    """Return when the engines of one data centre after the other end.
+
+    In two of three runs instances are harmed or stopped beside that.
+    """
+    rng = random.Random(f'lost places of {seed}')
+    found = []
+    at = FAULT_SECONDS / 2
+    for _ in range(rng.randint(3, 5)):
+        number = rng.randrange(1_000)
+        found.append(Fault(What.LOST_PLACE, at, LOST_PLACE_SECONDS, number))
+        beside = rng.choice((*PLANNED_WORK, *sorted(OF_LIVES, key=str)))
+        if seed % 3:
+            begin = at + rng.uniform(-1.0, 2.0)
+            found.append(Fault(beside, begin, rng.uniform(0.3, 2.0), number))
+        at += rng.uniform(*LOST_PLACE_EVERY_SECONDS)
+    return sorted(found, key=lambda fault: fault.at)
 
 
 def plan_endless_answers(seed: int) -> list[Fault]:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -46,6 +46,15 @@
 CROWD_LEAST_SHARE = 3 / 4
 # The memory of the smallest machines that instances run on.
 MACHINE_MEGABYTES = 200.0
+# So many successors in one data centre turn a request away: the first shows
+# that the engines there have ended.
+MOST_MISDIRECTED = 1
+# So many requests may run on more engines than their route allows.
+ATTEMPTS_SPARE = 3
+# So many requests may reach engines with more time than is left, and this
+# share of the retries that are sent so late that it matters.
+TIME_SPARE = 20
+TIME_SPARE_SHARE = 1 / 5
 # An engine in reach may still work on a stream for so many seconds after
 # another one has begun to go on with it.
 OVERLAP_SECONDS = 0.4
@@ -68,6 +77,9 @@
         self.runs = collections.defaultdict(list)
         for run in played.engines.runs:
             self.runs[run.request_id].append(run)
+        self.received = collections.defaultdict(list)
+        for arrival in played.engines.received:
+            self.received[arrival.request_id].append(arrival)
 
     def verdict(self) -> list[Broken]:
         """Return all promises that were broken."""
@@ -79,6 +91,9 @@
             *self.cut_by_stops(),
             *self.lost_answers(),
             *self.over_budget(),
+            *self.over_attempts(),
+            *self.over_time(),
+            *self.misdirected_in_turn(),
             *self.overlapping_runs(),
             *self.late(),
             *self.refused_keys(),
@@ -213,6 +228,58 @@
                 )
                 yield Broken('retry budget', detail)
 
+    def over_attempts(self) -> Iterator[Broken]:
+        """Find requests that ran on more engines than their routes allow."""
+        over = [
+            found.request_id
+            for found in self.outcomes
+            if budget.engines_used(self.runs[found.request_id])
+            > world.ROUTE_ATTEMPTS[found.kind]
+        ]
+        if len(over) > ATTEMPTS_SPARE:
+            detail = f'{len(over)}, as {over[0]}'
+            yield Broken('engines of an attempt', detail)
+
+    def over_time(self) -> Iterator[Broken]:
+        """Find engines that were told to have more time than was left."""
+        first: dict[str, engines.Received] = {}
+        told_too_long = late_retries = 0
+        asked = {found.request_id: found for found in self.outcomes}
+        for arrival in sorted(self.world.engines.received, key=lambda a: a.at):
+            found = asked.get(arrival.request_id)
+            if found is None or not self.calm(
+                found.instance, found.began_at, arrival.at
+            ):
+                continue
+            begun = first.setdefault(arrival.request_id, arrival)
+            late_retries += budget.is_late_retry(arrival, begun)
+            limit = self.world.callers.limits[found.kind]
+            told_too_long += budget.is_told_too_long(
+                arrival, begun, found.began_at, limit
+            )
+        spare = max(TIME_SPARE, TIME_SPARE_SHARE * late_retries)
+        if told_too_long > spare:
+            detail = f'{told_too_long}, {late_retries} late retries'
+            yield Broken('time handed to engines', detail)
+
+    def misdirected_in_turn(self) -> Iterator[Broken]:
+        """Find requests that several new engines of one loss turned away."""
+        if not self.world.has_lost_places:
+            return
+        for found in self.outcomes:
+            begin, end = found.began_at, found.ended_at or float('inf')
+            if not self.calm(found.instance, begin, end):
+                continue
+            turned_away = collections.Counter(
+                arrival.misdirected_in
+                for arrival in self.received[found.request_id]
+                if arrival.misdirected_in
+            )
+            for place, times in turned_away.items():
+                if times > MOST_MISDIRECTED:
+                    detail = f'{found.request_id}: {times} in {place}'
+                    yield Broken('one successor shows a loss', detail)
+
     def overlapping_runs(self) -> Iterator[Broken]:
         """Find streams on which two engines in reach worked for too long."""
         if not self.world.has_pauses:
--- a/tests/soak/test_budget.py
+++ b/tests/soak/test_budget.py
@@ -41,6 +41,33 @@
     assert budget.worst_window(requests, retries, BOUNDS).over == over
 
 
+def test_engines_that_ended_do_not_count_as_used():
+    """Else each loss of an engine would count as an engine too many."""
+    runs = [engines.Run('a', f'i-{number}', 0.0) for number in range(3)]
+    runs.append(engines.Run('a', 'i-0', 1.0))
+    runs[1].broken_off = True
+    assert budget.engines_used(runs) == 2
+
+
+@pytest.mark.parametrize(
+    ('at', 'left', 'is_too_long'),
+    [
+        pytest.param(0.1, None, True, id='no time named'),
+        pytest.param(0.1, 10.4, False, id='rounded up'),
+        pytest.param(0.1, 10.6, True, id='longer than the caller waits'),
+        pytest.param(3.0, 7.0, False, id='what is left'),
+        pytest.param(3.0, 7.6, True, id='more than is left'),
+        pytest.param(0.4, 10.0, False, id='the same moment'),
+    ],
+)
+def test_engines_are_told_no_more_time_than_is_left(at, left, is_too_long):
+    """Guards against work that goes on after the caller has left."""
+    first = engines.Received('drafts', 'a', 0.0, 10.0)
+    arrival = engines.Received('drafts', 'a', at, left)
+    told = budget.is_told_too_long(arrival, first, asked_at=0.0, limit=10.0)
+    assert told == is_too_long
+
+
 def test_without_retries_no_window_is_worst():
     """Else a quiet service would be blamed for its allowance."""
     assert budget.worst_window([1.0], [], BOUNDS) is None
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,11 +22,19 @@
 
 PLACES = ('north', 'south', 'west')
 MODEL_ENGINES = 6
+# So many that a request may meet several of one data centre in turn.
+MODEL_ENGINES_OF_LOST_PLACES = 36
 CALL_ENGINES = 3
 HEARTBEAT_SECONDS = instances.HEARTBEAT_MILLISECONDS / 1000.0
 # An entry lapses after so many heartbeats without renewal.
 LAPSE_HEARTBEATS = 3.0
 CALLERS = 12
+ROUTE_ATTEMPTS = {
+    callers.Kind.STREAM: 5,
+    callers.Kind.CALL: 1,
+    callers.Kind.QUERY: 2,
+    callers.Kind.LETTER: 5,
+}
 ROUTE_LIMITS = {
     callers.Kind.STREAM: 10.0,
     callers.Kind.CALL: 0.9,
@@ -103,8 +111,9 @@
         self.has_pauses = seed >= faults.FIRST_SEED_WITH_PAUSES
         self.has_letters = seed >= faults.FIRST_SEED_WITH_FAILED_RUNS
         self.has_long_streams = faults.has_long_streams(seed)
+        self.has_lost_places = seed >= faults.FIRST_SEED_WITH_LOST_PLACES
         self.message_loss = self.message_delay = 0.0
-        if self.has_long_streams:
+        if self.has_long_streams or self.has_lost_places:
             messages = random.Random(f'messages of {seed}')
             self.message_loss = messages.choice(LOST_MESSAGES)
             self.message_delay = messages.choice(LATE_MESSAGES)
@@ -169,7 +178,10 @@
 
     def add_engines(self, network: str, seed: int) -> None:
         """Add the engines of both services."""
-        services = [engines.STREAMS] * MODEL_ENGINES
+        models = MODEL_ENGINES
+        if self.has_lost_places:
+            models = MODEL_ENGINES_OF_LOST_PLACES
+        services = [engines.STREAMS] * models
         services += [engines.CALLS] * CALL_ENGINES
         for number, service in enumerate(services):
             engines.Engine(
@@ -195,13 +207,12 @@
                 engines.STREAMS,
                 'streaming',
                 int(1000 * self.route_limits[callers.Kind.STREAM]),
-                5,
             ),
-            route('call', engines.CALLS, 'unsafe', 900, 1),
-            route('query', engines.CALLS, 'safe', 900, 2),
+            route('call', engines.CALLS, 'unsafe', 900),
+            route('query', engines.CALLS, 'safe', 900),
         ]
         if self.has_letters:
-            letters = route('letter', engines.STREAMS, 'streaming', 10_000, 5)
+            letters = route('letter', engines.STREAMS, 'streaming', 10_000)
             routes.append({**letters, 'resumable': False})
         model = {
             'slots': engines.SLOTS,
@@ -285,7 +296,7 @@
     @property
     def caller_count(self) -> int:
         """Return how many callers ask at a time."""
-        if self.has_long_streams:
+        if self.has_long_streams or self.has_lost_places:
             return CALLERS_OF_LONG_STREAMS
         return CALLERS_WITH_PAUSES if self.has_pauses else CALLERS
 
@@ -332,6 +343,8 @@
                 self.harm_instance(fault, instance)
         elif fault.what in faults.OF_THE_STORE:
             self.harm_store(fault)
+        elif fault.what is faults.What.LOST_PLACE:
+            self.lose_place(fault)
         elif fault.what in faults.TO_ENGINES:
             self.harm_engine(fault)
         elif fault.what in faults.OF_MANY_ENGINES:
@@ -489,6 +502,34 @@
             case faults.What.RESTING_ENGINE:
                 self.overload(fault, engine)
 
+    def lose_place(self, fault: faults.Fault) -> None:
+        """End most engines of a data centre; others follow them.
+
+        Every other time its links are dark meanwhile, and nothing is reset.
+        """
+        place = PLACES[fault.target % len(PLACES)]
+        lost = [
+            engine
+            for engine in self.engines.engines
+            if engine.place == place
+            and engine.lives
+            and engine.service == engines.STREAMS
+            and self.rng.random() < faults.LOST_PLACE_SHARE
+        ]
+        self.note(fault, ' '.join(engine.identity for engine in lost))
+        is_dark = fault.target // len(PLACES) % 2
+        for engine in lost:
+            if is_dark:
+                engine.crash_unnoticed()
+            else:
+                engine.crash()
+            self.later(fault, self.follow, engine)
+
+    def follow(self, engine: engines.Engine) -> None:
+        """Start an engine in the place of one that has ended."""
+        engine.link.mode = proxy.Mode.PASS
+        engine.restart()
+
     def hold_engines(self, fault: faults.Fault) -> None:
         """Have one engine, every other one or all pause, fail or be full."""
         pool = self.engines.engines
@@ -638,9 +679,7 @@
     return [*keys[keys.index(shown) :], added]
 
 
-def route(
-    name: str, to: str, kind: str, limit: int, attempts: int
-) -> dict[str, object]:
+def route(name: str, to: str, kind: str, limit: int) -> dict[str, object]:
     """Return a route of the configuration."""
     return {
         'name': name,
@@ -650,7 +689,7 @@
         'kind': kind,
         'timeout_ms': limit,
         'latency_goal_ms': 300,
-        'max_attempts': attempts,
+        'max_attempts': ROUTE_ATTEMPTS[callers.Kind(name)],
         'resumable': kind == 'streaming',
         'gap_aim_ms': 700,
     }
