--- a/tests/common/budget_fleet.py
+++ b/tests/common/budget_fleet.py
@@ -19,6 +19,10 @@
 TICK_SECONDS = 0.05
 EVENT_SECONDS = 0.35
 SERVED = 200
+MISDIRECTED = 421
+# An engine that has ended is followed by another one at its address after
+# this time.
+RESTART_SECONDS = 1.2
 
 
 class Instance(relay_world.RelayWorld):
@@ -47,7 +51,8 @@
     the first of each. Until ``held_until``, sends stand in the engines'
     sockets. ``running`` has the sends whose engine works on them. Until
     ``silent_until`` no engine writes anything; they answer probes if they are
-    ``in_reach``.
+    ``in_reach``. ``followed_at`` has when another engine is at the address of
+    one that has ended, ``misdirected`` the answers of such engines by request.
     """
 
     def __init__(
@@ -69,6 +74,9 @@
         self.asked_at = []
         self.repeated_at = []
         self.arrivals = collections.Counter()
+        self.followed_at = {}
+        self.misdirected = collections.Counter()
+        self.identity_questions = 0
         self.instances = []
         for _ in range(size):
             self.instances.append(self.start())
@@ -138,6 +146,18 @@
                     probed = relay_events.EngineProbed(exchange, send, alive)
                     seconds = LINK_SECONDS if alive else PROBE_SECONDS
                     self.at(self.now + seconds, self.give, one, probed)
+                case relay_actions.CheckEngine(entry):
+                    has_ended = entry.engine in self.followed_at
+                    fate = relay_events.EngineFate
+                    checked = relay_events.EngineChecked(
+                        entry, fate.ENDED if has_ended else fate.ALIVE
+                    )
+                    self.at(self.now + LINK_SECONDS, self.give, one, checked)
+                case relay_actions.ProbeAddress(entry):
+                    self.identity_questions += 1
+                    found = self.engine_at_address(entry.engine)
+                    probed = relay_events.AddressProbed(entry.engine, found)
+                    self.at(self.now + LINK_SECONDS, self.give, one, probed)
                 case relay_actions.TellPeer(name, hint):
                     for other in self.instances:
                         if other.name == name:
@@ -199,6 +219,23 @@
                 ),
             )
 
+    def lose_place(self, place):
+        """End all model engines of a data centre; others follow them."""
+        for entry in self.engines:
+            is_model = entry.service == relay_world.STREAMS
+            if is_model and entry.data_centre == place:
+                self.followed_at[entry.engine] = self.now + RESTART_SECONDS
+        for one, send in list(self.running.values()):
+            if send.engine.engine in self.followed_at:
+                self.at(self.now, self.break_run, one, send)
+
+    def engine_at_address(self, engine):
+        """Return which engine answers at an engine's address, or ''."""
+        if engine not in self.followed_at:
+            return engine
+        is_followed = self.now >= self.followed_at[engine]
+        return f'{engine}-next' if is_followed else ''
+
     def silence_all(self, seconds):
         """Have all engines write nothing for a time."""
         self.silent_until = self.now + seconds
@@ -209,17 +246,31 @@
 
     def arrive(self, one, send):
         """Count a send at its engine, which refuses or serves it."""
+        found = self.engine_at_address(send.engine.engine)
+        if not found:
+            refused = relay_events.SendFailed(
+                send.exchange, send.send, False, 'ConnectionRefusedError'
+            )
+            self.give(one, refused)
+            return
         key = (one.name, send.exchange)
         self.arrivals[key] += 1
         if self.arrivals[key] > 1:
             self.repeated_at.append(self.now)
-        if self.status == SERVED:
+        if found != send.engine.engine:
+            self.misdirected[key] += 1
+            self.refuse(one, send, MISDIRECTED)
+        elif self.status == SERVED:
             self.serve(one, send)
-            return
+        else:
+            self.refuse(one, send, self.status)
+
+    def refuse(self, one, send, status):
+        """Turn a send away that has not run."""
         answered = relay_events.AnswerComplete(
             send.exchange,
             send.send,
-            relay_world.answer_head(self.status, sealed=False, not_run=True),
+            relay_world.answer_head(status, sealed=False, not_run=True),
             b'',
         )
         self.give(one, answered)
