Engines that ended together are asked who they are before they get requests

Cause: a 421 was noted of one engine alone. What ends the engines of a data centre together brings them back together, under other identities at the same addresses, so one request was sent to one after the other; each refusal is an arrival and costs a retry, at each instance anew where hints are late or lost. Class: evidence about many that is kept about one.

After a 421 the neighbours of the engine, those of the same service in the same data centre that were not heard in the last half second, get no requests until their identity is known. Four are asked, and two more for each that has ended; the rest counts as unchanged once all answers are in. A request that has no other engine waits for the answers, 0.3 s at most.

The successor of an engine of two model services is still not asked for, its neighbours are.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -175,12 +175,14 @@
         now: float,
     ) -> list[Action]:
         """Try another engine after one that did not run the call."""
-        if status == MISDIRECTED_REQUEST:
-            self.components.send_manager.note_engine_replaced(exchange, sent)
         why = f'not run, status {status}'
         resulting: list[Action] = [
             sending.record(exchange, sent, 'send-refused', why)
         ]
+        if status == MISDIRECTED_REQUEST:
+            resulting += self.components.handle_misdirected(
+                exchange, sent, now
+            )
         if exchange.sends:
             return resulting
         return resulting + self.send_to_next_engine(
--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -221,7 +221,8 @@
         available = [
             state
             for state in self.usable_engines(service, excluded, now)
-            if now >= state.rest_until and now >= state.next_send_at
+            if now >= state.available_at
+            and now >= state.identity_unknown_until
         ]
         trusted = [state for state in available if state.is_trusted(now)]
         return trusted or available
--- a/src/greengagelb/coordination/relay/engine_selection.py
+++ b/src/greengagelb/coordination/relay/engine_selection.py
@@ -123,6 +123,19 @@
         ]
         return min(found, key=lambda state: state.available_at, default=None)
 
+    def identities_known_by(
+        self, service: str, excluded: set[str], now: float
+    ) -> float:
+        """Return until when an engine is asked for its identity, or ``now``.
+
+        Such an engine may get requests by then.
+        """
+        ends = [
+            state.identity_unknown_until
+            for state in self.engines.usable_engines(service, excluded, now)
+        ]
+        return max([now, *ends])
+
     def rested_at(self, service: str, now: float) -> float:
         """Return when the first engine of a service has ended its rest.
 
--- a/src/greengagelb/coordination/relay/engine_waits.py
+++ b/src/greengagelb/coordination/relay/engine_waits.py
@@ -1,9 +1,9 @@
 """Requests that wait until an engine of their service may be sent one again.
 
-All engines of a service may have asked this instance for rest. A request that
-can be served in its time waits, fair between client accounts, streams that
-have begun first. After a rest an engine gets requests one by one, not all that
-have waited at once.
+All engines of a service may have asked this instance for rest, or may be asked
+who they are. A request that can be served in its time waits, fair between
+client accounts, streams that have begun first. After a rest an engine gets
+requests one by one, not all that have waited at once.
 """
 
 import dataclasses
@@ -82,14 +82,23 @@
         self,
         exchange: exchanges.Exchange,
         continuation: permit_waits.Continuation,
+        least_until: float = float('-inf'),
     ) -> None:
-        """Have a request wait for an engine."""
+        """Have a request wait for an engine.
+
+        It waits until ``least_until``, a monotonic time, if that is later
+        than it usually would.
+        """
+        deadline = max(
+            self.deadline_of(exchange),
+            min(least_until, exchange.ruling.deadline),
+        )
         request = WaitingRequest(
             exchange.number,
             exchange.ruling.service.name,
             exchange.ruling.account,
             exchange.begun,
-            self.deadline_of(exchange),
+            deadline,
             continuation,
         )
         self.held_count += 1
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -209,6 +209,7 @@
     """A probe of a lost engine's address has ended.
 
     ``new`` is the identity of the engine that answered, or empty if none did.
+    ``is_replaced`` tells that it is another one, which may not say which.
     If it is still the same, ``started_at_ms`` is the start time it reported.
     ``has_model_memory`` is whether it was asked for the memory of a model
     engine, has it, and is not about to leave.
@@ -218,6 +219,7 @@
     new: str
     started_at_ms: int = engines.UNKNOWN_START
     has_model_memory: bool = False
+    is_replaced: bool = False
 
 
 class EngineFate(enum.Enum):
--- a/src/greengagelb/coordination/relay/permit_outcomes.py
+++ b/src/greengagelb/coordination/relay/permit_outcomes.py
@@ -193,7 +193,7 @@
             return None
         if state.entry.life != held.life or not state.is_usable(now):
             return None
-        if now < state.available_at:
+        if now < max(state.available_at, state.identity_unknown_until):
             return None
         return state if self.is_wanted(held, exchange, now) else None
 
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -23,6 +23,7 @@
 from greengagelb.coordination.relay import engine_waits
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
+from greengagelb.coordination.relay import identity_checks
 from greengagelb.coordination.relay import loads
 from greengagelb.coordination.relay import peer_events
 from greengagelb.coordination.relay import permit_outcomes
@@ -105,6 +106,12 @@
         self.request_router = request_routing.RequestRouter(rng)
         self.crash_watch = crash_watch.CrashWatch()
         self.fleet = fleet.FleetView(self.loads, own.incarnation)
+        self.succession = successor_search.SuccessorSearch(
+            self.engines, engine_bounds.address_reuse_seconds
+        )
+        self.identity_checks = identity_checks.IdentityChecks(
+            self.engines, self.send_manager, self.succession, rng
+        )
         components = relay_components.RelayComponents(
             self.engines,
             selector,
@@ -116,11 +123,9 @@
             retry_loans.RetryLoans(
                 self.budget, self.fleet.heard_at.keys(), rng
             ),
+            self.identity_checks,
         )
         self.calls = calls.CallRelay(components)
-        self.succession = successor_search.SuccessorSearch(
-            self.engines, engine_bounds.address_reuse_seconds
-        )
         self.streams = streams.StreamRelay(components, self.succession)
         self.keeper.ranking.members = self.fleet.reachable_instances
         self.paths = engine_paths.EnginePaths(
@@ -302,13 +307,8 @@
                 return self.engine_list.handle_store_restored(now)
             case relay_events.EngineListRequested():
                 return self.engine_list.announce_store_attempt()
-            case relay_events.AddressProbed(old, new, start) if old == new:
-                return [
-                    *self.restarts.note_reported_start(old, start, now),
-                    *self.statements.note_start(old, start, now),
-                ]
             case relay_events.AddressProbed():
-                return self.use_successor(event, now)
+                return self.handle_address_answer(event, now)
             case relay_events.StopRequested():
                 return self.lifecycle.begin_stop(event, now)
             case relay_events.ServingEnded():
@@ -325,6 +325,21 @@
                 return self.paths.handle_event(event, now)
         return self.peers.handle_event(event, now)
 
+    def handle_address_answer(
+        self, event: relay_events.AddressProbed, now: float
+    ) -> list[Action]:
+        """Apply which engine has answered at an address, or that none has."""
+        resulting = self.identity_checks.accept_answer(event, now)
+        if event.old == event.new:
+            start = event.started_at_ms
+            resulting += self.restarts.note_reported_start(
+                event.old, start, now
+            )
+            resulting += self.statements.note_start(event.old, start, now)
+        else:
+            resulting += self.use_successor(event, now)
+        return resulting + self.engine_wait_outcomes.continue_waiting(now)
+
     def use_successor(
         self, event: relay_events.AddressProbed, now: float
     ) -> list[Action]:
--- a/src/greengagelb/coordination/relay/relay_components.py
+++ b/src/greengagelb/coordination/relay/relay_components.py
@@ -9,6 +9,7 @@
 from greengagelb.coordination.relay import engine_selection
 from greengagelb.coordination.relay import engine_waits
 from greengagelb.coordination.relay import events as relay_events
+from greengagelb.coordination.relay import identity_checks
 from greengagelb.coordination.relay import permit_waits
 from greengagelb.coordination.relay import retry_loans
 from greengagelb.coordination.relay import sending
@@ -33,6 +34,17 @@
     waiting_sends: permit_waits.WaitingSends
     engine_waits: engine_waits.EngineWaits
     retry_loans: retry_loans.RetryLoans
+    identity_checks: identity_checks.IdentityChecks
+
+    def handle_misdirected(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> list[Action]:
+        """Handle a send that reached another engine than the intended one."""
+        self.send_manager.note_engine_replaced(exchange, sent)
+        return self.identity_checks.check_neighbours(sent.entry, now)
 
     def wait_for_permit(
         self,
@@ -94,7 +106,8 @@
         """Handle a request that no engine accepts now.
 
         One that has an open run goes on with it. Else it waits if all that is
-        missing is the end of a rest that comes in its time. Otherwise it is
+        missing is the identity of an engine that is being asked for it, or the
+        end of a rest that comes in its time. Otherwise it is
         refused at once, and told when to come back if rests or limits of
         engines are the reason. An engine that has refused it and asked for
         rest, one of those ``excluded``, may be asked again after that.
@@ -108,6 +121,10 @@
             service, excluded, now, account
         )
         left_out = self.describe_left_out(exchange, now)
+        asked_until = self.selector.identities_known_by(service, excluded, now)
+        if asked_until > now and self.send_manager.has_attempts_left(exchange):
+            self.engine_waits.hold(exchange, continuation, asked_until)
+            return left_out
         if rested is not None and self.send_manager.has_attempts_left(
             exchange
         ):
@@ -151,7 +168,9 @@
         found = [
             state
             for state in states
-            if state.leaving_source is not None or now < state.available_at
+            if state.leaving_source is not None
+            or now < state.available_at
+            or now < state.identity_unknown_until
         ]
         if not found:
             return []
@@ -167,6 +186,8 @@
     """Return why an engine wants no requests, for the timeline."""
     if state.leaving_source is not None:
         return f'leaves by {state.leaving_source.describe(now)}'
+    if now < state.identity_unknown_until:
+        return 'is asked for its identity'
     seconds = state.available_at - now
     source = state.rest_source
     return f'rests for {seconds:.3f} s by {source.describe(now)}'
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -275,7 +275,10 @@
         an attempt. It has arrived at an engine, and the budget counts that.
         """
         exchange.attempts -= 1
-        replaced = sent.entry
+        self.announce_replaced(sent.entry)
+
+    def announce_replaced(self, replaced: engines.EngineEntry) -> None:
+        """Note that another engine has an engine's address, and tell so."""
         self.engines.note_replaced(replaced.engine, replaced.started_at_ms)
         self.pending_hints.append(
             hints.EngineReplaced(
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -381,7 +381,9 @@
         told = sending.record(exchange, sent, 'send-refused', why)
         resulting: list[Action] = [told]
         if head.status == calls.MISDIRECTED_REQUEST:
-            self.components.send_manager.note_engine_replaced(exchange, sent)
+            resulting += self.components.handle_misdirected(
+                exchange, sent, now
+            )
             resulting += self.succession.search_after_replacement(
                 sent.entry, now
             )
--- a/src/greengagelb/state/relay/engine_states.py
+++ b/src/greengagelb/state/relay/engine_states.py
@@ -34,6 +34,9 @@
     after a rest, requests are spread by the number of instances that share it,
     ``resting_instances``.
 
+    Until ``identity_unknown_until`` another engine may be at its address, as
+    one is at that of a neighbour; it is being asked, and gets no requests.
+
     Answers don't tell which life gave them. Until ``unconfirmed_until`` what
     the engine has stated may be the next life's; it is asked for its start
     ``start_questions`` more times.
@@ -64,6 +67,7 @@
     peer_rest_until: float = float('-inf')
     next_unusable_record_at: float = float('-inf')
     resting_instances: int = 1
+    identity_unknown_until: float = float('-inf')
     unconfirmed_until: float = float('-inf')
     start_questions: int = 0
 
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -7,6 +7,7 @@
 
 from greengagelb import errors
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state import identity
 from greengagelb.state import statements
@@ -336,15 +337,25 @@
         entry = question.entry
 
         def done(answer: timed_requests.Answer) -> None:
-            found = ''
+            found, is_replaced = '', False
             if answer.response is not None:
-                found = self.dialect.read_answer_head(answer.response).engine
+                head = self.dialect.read_answer_head(answer.response)
+                found = head.engine
+                is_misdirected = head.status == calls.MISDIRECTED_REQUEST
+                is_replaced = is_misdirected or found not in (
+                    '',
+                    entry.engine,
+                )
             if found == entry.engine:
                 self.ask_for_start(entry)
             elif found and question.may_be_another_service:
                 self.ask_for_model_memory(entry, found)
             else:
-                self.dispatch(relay_events.AddressProbed(entry.engine, found))
+                self.dispatch(
+                    relay_events.AddressProbed(
+                        entry.engine, found, is_replaced=is_replaced
+                    )
+                )
 
         request = self.dialect.write_identity_request(entry, question.path)
         self.query_engine(entry, request, PROBE_SECONDS, done, fresh=True)
@@ -367,7 +378,10 @@
             )
             self.dispatch(
                 relay_events.AddressProbed(
-                    entry.engine, found, has_model_memory=has_memory
+                    entry.engine,
+                    found,
+                    has_model_memory=has_memory,
+                    is_replaced=True,
                 )
             )
 
--- a/tests/common/relay_world.py
+++ b/tests/common/relay_world.py
@@ -131,6 +131,7 @@
         )
         self.now = 100.0
         self.actions = []
+        self.identity_questions = []
         self.timers = {}
         self.last_exchange = 0
         self.offer(table or route_table())
@@ -148,6 +149,8 @@
                     self.timers[name] = deadline
                 case common_actions.ClearTimer(name):
                     self.timers.pop(name, None)
+                case relay_actions.ProbeAddress(entry):
+                    self.identity_questions.append(entry)
         return done
 
     def offer(self, table):
@@ -286,6 +289,21 @@
             )
         )
 
+    def answer_identity_questions(self, replaced=()):
+        """Answer all open questions for identities, also those that follow.
+
+        The engines in ``replaced`` are followed by others.
+        """
+        while questions := self.identity_questions:
+            entry = questions.pop(0)
+            has_ended = entry.engine in replaced
+            name = f'{entry.engine}-next' if has_ended else entry.engine
+            self.handle(
+                relay_events.AddressProbed(
+                    entry.engine, name, is_replaced=has_ended
+                )
+            )
+
     def leave(self, exchange):
         return self.handle(common_events.CallerGone(exchange))
 
