An answer that its close ends is whole only if its head announced that

Here it could happen in the relay: where an engine lost the rest of its head, the length among it, ended it and closed, the answer had neither a length nor chunks and ended in good order; once the engine answered a status check it was passed on with a Content-Length of our own.

Cause: a close was taken for the end of an answer for want of any other. Class: an absence that is read as a statement. A server that ends an answer with its connection has to say so (RFC 9112, 9.6); HTTP/1.0 always does. An answer that ends so without saying it is cut now: may have run.

Two tests of such answers had no such field in theirs.

--- a/src/greengagelb/transport/relay/http1.py
+++ b/src/greengagelb/transport/relay/http1.py
@@ -7,6 +7,7 @@
 
 import socket
 
+import h11
 from twisted.internet import interfaces
 
 from greengagelb.state.relay import requests
@@ -55,6 +56,23 @@
     return None
 
 
+def announces_close(response: h11.Response) -> bool:
+    """Return whether the head of an answer says that its connection closes.
+
+    A connection of HTTP/1.0 always does. In later versions a server that
+    closes has to say so (RFC 9112, 9.6).
+    """
+    if response.http_version < b'1.1':
+        return True
+    options = [
+        option.strip().lower()
+        for name, value in response.headers
+        if name == b'connection'
+        for option in value.split(b',')
+    ]
+    return b'close' in options
+
+
 def configure_socket(transport: interfaces.ITCPTransport) -> None:
     """Disable Nagle's algorithm and enable TCP keep-alive probes."""
     transport.setTcpNoDelay(True)
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -89,6 +89,7 @@
     ``opened``, if given, is called once the connection is open.
     ``delayed_request`` waits for ``SEND_DELAY_SECONDS`` to pass. A connection
     through another instance, ``is_forwarded``, carries one request.
+    ``is_close_announced`` tells that the current answer's head says so.
     """
 
     def __init__(
@@ -109,6 +110,7 @@
         self.receiver: Receiver | None = None
         self.delayed_request: PendingRequest | None = None
         self.has_answer_started = False
+        self.is_close_announced = False
         self.head_bytes = 0
         self.idle_until = 0.0
         self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
@@ -187,6 +189,7 @@
         match event:
             case h11.Response():
                 self.has_answer_started = True
+                self.is_close_announced = http1.announces_close(event)
                 self.note_keep_alive(event)
                 self.receiver.answer_started(event)
             case h11.Data(data=data):
@@ -210,13 +213,18 @@
     def finish_request(self) -> None:
         """Complete the request; keep the connection if it may be reused.
 
+        An answer without a length that ends with its connection is cut if its
+        head did not announce that: the rest of the head may be missing.
         Bytes behind a complete answer belong to no request, so the connection
         is not reused. A request may be answered before all of it was sent.
         The connection can be reused even then: the whole request is in the
         send buffer, so the next one follows it on the wire.
         """
-        receiver, self.receiver = self.receiver, None
         ended_by_close = self.is_closed
+        if ended_by_close and not self.is_close_announced:
+            self.fail_request(True, 'closed without the end of its answer')
+            return
+        receiver, self.receiver = self.receiver, None
         trailing_bytes = self.http.trailing_data[0]
         reusable = (
             self.http.our_state is h11.DONE
--- a/tests/relay/test_endless_answers.py
+++ b/tests/relay/test_endless_answers.py
@@ -1,50 +1,19 @@
 """Relayed answers that never end, and the memory that they hold."""
 
-import dataclasses
 import tracemalloc
 
 import pytest
 
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
-from greengagelb.transport import answer_memory
-from greengagelb.transport.relay import engine_side
 from greengagelb.transport.relay import http_client
 from greengagelb.transport.relay import timed_requests
 from tests.common import endless_answers
+from tests.common import engine_answers
 from tests.common import relay_wires
 from tests.common import relay_world
 
 
-class Side:
-    """The engine side of an instance, its engines and its decisions."""
-
-    def __init__(self, most=answer_memory.MAX_HELD_BYTES):
-        self.server = relay_wires.Server()
-        self.world = relay_world.RelayWorld()
-        self.events = []
-        pool = self.server.pool
-        self.side = engine_side.EngineSide(
-            pool,
-            relay_wires.Dialect(),
-            self.events.append,
-            lambda entry: True,
-            relay_wires.direct_opener(pool),
-        )
-        self.side.memory = answer_memory.AnswerMemory(most)
-
-    def send(self, ask):
-        """Send a request of a kind; return it and its connection."""
-        send = self.world.last_send(relay_world.ASK[ask](self.world))
-        request = dataclasses.replace(
-            send.request, headers=((b'Host', b'engine'),)
-        )
-        send = dataclasses.replace(send, request=request, fresh=True)
-        self.side.send_request(send)
-        self.server.accept()
-        return send, self.server.connections[-1]
-
-
 def head_of(send, *fields):
     echo = b'Id: %s\r\n' % send.request.request_id.encode()
     return endless_answers.STATUS + echo + b''.join(fields) + b'\r\n'
@@ -64,7 +33,7 @@
 @pytest.mark.parametrize('kind', endless_answers.HEADS)
 def test_endless_head_is_cut_at_the_bound(ask, kind):
     """Guards against heads that fill the memory, or keep a process busy."""
-    side = Side()
+    side = engine_answers.Side()
     _, connection = side.send(ask)
     sent = send_until_closed(connection, *endless_answers.HEADS[kind])
     assert sent <= http_client.MAX_HEADER_BYTES + 2_000
@@ -80,7 +49,7 @@
 
     What it was sent may have run: a call that may not be repeated is not.
     """
-    side = Side()
+    side = engine_answers.Side()
     send, connection = side.send(ask)
     send_until_closed(connection, *endless_answers.HEADS['header lines'])
     world = side.world
@@ -101,7 +70,7 @@
 
 def test_informational_answers_before_a_proper_one_are_read():
     """Guards against a bound that cuts proper answers."""
-    side = Side()
+    side = engine_answers.Side()
     send, connection = side.send('call')
     connection.dataReceived(b'HTTP/1.1 102 Processing\r\n\r\n')
     connection.dataReceived(head_of(send, b'Content-Length: 2\r\n') + b'ok')
@@ -111,7 +80,7 @@
 
 def test_event_without_an_end_is_cut_at_the_bound():
     """Guards against an event that fills the memory of an instance."""
-    side = Side()
+    side = engine_answers.Side()
     send, connection = side.send('stream')
     send_until_closed(connection, head_of(send) + b'data: ', b'f' * 65_536)
     assert isinstance(side.events[-1], relay_events.SendFailed)
@@ -120,7 +89,7 @@
 
 def test_event_in_many_pieces_is_read_in_linear_time():
     """Guards against a long event that is copied with each of its bytes."""
-    side = Side()
+    side = engine_answers.Side()
     send, connection = side.send('stream')
     connection.dataReceived(head_of(send))
     event = b'id: 1\ndata: ' + b'f' * 300_000 + b'\n\n'
@@ -138,7 +107,7 @@
     Each answer stays within its own bound.
     """
     most = 4 << 20
-    side = Side(most)
+    side = engine_answers.Side(most)
     opened = [side.send(ask) for _ in range(25) for ask in relay_world.ASK]
     for send, connection in opened:
         connection.dataReceived(head_of(send) + b'data: ')
@@ -160,7 +129,7 @@
 
 def test_small_answer_goes_on_beside_endless_ones():
     """Guards against callers who pay for the engines of others."""
-    side = Side(1 << 20)
+    side = engine_answers.Side(1 << 20)
     small, small_connection = side.send('call')
     small_connection.dataReceived(
         head_of(small, b'Content-Length: 20000\r\n') + bytes(19_000)
@@ -178,7 +147,7 @@
 
 def test_abandoned_answer_is_not_held():
     """Guards against a bound that is used up by answers nobody waits for."""
-    side = Side()
+    side = engine_answers.Side()
     send, connection = side.send('call')
     connection.dataReceived(head_of(send) + bytes(65_536))
     assert side.side.memory.total == 65_536
@@ -195,7 +164,7 @@
 )
 def test_endless_answer_to_a_probe_is_cut_at_the_bound(first, more):
     """Guards against probes that read until their time limit."""
-    side = Side()
+    side = engine_answers.Side()
     send, _ = side.send('stream')
     probe = relay_actions.ProbeEngine(send.exchange, send.send, send.engine)
     side.side.dialect.write_probe = lambda entry: relay_wires.wire_request()
--- a/tests/relay/test_engine_connections.py
+++ b/tests/relay/test_engine_connections.py
@@ -66,7 +66,7 @@
 
 
 def test_answer_without_length_ends_with_its_connection():
-    raw = b'HTTP/1.1 200 OK\r\n\r\nall of it'
+    raw = b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it'
     _, receiver, connection = receive_answer(raw)
     assert not receiver.complete
     relay_wires.close(connection)
@@ -80,7 +80,7 @@
 
     Guards against passing on a part of it after a reset.
     """
-    raw = b'HTTP/1.1 200 OK\r\n\r\nhalf of'
+    raw = b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of'
     _, receiver, connection = receive_answer(raw)
     relay_wires.reset(connection)
     assert not receiver.complete
--- /dev/null
+++ b/tests/transport/test_answers_cut_short.py
@@ -0,0 +1,91 @@
+"""Answers of upstreams that are cut, in their heads or right after them."""
+
+import pytest
+
+from greengagelb.coordination import events
+from tests.common import engine_answers
+from tests.common import upstream_answers
+
+BODY = b'done'
+
+
+def answer(form, lines=None):
+    """Return an answer to a call, or only the first lines of its head.
+
+    A service that loses the rest of its head may still end it.
+    """
+    status = b'HTTP/1.0' if form == 'http-1.0' else b'HTTP/1.1'
+    fields = [
+        status + b' 200 OK',
+        *upstream_answers.ECHO.rstrip().split(b'\r\n'),
+        *engine_answers.FRAMING[form](BODY),
+    ]
+    head = b'\r\n'.join(fields[:lines]) + b'\r\n\r\n'
+    if form == 'chunks' and lines is None:
+        return head + b'%x\r\n%s\r\n0\r\n\r\n' % (len(BODY), BODY)
+    return head + BODY
+
+
+def answered_with(raw):
+    """Return the one event that comes of an answer and a close."""
+    side = upstream_answers.Side()
+    wire = side.call()
+    wire.protocol.dataReceived(raw)
+    if not side.events:
+        wire.break_off()
+    [event] = side.events
+    return event
+
+
+@pytest.mark.parametrize('form', engine_answers.FRAMING)
+def test_call_answered_in_part_may_have_run(form):
+    """Guards against an empty or short success in place of a cut answer.
+
+    The outcome of the call is unknown, at whatever byte its answer was cut.
+    """
+    whole = answer(form)
+    for length in range(len(whole)):
+        event = answered_with(whole[:length])
+        assert isinstance(event, events.CallBroken), length
+        assert event.handed_over
+
+
+@pytest.mark.parametrize('kept', [0, 2, 4])
+def test_call_whose_answer_lost_its_framing_may_have_run(kept):
+    """Guards against a head that ends early, and a part framed as whole."""
+    raw = answer('length', lines=3)
+    event = answered_with(raw[: len(raw) - len(BODY) + kept])
+    assert isinstance(event, events.CallBroken)
+    assert event.handed_over
+
+
+@pytest.mark.parametrize('form', engine_answers.FRAMING)
+def test_only_a_length_or_chunks_end_an_answer(form):
+    """Guards against a close that is taken for the end of an answer.
+
+    Services of the own interface state where their answers end; a close may
+    come from a process that dies.
+    """
+    event = answered_with(answer(form))
+    if form in ('length', 'chunks'):
+        assert event == events.CallAnswered(1, 200, BODY)
+    else:
+        assert isinstance(event, events.CallBroken)
+
+
+@pytest.mark.parametrize('form', engine_answers.FRAMING)
+def test_generation_cut_at_any_byte_is_broken(form):
+    """Guards against a generation that ends where its connection did.
+
+    An engine says in an event of its own that a generation has ended.
+    """
+    side = upstream_answers.Side()
+    tokens = b'event: tokens\ndata: {"generation": 1, "att'
+    fields = engine_answers.FRAMING[form](tokens + b'...')
+    head = b'\r\n'.join([b'HTTP/1.1 200 OK', *fields]) + b'\r\n\r\n'
+    for length in range(len(head + tokens) + 1):
+        side = upstream_answers.Side()
+        wire = side.stream()
+        wire.protocol.dataReceived((head + tokens)[:length])
+        wire.break_off()
+        assert isinstance(side.events[-1], events.AttemptBroken), length
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -4,85 +4,13 @@
 
 import pytest
 
-from greengagelb.coordination import actions
 from greengagelb.coordination import events
-from greengagelb.state import configuration
-from greengagelb.state import identity
-from greengagelb.state import requests
-from greengagelb.transport import answer_memory
 from greengagelb.transport import bounded_heads
-from greengagelb.transport import engine_client
 from greengagelb.transport import http
-from greengagelb.transport import service_client
 from tests.common import endless_answers
-from tests.common import wires
+from tests.common import upstream_answers
 
-UPSTREAM = configuration.Upstream('e0', wires.ADDRESS, wires.PORT, 'kl-1')
 EVENT_STREAM = b'Content-Type: text/event-stream\r\n\r\n'
-ECHO = b'X-Client-Account: teratak\r\nX-Request-Id: k1\r\n'
-
-
-class Side:
-    """The clients of an instance, with one memory for all answers."""
-
-    def __init__(self, most=answer_memory.MAX_HELD_BYTES):
-        self.network = wires.Network()
-        self.events = []
-        self.memory = answer_memory.AnswerMemory(most)
-        reactor = self.network.reactor
-        self.engines = engine_client.EngineClient(
-            reactor, self.events.append, self.memory
-        )
-        self.services = service_client.ServiceClient(
-            reactor, self.events.append, self.memory
-        )
-
-    def probe(self):
-        self.engines.probe_upstream(actions.ProbeUpstream(UPSTREAM))
-        return self.network.accept()
-
-    def cancel(self):
-        self.engines.cancel_attempt(
-            actions.CancelAttempt(attempt_of(1), UPSTREAM)
-        )
-        return self.network.accept()
-
-    def stream(self, number=1):
-        self.engines.start_attempt(
-            actions.StartAttempt(
-                attempt_of(number),
-                UPSTREAM,
-                'm',
-                '1',
-                '',
-                'p',
-                (),
-                1,
-                configuration.Priority.LONG,
-                60.0,
-            )
-        )
-        return self.network.accept()
-
-    def call(self, number=1):
-        request = requests.CallRequest(
-            number,
-            identity.RequestId('teratak', 'k1'),
-            'charge',
-            'book',
-            b'{}',
-            deadline=60.0,
-            has_idempotency_key=True,
-        )
-        self.services.send_call(
-            actions.DispatchCall(number, UPSTREAM, request)
-        )
-        return self.network.accept()
-
-
-def attempt_of(number):
-    request = identity.RequestId('teratak', f'r{number}')
-    return identity.AttemptId(request, 1, f'i.{number}')
 
 
 def send_until_closed(wire, first, more):
@@ -98,7 +26,7 @@
 @pytest.mark.parametrize('kind', endless_answers.HEADS)
 def test_endless_head_is_cut_at_the_bound(ask, kind):
     """Guards against heads that fill the memory, or keep a process busy."""
-    side = Side()
+    side = upstream_answers.Side()
     wire = getattr(side, ask)()
     sent = send_until_closed(wire, *endless_answers.HEADS[kind])
     assert sent <= bounded_heads.MAX_HEAD_BYTES + 2_000
@@ -114,11 +42,11 @@
 
 def test_head_in_many_pieces_is_read():
     """Guards against a bound that cuts proper answers."""
-    side = Side()
+    side = upstream_answers.Side()
     wire = side.call()
     answer = (
         b'HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n'
-        + ECHO
+        + upstream_answers.ECHO
         + b'Content-Length: 4\r\n\r\ndone'
     )
     for byte in answer:
@@ -128,7 +56,7 @@
 
 def test_large_body_right_behind_the_head_is_read():
     """Guards against a bound of heads that counts bodies."""
-    side = Side()
+    side = upstream_answers.Side()
     body = bytes(2 * bounded_heads.MAX_HEAD_BYTES)
     side.call().answer(body, 'X-Client-Account: teratak', 'X-Request-Id: k1')
     assert side.events == [events.CallAnswered(1, 200, body)]
@@ -136,7 +64,7 @@
 
 def test_event_without_an_end_is_cut_at_the_bound():
     """Guards against an event that fills the memory of an instance."""
-    side = Side()
+    side = upstream_answers.Side()
     wire = side.stream()
     first = endless_answers.STATUS + EVENT_STREAM + b'data: '
     send_until_closed(wire, first, b'f' * 65_536)
@@ -147,11 +75,11 @@
 
 def test_endless_trailers_are_cut():
     """Guards against trailers that keep a process busy."""
-    side = Side()
+    side = upstream_answers.Side()
     wire = side.call()
     head = (
         endless_answers.STATUS
-        + ECHO
+        + upstream_answers.ECHO
         + b'Transfer-Encoding: chunked\r\n\r\n0\r\n'
     )
     send_until_closed(wire, head, endless_answers.LINE)
@@ -165,7 +93,7 @@
     Each answer stays within its own bound.
     """
     most = 4 << 20
-    side = Side(most)
+    side = upstream_answers.Side(most)
     streams = [side.stream(number) for number in range(40)]
     calls = [side.call(number) for number in range(40)]
     for wire in streams:
@@ -173,7 +101,9 @@
             endless_answers.STATUS + EVENT_STREAM + b'data: '
         )
     for wire in calls:
-        wire.protocol.dataReceived(endless_answers.STATUS + ECHO + b'\r\n')
+        wire.protocol.dataReceived(
+            endless_answers.STATUS + upstream_answers.ECHO + b'\r\n'
+        )
     piece = b'f' * 65_536
     tracemalloc.start()
     for _ in range(12):
@@ -193,17 +123,19 @@
 
 def test_small_answer_goes_on_beside_endless_ones():
     """Guards against callers who pay for the engines of others."""
-    side = Side(1 << 20)
+    side = upstream_answers.Side(1 << 20)
     small = side.call(100)
     small.protocol.dataReceived(
         endless_answers.STATUS
-        + ECHO
+        + upstream_answers.ECHO
         + b'Content-Length: 20000\r\n\r\n'
         + bytes(19_000)
     )
     for number in range(30):
         wire = side.call(number)
-        wire.protocol.dataReceived(endless_answers.STATUS + ECHO + b'\r\n')
+        wire.protocol.dataReceived(
+            endless_answers.STATUS + upstream_answers.ECHO + b'\r\n'
+        )
         for _ in range(8):
             if not wire.closed:
                 wire.protocol.dataReceived(bytes(65_536))
