--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -114,6 +114,7 @@
         self.crashing_parts: set[str] = set()
         self.crashes: list[float] = []
         self.unframed_share = 0.0
+        self.torn_share = 0.0
         self.event_seconds = EVENT_SECONDS
         self.copies: set[tuple[str, str]] = set()
         self.engines: list[Engine] = []
@@ -333,7 +334,9 @@
             # Without length or chunks, and at the end of the connection.
             request.clientproto = b'HTTP/1.0'
             request.channel.persistent = False
-        if self.fails_now():
+        if self.pool.torn_share and self.rng.random() < self.pool.torn_share:
+            self.later(READING_SECONDS, run, self.tear_answer, request, head)
+        elif self.fails_now():
             self.later(
                 READING_SECONDS, run, self.answer_failure, request, head, run
             )
@@ -415,6 +418,20 @@
         request.write(b'{"error": "internal"}')
         request.finish()
 
+    def tear_answer(self, request: server.Request, head: 'Head') -> None:
+        """Lose the rest of a head, end it, write a part of the body, close."""
+        part = content.call(head.request_id, head.body)[: len(head.body) // 2]
+        if self.service == STREAMS:
+            part = content.event(head.body, head.after + 1)
+        fields = (
+            'HTTP/1.1 200 OK',
+            f'Request-Id: {head.request_id}',
+            f'Engine-Seal: {self.identity}.{head.request_id}',
+        )
+        raw = '\r\n'.join((*fields, '', '')).encode() + part
+        request.channel.transport.write(raw)
+        request.channel.loseConnection()
+
     def answer_call(
         self, request: server.Request, head: 'Head', run: Run
     ) -> None:
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -69,6 +69,9 @@
         # With three instances or more, retries beyond the budget: each spent
         # what the others had not announced yet.
         pytest.param(6022, id='long streams, engines pause, hints are late'),
+        # Engines lost the rest of their heads, and callers got parts of their
+        # answers as whole ones.
+        pytest.param(7011, id='data centres are lost, heads are cut'),
     ],
 )
 def test_seed_breaks_no_promise(seed):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -79,6 +79,8 @@
 STATED_LEAVING_SECONDS = 2.0
 # Time between two requests with a part that crashes engines.
 CRASHING_EVERY_SECONDS = 0.6
+# The share of answers whose engine loses the rest of their head.
+TORN_SHARE = 0.05
 # The share of answers with neither a length nor chunks.
 UNFRAMED_SHARE = 0.1
 PAUSE_SIGNALS = (signal.SIGSTOP, signal.SIGCONT)
@@ -131,6 +133,8 @@
         self.engines = engines.Engines(reactor)
         if seed >= faults.FIRST_SEED_WITH_CRASHING_PARTS:
             self.engines.unframed_share = UNFRAMED_SHARE
+        if self.has_lost_places:
+            self.engines.torn_share = TORN_SHARE
         self.renewed_at: dict[str, float] = {}
         self.add_engines(network, seed)
         self.version = 0
