A copy on a silent engine is kept until there is another

Two streams that fall silent at an engine within a second had the copies of other runs there dropped at once, before others were made. An engine that only made a pause still has them; a run that was lost meanwhile had its prompt read again, a second without text for its caller. Now the new copy is ordered beside, and takes the place of the former once it is made.

--- a/src/greengagelb/coordination/relay/peer_events.py
+++ b/src/greengagelb/coordination/relay/peer_events.py
@@ -237,7 +237,7 @@
                 )
             case hints.StreamSilent(engine, started_at_ms):
                 if self.engines.note_silence(engine, now, started_at_ms):
-                    return self.copies.replace_lost_copies(
+                    return self.copies.replace_silent_copies(
                         engine, now, started_at_ms
                     )
         return []
--- a/src/greengagelb/coordination/relay/run_copies.py
+++ b/src/greengagelb/coordination/relay/run_copies.py
@@ -12,6 +12,7 @@
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import sending
+from greengagelb.state.relay import engine_states
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import requests
@@ -60,6 +61,31 @@
                     resulting += self.replace_copy(exchange, sent, now)
         return resulting
 
+    def replace_silent_copies(
+        self, engine: str, now: float, started_at_ms: int
+    ) -> list[Action]:
+        """Order other copies of the runs whose copies a silent engine has.
+
+        The engine may only make a pause, so each copy is kept until there is
+        another one.
+        """
+        resulting: list[Action] = []
+        for exchange in self.open_exchanges.values():
+            for sent in exchange.sends.values():
+                held = sent.copy_to
+                if held is None or held.engine != engine or sent.next_copy_to:
+                    continue
+                if engines.is_earlier(started_at_ms, held.started_at_ms):
+                    continue
+                target = self.choose_target(exchange, sent, {engine}, now)
+                if target is not None:
+                    sent.copy_orders += 1
+                    sent.next_copy_to = target.entry
+                    resulting.append(
+                        self.build_copy_order(exchange, sent, target.entry)
+                    )
+        return resulting
+
     def replace_copy(
         self,
         exchange: exchanges.Exchange,
@@ -71,6 +97,7 @@
         sent.copy_to = None
         sent.copy_name = None
         sent.copy_ordered = False
+        sent.next_copy_to = None
         self.components.send_manager.update_copy_location(exchange, sent, now)
         return self.order_new_copy(exchange, sent, {lost}, now)
 
@@ -96,36 +123,52 @@
         excluded: set[str],
         now: float,
     ) -> list[Action]:
-        """Order a copy on an engine that is not excluded, if possible."""
-        model_engines = exchange.ruling.service.engines
+        """Order a copy on an engine that is not excluded, if possible.
+
+        It is ordered later if the engine of the run wants no requests.
+        """
+        source = self.components.engines.states.get(sent.entry.engine)
         if (
-            model_engines is None
-            or not model_engines.moves
-            or not sent.events_seen
+            source is not None
+            and source.is_resting(now)
+            and may_order_copy(exchange, sent)
         ):
-            return []
-        source = self.components.engines.states.get(sent.entry.engine)
-        if source is None or sent.copy_orders >= MAX_COPY_ORDERS:
-            return []
-        if source.is_resting(now):
             sent.copy_postponed = True
             return [copy_timer(exchange, source.rest_until)]
-        target = self.components.selector.choose_for_copy(
+        target = self.choose_target(exchange, sent, excluded, now)
+        if target is None:
+            return []
+        sent.copy_orders += 1
+        sent.copy_to = target.entry
+        self.components.send_manager.update_copy_location(exchange, sent, now)
+        return [self.build_copy_order(exchange, sent, target.entry)]
+
+    def choose_target(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        excluded: set[str],
+        now: float,
+    ) -> engine_states.EngineState | None:
+        """Return the engine on which a copy can be ordered now, or None."""
+        source = self.components.engines.states.get(sent.entry.engine)
+        if source is None or source.is_resting(now):
+            return None
+        if not may_order_copy(exchange, sent):
+            return None
+        return self.components.selector.choose_for_copy(
             exchange.ruling.service,
             exchange.request.prompt,
             source,
             excluded,
             now,
         )
-        if target is None:
-            return []
-        sent.copy_orders += 1
-        sent.copy_to = target.entry
-        self.components.send_manager.update_copy_location(exchange, sent, now)
-        return [self.build_copy_order(exchange, sent)]
 
     def build_copy_order(
-        self, exchange: exchanges.Exchange, sent: exchanges.InFlightSend
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        target: engines.EngineEntry,
     ) -> relay_actions.CopyRun:
         """Return the action that copies a run to its chosen engine."""
         return relay_actions.CopyRun(
@@ -133,7 +176,7 @@
             sent.number,
             exchange.request.request_id,
             sent.entry,
-            sent.copy_to,
+            target,
         )
 
     def handle_copy_result(
@@ -144,14 +187,23 @@
         now: float,
     ) -> list[Action]:
         """Handle the result of a copy order."""
-        if sent.copy_to is None or sent.copy_to.engine != event.target:
+        is_next = is_at(sent.next_copy_to, event.target)
+        if not is_next and not is_at(sent.copy_to, event.target):
             return []
         outcome = 'made' if event.handle else 'not made'
         why = f'copy at {event.target} {outcome}'
         resulting: list[Action] = [
             sending.record(exchange, sent, 'run-copied', why)
         ]
-        if not event.handle:
+        if is_next:
+            made, sent.next_copy_to = sent.next_copy_to, None
+            if not event.handle:
+                return resulting
+            sent.copy_to = made
+            self.components.send_manager.update_copy_location(
+                exchange, sent, now
+            )
+        elif not event.handle:
             return resulting + self.replace_copy(exchange, sent, now)
         sent.copy_name = requests.CopyName(sent.entry.address, event.handle)
         sent.copy_ordered = True
@@ -176,10 +228,30 @@
                 sent.copy_postponed = False
                 resulting += self.order_missing_copy(exchange, sent, now)
             elif sent.copy_ordered and sent.copy_to is not None:
-                resulting.append(self.build_copy_order(exchange, sent))
+                resulting.append(
+                    self.build_copy_order(exchange, sent, sent.copy_to)
+                )
         return resulting
 
 
+def may_order_copy(
+    exchange: exchanges.Exchange, sent: exchanges.InFlightSend
+) -> bool:
+    """Return whether one more copy of a run may be ordered."""
+    model_engines = exchange.ruling.service.engines
+    return (
+        model_engines is not None
+        and model_engines.moves
+        and sent.events_seen > 0
+        and sent.copy_orders < MAX_COPY_ORDERS
+    )
+
+
+def is_at(entry: engines.EngineEntry | None, engine: str) -> bool:
+    """Return whether a copy is on an engine."""
+    return entry is not None and entry.engine == engine
+
+
 def copy_timer(exchange: exchanges.Exchange, at: float) -> actions.SetTimer:
     """Return the timer at which the copies of a run are ordered again."""
     return actions.SetTimer(timers.timer_name(COPY_TIMER, exchange.number), at)
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -18,8 +18,10 @@
     ``copy_to`` is the engine that gets a copy of the run's memory, where the
     copy is named ``copy_name``; ``copy_ordered`` is true if the copy was
     ordered and so expires after a time, and ``copy_orders`` is the number of
-    orders so far. ``copy_postponed`` is true if an order waits for the end of
-    the engine's rest. ``from_copy`` is true if the run continued from a copy.
+    orders so far. ``next_copy_to`` is the engine on which another copy is
+    being made, while the former is kept. ``copy_postponed`` is true if an
+    order waits for the end of the engine's rest. ``from_copy`` is true if the
+    run continued from a copy.
     ``is_suspected`` is true if it has been silent for too long since its last
     event, and ``is_unreachable`` if its engine did not answer a probe since;
     it is checked again from ``next_check_at``, after ``times_kept`` checks
@@ -40,6 +42,7 @@
     copy_to: engines.EngineEntry | None = None
     copy_name: requests.CopyName | None = None
     copy_ordered: bool = False
+    next_copy_to: engines.EngineEntry | None = None
     copy_orders: int = 0
     copy_postponed: bool = False
     from_copy: bool = False
