Retry budget: a retry is given back by its number, not by its time

A send that no byte of left gave back the retry that was spent when it began. A first send spends none; if it found no connection after the request had been sent to a second engine as well, the retry of another request for the same service that was spent at the same moment was given back, although it had arrived. Now each send has the number of the retry that was spent for it, if any, and gives back that one.

test_unconnected_first_send_gives_back_no_retry_of_another_request failed before (one of two spent retries was left).

--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -63,7 +63,9 @@
             return False
         if not exchange.arrivals:
             return True
-        return self.budget.try_spend(exchange.ruling.service.name, now)
+        service = exchange.ruling.service.name
+        exchange.retry_number = self.budget.spend(service, now)
+        return exchange.retry_number is not None
 
     def record_refused_attempt(
         self, exchange: exchanges.Exchange, now: float
@@ -93,7 +95,9 @@
             moved_at=now,
             copy_to=copy_to,
             from_copy=copy_from is not None,
+            retry_number=exchange.retry_number,
         )
+        exchange.retry_number = None
         if copy_to is not None:
             sent.copy_name = requests.CopyName(
                 copy_to.address, request.request_id
@@ -259,9 +263,9 @@
 
         It counts neither as an attempt nor as an arrival, nor as a retry.
         """
-        if exchange.arrivals > 1:
+        if sent.retry_number is not None:
             service = exchange.ruling.service.name
-            self.budget.give_back(service, sent.began_at)
+            self.budget.give_back(service, sent.retry_number)
         exchange.attempts -= 1
         exchange.arrivals -= 1
         exchange.unconnected += 1
--- a/src/greengagelb/coordination/relay/shared_retry_budget.py
+++ b/src/greengagelb/coordination/relay/shared_retry_budget.py
@@ -16,6 +16,7 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 
 from greengagelb.state.relay import bounds
@@ -58,10 +59,11 @@
 class Spent:
     """One retry, or a loan to another instance, and where it came from.
 
-    ``at`` is the latest monotonic time at which it may be sent, ``slack`` what
-    was taken of the fixed allowance.
+    ``number`` is its own at this instance. ``at`` is the latest monotonic time
+    at which it may be sent, ``slack`` what was taken of the fixed allowance.
     """
 
+    number: int
     at: float
     parts: tuple[Part, ...]
     slack: float
@@ -150,6 +152,7 @@
         )
         self.past_known_from: float | None = None
         self.services: dict[str, ServiceRetries] = {}
+        self.numbers = itertools.count(1)
 
     @property
     def counted_seconds(self) -> float:
@@ -245,25 +248,33 @@
 
     def try_spend(self, service: str, now: float) -> bool:
         """Spend one retry of the budget; return whether there was one left."""
+        return self.spend(service, now) is not None
+
+    def spend(self, service: str, now: float) -> int | None:
+        """Spend one retry; return its number, or None if none was left."""
         if not self.has_retry(service, now):
-            return False
-        self.take(service, 1.0, now, sent_until=now)
-        return True
+            return None
+        return self.take(service, 1.0, now, sent_until=now)
 
     def take(
         self, service: str, retries: float, now: float, sent_until: float
-    ) -> None:
-        """Take parts that may be sent until then, the earned ones first."""
+    ) -> int:
+        """Take parts that may be sent until then, the earned ones first.
+
+        Returns the number under which they are spent.
+        """
         own = self.retries_of(service, now)
         parts = own.take_parts(retries, sent_until)
         slack = max(0.0, retries - sum(part.retries for part in parts))
-        own.spent.append(Spent(sent_until, tuple(parts), slack))
+        number = next(self.numbers)
+        own.spent.append(Spent(number, sent_until, tuple(parts), slack))
+        return number
 
-    def give_back(self, service: str, spent_at: float) -> None:
-        """Take back a retry of a monotonic time that reached no engine."""
+    def give_back(self, service: str, number: int) -> None:
+        """Take back a retry that reached no engine."""
         own = self.services[service]
         for index, each in enumerate(own.spent):
-            if each.at == spent_at:
+            if each.number == number:
                 del own.spent[index]
                 for part in each.parts:
                     own.add_part(part.usable_until, part.retries)
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -28,6 +28,7 @@
     that have left it open. ``copy_used`` is true if its copy was used up.
     ``is_held`` is true if its engine then reported the run, and no event that
     has not arrived.
+    ``retry_number`` is that of the retry that was spent for it, if any.
     ``alone_with`` is the size of its prompt in tokens if the engine was idle
     and has to read the prompt, else 0.
     """
@@ -55,6 +56,7 @@
     next_check_at: float = float('-inf')
     times_kept: int = 0
     copy_used: bool = False
+    retry_number: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,7 +74,7 @@
 
     ``attempts`` counts the sends that the route's limit applies to,
     ``arrivals`` those that an engine may have received, also one that it was
-    not meant for.
+    not meant for. ``retry_number`` is that of a retry spent for the next send.
     """
 
     request: requests.CallerRequest
@@ -90,6 +92,7 @@
     unconnected: int = 0
     moved_at: float = 0.0
     overlap_until: float = float('inf')
+    retry_number: int | None = None
 
     @property
     def number(self) -> int:
--- a/tests/relay/test_retry_budget.py
+++ b/tests/relay/test_retry_budget.py
@@ -311,15 +311,35 @@
     assert reasons == ['retry-budget-spent, after event 1']
 
 
+def test_unconnected_first_send_gives_back_no_retry_of_another_request():
+    """Guards against a retry beyond the bound, as one that arrived is freed.
+
+    The first send of a request finds no connection; another request was sent
+    again at the moment when it began, and its own second send came later.
+    """
+    world = relay_world.RelayWorld()
+    world.relay.budget.set_fleet_size(1)
+    other, hedged = world.query(), world.query()
+    first = world.last_send(hedged)
+    world.refuse(world.last_send(other))
+    world.advance(0.15)
+    assert len(world.sends(hedged)) == 2
+    own = world.relay.budget.retries_of(relay_world.CALLS, world.now)
+    spent = len(own.spent)
+    world.lose(first, handed_over=False)
+    assert len(own.spent) == spent
+
+
 def test_retry_that_reached_no_engine_is_given_back():
     """Guards against a budget that failed connections use up."""
     budget = shared_retry_budget.SharedRetryBudget(relay_world.RETRIES)
     budget.set_fleet_size(100)
     spent_at = 0.0
+    first = budget.spend('drafts', spent_at)
     while budget.try_spend('drafts', spent_at):
         spent_at += 0.1
-    budget.give_back('drafts', 0.0)
+    budget.give_back('drafts', first)
     assert budget.try_spend('drafts', spent_at)
     assert not budget.try_spend('drafts', spent_at)
-    budget.give_back('drafts', 0.0)
+    budget.give_back('drafts', first)
     assert not budget.try_spend('drafts', spent_at)
