--- a/tests/common/relay_wires.py
+++ b/tests/common/relay_wires.py
@@ -107,6 +107,11 @@
     def read_is_leaving(self, status, body):
         return body == b'leaving'
 
+    def write_identity_request(self, engine, path):
+        return http_client.WireRequest(
+            b'GET', path.encode(), ((b'Host', b'engine'),)
+        )
+
     def is_answer_to(self, response, send):
         fields = tuple(response.headers.raw_items())
         echoed = http1.first_header_value(fields, b'id')
--- a/tests/relay/test_identity_checks.py
+++ b/tests/relay/test_identity_checks.py
@@ -1,6 +1,8 @@
 """Engines that are asked who they are as another one has ended."""
 
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import events as relay_events
+from tests.common import engine_answers
 from tests.common import relay_world
 
 
@@ -91,3 +93,20 @@
     assert not world.refusals(exchange)
     world.answer_identity_questions()
     assert len(world.sends(exchange)) == 2
+
+
+def test_engine_that_does_not_say_who_it_is_has_replaced_another():
+    """Guards against successors that are taken for engines without an answer.
+
+    An engine that was not meant answers with 421, and may not name itself.
+    """
+    side = engine_answers.Side()
+    entry = relay_world.fleet()[0]
+    side.side.ask_successor(relay_actions.ProbeAddress(entry, '/health'))
+    side.server.accept()
+    side.server.connections[-1].dataReceived(
+        b'HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n'
+    )
+    assert side.events == [
+        relay_events.AddressProbed(entry.engine, '', is_replaced=True)
+    ]
