Soak: what an engine itself cuts is no cut beside a stop

The rule leaves out what the engine broke off, and so did the check for engines that end, but not for those that lose a head. Runs are marked as torn; they still count as engines used.

--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -54,7 +54,7 @@
         if used(found) > self.limits[found.kind] - LIMIT_MARGIN:
             return False
         runs = self.runs.get(found.request_id, [])
-        if any(run.broken_off for run in runs):
+        if any(run.broken_off or run.torn for run in runs):
             return False
         if any(self.outlasts_stop(found, stop) for stop in self.first_stops()):
             return False
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -40,7 +40,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Run:
-    """What an engine saw of one request that it began to work on."""
+    """What an engine saw of one request that it began to work on.
+
+    It is ``broken_off`` if its engine ended, and ``torn`` if only its answer
+    was cut there.
+    """
 
     request_id: str
     engine: str
@@ -48,6 +52,7 @@
     ended_at: float | None = None
     answered: bool = False
     broken_off: bool = False
+    torn: bool = False
     events: int = 0
 
 
@@ -335,7 +340,9 @@
             request.clientproto = b'HTTP/1.0'
             request.channel.persistent = False
         if self.pool.torn_share and self.rng.random() < self.pool.torn_share:
-            self.later(READING_SECONDS, run, self.tear_answer, request, head)
+            self.later(
+                READING_SECONDS, run, self.tear_answer, request, head, run
+            )
         elif self.fails_now():
             self.later(
                 READING_SECONDS, run, self.answer_failure, request, head, run
@@ -418,8 +425,11 @@
         request.write(b'{"error": "internal"}')
         request.finish()
 
-    def tear_answer(self, request: server.Request, head: 'Head') -> None:
+    def tear_answer(
+        self, request: server.Request, head: 'Head', run: Run
+    ) -> None:
         """Lose the rest of a head, end it, write a part of the body, close."""
+        run.torn = True
         part = content.call(head.request_id, head.body)[: len(head.body) // 2]
         if self.service == STREAMS:
             part = content.event(head.body, head.after + 1)
