Identity checks: an engine that gives no answer is asked once

Engines that end together come back at different times, so some refuse. Such an engine is suspected for a while now, as after a failure, and the questions go to the others. The test failed before.

Names: a service's engines in a data centre are a group.

--- a/src/greengagelb/coordination/relay/identity_checks.py
+++ b/src/greengagelb/coordination/relay/identity_checks.py
@@ -31,12 +31,12 @@
 FURTHER_QUESTIONS = 2
 
 Action = relay_actions.RelayAction
-# A service and a data centre.
-Place = tuple[str, str]
+# The engines of a service in a data centre, by the names of both.
+Group = tuple[str, str]
 
 
 class IdentityChecks:
-    """The engines that are asked who they are, each with its place."""
+    """The engines that are asked who they are, each with its group."""
 
     def __init__(
         self,
@@ -49,73 +49,82 @@
         self.send_manager = send_manager
         self.succession = succession
         self.rng = rng
-        self.asked: dict[str, Place] = {}
+        self.asked: dict[str, Group] = {}
 
     def check_neighbours(
         self, replaced: engines.EngineEntry, now: float
     ) -> list[Action]:
         """Check the engines that may have ended together with another one."""
-        place = place_of(replaced)
-        if place in self.asked.values():
-            return self.ask(place, FURTHER_QUESTIONS, now)
-        for state in self.engines_in(place, now):
+        group = group_of(replaced)
+        if group in self.asked.values():
+            return self.ask(group, FURTHER_QUESTIONS, now)
+        for state in self.engines_in(group, now):
             if now >= state.heard_at + HEARD_SECONDS:
                 state.identity_unknown_until = now + HOLD_SECONDS
-        return self.ask(place, FIRST_QUESTIONS, now)
+        return self.ask(group, FIRST_QUESTIONS, now)
 
     def engines_in(
-        self, place: Place, now: float
+        self, group: Group, now: float
     ) -> list[engine_states.EngineState]:
         """Return the usable engines of a service in a data centre."""
-        service = place[0]
+        service = group[0]
         return [
             state
             for state in self.engines.by_service.get(service, {}).values()
-            if place_of(state.entry) == place and state.is_usable(now)
+            if group_of(state.entry) == group and state.is_usable(now)
         ]
 
-    def ask(self, place: Place, count: int, now: float) -> list[Action]:
+    def ask(self, group: Group, count: int, now: float) -> list[Action]:
         """Ask some more of the engines whose identity is unknown."""
         unknown = [
             state.entry
-            for state in self.engines_in(place, now)
+            for state in self.engines_in(group, now)
             if now < state.identity_unknown_until
             and state.entry.engine not in self.asked
         ]
         chosen = self.rng.sample(unknown, min(count, len(unknown)))
-        self.asked.update({entry.engine: place for entry in chosen})
-        path = self.succession.health_paths.get(place[0], '/')
+        self.asked.update({entry.engine: group for entry in chosen})
+        path = self.succession.health_paths.get(group[0], '/')
         return [relay_actions.ProbeAddress(entry, path) for entry in chosen]
 
     def accept_answer(
         self, event: relay_events.AddressProbed, now: float
     ) -> list[Action]:
-        """Apply an answer, and ask further engines if it shows an end.
-
-        An engine that gives no answer is held until its time is over.
-        """
-        place = self.asked.pop(event.old, None)
+        """Apply an answer, and ask further engines if it shows an end."""
+        group = self.asked.pop(event.old, None)
         state = self.engines.states.get(event.old)
-        if place is None or state is None:
+        if group is None or state is None:
             return []
-        questions: list[Action] = []
         if event.new == event.old:
             state.identity_unknown_until = float('-inf')
             self.engines.note_heard(event.old, now)
+            questions = []
         else:
-            questions = self.ask(place, FURTHER_QUESTIONS, now)
+            self.note_lost(state, event, now)
+            questions = self.ask(group, FURTHER_QUESTIONS, now)
+        if group not in self.asked.values():
+            self.release(group, now)
+        return questions
+
+    def note_lost(
+        self,
+        state: engine_states.EngineState,
+        event: relay_events.AddressProbed,
+        now: float,
+    ) -> None:
+        """Note that an engine was replaced, or gave no answer."""
+        state.identity_unknown_until = float('-inf')
         if event.is_replaced:
             self.send_manager.announce_replaced(state.entry)
-        if place not in self.asked.values():
-            self.release(place, now)
-        return questions
+        else:
+            self.engines.note_failure(event.old, now, dead=False)
 
-    def release(self, place: Place, now: float) -> None:
+    def release(self, group: Group, now: float) -> None:
         """Take the engines that were not asked for unchanged."""
-        for state in self.engines_in(place, now):
+        for state in self.engines_in(group, now):
             state.identity_unknown_until = float('-inf')
 
 
-def place_of(entry: engines.EngineEntry) -> Place:
+def group_of(entry: engines.EngineEntry) -> Group:
     """Return the service and the data centre of an engine."""
     return entry.service, entry.data_centre
--- a/tests/relay/test_identity_checks.py
+++ b/tests/relay/test_identity_checks.py
@@ -110,3 +110,18 @@
     assert side.events == [
         relay_events.AddressProbed(entry.engine, '', is_replaced=True)
     ]
+
+
+def test_engines_that_are_still_down_are_asked_once():
+    """Guards against questions without end to engines that refuse them.
+
+    Of engines that ended together some are back later than others.
+    """
+    world = lone_place()
+    misdirect(world)
+    for _ in range(50):
+        if not world.identity_questions:
+            break
+        entry = world.identity_questions.pop(0)
+        world.handle(relay_events.AddressProbed(entry.engine, ''))
+    assert len(world.of_kind(relay_actions.ProbeAddress)) == 5
