--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -327,3 +327,14 @@
     """Guards against runs that are ended although their engine holds them."""
     dialect = wire.PlatformDialect()
     assert dialect.read_run_events(status, body, 'r1') == events
+
+
+def test_probe_names_the_engine_that_it_is_meant_for():
+    """Guards against a successor's start taken for a restart of its engine.
+
+    Another engine at the address answers a probe that names none. The engine
+    that has ended is then used again, and requests to it are turned away.
+    """
+    entry = relay_world.fleet()[0]
+    expected = (wire.EXPECTED_ENGINE_HEADER, entry.engine.encode())
+    assert expected in wire.PlatformDialect().write_probe(entry).headers
