--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -211,12 +211,31 @@
                 engines.STREAMS,
                 'streaming',
                 int(1000 * self.route_limits[callers.Kind.STREAM]),
+                ROUTE_ATTEMPTS[callers.Kind.STREAM],
+            ),
+            route(
+                'call',
+                engines.CALLS,
+                'unsafe',
+                900,
+                ROUTE_ATTEMPTS[callers.Kind.CALL],
+            ),
+            route(
+                'query',
+                engines.CALLS,
+                'safe',
+                900,
+                ROUTE_ATTEMPTS[callers.Kind.QUERY],
             ),
-            route('call', engines.CALLS, 'unsafe', 900),
-            route('query', engines.CALLS, 'safe', 900),
         ]
         if self.has_letters:
-            letters = route('letter', engines.STREAMS, 'streaming', 10_000)
+            letters = route(
+                'letter',
+                engines.STREAMS,
+                'streaming',
+                10_000,
+                ROUTE_ATTEMPTS[callers.Kind.LETTER],
+            )
             routes.append({**letters, 'resumable': False})
         model = {
             'slots': engines.SLOTS,
@@ -683,7 +702,9 @@
     return [*keys[keys.index(shown) :], added]
 
 
-def route(name: str, to: str, kind: str, limit: int) -> dict[str, object]:
+def route(
+    name: str, to: str, kind: str, limit: int, attempts: int
+) -> dict[str, object]:
     """Return a route of the configuration."""
     return {
         'name': name,
@@ -693,7 +714,7 @@
         'kind': kind,
         'timeout_ms': limit,
         'latency_goal_ms': 300,
-        'max_attempts': ROUTE_ATTEMPTS[callers.Kind(name)],
+        'max_attempts': attempts,
         'resumable': kind == 'streaming',
         'gap_aim_ms': 700,
     }
