--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -432,7 +432,8 @@
         run.torn = True
         part = content.call(head.request_id, head.body)[: len(head.body) // 2]
         if self.service == STREAMS:
-            part = content.event(head.body, head.after + 1)
+            rest = content.stream(head.body, head.after + 1)
+            part = b''.join(rest.partition(b'\n\n')[:2])
         fields = (
             'HTTP/1.1 200 OK',
             f'Request-Id: {head.request_id}',
