Copies and rests: what stood twice stands once

The runs with a copy on an engine were searched for in two loops, and the engine of a run was looked up twice to order one copy: runs_copied_to and copy_source serve both. Whether an engine may be sent a request, as to its rest and its identity, was written out in three places: EngineState.accepts_requests. Behaviour is as before.

--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -221,8 +221,7 @@
         available = [
             state
             for state in self.usable_engines(service, excluded, now)
-            if now >= state.available_at
-            and now >= state.identity_unknown_until
+            if state.accepts_requests(now)
         ]
         trusted = [state for state in available if state.is_trusted(now)]
         return trusted or available
--- a/src/greengagelb/coordination/relay/identity_checks.py
+++ b/src/greengagelb/coordination/relay/identity_checks.py
@@ -6,8 +6,9 @@
 engines does. The others are asked who they are before they get a request: each
 refusal would cost a retry, and a data centre may have a hundred engines.
 
-A few are asked at first. Each one that has ended as well has further ones
-asked. Once all answers are in, those that were not asked count as unchanged.
+A few are asked at first. Each one that has ended as well, or gives no answer,
+has further ones asked. Once all answers are in, those that were not asked
+count as unchanged.
 """
 
 import random
@@ -26,7 +27,7 @@
 # An engine that was heard from this recently has not ended: engines take a
 # second or more to start.
 HEARD_SECONDS = 0.5
-# How many engines are asked at first, and for each one that has ended.
+# How many engines are asked at first, and for each one that seems lost.
 FIRST_QUESTIONS = 4
 FURTHER_QUESTIONS = 2
 
--- a/src/greengagelb/coordination/relay/permit_outcomes.py
+++ b/src/greengagelb/coordination/relay/permit_outcomes.py
@@ -193,7 +193,7 @@
             return None
         if state.entry.life != held.life or not state.is_usable(now):
             return None
-        if now < max(state.available_at, state.identity_unknown_until):
+        if not state.accepts_requests(now):
             return None
         return state if self.is_wanted(held, exchange, now) else None
 
--- a/src/greengagelb/coordination/relay/relay_components.py
+++ b/src/greengagelb/coordination/relay/relay_components.py
@@ -107,10 +107,10 @@
 
         One that has an open run goes on with it. Else it waits if all that is
         missing is the identity of an engine that is being asked for it, or the
-        end of a rest that comes in its time. Otherwise it is
-        refused at once, and told when to come back if rests or limits of
-        engines are the reason. An engine that has refused it and asked for
-        rest, one of those ``excluded``, may be asked again after that.
+        end of a rest that comes in its time. Otherwise it is refused at once,
+        and told when to come back if rests or limits of engines are the
+        reason. An engine that has refused it and asked for rest, one of those
+        ``excluded``, may be asked again after that.
         """
         if exchange.sends:
             return []
@@ -169,8 +169,7 @@
             state
             for state in states
             if state.leaving_source is not None
-            or now < state.available_at
-            or now < state.identity_unknown_until
+            or not state.accepts_requests(now)
         ]
         if not found:
             return []
--- a/src/greengagelb/coordination/relay/run_copies.py
+++ b/src/greengagelb/coordination/relay/run_copies.py
@@ -6,6 +6,8 @@
 expire after some seconds and are renewed until the run ends.
 """
 
+from collections.abc import Iterator
+
 from greengagelb.coordination import actions
 from greengagelb.coordination import timers
 from greengagelb.coordination.relay import actions as relay_actions
@@ -52,13 +54,8 @@
         ``started_at_ms``, are not lost.
         """
         resulting: list[Action] = []
-        for exchange in self.open_exchanges.values():
-            for sent in exchange.sends.values():
-                held = sent.copy_to
-                if held is None or held.engine != engine:
-                    continue
-                if not engines.is_earlier(started_at_ms, held.started_at_ms):
-                    resulting += self.replace_copy(exchange, sent, now)
+        for exchange, sent in self.runs_copied_to(engine, started_at_ms):
+            resulting += self.replace_copy(exchange, sent, now)
         return resulting
 
     def replace_silent_copies(
@@ -70,21 +67,32 @@
         another one.
         """
         resulting: list[Action] = []
+        for exchange, sent in self.runs_copied_to(engine, started_at_ms):
+            if sent.next_copy_to is not None:
+                continue
+            source = self.copy_source(exchange, sent)
+            if source is None or source.is_resting(now):
+                continue
+            target = self.choose_target(exchange, source, {engine}, now)
+            if target is not None:
+                sent.copy_orders += 1
+                sent.next_copy_to = target.entry
+                resulting.append(
+                    self.build_copy_order(exchange, sent, target.entry)
+                )
+        return resulting
+
+    def runs_copied_to(
+        self, engine: str, started_at_ms: int
+    ) -> Iterator[tuple[exchanges.Exchange, exchanges.InFlightSend]]:
+        """Find the runs with a copy on an engine, made by a start of it."""
         for exchange in self.open_exchanges.values():
             for sent in exchange.sends.values():
                 held = sent.copy_to
-                if held is None or held.engine != engine or sent.next_copy_to:
-                    continue
-                if engines.is_earlier(started_at_ms, held.started_at_ms):
+                if not is_at(held, engine):
                     continue
-                target = self.choose_target(exchange, sent, {engine}, now)
-                if target is not None:
-                    sent.copy_orders += 1
-                    sent.next_copy_to = target.entry
-                    resulting.append(
-                        self.build_copy_order(exchange, sent, target.entry)
-                    )
-        return resulting
+                if not engines.is_earlier(started_at_ms, held.started_at_ms):
+                    yield exchange, sent
 
     def replace_copy(
         self,
@@ -127,15 +135,13 @@
 
         It is ordered later if the engine of the run wants no requests.
         """
-        source = self.components.engines.states.get(sent.entry.engine)
-        if (
-            source is not None
-            and source.is_resting(now)
-            and may_order_copy(exchange, sent)
-        ):
+        source = self.copy_source(exchange, sent)
+        if source is None:
+            return []
+        if source.is_resting(now):
             sent.copy_postponed = True
             return [copy_timer(exchange, source.rest_until)]
-        target = self.choose_target(exchange, sent, excluded, now)
+        target = self.choose_target(exchange, source, excluded, now)
         if target is None:
             return []
         sent.copy_orders += 1
@@ -143,19 +149,25 @@
         self.components.send_manager.update_copy_location(exchange, sent, now)
         return [self.build_copy_order(exchange, sent, target.entry)]
 
+    def copy_source(
+        self, exchange: exchanges.Exchange, sent: exchanges.InFlightSend
+    ) -> engine_states.EngineState | None:
+        """Return a run's engine if one more copy of the run may be ordered."""
+        model_engines = exchange.ruling.service.engines
+        if model_engines is None or not model_engines.moves:
+            return None
+        if not sent.events_seen or sent.copy_orders >= MAX_COPY_ORDERS:
+            return None
+        return self.components.engines.states.get(sent.entry.engine)
+
     def choose_target(
         self,
         exchange: exchanges.Exchange,
-        sent: exchanges.InFlightSend,
+        source: engine_states.EngineState,
         excluded: set[str],
         now: float,
     ) -> engine_states.EngineState | None:
-        """Return the engine on which a copy can be ordered now, or None."""
-        source = self.components.engines.states.get(sent.entry.engine)
-        if source is None or source.is_resting(now):
-            return None
-        if not may_order_copy(exchange, sent):
-            return None
+        """Return the engine on which to order a copy of a run, or None."""
         return self.components.selector.choose_for_copy(
             exchange.ruling.service,
             exchange.request.prompt,
@@ -234,19 +246,6 @@
         return resulting
 
 
-def may_order_copy(
-    exchange: exchanges.Exchange, sent: exchanges.InFlightSend
-) -> bool:
-    """Return whether one more copy of a run may be ordered."""
-    model_engines = exchange.ruling.service.engines
-    return (
-        model_engines is not None
-        and model_engines.moves
-        and sent.events_seen > 0
-        and sent.copy_orders < MAX_COPY_ORDERS
-    )
-
-
 def is_at(entry: engines.EngineEntry | None, engine: str) -> bool:
     """Return whether a copy is on an engine."""
     return entry is not None and entry.engine == engine
--- a/src/greengagelb/state/relay/engine_states.py
+++ b/src/greengagelb/state/relay/engine_states.py
@@ -110,6 +110,10 @@
         """Return from when on it may be sent a request, as to its rest."""
         return max(self.rest_until, self.next_send_at)
 
+    def accepts_requests(self, now: float) -> bool:
+        """Return whether it may be sent one, as to its rest and identity."""
+        return now >= max(self.available_at, self.identity_unknown_until)
+
     @property
     def seconds_between_sends_after_rest(self) -> float:
         """Return the seconds between two sends shortly after a rest."""
