Tests: one writer of cut answers, one engine side without sockets

The tests of cut answers of both interfaces built their answers by copies of one function, and the engine side was set up in two places. A counter that only measurements used is gone.

--- a/tests/common/budget_fleet.py
+++ b/tests/common/budget_fleet.py
@@ -76,7 +76,6 @@
         self.arrivals = collections.Counter()
         self.followed_at = {}
         self.misdirected = collections.Counter()
-        self.identity_question_count = 0
         self.instances = []
         for _ in range(size):
             self.instances.append(self.start())
@@ -154,7 +153,6 @@
                     )
                     self.at(self.now + LINK_SECONDS, self.give, one, checked)
                 case relay_actions.ProbeAddress(entry):
-                    self.identity_question_count += 1
                     found = self.engine_at_address(entry.engine)
                     probed = relay_events.AddressProbed(
                         entry.engine,
--- a/tests/common/relay_wires.py
+++ b/tests/common/relay_wires.py
@@ -9,6 +9,7 @@
 from greengagelb.protocol import statement_headers
 from greengagelb.state.relay import engines
 from greengagelb.state.relay import requests
+from greengagelb.transport.relay import engine_side
 from greengagelb.transport.relay import http1
 from greengagelb.transport.relay import http_client
 from greengagelb.transport.relay.forwarding import connection_race
@@ -152,6 +153,13 @@
     )
 
 
+def engine_side_of(pool, events):
+    """Return the engine side of an instance, which appends its events."""
+    return engine_side.EngineSide(
+        pool, Dialect(), events.append, lambda entry: True, direct_opener(pool)
+    )
+
+
 def wire_request(name=b'/one', body=b''):
     """Return a request as it goes out."""
     method = b'POST' if body else b'GET'
--- a/tests/relay/test_answers_cut_short.py
+++ b/tests/relay/test_answers_cut_short.py
@@ -4,6 +4,7 @@
 
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
+from tests.common import answer_forms
 from tests.common import engine_answers
 from tests.common import relay_wires
 from tests.common import relay_world
@@ -30,22 +31,9 @@
 
 
 def answer(send, form, body, lines=None):
-    """Return an answer in a form, or only the first lines of its head.
-
-    An engine that loses the rest of its head may still end it.
-    """
-    request_id = send.request.request_id.encode()
-    status = b'HTTP/1.0' if form == 'http-1.0' else b'HTTP/1.1'
-    fields = [
-        status + b' 200 OK',
-        b'Id: ' + request_id,
-        b'Seal: s',
-        *engine_answers.FRAMING[form](body),
-    ]
-    head = b'\r\n'.join(fields[:lines]) + b'\r\n\r\n'
-    if form == 'chunks' and lines is None:
-        return head + b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
-    return head + body
+    """Return an answer in a form, or only the first lines of its head."""
+    echo = b'Id: ' + send.request.request_id.encode()
+    return answer_forms.write_answer(form, [echo, b'Seal: s'], body, lines)
 
 
 def passes_on(side):
@@ -57,7 +45,7 @@
 
 
 @pytest.mark.parametrize('end', CLOSES)
-@pytest.mark.parametrize('form', engine_answers.FRAMING)
+@pytest.mark.parametrize('form', answer_forms.FRAMING)
 @pytest.mark.parametrize('ask', BODIES)
 def test_answer_cut_at_any_byte_of_its_head_is_none(ask, form, end):
     """Guards against an empty success in place of an answer that was cut."""
--- a/tests/relay/test_ended_requests.py
+++ b/tests/relay/test_ended_requests.py
@@ -10,7 +10,6 @@
 from twisted.internet import selectreactor
 
 from greengagelb.state.relay import engines
-from greengagelb.transport.relay import engine_side
 from greengagelb.transport.relay import http_client
 from greengagelb.transport.relay import timed_requests
 from tests.common import relay_wires
@@ -40,14 +39,7 @@
         self.body = bytearray(b'a body').hex().encode()
         self.holders = sys.getrefcount(self.body)
         self.events = []
-        pool = self.server.pool
-        self.side = engine_side.EngineSide(
-            pool,
-            relay_wires.Dialect(),
-            self.events.append,
-            lambda entry: True,
-            relay_wires.direct_opener(pool),
-        )
+        self.side = relay_wires.engine_side_of(self.server.pool, self.events)
 
     def send(self):
         """Send it; the connection is being opened."""
--- a/tests/transport/test_answers_cut_short.py
+++ b/tests/transport/test_answers_cut_short.py
@@ -3,27 +3,16 @@
 import pytest
 
 from greengagelb.coordination import events
-from tests.common import engine_answers
+from tests.common import answer_forms
 from tests.common import upstream_answers
 
 BODY = b'done'
 
 
 def answer(form, lines=None):
-    """Return an answer to a call, or only the first lines of its head.
-
-    A service that loses the rest of its head may still end it.
-    """
-    status = b'HTTP/1.0' if form == 'http-1.0' else b'HTTP/1.1'
-    fields = [
-        status + b' 200 OK',
-        *upstream_answers.ECHO.rstrip().split(b'\r\n'),
-        *engine_answers.FRAMING[form](BODY),
-    ]
-    head = b'\r\n'.join(fields[:lines]) + b'\r\n\r\n'
-    if form == 'chunks' and lines is None:
-        return head + b'%x\r\n%s\r\n0\r\n\r\n' % (len(BODY), BODY)
-    return head + BODY
+    """Return an answer to a call, or only the first lines of its head."""
+    echo = upstream_answers.ECHO.rstrip().split(b'\r\n')
+    return answer_forms.write_answer(form, echo, BODY, lines)
 
 
 def answered_with(raw):
@@ -37,7 +26,7 @@
     return event
 
 
-@pytest.mark.parametrize('form', engine_answers.FRAMING)
+@pytest.mark.parametrize('form', answer_forms.FRAMING)
 def test_call_answered_in_part_may_have_run(form):
     """Guards against an empty or short success in place of a cut answer.
 
@@ -59,7 +48,7 @@
     assert event.handed_over
 
 
-@pytest.mark.parametrize('form', engine_answers.FRAMING)
+@pytest.mark.parametrize('form', answer_forms.FRAMING)
 def test_only_a_length_or_chunks_end_an_answer(form):
     """Guards against a close that is taken for the end of an answer.
 
@@ -73,15 +62,14 @@
         assert isinstance(event, events.CallBroken)
 
 
-@pytest.mark.parametrize('form', engine_answers.FRAMING)
+@pytest.mark.parametrize('form', answer_forms.FRAMING)
 def test_generation_cut_at_any_byte_is_broken(form):
     """Guards against a generation that ends where its connection did.
 
     An engine says in an event of its own that a generation has ended.
     """
-    side = upstream_answers.Side()
     tokens = b'event: tokens\ndata: {"generation": 1, "att'
-    fields = engine_answers.FRAMING[form](tokens + b'...')
+    fields = answer_forms.FRAMING[form](tokens + b'...')
     head = b'\r\n'.join([b'HTTP/1.1 200 OK', *fields]) + b'\r\n\r\n'
     for length in range(len(head + tokens) + 1):
         side = upstream_answers.Side()
