--- a/src/greengagelb/coordination/relay/crashing_requests.py
+++ b/src/greengagelb/coordination/relay/crashing_requests.py
@@ -104,7 +104,7 @@
         result = self.watch.handle_check(event, now)
         if isinstance(result, actions.SetTimer):
             return [result]
-        resulting: list[Action] = []
+        resulting: list[Action] = [check_timeline_event(event)]
         self.watch.trials.end(result.counted_fingerprints)
         for fingerprint in result.counted_fingerprints:
             report = self.watch.records.build_report(fingerprint, now)
@@ -317,6 +317,13 @@
     return actions.Record('request-blocked', f'fingerprint {fingerprint}')
 
 
+def check_timeline_event(event: relay_events.EngineChecked) -> actions.Record:
+    """Return the time line event of a check of an engine."""
+    return actions.Record(
+        'engine-checked', event.fate.value, upstream=event.entry.engine
+    )
+
+
 def crash_timeline_event(
     report: crash_state.CrashReport,
     event: relay_events.EngineChecked,
