--- a/tests/common/crashing_fleet.py
+++ b/tests/common/crashing_fleet.py
@@ -37,6 +37,8 @@
 READING_SECONDS = 1.0
 COPY_SECONDS = 0.02
 CRASH_SECONDS = 0.03
+# The share of the engines of a data centre that end as it is lost.
+LOST_SHARE = 0.9
 PART_SECONDS = 0.25
 PARTS = 12
 CALL_SECONDS = 0.03
@@ -50,12 +52,45 @@
 }
 
 
+@dataclasses.dataclass(frozen=True)
+class CrashMoment:
+    """When a request crashes its engine.
+
+    ``read_share`` is the share of its prompt that was read. The head of the
+    answer was written if that is more than the whole, then ``events`` of it,
+    and the engine ends ``seconds`` after the head.
+    """
+
+    read_share: float = 2.0
+    events: int = 0
+    seconds: float = CRASH_SECONDS
+
+    @property
+    def has_head(self):
+        return self.read_share > 1.0
+
+
+WHILE_READING = CrashMoment(read_share=0.4)
+BEFORE_HEAD = CrashMoment(read_share=1.0)
+AT_HEAD = CrashMoment()
+AFTER_EVENT = CrashMoment(events=1, seconds=0.05)
+AFTER_EVENTS = CrashMoment(events=4, seconds=0.35)
+MOMENTS = {
+    'while reading': WHILE_READING,
+    'before the head': BEFORE_HEAD,
+    'at the head': AT_HEAD,
+    'after an event': AFTER_EVENT,
+    'after events': AFTER_EVENTS,
+}
+
+
 @dataclasses.dataclass(eq=False)
 class Run:
     """A send that an engine has."""
 
     instance: 'Instance'
     send: relay_actions.Send
+    moment: CrashMoment = AT_HEAD
     ended: bool = False
     begun: bool = False
 
@@ -125,7 +160,9 @@
 
     ``arrivals`` and ``crashes`` are the times at which engines got, and were
     ended by, what crashes them. ``loss`` is the part of all datagrams that is
-    lost, and nothing passes between a place in ``cut`` and others.
+    lost, and nothing passes between a place in ``cut`` and others. Each crash
+    has one of the ``moments``, drawn, and checks of engines are answered with
+    the probability ``answered``.
     """
 
     def __init__(self, size, per_place=3, loss=0.0, seed=1):
@@ -139,6 +176,8 @@
         self.last_exchange = 0
         self.arrivals = []
         self.crashing_parts = set(CRASHING_PARTS)
+        self.moments = (AT_HEAD,)
+        self.answered = 1.0
         self.store = {}
         self.crashes = []
         self.datagrams = 0
@@ -354,6 +393,8 @@
                 fate = relay_events.EngineFate.ENDED
                 if self.life_of(entry) is not None:
                     fate = relay_events.EngineFate.ALIVE
+                if self.answered < 1.0 and self.rng.random() > self.answered:
+                    fate = relay_events.EngineFate.UNKNOWN
                 checked = relay_events.EngineChecked(entry, fate)
                 self.after(2 * NETWORK_SECONDS, instance.handle, checked)
             case relay_actions.BroadcastHints(told):
@@ -384,6 +425,12 @@
             ):
                 instance.answers[exchange] = action
 
+    def draw_moment(self):
+        """Return when a request crashes its engine, if it does."""
+        if len(self.moments) == 1:
+            return self.moments[0]
+        return self.rng.choice(self.moments)
+
     def life_of(self, entry):
         """Return the engine of an entry, if that life has not ended."""
         engine = self.engines.get(entry.engine)
@@ -397,14 +444,19 @@
             )
             instance.handle(broken)
             return
-        run = Run(instance, send)
+        run = Run(instance, send, self.draw_moment())
         engine.runs.append(run)
         self.arrived(engine, run)
         if run.crashes:
             self.arrivals.append(self.now)
         if send.stream:
             takes = COPY_SECONDS if send.copy_from else READING_SECONDS
-            engine.free_at = max(self.now, engine.free_at) + takes
+            reads_from = max(self.now, engine.free_at)
+            engine.free_at = reads_from + takes
+            if run.crashes and not run.moment.has_head:
+                ends_at = reads_from + takes * run.moment.read_share
+                self.after(ends_at - self.now, self.crash_by, engine, run)
+                return
             self.after(engine.free_at - self.now, self.begin, engine, run)
         elif run.crashes:
             self.after(CALL_SECONDS, self.crash_by, engine, run)
@@ -439,22 +491,36 @@
             relay_events.AnswerStarted(run.send.exchange, run.send.send, head)
         )
         if run.crashes:
-            self.after(CRASH_SECONDS, self.crash_by, engine, run)
+            self.write_until_crash(engine, run)
         else:
             run.begun = True
             first = (run.send.resume_after or 0) + 1
             self.after(PART_SECONDS, self.go_on, engine, run, first)
 
-    def go_on(self, engine, run, number):
+    def write_until_crash(self, engine, run):
+        """Write some events, then crash."""
+        moment = run.moment
+        first = (run.send.resume_after or 0) + 1
+        for written in range(moment.events):
+            wait = moment.seconds * (written + 1) / (moment.events + 1)
+            self.after(wait, self.write_event, run, first + written)
+        self.after(moment.seconds, self.crash_by, engine, run)
+
+    def write_event(self, run, number):
         if run.ended:
             return
-        run.begun = False
         moved = requests.StreamEvent(number, b'id: %d\n\n' % number)
         run.instance.handle(
             relay_events.StreamProgressed(
                 run.send.exchange, run.send.send, (moved,)
             )
         )
+
+    def go_on(self, engine, run, number):
+        if run.ended:
+            return
+        run.begun = False
+        self.write_event(run, number)
         if number < PARTS:
             self.after(PART_SECONDS, self.go_on, engine, run, number + 1)
             return
@@ -484,6 +550,25 @@
             self.crashes.append(self.now)
             self.crash(engine)
 
+    def lose_data_centre(self, place):
+        """End nine in ten of the engines of a data centre at once."""
+        for engine in list(self.engines.values()):
+            in_place = engine.entry.data_centre == place
+            if engine.alive and in_place and self.rng.random() < LOST_SHARE:
+                self.crash(engine)
+
+    def lose_data_centres(self, seconds, every):
+        """Lose one data centre after the other."""
+        for number in range(int(seconds / every)):
+            place = relay_world.PLACES[number % len(relay_world.PLACES)]
+            self.after(every * (number + 0.5), self.lose_data_centre, place)
+
+    def crash_busy_engine(self):
+        """End an engine that has something to do, if there is one."""
+        busy = [e for e in self.engines.values() if e.alive and e.runs]
+        if busy:
+            self.crash(self.rng.choice(busy))
+
     def crash_any_engine(self):
         """End a model engine that has just begun to write, if there is one."""
         begun = [
