Crashes count at any moment of a run

A stream whose connection ended before its head had its engine not checked at all; a first event cleared the parts of the prompt for everybody, and kept a crash right after it from counting.

Now a stream that was handed over counts whenever it breaks off, and its parts are cleared only when its engine has lived on for as long as a crash is an early one. All that an engine reads for is suspect then, so that verdicts go by what else ended: engines that ended with their data centre are no evidence, and where engines often end alone more crashes are needed (engine_ends.py). A single request needs one more if an engine had not begun to answer it. A part that was sound is tried again, one request at a time, before it is blocked. Reports between instances say the data centre, and whether the run had begun; those of the release before are understood.

--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -101,18 +101,26 @@
         sent: exchanges.InFlightSend,
         began_at: float,
         now: float,
+        *,
+        has_begun: bool = True,
     ) -> list[Action]:
         """Suspect the engine of a run that broke off; have it checked.
 
-        An engine that has written an event has survived the parts of the
-        prompt, but the request may crash it at any time.
+        An engine that has lived on after it began to write has survived the
+        parts of the prompt, but the request may crash it at any time.
         """
         life = sent.entry.life
         fingerprints = exchange.causes.fingerprints
-        if sent.events_seen:
+        if sent.has_survived:
             fingerprints = (exchange.causes.request,)
         broken_run = broken_runs.BrokenRun(
-            fingerprints, life, began_at, now, exchange.request.request_id
+            fingerprints,
+            life,
+            began_at,
+            now,
+            exchange.request.request_id,
+            sent.entry.data_centre,
+            has_begun,
         )
         self.broken_runs.forget_expired(now)
         self.broken_runs.add(life, broken_run)
@@ -255,10 +263,27 @@
         """
         return self.note_survivals((exchange.causes.request,), now)
 
+    def note_progress(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> list[hints.Hint]:
+        """Note that an engine has written an event of an answer.
+
+        The parts of the prompt are cleared once a crash would not be an early
+        one any more. Returns the hints for the other instances.
+        """
+        outlived_at = sent.answered_at + crash_records.EARLY_CRASH_SECONDS
+        if sent.has_survived or now < outlived_at:
+            return []
+        sent.has_survived = True
+        return self.note_sound_parts(exchange, now)
+
     def note_sound_parts(
         self, exchange: exchanges.Exchange, now: float
     ) -> list[hints.Hint]:
-        """Note that an engine has begun to write with the parts of a prompt.
+        """Note that an engine has survived the parts of a prompt.
 
         Returns the hints for the other instances.
         """
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -240,9 +240,8 @@
         sent.events_seen += len(event.events)
         sent.moved_at = now
         self.components.engines.note_heard(sent.entry.engine, now)
-        if first:
-            told = self.components.crash_watch.note_sound_parts(exchange, now)
-            self.components.send_manager.pending_hints.extend(told)
+        told = self.components.crash_watch.note_progress(exchange, sent, now)
+        self.components.send_manager.pending_hints.extend(told)
         if not new_events:
             return []
         expected = range(
@@ -408,12 +407,16 @@
         resulting: list[Action] = []
         if event.handed_over:
             exchange.may_have_run = True
-        else:
-            self.components.send_manager.note_unconnected(exchange, sent)
-        if sent.head is not None:
+            has_begun = sent.head is not None
             resulting = self.components.crash_watch.suspect_engine(
-                exchange, sent, sent.answered_at, now
+                exchange,
+                sent,
+                sent.answered_at if has_begun else now,
+                now,
+                has_begun=has_begun,
             )
+        else:
+            self.components.send_manager.note_unconnected(exchange, sent)
         if self.components.is_withheld(sent, event, now):
             return resulting + self.replace_send(
                 exchange, sent, event.detail, now
--- a/src/greengagelb/coordination/sharing/broken_runs.py
+++ b/src/greengagelb/coordination/sharing/broken_runs.py
@@ -33,6 +33,8 @@
     began_at: float
     broken_at: float
     request_id: str = ''
+    data_centre: str = ''
+    has_begun: bool = True
 
 
 class BrokenRuns:
@@ -112,7 +114,11 @@
 def crash_from_broken_run(broken_run: BrokenRun) -> crashes.Crash:
     """Return the crash that a broken run counts as if its engine ended."""
     return crashes.Crash(
-        broken_run.life, broken_run.began_at, broken_run.broken_at
+        broken_run.life,
+        broken_run.began_at,
+        broken_run.broken_at,
+        broken_run.data_centre,
+        broken_run.has_begun,
     )
 
 
--- a/src/greengagelb/coordination/sharing/crash_blame.py
+++ b/src/greengagelb/coordination/sharing/crash_blame.py
@@ -19,6 +19,9 @@
 from greengagelb.coordination.sharing import fingerprints
 from greengagelb.state import crashes
 
+# How many more early crashes than others block a part that was sound before.
+FURTHER_CRASHES_OF_SOUND_PARTS = 2
+
 CrashesByLife = dict[str, crashes.Crash]
 
 
@@ -83,7 +86,7 @@
         """Return until when a whole request is blocked, or None."""
         if fingerprint in self.suspected:
             found = self.crashes_of(fingerprint).values()
-            return crash_records.block_expiry(found, now)
+            return self.records.block_expiry(fingerprint, found, now)
         return self.records.blocked_until(fingerprint, now)
 
     def judge_part(
@@ -91,16 +94,30 @@
     ) -> Verdict:
         """Return the verdict on a part of a request."""
         found = self.crashes_of(part)
-        until = crash_records.block_expiry(found.values(), now)
+        until = self.records.block_expiry(part, found.values(), now)
         if until is None:
             return NOT_BLAMED
         explained = self.explained_lives(part, causes, now)
         unexplained = [c for c in found.values() if c.life not in explained]
         if self.records.sound_parts.was_sound(part, now):
-            until = crash_records.block_expiry(unexplained, now)
-            return NOT_BLAMED if until is None else Blocked(part, until)
+            return self.judge_sound_part(part, unexplained, now)
         return Blocked(part, until) if unexplained else Undecided((part,))
 
+    def judge_sound_part(
+        self, part: str, unexplained: list[crashes.Crash], now: float
+    ) -> Verdict:
+        """Return the verdict on a part that was sound before.
+
+        Engines may end by chance one after the other under a part that most
+        requests have, so that further requests decide, one at a time.
+        """
+        if self.records.block_expiry(part, unexplained, now) is None:
+            return NOT_BLAMED
+        until = self.records.block_expiry(
+            part, unexplained, now, FURTHER_CRASHES_OF_SOUND_PARTS
+        )
+        return Undecided((part,)) if until is None else Blocked(part, until)
+
     def explained_lives(
         self, part: str, causes: crashes.PossibleCauses, now: float
     ) -> set[str]:
@@ -141,7 +158,10 @@
             common = lives & found.keys()
             if not common:
                 continue
-            if crash_records.block_expiry(found.values(), now) is not None:
+            if (
+                self.records.block_expiry(other, found.values(), now)
+                is not None
+            ):
                 yield other, common
 
     def crashes_of(self, fingerprint: str) -> CrashesByLife:
--- a/src/greengagelb/coordination/sharing/crash_records.py
+++ b/src/greengagelb/coordination/sharing/crash_records.py
@@ -14,8 +14,10 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 import zlib
 
+from greengagelb.coordination.sharing import engine_ends
 from greengagelb.coordination.sharing import fingerprints
 from greengagelb.coordination.sharing import sound_parts
 from greengagelb.state import crashes
@@ -26,11 +28,19 @@
 # any point of their run.
 EARLY_CRASHES_TO_BLOCK = 3
 CRASHES_TO_BLOCK = 6
+# How many more early crashes block a single request if an engine had not begun
+# to answer it: all that an engine reads for are suspects then.
+FURTHER_CRASHES_OF_UNSEEN_RUNS = 1
+# One more early crash is needed for each of these numbers of other engines
+# that ended alone shortly before.
+OTHERS_FOR_ONE_MORE_CRASH = (2, 5)
 # A crash is early if the request had run for at most this long.
 EARLY_CRASH_SECONDS = 0.5
 # A run that began up to this long before the end of the previous one still
 # counts as following it, because reported times are not exact.
 TIME_TOLERANCE_SECONDS = 0.001
+# How long a run without a head had at least been on its engine.
+UNKNOWN_RUN_SECONDS = 0.05
 # How long a crash counts.
 CRASH_TTL_SECONDS = 600.0
 # Memory bounds; a crash takes about 150 bytes.
@@ -56,6 +66,7 @@
     def __init__(self) -> None:
         self.histories: dict[str, crashes.CrashHistory] = {}
         self.sound_parts = sound_parts.SoundParts()
+        self.ends = engine_ends.EngineEnds()
         self.change_count = 0
 
     def add_crash(
@@ -69,6 +80,7 @@
         self.forget_expired(now)
         if crash.ended_at <= now - CRASH_TTL_SECONDS:
             return False
+        self.ends.note(crash)
         history = self.histories.get(fingerprint)
         if history is None:
             history = crashes.CrashHistory(
@@ -83,6 +95,7 @@
         if crash.ended_at <= history.survived_at:
             return False
         history.crashes[crash.life] = crash
+        history.note_life(crash.life)
         if len(history.crashes) > MAX_CRASHES_PER_REQUEST:
             oldest = min(history.crashes.values(), key=end_time)
             del history.crashes[oldest.life]
@@ -132,7 +145,13 @@
         for reported in report.crashes:
             ended_at = now - max(0.0, reported.age)
             began_at = ended_at - max(0.0, reported.seconds)
-            crash = crashes.Crash(reported.life, began_at, ended_at)
+            crash = crashes.Crash(
+                reported.life,
+                began_at,
+                ended_at,
+                reported.data_centre,
+                reported.has_begun,
+            )
             self.add_crash(report.fingerprint, crash, now)
         return not blocked_before and self.is_blocked(report.fingerprint, now)
 
@@ -159,6 +178,9 @@
     def forget_expired(self, now: float) -> None:
         """Drop expired crashes, and requests without crashes."""
         oldest_kept_at = now - CRASH_TTL_SECONDS
+        self.ends.forget_before(
+            oldest_kept_at - engine_ends.RATE_WINDOW_SECONDS
+        )
         for fingerprint, history in list(self.histories.items()):
             for crash in list(history.crashes.values()):
                 if crash.ended_at <= oldest_kept_at:
@@ -194,7 +216,7 @@
         history = self.histories.get(fingerprint)
         if history is None or len(history.crashes) < EARLY_CRASHES_TO_BLOCK:
             return None
-        until = block_expiry(history.crashes.values(), now)
+        until = self.block_expiry(fingerprint, history.crashes.values(), now)
         if until is None or fingerprints.is_part(fingerprint):
             return until
         unexplained = [
@@ -202,7 +224,7 @@
             for crash in history.crashes.values()
             if not self.is_explained_by_other(fingerprint, crash, now)
         ]
-        return block_expiry(unexplained, now)
+        return self.block_expiry(fingerprint, unexplained, now)
 
     def is_blocked(self, fingerprint: str, now: float) -> bool:
         """Return whether a request is blocked now."""
@@ -232,7 +254,12 @@
                 continue
             if other_crash.seconds >= crash.seconds:
                 continue
-            if block_expiry(history.crashes.values(), now) is not None:
+            if (
+                self.block_expiry(
+                    other_fingerprint, history.crashes.values(), now
+                )
+                is not None
+            ):
                 return True
         return False
 
@@ -277,6 +304,70 @@
         )
         return zlib.crc32('\n'.join(lines).encode()) if lines else 0
 
+    def block_expiry(
+        self,
+        fingerprint: str,
+        known_crashes: Iterable[crashes.Crash],
+        now: float,
+        further_early_crashes: int = 0,
+    ) -> float | None:
+        """Return when the block by some crashes ends; None without a block.
+
+        Engines that ended with their data centre are no evidence. The more
+        engines end alone, the more crashes are needed, and
+        ``further_early_crashes`` besides.
+        """
+        recent = [
+            c for c in known_crashes if c.ended_at > now - CRASH_TTL_SECONDS
+        ]
+        if len(recent) < EARLY_CRASHES_TO_BLOCK:
+            return None
+        lives = self.ended_lives(fingerprint, recent)
+        further = further_early_crashes
+        is_seen = all(crash.has_begun for crash in recent)
+        if not (is_seen or fingerprints.is_part(fingerprint)):
+            further += FURTHER_CRASHES_OF_UNSEEN_RUNS
+        own = [
+            crash
+            for crash in recent
+            if not self.ends.is_of_loss(
+                crash.data_centre, crash.ended_at, lives
+            )
+        ]
+        early = [c for c in own if c.seconds <= EARLY_CRASH_SECONDS]
+        expiries = [
+            chain[-required].ended_at + CRASH_TTL_SECONDS
+            for chain, required in (
+                *self.early_chains(early, lives, further),
+                (longest_chain(own), CRASHES_TO_BLOCK),
+            )
+            if len(chain) >= required
+        ]
+        return max(expiries, default=None)
+
+    def ended_lives(
+        self, fingerprint: str, known_crashes: list[crashes.Crash]
+    ) -> set[str]:
+        """Return the lives that ended under a fingerprint, also early ones."""
+        lives = {crash.life for crash in known_crashes}
+        history = self.histories.get(fingerprint)
+        return lives if history is None else lives.union(history.lives)
+
+    def early_chains(
+        self,
+        early: list[crashes.Crash],
+        lives: set[str],
+        further_early_crashes: int,
+    ) -> Iterator[tuple[list[crashes.Crash], int]]:
+        """Yield the early crashes until each one, and how many block."""
+        chain = longest_chain(early, engine_ends.TOGETHER_SECONDS)
+        for length in range(EARLY_CRASHES_TO_BLOCK, len(chain) + 1):
+            others = self.ends.count_others(chain[length - 1].ended_at, lives)
+            required = EARLY_CRASHES_TO_BLOCK + sum(
+                others >= count for count in OTHERS_FOR_ONE_MORE_CRASH
+            )
+            yield chain[:length], required + further_early_crashes
+
     def get_suspect(self, fingerprint: str) -> crashes.SuspectRequest:
         """Return an immutable snapshot of the history of a request."""
         history = self.histories[fingerprint]
@@ -299,34 +390,25 @@
     return crash.ended_at
 
 
-def block_expiry(
-    known_crashes: Iterable[crashes.Crash], now: float
-) -> float | None:
-    """Return when the block by some crashes ends; None without a block."""
-    recent = [c for c in known_crashes if c.ended_at > now - CRASH_TTL_SECONDS]
-    early = [c for c in recent if c.seconds <= EARLY_CRASH_SECONDS]
-    expiries = [
-        chain[-required].ended_at + CRASH_TTL_SECONDS
-        for chain, required in (
-            (longest_chain(early), EARLY_CRASHES_TO_BLOCK),
-            (longest_chain(recent), CRASHES_TO_BLOCK),
-        )
-        if len(chain) >= required
-    ]
-    return max(expiries, default=None)
-
-
 def longest_chain(
     known_crashes: Iterable[crashes.Crash],
+    together_seconds: float = float('inf'),
 ) -> list[crashes.Crash]:
     """Return the longest sequence of crashes with runs one after another.
 
     Engines that ran a request at the same time may have ended for one external
-    cause, so overlapping runs count once.
+    cause, so overlapping runs count once, unless their engines ended more than
+    ``together_seconds`` apart.
     """
     chain: list[crashes.Crash] = []
     for crash in sorted(known_crashes, key=end_time):
         began_at = crash.began_at + TIME_TOLERANCE_SECONDS
-        if not chain or began_at >= chain[-1].ended_at:
+        if not crash.has_begun:
+            began_at -= UNKNOWN_RUN_SECONDS
+        if (
+            not chain
+            or began_at >= chain[-1].ended_at
+            or crash.ended_at > chain[-1].ended_at + together_seconds
+        ):
             chain.append(crash)
     return chain
--- a/src/greengagelb/protocol/peer_api.py
+++ b/src/greengagelb/protocol/peer_api.py
@@ -65,6 +65,8 @@
     life: str
     seconds: float
     age: float
+    data_centre: str = ''
+    has_begun: bool = True
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
@@ -206,7 +208,9 @@
             CrashReport(
                 report.fingerprint,
                 [
-                    ReportedCrash(c.life, c.seconds, c.age)
+                    ReportedCrash(
+                        c.life, c.seconds, c.age, c.data_centre, c.has_begun
+                    )
                     for c in report.crashes
                 ],
                 report.survived_age,
@@ -256,7 +260,9 @@
             crashes.CrashReport(
                 one.fingerprint,
                 tuple(
-                    crashes.ReportedCrash(c.life, c.seconds, c.age)
+                    crashes.ReportedCrash(
+                        c.life, c.seconds, c.age, c.data_centre, c.has_begun
+                    )
                     for c in one.crashes
                 ),
                 one.survived_age,
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -25,6 +25,7 @@
 Retries = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 # The identity of an engine and its start.
 Life = Annotated[str, msgspec.Meta(max_length=256)]
+DataCentre = Annotated[str, msgspec.Meta(max_length=64)]
 
 
 class Heartbeat(
@@ -246,6 +247,8 @@
     life: Life
     seconds: float
     age: float
+    data_centre: DataCentre = ''
+    has_begun: bool = True
 
 
 class CrashReport(
@@ -407,7 +410,10 @@
             wire = LoanGranted(number, retries)
         case crashes.CrashReport(fingerprint, found, survived_age, on_trial):
             reported = tuple(
-                ReportedCrash(c.life, c.seconds, c.age) for c in found
+                ReportedCrash(
+                    c.life, c.seconds, c.age, c.data_centre, c.has_begun
+                )
+                for c in found
             )
             wire = CrashReport(fingerprint, reported, survived_age, on_trial)
         case crashes.CrashReportsRequest():
@@ -555,7 +561,9 @@
             hint = hints.LoanGranted(number, retries)
         case CrashReport(fingerprint, reported, survived_age, on_trial):
             found = tuple(
-                crashes.ReportedCrash(c.life, c.seconds, c.age)
+                crashes.ReportedCrash(
+                    c.life, c.seconds, c.age, c.data_centre, c.has_begun
+                )
                 for c in reported
             )
             hint = crashes.CrashReport(
--- a/src/greengagelb/state/crashes.py
+++ b/src/greengagelb/state/crashes.py
@@ -6,6 +6,9 @@
 
 import dataclasses
 
+# Memory bound; a life takes about 100 bytes.
+MAX_LIVES = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crash:
@@ -14,12 +17,17 @@
     ``life`` is the engine's life (one run of its process) that ended.
     ``began_at`` is when the engine began to run the request as far as an
     instance can observe: when the head of its answer arrived, or when the
-    request was sent if answers are short.
+    request was sent if answers are short. ``has_begun`` is false if the engine
+    is not known to have begun to run it, as no head of a stream has arrived;
+    ``began_at`` is the time of the crash then. ``data_centre`` is that of the
+    engine, empty if it is not known.
     """
 
     life: str
     began_at: float
     ended_at: float
+    data_centre: str = ''
+    has_begun: bool = True
 
     @property
     def seconds(self) -> float:
@@ -54,13 +62,22 @@
     write with the part; crashes before that are not attributed to it.
     ``changed_at`` is when this instance last learned something new about it,
     ``survival_told_at`` when an instance last said that it was survived.
+    ``lives`` has the latest lives that ended under it, in this order, also
+    those whose crashes are not kept.
     """
 
     crashes: dict[str, Crash] = dataclasses.field(default_factory=dict)
+    lives: dict[str, None] = dataclasses.field(default_factory=dict)
     survived_at: float = float('-inf')
     changed_at: float = float('-inf')
     survival_told_at: float = float('-inf')
 
+    def note_life(self, life: str) -> None:
+        """Note that a life has ended under the fingerprint."""
+        self.lives[life] = None
+        if len(self.lives) > MAX_LIVES:
+            del self.lives[next(iter(self.lives))]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuspectRequest:
@@ -79,6 +96,8 @@
     life: str
     seconds: float
     age: float
+    data_centre: str = ''
+    has_begun: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,7 +126,13 @@
     if suspect.survived_at > float('-inf'):
         survived_age = now - suspect.survived_at
     reported = tuple(
-        ReportedCrash(crash.life, crash.seconds, now - crash.ended_at)
+        ReportedCrash(
+            crash.life,
+            crash.seconds,
+            now - crash.ended_at,
+            crash.data_centre,
+            crash.has_begun,
+        )
         for crash in suspect.crashes
     )
     return CrashReport(suspect.fingerprint, reported, survived_age)
@@ -120,6 +145,8 @@
     life: str
     seconds: float
     ended_at_ms: int
+    data_centre: str = ''
+    has_begun: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,6 +173,8 @@
                 crash.life,
                 crash.seconds,
                 wall_milliseconds - round(crash.age * 1000),
+                crash.data_centre,
+                crash.has_begun,
             )
             for crash in report.crashes
         ),
@@ -169,6 +198,8 @@
                 crash.life,
                 crash.seconds,
                 max(0, wall_milliseconds - crash.ended_at_ms) / 1000,
+                crash.data_centre,
+                crash.has_begun,
             )
             for crash in stored.crashes
         ),
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -21,7 +21,8 @@
     orders so far. ``next_copy_to`` is the engine on which another copy is
     being made, while the former is kept. ``copy_postponed`` is true if an
     order waits for the end of the engine's rest. ``from_copy`` is true if the
-    run continued from a copy.
+    run continued from a copy. ``has_survived`` is true once its engine has
+    lived long enough after the head to clear the parts of the prompt.
     ``is_suspected`` is true if it has been silent for too long since its last
     event, and ``is_unreachable`` if its engine did not answer a probe since;
     it is checked again from ``next_check_at``, after ``times_kept`` checks
@@ -50,6 +51,7 @@
     head: requests.AnswerHead | None = None
     events_seen: int = 0
     alone_with: int = 0
+    has_survived: bool = False
     is_suspected: bool = False
     is_unreachable: bool = False
     is_held: bool = False
