Own interface: crashes count at any moment of a run

Callers: a message that ended engines as they read it, or right after a first token, ended one after the other.

Cause, as for relayed requests: the first token cleared the parts of the prompt for everybody, and an engine that reads for over half a second after it has accepted ended late, so that six crashes were needed. Now the parts are cleared once an attempt has generated for as long as a crash is an early one, or has ended; one that generated nothing counts as not begun.

--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -309,6 +309,8 @@
             )
         self.components.send_manager.release_send(exchange, sent)
         told = self.components.crash_watch.note_survival(exchange, now)
+        if not sent.has_survived:
+            told += self.components.crash_watch.note_sound_parts(exchange, now)
         self.components.send_manager.pending_hints.extend(told)
         if not exchange.request.resumes_after:
             took = now - exchange.request.received_at
--- a/src/greengagelb/coordination/sharing/crash_guard.py
+++ b/src/greengagelb/coordination/sharing/crash_guard.py
@@ -14,6 +14,7 @@
 from greengagelb.coordination.sharing import crash_records
 from greengagelb.coordination.sharing import fingerprints
 from greengagelb.coordination.sharing import trials
+from greengagelb.state import attempts
 from greengagelb.state import configuration as configuration_state
 from greengagelb.state import crashes as crash_state
 from greengagelb.state import requests
@@ -116,21 +117,24 @@
         began_at: float,
         now: float,
         *,
-        has_progressed: bool = False,
+        has_survived: bool = False,
+        has_begun: bool = True,
     ) -> list[actions.Action]:
         """Record a broken attempt and have its upstream probed.
 
-        An upstream that has generated a token has survived the parts of the
-        prompt.
+        One that has survived the parts of the prompt counts against the
+        request only.
         """
         causes = fingerprints.causes_of_product_request(request)
         self.forget_expired(now)
         name = upstream.name
         broken_run = broken_runs.BrokenRun(
-            (causes.request,) if has_progressed else causes.fingerprints,
+            (causes.request,) if has_survived else causes.fingerprints,
             f'{name} {incarnation}',
             began_at,
             now,
+            data_centre=upstream.data_centre,
+            has_begun=has_begun,
         )
         is_first = self.broken_runs.add(name, broken_run)
         if not is_first and name in self.pending_probes:
@@ -139,6 +143,31 @@
         self.pending_probes[name] = PendingProbe(upstream, incarnation)
         return [actions.ProbeUpstream(upstream)]
 
+    def suspect_attempt(
+        self,
+        request: fingerprints.ProductRequest,
+        attempt: attempts.Attempt,
+        accepted_at: float,
+        now: float,
+    ) -> list[actions.Action]:
+        """Record a broken attempt of a stream; have its upstream probed.
+
+        An upstream may read a prompt for any time after it has accepted it.
+        """
+        began_at = accepted_at
+        is_early = now <= accepted_at + crash_records.EARLY_CRASH_SECONDS
+        if not is_early:
+            began_at = min(attempt.progressed_at, now)
+        return self.suspect_upstream(
+            request,
+            attempt.upstream,
+            attempt.incarnation,
+            began_at,
+            now,
+            has_survived=attempt.has_survived,
+            has_begun=is_early or attempt.has_progressed,
+        )
+
     def handle_report(
         self, event: events.UpstreamReported, now: float
     ) -> list[str]:
@@ -200,10 +229,34 @@
                 fingerprints.for_product_request(request), now, now
             )
 
-    def record_first_token(
+    def record_progress(
+        self,
+        request: requests.GenerationRequest,
+        attempt: attempts.Attempt,
+        now: float,
+    ) -> None:
+        """Record that tokens of an attempt have arrived.
+
+        The parts of the prompt are cleared once a crash would not be an early
+        one any more.
+        """
+        attempt.progressed_at = min(attempt.progressed_at, now)
+        outlived_at = attempt.progressed_at + crash_records.EARLY_CRASH_SECONDS
+        if not attempt.has_survived and now >= outlived_at:
+            attempt.has_survived = True
+            self.record_sound_parts(request, now)
+
+    def record_completion(
+        self, request: requests.GenerationRequest, now: float
+    ) -> None:
+        """Record that an upstream ran an attempt to its end."""
+        self.record_survival(request, now)
+        self.record_sound_parts(request, now)
+
+    def record_sound_parts(
         self, request: requests.GenerationRequest, now: float
     ) -> None:
-        """Record that an upstream has begun to generate with a prompt."""
+        """Record that an upstream has survived the parts of a prompt."""
         parts = fingerprints.for_shared_parts(
             request.shared_parts, request.service
         )
--- a/src/greengagelb/coordination/streams/supervisor.py
+++ b/src/greengagelb/coordination/streams/supervisor.py
@@ -174,8 +174,7 @@
         self.stream_recovery.recovering_streams.pop(
             stream.request.exchange, None
         )
-        if not attempt.has_progressed:
-            self.guard.record_first_token(stream.request, now)
+        self.guard.record_progress(stream.request, attempt, now)
         self.stall_detector.observe_tokens(stream, attempt, now)
         planned.append(
             actions.SendTokens(
@@ -229,7 +228,7 @@
                 stream, attempt, now, reason
             )
         planned = self.keep_one_attempt(stream, attempt, now)
-        self.guard.record_survival(stream.request, now)
+        self.guard.record_completion(stream.request, now)
         return planned + self.stream_recovery.complete_stream(
             stream, event.reason
         )
@@ -332,13 +331,11 @@
         may do so before its answer is sent.
         """
         was_accepted = attempt.accepted_at <= now
-        return self.guard.suspect_upstream(
+        return self.guard.suspect_attempt(
             stream.request,
-            attempt.upstream,
-            attempt.incarnation,
+            attempt,
             attempt.accepted_at if was_accepted else attempt.ordered_at,
             now,
-            has_progressed=attempt.has_progressed,
         )
 
     def stop_blocked_streams(self, now: float) -> list[actions.Action]:
--- a/src/greengagelb/state/attempts.py
+++ b/src/greengagelb/state/attempts.py
@@ -15,7 +15,9 @@
     attempt and no token has arrived since. ``silent`` is true once that has
     taken too long as well, and ``unreachable`` while the new connection could
     not be opened. Times are monotonic seconds.
-    ``accepted_at`` is when the engine first answered. ``confirming`` is true
+    ``accepted_at`` is when the engine first answered, ``progressed_at`` when
+    its first token arrived. ``has_survived`` is true once it has lived long
+    enough after that to clear the parts of the prompt. ``confirming`` is true
     once the stall deadline has passed and only data that may already wait in
     the sockets remains to be read.
     """
@@ -29,6 +31,8 @@
     answered: bool = False
     accepted_at: float = float('inf')
     has_progressed: bool = False
+    progressed_at: float = float('inf')
+    has_survived: bool = False
     latest_arrival: float | None = None
     ordered_at: float = float('inf')
     attached_at: float = float('-inf')
--- a/tests/load/test_crashing_requests_of_the_product.py
+++ b/tests/load/test_crashing_requests_of_the_product.py
@@ -7,6 +7,8 @@
 import collections
 import dataclasses
 
+import pytest
+
 from greengagelb.coordination import actions
 from greengagelb.coordination import events
 from greengagelb.coordination.sharing import broken_runs
@@ -77,8 +79,11 @@
     assert failure.retry_after
 
 
-def crash_engines_with_part(world, number):
-    """Send a new request with the crashing message; return the crashes."""
+def crash_engines_with_part(world, number, tokens=0, seconds=0.0):
+    """Send a new request with the crashing message; return the crashes.
+
+    Engines end after they have written some tokens, or read for a while.
+    """
     parts = ('system: be brief', 'user: what crashes engines')
     caller = ask(world, 'draft', f'{number}', parts)
     crashed = 0
@@ -90,7 +95,10 @@
             if any(not run.ended for run in engine.runs.values())
         ]
         crashed += len(busy)
+        world.pass_time(seconds)
         for engine in busy:
+            engine.generate(tokens)
+            world.deliver_all()
             engine.kill()
         world.deliver_all()
         world.report()
@@ -112,14 +120,21 @@
     return caller
 
 
-def test_a_message_that_crashes_engines_is_recognized_in_other_prompts():
+@pytest.mark.parametrize(
+    ('tokens', 'seconds'),
+    [(0, 0.0), (0, 0.8), (1, 0.0), (1, 0.8), (3, 0.0)],
+    ids=['at once', 'as it reads', 'token', 'late token', 'tokens'],
+)
+def test_a_message_that_crashes_engines_is_recognized_in_other_prompts(
+    tokens, seconds
+):
     """Guards against prompts alike in one message that end all engines."""
     world = generations.World(engines=4)
     world.report()
     serve_with_part(world, 0, 'system: be brief')
     crashed = 0
     for number in range(ROUNDS):
-        more, caller = crash_engines_with_part(world, number)
+        more, caller = crash_engines_with_part(world, number, tokens, seconds)
         crashed += more
     # After three crashes of one request another one shows that it is the part.
     assert 0 < crashed <= MAX_ENGINES + 1
