A value of any shape costs nothing but itself

Operators of systems like ours: one odd entry among those of the engines (deeply nested, a number too large) ended the machines that read the list, or kept them from following it.

Here one such row cost the whole answer of the store: the parsers refuse a document in which any value is nested a thousand deep or has thousands of digits, and an answer that is lost looks like a store that is away, so that no new engine is listed for as long as the row is there. Answers with malformed rows are split where their values end now (json_members.py), and each used field of each row is decoded by itself. A row's version is bounded.

The same elsewhere: a datagram of 1,300 nested arrays and an engine's nested report raised RecursionError; the number of an event, Token-Counts, Engine-Load and a Keep-Alive timeout of 5,000 digits raised ValueError. All are refused with a coded error, or ignored, now.

--- a/src/greengagelb/platform/row_decoding.py
+++ b/src/greengagelb/platform/row_decoding.py
@@ -1,29 +1,23 @@
 """Decodes rows in the store's answers; any row may be malformed."""
 
+from collections.abc import Callable
 import json
-from typing import Any
 
 import msgspec
 
 from greengagelb import errors
+from greengagelb.platform import json_members
 from greengagelb.platform import rows
 from greengagelb.protocol import codec
 
 
-class UntypedRows(msgspec.Struct):
-    """An answer whose rows may have any type."""
+class AnswerHead(msgspec.Struct):
+    """The fields of an answer other than its rows."""
 
-    rows: list[Any]
     ver: int
     has_more: bool = False
 
 
-class RowKey(msgspec.Struct):
-    """The key of a row; other fields are ignored."""
-
-    key: str
-
-
 def read_rows(body: bytes) -> rows.Rows:
     """Return the rows in an answer.
 
@@ -43,29 +37,57 @@
 def read_rows_individually(body: bytes) -> rows.Rows:
     """Return the rows in an answer that contains malformed rows.
 
-    Uses the standard library's parser, which is slower than msgspec's but
-    also accepts strings that are not valid Unicode.
+    Each row, and each of its fields that is used, is decoded by itself.
     """
+    body = body.decode('utf-8', 'replace').encode()
+    members = json_members.split_object(body)
+    listed = json_members.split_array(members.get(b'"rows"', b''))
     try:
-        document = json.loads(body.decode('utf-8', 'replace'))
-        found = msgspec.convert(document, UntypedRows)
-    except (ValueError, RecursionError) as exc:
+        fields = decode_fields(members, msgspec.json.decode, AnswerHead)
+        head = msgspec.convert(fields, AnswerHead)
+    except ValueError as exc:
         raise errors.ProtocolError(f'not a list of rows: {exc}') from exc
-    answer = rows.Rows([], found.ver, found.has_more)
-    for value in found.rows:
-        try:
-            answer.rows.append(msgspec.convert(value, rows.Row))
-        except msgspec.ValidationError as exc:
-            key = key_of_row(value)
-            # All rows without a key count as the same mistake.
-            mistake = str(exc) if key else 'row without a key'
-            answer.rows.append(rows.Row(key, mistake=mistake))
-    return answer
-
-
-def key_of_row(value: object) -> str:
-    """Return the key of a row of any type; empty if it has none."""
+    return rows.Rows(
+        [read_row(text) for text in listed], head.ver, head.has_more
+    )
+
+
+def read_row(text: bytes) -> rows.Row:
+    """Return the row in a text; its ``mistake`` is set if it is malformed."""
+    try:
+        members = json_members.split_object(text)
+        key = read_key(members)
+    except (errors.ProtocolError, ValueError):
+        # All rows without a key count as the same mistake.
+        return rows.Row('', mistake='row without a key')
+    try:
+        # The standard library's parser also accepts strings that are not
+        # valid Unicode.
+        fields = decode_fields(members, json.loads, rows.Row)
+        return msgspec.convert(fields, rows.Row)
+    except (ValueError, RecursionError) as exc:
+        return rows.Row(key, mistake=str(exc))
+
+
+def read_key(members: dict[bytes, bytes]) -> str:
+    """Return the key of a row; raise ``ValueError`` if it has none."""
     try:
-        return msgspec.convert(value, RowKey).key
-    except msgspec.ValidationError:
-        return ''
+        key = json.loads(members.get(b'"key"', b''))
+    except RecursionError as exc:
+        raise ValueError('key is nested too deeply') from exc
+    if not isinstance(key, str):
+        raise ValueError('key is not a string')
+    return key
+
+
+def decode_fields(
+    members: dict[bytes, bytes],
+    decode: Callable[[bytes], object],
+    kind: type[msgspec.Struct],
+) -> dict[str, object]:
+    """Return the decoded members that a type has as fields."""
+    return {
+        name: decode(members[b'"%s"' % name.encode()])
+        for name in kind.__struct_fields__
+        if b'"%s"' % name.encode() in members
+    }
--- a/src/greengagelb/platform/rows.py
+++ b/src/greengagelb/platform/rows.py
@@ -55,7 +55,7 @@
 
     key: str
     value: str = ''
-    ver: int = 0
+    ver: Counter = 0
     tombstone: bool = False
     mistake: str = ''
 
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -6,6 +6,7 @@
 from greengagelb import errors
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.platform import rows
+from greengagelb.protocol import codec
 from greengagelb.protocol import limit_header
 from greengagelb.protocol import statement_headers
 from greengagelb.state.relay import engines
@@ -237,8 +238,8 @@
         if status != 200:
             return None
         try:
-            report = msgspec.json.decode(body, type=ReportedRuns)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            report = codec.decode(body, ReportedRuns)
+        except errors.ProtocolError:
             return None
         events_by_id = {run[0]: run[2] for run in report.runs}
         return events_by_id.get(request_id)
@@ -266,8 +267,8 @@
         if status != 200:
             return ''
         try:
-            return msgspec.json.decode(body, type=CopyAnswer).handle
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            return codec.decode(body, CopyAnswer).handle
+        except errors.ProtocolError:
             return ''
 
     def write_identity_request(
@@ -286,8 +287,9 @@
         """Return the number of an event of a stream."""
         for line in raw.split(b'\n'):
             name, _, value = line.partition(b':')
-            if name == b'id' and value.strip().isdigit():
-                return int(value)
+            number = http1.parse_digits(value)
+            if name == b'id' and number is not None:
+                return number
         raise errors.ProtocolError('event has no number')
 
 
@@ -296,8 +298,8 @@
     if status != 200:
         return Report()
     try:
-        return msgspec.json.decode(body, type=Report)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return codec.decode(body, Report)
+    except errors.ProtocolError:
         return Report()
 
 
@@ -345,12 +347,12 @@
     counts = single_header_value(fields, TOKEN_COUNTS_HEADER)
     if counts is None:
         return None
-    read, _, made = counts.partition(b',')
-    if not read.strip().isdigit() or not made.strip().isdigit():
+    read, _, made = map(http1.parse_digits, counts.partition(b','))
+    if read is None or made is None:
         raise errors.ProtocolError('token counts are not two numbers')
     single_header_value(fields, PROMPT_PARTS_HEADER)
     own_part = parts[-1] if parts else ''
-    return requests.Prompt(int(read), int(made), own_part)
+    return requests.Prompt(read, made, own_part)
 
 
 def read_prompt_parts(fields: requests.Headers) -> tuple[str, ...]:
@@ -366,8 +368,7 @@
     """Return an engine's load, or None if it is missing or malformed."""
     if value is None:
         return None
-    parts = value.split(b',')
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    counts = [http1.parse_digits(part) for part in value.split(b',')]
+    if len(counts) != 3 or None in counts:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return engines.EngineLoad(running, waiting, slots)
+    return engines.EngineLoad(*counts)
--- a/src/greengagelb/protocol/relay_hints.py
+++ b/src/greengagelb/protocol/relay_hints.py
@@ -496,7 +496,7 @@
     """
     try:
         datagram = _decoder.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise errors.ProtocolError(str(exc)) from exc
     match datagram.message:
         case Batch(messages):
--- a/src/greengagelb/transport/relay/http1.py
+++ b/src/greengagelb/transport/relay/http1.py
@@ -26,6 +26,8 @@
         b'upgrade',
     )
 )
+# Numbers in header fields with more digits are not used.
+MAX_DIGITS = 18
 # On any connection, a peer that disappears without notice is detected after
 # KEEPALIVE_IDLE_SECONDS + KEEPALIVE_INTERVAL_SECONDS * KEEPALIVE_PROBES.
 KEEPALIVE_IDLE_SECONDS = 2
@@ -84,3 +86,14 @@
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def parse_digits(text: bytes) -> int | None:
+    """Return a number of up to ``MAX_DIGITS`` digits, or None.
+
+    The interpreter raises an error for numbers of thousands of digits.
+    """
+    digits = text.strip()
+    if not digits.isdigit() or len(digits) > MAX_DIGITS:
+        return None
+    return int(digits)
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -280,10 +280,11 @@
         return DEFAULT_KEEP_ALIVE_SECONDS
     for part in stated.split(b','):
         name, _, value = part.strip().partition(b'=')
-        if name.lower() == b'timeout' and value.isdigit():
+        seconds = http1.parse_digits(value)
+        if name.lower() == b'timeout' and seconds is not None:
             return min(
                 DEFAULT_KEEP_ALIVE_SECONDS,
-                int(value) - KEEP_ALIVE_MARGIN_SECONDS,
+                seconds - KEEP_ALIVE_MARGIN_SECONDS,
             )
     return DEFAULT_KEEP_ALIVE_SECONDS
 
