Probes and checks name the engine that they are meant for

Callers' requests went to an engine that had ended, and its successor at the address turned them away: the successor had answered a probe that named no engine, and its start was taken for a restart of the one that had ended. A check of an engine that had ended could find its successor alive in the same way.

Both name the engine now. A successor answers 421: the engine has been replaced, all are told, and its silent run goes on elsewhere; for a check the engine has ended.

--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -184,7 +184,7 @@
 
     ``started_at_ms`` is the start time that the answering engine reported,
     ``run_events`` how many events it has made for the run, or None if it did
-    not list the run.
+    not list the run. ``is_replaced`` tells that another engine has answered.
     """
 
     exchange: int
@@ -192,6 +192,7 @@
     alive: bool
     started_at_ms: int = engines.UNKNOWN_START
     run_events: int | None = None
+    is_replaced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -460,6 +460,8 @@
     ) -> list[Action]:
         """Handle a probe result for the engine, then for the run on it."""
         start = event.started_at_ms
+        if event.is_replaced:
+            self.send_manager.announce_replaced(sent.entry)
         resulting = self.restarts.note_reported_start(
             sent.entry.engine, start, now
         )
--- a/src/greengagelb/platform/wire.py
+++ b/src/greengagelb/platform/wire.py
@@ -219,9 +219,13 @@
     def write_probe(
         self, engine: engines.EngineEntry
     ) -> http_client.WireRequest:
-        """Return a request that an engine answers while it is alive."""
+        """Return a request that an engine answers while it is alive.
+
+        Another engine that has its address turns the request away.
+        """
         host = (b'Host', str(engine.address).encode())
-        return http_client.WireRequest(b'GET', REPORT_PATH, (host,))
+        expected = (EXPECTED_ENGINE_HEADER, engine.engine.encode())
+        return http_client.WireRequest(b'GET', REPORT_PATH, (host, expected))
 
     def read_started_at_ms(self, status: int, body: bytes) -> int:
         """Return an engine's start from its answer to a probe."""
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -243,16 +243,18 @@
         )
 
     def probe_engine(self, probe: relay_actions.ProbeEngine) -> None:
-        """Probe an engine; any answer shows that it is alive."""
+        """Probe an engine; any answer of its own shows that it is alive."""
 
         def done(answer: timed_requests.Answer) -> None:
+            is_replaced = is_misdirected(answer)
             self.dispatch(
                 relay_events.EngineProbed(
                     probe.exchange,
                     probe.send,
-                    answer.response is not None,
+                    answer.response is not None and not is_replaced,
                     self.read_probed_start_ms(probe.engine, answer),
                     self.read_run_events(probe, answer),
+                    is_replaced,
                 )
             )
 
@@ -292,15 +294,19 @@
     def check_engine(self, check: relay_actions.CheckEngine) -> None:
         """Check on a new connection whether an engine has ended.
 
-        It has if its address refuses connections, or if a later start of it
-        answers there.
+        It has if its address refuses connections, or if a later start of it or
+        another engine answers there.
         """
         entry = check.entry
 
         def done(answer: timed_requests.Answer) -> None:
             fate = relay_events.EngineFate.ALIVE
-            if answer.connection_refused or entry.is_earlier_than(
-                self.read_probed_start_ms(entry, answer)
+            if (
+                answer.connection_refused
+                or is_misdirected(answer)
+                or entry.is_earlier_than(
+                    self.read_probed_start_ms(entry, answer)
+                )
             ):
                 fate = relay_events.EngineFate.ENDED
             elif answer.response is None:
@@ -410,3 +416,12 @@
     def forget_send(self, send: relay_actions.Send) -> None:
         """Remove a send that has ended."""
         self.pending_sends.pop((send.exchange, send.send), None)
+
+
+def is_misdirected(answer: timed_requests.Answer) -> bool:
+    """Return whether another engine than the named one has answered."""
+    response = answer.response
+    return (
+        response is not None
+        and response.status_code == calls.MISDIRECTED_REQUEST
+    )
--- a/tests/relay/test_engine_lives.py
+++ b/tests/relay/test_engine_lives.py
@@ -602,3 +602,22 @@
     other = next_life(streams, engine='i-next', address=entry.address)
     world.change_engines(other)
     assert not world.relay.keeper.is_limited(other.life)
+
+
+def test_an_engine_whose_successor_answers_a_probe_gets_no_more_requests():
+    """Guards against requests to engines that ended, each turned away."""
+    world = relay_world.RelayWorld()
+    exchange = world.ask()
+    send = world.last_send(exchange)
+    world.begin(send)
+    world.events(send, 1)
+    world.now += 1.0
+    probed = relay_events.EngineProbed(
+        exchange, send.send, False, is_replaced=True
+    )
+    world.handle(probed)
+    told = [action.hint for action in world.of_kind(relay_actions.TellPeers)]
+    assert any(isinstance(hint, hints.EngineReplaced) for hint in told)
+    ended = send.engine.engine
+    later = [world.last_send(world.ask()).engine.engine for _ in range(20)]
+    assert ended not in later
