An engine that answers no check is checked until its runs are too old

The check is repeated each second, for ten seconds, while nothing waits for it; an engine in whose place another life is known has ended, whoever told so.

Evidence: test_an_engine_that_gives_no_answer_counts_once_it_has_a_successor.

--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -29,6 +29,8 @@
 
 # How often the engine of a kept answer is checked after MAX_PROBES.
 KEPT_ANSWER_CHECK_SECONDS = 0.25
+# How often an engine that gives no answer is checked after MAX_PROBES.
+SILENT_ENGINE_CHECK_SECONDS = 1.0
 # Timers of repeated checks, by the engine's life.
 RECHECK_TIMER = 'relay-ask-suspect'
 
@@ -58,7 +60,8 @@
     ``newly_blocked`` those that were not before. ``request_ids`` are those of
     the requests that the engine had begun,
     ``ends_of_answers`` what the answers that waited for the check have become,
-    ``undecided_answers`` those whose engine has not answered.
+    ``undecided_answers`` those whose engine has not answered. It is checked
+    again at ``next_check_at``, if any.
     """
 
     counted_fingerprints: tuple[str, ...]
@@ -68,6 +71,7 @@
     requests_awaiting_check: tuple[tuple[int, exchanges.InFlightSend], ...]
     ends_of_answers: tuple[EndOfAnswer | relay_events.SendFailed, ...]
     undecided_answers: tuple[EndOfAnswer, ...]
+    next_check_at: float | None = None
 
 
 class CrashWatch:
@@ -157,7 +161,7 @@
             life
             for fingerprint in exchange.causes.fingerprints
             for life in self.broken_runs.suspected_crashes(fingerprint)
-            if life in self.checks
+            if self.is_answer_expected(life)
         ]
         if not lives_under_check:
             return None
@@ -198,6 +202,10 @@
         ):
             again_at = now + broken_runs.PROBE_RETRY_SECONDS
             return actions.SetTimer(f'{RECHECK_TIMER}:{life}', again_at)
+        if event.fate is relay_events.EngineFate.UNKNOWN and (
+            check is not None and self.broken_runs.has_recent(life, now)
+        ):
+            return self.go_on_checking(check, now)
         self.checks.pop(life, None)
         suspected_runs = self.broken_runs.pop_broken_runs(life, now)
         if event.fate is not relay_events.EngineFate.ENDED:
@@ -227,6 +235,36 @@
             *decide_ends(check.ended_answers, event.fate),
         )
 
+    def is_answer_expected(self, life: str) -> bool:
+        """Return whether the check of an engine is likely to be answered."""
+        check = self.checks.get(life)
+        return check is not None and check.attempts < broken_runs.MAX_PROBES
+
+    def go_on_checking(self, check: EngineCheck, now: float) -> CheckResult:
+        """Release what waits for the check of an engine, and repeat it.
+
+        An engine that has ended may refuse connections, or have a successor,
+        only later.
+        """
+        self.checks[check.entry.life] = EngineCheck(
+            check.entry, check.attempts
+        )
+        interval = (
+            KEPT_ANSWER_CHECK_SECONDS
+            if check.ended_answers
+            else SILENT_ENGINE_CHECK_SECONDS
+        )
+        return CheckResult(
+            (),
+            (),
+            (),
+            (),
+            tuple(check.requests_awaiting_check),
+            (),
+            tuple(check.ended_answers),
+            now + interval,
+        )
+
     def keep_answers(
         self,
         entry: engines.EngineEntry,
--- a/src/greengagelb/coordination/relay/crashing_requests.py
+++ b/src/greengagelb/coordination/relay/crashing_requests.py
@@ -22,6 +22,7 @@
 from greengagelb.coordination.sharing import crash_blame
 from greengagelb.coordination.sharing import fingerprints
 from greengagelb.state import crashes as crash_state
+from greengagelb.state.relay import engines
 from greengagelb.state.relay import exchanges
 from greengagelb.state.relay import routes
 
@@ -101,6 +102,10 @@
         self, event: relay_events.EngineChecked, now: float
     ) -> list[Action]:
         """Count a crash, announce it, and resume the held requests."""
+        is_silent = event.fate is relay_events.EngineFate.UNKNOWN
+        if is_silent and self.has_successor(event.entry):
+            ended = relay_events.EngineFate.ENDED
+            event = dataclasses.replace(event, fate=ended)
         result = self.watch.handle_check(event, now)
         if isinstance(result, actions.SetTimer):
             return [result]
@@ -125,8 +130,18 @@
             resulting += self.resume_held(number, sent, now)
         for ended in result.ends_of_answers:
             resulting += self.end_answer(ended, now)
+        if result.next_check_at is not None:
+            timer = f'{crash_watch.RECHECK_TIMER}:{event.entry.life}'
+            resulting.append(actions.SetTimer(timer, result.next_check_at))
         return resulting + self.keep_undecided(event, result, now)
 
+    def has_successor(self, entry: engines.EngineEntry) -> bool:
+        """Return whether another life is known to have an engine's place."""
+        state = self.components.engines.states.get(entry.engine)
+        if state is None:
+            return False
+        return state.replaced or state.entry.life != entry.life
+
     def keep_undecided(
         self,
         event: relay_events.EngineChecked,
--- a/src/greengagelb/coordination/sharing/broken_runs.py
+++ b/src/greengagelb/coordination/sharing/broken_runs.py
@@ -95,6 +95,14 @@
             if run.broken_at > now - BROKEN_RUN_TTL_SECONDS
         ]
 
+    def has_recent(self, engine: str, now: float) -> bool:
+        """Return whether an engine has runs that may still count."""
+        oldest_kept_at = now - BROKEN_RUN_TTL_SECONDS
+        return any(
+            run.broken_at > oldest_kept_at
+            for run in self.by_engine.get(engine, ())
+        )
+
     def suspected_crashes(self, fingerprint: str) -> dict[str, crashes.Crash]:
         """Return the suspected crashes under a fingerprint, by life."""
         return self.suspected.get(fingerprint, {})
--- a/tests/common/relay_world.py
+++ b/tests/common/relay_world.py
@@ -71,6 +71,7 @@
 RETRIES = bounds.RetryBounds(ratio=0.8, window_seconds=10.0, slack=150.0)
 # For so many seconds an engine's address goes to none of another service.
 ADDRESS_REUSE = 2.0
+CHECK_STEP_SECONDS = 0.05
 ENGINE_BOUNDS = bounds.EngineBounds(ADDRESS_REUSE)
 PROMPT = requests.Prompt(8_000, 780, 'a-part')
 SEAL = ((b'Content-Type', b'text/plain'),)
@@ -353,3 +354,15 @@
     'call': RelayWorld.call,
     'query': RelayWorld.query,
 }
+
+
+def leave_checks_unanswered(world, seconds):
+    """Let time pass in which no check of an engine is answered."""
+    answered = 0
+    for _ in range(round(seconds / CHECK_STEP_SECONDS) + 1):
+        checks = world.of_kind(relay_actions.CheckEngine)
+        for check in checks[max(answered, len(checks) - 1) :]:
+            fate = relay_events.EngineFate.UNKNOWN
+            world.handle(relay_events.EngineChecked(check.entry, fate))
+        answered = len(checks)
+        world.advance(CHECK_STEP_SECONDS)
--- a/tests/load/test_crashing_requests.py
+++ b/tests/load/test_crashing_requests.py
@@ -14,6 +14,8 @@
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import fleet
 from greengagelb.coordination.relay import loads
+from greengagelb.coordination.sharing import broken_runs
+from greengagelb.state.relay import hints
 from tests.common import crashing_fleet
 from tests.common import relay_world
 
@@ -285,6 +287,26 @@
         assert len(world.of_kind(relay_actions.CheckEngine)) == asked
         world.advance(0.1)
     assert len(world.of_kind(relay_actions.CheckEngine)) == 3
+    relay_world.leave_checks_unanswered(
+        world, broken_runs.BROKEN_RUN_TTL_SECONDS + 2.0
+    )
+    asked = len(world.of_kind(relay_actions.CheckEngine))
+    assert asked <= 3 + broken_runs.BROKEN_RUN_TTL_SECONDS
+    assert not world.relay.crash_watch.checks
+
+
+def test_an_engine_that_gives_no_answer_counts_once_it_has_a_successor():
+    """Guards against crashes forgotten as nobody answers for the engine."""
+    world = lone_world()
+    send = world.last_send(world.ask(body=b'x'))
+    world.begin(send)
+    world.lose(send)
+    relay_world.leave_checks_unanswered(world, 2.0)
+    assert not world.relay.crash_watch.records.histories
+    replaced = hints.EngineReplaced(send.engine.engine, 'next')
+    world.handle(relay_events.PeerTold('peer', replaced))
+    relay_world.leave_checks_unanswered(world, 1.1)
+    assert len(world.relay.crash_watch.records.histories) == 1
     assert not world.relay.crash_watch.checks
 
 
