--- a/tests/common/crashing_fleet.py
+++ b/tests/common/crashing_fleet.py
@@ -13,6 +13,7 @@
 from greengagelb.coordination import actions as common_actions
 from greengagelb.coordination import events as common_events
 from greengagelb.coordination.relay import actions as relay_actions
+from greengagelb.coordination.relay import answers
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import relay
 from greengagelb.state.relay import engines
@@ -349,6 +350,14 @@
         ]
         return sum(served) / len(served)
 
+    def count_refused_for_crashes(self, asked):
+        """Return how many requests were refused as engines crashed."""
+        codes = (answers.CRASHES_ENGINES, answers.CRASHES_UNDECIDED)
+        return sum(
+            getattr(instance.answers.get(exchange), 'code', '') in codes
+            for instance, exchange in asked
+        )
+
     def refuses(self, instance, kind='stream'):
         """Return whether an instance refuses what crashes engines."""
         _, exchange = self.ask(kind, CRASHING, instance)
--- a/tests/load/test_crash_moments.py
+++ b/tests/load/test_crash_moments.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from greengagelb.coordination.relay import answers
 from tests.common import crashing_fleet
 
 # The operators' bound on how often engines get such requests after the
@@ -73,9 +72,7 @@
     parts = (*SOUND_PARTS, *((f'session {n}',) for n in range(6)))
     sound = played.ask_with_parts('stream', 60.0, 0.3, *parts)
     played.run(60.0 + crashing_fleet.CALLER_SECONDS)
-    codes = {getattr(i.answers.get(n), 'code', '') for i, n in sound}
-    assert answers.CRASHES_ENGINES not in codes
-    assert answers.CRASHES_UNDECIDED not in codes
+    assert played.count_refused_for_crashes(sound) == 0
     blocked = [
         instance.relay.crash_watch.records.blocked_fingerprints(played.now)
         for instance in played.instances
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import enum
 import itertools
 import json
 import random
@@ -28,6 +29,8 @@
 # from there to the next life.
 CRASH_SECONDS = 0.05
 DOWN_SECONDS = 1.5
+# Events that are written before a crash after events.
+EVENTS_BEFORE_CRASH = 2
 SLOTS = 16
 # Of the requests to a failing engine so many fail after they have run.
 FAILURE_SHARE = 0.6
@@ -38,6 +41,15 @@
 RUN_ONCE_ROUTES = ('call', 'letter')
 
 
+class CrashMoment(enum.Enum):
+    """When an engine crashes by a part of a prompt."""
+
+    READING = enum.auto()
+    BEFORE_HEAD = enum.auto()
+    AT_HEAD = enum.auto()
+    AFTER_EVENTS = enum.auto()
+
+
 @dataclasses.dataclass(slots=True)
 class Run:
     """What an engine saw of one request that it began to work on.
@@ -54,6 +66,7 @@
     broken_off: bool = False
     torn: bool = False
     events: int = 0
+    crash_moment: CrashMoment | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,6 +131,7 @@
         self.stated: list[Stated] = []
         self.crashing_parts: set[str] = set()
         self.crashes: list[float] = []
+        self.crash_moments = (CrashMoment.AT_HEAD,)
         self.unframed_share = 0.0
         self.torn_share = 0.0
         self.event_seconds = EVENT_SECONDS
@@ -462,18 +476,37 @@
         seconds = READING_SECONDS
         if head.copy_from:
             seconds = self.pool.event_seconds
+        run.crash_moment = self.draw_crash_moment(head)
+        match run.crash_moment:
+            case CrashMoment.READING:
+                self.later(seconds / 2, run, self.crash_by_part)
+                return
+            case CrashMoment.BEFORE_HEAD:
+                self.later(seconds, run, self.crash_by_part)
+                return
         self.later(
             seconds, run, self.next_event, request, head, run, head.after + 1
         )
 
+    def draw_crash_moment(self, head: 'Head') -> CrashMoment | None:
+        """Return when a request crashes the engine, if it does."""
+        if self.pool.crashing_parts.isdisjoint(head.parts):
+            return None
+        moments = self.pool.crash_moments
+        return moments[0] if len(moments) == 1 else self.rng.choice(moments)
+
     def next_event(
         self, request: server.Request, head: 'Head', run: Run, number: int
     ) -> None:
         """Write one event, and have the next one follow."""
-        if not self.pool.crashing_parts.isdisjoint(head.parts):
+        if run.crash_moment is CrashMoment.AT_HEAD:
             request.write(b'')
             self.later(CRASH_SECONDS, run, self.crash_by_part)
             return
+        is_after_events = run.crash_moment is CrashMoment.AFTER_EVENTS
+        if is_after_events and run.events >= EVENTS_BEFORE_CRASH:
+            self.crash_by_part()
+            return
         if number > content.events_wanted(head.body):
             run.answered = True
             request.finish()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -35,6 +35,9 @@
 FIRST_SEED_WITH_LONG_STREAMS = 6_000
 # The same before all engines of a data centre could end together.
 FIRST_SEED_WITH_LOST_PLACES = 7_000
+# The same before crashes by a part came at any moment of a run, and the store
+# had an odd row.
+FIRST_SEED_WITH_CRASH_MOMENTS = 8_000
 # As often, and for so long. The share of a data centre's engines that end.
 LOST_PLACE_EVERY_SECONDS = (5.0, 7.0)
 LOST_PLACE_SECONDS = 1.2
@@ -194,6 +197,8 @@
     In every other run with lost links or crashing parts little else happens,
     as a harmed store or instance may be the cause of a failed request.
     """
+    if seed >= FIRST_SEED_WITH_CRASH_MOMENTS:
+        return plan_crash_moments(seed)
     if seed >= FIRST_SEED_WITH_LOST_PLACES:
         return plan_lost_places(seed)
     if has_long_streams(seed):
@@ -310,6 +315,12 @@
     return [Fault(What.CRASHING_PART, at, CRASHING_PART_SECONDS, target)]
 
 
+def plan_crash_moments(seed: int) -> list[Fault]:
+    """Return crashes by a part alone, or beside lost data centres."""
+    crashes = plan_crashing_parts(seed)
+    return [*crashes, *plan_lost_places(seed)] if seed % 2 else crashes
+
+
 def plan_crowds(seed: int) -> list[Fault]:
     """Return when most new connections go to one instance, then to another.
 
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -12,12 +12,22 @@
 MOST_ROWS = 500
 # Copies that are kept, one a second.
 MOST_COPIES = 4
+NESTED = b'[' * 1000 + b']' * 1000
+MANY_DIGITS = b'9' * 5000
+# What another program may have written, in each list that is read.
+ODD_ROWS = (
+    NESTED,
+    b'{"key":"odd","value":%s}' % NESTED,
+    b'{"key":"odd","ver":%s}' % MANY_DIGITS,
+    MANY_DIGITS,
+)
 
 
 class Store(resource.Resource):
     """Rows in tables, with a feed of changes.
 
-    While ``refusing`` is set it answers 503 to everything.
+    While ``refusing`` is set it answers 503 to everything. All its lists have
+    the ``odd_row``, if there is one.
     """
 
     isLeaf = True  # noqa: N815
@@ -29,6 +39,7 @@
         self.version = 1
         self.forgotten = 0
         self.refusing = False
+        self.odd_row = b''
         self.waiting: list[Waiter] = []
         self.era = 0
         self.copies: collections.deque[tuple[int, dict]] = collections.deque(
@@ -157,9 +168,11 @@
 
     def page(self, rows: list[dict], *, has_more: bool = False) -> bytes:
         """Return an answer about rows."""
-        return json.dumps(
-            {'rows': rows, 'ver': self.version, 'has_more': has_more}
-        ).encode()
+        listed = [json.dumps(row).encode() for row in rows]
+        if self.odd_row:
+            listed.insert(0, self.odd_row)
+        more = json.dumps({'ver': self.version, 'has_more': has_more})
+        return b'{"rows":[%s],%s' % (b','.join(listed), more[1:].encode())
 
 
 GONE = {'tombstone': True}
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -72,6 +72,9 @@
         # Engines lost the rest of their heads, and callers got parts of their
         # answers as whole ones.
         pytest.param(7011, id='data centres are lost, heads are cut'),
+        # A crash was only looked for after the head and before an event, and
+        # one odd row kept instances from reading the list of engines.
+        pytest.param(8000, id='a part crashes engines at any moment'),
     ],
 )
 def test_seed_breaks_no_promise(seed):
@@ -107,6 +110,7 @@
     assert faults.plan_all(6000) == faults.plan_all(6000)
     assert faults.plan_all(6001) == faults.plan_all(6001)
     assert faults.plan_all(7000) == faults.plan_all(7000)
+    assert faults.plan_all(8001) == faults.plan_all(8001)
 
 
 def test_kept_seeds_plan_what_they_planned_when_they_failed():
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -135,6 +135,9 @@
             self.engines.unframed_share = UNFRAMED_SHARE
         if self.has_lost_places:
             self.engines.torn_share = TORN_SHARE
+        if seed >= faults.FIRST_SEED_WITH_CRASH_MOMENTS:
+            self.engines.crash_moments = tuple(engines.CrashMoment)
+            self.store.odd_row = store.ODD_ROWS[seed % len(store.ODD_ROWS)]
         self.renewed_at: dict[str, float] = {}
         self.add_engines(network, seed)
         self.version = 0
