--- a/src/greengagelb/coordination/sharing/crash_records.py
+++ b/src/greengagelb/coordination/sharing/crash_records.py
@@ -43,6 +43,7 @@
 UNKNOWN_RUN_SECONDS = 0.05
 # How long a crash counts.
 CRASH_TTL_SECONDS = 600.0
+EXPIRY_INTERVAL_SECONDS = 1.0
 # Memory bounds; a crash takes about 150 bytes.
 MAX_CRASHES_PER_REQUEST = 8
 MAX_FINGERPRINTS = 1024
@@ -68,6 +69,7 @@
         self.sound_parts = sound_parts.SoundParts()
         self.ends = engine_ends.EngineEnds()
         self.change_count = 0
+        self.next_expiry_at = float('-inf')
 
     def add_crash(
         self, fingerprint: str, crash: crashes.Crash, now: float
@@ -176,7 +178,14 @@
         return history.survival_told_at <= last_crash_at
 
     def forget_expired(self, now: float) -> None:
-        """Drop expired crashes, and requests without crashes."""
+        """Drop expired crashes, and requests without crashes.
+
+        Does nothing if that was done a moment ago: a lost data centre has
+        hundreds of crashes reported at once.
+        """
+        if now < self.next_expiry_at:
+            return
+        self.next_expiry_at = now + EXPIRY_INTERVAL_SECONDS
         oldest_kept_at = now - CRASH_TTL_SECONDS
         self.ends.forget_before(
             oldest_kept_at - engine_ends.RATE_WINDOW_SECONDS
