--- a/src/greengagelb/coordination/relay/crash_watch.py
+++ b/src/greengagelb/coordination/relay/crash_watch.py
@@ -64,13 +64,15 @@
     again at ``next_check_at``, if any.
     """
 
-    counted_fingerprints: tuple[str, ...]
-    blocked: tuple[str, ...]
-    newly_blocked: tuple[str, ...]
-    request_ids: tuple[str, ...]
-    requests_awaiting_check: tuple[tuple[int, exchanges.InFlightSend], ...]
-    ends_of_answers: tuple[EndOfAnswer | relay_events.SendFailed, ...]
-    undecided_answers: tuple[EndOfAnswer, ...]
+    counted_fingerprints: tuple[str, ...] = ()
+    blocked: tuple[str, ...] = ()
+    newly_blocked: tuple[str, ...] = ()
+    request_ids: tuple[str, ...] = ()
+    requests_awaiting_check: tuple[
+        tuple[int, exchanges.InFlightSend], ...
+    ] = ()
+    ends_of_answers: tuple[EndOfAnswer | relay_events.SendFailed, ...] = ()
+    undecided_answers: tuple[EndOfAnswer, ...] = ()
     next_check_at: float | None = None
 
 
@@ -255,14 +257,9 @@
             else SILENT_ENGINE_CHECK_SECONDS
         )
         return CheckResult(
-            (),
-            (),
-            (),
-            (),
-            tuple(check.requests_awaiting_check),
-            (),
-            tuple(check.ended_answers),
-            now + interval,
+            requests_awaiting_check=tuple(check.requests_awaiting_check),
+            undecided_answers=tuple(check.ended_answers),
+            next_check_at=now + interval,
         )
 
     def keep_answers(
--- a/src/greengagelb/coordination/sharing/crash_records.py
+++ b/src/greengagelb/coordination/sharing/crash_records.py
@@ -333,8 +333,8 @@
             return None
         lives = self.ended_lives(fingerprint, recent)
         further = further_early_crashes
-        is_seen = all(crash.has_begun for crash in recent)
-        if not (is_seen or fingerprints.is_part(fingerprint)):
+        was_seen = all(crash.has_begun for crash in recent)
+        if not was_seen and not fingerprints.is_part(fingerprint):
             further += FURTHER_CRASHES_OF_UNSEEN_RUNS
         own = [
             crash
@@ -357,7 +357,7 @@
     def ended_lives(
         self, fingerprint: str, known_crashes: list[crashes.Crash]
     ) -> set[str]:
-        """Return the lives that ended under a fingerprint, also early ones."""
+        """Return the lives that ended under a fingerprint, as far as kept."""
         lives = {crash.life for crash in known_crashes}
         history = self.histories.get(fingerprint)
         return lives if history is None else lives.union(history.lives)
@@ -368,7 +368,11 @@
         lives: set[str],
         further_early_crashes: int,
     ) -> Iterator[tuple[list[crashes.Crash], int]]:
-        """Yield the early crashes until each one, and how many block."""
+        """Yield the early crashes until each one, and how many would block.
+
+        Each is judged by what had ended until then, so that a block isn't
+        lifted by the crashes that follow.
+        """
         chain = longest_chain(early, engine_ends.TOGETHER_SECONDS)
         for length in range(EARLY_CRASHES_TO_BLOCK, len(chain) + 1):
             others = self.ends.count_others(chain[length - 1].ended_at, lives)
