--- a/src/greengagelb/platform/row_decoding.py
+++ b/src/greengagelb/platform/row_decoding.py
@@ -45,7 +45,7 @@
     try:
         fields = decode_fields(members, msgspec.json.decode, AnswerHead)
         head = msgspec.convert(fields, AnswerHead)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise errors.ProtocolError(f'not a list of rows: {exc}') from exc
     return rows.Rows(
         [read_row(text) for text in listed], head.ver, head.has_more
--- a/src/greengagelb/transport/relay/forwarding/handshake.py
+++ b/src/greengagelb/transport/relay/forwarding/handshake.py
@@ -65,16 +65,18 @@
     """
     fields = tuple(head.headers.raw_items())
     engine = http1.first_header_value(fields, ENGINE_HEADER.lower())
-    start = http1.first_header_value(fields, START_HEADER.lower())
+    stated = http1.first_header_value(fields, START_HEADER.lower())
     request = http1.first_header_value(fields, REQUEST_HEADER.lower())
-    host, _, port = head.target.decode('ascii', 'replace').rpartition(':')
+    host, _, digits = head.target.rpartition(b':')
     if head.method != b'CONNECT' or not engine or not host:
         raise errors.ProtocolError('not an order for a connection')
-    if start is None or not (start.isdigit() and port.isdigit()):
+    start = http1.parse_digits(stated or b'')
+    port = http1.parse_digits(digits)
+    if start is None or port is None:
         raise errors.ProtocolError('bad start or port')
     return ConnectionOrder(
         engine.decode('utf-8', 'replace'),
-        int(start),
-        engines.Address(host, int(port)),
+        start,
+        engines.Address(host.decode('ascii', 'replace'), port),
         (request or b'').decode('utf-8', 'replace'),
     )
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -3,6 +3,7 @@
 import base64
 import json
 
+import h11
 from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
@@ -17,6 +18,7 @@
 from greengagelb.protocol import relay_hints
 from greengagelb.state.relay import engines
 from greengagelb.transport.relay import http_client
+from greengagelb.transport.relay.forwarding import handshake
 
 ENGINE = {
     'service': 's-1',
@@ -160,3 +162,28 @@
     assert wire.parse_load(b'1,2,' + MANY_DIGITS) is None
     kept = http_client.parse_keep_alive(b'timeout=' + MANY_DIGITS)
     assert kept == http_client.DEFAULT_KEEP_ALIVE_SECONDS
+
+
+@pytest.mark.parametrize('version', [nested(1000), MANY_DIGITS])
+def test_an_answer_with_an_odd_version_is_refused(version):
+    """Guards against an answer of the store that raises an error."""
+    with pytest.raises(errors.ProtocolError):
+        row_decoding.read_rows(b'{"rows":[],"ver":%s}' % version)
+
+
+@pytest.mark.parametrize(
+    ('start', 'port'), [(MANY_DIGITS, b'80'), (b'1', MANY_DIGITS)]
+)
+def test_an_order_with_a_long_number_is_refused(start, port):
+    """Guards against an order for a connection that raises an error."""
+    head = h11.Request(
+        method='CONNECT',
+        target=b'10.0.0.1:' + port,
+        headers=[
+            ('Host', 'x'),
+            (handshake.ENGINE_HEADER, b'i-1'),
+            (handshake.START_HEADER, start),
+        ],
+    )
+    with pytest.raises(errors.ProtocolError):
+        handshake.read_order(head)
