--- a/src/greengagelb/coordination/sharing/crash_blame.py
+++ b/src/greengagelb/coordination/sharing/crash_blame.py
@@ -4,9 +4,10 @@
 that other requests share, as any of them may be its cause. Of the parts that
 have crashed enough engines for a block, the cause is found by exclusion:
 
-* a part with which an engine has begun to write since is cleared;
-* a part that was sound before is blocked only for crashes that nothing else
-  explains: another part, one other request, or the account of another caller;
+* a part that an engine has survived since is cleared;
+* a part that was sound before counts only crashes that nothing else explains:
+  another part, one other request, or the account of another caller. Further
+  requests with it decide before it is blocked;
 * a part that was never sound is blocked if there is a crash that no other
   such part explains. Otherwise the next request with it decides, one at a
   time.
--- a/src/greengagelb/coordination/sharing/crash_records.py
+++ b/src/greengagelb/coordination/sharing/crash_records.py
@@ -114,7 +114,7 @@
     ) -> bool:
         """Record that an engine survived a request, or a part of a prompt.
 
-        It ran the request to its end, or began to write with the part. Returns
+        It ran the request to its end, or lived on with the part. Returns
         whether that cleared crashes. Nothing is stored for requests without a
         crash, which are by far the most.
         """
--- a/src/greengagelb/coordination/sharing/sound_parts.py
+++ b/src/greengagelb/coordination/sharing/sound_parts.py
@@ -1,4 +1,4 @@
-"""Parts of prompts with which engines have begun to write answers."""
+"""Parts of prompts that engines have survived."""
 
 # How long it is remembered that a part was sound.
 SOUND_TTL_SECONDS = 600.0
@@ -7,7 +7,7 @@
 
 
 class SoundParts:
-    """When an engine last wrote an event of an answer with a part.
+    """When an engine last survived a part.
 
     Invariant: ``sound_at`` is in the order of its last changes and has at most
     ``MAX_SOUND_PARTS`` parts. Times are monotonic, in seconds.
@@ -17,7 +17,7 @@
         self.sound_at: dict[str, float] = {}
 
     def note(self, part: str, at: float) -> None:
-        """Note that an engine wrote an event with a part at a time."""
+        """Note that an engine survived a part at a time."""
         at = max(at, self.sound_at.pop(part, at))
         self.sound_at[part] = at
         if len(self.sound_at) > MAX_SOUND_PARTS:
--- a/src/greengagelb/coordination/sharing/trials.py
+++ b/src/greengagelb/coordination/sharing/trials.py
@@ -1,7 +1,7 @@
 """Requests that decide which of several parts of prompts crashes engines.
 
 Each may end the engine that it is sent to, so there is one at a time for a
-part. It ends with the first event of its answer, or with a crash.
+part. It ends as its engine survives the part, or with a crash.
 """
 
 # How long other requests with the parts are refused if nothing is heard of the
--- a/src/greengagelb/state/crashes.py
+++ b/src/greengagelb/state/crashes.py
@@ -58,8 +58,8 @@
 class CrashHistory:
     """The crashes under one fingerprint, by the engine's life that ended.
 
-    ``survived_at`` is when an engine last completed the request, or began to
-    write with the part; crashes before that are not attributed to it.
+    ``survived_at`` is when an engine last completed the request, or survived
+    the part; crashes before that are not attributed to it.
     ``changed_at`` is when this instance last learned something new about it,
     ``survival_told_at`` when an instance last said that it was survived.
     ``lives`` has the latest lives that ended under it, in this order, also
@@ -110,7 +110,7 @@
     """The crashes under one fingerprint that an instance knows of.
 
     ``survived_age`` is None if no engine is known to have completed the
-    request, or begun to write with the part. ``is_on_trial`` tells that the
+    request, or survived the part. ``is_on_trial`` tells that the
     sender has just sent a request that decides whether the part is blocked.
     """
 
