Time line: probes of silent runs, and ends of connections for other instances

The record of the incident can't tell which run was ended, whether a probe of its engine was answered, by which way, and when an instance in between closed its connection to the engine. silent-run-probed tells the answer, its way and the run's; connection-given-up tells which end closed a connection that was opened for another instance. No decision changes.

--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -185,6 +185,8 @@
     ``started_at_ms`` is the start time that the answering engine reported,
     ``run_events`` how many events it has made for the run, or None if it did
     not list the run. ``is_replaced`` tells that another engine has answered.
+    ``via`` is the instance through which the answer came, and ``run_via`` that
+    through which the run goes; each is empty for a direct connection.
     """
 
     exchange: int
@@ -193,6 +195,8 @@
     started_at_ms: int = engines.UNKNOWN_START
     run_events: int | None = None
     is_replaced: bool = False
+    via: str = ''
+    run_via: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/forwarding/engine_paths.py
+++ b/src/greengagelb/coordination/relay/forwarding/engine_paths.py
@@ -150,6 +150,15 @@
                     ),
                     *self.tell_proof(now),
                 ]
+            case events.TakenOverConnectionEnded(entry, host, request, reason):
+                return [
+                    actions.Record(
+                        'connection-given-up',
+                        f'for {host}: {reason}',
+                        identity.RequestId('', request) if request else None,
+                        upstream=entry.engine,
+                    )
+                ]
         return []
 
     def note_lost(
--- a/src/greengagelb/coordination/relay/forwarding/events.py
+++ b/src/greengagelb/coordination/relay/forwarding/events.py
@@ -86,6 +86,19 @@
     request: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakenOverConnectionEnded:
+    """A connection that was opened for another instance has ended.
+
+    ``reason`` tells which end has closed it.
+    """
+
+    entry: engines.EngineEntry
+    host: str
+    request: str
+    reason: str
+
+
 ForwardingEvent = (
     DirectPathLost
     | DirectPathOpened
@@ -93,4 +106,5 @@
     | ForwardingFailed
     | ConnectionForwarded
     | ConnectionTakenOver
+    | TakenOverConnectionEnded
 )
--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -246,10 +246,11 @@
             event.run_events is not None
             and event.run_events <= sent.events_seen
         )
+        resulting: list[Action] = [probe_record(exchange, sent, event, now)]
         if event.alive:
-            resulting = self.note_reached(exchange, sent, now)
+            resulting += self.note_reached(exchange, sent, now)
         else:
-            resulting = self.note_unreachable(exchange, sent, now)
+            resulting += self.note_unreachable(exchange, sent, now)
         if exchange.sends:
             resulting.append(self.silence_timer(exchange))
         return resulting
@@ -492,6 +493,31 @@
         return None if state.is_resting(now) else state
 
 
+def probe_record(
+    exchange: exchanges.Exchange,
+    sent: exchanges.InFlightSend,
+    event: relay_events.EngineProbed,
+    now: float,
+) -> actions.Record:
+    """Return the timeline event of a probe of a silent run's engine."""
+    result = 'no answer'
+    if event.alive:
+        listed = 'run not listed'
+        if event.run_events is not None:
+            listed = f'run listed with {event.run_events} events'
+        result = f'answer {describe_way(event.via)}, {listed}'
+    why = (
+        f'{result}, after {now - sent.asked_at:.3f} s; the run goes '
+        f'{describe_way(event.run_via)}'
+    )
+    return sending.record(exchange, sent, 'silent-run-probed', why)
+
+
+def describe_way(via: str) -> str:
+    """Return the way of a connection, as timeline events tell it."""
+    return f'through {via}' if via else 'directly'
+
+
 def max_silence_seconds(exchange: exchanges.Exchange) -> float:
     """Return the seconds without events after which a run is checked."""
     gap = exchange.ruling.route.gap_goal or DEFAULT_GAP_GOAL_SECONDS
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -255,12 +255,21 @@
                     self.read_probed_start_ms(probe.engine, answer),
                     self.read_run_events(probe, answer),
                     is_replaced,
+                    answer.via,
+                    self.via_of_send(probe.exchange, probe.send),
                 )
             )
 
         request = self.dialect.write_probe(probe.engine)
         self.query_engine(probe.engine, request, PROBE_SECONDS, done)
 
+    def via_of_send(self, exchange: int, send: int) -> str:
+        """Return the instance through which a send goes, empty if direct."""
+        pending = self.pending_sends.get((exchange, send))
+        if pending is None or pending.request.connection is None:
+            return ''
+        return pending.request.connection.via
+
     def read_run_events(
         self, probe: relay_actions.ProbeEngine, answer: timed_requests.Answer
     ) -> int | None:
--- a/src/greengagelb/transport/relay/forwarding/connection_race.py
+++ b/src/greengagelb/transport/relay/forwarding/connection_race.py
@@ -183,6 +183,7 @@
         attempt = forwarded_connection.ForwardedConnection(
             self.pool,
             self.entry,
+            via,
             self.request.request if self.request is not None else '',
             lambda connection: self.note_forwarded(via, connection),
             lambda outcome, is_verified: self.note_not_forwarded(
--- a/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
@@ -26,6 +26,7 @@
         self,
         pool: http_client.ConnectionPool,
         entry: engines.EngineEntry,
+        via: str,
         request: str,
         opened: Callable[[http_client.ClientConnection], None],
         failed: Callable[[events.ForwardingOutcome, bool], None],
@@ -36,7 +37,7 @@
         self.failed = failed
         self.http = h11.Connection(h11.CLIENT)
         self.connection = http_client.ClientConnection(
-            pool, entry.life, is_forwarded=True
+            pool, entry.life, via=via
         )
         self.is_open = False
         self.has_ended = False
--- a/src/greengagelb/transport/relay/forwarding/forwarding_port.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarding_port.py
@@ -83,6 +83,8 @@
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         """End the other end in the same way."""
+        if self.near.far is self:
+            self.near.note_ended('the engine closed it')
         self.near.far = None
         self.near.transport.unregisterProducer()
         if reason.check(error.ConnectionDone):
@@ -220,9 +222,14 @@
             self.connector.disconnect()
         far, self.far = self.far, None
         if far is not None:
+            self.note_ended('the instance closed it')
             far.transport.unregisterProducer()
             far.transport.abortConnection()
 
+    def note_ended(self, reason: str) -> None:
+        """Report that the connection to the engine has ended."""
+        self.port.note_ended(self, reason)
+
 
 class ForwardingPort(protocol.ServerFactory):
     """Takes orders for connections from other instances.
@@ -298,6 +305,15 @@
             )
         )
 
+    def note_ended(self, connection: NearEnd, reason: str) -> None:
+        """Record the end of a connection that was opened for another one."""
+        host = connection.transport.getPeer().host
+        self.dispatch(
+            events.TakenOverConnectionEnded(
+                connection.entry, host, connection.request, reason
+            )
+        )
+
     def remove_connection(self, connection: NearEnd) -> None:
         """Forget a connection that has ended."""
         self.connections.discard(connection)
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -87,8 +87,9 @@
     """One connection to a server.
 
     ``opened``, if given, is called once the connection is open.
-    ``delayed_request`` waits for ``SEND_DELAY_SECONDS`` to pass. A connection
-    through another instance, ``is_forwarded``, carries one request.
+    ``delayed_request`` waits for ``SEND_DELAY_SECONDS`` to pass. ``via`` is
+    the incarnation of the instance through which it goes, empty if it is
+    direct; a connection through another instance carries one request.
     ``is_close_announced`` tells that the current answer's head says so.
     """
 
@@ -98,12 +99,12 @@
         key: str,
         opened: Callable[['ClientConnection'], None] | None = None,
         *,
-        is_forwarded: bool = False,
+        via: str = '',
     ) -> None:
         self.pool = pool
         self.key = key
         self.opened = opened
-        self.is_forwarded = is_forwarded
+        self.via = via
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
@@ -231,7 +232,7 @@
             and self.http.their_state is h11.DONE
             and not trailing_bytes
             and self.keep_alive_seconds > 0
-            and not self.is_forwarded
+            and not self.via
         )
         if reusable:
             self.pool.keep_idle_connection(self)
--- a/src/greengagelb/transport/relay/timed_requests.py
+++ b/src/greengagelb/transport/relay/timed_requests.py
@@ -53,7 +53,8 @@
 
     ``response`` is None on a failure, and ``detail`` its reason. ``too_long``
     tells that the answer was too large or still being received at the timeout,
-    and ``connection_refused`` that the address refused the connection.
+    and ``connection_refused`` that the address refused the connection. ``via``
+    is that of the connection on which a response came.
     """
 
     response: h11.Response | None
@@ -61,6 +62,7 @@
     detail: str = ''
     too_long: bool = False
     connection_refused: bool = False
+    via: str = ''
 
 
 class AnswerCollector:
@@ -125,7 +127,10 @@
 
     def answer_completed(self, *, ended_by_close: bool) -> None:
         """Deliver the answer."""
-        self.deliver_answer(Answer(self.response, b''.join(self.body)))
+        via = self.pending.connection.via
+        self.deliver_answer(
+            Answer(self.response, b''.join(self.body), via=via)
+        )
 
     def deliver_too_large(self) -> None:
         """Deliver the failure of an answer that exceeds ``max_bytes``."""
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -242,7 +242,7 @@
     """Guards against connections to engines that nobody uses."""
     entry = relay_world.engine('call-north', 'booking', 'north')
     forwarded = forwarded_connection.ForwardedConnection(
-        relay_wires.Server().pool, entry, 'r1', print, print
+        relay_wires.Server().pool, entry, 'other', 'r1', print, print
     )
     forwarded.abandon()
     forwarded.makeConnection(relay_wires.Wire())
@@ -294,7 +294,7 @@
     opened = []
     entry = relay_world.engine('call-north', 'booking', 'north')
     forwarded = forwarded_connection.ForwardedConnection(
-        server.pool, entry, 'r1', opened.append, lambda *failed: None
+        server.pool, entry, 'other', 'r1', opened.append, lambda *failed: None
     )
     forwarded.makeConnection(relay_wires.Wire())
     forwarded.dataReceived(b'HTTP/1.1 200 OK\r\n\r\n')
@@ -340,6 +340,7 @@
     forwarded = forwarded_connection.ForwardedConnection(
         relay_wires.Server().pool,
         entry,
+        'other',
         'r1',
         failed.append,
         lambda outcome, is_verified: failed.append((outcome, is_verified)),
