--- a/tests/common/linked_fleet.py
+++ b/tests/common/linked_fleet.py
@@ -322,13 +322,15 @@
 class LinkedFleet:
     """Instances before engines, over links that can be cut."""
 
+    engine_class = Engine
+
     def __init__(self, size=3, per_place=2, seed=1, loss=0.0):
         self.network = simulated_network.Network(seed, loss)
         self.engines = {}
         for number, entry in enumerate(relay_world.fleet(per_place)):
             address = engines.Address(f'10.8.0.{number + 1}', ENGINE_PORT)
             listed = dataclasses.replace(entry, address=address)
-            engine = Engine(self.network, listed)
+            engine = self.engine_class(self.network, listed)
             engine.start()
             self.engines[entry.engine] = engine
         self.instances = []
