The overlap of two runs of a stream is bounded from its start

Cause: only a probe that was answered put a bound on the time with two open runs; one that was not answered within 0.3 s took the engine for unreachable and removed the bound. A busy or paused engine is in reach and answers nothing.

Now the bound of 0.3 s holds from the start of the second run. Both engines are probed within it, and at its end the run whose engine is in reach goes on; if neither is, the first run does, as it has come further and both may make the same pause. Then another replacement starts at once if other engines are heard, and later otherwise. A replacement is no longer exchanged while the first run is open: it ends before that could happen.

--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -7,7 +7,8 @@
 deadline of its request.
 
 An exchange has at most two open runs: the one that has come furthest, and its
-replacement, which has not written anything yet.
+replacement, which has not written anything yet. They overlap for a bounded
+time, whatever is known of their engines; then one of them is ended.
 """
 
 from collections.abc import Callable
@@ -41,17 +42,14 @@
 # its engine is probed: it has almost nothing to read, and engines admit it
 # first.
 COPY_FIRST_EVENT_SECONDS = 0.3
-# The time from the start of a replacement to the probe of the silent engine.
-# Most replacements have written by then.
+# The time from the start of a replacement to the probes of both engines. Most
+# replacements have written by then.
 PROBE_DELAY_SECONDS = 0.05
 # How long the answer to a probe, or the lack of one, is relied upon.
 PROBE_VALID_SECONDS = 1.5
-# Two runs of a stream overlap for less than 0.4 s if both engines are in
-# reach; the rest is for the end of one of them to arrive.
-MAX_OVERLAP_SECONDS = 0.25
-# The time between two probes of an engine that has not answered one while its
-# run has a replacement; a probe takes no longer.
-REPROBE_SECONDS = 0.3
+# Two engines may work on a stream for 0.4 s; the rest is for the end of one of
+# the runs to arrive. An engine that answers no probe may be at work as well.
+MAX_OVERLAP_SECONDS = 0.3
 # How long an engine that is back in reach has to write the next event.
 BACK_IN_REACH_SECONDS = 0.05
 # The time until a silent run is checked again, doubled with each check.
@@ -144,47 +142,20 @@
         takes longer than the silence, so the engine is probed first.
         """
         if is_replaced(exchange, sent):
-            return self.probe_run(exchange, sent, REPROBE_SECONDS, now)
+            return self.probe_both_runs(exchange, now)
         if self.usable_copy_engine(sent, now) is not None:
             return self.start_replacement(exchange, sent, now)
         is_reading = not sent.events_seen and not sent.from_copy
         probed_since = max(sent.moved_at, now - PROBE_VALID_SECONDS)
         if is_reading or sent.asked_at <= probed_since:
             return self.probe_run(exchange, sent, PROBED_MARGIN_SECONDS, now)
-        if sent.is_unreachable:
-            return self.start_another_run(exchange, sent, now)
+        if sent.is_unreachable and not sent.was_replaced_in_vain:
+            return self.start_replacement(exchange, sent, now)
         if not sent.is_held and self.is_silent_alone(exchange, sent, now):
-            return self.start_another_run(exchange, sent, now)
+            return self.start_replacement(exchange, sent, now)
         self.keep_run(sent, now)
         return []
 
-    def start_another_run(
-        self,
-        exchange: exchanges.Exchange,
-        sent: exchanges.InFlightSend,
-        now: float,
-    ) -> list[Action]:
-        """Start a run beside a silent one, or in place of a replacement."""
-        if sent is replacement_of(exchange):
-            return self.exchange_replacement(exchange, sent, now)
-        return self.start_replacement(exchange, sent, now)
-
-    def exchange_replacement(
-        self,
-        exchange: exchanges.Exchange,
-        sent: exchanges.InFlightSend,
-        now: float,
-    ) -> list[Action]:
-        """Start another replacement, and end the former one for it."""
-        former = first_run_of(exchange)
-        told = self.suspect_engine(exchange, sent, now)
-        numbers = set(exchange.sends)
-        resulting = self.start_run(exchange, former, now)
-        if set(exchange.sends) == numbers:
-            self.keep_run(sent, now)
-            return [*told, *resulting]
-        return [*told, *self.end_run(exchange, sent, now), *resulting]
-
     def is_silent_alone(
         self,
         exchange: exchanges.Exchange,
@@ -196,11 +167,20 @@
         If none is, they make the same pause or this instance does not hear
         them, and another run would be as silent.
         """
-        others_heard_at = self.components.engines.others_heard_at(sent.entry)
-        if now - others_heard_at <= max_silence_seconds(exchange):
+        if self.are_others_heard(exchange, sent, now):
             return True
         return not self.components.engines.has_other_sends(sent.entry)
 
+    def are_others_heard(
+        self,
+        exchange: exchanges.Exchange,
+        sent: exchanges.InFlightSend,
+        now: float,
+    ) -> bool:
+        """Return whether another engine has lately been heard."""
+        others_heard_at = self.components.engines.others_heard_at(sent.entry)
+        return now - others_heard_at <= max_silence_seconds(exchange)
+
     def keep_run(self, sent: exchanges.InFlightSend, now: float) -> None:
         """Leave a silent run open, and check it later."""
         seconds = FIRST_KEPT_SECONDS * 2.0**sent.times_kept
@@ -209,6 +189,18 @@
 
     # -- probes -------------------------------------------------------------
 
+    def probe_both_runs(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> list[Action]:
+        """Probe the engines of two open runs before one of them is ended."""
+        return [
+            action
+            for sent in exchange.sends.values()
+            for action in self.probe_run(
+                exchange, sent, MAX_OVERLAP_SECONDS, now
+            )
+        ]
+
     def probe_run(
         self,
         exchange: exchanges.Exchange,
@@ -261,15 +253,19 @@
         sent: exchanges.InFlightSend,
         now: float,
     ) -> list[Action]:
-        """Start another run, as a silent one is at an engine out of reach."""
+        """Start another run, as a silent one is at an engine out of reach.
+
+        The two open runs of a stream may overlap no longer for that: an engine
+        that does not answer may be at work.
+        """
         told: list[Action] = []
         if sent.is_suspected and not sent.is_unreachable:
             told = self.blame_engine(sent, now, dead=True)
         sent.is_unreachable = True
-        if is_replaced(exchange, sent):
-            exchange.overlap_until = float('inf')
+        is_early = not sent.events_seen and now < sent.first_due
+        if is_early or len(exchange.sends) > 1:
             return told
-        return [*told, *self.start_another_run(exchange, sent, now)]
+        return [*told, *self.start_replacement(exchange, sent, now)]
 
     def note_reached(
         self,
@@ -279,45 +275,64 @@
     ) -> list[Action]:
         """Note that the engine of a silent run is in reach.
 
-        It may work on the run, so a replacement may not run beside it for
-        long.
+        It may write at once if it is back, and a replacement ends soon then.
         """
-        replacement = replacement_of(exchange)
-        if replacement is None or sent is replacement:
-            sent.is_unreachable = False
-            return []
-        if exchange.overlap_until < float('inf'):
-            return []
-        exchange.overlap_until = replacement.began_at + MAX_OVERLAP_SECONDS
-        if sent.is_unreachable:
-            exchange.overlap_until = now + BACK_IN_REACH_SECONDS
-        if now < exchange.overlap_until:
-            return []
-        return self.end_overlap(exchange, now)
+        sent.probe_answered_at = now
+        sent.was_replaced_in_vain = False
+        was_unreachable, sent.is_unreachable = sent.is_unreachable, False
+        if is_replaced(exchange, sent) and was_unreachable:
+            exchange.overlap_until = min(
+                exchange.overlap_until, now + BACK_IN_REACH_SECONDS
+            )
+        return []
 
     def end_overlap(
         self, exchange: exchanges.Exchange, now: float
     ) -> list[Action]:
-        """End one of two silent runs of a stream, as both are in reach.
-
-        A replacement from a copy would have written by now, if its engine
-        could. One that reads the prompt needs more time; the first run is
-        ended for it unless its engine still holds it, or the other one was
-        the last attempt.
-        """
+        """End one of two silent runs of a stream."""
         exchange.overlap_until = float('inf')
         replacement = replacement_of(exchange)
         if replacement is None:
             return []
         former = first_run_of(exchange)
-        resumes_late = replacement.from_copy and not former.is_unreachable
-        is_former_kept = former.is_held or resumes_late
-        is_last = not self.components.send_manager.has_attempts_left(exchange)
-        if not (replacement.is_unreachable or is_former_kept or is_last):
+        if not self.is_former_kept(exchange, former, replacement):
             return self.end_run(exchange, former, now)
-        former.is_unreachable = False
+        former.was_replaced_in_vain = not is_in_reach(former)
         self.keep_run(former, now)
-        return self.end_run(exchange, replacement, now)
+        resulting = self.end_run(exchange, replacement, now)
+        if former.was_replaced_in_vain and self.are_others_heard(
+            exchange, former, now
+        ):
+            resulting += self.suspect_engine(exchange, replacement, now)
+            resulting += self.start_replacement(exchange, former, now)
+        return resulting
+
+    def is_former_kept(
+        self,
+        exchange: exchanges.Exchange,
+        former: exchanges.InFlightSend,
+        replacement: exchanges.InFlightSend,
+    ) -> bool:
+        """Return whether the first of two silent runs is the better one.
+
+        If only one of the engines is in reach, its run is; if none is, both
+        may make the same pause, and the first run has come further. A
+        replacement from a copy would have written by now, if its engine could.
+        One that reads the prompt needs more time; the first run is left for it
+        unless its engine still holds it, or the other one was the last
+        attempt.
+        """
+        is_heard = (
+            replacement.head is not None
+            or self.engine_heard_at(replacement) >= replacement.began_at
+        )
+        if not (is_heard or is_in_reach(replacement)):
+            return True
+        if not is_in_reach(former):
+            return False
+        if former.is_held or replacement.from_copy:
+            return True
+        return not self.components.send_manager.has_attempts_left(exchange)
 
     # -- runs ---------------------------------------------------------------
 
@@ -336,17 +351,12 @@
             return told
         return [*told, *self.start_run(exchange, sent, now)]
 
-    def schedule_probe_of_former(
-        self, exchange: exchanges.Exchange, now: float
-    ) -> None:
-        """Have the engine of a silent run probed once it has a replacement."""
+    def bound_overlap(self, exchange: exchanges.Exchange, now: float) -> None:
+        """Bound the time with two open runs, from the start of the second."""
         if replacement_of(exchange) is None:
             return
-        former = first_run_of(exchange)
-        seconds = PROBE_DELAY_SECONDS
-        if former.is_unreachable:
-            seconds = REPROBE_SECONDS
-        former.next_check_at = now + seconds
+        exchange.overlap_until = now + MAX_OVERLAP_SECONDS
+        first_run_of(exchange).next_check_at = now + PROBE_DELAY_SECONDS
 
     def suspect_engine(
         self,
@@ -413,6 +423,7 @@
             self.components.engines.note_success(winner.entry.engine, now)
         winner.is_unreachable = False
         winner.is_held = False
+        winner.was_replaced_in_vain = False
         winner.times_kept = 0
         exchange.unconnected = 0
         exchange.overlap_until = float('inf')
@@ -529,6 +540,12 @@
     return next(iter(exchange.sends.values()))
 
 
+def is_in_reach(sent: exchanges.InFlightSend) -> bool:
+    """Return whether the engine of a run answered the last probe of it."""
+    is_answered = sent.asked_at <= sent.probe_answered_at < float('inf')
+    return is_answered and not sent.is_unreachable
+
+
 def is_replaced(
     exchange: exchanges.Exchange, sent: exchanges.InFlightSend
 ) -> bool:
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -168,7 +168,7 @@
         sent.first_due = self.silent_runs.first_event_due_at(
             state, copy_from is not None, now
         )
-        self.silent_runs.schedule_probe_of_former(exchange, now)
+        self.silent_runs.bound_overlap(exchange, now)
         return [*resulting, self.silent_runs.silence_timer(exchange)]
 
     def handle_probe(
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -28,7 +28,9 @@
     it is checked again from ``next_check_at``, after ``times_kept`` checks
     that have left it open. ``copy_used`` is true if its copy was used up.
     ``is_held`` is true if its engine then reported the run, and no event that
-    has not arrived.
+    has not arrived. ``probe_answered_at`` is when its engine last answered a
+    probe. ``was_replaced_in_vain`` is true if neither its engine nor that of
+    its last replacement was in reach.
     ``retry_number`` is that of the retry that was spent for it, if any.
     ``alone_with`` is the size of its prompt in tokens if the engine was idle
     and has to read the prompt, else 0.
@@ -55,6 +57,8 @@
     is_suspected: bool = False
     is_unreachable: bool = False
     is_held: bool = False
+    probe_answered_at: float = float('-inf')
+    was_replaced_in_vain: bool = False
     next_check_at: float = float('-inf')
     times_kept: int = 0
     copy_used: bool = False
--- a/tests/relay/test_silent_runs_review.py
+++ b/tests/relay/test_silent_runs_review.py
@@ -235,8 +235,10 @@
     """
     silent = test_silent_runs.SilentEngines()
     exchange, send = silent.start_stream()
-    silent.wait(1.0)
-    assert len(silent.open_runs(exchange)) == 2
+    for _ in range(20):
+        silent.wait(0.05)
+        assert send in silent.open_runs(exchange)
+    assert silent.world.sends(exchange)[1].copy_from is not None
     silent.alive = True
     silent.wait(1.0)
     assert send in silent.open_runs(exchange)
