A run whose own path is lost is not kept for an answer by another way

Streams waited for a run over a dead path until their deadline where no other engine was heard, as when an instance has lost all its direct paths. Cause: a probe goes whichever way opens first, and its answer through another instance was taken to show that the direct run is in reach.

A probe's answer now tells its way and the run's. An answer through another instance to a direct run shows that the engine works, so it is not reported as failed, and that the path of the run does not: another run is started at once. A run that the engine lists, with no event that has not arrived, is kept.

test_run_whose_own_path_is_lost_is_not_kept_for_answers_by_another failed before.

--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -234,12 +234,14 @@
         """
         if sent.events_seen and sent.moved_at > sent.asked_at:
             return []
+        is_other_way = event.alive and bool(event.via) and not event.run_via
+        sent.answers_elsewhere = is_other_way
         sent.is_held = (
             event.run_events is not None
             and event.run_events <= sent.events_seen
         )
         resulting: list[Action] = [probe_record(exchange, sent, event, now)]
-        if event.alive:
+        if event.alive and (sent.is_held or not is_other_way):
             resulting += self.note_reached(exchange, sent, now)
         else:
             resulting += self.note_unreachable(exchange, sent, now)
@@ -259,7 +261,8 @@
         that does not answer may be at work.
         """
         told: list[Action] = []
-        if sent.is_suspected and not sent.is_unreachable:
+        is_news = sent.is_suspected and not sent.is_unreachable
+        if is_news and not sent.answers_elsewhere:
             told = self.blame_engine(sent, now, dead=True)
         sent.is_unreachable = True
         is_early = not sent.events_seen and now < sent.first_due
@@ -371,7 +374,7 @@
         detail = self.describe_silence(exchange, sent, now)
         return [
             sending.record(exchange, sent, 'send-suspected', detail),
-            *self.blame_engine(sent, now, dead=sent.is_unreachable),
+            *self.blame_engine(sent, now, dead=is_engine_lost(sent)),
         ]
 
     def blame_engine(
@@ -405,7 +408,7 @@
         silent = now - sent.moved_at
         late = max(0.0, now - self.next_event_due_at(exchange, sent))
         heard = now - self.components.engines.others_heard_at(sent.entry)
-        reach = 'no answer to a probe, ' if sent.is_unreachable else ''
+        reach = 'no answer to a probe, ' if is_engine_lost(sent) else ''
         return (
             f'{reach}silent for {silent:.3f} s, noticed {late:.3f} s late, '
             f'others heard {heard:.3f} s ago'
@@ -423,6 +426,7 @@
             self.components.engines.note_success(winner.entry.engine, now)
         winner.is_unreachable = False
         winner.is_held = False
+        winner.answers_elsewhere = False
         winner.was_replaced_in_vain = False
         winner.times_kept = 0
         exchange.unconnected = 0
@@ -546,6 +550,11 @@
     return is_answered and not sent.is_unreachable
 
 
+def is_engine_lost(sent: exchanges.InFlightSend) -> bool:
+    """Return whether a run's engine answers probes by no way."""
+    return sent.is_unreachable and not sent.answers_elsewhere
+
+
 def is_replaced(
     exchange: exchanges.Exchange, sent: exchanges.InFlightSend
 ) -> bool:
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -29,8 +29,9 @@
     that have left it open. ``copy_used`` is true if its copy was used up.
     ``is_held`` is true if its engine then reported the run, and no event that
     has not arrived. ``probe_answered_at`` is when its engine last answered a
-    probe. ``was_replaced_in_vain`` is true if neither its engine nor that of
-    its last replacement was in reach.
+    probe. ``answers_elsewhere`` is true if the last answer came by another way
+    than that of the run, and ``was_replaced_in_vain`` if neither its engine
+    nor that of its last replacement was in reach.
     ``retry_number`` is that of the retry that was spent for it, if any.
     ``alone_with`` is the size of its prompt in tokens if the engine was idle
     and has to read the prompt, else 0.
@@ -58,6 +59,7 @@
     is_unreachable: bool = False
     is_held: bool = False
     probe_answered_at: float = float('-inf')
+    answers_elsewhere: bool = False
     was_replaced_in_vain: bool = False
     next_check_at: float = float('-inf')
     times_kept: int = 0
--- a/tests/relay/test_silent_runs.py
+++ b/tests/relay/test_silent_runs.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state.relay import bounds
+from greengagelb.state.relay import hints
 from tests.common import relay_world
 
 PROBE_SECONDS = 0.3
@@ -22,12 +23,18 @@
     """A relay whose engines write nothing while their runs go on."""
 
     def __init__(
-        self, route=relay_world.STREAM_ROUTE, *, alive=False, run_events=None
+        self,
+        route=relay_world.STREAM_ROUTE,
+        *,
+        alive=False,
+        run_events=None,
+        via='',
     ):
         table = relay_world.route_table(found=(route,))
         self.world = relay_world.RelayWorld(table=table)
         self.alive = alive
         self.run_events = run_events
+        self.via = via
         self.answered_probes = 0
 
     def start_stream(self, events=LAST_EVENT):
@@ -55,6 +62,7 @@
                     probe.send,
                     self.alive,
                     run_events=self.run_events,
+                    via=self.via,
                 )
             )
 
@@ -311,3 +319,35 @@
     silent.alive = True
     silent.wait(1.0)
     assert silent.open_runs(exchange) == [send]
+
+
+def test_run_whose_own_path_is_lost_is_not_kept_for_answers_by_another():
+    """Guards against streams held for a dead path until their deadline.
+
+    All direct paths are lost, so no engine is heard; probes are answered
+    through another instance.
+    """
+    silent = SilentEngines(alive=True, via='other')
+    world = silent.world
+    runs = [silent.start_stream(3) for _ in range(2)]
+    for exchange, send in runs:
+        world.relay.exchanges[exchange].sends[send.send].copy_to = None
+    silent.wait(1.0)
+    assert [len(world.sends(exchange)) > 1 for exchange, _ in runs] == [
+        True,
+        True,
+    ]
+
+
+def test_engine_that_answers_by_another_way_is_not_reported_as_failed():
+    """Guards against a lost path that others take for a failed engine."""
+    silent = SilentEngines(alive=True, via='other')
+    world = silent.world
+    exchange, send = silent.start_stream(3)
+    world.relay.exchanges[exchange].sends[send.send].copy_to = None
+    silent.wait(1.5)
+    told = [
+        type(action.hint) for action in world.of_kind(relay_actions.TellPeers)
+    ]
+    assert hints.StreamSilent in told
+    assert hints.EngineFailed not in told
