Runs through another instance end with their lease

Callers saw streams held until their deadline, or served while two engines worked on them; engines worked on for callers that had left. Cause: the end of a run through another instance is a reset to that instance. If the path between the two was lost it was not told, kept the connection to the engine open, and was in touch and in reach all the while. The other end did not learn either that its run had lost its path, as probes took another way.

The connection of a run that may be resumed is now held in between on a lease of 0.36 s. Both sides hear each other by its renewals: the one in the middle closes the engine's connection, the one that asked continues the stream elsewhere, and the engine is not blamed. While two runs of a stream are open neither is renewed, so the one that is ended has ended at its engine within 0.4 s whatever happens to the path meanwhile.

--- a/src/greengagelb/coordination/relay/actions.py
+++ b/src/greengagelb/coordination/relay/actions.py
@@ -24,6 +24,7 @@
     run's memory is copied as it grows. ``fresh`` requires a new connection: an
     idle one may be broken without either end having noticed. Retries require
     one too, as what failed the first attempt may have broken others.
+    ``is_resumable`` tells that another engine may go on with its stream.
     """
 
     exchange: int
@@ -38,6 +39,7 @@
     copy_from: requests.CopyName | None = None
     copy_to: engines.EngineEntry | None = None
     fresh: bool = False
+    is_resumable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -95,12 +95,15 @@
 
     ``handed_over`` is false only if no byte of the request was written to a
     connection: only then is it certain that the engine has not run it.
+    ``is_path_lost`` tells that the path to the instance between was lost,
+    which shows nothing about the engine.
     """
 
     exchange: int
     send: int
     handed_over: bool
     detail: str
+    is_path_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -130,6 +130,7 @@
                 copy_from,
                 copy_to,
                 fresh=not ruling.route.is_repeatable or exchange.attempts > 1,
+                is_resumable=stream and ruling.route.is_repeatable,
             ),
         ]
 
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -407,6 +407,9 @@
     ) -> list[Action]:
         """Handle a connection that ended before its stream did."""
         resulting: list[Action] = []
+        if event.is_path_lost:
+            exchange.may_have_run = True
+            return self.replace_send(exchange, sent, event.detail, now)
         if event.handed_over:
             exchange.may_have_run = True
             has_begun = sent.head is not None
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -119,10 +119,15 @@
 
     def answer_failed(self, handed_over: bool, detail: str) -> None:
         """Report that there will be no complete answer."""
+        is_path_lost = self.side.is_path_lost(self.send)
         self.release()
         self.dispatch_event(
             relay_events.SendFailed(
-                self.send.exchange, self.send.send, handed_over, detail
+                self.send.exchange,
+                self.send.send,
+                handed_over,
+                detail,
+                is_path_lost,
             )
         )
 
@@ -153,9 +158,10 @@
     """The sends, probes and other requests to engines.
 
     ``pending_sends`` has the sends without a final event, by exchange and
-    number of the send. ``admits`` tells whether an engine may be sent a
-    caller's request now, and ``opener`` opens connections. ``memory`` bounds
-    what all answers hold.
+    number of the send, and ``runs`` the requests of those that another engine
+    may go on with, by exchange and then by send. ``admits`` tells whether an
+    engine may be sent a caller's request now, and ``opener`` opens
+    connections. ``memory`` bounds what all answers hold.
     """
 
     def __init__(
@@ -172,17 +178,17 @@
         self.dispatch = dispatch
         self.admits = admits
         self.pending_sends: dict[tuple[int, int], PendingSend] = {}
+        self.runs: dict[int, dict[int, http_client.PendingRequest]] = {}
         self.memory = answer_memory.AnswerMemory()
 
     def send_request(self, send: relay_actions.Send) -> None:
         """Send a caller's request to an engine."""
-        seconds = self.pool.reactor.seconds
         key = (send.exchange, send.send)
         answer = EngineAnswer(self, send)
         pending = self.pool.request(
             send.engine.life,
             send.engine.address,
-            lambda: self.dialect.write_send(send, seconds()),
+            lambda: self.write_send(send),
             answer,
             fresh=send.fresh or self.opener.paths.is_silent(send.engine),
             is_admitted=lambda: self.admits(send.engine),
@@ -190,10 +196,32 @@
                 send.engine,
                 identity.RequestId(send.account, send.request.request_id),
                 waiting,
+                is_leased=send.is_resumable,
             ),
         )
         if not pending.is_finished:
             self.pending_sends[key] = PendingSend(pending, answer)
+            if send.is_resumable:
+                self.runs.setdefault(send.exchange, {})[send.send] = pending
+                self.update_leases(send.exchange)
+
+    def write_send(self, send: relay_actions.Send) -> http_client.WireRequest:
+        """Return what is written for a send, on its connection."""
+        if send.is_resumable:
+            self.update_leases(send.exchange)
+        return self.dialect.write_send(send, self.pool.reactor.seconds())
+
+    def update_leases(self, exchange: int) -> None:
+        """Hold the leases of runs that have another one beside them.
+
+        Whichever of two runs is ended then ends at its engine in time, even if
+        the instance between does not hear of it.
+        """
+        runs = self.runs.get(exchange, {})
+        for pending in runs.values():
+            connection = pending.connection
+            if connection is not None and connection.lease is not None:
+                connection.lease.set_held(len(runs) > 1)
 
     def report_statement(
         self,
@@ -421,10 +449,29 @@
         if pending is not None:
             pending.request.abandon()
             self.memory.release(pending.answer)
+            self.forget_run(exchange, send)
 
     def forget_send(self, send: relay_actions.Send) -> None:
         """Remove a send that has ended."""
         self.pending_sends.pop((send.exchange, send.send), None)
+        self.forget_run(send.exchange, send.send)
+
+    def forget_run(self, exchange: int, send: int) -> None:
+        """Remove a run that has ended; one that is left is renewed again."""
+        runs = self.runs.get(exchange)
+        if runs is None:
+            return
+        runs.pop(send, None)
+        if not runs:
+            del self.runs[exchange]
+        self.update_leases(exchange)
+
+    def is_path_lost(self, send: relay_actions.Send) -> bool:
+        """Return whether the path to a send's instance between was lost."""
+        pending = self.pending_sends.get((send.exchange, send.send))
+        if pending is None or pending.request.connection is None:
+            return False
+        return pending.request.connection.is_path_lost
 
 
 def is_misdirected(answer: timed_requests.Answer) -> bool:
--- a/src/greengagelb/transport/relay/forwarding/connection_race.py
+++ b/src/greengagelb/transport/relay/forwarding/connection_race.py
@@ -62,9 +62,16 @@
         entry: engines.EngineEntry,
         request: identity.RequestId | None,
         pending: http_client.PendingRequest,
+        *,
+        is_leased: bool = False,
     ) -> None:
-        """Open a connection for a request that waits for one."""
-        race = ConnectionRace(self, entry, request, pending)
+        """Open a connection for a request that waits for one.
+
+        ``is_leased`` is as in :class:`ConnectionRace`.
+        """
+        race = ConnectionRace(
+            self, entry, request, pending, is_leased=is_leased
+        )
         pending.connector = race
         race.start()
 
@@ -76,7 +83,8 @@
     many of them the engine has refused, and ``verdicts`` how many of these
     have links that work. ``won_by`` is the one whose connection is used, empty
     for the direct one, and ``direct_failure`` what became of the direct
-    attempt.
+    attempt. ``is_leased`` tells that another instance is to close the
+    connection soon if it does not hear of this one.
     """
 
     def __init__(
@@ -85,7 +93,10 @@
         entry: engines.EngineEntry,
         request: identity.RequestId | None,
         pending: http_client.PendingRequest,
+        *,
+        is_leased: bool = False,
     ) -> None:
+        self.is_leased = is_leased
         self.opener = opener
         self.pool = opener.pool
         self.paths = opener.paths
@@ -189,6 +200,8 @@
             lambda outcome, is_verified: self.note_not_forwarded(
                 via, outcome, is_verified
             ),
+            lambda: self.note_path_lost(via),
+            is_leased=self.is_leased,
         )
         self.open_attempts[via] = attempt
         self.pool.reactor.connectTCP(
@@ -279,6 +292,11 @@
             return
         self.fail()
 
+    def note_path_lost(self, via: str) -> None:
+        """Report that an instance is not heard on an open connection."""
+        outcome = events.ForwardingOutcome.UNREACHABLE
+        self.opener.dispatch(events.ForwardingFailed(self.entry, via, outcome))
+
     def describe_direct(self) -> str:
         """Return what is known of the direct path, for the time line."""
         if self.direct_failure is not None:
--- a/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
@@ -4,14 +4,74 @@
 
 import h11
 from twisted.internet import error
+from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
 
+from greengagelb import errors
+from greengagelb.coordination import timers
 from greengagelb.coordination.relay.forwarding import events
 from greengagelb.state.relay import engines
+from greengagelb.transport import reactors
 from greengagelb.transport.relay import http1
 from greengagelb.transport.relay import http_client
 from greengagelb.transport.relay.forwarding import handshake
+from greengagelb.transport.relay.forwarding import leases
+
+
+class Lease:
+    """Renews the lease of an open connection, and hears the other instance.
+
+    ``expired`` is called if nothing has come from there until ``heard_until``,
+    a monotonic time. A held lease is renewed no more until it is resumed, and
+    no answer is due then.
+    """
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        transport: interfaces.ITCPTransport,
+        expired: Callable[[], None],
+    ) -> None:
+        self.reactor = reactor
+        self.transport = transport
+        self.expired = expired
+        self.is_held = False
+        self.heard_until = 0.0
+        self.note_heard()
+        self.timer: interfaces.IDelayedCall | None = None
+        self.renew()
+
+    def note_heard(self) -> None:
+        """Note that the other instance was heard just now."""
+        self.heard_until = self.reactor.seconds() + leases.LEASE_SECONDS
+
+    def set_held(self, is_held: bool) -> None:
+        """Stop renewing the lease after one more time, or go on with that."""
+        if is_held == self.is_held or self.timer is None:
+            return
+        self.is_held = is_held
+        self.transport.write(leases.RENEWAL)
+        self.note_heard()
+
+    def renew(self) -> None:
+        """Renew the lease, unless the other instance is silent too long."""
+        if self.timer is not None:
+            late = reactors.lateness(self.reactor, self.timer)
+            if late > timers.LATE_TIMER_SECONDS:
+                self.note_heard()
+        if not self.is_held:
+            if self.reactor.seconds() >= self.heard_until:
+                self.expired()
+                return
+            self.transport.write(leases.RENEWAL)
+        self.timer = self.reactor.callLater(leases.RENEWAL_SECONDS, self.renew)
+
+    def end(self) -> None:
+        """Stop renewing the lease."""
+        timer, self.timer = self.timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
 
 
 class ForwardedConnection(protocol.Protocol):
@@ -20,6 +80,8 @@
     ``opened`` is called with the connection once it may carry a request, and
     ``failed`` if it is not opened, with the outcome and whether the other
     instance has lately reached engines; one of them is called, once.
+    ``path_lost`` is called if the other instance is not heard any more on an
+    open connection with a lease, which ``is_leased`` asks for.
     """
 
     def __init__(
@@ -30,7 +92,14 @@
         request: str,
         opened: Callable[[http_client.ClientConnection], None],
         failed: Callable[[events.ForwardingOutcome, bool], None],
+        path_lost: Callable[[], None] = lambda: None,
+        *,
+        is_leased: bool = False,
     ) -> None:
+        self.reactor = pool.reactor
+        self.path_lost = path_lost
+        self.is_leased = is_leased
+        self.frames: leases.FrameReader | None = None
         self.entry = entry
         self.request = request
         self.opened = opened
@@ -48,14 +117,15 @@
             self.transport.abortConnection()
             return
         http1.configure_socket(self.transport)
-        order = handshake.write_order(self.entry, self.request)
+        lease_ms = round(1000 * leases.LEASE_SECONDS) * self.is_leased
+        order = handshake.write_order(self.entry, self.request, lease_ms)
         out = self.http.send(order) + self.http.send(h11.EndOfMessage())
         self.transport.write(out)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read the answer to the order; then pass bytes on."""
         if self.is_open:
-            self.connection.dataReceived(data)
+            self.pass_on(data)
             return
         if self.has_ended:
             return
@@ -68,7 +138,7 @@
         if not isinstance(answer, h11.Response):
             return
         if answer.status_code == handshake.STATUS_OK:
-            self.open()
+            self.open(answer)
             return
         outcome = handshake.OUTCOMES.get(
             answer.status_code, events.ForwardingOutcome.UNWILLING
@@ -79,12 +149,48 @@
         )
         self.fail(outcome, is_verified=verified is not None)
 
-    def open(self) -> None:
+    def open(self, answer: h11.Response) -> None:
         """Hand the connection over to the request that waits for it."""
+        try:
+            has_lease = handshake.read_lease_ms(answer) > 0
+        except errors.ProtocolError:
+            self.fail(events.ForwardingOutcome.UNWILLING)
+            return
         self.is_open = True
-        self.connection.makeConnection(self.transport)
+        if not has_lease:
+            self.connection.makeConnection(self.transport)
+            self.opened(self.connection)
+            return
+        self.frames = leases.FrameReader()
+        self.connection.lease = Lease(
+            self.reactor, self.transport, self.handle_expiry
+        )
+        framing = leases.FramingTransport(self.transport)
+        self.connection.makeConnection(framing)
         self.opened(self.connection)
 
+    def pass_on(self, data: bytes) -> None:
+        """Pass bytes on to the request."""
+        if self.frames is None:
+            self.connection.dataReceived(data)
+            return
+        self.connection.lease.note_heard()
+        for part in self.frames.add_bytes(data):
+            if part:
+                self.connection.dataReceived(part)
+        if self.frames.is_expired:
+            self.end_by_path('the other instance did not hear this one')
+
+    def handle_expiry(self) -> None:
+        """End the connection, as the other instance is not heard."""
+        self.path_lost()
+        self.end_by_path('the other instance is not heard')
+
+    def end_by_path(self, detail: str) -> None:
+        """Fail the request, as the path between the instances is lost."""
+        self.connection.is_path_lost = True
+        self.connection.fail_request(True, detail)
+
     def fail(
         self, outcome: events.ForwardingOutcome, *, is_verified: bool = False
     ) -> None:
@@ -112,6 +218,8 @@
         if not self.is_open:
             self.fail(events.ForwardingOutcome.UNREACHABLE)
             return
+        if self.connection.lease is not None:
+            self.connection.lease.end()
         if reason.check(error.ConnectionDone):
             reason = failure.Failure(error.ConnectionLost())
         self.connection.connectionLost(reason)
--- a/src/greengagelb/transport/relay/forwarding/forwarding_port.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarding_port.py
@@ -22,6 +22,7 @@
 from greengagelb.transport.relay import http1
 from greengagelb.transport.relay import http_client
 from greengagelb.transport.relay.forwarding import handshake
+from greengagelb.transport.relay.forwarding import leases
 
 # The time for an order to arrive whole.
 ORDER_SECONDS = 1.0
@@ -76,15 +77,16 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Pass bytes on to the other instance."""
-        self.near.transport.write(data)
+        self.near.write(data)
         self.reader.add_bytes(data)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
-        """End the other end in the same way."""
-        if self.near.far is self:
-            self.near.note_ended('the engine closed it')
+        """End the other end in the same way, unless that has ended this."""
+        if self.near.far is not self:
+            return
+        self.near.note_ended('the engine closed it')
         self.near.far = None
         self.near.transport.unregisterProducer()
         if reason.check(error.ConnectionDone):
@@ -116,7 +118,11 @@
 
 
 class NearEnd(protocol.Protocol):
-    """The connection of the instance that asks."""
+    """The connection of the instance that asks.
+
+    With a lease bytes pass in ``frames``, and the connection to the engine
+    ends at ``lease_ends_at``, a monotonic time, unless it is renewed.
+    """
 
     def __init__(self, port: 'ForwardingPort') -> None:
         self.port = port
@@ -129,6 +135,9 @@
         self.connector: interfaces.IConnector | None = None
         self.is_over = False
         self.timer: interfaces.IDelayedCall | None = None
+        self.lease_ms = 0
+        self.lease_ends_at = float('inf')
+        self.frames: leases.FrameReader | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Wait for the order."""
@@ -141,7 +150,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read the order; then pass bytes on to the engine."""
         if self.far is not None:
-            self.far.transport.write(data)
+            self.pass_on(data)
             return
         if self.entry is not None or self.is_over:
             # Nothing is due before the connection is there.
@@ -165,6 +174,7 @@
             return
         self.entry = decided
         self.request = order.request
+        self.lease_ms = order.lease_ms
         self.connector = self.port.reactor.connectTCP(
             decided.address.host,
             decided.address.port,
@@ -183,8 +193,46 @@
         self.transport.registerProducer(far.transport, True)
         far.transport.registerProducer(self.transport, True)
         self.port.note_taken_over(self)
-        head = h11.Response(status_code=handshake.STATUS_OK, headers=[])
+        headers = handshake.lease_headers(self.lease_ms)
+        head = h11.Response(status_code=handshake.STATUS_OK, headers=headers)
         self.transport.write(self.http.send(head))
+        if self.lease_ms:
+            self.frames = leases.FrameReader()
+            self.renew_lease()
+            self.check_lease()
+
+    def pass_on(self, data: bytes) -> None:
+        """Pass bytes on to the engine, and renew the lease."""
+        if self.frames is None:
+            self.far.transport.write(data)
+            return
+        self.renew_lease()
+        for part in self.frames.add_bytes(data):
+            if part:
+                self.far.transport.write(part)
+            else:
+                self.transport.write(leases.RENEWAL)
+
+    def write(self, data: bytes) -> None:
+        """Pass bytes of the engine on to the other instance."""
+        if self.frames is not None:
+            data = leases.write_frame(data)
+        self.transport.write(data)
+
+    def renew_lease(self) -> None:
+        """Hold the connection to the engine for another while."""
+        self.lease_ends_at = self.port.reactor.seconds() + self.lease_ms / 1000
+
+    def check_lease(self) -> None:
+        """Close the connection to the engine once the lease has expired."""
+        wait = self.lease_ends_at - self.port.reactor.seconds()
+        if wait > 0:
+            self.timer = self.port.reactor.callLater(wait, self.check_lease)
+            return
+        self.timer = None
+        self.transport.write(leases.EXPIRY)
+        self.end_far('the instance is not heard')
+        self.transport.loseConnection()
 
     def read_head(self, response: h11.Response) -> None:
         """Learn what the engine states about itself."""
@@ -220,9 +268,13 @@
             self.timer.cancel()
         if self.connector is not None:
             self.connector.disconnect()
+        self.end_far('the instance closed it')
+
+    def end_far(self, reason: str) -> None:
+        """End the connection to the engine, which makes it stop."""
         far, self.far = self.far, None
         if far is not None:
-            self.note_ended('the instance closed it')
+            self.note_ended(reason)
             far.transport.unregisterProducer()
             far.transport.abortConnection()
 
--- a/src/greengagelb/transport/relay/forwarding/handshake.py
+++ b/src/greengagelb/transport/relay/forwarding/handshake.py
@@ -16,6 +16,9 @@
 ENGINE_HEADER = b'Engine'
 START_HEADER = b'Engine-Start'
 REQUEST_HEADER = b'Request'
+# How long the connection is held without a renewal, in milliseconds. An answer
+# without it grants no lease: bytes pass as they are.
+LEASE_HEADER = b'Lease-Ms'
 # In a refusal: the instance has lately reached other engines directly.
 VERIFIED_HEADER = b'Engines-Reached'
 MAX_HEAD_BYTES = 4096
@@ -34,16 +37,20 @@
 class ConnectionOrder:
     """A connection that is to be opened.
 
-    ``request`` is the id of the caller's request, or empty.
+    ``request`` is the id of the caller's request, or empty. ``lease_ms`` is
+    how long it is held without a renewal, or 0 for as long as both ends live.
     """
 
     engine: str
     started_at_ms: int
     address: engines.Address
     request: str
+    lease_ms: int = 0
 
 
-def write_order(entry: engines.EngineEntry, request: str) -> h11.Request:
+def write_order(
+    entry: engines.EngineEntry, request: str, lease_ms: int = 0
+) -> h11.Request:
     """Return the request for a connection to an engine."""
     target = str(entry.address).encode()
     return h11.Request(
@@ -54,10 +61,29 @@
             (ENGINE_HEADER, entry.engine.encode()),
             (START_HEADER, str(entry.started_at_ms).encode()),
             (REQUEST_HEADER, request.encode()),
+            *lease_headers(lease_ms),
         ],
     )
 
 
+def lease_headers(lease_ms: int) -> list[tuple[bytes, bytes]]:
+    """Return the header that asks for a lease, or grants it."""
+    return [(LEASE_HEADER, str(lease_ms).encode())] if lease_ms else []
+
+
+def read_lease_ms(head: h11.Request | h11.Response) -> int:
+    """Return the lease that is asked for or granted, or 0.
+
+    Raises :class:`~greengagelb.errors.ProtocolError`.
+    """
+    fields = tuple(head.headers.raw_items())
+    stated = http1.first_header_value(fields, LEASE_HEADER.lower())
+    lease_ms = http1.parse_digits(stated) if stated is not None else 0
+    if lease_ms is None:
+        raise errors.ProtocolError('bad lease')
+    return lease_ms
+
+
 def read_order(head: h11.Request) -> ConnectionOrder:
     """Return the order in a request.
 
@@ -79,4 +105,5 @@
         start,
         engines.Address(host.decode('ascii', 'replace'), port),
         (request or b'').decode('utf-8', 'replace'),
+        read_lease_ms(head),
     )
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -83,6 +83,13 @@
         )
 
 
+class Lease(Protocol):
+    """The lease of a connection through another instance."""
+
+    def set_held(self, is_held: bool) -> None:
+        """Stop renewing the lease after one more time, or go on with that."""
+
+
 class ClientConnection(protocol.Protocol):
     """One connection to a server.
 
@@ -91,6 +98,8 @@
     the incarnation of the instance through which it goes, empty if it is
     direct; a connection through another instance carries one request.
     ``is_close_announced`` tells that the current answer's head says so.
+    ``lease`` is that of a connection through another instance, if it has one,
+    and ``is_path_lost`` tells that the path to that instance was lost.
     """
 
     def __init__(
@@ -105,6 +114,8 @@
         self.key = key
         self.opened = opened
         self.via = via
+        self.lease: Lease | None = None
+        self.is_path_lost = False
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
--- a/tests/relay/test_overlapping_runs.py
+++ b/tests/relay/test_overlapping_runs.py
@@ -81,6 +81,42 @@
     assert_whole(asked)
 
 
+@pytest.mark.parametrize('probe_seconds', [0.0, NEVER])
+@pytest.mark.parametrize('after', [0.1, 0.3, 0.37, 0.45, 0.6, 0.68, 0.75])
+def test_one_run_while_an_engine_pauses_and_then_the_path_is_lost(
+    after, probe_seconds
+):
+    """Guards against a run that works on as its path is lost meanwhile.
+
+    The engine's pause is why another run is started; the instance between
+    can't be told of the end of either.
+    """
+    fleet, asked, runs = streams_under_way('through-another', 5)
+    for run in runs:
+        pause(fleet, run, 5.0, probe_seconds)
+    fleet.network.advance(after)
+    for run in runs:
+        lose_path(fleet, run, Cut.SILENT, 3.0)
+    fleet.network.advance(20.0)
+    assert_no_overlap(fleet, asked)
+    assert_whole(asked)
+
+
+def test_lost_path_to_another_instance_is_not_blamed_on_engines():
+    """Guards against engines that all avoid for a path between instances."""
+    fleet, asked, runs = streams_under_way('through-another', 1)
+    for run in runs:
+        lose_path(fleet, run, Cut.SILENT, NEVER)
+    fleet.network.advance(2.0)
+    failures = [
+        state.entry.engine
+        for state in fleet.instances[0].relay.engines.states.values()
+        if not state.is_reachable(fleet.network.now)
+    ]
+    assert not failures
+    assert fleet.kinds(0)['send-lost']
+
+
 @pytest.mark.parametrize('way', WAYS)
 @pytest.mark.parametrize('mode', [Cut.SILENT, Cut.ONE_WAY])
 def test_stream_does_not_wait_for_a_run_whose_path_is_lost_for_good(way, mode):
