Of two silent runs the one whose engine answers last goes on

While all engines paused, a stream spent all its attempts and lost the run that had come furthest: the head of an answer, which comes at once, was taken for an engine in reach although it answered no later probe; and an unanswered probe that came in after a replacement had been ended started the next one. A pause of this process counted as progress of a run, so that the answer to its probe was not seen and a run that its engine holds was ended. And a decision 0.08 s late came after the end of the lease of the run that it kept.

Only what comes after the probe counts now; a run that was replaced in vain is replaced again only if other engines are heard; events have a time of their own; the overlap ends after 0.25 s, as before the incident.

--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -49,7 +49,7 @@
 PROBE_VALID_SECONDS = 1.5
 # Two engines may work on a stream for 0.4 s; the rest is for the end of one of
 # the runs to arrive. An engine that answers no probe may be at work as well.
-MAX_OVERLAP_SECONDS = 0.3
+MAX_OVERLAP_SECONDS = 0.25
 # How long an engine that is back in reach has to write the next event.
 BACK_IN_REACH_SECONDS = 0.05
 # The time until a silent run is checked again, doubled with each check.
@@ -232,9 +232,9 @@
         The caller has handled an engine that has restarted: it does not have
         the run.
         """
-        if sent.events_seen and sent.moved_at > sent.asked_at:
+        if sent.last_event_at > sent.asked_at:
             return []
-        is_other_way = event.alive and bool(event.via) and not event.run_via
+        is_other_way = event.alive and event.via != event.run_via
         sent.answers_elsewhere = is_other_way
         sent.is_held = (
             event.run_events is not None
@@ -266,7 +266,8 @@
             told = self.blame_engine(sent, now, dead=True)
         sent.is_unreachable = True
         is_early = not sent.events_seen and now < sent.first_due
-        if is_early or len(exchange.sends) > 1:
+        is_kept = is_early or sent.was_replaced_in_vain
+        if is_kept or len(exchange.sends) > 1:
             return told
         return [*told, *self.start_replacement(exchange, sent, now)]
 
@@ -325,10 +326,8 @@
         unless its engine still holds it, or the other one was the last
         attempt.
         """
-        is_heard = (
-            replacement.head is not None
-            or self.engine_heard_at(replacement) >= replacement.began_at
-        )
+        asked_at = max(replacement.began_at, replacement.asked_at)
+        is_heard = self.engine_heard_at(replacement) >= asked_at
         if not (is_heard or is_in_reach(replacement)):
             return True
         if not is_in_reach(former):
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -183,7 +183,7 @@
         An engine that has restarted does not have the run, or would have
         started it by now.
         """
-        progressed_since = sent.events_seen and sent.moved_at > sent.asked_at
+        progressed_since = sent.last_event_at > sent.asked_at
         restarted = sent.entry.is_earlier_than(event.started_at_ms)
         if restarted and not progressed_since:
             exchange.may_have_run = True
@@ -239,6 +239,7 @@
         first = not sent.events_seen
         sent.events_seen += len(event.events)
         sent.moved_at = now
+        sent.last_event_at = now
         self.components.engines.note_heard(sent.entry.engine, now)
         told = self.components.crash_watch.note_progress(exchange, sent, now)
         self.components.send_manager.pending_hints.extend(told)
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -12,7 +12,8 @@
     """One send of a request to an engine that is still in progress.
 
     ``moved_at`` is the monotonic time of its last progress: its start, the
-    head of the answer, or events. ``answered_at`` is when the head of the
+    head of the answer, or events; a pause of this process counts as well, but
+    not for ``last_event_at``. ``answered_at`` is when the head of the
     answer arrived. ``asked_at`` is when its engine was last probed.
     ``first_due`` is the time by which its first event is expected.
     ``copy_to`` is the engine that gets a copy of the run's memory, where the
@@ -41,6 +42,7 @@
     entry: engines.EngineEntry
     began_at: float
     moved_at: float
+    last_event_at: float = float('-inf')
     answered_at: float = float('inf')
     asked_at: float = float('-inf')
     first_due: float = float('inf')
