Probes of a run go the run's way

Streams were cut at their deadline if the instance between had lost the engine: its lease was renewed, and probes were answered through a third instance, which was taken to show that the run is in reach.

A probe of a run through another instance goes through that one first, and an answer by any other way shows only that the engine works. A send that ends while it is written is no longer kept among the runs of its stream.

--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -44,6 +44,7 @@
         self.splitter: event_stream.EventSplitter | None = None
         self.body: list[bytes] = []
         self.body_bytes = 0
+        self.is_over = False
 
     def answer_started(self, response: h11.Response) -> None:
         """Check that the answer belongs to the send before it is used.
@@ -138,6 +139,7 @@
 
     def release(self) -> None:
         """Stop holding the answer, which has ended."""
+        self.is_over = True
         self.side.forget_send(self.send)
         self.side.memory.release(self)
 
@@ -199,7 +201,7 @@
                 is_leased=send.is_resumable,
             ),
         )
-        if not pending.is_finished:
+        if not (pending.is_finished or answer.is_over):
             self.pending_sends[key] = PendingSend(pending, answer)
             if send.is_resumable:
                 self.runs.setdefault(send.exchange, {})[send.send] = pending
@@ -212,7 +214,7 @@
         return self.dialect.write_send(send, self.pool.reactor.seconds())
 
     def update_leases(self, exchange: int) -> None:
-        """Hold the leases of runs that have another one beside them.
+        """Suspend the leases of runs that have another one beside them.
 
         Whichever of two runs is ended then ends at its engine in time, even if
         the instance between does not hear of it.
@@ -221,7 +223,7 @@
         for pending in runs.values():
             connection = pending.connection
             if connection is not None and connection.lease is not None:
-                connection.lease.set_held(len(runs) > 1)
+                connection.lease.set_suspended(len(runs) > 1)
 
     def report_statement(
         self,
@@ -245,20 +247,22 @@
         seconds: float,
         done: Callable[[timed_requests.Answer], None],
         fresh: bool = False,
+        via: str = '',
     ) -> None:
         """Send an engine a request of this instance, with a timeout.
 
-        ``done`` is called with the answer or its failure.
+        ``done`` is called with the answer or its failure. It goes through the
+        instance ``via``, if one is named and a connection there opens soon.
         """
         timed_request = timed_requests.TimedRequest(
             entry.life,
             entry.address,
             request,
             seconds,
-            fresh=fresh or self.opener.paths.is_silent(entry),
+            fresh=fresh or bool(via) or self.opener.paths.is_silent(entry),
             allows_for_own_pause=True,
             open_connection=lambda waiting: self.opener.open_for(
-                entry, None, waiting
+                entry, None, waiting, via=via
             ),
         )
 
@@ -271,7 +275,11 @@
         )
 
     def probe_engine(self, probe: relay_actions.ProbeEngine) -> None:
-        """Probe an engine; any answer of its own shows that it is alive."""
+        """Probe an engine; any answer of its own shows that it is alive.
+
+        The probe goes the run's way, if that opens.
+        """
+        run_via = self.via_of_send(probe.exchange, probe.send)
 
         def done(answer: timed_requests.Answer) -> None:
             is_replaced = is_misdirected(answer)
@@ -284,18 +292,23 @@
                     self.read_run_events(probe, answer),
                     is_replaced,
                     answer.via,
-                    self.via_of_send(probe.exchange, probe.send),
+                    answer.via if run_via is None else run_via,
                 )
             )
 
         request = self.dialect.write_probe(probe.engine)
-        self.query_engine(probe.engine, request, PROBE_SECONDS, done)
+        self.query_engine(
+            probe.engine, request, PROBE_SECONDS, done, via=run_via or ''
+        )
 
-    def via_of_send(self, exchange: int, send: int) -> str:
-        """Return the instance through which a send goes, empty if direct."""
+    def via_of_send(self, exchange: int, send: int) -> str | None:
+        """Return the instance through which a send goes, empty if direct.
+
+        None if its connection is not open yet.
+        """
         pending = self.pending_sends.get((exchange, send))
         if pending is None or pending.request.connection is None:
-            return ''
+            return None
         return pending.request.connection.via
 
     def read_run_events(
--- a/src/greengagelb/transport/relay/forwarding/connection_race.py
+++ b/src/greengagelb/transport/relay/forwarding/connection_race.py
@@ -64,13 +64,14 @@
         pending: http_client.PendingRequest,
         *,
         is_leased: bool = False,
+        via: str = '',
     ) -> None:
         """Open a connection for a request that waits for one.
 
-        ``is_leased`` is as in :class:`ConnectionRace`.
+        ``is_leased`` and ``via`` are as in :class:`ConnectionRace`.
         """
         race = ConnectionRace(
-            self, entry, request, pending, is_leased=is_leased
+            self, entry, request, pending, is_leased=is_leased, via=via
         )
         pending.connector = race
         race.start()
@@ -84,7 +85,8 @@
     have links that work. ``won_by`` is the one whose connection is used, empty
     for the direct one, and ``direct_failure`` what became of the direct
     attempt. ``is_leased`` tells that another instance is to close the
-    connection soon if it does not hear of this one.
+    connection soon if it does not hear of this one. ``via`` is the instance to
+    ask first, if any.
     """
 
     def __init__(
@@ -95,8 +97,10 @@
         pending: http_client.PendingRequest,
         *,
         is_leased: bool = False,
+        via: str = '',
     ) -> None:
         self.is_leased = is_leased
+        self.via = via
         self.opener = opener
         self.pool = opener.pool
         self.paths = opener.paths
@@ -129,7 +133,9 @@
             http_client.CONNECT_SECONDS, self.handle_end_timer
         )
         now = self.pool.reactor.seconds()
-        if not self.paths.is_lost(self.entry):
+        if self.via and self.ask_instance(self.via):
+            pass
+        elif not self.paths.is_lost(self.entry):
             self.connect_directly()
         else:
             if self.paths.claim_probe(self.entry, now):
@@ -187,8 +193,12 @@
             return False
         now = self.pool.reactor.seconds()
         via = self.paths.choose_forwarder(self.entry, self.asked, now)
-        host = self.opener.host_of(via) if via is not None else None
-        if via is None or host is None:
+        return via is not None and self.ask_instance(via)
+
+    def ask_instance(self, via: str) -> bool:
+        """Ask an instance to connect; return whether its host is known."""
+        host = self.opener.host_of(via)
+        if host is None:
             return False
         self.asked.add(via)
         attempt = forwarded_connection.ForwardedConnection(
