Leases outlast engines that do not read, and long requests

Found by a review. Renewals wait in order behind what is sent: while an engine took nothing more of a long prompt, or a long prompt was on its way, neither side heard the other and a run whose path works was ended. The lease is kept while the engine takes nothing, as it can't be at work, and bytes that arrive are answered like renewals. A lost path is no longer taken for heard as a run is renewed again after an overlap.

--- a/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
@@ -18,13 +18,17 @@
 from greengagelb.transport.relay.forwarding import handshake
 from greengagelb.transport.relay.forwarding import leases
 
+# A renewal is answered in this time if the path works.
+ANSWER_SECONDS = 0.1
+
 
 class Lease:
     """Renews the lease of an open connection, and hears the other instance.
 
     ``expired`` is called if nothing has come from there until ``heard_until``,
-    a monotonic time. A held lease is renewed no more until it is resumed, and
-    no answer is due then.
+    a monotonic time. A suspended lease is renewed no more from
+    ``suspended_at`` until it is resumed; only the answer to the last renewal
+    is due then.
     """
 
     def __init__(
@@ -36,7 +40,9 @@
         self.reactor = reactor
         self.transport = transport
         self.expired = expired
-        self.is_held = False
+        self.is_suspended = False
+        self.suspended_at = float('-inf')
+        self.answer_due_at = float('-inf')
         self.heard_until = 0.0
         self.note_heard()
         self.timer: interfaces.IDelayedCall | None = None
@@ -46,13 +52,23 @@
         """Note that the other instance was heard just now."""
         self.heard_until = self.reactor.seconds() + leases.LEASE_SECONDS
 
-    def set_held(self, is_held: bool) -> None:
+    def set_suspended(self, is_suspended: bool) -> None:
         """Stop renewing the lease after one more time, or go on with that."""
-        if is_held == self.is_held or self.timer is None:
+        if is_suspended == self.is_suspended or self.timer is None:
             return
-        self.is_held = is_held
+        self.is_suspended = is_suspended
         self.transport.write(leases.RENEWAL)
-        self.note_heard()
+        now = self.reactor.seconds()
+        if is_suspended:
+            self.suspended_at = now
+            self.answer_due_at = now + ANSWER_SECONDS
+        elif self.was_answered() or now < self.suspended_at + ANSWER_SECONDS:
+            self.note_heard()
+
+    def was_answered(self) -> bool:
+        """Return whether the renewal before a suspension was answered."""
+        heard_at = self.heard_until - leases.LEASE_SECONDS
+        return heard_at + leases.MIN_ANSWER_SECONDS >= self.suspended_at
 
     def renew(self) -> None:
         """Renew the lease, unless the other instance is silent too long."""
@@ -60,7 +76,7 @@
             late = reactors.lateness(self.reactor, self.timer)
             if late > timers.LATE_TIMER_SECONDS:
                 self.note_heard()
-        if not self.is_held:
+        if not self.is_suspended:
             if self.reactor.seconds() >= self.heard_until:
                 self.expired()
                 return
--- a/src/greengagelb/transport/relay/forwarding/forwarding_port.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarding_port.py
@@ -121,7 +121,10 @@
     """The connection of the instance that asks.
 
     With a lease bytes pass in ``frames``, and the connection to the engine
-    ends at ``lease_ends_at``, a monotonic time, unless it is renewed.
+    ends at ``lease_ends_at``, a monotonic time, unless it is renewed. While
+    the engine takes nothing more, nothing is read (``is_paused``), and the
+    lease is kept. ``next_answer_at`` is when bytes are next answered by a
+    renewal.
     """
 
     def __init__(self, port: 'ForwardingPort') -> None:
@@ -137,6 +140,8 @@
         self.timer: interfaces.IDelayedCall | None = None
         self.lease_ms = 0
         self.lease_ends_at = float('inf')
+        self.next_answer_at = float('-inf')
+        self.is_paused = False
         self.frames: leases.FrameReader | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -191,7 +196,7 @@
             return
         self.far = far
         self.transport.registerProducer(far.transport, True)
-        far.transport.registerProducer(self.transport, True)
+        far.transport.registerProducer(self, True)
         self.port.note_taken_over(self)
         headers = handshake.lease_headers(self.lease_ms)
         head = h11.Response(status_code=handshake.STATUS_OK, headers=headers)
@@ -210,8 +215,33 @@
         for part in self.frames.add_bytes(data):
             if part:
                 self.far.transport.write(part)
-            else:
-                self.transport.write(leases.RENEWAL)
+        self.answer_renewal()
+
+    def answer_renewal(self) -> None:
+        """Show the other instance that it is heard, now and then.
+
+        A renewal may wait behind a long request.
+        """
+        now = self.port.reactor.seconds()
+        if now >= self.next_answer_at:
+            self.next_answer_at = now + leases.MIN_ANSWER_SECONDS
+            self.transport.write(leases.RENEWAL)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Read nothing more while the engine takes nothing."""
+        self.is_paused = True
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read on."""
+        self.is_paused = False
+        if self.frames is not None:
+            self.renew_lease()
+        self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Read nothing more, as the engine's connection has ended."""
+        self.transport.stopProducing()
 
     def write(self, data: bytes) -> None:
         """Pass bytes of the engine on to the other instance."""
@@ -225,9 +255,14 @@
 
     def check_lease(self) -> None:
         """Close the connection to the engine once the lease has expired."""
+        if self.is_paused:
+            self.renew_lease()
+            self.answer_renewal()
         wait = self.lease_ends_at - self.port.reactor.seconds()
         if wait > 0:
-            self.timer = self.port.reactor.callLater(wait, self.check_lease)
+            self.timer = self.port.reactor.callLater(
+                min(wait, leases.RENEWAL_SECONDS), self.check_lease
+            )
             return
         self.timer = None
         self.transport.write(leases.EXPIRY)
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -83,10 +83,10 @@
         )
 
 
-class Lease(Protocol):
+class ConnectionLease(Protocol):
     """The lease of a connection through another instance."""
 
-    def set_held(self, is_held: bool) -> None:
+    def set_suspended(self, is_suspended: bool) -> None:
         """Stop renewing the lease after one more time, or go on with that."""
 
 
@@ -114,7 +114,7 @@
         self.key = key
         self.opened = opened
         self.via = via
-        self.lease: Lease | None = None
+        self.lease: ConnectionLease | None = None
         self.is_path_lost = False
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
