--- a/tests/common/overlapping_runs.py
+++ b/tests/common/overlapping_runs.py
@@ -140,7 +140,14 @@
         self.harms.append(Harm(frozenset((first, second)), now, now + seconds))
         self.network.cut(first, second, mode)
         if seconds < float('inf'):
-            self.network.call_later(seconds, self.network.heal, first, second)
+            self.network.call_later(seconds, self.heal_path, first, second)
+
+    def heal_path(self, first, second):
+        """Heal a path unless it has been cut for longer since."""
+        hosts = frozenset((first, second))
+        until = max(h.ended_at for h in self.harms if h.hosts == hosts)
+        if self.network.now >= until:
+            self.network.heal(first, second)
 
     def lose_direct_paths(self):
         """Have instance 0 reach the streams' engines through others only."""
