Tests: the path of a replacement is lost (red)

Two engines work on one stream for longer than 0.4 s if the path of the second run, a direct one, is lost right after its start and the engine of the first writes again meanwhile: the first run goes on, the reset to the second does not arrive, and its engine works on after the path is back. The engine of the first run is in reach all the while.

--- a/tests/relay/test_overlapping_runs.py
+++ b/tests/relay/test_overlapping_runs.py
@@ -102,6 +102,23 @@
     assert_whole(asked)
 
 
+@pytest.mark.parametrize('way', WAYS)
+@pytest.mark.parametrize('seconds', [0.3, 1.0])
+def test_one_run_while_the_path_of_a_replacement_is_lost(way, seconds):
+    """Guards against a replacement that works on as its end is lost.
+
+    The engine of the first run is in reach and writes again meanwhile.
+    """
+    fleet, asked, runs = streams_under_way(way, 2)
+    pause(fleet, runs[0], 0.55, 0.0)
+    while len(fleet.runs_of(asked[0])) < 2:
+        fleet.network.advance(0.01)
+    lose_path(fleet, fleet.runs_of(asked[0])[1], Cut.SILENT, seconds)
+    fleet.network.advance(20.0)
+    assert_no_overlap(fleet, asked)
+    assert_whole(asked)
+
+
 def test_lost_path_to_another_instance_is_not_blamed_on_engines():
     """Guards against engines that all avoid for a path between instances."""
     fleet, asked, runs = streams_under_way('through-another', 1)
