The overlap of two attempts of a stream is bounded from its start

On the product's own interface two engines worked on a stream until one of them gave a token: a spare beside a silent attempt was ended only for its own silence (2 s), and kept if no other engine was free. Nothing ended the first one, which may be at work behind a lost connection or after a short pause. Cause: only a token put an end to it.

Now one of the two is ended 0.3 s after the start of the second, whatever is known of their engines; the sockets are read once more before. The spare goes on if its engine has answered it, which engines do before they read the prompt. The first goes on if the spare was not answered, as both may make the same pause and it has come further, or if its engine has answered the attach and is within its usual gap. Spares without an answer are followed by others after 2 s, doubled up to 16 s, so that a pause of all engines does not use up the account's resumes, and are not counted as silences, so that a stream whose first engine is lost is not left waiting for it.

--- a/src/greengagelb/coordination/streams/attempts.py
+++ b/src/greengagelb/coordination/streams/attempts.py
@@ -70,7 +70,7 @@
             )
         self.add_attempt(stream, attempt)
         self.directory.limits.spend_permit(attempt.upstream.name, now)
-        return [
+        planned: list[actions.Action] = [
             started_event,
             actions.StartAttempt(
                 attempt.attempt_id,
@@ -86,6 +86,9 @@
             ),
             self.stall_detector.reset_stall_timer(stream, attempt, now),
         ]
+        if spare:
+            planned.append(self.stall_detector.bound_overlap(stream, now))
+        return planned
 
     def attach_attempt(
         self,
@@ -183,6 +186,7 @@
             return []
         return [
             clear_timer(stalls.SPARE_TIMER, stream),
+            clear_timer(stalls.OVERLAP_TIMER, stream),
             *self.cancel_attempt(stream, stream.spare),
         ]
 
@@ -195,6 +199,7 @@
             return []
         return [
             clear_timer(stalls.SPARE_TIMER, stream),
+            clear_timer(stalls.OVERLAP_TIMER, stream),
             record(stream, stream.attempt, 'spare-promoted', 'in its place'),
             self.stall_detector.reset_stall_timer(stream, stream.attempt, now),
         ]
--- a/src/greengagelb/coordination/streams/endings.py
+++ b/src/greengagelb/coordination/streams/endings.py
@@ -13,6 +13,7 @@
 STREAM_TIMERS = (
     stalls.STALL_TIMER,
     stalls.SPARE_TIMER,
+    stalls.OVERLAP_TIMER,
     RECOVERY_TIMER,
     DEADLINE_TIMER,
 )
--- a/src/greengagelb/coordination/streams/recovery.py
+++ b/src/greengagelb/coordination/streams/recovery.py
@@ -104,6 +104,8 @@
         """
         if stream.is_complete or stream.would_run_twice:
             return None
+        if now < stream.next_spare_at:
+            return None
         if self.exceeds_engine_deaths(stream, stream.silences):
             return None
         if self.guard.must_not_run(stream.request, now):
--- a/src/greengagelb/coordination/streams/silent_attempts.py
+++ b/src/greengagelb/coordination/streams/silent_attempts.py
@@ -2,8 +2,10 @@
 
 An engine, the network, or several engines at once may stand still and go on. A
 silent attempt is asked for over a new connection, then another one is started
-beside it, and the first to give the next token goes on. Where no other may be
-started, the silent one is kept until the deadline of its request.
+beside it, and the first to give the next token goes on. Both are open for a
+bounded time, whatever is known of their engines; then one of them is ended.
+Where no other may be started, the silent one is kept until the deadline of its
+request.
 """
 
 from greengagelb.coordination import actions
@@ -15,6 +17,11 @@
 
 # The connection to a silent attempt may itself have been lost in silence.
 SILENT_ATTACH_INTERVAL_SECONDS = 3.0
+# The time from a spare that was not answered to the next one, doubled with
+# each of them: it can be long until any engine answers, and each spare takes
+# one of the account's resumes.
+VAIN_SPARE_SECONDS = 2.0
+MAX_VAIN_SPARE_SECONDS = 16.0
 
 
 class SilentAttempts:
@@ -114,6 +121,44 @@
         stream.excluded.clear()
         return self.stream_recovery.start_second_attempt(stream, now)
 
+    def handle_overlap_timer(
+        self, stream: stream_state.Stream, now: float
+    ) -> list[actions.Action]:
+        """End one of two attempts that have overlapped for too long."""
+        first, spare = stream.attempt, stream.spare
+        if first is None or spare is None:
+            return []
+        timer = self.stall_detector.check_overlap(stream, now)
+        if timer is not None:
+            return [timer]
+        if is_first_kept(first, spare):
+            return self.end_spare(stream, spare, now)
+        planned: list[actions.Action] = []
+        if not first.silent:
+            planned = self.note_silence(stream, first, now, 'no progress')
+        return planned + self.stream_recovery.replace_attempt(
+            stream, first, now, 'the engine of another attempt answers'
+        )
+
+    def end_spare(
+        self,
+        stream: stream_state.Stream,
+        spare: attempt_state.Attempt,
+        now: float,
+    ) -> list[actions.Action]:
+        """End a spare; if it was not answered, wait before the next one."""
+        reason = 'the engine of the first attempt answers'
+        if not spare.answered:
+            reason = 'no answer'
+            self.directory.mark_suspected(spare.upstream.name, now)
+            seconds = VAIN_SPARE_SECONDS * 2.0**stream.vain_spares
+            stream.next_spare_at = now + min(seconds, MAX_VAIN_SPARE_SECONDS)
+            stream.vain_spares += 1
+        return [
+            attempts.record(stream, spare, 'attempt-replaced', reason),
+            *self.attempt_table.cancel_spare(stream),
+        ]
+
     def replace_spare(
         self,
         stream: stream_state.Stream,
@@ -130,3 +175,18 @@
             *self.attempt_table.cancel_attempt(stream, spare),
             *self.attempt_table.start_attempt(stream, view, now, spare=True),
         ]
+
+
+def is_first_kept(
+    first: attempt_state.Attempt, spare: attempt_state.Attempt
+) -> bool:
+    """Return whether the first of two attempts without tokens goes on.
+
+    Engines answer an attempt at once, before they read its prompt. If neither
+    has answered, both may make the same pause, and the first attempt has come
+    further. An engine that still has the first attempt keeps it for as long
+    as it usually takes to the next token.
+    """
+    if not spare.answered:
+        return True
+    return first.suspected and first.answered and not first.silent
--- a/src/greengagelb/coordination/streams/stalls.py
+++ b/src/greengagelb/coordination/streams/stalls.py
@@ -18,6 +18,10 @@
 MAX_LATE_TIMERS = 3
 STALL_TIMER = 'stall'
 SPARE_TIMER = 'spare'
+OVERLAP_TIMER = 'overlap'
+# Two engines may work on a stream for 0.4 s; the rest is for the cancellation
+# to arrive.
+MAX_OVERLAP_SECONDS = 0.3
 
 
 class StallDetector:
@@ -101,6 +105,33 @@
         name = timers.timer_name(kind, stream.request.exchange)
         return actions.SetTimer(name, attempt.stall_deadline)
 
+    def bound_overlap(
+        self, stream: stream_state.Stream, now: float
+    ) -> actions.SetTimer:
+        """Bound the time with two attempts, from the start of the second."""
+        stream.overlap_until = now + MAX_OVERLAP_SECONDS
+        stream.overlap_read = False
+        return self.overlap_timer(stream)
+
+    def overlap_timer(self, stream: stream_state.Stream) -> actions.SetTimer:
+        """Return the timer at which one of two attempts is ended."""
+        name = timers.timer_name(OVERLAP_TIMER, stream.request.exchange)
+        return actions.SetTimer(name, stream.overlap_until)
+
+    def check_overlap(
+        self, stream: stream_state.Stream, now: float
+    ) -> actions.SetTimer | None:
+        """Return None if two attempts overlap for too long, else a timer.
+
+        As with stalls, the sockets are read once more before.
+        """
+        if now >= stream.overlap_until and stream.overlap_read:
+            return None
+        if now >= stream.overlap_until:
+            stream.overlap_read = True
+            stream.overlap_until = now
+        return self.overlap_timer(stream)
+
     def check_stall(
         self,
         stream: stream_state.Stream,
--- a/src/greengagelb/coordination/streams/supervisor.py
+++ b/src/greengagelb/coordination/streams/supervisor.py
@@ -423,6 +423,8 @@
                 return self.handle_stall_timer(stream, stream.attempt, now)
             case stalls.SPARE_TIMER:
                 return self.handle_stall_timer(stream, stream.spare, now)
+            case stalls.OVERLAP_TIMER:
+                return self.silent_attempts.handle_overlap_timer(stream, now)
             case endings.RECOVERY_TIMER if stream.attempt is None:
                 return self.stream_recovery.retry_all_engines(stream, now)
             case endings.DEADLINE_TIMER:
--- a/src/greengagelb/state/streams.py
+++ b/src/greengagelb/state/streams.py
@@ -45,6 +45,10 @@
     ``pool`` does not follow configuration changes: its model, version and
     adapter are those of every token in ``tokens``. ``spare`` runs beside a
     suspected attempt; the one that delivers the next token first is kept.
+    One of the two is ended at ``overlap_until`` if none has; ``overlap_read``
+    is as ``confirming`` of an attempt. ``vain_spares`` counts spares that were
+    ended unanswered since the last token; the next one starts no earlier than
+    ``next_spare_at``.
     ``silences`` counts attempts that were silent and did not go on so far; no
     second attempt starts once they and the deaths exceed the allowed deaths.
     ``recover_by`` is the monotonic time by which output has to continue,
@@ -66,6 +70,10 @@
     spare: attempts.Attempt | None = None
     engine_deaths: int = 0
     silences: int = 0
+    overlap_until: float = float('inf')
+    overlap_read: bool = False
+    vain_spares: int = 0
+    next_spare_at: float = float('-inf')
     excluded: set[str] = dataclasses.field(default_factory=set)
     recover_by: float | None = None
     may_have_run: bool = False
@@ -113,6 +121,8 @@
             )
         self.tokens.extend(tokens)
         self.chain = extend_chain(self.chain, tokens)
+        self.vain_spares = 0
+        self.next_spare_at = float('-inf')
 
     def restart_generation(self, pool: configuration.Pool) -> None:
         """Begin a new generation and discard the tokens of the old one."""
--- a/tests/streams/test_silent_attempts.py
+++ b/tests/streams/test_silent_attempts.py
@@ -84,8 +84,10 @@
     world, callers = start_streams(['draft'])
     silent = world.engine_of(callers[0])
     silent.pause()
-    world.pass_time(1.5)
     stream = world.stream_of(callers[0])
+    started_by = world.now + 1.5
+    while stream.spare is None and world.now < started_by:
+        world.pass_time(0.01)
     assert world.engine_of(callers[0]) is silent
     assert stream.spare is not None
     world.serve(1)
