A cancellation does not wait for the end of a lost one

An engine went on with a stream that another one had taken over for 1.5 s or more if the connection of the one cancellation was lost. Cause: the next one was sent 0.5 s after the first had failed, and it failed only after 1 s without an answer.

Now a cancellation is sent on a further connection 0.05 s and 0.15 s after the first, unless it was answered. The result is reported once. A refusal counts as a failure only if no other one can still be answered.

Before: 3 of the 4 new tests in tests/transport/test_engine_control.py failed (test_answered_cancellation_is_not_repeated guards the change itself); all pass now. A path that is lost for longer is not mended: the retries after a failure are 0.5 to 8 s apart.

--- a/src/greengagelb/transport/engine_client.py
+++ b/src/greengagelb/transport/engine_client.py
@@ -20,6 +20,7 @@
 from greengagelb.transport import answer_memory
 from greengagelb.transport import answer_statements
 from greengagelb.transport import http
+from greengagelb.transport import repeated_requests
 
 CONTROL_TIMEOUT_SECONDS = 1.0
 RELAY_INTERVAL_SECONDS = 0.01
@@ -375,15 +376,23 @@
             attempt=attempt.attempt,
         )
         url = url_of(action.upstream, '/v1/cancel')
-        answer = self.read_control_answer(
-            self.treq.post(url, data=codec.encode(order)),
-            engine_api.CancelAnswer,
-            self.statement_reporter(action.upstream, attempt.request),
-        )
-        answer.addCallbacks(
-            lambda _: self.dispatch(events.AttemptCancelled(attempt)),
-            lambda _: self.dispatch(events.CancelFailed(attempt)),
-        )
+
+        def send() -> defer.Deferred:
+            return self.read_control_answer(
+                self.treq.post(url, data=codec.encode(order)),
+                engine_api.CancelAnswer,
+                self.statement_reporter(action.upstream, attempt.request),
+            )
+
+        def report(is_answered: bool) -> None:
+            kind = events.CancelFailed
+            if is_answered:
+                kind = events.AttemptCancelled
+            self.dispatch(kind(attempt))
+
+        repeated_requests.RepeatedRequest(
+            self.reactor, send, report
+        ).send_next()
 
     def probe_upstream(self, action: actions.ProbeUpstream) -> None:
         """Request the report of an upstream."""
--- a/tests/transport/test_engine_control.py
+++ b/tests/transport/test_engine_control.py
@@ -90,3 +90,64 @@
     network.accept().answer(sse.encode_event(codec.encode(ended), 'ended'))
     assert found[-1] == events.AttemptEnded(ATTEMPT, 0, 'length')
     assert client.open_streams == {}
+
+
+def test_cancellation_is_repeated_without_an_answer_to_the_first():
+    """The connection of a cancellation is lost: nobody answers on it.
+
+    The engine would work on a stream that goes on elsewhere until the wait
+    for the answer is over.
+    """
+    network = wires.Network()
+    client, found = create_client(network)
+    client.cancel_attempt(actions.CancelAttempt(ATTEMPT, UPSTREAM))
+    network.reactor.advance(0.1)
+    assert network.connections == 2
+    wire = network.accept()
+    assert b'/v1/cancel' in wire.sent
+    wire.answer(codec.encode(engine_api.CancelAnswer(True)))
+    assert found == [events.AttemptCancelled(ATTEMPT)]
+    network.reactor.advance(5.0)
+    assert found == [events.AttemptCancelled(ATTEMPT)]
+    assert network.connections == 2
+
+
+def test_answered_cancellation_is_not_repeated():
+    """An engine confirms a cancellation, and would get it once more."""
+    network = wires.Network()
+    client, found = create_client(network)
+    client.cancel_attempt(actions.CancelAttempt(ATTEMPT, UPSTREAM))
+    network.accept().answer(codec.encode(engine_api.CancelAnswer(True)))
+    network.reactor.advance(5.0)
+    assert network.connections == 1
+    assert found == [events.AttemptCancelled(ATTEMPT)]
+
+
+def test_unanswered_cancellation_is_reported_as_failed_once():
+    """No connection of a cancellation is answered.
+
+    Each further report would start a series of retries of its own.
+    """
+    network = wires.Network()
+    client, found = create_client(network)
+    client.cancel_attempt(actions.CancelAttempt(ATTEMPT, UPSTREAM))
+    for _ in range(50):
+        network.reactor.advance(0.1)
+    assert found == [events.CancelFailed(ATTEMPT)]
+    assert network.connections == 3
+
+
+def test_refusal_of_a_repeated_cancellation_waits_for_the_others():
+    """A cancellation is refused while another one of it is on its way.
+
+    Its confirmation would come after the report of the failure.
+    """
+    network = wires.Network()
+    client, found = create_client(network)
+    client.cancel_attempt(actions.CancelAttempt(ATTEMPT, UPSTREAM))
+    first = network.accept()
+    network.reactor.advance(0.1)
+    network.accept().answer(b'no', status='500 Internal Server Error')
+    assert found == []
+    first.answer(codec.encode(engine_api.CancelAnswer(True)))
+    assert found == [events.AttemptCancelled(ATTEMPT)]
