--- a/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
@@ -62,7 +62,7 @@
         if is_suspended:
             self.suspended_at = now
             self.answer_due_at = now + ANSWER_SECONDS
-        elif self.was_answered() or now < self.suspended_at + ANSWER_SECONDS:
+        elif self.was_answered() or now < self.answer_due_at:
             self.note_heard()
 
     def was_answered(self) -> bool:
--- a/tests/relay/test_leases.py
+++ b/tests/relay/test_leases.py
@@ -210,8 +210,8 @@
     """Guards against a replaced run that is held for longer than agreed."""
     near = NearWorld()
     near.wire.clear()
-    near.connection.lease.set_held(True)
-    near.connection.lease.set_held(True)
+    near.connection.lease.set_suspended(True)
+    near.connection.lease.set_suspended(True)
     assert near.wire.value() == leases.RENEWAL
     assert near.advance(2.0) == 0
     assert near.receiver.broken is None
@@ -220,10 +220,10 @@
 def test_resumed_lease_is_renewed_at_once_and_an_answer_is_due():
     """Guards against a run that has won and ends with its lease."""
     near = NearWorld()
-    near.connection.lease.set_held(True)
+    near.connection.lease.set_suspended(True)
     near.advance(leases.LEASE_SECONDS - 2 * STEP_SECONDS)
     near.wire.clear()
-    near.connection.lease.set_held(False)
+    near.connection.lease.set_suspended(False)
     assert near.wire.value() == leases.RENEWAL
     assert near.advance(1.0, is_heard=True) >= 1.0 / leases.LEASE_SECONDS
     assert near.receiver.broken is None
@@ -231,11 +231,11 @@
     assert near.connection.is_path_lost
 
 
-@pytest.mark.parametrize('is_held', [False, True])
-def test_expiry_is_handled_as_a_lost_path(is_held):
+@pytest.mark.parametrize('is_suspended', [False, True])
+def test_expiry_is_handled_as_a_lost_path(is_suspended):
     """Guards against engines blamed for a path between instances."""
     near = NearWorld()
-    near.connection.lease.set_held(is_held)
+    near.connection.lease.set_suspended(is_suspended)
     head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
     near.hear(leases.write_frame(head + b'3\r\nabc\r\n') + leases.EXPIRY)
     assert near.receiver.body == b'abc'
@@ -362,7 +362,7 @@
     assert far.wire.value() == 5 * leases.RENEWAL
 
 
-def test_engine_connection_is_held_while_it_is_renewed():
+def test_engine_connection_is_suspended_while_it_is_renewed():
     """Guards against runs that end though they are renewed."""
     far = FarWorld().connect()
     for _ in range(40):
--- a/tests/streams/test_overlapping_attempts.py
+++ b/tests/streams/test_overlapping_attempts.py
@@ -164,3 +164,19 @@
     assert world.stream_of(caller).spare is spare
     world.deliver_all()
     assert world.stream_of(caller).attempt is spare
+
+
+def test_engine_that_is_reached_again_stops_at_once():
+    """The path to an engine is lost while its stream goes on elsewhere.
+
+    It comes back between two retries of the cancellation, and both engines
+    work on the stream until the next one.
+    """
+    world, caller, engine = start_stream('draft')
+    [run] = engine.runs.values()
+    engine.cut_off()
+    world.pass_time(6.0)
+    assert world.engine_of(caller) is not engine
+    engine.reach_again()
+    world.pass_time(MAX_OVERLAP_SECONDS)
+    assert run.ended == 'cancelled'
