--- a/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarded_connection.py
@@ -68,7 +68,7 @@
     def was_answered(self) -> bool:
         """Return whether the renewal before a suspension was answered."""
         heard_at = self.heard_until - leases.LEASE_SECONDS
-        return heard_at + leases.MIN_ANSWER_SECONDS >= self.suspended_at
+        return heard_at >= self.suspended_at
 
     def renew(self) -> None:
         """Renew the lease, unless the other instance is silent too long."""
--- a/src/greengagelb/transport/relay/forwarding/forwarding_port.py
+++ b/src/greengagelb/transport/relay/forwarding/forwarding_port.py
@@ -215,17 +215,20 @@
         for part in self.frames.add_bytes(data):
             if part:
                 self.far.transport.write(part)
-        self.answer_renewal()
+            else:
+                self.answer_renewal()
+        self.answer_bytes()
 
     def answer_renewal(self) -> None:
-        """Show the other instance that it is heard, now and then.
-
-        A renewal may wait behind a long request.
-        """
+        """Show the other instance that it is heard."""
         now = self.port.reactor.seconds()
-        if now >= self.next_answer_at:
-            self.next_answer_at = now + leases.MIN_ANSWER_SECONDS
-            self.transport.write(leases.RENEWAL)
+        self.next_answer_at = now + leases.RENEWAL_SECONDS
+        self.transport.write(leases.RENEWAL)
+
+    def answer_bytes(self) -> None:
+        """Answer bytes now and then: a renewal may wait behind them."""
+        if self.port.reactor.seconds() >= self.next_answer_at:
+            self.answer_renewal()
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Read nothing more while the engine takes nothing."""
@@ -257,7 +260,7 @@
         """Close the connection to the engine once the lease has expired."""
         if self.is_paused:
             self.renew_lease()
-            self.answer_renewal()
+            self.answer_bytes()
         wait = self.lease_ends_at - self.port.reactor.seconds()
         if wait > 0:
             self.timer = self.port.reactor.callLater(
--- a/src/greengagelb/transport/relay/forwarding/leases.py
+++ b/src/greengagelb/transport/relay/forwarding/leases.py
@@ -18,8 +18,6 @@
 # 0.4 s for which two engines may work on one stream.
 LEASE_SECONDS = 0.36
 RENEWAL_SECONDS = 0.1
-# Renewals are answered no more often than this.
-MIN_ANSWER_SECONDS = 0.05
 FRAME_HEAD = struct.Struct('!I')
 RENEWAL = FRAME_HEAD.pack(0)
 # In place of a length: the lease has expired, and the connection ends.
--- a/tests/relay/test_leases.py
+++ b/tests/relay/test_leases.py
@@ -362,7 +362,7 @@
     assert far.wire.value() == 5 * leases.RENEWAL
 
 
-def test_engine_connection_is_suspended_while_it_is_renewed():
+def test_engine_connection_is_held_while_it_is_renewed():
     """Guards against runs that end though they are renewed."""
     far = FarWorld().connect()
     for _ in range(40):
