The soak asks reach of the instance that sent a run, and harms checks and paths

Cause: the overlap of two runs was excused by harm to any link, and reach was asked of the instance that the caller asked. An engine that is silent or answers no status check counted as out of reach.

--- a/tests/soak/cut_process.py
+++ b/tests/soak/cut_process.py
@@ -21,6 +21,7 @@
     """Loses some of the messages to other instances, and delays the others."""
 
     def __init__(self, control: pathlib.Path) -> None:
+        self.control = control
         state = json.loads(control.read_text('utf-8'))
         self.loss = state['message_loss']
         self.delay = state['message_delay']
@@ -33,7 +34,9 @@
         send = opened.write
 
         def write(raw: bytes, address: tuple[str, int]) -> None:
-            if self.rng.random() < self.loss:
+            state = json.loads(self.control.read_text('utf-8'))
+            is_lost = self.rng.random() < self.loss
+            if is_lost or address[0] in state['lost_paths']:
                 return
             if not self.delay:
                 send(raw, address)
@@ -63,6 +66,7 @@
     ) -> object:
         """Open a connection, unless it goes to an engine that is cut off."""
         state = json.loads(self.control.read_text('utf-8'))
+        port = state['paths'].get(host, port)
         if host in state['engines']:
             bindAddress = (self.host, 0)  # noqa: N806
             if state['mode'] == 'refused':
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -39,6 +39,9 @@
 STATUSES_OF_THOSE_RUN_ONCE = (500, 504, 429, 503)
 STATUSES_OF_RESUMED_STREAMS = (500, 504, 400)
 RUN_ONCE_ROUTES = ('call', 'letter')
+STATUS_PATHS = (b'/health', b'/api/report')
+# How late an engine with late checks answers one, in seconds.
+LATE_CHECK_SECONDS = (0.1, 1.0)
 
 
 class CrashMoment(enum.Enum):
@@ -55,7 +58,8 @@
     """What an engine saw of one request that it began to work on.
 
     It is ``broken_off`` if its engine ended, and ``torn`` if only its answer
-    was cut there.
+    was cut there. ``sender`` is the host of the instance that holds the
+    connection to the engine.
     """
 
     request_id: str
@@ -67,6 +71,7 @@
     torn: bool = False
     events: int = 0
     crash_moment: CrashMoment | None = None
+    sender: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -164,6 +169,8 @@
         self.frozen_until = 0.0
         self.full_until = 0.0
         self.failing_until = 0.0
+        self.checks_late_until = 0.0
+        self.checks_lost_until = 0.0
         self.heartbeats = itertools.count(1)
         site = server.Site(self)
         inner = pool.reactor.listenTCP(0, site, interface=host)
@@ -195,6 +202,8 @@
         self.frozen_until = 0.0
         self.full_until = 0.0
         self.failing_until = 0.0
+        self.checks_late_until = 0.0
+        self.checks_lost_until = 0.0
         kept = self.pool.copies
         kept -= {copy for copy in kept if copy[0] == self.address}
 
@@ -293,20 +302,30 @@
                 '' if is_meant else self.place,
             )
             self.pool.received.append(received)
-        if self.frozen_until <= now:
+        seconds = self.frozen_until - now
+        if request.path in STATUS_PATHS:
+            seconds = max(seconds, self.check_delay(now))
+        if seconds <= 0.0:
             return self.answer(request, head)
         gone = []
         request.notifyFinish().addErrback(gone.append)
-        seconds = self.frozen_until - now
-        task.deferLater(
-            self.pool.reactor, seconds, self.answer_late, request, head, gone
-        )
+        if seconds < float('inf'):
+            later = (self.answer_late, request, head, gone)
+            task.deferLater(self.pool.reactor, seconds, *later)
         return server.NOT_DONE_YET
 
+    def check_delay(self, now: float) -> float:
+        """Return after how many seconds a status check is answered."""
+        if self.checks_lost_until > now:
+            return float('inf')
+        if self.checks_late_until > now:
+            return self.rng.uniform(*LATE_CHECK_SECONDS)
+        return 0.0
+
     def answer_late(
         self, request: server.Request, head: 'Head', gone: list[object]
     ) -> None:
-        """Answer a request that came while the engine was frozen."""
+        """Answer a request that had to wait, as its engine was frozen."""
         if gone:
             return
         answer = self.answer(request, head)
@@ -318,7 +337,7 @@
         """Answer a request, or begin to."""
         if head.expected not in ('', self.identity):
             return self.not_run(request, 421)
-        if request.path in (b'/health', b'/api/report'):
+        if request.path in STATUS_PATHS:
             request.setHeader('Instance-Id', self.identity)
             return self.report()
         if not head.request_id:
@@ -343,6 +362,8 @@
         ):
             return self.not_run(request, 503)
         run = Run(head.request_id, self.identity, self.pool.reactor.seconds())
+        port = request.getClientAddress().port
+        run.sender = self.link.sources.get(port, '')
         self.pool.runs.append(run)
         self.running.append(run)
         request.notifyFinish().addBoth(lambda _: self.ended(run))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -38,6 +38,14 @@
 # The same before crashes by a part came at any moment of a run, and the store
 # had an odd row.
 FIRST_SEED_WITH_CRASH_MOMENTS = 8_000
+# The same before status checks could be answered late or never, and paths
+# between instances could be lost.
+FIRST_SEED_WITH_LATE_CHECKS = 9_000
+# From shortly before a pause that they lie beside.
+LATE_CHECKS_BEFORE_SECONDS = 0.5
+# For so long the links of an instance are cut as paths are lost.
+LINKS_BESIDE_PATHS_SECONDS = 13.0
+PATH_SECONDS = (0.3, 3.0)
 # As often, and for so long. The share of a data centre's engines that end.
 LOST_PLACE_EVERY_SECONDS = (5.0, 7.0)
 LOST_PLACE_SECONDS = 1.2
@@ -94,6 +102,9 @@
     FAILING_ENGINES = 'failing-engines'
     ENDLESS_ENGINES = 'endless-engines'
     LOST_PLACE = 'lost-place'
+    LATE_CHECKS = 'late-checks'
+    LOST_CHECKS = 'lost-checks'
+    LOST_PATH = 'lost-path'
 
 
 # Those that harm an instance, or what it knows.
@@ -148,7 +159,10 @@
 # Engines write nothing for some time, lose nothing and go on by themselves.
 # Frozen ones answer no status checks either.
 PAUSES = frozenset({What.PAUSED_ENGINES, What.FROZEN_ENGINES})
+# Engines work, and answer status checks late or never.
+OF_CHECKS = (What.LATE_CHECKS, What.LOST_CHECKS)
 OF_MANY_ENGINES = PAUSES | {
+    *OF_CHECKS,
     What.FULL_ENGINES,
     What.FAILING_ENGINES,
     What.ENDLESS_ENGINES,
@@ -177,6 +191,7 @@
     What.CROWDED_INSTANCE,
     *OF_MANY_ENGINES,
     What.LOST_PLACE,
+    What.LOST_PATH,
 )
 DRAWN = tuple(what for what in What if what not in DRAWN_APART)
 
@@ -197,6 +212,8 @@
     In every other run with lost links or crashing parts little else happens,
     as a harmed store or instance may be the cause of a failed request.
     """
+    if seed >= FIRST_SEED_WITH_LATE_CHECKS:
+        return plan_late_checks(seed)
     if seed >= FIRST_SEED_WITH_CRASH_MOMENTS:
         return plan_crash_moments(seed)
     if seed >= FIRST_SEED_WITH_LOST_PLACES:
@@ -321,6 +338,38 @@
     return [*crashes, *plan_lost_places(seed)] if seed % 2 else crashes
 
 
+def plan_late_checks(seed: int) -> list[Fault]:
+    """Return pauses, and when the same engines answer checks late or never.
+
+    With odd seeds an instance has lost its links to the engines meanwhile, and
+    its paths to the other instances are lost one at a time.
+    """
+    rng = random.Random(f'late checks of {seed}')
+    pauses = plan_pauses(seed)
+    found = [
+        *pauses,
+        *(
+            Fault(
+                rng.choice(OF_CHECKS),
+                pause.at - rng.uniform(0.0, LATE_CHECKS_BEFORE_SECONDS),
+                pause.seconds + rng.uniform(0.0, 1.0),
+                pause.target,
+            )
+            for pause in pauses
+        ),
+    ]
+    if seed % 2:
+        what = rng.choice(sorted(OF_LINKS, key=lambda what: what.value))
+        target = rng.randrange(1_000)
+        found.append(Fault(what, 0.0, LINKS_BESIDE_PATHS_SECONDS, target))
+        at = rng.uniform(1.0, 2.0)
+        while at < FAULT_SECONDS:
+            seconds = rng.uniform(*PATH_SECONDS)
+            found.append(Fault(What.LOST_PATH, at, seconds, target))
+            at += seconds + rng.uniform(0.2, 1.5)
+    return sorted(found, key=lambda fault: fault.at)
+
+
 def plan_crowds(seed: int) -> list[Fault]:
     """Return when most new connections go to one instance, then to another.
 
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -52,7 +52,7 @@
 
     ``stop_asked_at`` is when its process was asked to stop, or None.
     ``paused`` tells that it is suspended, and ``cuts`` is how often it was cut
-    off from the engines.
+    off from the engines; ``cut_mode`` tells how it is now.
     """
 
     def __init__(
@@ -96,6 +96,7 @@
         self.stop_asked_at: float | None = None
         self.paused = False
         self.cuts = 0
+        self.cut_mode = ''
         self.ready = False
         self.peak_megabytes = 0.0
         self.unexpected_ends: list[str] = []
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -293,6 +293,9 @@
             runs = sorted(
                 self.runs[found.request_id], key=lambda run: run.began_at
             )
+            if self.world.has_late_checks:
+                yield from self.overlaps_in_reach(runs)
+                continue
             for run, later in itertools.pairwise(runs):
                 begin = later.began_at
                 ended_at = min(
@@ -307,6 +310,45 @@
                     detail = f'{found.request_id}: {overlap:.2f} s'
                     yield Broken('one run of a stream', detail)
 
+    def overlaps_in_reach(self, runs: list[engines.Run]) -> Iterator[Broken]:
+        """Find runs of a stream that their sender should have ended.
+
+        An engine that is silent, or answers no status check, is in reach.
+        """
+        now = self.world.reactor.seconds()
+        names = {each.host: each.name for each in self.world.instances}
+        for run, later in itertools.combinations(runs, 2):
+            begin = later.began_at
+            end = min(run.ended_at or now, later.ended_at or now)
+            if end - begin <= OVERLAP_SECONDS:
+                continue
+            detail = f'{run.request_id}: {end - begin:.2f} s'
+            sender = names.get(run.sender)
+            if sender is None or not run.engine:
+                detail += f', not known: {run.sender=}, {run.engine=}'
+                yield Broken('one run of a stream', detail)
+            elif self.sender_reached(sender, run.engine, begin, end):
+                detail += f' at {run.engine}, sent by {sender}'
+                yield Broken('one run of a stream', detail)
+
+    def sender_reached(
+        self, sender: str, engine: str, begin: float, end: float
+    ) -> bool:
+        """Return whether nothing harmed both ends of a run, or its link."""
+        of_sender = faults.OF_INSTANCES | faults.OF_LINKS
+        return not any(
+            moment.at < end
+            and begin - TOUCH_SECONDS < moment.until
+            and (
+                (moment.what in of_sender and moment.target == sender)
+                or (
+                    moment.what in faults.OF_ENGINES
+                    and engine in moment.target.split()
+                )
+            )
+            for moment in self.world.moments
+        )
+
     def reached(
         self, instance: str, engine: str, begin: float, end: float
     ) -> bool:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -72,6 +72,9 @@
         """Connect the far side, or send what waited for it."""
         self.transport.setTcpNoDelay(True)
         self.link.halves.add(self)
+        if not self.upward:
+            port = self.transport.getHost().port
+            self.link.sources[port] = self.other.source
         if self.upward and self.link.mode is Mode.ENDLESS:
             EndlessAnswer(self.transport, self.link.endless_kind)
             self.dead = True
@@ -133,6 +136,11 @@
         if other is None or other.transport is None:
             self.other = None
             return
+        is_dark = self.dead or self.link.mode is Mode.DARK
+        if self.link.hides_ends and is_dark:
+            self.die()
+            self.other = other.other = None
+            return
         other.other = None
         if reason.check(error.ConnectionDone) and not self.upward:
             self.end_in_order()
@@ -180,7 +188,13 @@
 
 
 class Proxy:
-    """One link; ``delay`` is in seconds each way."""
+    """One link; ``delay`` is in seconds each way.
+
+    ``sources`` has the host that a connection came from, by the port from
+    which its far side was opened. A link that ``hides_ends`` tells neither
+    end of a dark connection that the other one has closed it, and its far
+    sides leave from ``far_source``.
+    """
 
     def __init__(
         self, reactor: interfaces.IReactorTCP, host: str, port: int = 0
@@ -193,6 +207,9 @@
         self.endless_kind = 0
         self.delay = 0.0
         self.halves: set[Half] = set()
+        self.sources: dict[int, str] = {}
+        self.hides_ends = False
+        self.far_source = ''
         self.listening: interfaces.IListeningPort | None = None
         self.listen()
 
@@ -241,7 +258,8 @@
     def connect_far(self, near: Half) -> None:
         """Open the far side of a connection."""
         host, port = self.far
-        self.reactor.connectTCP(host, port, Far(near))
+        source = (self.far_source, 0) if self.far_source else None
+        self.reactor.connectTCP(host, port, Far(near), bindAddress=source)
 
 
 def free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -23,7 +23,7 @@
     def listenTCP(self, port, factory, interface=''):
         return Port()
 
-    def connectTCP(self, host, port, factory):
+    def connectTCP(self, host, port, factory, bindAddress=None):  # noqa: N803
         """Nothing depends on it here."""
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,6 +1,7 @@
 """One run of the soak: a small fleet, its faults, and what it leaves."""
 
 import dataclasses
+import itertools
 import json
 import pathlib
 import random
@@ -114,6 +115,7 @@
         self.has_letters = seed >= faults.FIRST_SEED_WITH_FAILED_RUNS
         self.has_long_streams = faults.has_long_streams(seed)
         self.has_lost_places = seed >= faults.FIRST_SEED_WITH_LOST_PLACES
+        self.has_late_checks = seed >= faults.FIRST_SEED_WITH_LATE_CHECKS
         self.message_loss = self.message_delay = 0.0
         if self.has_long_streams or self.has_lost_places:
             messages = random.Random(f'messages of {seed}')
@@ -158,6 +160,9 @@
             )
             for number in range(fleet)
         ]
+        self.paths: dict[tuple[str, str], proxy.Proxy] = {}
+        if self.has_late_checks:
+            self.add_paths(peers)
         self.black_hole = proxy.BlackHole(self.store_host)
         for instance in self.instances:
             self.write_cut(instance, '')
@@ -199,6 +204,15 @@
                 seed + number,
             )
 
+    def add_paths(self, peer_port: int) -> None:
+        """Put a link between each two instances, one each way."""
+        for one, other in itertools.permutations(self.instances, 2):
+            link = proxy.Proxy(self.reactor, other.host)
+            link.far = (other.host, peer_port)
+            link.far_source = one.host
+            link.hides_ends = True
+            self.paths[one.name, other.name] = link
+
     # -- the platform's part ------------------------------------------------
 
     def configure(self) -> None:
@@ -371,6 +385,8 @@
             self.harm_store(fault)
         elif fault.what is faults.What.LOST_PLACE:
             self.lose_place(fault)
+        elif fault.what is faults.What.LOST_PATH:
+            self.lose_path(fault)
         elif fault.what in faults.TO_ENGINES:
             self.harm_engine(fault)
         elif fault.what in faults.OF_MANY_ENGINES:
@@ -466,10 +482,42 @@
         if instance.cuts == number:
             self.write_cut(instance, '')
 
+    def lose_path(self, fault: faults.Fault) -> None:
+        """Lose all between an instance and another one."""
+        one = self.instances[fault.target % len(self.instances)]
+        others = [each for each in self.instances if each is not one]
+        if others:
+            other = self.rng.choice(others)
+            self.note(fault, f'{one.name} {other.name}')
+            self.set_path((one, other), proxy.Mode.DARK)
+            self.later(fault, self.set_path, (one, other), proxy.Mode.PASS)
+
+    def set_path(
+        self,
+        ends: tuple[instances.Instance, instances.Instance],
+        mode: proxy.Mode,
+    ) -> None:
+        """Write what becomes of the bytes between two instances."""
+        for one, other in itertools.permutations(ends):
+            self.paths[one.name, other.name].mode = mode
+            self.write_cut(one, one.cut_mode)
+
     def write_cut(self, instance: instances.Instance, mode: str) -> None:
         """Write what becomes of an instance's new connections to engines."""
+        instance.cut_mode = mode
+        paths = [
+            (other, self.paths[instance.name, other.name])
+            for other in self.instances
+            if (instance.name, other.name) in self.paths
+        ]
         state = {
             'mode': mode,
+            'paths': {other.host: link.port for other, link in paths},
+            'lost_paths': [
+                other.host
+                for other, link in paths
+                if link.mode is proxy.Mode.DARK
+            ],
             'engines': [e.link.host for e in self.engines.engines],
             'hole': self.black_hole.address,
             'message_loss': self.message_loss,
@@ -574,6 +622,10 @@
                 engine.full_until = until
             elif fault.what is faults.What.FAILING_ENGINES:
                 engine.failing_until = until
+            elif fault.what is faults.What.LATE_CHECKS:
+                engine.checks_late_until = until
+            elif fault.what is faults.What.LOST_CHECKS:
+                engine.checks_lost_until = until
             elif fault.what is faults.What.ENDLESS_ENGINES:
                 engine.link.endless_kind = self.rng.randrange(1_000)
                 engine.link.mode = proxy.Mode.ENDLESS
