--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -111,6 +111,7 @@
     assert faults.plan_all(6001) == faults.plan_all(6001)
     assert faults.plan_all(7000) == faults.plan_all(7000)
     assert faults.plan_all(8001) == faults.plan_all(8001)
+    assert faults.plan_all(9001) == faults.plan_all(9001)
 
 
 def test_kept_seeds_plan_what_they_planned_when_they_failed():
