A run whose engine was never asked is not taken to be in reach

Found in the read-through. An instance that stood still from the start of a second run on ended the first one with nothing known of either engine, as an engine that was not asked counted as one that has answered. The first run is kept then.

test_first_run_is_kept_if_no_engine_was_asked_in_time failed before. The first attempt of a connection race is a method of its own.

--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -545,7 +545,8 @@
 
 def is_in_reach(sent: exchanges.InFlightSend) -> bool:
     """Return whether the engine of a run answered the last probe of it."""
-    is_answered = sent.asked_at <= sent.probe_answered_at < float('inf')
+    was_asked = sent.asked_at > float('-inf')
+    is_answered = was_asked and sent.probe_answered_at >= sent.asked_at
     return is_answered and not sent.is_unreachable
 
 
--- a/src/greengagelb/transport/relay/forwarding/connection_race.py
+++ b/src/greengagelb/transport/relay/forwarding/connection_race.py
@@ -128,22 +128,25 @@
         self.end_timer: interfaces.IDelayedCall | None = None
 
     def start(self) -> None:
-        """Make the first attempt."""
+        """Make the first attempt, through ``via`` if its host is known."""
         self.end_timer = self.pool.reactor.callLater(
             http_client.CONNECT_SECONDS, self.handle_end_timer
         )
+        if not (self.via and self.ask_instance(self.via)):
+            self.make_first_attempt()
+        self.schedule_next_attempt()
+
+    def make_first_attempt(self) -> None:
+        """Connect directly, or ask an instance if that path is lost."""
+        if not self.paths.is_lost(self.entry):
+            self.connect_directly()
+            return
         now = self.pool.reactor.seconds()
-        if self.via and self.ask_instance(self.via):
-            pass
-        elif not self.paths.is_lost(self.entry):
+        if self.paths.claim_probe(self.entry, now):
             self.connect_directly()
-        else:
-            if self.paths.claim_probe(self.entry, now):
-                self.connect_directly()
-            if not self.ask_next_instance() and self.connector is None:
-                # No instance is known to reach the engine.
-                self.fail()
-        self.schedule_next_attempt()
+        if not self.ask_next_instance() and self.connector is None:
+            # No instance is known to reach the engine.
+            self.fail()
 
     def handle_end_timer(self) -> None:
         """Fail, unless this process stood still; wait then once more."""
--- a/src/greengagelb/transport/relay/forwarding/leases.py
+++ b/src/greengagelb/transport/relay/forwarding/leases.py
@@ -13,9 +13,9 @@
 
 from twisted.internet import interfaces
 
-# A replaced run is not renewed until the other one has won or was ended, so
-# the lease outlasts MAX_OVERLAP_SECONDS of silent runs, and ends within the
-# 0.4 s for which two engines may work on one stream.
+# While a stream has two runs neither is renewed, so a lease outlasts their
+# overlap of 0.25 s, and ends within the 0.4 s for which two engines may work
+# on one stream.
 LEASE_SECONDS = 0.36
 RENEWAL_SECONDS = 0.1
 FRAME_HEAD = struct.Struct('!I')
--- a/tests/relay/test_silent_runs.py
+++ b/tests/relay/test_silent_runs.py
@@ -351,3 +351,21 @@
     ]
     assert hints.StreamSilent in told
     assert hints.EngineFailed not in told
+
+
+def test_first_run_is_kept_if_no_engine_was_asked_in_time():
+    """Guards against a run that is ended with nothing known of either engine.
+
+    This process stands still from the start of the second run on.
+    """
+    silent = SilentEngines(alive=True)
+    world = silent.world
+    exchange, send = silent.start_stream()
+    world.relay.exchanges[exchange].sends[send.send].copy_to = None
+    while len(silent.open_runs(exchange)) < 2:
+        silent.wait(0.01)
+    first = world.relay.exchanges[exchange].sends[send.send]
+    first.asked_at = first.probe_answered_at = float('-inf')
+    world.now += 0.3
+    world.advance(0.0)
+    assert silent.open_runs(exchange) == [send]
