--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -255,10 +255,10 @@
         )
         self.port = self.server.sockets[0].getsockname()[1]
 
-    def register(self) -> None:
-        """Write the entry into the list of engines."""
+    def entry(self) -> dict:
+        """Return the next entry for the list of engines."""
         self.heartbeats += 1
-        entry = {
+        return {
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
@@ -269,7 +269,10 @@
             'seq': self.heartbeats,
             'born': self.born,
         }
-        self.world.store.put('servers', self.identity, entry)
+
+    def register(self) -> None:
+        """Write the entry into the list of engines."""
+        self.world.store.put('servers', self.identity, self.entry())
 
     async def beat(self) -> None:
         """Renew the entry."""
