--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -16,6 +16,7 @@
 import random
 import re
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -569,9 +570,11 @@
         return answer
 
     def close(self) -> None:
-        """End all processes."""
+        """End all processes, and remove what they wrote."""
         for instance in self.instances:
             instance.end()
+        if 'KEEP_LOGS' not in os.environ:
+            shutil.rmtree(self.folder)
 
 
 class CannotRun(Exception):
