--- a/review/4/case.py
+++ b/review/4/case.py
@@ -19,7 +19,7 @@
 REUSED_AFTER_SECONDS = standins.ADDRESS_REUSE_SECONDS + 0.05
 # An entry is removed after three heartbeats of silence.
 LAPSE_SECONDS = 3 * standins.HEARTBEAT_SECONDS
-SECONDS_BETWEEN_STREAMS = 0.08
+SECONDS_BETWEEN_STREAMS = 0.06
 EVENTS = b'90'
 PATH = '/drafts-streaming/a'
 
@@ -68,7 +68,7 @@
     """Return whether an engine of bookings ran a stream."""
     config = standins.usual_config()
     config['services'][0]['engine']['moves'] = False
-    await world.start({'drafts': 5, 'booking': 3}, config)
+    await world.start({'drafts': 7, 'booking': 3}, config)
     world.tasks.append(asyncio.create_task(ask_for_streams(world)))
     for number in range(ROUNDS):
         until = standins.now() + ROUND_SECONDS
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 
 import standins  # noqa: E402
 
-CALLERS = 12
+CALLERS = 36
 ROUNDS = 3
 EVENTS = 60
 EVENT_SECONDS = 0.03
@@ -61,7 +61,7 @@
         config['routes'][0]
         | {'name': 'once', 'prefix': '/once/', 'resumable': False}
     )
-    await world.start({'drafts': 2, 'booking': 2}, config)
+    await world.start({'drafts': 6, 'booking': 2}, config)
     lost = 0
     engine = world.engines[0]
     for _ in range(ROUNDS):
