An engine's address is its own only from when it surely lived

Callers got the answers of another service.

Cause: one field, moved_at, told since when an engine's silence counts and when the engine was last heard. The end of a pause moves the first and must not move the second. The other time that was used has the like fault: events that were written before the pause are read after it, so when something is read does not tell when its engine was alive.

Change: the field is silent_since now and has only the first meaning. An engine was surely alive when a request was sent that it has answered (alive_at: heads of answers, probes), however late the answer is read. An address counts as its own from then on. What is read late for other reasons (packets held up, an instance between that was paused) is covered as well.

--- a/src/greengagelb/coordination/relay/calls.py
+++ b/src/greengagelb/coordination/relay/calls.py
@@ -125,6 +125,7 @@
         if head.not_run:
             return self.retry_not_run(exchange, sent, head.status, now)
         exchange.may_have_run = True
+        self.components.engines.note_answered(sent.entry.engine, sent.began_at)
         if head.sealed and head.status < 500:
             self.note_survived(exchange, now)
         self.components.engines.note_success(sent.entry.engine, now)
--- a/src/greengagelb/coordination/relay/directory.py
+++ b/src/greengagelb/coordination/relay/directory.py
@@ -97,6 +97,21 @@
         if state is not None:
             state.heard_at = now
 
+    def note_answered(self, engine: str, asked_at: float) -> None:
+        """Record that an engine has answered what was sent at a time.
+
+        When the answer is read does not tell when it was written: this process
+        may have been paused, or the answer held up on its way.
+        """
+        state = self.states.get(engine)
+        if state is not None:
+            state.alive_at = max(state.alive_at, asked_at)
+
+    def last_alive_at(self, engine: str) -> float:
+        """Return the last monotonic time when an engine was surely alive."""
+        state = self.states.get(engine)
+        return state.alive_at if state is not None else float('-inf')
+
     def others_heard_at(self, entry: engines.EngineEntry) -> float:
         """Return when another engine of the same service was last heard.
 
--- a/src/greengagelb/coordination/relay/events.py
+++ b/src/greengagelb/coordination/relay/events.py
@@ -188,8 +188,9 @@
     ``started_at_ms`` is the start time that the answering engine reported,
     ``run_events`` how many events it has made for the run, or None if it did
     not list the run. ``is_replaced`` tells that another engine has answered.
-    ``via`` is the instance through which the answer came, and ``run_via`` that
-    through which the run goes; each is empty for a direct connection.
+    ``asked_at`` is the monotonic time of the probe. ``via`` is the instance
+    through which the answer came, and ``run_via`` that through which the run
+    goes; each is empty for a direct connection.
     """
 
     exchange: int
@@ -198,6 +199,7 @@
     started_at_ms: int = engines.UNKNOWN_START
     run_events: int | None = None
     is_replaced: bool = False
+    asked_at: float = float('-inf')
     via: str = ''
     run_via: str = ''
 
--- a/src/greengagelb/coordination/relay/relay.py
+++ b/src/greengagelb/coordination/relay/relay.py
@@ -462,6 +462,8 @@
         start = event.started_at_ms
         if event.is_replaced:
             self.send_manager.announce_replaced(sent.entry)
+        if event.alive:
+            self.engines.note_answered(sent.entry.engine, event.asked_at)
         resulting = self.restarts.note_reported_start(
             sent.entry.engine, start, now
         )
@@ -569,7 +571,7 @@
         """
         for exchange in self.exchanges.values():
             for sent in exchange.sends.values():
-                sent.moved_at = now
+                sent.silent_since = now
                 sent.first_due += seconds
         return [actions.Record('own-pause', f'{seconds:.3f} s')]
 
--- a/src/greengagelb/coordination/relay/sending.py
+++ b/src/greengagelb/coordination/relay/sending.py
@@ -92,7 +92,7 @@
             next(self.send_numbers),
             state.entry,
             began_at=now,
-            moved_at=now,
+            silent_since=now,
             copy_to=copy_to,
             from_copy=copy_from is not None,
             retry_number=exchange.retry_number,
--- a/src/greengagelb/coordination/relay/silent_runs.py
+++ b/src/greengagelb/coordination/relay/silent_runs.py
@@ -101,7 +101,7 @@
             return sent.next_check_at
         if not sent.events_seen:
             return max(sent.first_due, sent.next_check_at)
-        due_at = sent.moved_at + max_silence_seconds(exchange)
+        due_at = sent.silent_since + max_silence_seconds(exchange)
         return max(due_at, sent.next_check_at)
 
     def silence_timer(self, exchange: exchanges.Exchange) -> actions.SetTimer:
@@ -146,7 +146,7 @@
         if self.usable_copy_engine(sent, now) is not None:
             return self.start_replacement(exchange, sent, now)
         is_reading = not sent.events_seen and not sent.from_copy
-        probed_since = max(sent.moved_at, now - PROBE_VALID_SECONDS)
+        probed_since = max(sent.silent_since, now - PROBE_VALID_SECONDS)
         if is_reading or sent.asked_at <= probed_since:
             return self.probe_run(exchange, sent, PROBED_MARGIN_SECONDS, now)
         if sent.is_unreachable and not sent.was_replaced_in_vain:
@@ -390,8 +390,7 @@
         )
         kind = hints.EngineFailed if dead else hints.StreamSilent
         self.components.send_manager.pending_hints.append(kind(engine, start))
-        heard_at = sent.moved_at if sent.head else self.engine_heard_at(sent)
-        return self.succession.search_after_loss(sent.entry, heard_at, now)
+        return self.succession.search_after_loss(sent.entry, now)
 
     def describe_silence(
         self,
@@ -404,7 +403,7 @@
         A late timer means that this process stood still, and no word from
         other engines that the cause is none of this engine's.
         """
-        silent = now - sent.moved_at
+        silent = now - sent.silent_since
         late = max(0.0, now - self.next_event_due_at(exchange, sent))
         heard = now - self.components.engines.others_heard_at(sent.entry)
         reach = 'no answer to a probe, ' if is_engine_lost(sent) else ''
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -223,7 +223,8 @@
             )
         sent.head = event.head
         sent.answered_at = now
-        sent.moved_at = now
+        sent.silent_since = now
+        self.components.engines.note_answered(sent.entry.engine, sent.began_at)
         return told
 
     def pass_events(
@@ -238,7 +239,7 @@
         resulting: list[Action] = []
         first = not sent.events_seen
         sent.events_seen += len(event.events)
-        sent.moved_at = now
+        sent.silent_since = now
         sent.last_event_at = now
         self.components.engines.note_heard(sent.entry.engine, now)
         told = self.components.crash_watch.note_progress(exchange, sent, now)
--- a/src/greengagelb/coordination/relay/successor_search.py
+++ b/src/greengagelb/coordination/relay/successor_search.py
@@ -4,7 +4,7 @@
 shows only while the store is available. Without it, the address identifies a
 successor: an address is given to no engine of another service until some
 seconds after its last engine has ended. An engine that answers there within
-that time, counted from the last sign of life of the old engine, is therefore
+that time, counted from when the old engine was certainly alive, is therefore
 the same engine restarted. After that time it belongs to the same service if it
 has the memory of a model engine and only one service has such engines. Without
 this search, engines that crash during an outage of the store would be lost
@@ -79,10 +79,11 @@
         self.model_services = [s.name for s in services if s.engines]
 
     def search_after_loss(
-        self, entry: engines.EngineEntry, heard_at: float, now: float
+        self, entry: engines.EngineEntry, now: float
     ) -> list[Action]:
         """Schedule questions at the address of a lost engine."""
-        same_service_until = heard_at + self.address_reuse_seconds
+        alive_at = self.engines.last_alive_at(entry.engine)
+        same_service_until = alive_at + self.address_reuse_seconds
         if (
             now + FIRST_ASK_DELAY_SECONDS > same_service_until
             and not self.is_worth_asking(entry)
--- a/src/greengagelb/state/relay/engine_states.py
+++ b/src/greengagelb/state/relay/engine_states.py
@@ -23,7 +23,8 @@
     it is tried without that proof. Until ``doubted_until`` it is suspected on
     a report of another instance. ``silent_at`` is when a stream last stalled
     there. Requests sent until ``former_until`` certainly went to its
-    previous life.
+    previous life. ``heard_at`` is when something of it was last read, and
+    ``alive_at`` when something was last sent that it has answered.
 
     ``leaving`` is what the list shows; ``leaving_source`` is where the engine
     itself was heard to say so. Until ``rest_until`` the engine has asked this
@@ -59,6 +60,7 @@
     load_at: float = float('-inf')
     in_flight_at_load: int = 0
     heard_at: float = float('-inf')
+    alive_at: float = float('-inf')
     former_until: float = float('-inf')
     leaving_source: statements.Source | None = None
     rest_until: float = float('-inf')
--- a/src/greengagelb/state/relay/exchanges.py
+++ b/src/greengagelb/state/relay/exchanges.py
@@ -11,10 +11,12 @@
 class InFlightSend:
     """One send of a request to an engine that is still in progress.
 
-    ``moved_at`` is the monotonic time of its last progress: its start, the
-    head of the answer, or events; a pause of this process counts as well, but
-    not for ``last_event_at``. ``answered_at`` is when the head of the
-    answer arrived. ``asked_at`` is when its engine was last probed.
+    ``silent_since`` is the monotonic time since which its engine's silence
+    counts: that of its start, the head of the answer, or the last events, or
+    the end of a pause of this process. It does not tell that the engine was
+    alive. ``last_event_at`` is when the last events were read, and
+    ``answered_at`` when the head of the answer was. ``asked_at`` is when its
+    engine was last probed.
     ``first_due`` is the time by which its first event is expected.
     ``copy_to`` is the engine that gets a copy of the run's memory, where the
     copy is named ``copy_name``; ``copy_ordered`` is true if the copy was
@@ -41,7 +43,7 @@
     number: int
     entry: engines.EngineEntry
     began_at: float
-    moved_at: float
+    silent_since: float
     last_event_at: float = float('-inf')
     answered_at: float = float('inf')
     asked_at: float = float('-inf')
--- a/src/greengagelb/transport/relay/engine_side.py
+++ b/src/greengagelb/transport/relay/engine_side.py
@@ -280,6 +280,7 @@
         The probe goes the run's way, if that opens.
         """
         run_via = self.via_of_send(probe.exchange, probe.send)
+        asked_at = self.pool.reactor.seconds()
 
         def done(answer: timed_requests.Answer) -> None:
             is_replaced = is_misdirected(answer)
@@ -291,6 +292,7 @@
                     self.read_probed_start_ms(probe.engine, answer),
                     self.read_run_events(probe, answer),
                     is_replaced,
+                    asked_at,
                     answer.via,
                     answer.via if run_via is None else run_via,
                 )
--- a/tests/relay/test_successors.py
+++ b/tests/relay/test_successors.py
@@ -1,11 +1,15 @@
 """Engines that restart while the list of engines cannot be read."""
 
+from greengagelb.coordination import events
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state.relay import hints
 from greengagelb.state.relay import routes
 from tests.common import relay_world
 
+# This process stands still for so long; no timer fires meanwhile.
+PAUSE_SECONDS = 0.6
+
 
 def lose_a_stream(world):
     """Have an engine crash during a stream; return its entry."""
@@ -55,6 +59,65 @@
     assert 'stranger' not in world.relay.engines.states
 
 
+def begin_stream(world):
+    """Return a stream whose engine has written the first event."""
+    send = world.last_send(world.ask())
+    world.begin(send)
+    world.events(send, 1)
+    return send
+
+
+def test_address_of_an_engine_lost_in_a_pause_is_not_taken_for_its_own():
+    """Guards against an address taken over while an instance is paused.
+
+    The end of the pause is no sign of life of the engine. A stream sent to
+    the address would run at the service that has it now.
+    """
+    world = relay_world.RelayWorld()
+    send = begin_stream(world)
+    world.now += PAUSE_SECONDS
+    world.handle(events.PauseDetected(PAUSE_SECONDS))
+    world.lose(send)
+    world.advance(relay_world.ADDRESS_REUSE - PAUSE_SECONDS + 0.05)
+    world.handle(relay_events.AddressProbed(send.engine.engine, 'stranger'))
+    assert 'stranger' not in world.relay.engines.states
+
+
+def test_address_of_an_engine_whose_events_were_read_late_is_not_its_own():
+    """Guards against events that are unread while an instance is paused.
+
+    When they are read tells nothing of when the engine wrote them.
+    """
+    world = relay_world.RelayWorld()
+    send = begin_stream(world)
+    world.now += PAUSE_SECONDS
+    world.events(send, 2)
+    world.lose(send)
+    world.advance(relay_world.ADDRESS_REUSE - PAUSE_SECONDS + 0.05)
+    world.handle(relay_events.AddressProbed(send.engine.engine, 'stranger'))
+    assert 'stranger' not in world.relay.engines.states
+
+
+def test_engine_that_answered_a_probe_is_found_again_at_its_address():
+    """Guards against engines of long streams that are not looked for.
+
+    The answer to a probe shows how long the engine was alive.
+    """
+    world = relay_world.RelayWorld()
+    send = begin_stream(world)
+    world.advance(5.0)
+    world.handle(
+        relay_events.EngineProbed(
+            send.exchange, send.send, True, asked_at=world.now
+        )
+    )
+    world.lose(send)
+    world.advance(1.3)
+    assert send.engine in asked_successors(world)
+    world.handle(relay_events.AddressProbed(send.engine.engine, 'model-new'))
+    assert 'model-new' in world.relay.engines.states
+
+
 def test_address_is_not_asked_if_the_list_shows_the_successor():
     """Each question has a cost; the list usually is as fast."""
     world = relay_world.RelayWorld()
