The list of engines overrules an assumed service

Once an engine was taken for another service's, its own entry in the list counted as "another program's", so that the engine was removed and got no requests of its true service for its whole life; what was under way there went on, and callers got the answers of another service.

Change: a service that was concluded from an address is marked as assumed. The entry in the list corrects it, and sends that their route does not allow at the true service go on elsewhere.

Evidence: test_list_corrects_the_service_of_an_engine_taken_for_a_successor ("stranger" in none of 30 calls) and test_send_to_an_engine_of_another_service_is_not_answered_by_it failed before.

--- a/src/greengagelb/coordination/relay/engine_list.py
+++ b/src/greengagelb/coordination/relay/engine_list.py
@@ -147,8 +147,13 @@
         restarted_entries = [
             e for e in consistent if self.engines.is_restart(e)
         ]
+        corrected_entries = [
+            e for e in consistent if self.engines.corrects_service(e)
+        ]
         ending_engines = self.engines.apply_changes(consistent, removed, now)
         resulting = self.restarts.end_former_lives(restarted_entries, now)
+        for entry in corrected_entries:
+            resulting += self.restarts.end_misrouted_sends(entry, now)
         for engine in ending_engines:
             resulting += self.retire_engine(
                 engine, 'leaving or removed in the list', now
--- a/src/greengagelb/coordination/relay/listed_engines.py
+++ b/src/greengagelb/coordination/relay/listed_engines.py
@@ -168,6 +168,7 @@
         if self.is_new_life(entry):
             self.begin_life(entry, now)
         state = self.states[entry.engine]
+        state.is_service_assumed = False
         state.entry = with_known_start(state.entry, entry)
         state.gone_at = None
         is_newly_leaving = entry.leaving and not state.is_leaving
@@ -175,8 +176,22 @@
         return is_newly_leaving
 
     def is_new_life(self, entry: engines.EngineEntry) -> bool:
-        """Return whether an entry belongs to a life that is not known yet."""
-        return entry.engine not in self.states or self.is_restart(entry)
+        """Return whether an entry belongs to a life that is not known yet.
+
+        What was assumed of a life of another service does not hold for it.
+        """
+        return (
+            entry.engine not in self.states
+            or self.is_restart(entry)
+            or self.corrects_service(entry)
+        )
+
+    def corrects_service(self, entry: engines.EngineEntry) -> bool:
+        """Return whether an entry shows that a service was assumed wrongly."""
+        state = self.states.get(entry.engine)
+        if state is None or not state.is_service_assumed:
+            return False
+        return entry.service != state.entry.service
 
     def is_restart(self, entry: engines.EngineEntry) -> bool:
         """Return whether an entry is of a later life than the known one."""
@@ -294,7 +309,8 @@
             entry.engine
             for entry in entries
             if entry.engine in self.states
-            and not (self.is_former_life(entry) or self.is_restart(entry))
+            and not self.is_former_life(entry)
+            and not self.is_new_life(entry)
             and entry.service != self.states[entry.engine].entry.service
         )
 
@@ -433,6 +449,7 @@
             ),
             now,
         )
+        self.states[new].is_service_assumed = True
         return True
 
     def engines_at_address(
--- a/src/greengagelb/coordination/relay/restarts.py
+++ b/src/greengagelb/coordination/relay/restarts.py
@@ -18,6 +18,7 @@
 from greengagelb.state.relay import routes
 
 RESTART_DETAIL = 'engine restarted'
+WRONG_SERVICE_DETAIL = 'engine of another service'
 
 Action = relay_actions.RelayAction
 
@@ -111,7 +112,32 @@
                 exchange.tried.discard(entry.engine)
                 exchange.refused_by.discard(entry.engine)
             for sent in lost_sends:
-                resulting += self.continue_elsewhere(exchange, sent, now)
+                resulting += self.continue_elsewhere(
+                    exchange, sent, RESTART_DETAIL, now
+                )
+        return resulting
+
+    def end_misrouted_sends(
+        self, entry: engines.EngineEntry, now: float
+    ) -> list[Action]:
+        """End the sends to an engine that is of another service than assumed.
+
+        Their routes do not allow an answer of that service.
+        """
+        reason = f'of service {entry.service}'
+        resulting: list[Action] = [
+            actions.Record(
+                'engine-service-corrected', reason, upstream=entry.engine
+            )
+        ]
+        for exchange in list(self.open_exchanges.values()):
+            if exchange.ruling.service.name == entry.service:
+                continue
+            for sent in list(exchange.sends.values()):
+                if sent.entry.engine == entry.engine:
+                    resulting += self.continue_elsewhere(
+                        exchange, sent, WRONG_SERVICE_DETAIL, now
+                    )
         return resulting
 
     def is_lost(
@@ -133,15 +159,14 @@
         self,
         exchange: exchanges.Exchange,
         sent: exchanges.InFlightSend,
+        detail: str,
         now: float,
     ) -> list[Action]:
         """Continue a send elsewhere that cannot be answered any more."""
         exchange.may_have_run = True
         if exchange.ruling.route.repeat is routes.RepeatPolicy.STREAM:
-            return self.streams.replace_send(
-                exchange, sent, RESTART_DETAIL, now
-            )
+            return self.streams.replace_send(exchange, sent, detail, now)
         abandoned = self.components.send_manager.abandon_send(exchange, sent)
         return abandoned + self.calls.handle_lost_send(
-            exchange, sent, RESTART_DETAIL, now
+            exchange, sent, detail, now
         )
--- a/src/greengagelb/state/relay/engine_states.py
+++ b/src/greengagelb/state/relay/engine_states.py
@@ -15,16 +15,18 @@
     """What this instance knows about one life of an engine.
 
     Times are monotonic seconds. ``learned_at`` is when this instance learned
-    of the engine. ``listed`` tells whether it is on the list, and ``gone_at``
-    is the time from which it counts as removed. ``in_flight`` is the number
-    of this instance's sends in progress. ``replaced`` is set when another
-    engine answers at its address. After an apparent death, a heartbeat of at
-    least ``alive_from`` proves that it is alive, and from ``retry_dead_at``
-    it is tried without that proof. Until ``doubted_until`` it is suspected on
-    a report of another instance. ``silent_at`` is when a stream last stalled
-    there. Requests sent until ``former_until`` certainly went to its
-    previous life. ``heard_at`` is when something of it was last read, and
-    ``alive_at`` when something was last sent that it has answered.
+    of the engine. ``is_service_assumed`` tells that its service is only that
+    of the engine before it at its address. ``listed`` tells whether it is on
+    the list, and ``gone_at`` is the time from which it counts as removed.
+    ``in_flight`` is the number of this instance's sends in progress.
+    ``replaced`` is set when another engine answers at its address. After an
+    apparent death, a heartbeat of at least ``alive_from`` proves that it is
+    alive, and from ``retry_dead_at`` it is tried without that proof. Until
+    ``doubted_until`` it is suspected on a report of another instance.
+    ``silent_at`` is when a stream last stalled there. Requests sent until
+    ``former_until`` certainly went to its previous life. ``heard_at`` is when
+    something of it was last read, and ``alive_at`` when something was last
+    sent that it has answered.
 
     ``leaving`` is what the list shows; ``leaving_source`` is where the engine
     itself was heard to say so. Until ``rest_until`` the engine has asked this
@@ -45,6 +47,7 @@
 
     entry: engines.EngineEntry
     learned_at: float
+    is_service_assumed: bool = False
     leaving: bool = False
     listed: bool = False
     gone_at: float | None = None
--- a/tests/relay/test_successors.py
+++ b/tests/relay/test_successors.py
@@ -254,3 +254,45 @@
     asked = asked_successors(world).count(dead)
     world.advance(5.0)
     assert asked_successors(world).count(dead) == asked
+
+
+def list_stranger(world, old):
+    """Have the list show an engine of calls at a lost engine's address."""
+    entry = relay_world.engine(
+        'stranger', relay_world.CALLS, old.data_centre, port=old.address.port
+    )
+    world.change_engines(entry)
+
+
+def test_list_corrects_the_service_of_an_engine_taken_for_a_successor():
+    """Guards against an engine that no service can use for its whole life.
+
+    Another instance took it for the successor of a lost one at its address.
+    """
+    world = relay_world.RelayWorld()
+    old = relay_world.fleet()[0]
+    hint = hints.EngineReplaced(old.engine, 'stranger')
+    world.handle(relay_events.PeerTold('one', hint))
+    list_stranger(world, old)
+    callees = {world.last_send(world.query()).engine.engine for _ in range(30)}
+    assert 'stranger' in callees
+    streaming = {world.last_send(world.ask()).engine.engine for _ in range(30)}
+    assert 'stranger' not in streaming
+
+
+def test_send_to_an_engine_of_another_service_is_not_answered_by_it():
+    """Guards against an answer of a service that the route does not allow.
+
+    The list corrects the service of the engine while the send is under way.
+    """
+    world = relay_world.RelayWorld()
+    old = relay_world.fleet()[0]
+    hint = hints.EngineReplaced(old.engine, 'stranger')
+    world.handle(relay_events.PeerTold('one', hint))
+    send = world.last_send(world.ask())
+    while send.engine.engine != 'stranger':
+        send = world.last_send(world.ask())
+    list_stranger(world, old)
+    assert relay_actions.AbandonSend(send.exchange, send.send) in world.actions
+    assert world.last_send(send.exchange).engine.service == relay_world.STREAMS
+    assert world.last_send(send.exchange).engine.engine != 'stranger'
