A run is not ended for a restart that it may have come after

The engine had restarted under its id, and got the streams before the list showed its new life. At their first pause it was probed, told its later start, and that was taken for a restart since the send.

Cause: three places ask whether a send belongs to the engine's life, each in its own way. The one that reads the list knows that a send shortly before may belong to the new life, the one that reads probes did not ask it. And nothing that was learnt later corrected the entry with which the send was made, so that each later pause could end the run, however long ago the restart was.

Change: send_lives answers it for both. A stream that may run once is ended for a restart only if it certainly went to the former life: its connection or its deadline show what became of it. One that can be repeated goes on elsewhere as before, but not if events have come since the new life is known or if that life lists the run. A run that the new life lists is its own from then on, also for the check when its answer ends with its connection.

A stream that may run once, went to the former life within about four seconds before its end, and whose connection was not reset now waits for its deadline instead of being cut at its first probe. Nothing tells the two apart.

--- a/src/greengagelb/coordination/relay/restarts.py
+++ b/src/greengagelb/coordination/relay/restarts.py
@@ -10,6 +10,7 @@
 from greengagelb.coordination.relay import calls
 from greengagelb.coordination.relay import relay_components
 from greengagelb.coordination.relay import run_copies
+from greengagelb.coordination.relay import send_lives
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import streams
 from greengagelb.state.relay import engines
@@ -150,10 +151,9 @@
         a call that runs well as failed. Its connection, and a probe for a
         stream, show what became of it.
         """
-        if sent.entry.started_at_ms == entry.started_at_ms:
-            return False
         state = self.components.engines.states[entry.engine]
-        return sent.began_at <= state.former_until
+        life = send_lives.life_of_send(sent, state)
+        return life is send_lives.SendLife.FORMER
 
     def continue_elsewhere(
         self,
--- a/src/greengagelb/coordination/relay/streams.py
+++ b/src/greengagelb/coordination/relay/streams.py
@@ -14,6 +14,7 @@
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.relay import permit_waits
 from greengagelb.coordination.relay import relay_components
+from greengagelb.coordination.relay import send_lives
 from greengagelb.coordination.relay import sending
 from greengagelb.coordination.relay import silent_runs
 from greengagelb.coordination.relay import successor_search
@@ -180,12 +181,13 @@
     ) -> list[Action]:
         """Handle a probe result for the engine of a silent run.
 
-        An engine that has restarted does not have the run, or would have
-        started it by now.
+        A stream that may run once is not ended because its engine has
+        restarted: the new life may have got it, and nothing could replace it.
         """
-        progressed_since = sent.last_event_at > sent.asked_at
-        restarted = sent.entry.is_earlier_than(event.started_at_ms)
-        if restarted and not progressed_since:
+        is_repeatable = exchange.ruling.route.is_repeatable
+        state = self.components.engines.states[sent.entry.engine]
+        send_lives.note_probe(sent, state, event)
+        if is_repeatable and send_lives.seems_lost(sent, state, event):
             exchange.may_have_run = True
             detail = 'probe answered after a restart of the engine'
             return self.handle_lost_send(exchange, sent, detail, now)
@@ -194,7 +196,7 @@
         is_gone = not event.alive and not self.components.engines.is_in_use(
             sent.entry.engine, now
         )
-        may_go_on = exchange.ruling.route.is_repeatable and not exchange.begun
+        may_go_on = is_repeatable and not exchange.begun
         if is_gone and is_only_run and may_go_on:
             exchange.may_have_run = True
             detail = 'no answer to a probe, engine not listed'
--- a/tests/relay/test_engine_lives.py
+++ b/tests/relay/test_engine_lives.py
@@ -23,6 +23,9 @@
 SLOW_CALLS = dataclasses.replace(
     relay_world.CALL_ROUTE, time_limit=30.0, most_attempts=2
 )
+ONCE_ONLY_STREAMS = dataclasses.replace(
+    relay_world.STREAM_ROUTE, resumable=False
+)
 SLOW_QUERIES = dataclasses.replace(
     relay_world.QUERY_ROUTE, time_limit=30.0, goal=20.0
 )
@@ -276,6 +279,98 @@
     assert state_of(world, send.engine).entry.started_at_ms == SECOND_START
 
 
+def world_without_copies(route=relay_world.STREAM_ROUTE):
+    model = dataclasses.replace(relay_world.MODEL, copies=False, moves=False)
+    table = relay_world.route_table(found=(route,))
+    table.services = {
+        relay_world.STREAMS: routes.Service(relay_world.STREAMS, 240, model)
+    }
+    return world_of_lives(table=table)
+
+
+def stream_at_a_new_life(world):
+    """Start a stream at an engine that has restarted, as the list shows later.
+
+    Its events stop after that; the engine is probed.
+    """
+    advance_while_listed(world)
+    send = streaming(world)
+    world.advance(0.3)
+    world.change_engines(next_life(send.engine))
+    world.events(send, 2)
+    world.advance(0.1)
+    world.events(send, 3)
+    world.advance(0.5)
+    assert world.of_kind(relay_actions.ProbeEngine, send.exchange)
+    return send
+
+
+def probed(world, send, started_at_ms=SECOND_START, **fields):
+    return world.handle(
+        relay_events.EngineProbed(
+            send.exchange, send.send, True, started_at_ms, **fields
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    'route', [relay_world.STREAM_ROUTE, ONCE_ONLY_STREAMS]
+)
+def test_run_of_a_new_life_is_not_ended_at_its_first_pause(route):
+    """Guards against streams that are cut while their engine goes on.
+
+    They were sent to a restarted engine before the list showed its new life.
+    """
+    world = world_without_copies(route)
+    send = stream_at_a_new_life(world)
+    probed(world, send)
+    world.advance(0.2)
+    abandoned = relay_actions.AbandonSend(send.exchange, send.send)
+    assert abandoned not in world.actions
+    world.events(send, 4)
+    assert world.passed_events(send.exchange) == [1, 2, 3, 4]
+
+
+def test_once_only_run_is_not_ended_as_a_probe_tells_of_a_new_life():
+    """Guards against a stream that is cut before its first event.
+
+    The engine reads the prompt, and nothing tells which life got the stream.
+    """
+    world = world_without_copies(ONCE_ONLY_STREAMS)
+    send = world.last_send(world.ask())
+    world.advance(2.5)
+    assert world.of_kind(relay_actions.ProbeEngine, send.exchange)
+    probed(world, send)
+    assert not world.refusals(send.exchange)
+    world.begin(send)
+    world.events(send, 1)
+    assert world.passed_events(send.exchange) == [1]
+
+
+def test_once_only_run_of_an_ended_life_is_ended_by_a_probe():
+    """Guards against a wait for a stream that has certainly been lost."""
+    world = world_without_copies(ONCE_ONLY_STREAMS)
+    send = world.last_send(world.ask())
+    advance_while_listed(world)
+    probed(world, send)
+    [refusal] = world.refusals(send.exchange)
+    assert refusal.code == 'outcome-unknown'
+
+
+def test_run_that_a_new_life_lists_belongs_to_it():
+    """Guards against a whole answer that is taken for a broken one.
+
+    It ends with its connection, and the engine that is checked then is of a
+    later life than the list showed when the stream was sent.
+    """
+    world = world_without_copies(ONCE_ONLY_STREAMS)
+    send = stream_at_a_new_life(world)
+    probed(world, send, run_events=3)
+    world.handle(relay_events.StreamComplete(send.exchange, send.send, True))
+    [check] = world.of_kind(relay_actions.CheckEngine)
+    assert check.entry.started_at_ms == SECOND_START
+
+
 @pytest.mark.parametrize('at', [0, FIRST_START, FIRST_START - 1])
 def test_probe_answered_by_the_same_life_confirms_the_run(at):
     world = world_of_lives()
