A reset connection is not taken for one that was closed in order

Reported of other systems (MIXED): an engine answered a long upload at once with a 200 without length, sent a part, and reset the connection while the upload was being written. Callers got the part as the whole answer. This system did the same, rarely.

Cause: while the kernel handles a reset, epoll may report the error of a socket that does not count as readable yet. Twisted's reactor then takes the connection for closed in order, without reading the socket, and the close completes an answer without a length whose head announces it. Whatever passes on an orderly close as one (connections through another instance) did so with this one as well.

Change: such a socket is read, and the error of the read says why the connection has ended. It is done in the event loop, for all connections of both kinds of instance.

--- a/src/greengagelb/cli/serve.py
+++ b/src/greengagelb/cli/serve.py
@@ -33,6 +33,7 @@
 
     reactors.use_monotonic_clock(reactor)
     reactors.read_before_timers(reactor)
+    reactors.distinguish_resets(reactor)
     recorder.configure_logging()
     served_instance = instance.Instance(reactor, found)
     outcomes: list[int] = []
--- a/src/greengagelb/platform/process.py
+++ b/src/greengagelb/platform/process.py
@@ -60,6 +60,7 @@
     times.note('imports')
     reactors.use_monotonic_clock(reactor)
     reactors.read_before_timers(reactor)
+    reactors.distinguish_resets(reactor)
     log = bounded_log.BoundedLog(sys.stdout.fileno(), reactor.seconds)
     recorder.configure_logging(log)
     relay_instance = instance.RelayInstance(
--- a/src/greengagelb/transport/reactors.py
+++ b/src/greengagelb/transport/reactors.py
@@ -1,4 +1,4 @@
-"""Prepares the event loop: its clock, and the order of reads and timers.
+"""Prepares the event loop: its clock, its order, and ends of connections.
 
 Twisted's reactors run their timers by the wall clock. If it is set forward,
 all timers fire at once: every engine looks silent and every caller overdue. If
@@ -7,6 +7,10 @@
 They also run all timers that are due before they read their sockets. After a
 process stood still, answers that arrived in time would be given up, as the
 timers that wait for them fire first.
+
+And they take a connection for closed in order if the error of its socket is
+reported before the socket counts as readable, as happens while the kernel
+handles a reset. A part of an answer that such a close ends would be whole.
 """
 
 import select
@@ -58,6 +62,23 @@
     reactor.runUntilCurrent = read_then_run_timers
 
 
+def distinguish_resets(reactor: epollreactor.EPollReactor) -> None:
+    """Make a reactor read a socket to learn why its connection has ended.
+
+    Only the error of that read tells a reset from an orderly close.
+    """
+    handle_event = reactor._doReadOrWrite
+
+    def read_ended(
+        selectable: interfaces.IReadWriteDescriptor, fd: int, event: int
+    ) -> None:
+        if event & reactor._POLL_DISCONNECTED and fd in reactor._reads:
+            event |= reactor._POLL_IN
+        handle_event(selectable, fd, event)
+
+    reactor._doReadOrWrite = read_ended
+
+
 def lateness(
     reactor: base.ReactorBase, call: interfaces.IDelayedCall
 ) -> float:
