A number that is no status of HTTP is no answer

Cause: the client of the own interface reads any whole number as a status: 000, 0, 99, 600, 999, 1000, -200, and +200 as 200. The relay's client refuses what has not three digits or is below 101, but passes 600 and 999 on.

Change: both take only 200 to 599 for a final answer. The own interface's client checks the line as it was sent, before anything else reads it, so a sign or a further digit does not pass.

Evidence: test_answer_with_an_invalid_status_is_none failed before in 22 of 48 cases of the own interface (calls and streams) and 6 of 36 of the relay (600 and 999).

--- a/src/greengagelb/transport/bounded_heads.py
+++ b/src/greengagelb/transport/bounded_heads.py
@@ -1,8 +1,9 @@
-"""Bounds the head of an answer that an HTTP client reads.
+"""Bounds and checks the head of an answer that an HTTP client reads.
 
 The client of ``twisted.web`` keeps each header line, and ignores any number of
 informational answers. A server that sends them without end would fill the
-memory, or keep this process busy until the time limit.
+memory, or keep this process busy until the time limit. It also reads any whole
+number as a status, with a sign or of any length.
 """
 
 import re
@@ -20,12 +21,14 @@
 MAX_HEAD_BYTES = 65_536
 END_OF_HEAD = re.compile(rb'\r?\n\r?\n')
 INFORMATIONAL = re.compile(rb'\s*HTTP/\d\.\d 1\d\d\b')
+FINAL_STATUS_LINE = re.compile(rb'HTTP/\d\.\d [2-5]\d\d[ \r\n]')
 
 
 class BoundedHeadProtocol(policies.ProtocolWrapper):
-    """Resets a connection whose answer has no end of its head.
+    """Resets a connection whose answer has no proper head.
 
-    ``head`` has what was received of the head, until it ends.
+    ``head`` has what was received of the head, until it ends, and ``mistake``
+    is why it is rejected, or empty.
     """
 
     def __init__(
@@ -36,34 +39,38 @@
         super().__init__(factory, wrapped)
         self.head: bytearray | None = bytearray()
         self.earlier_bytes = 0
+        self.mistake = ''
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Pass bytes on unless the head is too long."""
+        """Pass bytes on unless the head is too long or no head."""
         if self.head is not None:
-            self.measure_head(data)
-        if self.head is not None and (
-            self.earlier_bytes + len(self.head) > MAX_HEAD_BYTES
-        ):
+            self.read_head(data)
+        if self.mistake:
             self.reject_head()
             return
         super().dataReceived(data)
 
-    def measure_head(self, data: bytes) -> None:
-        """Add bytes to the head, and note its end."""
+    def read_head(self, data: bytes) -> None:
+        """Add bytes to the head; note its end, or why it is rejected."""
         searched = max(0, len(self.head) - 3)
         self.head += data
         while end := END_OF_HEAD.search(self.head, searched):
             if not INFORMATIONAL.match(self.head):
+                if not FINAL_STATUS_LINE.match(self.head):
+                    self.mistake = 'answer without a valid status'
                 self.head = None
                 return
             self.earlier_bytes += end.end()
             del self.head[: end.end()]
             searched = 0
+        if self.earlier_bytes + len(self.head) > MAX_HEAD_BYTES:
+            self.mistake = 'answer without the end of its head'
 
     def reject_head(self) -> None:
         """End the request with an error, and reset the connection."""
-        reason = errors.ProtocolError('answer without the end of its head')
+        reason = errors.ProtocolError(self.mistake)
         self.head = None
+        self.mistake = ''
         self.wrappedProtocol.connectionLost(failure.Failure(reason))
         self.wrappedProtocol = IgnoredConnection()
         self.transport.abortConnection()
--- a/src/greengagelb/transport/relay/http_client.py
+++ b/src/greengagelb/transport/relay/http_client.py
@@ -29,6 +29,7 @@
 # For servers that state no keep-alive timeout; an upper bound for the others.
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 MAX_HEADER_BYTES = 65_536
+MAX_STATUS = 599
 # A server with too many connections resets new ones once they are open, within
 # a round trip and a millisecond. For RESET_MEMORY_SECONDS after a connection
 # was reset without an answer, requests on new connections to that server are
@@ -199,6 +200,9 @@
         """Handle one parsed event; return whether more may follow."""
         event = self.http.next_event()
         match event:
+            case h11.Response(status_code=status) if status > MAX_STATUS:
+                self.fail_request(True, f'not an answer: status {status}')
+                return False
             case h11.Response():
                 self.has_answer_started = True
                 self.is_close_announced = http1.announces_close(event)
--- a/tests/common/answer_forms.py
+++ b/tests/common/answer_forms.py
@@ -20,3 +20,20 @@
     if form == 'chunks' and lines is None:
         return raw + b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
     return raw + body
+
+
+# In the place of a status; none is one of HTTP.
+INVALID_STATUSES = [
+    b'000',
+    b'0',
+    b'',
+    b'099',
+    b'99',
+    b'600',
+    b'999',
+    b'1000',
+    b'-200',
+    b'+200',
+    b'0200',
+    b'2 00',
+]
--- a/tests/relay/test_answers_cut_short.py
+++ b/tests/relay/test_answers_cut_short.py
@@ -108,3 +108,18 @@
         )
         assert isinstance(side.events[-1], relay_events.SendFailed), lost
     assert whole.endswith(b'0\r\n\r\n')
+
+
+@pytest.mark.parametrize('status', answer_forms.INVALID_STATUSES)
+@pytest.mark.parametrize('ask', BODIES)
+def test_answer_with_an_invalid_status_is_none(ask, status):
+    """Guards against a number that is no status passed on as one."""
+
+    def invalid(send):
+        whole = answer(send, 'length', BODIES[ask])
+        return whole.replace(b'1.1 200 OK', b'1.1 %s OK' % status)
+
+    side, _ = play(ask, invalid, 'closed')
+    [event] = side.events
+    assert isinstance(event, relay_events.SendFailed)
+    assert event.handed_over
--- a/tests/transport/test_answers_cut_short.py
+++ b/tests/transport/test_answers_cut_short.py
@@ -77,3 +77,23 @@
         wire.protocol.dataReceived((head + tokens)[:length])
         wire.break_off()
         assert isinstance(side.events[-1], events.AttemptBroken), length
+
+
+@pytest.mark.parametrize('status', answer_forms.INVALID_STATUSES)
+@pytest.mark.parametrize('ask', ['probe', 'cancel', 'stream', 'call'])
+def test_answer_with_an_invalid_status_is_none(ask, status):
+    """Guards against a number that is no status passed on as one."""
+    side = upstream_answers.Side()
+    wire = getattr(side, ask)()
+    valid = b'HTTP/1.1 200 OK'
+    invalid = b'HTTP/1.1 %s OK' % status
+    wire.protocol.dataReceived(answer('length').replace(valid, invalid))
+    wire.break_off()
+    [event] = side.events
+    match event:
+        case events.CallBroken() | events.AttemptBroken():
+            assert event.handed_over
+        case _:
+            assert isinstance(
+                event, events.UpstreamUnreachable | events.CancelFailed
+            )
