--- a/tests/process/test_planned_stops.py
+++ b/tests/process/test_planned_stops.py
@@ -10,6 +10,7 @@
 import http.server
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -36,11 +37,17 @@
 # calls whose time limit exceeds the remaining time.
 GRACE_SECONDS = 8.0
 CALL_INTERVAL_SECONDS = 0.001
+# Calls of the other route last up to this time, more than half of the grace.
+LONG_CALL_SECONDS = 4.0
+LONG_CALL_INTERVAL_SECONDS = 0.02
 TABLES = {
     'op': {
         'config': {
             'version': 3,
-            'routes': [world.route('call', 'booking', 'unsafe', 900, 1)],
+            'routes': [
+                world.route('call', 'booking', 'unsafe', 900, 1),
+                world.route('long', 'booking', 'unsafe', 4_000, 1),
+            ],
             'services': [world.service('booking')],
             'limits': {},
             'tenants': None,
@@ -97,6 +104,10 @@
         self.ran.append(self.headers['Request-Id'])
         self.rfile.read(int(self.headers['Content-Length']))
         time.sleep(CALL_SECONDS)
+        self.answer()
+
+    def answer(self):
+        """Answer a call."""
         self.send_response(200)
         self.send_header('Request-Id', self.headers['Request-Id'])
         self.send_header('Engine-Seal', 'seal')
@@ -108,6 +119,20 @@
         """Print nothing."""
 
 
+class SlowEngine(Engine):
+    """An engine whose calls end at any time until their limit, or not."""
+
+    ran = []
+
+    def do_POST(self):
+        numbers = random.Random(self.headers['Request-Id'])
+        self.ran.append(self.headers['Request-Id'])
+        self.rfile.read(int(self.headers['Content-Length']))
+        time.sleep(numbers.uniform(0.0, 1.05 * LONG_CALL_SECONDS))
+        with contextlib.suppress(OSError):
+            self.answer()
+
+
 def row(key, value):
     """Return a row in the format of the store."""
     raw = base64.b64encode(json.dumps(value).encode()).decode()
@@ -137,8 +162,10 @@
 class Callers:
     """Sends calls, each on its own thread, and keeps the outcomes."""
 
-    def __init__(self, port):
+    def __init__(self, port, path='/call/a', seconds=0.9):
         self.port = port
+        self.path = path
+        self.seconds = seconds
         self.sent_calls = []
         self.threads = []
 
@@ -158,17 +185,19 @@
         headers = {
             'Host': world.callers.HOST,
             'Request-Id': sent_call.call,
-            'Request-Deadline': '900',
+            'Request-Deadline': str(round(1_000 * self.seconds)),
         }
         with contextlib.suppress(OSError, http.client.HTTPException):
-            connection.request('POST', '/call/a', b'hi', headers)
+            connection.request('POST', self.path, b'hi', headers)
             answer = connection.getresponse()
             answer.read()
             sent_call.status = answer.status
 
     def new_connection(self):
         """Return a connection that opens with its first call."""
-        return http.client.HTTPConnection(HOST, self.port, timeout=5.0)
+        return http.client.HTTPConnection(
+            HOST, self.port, timeout=self.seconds + 4.0
+        )
 
     def join(self):
         """Wait until the outcome of each call is known."""
@@ -254,6 +283,33 @@
     assert {o.status for o in callers.sent_calls} <= {200, 503, None}
 
 
+def test_long_calls_of_a_stop_are_answered_or_not_run(tmp_path):
+    """Guards against calls that are cut at the end of a planned stop.
+
+    Callers send on connections that they have kept, and then on new ones.
+    Each call may take half of the stop, and is answered last with 504.
+    """
+    with serving(SlowEngine) as engine_port, serving(Store) as store_port:
+        list_engine(engine_port)
+        with running_instance(tmp_path, store_port) as (process, port):
+            callers = Callers(port, '/long/a', LONG_CALL_SECONDS)
+            fleet.wait_until(lambda: launcher.is_listening(port))
+            kept = [callers.new_connection() for _ in range(150)]
+            for connection in kept:
+                connection.connect()
+            process.send_signal(signal.SIGTERM)
+            while process.poll() is None:
+                callers.send_call(kept.pop() if kept else None)
+                time.sleep(LONG_CALL_INTERVAL_SECONDS)
+            callers.join()
+    statuses = {call.call: call.status for call in callers.sent_calls}
+    ran = set(SlowEngine.ran)
+    assert {statuses[call] for call in ran} == {200, 504}
+    not_run = [s for call, s in statuses.items() if call not in ran]
+    assert 503 in not_run
+    assert set(not_run) <= {503, None}
+
+
 def test_stop_counts_from_a_signal_that_was_sent_during_a_pause(tmp_path):
     """Guards against a stop that outlasts the platform's patience.
 
