Soak: addresses that another service gets, engines that pause when they are back

Both are drawn from seed 10000 on (even and odd seeds). The judge finds requests that ran at another service ("routes"); streams cut by pauses it found already. Engines name themselves where they turn a check away, as those of the platform do: without that no successor was ever found in the soak.

--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -72,6 +72,7 @@
     events: int = 0
     crash_moment: CrashMoment | None = None
     sender: str = ''
+    service: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -160,6 +161,7 @@
         self.identity = ''
         self.born = 0
         self.running: list[Run] = []
+        self.last_ended_at = 0.0
         self.limit: NamedLimit | None = None
         self.state = 'ready'
         self.lives = True
@@ -335,10 +337,12 @@
 
     def answer(self, request: server.Request, head: 'Head') -> object:
         """Answer a request, or begin to."""
+        is_check = request.path in STATUS_PATHS
+        if is_check:
+            request.setHeader('Instance-Id', self.identity)
         if head.expected not in ('', self.identity):
             return self.not_run(request, 421)
-        if request.path in STATUS_PATHS:
-            request.setHeader('Instance-Id', self.identity)
+        if is_check:
             return self.report()
         if not head.request_id:
             return self.not_run(request, 400)
@@ -364,6 +368,7 @@
         run = Run(head.request_id, self.identity, self.pool.reactor.seconds())
         port = request.getClientAddress().port
         run.sender = self.link.sources.get(port, '')
+        run.service = self.service
         self.pool.runs.append(run)
         self.running.append(run)
         request.notifyFinish().addBoth(lambda _: self.ended(run))
@@ -421,6 +426,7 @@
         """Note the end of a run, whatever ended it."""
         if run.ended_at is None:
             run.ended_at = self.pool.reactor.seconds()
+            self.last_ended_at = run.ended_at
             self.running.remove(run)
 
     def later(self, seconds: float, run: Run, call: object, *args: object):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -41,6 +41,17 @@
 # The same before status checks could be answered late or never, and paths
 # between instances could be lost.
 FIRST_SEED_WITH_LATE_CHECKS = 9_000
+# The same before addresses of engines went to another service, and before
+# engines made a pause soon after their return.
+FIRST_SEED_WITH_REUSED_ADDRESSES = 10_000
+# The address of an engine that is lost in a pause of an instance goes to
+# another service so long after it.
+REUSED_AFTER_SECONDS = 2.05
+INSTANCE_PAUSE_SECONDS = 0.6
+LOST_IN_PAUSE_SECONDS = (0.0, 0.5)
+REUSE_EVERY_SECONDS = (2.5, 4.0)
+PAUSE_AFTER_RETURN_SECONDS = (0.9, 1.5)
+RETURN_EVERY_SECONDS = (1.0, 2.0)
 # From shortly before a pause that they lie beside.
 LATE_CHECKS_BEFORE_SECONDS = 0.5
 # For so long the links of an instance are cut as paths are lost.
@@ -105,6 +116,8 @@
     LATE_CHECKS = 'late-checks'
     LOST_CHECKS = 'lost-checks'
     LOST_PATH = 'lost-path'
+    REUSED_ADDRESS = 'reused-address'
+    RETURNED_ENGINE = 'returned-engine'
 
 
 # Those that harm an instance, or what it knows.
@@ -135,6 +148,7 @@
         What.LOST_ENGINE_ANSWERS,
         What.RESTART_ENGINE,
         What.LOST_PLACE,
+        What.REUSED_ADDRESS,
     }
 )
 # Those in which a link loses what an engine has written.
@@ -148,7 +162,7 @@
         What.PAUSE_INSTANCE,
     }
 )
-TO_ENGINES = (OF_ENGINES - {What.LOST_PLACE}) | {
+TO_ENGINES = (OF_ENGINES - {What.LOST_PLACE, What.REUSED_ADDRESS}) | {
     What.LEAVING_ENGINE,
     What.LIMITED_ENGINE,
     What.STATED_LEAVING,
@@ -192,6 +206,8 @@
     *OF_MANY_ENGINES,
     What.LOST_PLACE,
     What.LOST_PATH,
+    What.REUSED_ADDRESS,
+    What.RETURNED_ENGINE,
 )
 DRAWN = tuple(what for what in What if what not in DRAWN_APART)
 
@@ -212,6 +228,10 @@
     In every other run with lost links or crashing parts little else happens,
     as a harmed store or instance may be the cause of a failed request.
     """
+    if seed >= FIRST_SEED_WITH_REUSED_ADDRESSES and seed % 2:
+        return plan_returns(seed)
+    if seed >= FIRST_SEED_WITH_REUSED_ADDRESSES:
+        return plan_reused_addresses(seed)
     if seed >= FIRST_SEED_WITH_LATE_CHECKS:
         return plan_late_checks(seed)
     if seed >= FIRST_SEED_WITH_CRASH_MOMENTS:
@@ -273,6 +293,35 @@
     return sorted(found, key=lambda fault: fault.at)
 
 
+def plan_reused_addresses(seed: int) -> list[Fault]:
+    """Return when instances pause, and which engines are lost meanwhile."""
+    rng = random.Random(f'reused addresses of {seed}')
+    found = []
+    at = rng.uniform(0.5, 2.0)
+    while at < FAULT_SECONDS:
+        target = rng.randrange(1_000)
+        lost_at = at + rng.uniform(*LOST_IN_PAUSE_SECONDS)
+        found += [
+            Fault(What.PAUSE_INSTANCE, at, INSTANCE_PAUSE_SECONDS, target),
+            Fault(What.REUSED_ADDRESS, lost_at, REUSED_AFTER_SECONDS, target),
+        ]
+        at += rng.uniform(*REUSE_EVERY_SECONDS)
+    return found
+
+
+def plan_returns(seed: int) -> list[Fault]:
+    """Return when idle engines crash, and pause soon after their return."""
+    rng = random.Random(f'returns of {seed}')
+    found = []
+    at = rng.uniform(0.5, 2.0)
+    while at < FAULT_SECONDS:
+        seconds = rng.uniform(*PAUSE_AFTER_RETURN_SECONDS)
+        target = rng.randrange(1_000)
+        found.append(Fault(What.RETURNED_ENGINE, at, seconds, target))
+        at += rng.uniform(*RETURN_EVERY_SECONDS)
+    return found
+
+
 def plan_endless_answers(seed: int) -> list[Fault]:
     """Return when one engine, every other one or all answer without an end."""
     rng = random.Random(f'endless answers of {seed}')
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -86,6 +86,7 @@
         return [
             *self.wrong_answers(),
             *self.repeated(),
+            *self.misrouted(),
             *self.false_refusals(),
             *self.work_for_the_leaving(),
             *self.cut_by_stops(),
@@ -146,6 +147,16 @@
                 detail = f'{found.kind.value} {found.request_id}'
                 yield Broken('at most once', detail)
 
+    def misrouted(self) -> Iterator[Broken]:
+        """Find requests that an engine of another service has run."""
+        for found in self.outcomes:
+            is_stream = found.kind in callers.STREAMING
+            service = engines.STREAMS if is_stream else engines.CALLS
+            for run in self.runs[found.request_id]:
+                if run.service != service:
+                    detail = f'{found.request_id} by {run.service}'
+                    yield Broken('routes', detail)
+
     def false_refusals(self) -> Iterator[Broken]:
         """Find requests that ran although their callers were told not."""
         for found in self.outcomes:
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -78,6 +78,12 @@
         # An engine that answered no status check was taken to be out of reach,
         # and two engines worked on one stream as long as they liked.
         pytest.param(9031, id='late status checks, lost paths'),
+        # Another service's engine at the address of an engine that was lost in
+        # a pause of an instance was taken for its successor.
+        pytest.param(10000, id='addresses go to another service'),
+        # Streams sent to a new life before the list showed it were cut at its
+        # first pause.
+        pytest.param(10001, id='engines are back, and pause'),
     ],
 )
 def test_seed_breaks_no_promise(seed):
@@ -115,6 +121,8 @@
     assert faults.plan_all(7000) == faults.plan_all(7000)
     assert faults.plan_all(8001) == faults.plan_all(8001)
     assert faults.plan_all(9001) == faults.plan_all(9001)
+    assert faults.plan_all(10000) == faults.plan_all(10000)
+    assert faults.plan_all(10001) == faults.plan_all(10001)
 
 
 def test_kept_seeds_plan_what_they_planned_when_they_failed():
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -78,6 +78,17 @@
 # still serves after the time in which it must get nothing new.
 REST_SECONDS = 3.0
 STATED_LEAVING_SECONDS = 2.0
+# An engine that starts again is back so soon. It pauses then for longer than
+# streams are left silent, and no longer than their route allows.
+RETURN_SECONDS = 0.2
+RETURNED_PAUSE_SECONDS = 0.55
+# How often, and how many times, an idle engine is looked for.
+IDLE_POLL_SECONDS = 0.02
+IDLE_TRIES = 50
+# The end of an answer has left an engine so long after the run.
+SENT_SECONDS = 0.1
+# How long an engine has an address that was another service's.
+OTHER_SERVICE_SECONDS = 2.0
 # Time between two requests with a part that crashes engines.
 CRASHING_EVERY_SECONDS = 0.6
 # The share of answers whose engine loses the rest of their head.
@@ -126,7 +137,12 @@
             self.message_delay = messages.choice(LATE_MESSAGES)
         self.route_limits = dict(ROUTE_LIMITS)
         self.retry_slack = RETRY_SLACK
-        if self.has_pauses:
+        self.has_reused_addresses = (
+            seed >= faults.FIRST_SEED_WITH_REUSED_ADDRESSES
+        )
+        # The engine of a silent run with a copy is not probed.
+        self.has_copies = not (self.has_reused_addresses and seed % 2)
+        if self.has_pauses and not self.has_reused_addresses:
             self.retry_slack = RETRY_SLACK_WITH_PAUSES
         # Runs side by side keep to loopback networks of their own.
         network = f'127.{20 + seed % 200}.{self.rng.randrange(1, 250)}'
@@ -138,7 +154,9 @@
         self.engines = engines.Engines(reactor)
         # Lost checks cut answers without a length; with odd seeds there are
         # none, so that what paths do is seen.
-        is_framed = self.has_late_checks and seed % 2
+        is_framed = self.has_reused_addresses or (
+            self.has_late_checks and seed % 2
+        )
         if seed >= faults.FIRST_SEED_WITH_CRASHING_PARTS and not is_framed:
             self.engines.unframed_share = UNFRAMED_SHARE
         if self.has_lost_places:
@@ -263,7 +281,7 @@
         model = {
             'slots': engines.SLOTS,
             'kv_capacity': 88_000,
-            'backups': True,
+            'backups': self.has_copies,
             'moves': False,
             'handle_s': 4.0,
         }
@@ -344,6 +362,8 @@
         """Return how many callers ask at a time."""
         if self.has_long_streams or self.has_lost_places:
             return CALLERS_OF_LONG_STREAMS
+        if self.has_reused_addresses:
+            return CALLERS
         return CALLERS_WITH_PAUSES if self.has_pauses else CALLERS
 
     @defer.inlineCallbacks
@@ -393,6 +413,10 @@
             self.lose_place(fault)
         elif fault.what is faults.What.LOST_PATH:
             self.lose_path(fault)
+        elif fault.what is faults.What.REUSED_ADDRESS:
+            self.lose_address(fault)
+        elif fault.what is faults.What.RETURNED_ENGINE:
+            self.return_engine(fault)
         elif fault.what in faults.TO_ENGINES:
             self.harm_engine(fault)
         elif fault.what in faults.OF_MANY_ENGINES:
@@ -610,6 +634,80 @@
         engine.link.mode = proxy.Mode.PASS
         engine.restart()
 
+    def lose_address(self, fault: faults.Fault) -> None:
+        """Have an engine crash; another service gets its address for a while.
+
+        The engine works for an instance that is paused. Every other time its
+        link is dark meanwhile, and nothing is reset.
+        """
+        paused = self.instances[fault.target % len(self.instances)]
+        engine = next(
+            (
+                engine
+                for engine in self.engines.engines
+                if engine.service == engines.STREAMS
+                and any(run.sender == paused.host for run in engine.running)
+            ),
+            None,
+        )
+        if engine is None:
+            return
+        self.note(fault, engine.identity)
+        if fault.target % 2:
+            engine.crash_unnoticed()
+        else:
+            engine.crash()
+        self.later(fault, self.give_address, engine, engines.CALLS)
+        seconds = fault.seconds + OTHER_SERVICE_SECONDS
+        task.deferLater(self.reactor, seconds, engine.crash)
+        seconds += fault.seconds
+        task.deferLater(
+            self.reactor, seconds, self.give_address, engine, engines.STREAMS
+        )
+
+    def give_address(self, engine: engines.Engine, service: str) -> None:
+        """Start an engine of a service at the address of one that ended."""
+        engine.service = service
+        self.follow(engine)
+
+    def return_engine(
+        self, fault: faults.Fault, tries: int = IDLE_TRIES
+    ) -> None:
+        """Have an idle engine start again, and pause while it is new.
+
+        Nobody suspects it, as nothing was lost.
+        """
+        idle = [
+            engine
+            for engine in self.engines.engines
+            if engine.service == engines.STREAMS
+            and engine.lives
+            and not engine.running
+            and engine.last_ended_at < self.reactor.seconds() - SENT_SECONDS
+        ]
+        if not idle:
+            if tries:
+                task.deferLater(
+                    self.reactor,
+                    IDLE_POLL_SECONDS,
+                    self.return_engine,
+                    fault,
+                    tries - 1,
+                )
+            return
+        engine = idle[fault.target % len(idle)]
+        self.note(fault, engine.identity)
+        engine.crash()
+        task.deferLater(self.reactor, RETURN_SECONDS, engine.start_again)
+        seconds = RETURN_SECONDS + fault.seconds
+        pause = faults.Fault(
+            faults.What.PAUSED_ENGINES,
+            0.0,
+            RETURNED_PAUSE_SECONDS,
+            3 * self.engines.engines.index(engine),
+        )
+        task.deferLater(self.reactor, seconds, self.hold_engines, pause)
+
     def hold_engines(self, fault: faults.Fault) -> None:
         """Have one engine, every other one or all pause, fail or be full."""
         pool = self.engines.engines
