A stream that may run once is not cut because a check of its engine fails

The answer had no length and ended with its connection; the engine, which was sound, reset new connections for some seconds, so that the check whether it lives failed.

Cause: after three failed checks every stream goes on at another engine. One that may run once cannot, so it was ended. Calls were kept already.

Change: what cannot go on elsewhere is kept until the engine answers a check, or until the deadline.

--- a/src/greengagelb/coordination/relay/crashing_requests.py
+++ b/src/greengagelb/coordination/relay/crashing_requests.py
@@ -148,10 +148,10 @@
         result: crash_watch.CheckResult,
         now: float,
     ) -> list[Action]:
-        """Keep answers to calls until their engine answers, or the deadline.
+        """Keep answers until their engine answers, or until the deadline.
 
         The silence of an engine does not prove that its answer is incomplete.
-        A stream goes on at another engine instead.
+        A stream that can be repeated goes on at another engine instead.
         """
         kept: list[crash_watch.EndOfAnswer] = []
         resulting: list[Action] = []
@@ -159,7 +159,9 @@
             exchange = self.open_exchanges.get(ended.exchange)
             if exchange is None or ended.send not in exchange.sends:
                 continue
-            if exchange.ruling.route.repeat is routes.RepeatPolicy.STREAM:
+            route = exchange.ruling.route
+            is_stream = route.repeat is routes.RepeatPolicy.STREAM
+            if is_stream and route.is_repeatable:
                 lost = crash_watch.decide_end(ended, event.fate)
                 resulting += self.end_answer(lost, now)
             else:
--- a/tests/relay/test_answers_ended_by_close.py
+++ b/tests/relay/test_answers_ended_by_close.py
@@ -5,6 +5,8 @@
 is still alive.
 """
 
+import dataclasses
+
 import pytest
 
 from greengagelb.coordination.relay import actions as relay_actions
@@ -223,3 +225,36 @@
     end_call(world, world.last_send(exchange), status=503, not_run=True)
     assert not world.of_kind(relay_actions.CheckEngine)
     assert len(world.sends(exchange)) == 2
+
+
+def once_only_world():
+    route = dataclasses.replace(relay_world.STREAM_ROUTE, resumable=False)
+    world = relay_world.RelayWorld(table=relay_world.route_table(1, (route,)))
+    world.relay.budget.set_fleet_size(1)
+    return world
+
+
+@pytest.mark.parametrize('fate', [ALIVE, ENDED])
+def test_a_stream_that_may_run_once_is_kept_while_its_engine_is_silent(fate):
+    """Guards against a whole stream that is cut at its end.
+
+    Its engine resets new connections for a while, and nothing can replace it.
+    """
+    world = once_only_world()
+    send = stream_of(world, 1, 2, 3)
+    end_stream(world, send)
+    fail_checks(world)
+    assert not world.of_kind(relay_actions.AbortStream)
+    check(world, fate)
+    assert bool(world.of_kind(relay_actions.EndStream)) == (fate is ALIVE)
+    assert bool(world.of_kind(relay_actions.AbortStream)) == (fate is ENDED)
+
+
+def test_a_stream_that_may_run_once_ends_at_its_deadline():
+    """Guards against a part passed on as whole, and a wait without an end."""
+    world = once_only_world()
+    end_stream(world, stream_of(world, 1, 2, 3))
+    fail_checks(world)
+    world.advance(relay_world.STREAM_ROUTE.time_limit)
+    assert not world.of_kind(relay_actions.EndStream)
+    assert len(world.of_kind(relay_actions.AbortStream)) == 1
