--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -41,9 +41,9 @@
 # The same before status checks could be answered late or never, and paths
 # between instances could be lost.
 FIRST_SEED_WITH_LATE_CHECKS = 9_000
-# The same before addresses of engines went to another service, and before
-# engines made a pause soon after their return.
-FIRST_SEED_WITH_REUSED_ADDRESSES = 10_000
+# With these, addresses of engines go to another service, or engines make a
+# pause soon after their return. Later seeds were played before.
+SEEDS_WITH_REUSED_ADDRESSES = range(10_000, 20_000)
 # The address of an engine that is lost in a pause of an instance goes to
 # another service so long after it.
 REUSED_AFTER_SECONDS = 2.05
@@ -228,10 +228,8 @@
     In every other run with lost links or crashing parts little else happens,
     as a harmed store or instance may be the cause of a failed request.
     """
-    if seed >= FIRST_SEED_WITH_REUSED_ADDRESSES and seed % 2:
-        return plan_returns(seed)
-    if seed >= FIRST_SEED_WITH_REUSED_ADDRESSES:
-        return plan_reused_addresses(seed)
+    if seed in SEEDS_WITH_REUSED_ADDRESSES:
+        return plan_returns(seed) if seed % 2 else plan_reused_addresses(seed)
     if seed >= FIRST_SEED_WITH_LATE_CHECKS:
         return plan_late_checks(seed)
     if seed >= FIRST_SEED_WITH_CRASH_MOMENTS:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -137,9 +137,7 @@
             self.message_delay = messages.choice(LATE_MESSAGES)
         self.route_limits = dict(ROUTE_LIMITS)
         self.retry_slack = RETRY_SLACK
-        self.has_reused_addresses = (
-            seed >= faults.FIRST_SEED_WITH_REUSED_ADDRESSES
-        )
+        self.has_reused_addresses = seed in faults.SEEDS_WITH_REUSED_ADDRESSES
         # The engine of a silent run with a copy is not probed.
         self.has_copies = not (self.has_reused_addresses and seed % 2)
         if self.has_pauses and not self.has_reused_addresses:
