A stream that may not go on elsewhere yet is kept beside failed checks

The caller's stream was cut, although all of it may have been there.

Cause: the end of the answer was given up before it was asked whether anything could replace it.

Change: such an answer is kept, its engine is checked on, and with each check it is asked again whether the stream may go on elsewhere.

Evidence: both cases of test_a_stream_that_no_engine_may_continue_is_kept and test_a_kept_stream_goes_on_elsewhere_once_there_is_a_retry failed before.

--- a/src/greengagelb/coordination/relay/crashing_requests.py
+++ b/src/greengagelb/coordination/relay/crashing_requests.py
@@ -151,7 +151,7 @@
         """Keep answers until their engine answers, or until the deadline.
 
         The silence of an engine does not prove that its answer is incomplete.
-        A stream that can be repeated goes on at another engine instead.
+        A stream goes on at another engine instead, once that is allowed.
         """
         kept: list[crash_watch.EndOfAnswer] = []
         resulting: list[Action] = []
@@ -161,7 +161,7 @@
                 continue
             route = exchange.ruling.route
             is_stream = route.repeat is routes.RepeatPolicy.STREAM
-            if is_stream and route.is_repeatable:
+            if is_stream and self.may_go_on_elsewhere(exchange, now):
                 lost = crash_watch.decide_end(ended, event.fate)
                 resulting += self.end_answer(lost, now)
             else:
@@ -169,6 +169,18 @@
         resulting += self.watch.keep_answers(event.entry, tuple(kept), now)
         return resulting
 
+    def may_go_on_elsewhere(
+        self, exchange: exchanges.Exchange, now: float
+    ) -> bool:
+        """Return whether another engine may be sent a stream now."""
+        send_manager = self.components.send_manager
+        service = exchange.ruling.service.name
+        return (
+            exchange.ruling.route.is_repeatable
+            and send_manager.has_attempts_left(exchange)
+            and send_manager.budget.has_retry(service, now)
+        )
+
     def schedule_reannouncements(
         self, fingerprint: str, now: float
     ) -> list[Action]:
--- a/tests/relay/test_answers_ended_by_close.py
+++ b/tests/relay/test_answers_ended_by_close.py
@@ -12,6 +12,7 @@
 from greengagelb.coordination.relay import actions as relay_actions
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.coordination.sharing import broken_runs
+from greengagelb.state.relay import bounds
 from tests.common import relay_world
 
 ALIVE = relay_events.EngineFate.ALIVE
@@ -258,3 +259,43 @@
     world.advance(relay_world.STREAM_ROUTE.time_limit)
     assert not world.of_kind(relay_actions.EndStream)
     assert len(world.of_kind(relay_actions.AbortStream)) == 1
+
+
+def world_without_attempts():
+    route = dataclasses.replace(relay_world.STREAM_ROUTE, most_attempts=1)
+    return relay_world.RelayWorld(table=relay_world.route_table(1, (route,)))
+
+
+def world_without_retries():
+    world = lone_world()
+    world.relay.budget.bounds = bounds.RetryBounds(0.0, 10.0, 0.0)
+    return world
+
+
+@pytest.mark.parametrize(
+    'world_of', [world_without_attempts, world_without_retries]
+)
+def test_a_stream_that_no_engine_may_continue_is_kept(world_of):
+    """Guards against a whole stream that is cut for lack of a retry.
+
+    Its engine is paused and answers no check.
+    """
+    world = world_of()
+    send = stream_of(world, 1, 2, 3)
+    end_stream(world, send)
+    fail_checks(world)
+    assert not world.of_kind(relay_actions.AbortStream)
+    check(world, ALIVE)
+    assert world.of_kind(relay_actions.EndStream)
+
+
+def test_a_kept_stream_goes_on_elsewhere_once_there_is_a_retry():
+    """Guards against a wait for the deadline at an engine that is lost."""
+    world = world_without_retries()
+    send = stream_of(world, 1, 2, 3)
+    end_stream(world, send)
+    fail_checks(world)
+    world.relay.budget.bounds = relay_world.RETRIES
+    check(world, UNKNOWN)
+    assert world.last_send(send.exchange).resume_after == 3
+    assert len(world.sends(send.exchange)) == 2
