One question for the life of a send, without an enumeration

Only one of the three members of SendLife was ever asked for. The function that tells whether a send certainly went to a former life says the same; what is decided is unchanged.

--- a/src/greengagelb/coordination/relay/restarts.py
+++ b/src/greengagelb/coordination/relay/restarts.py
@@ -152,8 +152,7 @@
         stream, show what became of it.
         """
         state = self.components.engines.states[entry.engine]
-        life = send_lives.life_of_send(sent, state)
-        return life is send_lives.SendLife.FORMER
+        return send_lives.is_of_former_life(sent, state)
 
     def continue_elsewhere(
         self,
--- a/src/greengagelb/coordination/relay/send_lives.py
+++ b/src/greengagelb/coordination/relay/send_lives.py
@@ -4,30 +4,22 @@
 list shows its new life. Such a send still has the entry of the former life.
 """
 
-import enum
-
 from greengagelb.coordination.relay import events as relay_events
 from greengagelb.state.relay import engine_states
 from greengagelb.state.relay import exchanges
 
 
-class SendLife(enum.Enum):
-    """The life of an engine that got a send, among those known here."""
-
-    CURRENT = 'current'
-    FORMER = 'former'
-    UNKNOWN = 'unknown'
-
-
-def life_of_send(
+def is_of_former_life(
     sent: exchanges.InFlightSend, state: engine_states.EngineState
-) -> SendLife:
-    """Return which life got a send; ``state`` is that of its engine."""
+) -> bool:
+    """Return whether a send certainly went to a former life of its engine.
+
+    ``state`` is that of the engine. One sent shortly before the current life
+    was known may have gone to either.
+    """
     if sent.entry.started_at_ms == state.entry.started_at_ms:
-        return SendLife.CURRENT
-    if sent.began_at <= state.former_until:
-        return SendLife.FORMER
-    return SendLife.UNKNOWN
+        return False
+    return sent.began_at <= state.former_until
 
 
 def note_probe(
