--- a/tests/common/upstream_answers.py
+++ b/tests/common/upstream_answers.py
@@ -1,6 +1,7 @@
 """The clients of an instance of the own interface, and their upstreams."""
 
 from greengagelb.coordination import actions
+from greengagelb.coordination import events
 from greengagelb.state import configuration
 from greengagelb.state import identity
 from greengagelb.state import requests
@@ -71,6 +72,17 @@
         return self.network.accept()
 
 
+def assert_unanswered(event):
+    """Check that no answer came; a run may have been begun."""
+    match event:
+        case events.CallBroken() | events.AttemptBroken():
+            assert event.handed_over
+        case _:
+            assert isinstance(
+                event, events.UpstreamUnreachable | events.CancelFailed
+            )
+
+
 def attempt_of(number):
     request = identity.RequestId('teratak', f'r{number}')
     return identity.AttemptId(request, 1, f'i.{number}')
--- a/tests/transport/test_answers_cut_short.py
+++ b/tests/transport/test_answers_cut_short.py
@@ -90,10 +90,4 @@
     wire.protocol.dataReceived(answer('length').replace(valid, invalid))
     wire.break_off()
     [event] = side.events
-    match event:
-        case events.CallBroken() | events.AttemptBroken():
-            assert event.handed_over
-        case _:
-            assert isinstance(
-                event, events.UpstreamUnreachable | events.CancelFailed
-            )
+    upstream_answers.assert_unanswered(event)
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -31,13 +31,7 @@
     sent = send_until_closed(wire, *endless_answers.HEADS[kind])
     assert sent <= bounded_heads.MAX_HEAD_BYTES + 2_000
     [event] = side.events
-    match event:
-        case events.CallBroken() | events.AttemptBroken():
-            assert event.handed_over
-        case _:
-            assert isinstance(
-                event, events.UpstreamUnreachable | events.CancelFailed
-            )
+    upstream_answers.assert_unanswered(event)
 
 
 def test_head_in_many_pieces_is_read():
